--- /dev/null
+++ b/crates/core/src/engine_ledger.rs
@@ -0,0 +1,633 @@
+//! What one engine has been given, what waits for it, and what it says it holds.
+//!
+//! The engine is the truth: memory counts as free only once a lease is gone and the engine no
+//! longer lists the attempt. A ledger that starts empty, as after a crash, rebuilds itself from
+//! the engine's list and from the renewals of entries that still stream.
+
+use std::{collections, time};
+
+use crate::{fair_queue, ids, refusal, settings, units};
+
+/// Expected time from one output token to the next, for estimates of the whole answer.
+const TOKEN_INTERVAL: time::Duration = time::Duration::from_millis(30);
+/// Prefill work handed to an engine ahead of its pace, beyond the request being worked on.
+const PREFILL_AHEAD: time::Duration = time::Duration::from_millis(250);
+/// Longest age of a load report before its absence counts as the engine being out of reach.
+const REPORT_LIMIT: time::Duration = time::Duration::from_secs(3);
+/// After a release, how long the engine's list may lag behind it.
+const RELEASE_SETTLE: time::Duration = time::Duration::from_secs(2);
+/// Part of the wait that passes before an item counts as overdue.
+const OVERDUE_PART: f64 = 0.5;
+/// After its time limit, how long a lease may still be in use by a cancel on its way.
+const LEASE_MARGIN: time::Duration = time::Duration::from_secs(2);
+
+/// Prompts grouped by length; the number is the priority sent to engines, 0 being first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum LengthBand {
+    /// Up to `short_tokens`.
+    Short,
+    /// Between the two.
+    Medium,
+    /// Beyond `long_tokens`.
+    Long,
+}
+
+impl LengthBand {
+    /// The band of a prompt.
+    pub fn of(prompt: units::TokenCount, fleet: &settings::FleetOptions) -> Self {
+        if prompt <= fleet.short_tokens {
+            Self::Short
+        } else if prompt <= fleet.long_tokens {
+            Self::Medium
+        } else {
+            Self::Long
+        }
+    }
+
+    /// The priority sent to engines.
+    pub fn priority(self) -> u8 {
+        self as u8
+    }
+}
+
+/// A request for a place on an engine.
+#[derive(Debug, Clone)]
+pub struct PlaceRequest {
+    /// The attempt it is for.
+    pub attempt: ids::AttemptId,
+    /// The entry that makes it.
+    pub entry: ids::InstanceId,
+    /// That entry's start.
+    pub boot: ids::BootId,
+    /// Whose request it is.
+    pub customer: ids::CustomerId,
+    /// The customer's weight.
+    pub weight: f64,
+    /// Length of the prompt.
+    pub prompt: units::TokenCount,
+    /// Part of the prompt the engine has probably cached.
+    pub cached: units::TokenCount,
+    /// Most tokens of output.
+    pub output: units::TokenCount,
+    /// Memory it needs on this engine; less than prompt and output for a member of a group.
+    pub memory: units::TokenCount,
+    /// Whether this engine is one of several that serve the prompt together.
+    pub grouped: bool,
+    /// When it must have finished.
+    pub deadline: units::MonoTime,
+    /// Until when it is willing to wait for its place.
+    pub patience: units::MonoTime,
+}
+
+impl PlaceRequest {
+    fn prefill(&self) -> units::TokenCount {
+        self.prompt.saturating_sub(self.cached)
+    }
+}
+
+/// A place on an engine, held for one attempt.
+#[derive(Debug, Clone)]
+pub struct EngineLease {
+    request: PlaceRequest,
+    /// Tokens of the prompt not worked through yet, as far as known. Only falls.
+    prefill_left: f64,
+    /// Last time the entry said that it still streams.
+    renewed: units::MonoTime,
+}
+
+/// What an engine says of itself.
+#[derive(Debug, Clone, Default)]
+pub struct EngineReport {
+    /// Whether it takes no new work.
+    pub draining: bool,
+    /// Its whole memory.
+    pub memory: units::TokenCount,
+    /// Prefill work it has not done yet.
+    pub prefill_backlog: units::TokenCount,
+    /// How old the report is.
+    pub age: time::Duration,
+    /// The attempts it holds memory for.
+    pub held: Vec<(ids::AttemptId, units::TokenCount)>,
+}
+
+/// What the ledger wants done.
+#[derive(Debug, Clone, PartialEq)]
+pub enum LedgerAction {
+    /// Tell the entry to start.
+    Grant(ids::AttemptId),
+    /// Tell the entry that there is no place, and why.
+    Refuse(ids::AttemptId, refusal::RequestRefusal),
+    /// Tell the engine to give an attempt up.
+    Cancel(ids::AttemptId),
+}
+
+/// What an engine could do for a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct EngineOffer {
+    /// Expected time until the first token.
+    pub first_token: time::Duration,
+    /// Memory not spoken for.
+    pub free: units::TokenCount,
+    /// Requests running.
+    pub running: usize,
+    /// Requests waiting.
+    pub waiting: usize,
+}
+
+/// Something the engine holds that no lease explains.
+#[derive(Debug, Clone, Copy)]
+struct OrphanRecord {
+    tokens: units::TokenCount,
+    since: units::MonoTime,
+}
+
+/// The scheduler's record of one engine.
+#[derive(Debug)]
+pub struct EngineLedger {
+    capacity: units::TokenCount,
+    prefill_rate: units::TokenRate,
+    options: settings::FleetOptions,
+    draining: bool,
+    /// Invariant: the sum of their memory never exceeds `capacity` less what orphans hold, as far
+    /// as the ledger knew when it granted them.
+    leases: collections::HashMap<ids::AttemptId, EngineLease>,
+    orphans: collections::HashMap<ids::AttemptId, OrphanRecord>,
+    released: collections::HashMap<ids::AttemptId, units::MonoTime>,
+    queue: fair_queue::FairQueue<PlaceRequest>,
+    /// Prefill work the engine reported beyond what the leases explain.
+    foreign_prefill: f64,
+    advanced: units::MonoTime,
+    reported: Option<units::MonoTime>,
+}
+
+impl EngineLedger {
+    /// A ledger that knows of no lease yet.
+    pub fn new(
+        now: units::MonoTime,
+        capacity: units::TokenCount,
+        prefill_rate: units::TokenRate,
+        options: settings::FleetOptions,
+    ) -> Self {
+        Self {
+            capacity,
+            prefill_rate,
+            options,
+            draining: false,
+            leases: collections::HashMap::new(),
+            orphans: collections::HashMap::new(),
+            released: collections::HashMap::new(),
+            queue: fair_queue::FairQueue::default(),
+            foreign_prefill: 0.0,
+            advanced: now,
+            reported: None,
+        }
+    }
+
+    /// Takes new settings over; leases granted under the old ones stay.
+    pub fn set_options(&mut self, options: settings::FleetOptions) {
+        self.options = options;
+    }
+
+    /// Notes that the published list calls the engine leaving, or live again.
+    pub fn set_leaving(&mut self, leaving: bool) {
+        self.draining = leaving;
+    }
+
+    /// Memory neither leased nor held by an orphan.
+    pub fn free(&self) -> units::TokenCount {
+        self.capacity.saturating_sub(self.leased() + self.orphaned())
+    }
+
+    /// Number of leases.
+    pub fn running(&self) -> usize {
+        self.leases.len()
+    }
+
+    /// Number of waiting requests.
+    pub fn waiting(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// Attempts the engine holds that no lease explains.
+    pub fn orphan_count(&self) -> usize {
+        self.orphans.len()
+    }
+
+    /// Whether the engine takes no new work.
+    pub fn draining(&self) -> bool {
+        self.draining
+    }
+
+    /// Whether the engine has told of itself lately.
+    pub fn reachable(&self, now: units::MonoTime) -> bool {
+        self.reported.is_some_and(|reported| now.since(reported) <= REPORT_LIMIT)
+    }
+
+    /// What the engine could do for a request, or why nothing.
+    pub fn offer(
+        &mut self,
+        now: units::MonoTime,
+        request: &PlaceRequest,
+    ) -> Result<EngineOffer, refusal::RequestRefusal> {
+        self.work_through(now);
+        self.check(now, request)?;
+        Ok(EngineOffer {
+            first_token: self.first_token(now, request),
+            free: self.free(),
+            running: self.leases.len(),
+            waiting: self.queue.len(),
+        })
+    }
+
+    /// Takes a request into the queue, or refuses it at once.
+    pub fn enqueue(&mut self, now: units::MonoTime, request: PlaceRequest) -> Vec<LedgerAction> {
+        self.work_through(now);
+        let known = |waiting: &fair_queue::QueueItem<PlaceRequest>| {
+            waiting.payload.attempt == request.attempt
+        };
+        if self.leases.contains_key(&request.attempt) || self.queue.iter().any(known) {
+            // The same message a second time: one lease is enough.
+            return Vec::new();
+        }
+        if let Err(refusal) = self.check(now, &request) {
+            return vec![LedgerAction::Refuse(request.attempt, refusal)];
+        }
+        let spare = self.latest_start(&request).since(now);
+        let item = fair_queue::QueueItem {
+            customer: request.customer.clone(),
+            weight: request.weight,
+            cost: request.prefill() + request.output,
+            overdue: now + spare.mul_f64(OVERDUE_PART),
+            payload: request,
+        };
+        self.queue.push(item);
+        self.advance(now)
+    }
+
+    /// Does what has become due: grants, refusals of what waited too long, cancels.
+    pub fn advance(&mut self, now: units::MonoTime) -> Vec<LedgerAction> {
+        self.work_through(now);
+        let mut actions = self.expire_waiting(now);
+        actions.extend(self.expire_leases(now));
+        actions.extend(self.grant_waiting(now));
+        actions
+    }
+
+    /// Gives a place back. Unknown and repeated releases do nothing.
+    pub fn release(&mut self, now: units::MonoTime, attempt: &ids::AttemptId) -> Vec<LedgerAction> {
+        if self.leases.remove(attempt).is_some() {
+            self.released.insert(attempt.clone(), now);
+        }
+        self.queue.remove_where(|waiting| waiting.attempt == *attempt);
+        self.advance(now)
+    }
+
+    /// Takes in what one entry says it still streams; what it leases and does not name is over.
+    ///
+    /// Attempts no lease explains are adopted: the ledger may be newer than they are.
+    pub fn renew(
+        &mut self,
+        now: units::MonoTime,
+        entry: &ids::InstanceId,
+        boot: ids::BootId,
+        streaming: &[PlaceRequest],
+    ) -> Vec<LedgerAction> {
+        for request in streaming {
+            self.adopt(now, request);
+        }
+        let named: collections::HashSet<_> = streaming.iter().map(|one| &one.attempt).collect();
+        let settled = |lease: &EngineLease| now.since(lease.renewed) >= RELEASE_SETTLE;
+        let over: Vec<_> = self
+            .leases
+            .values()
+            .filter(|lease| lease.request.entry == *entry)
+            .filter(|lease| !named.contains(&lease.request.attempt))
+            .filter(|lease| lease.request.boot != boot || settled(lease))
+            .map(|lease| lease.request.attempt.clone())
+            .collect();
+        for attempt in &over {
+            self.drop_lease(now, attempt);
+        }
+        self.advance(now)
+    }
+
+    /// Takes in the engine's own word and cancels what nobody wants any more.
+    pub fn report(&mut self, now: units::MonoTime, report: &EngineReport) -> Vec<LedgerAction> {
+        self.work_through(now);
+        self.reported = Some(now);
+        self.draining = report.draining;
+        if report.memory > units::TokenCount::ZERO {
+            self.capacity = report.memory;
+        }
+        let own: f64 = self.leases.values().map(|lease| lease.prefill_left).sum();
+        self.foreign_prefill = (report.prefill_backlog.0 as f64 - own).max(0.0);
+        self.update_orphans(now, report);
+        let mut actions = self.due_cancels(now);
+        actions.extend(self.advance(now));
+        actions
+    }
+
+    fn adopt(&mut self, now: units::MonoTime, request: &PlaceRequest) {
+        if self.released.contains_key(&request.attempt) {
+            return;
+        }
+        self.orphans.remove(&request.attempt);
+        let adopted = || EngineLease { request: request.clone(), prefill_left: 0.0, renewed: now };
+        self.leases.entry(request.attempt.clone()).or_insert_with(adopted).renewed = now;
+    }
+
+    fn update_orphans(&mut self, now: units::MonoTime, report: &EngineReport) {
+        let taken = units::MonoTime(now.0.saturating_sub(units::MonoTime::from_span(report.age).0));
+        let mut orphans = collections::HashMap::new();
+        for (attempt, tokens) in &report.held {
+            let fresh_release = self
+                .released
+                .get(attempt)
+                .is_some_and(|released| taken.since(*released) < RELEASE_SETTLE);
+            if self.leases.contains_key(attempt) || fresh_release {
+                continue;
+            }
+            let since = self.orphans.get(attempt).map_or(now, |orphan| orphan.since);
+            orphans.insert(attempt.clone(), OrphanRecord { tokens: *tokens, since });
+        }
+        self.orphans = orphans;
+        let held: collections::HashSet<_> =
+            report.held.iter().map(|(attempt, _)| attempt).collect();
+        self.released.retain(|attempt, released| {
+            held.contains(attempt) || taken.since(*released) < RELEASE_SETTLE
+        });
+    }
+
+    fn due_cancels(&self, now: units::MonoTime) -> Vec<LedgerAction> {
+        let grace = self.options.orphan_grace.0;
+        self.orphans
+            .iter()
+            .filter(|(attempt, orphan)| {
+                self.released.contains_key(*attempt) || now.since(orphan.since) >= grace
+            })
+            .map(|(attempt, _)| LedgerAction::Cancel(attempt.clone()))
+            .collect()
+    }
+
+    fn expire_waiting(&mut self, now: units::MonoTime) -> Vec<LedgerAction> {
+        let latest: collections::HashMap<_, _> = self
+            .queue
+            .iter()
+            .map(|item| {
+                let request = &item.payload;
+                (request.attempt.clone(), self.latest_start(request).min(request.patience))
+            })
+            .collect();
+        let draining = self.draining;
+        let gone = self.queue.remove_where(|request| draining || latest[&request.attempt] <= now);
+        let rate = self.prefill_rate;
+        let backlog = self.backlog(None) + self.queue.iter().map(|item| item.cost).sum();
+        gone.into_iter()
+            .map(|item| {
+                let refusal = if draining {
+                    leaving_refusal()
+                } else {
+                    overload_refusal(
+                        "waited as long as its time limit allows",
+                        rate.time_for(backlog),
+                    )
+                };
+                LedgerAction::Refuse(item.payload.attempt, refusal)
+            })
+            .collect()
+    }
+
+    fn expire_leases(&mut self, now: units::MonoTime) -> Vec<LedgerAction> {
+        let grace = self.options.orphan_grace.0;
+        let over: Vec<_> = self
+            .leases
+            .values()
+            .filter(|lease| {
+                let silent = now.since(lease.renewed) >= grace;
+                silent || lease.request.deadline + LEASE_MARGIN <= now
+            })
+            .map(|lease| lease.request.attempt.clone())
+            .collect();
+        for attempt in &over {
+            self.drop_lease(now, attempt);
+        }
+        over.into_iter().map(LedgerAction::Cancel).collect()
+    }
+
+    /// Ends a lease whose entry has not released it: the engine may still hold its memory.
+    fn drop_lease(&mut self, now: units::MonoTime, attempt: &ids::AttemptId) {
+        let Some(lease) = self.leases.remove(attempt) else {
+            return;
+        };
+        self.released.insert(attempt.clone(), now);
+        let tokens = lease.request.memory;
+        self.orphans.insert(attempt.clone(), OrphanRecord { tokens, since: now });
+    }
+
+    fn grant_waiting(&mut self, now: units::MonoTime) -> Vec<LedgerAction> {
+        let mut actions = Vec::new();
+        // A scheduler that slept knows nothing of its engine until the engine has told it.
+        while self.reachable(now) {
+            let mut room = self.room();
+            let Some(item) = self.queue.pop_where(now, |item, overdue| room.fits(item, overdue))
+            else {
+                break;
+            };
+            let request = item.payload;
+            actions.push(LedgerAction::Grant(request.attempt.clone()));
+            let lease = EngineLease {
+                prefill_left: request.prefill().0 as f64,
+                renewed: now,
+                request: request.clone(),
+            };
+            self.leases.insert(request.attempt, lease);
+        }
+        actions
+    }
+
+    fn room(&self) -> EngineRoom {
+        let long_running = |lease: &&EngineLease| {
+            lease.prefill_left > 0.0 && self.band(&lease.request) == LengthBand::Long
+        };
+        EngineRoom {
+            options: self.options.clone(),
+            free: self.free(),
+            headroom: self.capacity.scale(self.options.headroom.factor()),
+            places: self.options.max_running.saturating_sub(self.leases.len()),
+            grouped: self.leases.values().any(|lease| lease.request.grouped),
+            long_prefills: self.leases.values().filter(long_running).count(),
+            short_backlog: self.backlog(Some(LengthBand::Short)),
+            medium_backlog: self.backlog(Some(LengthBand::Medium)),
+            ahead: self.prefill_rate.tokens_in(PREFILL_AHEAD),
+            reserved: false,
+        }
+    }
+
+    fn check(
+        &self,
+        now: units::MonoTime,
+        request: &PlaceRequest,
+    ) -> Result<(), refusal::RequestRefusal> {
+        if self.draining {
+            return Err(leaving_refusal());
+        }
+        if !self.reachable(now) {
+            let code = refusal::RefusalCode::NoUpstream;
+            return Err(refusal::RequestRefusal::not_run(code, "the engine is out of reach"));
+        }
+        if request.memory > self.largest(request) {
+            let text = format!("needs {}, the engine holds {}", request.memory, self.capacity);
+            let code = refusal::RefusalCode::TooLarge;
+            return Err(refusal::RequestRefusal::not_run(code, text));
+        }
+        let first = self.first_token(now, request);
+        let whole = first + answer_time(request.output);
+        let left = request.deadline.since(now);
+        if whole > left {
+            return Err(overload_refusal("would not finish inside its time limit", whole - left));
+        }
+        Ok(())
+    }
+
+    /// The most memory one request may have, so that shorts always find the headroom.
+    fn largest(&self, request: &PlaceRequest) -> units::TokenCount {
+        match self.band(request) {
+            LengthBand::Short => self.capacity,
+            _ => self.capacity.scale(1.0 - self.options.headroom.factor()),
+        }
+    }
+
+    fn first_token(&self, now: units::MonoTime, request: &PlaceRequest) -> time::Duration {
+        let band = self.band(request);
+        let cost = request.prefill() + request.output;
+        let queued = self.queue.cost_ahead(now, &request.customer, request.weight, cost);
+        let work = self.backlog(Some(band)) + queued + request.prefill();
+        let prefill = self.prefill_rate.time_for(work);
+        if self.fits_now(request) { prefill } else { prefill + self.memory_wait(request) }
+    }
+
+    fn fits_now(&self, request: &PlaceRequest) -> bool {
+        self.leases.len() < self.options.max_running && request.memory <= self.free()
+    }
+
+    /// Expected time until enough leases end: their prefill and half their answer, at worst.
+    fn memory_wait(&self, request: &PlaceRequest) -> time::Duration {
+        let mut ends: Vec<_> = self
+            .leases
+            .values()
+            .map(|lease| {
+                let prefill =
+                    self.prefill_rate.time_for(units::TokenCount(lease.prefill_left as u64));
+                (prefill + answer_time(lease.request.output) / 2, lease.request.memory)
+            })
+            .collect();
+        ends.sort();
+        let mut free = self.free();
+        for (end, memory) in ends {
+            free += memory;
+            if free >= request.memory {
+                return end;
+            }
+        }
+        self.options.orphan_grace.0
+    }
+
+    /// Prefill work on the engine that goes before a request of `band`; all of it for `None`.
+    fn backlog(&self, band: Option<LengthBand>) -> units::TokenCount {
+        let before =
+            |lease: &&EngineLease| band.is_none_or(|band| self.band(&lease.request) <= band);
+        let own: f64 = self.leases.values().filter(before).map(|lease| lease.prefill_left).sum();
+        units::TokenCount((own + self.foreign_prefill) as u64)
+    }
+
+    fn band(&self, request: &PlaceRequest) -> LengthBand {
+        LengthBand::of(request.prefill(), &self.options)
+    }
+
+    fn latest_start(&self, request: &PlaceRequest) -> units::MonoTime {
+        let needed = self.prefill_rate.time_for(request.prefill()) + answer_time(request.output);
+        let needed = units::MonoTime::from_span(needed).0;
+        units::MonoTime(request.deadline.0.saturating_sub(needed))
+    }
+
+    fn leased(&self) -> units::TokenCount {
+        self.leases.values().map(|lease| lease.request.memory).sum()
+    }
+
+    fn orphaned(&self) -> units::TokenCount {
+        self.orphans.values().map(|orphan| orphan.tokens).sum()
+    }
+
+    /// Lets the engine's prefill run on to `now`: shorter bands first, as the engine does it.
+    fn work_through(&mut self, now: units::MonoTime) {
+        let mut done = self.prefill_rate.0 * now.since(self.advanced).as_secs_f64();
+        self.advanced = self.advanced.max(now);
+        let options = &self.options;
+        let mut leases: Vec<_> =
+            self.leases.values_mut().filter(|lease| lease.prefill_left > 0.0).collect();
+        leases.sort_by_key(|lease| LengthBand::of(lease.request.prefill(), options));
+        for lease in leases {
+            let part = done.min(lease.prefill_left);
+            lease.prefill_left -= part;
+            done -= part;
+        }
+        self.foreign_prefill = (self.foreign_prefill - done).max(0.0);
+    }
+}
+
+/// What an engine can take at one moment.
+#[derive(Debug)]
+struct EngineRoom {
+    options: settings::FleetOptions,
+    free: units::TokenCount,
+    headroom: units::TokenCount,
+    places: usize,
+    grouped: bool,
+    long_prefills: usize,
+    short_backlog: units::TokenCount,
+    medium_backlog: units::TokenCount,
+    ahead: units::TokenCount,
+    /// Set once an overdue request has not found room: no other but a short may take it.
+    reserved: bool,
+}
+
+impl EngineRoom {
+    fn fits(&mut self, item: &fair_queue::QueueItem<PlaceRequest>, overdue: bool) -> bool {
+        let request = &item.payload;
+        let band = LengthBand::of(request.prefill(), &self.options);
+        let short = band == LengthBand::Short;
+        if self.has_room(request, band) && (short || !self.reserved) {
+            return true;
+        }
+        // Memory drains towards the first that is overdue; only shorts still go before it.
+        self.reserved |= overdue && !short;
+        false
+    }
+
+    fn has_room(&self, request: &PlaceRequest, band: LengthBand) -> bool {
+        let usable = match band {
+            LengthBand::Short => self.free,
+            _ => self.free.saturating_sub(self.headroom),
+        };
+        let paced = match band {
+            LengthBand::Short => self.short_backlog <= self.ahead,
+            LengthBand::Medium => self.medium_backlog <= self.ahead,
+            LengthBand::Long => self.long_prefills == 0,
+        };
+        let alone = !(request.grouped && self.grouped);
+        self.places > 0 && request.memory <= usable && paced && alone
+    }
+}
+
+fn answer_time(output: units::TokenCount) -> time::Duration {
+    TOKEN_INTERVAL.mul_f64(output.0 as f64)
+}
+
+fn leaving_refusal() -> refusal::RequestRefusal {
+    let code = refusal::RefusalCode::NoUpstream;
+    refusal::RequestRefusal::not_run(code, "the engine is leaving")
+}
+
+fn overload_refusal(message: &str, wait: time::Duration) -> refusal::RequestRefusal {
+    refusal::RequestRefusal::not_run(refusal::RefusalCode::Overloaded, message).retry_after(wait)
+}
--- /dev/null
+++ b/crates/core/src/entry_router.rs
@@ -0,0 +1,578 @@
+//! An entry's decisions: who calls, under which settings, and which engines to ask.
+
+use std::{collections, net, rc, time};
+
+use rand::{RngExt as _, SeedableRng as _, seq::IndexedRandom as _};
+
+use crate::{
+    budget, engine_ledger, fleet_list, ids, refusal, rendezvous, retry, routing, settings,
+    settings_resolve, units, version_store,
+};
+
+/// Prompts whose engine is remembered, for its prefix cache.
+const MAX_AFFINITY: usize = 20_000;
+
+/// Where to reach the scheduler of an engine, and the engine itself.
+#[derive(Debug, Clone, PartialEq)]
+pub struct EngineTarget {
+    /// The engine.
+    pub engine: ids::EngineId,
+    /// Where it takes requests.
+    pub address: net::SocketAddr,
+    /// Its owner's scheduler.
+    pub scheduler: net::SocketAddr,
+    /// Whether it is in this entry's data centre.
+    pub near: bool,
+    /// Its memory for KV cache.
+    pub memory: units::TokenCount,
+    /// Whether it probably has the prompt's prefix cached.
+    pub warm: bool,
+}
+
+/// What an entry knows of a request when it asks for a plan.
+#[derive(Debug, Clone)]
+pub struct PlanQuestion {
+    /// The caller's key.
+    pub key: String,
+    /// The model asked for.
+    pub model: ids::ModelId,
+    /// Length of the prompt, as estimated.
+    pub prompt: units::TokenCount,
+    /// Tokens of output asked for.
+    pub output: Option<units::TokenCount>,
+    /// The caller's own time limit.
+    pub wish: Option<time::Duration>,
+}
+
+/// Settings and budget of an admitted request.
+#[derive(Debug, Clone)]
+pub struct RequestGrant {
+    /// The settings in force for it, for its whole life.
+    pub settings: settings_resolve::ResolvedSettings,
+    /// Fleet-wide options in force for it.
+    pub fleet: rc::Rc<settings::SettingsTree>,
+    /// Most tokens of output.
+    pub output: units::TokenCount,
+    /// Revision of the list in force.
+    pub list_revision: u64,
+}
+
+/// What to do about a customer's budget.
+#[derive(Debug, Clone)]
+pub enum BudgetStep {
+    /// The request may go on.
+    Spent,
+    /// A portion must be drawn from this keeper first.
+    Draw {
+        /// The keeper's scheduler.
+        keeper: net::SocketAddr,
+        /// The limit to state to it.
+        limit: budget::BudgetLimit,
+        /// Tokens needed.
+        want: units::TokenCount,
+    },
+    /// The customer has used its tokens.
+    Empty(time::Duration),
+}
+
+/// Requests and tokens this entry has outstanding on one engine.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct OwnLoad {
+    /// Requests.
+    pub requests: usize,
+    /// Their tokens.
+    pub tokens: units::TokenCount,
+}
+
+/// The state behind an entry's decisions; one task owns it.
+pub struct EntryRouter {
+    instance: ids::InstanceId,
+    data_center: ids::DataCenterId,
+    list: fleet_list::FleetList,
+    store: version_store::VersionStore,
+    wake: WakeWatch,
+    policy: Box<dyn routing::RoutingPolicy>,
+    policy_kind: settings::RoutingKind,
+    purse: budget::BudgetPurse,
+    retries: retry::RetryBudget,
+    own: collections::HashMap<ids::EngineId, OwnLoad>,
+    /// Engines that refused as leaving, until the list or their scheduler says otherwise.
+    shunned: collections::HashMap<ids::EngineId, units::MonoTime>,
+    /// Invariant: at most [`MAX_AFFINITY`] prefixes.
+    affinity: collections::HashMap<u64, ids::EngineId>,
+    random: rand_chacha::ChaCha8Rng,
+}
+
+/// How long an engine that refused or broke is left out of the sample.
+const SHUN_TIME: time::Duration = time::Duration::from_secs(3);
+
+impl EntryRouter {
+    /// A router that knows neither settings nor fleet yet.
+    pub fn new(
+        instance: ids::InstanceId,
+        data_center: ids::DataCenterId,
+        sleep_bound: time::Duration,
+        seed: u64,
+    ) -> Self {
+        let fleet = settings::FleetOptions::default();
+        Self {
+            instance,
+            data_center,
+            list: fleet_list::FleetList::default(),
+            store: version_store::VersionStore::default(),
+            wake: WakeWatch::new(sleep_bound),
+            policy: routing::policy_for(fleet.routing),
+            policy_kind: fleet.routing,
+            purse: budget::BudgetPurse::default(),
+            retries: retry::RetryBudget::new(fleet.retry_share),
+            own: collections::HashMap::new(),
+            shunned: collections::HashMap::new(),
+            affinity: collections::HashMap::new(),
+            random: rand_chacha::ChaCha8Rng::seed_from_u64(seed),
+        }
+    }
+
+    /// Takes in a settings document.
+    pub fn offer_settings(
+        &mut self,
+        now: units::MonoTime,
+        text: &str,
+    ) -> version_store::OfferOutcome {
+        let outcome = self.store.offer(now, text);
+        if let Some(tree) = self.store.tree() {
+            self.retries.set_share(tree.fleet.retry_share);
+            if tree.fleet.routing != self.policy_kind {
+                self.policy_kind = tree.fleet.routing;
+                self.policy = routing::policy_for(self.policy_kind);
+            }
+        }
+        outcome
+    }
+
+    /// Notes that a source has nothing newer, `age` being how long ago it was itself confirmed.
+    pub fn confirm_settings(&mut self, now: units::MonoTime, age: time::Duration) {
+        self.store.confirm(now, age);
+    }
+
+    /// Number of times the process was found to have slept.
+    ///
+    /// Whoever asks a source notes it before, and hands it to [`Self::heard`] with the answer.
+    pub fn wakes(&self) -> u64 {
+        self.wake.wakes
+    }
+
+    /// Notes that the sources were asked: one answered, or all were silent.
+    pub fn heard(&mut self, now: units::MonoTime, asked_at: u64) {
+        self.wake.notice(now);
+        if asked_at == self.wake.wakes {
+            self.wake.asleep = false;
+        }
+    }
+
+    /// Takes in a list; an older one than the one in force is dropped.
+    pub fn offer_list(&mut self, list: fleet_list::FleetList) {
+        if list.revision >= self.list.revision {
+            self.list = list;
+        }
+    }
+
+    /// The settings in force.
+    pub fn store(&self) -> &version_store::VersionStore {
+        &self.store
+    }
+
+    /// The list in force.
+    pub fn list(&self) -> &fleet_list::FleetList {
+        &self.list
+    }
+
+    /// Whether requests may be taken: settings and list are known, and the process has not slept
+    /// since it last asked for newer ones.
+    pub fn ready(&mut self, now: units::MonoTime) -> bool {
+        self.wake.notice(now);
+        !self.wake.asleep && self.store.tree().is_some() && !self.list.instances.is_empty()
+    }
+
+    /// Finds the caller and the settings for a model request, and checks the request against them.
+    pub fn plan(
+        &mut self,
+        now: units::MonoTime,
+        question: &PlanQuestion,
+    ) -> Result<RequestGrant, refusal::RequestRefusal> {
+        let (tree, mut resolved) = self.resolve(now, &question.key, question.prompt)?;
+        if let Some(wish) = question.wish {
+            resolved.shorten_limit(wish);
+        }
+        check_model(&resolved, &question.model)?;
+        if !self.list.engines.iter().any(|engine| engine.model == question.model) {
+            return Err(unknown_model(&question.model));
+        }
+        let longest = resolved.max_prompt_tokens.value;
+        if question.prompt > longest {
+            let text =
+                format!("the prompt has about {}, at most {longest} are allowed", question.prompt);
+            return Err(refusal::RequestRefusal::not_run(refusal::RefusalCode::TooLarge, text));
+        }
+        let most = resolved.max_output_tokens.value;
+        let output = question.output.map_or(most, |wish| wish.min(most));
+        self.retries.count_request(now);
+        Ok(RequestGrant {
+            settings: resolved,
+            fleet: tree,
+            output,
+            list_revision: self.list.revision,
+        })
+    }
+
+    /// Finds the caller and the settings in force for it.
+    pub fn resolve(
+        &mut self,
+        now: units::MonoTime,
+        key: &str,
+        prompt: units::TokenCount,
+    ) -> Result<
+        (rc::Rc<settings::SettingsTree>, settings_resolve::ResolvedSettings),
+        refusal::RequestRefusal,
+    > {
+        let refuse = refusal::RequestRefusal::not_run;
+        let ready = self.ready(now);
+        let Some(tree) = self.store.tree().filter(|_| ready) else {
+            let text = "the settings are not known or not confirmed yet";
+            let refusal = refuse(refusal::RefusalCode::NotReady, text);
+            return Err(refusal.retry_after(time::Duration::from_secs(1)));
+        };
+        let unauthorized = || refuse(refusal::RefusalCode::Unauthorized, "the key is not known");
+        let caller = tree.identify(key).ok_or_else(unauthorized)?;
+        let resolved = tree.resolve(&caller, prompt).ok_or_else(unauthorized)?;
+        Ok((tree, resolved))
+    }
+
+    /// Takes the request's tokens from the customer's budget, if there is a portion in hand.
+    pub fn spend(
+        &mut self,
+        now: units::MonoTime,
+        resolved: &settings_resolve::ResolvedSettings,
+        want: units::TokenCount,
+    ) -> BudgetStep {
+        let customer = &resolved.customer;
+        if self.purse.spend(now, customer, want) {
+            return BudgetStep::Spent;
+        }
+        match rendezvous::budget_keeper(&self.list, customer) {
+            Some(keeper) => {
+                BudgetStep::Draw { keeper: keeper.scheduler, limit: limit_of(resolved), want }
+            }
+            None => self.spend_alone(now, resolved, want),
+        }
+    }
+
+    /// Puts a drawn portion into the purse.
+    pub fn add_portion(
+        &mut self,
+        now: units::MonoTime,
+        customer: &ids::CustomerId,
+        portion: budget::BudgetPortion,
+    ) {
+        self.purse.add(now, customer, portion);
+    }
+
+    /// Takes the request's tokens without the keeper, which is out of reach.
+    pub fn spend_alone(
+        &mut self,
+        now: units::MonoTime,
+        resolved: &settings_resolve::ResolvedSettings,
+        want: units::TokenCount,
+    ) -> BudgetStep {
+        let live = self.list.live_instances().count();
+        let limit = limit_of(resolved);
+        match self.purse.spend_alone(now, &resolved.customer, limit, live, want) {
+            Ok(()) => BudgetStep::Spent,
+            Err(budget::BudgetEmpty(wait)) => BudgetStep::Empty(wait),
+        }
+    }
+
+    /// Engines to ask about a request, already tried ones left out.
+    pub fn candidates(
+        &mut self,
+        now: units::MonoTime,
+        question: &PlanQuestion,
+        fleet: &settings::FleetOptions,
+        prefix: u64,
+        tried: &[ids::EngineId],
+    ) -> Vec<EngineTarget> {
+        self.shunned.retain(|_, until| *until > now);
+        let warm = self.affinity.get(&prefix).cloned();
+        let eligible = self.eligible(&question.model, question.prompt, fleet);
+        let open: Vec<_> = eligible
+            .into_iter()
+            .filter(|engine| {
+                !tried.contains(&engine.name) && !self.shunned.contains_key(&engine.name)
+            })
+            .cloned()
+            .collect();
+        let picked = if self.policy.wants_offers() {
+            self.sample(&open, fleet.candidates, warm.as_ref())
+        } else {
+            open
+        };
+        picked.iter().filter_map(|engine| self.target(engine, warm.as_ref())).collect()
+    }
+
+    /// Engines of one data centre that may serve a prompt larger than any of them together.
+    ///
+    /// The groups are cut from the list in one fixed order, so that no engine is in two of them
+    /// and two prompts cannot each hold a part that the other needs.
+    pub fn group(
+        &mut self,
+        model: &ids::ModelId,
+        need: units::TokenCount,
+        fleet: &settings::FleetOptions,
+    ) -> Vec<EngineTarget> {
+        let mut centers: Vec<_> =
+            self.list.engines.iter().map(|engine| engine.data_center.clone()).collect();
+        centers.sort();
+        centers.dedup();
+        let groups: Vec<Vec<EngineTarget>> =
+            centers.iter().flat_map(|center| self.groups_in(center, model, need, fleet)).collect();
+        groups.choose(&mut self.random).cloned().unwrap_or_default()
+    }
+
+    /// Chooses among candidates whose offers have come in.
+    pub fn choose(
+        &mut self,
+        targets: &[EngineTarget],
+        offers: &[Option<engine_ledger::EngineOffer>],
+    ) -> Option<routing::RouteChoice> {
+        let candidates: Vec<_> = targets
+            .iter()
+            .zip(offers)
+            .map(|(target, offer)| {
+                let own = self.own.get(&target.engine).copied().unwrap_or_default();
+                routing::RouteCandidate {
+                    engine: target.engine.clone(),
+                    offer: *offer,
+                    own_requests: own.requests,
+                    own_tokens: own.tokens,
+                    near: target.near,
+                }
+            })
+            .collect();
+        self.policy.choose(&candidates)
+    }
+
+    /// Whether the policy in force asks schedulers for offers.
+    pub fn wants_offers(&self) -> bool {
+        self.policy.wants_offers()
+    }
+
+    /// Whether an engine whose scheduler is out of reach may be used without a lease: one request
+    /// a time from this entry.
+    pub fn direct_share(&self, engine: &ids::EngineId) -> bool {
+        self.own.get(engine).is_none_or(|own| own.requests == 0)
+    }
+
+    /// Counts an attempt as outstanding on an engine.
+    pub fn count_start(&mut self, engine: &ids::EngineId, tokens: units::TokenCount, prefix: u64) {
+        let own = self.own.entry(engine.clone()).or_default();
+        own.requests += 1;
+        own.tokens += tokens;
+        if self.affinity.len() >= MAX_AFFINITY {
+            self.affinity.clear();
+        }
+        self.affinity.insert(prefix, engine.clone());
+    }
+
+    /// Counts an attempt as ended.
+    pub fn count_end(&mut self, engine: &ids::EngineId, tokens: units::TokenCount) {
+        let Some(own) = self.own.get_mut(engine) else {
+            return;
+        };
+        own.requests = own.requests.saturating_sub(1);
+        own.tokens -= tokens;
+        if own.requests == 0 {
+            self.own.remove(engine);
+        }
+    }
+
+    /// Leaves an engine out for a while after it refused or broke.
+    pub fn shun(&mut self, now: units::MonoTime, engine: &ids::EngineId) {
+        self.shunned.insert(engine.clone(), now + SHUN_TIME);
+    }
+
+    /// Decides on another attempt.
+    pub fn ask_retry(
+        &mut self,
+        now: units::MonoTime,
+        question: retry::RetryQuestion,
+    ) -> retry::RetryVerdict {
+        self.retries.ask(now, question)
+    }
+
+    /// Counts a request against which retries are measured.
+    pub fn count_request(&mut self, now: units::MonoTime) {
+        self.retries.count_request(now);
+    }
+
+    /// Upstreams of a plain service, nearest first, in an order that differs by call.
+    pub fn upstreams(&mut self, service: &ids::ServiceId) -> Vec<fleet_list::UpstreamRecord> {
+        use rand::seq::SliceRandom as _;
+        let live = |upstream: &&fleet_list::UpstreamRecord| {
+            upstream.service == *service && upstream.state == fleet_list::ListState::Live
+        };
+        let mut upstreams: Vec<_> = self.list.upstreams.iter().filter(live).cloned().collect();
+        upstreams.shuffle(&mut self.random);
+        upstreams.sort_by_key(|upstream| upstream.data_center != self.data_center);
+        upstreams
+    }
+
+    /// Spreads a time to come back.
+    pub fn spread_retry(&mut self, expected: time::Duration) -> time::Duration {
+        refusal::spread_retry(expected, &mut self.random)
+    }
+
+    /// Does what is due now and then.
+    pub fn tick(&mut self, now: units::MonoTime) {
+        self.wake.notice(now);
+        self.purse.prune(now);
+        self.shunned.retain(|_, until| *until > now);
+    }
+
+    fn eligible(
+        &self,
+        model: &ids::ModelId,
+        prompt: units::TokenCount,
+        fleet: &settings::FleetOptions,
+    ) -> Vec<&fleet_list::EngineRecord> {
+        let fits = |engine: &&fleet_list::EngineRecord| {
+            engine.model == *model && engine.state == fleet_list::ListState::Live
+        };
+        let all = self.list.engines.iter().filter(fits);
+        if !self.policy.wants_offers() || prompt <= fleet.long_tokens {
+            return all.collect();
+        }
+        let ranked = rendezvous::ranked("long", all, |engine| engine.name.as_str());
+        let share = (ranked.len() as f64 * fleet.long_engines.factor()).ceil() as usize;
+        ranked.into_iter().take(share.max(1)).collect()
+    }
+
+    /// The warm engine if it is open, one of the same data centre, and others from anywhere.
+    fn sample(
+        &mut self,
+        open: &[fleet_list::EngineRecord],
+        count: usize,
+        warm: Option<&ids::EngineId>,
+    ) -> Vec<fleet_list::EngineRecord> {
+        let near: Vec<_> =
+            open.iter().filter(|engine| engine.data_center == self.data_center).collect();
+        let mut picked: Vec<fleet_list::EngineRecord> = Vec::with_capacity(count + 1);
+        picked.extend(open.iter().find(|engine| Some(&engine.name) == warm).cloned());
+        picked.extend(near.choose(&mut self.random).map(|engine| (*engine).clone()));
+        picked.extend(open.sample(&mut self.random, count).cloned());
+        let mut seen = collections::HashSet::new();
+        picked.retain(|engine| seen.insert(engine.name.clone()));
+        picked.truncate(count + usize::from(warm.is_some()));
+        picked
+    }
+
+    fn target(
+        &self,
+        engine: &fleet_list::EngineRecord,
+        warm: Option<&ids::EngineId>,
+    ) -> Option<EngineTarget> {
+        let owner = rendezvous::engine_owner(&self.list, &engine.name, &engine.data_center)?;
+        Some(EngineTarget {
+            engine: engine.name.clone(),
+            address: engine.address,
+            scheduler: owner.scheduler,
+            near: engine.data_center == self.data_center,
+            memory: engine.memory,
+            warm: Some(&engine.name) == warm,
+        })
+    }
+
+    fn groups_in(
+        &self,
+        center: &ids::DataCenterId,
+        model: &ids::ModelId,
+        need: units::TokenCount,
+        fleet: &settings::FleetOptions,
+    ) -> Vec<Vec<EngineTarget>> {
+        let fits = |engine: &&fleet_list::EngineRecord| {
+            engine.model == *model
+                && engine.data_center == *center
+                && engine.state == fleet_list::ListState::Live
+        };
+        let engines = self.list.engines.iter().filter(fits);
+        let ranked = rendezvous::ranked("group", engines, |engine| engine.name.as_str());
+        let Some(smallest) = ranked.iter().map(|engine| engine.memory).min() else {
+            return Vec::new();
+        };
+        let usable = smallest.scale(1.0 - fleet.headroom.factor()).0.max(1);
+        let size = usize::try_from(need.0.div_ceil(usable)).unwrap_or(usize::MAX);
+        ranked
+            .chunks_exact(size.clamp(1, ranked.len().max(1)))
+            .take(fleet.group_limit)
+            .filter(|members| members.len() >= size)
+            .map(|members| {
+                let mut members: Vec<_> =
+                    members.iter().filter_map(|engine| self.target(engine, None)).collect();
+                members.sort_by(|left, right| left.engine.cmp(&right.engine));
+                members
+            })
+            .collect()
+    }
+
+    /// The instance this entry runs on.
+    pub fn instance(&self) -> &ids::InstanceId {
+        &self.instance
+    }
+
+    /// A number between 0 and 1, for spreading timers.
+    pub fn jitter(&mut self) -> f64 {
+        self.random.random()
+    }
+}
+
+/// Notices that the process was paused, from the gap between two events.
+#[derive(Debug)]
+struct WakeWatch {
+    bound: time::Duration,
+    last: Option<units::MonoTime>,
+    /// Pauses noticed so far.
+    wakes: u64,
+    /// Whether nothing was heard from any source since the last pause.
+    asleep: bool,
+}
+
+impl WakeWatch {
+    fn new(bound: time::Duration) -> Self {
+        Self { bound, last: None, wakes: 0, asleep: true }
+    }
+
+    fn notice(&mut self, now: units::MonoTime) {
+        if self.last.is_some_and(|last| now.since(last) > self.bound) {
+            self.wakes += 1;
+            self.asleep = true;
+        }
+        self.last = Some(now);
+    }
+}
+
+fn check_model(
+    resolved: &settings_resolve::ResolvedSettings,
+    model: &ids::ModelId,
+) -> Result<(), refusal::RequestRefusal> {
+    match &resolved.models.value {
+        Some(allowed) if !allowed.contains(model) => Err(unknown_model(model)),
+        _ => Ok(()),
+    }
+}
+
+fn unknown_model(model: &ids::ModelId) -> refusal::RequestRefusal {
+    let text = format!("model '{model}' is not served here");
+    refusal::RequestRefusal::not_run(refusal::RefusalCode::NotFound, text)
+}
+
+fn limit_of(resolved: &settings_resolve::ResolvedSettings) -> budget::BudgetLimit {
+    budget::BudgetLimit { rate: resolved.token_rate.value, burst: resolved.token_burst.value }
+}
--- /dev/null
+++ b/crates/core/src/fair_queue.rs
@@ -0,0 +1,134 @@
+//! Weighted fair queueing by tokens: between customers by use, within a customer shortest first.
+//!
+//! The next item is the one with the earliest finish tag: what its customer has used so far plus
+//! the item's own cost, both divided by the customer's weight. So a flooding customer's items fall
+//! behind everybody else's, and a short item of an idle customer goes first. An item that has
+//! waited past its `overdue` time goes before all others, so that long ones still finish in time.
+
+use std::collections;
+
+use crate::{ids, units};
+
+/// One waiting item and what its order depends on.
+#[derive(Debug, Clone)]
+pub struct QueueItem<T> {
+    /// Whose it is.
+    pub customer: ids::CustomerId,
+    /// The customer's weight; above zero.
+    pub weight: f64,
+    /// What serving it costs.
+    pub cost: units::TokenCount,
+    /// From then on it goes before items that are not overdue.
+    pub overdue: units::MonoTime,
+    /// The item itself.
+    pub payload: T,
+}
+
+/// Queue of items of several customers.
+#[derive(Debug)]
+pub struct FairQueue<T> {
+    items: Vec<QueueItem<T>>,
+    /// Tokens over weight that each customer has used. Invariant: never below `clock` for a
+    /// customer with waiting items, so that idling earns no credit.
+    used: collections::HashMap<ids::CustomerId, f64>,
+    /// Virtual time: the start tag of the item served last. Never falls.
+    clock: f64,
+}
+
+impl<T> Default for FairQueue<T> {
+    fn default() -> Self {
+        Self { items: Vec::new(), used: collections::HashMap::new(), clock: 0.0 }
+    }
+}
+
+impl<T> FairQueue<T> {
+    /// Adds an item.
+    pub fn push(&mut self, item: QueueItem<T>) {
+        let used = self.used.entry(item.customer.clone()).or_insert(self.clock);
+        *used = used.max(self.clock);
+        self.items.push(item);
+    }
+
+    /// Number of waiting items.
+    pub fn len(&self) -> usize {
+        self.items.len()
+    }
+
+    /// Whether nothing waits.
+    pub fn is_empty(&self) -> bool {
+        self.items.is_empty()
+    }
+
+    /// All waiting items, in no order.
+    pub fn iter(&self) -> impl Iterator<Item = &QueueItem<T>> {
+        self.items.iter()
+    }
+
+    /// Takes the first item that `fits`, in the order of service. `fits` also learns whether the
+    /// item is overdue.
+    pub fn pop_where(
+        &mut self,
+        now: units::MonoTime,
+        mut fits: impl FnMut(&QueueItem<T>, bool) -> bool,
+    ) -> Option<QueueItem<T>> {
+        let first = self.order(now).into_iter().find(|index| {
+            let item = &self.items[*index];
+            fits(item, item.overdue <= now)
+        });
+        first.map(|index| self.take(index))
+    }
+
+    /// Removes all items for which `leaves` holds.
+    pub fn remove_where(&mut self, mut leaves: impl FnMut(&T) -> bool) -> Vec<QueueItem<T>> {
+        let (gone, kept) = self.items.drain(..).partition(|item| leaves(&item.payload));
+        self.items = kept;
+        gone
+    }
+
+    /// Cost of the items that would be served before one of `customer` with `cost`.
+    pub fn cost_ahead(
+        &self,
+        now: units::MonoTime,
+        customer: &ids::CustomerId,
+        weight: f64,
+        cost: units::TokenCount,
+    ) -> units::TokenCount {
+        let mine = self.start_tag(customer) + cost.0 as f64 / weight;
+        let ahead = |item: &&QueueItem<T>| item.overdue <= now || self.finish_tag(item) <= mine;
+        self.items.iter().filter(ahead).map(|item| item.cost).sum()
+    }
+
+    fn order(&self, now: units::MonoTime) -> Vec<usize> {
+        let mut order: Vec<usize> = (0..self.items.len()).collect();
+        let key = |index: &usize| {
+            let item = &self.items[*index];
+            let waiting = item.overdue > now;
+            let urgency = if waiting { units::MonoTime(u64::MAX) } else { item.overdue };
+            (waiting, urgency, self.finish_tag(item))
+        };
+        order.sort_by(|left, right| {
+            let (left, right) = (key(left), key(right));
+            left.0.cmp(&right.0).then(left.1.cmp(&right.1)).then(left.2.total_cmp(&right.2))
+        });
+        order
+    }
+
+    fn take(&mut self, index: usize) -> QueueItem<T> {
+        let item = self.items.remove(index);
+        let start = self.start_tag(&item.customer);
+        self.clock = self.clock.max(start);
+        self.used.insert(item.customer.clone(), start + item.cost.0 as f64 / item.weight);
+        // A customer behind the clock is treated like a new one, so it need not be remembered.
+        let clock = self.clock;
+        self.used.retain(|_, used| *used > clock);
+        item
+    }
+
+    fn start_tag(&self, customer: &ids::CustomerId) -> f64 {
+        self.used.get(customer).copied().unwrap_or(self.clock).max(self.clock)
+    }
+
+    fn finish_tag(&self, item: &QueueItem<T>) -> f64 {
+        self.start_tag(&item.customer) + item.cost.0 as f64 / item.weight
+    }
+}
--- /dev/null
+++ b/crates/core/src/histogram.rs
@@ -0,0 +1,111 @@
+//! Histograms by customer and by request class with prompt length, bounded in number.
+
+use std::{collections, time};
+
+use serde::Serialize;
+
+use crate::units;
+
+/// What is measured.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum MeasureKind {
+    /// From the last byte of the request to the first token of the answer.
+    FirstToken,
+    /// Between two pieces of the answer.
+    TokenInterval,
+    /// From the last byte of the request to the end of the answer.
+    Total,
+    /// From asking for a place to getting it.
+    PlaceWait,
+}
+
+/// Upper bounds of the prompt length bands, in tokens.
+pub const BAND_BOUNDS: [(u64, &str); 6] = [
+    (2_000, "up_to_2k"),
+    (8_000, "up_to_8k"),
+    (32_000, "up_to_32k"),
+    (100_000, "up_to_100k"),
+    (300_000, "up_to_300k"),
+    (u64::MAX, "over_300k"),
+];
+
+/// The name of a prompt's length band.
+pub fn band_name(prompt: units::TokenCount) -> &'static str {
+    let band = BAND_BOUNDS.iter().find(|(bound, _)| prompt.0 <= *bound);
+    band.map_or("over_300k", |(_, name)| name)
+}
+
+/// Largest value told apart, in milliseconds.
+const MAX_MILLIS: u64 = 3_600_000;
+/// Significant digits kept.
+const DIGITS: u8 = 2;
+/// Series held at most; what comes later is counted under [`OVERFLOW`].
+const MAX_SERIES: usize = 2_000;
+/// The series that takes what has no room of its own.
+const OVERFLOW: &str = "other";
+
+/// Percentiles of one series, in milliseconds.
+#[derive(Debug, Clone, Serialize)]
+pub struct HistogramRow {
+    /// What is measured.
+    pub measure: MeasureKind,
+    /// Customer, or request class and length band.
+    pub series: String,
+    /// Values counted.
+    pub count: u64,
+    /// Median.
+    pub p50_ms: f64,
+    /// 95th percentile.
+    pub p95_ms: f64,
+    /// 99th percentile.
+    pub p99_ms: f64,
+    /// Largest.
+    pub max_ms: f64,
+}
+
+/// A bounded set of histograms.
+#[derive(Debug, Default)]
+pub struct HistogramSet {
+    /// Invariant: at most [`MAX_SERIES`] and one overflow series for each measure. Values are in
+    /// tenths of a millisecond.
+    series: collections::BTreeMap<(MeasureKind, String), hdrhistogram::Histogram<u32>>,
+}
+
+impl HistogramSet {
+    /// Counts a value.
+    pub fn record(&mut self, measure: MeasureKind, series: &str, span: time::Duration) {
+        let full = self.series.len() >= MAX_SERIES;
+        let mut key = (measure, series.to_owned());
+        if full && !self.series.contains_key(&key) {
+            key.1 = OVERFLOW.to_owned();
+        }
+        let histogram = self.series.entry(key).or_insert_with(new_histogram);
+        let tenths = u64::try_from(span.as_micros() / 100).unwrap_or(u64::MAX);
+        histogram.saturating_record(tenths.max(1));
+    }
+
+    /// All series with their percentiles.
+    pub fn rows(&self) -> Vec<HistogramRow> {
+        self.series
+            .iter()
+            .map(|((measure, series), histogram)| {
+                let at = |quantile| histogram.value_at_quantile(quantile) as f64 / 10.0;
+                HistogramRow {
+                    measure: *measure,
+                    series: series.clone(),
+                    count: histogram.len(),
+                    p50_ms: at(0.5),
+                    p95_ms: at(0.95),
+                    p99_ms: at(0.99),
+                    max_ms: histogram.max() as f64 / 10.0,
+                }
+            })
+            .collect()
+    }
+}
+
+fn new_histogram() -> hdrhistogram::Histogram<u32> {
+    hdrhistogram::Histogram::new_with_bounds(1, MAX_MILLIS * 10, DIGITS)
+        .expect("constant bounds are valid")
+}
--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,22 @@
+//! Decision logic of slipturn.
+//!
+//! Nothing here opens a socket or reads a clock: the time and messages come in as arguments, and
+//! actions go out as values. One test can therefore freeze, cut, reorder and repeat anything.
+
+pub mod budget;
+pub mod decision;
+pub mod engine_ledger;
+pub mod entry_router;
+pub mod fair_queue;
+pub mod fleet_list;
+pub mod histogram;
+pub mod ids;
+pub mod key_vote;
+pub mod refusal;
+pub mod rendezvous;
+pub mod retry;
+pub mod routing;
+pub mod settings;
+pub mod settings_resolve;
+pub mod units;
+pub mod version_store;
--- /dev/null
+++ b/crates/core/src/rendezvous.rs
@@ -0,0 +1,91 @@
+//! Rendezvous hashing: every process works out the same owner from the same list, unasked.
+//!
+//! Two processes with different lists may name different owners for a while. No promise rests on
+//! an owner being the only one: a double owner costs throughput, never safety.
+
+use std::hash;
+
+use crate::{fleet_list, ids};
+
+/// FNV-1a, fixed so that every build and every process agrees.
+struct StableHasher(u64);
+
+const FNV_OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
+const FNV_PRIME: u64 = 0x0000_0100_0000_01b3;
+
+impl hash::Hasher for StableHasher {
+    fn finish(&self) -> u64 {
+        // FNV leaves the high bits poorly mixed for short names; this is MurmurHash3's finaliser.
+        let mut mixed = self.0;
+        mixed = (mixed ^ (mixed >> 33)).wrapping_mul(0xff51_afd7_ed55_8ccd);
+        mixed = (mixed ^ (mixed >> 33)).wrapping_mul(0xc4ce_b9fe_1a85_ec53);
+        mixed ^ (mixed >> 33)
+    }
+
+    fn write(&mut self, bytes: &[u8]) {
+        for byte in bytes {
+            self.0 = (self.0 ^ u64::from(*byte)).wrapping_mul(FNV_PRIME);
+        }
+    }
+}
+
+/// The same number for the same texts on every build and machine.
+pub fn stable_hash(parts: &[&str]) -> u64 {
+    use hash::Hasher as _;
+    let mut hasher = StableHasher(FNV_OFFSET);
+    for part in parts {
+        hasher.write(part.as_bytes());
+        hasher.write(&[0]);
+    }
+    hasher.finish()
+}
+
+/// Orders `candidates` by preference for `subject`, most preferred first.
+pub fn ranked<'a, T>(
+    subject: &str,
+    candidates: impl Iterator<Item = &'a T>,
+    name: impl Fn(&T) -> &str,
+) -> Vec<&'a T> {
+    let mut scored: Vec<_> =
+        candidates.map(|candidate| (stable_hash(&[subject, name(candidate)]), candidate)).collect();
+    scored.sort_by(|left, right| right.0.cmp(&left.0).then(name(left.1).cmp(name(right.1))));
+    scored.into_iter().map(|(_, candidate)| candidate).collect()
+}
+
+/// The instance whose scheduler owns an engine: in the engine's data centre while one lives there.
+pub fn engine_owner<'a>(
+    list: &'a fleet_list::FleetList,
+    engine: &ids::EngineId,
+    data_center: &ids::DataCenterId,
+) -> Option<&'a fleet_list::InstanceRecord> {
+    let near = list.live_instances().filter(|instance| instance.data_center == *data_center);
+    best(engine.as_str(), near).or_else(|| best(engine.as_str(), list.live_instances()))
+}
+
+/// The instance whose scheduler keeps a customer's token budget.
+pub fn budget_keeper<'a>(
+    list: &'a fleet_list::FleetList,
+    customer: &ids::CustomerId,
+) -> Option<&'a fleet_list::InstanceRecord> {
+    best(customer.as_str(), list.live_instances())
+}
+
+/// The live instances of a data centre in an order all processes agree on.
+pub fn exchange_order<'a>(
+    list: &'a fleet_list::FleetList,
+    data_center: &ids::DataCenterId,
+) -> Vec<&'a fleet_list::InstanceRecord> {
+    let near = list.live_instances().filter(|instance| instance.data_center == *data_center);
+    ranked(data_center.as_str(), near, |instance| instance.name.as_str())
+}
+
+fn best<'a>(
+    subject: &str,
+    instances: impl Iterator<Item = &'a fleet_list::InstanceRecord>,
+) -> Option<&'a fleet_list::InstanceRecord> {
+    instances.max_by(|left, right| {
+        let score =
+            |record: &fleet_list::InstanceRecord| stable_hash(&[subject, record.name.as_str()]);
+        score(left).cmp(&score(right)).then(right.name.cmp(&left.name))
+    })
+}
--- /dev/null
+++ b/crates/core/src/settings.rs
@@ -0,0 +1,364 @@
+//! The published settings tree: fleet, customers, applications, request classes.
+//!
+//! The operators publish it as one YAML document with a version. Each node may override any option
+//! of [`NodeOptions`]; what it leaves out comes from its parent. `docs/SETTINGS.md` lists them all.
+
+use std::collections;
+
+use serde::Deserialize;
+use snafu::{Snafu, ensure};
+
+use crate::{ids, units};
+
+/// Length of a caller key's digest in hexadecimal digits.
+const KEY_DIGEST_LENGTH: usize = 64;
+/// Largest accepted document: the platform holds values up to a megabyte.
+pub const MAX_DOCUMENT_BYTES: usize = 1 << 20;
+
+/// Why a settings document was not accepted. It is accepted whole or not at all.
+#[derive(Debug, Snafu)]
+pub enum SettingsError {
+    /// The document is larger than the platform holds.
+    #[snafu(display("found {found} bytes, expected at most {MAX_DOCUMENT_BYTES}"))]
+    TooLarge {
+        /// Size of the document.
+        found: usize,
+    },
+    /// Not YAML, an unknown option, or a value of the wrong kind.
+    #[snafu(display("{path}: {reason}"))]
+    Shape {
+        /// Path of the offending value.
+        path: String,
+        /// What the library found, with the line.
+        reason: String,
+    },
+    /// A value out of its range.
+    #[snafu(display("{path}: found {found}, expected {expected}"))]
+    Range {
+        /// Path of the offending value.
+        path: String,
+        /// The offending value.
+        found: String,
+        /// What would be valid.
+        expected: &'static str,
+    },
+}
+
+/// Identity of a settings document; it only ever goes up.
+#[derive(
+    Debug,
+    Clone,
+    Copy,
+    Default,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    serde::Serialize,
+    serde::Deserialize,
+)]
+#[serde(transparent)]
+pub struct SettingsVersion(pub u64);
+
+impl std::fmt::Display for SettingsVersion {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
+/// Which engine a request is sent to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum RoutingKind {
+    /// Earliest expected first token among the sampled engines; slipturn's own.
+    ExpectedStart,
+    /// Each engine in turn.
+    RoundRobin,
+    /// The engine with the fewest requests.
+    LeastRequests,
+    /// The engine with the fewest tokens outstanding.
+    LeastTokens,
+}
+
+/// Options that any node of the tree may override.
+#[derive(Debug, Clone, Default, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct NodeOptions {
+    /// Time within which a request finishes or fails, from its last body byte.
+    pub time_limit: Option<units::TimeSpan>,
+    /// Longest accepted prompt.
+    pub max_prompt_tokens: Option<units::TokenCount>,
+    /// Most tokens generated for one request; larger wishes are cut to it.
+    pub max_output_tokens: Option<units::TokenCount>,
+    /// Share of the fleet relative to other customers' under contention.
+    pub weight: Option<f64>,
+    /// Tokens a second (prompt and output) a customer may use in the long run.
+    pub token_rate: Option<units::TokenRate>,
+    /// Tokens a customer may use at once after a pause.
+    pub token_burst: Option<units::TokenCount>,
+    /// Most attempts for one request, the first included.
+    pub max_attempts: Option<u32>,
+    /// Models this node may use; absent means all.
+    pub models: Option<Vec<ids::ModelId>>,
+}
+
+/// Options that hold for the whole fleet.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct FleetOptions {
+    /// Which engine a request is sent to.
+    pub routing: RoutingKind,
+    /// Engines sampled for each request.
+    pub candidates: usize,
+    /// Share of an engine's memory kept free for prompts up to `short_tokens`.
+    pub headroom: units::ShareRatio,
+    /// Prompts up to this length count as short.
+    pub short_tokens: units::TokenCount,
+    /// Prompts beyond this length count as long.
+    pub long_tokens: units::TokenCount,
+    /// Share of a data centre's engines that long prompts may use.
+    pub long_engines: units::ShareRatio,
+    /// Most requests running on one engine at once.
+    pub max_running: usize,
+    /// Groups of engines that may serve a prompt larger than one engine, for each data centre.
+    pub group_limit: usize,
+    /// How long a group waits for all its engines before it gives them back.
+    pub group_wait: units::TimeSpan,
+    /// Retries as a share of recent requests.
+    pub retry_share: units::ShareRatio,
+    /// How long an engine may hold an attempt no live lease explains.
+    pub orphan_grace: units::TimeSpan,
+    /// How long an idempotency key is remembered.
+    pub key_retention: units::TimeSpan,
+}
+
+impl Default for FleetOptions {
+    fn default() -> Self {
+        let share =
+            |factor| units::ShareRatio::try_from(factor).expect("constant shares are valid");
+        Self {
+            routing: RoutingKind::ExpectedStart,
+            candidates: 2,
+            headroom: share(0.15),
+            short_tokens: units::TokenCount(4_000),
+            long_tokens: units::TokenCount(32_000),
+            long_engines: share(0.5),
+            max_running: 64,
+            group_limit: 2,
+            group_wait: units::TimeSpan::from_secs(20),
+            retry_share: share(0.1),
+            orphan_grace: units::TimeSpan::from_secs(15),
+            key_retention: units::TimeSpan::from_secs(600),
+        }
+    }
+}
+
+/// A key of a caller: it names customer and application.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct CallerKey {
+    /// SHA-256 of the key in hexadecimal; the key itself is never published.
+    pub sha256: String,
+    /// The application it names.
+    pub application: ids::ApplicationId,
+}
+
+/// A request class of an application, chosen by prompt length.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ClassNode {
+    /// Prompts up to this length belong to the class, unless a smaller class takes them.
+    pub up_to_tokens: units::TokenCount,
+    /// What the class overrides.
+    #[serde(default)]
+    pub options: NodeOptions,
+}
+
+/// An application of a customer.
+#[derive(Debug, Clone, Default, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct ApplicationNode {
+    /// What the application overrides.
+    pub options: NodeOptions,
+    /// Its request classes.
+    pub classes: collections::BTreeMap<ids::ClassId, ClassNode>,
+}
+
+/// A customer.
+#[derive(Debug, Clone, Default, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct CustomerNode {
+    /// Keys of its callers.
+    pub keys: Vec<CallerKey>,
+    /// What the customer overrides.
+    pub options: NodeOptions,
+    /// Its applications.
+    pub applications: collections::BTreeMap<ids::ApplicationId, ApplicationNode>,
+}
+
+/// Whether calls of a method may be repeated.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Repeatability {
+    /// Running it twice does no harm.
+    Repeatable,
+    /// It must run at most once.
+    Once,
+}
+
+/// A plain service beside the engines.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ServiceNode {
+    /// By method; a method not listed counts as `once`.
+    #[serde(default)]
+    pub methods: collections::BTreeMap<String, Repeatability>,
+    /// Whether its upstreams themselves refuse a key they have seen.
+    #[serde(default)]
+    pub checks_keys: bool,
+    /// Time within which a call finishes or fails.
+    #[serde(default = "default_service_limit")]
+    pub time_limit: units::TimeSpan,
+}
+
+fn default_service_limit() -> units::TimeSpan {
+    units::TimeSpan::from_secs(10)
+}
+
+impl ServiceNode {
+    /// Whether calls of `method` may be repeated.
+    pub fn repeatability(&self, method: &str) -> Repeatability {
+        self.methods.get(method).copied().unwrap_or(Repeatability::Once)
+    }
+}
+
+/// A whole settings document.
+#[derive(Debug, Clone, Default, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct SettingsTree {
+    /// The document's version; a document with a lower one is never accepted again.
+    pub version: SettingsVersion,
+    /// Options for the whole fleet.
+    pub fleet: FleetOptions,
+    /// Defaults that the customers inherit.
+    pub defaults: NodeOptions,
+    /// Plain services.
+    pub services: collections::BTreeMap<ids::ServiceId, ServiceNode>,
+    /// Customers.
+    pub customers: collections::BTreeMap<ids::CustomerId, CustomerNode>,
+}
+
+impl SettingsTree {
+    /// Reads and checks a YAML document.
+    pub fn parse(text: &str) -> Result<Self, SettingsError> {
+        ensure!(text.len() <= MAX_DOCUMENT_BYTES, TooLargeSnafu { found: text.len() });
+        let tree: Self = parse_yaml(text)?;
+        tree.check()?;
+        Ok(tree)
+    }
+
+    fn check(&self) -> Result<(), SettingsError> {
+        let fleet = &self.fleet;
+        check_range("version", &self.version, self.version.0 > 0, "at least 1")?;
+        check_range(
+            "fleet.candidates",
+            &fleet.candidates,
+            (1..=16).contains(&fleet.candidates),
+            "1 to 16",
+        )?;
+        check_range("fleet.max_running", &fleet.max_running, fleet.max_running > 0, "at least 1")?;
+        let ordered = fleet.short_tokens < fleet.long_tokens;
+        check_range(
+            "fleet.long_tokens",
+            &fleet.long_tokens,
+            ordered,
+            "more than fleet.short_tokens",
+        )?;
+        let kept = !fleet.key_retention.0.is_zero();
+        check_range("fleet.key_retention", &fleet.key_retention, kept, "more than 0s")?;
+        check_options("defaults", &self.defaults)?;
+        self.customers.iter().try_for_each(|(id, customer)| check_customer(id, customer))
+    }
+}
+
+/// Reads a YAML document, naming the path and the line of what does not fit.
+pub fn parse_yaml<'de, T: Deserialize<'de>>(text: &'de str) -> Result<T, SettingsError> {
+    let reader = serde_norway::Deserializer::from_str(text);
+    serde_path_to_error::deserialize(reader).map_err(|error| {
+        let path = error.path().to_string();
+        let text = error.into_inner().to_string();
+        // The library puts an outer part of the same path before its own text.
+        let reason = match text.split_once(": ") {
+            Some((outer, reason)) if path.starts_with(outer) => reason.to_owned(),
+            _ => text,
+        };
+        SettingsError::Shape { path, reason }
+    })
+}
+
+fn check_customer(id: &ids::CustomerId, customer: &CustomerNode) -> Result<(), SettingsError> {
+    let path = format!("customers.{id}");
+    for (index, key) in customer.keys.iter().enumerate() {
+        let hexadecimal = key.sha256.bytes().all(|byte| byte.is_ascii_hexdigit());
+        let valid = hexadecimal && key.sha256.len() == KEY_DIGEST_LENGTH;
+        let field = format!("{path}.keys[{index}].sha256");
+        check_range(&field, &key.sha256, valid, "64 hexadecimal digits")?;
+        let known = customer.applications.contains_key(&key.application);
+        let field = format!("{path}.keys[{index}].application");
+        check_range(&field, &key.application, known, "an application of this customer")?;
+    }
+    check_options(&path, &customer.options)?;
+    for (name, application) in &customer.applications {
+        let path = format!("{path}.applications.{name}");
+        check_options(&path, &application.options)?;
+        check_no_budget(&path, &application.options)?;
+        for (class, node) in &application.classes {
+            let path = format!("{path}.classes.{class}");
+            check_options(&path, &node.options)?;
+            check_no_budget(&path, &node.options)?;
+        }
+    }
+    Ok(())
+}
+
+fn check_options(path: &str, options: &NodeOptions) -> Result<(), SettingsError> {
+    let field = |name: &str| format!("{path}.{name}");
+    if let Some(weight) = options.weight {
+        let valid = weight.is_finite() && weight > 0.0;
+        check_range(&field("weight"), &weight, valid, "a number above 0")?;
+    }
+    if let Some(rate) = options.token_rate {
+        check_range(&field("token_rate"), &rate, rate.0.is_finite() && rate.0 >= 0.0, "0 or more")?;
+    }
+    if let Some(limit) = options.time_limit {
+        check_range(&field("time_limit"), &limit, !limit.0.is_zero(), "more than 0s")?;
+    }
+    if let Some(attempts) = options.max_attempts {
+        check_range(&field("max_attempts"), &attempts, (1..=10).contains(&attempts), "1 to 10")?;
+    }
+    Ok(())
+}
+
+/// A budget belongs to a customer; below it there is nobody to keep one.
+fn check_no_budget(path: &str, options: &NodeOptions) -> Result<(), SettingsError> {
+    let expected = "only fleet and customers to set it";
+    if let Some(rate) = options.token_rate {
+        check_range(&format!("{path}.token_rate"), &rate, false, expected)?;
+    }
+    if let Some(burst) = options.token_burst {
+        check_range(&format!("{path}.token_burst"), &burst, false, expected)?;
+    }
+    Ok(())
+}
+
+fn check_range(
+    path: &str,
+    found: &dyn ToString,
+    valid: bool,
+    expected: &'static str,
+) -> Result<(), SettingsError> {
+    let found = found.to_string();
+    ensure!(valid, RangeSnafu { path, found, expected });
+    Ok(())
+}
--- /dev/null
+++ b/crates/entry/src/answer.rs
@@ -0,0 +1,99 @@
+//! Answers that slipturn itself gives to callers.
+
+use std::time;
+
+use bytes::Bytes;
+use serde::Serialize;
+use slipturn_core::{ids, refusal};
+use slipturn_net::{http_server, process};
+
+/// Header with slipturn's own id of a request, to be asked about later.
+pub const REQUEST_HEADER: &str = "slipturn-request-id";
+/// Header with the caller's id, echoed.
+pub const CALLER_HEADER: &str = "x-request-id";
+/// Header with which a caller shortens its time limit.
+pub const TIMEOUT_HEADER: &str = "slipturn-timeout-ms";
+/// Header with a caller's key for what must not run twice.
+pub const KEY_HEADER: &str = "idempotency-key";
+
+#[derive(Serialize)]
+struct ErrorBody<'text> {
+    error: ErrorFields<'text>,
+}
+
+#[derive(Serialize)]
+struct ErrorFields<'text> {
+    message: &'text str,
+    r#type: &'static str,
+    code: &'static str,
+    ran: &'static str,
+    retry_after_ms: Option<u64>,
+}
+
+/// Ids of one request, as callers see them.
+#[derive(Debug, Clone)]
+pub struct RequestNames {
+    /// slipturn's own.
+    pub request: ids::RequestId,
+    /// The caller's, if it sent one.
+    pub caller: Option<String>,
+}
+
+impl RequestNames {
+    /// Adds the ids to an answer's headers.
+    pub fn mark(&self, headers: &mut http::HeaderMap) {
+        let own = self.request.as_str();
+        let caller = self.caller.as_deref().unwrap_or(own);
+        for (name, value) in [(REQUEST_HEADER, own), (CALLER_HEADER, caller)] {
+            if let Ok(value) = http::HeaderValue::from_str(value) {
+                headers.insert(name, value);
+            }
+        }
+    }
+}
+
+/// The whole answer to a request that is refused or has failed before its answer began.
+pub fn refusal_answer(
+    names: &RequestNames,
+    refusal: &refusal::RequestRefusal,
+) -> http::Response<Bytes> {
+    let mut answer = http_server::json_answer(refusal.code.status(), &error_body(refusal));
+    let headers = answer.headers_mut();
+    names.mark(headers);
+    if let Some(wait) = refusal.retry_after {
+        headers.insert(http::header::RETRY_AFTER, whole_seconds(wait).into());
+    }
+    answer
+}
+
+/// The last event of a streamed answer that has failed; no `[DONE]` follows it.
+pub fn error_event(refusal: &refusal::RequestRefusal) -> Vec<u8> {
+    let body = serde_json::to_string(&error_body(refusal)).unwrap_or_else(|_| "{}".to_owned());
+    format!("event: error\ndata: {body}\n\n").into_bytes()
+}
+
+/// Adds `connection: close` when the process is stopping, so that callers turn elsewhere.
+pub fn mark_closing(headers: &mut http::HeaderMap, stop: &process::StopSignal) {
+    if stop.asked() {
+        let close = http::HeaderValue::from_static("close");
+        headers.insert(http::header::CONNECTION, close);
+    }
+}
+
+fn error_body(refusal: &refusal::RequestRefusal) -> ErrorBody<'_> {
+    let millis = |wait: time::Duration| u64::try_from(wait.as_millis()).unwrap_or(u64::MAX);
+    ErrorBody {
+        error: ErrorFields {
+            message: &refusal.message,
+            r#type: refusal.code.kind(),
+            code: refusal.code.word(),
+            ran: refusal.ran.word(),
+            retry_after_ms: refusal.retry_after.map(millis),
+        },
+    }
+}
+
+/// `Retry-After` has whole seconds; rounding up never asks a caller back too early.
+fn whole_seconds(wait: time::Duration) -> u64 {
+    wait.as_secs() + u64::from(wait.subsec_nanos() > 0)
+}
--- /dev/null
+++ b/crates/entry/src/caller_connection.rs
@@ -0,0 +1,224 @@
+//! One caller's connection: reads requests, hands each to what serves it.
+
+use std::{rc, time};
+
+use bytes::Bytes;
+use serde::Serialize;
+use slipturn_core::{ids, refusal};
+use slipturn_net::http_server;
+
+use crate::{
+    answer, event, model_request, model_request::RequestEnd, request_context, service_request,
+};
+
+/// Paths of model requests.
+const MODEL_PATHS: [&str; 2] = ["/v1/chat/completions", "/v1/completions"];
+/// Path of the list of models.
+const MODELS_PATH: &str = "/v1/models";
+/// Start of the paths of plain services.
+const SERVICES_PREFIX: &str = "/services/";
+/// Longest id of its own that a caller may send.
+const MAX_CALLER_ID: usize = 128;
+
+/// Serves a connection until the caller leaves it, or a request ends it.
+pub async fn serve(
+    context: rc::Rc<request_context::EntryContext>,
+    mut connection: http_server::ServerConnection,
+) {
+    loop {
+        let incoming = match connection.next_head().await {
+            Ok(Some(incoming)) => incoming,
+            Ok(None) => return,
+            Err(error) => {
+                refuse_unread(&context, &mut connection, &error).await;
+                return;
+            }
+        };
+        let close = http_server::wants_close(&incoming.head);
+        let active = context.enter();
+        let end = serve_one(&context, &mut connection, incoming).await;
+        drop(active);
+        match end {
+            Ok(RequestEnd::Answered) if !close && !context.stop.asked() => {}
+            Ok(_) => return,
+            Err(error) => {
+                log::debug!("caller: {error}");
+                return;
+            }
+        }
+    }
+}
+
+/// A request whose head cannot be read has no id of the caller's; the connection ends with it.
+async fn refuse_unread(
+    context: &request_context::EntryContext,
+    connection: &mut http_server::ServerConnection,
+    error: &http_server::ServeError,
+) {
+    let names = answer::RequestNames { request: context.next_request(), caller: None };
+    let code = refusal::RefusalCode::BadRequest;
+    let refusal = refusal::RequestRefusal::not_run(code, error.to_string());
+    if let Err(error) = connection.respond(answer::refusal_answer(&names, &refusal)).await {
+        log::debug!("caller: {error}");
+    }
+}
+
+async fn serve_one(
+    context: &rc::Rc<request_context::EntryContext>,
+    connection: &mut http_server::ServerConnection,
+    mut incoming: http_server::IncomingHead,
+) -> Result<RequestEnd, http_server::ServeError> {
+    let caller = incoming.header(answer::CALLER_HEADER);
+    let caller = caller.filter(|id| id.len() <= MAX_CALLER_ID).map(str::to_owned);
+    let names = answer::RequestNames { request: context.next_request(), caller };
+    let (body, _hold) = match read_body(context, connection, &mut incoming).await {
+        Ok(body) => body,
+        Err(refusal) => {
+            // What is left of the body would be taken for the next request.
+            connection.respond(answer::refusal_answer(&names, &refusal)).await?;
+            return Ok(RequestEnd::Close);
+        }
+    };
+    match route(context, names.clone(), &incoming) {
+        Ok(RoutedCall::Model(call)) => {
+            model_request::serve(rc::Rc::clone(context), connection, call, body).await
+        }
+        Ok(RoutedCall::Service(call)) => {
+            service_request::serve(rc::Rc::clone(context), connection, *call, body).await
+        }
+        Ok(RoutedCall::Models) => {
+            connection.respond(models_answer(context, &names).await).await?;
+            Ok(RequestEnd::Answered)
+        }
+        Err(refusal) => {
+            connection.respond(answer::refusal_answer(&names, &refusal)).await?;
+            Ok(RequestEnd::Answered)
+        }
+    }
+}
+
+async fn read_body(
+    context: &request_context::EntryContext,
+    connection: &mut http_server::ServerConnection,
+    incoming: &mut http_server::IncomingHead,
+) -> Result<(Bytes, crate::body_budget::BodyHold), refusal::RequestRefusal> {
+    let limits = &context.local.limits;
+    let most = limits.max_body.0;
+    // A chunked body may turn out as long as the longest.
+    let expected = incoming.declared_length().unwrap_or(most).min(most);
+    let mut hold = context.bodies.hold(expected)?;
+    let bounds = http_server::BodyLimits { max_bytes: most, time: limits.body_time.0 };
+    let body = connection.read_body(incoming, bounds).await.map_err(body_refusal)?;
+    hold.shrink(body.len() as u64);
+    Ok((body, hold))
+}
+
+fn body_refusal(error: http_server::ServeError) -> refusal::RequestRefusal {
+    let code = match &error {
+        http_server::ServeError::BodyTooLarge { .. } => refusal::RefusalCode::TooLarge,
+        http_server::ServeError::BodyTimeout { .. } => refusal::RefusalCode::BodyTimeout,
+        _ => refusal::RefusalCode::BadRequest,
+    };
+    refusal::RequestRefusal::not_run(code, error.to_string())
+}
+
+enum RoutedCall {
+    Model(model_request::ModelCall),
+    Service(Box<service_request::ServiceCall>),
+    Models,
+}
+
+fn route(
+    context: &request_context::EntryContext,
+    names: answer::RequestNames,
+    incoming: &http_server::IncomingHead,
+) -> Result<RoutedCall, refusal::RequestRefusal> {
+    let refuse = |code, text: &str| refusal::RequestRefusal::not_run(code, text);
+    let path = incoming.head.uri.path();
+    if path == MODELS_PATH && incoming.head.method == http::Method::GET {
+        return Ok(RoutedCall::Models);
+    }
+    let is_model = MODEL_PATHS.contains(&path) && incoming.head.method == http::Method::POST;
+    let behind = path.strip_prefix(SERVICES_PREFIX);
+    if !is_model && behind.is_none() {
+        let text = format!("{} {path} is not served", incoming.head.method);
+        return Err(refuse(refusal::RefusalCode::NotFound, &text));
+    }
+    let key = bearer_key(incoming).ok_or_else(|| {
+        refuse(refusal::RefusalCode::Unauthorized, "no key: send 'Authorization: Bearer KEY'")
+    })?;
+    let (wish, arrived) = (time_wish(incoming)?, context.clock.now());
+    match behind {
+        None => {
+            let path = path.to_owned();
+            Ok(RoutedCall::Model(model_request::ModelCall { names, key, wish, path, arrived }))
+        }
+        Some(behind) => {
+            let (service, rest) = behind.split_once('/').unwrap_or((behind, ""));
+            let service: ids::ServiceId = service
+                .parse()
+                .map_err(|_| refuse(refusal::RefusalCode::NotFound, "not a name of a service"))?;
+            let mut head = incoming.head.clone();
+            let query = head.uri.query().map_or(String::new(), |query| format!("?{query}"));
+            head.uri = format!("/{rest}{query}")
+                .parse()
+                .map_err(|_| refuse(refusal::RefusalCode::BadRequest, "not a valid path"))?;
+            let idempotency = incoming.header(answer::KEY_HEADER).map(str::to_owned);
+            let call = service_request::ServiceCall {
+                names,
+                key,
+                wish,
+                idempotency,
+                service,
+                head,
+                arrived,
+            };
+            Ok(RoutedCall::Service(Box::new(call)))
+        }
+    }
+}
+
+fn bearer_key(incoming: &http_server::IncomingHead) -> Option<String> {
+    let (scheme, key) = incoming.header("authorization")?.split_once(' ')?;
+    scheme.eq_ignore_ascii_case("bearer").then(|| key.trim().to_owned())
+}
+
+fn time_wish(
+    incoming: &http_server::IncomingHead,
+) -> Result<Option<time::Duration>, refusal::RequestRefusal> {
+    let Some(text) = incoming.header(answer::TIMEOUT_HEADER) else {
+        return Ok(None);
+    };
+    match text.trim().parse() {
+        Ok(millis) if millis > 0 => Ok(Some(time::Duration::from_millis(millis))),
+        _ => {
+            let text = format!("{}: found '{text}', expected milliseconds", answer::TIMEOUT_HEADER);
+            Err(refusal::RequestRefusal::not_run(refusal::RefusalCode::BadRequest, text))
+        }
+    }
+}
+
+#[derive(Serialize)]
+struct ModelRow {
+    id: ids::ModelId,
+    object: &'static str,
+    owned_by: &'static str,
+}
+
+#[derive(Serialize)]
+struct ModelList {
+    object: &'static str,
+    data: Vec<ModelRow>,
+}
+
+async fn models_answer(
+    context: &request_context::EntryContext,
+    names: &answer::RequestNames,
+) -> http::Response<Bytes> {
+    let models = context.events.ask(event::EntryEvent::Models).await;
+    let row = |id| ModelRow { id, object: "model", owned_by: "slipturn" };
+    let list = ModelList { object: "list", data: models.into_iter().map(row).collect() };
+    let mut answer = http_server::json_answer(200, &list);
+    names.mark(answer.headers_mut());
+    answer
+}
--- /dev/null
+++ b/crates/entry/src/director.rs
@@ -0,0 +1,245 @@
+//! The task that owns what an entry's requests share: router, records, histograms.
+
+use std::{collections, rc};
+
+use futures::{
+    StreamExt as _,
+    channel::{mpsc, oneshot},
+};
+use slipturn_core::{
+    decision, entry_router, fleet_list, histogram, ids, key_vote, rendezvous, units, version_store,
+};
+use slipturn_net::{metrics, process, scheduler_link};
+
+use crate::{documents, event};
+
+/// State behind the events.
+pub struct EntryDirector {
+    router: entry_router::EntryRouter,
+    boot: ids::BootId,
+    decisions: decision::DecisionLog,
+    histograms: histogram::HistogramSet,
+    /// By attempt and engine: the members of a group share an attempt.
+    running: collections::HashMap<(ids::AttemptId, ids::EngineId), event::RunningPlace>,
+    /// Told of whenever documents or wakes change.
+    summary: rc::Rc<documents::DocumentSummary>,
+    sender: metrics::MetricSender,
+}
+
+impl EntryDirector {
+    /// A director that remembers `decisions` records.
+    pub fn new(
+        router: entry_router::EntryRouter,
+        boot: ids::BootId,
+        decisions: usize,
+        summary: rc::Rc<documents::DocumentSummary>,
+        sender: metrics::MetricSender,
+    ) -> Self {
+        Self {
+            router,
+            boot,
+            decisions: decision::DecisionLog::new(decisions),
+            histograms: histogram::HistogramSet::default(),
+            running: collections::HashMap::new(),
+            summary,
+            sender,
+        }
+    }
+
+    /// Handles events for ever.
+    pub async fn run(
+        mut self,
+        mut incoming: mpsc::UnboundedReceiver<event::EntryEvent>,
+        clock: process::ProcessClock,
+    ) {
+        while let Some(happened) = incoming.next().await {
+            self.handle(clock.now(), happened);
+        }
+    }
+
+    /// Handles one event.
+    fn handle(&mut self, now: units::MonoTime, happened: event::EntryEvent) {
+        use event::EntryEvent;
+        let router = &mut self.router;
+        match happened {
+            EntryEvent::Plan(question, answer) => reply(answer, router.plan(now, &question)),
+            EntryEvent::Resolve(key, answer) => {
+                reply(answer, router.resolve(now, &key, units::TokenCount::ZERO));
+            }
+            EntryEvent::Spend(resolved, want, answer) => {
+                reply(answer, router.spend(now, &resolved, want));
+            }
+            EntryEvent::SpendAlone(resolved, want, answer) => {
+                reply(answer, router.spend_alone(now, &resolved, want));
+            }
+            EntryEvent::Portion(customer, portion) => router.add_portion(now, &customer, portion),
+            EntryEvent::Candidates(question, tree, prefix, tried, answer) => {
+                let found = router.candidates(now, &question, &tree.fleet, prefix, &tried);
+                reply(answer, found);
+            }
+            EntryEvent::Group(model, need, tree, answer) => {
+                reply(answer, router.group(&model, need, &tree.fleet));
+            }
+            EntryEvent::Choose(targets, offers, answer) => {
+                reply(answer, router.choose(&targets, &offers));
+            }
+            EntryEvent::WantsOffers(answer) => reply(answer, router.wants_offers()),
+            EntryEvent::DirectShare(engine, answer) => {
+                reply(answer, router.direct_share(&engine));
+            }
+            EntryEvent::Started(place) => self.start(place),
+            EntryEvent::Ended(attempt, engine) => self.end(&attempt, &engine),
+            EntryEvent::Shun(engine) => router.shun(now, &engine),
+            EntryEvent::Retry(question, answer) => {
+                reply(answer, router.ask_retry(now, question));
+            }
+            EntryEvent::CountRequest => router.count_request(now),
+            EntryEvent::Upstreams(service, answer) => reply(answer, router.upstreams(&service)),
+            EntryEvent::Voters(key, answer) => reply(answer, voters(router.list(), &key)),
+            EntryEvent::SpreadRetry(expected, answer) => {
+                reply(answer, router.spread_retry(expected));
+            }
+            EntryEvent::Renewals(answer) => reply(answer, self.renewals()),
+            EntryEvent::Measure(measure, series, span) => {
+                self.histograms.record(measure, &series, span);
+            }
+            EntryEvent::Decision(record) => self.remember(*record),
+            EntryEvent::Find(id, answer) => reply(answer, self.decisions.find(&id)),
+            EntryEvent::Models(answer) => reply(answer, models(router.list())),
+            EntryEvent::List(answer) => reply(answer, router.list().clone()),
+            EntryEvent::Histograms(answer) => reply(answer, self.histograms.rows()),
+            EntryEvent::Settings(answer) => reply(answer, router.store().tree()),
+            EntryEvent::Status(answer) => reply(answer, self.status(now)),
+            EntryEvent::Documents(update, asked_at) => self.documents(now, &update, asked_at),
+            EntryEvent::AllSilent(asked_at) => router.heard(now, asked_at),
+            EntryEvent::Tick => self.tick(now),
+        }
+    }
+
+    fn start(&mut self, place: event::RunningPlace) {
+        self.router.count_start(&place.engine, place.request.memory, place.prefix);
+        let key = (place.request.attempt.clone(), place.engine.clone());
+        self.running.insert(key, place);
+    }
+
+    fn end(&mut self, attempt: &ids::AttemptId, engine: &ids::EngineId) {
+        if let Some(place) = self.running.remove(&(attempt.clone(), engine.clone())) {
+            self.router.count_end(engine, place.request.memory);
+        }
+    }
+
+    fn renewals(&self) -> event::RenewalBatch {
+        let list = self.router.list();
+        let mut batches: collections::BTreeMap<_, Vec<_>> = collections::BTreeMap::new();
+        for place in self.running.values() {
+            let record = list.engines.iter().find(|record| record.name == place.engine);
+            let owner = record.and_then(|record| {
+                rendezvous::engine_owner(list, &record.name, &record.data_center)
+            });
+            if let Some(owner) = owner {
+                let renewed = (place.engine.clone(), place.request.clone());
+                batches.entry(owner.scheduler).or_default().push(renewed);
+            }
+        }
+        batches.into_iter().collect()
+    }
+
+    fn remember(&mut self, record: decision::DecisionRecord) {
+        self.sender.count("requests");
+        if let Some(total) = record.total_ms {
+            self.sender.time("total", std::time::Duration::from_millis(total));
+        }
+        if let Some(first) = record.first_token_ms {
+            self.sender.time("first_token", std::time::Duration::from_millis(first));
+        }
+        self.decisions.add(record);
+    }
+
+    fn documents(
+        &mut self,
+        now: units::MonoTime,
+        update: &scheduler_link::DocumentUpdate,
+        asked_at: u64,
+    ) {
+        match &update.settings {
+            Some(text) => self.take_settings(now, text),
+            None => self.router.confirm_settings(now, update.age),
+        }
+        if let Some(text) = &update.list {
+            match fleet_list::FleetList::parse(text) {
+                Ok(list) => self.router.offer_list(list),
+                Err(fault) => log::error!("list refused: {fault}"),
+            }
+        }
+        self.router.heard(now, asked_at);
+        self.summarise();
+    }
+
+    fn take_settings(&mut self, now: units::MonoTime, text: &str) {
+        match self.router.offer_settings(now, text) {
+            version_store::OfferOutcome::Accepted => {
+                log::info!("settings version {} is in force", self.router.store().version());
+            }
+            version_store::OfferOutcome::Invalid(fault) => log::error!("settings refused: {fault}"),
+            version_store::OfferOutcome::Older => log::warn!("older settings were dropped"),
+            version_store::OfferOutcome::Same => {}
+        }
+    }
+
+    fn summarise(&self) {
+        let list = self.router.list();
+        let known = scheduler_link::KnownDocuments {
+            settings: self.router.store().version().0,
+            list: list.revision,
+        };
+        self.summary.known.set(known);
+        self.summary.wakes.set(self.router.wakes());
+        let schedulers = list.live_instances().map(|instance| instance.scheduler);
+        self.summary.schedulers.replace(schedulers.collect());
+    }
+
+    fn status(&mut self, now: units::MonoTime) -> event::EntryStatus {
+        let ready = self.router.ready(now);
+        let store = self.router.store();
+        event::EntryStatus {
+            instance: self.router.instance().clone(),
+            boot: self.boot.to_string(),
+            ready,
+            settings_version: store.version().0,
+            settings_rejected: store.rejected().map(str::to_owned),
+            settings_age_ms: u64::try_from(store.age(now).as_millis()).unwrap_or(u64::MAX),
+            list_revision: self.router.list().revision,
+            running: self.running.len(),
+            decisions: self.decisions.len(),
+            requests: 0,
+        }
+    }
+
+    fn tick(&mut self, now: units::MonoTime) {
+        self.router.tick(now);
+        self.summary.wakes.set(self.router.wakes());
+        self.sender.gauge("running", self.running.len() as u64);
+        self.sender.flush();
+    }
+}
+
+/// Answers an asker; one that has gone needs no answer.
+fn reply<T>(asker: oneshot::Sender<T>, answer: T) {
+    let _ = asker.send(answer);
+}
+
+/// Instances to ask for a key, the same one first from everywhere, so that of two requests with
+/// one key the later learns of the earlier at once and neither splits the votes.
+fn voters(list: &fleet_list::FleetList, key: &key_vote::ScopedKey) -> event::VoterList {
+    let ranked =
+        rendezvous::ranked(&key.0, list.instances.iter(), |instance| instance.name.as_str());
+    let voters = ranked.iter().map(|one| (one.name.clone(), one.scheduler)).collect();
+    event::VoterList { voters }
+}
+
+fn models(list: &fleet_list::FleetList) -> Vec<ids::ModelId> {
+    let mut models: Vec<_> = list.engines.iter().map(|engine| engine.model.clone()).collect();
+    models.sort();
+    models.dedup();
+    models
+}
--- /dev/null
+++ b/crates/entry/src/lib.rs
@@ -0,0 +1,23 @@
+//! The entry of one instance: it owns callers' connections and their requests, from the first byte
+//! to the final answer.
+//!
+//! By life span: [`program`] lives as long as the process, [`caller_connection`] as long as a
+//! connection, [`model_request`] and [`service_request`] as long as a request, [`place`] as long
+//! as an attempt. One task owns what requests share ([`director`]).
+
+pub mod answer;
+pub mod body_budget;
+pub mod caller_connection;
+pub mod director;
+pub mod documents;
+pub mod event;
+pub mod key_claim;
+pub mod model_request;
+pub mod operators;
+pub mod place;
+pub mod program;
+pub mod prompt;
+pub mod renewal;
+pub mod request_context;
+pub mod service_request;
+pub mod upstream_call;
--- /dev/null
+++ b/crates/entry/src/model_request.rs
@@ -0,0 +1,553 @@
+//! One model request, from its read body to its final answer.
+
+use std::{rc, time};
+
+use bytes::Bytes;
+use slipturn_core::{decision, engine_ledger, entry_router, histogram, ids, refusal, retry, units};
+use slipturn_net::{http_client, http_server};
+
+use crate::{
+    answer, event, place, prompt, request_context, upstream_call, upstream_call::EngineOrders as _,
+};
+
+/// Largest piece of a streamed answer.
+const MAX_PIECE: u64 = 4 << 20;
+/// The last event of a whole streamed answer.
+const DONE_EVENT: &[u8] = b"data: [DONE]";
+/// Bytes at the end of a stream that are kept to look for the last event.
+const TAIL_BYTES: usize = 32;
+
+/// What a caller sent, apart from the prompt.
+pub struct ModelCall {
+    /// Its ids.
+    pub names: answer::RequestNames,
+    /// Its key.
+    pub key: String,
+    /// Its own time limit.
+    pub wish: Option<time::Duration>,
+    /// Path called.
+    pub path: String,
+    /// When its last body byte had arrived.
+    pub arrived: units::MonoTime,
+}
+
+/// How a request ended, and whether its connection can go on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RequestEnd {
+    /// The answer is whole; the connection can take another request.
+    Answered,
+    /// The answer was cut, or the caller is gone; the connection must be closed.
+    Close,
+}
+
+/// How an attempt ended.
+enum AttemptEnd {
+    Whole,
+    CallerGone,
+    TimedOut,
+    Failed(upstream_call::AttemptFault),
+}
+
+/// A model request being served.
+struct ModelRequest {
+    context: rc::Rc<request_context::EntryContext>,
+    call: ModelCall,
+    plan: entry_router::PlanQuestion,
+    grant: entry_router::RequestGrant,
+    body: Bytes,
+    prefix: u64,
+    prefix_tokens: units::TokenCount,
+    stream: bool,
+    deadline: units::MonoTime,
+    record: decision::DecisionRecord,
+    tried: Vec<ids::EngineId>,
+    /// Set when the first piece goes out; from then on there is no other attempt.
+    first_token: Option<units::MonoTime>,
+}
+
+/// Serves a model request.
+pub async fn serve(
+    context: rc::Rc<request_context::EntryContext>,
+    connection: &mut http_server::ServerConnection,
+    call: ModelCall,
+    body: Bytes,
+) -> Result<RequestEnd, http_server::ServeError> {
+    let names = call.names.clone();
+    let mut record = decision::DecisionRecord::new(
+        names.request.clone(),
+        names.caller.clone(),
+        call.path.clone(),
+    );
+    match admit(&context, &call, body, &mut record).await {
+        Ok(admitted) => {
+            let request = ModelRequest {
+                plan: admitted.plan,
+                grant: admitted.grant,
+                body: admitted.body,
+                prefix: admitted.prefix,
+                prefix_tokens: admitted.prefix_tokens,
+                stream: admitted.stream,
+                deadline: admitted.deadline,
+                record,
+                tried: Vec::new(),
+                first_token: None,
+                context,
+                call,
+            };
+            request.run(connection).await
+        }
+        Err(refusal) => {
+            let refusal = spread(&context, refusal).await;
+            record.end = Some(format!("refused: {}", refusal.message));
+            record.total_ms = Some(millis(context.clock.now().since(call.arrived)));
+            context.events.tell(event::EntryEvent::Decision(Box::new(record)));
+            let refused = answer::refusal_answer(&names, &refusal);
+            connection.respond(refused).await?;
+            Ok(RequestEnd::Answered)
+        }
+    }
+}
+
+/// What is known of a request once it may run.
+struct AdmittedRequest {
+    plan: entry_router::PlanQuestion,
+    grant: entry_router::RequestGrant,
+    body: Bytes,
+    prefix: u64,
+    prefix_tokens: units::TokenCount,
+    stream: bool,
+    deadline: units::MonoTime,
+}
+
+/// Finds the settings and takes the tokens from the customer's budget.
+async fn admit(
+    context: &request_context::EntryContext,
+    call: &ModelCall,
+    body: Bytes,
+    record: &mut decision::DecisionRecord,
+) -> Result<AdmittedRequest, refusal::RequestRefusal> {
+    let shape = prompt::PromptShape::read(&body)?;
+    drop(body);
+    let plan = shape.question(call.key.clone(), call.wish);
+    let question = plan.clone();
+    let grant = context.events.ask(|answer| event::EntryEvent::Plan(question, answer)).await?;
+    record.set_settings(&grant.settings);
+    record.prompt_tokens = plan.prompt.0;
+    record.list_revision = grant.list_revision;
+    take_budget(context, &grant, plan.prompt + grant.output, record).await?;
+    let deadline = call.arrived + grant.settings.time_limit.value.0;
+    let (prefix, prefix_tokens, stream) = (shape.prefix, shape.prefix_tokens, shape.stream);
+    let body = shape.into_body(grant.output);
+    Ok(AdmittedRequest { plan, grant, body, prefix, prefix_tokens, stream, deadline })
+}
+
+async fn take_budget(
+    context: &request_context::EntryContext,
+    grant: &entry_router::RequestGrant,
+    want: units::TokenCount,
+    record: &mut decision::DecisionRecord,
+) -> Result<(), refusal::RequestRefusal> {
+    let settings = &grant.settings;
+    let spend = |answer| event::EntryEvent::Spend(settings.clone(), want, answer);
+    let mut step = context.events.ask(spend).await;
+    if let entry_router::BudgetStep::Draw { keeper, limit, want } = step {
+        let customer = &settings.customer;
+        step = match context.links.link(keeper).draw(customer, limit, want).await {
+            Ok(Ok(portion)) => {
+                record.notes.push(format!("budget: {} drawn from {keeper}", portion.tokens));
+                let portion = event::EntryEvent::Portion(customer.clone(), portion);
+                context.events.tell(portion);
+                context.events.ask(spend).await
+            }
+            Ok(Err(empty)) => entry_router::BudgetStep::Empty(empty.0),
+            Err(error) => {
+                record.notes.push(format!("budget: keeper out of reach ({error}), own part used"));
+                let alone = |answer| event::EntryEvent::SpendAlone(settings.clone(), want, answer);
+                context.events.ask(alone).await
+            }
+        };
+    }
+    match step {
+        // A portion that expired between drawing and spending has been paid for all the same.
+        entry_router::BudgetStep::Spent | entry_router::BudgetStep::Draw { .. } => Ok(()),
+        entry_router::BudgetStep::Empty(wait) => {
+            let text = format!("customer {} has used its tokens", settings.customer);
+            let code = refusal::RefusalCode::OverBudget;
+            Err(refusal::RequestRefusal::not_run(code, text).retry_after(wait))
+        }
+    }
+}
+
+impl ModelRequest {
+    async fn run(
+        mut self,
+        connection: &mut http_server::ServerConnection,
+    ) -> Result<RequestEnd, http_server::ServeError> {
+        let refusal = match self.attempts(connection).await {
+            Ok(end) => {
+                let word = if end == RequestEnd::Answered { "answered" } else { "caller gone" };
+                self.finish(word.to_owned());
+                return Ok(end);
+            }
+            Err(refusal) => spread(&self.context, refusal).await,
+        };
+        let started = self.first_token.is_some();
+        let word = if started { "cut" } else { "refused" };
+        self.finish(format!("{word}: {} (ran: {})", refusal.message, refusal.ran.word()));
+        if started && self.stream {
+            // Whoever reads up to the end of the stream finds an error there and no `[DONE]`.
+            connection.send_piece(&answer::error_event(&refusal)).await?;
+            connection.finish_stream().await?;
+            return Ok(RequestEnd::Close);
+        }
+        let refused = answer::refusal_answer(&self.call.names, &refusal);
+        connection.respond(refused).await?;
+        Ok(RequestEnd::Answered)
+    }
+
+    async fn attempts(
+        &mut self,
+        connection: &mut http_server::ServerConnection,
+    ) -> Result<RequestEnd, refusal::RequestRefusal> {
+        let mut number = 0;
+        loop {
+            number += 1;
+            let question = self.place_question(number);
+            let finding = place::find(&self.context, &question);
+            let limited = monoio::time::timeout(self.left(), finding);
+            let Some(found) = connection.while_present(limited).await else {
+                return Ok(RequestEnd::Close);
+            };
+            let place = found.unwrap_or_else(|_| Err(no_place_in_time()))?;
+            self.measure_wait(&place);
+            let end = self.attempt(connection, &place, &question.attempt).await;
+            self.note_attempt(&place, &end);
+            match end {
+                AttemptEnd::Whole => return Ok(RequestEnd::Answered),
+                AttemptEnd::CallerGone => {
+                    place.cancel();
+                    return Ok(RequestEnd::Close);
+                }
+                AttemptEnd::TimedOut => {
+                    place.cancel();
+                    return Err(self.timed_out());
+                }
+                AttemptEnd::Failed(fault) => {
+                    if !fault.failure.surely_not_run() {
+                        place.cancel();
+                    }
+                    self.after_fault(&place, &fault, number).await?;
+                }
+            }
+        }
+    }
+
+    /// Decides whether another attempt follows a failed one.
+    async fn after_fault(
+        &mut self,
+        place: &place::HeldPlace,
+        fault: &upstream_call::AttemptFault,
+        attempts: u32,
+    ) -> Result<(), refusal::RequestRefusal> {
+        for member in &place.members {
+            self.tried.push(member.engine.clone());
+            self.context.events.tell(event::EntryEvent::Shun(member.engine.clone()));
+        }
+        let question = retry::RetryQuestion {
+            failure: fault.failure,
+            repeatable: true,
+            attempts,
+            max_attempts: self.grant.settings.max_attempts.value,
+            time_left: !self.left().is_zero(),
+        };
+        let ask = |answer| event::EntryEvent::Retry(question, answer);
+        match self.context.events.ask(ask).await {
+            retry::RetryVerdict::Retry => {
+                self.record.notes.push(format!("retry: {}", fault.text));
+                Ok(())
+            }
+            retry::RetryVerdict::GiveUp(why) => {
+                self.record.notes.push(format!("no retry: {why}"));
+                let code = refusal::RefusalCode::UpstreamFailed;
+                let refusal = refusal::RequestRefusal::not_run(code, fault.text.clone());
+                Err(refusal.ran(fault.ran()).retry_after(time::Duration::from_secs(1)))
+            }
+        }
+    }
+
+    async fn attempt(
+        &mut self,
+        connection: &mut http_server::ServerConnection,
+        place: &place::HeldPlace,
+        attempt: &ids::AttemptId,
+    ) -> AttemptEnd {
+        if let Err(fault) = self.reserve_members(place, attempt).await {
+            return AttemptEnd::Failed(fault);
+        }
+        let context = rc::Rc::clone(&self.context);
+        let call = self.engine_call(place, attempt);
+        let pooled = http_client::ConnectionUse::Pooled;
+        let calling = context.pool.call(place.engine().address, pooled, call);
+        let limited = monoio::time::timeout(self.left(), calling);
+        let mut answer = match connection.while_present(limited).await {
+            None => return AttemptEnd::CallerGone,
+            Some(Err(_)) => return AttemptEnd::TimedOut,
+            Some(Ok(Err(error))) => {
+                return AttemptEnd::Failed(upstream_call::AttemptFault::before_answer(&error));
+            }
+            Some(Ok(Ok(answer))) => answer,
+        };
+        if let Err(fault) = upstream_call::check_head(&answer.head, attempt) {
+            return AttemptEnd::Failed(fault);
+        }
+        if answer.head.status.is_server_error() {
+            let text = format!("the engine answered {}", answer.head.status.as_u16());
+            let failure = retry::AttemptFailure::BrokeBeforeAnswer;
+            return AttemptEnd::Failed(upstream_call::AttemptFault { failure, text });
+        }
+        if self.stream && answer.head.status.is_success() {
+            self.pass_stream(connection, &mut answer).await
+        } else {
+            self.pass_whole(connection, &mut answer).await
+        }
+    }
+
+    /// Has the other members of a group keep memory, before the first one gets the prompt.
+    async fn reserve_members(
+        &self,
+        place: &place::HeldPlace,
+        attempt: &ids::AttemptId,
+    ) -> Result<(), upstream_call::AttemptFault> {
+        for member in place.members.iter().skip(1) {
+            let tokens = place.member_memory;
+            let reserved = self.context.pool.reserve(member.address, attempt.clone(), tokens).await;
+            if let Err(fault) = reserved {
+                place.cancel();
+                // The prompt itself has reached no engine.
+                let failure = retry::AttemptFailure::SaidNotRun;
+                return Err(upstream_call::AttemptFault { failure, ..fault });
+            }
+        }
+        Ok(())
+    }
+
+    fn engine_call(
+        &self,
+        place: &place::HeldPlace,
+        attempt: &ids::AttemptId,
+    ) -> http::Request<Bytes> {
+        let (path, body) = (&self.call.path, self.body.clone());
+        let mut call = upstream_call::call(http::Method::POST, path, attempt, self.left(), body);
+        upstream_call::set_header(&mut call, "content-type", "application/json");
+        if self.grant.fleet.fleet.routing == slipturn_core::settings::RoutingKind::ExpectedStart {
+            let band = engine_ledger::LengthBand::of(self.plan.prompt, &self.grant.fleet.fleet);
+            let priority = band.priority().to_string();
+            upstream_call::set_header(&mut call, upstream_call::PRIORITY_HEADER, &priority);
+        }
+        if place.members.len() > 1 {
+            let peers: Vec<_> =
+                place.members.iter().skip(1).map(|peer| peer.address.to_string()).collect();
+            upstream_call::set_header(&mut call, upstream_call::PEERS_HEADER, &peers.join(","));
+        }
+        call
+    }
+
+    async fn pass_stream(
+        &mut self,
+        connection: &mut http_server::ServerConnection,
+        answer: &mut http_client::StreamedAnswer<'_>,
+    ) -> AttemptEnd {
+        let mut tail = Vec::new();
+        let mut last = None;
+        loop {
+            let limited = monoio::time::timeout(self.left(), answer.next_piece(MAX_PIECE));
+            let piece = match connection.while_present(limited).await {
+                None => return AttemptEnd::CallerGone,
+                Some(Err(_)) => return AttemptEnd::TimedOut,
+                Some(Ok(Err(error))) => return AttemptEnd::Failed(self.broke(&error.to_string())),
+                Some(Ok(Ok(None))) => return self.end_stream(connection, &tail).await,
+                Some(Ok(Ok(Some(piece)))) => piece,
+            };
+            if self.first_token.is_none() && self.start_answer(connection).await.is_err() {
+                return AttemptEnd::CallerGone;
+            }
+            self.measure_piece(&mut last);
+            keep_tail(&mut tail, &piece);
+            let sending = connection.send_piece(&piece);
+            match monoio::time::timeout(self.left(), sending).await {
+                Ok(Ok(())) => {}
+                Ok(Err(_)) => return AttemptEnd::CallerGone,
+                Err(_) => return AttemptEnd::TimedOut,
+            }
+        }
+    }
+
+    async fn start_answer(
+        &mut self,
+        connection: &mut http_server::ServerConnection,
+    ) -> Result<(), http_server::ServeError> {
+        let now = self.context.clock.now();
+        self.first_token = Some(now);
+        let spent = now.since(self.call.arrived);
+        self.record.first_token_ms = Some(millis(spent));
+        self.measure(histogram::MeasureKind::FirstToken, spent);
+        let mut head = http::Response::new(());
+        let headers = head.headers_mut();
+        let kind = http::HeaderValue::from_static("text/event-stream");
+        headers.insert(http::header::CONTENT_TYPE, kind);
+        let cache = http::HeaderValue::from_static("no-cache");
+        headers.insert(http::header::CACHE_CONTROL, cache);
+        self.call.names.mark(headers);
+        answer::mark_closing(headers, &self.context.stop);
+        connection.start_stream(&head).await
+    }
+
+    /// The engine has ended its answer properly; it is whole only with the last event.
+    async fn end_stream(
+        &self,
+        connection: &mut http_server::ServerConnection,
+        tail: &[u8],
+    ) -> AttemptEnd {
+        if !tail.trim_ascii_end().ends_with(DONE_EVENT) {
+            return AttemptEnd::Failed(self.broke("the answer ends without its last event"));
+        }
+        match connection.finish_stream().await {
+            Ok(()) => AttemptEnd::Whole,
+            Err(_) => AttemptEnd::CallerGone,
+        }
+    }
+
+    async fn pass_whole(
+        &mut self,
+        connection: &mut http_server::ServerConnection,
+        answer: &mut http_client::StreamedAnswer<'_>,
+    ) -> AttemptEnd {
+        let limit = self.context.local.limits.max_answer.0;
+        let limited = monoio::time::timeout(self.left(), answer.read_whole(limit));
+        let body = match connection.while_present(limited).await {
+            None => return AttemptEnd::CallerGone,
+            Some(Err(_)) => return AttemptEnd::TimedOut,
+            Some(Ok(Err(error))) => {
+                return AttemptEnd::Failed(upstream_call::AttemptFault::before_answer(&error));
+            }
+            Some(Ok(Ok(body))) => body,
+        };
+        let now = self.context.clock.now();
+        self.measure(histogram::MeasureKind::FirstToken, now.since(self.call.arrived));
+        let mut whole = http::Response::new(body);
+        *whole.status_mut() = answer.head.status;
+        let headers = whole.headers_mut();
+        let kind = http::HeaderValue::from_static("application/json");
+        headers.insert(http::header::CONTENT_TYPE, kind);
+        self.call.names.mark(headers);
+        answer::mark_closing(headers, &self.context.stop);
+        match connection.respond(whole).await {
+            Ok(()) => AttemptEnd::Whole,
+            Err(_) => AttemptEnd::CallerGone,
+        }
+    }
+
+    fn place_question(&self, number: u32) -> place::PlaceQuestion {
+        place::PlaceQuestion {
+            attempt: ids::AttemptId::new(&self.call.names.request, number),
+            plan: self.plan.clone(),
+            grant: self.grant.clone(),
+            prefix: self.prefix,
+            prefix_tokens: self.prefix_tokens,
+            tried: self.tried.clone(),
+            deadline: self.deadline,
+        }
+    }
+
+    fn left(&self) -> time::Duration {
+        self.deadline.since(self.context.clock.now())
+    }
+
+    fn broke(&self, text: &str) -> upstream_call::AttemptFault {
+        let failure = match self.first_token {
+            Some(_) => retry::AttemptFailure::BrokeMidAnswer,
+            None => retry::AttemptFailure::BrokeBeforeAnswer,
+        };
+        upstream_call::AttemptFault { failure, text: text.to_owned() }
+    }
+
+    fn timed_out(&self) -> refusal::RequestRefusal {
+        let limit = self.grant.settings.time_limit.value;
+        let text = format!("the time limit of {limit} has passed");
+        let ran = match self.first_token {
+            Some(_) => refusal::RanState::Yes,
+            None => refusal::RanState::Unknown,
+        };
+        refusal::RequestRefusal::not_run(refusal::RefusalCode::TimedOut, text).ran(ran)
+    }
+
+    fn measure(&self, measure: histogram::MeasureKind, span: time::Duration) {
+        let settings = &self.grant.settings;
+        let class = settings.class.as_ref().map_or("-", ids::ClassId::as_str);
+        let band = histogram::band_name(self.plan.prompt);
+        for series in [format!("customer/{}", settings.customer), format!("class/{class}/{band}")] {
+            self.context.events.tell(event::EntryEvent::Measure(measure, series, span));
+        }
+    }
+
+    fn measure_wait(&self, place: &place::HeldPlace) {
+        let waited = time::Duration::from_millis(place.row.waited_ms);
+        self.measure(histogram::MeasureKind::PlaceWait, waited);
+    }
+
+    fn measure_piece(&self, last: &mut Option<units::MonoTime>) {
+        let now = self.context.clock.now();
+        if let Some(last) = last.replace(now) {
+            self.measure(histogram::MeasureKind::TokenInterval, now.since(last));
+        }
+    }
+
+    fn note_attempt(&mut self, place: &place::HeldPlace, end: &AttemptEnd) {
+        let mut row = place.row.clone();
+        row.end = Some(match end {
+            AttemptEnd::Whole => "whole answer".to_owned(),
+            AttemptEnd::CallerGone => "caller gone, cancelled".to_owned(),
+            AttemptEnd::TimedOut => "time limit passed, cancelled".to_owned(),
+            AttemptEnd::Failed(fault) => fault.text.clone(),
+        });
+        self.record.attempts.push(row);
+    }
+
+    fn finish(&mut self, end: String) {
+        let total = self.context.clock.now().since(self.call.arrived);
+        self.measure(histogram::MeasureKind::Total, total);
+        self.record.total_ms = Some(millis(total));
+        self.record.end = Some(end);
+        let record = Box::new(self.record.clone());
+        self.context.events.tell(event::EntryEvent::Decision(record));
+    }
+}
+
+/// Spreads the time to come back, where there is one.
+pub async fn spread(
+    context: &request_context::EntryContext,
+    mut refusal: refusal::RequestRefusal,
+) -> refusal::RequestRefusal {
+    if let Some(expected) = refusal.retry_after {
+        let ask = |answer| event::EntryEvent::SpreadRetry(expected, answer);
+        refusal.retry_after = Some(context.events.ask(ask).await);
+    }
+    refusal
+}
+
+fn no_place_in_time() -> refusal::RequestRefusal {
+    let code = refusal::RefusalCode::Overloaded;
+    refusal::RequestRefusal::not_run(code, "no engine took it within its time limit")
+        .retry_after(time::Duration::from_secs(1))
+}
+
+fn keep_tail(tail: &mut Vec<u8>, piece: &[u8]) {
+    tail.extend_from_slice(&piece[piece.len().saturating_sub(TAIL_BYTES)..]);
+    let surplus = tail.len().saturating_sub(TAIL_BYTES);
+    tail.drain(..surplus);
+}
+
+/// A length of time in whole milliseconds, for records.
+pub fn millis(span: time::Duration) -> u64 {
+    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/entry/src/operators.rs
@@ -0,0 +1,216 @@
+//! What operators ask an entry, on an address of its own.
+
+use std::{rc, time};
+
+use bytes::Bytes;
+use futures::future;
+use serde::Serialize;
+use slipturn_core::{fleet_list, ids, settings_resolve, units};
+use slipturn_net::{http_client, http_server};
+
+use crate::{event, request_context};
+
+/// Time for another instance's answer.
+const PEER_LIMIT: time::Duration = time::Duration::from_secs(2);
+/// Largest answer of another instance.
+const MAX_PEER_ANSWER: u64 = 4 << 20;
+/// Largest body of an operator's request.
+const MAX_BODY: u64 = 64 * 1024;
+/// Header that keeps a question from being passed on a second time.
+const PASSED_HEADER: &str = "slipturn-passed-on";
+/// Other instances asked at once for an id that does not tell its instance.
+const PEERS_AT_ONCE: usize = 16;
+
+/// Serves one operator's connection.
+pub async fn serve(
+    context: rc::Rc<request_context::EntryContext>,
+    mut connection: http_server::ServerConnection,
+) {
+    while let Ok(Some(mut incoming)) = connection.next_head().await {
+        let limits = http_server::BodyLimits { max_bytes: MAX_BODY, time: PEER_LIMIT };
+        if connection.read_body(&mut incoming, limits).await.is_err() {
+            return;
+        }
+        let close = http_server::wants_close(&incoming.head);
+        let answer = answer(&context, &incoming).await;
+        if connection.respond(answer).await.is_err() || close {
+            return;
+        }
+    }
+}
+
+#[derive(Serialize)]
+struct ShortAnswer<'text> {
+    status: &'text str,
+}
+
+async fn answer(
+    context: &request_context::EntryContext,
+    incoming: &http_server::IncomingHead,
+) -> http::Response<Bytes> {
+    let path = incoming.head.uri.path();
+    let post = incoming.head.method == http::Method::POST;
+    match path {
+        "/healthz" => short(200, "alive"),
+        "/readyz" => ready(context).await,
+        "/v1/status" => status(context).await,
+        "/v1/settings" => settings(context, incoming.head.uri.query().unwrap_or("")).await,
+        "/v1/histograms" => {
+            let rows = context.events.ask(event::EntryEvent::Histograms).await;
+            http_server::json_answer(200, &rows)
+        }
+        "/v1/drain" if post => {
+            log::info!("an operator asked for a stop");
+            context.stop.ask();
+            short(200, "stopping")
+        }
+        _ => match path.strip_prefix("/v1/decisions/") {
+            Some(id) => decision(context, id, incoming.header(PASSED_HEADER).is_some()).await,
+            None => short(404, "not found"),
+        },
+    }
+}
+
+async fn ready(context: &request_context::EntryContext) -> http::Response<Bytes> {
+    let status = context.events.ask(event::EntryEvent::Status).await;
+    match (status.ready, context.stop.asked()) {
+        (_, true) => short(503, "stopping"),
+        (false, _) => short(503, "settings or list not known yet"),
+        (true, false) => short(200, "ready"),
+    }
+}
+
+#[derive(Serialize)]
+struct InstanceStatus {
+    entry: event::EntryStatus,
+    scheduler: serde_json::Value,
+}
+
+async fn status(context: &request_context::EntryContext) -> http::Response<Bytes> {
+    let mut entry = context.events.ask(event::EntryEvent::Status).await;
+    entry.requests = context.active.get();
+    entry.ready &= !context.stop.asked();
+    let scheduler = match context.links.link(context.local.listen.scheduler).status().await {
+        Ok(json) => serde_json::from_str(&json).unwrap_or(serde_json::Value::Null),
+        Err(error) => serde_json::json!({ "unreachable": error.to_string() }),
+    };
+    http_server::json_answer(200, &InstanceStatus { entry, scheduler })
+}
+
+#[derive(Serialize)]
+struct SettingAnswer {
+    option: &'static str,
+    value: String,
+    source: String,
+}
+
+#[derive(Serialize)]
+struct SettingsAnswer {
+    version: u64,
+    customer: String,
+    application: String,
+    class: Option<String>,
+    settings: Vec<SettingAnswer>,
+}
+
+/// `?customer=C&application=A&prompt=N`; without them, what there is to ask for.
+async fn settings(context: &request_context::EntryContext, query: &str) -> http::Response<Bytes> {
+    let Some(tree) = context.events.ask(event::EntryEvent::Settings).await else {
+        return short(503, "settings not known yet");
+    };
+    let value = |name: &str| {
+        let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+        pairs.into_iter().find(|(key, _)| *key == name).map(|(_, value)| value)
+    };
+    let (Some(customer), Some(application)) = (value("customer"), value("application")) else {
+        let tree = tree.customers.iter().map(|(customer, node)| {
+            (customer.to_string(), node.applications.keys().collect::<Vec<_>>())
+        });
+        let customers: std::collections::BTreeMap<_, _> = tree.collect();
+        return http_server::json_answer(200, &customers);
+    };
+    let prompt =
+        value("prompt").and_then(|text| text.parse().ok()).unwrap_or(units::TokenCount::ZERO);
+    let caller = customer.parse().ok().zip(application.parse().ok());
+    let caller = caller
+        .map(|(customer, application)| settings_resolve::CallerIdentity { customer, application });
+    let resolved = caller.and_then(|caller| tree.resolve(&caller, prompt));
+    let Some(resolved) = resolved else {
+        return short(404, "no such customer or application");
+    };
+    let rows = resolved.rows().into_iter();
+    let answer = SettingsAnswer {
+        version: resolved.version.0,
+        customer: resolved.customer.to_string(),
+        application: resolved.application.to_string(),
+        class: resolved.class.map(|class| class.to_string()),
+        settings: rows
+            .map(|(option, value, source)| SettingAnswer { option, value, source })
+            .collect(),
+    };
+    http_server::json_answer(200, &answer)
+}
+
+/// The record of a request, from here or from the instance that took it.
+async fn decision(
+    context: &request_context::EntryContext,
+    id: &str,
+    passed_on: bool,
+) -> http::Response<Bytes> {
+    let ask = |answer| event::EntryEvent::Find(id.to_owned(), answer);
+    if let Some(record) = context.events.ask(ask).await {
+        return http_server::json_answer(200, &*record);
+    }
+    let unknown = || short(404, "no record: unknown, or older than what is remembered");
+    if passed_on {
+        return unknown();
+    }
+    let list = context.events.ask(event::EntryEvent::List).await;
+    for peers in peers_to_ask(context, &list, id).chunks(PEERS_AT_ONCE) {
+        let asked = peers.iter().map(|peer| ask_peer(context, peer, id));
+        let found = future::join_all(asked).await.into_iter().flatten().next();
+        if let Some(found) = found {
+            return found;
+        }
+    }
+    unknown()
+}
+
+/// The instance that the id names, or all others for an id that is the caller's own.
+fn peers_to_ask<'list>(
+    context: &request_context::EntryContext,
+    list: &'list fleet_list::FleetList,
+    id: &str,
+) -> Vec<&'list fleet_list::InstanceRecord> {
+    let request = id.parse::<ids::RequestId>().ok();
+    let named = request.and_then(|request| request.instance());
+    let others = list.instances.iter().filter(|one| one.name != context.local.instance);
+    match named.and_then(|name| list.instance(&name)) {
+        Some(instance) => vec![instance],
+        None => others.collect(),
+    }
+}
+
+async fn ask_peer(
+    context: &request_context::EntryContext,
+    peer: &fleet_list::InstanceRecord,
+    id: &str,
+) -> Option<http::Response<Bytes>> {
+    let mut call = http::Request::new(Bytes::new());
+    *call.uri_mut() = format!("/v1/decisions/{id}").parse().ok()?;
+    call.headers_mut().insert(PASSED_HEADER, http::HeaderValue::from_static("1"));
+    let pooled = http_client::ConnectionUse::Pooled;
+    let calling = context.pool.call_whole(peer.operators, pooled, call, MAX_PEER_ANSWER);
+    let answer = monoio::time::timeout(PEER_LIMIT, calling).await.ok()?.ok()?;
+    if answer.status() != http::StatusCode::OK {
+        return None;
+    }
+    let mut found = http::Response::new(answer.into_body());
+    let kind = http::HeaderValue::from_static("application/json");
+    found.headers_mut().insert(http::header::CONTENT_TYPE, kind);
+    Some(found)
+}
+
+fn short(status: u16, text: &str) -> http::Response<Bytes> {
+    http_server::json_answer(status, &ShortAnswer { status: text })
+}
--- /dev/null
+++ b/crates/entry/src/program.rs
@@ -0,0 +1,150 @@
+//! The running entry: its listeners, its director and the tasks around them.
+
+use std::{cell, io, net, rc, time};
+
+use futures::{channel::oneshot, future};
+use slipturn_core::entry_router;
+use slipturn_net::{
+    document_feed, http_client, http_server, local_settings, metrics, process, scheduler_link,
+};
+use snafu::{ResultExt as _, Snafu};
+
+use crate::{
+    body_budget, caller_connection, director, documents, event, operators, renewal, request_context,
+};
+
+/// Time between two ticks of the director.
+const TICK: time::Duration = time::Duration::from_millis(50);
+/// Time between two clean-ups of idle connections.
+const PRUNE_INTERVAL: time::Duration = time::Duration::from_secs(5);
+/// After a stop was asked for, how long new connections are still taken: the balancer and the
+/// published list need that time to send callers elsewhere.
+const UNREADY_GRACE: time::Duration = time::Duration::from_secs(3);
+/// Longest a planned stop waits for requests in progress; more than any time limit in use.
+const STOP_LIMIT: time::Duration = time::Duration::from_secs(3_600);
+/// Time between two looks at whether requests are in progress.
+const STOP_POLL: time::Duration = time::Duration::from_millis(20);
+
+/// Why an entry could not run.
+#[derive(Debug, Snafu)]
+pub enum ProgramError {
+    /// An address cannot be listened on.
+    #[snafu(display("cannot listen on {address}: {source}"))]
+    Listen {
+        /// The address.
+        address: net::SocketAddr,
+        /// What the system said.
+        source: io::Error,
+    },
+    /// Signals cannot be handled.
+    #[snafu(display("signals: {source}"))]
+    Signals {
+        /// What the system said.
+        source: io::Error,
+    },
+    /// Metrics cannot be sent.
+    #[snafu(display("{source}"))]
+    Metrics {
+        /// What is wrong.
+        source: metrics::MetricsError,
+    },
+}
+
+/// Runs an entry until a stop is asked for and its requests are done.
+pub async fn run(local: local_settings::LocalSettings) -> Result<(), ProgramError> {
+    let stop = process::StopSignal::install().context(SignalsSnafu)?;
+    let clock = process::ProcessClock::start();
+    let boot = process::new_boot_id();
+    let sender =
+        metrics::MetricSender::new("slipturn.entry", local.statsd).context(MetricsSnafu)?;
+    let callers = listen(local.listen.callers)?;
+    let for_operators = listen(local.listen.operators)?;
+    let local = rc::Rc::new(local);
+
+    let (events, incoming) = event::EventSender::channel();
+    let summary = rc::Rc::new(documents::DocumentSummary::default());
+    let router = entry_router::EntryRouter::new(
+        local.instance.clone(),
+        local.data_center.clone(),
+        local.limits.sleep_bound.0,
+        boot.0,
+    );
+    let decisions = local.limits.decisions;
+    let shared = rc::Rc::clone(&summary);
+    let director = director::EntryDirector::new(router, boot, decisions, shared, sender);
+    monoio::spawn(director.run(incoming, clock));
+    monoio::spawn(tick(events.clone()));
+
+    let context = rc::Rc::new(request_context::EntryContext {
+        bodies: body_budget::BodyBudget::new(local.limits.held_bodies),
+        local: rc::Rc::clone(&local),
+        boot,
+        clock,
+        events: events.clone(),
+        pool: rc::Rc::new(http_client::ConnectionPool::default()),
+        links: rc::Rc::new(scheduler_link::LinkPool::default()),
+        stop: stop.clone(),
+        active: cell::Cell::new(0),
+        sequence: cell::Cell::new(0),
+    });
+    let holder: rc::Rc<dyn document_feed::DocumentHolder> =
+        rc::Rc::new(documents::EntryDocuments::new(rc::Rc::clone(&local), summary, events));
+    let (pool, links) = (rc::Rc::clone(&context.pool), rc::Rc::clone(&context.links));
+    monoio::spawn(document_feed::follow(holder, pool, links));
+    monoio::spawn(renewal::run(rc::Rc::clone(&context)));
+    monoio::spawn(prune(rc::Rc::clone(&context)));
+
+    let operators_context = rc::Rc::clone(&context);
+    monoio::spawn(http_server::accept_all(for_operators, move |connection| {
+        operators::serve(rc::Rc::clone(&operators_context), connection)
+    }));
+    let callers_context = rc::Rc::clone(&context);
+    let accepting = http_server::accept_all(callers, move |connection| {
+        caller_connection::serve(rc::Rc::clone(&callers_context), connection)
+    });
+    let (close, closed) = oneshot::channel::<()>();
+    // A task goes on when its handle is dropped; only losing this race ends the listener.
+    monoio::spawn(async move {
+        future::select(Box::pin(accepting), closed).await;
+    });
+    log::info!("entry listens on {}", local.listen.callers);
+
+    stop.wait().await;
+    log::info!("stop asked for, {} requests in progress", context.active.get());
+    monoio::time::sleep(UNREADY_GRACE).await;
+    drop(close);
+    finish_requests(&context).await;
+    Ok(())
+}
+
+fn listen(address: net::SocketAddr) -> Result<monoio::net::TcpListener, ProgramError> {
+    monoio::net::TcpListener::bind(address).context(ListenSnafu { address })
+}
+
+async fn finish_requests(context: &request_context::EntryContext) {
+    let started = context.clock.now();
+    while context.active.get() > 0 && context.clock.now().since(started) < STOP_LIMIT {
+        monoio::time::sleep(STOP_POLL).await;
+    }
+    // Places given back by the last requests are on their way to the schedulers.
+    monoio::time::sleep(STOP_POLL * 5).await;
+}
+
+async fn tick(events: event::EventSender) {
+    loop {
+        events.tell(event::EntryEvent::Tick);
+        monoio::time::sleep(TICK).await;
+    }
+}
+
+async fn prune(context: rc::Rc<request_context::EntryContext>) {
+    loop {
+        monoio::time::sleep(PRUNE_INTERVAL).await;
+        context.pool.prune();
+        let list = context.events.ask(event::EntryEvent::List).await;
+        let beside = context.local.listen.scheduler;
+        context.links.retain(|address| {
+            *address == beside || list.instances.iter().any(|one| one.scheduler == *address)
+        });
+    }
+}
--- /dev/null
+++ b/crates/entry/src/service_request.rs
@@ -0,0 +1,340 @@
+//! One call of a plain service, from its read body to its final answer.
+
+use std::{rc, time};
+
+use bytes::Bytes;
+use slipturn_core::{
+    decision, fleet_list, histogram, ids, key_vote, refusal, retry, settings, settings_resolve,
+    units,
+};
+use slipturn_net::{http_client, http_server};
+
+use crate::{
+    answer, event, key_claim, model_request, model_request::RequestEnd, request_context,
+    upstream_call,
+};
+
+/// Headers of a caller that concern its own connection, or are slipturn's to read.
+const OWN_HEADERS: [&str; 10] = [
+    "connection",
+    "keep-alive",
+    "proxy-connection",
+    "transfer-encoding",
+    "content-length",
+    "te",
+    "upgrade",
+    "host",
+    "expect",
+    "authorization",
+];
+
+/// What a caller sent.
+pub struct ServiceCall {
+    /// Its ids.
+    pub names: answer::RequestNames,
+    /// Its key.
+    pub key: String,
+    /// Its own time limit.
+    pub wish: Option<time::Duration>,
+    /// Key for what must not run twice.
+    pub idempotency: Option<String>,
+    /// The service called.
+    pub service: ids::ServiceId,
+    /// Method, headers and the path behind the service's name.
+    pub head: http::request::Parts,
+    /// When its last body byte had arrived.
+    pub arrived: units::MonoTime,
+}
+
+/// A call being served.
+struct ServiceRequest {
+    context: rc::Rc<request_context::EntryContext>,
+    call: ServiceCall,
+    node: settings::ServiceNode,
+    settings: settings_resolve::ResolvedSettings,
+    repeatable: bool,
+    body: Bytes,
+    deadline: units::MonoTime,
+    record: decision::DecisionRecord,
+    verdict: Option<key_vote::VoteVerdict>,
+}
+
+/// Serves a call of a plain service.
+pub async fn serve(
+    context: rc::Rc<request_context::EntryContext>,
+    connection: &mut http_server::ServerConnection,
+    call: ServiceCall,
+    body: Bytes,
+) -> Result<RequestEnd, http_server::ServeError> {
+    let names = call.names.clone();
+    let path = call.head.uri.path().to_owned();
+    let record = decision::DecisionRecord::new(names.request.clone(), names.caller.clone(), path);
+    let refusal = match admit(context.clone(), call, body, record).await {
+        Ok(request) => match request.run(connection).await {
+            Ok(Some(answered)) => {
+                connection.respond(answered).await?;
+                return Ok(RequestEnd::Answered);
+            }
+            Ok(None) => return Ok(RequestEnd::Close),
+            Err(refusal) => refusal,
+        },
+        Err(refusal) => refusal,
+    };
+    let refusal = model_request::spread(&context, refusal).await;
+    connection.respond(answer::refusal_answer(&names, &refusal)).await?;
+    Ok(RequestEnd::Answered)
+}
+
+async fn admit(
+    context: rc::Rc<request_context::EntryContext>,
+    call: ServiceCall,
+    body: Bytes,
+    mut record: decision::DecisionRecord,
+) -> Result<ServiceRequest, refusal::RequestRefusal> {
+    let key = call.key.clone();
+    let resolved = context.events.ask(|answer| event::EntryEvent::Resolve(key, answer)).await;
+    let found = resolved.and_then(|(tree, settings)| {
+        let node = tree.services.get(&call.service).cloned();
+        node.map(|node| (node, settings)).ok_or_else(|| unknown_service(&call.service))
+    });
+    let (node, settings) = match found {
+        Ok(found) => found,
+        Err(refusal) => {
+            finish(&context, record, call.arrived, format!("refused: {}", refusal.message));
+            return Err(refusal);
+        }
+    };
+    record.set_settings(&settings);
+    context.events.tell(event::EntryEvent::CountRequest);
+    let limit = call.wish.map_or(node.time_limit.0, |wish| wish.min(node.time_limit.0));
+    let deadline = call.arrived + limit;
+    let repeatability = node.repeatability(call.head.method.as_str());
+    let repeatable = repeatability == settings::Repeatability::Repeatable;
+    Ok(ServiceRequest {
+        context,
+        call,
+        node,
+        settings,
+        repeatable,
+        body,
+        deadline,
+        record,
+        verdict: None,
+    })
+}
+
+impl ServiceRequest {
+    /// `None` when the caller has gone.
+    async fn run(
+        mut self,
+        connection: &mut http_server::ServerConnection,
+    ) -> Result<Option<http::Response<Bytes>>, refusal::RequestRefusal> {
+        let context = rc::Rc::clone(&self.context);
+        let arrived = self.call.arrived;
+        let left = self.left();
+        let serving = monoio::time::timeout(left, self.attempts());
+        let served = connection.while_present(serving).await;
+        let end = match &served {
+            None => "caller gone".to_owned(),
+            Some(Ok(Ok(_))) => "answered".to_owned(),
+            Some(Ok(Err(refusal))) => {
+                format!("refused: {} (ran: {})", refusal.message, refusal.ran.word())
+            }
+            Some(Err(_)) => "time limit passed".to_owned(),
+        };
+        let settings = &self.settings;
+        let series = format!("service/{}/{}", self.call.service, settings.customer);
+        let spent = context.clock.now().since(arrived);
+        let total = histogram::MeasureKind::Total;
+        context.events.tell(event::EntryEvent::Measure(total, series, spent));
+        finish(&context, self.record, arrived, end);
+        match served {
+            None => Ok(None),
+            Some(Ok(answered)) => answered.map(Some),
+            Some(Err(_)) => {
+                let text = format!("the time limit of {left:?} has passed");
+                let code = refusal::RefusalCode::TimedOut;
+                Err(refusal::RequestRefusal::not_run(code, text).ran(refusal::RanState::Unknown))
+            }
+        }
+    }
+
+    async fn attempts(&mut self) -> Result<http::Response<Bytes>, refusal::RequestRefusal> {
+        self.claim_key().await?;
+        let service = self.call.service.clone();
+        let ask = |answer| event::EntryEvent::Upstreams(service, answer);
+        let upstreams = self.context.events.ask(ask).await;
+        let mut last = None;
+        let mut number = 0;
+        for upstream in upstreams {
+            number += 1;
+            let attempt = ids::AttemptId::new(&self.call.names.request, number);
+            let result = self.attempt(&upstream, &attempt).await;
+            self.note_attempt(&upstream, attempt, &result);
+            let fault = match result {
+                Ok(answered) => return Ok(answered),
+                Err(fault) => fault,
+            };
+            if !self.may_retry(&fault, number).await {
+                return Err(failed(&fault));
+            }
+            last = Some(fault);
+        }
+        Err(last.map_or_else(|| no_upstream(&self.call.service), |fault| failed(&fault)))
+    }
+
+    /// Without a key, a call that must run at most once has this one request only. With a key, all
+    /// requests that carry it have one run between them.
+    async fn claim_key(&mut self) -> Result<(), refusal::RequestRefusal> {
+        let Some(key) = self.call.idempotency.as_deref().filter(|_| !self.repeatable) else {
+            return Ok(());
+        };
+        if self.node.checks_keys {
+            self.record.notes.push("key: the service itself checks it".to_owned());
+            return Ok(());
+        }
+        let scoped = key_vote::ScopedKey::new(&self.settings.customer, &self.call.service, key);
+        let verdict = key_claim::claim(&self.context, &scoped, &self.call.names.request).await;
+        self.record.notes.push(format!("key: {verdict:?}"));
+        self.verdict = Some(verdict.clone());
+        match verdict {
+            key_vote::VoteVerdict::Run { .. } => Ok(()),
+            key_vote::VoteVerdict::Taken(first) => {
+                let text = format!("the key belongs to request {first}");
+                let refusal =
+                    refusal::RequestRefusal::not_run(refusal::RefusalCode::KeyTaken, text);
+                Err(refusal.ran(refusal::RanState::Unknown))
+            }
+            key_vote::VoteVerdict::InDoubt { granted, needed } => {
+                let text = format!(
+                    "cannot tell whether a call with this key has run: {granted} of {needed} votes"
+                );
+                let refusal =
+                    refusal::RequestRefusal::not_run(refusal::RefusalCode::KeyInDoubt, text);
+                Err(refusal.ran(refusal::RanState::Unknown).retry_after(key_vote::USE_LIMIT))
+            }
+        }
+    }
+
+    async fn attempt(
+        &self,
+        upstream: &fleet_list::UpstreamRecord,
+        attempt: &ids::AttemptId,
+    ) -> Result<http::Response<Bytes>, upstream_call::AttemptFault> {
+        let now = self.context.clock.now();
+        if self.verdict.as_ref().is_some_and(|verdict| !key_claim::usable(verdict, now)) {
+            let text = "the votes are too old to be used".to_owned();
+            return Err(upstream_call::AttemptFault {
+                failure: retry::AttemptFailure::NotConnected,
+                text,
+            });
+        }
+        let limit = self.context.local.limits.max_answer.0;
+        let which = if self.repeatable {
+            http_client::ConnectionUse::Pooled
+        } else {
+            http_client::ConnectionUse::Fresh
+        };
+        let call = self.upstream_call(attempt);
+        let answered = self.context.pool.call_whole(upstream.address, which, call, limit).await;
+        let answered =
+            answered.map_err(|error| upstream_call::AttemptFault::before_answer(&error))?;
+        let (head, body) = answered.into_parts();
+        upstream_call::check_head(&head, attempt)?;
+        let mut whole = http::Response::new(body);
+        *whole.status_mut() = head.status;
+        copy_headers(&head.headers, whole.headers_mut());
+        self.call.names.mark(whole.headers_mut());
+        answer::mark_closing(whole.headers_mut(), &self.context.stop);
+        Ok(whole)
+    }
+
+    fn upstream_call(&self, attempt: &ids::AttemptId) -> http::Request<Bytes> {
+        let head = &self.call.head;
+        let path = head.uri.path_and_query().map_or("/", http::uri::PathAndQuery::as_str);
+        let body = self.body.clone();
+        let mut call = upstream_call::call(head.method.clone(), path, attempt, self.left(), body);
+        let (own, headers) = (call.headers().clone(), call.headers_mut());
+        copy_headers(&head.headers, headers);
+        // What slipturn itself states is not for a caller to overwrite.
+        headers.extend(own);
+        call
+    }
+
+    async fn may_retry(&self, fault: &upstream_call::AttemptFault, attempts: u32) -> bool {
+        let question = retry::RetryQuestion {
+            failure: fault.failure,
+            repeatable: self.repeatable,
+            attempts,
+            max_attempts: self.settings.max_attempts.value,
+            time_left: !self.left().is_zero(),
+        };
+        let ask = |answer| event::EntryEvent::Retry(question, answer);
+        self.context.events.ask(ask).await == retry::RetryVerdict::Retry
+    }
+
+    fn note_attempt(
+        &mut self,
+        upstream: &fleet_list::UpstreamRecord,
+        attempt: ids::AttemptId,
+        result: &Result<http::Response<Bytes>, upstream_call::AttemptFault>,
+    ) {
+        let end = match result {
+            Ok(answered) => format!("answered {}", answered.status().as_u16()),
+            Err(fault) => fault.text.clone(),
+        };
+        self.record.attempts.push(decision::AttemptRow {
+            attempt,
+            target: upstream.name.to_string(),
+            candidates: Vec::new(),
+            reason: "next in an order that differs by call, nearest first".to_owned(),
+            waited_ms: 0,
+            end: Some(end),
+        });
+    }
+
+    fn left(&self) -> time::Duration {
+        self.deadline.since(self.context.clock.now())
+    }
+}
+
+fn finish(
+    context: &request_context::EntryContext,
+    mut record: decision::DecisionRecord,
+    arrived: units::MonoTime,
+    end: String,
+) {
+    record.total_ms = Some(model_request::millis(context.clock.now().since(arrived)));
+    record.end = Some(end);
+    context.events.tell(event::EntryEvent::Decision(Box::new(record)));
+}
+
+fn copy_headers(from: &http::HeaderMap, to: &mut http::HeaderMap) {
+    for (name, value) in from {
+        if !OWN_HEADERS.contains(&name.as_str()) {
+            to.append(name.clone(), value.clone());
+        }
+    }
+}
+
+fn failed(fault: &upstream_call::AttemptFault) -> refusal::RequestRefusal {
+    let code = match fault.failure {
+        retry::AttemptFailure::NotConnected | retry::AttemptFailure::SaidNotRun => {
+            refusal::RefusalCode::NoUpstream
+        }
+        _ => refusal::RefusalCode::UpstreamFailed,
+    };
+    let refusal = refusal::RequestRefusal::not_run(code, fault.text.clone()).ran(fault.ran());
+    refusal.retry_after(time::Duration::from_secs(1))
+}
+
+fn unknown_service(service: &ids::ServiceId) -> refusal::RequestRefusal {
+    let text = format!("service '{service}' is not known");
+    refusal::RequestRefusal::not_run(refusal::RefusalCode::NotFound, text)
+}
+
+fn no_upstream(service: &ids::ServiceId) -> refusal::RequestRefusal {
+    let text = format!("service '{service}' has no live upstream");
+    let code = refusal::RefusalCode::NoUpstream;
+    refusal::RequestRefusal::not_run(code, text).retry_after(time::Duration::from_secs(1))
+}
--- /dev/null
+++ b/crates/load/src/caller.rs
@@ -0,0 +1,209 @@
+//! Makes one request as a caller would, and checks its answer.
+
+use std::{net, time};
+
+use bytes::Bytes;
+use serde::Deserialize;
+use slipturn_net::http_client;
+use slipturn_standin::engine;
+
+use crate::arrivals;
+
+/// Largest piece of an answer.
+const MAX_PIECE: u64 = 4 << 20;
+/// Longest a caller waits.
+const CALLER_LIMIT: time::Duration = time::Duration::from_secs(600);
+/// Bytes of prompt that count as one token.
+const BYTES_PER_TOKEN: u64 = 4;
+/// Filler of prompts.
+const FILLER: &str = "abcdefghijklmno ";
+
+/// How a request went.
+#[derive(Debug, Clone, PartialEq)]
+pub enum CallOutcome {
+    /// Whole and right.
+    Whole {
+        /// Until the first piece.
+        first_token: time::Duration,
+        /// Until the end.
+        total: time::Duration,
+        /// Longest pause between two pieces.
+        longest_gap: time::Duration,
+        /// slipturn's id of the request.
+        request: String,
+    },
+    /// Refused, with what was said.
+    Refused {
+        /// HTTP status.
+        status: u16,
+        /// Code.
+        code: String,
+        /// Whether it ran.
+        ran: String,
+        /// When to come back.
+        retry_after: Option<time::Duration>,
+        /// Until the answer.
+        after: time::Duration,
+    },
+    /// Began and then told of a failure.
+    Cut(String),
+    /// Whole by its own word, but not the answer to this prompt.
+    Wrong(String),
+    /// The connection failed.
+    Failed(String),
+}
+
+/// Where and how to call.
+#[derive(Debug, Clone)]
+pub struct CallTarget {
+    /// The entry, or an engine called directly.
+    pub address: net::SocketAddr,
+    /// The caller's key.
+    pub key: String,
+    /// The model.
+    pub model: String,
+}
+
+#[derive(Deserialize)]
+struct ErrorBody {
+    error: ErrorFields,
+}
+
+#[derive(Deserialize)]
+struct ErrorFields {
+    code: String,
+    ran: String,
+    message: String,
+    retry_after_ms: Option<u64>,
+}
+
+/// The messages of an arrival's prompt.
+pub fn messages(arrival: &arrivals::Arrival) -> serde_json::Value {
+    let length = usize::try_from(arrival.prompt * BYTES_PER_TOKEN).unwrap_or(usize::MAX);
+    let start = format!("request {} of this run: ", arrival.number);
+    let filler = FILLER.repeat(length / FILLER.len() + 1);
+    let mut content = start + &filler;
+    // The members around the content count too; a prompt has about the length asked for.
+    content.truncate(length.saturating_sub(34).max(1));
+    serde_json::json!([{ "role": "user", "content": content }])
+}
+
+/// Makes the request, streamed, and checks the answer.
+pub async fn call(
+    pool: &http_client::ConnectionPool,
+    target: &CallTarget,
+    arrival: &arrivals::Arrival,
+) -> CallOutcome {
+    let messages = messages(arrival);
+    let mark = engine::answer_mark(&messages.to_string());
+    let body = serde_json::json!({
+        "model": target.model,
+        "messages": messages,
+        "max_tokens": arrival.output,
+        "stream": true,
+    });
+    let mut call = http::Request::new(Bytes::from(body.to_string()));
+    drop(messages);
+    *call.method_mut() = http::Method::POST;
+    *call.uri_mut() = http::Uri::from_static("/v1/chat/completions");
+    let headers = call.headers_mut();
+    if let Ok(value) = http::HeaderValue::try_from(format!("Bearer {}", target.key)) {
+        headers.insert(http::header::AUTHORIZATION, value);
+    }
+    headers.insert(http::header::CONTENT_TYPE, http::HeaderValue::from_static("application/json"));
+    let calling = answer(pool, target, call, &mark, arrival.output);
+    let outcome = monoio::time::timeout(CALLER_LIMIT, calling).await;
+    outcome.unwrap_or_else(|_| CallOutcome::Failed("no end in sight".to_owned()))
+}
+
+async fn answer(
+    pool: &http_client::ConnectionPool,
+    target: &CallTarget,
+    call: http::Request<Bytes>,
+    mark: &str,
+    output: u64,
+) -> CallOutcome {
+    let started = time::Instant::now();
+    let pooled = http_client::ConnectionUse::Pooled;
+    let mut answer = match pool.call(target.address, pooled, call).await {
+        Ok(answer) => answer,
+        Err(error) => return CallOutcome::Failed(error.to_string()),
+    };
+    if !answer.head.status.is_success() {
+        return refused(&mut answer, started).await;
+    }
+    let request = answer.header("slipturn-request-id").unwrap_or_default().to_owned();
+    let mut text = Vec::new();
+    let (mut first_token, mut last, mut longest_gap) = (None, started, time::Duration::ZERO);
+    loop {
+        match answer.next_piece(MAX_PIECE).await {
+            Ok(Some(piece)) => {
+                if first_token.is_none() {
+                    first_token = Some(started.elapsed());
+                } else {
+                    longest_gap = longest_gap.max(last.elapsed());
+                }
+                last = time::Instant::now();
+                text.extend_from_slice(&piece);
+            }
+            Ok(None) => break,
+            Err(error) => return CallOutcome::Failed(format!("mid-answer: {error}")),
+        }
+    }
+    let total = started.elapsed();
+    match check(&String::from_utf8_lossy(&text), mark, output) {
+        Ok(()) => {
+            let first_token = first_token.unwrap_or(total);
+            CallOutcome::Whole { first_token, total, longest_gap, request }
+        }
+        Err(outcome) => outcome,
+    }
+}
+
+async fn refused(
+    answer: &mut http_client::StreamedAnswer<'_>,
+    started: time::Instant,
+) -> CallOutcome {
+    let status = answer.head.status.as_u16();
+    let body = answer.read_whole(MAX_PIECE).await.unwrap_or_default();
+    let after = started.elapsed();
+    match serde_json::from_slice::<ErrorBody>(&body) {
+        Ok(body) => CallOutcome::Refused {
+            status,
+            code: body.error.code,
+            ran: body.error.ran,
+            retry_after: body.error.retry_after_ms.map(time::Duration::from_millis),
+            after,
+        },
+        Err(_) => CallOutcome::Failed(format!("{status} without a readable body")),
+    }
+}
+
+/// Compares an answer with the one the stand-in gives for the prompt.
+pub fn check(text: &str, mark: &str, output: u64) -> Result<(), CallOutcome> {
+    let mut words = String::new();
+    let mut done = false;
+    for line in text.lines() {
+        let Some(data) = line.strip_prefix("data: ") else {
+            continue;
+        };
+        if data == "[DONE]" {
+            done = true;
+            continue;
+        }
+        if let Ok(body) = serde_json::from_str::<ErrorBody>(data) {
+            return Err(CallOutcome::Cut(format!("{}: {}", body.error.code, body.error.message)));
+        }
+        let value: serde_json::Value = serde_json::from_str(data).unwrap_or_default();
+        words += value["choices"][0]["delta"]["content"].as_str().unwrap_or("?");
+    }
+    if !done {
+        return Err(CallOutcome::Cut("no last event".to_owned()));
+    }
+    let expected: String = (0..output).map(|index| format!("{mark}-{index} ")).collect();
+    if words != expected {
+        let start: String = words.chars().take(60).collect();
+        return Err(CallOutcome::Wrong(start));
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/net/src/lib.rs
@@ -0,0 +1,14 @@
+//! What slipturn's programs share beside their decisions: sockets, HTTP, RPC, command line, logs.
+
+mod body;
+pub mod command_line;
+pub mod document_client;
+pub mod document_feed;
+pub mod http_client;
+pub mod http_server;
+pub mod local_settings;
+pub mod logging;
+pub mod metered_read;
+pub mod metrics;
+pub mod process;
+pub mod scheduler_link;
--- /dev/null
+++ b/crates/scheduler/src/lib.rs
@@ -0,0 +1,11 @@
+//! The scheduler of one instance: queues, ledgers, budgets, votes and the exchange of documents.
+//!
+//! One task owns all state ([`state`]); everything else sends it [`event::SchedulerEvent`]s.
+
+pub mod engine_client;
+pub mod event;
+pub mod exchange;
+pub mod program;
+pub mod rpc_service;
+pub mod state;
+pub mod status;
--- /dev/null
+++ b/crates/scheduler/src/program.rs
@@ -0,0 +1,164 @@
+//! The running scheduler: its event loop and the tasks around it.
+
+use std::{cell, collections, io, net, rc, time};
+
+use futures::{StreamExt as _, channel::mpsc};
+use slipturn_net::{document_feed, http_client, local_settings, metrics, process, scheduler_link};
+use slipturn_wire::scheduler_capnp;
+use snafu::{ResultExt as _, Snafu};
+
+use crate::{engine_client, event, exchange, rpc_service, state};
+
+/// Time between two ticks.
+const TICK: time::Duration = time::Duration::from_millis(50);
+/// After a stop was asked for, how long entries have to find another scheduler.
+const STOP_GRACE: time::Duration = time::Duration::from_secs(2);
+
+/// Why a scheduler could not run.
+#[derive(Debug, Snafu)]
+pub enum ProgramError {
+    /// The address cannot be listened on.
+    #[snafu(display("cannot listen on {address}: {source}"))]
+    Listen {
+        /// The address.
+        address: net::SocketAddr,
+        /// What the system said.
+        source: io::Error,
+    },
+    /// Signals cannot be handled.
+    #[snafu(display("signals: {source}"))]
+    Signals {
+        /// What the system said.
+        source: io::Error,
+    },
+    /// Metrics cannot be sent.
+    #[snafu(display("{source}"))]
+    Metrics {
+        /// What is wrong.
+        source: metrics::MetricsError,
+    },
+}
+
+type SharedState = rc::Rc<cell::RefCell<state::SchedulerState>>;
+type PollHandles = collections::HashMap<slipturn_core::ids::EngineId, rc::Rc<cell::Cell<bool>>>;
+
+/// Runs a scheduler until a stop is asked for.
+pub async fn run(local: local_settings::LocalSettings) -> Result<(), ProgramError> {
+    let stop = process::StopSignal::install().context(SignalsSnafu)?;
+    let clock = process::ProcessClock::start();
+    let sender =
+        metrics::MetricSender::new("slipturn.scheduler", local.statsd).context(MetricsSnafu)?;
+    let address = local.listen.scheduler;
+    let listener = monoio::net::TcpListener::bind(address).context(ListenSnafu { address })?;
+    let (events, incoming) = mpsc::unbounded();
+
+    let identity = state::SchedulerIdentity {
+        instance: local.instance.clone(),
+        data_center: local.data_center.clone(),
+        boot: process::new_boot_id(),
+    };
+    let shared = rc::Rc::new(cell::RefCell::new(state::SchedulerState::new(clock.now(), identity)));
+    let pool = rc::Rc::new(http_client::ConnectionPool::default());
+    let links = rc::Rc::new(scheduler_link::LinkPool::default());
+
+    let service = rpc_service::SchedulerService::new(events.clone(), clock);
+    monoio::spawn(accept(listener, service));
+    monoio::spawn(tick(events.clone()));
+    let documents = exchange::SchedulerDocuments::new(
+        rc::Rc::new(local),
+        rc::Rc::clone(&shared),
+        events.clone(),
+    );
+    let holder: rc::Rc<dyn document_feed::DocumentHolder> = rc::Rc::new(documents);
+    monoio::spawn(document_feed::follow(holder, rc::Rc::clone(&pool), links));
+    log::info!("scheduler listens on {address}");
+
+    let engines: rc::Rc<dyn engine_client::EngineControl> =
+        rc::Rc::new(engine_client::HttpEngines::new(rc::Rc::clone(&pool)));
+    monoio::spawn(own_state(shared, incoming, events, engines, clock, sender));
+    stop.wait().await;
+    log::info!("stop asked for");
+    // Leases need no goodbye: the next owner learns them from engines and entries.
+    monoio::time::sleep(STOP_GRACE).await;
+    Ok(())
+}
+
+/// The loop that owns the state.
+async fn own_state(
+    shared: SharedState,
+    mut incoming: mpsc::UnboundedReceiver<event::SchedulerEvent>,
+    events: event::EventSender,
+    engines: rc::Rc<dyn engine_client::EngineControl>,
+    clock: process::ProcessClock,
+    sender: metrics::MetricSender,
+) {
+    let mut polls = PollHandles::new();
+    while let Some(happened) = incoming.next().await {
+        let ticked = matches!(happened, event::SchedulerEvent::Tick);
+        let effects = shared.borrow_mut().handle(clock.now(), happened);
+        for effect in effects {
+            carry_out(effect, &mut polls, &events, &engines, &sender);
+        }
+        if ticked {
+            sender.flush();
+        }
+    }
+}
+
+fn carry_out(
+    effect: event::SchedulerEffect,
+    polls: &mut PollHandles,
+    events: &event::EventSender,
+    engines: &rc::Rc<dyn engine_client::EngineControl>,
+    sender: &metrics::MetricSender,
+) {
+    match effect {
+        event::SchedulerEffect::Cancel(address, attempt) => {
+            sender.count("cancels");
+            let engines = rc::Rc::clone(engines);
+            monoio::spawn(async move {
+                // A cancel that is lost is sent again: the engine's next report still lists it.
+                if let Err(error) = engines.cancel(address, attempt.clone()).await {
+                    log::warn!("cancel of {attempt} at {address}: {error}");
+                }
+            });
+        }
+        event::SchedulerEffect::StartPoll(name, address) => {
+            let stopped = rc::Rc::new(cell::Cell::new(false));
+            if let Some(earlier) = polls.insert(name.clone(), rc::Rc::clone(&stopped)) {
+                earlier.set(true);
+            }
+            let engines = rc::Rc::clone(engines);
+            monoio::spawn(engine_client::poll(engines, name, address, events.clone(), stopped));
+        }
+        event::SchedulerEffect::StopPoll(name) => {
+            if let Some(stopped) = polls.remove(&name) {
+                stopped.set(true);
+            }
+        }
+    }
+}
+
+async fn accept(listener: monoio::net::TcpListener, service: rpc_service::SchedulerService) {
+    /// Pause after a failed accept, most often for want of file descriptors.
+    const ACCEPT_PAUSE: time::Duration = time::Duration::from_millis(50);
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let client: scheduler_capnp::scheduler::Client =
+                    capnp_rpc::new_client(service.clone());
+                monoio::spawn(scheduler_link::serve(stream, client));
+            }
+            Err(error) => {
+                log::warn!("accept failed: {error}");
+                monoio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn tick(events: event::EventSender) {
+    while events.unbounded_send(event::SchedulerEvent::Tick).is_ok() {
+        monoio::time::sleep(TICK).await;
+    }
+}
--- /dev/null
+++ b/crates/standin/src/engine.rs
@@ -0,0 +1,401 @@
+//! An engine over HTTP, around the model.
+//!
+//! `POST /v1/chat/completions` and `/v1/completions` take requests, `GET /v1/load` tells of load
+//! and attempts held, `POST /v1/cancel` and `/v1/kv/reserve` take orders, `POST /faults` turns
+//! faults on, `GET /counts` tells tests what was run.
+
+use std::{cell, collections, rc, time};
+
+use bytes::Bytes;
+use futures::{StreamExt as _, channel::mpsc};
+use serde::{Deserialize, Serialize};
+use slipturn_core::rendezvous;
+use slipturn_net::{http_server, process};
+
+use crate::{engine_model, faults};
+
+/// Length of a step of the model.
+const STEP: time::Duration = time::Duration::from_millis(5);
+/// Largest accepted body.
+const MAX_BODY: u64 = 64 << 20;
+/// Bytes of prompt that count as one token.
+const BYTES_PER_TOKEN: u64 = 4;
+/// Bytes at a prompt's start that the prefix cache compares.
+const PREFIX_BYTES: usize = 4_096;
+/// Load reports kept, to answer with an old one.
+const MAX_REPORTS: usize = 2_000;
+
+type Pieces = mpsc::UnboundedSender<engine_model::EngineOutput>;
+
+/// What the engine has run, for tests.
+#[derive(Debug, Clone, Default, Serialize)]
+pub struct RunCounts {
+    /// Requests started, by attempt.
+    pub started: collections::BTreeMap<String, u64>,
+    /// Requests refused, not run.
+    pub refused: u64,
+    /// Requests that ended whole.
+    pub done: u64,
+    /// Requests given up.
+    pub cancelled: u64,
+    /// Most memory held at once, in tokens.
+    pub peak_held: u64,
+}
+
+#[derive(Debug, Clone, Serialize)]
+struct HeldRow {
+    attempt: String,
+    tokens: u64,
+}
+
+#[derive(Debug, Clone, Serialize)]
+struct LoadReport {
+    draining: bool,
+    memory_tokens: u64,
+    prefill_backlog: u64,
+    age_ms: u64,
+    running: usize,
+    held: Vec<HeldRow>,
+}
+
+/// State shared by the engine's tasks.
+struct EngineState {
+    model: cell::RefCell<engine_model::EngineModel>,
+    outputs: cell::RefCell<collections::HashMap<String, Pieces>>,
+    reports: cell::RefCell<collections::VecDeque<(time::Instant, LoadReport)>>,
+    counts: cell::RefCell<RunCounts>,
+    faults: faults::SharedFaults,
+}
+
+/// Serves an engine on `listener` for ever.
+pub async fn run(listener: monoio::net::TcpListener, shape: engine_model::EngineShape) {
+    let state = rc::Rc::new(EngineState {
+        model: cell::RefCell::new(engine_model::EngineModel::new(shape)),
+        outputs: cell::RefCell::default(),
+        reports: cell::RefCell::default(),
+        counts: cell::RefCell::default(),
+        faults: faults::SharedFaults::default(),
+    });
+    monoio::spawn(work(rc::Rc::clone(&state)));
+    http_server::accept_all(listener, move |connection| serve(rc::Rc::clone(&state), connection))
+        .await;
+}
+
+/// Steps the model by the clock, and passes on what it gives out.
+async fn work(state: rc::Rc<EngineState>) {
+    let clock = process::ProcessClock::start();
+    let mut last = clock.now();
+    loop {
+        monoio::time::sleep(STEP).await;
+        let now = clock.now();
+        let outputs = state.model.borrow_mut().step(now.since(last));
+        last = now;
+        for output in outputs {
+            pass_on(&state, output);
+        }
+        keep_report(&state);
+    }
+}
+
+fn pass_on(state: &EngineState, output: engine_model::EngineOutput) {
+    let mut senders = state.outputs.borrow_mut();
+    match &output {
+        engine_model::EngineOutput::Tokens(attempt, ..) => {
+            if let Some(sender) = senders.get(attempt) {
+                // A reader that has gone is noticed by the task that serves it.
+                let _ = sender.unbounded_send(output);
+            }
+        }
+        engine_model::EngineOutput::Done(attempt) => {
+            state.counts.borrow_mut().done += 1;
+            senders.remove(attempt);
+        }
+    }
+}
+
+fn keep_report(state: &EngineState) {
+    let model = state.model.borrow();
+    let held: Vec<_> =
+        model.holds().into_iter().map(|(attempt, tokens)| HeldRow { attempt, tokens }).collect();
+    let report = LoadReport {
+        draining: state.faults.plan().draining,
+        memory_tokens: model.memory(),
+        prefill_backlog: model.prefill_backlog(),
+        age_ms: 0,
+        running: model.running(),
+        held,
+    };
+    let mut counts = state.counts.borrow_mut();
+    counts.peak_held = counts.peak_held.max(model.held());
+    let mut reports = state.reports.borrow_mut();
+    reports.push_back((time::Instant::now(), report));
+    if reports.len() > MAX_REPORTS {
+        reports.pop_front();
+    }
+}
+
+async fn serve(state: rc::Rc<EngineState>, mut connection: http_server::ServerConnection) {
+    let limits =
+        http_server::BodyLimits { max_bytes: MAX_BODY, time: time::Duration::from_secs(60) };
+    while let Ok(Some(mut incoming)) = connection.next_head().await {
+        let Ok(body) = connection.read_body(&mut incoming, limits).await else {
+            return;
+        };
+        let path = incoming.head.uri.path().to_owned();
+        if path == "/faults" {
+            let answer = set_faults(&state.faults, &body);
+            if connection.respond(answer).await.is_err() {
+                return;
+            }
+            continue;
+        }
+        let plan = state.faults.plan();
+        if plan.down {
+            // Nothing is said and nothing closed, as by a machine that has stopped.
+            monoio::time::sleep(time::Duration::from_secs(3_600)).await;
+            return;
+        }
+        let kept = if path.ends_with("/completions") {
+            complete(&state, &mut connection, &incoming, &body).await
+        } else {
+            let answer = answer_order(&state, &path, &body);
+            connection.respond(answer).await.is_ok()
+        };
+        if !kept {
+            return;
+        }
+    }
+}
+
+/// Puts a plan of faults in force.
+pub fn set_faults(faults: &faults::SharedFaults, body: &[u8]) -> http::Response<Bytes> {
+    match serde_json::from_slice(body) {
+        Ok(plan) => {
+            faults.set(plan);
+            http_server::json_answer(200, &true)
+        }
+        Err(error) => http_server::json_answer(400, &error.to_string()),
+    }
+}
+
+#[derive(Deserialize)]
+struct OrderBody {
+    attempt: String,
+    #[serde(default)]
+    tokens: u64,
+}
+
+fn answer_order(state: &EngineState, path: &str, body: &[u8]) -> http::Response<Bytes> {
+    match path {
+        "/v1/load" => http_server::json_answer(200, &lagging_report(state)),
+        "/counts" => http_server::json_answer(200, &*state.counts.borrow()),
+        "/v1/cancel" | "/v1/kv/reserve" => match serde_json::from_slice::<OrderBody>(body) {
+            Ok(order) if path == "/v1/cancel" => cancel(state, &order.attempt),
+            Ok(order) => {
+                let kept = state.model.borrow_mut().reserve(&order.attempt, order.tokens);
+                http_server::json_answer(if kept { 200 } else { 503 }, &kept)
+            }
+            Err(error) => http_server::json_answer(400, &error.to_string()),
+        },
+        _ => http_server::json_answer(404, &"not found"),
+    }
+}
+
+fn lagging_report(state: &EngineState) -> LoadReport {
+    let lag = time::Duration::from_millis(state.faults.plan().report_lag_ms);
+    let reports = state.reports.borrow();
+    let old_enough = |entry: &&(time::Instant, LoadReport)| entry.0.elapsed() >= lag;
+    let found = reports.iter().rev().find(old_enough).or_else(|| reports.front());
+    let Some((taken, report)) = found else {
+        let memory_tokens = state.model.borrow().memory();
+        return LoadReport {
+            draining: false,
+            memory_tokens,
+            prefill_backlog: 0,
+            age_ms: 0,
+            running: 0,
+            held: Vec::new(),
+        };
+    };
+    let age_ms = u64::try_from(taken.elapsed().as_millis()).unwrap_or(u64::MAX);
+    LoadReport { age_ms, ..report.clone() }
+}
+
+fn cancel(state: &EngineState, attempt: &str) -> http::Response<Bytes> {
+    if state.faults.plan().ignore_cancels {
+        return http_server::json_answer(200, &false);
+    }
+    http_server::json_answer(200, &give_up(state, attempt))
+}
+
+fn give_up(state: &EngineState, attempt: &str) -> bool {
+    state.outputs.borrow_mut().remove(attempt);
+    let was_there = state.model.borrow_mut().cancel(attempt);
+    state.counts.borrow_mut().cancelled += u64::from(was_there);
+    was_there
+}
+
+#[derive(Deserialize)]
+struct CompletionBody {
+    #[serde(default)]
+    messages: serde_json::Value,
+    #[serde(default)]
+    prompt: serde_json::Value,
+    #[serde(default)]
+    max_tokens: Option<u64>,
+    #[serde(default)]
+    stream: bool,
+}
+
+/// Serves a completion; `false` when the connection must be closed.
+async fn complete(
+    state: &rc::Rc<EngineState>,
+    connection: &mut http_server::ServerConnection,
+    incoming: &http_server::IncomingHead,
+    body: &[u8],
+) -> bool {
+    let plan = state.faults.plan();
+    monoio::time::sleep(time::Duration::from_millis(plan.delay_ms)).await;
+    let asked: CompletionBody = match serde_json::from_slice(body) {
+        Ok(asked) => asked,
+        Err(error) => {
+            let answer = http_server::json_answer(400, &error.to_string());
+            return connection.respond(answer).await.is_ok();
+        }
+    };
+    let text = if asked.messages.is_null() { &asked.prompt } else { &asked.messages };
+    let text = text.to_string();
+    let request = engine_request(incoming, &text, asked.max_tokens.unwrap_or(16));
+    let attempt = request.attempt.clone();
+    if plan.draining || plan.refuse || !state.model.borrow_mut().start(request) {
+        state.counts.borrow_mut().refused += 1;
+        let mut answer = http_server::json_answer(503, &"refused, not run");
+        answer.headers_mut().insert("x-ran", http::HeaderValue::from_static("no"));
+        return connection.respond(answer).await.is_ok();
+    }
+    *state.counts.borrow_mut().started.entry(attempt.clone()).or_default() += 1;
+    let (sender, pieces) = mpsc::unbounded();
+    state.outputs.borrow_mut().insert(attempt.clone(), sender);
+    if plan.close_before_answer {
+        give_up(state, &attempt);
+        return false;
+    }
+    let answer = CompletionAnswer {
+        state,
+        plan,
+        attempt: attempt.clone(),
+        mark: answer_mark(&text),
+        stream: asked.stream,
+    };
+    let whole = answer.send(connection, pieces).await;
+    if !whole && !state.faults.plan().ignore_disconnects {
+        give_up(state, &attempt);
+    }
+    whole
+}
+
+fn engine_request(
+    incoming: &http_server::IncomingHead,
+    text: &str,
+    output: u64,
+) -> engine_model::EngineRequest {
+    let prompt = (text.len() as u64).div_ceil(BYTES_PER_TOKEN);
+    let peers = incoming.header("x-kv-peers").map_or(0, |peers| peers.split(',').count() as u64);
+    let prefix = &text.as_bytes()[..text.len().min(PREFIX_BYTES)];
+    let hash = rendezvous::stable_hash(&[&String::from_utf8_lossy(prefix)]);
+    engine_model::EngineRequest {
+        attempt: incoming.header("x-attempt-id").unwrap_or("unnamed").to_owned(),
+        prompt,
+        output,
+        memory: (prompt + output).div_ceil(peers + 1),
+        priority: incoming.header("x-priority").and_then(|text| text.parse().ok()).unwrap_or(0),
+        prefix: (hash, (prefix.len() as u64).div_ceil(BYTES_PER_TOKEN)),
+    }
+}
+
+/// A word that only this prompt's answer has, so that a caller can tell its own answer.
+pub fn answer_mark(text: &str) -> String {
+    format!("{:016x}", rendezvous::stable_hash(&[text]))
+}
+
+/// An answer on its way.
+struct CompletionAnswer<'state> {
+    state: &'state EngineState,
+    plan: faults::FaultPlan,
+    attempt: String,
+    mark: String,
+    stream: bool,
+}
+
+impl CompletionAnswer<'_> {
+    async fn send(
+        &self,
+        connection: &mut http_server::ServerConnection,
+        mut pieces: mpsc::UnboundedReceiver<engine_model::EngineOutput>,
+    ) -> bool {
+        if self.stream {
+            let mut head = http::Response::new(());
+            self.mark_head(head.headers_mut());
+            let kind = http::HeaderValue::from_static("text/event-stream");
+            head.headers_mut().insert(http::header::CONTENT_TYPE, kind);
+            if connection.start_stream(&head).await.is_err() {
+                return false;
+            }
+        }
+        let mut words = String::new();
+        let mut sent = 0;
+        loop {
+            let Some(next) = connection.while_present(pieces.next()).await else {
+                return false;
+            };
+            let Some(engine_model::EngineOutput::Tokens(_, first, count)) = next else {
+                break;
+            };
+            if self.plan.cut_after.is_some_and(|limit| sent >= limit) {
+                return false;
+            }
+            if self.plan.short_after.is_some_and(|limit| sent >= limit) {
+                give_up(self.state, &self.attempt);
+                return connection.finish_stream().await.is_ok();
+            }
+            if self.plan.hang_after.is_some_and(|limit| sent >= limit) {
+                let hour = time::Duration::from_secs(3_600);
+                let _ = connection.while_present(monoio::time::sleep(hour)).await;
+                return false;
+            }
+            let text = self.words(first, count);
+            sent += 1;
+            if self.stream {
+                if connection.send_piece(event(&text).as_bytes()).await.is_err() {
+                    return false;
+                }
+            } else {
+                words.push_str(&text);
+            }
+        }
+        if self.stream {
+            let done = connection.send_piece(b"data: [DONE]\n\n").await.is_ok();
+            return done && connection.finish_stream().await.is_ok();
+        }
+        let choice = serde_json::json!({ "index": 0, "message": { "content": words } });
+        let mut answer = http_server::json_answer(200, &serde_json::json!({ "choices": [choice] }));
+        self.mark_head(answer.headers_mut());
+        connection.respond(answer).await.is_ok()
+    }
+
+    fn mark_head(&self, headers: &mut http::HeaderMap) {
+        let attempt = if self.plan.wrong_attempt { "another:0:1:1" } else { &self.attempt };
+        if let Ok(value) = http::HeaderValue::from_str(attempt) {
+            headers.insert("x-attempt-id", value);
+        }
+    }
+
+    fn words(&self, first: u64, count: u64) -> String {
+        (first..first + count).map(|index| format!("{}-{index} ", self.mark)).collect()
+    }
+}
+
+fn event(text: &str) -> String {
+    let choice = serde_json::json!({ "index": 0, "delta": { "content": text } });
+    format!("data: {}\n\n", serde_json::json!({ "choices": [choice] }))
+}
--- /dev/null
+++ b/crates/standin/src/engine_model.rs
@@ -0,0 +1,199 @@
+//! A model of an engine that batches continuously: prefill by priority, decode for all.
+
+use std::{collections, time};
+
+/// Tokens of prompt worked through before priorities are looked at again.
+const CHUNK: f64 = 2_048.0;
+/// Prefixes kept in the cache.
+const MAX_PREFIXES: usize = 64;
+
+/// How fast and how large an engine is.
+#[derive(Debug, Clone, Copy)]
+pub struct EngineShape {
+    /// Memory, in tokens.
+    pub memory: u64,
+    /// Prompt tokens worked through in a second.
+    pub prefill_rate: f64,
+    /// Time from one output token to the next with an empty batch.
+    pub token_time: time::Duration,
+    /// Requests at which the time between tokens has doubled.
+    pub batch_knee: f64,
+}
+
+/// One request on the engine.
+#[derive(Debug, Clone)]
+pub struct EngineRequest {
+    /// Attempt id.
+    pub attempt: String,
+    /// Prompt tokens.
+    pub prompt: u64,
+    /// Output tokens to generate.
+    pub output: u64,
+    /// Memory it holds here; less than prompt and output when peers hold parts.
+    pub memory: u64,
+    /// 0 goes first.
+    pub priority: u8,
+    /// Hash of its prefix, and that prefix's length.
+    pub prefix: (u64, u64),
+}
+
+/// Something the engine did.
+#[derive(Debug, Clone, PartialEq)]
+pub enum EngineOutput {
+    /// The next output tokens, from this one on.
+    Tokens(String, u64, u64),
+    /// The request is done and its memory free.
+    Done(String),
+}
+
+#[derive(Debug)]
+struct RunningRequest {
+    request: EngineRequest,
+    order: u64,
+    prefill_left: f64,
+    sent: u64,
+    generated: f64,
+}
+
+/// The state of one engine.
+#[derive(Debug)]
+pub struct EngineModel {
+    shape: EngineShape,
+    running: Vec<RunningRequest>,
+    /// Memory kept for prompts whose answer another engine gives.
+    reserved: collections::BTreeMap<String, u64>,
+    prefixes: collections::VecDeque<u64>,
+    arrivals: u64,
+}
+
+impl EngineModel {
+    /// An idle engine.
+    pub fn new(shape: EngineShape) -> Self {
+        Self {
+            shape,
+            running: Vec::new(),
+            reserved: collections::BTreeMap::new(),
+            prefixes: collections::VecDeque::new(),
+            arrivals: 0,
+        }
+    }
+
+    /// Takes a request in, or refuses it for want of memory.
+    pub fn start(&mut self, request: EngineRequest) -> bool {
+        if self.held() + request.memory > self.shape.memory {
+            return false;
+        }
+        let (prefix, length) = request.prefix;
+        let cached = if self.prefixes.contains(&prefix) { length.min(request.prompt) } else { 0 };
+        self.remember(prefix);
+        self.arrivals += 1;
+        self.running.push(RunningRequest {
+            prefill_left: (request.prompt - cached) as f64,
+            order: self.arrivals,
+            sent: 0,
+            generated: 0.0,
+            request,
+        });
+        true
+    }
+
+    /// Keeps memory for a part of a prompt, or refuses.
+    pub fn reserve(&mut self, attempt: &str, tokens: u64) -> bool {
+        if self.held() + tokens > self.shape.memory {
+            return false;
+        }
+        self.reserved.insert(attempt.to_owned(), tokens);
+        true
+    }
+
+    /// Gives an attempt up and frees its memory. Returns whether it was there.
+    pub fn cancel(&mut self, attempt: &str) -> bool {
+        let before = self.running.len();
+        self.running.retain(|one| one.request.attempt != attempt);
+        self.reserved.remove(attempt).is_some() || self.running.len() < before
+    }
+
+    /// Attempts and the memory each holds.
+    pub fn holds(&self) -> Vec<(String, u64)> {
+        let running =
+            self.running.iter().map(|one| (one.request.attempt.clone(), one.request.memory));
+        let reserved = self.reserved.iter().map(|(attempt, tokens)| (attempt.clone(), *tokens));
+        running.chain(reserved).collect()
+    }
+
+    /// Memory held.
+    pub fn held(&self) -> u64 {
+        let running: u64 = self.running.iter().map(|one| one.request.memory).sum();
+        running + self.reserved.values().sum::<u64>()
+    }
+
+    /// Requests running.
+    pub fn running(&self) -> usize {
+        self.running.len()
+    }
+
+    /// Prompt tokens not worked through.
+    pub fn prefill_backlog(&self) -> u64 {
+        self.running.iter().map(|one| one.prefill_left).sum::<f64>() as u64
+    }
+
+    /// Memory in all.
+    pub fn memory(&self) -> u64 {
+        self.shape.memory
+    }
+
+    /// Works for a length of time.
+    pub fn step(&mut self, span: time::Duration) -> Vec<EngineOutput> {
+        self.prefill(span);
+        self.decode(span)
+    }
+
+    fn prefill(&mut self, span: time::Duration) {
+        let mut work = self.shape.prefill_rate * span.as_secs_f64();
+        while work > 0.0 {
+            let waiting = self.running.iter_mut().filter(|one| one.prefill_left > 0.0);
+            let Some(first) = waiting.min_by_key(|one| (one.request.priority, one.order)) else {
+                return;
+            };
+            let part = work.min(CHUNK).min(first.prefill_left);
+            first.prefill_left -= part;
+            work -= part;
+        }
+    }
+
+    fn decode(&mut self, span: time::Duration) -> Vec<EngineOutput> {
+        let decoding = self.running.iter().filter(|one| one.prefill_left <= 0.0).count() as f64;
+        let interval =
+            self.shape.token_time.as_secs_f64() * (1.0 + decoding / self.shape.batch_knee);
+        let tokens = span.as_secs_f64() / interval;
+        let mut outputs = Vec::new();
+        for one in self.running.iter_mut().filter(|one| one.prefill_left <= 0.0) {
+            // The first token comes with the end of the prefill.
+            let step = if one.sent == 0 { tokens.max(1.0) } else { tokens };
+            one.generated = (one.generated + step).min(one.request.output as f64);
+            let whole = one.generated as u64;
+            if whole > one.sent {
+                let attempt = one.request.attempt.clone();
+                outputs.push(EngineOutput::Tokens(attempt, one.sent, whole - one.sent));
+                one.sent = whole;
+            }
+        }
+        let done = |one: &RunningRequest| one.prefill_left <= 0.0 && one.sent >= one.request.output;
+        outputs.extend(
+            self.running
+                .iter()
+                .filter(|one| done(one))
+                .map(|one| EngineOutput::Done(one.request.attempt.clone())),
+        );
+        self.running.retain(|one| !done(one));
+        outputs
+    }
+
+    fn remember(&mut self, prefix: u64) {
+        self.prefixes.retain(|known| *known != prefix);
+        self.prefixes.push_back(prefix);
+        if self.prefixes.len() > MAX_PREFIXES {
+            self.prefixes.pop_front();
+        }
+    }
+}
--- /dev/null
+++ b/crates/standin/src/platform.rs
@@ -0,0 +1,131 @@
+//! The platform's configuration service: numbered documents that can be read and watched.
+//!
+//! `GET /v1/documents/NAME?after=N&wait_ms=M` is all that slipturn uses. Tests publish with
+//! `PUT /documents/NAME?number=N`, turn faults on with `POST /faults`, and count reads with
+//! `GET /counts`.
+
+use std::{cell, collections, rc, time};
+
+use bytes::Bytes;
+use serde::Serialize;
+use slipturn_net::http_server;
+
+use crate::{engine, faults};
+
+/// Largest value held.
+const MAX_VALUE: u64 = 1 << 20;
+/// Time between two looks at whether a waiting watch can be answered.
+const WATCH_POLL: time::Duration = time::Duration::from_millis(20);
+/// Reads a second that are answered.
+const READ_LIMIT: u64 = 2_000;
+
+/// Reads so far, for tests.
+#[derive(Debug, Clone, Default, Serialize)]
+pub struct ReadCounts {
+    /// Reads, each waiting watch as one.
+    pub reads: u64,
+    /// Reads refused for being too many.
+    pub refused: u64,
+}
+
+#[derive(Default)]
+struct PlatformState {
+    /// Versions of each document, by number.
+    documents: cell::RefCell<collections::BTreeMap<String, collections::BTreeMap<u64, Bytes>>>,
+    counts: cell::RefCell<ReadCounts>,
+    second: cell::Cell<(u64, u64)>,
+    faults: faults::SharedFaults,
+}
+
+/// Serves the platform on `listener` for ever.
+pub async fn run(listener: monoio::net::TcpListener) {
+    let state = rc::Rc::new(PlatformState::default());
+    http_server::accept_all(listener, move |connection| serve(rc::Rc::clone(&state), connection))
+        .await;
+}
+
+async fn serve(state: rc::Rc<PlatformState>, mut connection: http_server::ServerConnection) {
+    let limits =
+        http_server::BodyLimits { max_bytes: MAX_VALUE, time: time::Duration::from_secs(10) };
+    while let Ok(Some(mut incoming)) = connection.next_head().await {
+        let Ok(body) = connection.read_body(&mut incoming, limits).await else {
+            return;
+        };
+        let uri = incoming.head.uri.clone();
+        let name = uri.path().rsplit('/').next().unwrap_or_default();
+        let query = uri.query().unwrap_or_default();
+        let answer = match uri.path() {
+            "/faults" => engine::set_faults(&state.faults, &body),
+            "/counts" => http_server::json_answer(200, &*state.counts.borrow()),
+            path if path.starts_with("/documents/") => publish(&state, name, query, body),
+            _ if state.faults.plan().down => return,
+            _ if !state.admit() => http_server::json_answer(429, &"too many reads"),
+            _ => match connection.while_present(read(&state, name, query)).await {
+                Some(answer) => answer,
+                None => return,
+            },
+        };
+        if connection.respond(answer).await.is_err() {
+            return;
+        }
+    }
+}
+
+impl PlatformState {
+    /// Counts a read; `false` when there are too many in this second.
+    fn admit(&self) -> bool {
+        let since_epoch = time::SystemTime::now().duration_since(time::UNIX_EPOCH);
+        let second = since_epoch.unwrap_or_default().as_secs();
+        let (last, reads) = self.second.get();
+        let reads = if last == second { reads + 1 } else { 1 };
+        self.second.set((second, reads));
+        let mut counts = self.counts.borrow_mut();
+        counts.reads += 1;
+        counts.refused += u64::from(reads > READ_LIMIT);
+        reads <= READ_LIMIT
+    }
+
+    fn newest(&self, name: &str) -> Option<(u64, Bytes)> {
+        let stale_by = usize::try_from(self.faults.plan().stale_by).unwrap_or(usize::MAX);
+        let documents = self.documents.borrow();
+        let versions = documents.get(name)?;
+        let found = versions.iter().rev().nth(stale_by.min(versions.len().checked_sub(1)?))?;
+        Some((*found.0, found.1.clone()))
+    }
+}
+
+fn publish(state: &PlatformState, name: &str, query: &str, body: Bytes) -> http::Response<Bytes> {
+    let Some(number) = number(query, "number") else {
+        return http_server::json_answer(400, &"number is missing");
+    };
+    let mut documents = state.documents.borrow_mut();
+    documents.entry(name.to_owned()).or_default().insert(number, body);
+    http_server::json_answer(200, &number)
+}
+
+async fn read(state: &PlatformState, name: &str, query: &str) -> http::Response<Bytes> {
+    let after = number(query, "after").unwrap_or(0);
+    let wait = time::Duration::from_millis(number(query, "wait_ms").unwrap_or(0));
+    let started = time::Instant::now();
+    loop {
+        if let Some((number, body)) = state.newest(name)
+            // A stale service answers what it has, whatever it was asked for.
+            && (number > after || state.faults.plan().stale_by > 0)
+        {
+            let mut answer = http::Response::new(body);
+            answer.headers_mut().insert("x-document-number", number.into());
+            return answer;
+        }
+        if started.elapsed() >= wait {
+            let mut answer = http::Response::new(Bytes::new());
+            *answer.status_mut() = http::StatusCode::NOT_MODIFIED;
+            return answer;
+        }
+        monoio::time::sleep(WATCH_POLL).await;
+    }
+}
+
+fn number(query: &str, name: &str) -> Option<u64> {
+    let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+    pairs.into_iter().find(|(key, _)| *key == name)?.1.parse().ok()
+}
--- /dev/null
+++ b/crates/standin/src/service.rs
@@ -0,0 +1,101 @@
+//! A plain service that counts what it runs, by the caller's key and by attempt.
+
+use std::{cell, collections, rc, time};
+
+use serde::Serialize;
+use slipturn_net::http_server;
+
+use crate::{engine, faults};
+
+/// Largest accepted body.
+const MAX_BODY: u64 = 16 << 20;
+
+/// What the service has run, for tests.
+#[derive(Debug, Clone, Default, Serialize)]
+pub struct ServiceCounts {
+    /// Calls run.
+    pub runs: u64,
+    /// Calls run, by idempotency key.
+    pub by_key: collections::BTreeMap<String, u64>,
+    /// Calls run, by the request they belong to.
+    pub by_request: collections::BTreeMap<String, u64>,
+    /// Calls refused because their key was seen before.
+    pub key_refusals: u64,
+}
+
+struct ServiceState {
+    counts: cell::RefCell<ServiceCounts>,
+    checks_keys: bool,
+    faults: faults::SharedFaults,
+}
+
+/// Serves a plain service on `listener` for ever.
+pub async fn run(listener: monoio::net::TcpListener, checks_keys: bool) {
+    let state = rc::Rc::new(ServiceState {
+        counts: cell::RefCell::default(),
+        checks_keys,
+        faults: faults::SharedFaults::default(),
+    });
+    http_server::accept_all(listener, move |connection| serve(rc::Rc::clone(&state), connection))
+        .await;
+}
+
+async fn serve(state: rc::Rc<ServiceState>, mut connection: http_server::ServerConnection) {
+    let limits =
+        http_server::BodyLimits { max_bytes: MAX_BODY, time: time::Duration::from_secs(60) };
+    while let Ok(Some(mut incoming)) = connection.next_head().await {
+        let Ok(body) = connection.read_body(&mut incoming, limits).await else {
+            return;
+        };
+        let answer = match incoming.head.uri.path() {
+            "/faults" => engine::set_faults(&state.faults, &body),
+            "/counts" => http_server::json_answer(200, &*state.counts.borrow()),
+            path => match run_call(&state, &incoming, path).await {
+                Some(answer) => answer,
+                None => return,
+            },
+        };
+        if connection.respond(answer).await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Runs a call; `None` when a fault has the connection closed without an answer.
+async fn run_call(
+    state: &ServiceState,
+    incoming: &http_server::IncomingHead,
+    path: &str,
+) -> Option<http::Response<bytes::Bytes>> {
+    let plan = state.faults.plan();
+    if plan.draining || plan.refuse {
+        let mut answer = http_server::json_answer(503, &"refused, not run");
+        answer.headers_mut().insert("x-ran", http::HeaderValue::from_static("no"));
+        return Some(answer);
+    }
+    let key = incoming.header("idempotency-key").unwrap_or_default().to_owned();
+    let attempt = incoming.header("x-attempt-id").unwrap_or_default();
+    let request = attempt.rsplit_once(':').map_or(attempt, |(request, _)| request).to_owned();
+    if state.checks_keys && state.counts.borrow().by_key.contains_key(&key) && !key.is_empty() {
+        state.counts.borrow_mut().key_refusals += 1;
+        return Some(http_server::json_answer(409, &"this key has run"));
+    }
+    count(&mut state.counts.borrow_mut(), key, request);
+    monoio::time::sleep(time::Duration::from_millis(plan.delay_ms)).await;
+    if plan.close_before_answer {
+        return None;
+    }
+    let mut answer = http_server::json_answer(200, &format!("done {path}"));
+    if let Ok(value) = http::HeaderValue::from_str(attempt) {
+        answer.headers_mut().insert("x-attempt-id", value);
+    }
+    Some(answer)
+}
+
+fn count(counts: &mut ServiceCounts, key: String, request: String) {
+    counts.runs += 1;
+    *counts.by_request.entry(request).or_default() += 1;
+    if !key.is_empty() {
+        *counts.by_key.entry(key).or_default() += 1;
+    }
+}
