--- /dev/null
+++ b/crates/wire/src/convert.rs
@@ -0,0 +1,257 @@
+//! Turns messages into the types of the decision logic and back.
+//!
+//! Points in time travel as what is left of them, so that no two clocks need to agree.
+
+use std::{str, time};
+
+use slipturn_core::{budget, engine_ledger, ids, key_vote, refusal, units};
+use snafu::{ResultExt as _, Snafu};
+
+use crate::scheduler_capnp;
+
+/// Why a message cannot be understood.
+#[derive(Debug, Snafu)]
+pub enum WireError {
+    /// The message is not what the schema says.
+    #[snafu(display("message: {source}"))]
+    Shape {
+        /// What the library found.
+        source: capnp::Error,
+    },
+    /// A text is not UTF-8.
+    #[snafu(display("text: {source}"))]
+    Text {
+        /// What the standard library found.
+        source: str::Utf8Error,
+    },
+    /// A name is not valid.
+    #[snafu(display("name: {source}"))]
+    Name {
+        /// What is wrong with it.
+        source: ids::NameError,
+    },
+    /// A variant this build does not know.
+    #[snafu(display("unknown variant {number}"))]
+    Variant {
+        /// Its number.
+        number: u16,
+    },
+    /// A refusal code this build does not know.
+    #[snafu(display("unknown refusal code '{word}'"))]
+    Code {
+        /// The code.
+        word: String,
+    },
+}
+
+impl From<capnp::Error> for WireError {
+    fn from(source: capnp::Error) -> Self {
+        Self::Shape { source }
+    }
+}
+
+impl From<WireError> for capnp::Error {
+    fn from(error: WireError) -> Self {
+        capnp::Error::failed(error.to_string())
+    }
+}
+
+/// Writes a request for a place on `engine`.
+pub fn write_place(
+    mut builder: scheduler_capnp::place::Builder<'_>,
+    engine: &ids::EngineId,
+    request: &engine_ledger::PlaceRequest,
+    now: units::MonoTime,
+) {
+    builder.set_attempt(request.attempt.as_str());
+    builder.set_engine(engine.as_str());
+    builder.set_entry(request.entry.as_str());
+    builder.set_boot(request.boot.0);
+    builder.set_customer(request.customer.as_str());
+    builder.set_weight(request.weight);
+    builder.set_prompt_tokens(request.prompt.0);
+    builder.set_cached_tokens(request.cached.0);
+    builder.set_output_tokens(request.output.0);
+    builder.set_memory_tokens(request.memory.0);
+    builder.set_grouped(request.grouped);
+    builder.set_deadline_ms(millis(request.deadline.since(now)));
+    builder.set_patience_ms(millis(request.patience.since(now)));
+}
+
+/// Reads a request for a place and the engine it is for.
+pub fn read_place(
+    reader: scheduler_capnp::place::Reader<'_>,
+    now: units::MonoTime,
+) -> Result<(ids::EngineId, engine_ledger::PlaceRequest), WireError> {
+    let request = engine_ledger::PlaceRequest {
+        attempt: read_name(reader.get_attempt()?)?,
+        entry: read_name(reader.get_entry()?)?,
+        boot: ids::BootId(reader.get_boot()),
+        customer: read_name(reader.get_customer()?)?,
+        weight: reader.get_weight(),
+        prompt: units::TokenCount(reader.get_prompt_tokens()),
+        cached: units::TokenCount(reader.get_cached_tokens()),
+        output: units::TokenCount(reader.get_output_tokens()),
+        memory: units::TokenCount(reader.get_memory_tokens()),
+        grouped: reader.get_grouped(),
+        deadline: now + time::Duration::from_millis(reader.get_deadline_ms()),
+        patience: now + time::Duration::from_millis(reader.get_patience_ms()),
+    };
+    Ok((read_name(reader.get_engine()?)?, request))
+}
+
+/// Writes a refusal. Only what was not run is ever refused between own processes.
+pub fn write_refusal(
+    mut builder: scheduler_capnp::refusal::Builder<'_>,
+    refusal: &refusal::RequestRefusal,
+) {
+    builder.set_code(refusal.code.word());
+    builder.set_message(&refusal.message);
+    builder.set_retry_after_ms(refusal.retry_after.map_or(0, millis));
+}
+
+/// Reads a refusal.
+pub fn read_refusal(
+    reader: scheduler_capnp::refusal::Reader<'_>,
+) -> Result<refusal::RequestRefusal, WireError> {
+    let word = read_text(reader.get_code()?)?;
+    let code = refusal::RefusalCode::from_word(word).ok_or_else(|| CodeSnafu { word }.build())?;
+    let mut refusal = refusal::RequestRefusal::not_run(code, read_text(reader.get_message()?)?);
+    if reader.get_retry_after_ms() > 0 {
+        refusal.retry_after = Some(time::Duration::from_millis(reader.get_retry_after_ms()));
+    }
+    Ok(refusal)
+}
+
+/// Writes what an engine could do, or why nothing.
+pub fn write_offer(
+    builder: scheduler_capnp::offer_reply::Builder<'_>,
+    answer: &Result<engine_ledger::EngineOffer, refusal::RequestRefusal>,
+) {
+    match answer {
+        Ok(offer) => {
+            let mut group = builder.init_offer();
+            group.set_first_token_us(
+                u64::try_from(offer.first_token.as_micros()).unwrap_or(u64::MAX),
+            );
+            group.set_free_tokens(offer.free.0);
+            group.set_running(u32::try_from(offer.running).unwrap_or(u32::MAX));
+            group.set_waiting(u32::try_from(offer.waiting).unwrap_or(u32::MAX));
+        }
+        Err(refusal) => write_refusal(builder.init_refused(), refusal),
+    }
+}
+
+/// Reads what an engine could do, or why nothing.
+pub fn read_offer(
+    reader: scheduler_capnp::offer_reply::Reader<'_>,
+) -> Result<Result<engine_ledger::EngineOffer, refusal::RequestRefusal>, WireError> {
+    use scheduler_capnp::offer_reply::Which;
+    match reader.which().map_err(unknown_variant)? {
+        Which::Offer(group) => Ok(Ok(engine_ledger::EngineOffer {
+            first_token: time::Duration::from_micros(group.get_first_token_us()),
+            free: units::TokenCount(group.get_free_tokens()),
+            running: group.get_running() as usize,
+            waiting: group.get_waiting() as usize,
+        })),
+        Which::Refused(refused) => Ok(Err(read_refusal(refused?)?)),
+    }
+}
+
+/// Writes the end of a wait for a place.
+pub fn write_place_reply(
+    mut builder: scheduler_capnp::place_reply::Builder<'_>,
+    answer: &Result<(), refusal::RequestRefusal>,
+) {
+    match answer {
+        Ok(()) => builder.set_granted(()),
+        Err(refusal) => write_refusal(builder.init_refused(), refusal),
+    }
+}
+
+/// Reads the end of a wait for a place.
+pub fn read_place_reply(
+    reader: scheduler_capnp::place_reply::Reader<'_>,
+) -> Result<Result<(), refusal::RequestRefusal>, WireError> {
+    use scheduler_capnp::place_reply::Which;
+    match reader.which().map_err(unknown_variant)? {
+        Which::Granted(()) => Ok(Ok(())),
+        Which::Refused(refused) => Ok(Err(read_refusal(refused?)?)),
+    }
+}
+
+/// Writes a portion of a budget, or when there will be one.
+pub fn write_portion(
+    mut builder: scheduler_capnp::portion_reply::Builder<'_>,
+    answer: Result<budget::BudgetPortion, budget::BudgetEmpty>,
+) {
+    match answer {
+        Ok(portion) => {
+            let mut group = builder.init_portion();
+            group.set_tokens(portion.tokens.0);
+            group.set_life_ms(millis(portion.life));
+        }
+        Err(budget::BudgetEmpty(wait)) => builder.set_empty_ms(millis(wait)),
+    }
+}
+
+/// Reads a portion of a budget, or when there will be one.
+pub fn read_portion(
+    reader: scheduler_capnp::portion_reply::Reader<'_>,
+) -> Result<Result<budget::BudgetPortion, budget::BudgetEmpty>, WireError> {
+    use scheduler_capnp::portion_reply::Which;
+    match reader.which().map_err(unknown_variant)? {
+        Which::Portion(group) => Ok(Ok(budget::BudgetPortion {
+            tokens: units::TokenCount(group.get_tokens()),
+            life: time::Duration::from_millis(group.get_life_ms()),
+        })),
+        Which::EmptyMs(wait) => Ok(Err(budget::BudgetEmpty(time::Duration::from_millis(wait)))),
+    }
+}
+
+/// Writes a vote.
+pub fn write_vote(
+    mut builder: scheduler_capnp::vote_reply::Builder<'_>,
+    answer: &key_vote::VoteAnswer,
+) {
+    let narrow = |count: usize| u32::try_from(count).unwrap_or(u32::MAX);
+    match answer {
+        key_vote::VoteAnswer::Granted { group } => builder.set_granted(narrow(*group)),
+        key_vote::VoteAnswer::Abstained => builder.set_abstained(()),
+        key_vote::VoteAnswer::Taken(first) => builder.set_taken(first.as_str()),
+    }
+}
+
+/// Reads a vote.
+pub fn read_vote(
+    reader: scheduler_capnp::vote_reply::Reader<'_>,
+) -> Result<key_vote::VoteAnswer, WireError> {
+    use scheduler_capnp::vote_reply::Which;
+    Ok(match reader.which().map_err(unknown_variant)? {
+        Which::Granted(group) => key_vote::VoteAnswer::Granted { group: group as usize },
+        Which::Abstained(()) => key_vote::VoteAnswer::Abstained,
+        Which::Taken(first) => key_vote::VoteAnswer::Taken(read_name(first?)?),
+    })
+}
+
+/// Reads a text.
+pub fn read_text(reader: capnp::text::Reader<'_>) -> Result<&str, WireError> {
+    reader.to_str().context(TextSnafu)
+}
+
+/// Reads a name of any kind.
+pub fn read_name<T>(reader: capnp::text::Reader<'_>) -> Result<T, WireError>
+where
+    T: str::FromStr<Err = ids::NameError>,
+{
+    read_text(reader)?.parse().context(NameSnafu)
+}
+
+/// A length of time in whole milliseconds, as it travels.
+pub fn millis(span: time::Duration) -> u64 {
+    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+}
+
+fn unknown_variant(error: capnp::NotInSchema) -> WireError {
+    WireError::Variant { number: error.0 }
+}
