--- a/crates/core/src/budget.rs
+++ b/crates/core/src/budget.rs
@@ -14,7 +14,7 @@
 const PORTION_SPAN: time::Duration = time::Duration::from_millis(100);
 /// A bucket that has just been made holds what the limit gives in this time: a keeper that takes
 /// over must not hand out a whole burst a second time.
-const FRESH_SPAN: time::Duration = time::Duration::from_secs(1);
+const FRESH_SPAN: time::Duration = time::Duration::from_millis(250);
 /// A bucket unused for this long is forgotten.
 const IDLE_LIMIT: time::Duration = time::Duration::from_secs(60);
 
--- a/crates/core/src/fair_queue.rs
+++ b/crates/core/src/fair_queue.rs
@@ -28,10 +28,11 @@
 #[derive(Debug)]
 pub struct FairQueue<T> {
     items: Vec<QueueItem<T>>,
-    /// Tokens over weight that each customer has used. Invariant: never below `clock` for a
-    /// customer with waiting items, so that idling earns no credit.
+    /// Tokens over weight that each customer has used. Invariant: a customer that starts to wait
+    /// starts no lower than `clock`, so that idling earns no credit; while it waits, only service
+    /// moves it on. Present for all that wait.
     used: collections::HashMap<ids::CustomerId, f64>,
-    /// Virtual time: the start tag of the item served last. Never falls.
+    /// Virtual time: the least use among those that wait. Never falls.
     clock: f64,
 }
 
@@ -44,8 +45,11 @@
 impl<T> FairQueue<T> {
     /// Adds an item.
     pub fn push(&mut self, item: QueueItem<T>) {
-        let used = self.used.entry(item.customer.clone()).or_insert(self.clock);
-        *used = used.max(self.clock);
+        let waits = self.items.iter().any(|other| other.customer == item.customer);
+        if !waits {
+            let start = self.start_tag(&item.customer);
+            self.used.insert(item.customer.clone(), start);
+        }
         self.items.push(item);
     }
 
@@ -82,6 +86,7 @@
     pub fn remove_where(&mut self, mut leaves: impl FnMut(&T) -> bool) -> Vec<QueueItem<T>> {
         let (gone, kept) = self.items.drain(..).partition(|item| leaves(&item.payload));
         self.items = kept;
+        self.advance_clock();
         gone
     }
 
@@ -115,20 +120,37 @@
 
     fn take(&mut self, index: usize) -> QueueItem<T> {
         let item = self.items.remove(index);
-        let start = self.start_tag(&item.customer);
-        self.clock = self.clock.max(start);
-        self.used.insert(item.customer.clone(), start + item.cost.0 as f64 / item.weight);
-        // A customer behind the clock is treated like a new one, so it need not be remembered.
-        let clock = self.clock;
-        self.used.retain(|_, used| *used > clock);
+        let used = self.used.entry(item.customer.clone()).or_insert(self.clock);
+        *used += item.cost.0 as f64 / item.weight;
+        self.advance_clock();
         item
     }
 
+    fn advance_clock(&mut self) {
+        let waiting: collections::HashSet<_> =
+            self.items.iter().map(|item| &item.customer).collect();
+        let least = waiting.iter().filter_map(|customer| self.used.get(*customer)).copied();
+        let least = least.min_by(f64::total_cmp);
+        // With nobody waiting, the next to come starts level with whoever was served last.
+        let least = least.or_else(|| self.used.values().copied().max_by(f64::total_cmp));
+        self.clock = self.clock.max(least.unwrap_or(self.clock));
+        // An idle customer behind the clock is treated like a new one and need not be remembered.
+        let clock = self.clock;
+        self.used.retain(|customer, used| *used > clock || waiting.contains(customer));
+    }
+
+    /// Where a customer's next item starts: its use while it waits, else no lower than the clock.
     fn start_tag(&self, customer: &ids::CustomerId) -> f64 {
-        self.used.get(customer).copied().unwrap_or(self.clock).max(self.clock)
+        let used = self.used.get(customer).copied();
+        let waits = self.items.iter().any(|item| item.customer == *customer);
+        match used {
+            Some(used) if waits => used,
+            used => used.unwrap_or(self.clock).max(self.clock),
+        }
     }
 
     fn finish_tag(&self, item: &QueueItem<T>) -> f64 {
-        self.start_tag(&item.customer) + item.cost.0 as f64 / item.weight
+        let used = self.used.get(&item.customer).copied().unwrap_or(self.clock);
+        used + item.cost.0 as f64 / item.weight
     }
 }
--- a/crates/core/src/key_vote.rs
+++ b/crates/core/src/key_vote.rs
@@ -1,11 +1,12 @@
 //! At most one run for each idempotency key, without a leader, a log or stored state.
 //!
 //! Every instance remembers in memory, for `retention`, which request first asked it for a key. A
-//! request may run only with the votes of a majority of the key's voters: the instances that rank
-//! highest for the key among all that were listed at any time within the retention. Their number
-//! is [`GROUP_SIZE`] plus the instances that came or went in that time, so it does not grow with
-//! the fleet, and any two majorities share a voter that remembers. `docs/design/at-most-once.md`
-//! gives the argument, weighs the other ways and names the interleaving that is not covered.
+//! request may run only with the votes of a majority of the key's voters: the [`GROUP_SIZE`]
+//! instances that rank highest for the key among all that were listed at any time within the
+//! retention, those that have left included. So their number does not grow with the fleet, and any
+//! two majorities share a voter that remembers, whatever lists they were taken by.
+//! `docs/design/at-most-once.md` gives the argument, weighs the other ways and names the
+//! interleaving that is not covered.
 
 use std::{collections, time};
 
@@ -29,7 +30,7 @@
 /// How far two processes' copies of the published list may lie apart.
 pub const LIST_LAG: time::Duration = time::Duration::from_secs(30);
 
-/// Voters of a key while no instance comes or goes.
+/// Voters of a key, in a fleet that has as many instances.
 pub const GROUP_SIZE: usize = 7;
 
 /// An instance's answer to an ask.
@@ -124,7 +125,7 @@
         } else {
             self.firsts.insert(key.clone(), (asker.clone(), now));
         }
-        let group = self.group_size(now);
+        let group = self.listed.len().min(GROUP_SIZE);
         if self.remembers_whole_window(now) && self.rank(key) < group {
             VoteAnswer::Granted { group }
         } else {
@@ -159,12 +160,6 @@
         span.since.is_some_and(|since| now.since(since) >= self.window())
     }
 
-    /// Voters of any key: [`GROUP_SIZE`], and one for each instance that came or went lately.
-    fn group_size(&self, now: units::MonoTime) -> usize {
-        let changed = self.listed.values().filter(|span| !self.listed_whole_window(now, span));
-        (GROUP_SIZE + changed.count()).min(self.listed.len())
-    }
-
     /// How many of the instances listed lately rank before this one for a key.
     fn rank(&self, key: &ScopedKey) -> usize {
         let score = |name: &ids::InstanceId| rendezvous::stable_hash(&[&key.0, name.as_str()]);
--- /dev/null
+++ b/crates/core/tests/engine_ledger.rs
@@ -0,0 +1,324 @@
+//! The ledger of one engine: leases, queue order, what the engine says, lost and late messages.
+
+#![allow(clippy::unwrap_used)]
+
+use std::time;
+
+use slipturn_core::{engine_ledger, ids, refusal, settings, units};
+
+const CAPACITY: u64 = 100_000;
+const RATE: f64 = 50_000.0;
+
+fn at(millis: u64) -> units::MonoTime {
+    units::MonoTime(millis * 1_000)
+}
+
+fn name<T: std::str::FromStr>(text: &str) -> T
+where
+    T::Err: std::fmt::Debug,
+{
+    text.parse().unwrap()
+}
+
+fn ledger() -> engine_ledger::EngineLedger {
+    let options = settings::FleetOptions::default();
+    let (capacity, rate) = (units::TokenCount(CAPACITY), units::TokenRate(RATE));
+    let mut ledger = engine_ledger::EngineLedger::new(at(0), capacity, rate, options);
+    assert_eq!(ledger.report(at(0), &idle()), vec![]);
+    ledger
+}
+
+fn idle() -> engine_ledger::EngineReport {
+    engine_ledger::EngineReport { memory: units::TokenCount(CAPACITY), ..Default::default() }
+}
+
+fn holding(held: &[(&str, u64)]) -> engine_ledger::EngineReport {
+    let held = held.iter().map(|(attempt, tokens)| (name(attempt), units::TokenCount(*tokens)));
+    engine_ledger::EngineReport { held: held.collect(), ..idle() }
+}
+
+fn request(attempt: &str, prompt: u64, deadline_ms: u64) -> engine_ledger::PlaceRequest {
+    engine_ledger::PlaceRequest {
+        attempt: name(attempt),
+        entry: name("instance-1"),
+        boot: ids::BootId(1),
+        customer: name("bluebonnet"),
+        weight: 1.0,
+        prompt: units::TokenCount(prompt),
+        cached: units::TokenCount::ZERO,
+        output: units::TokenCount(100),
+        memory: units::TokenCount(prompt + 100),
+        grouped: false,
+        deadline: at(deadline_ms),
+        patience: at(deadline_ms),
+    }
+}
+
+fn granted(attempt: &str) -> engine_ledger::LedgerAction {
+    engine_ledger::LedgerAction::Grant(name(attempt))
+}
+
+fn cancelled(attempt: &str) -> engine_ledger::LedgerAction {
+    engine_ledger::LedgerAction::Cancel(name(attempt))
+}
+
+fn refusals(actions: &[engine_ledger::LedgerAction]) -> Vec<&refusal::RequestRefusal> {
+    let refused = |action| match action {
+        &engine_ledger::LedgerAction::Refuse(_, ref refusal) => Some(refusal),
+        _ => None,
+    };
+    actions.iter().filter_map(refused).collect()
+}
+
+#[test]
+fn an_engine_that_has_not_told_of_itself_gets_nothing() {
+    let options = settings::FleetOptions::default();
+    let (capacity, rate) = (units::TokenCount(CAPACITY), units::TokenRate(RATE));
+    let mut ledger = engine_ledger::EngineLedger::new(at(0), capacity, rate, options);
+    let actions = ledger.enqueue(at(0), request("a:1:1:1", 1_000, 60_000));
+    assert_eq!(refusals(&actions)[0].code, refusal::RefusalCode::NoUpstream);
+}
+
+#[test]
+fn a_scheduler_that_wakes_late_grants_nothing_before_a_fresh_report() {
+    let mut ledger = ledger();
+    assert_eq!(
+        ledger.enqueue(at(0), request("a:1:2:1", 60_000, 600_000)),
+        vec![granted("a:1:2:1")]
+    );
+    assert_eq!(ledger.enqueue(at(0), request("a:1:3:1", 60_000, 600_000)), vec![]);
+    // Frozen for a minute; the release arrives first, from the socket's buffer.
+    assert_eq!(ledger.release(at(60_000), &name("a:1:2:1")), vec![]);
+    assert_eq!(ledger.waiting(), 1);
+    // Another scheduler has filled the engine meanwhile.
+    assert_eq!(ledger.report(at(60_010), &holding(&[("b:1:1:1", 80_000)])), vec![]);
+    assert_eq!(ledger.running(), 0);
+    let actions = ledger.report(at(60_500), &idle());
+    assert_eq!(actions, vec![granted("a:1:3:1")]);
+}
+
+#[test]
+fn a_request_too_large_for_the_engine_is_refused_at_once() {
+    let mut ledger = ledger();
+    let actions = ledger.enqueue(at(0), request("a:1:1:1", 90_000, 600_000));
+    assert_eq!(refusals(&actions)[0].code, refusal::RefusalCode::TooLarge);
+    assert_eq!(refusals(&actions)[0].ran, refusal::RanState::No);
+}
+
+#[test]
+fn the_same_request_twice_takes_one_lease() {
+    let mut ledger = ledger();
+    assert_eq!(ledger.enqueue(at(0), request("a:1:1:1", 1_000, 60_000)), vec![granted("a:1:1:1")]);
+    assert_eq!(ledger.enqueue(at(1), request("a:1:1:1", 1_000, 60_000)), vec![]);
+    assert_eq!(ledger.running(), 1);
+    assert_eq!(ledger.free(), units::TokenCount(CAPACITY - 1_100));
+}
+
+#[test]
+fn a_release_may_come_twice_late_or_for_nothing() {
+    let mut ledger = ledger();
+    ledger.enqueue(at(0), request("a:1:1:1", 1_000, 60_000));
+    ledger.release(at(5), &name("a:1:1:1"));
+    ledger.release(at(6), &name("a:1:1:1"));
+    ledger.release(at(7), &name("never:1:1:1"));
+    assert_eq!(ledger.free(), units::TokenCount(CAPACITY));
+    // A renewal that was on its way does not bring the lease back.
+    ledger.renew(at(8), &name("instance-1"), ids::BootId(1), &[request("a:1:1:1", 1_000, 60_000)]);
+    assert_eq!(ledger.running(), 0);
+}
+
+#[test]
+fn shorts_find_the_headroom_that_longer_ones_leave() {
+    let mut ledger = ledger();
+    assert_eq!(
+        ledger.enqueue(at(0), request("a:1:1:1", 60_000, 600_000)),
+        vec![granted("a:1:1:1")]
+    );
+    assert_eq!(ledger.enqueue(at(1), request("a:1:2:1", 25_000, 600_000)), vec![]);
+    assert_eq!(ledger.enqueue(at(2), request("a:1:3:1", 3_000, 60_000)), vec![granted("a:1:3:1")]);
+}
+
+#[test]
+fn memory_drains_towards_the_overdue_while_shorts_go_on() {
+    let mut ledger = ledger();
+    ledger.enqueue(at(0), request("a:1:1:1", 60_000, 600_000));
+    // It has 20 s of time, so that it is overdue after some 8.
+    ledger.enqueue(at(0), request("a:1:2:1", 60_000, 20_000));
+    for millis in (500..9_500).step_by(500) {
+        ledger.report(at(millis), &holding(&[("a:1:1:1", 60_100)]));
+        ledger.renew(
+            at(millis),
+            &name("instance-1"),
+            ids::BootId(1),
+            &[request("a:1:1:1", 60_000, 600_000)],
+        );
+    }
+    assert_eq!(ledger.enqueue(at(9_500), request("a:1:3:1", 20_000, 600_000)), vec![]);
+    assert_eq!(
+        ledger.enqueue(at(9_500), request("a:1:4:1", 3_000, 600_000)),
+        vec![granted("a:1:4:1")]
+    );
+    let actions = ledger.release(at(9_600), &name("a:1:1:1"));
+    assert_eq!(actions, vec![granted("a:1:2:1"), granted("a:1:3:1")]);
+}
+
+#[test]
+fn what_cannot_finish_in_time_is_refused_at_once_with_a_time_to_come_back() {
+    let mut ledger = ledger();
+    for number in 0..6 {
+        ledger.enqueue(at(0), request(&format!("a:1:{number}:1"), 50_000, 600_000));
+    }
+    let actions = ledger.enqueue(at(0), request("b:1:1:1", 50_000, 5_000));
+    let refused = refusals(&actions);
+    assert_eq!(refused[0].code, refusal::RefusalCode::Overloaded);
+    assert_eq!(refused[0].ran, refusal::RanState::No);
+    assert!(refused[0].retry_after.unwrap() > time::Duration::ZERO);
+}
+
+#[test]
+fn what_waits_past_its_latest_start_is_refused_then_and_not_later() {
+    let mut ledger = ledger();
+    ledger.enqueue(at(0), request("a:1:1:1", 60_000, 600_000));
+    assert_eq!(ledger.enqueue(at(0), request("a:1:2:1", 60_000, 30_000)), vec![]);
+    // 1.2 s of prefill and 3 s of answer: it must start by 25.8 s.
+    ledger.report(at(25_700), &holding(&[("a:1:1:1", 60_100)]));
+    ledger.renew(
+        at(25_700),
+        &name("instance-1"),
+        ids::BootId(1),
+        &[request("a:1:1:1", 60_000, 600_000)],
+    );
+    assert_eq!(ledger.waiting(), 1);
+    let actions = ledger.advance(at(25_800));
+    assert_eq!(refusals(&actions).len(), 1);
+    assert_eq!(ledger.waiting(), 0);
+}
+
+#[test]
+fn what_no_lease_explains_is_cancelled_after_the_grace_until_the_engine_confirms() {
+    let mut ledger = ledger();
+    let lost = holding(&[("lost:1:1:1", 40_000)]);
+    assert_eq!(ledger.report(at(1_000), &lost), vec![]);
+    assert_eq!(ledger.free(), units::TokenCount(CAPACITY - 40_000));
+    assert_eq!(ledger.report(at(15_900), &lost), vec![]);
+    assert_eq!(ledger.report(at(16_000), &lost), vec![cancelled("lost:1:1:1")]);
+    // The cancel is lost on its way.
+    assert_eq!(ledger.report(at(16_500), &lost), vec![cancelled("lost:1:1:1")]);
+    assert_eq!(ledger.report(at(17_000), &idle()), vec![]);
+    assert_eq!(ledger.free(), units::TokenCount(CAPACITY));
+}
+
+#[test]
+fn a_released_attempt_that_the_engine_still_holds_is_cancelled_soon() {
+    let mut ledger = ledger();
+    ledger.enqueue(at(0), request("a:1:1:1", 40_000, 600_000));
+    ledger.release(at(1_000), &name("a:1:1:1"));
+    // A report from before the release says nothing.
+    let old = engine_ledger::EngineReport {
+        age: time::Duration::from_secs(1),
+        ..holding(&[("a:1:1:1", 40_100)])
+    };
+    assert_eq!(ledger.report(at(1_500), &old), vec![]);
+    assert_eq!(ledger.free(), units::TokenCount(CAPACITY));
+    let fresh = holding(&[("a:1:1:1", 40_100)]);
+    assert_eq!(ledger.report(at(3_100), &fresh), vec![cancelled("a:1:1:1")]);
+    assert_eq!(ledger.free(), units::TokenCount(CAPACITY - 40_100));
+}
+
+#[test]
+fn a_new_ledger_adopts_what_entries_still_stream() {
+    let mut ledger = ledger();
+    let held = holding(&[("a:1:1:1", 40_100)]);
+    ledger.report(at(100), &held);
+    let streaming = [request("a:1:1:1", 40_000, 600_000)];
+    ledger.renew(at(200), &name("instance-1"), ids::BootId(1), &streaming);
+    assert_eq!((ledger.running(), ledger.orphan_count()), (1, 0));
+    for millis in (4_000..60_000).step_by(4_000) {
+        assert_eq!(ledger.report(at(millis), &held), vec![]);
+        ledger.renew(at(millis), &name("instance-1"), ids::BootId(1), &streaming);
+    }
+    assert_eq!(ledger.free(), units::TokenCount(CAPACITY - 40_100));
+}
+
+#[test]
+fn leases_of_an_entry_that_started_again_end_with_its_first_renewal() {
+    let mut ledger = ledger();
+    ledger.enqueue(at(0), request("a:1:1:1", 40_000, 600_000));
+    ledger.renew(at(500), &name("instance-1"), ids::BootId(2), &[]);
+    assert_eq!(ledger.running(), 0);
+    // The memory counts as free only when the engine says so.
+    assert_eq!(ledger.free(), units::TokenCount(CAPACITY - 40_100));
+    let held = holding(&[("a:1:1:1", 40_100)]);
+    assert_eq!(ledger.report(at(3_000), &held), vec![cancelled("a:1:1:1")]);
+    ledger.report(at(3_500), &idle());
+    assert_eq!(ledger.free(), units::TokenCount(CAPACITY));
+}
+
+#[test]
+fn leases_of_a_silent_entry_end_after_the_grace() {
+    let mut ledger = ledger();
+    ledger.enqueue(at(0), request("a:1:1:1", 40_000, 600_000));
+    assert_eq!(ledger.advance(at(14_900)), vec![]);
+    assert_eq!(ledger.advance(at(15_000)), vec![cancelled("a:1:1:1")]);
+}
+
+#[test]
+fn a_lease_ends_soon_after_its_time_limit_whatever_its_entry_says() {
+    let mut ledger = ledger();
+    ledger.enqueue(at(0), request("a:1:1:1", 40_000, 9_000));
+    for millis in (1_000..11_000).step_by(1_000) {
+        ledger.renew(
+            at(millis),
+            &name("instance-1"),
+            ids::BootId(1),
+            &[request("a:1:1:1", 40_000, 9_000)],
+        );
+        assert_eq!(ledger.running(), 1);
+    }
+    assert_eq!(ledger.advance(at(11_000)), vec![cancelled("a:1:1:1")]);
+}
+
+#[test]
+fn a_leaving_engine_refuses_what_waits_and_what_comes() {
+    let mut ledger = ledger();
+    ledger.enqueue(at(0), request("a:1:1:1", 60_000, 600_000));
+    ledger.enqueue(at(0), request("a:1:2:1", 60_000, 600_000));
+    let leaving = engine_ledger::EngineReport { draining: true, ..holding(&[("a:1:1:1", 60_100)]) };
+    let actions = ledger.report(at(500), &leaving);
+    assert_eq!(refusals(&actions)[0].code, refusal::RefusalCode::NoUpstream);
+    assert_eq!(refusals(&actions)[0].ran, refusal::RanState::No);
+    let actions = ledger.enqueue(at(600), request("a:1:3:1", 1_000, 600_000));
+    assert_eq!(refusals(&actions).len(), 1);
+    // What runs there goes on.
+    assert_eq!(ledger.running(), 1);
+}
+
+#[test]
+fn two_groups_are_never_on_one_engine_and_the_later_waits_no_longer_than_it_would() {
+    let mut ledger = ledger();
+    let grouped = |attempt: &str, patience: u64| engine_ledger::PlaceRequest {
+        grouped: true,
+        memory: units::TokenCount(30_000),
+        patience: at(patience),
+        ..request(attempt, 60_000, 600_000)
+    };
+    assert_eq!(ledger.enqueue(at(0), grouped("a:1:1:1", 20_000)), vec![granted("a:1:1:1")]);
+    assert_eq!(ledger.enqueue(at(0), grouped("b:1:1:1", 2_000)), vec![]);
+    let actions = ledger.advance(at(2_000));
+    assert_eq!(refusals(&actions).len(), 1);
+    assert_eq!(ledger.enqueue(at(2_000), grouped("b:1:2:1", 600_000)), vec![]);
+    ledger.report(at(2_500), &holding(&[("a:1:1:1", 30_000)]));
+    assert_eq!(ledger.release(at(2_600), &name("a:1:1:1")), vec![granted("b:1:2:1")]);
+}
+
+#[test]
+fn the_expected_first_token_counts_work_that_others_sent() {
+    let mut ledger = ledger();
+    let asked = request("a:1:1:1", 2_000, 60_000);
+    let before = ledger.offer(at(0), &asked).unwrap().first_token;
+    let loaded =
+        engine_ledger::EngineReport { prefill_backlog: units::TokenCount(50_000), ..idle() };
+    ledger.report(at(0), &loaded);
+    let after = ledger.offer(at(0), &asked).unwrap().first_token;
+    assert_eq!(after - before, time::Duration::from_secs(1));
+}
--- /dev/null
+++ b/crates/core/tests/fair_queue.rs
@@ -0,0 +1,95 @@
+//! Order of service between and within customers.
+
+#![allow(clippy::unwrap_used)]
+
+use slipturn_core::{fair_queue, ids, units};
+
+fn item(
+    customer: &str,
+    weight: f64,
+    cost: u64,
+    overdue: u64,
+    payload: u32,
+) -> fair_queue::QueueItem<u32> {
+    let customer: ids::CustomerId = customer.parse().unwrap();
+    let (cost, overdue) = (units::TokenCount(cost), units::MonoTime(overdue));
+    fair_queue::QueueItem { customer, weight, cost, overdue, payload }
+}
+
+fn drain(queue: &mut fair_queue::FairQueue<u32>, now: u64) -> Vec<u32> {
+    std::iter::from_fn(|| queue.pop_where(units::MonoTime(now), |_, _| true))
+        .map(|item| item.payload)
+        .collect()
+}
+
+const LATER: u64 = u64::MAX - 1;
+
+#[test]
+fn within_a_customer_the_shortest_goes_first() {
+    let mut queue = fair_queue::FairQueue::default();
+    for (cost, payload) in [(900, 1), (10, 2), (100, 3)] {
+        queue.push(item("a", 1.0, cost, LATER, payload));
+    }
+    assert_eq!(drain(&mut queue, 0), vec![2, 3, 1]);
+}
+
+#[test]
+fn a_flood_falls_behind_everybody_else() {
+    let mut queue = fair_queue::FairQueue::default();
+    for number in 0..100 {
+        queue.push(item("flood", 1.0, 100, LATER, number));
+    }
+    for _ in 0..10 {
+        queue.pop_where(units::MonoTime(0), |_, _| true).unwrap();
+    }
+    queue.push(item("small", 1.0, 100, LATER, 1_000));
+    // A newcomer starts level with the flood, so at most one item of the flood goes before it.
+    assert!(drain(&mut queue, 0)[..2].contains(&1_000));
+}
+
+#[test]
+fn weights_share_the_service_out() {
+    let mut queue = fair_queue::FairQueue::default();
+    for number in 0..60 {
+        queue.push(item("heavy", 3.0, 100, LATER, number));
+        queue.push(item("light", 1.0, 100, LATER, 100 + number));
+    }
+    let served = drain(&mut queue, 0);
+    let heavy = served[..40].iter().filter(|payload| **payload < 100).count();
+    assert_eq!(heavy, 30);
+}
+
+#[test]
+fn idling_earns_no_credit() {
+    let mut queue = fair_queue::FairQueue::default();
+    for number in 0..50 {
+        queue.push(item("busy", 1.0, 100, LATER, number));
+    }
+    for _ in 0..25 {
+        queue.pop_where(units::MonoTime(0), |_, _| true).unwrap();
+    }
+    for number in 100..125 {
+        queue.push(item("idler", 1.0, 100, LATER, number));
+    }
+    let served = drain(&mut queue, 0);
+    let idler = served[..20].iter().filter(|payload| **payload >= 100).count();
+    assert!((9..=11).contains(&idler), "the idler got {idler} of 20");
+}
+
+#[test]
+fn the_overdue_go_first_the_longest_overdue_before_all() {
+    let mut queue = fair_queue::FairQueue::default();
+    queue.push(item("a", 1.0, 10, LATER, 1));
+    queue.push(item("a", 1.0, 90_000, 50, 2));
+    queue.push(item("b", 1.0, 90_000, 40, 3));
+    assert_eq!(drain(&mut queue, 60), vec![3, 2, 1]);
+}
+
+#[test]
+fn what_does_not_fit_is_passed_over_and_stays() {
+    let mut queue = fair_queue::FairQueue::default();
+    queue.push(item("a", 1.0, 10, LATER, 1));
+    queue.push(item("a", 1.0, 20, LATER, 2));
+    let taken = queue.pop_where(units::MonoTime(0), |item, _| item.payload != 1).unwrap();
+    assert_eq!((taken.payload, queue.len()), (2, 1));
+}
