Try the front with real processes: each refusal provoked

Cause: the front's answers were only looked at by hand.

Found, each red first: - A body refused unread (413) was followed by a close with unread data; the connection was reset and the caller lost the answer (broken pipe in each_refusal_says_what_it_is_and_that_nothing_ran). The entry now reads and drops what still comes, up to 64 MiB or 2 s, before it closes. - The library shares a listening address with any other process that asks for it; a second entry on one address would have taken half the callers.

--- a/crates/core/tests/engine_ledger.rs
+++ b/crates/core/tests/engine_ledger.rs
@@ -63,11 +63,13 @@
 }
 
 fn refusals(actions: &[engine_ledger::LedgerAction]) -> Vec<&refusal::RequestRefusal> {
-    let refused = |action| match action {
-        &engine_ledger::LedgerAction::Refuse(_, ref refusal) => Some(refusal),
-        _ => None,
-    };
-    actions.iter().filter_map(refused).collect()
+    let mut refused = Vec::new();
+    for action in actions {
+        if let engine_ledger::LedgerAction::Refuse(_, refusal) = action {
+            refused.push(refusal);
+        }
+    }
+    refused
 }
 
 #[test]
--- a/crates/entry/src/caller_connection.rs
+++ b/crates/entry/src/caller_connection.rs
@@ -61,6 +61,7 @@
     if let Err(error) = connection.respond(answer::refusal_answer(&names, &refusal)).await {
         log::debug!("caller: {error}");
     }
+    connection.linger().await;
 }
 
 async fn serve_one(
@@ -76,6 +77,7 @@
         Err(refusal) => {
             // What is left of the body would be taken for the next request.
             connection.respond(answer::refusal_answer(&names, &refusal)).await?;
+            connection.linger().await;
             return Ok(RequestEnd::Close);
         }
     };
--- a/crates/entry/src/program.rs
+++ b/crates/entry/src/program.rs
@@ -118,7 +118,7 @@
 }
 
 fn listen(address: net::SocketAddr) -> Result<monoio::net::TcpListener, ProgramError> {
-    monoio::net::TcpListener::bind(address).context(ListenSnafu { address })
+    process::listen(address).context(ListenSnafu { address })
 }
 
 async fn finish_requests(context: &request_context::EntryContext) {
--- a/crates/net/src/http_server.rs
+++ b/crates/net/src/http_server.rs
@@ -8,8 +8,8 @@
 use bytes::{BufMut as _, Bytes, BytesMut};
 use monoio::{
     io::{
-        AsyncWriteRent as _, AsyncWriteRentExt as _, OwnedReadHalf, OwnedWriteHalf, Splitable as _,
-        sink::SinkExt as _,
+        AsyncReadRent as _, AsyncWriteRent as _, AsyncWriteRentExt as _, OwnedReadHalf,
+        OwnedWriteHalf, Splitable as _, sink::SinkExt as _,
     },
     net,
 };
@@ -28,6 +28,13 @@
 /// Longest pause between two requests on a connection.
 const IDLE_LIMIT: time::Duration = time::Duration::from_secs(75);
 
+/// Bytes of an unwanted body that are read and dropped.
+const LINGER_BYTES: u64 = 64 << 20;
+/// Time for reading and dropping them.
+const LINGER_LIMIT: time::Duration = time::Duration::from_secs(2);
+/// Bytes read at once.
+const LINGER_BUFFER: usize = 64 * 1024;
+
 type HeadDecoder = decoder::GenericHeadDecoder<
     request::RequestHead,
     decoder::RequestHeadDecoder,
@@ -204,6 +211,27 @@
         self.write_all(Bytes::from_static(b"0\r\n\r\n")).await
     }
 
+    /// Reads and drops what the caller still sends, for a while, before the connection is closed.
+    ///
+    /// A socket closed with unread data resets the connection, and the caller may lose the answer
+    /// that it was just sent.
+    pub async fn linger(&mut self) {
+        self.allowance.set(LINGER_BYTES);
+        let reader = &mut self.reader;
+        let dropping = async {
+            let mut buffer = vec![0; LINGER_BUFFER];
+            loop {
+                let (result, returned) = reader.read(buffer).await;
+                buffer = returned;
+                if !matches!(result, Ok(count) if count > 0) {
+                    return;
+                }
+            }
+        };
+        // A caller that takes longer has had its answer for as long.
+        let _ = monoio::time::timeout(LINGER_LIMIT, dropping).await;
+    }
+
     /// Runs `work` unless the caller goes away first; `None` then.
     ///
     /// A caller that sends something while it waits for its answer is not gone; what it sent stays
--- a/crates/net/src/process.rs
+++ b/crates/net/src/process.rs
@@ -1,7 +1,7 @@
 //! Matters of a whole process: its clock, its event loop, and its planned stop.
 
 use std::{
-    io,
+    io, net,
     sync::{self, atomic},
     time,
 };
@@ -47,6 +47,15 @@
     Ok(runtime.block_on(work))
 }
 
+/// Listens on an address that nobody else listens on.
+///
+/// The library would share it with another process by default, and callers would then reach
+/// either.
+pub fn listen(address: net::SocketAddr) -> io::Result<monoio::net::TcpListener> {
+    let options = monoio::net::ListenerOpts::new().reuse_port(false).reuse_addr(true);
+    monoio::net::TcpListener::bind_with_config(address, &options)
+}
+
 /// Whether a planned stop was asked for, by SIGTERM, SIGINT or an operator.
 #[derive(Debug, Clone)]
 pub struct StopSignal(sync::Arc<atomic::AtomicBool>);
--- a/crates/scheduler/src/program.rs
+++ b/crates/scheduler/src/program.rs
@@ -49,7 +49,7 @@
     let sender =
         metrics::MetricSender::new("slipturn.scheduler", local.statsd).context(MetricsSnafu)?;
     let address = local.listen.scheduler;
-    let listener = monoio::net::TcpListener::bind(address).context(ListenSnafu { address })?;
+    let listener = process::listen(address).context(ListenSnafu { address })?;
     let (events, incoming) = mpsc::unbounded();
 
     let identity = state::SchedulerIdentity {
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -85,8 +85,7 @@
     let checks_keys = matches.opt_present("checks-keys");
     let kind = matches.free.first().map(String::as_str).unwrap_or_default().to_owned();
     let serving = async move {
-        let listener =
-            monoio::net::TcpListener::bind(address).map_err(|error| error.to_string())?;
+        let listener = own_process::listen(address).map_err(|error| error.to_string())?;
         match kind.as_str() {
             "engine" => engine::run(listener, shape).await,
             "service" => service::run(listener, checks_keys).await,
--- /dev/null
+++ b/crates/trial/src/main.rs
@@ -0,0 +1,66 @@
+//! Every role in one program, because cargo hands a test only the programs of its own package.
+//!
+//! `slipturn-trial entry|scheduler FILE` and `slipturn-trial engine|service|service-checking|
+//! platform ADDRESS`.
+
+use std::{net, path, process, time};
+
+use slipturn_net::{local_settings, logging, process as own_process};
+use slipturn_standin::{engine, engine_model, platform, service};
+
+fn main() -> process::ExitCode {
+    let words: Vec<String> = std::env::args().skip(1).collect();
+    let [role, argument] = words.as_slice() else {
+        eprintln!("slipturn-trial: expected a role and its argument");
+        return process::ExitCode::from(2);
+    };
+    match run(role, argument) {
+        Ok(()) => process::ExitCode::SUCCESS,
+        Err(text) => {
+            eprintln!("slipturn-trial: {text}");
+            process::ExitCode::FAILURE
+        }
+    }
+}
+
+fn run(role: &str, argument: &str) -> Result<(), String> {
+    match role {
+        "entry" | "scheduler" => run_instance(role == "entry", path::Path::new(argument)),
+        _ => run_standin(role, argument.parse().map_err(|_| "not an address".to_owned())?),
+    }
+}
+
+fn run_instance(entry: bool, file: &path::Path) -> Result<(), String> {
+    let local = local_settings::LocalSettings::load(file).map_err(|error| error.to_string())?;
+    logging::install(&local.log).map_err(|error| error.to_string())?;
+    let run = async move {
+        if entry {
+            slipturn_entry::program::run(local).await.map_err(|error| error.to_string())
+        } else {
+            slipturn_scheduler::program::run(local).await.map_err(|error| error.to_string())
+        }
+    };
+    own_process::run(run).map_err(|error| error.to_string())?
+}
+
+fn run_standin(role: &str, address: net::SocketAddr) -> Result<(), String> {
+    let shape = engine_model::EngineShape {
+        memory: 100_000,
+        prefill_rate: 200_000.0,
+        token_time: time::Duration::from_millis(5),
+        batch_knee: 64.0,
+    };
+    let role = role.to_owned();
+    let run = async move {
+        let listener = own_process::listen(address).map_err(|error| error.to_string())?;
+        match role.as_str() {
+            "engine" => engine::run(listener, shape).await,
+            "service" => service::run(listener, false).await,
+            "service-checking" => service::run(listener, true).await,
+            "platform" => platform::run(listener).await,
+            other => return Err(format!("'{other}' is no role")),
+        }
+        Ok(())
+    };
+    own_process::run(run).map_err(|error| error.to_string())?
+}
--- /dev/null
+++ b/crates/trial/tests/front.rs
@@ -0,0 +1,258 @@
+//! The front of the product: each way of asking, and each refusal, provoked.
+
+#![allow(clippy::unwrap_used)]
+
+mod support;
+
+use std::{io, io::Write as _, thread, time};
+
+use serde_json::json;
+use support::{Fleet, FleetShape};
+
+fn entry(fleet: &Fleet) -> std::net::SocketAddr {
+    fleet.instances[0].entry.address
+}
+
+#[test]
+fn streamed_and_whole_answers_models_and_explanations() {
+    let fleet = Fleet::start(&FleetShape { instances: 2, engines: 2, ..Default::default() });
+    let body = support::prompt_body("hello", 500, 20, true);
+    let answer =
+        support::complete_with(entry(&fleet), &body, &[("x-request-id", "mine-1")]).unwrap();
+    assert!(support::is_whole_answer(&answer, &body), "{}", answer.text());
+    assert_eq!(answer.headers["x-request-id"], "mine-1");
+    assert!(answer.text().ends_with("data: [DONE]\n\n"));
+
+    let whole = support::prompt_body("hello", 500, 20, false);
+    let whole = support::complete(entry(&fleet), &whole).unwrap();
+    assert_eq!(whole.status, 200);
+    assert!(whole.json()["choices"][0]["message"]["content"].as_str().unwrap().contains("-19 "));
+
+    let models = support::get(entry(&fleet), "/v1/models").unwrap().json();
+    assert_eq!(models["data"][0]["id"], "invitation");
+
+    // Any instance explains, by slipturn's id and by the caller's.
+    let id = &answer.headers["slipturn-request-id"];
+    for instance in &fleet.instances {
+        for id in [id.as_str(), "mine-1"] {
+            let record = support::until("the record is there", || {
+                let found =
+                    support::get(instance.operators, &format!("/v1/decisions/{id}")).ok()?;
+                (found.status == 200).then(|| found.json())
+            });
+            assert_eq!(record["end"], "answered");
+            assert_eq!(record["customer"], "bluebonnet");
+            assert!(record["attempts"][0]["reason"].as_str().unwrap().contains("earliest"));
+            assert!(record["settings"].as_array().unwrap().iter().any(|row| {
+                row["option"] == "time_limit" && row["source"] == "fleet" && row["value"] == "20s"
+            }));
+        }
+    }
+    let rows = support::get(fleet.instances[0].operators, "/v1/histograms").unwrap().json();
+    let rows = rows.as_array().unwrap();
+    assert!(rows.iter().any(|row| row["series"] == "customer/bluebonnet"));
+    assert!(rows.iter().any(|row| row["series"] == "class/-/up_to_2k"));
+    let path = "/v1/settings?customer=bluebonnet&application=drafts&prompt=10";
+    let resolved = support::get(fleet.instances[0].operators, path).unwrap().json();
+    assert_eq!(resolved["version"], 1);
+    let unknown = support::get(fleet.instances[0].operators, "/v1/decisions/nobody:1:1").unwrap();
+    assert_eq!(unknown.status, 404);
+}
+
+#[test]
+fn a_connection_takes_one_request_after_the_other() {
+    let fleet = Fleet::start(&FleetShape::default());
+    let stream = support::connect(entry(&fleet)).unwrap();
+    let mut reader = io::BufReader::new(stream.try_clone().unwrap());
+    let mut writer = stream;
+    for number in 0..5 {
+        let body = support::prompt_body(&format!("turn {number}"), 100, 5, number % 2 == 0);
+        let bearer = format!("Bearer {}", support::KEY);
+        let headers = [("authorization", bearer.as_str())];
+        let text = body.to_string();
+        support::send(&mut writer, "POST", "/v1/chat/completions", &headers, text.as_bytes())
+            .unwrap();
+        let answer = support::read_answer(&mut reader).unwrap();
+        assert_eq!(answer.status, 200);
+    }
+}
+
+#[test]
+fn each_refusal_says_what_it_is_and_that_nothing_ran() {
+    let fleet = Fleet::start(&FleetShape { services: 1, ..Default::default() });
+    let address = entry(&fleet);
+    let body = support::prompt_body("x", 10, 5, true);
+    let text = body.to_string();
+    let bearer = ("authorization", "Bearer key-1");
+    let path = "/v1/chat/completions";
+    let huge = vec![b' '; 3 << 20];
+    let long =
+        support::prompt_body("x", 10, 5, true).to_string().replace("abc ", &"abc ".repeat(300_000));
+    let other_model = text.replace("\"invitation\"", "\"poetry\"");
+    let cases: Vec<(&str, &str, Vec<(&str, &str)>, &[u8], u16, &str)> = vec![
+        ("POST", path, vec![bearer], b"{", 400, "bad_request"),
+        ("POST", path, vec![bearer], b"{\"model\":\"invitation\"}", 400, "bad_request"),
+        (
+            "POST",
+            path,
+            vec![bearer, ("slipturn-timeout-ms", "soon")],
+            text.as_bytes(),
+            400,
+            "bad_request",
+        ),
+        ("POST", path, vec![], text.as_bytes(), 401, "unauthorized"),
+        (
+            "POST",
+            path,
+            vec![("authorization", "Bearer key-2")],
+            text.as_bytes(),
+            401,
+            "unauthorized",
+        ),
+        ("GET", "/nowhere", vec![bearer], b"", 404, "not_found"),
+        ("POST", path, vec![bearer], other_model.as_bytes(), 404, "not_found"),
+        ("GET", "/services/weather/today", vec![bearer], b"", 404, "not_found"),
+        ("POST", path, vec![bearer], &huge, 413, "too_large"),
+        ("POST", path, vec![bearer], long.as_bytes(), 413, "too_large"),
+    ];
+    for (method, path, headers, body, status, code) in cases {
+        let answer = support::request(address, method, path, &headers, body).unwrap();
+        assert_eq!((answer.status, answer.code().as_str()), (status, code), "{}", answer.text());
+        assert_eq!(answer.ran(), "no", "{}", answer.text());
+    }
+    let started = support::counts(fleet.engines[0].address)["started"].clone();
+    assert_eq!(started, json!({}));
+}
+
+#[test]
+fn a_request_that_states_two_lengths_is_refused() {
+    let fleet = Fleet::start(&FleetShape::default());
+    let mut stream = support::connect(entry(&fleet)).unwrap();
+    let head = "POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\ncontent-length: 4\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n";
+    stream.write_all(head.as_bytes()).unwrap();
+    let answer = support::read_answer(&mut io::BufReader::new(stream)).unwrap();
+    assert_eq!((answer.status, answer.code().as_str()), (400, "bad_request"));
+}
+
+#[test]
+fn a_body_that_does_not_arrive_is_given_up() {
+    let fleet = Fleet::start(&FleetShape::default());
+    let mut stream = support::connect(entry(&fleet)).unwrap();
+    let head = "POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\ncontent-length: 400\r\n\r\n{";
+    stream.write_all(head.as_bytes()).unwrap();
+    let answer = support::read_answer(&mut io::BufReader::new(stream)).unwrap();
+    assert_eq!((answer.status, answer.code().as_str()), (408, "body_timeout"));
+}
+
+#[test]
+fn bodies_held_at_once_are_bounded() {
+    let fleet = Fleet::start(&FleetShape::default());
+    // Two bodies of up to 2 MiB on their way fill the 4 MiB of this instance.
+    let waiting: Vec<_> = (0..2)
+        .map(|_| {
+            let mut stream = support::connect(entry(&fleet)).unwrap();
+            let head =
+                "POST /v1/completions HTTP/1.1\r\nhost: x\r\ncontent-length: 2097152\r\n\r\n{";
+            stream.write_all(head.as_bytes()).unwrap();
+            stream
+        })
+        .collect();
+    thread::sleep(time::Duration::from_millis(200));
+    let body = support::prompt_body("x", 10, 5, true);
+    let answer = support::complete(entry(&fleet), &body).unwrap();
+    assert_eq!((answer.status, answer.code().as_str()), (503, "out_of_memory"));
+    assert!(answer.headers.contains_key("retry-after"));
+    drop(waiting);
+    support::until("the memory is free again", || {
+        let answer = support::complete(entry(&fleet), &body).ok()?;
+        (answer.status == 200).then_some(())
+    });
+}
+
+#[test]
+fn a_customer_past_its_budget_is_told_when_to_come_back() {
+    let defaults =
+        "{time_limit: 20s, max_output_tokens: 400, token_rate: 100.0, token_burst: 1000}";
+    let fleet = Fleet::start(&FleetShape { defaults, ..Default::default() });
+    let body = support::prompt_body("x", 500, 100, true);
+    assert_eq!(support::complete(entry(&fleet), &body).unwrap().status, 200);
+    let answer = support::complete(entry(&fleet), &body).unwrap();
+    assert_eq!((answer.status, answer.code().as_str()), (429, "over_budget"));
+    let wait = answer.json()["error"]["retry_after_ms"].as_u64().unwrap();
+    assert!((4_000..16_000).contains(&wait), "{wait}");
+}
+
+#[test]
+fn an_answer_that_would_come_too_late_is_refused_at_once() {
+    let fleet = Fleet::start(&FleetShape::default());
+    let body = support::prompt_body("x", 500, 400, true);
+    let started = time::Instant::now();
+    let limit = [("slipturn-timeout-ms", "3000")];
+    let answer = support::complete_with(entry(&fleet), &body, &limit).unwrap();
+    assert_eq!((answer.status, answer.code().as_str()), (503, "overloaded"), "{}", answer.text());
+    assert_eq!(answer.ran(), "no");
+    // The limit is 3 s; an answer held back until then would take that long.
+    assert!(started.elapsed() < time::Duration::from_secs(2));
+    // A caller may shorten its limit, not lengthen it.
+    let answer = support::complete_with(entry(&fleet), &body, &[("slipturn-timeout-ms", "900000")]);
+    let id = answer.unwrap().headers["slipturn-request-id"].clone();
+    let record = support::until("the record is there", || {
+        let found =
+            support::get(fleet.instances[0].operators, &format!("/v1/decisions/{id}")).ok()?;
+        (found.status == 200).then(|| found.json())
+    });
+    let rows = record["settings"].as_array().unwrap();
+    assert!(rows.iter().any(|row| row["option"] == "time_limit" && row["value"] == "20s"));
+}
+
+#[test]
+fn a_prompt_larger_than_an_engine_is_served_by_a_group() {
+    let fleet = Fleet::start(&FleetShape {
+        engines: 9,
+        fleet: "{orphan_grace: 3s, group_limit: 1}",
+        ..Default::default()
+    });
+    // 220,000 tokens need three engines of 100,000 with their headroom.
+    let body = support::prompt_body("archive", 220_000, 10, true);
+    let answer = support::complete(entry(&fleet), &body).unwrap();
+    assert!(support::is_whole_answer(&answer, &body), "{}", answer.text());
+    fleet.wait_no_memory_held();
+    let peaks = fleet
+        .engines
+        .iter()
+        .map(|engine| support::counts(engine.address)["peak_held"].as_u64().unwrap());
+    assert_eq!(peaks.filter(|peak| *peak > 70_000).count(), 3);
+}
+
+#[test]
+fn no_process_uses_io_uring_or_starts_another() {
+    let fleet = Fleet::start(&FleetShape::default());
+    let body = support::prompt_body("x", 10, 5, true);
+    assert_eq!(support::complete(entry(&fleet), &body).unwrap().status, 200);
+    for process in [&fleet.instances[0].entry, &fleet.instances[0].scheduler] {
+        let files = std::fs::read_dir(format!("/proc/{}/fd", process.id())).unwrap();
+        let targets: Vec<_> = files
+            .filter_map(|file| std::fs::read_link(file.unwrap().path()).ok())
+            .map(|target| target.display().to_string())
+            .collect();
+        assert!(targets.iter().any(|target| target.contains("eventpoll")), "{targets:?}");
+        assert!(!targets.iter().any(|target| target.contains("io_uring")), "{targets:?}");
+        let tasks = std::fs::read_dir(format!("/proc/{}/task", process.id())).unwrap();
+        for task in tasks {
+            let children = std::fs::read_to_string(task.unwrap().path().join("children"));
+            assert_eq!(children.unwrap_or_default(), "");
+        }
+    }
+}
+
+#[test]
+fn a_second_process_on_an_address_is_told_so() {
+    let mut fleet = Fleet::start(&FleetShape::default());
+    fleet.start_instance(0);
+    let mut second = fleet.instances.pop().unwrap();
+    for process in [&mut second.entry, &mut second.scheduler] {
+        assert_eq!(process.wait().code(), Some(1));
+    }
+    let body = support::prompt_body("x", 10, 5, true);
+    assert_eq!(support::complete(entry(&fleet), &body).unwrap().status, 200);
+}
