--- a/crates/compare/src/fake_engines.rs
+++ b/crates/compare/src/fake_engines.rs
@@ -2,7 +2,7 @@
 
 use std::{collections, time};
 
-use slipturn_core::{engine_ledger, ids, settings, units};
+use slipturn_core::{engine_ledger, ids, placement, settings, units};
 use slipturn_standin::engine_model;
 
 use crate::scenario;
@@ -20,7 +20,7 @@
     /// What it has not started for want of memory; engines queue by themselves when nobody else
     /// does.
     queue: collections::VecDeque<engine_model::EngineRequest>,
-    reports: collections::VecDeque<(units::MonoTime, engine_ledger::EngineReport)>,
+    reports: collections::VecDeque<(units::MonoTime, placement::EngineReport)>,
     next_report: units::MonoTime,
     /// Whether it has died.
     pub dead: bool,
@@ -78,7 +78,7 @@
         &mut self,
         now: units::MonoTime,
         lag: time::Duration,
-    ) -> Vec<engine_ledger::LedgerAction> {
+    ) -> Vec<placement::LedgerAction> {
         if self.dead || now < self.next_report {
             return Vec::new();
         }
@@ -88,7 +88,7 @@
             self.reports.pop_front();
         }
         let (taken, report) = self.reports[0].clone();
-        let report = engine_ledger::EngineReport { age: now.since(taken), ..report };
+        let report = placement::EngineReport { age: now.since(taken), ..report };
         self.ledger.report(now, &report)
     }
 
@@ -96,7 +96,7 @@
         let held = self.model.holds().into_iter().filter_map(|(attempt, tokens)| {
             Some((attempt.parse().ok()?, units::TokenCount(tokens)))
         });
-        let report = engine_ledger::EngineReport {
+        let report = placement::EngineReport {
             draining: false,
             memory: units::TokenCount(self.model.memory()),
             prefill_backlog: units::TokenCount(self.model.prefill_backlog()),
--- a/crates/compare/src/policy_run.rs
+++ b/crates/compare/src/policy_run.rs
@@ -2,7 +2,7 @@
 
 use std::{collections, time};
 
-use slipturn_core::{engine_ledger, entry_router, ids, refusal, retry, routing, settings, units};
+use slipturn_core::{entry_router, ids, placement, refusal, retry, routing, settings, units};
 use slipturn_load::arrivals;
 use slipturn_standin::engine_model;
 
@@ -43,7 +43,7 @@
     arrival: arrivals::Arrival,
     entry: usize,
     engine: usize,
-    place: engine_ledger::PlaceRequest,
+    place: placement::PlaceRequest,
     attempts: u32,
     arrived: units::MonoTime,
     /// What asking schedulers cost on the network.
@@ -187,7 +187,7 @@
         &mut self,
         entry: usize,
         targets: &[entry_router::EngineTarget],
-        request: &engine_ledger::PlaceRequest,
+        request: &placement::PlaceRequest,
     ) -> (Option<routing::RouteChoice>, time::Duration) {
         if !self.entries[entry].wants_offers() {
             let choice = self.entries[entry].choose(targets, &vec![None; targets.len()]);
@@ -224,7 +224,7 @@
             return true;
         }
         let actions = self.engines[engine].ledger.enqueue(self.now, open.place.clone());
-        let refused = |action: &engine_ledger::LedgerAction| matches!(action, engine_ledger::LedgerAction::Refuse(refused, _) if *refused == attempt);
+        let refused = |action: &placement::LedgerAction| matches!(action, placement::LedgerAction::Refuse(refused, _) if *refused == attempt);
         if actions.iter().any(refused) {
             return false;
         }
@@ -234,20 +234,18 @@
         true
     }
 
-    fn carry_out(&mut self, engine: usize, actions: Vec<engine_ledger::LedgerAction>) {
+    fn carry_out(&mut self, engine: usize, actions: Vec<placement::LedgerAction>) {
         for action in actions {
             match action {
-                engine_ledger::LedgerAction::Grant(attempt) => {
+                placement::LedgerAction::Grant(attempt, rank) => {
                     let Some(open) = self.open.get(&attempt) else { continue };
-                    let prompt = units::TokenCount(open.arrival.prompt);
-                    let band = engine_ledger::LengthBand::of(prompt, &self.options);
-                    let request = engine_request(open, band.priority());
+                    let request = engine_request(open, rank.priority());
                     self.engines[engine].give(request);
                 }
-                engine_ledger::LedgerAction::Refuse(attempt, refusal) => {
+                placement::LedgerAction::Refuse(attempt, refusal) => {
                     self.refuse(&attempt, &refusal);
                 }
-                engine_ledger::LedgerAction::Cancel(attempt, _) => {
+                placement::LedgerAction::Cancel(attempt, _) => {
                     self.engines[engine].cancel(attempt.as_str());
                 }
             }
@@ -404,11 +402,11 @@
         entry: usize,
         arrived: units::MonoTime,
         attempts: u32,
-    ) -> engine_ledger::PlaceRequest {
+    ) -> placement::PlaceRequest {
         let instance = self.entries[entry].instance().clone();
         let request = ids::RequestId::new(&instance, ids::BootId(1), arrival.number);
         let deadline = arrived + scenario::TIME_LIMIT;
-        engine_ledger::PlaceRequest {
+        placement::PlaceRequest {
             attempt: ids::AttemptId::new(&request, attempts),
             entry: instance,
             boot: ids::BootId(1),
--- a/crates/compare/src/summary.rs
+++ b/crates/compare/src/summary.rs
@@ -14,7 +14,7 @@
     pub bands: Vec<(&'static str, [f64; 3])>,
     /// The same for prompts up to 2,000 tokens.
     pub shorts: [f64; 3],
-    /// The same for the flooding customer's neighbours.
+    /// The same for the other small customers, beside the one that may flood.
     pub neighbours: [f64; 3],
     /// Requests.
     pub requests: usize,
@@ -77,7 +77,7 @@
     RunSummary {
         bands: histogram::BAND_BOUNDS.iter().map(|(_, name)| band(name)).collect(),
         shorts: first_tokens(&|arrival| arrival.prompt <= scenario::SHORT_PROMPT),
-        neighbours: first_tokens(&|arrival| arrival.key != 3),
+        neighbours: first_tokens(&|arrival| arrival.key > 3),
         requests: results.len(),
         whole: count(&whole),
         refused: count(&refused),
--- a/crates/core/src/engine_ledger.rs
+++ b/crates/core/src/engine_ledger.rs
@@ -6,7 +6,7 @@
 
 use std::{collections, time};
 
-use crate::{fair_queue, ids, refusal, settings, units};
+use crate::{engine_room, fair_queue, ids, placement, refusal, service_rank, settings, units};
 
 /// Expected time from one output token to the next, for estimates of the whole answer.
 const TOKEN_INTERVAL: time::Duration = time::Duration::from_millis(30);
@@ -23,132 +23,17 @@
 /// After its time limit, how long a lease may still be in use by a cancel on its way.
 const LEASE_MARGIN: time::Duration = time::Duration::from_secs(2);
 
-/// Prompts grouped by length; the number is the priority sent to engines, 0 being first.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub enum LengthBand {
-    /// Up to `short_tokens`.
-    Short,
-    /// Between the two.
-    Medium,
-    /// Beyond `long_tokens`.
-    Long,
-}
-
-impl LengthBand {
-    /// The band of a prompt.
-    pub fn of(prompt: units::TokenCount, fleet: &settings::FleetOptions) -> Self {
-        if prompt <= fleet.short_tokens {
-            Self::Short
-        } else if prompt <= fleet.long_tokens {
-            Self::Medium
-        } else {
-            Self::Long
-        }
-    }
-
-    /// The priority sent to engines.
-    pub fn priority(self) -> u8 {
-        self as u8
-    }
-}
-
-/// A request for a place on an engine.
-#[derive(Debug, Clone)]
-pub struct PlaceRequest {
-    /// The attempt it is for.
-    pub attempt: ids::AttemptId,
-    /// The entry that makes it.
-    pub entry: ids::InstanceId,
-    /// That entry's start.
-    pub boot: ids::BootId,
-    /// Whose request it is.
-    pub customer: ids::CustomerId,
-    /// The customer's weight.
-    pub weight: f64,
-    /// Length of the prompt.
-    pub prompt: units::TokenCount,
-    /// Part of the prompt the engine has probably cached.
-    pub cached: units::TokenCount,
-    /// Most tokens of output.
-    pub output: units::TokenCount,
-    /// Memory it needs on this engine; less than prompt and output for a member of a group.
-    pub memory: units::TokenCount,
-    /// Whether this engine is one of several that serve the prompt together.
-    pub grouped: bool,
-    /// When it must have finished.
-    pub deadline: units::MonoTime,
-    /// Until when it is willing to wait for its place.
-    pub patience: units::MonoTime,
-}
-
-impl PlaceRequest {
-    fn prefill(&self) -> units::TokenCount {
-        self.prompt.saturating_sub(self.cached)
-    }
-}
-
 /// A place on an engine, held for one attempt.
 #[derive(Debug, Clone)]
 pub struct EngineLease {
-    request: PlaceRequest,
+    request: placement::PlaceRequest,
+    rank: service_rank::ServiceRank,
     /// Tokens of the prompt not worked through yet, as far as known. Only falls.
     prefill_left: f64,
     /// Last time the entry said that it still streams.
     renewed: units::MonoTime,
 }
 
-/// What an engine says of itself.
-#[derive(Debug, Clone, Default)]
-pub struct EngineReport {
-    /// Whether it takes no new work.
-    pub draining: bool,
-    /// Its whole memory.
-    pub memory: units::TokenCount,
-    /// Prefill work it has not done yet.
-    pub prefill_backlog: units::TokenCount,
-    /// How old the report is.
-    pub age: time::Duration,
-    /// The attempts it holds memory for.
-    pub held: Vec<(ids::AttemptId, units::TokenCount)>,
-}
-
-/// What the ledger wants done.
-#[derive(Debug, Clone, PartialEq)]
-pub enum LedgerAction {
-    /// Tell the entry to start.
-    Grant(ids::AttemptId),
-    /// Tell the entry that there is no place, and why.
-    Refuse(ids::AttemptId, refusal::RequestRefusal),
-    /// Tell the engine to give an attempt up, and why.
-    Cancel(ids::AttemptId, CancelReason),
-}
-
-/// Why an engine is told to give an attempt up.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum CancelReason {
-    /// Its entry has not renewed its lease for the whole grace.
-    EntrySilent,
-    /// Its time limit has passed.
-    PastLimit,
-    /// Its lease was given back, and the engine still holds it.
-    StillHeld,
-    /// The engine holds it, and no lease explained it for the whole grace.
-    Unexplained,
-}
-
-/// What an engine could do for a request.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct EngineOffer {
-    /// Expected time until the first token.
-    pub first_token: time::Duration,
-    /// Memory not spoken for.
-    pub free: units::TokenCount,
-    /// Requests running.
-    pub running: usize,
-    /// Requests waiting.
-    pub waiting: usize,
-}
-
 /// Something the engine holds that no lease explains.
 #[derive(Debug, Clone, Copy)]
 struct OrphanRecord {
@@ -168,7 +53,8 @@
     leases: collections::HashMap<ids::AttemptId, EngineLease>,
     orphans: collections::HashMap<ids::AttemptId, OrphanRecord>,
     released: collections::HashMap<ids::AttemptId, units::MonoTime>,
-    queue: fair_queue::FairQueue<PlaceRequest>,
+    queue: fair_queue::FairQueue<placement::PlaceRequest>,
+    shares: service_rank::ShareMeter,
     /// Prefill work the engine reported beyond what the leases explain.
     foreign_prefill: f64,
     /// Prefill work that the leases explained at earlier times, oldest first, to compare an old
@@ -195,6 +81,7 @@
             orphans: collections::HashMap::new(),
             released: collections::HashMap::new(),
             queue: fair_queue::FairQueue::default(),
+            shares: service_rank::ShareMeter::default(),
             foreign_prefill: 0.0,
             history: collections::VecDeque::new(),
             advanced: now,
@@ -246,11 +133,11 @@
     pub fn offer(
         &mut self,
         now: units::MonoTime,
-        request: &PlaceRequest,
-    ) -> Result<EngineOffer, refusal::RequestRefusal> {
+        request: &placement::PlaceRequest,
+    ) -> Result<placement::EngineOffer, refusal::RequestRefusal> {
         self.work_through(now);
         self.check(now, request)?;
-        Ok(EngineOffer {
+        Ok(placement::EngineOffer {
             first_token: self.first_token(now, request),
             free: self.free(),
             running: self.leases.len(),
@@ -259,9 +146,13 @@
     }
 
     /// Takes a request into the queue, or refuses it at once.
-    pub fn enqueue(&mut self, now: units::MonoTime, request: PlaceRequest) -> Vec<LedgerAction> {
+    pub fn enqueue(
+        &mut self,
+        now: units::MonoTime,
+        request: placement::PlaceRequest,
+    ) -> Vec<placement::LedgerAction> {
         self.work_through(now);
-        let known = |waiting: &fair_queue::QueueItem<PlaceRequest>| {
+        let known = |waiting: &fair_queue::QueueItem<placement::PlaceRequest>| {
             waiting.payload.attempt == request.attempt
         };
         if self.leases.contains_key(&request.attempt) || self.queue.iter().any(known) {
@@ -269,7 +160,7 @@
             return Vec::new();
         }
         if let Err(refusal) = self.check(now, &request) {
-            return vec![LedgerAction::Refuse(request.attempt, refusal)];
+            return vec![placement::LedgerAction::Refuse(request.attempt, refusal)];
         }
         let spare = self.latest_start(&request).since(now);
         let item = fair_queue::QueueItem {
@@ -284,7 +175,7 @@
     }
 
     /// Does what has become due: grants, refusals of what waited too long, cancels.
-    pub fn advance(&mut self, now: units::MonoTime) -> Vec<LedgerAction> {
+    pub fn advance(&mut self, now: units::MonoTime) -> Vec<placement::LedgerAction> {
         self.work_through(now);
         let mut actions = self.expire_waiting(now);
         actions.extend(self.expire_leases(now));
@@ -293,7 +184,11 @@
     }
 
     /// Gives a place back. Unknown and repeated releases do nothing.
-    pub fn release(&mut self, now: units::MonoTime, attempt: &ids::AttemptId) -> Vec<LedgerAction> {
+    pub fn release(
+        &mut self,
+        now: units::MonoTime,
+        attempt: &ids::AttemptId,
+    ) -> Vec<placement::LedgerAction> {
         if self.leases.remove(attempt).is_some() {
             self.released.insert(attempt.clone(), now);
         }
@@ -309,8 +204,8 @@
         now: units::MonoTime,
         entry: &ids::InstanceId,
         boot: ids::BootId,
-        streaming: &[PlaceRequest],
-    ) -> Vec<LedgerAction> {
+        streaming: &[placement::PlaceRequest],
+    ) -> Vec<placement::LedgerAction> {
         for request in streaming {
             self.adopt(now, request);
         }
@@ -331,7 +226,11 @@
     }
 
     /// Takes in the engine's own word and cancels what nobody wants any more.
-    pub fn report(&mut self, now: units::MonoTime, report: &EngineReport) -> Vec<LedgerAction> {
+    pub fn report(
+        &mut self,
+        now: units::MonoTime,
+        report: &placement::EngineReport,
+    ) -> Vec<placement::LedgerAction> {
         self.work_through(now);
         self.reported = Some(now);
         self.draining = report.draining;
@@ -365,17 +264,19 @@
         }
     }
 
-    fn adopt(&mut self, now: units::MonoTime, request: &PlaceRequest) {
+    fn adopt(&mut self, now: units::MonoTime, request: &placement::PlaceRequest) {
         let waits = self.queue.iter().any(|item| item.payload.attempt == request.attempt);
         if waits || self.released.contains_key(&request.attempt) {
             return;
         }
         self.orphans.remove(&request.attempt);
-        let adopted = || EngineLease { request: request.clone(), prefill_left: 0.0, renewed: now };
+        let rank = service_rank::ServiceRank { band: self.band(request), over_share: false };
+        let adopted =
+            || EngineLease { request: request.clone(), rank, prefill_left: 0.0, renewed: now };
         self.leases.entry(request.attempt.clone()).or_insert_with(adopted).renewed = now;
     }
 
-    fn update_orphans(&mut self, now: units::MonoTime, report: &EngineReport) {
+    fn update_orphans(&mut self, now: units::MonoTime, report: &placement::EngineReport) {
         let taken = units::MonoTime(now.0.saturating_sub(units::MonoTime::from_span(report.age).0));
         let mut orphans = collections::HashMap::new();
         for (attempt, tokens) in &report.held {
@@ -397,7 +298,7 @@
         });
     }
 
-    fn due_cancels(&self, now: units::MonoTime) -> Vec<LedgerAction> {
+    fn due_cancels(&self, now: units::MonoTime) -> Vec<placement::LedgerAction> {
         let grace = self.options.orphan_grace.0;
         self.orphans
             .iter()
@@ -406,14 +307,17 @@
             })
             .map(|(attempt, _)| {
                 let known = self.released.contains_key(attempt);
-                let reason =
-                    if known { CancelReason::StillHeld } else { CancelReason::Unexplained };
-                LedgerAction::Cancel(attempt.clone(), reason)
+                let reason = if known {
+                    placement::CancelReason::StillHeld
+                } else {
+                    placement::CancelReason::Unexplained
+                };
+                placement::LedgerAction::Cancel(attempt.clone(), reason)
             })
             .collect()
     }
 
-    fn expire_waiting(&mut self, now: units::MonoTime) -> Vec<LedgerAction> {
+    fn expire_waiting(&mut self, now: units::MonoTime) -> Vec<placement::LedgerAction> {
         let latest: collections::HashMap<_, _> = self
             .queue
             .iter()
@@ -425,7 +329,8 @@
         let draining = self.draining;
         let gone = self.queue.remove_where(|request| draining || latest[&request.attempt] <= now);
         let rate = self.prefill_rate;
-        let backlog = self.backlog(None) + self.queue.iter().map(|item| item.cost).sum();
+        let backlog = self.backlog(service_rank::ServiceRank::LAST)
+            + self.queue.iter().map(|item| item.cost).sum();
         gone.into_iter()
             .map(|item| {
                 let refusal = if draining {
@@ -436,19 +341,19 @@
                         rate.time_for(backlog),
                     )
                 };
-                LedgerAction::Refuse(item.payload.attempt, refusal)
+                placement::LedgerAction::Refuse(item.payload.attempt, refusal)
             })
             .collect()
     }
 
-    fn expire_leases(&mut self, now: units::MonoTime) -> Vec<LedgerAction> {
+    fn expire_leases(&mut self, now: units::MonoTime) -> Vec<placement::LedgerAction> {
         let grace = self.options.orphan_grace.0;
         let reason = |lease: &EngineLease| {
             if now.since(lease.renewed) >= grace {
-                return Some(CancelReason::EntrySilent);
+                return Some(placement::CancelReason::EntrySilent);
             }
             let past = lease.request.deadline + LEASE_MARGIN <= now;
-            past.then_some(CancelReason::PastLimit)
+            past.then_some(placement::CancelReason::PastLimit)
         };
         let over: Vec<_> = self
             .leases
@@ -458,7 +363,9 @@
         for (attempt, _) in &over {
             self.drop_lease(now, attempt);
         }
-        over.into_iter().map(|(attempt, reason)| LedgerAction::Cancel(attempt, reason)).collect()
+        over.into_iter()
+            .map(|(attempt, reason)| placement::LedgerAction::Cancel(attempt, reason))
+            .collect()
     }
 
     /// Ends a lease whose entry has not released it: the engine may still hold its memory.
@@ -471,50 +378,69 @@
         self.orphans.insert(attempt.clone(), OrphanRecord { tokens, since: now });
     }
 
-    fn grant_waiting(&mut self, now: units::MonoTime) -> Vec<LedgerAction> {
+    fn grant_waiting(&mut self, now: units::MonoTime) -> Vec<placement::LedgerAction> {
         let mut actions = Vec::new();
         // A scheduler that slept knows nothing of its engine until the engine has told it.
         while self.reachable(now) {
             let mut room = self.room();
-            let Some(item) = self.queue.pop_where(now, |item, overdue| room.fits(item, overdue))
-            else {
-                break;
+            let ranks = self.waiting_ranks(now);
+            let yields = |request: &placement::PlaceRequest| ranks[&request.attempt].over_share;
+            let fits = |item: &fair_queue::QueueItem<placement::PlaceRequest>, overdue| {
+                room.fits(&item.payload, ranks[&item.payload.attempt], overdue)
             };
+            let Some(item) = self.queue.pop_where(now, yields, fits) else { break };
+            let rank = ranks[&item.payload.attempt];
             let request = item.payload;
-            actions.push(LedgerAction::Grant(request.attempt.clone()));
-            let lease = EngineLease {
-                prefill_left: request.prefill().0 as f64,
-                renewed: now,
-                request: request.clone(),
-            };
+            self.shares.count(now, &request.customer, request.weight, request.prefill());
+            actions.push(placement::LedgerAction::Grant(request.attempt.clone(), rank));
+            let prefill_left = request.prefill().0 as f64;
+            let lease = EngineLease { rank, prefill_left, renewed: now, request: request.clone() };
             self.leases.insert(request.attempt, lease);
             self.keep_history(now);
         }
         actions
     }
 
-    fn room(&self) -> EngineRoom {
-        let long_running = |lease: &&EngineLease| {
-            lease.prefill_left > 0.0 && self.band(&lease.request) == LengthBand::Long
-        };
-        EngineRoom {
-            options: self.options.clone(),
+    fn waiting_ranks(
+        &mut self,
+        now: units::MonoTime,
+    ) -> collections::HashMap<ids::AttemptId, service_rank::ServiceRank> {
+        let requests: Vec<_> = self.queue.iter().map(|item| item.payload.clone()).collect();
+        requests
+            .into_iter()
+            .map(|request| {
+                let rank = self.rank(now, &request);
+                (request.attempt, rank)
+            })
+            .collect()
+    }
+
+    fn rank(
+        &mut self,
+        now: units::MonoTime,
+        request: &placement::PlaceRequest,
+    ) -> service_rank::ServiceRank {
+        let over_share = self.shares.over_share(now, &request.customer, self.prefill_rate);
+        service_rank::ServiceRank { band: self.band(request), over_share }
+    }
+
+    fn room(&self) -> engine_room::EngineRoom {
+        engine_room::EngineRoom {
             free: self.free(),
             headroom: self.capacity.scale(self.options.headroom.factor()),
             places: self.options.max_running.saturating_sub(self.leases.len()),
             grouped: self.leases.values().any(|lease| lease.request.grouped),
-            long_prefills: self.leases.values().filter(long_running).count(),
-            short_backlog: self.backlog(Some(LengthBand::Short)),
-            medium_backlog: self.backlog(Some(LengthBand::Medium)),
+            prefills: self.leases.values().map(|one| (one.rank, one.prefill_left)).collect(),
+            foreign: self.foreign_prefill,
             ahead: self.prefill_rate.tokens_in(PREFILL_AHEAD),
             reserved: false,
         }
     }
 
     fn check(
-        &self,
+        &mut self,
         now: units::MonoTime,
-        request: &PlaceRequest,
+        request: &placement::PlaceRequest,
     ) -> Result<(), refusal::RequestRefusal> {
         if self.draining {
             return Err(leaving_refusal());
@@ -544,13 +470,14 @@
     fn check_backlog(
         &self,
         now: units::MonoTime,
-        request: &PlaceRequest,
+        request: &placement::PlaceRequest,
     ) -> Result<(), refusal::RequestRefusal> {
-        if self.band(request) == LengthBand::Short {
+        if self.band(request) == service_rank::LengthBand::Short {
             return Ok(());
         }
         let queued: units::TokenCount = self.queue.iter().map(|item| item.payload.prefill()).sum();
-        let work = self.prefill_rate.time_for(self.backlog(None) + queued);
+        let backlog = self.backlog(service_rank::ServiceRank::LAST);
+        let work = self.prefill_rate.time_for(backlog + queued);
         let spare = self.latest_start(request).since(now).mul_f64(1.0 - OVERDUE_PART);
         if work <= spare {
             return Ok(());
@@ -559,28 +486,32 @@
     }
 
     /// The most memory one request may have, so that shorts always find the headroom.
-    fn largest(&self, request: &PlaceRequest) -> units::TokenCount {
+    fn largest(&self, request: &placement::PlaceRequest) -> units::TokenCount {
         match self.band(request) {
-            LengthBand::Short => self.capacity,
+            service_rank::LengthBand::Short => self.capacity,
             _ => self.capacity.scale(1.0 - self.options.headroom.factor()),
         }
     }
 
-    fn first_token(&self, now: units::MonoTime, request: &PlaceRequest) -> time::Duration {
-        let band = self.band(request);
+    fn first_token(
+        &mut self,
+        now: units::MonoTime,
+        request: &placement::PlaceRequest,
+    ) -> time::Duration {
+        let rank = self.rank(now, request);
         let cost = request.prefill() + request.output;
         let queued = self.queue.cost_ahead(now, &request.customer, request.weight, cost);
-        let work = self.backlog(Some(band)) + queued + request.prefill();
+        let work = self.backlog(rank) + queued + request.prefill();
         let prefill = self.prefill_rate.time_for(work);
         if self.fits_now(request) { prefill } else { prefill + self.memory_wait(request) }
     }
 
-    fn fits_now(&self, request: &PlaceRequest) -> bool {
+    fn fits_now(&self, request: &placement::PlaceRequest) -> bool {
         self.leases.len() < self.options.max_running && request.memory <= self.free()
     }
 
     /// Expected time until enough leases end: their prefill and half their answer, at worst.
-    fn memory_wait(&self, request: &PlaceRequest) -> time::Duration {
+    fn memory_wait(&self, request: &placement::PlaceRequest) -> time::Duration {
         let mut ends: Vec<_> = self
             .leases
             .values()
@@ -601,19 +532,18 @@
         self.options.orphan_grace.0
     }
 
-    /// Prefill work on the engine that goes before a request of `band`; all of it for `None`.
-    fn backlog(&self, band: Option<LengthBand>) -> units::TokenCount {
-        let before =
-            |lease: &&EngineLease| band.is_none_or(|band| self.band(&lease.request) <= band);
-        let own: f64 = self.leases.values().filter(before).map(|lease| lease.prefill_left).sum();
+    /// Prefill work on the engine that goes before a request of `rank`.
+    fn backlog(&self, rank: service_rank::ServiceRank) -> units::TokenCount {
+        let before = self.leases.values().filter(|lease| lease.rank <= rank);
+        let own: f64 = before.map(|lease| lease.prefill_left).sum();
         units::TokenCount((own + self.foreign_prefill) as u64)
     }
 
-    fn band(&self, request: &PlaceRequest) -> LengthBand {
-        LengthBand::of(request.prefill(), &self.options)
+    fn band(&self, request: &placement::PlaceRequest) -> service_rank::LengthBand {
+        service_rank::LengthBand::of(request.prefill(), &self.options)
     }
 
-    fn latest_start(&self, request: &PlaceRequest) -> units::MonoTime {
+    fn latest_start(&self, request: &placement::PlaceRequest) -> units::MonoTime {
         let needed = self.prefill_rate.time_for(request.prefill()) + answer_time(request.output);
         let needed = units::MonoTime::from_span(needed).0;
         units::MonoTime(request.deadline.0.saturating_sub(needed))
@@ -631,10 +561,9 @@
     fn work_through(&mut self, now: units::MonoTime) {
         let mut done = self.prefill_rate.0 * now.since(self.advanced).as_secs_f64();
         self.advanced = self.advanced.max(now);
-        let options = &self.options;
         let mut leases: Vec<_> =
             self.leases.values_mut().filter(|lease| lease.prefill_left > 0.0).collect();
-        leases.sort_by_key(|lease| LengthBand::of(lease.request.prefill(), options));
+        leases.sort_by_key(|lease| lease.rank);
         for lease in leases {
             let part = done.min(lease.prefill_left);
             lease.prefill_left -= part;
@@ -645,50 +574,6 @@
     }
 }
 
-/// What an engine can take at one moment.
-#[derive(Debug)]
-struct EngineRoom {
-    options: settings::FleetOptions,
-    free: units::TokenCount,
-    headroom: units::TokenCount,
-    places: usize,
-    grouped: bool,
-    long_prefills: usize,
-    short_backlog: units::TokenCount,
-    medium_backlog: units::TokenCount,
-    ahead: units::TokenCount,
-    /// Set once an overdue request has not found room: no other but a short may take it.
-    reserved: bool,
-}
-
-impl EngineRoom {
-    fn fits(&mut self, item: &fair_queue::QueueItem<PlaceRequest>, overdue: bool) -> bool {
-        let request = &item.payload;
-        let band = LengthBand::of(request.prefill(), &self.options);
-        let short = band == LengthBand::Short;
-        if self.has_room(request, band) && (short || !self.reserved) {
-            return true;
-        }
-        // Memory drains towards the first that is overdue; only shorts still go before it.
-        self.reserved |= overdue && !short;
-        false
-    }
-
-    fn has_room(&self, request: &PlaceRequest, band: LengthBand) -> bool {
-        let usable = match band {
-            LengthBand::Short => self.free,
-            _ => self.free.saturating_sub(self.headroom),
-        };
-        let paced = match band {
-            LengthBand::Short => self.short_backlog <= self.ahead,
-            LengthBand::Medium => self.medium_backlog <= self.ahead,
-            LengthBand::Long => self.long_prefills == 0,
-        };
-        let alone = !(request.grouped && self.grouped);
-        self.places > 0 && request.memory <= usable && paced && alone
-    }
-}
-
 fn answer_time(output: units::TokenCount) -> time::Duration {
     TOKEN_INTERVAL.mul_f64(output.0 as f64)
 }
--- a/crates/core/src/entry_router.rs
+++ b/crates/core/src/entry_router.rs
@@ -5,7 +5,7 @@
 use rand::{RngExt as _, SeedableRng as _, seq::IndexedRandom as _};
 
 use crate::{
-    budget, engine_ledger, fleet_list, ids, refusal, rendezvous, retry, routing, settings,
+    budget, fleet_list, ids, placement, refusal, rendezvous, retry, routing, settings,
     settings_resolve, units, version_store,
 };
 
@@ -345,7 +345,7 @@
     pub fn choose(
         &mut self,
         targets: &[EngineTarget],
-        offers: &[Option<engine_ledger::EngineOffer>],
+        offers: &[Option<placement::EngineOffer>],
     ) -> Option<routing::RouteChoice> {
         let candidates: Vec<_> = targets
             .iter()
--- a/crates/core/src/fair_queue.rs
+++ b/crates/core/src/fair_queue.rs
@@ -69,13 +69,14 @@
     }
 
     /// Takes the first item that `fits`, in the order of service. `fits` also learns whether the
-    /// item is overdue.
+    /// item is overdue. Items for which `yields` holds go after the others.
     pub fn pop_where(
         &mut self,
         now: units::MonoTime,
+        yields: impl Fn(&T) -> bool,
         mut fits: impl FnMut(&QueueItem<T>, bool) -> bool,
     ) -> Option<QueueItem<T>> {
-        let first = self.order(now).into_iter().find(|index| {
+        let first = self.order(now, yields).into_iter().find(|index| {
             let item = &self.items[*index];
             fits(item, item.overdue <= now)
         });
@@ -103,17 +104,18 @@
         self.items.iter().filter(ahead).map(|item| item.cost).sum()
     }
 
-    fn order(&self, now: units::MonoTime) -> Vec<usize> {
+    fn order(&self, now: units::MonoTime, yields: impl Fn(&T) -> bool) -> Vec<usize> {
         let mut order: Vec<usize> = (0..self.items.len()).collect();
         let key = |index: &usize| {
             let item = &self.items[*index];
             let waiting = item.overdue > now;
             let urgency = if waiting { units::MonoTime(u64::MAX) } else { item.overdue };
-            (waiting, urgency, self.finish_tag(item))
+            let yields = waiting && yields(&item.payload);
+            ((waiting, urgency, yields), self.finish_tag(item))
         };
         order.sort_by(|left, right| {
             let (left, right) = (key(left), key(right));
-            left.0.cmp(&right.0).then(left.1.cmp(&right.1)).then(left.2.total_cmp(&right.2))
+            left.0.cmp(&right.0).then(left.1.total_cmp(&right.1))
         });
         order
     }
--- a/crates/core/src/routing.rs
+++ b/crates/core/src/routing.rs
@@ -2,7 +2,7 @@
 
 use std::time;
 
-use crate::{engine_ledger, ids, settings, units};
+use crate::{ids, placement, settings, units};
 
 /// One engine a request could go to, with what is known of it.
 #[derive(Debug, Clone)]
@@ -10,7 +10,7 @@
     /// The engine.
     pub engine: ids::EngineId,
     /// Its scheduler's offer; `None` where the scheduler did not answer.
-    pub offer: Option<engine_ledger::EngineOffer>,
+    pub offer: Option<placement::EngineOffer>,
     /// Requests this entry itself has running there.
     pub own_requests: usize,
     /// Tokens of those requests.
--- a/crates/core/tests/engine_ledger.rs
+++ b/crates/core/tests/engine_ledger.rs
@@ -4,7 +4,7 @@
 
 use std::time;
 
-use slipturn_core::{engine_ledger, ids, refusal, settings, units};
+use slipturn_core::{engine_ledger, ids, placement, refusal, service_rank, settings, units};
 
 const CAPACITY: u64 = 100_000;
 const RATE: f64 = 50_000.0;
@@ -28,17 +28,17 @@
     ledger
 }
 
-fn idle() -> engine_ledger::EngineReport {
-    engine_ledger::EngineReport { memory: units::TokenCount(CAPACITY), ..Default::default() }
+fn idle() -> placement::EngineReport {
+    placement::EngineReport { memory: units::TokenCount(CAPACITY), ..Default::default() }
 }
 
-fn holding(held: &[(&str, u64)]) -> engine_ledger::EngineReport {
+fn holding(held: &[(&str, u64)]) -> placement::EngineReport {
     let held = held.iter().map(|(attempt, tokens)| (name(attempt), units::TokenCount(*tokens)));
-    engine_ledger::EngineReport { held: held.collect(), ..idle() }
+    placement::EngineReport { held: held.collect(), ..idle() }
 }
 
-fn request(attempt: &str, prompt: u64, deadline_ms: u64) -> engine_ledger::PlaceRequest {
-    engine_ledger::PlaceRequest {
+fn request(attempt: &str, prompt: u64, deadline_ms: u64) -> placement::PlaceRequest {
+    placement::PlaceRequest {
         attempt: name(attempt),
         entry: name("instance-1"),
         boot: ids::BootId(1),
@@ -54,18 +54,28 @@
     }
 }
 
-fn granted(attempt: &str) -> engine_ledger::LedgerAction {
-    engine_ledger::LedgerAction::Grant(name(attempt))
+fn granted(attempt: &str) -> placement::LedgerAction {
+    // Prompts of 1,000 to 4,000 tokens are short here, those over 32,000 long.
+    ranked(attempt, service_rank::LengthBand::Long)
 }
 
-fn cancelled(attempt: &str, reason: engine_ledger::CancelReason) -> engine_ledger::LedgerAction {
-    engine_ledger::LedgerAction::Cancel(name(attempt), reason)
+fn granted_short(attempt: &str) -> placement::LedgerAction {
+    ranked(attempt, service_rank::LengthBand::Short)
 }
 
-fn refusals(actions: &[engine_ledger::LedgerAction]) -> Vec<&refusal::RequestRefusal> {
+fn ranked(attempt: &str, band: service_rank::LengthBand) -> placement::LedgerAction {
+    let rank = service_rank::ServiceRank { band, over_share: false };
+    placement::LedgerAction::Grant(name(attempt), rank)
+}
+
+fn cancelled(attempt: &str, reason: placement::CancelReason) -> placement::LedgerAction {
+    placement::LedgerAction::Cancel(name(attempt), reason)
+}
+
+fn refusals(actions: &[placement::LedgerAction]) -> Vec<&refusal::RequestRefusal> {
     let mut refused = Vec::new();
     for action in actions {
-        if let engine_ledger::LedgerAction::Refuse(_, refusal) = action {
+        if let placement::LedgerAction::Refuse(_, refusal) = action {
             refused.push(refusal);
         }
     }
@@ -110,7 +120,10 @@
 #[test]
 fn the_same_request_twice_takes_one_lease() {
     let mut ledger = ledger();
-    assert_eq!(ledger.enqueue(at(0), request("a:1:1:1", 1_000, 60_000)), vec![granted("a:1:1:1")]);
+    assert_eq!(
+        ledger.enqueue(at(0), request("a:1:1:1", 1_000, 60_000)),
+        vec![granted_short("a:1:1:1")]
+    );
     assert_eq!(ledger.enqueue(at(1), request("a:1:1:1", 1_000, 60_000)), vec![]);
     assert_eq!(ledger.running(), 1);
     assert_eq!(ledger.free(), units::TokenCount(CAPACITY - 1_100));
@@ -137,7 +150,10 @@
         vec![granted("a:1:1:1")]
     );
     assert_eq!(ledger.enqueue(at(1), request("a:1:2:1", 25_000, 600_000)), vec![]);
-    assert_eq!(ledger.enqueue(at(2), request("a:1:3:1", 3_000, 60_000)), vec![granted("a:1:3:1")]);
+    assert_eq!(
+        ledger.enqueue(at(2), request("a:1:3:1", 3_000, 60_000)),
+        vec![granted_short("a:1:3:1")]
+    );
 }
 
 #[test]
@@ -158,10 +174,11 @@
     assert_eq!(ledger.enqueue(at(9_500), request("a:1:3:1", 20_000, 600_000)), vec![]);
     assert_eq!(
         ledger.enqueue(at(9_500), request("a:1:4:1", 3_000, 600_000)),
-        vec![granted("a:1:4:1")]
+        vec![granted_short("a:1:4:1")]
     );
     let actions = ledger.release(at(9_600), &name("a:1:1:1"));
-    assert_eq!(actions, vec![granted("a:1:2:1"), granted("a:1:3:1")]);
+    let medium = ranked("a:1:3:1", service_rank::LengthBand::Medium);
+    assert_eq!(actions, vec![granted("a:1:2:1"), medium]);
 }
 
 #[test]
@@ -205,12 +222,12 @@
     assert_eq!(ledger.report(at(15_900), &lost), vec![]);
     assert_eq!(
         ledger.report(at(16_000), &lost),
-        vec![cancelled("lost:1:1:1", engine_ledger::CancelReason::Unexplained)]
+        vec![cancelled("lost:1:1:1", placement::CancelReason::Unexplained)]
     );
     // The cancel is lost on its way.
     assert_eq!(
         ledger.report(at(16_500), &lost),
-        vec![cancelled("lost:1:1:1", engine_ledger::CancelReason::Unexplained)]
+        vec![cancelled("lost:1:1:1", placement::CancelReason::Unexplained)]
     );
     assert_eq!(ledger.report(at(17_000), &idle()), vec![]);
     assert_eq!(ledger.free(), units::TokenCount(CAPACITY));
@@ -222,14 +239,14 @@
     ledger.enqueue(at(0), request("a:1:1:1", 40_000, 600_000));
     ledger.release(at(1_000), &name("a:1:1:1"));
     // A report from before the release says nothing.
-    let old = engine_ledger::EngineReport {
+    let old = placement::EngineReport {
         age: time::Duration::from_secs(1),
         ..holding(&[("a:1:1:1", 40_100)])
     };
     assert_eq!(ledger.report(at(1_500), &old), vec![]);
     assert_eq!(ledger.free(), units::TokenCount(CAPACITY));
     let fresh = holding(&[("a:1:1:1", 40_100)]);
-    let reason = engine_ledger::CancelReason::StillHeld;
+    let reason = placement::CancelReason::StillHeld;
     assert_eq!(ledger.report(at(3_100), &fresh), vec![cancelled("a:1:1:1", reason)]);
     assert_eq!(ledger.free(), units::TokenCount(CAPACITY - 40_100));
 }
@@ -258,7 +275,7 @@
     // The memory counts as free only when the engine says so.
     assert_eq!(ledger.free(), units::TokenCount(CAPACITY - 40_100));
     let held = holding(&[("a:1:1:1", 40_100)]);
-    let reason = engine_ledger::CancelReason::StillHeld;
+    let reason = placement::CancelReason::StillHeld;
     assert_eq!(ledger.report(at(3_000), &held), vec![cancelled("a:1:1:1", reason)]);
     ledger.report(at(3_500), &idle());
     assert_eq!(ledger.free(), units::TokenCount(CAPACITY));
@@ -269,7 +286,7 @@
     let mut ledger = ledger();
     ledger.enqueue(at(0), request("a:1:1:1", 40_000, 600_000));
     assert_eq!(ledger.advance(at(14_900)), vec![]);
-    let reason = engine_ledger::CancelReason::EntrySilent;
+    let reason = placement::CancelReason::EntrySilent;
     assert_eq!(ledger.advance(at(15_000)), vec![cancelled("a:1:1:1", reason)]);
 }
 
@@ -286,7 +303,7 @@
         );
         assert_eq!(ledger.running(), 1);
     }
-    let reason = engine_ledger::CancelReason::PastLimit;
+    let reason = placement::CancelReason::PastLimit;
     assert_eq!(ledger.advance(at(11_000)), vec![cancelled("a:1:1:1", reason)]);
 }
 
@@ -295,7 +312,7 @@
     let mut ledger = ledger();
     ledger.enqueue(at(0), request("a:1:1:1", 60_000, 600_000));
     ledger.enqueue(at(0), request("a:1:2:1", 60_000, 600_000));
-    let leaving = engine_ledger::EngineReport { draining: true, ..holding(&[("a:1:1:1", 60_100)]) };
+    let leaving = placement::EngineReport { draining: true, ..holding(&[("a:1:1:1", 60_100)]) };
     let actions = ledger.report(at(500), &leaving);
     assert_eq!(refusals(&actions)[0].code, refusal::RefusalCode::NoUpstream);
     assert_eq!(refusals(&actions)[0].ran, refusal::RanState::No);
@@ -308,7 +325,7 @@
 #[test]
 fn two_groups_are_never_on_one_engine_and_the_later_waits_no_longer_than_it_would() {
     let mut ledger = ledger();
-    let grouped = |attempt: &str, patience: u64| engine_ledger::PlaceRequest {
+    let grouped = |attempt: &str, patience: u64| placement::PlaceRequest {
         grouped: true,
         memory: units::TokenCount(30_000),
         patience: at(patience),
@@ -328,8 +345,7 @@
     let mut ledger = ledger();
     let asked = request("a:1:1:1", 2_000, 60_000);
     let before = ledger.offer(at(0), &asked).unwrap().first_token;
-    let loaded =
-        engine_ledger::EngineReport { prefill_backlog: units::TokenCount(50_000), ..idle() };
+    let loaded = placement::EngineReport { prefill_backlog: units::TokenCount(50_000), ..idle() };
     ledger.report(at(0), &loaded);
     let after = ledger.offer(at(0), &asked).unwrap().first_token;
     assert_eq!(after - before, time::Duration::from_secs(1));
@@ -351,7 +367,7 @@
     let mut ledger = ledger();
     ledger.enqueue(at(0), request("a:1:1:1", 50_000, 60_000));
     // Half a second later half the prompt is done; the report is from the start.
-    let old = engine_ledger::EngineReport {
+    let old = placement::EngineReport {
         age: time::Duration::from_millis(500),
         prefill_backlog: units::TokenCount(50_000),
         ..holding(&[("a:1:1:1", 50_100)])
--- a/crates/core/tests/fair_queue.rs
+++ b/crates/core/tests/fair_queue.rs
@@ -17,7 +17,7 @@
 }
 
 fn drain(queue: &mut fair_queue::FairQueue<u32>, now: u64) -> Vec<u32> {
-    std::iter::from_fn(|| queue.pop_where(units::MonoTime(now), |_, _| true))
+    std::iter::from_fn(|| queue.pop_where(units::MonoTime(now), |_| false, |_, _| true))
         .map(|item| item.payload)
         .collect()
 }
@@ -40,7 +40,7 @@
         queue.push(item("flood", 1.0, 100, LATER, number));
     }
     for _ in 0..10 {
-        queue.pop_where(units::MonoTime(0), |_, _| true).unwrap();
+        queue.pop_where(units::MonoTime(0), |_| false, |_, _| true).unwrap();
     }
     queue.push(item("small", 1.0, 100, LATER, 1_000));
     // A newcomer starts level with the flood, so at most one item of the flood goes before it.
@@ -66,7 +66,7 @@
         queue.push(item("busy", 1.0, 100, LATER, number));
     }
     for _ in 0..25 {
-        queue.pop_where(units::MonoTime(0), |_, _| true).unwrap();
+        queue.pop_where(units::MonoTime(0), |_| false, |_, _| true).unwrap();
     }
     for number in 100..125 {
         queue.push(item("idler", 1.0, 100, LATER, number));
@@ -90,6 +90,7 @@
     let mut queue = fair_queue::FairQueue::default();
     queue.push(item("a", 1.0, 10, LATER, 1));
     queue.push(item("a", 1.0, 20, LATER, 2));
-    let taken = queue.pop_where(units::MonoTime(0), |item, _| item.payload != 1).unwrap();
+    let taken =
+        queue.pop_where(units::MonoTime(0), |_| false, |item, _| item.payload != 1).unwrap();
     assert_eq!((taken.payload, queue.len()), (2, 1));
 }
--- a/crates/entry/src/event.rs
+++ b/crates/entry/src/event.rs
@@ -4,7 +4,7 @@
 
 use futures::channel::{mpsc, oneshot};
 use slipturn_core::{
-    budget, decision, engine_ledger, entry_router, fleet_list, histogram, ids, key_vote, refusal,
+    budget, decision, entry_router, fleet_list, histogram, ids, key_vote, placement, refusal,
     retry, routing, settings, settings_resolve, units,
 };
 use slipturn_net::scheduler_link;
@@ -15,13 +15,13 @@
     /// The engine.
     pub engine: ids::EngineId,
     /// What was asked for.
-    pub request: engine_ledger::PlaceRequest,
+    pub request: placement::PlaceRequest,
     /// Hash of the prompt's prefix, which the engine will have cached.
     pub prefix: u64,
 }
 
 /// Places in use by scheduler.
-pub type RenewalBatch = Vec<(net::SocketAddr, Vec<(ids::EngineId, engine_ledger::PlaceRequest)>)>;
+pub type RenewalBatch = Vec<(net::SocketAddr, Vec<(ids::EngineId, placement::PlaceRequest)>)>;
 /// Settings of a caller of a plain service.
 pub type ResolveAnswer = Result<
     (rc::Rc<settings::SettingsTree>, settings_resolve::ResolvedSettings),
@@ -76,7 +76,7 @@
     /// Which of the engines asked?
     Choose(
         Vec<entry_router::EngineTarget>,
-        Vec<Option<engine_ledger::EngineOffer>>,
+        Vec<Option<placement::EngineOffer>>,
         oneshot::Sender<Option<routing::RouteChoice>>,
     ),
     /// Does the policy in force ask schedulers?
--- a/crates/entry/src/model_request.rs
+++ b/crates/entry/src/model_request.rs
@@ -3,7 +3,7 @@
 use std::{rc, time};
 
 use bytes::Bytes;
-use slipturn_core::{decision, engine_ledger, entry_router, histogram, ids, refusal, retry, units};
+use slipturn_core::{decision, entry_router, histogram, ids, refusal, retry, units};
 use slipturn_net::{http_client, http_server};
 
 use crate::{
@@ -323,9 +323,8 @@
         let (path, body) = (&self.call.path, self.body.clone());
         let mut call = upstream_call::call(http::Method::POST, path, attempt, self.left(), body);
         upstream_call::set_header(&mut call, "content-type", "application/json");
-        if self.grant.fleet.fleet.routing == slipturn_core::settings::RoutingKind::ExpectedStart {
-            let band = engine_ledger::LengthBand::of(self.plan.prompt, &self.grant.fleet.fleet);
-            let priority = band.priority().to_string();
+        if let Some(priority) = place.priority {
+            let priority = priority.to_string();
             upstream_call::set_header(&mut call, upstream_call::PRIORITY_HEADER, &priority);
         }
         if place.members.len() > 1 {
--- a/crates/entry/src/place.rs
+++ b/crates/entry/src/place.rs
@@ -3,7 +3,7 @@
 use std::{rc, time};
 
 use futures::future;
-use slipturn_core::{decision, engine_ledger, entry_router, ids, refusal, units};
+use slipturn_core::{decision, entry_router, ids, placement, refusal, units};
 
 use crate::{event, request_context, upstream_call::EngineOrders as _};
 
@@ -39,9 +39,9 @@
         &self,
         context: &request_context::EntryContext,
         target: &entry_router::EngineTarget,
-    ) -> engine_ledger::PlaceRequest {
+    ) -> placement::PlaceRequest {
         let cached = if target.warm { self.prefix_tokens } else { units::TokenCount::ZERO };
-        engine_ledger::PlaceRequest {
+        placement::PlaceRequest {
             attempt: self.attempt.clone(),
             entry: context.local.instance.clone(),
             boot: context.boot,
@@ -68,6 +68,8 @@
     pub member_memory: units::TokenCount,
     /// Whether schedulers hold leases for it.
     leased: bool,
+    /// The priority that the first member's scheduler gave it.
+    pub priority: Option<u8>,
     /// Candidates, offers and choice, for the record.
     pub row: decision::AttemptRow,
 }
@@ -173,13 +175,13 @@
 
 /// What came of asking one scheduler.
 enum OfferOutcome {
-    Offered(engine_ledger::EngineOffer),
+    Offered(placement::EngineOffer),
     Refused(refusal::RequestRefusal),
     Silent(String),
 }
 
 impl OfferOutcome {
-    fn offer(&self) -> Option<engine_ledger::EngineOffer> {
+    fn offer(&self) -> Option<placement::EngineOffer> {
         match self {
             Self::Offered(offer) => Some(*offer),
             Self::Refused(_) | Self::Silent(_) => None,
@@ -275,8 +277,9 @@
     let request = question.request(context, &target);
     let link = context.links.link(target.scheduler);
     match link.acquire(&target.engine, &request, started).await {
-        Ok(Ok(())) => {
+        Ok(Ok(priority)) => {
             let mut place = hold(context, question, vec![target], true, rows, reason);
+            place.priority = Some(priority);
             place.row.waited_ms = millis_since(context, started);
             Ok(place)
         }
@@ -321,7 +324,7 @@
         // Counted before the answer, so that a lease whose answer is lost is given back too.
         add_member(context, question, &mut place, member.clone(), request.clone());
         match link.acquire(&member.engine, &request, context.clock.now()).await {
-            Ok(Ok(())) => {}
+            Ok(Ok(priority)) => place.priority = place.priority.or(Some(priority)),
             Ok(Err(refusal)) => return Err(refusal),
             Err(error) => {
                 let code = refusal::RefusalCode::NoUpstream;
@@ -355,6 +358,7 @@
         members: Vec::new(),
         member_memory: units::TokenCount::ZERO,
         leased,
+        priority: None,
         row,
     };
     for member in members {
@@ -369,7 +373,7 @@
     question: &PlaceQuestion,
     place: &mut HeldPlace,
     member: entry_router::EngineTarget,
-    request: engine_ledger::PlaceRequest,
+    request: placement::PlaceRequest,
 ) {
     if !place.row.target.is_empty() {
         place.row.target.push('+');
--- a/crates/net/src/scheduler_link.rs
+++ b/crates/net/src/scheduler_link.rs
@@ -5,7 +5,7 @@
 use capnp_rpc::{RpcSystem, rpc_twoparty_capnp, twoparty};
 use futures::AsyncReadExt as _;
 use monoio::net;
-use slipturn_core::{budget, engine_ledger, ids, key_vote, refusal, units};
+use slipturn_core::{budget, ids, key_vote, placement, refusal, units};
 use slipturn_wire::{convert, scheduler_capnp};
 use snafu::Snafu;
 use tokio_util::compat::TokioAsyncReadCompatExt as _;
@@ -83,9 +83,9 @@
     pub async fn offer(
         &self,
         engine: &ids::EngineId,
-        request: &engine_ledger::PlaceRequest,
+        request: &placement::PlaceRequest,
         now: units::MonoTime,
-    ) -> Result<Result<engine_ledger::EngineOffer, refusal::RequestRefusal>, LinkError> {
+    ) -> Result<Result<placement::EngineOffer, refusal::RequestRefusal>, LinkError> {
         self.call(ANSWER_LIMIT, async |client| {
             let mut call = client.offer_request();
             convert::write_place(call.get().init_place(), engine, request, now);
@@ -95,13 +95,13 @@
         .await
     }
 
-    /// Waits for a place on an engine.
+    /// Waits for a place on an engine; answers with the priority to send to it.
     pub async fn acquire(
         &self,
         engine: &ids::EngineId,
-        request: &engine_ledger::PlaceRequest,
+        request: &placement::PlaceRequest,
         now: units::MonoTime,
-    ) -> Result<Result<(), refusal::RequestRefusal>, LinkError> {
+    ) -> Result<Result<u8, refusal::RequestRefusal>, LinkError> {
         let limit = request.patience.min(request.deadline).since(now) + WAIT_SLACK;
         self.call(limit, async |client| {
             let mut call = client.acquire_request();
@@ -133,7 +133,7 @@
         &self,
         entry: &ids::InstanceId,
         boot: ids::BootId,
-        places: &[(ids::EngineId, engine_ledger::PlaceRequest)],
+        places: &[(ids::EngineId, placement::PlaceRequest)],
         now: units::MonoTime,
     ) -> Result<(), LinkError> {
         self.call(ANSWER_LIMIT, async |client| {
--- a/crates/scheduler/src/engine_client.rs
+++ b/crates/scheduler/src/engine_client.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use serde::Deserialize;
-use slipturn_core::{engine_ledger, ids, units};
+use slipturn_core::{ids, placement, units};
 use slipturn_net::http_client;
 use snafu::{ResultExt as _, Snafu, ensure};
 
@@ -66,7 +66,7 @@
     fn report(
         &self,
         address: net::SocketAddr,
-    ) -> futures::future::LocalBoxFuture<'_, Result<engine_ledger::EngineReport, EngineError>>;
+    ) -> futures::future::LocalBoxFuture<'_, Result<placement::EngineReport, EngineError>>;
 
     /// Tells it to give an attempt up.
     fn cancel(
@@ -108,13 +108,13 @@
     fn report(
         &self,
         address: net::SocketAddr,
-    ) -> futures::future::LocalBoxFuture<'_, Result<engine_ledger::EngineReport, EngineError>> {
+    ) -> futures::future::LocalBoxFuture<'_, Result<placement::EngineReport, EngineError>> {
         Box::pin(async move {
             let mut call = http::Request::new(Bytes::new());
             *call.uri_mut() = http::Uri::from_static("/v1/load");
             let body = self.call(address, call).await?;
             let answer: LoadAnswer = serde_json::from_slice(&body).context(ShapeSnafu)?;
-            Ok(engine_ledger::EngineReport {
+            Ok(placement::EngineReport {
                 draining: answer.draining,
                 memory: answer.memory_tokens,
                 prefill_backlog: answer.prefill_backlog,
--- a/crates/scheduler/src/event.rs
+++ b/crates/scheduler/src/event.rs
@@ -3,16 +3,16 @@
 use std::{net, time};
 
 use futures::channel::{mpsc, oneshot};
-use slipturn_core::{budget, engine_ledger, ids, key_vote, refusal, units};
+use slipturn_core::{budget, ids, key_vote, placement, refusal, units};
 use slipturn_net::scheduler_link;
 
 /// Where events go.
 pub type EventSender = mpsc::UnboundedSender<SchedulerEvent>;
 
 /// Answer to a question about an engine.
-pub type OfferAnswer = Result<engine_ledger::EngineOffer, refusal::RequestRefusal>;
-/// End of a wait for a place.
-pub type PlaceAnswer = Result<(), refusal::RequestRefusal>;
+pub type OfferAnswer = Result<placement::EngineOffer, refusal::RequestRefusal>;
+/// End of a wait for a place: the priority to send to the engine.
+pub type PlaceAnswer = Result<u8, refusal::RequestRefusal>;
 /// A portion of a budget, or when there will be one.
 pub type PortionAnswer = Result<budget::BudgetPortion, budget::BudgetEmpty>;
 
@@ -31,13 +31,13 @@
 #[derive(Debug)]
 pub enum SchedulerEvent {
     /// An entry asks what an engine could do.
-    Offer(ids::EngineId, engine_ledger::PlaceRequest, oneshot::Sender<OfferAnswer>),
+    Offer(ids::EngineId, placement::PlaceRequest, oneshot::Sender<OfferAnswer>),
     /// An entry waits for a place.
-    Acquire(ids::EngineId, engine_ledger::PlaceRequest, oneshot::Sender<PlaceAnswer>),
+    Acquire(ids::EngineId, placement::PlaceRequest, oneshot::Sender<PlaceAnswer>),
     /// An entry gives a place back.
     Release(ids::EngineId, ids::AttemptId),
     /// An entry says what it streams.
-    Renew(ids::InstanceId, ids::BootId, Vec<(ids::EngineId, engine_ledger::PlaceRequest)>),
+    Renew(ids::InstanceId, ids::BootId, Vec<(ids::EngineId, placement::PlaceRequest)>),
     /// An entry draws a portion of a budget.
     Draw(ids::CustomerId, budget::BudgetLimit, units::TokenCount, oneshot::Sender<PortionAnswer>),
     /// An entry asks for a vote.
@@ -49,7 +49,7 @@
     /// Documents, or a confirmation of those held, came in.
     Documents(scheduler_link::DocumentUpdate),
     /// An engine told of itself.
-    Report(ids::EngineId, engine_ledger::EngineReport),
+    Report(ids::EngineId, placement::EngineReport),
     /// Time has passed.
     Tick,
 }
--- a/crates/scheduler/src/state.rs
+++ b/crates/scheduler/src/state.rs
@@ -4,8 +4,8 @@
 
 use futures::channel::oneshot;
 use slipturn_core::{
-    budget, engine_ledger, fleet_list, ids, key_vote, refusal, rendezvous, settings, units,
-    version_store,
+    budget, engine_ledger, fleet_list, ids, key_vote, placement, refusal, rendezvous, settings,
+    units, version_store,
 };
 use slipturn_net::scheduler_link;
 
@@ -130,7 +130,7 @@
         &mut self,
         now: units::MonoTime,
         engine: &ids::EngineId,
-        request: &engine_ledger::PlaceRequest,
+        request: &placement::PlaceRequest,
     ) -> (event::OfferAnswer, Vec<event::SchedulerEffect>) {
         let effects = self.take_care(now, engine);
         match self.engines.get_mut(engine) {
@@ -143,7 +143,7 @@
         &mut self,
         now: units::MonoTime,
         engine: &ids::EngineId,
-        request: engine_ledger::PlaceRequest,
+        request: placement::PlaceRequest,
         answer: oneshot::Sender<event::PlaceAnswer>,
     ) -> Vec<event::SchedulerEffect> {
         let mut effects = self.take_care(now, engine);
@@ -176,7 +176,7 @@
         now: units::MonoTime,
         entry: &ids::InstanceId,
         boot: ids::BootId,
-        places: Vec<(ids::EngineId, engine_ledger::PlaceRequest)>,
+        places: Vec<(ids::EngineId, placement::PlaceRequest)>,
     ) -> Vec<event::SchedulerEffect> {
         let mut by_engine: collections::BTreeMap<ids::EngineId, Vec<_>> =
             collections::BTreeMap::new();
@@ -203,7 +203,7 @@
         &mut self,
         now: units::MonoTime,
         engine: &ids::EngineId,
-        report: &engine_ledger::EngineReport,
+        report: &placement::EngineReport,
     ) -> Vec<event::SchedulerEffect> {
         let Some(care) = self.engines.get_mut(engine) else {
             return Vec::new();
@@ -382,20 +382,20 @@
         &mut self,
         now: units::MonoTime,
         engine: &ids::EngineId,
-        actions: Vec<engine_ledger::LedgerAction>,
+        actions: Vec<placement::LedgerAction>,
     ) -> Vec<event::SchedulerEffect> {
         let mut effects = Vec::new();
         for action in actions {
             match action {
-                engine_ledger::LedgerAction::Grant(attempt) => {
-                    effects.extend(self.grant(now, engine, &attempt));
+                placement::LedgerAction::Grant(attempt, rank) => {
+                    effects.extend(self.grant(now, engine, &attempt, rank.priority()));
                 }
-                engine_ledger::LedgerAction::Refuse(attempt, refusal) => {
+                placement::LedgerAction::Refuse(attempt, refusal) => {
                     if let Some(answer) = self.waiting.remove(&attempt) {
                         let _ = answer.send(Err(refusal));
                     }
                 }
-                engine_ledger::LedgerAction::Cancel(attempt, reason) => {
+                placement::LedgerAction::Cancel(attempt, reason) => {
                     log::info!("cancel of {attempt} at {engine}: {reason:?}");
                     if let Some(care) = self.engines.get(engine) {
                         effects.push(event::SchedulerEffect::Cancel(care.record.address, attempt));
@@ -412,9 +412,10 @@
         now: units::MonoTime,
         engine: &ids::EngineId,
         attempt: &ids::AttemptId,
+        priority: u8,
     ) -> Vec<event::SchedulerEffect> {
         let answer = self.waiting.remove(attempt);
-        if answer.is_some_and(|answer| answer.send(Ok(())).is_ok()) {
+        if answer.is_some_and(|answer| answer.send(Ok(priority)).is_ok()) {
             return Vec::new();
         }
         self.release(now, engine, attempt)
--- a/crates/wire/schema/scheduler.capnp
+++ b/crates/wire/schema/scheduler.capnp
@@ -38,7 +38,8 @@
 
 struct PlaceReply {
   union {
-    granted @0 :Void;
+    # The priority to send to the engine.
+    granted @0 :UInt8;
     refused @1 :Refusal;
   }
 }
--- a/crates/wire/src/convert.rs
+++ b/crates/wire/src/convert.rs
@@ -4,7 +4,7 @@
 
 use std::{str, time};
 
-use slipturn_core::{budget, engine_ledger, ids, key_vote, refusal, units};
+use slipturn_core::{budget, ids, key_vote, placement, refusal, units};
 use snafu::{ResultExt as _, Snafu};
 
 use crate::scheduler_capnp;
@@ -60,7 +60,7 @@
 pub fn write_place(
     mut builder: scheduler_capnp::place::Builder<'_>,
     engine: &ids::EngineId,
-    request: &engine_ledger::PlaceRequest,
+    request: &placement::PlaceRequest,
     now: units::MonoTime,
 ) {
     builder.set_attempt(request.attempt.as_str());
@@ -82,8 +82,8 @@
 pub fn read_place(
     reader: scheduler_capnp::place::Reader<'_>,
     now: units::MonoTime,
-) -> Result<(ids::EngineId, engine_ledger::PlaceRequest), WireError> {
-    let request = engine_ledger::PlaceRequest {
+) -> Result<(ids::EngineId, placement::PlaceRequest), WireError> {
+    let request = placement::PlaceRequest {
         attempt: read_name(reader.get_attempt()?)?,
         entry: read_name(reader.get_entry()?)?,
         boot: ids::BootId(reader.get_boot()),
@@ -126,7 +126,7 @@
 /// Writes what an engine could do, or why nothing.
 pub fn write_offer(
     builder: scheduler_capnp::offer_reply::Builder<'_>,
-    answer: &Result<engine_ledger::EngineOffer, refusal::RequestRefusal>,
+    answer: &Result<placement::EngineOffer, refusal::RequestRefusal>,
 ) {
     match answer {
         Ok(offer) => {
@@ -145,10 +145,10 @@
 /// Reads what an engine could do, or why nothing.
 pub fn read_offer(
     reader: scheduler_capnp::offer_reply::Reader<'_>,
-) -> Result<Result<engine_ledger::EngineOffer, refusal::RequestRefusal>, WireError> {
+) -> Result<Result<placement::EngineOffer, refusal::RequestRefusal>, WireError> {
     use scheduler_capnp::offer_reply::Which;
     match reader.which().map_err(unknown_variant)? {
-        Which::Offer(group) => Ok(Ok(engine_ledger::EngineOffer {
+        Which::Offer(group) => Ok(Ok(placement::EngineOffer {
             first_token: time::Duration::from_micros(group.get_first_token_us()),
             free: units::TokenCount(group.get_free_tokens()),
             running: group.get_running() as usize,
@@ -161,21 +161,21 @@
 /// Writes the end of a wait for a place.
 pub fn write_place_reply(
     mut builder: scheduler_capnp::place_reply::Builder<'_>,
-    answer: &Result<(), refusal::RequestRefusal>,
+    answer: &Result<u8, refusal::RequestRefusal>,
 ) {
     match answer {
-        Ok(()) => builder.set_granted(()),
+        Ok(priority) => builder.set_granted(*priority),
         Err(refusal) => write_refusal(builder.init_refused(), refusal),
     }
 }
 
-/// Reads the end of a wait for a place.
+/// Reads the end of a wait for a place: the priority to send to the engine.
 pub fn read_place_reply(
     reader: scheduler_capnp::place_reply::Reader<'_>,
-) -> Result<Result<(), refusal::RequestRefusal>, WireError> {
+) -> Result<Result<u8, refusal::RequestRefusal>, WireError> {
     use scheduler_capnp::place_reply::Which;
     match reader.which().map_err(unknown_variant)? {
-        Which::Granted(()) => Ok(Ok(())),
+        Which::Granted(priority) => Ok(Ok(priority)),
         Which::Refused(refused) => Ok(Err(read_refusal(refused?)?)),
     }
 }
--- a/crates/wire/src/scheduler_capnp.rs
+++ b/crates/wire/src/scheduler_capnp.rs
@@ -1891,15 +1891,15 @@
         }
         #[inline]
         pub fn has_refused(&self) -> bool {
-            if self.reader.get_data_field::<u16>(0) != 1 {
+            if self.reader.get_data_field::<u16>(1) != 1 {
                 return false;
             }
             !self.reader.get_pointer_field(0).is_null()
         }
         #[inline]
         pub fn which(self) -> ::core::result::Result<WhichReader<'a>, ::capnp::NotInSchema> {
-            match self.reader.get_data_field::<u16>(0) {
-                0 => ::core::result::Result::Ok(Granted(())),
+            match self.reader.get_data_field::<u16>(1) {
+                0 => ::core::result::Result::Ok(Granted(self.reader.get_data_field::<u8>(0))),
                 1 => ::core::result::Result::Ok(Refused(
                     ::capnp::traits::FromPointerReader::get_from_pointer(
                         &self.reader.get_pointer_field(0),
@@ -1988,15 +1988,16 @@
             self.builder.as_reader().total_size()
         }
         #[inline]
-        pub fn set_granted(&mut self, _value: ()) {
-            self.builder.set_data_field::<u16>(0, 0);
+        pub fn set_granted(&mut self, value: u8) {
+            self.builder.set_data_field::<u16>(1, 0);
+            self.builder.set_data_field::<u8>(0, value);
         }
         #[inline]
         pub fn set_refused(
             &mut self,
             value: crate::scheduler_capnp::refusal::Reader<'_>,
         ) -> ::capnp::Result<()> {
-            self.builder.set_data_field::<u16>(0, 1);
+            self.builder.set_data_field::<u16>(1, 1);
             ::capnp::traits::SetterInput::set_pointer_builder(
                 self.builder.reborrow().get_pointer_field(0),
                 value,
@@ -2005,20 +2006,20 @@
         }
         #[inline]
         pub fn init_refused(self) -> crate::scheduler_capnp::refusal::Builder<'a> {
-            self.builder.set_data_field::<u16>(0, 1);
+            self.builder.set_data_field::<u16>(1, 1);
             ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
         }
         #[inline]
         pub fn has_refused(&self) -> bool {
-            if self.builder.get_data_field::<u16>(0) != 1 {
+            if self.builder.get_data_field::<u16>(1) != 1 {
                 return false;
             }
             !self.builder.is_pointer_field_null(0)
         }
         #[inline]
         pub fn which(self) -> ::core::result::Result<WhichBuilder<'a>, ::capnp::NotInSchema> {
-            match self.builder.get_data_field::<u16>(0) {
-                0 => ::core::result::Result::Ok(Granted(())),
+            match self.builder.get_data_field::<u16>(1) {
+                0 => ::core::result::Result::Ok(Granted(self.builder.get_data_field::<u8>(0))),
                 1 => ::core::result::Result::Ok(Refused(
                     ::capnp::traits::FromPointerBuilder::get_from_pointer(
                         self.builder.get_pointer_field(0),
@@ -2046,7 +2047,7 @@
             ::capnp::word(16, 0, 0, 0, 1, 0, 1, 0),
             ::capnp::word(145, 80, 227, 123, 164, 193, 242, 216),
             ::capnp::word(1, 0, 7, 0, 0, 0, 2, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 218, 0, 0, 0),
             ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -2074,11 +2075,11 @@
             ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
             ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(103, 114, 97, 110, 116, 101, 100, 0),
+            ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(114, 101, 102, 117, 115, 101, 100, 0),
@@ -2092,7 +2093,7 @@
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
-                0 => <() as ::capnp::introspect::Introspect>::introspect(),
+                0 => <u8 as ::capnp::introspect::Introspect>::introspect(),
                 1 => <crate::scheduler_capnp::refusal::Owned as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
@@ -2118,7 +2119,7 @@
         pub(crate) const TYPE_ID: u64 = 0xaf9e_49ed_5d93_4239;
     }
     pub enum Which<A0> {
-        Granted(()),
+        Granted(u8),
         Refused(A0),
     }
     pub type WhichReader<'a> = Which<::capnp::Result<crate::scheduler_capnp::refusal::Reader<'a>>>;
