Measure what instances cost, and cut the two dearest parts

Changed: each piece of an answer sent two events with a text each to the director; times between pieces are kept with the request now and told once.

--- a/crates/compare/src/lib.rs
+++ b/crates/compare/src/lib.rs
@@ -5,6 +5,7 @@
 //! the engines' interface and no simulator of a cluster: no network, no processes, no clocks.
 
 pub mod fake_engines;
+pub mod planned_size;
 pub mod policy_run;
 pub mod scenario;
 pub mod summary;
--- a/crates/compare/src/main.rs
+++ b/crates/compare/src/main.rs
@@ -2,7 +2,7 @@
 
 use std::{process, thread, time};
 
-use slipturn_compare::{policy_run, scenario, summary};
+use slipturn_compare::{planned_size, policy_run, scenario, summary};
 use slipturn_core::settings;
 use slipturn_net::command_line;
 
@@ -24,12 +24,19 @@
     let mut options = getopts::Options::new();
     options.optopt("n", "seconds", "length of each run (default 60)", "N");
     options.optopt("", "fleet", "further options of 'fleet:' for slipturn", "\"NAME: VALUE,\"");
+    options.optflag("", "planned-size", "measure decisions at the planned size instead");
     options.optopt("", "cases", "only cases whose title has this in it", "TEXT");
     options.optopt("", "seed", "seed of arrivals and choices (default 1)", "N");
     let matches = match command_line::parse(INFO, options) {
         command_line::ParsedLine::Run(matches) => matches,
         command_line::ParsedLine::Leave(code) => return process::ExitCode::from(code),
     };
+    if matches.opt_present("planned-size") {
+        for row in planned_size::measure() {
+            println!("{:<46} {}", row.what, row.value);
+        }
+        return process::ExitCode::from(command_line::EXIT_GOOD);
+    }
     let number = |name: &str, default: u64| {
         matches.opt_str(name).map_or(Some(default), |text| text.parse().ok())
     };
--- a/crates/core/src/histogram.rs
+++ b/crates/core/src/histogram.rs
@@ -73,16 +73,21 @@
 }
 
 impl HistogramSet {
-    /// Counts a value.
-    pub fn record(&mut self, measure: MeasureKind, series: &str, span: time::Duration) {
+    /// Counts values.
+    pub fn record_all(&mut self, measure: MeasureKind, series: &str, spans: &[time::Duration]) {
+        if spans.is_empty() {
+            return;
+        }
         let full = self.series.len() >= MAX_SERIES;
         let mut key = (measure, series.to_owned());
         if full && !self.series.contains_key(&key) {
             key.1 = OVERFLOW.to_owned();
         }
         let histogram = self.series.entry(key).or_insert_with(new_histogram);
-        let tenths = u64::try_from(span.as_micros() / 100).unwrap_or(u64::MAX);
-        histogram.saturating_record(tenths.max(1));
+        for span in spans {
+            let tenths = u64::try_from(span.as_micros() / 100).unwrap_or(u64::MAX);
+            histogram.saturating_record(tenths.max(1));
+        }
     }
 
     /// All series with their percentiles.
--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -250,17 +250,52 @@
     pub services: collections::BTreeMap<ids::ServiceId, ServiceNode>,
     /// Customers.
     pub customers: collections::BTreeMap<ids::CustomerId, CustomerNode>,
+    /// Callers by the start of their key's digest. Invariant: built from `customers` when the
+    /// document is read, and never changed after.
+    #[serde(skip)]
+    pub(crate) callers: collections::HashMap<String, Vec<KnownCaller>>,
+}
+
+/// A caller's key and whom it names.
+#[derive(Debug, Clone, PartialEq)]
+pub(crate) struct KnownCaller {
+    /// The key's whole digest in lower case.
+    pub(crate) digest: String,
+    /// The customer.
+    pub(crate) customer: ids::CustomerId,
+    /// Its application.
+    pub(crate) application: ids::ApplicationId,
+}
+
+/// Digits of a digest that callers are found by; the rest is compared in constant time.
+const INDEX_DIGITS: usize = 16;
+
+/// The part of a digest that callers are found by.
+pub(crate) fn index_part(digest: &str) -> &str {
+    digest.get(..INDEX_DIGITS).unwrap_or(digest)
 }
 
 impl SettingsTree {
     /// Reads and checks a YAML document.
     pub fn parse(text: &str) -> Result<Self, SettingsError> {
         ensure!(text.len() <= MAX_DOCUMENT_BYTES, TooLargeSnafu { found: text.len() });
-        let tree: Self = parse_yaml(text)?;
+        let mut tree: Self = parse_yaml(text)?;
         tree.check()?;
+        tree.index_callers();
         Ok(tree)
     }
 
+    fn index_callers(&mut self) {
+        for (customer, node) in &self.customers {
+            for key in &node.keys {
+                let digest = key.sha256.to_ascii_lowercase();
+                let (customer, application) = (customer.clone(), key.application.clone());
+                let found = self.callers.entry(index_part(&digest).to_owned()).or_default();
+                found.push(KnownCaller { digest, customer, application });
+            }
+        }
+    }
+
     fn check(&self) -> Result<(), SettingsError> {
         let fleet = &self.fleet;
         check_range("version", &self.version, self.version.0 > 0, "at least 1")?;
--- a/crates/core/src/settings_resolve.rs
+++ b/crates/core/src/settings_resolve.rs
@@ -139,20 +139,19 @@
 }
 
 impl settings::SettingsTree {
-    /// Finds whom a key names. Every key is compared in constant time.
+    /// Finds whom a key names.
+    ///
+    /// The start of the digest finds the few that may be meant, and the whole is compared in
+    /// constant time. What the look-up's time tells is a part of a digest, not of a key.
     pub fn identify(&self, key: &str) -> Option<CallerIdentity> {
         let digest = key_digest(key);
-        let mut found = None;
-        for (customer, node) in &self.customers {
-            for known in &node.keys {
-                let known_digest = known.sha256.to_ascii_lowercase();
-                if bool::from(known_digest.as_bytes().ct_eq(digest.as_bytes())) {
-                    let application = known.application.clone();
-                    found = Some(CallerIdentity { customer: customer.clone(), application });
-                }
-            }
-        }
-        found
+        let known = self.callers.get(settings::index_part(&digest))?;
+        let same = |caller: &&settings::KnownCaller| {
+            bool::from(caller.digest.as_bytes().ct_eq(digest.as_bytes()))
+        };
+        let caller = known.iter().find(same)?;
+        let (customer, application) = (caller.customer.clone(), caller.application.clone());
+        Some(CallerIdentity { customer, application })
     }
 
     /// Resolves the settings of a request, or `None` where the tree has no such caller.
--- a/crates/entry/src/director.rs
+++ b/crates/entry/src/director.rs
@@ -100,8 +100,10 @@
                 reply(answer, router.spread_retry(expected));
             }
             EntryEvent::Renewals(answer) => reply(answer, self.renewals()),
-            EntryEvent::Measure(measure, series, span) => {
-                self.histograms.record(measure, &series, span);
+            EntryEvent::Measure(measure, series, spans) => {
+                for series in &series {
+                    self.histograms.record_all(measure, series, &spans);
+                }
             }
             EntryEvent::Decision(record) => self.remember(*record),
             EntryEvent::Find(id, answer) => reply(answer, self.decisions.find(&id)),
--- a/crates/entry/src/event.rs
+++ b/crates/entry/src/event.rs
@@ -101,8 +101,8 @@
     SpreadRetry(time::Duration, oneshot::Sender<time::Duration>),
     /// Which places are in use?
     Renewals(oneshot::Sender<RenewalBatch>),
-    /// A value was measured.
-    Measure(histogram::MeasureKind, String, time::Duration),
+    /// Values were measured, each to be counted in each of the series.
+    Measure(histogram::MeasureKind, Vec<String>, Vec<time::Duration>),
     /// A request has ended.
     Decision(Box<decision::DecisionRecord>),
     /// Where is the record of a request?
--- a/crates/entry/src/model_request.rs
+++ b/crates/entry/src/model_request.rs
@@ -64,6 +64,8 @@
     tried: Vec<ids::EngineId>,
     /// Whether any attempt so far ran, as far as is known. Never goes back to `No`.
     ran: refusal::RanState,
+    /// Times between pieces of the answer, told to the director once, at the end.
+    intervals: Vec<time::Duration>,
     /// Set when the first piece goes out; from then on there is no other attempt.
     first_token: Option<units::MonoTime>,
 }
@@ -94,6 +96,7 @@
                 record,
                 tried: Vec::new(),
                 ran: refusal::RanState::No,
+                intervals: Vec::new(),
                 first_token: None,
                 context,
                 call,
@@ -465,12 +468,16 @@
     }
 
     fn measure(&self, measure: histogram::MeasureKind, span: time::Duration) {
+        self.measure_all(measure, vec![span]);
+    }
+
+    fn measure_all(&self, measure: histogram::MeasureKind, spans: Vec<time::Duration>) {
         let settings = &self.grant.settings;
         let class = settings.class.as_ref().map_or("-", ids::ClassId::as_str);
         let band = histogram::band_name(self.plan.prompt);
-        for series in [format!("customer/{}", settings.customer), format!("class/{class}/{band}")] {
-            self.context.events.tell(event::EntryEvent::Measure(measure, series, span));
-        }
+        let series =
+            vec![format!("customer/{}", settings.customer), format!("class/{class}/{band}")];
+        self.context.events.tell(event::EntryEvent::Measure(measure, series, spans));
     }
 
     fn measure_wait(&self, place: &place::HeldPlace) {
@@ -478,10 +485,10 @@
         self.measure(histogram::MeasureKind::PlaceWait, waited);
     }
 
-    fn measure_piece(&self, last: &mut Option<units::MonoTime>) {
+    fn measure_piece(&mut self, last: &mut Option<units::MonoTime>) {
         let now = self.context.clock.now();
         if let Some(last) = last.replace(now) {
-            self.measure(histogram::MeasureKind::TokenInterval, now.since(last));
+            self.intervals.push(now.since(last));
         }
     }
 
@@ -499,6 +506,8 @@
     fn finish(&mut self, end: String) {
         let total = self.context.clock.now().since(self.call.arrived);
         self.measure(histogram::MeasureKind::Total, total);
+        let intervals = std::mem::take(&mut self.intervals);
+        self.measure_all(histogram::MeasureKind::TokenInterval, intervals);
         self.record.total_ms = Some(millis(total));
         self.record.end = Some(end);
         let record = Box::new(self.record.clone());
--- a/crates/entry/src/service_request.rs
+++ b/crates/entry/src/service_request.rs
@@ -143,10 +143,10 @@
             Some(Err(_)) => "time limit passed".to_owned(),
         };
         let settings = &self.settings;
-        let series = format!("service/{}/{}", self.call.service, settings.customer);
+        let series = vec![format!("service/{}/{}", self.call.service, settings.customer)];
         let spent = context.clock.now().since(arrived);
         let total = histogram::MeasureKind::Total;
-        context.events.tell(event::EntryEvent::Measure(total, series, spent));
+        context.events.tell(event::EntryEvent::Measure(total, series, vec![spent]));
         finish(&context, self.record, arrived, end);
         match served {
             None => Ok(None),
