--- a/crates/load/src/caller.rs
+++ b/crates/load/src/caller.rs
@@ -110,6 +110,10 @@
     if let Ok(value) = http::HeaderValue::try_from(format!("Bearer {}", target.key)) {
         headers.insert(http::header::AUTHORIZATION, value);
     }
+    // For an engine called directly, which tells its requests apart by it.
+    if let Ok(value) = http::HeaderValue::try_from(format!("load:{mark}")) {
+        headers.insert("x-attempt-id", value);
+    }
     headers.insert(http::header::CONTENT_TYPE, http::HeaderValue::from_static("application/json"));
     let calling = answer(pool, target, call, &mark, arrival.output);
     let outcome = monoio::time::timeout(CALLER_LIMIT, calling).await;
