--- /dev/null
+++ b/crates/trial/tests/garbage.rs
@@ -0,0 +1,85 @@
+//! Whatever bytes arrive on any port, the processes go on.
+
+#![allow(clippy::unwrap_used)]
+
+mod support;
+
+use std::{io::Read as _, io::Write as _, time};
+
+use rand::{RngExt as _, SeedableRng as _};
+use support::{Fleet, FleetShape};
+
+const ROUNDS: usize = 300;
+
+/// Pieces from which requests are put together that are nearly right.
+const PIECES: [&[u8]; 22] = [
+    b"POST /v1/chat/completions HTTP/1.1\r\n",
+    b"GET /v1/models HTTP/1.1\r\n",
+    b"GET /services/rsvp/a?b=c HTTP/1.0\r\n",
+    b"GET /v1/decisions/%00%ff HTTP/1.1\r\n",
+    b"POST /v1/drain/ HTTP/1.1\r\n",
+    b"\x00\x01\xfe PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n",
+    b"host: x\r\n",
+    b"content-length: 5\r\n",
+    b"content-length: -1\r\n",
+    b"content-length: 99999999999999999999\r\n",
+    b"transfer-encoding: chunked\r\n",
+    b"transfer-encoding: gzip, chunked\r\n",
+    b"authorization: Bearer key-1\r\n",
+    b"x-request-id: \xff\xfe\r\n",
+    b"slipturn-timeout-ms: 99999999999999999999\r\n",
+    b"idempotency-key: \r\n",
+    b"expect: 100-continue\r\n",
+    b"\r\n",
+    b"fffffffffffffffff\r\n",
+    b"5\r\nhello\r\n0\r\n\r\n",
+    b"{\"model\":\"invitation\",\"messages\":[],\"max_tokens\":1e99}",
+    b"\r\n\r\n\r\n",
+];
+
+fn garbage(random: &mut rand_chacha::ChaCha8Rng) -> Vec<u8> {
+    let mut bytes = Vec::new();
+    for _ in 0..random.random_range(1..8) {
+        if random.random::<f64>() < 0.2 {
+            let noise = (0..random.random_range(0..64)).map(|_| random.random::<u8>());
+            bytes.extend(noise.collect::<Vec<_>>());
+        } else {
+            bytes.extend_from_slice(PIECES[random.random_range(0..PIECES.len())]);
+        }
+    }
+    if random.random::<f64>() < 0.3 {
+        bytes.truncate(random.random_range(0..=bytes.len()));
+    }
+    bytes
+}
+
+fn throw(address: std::net::SocketAddr, bytes: &[u8]) {
+    let mut stream = support::connect(address).unwrap();
+    stream.set_read_timeout(Some(time::Duration::from_millis(20))).unwrap();
+    // The other end may have closed already; that is its right.
+    let _ = stream.write_all(bytes);
+    let _ = stream.read(&mut [0; 256]);
+}
+
+#[test]
+fn bytes_of_any_kind_stop_no_process() {
+    let mut fleet = Fleet::start(&FleetShape { services: 1, ..Default::default() });
+    let mut random = rand_chacha::ChaCha8Rng::seed_from_u64(7);
+    for _ in 0..ROUNDS {
+        let bytes = garbage(&mut random);
+        let instance = &fleet.instances[0];
+        for address in [instance.entry.address, instance.operators, instance.scheduler.address] {
+            throw(address, &bytes);
+        }
+    }
+    let body = support::prompt_body("x", 10, 5, true);
+    let answer = support::complete(fleet.instances[0].entry.address, &body).unwrap();
+    assert!(support::is_whole_answer(&answer, &body), "{}", answer.text());
+    let status = support::get(fleet.instances[0].operators, "/v1/status").unwrap().json();
+    assert_eq!(status["scheduler"]["instance"], "instance-0");
+    let instance = &mut fleet.instances[0];
+    for process in [&mut instance.entry, &mut instance.scheduler] {
+        process.signal("TERM");
+        assert_eq!(process.wait().code(), Some(0));
+    }
+}
