Split the entry's router: engines of the list and waking up stand apart

Cause: entry_router.rs had grown to 580 lines, and both programs had the same errors of a server's start twice.

--- a/crates/compare/src/policy_run.rs
+++ b/crates/compare/src/policy_run.rs
@@ -2,7 +2,9 @@
 
 use std::{collections, time};
 
-use slipturn_core::{entry_router, ids, placement, refusal, retry, routing, settings, units};
+use slipturn_core::{
+    engine_directory, entry_router, ids, placement, refusal, retry, routing, settings, units,
+};
 use slipturn_load::arrivals;
 use slipturn_standin::engine_model;
 
@@ -186,7 +188,7 @@
     fn choose(
         &mut self,
         entry: usize,
-        targets: &[entry_router::EngineTarget],
+        targets: &[engine_directory::EngineTarget],
         request: &placement::PlaceRequest,
     ) -> (Option<routing::RouteChoice>, time::Duration) {
         if !self.entries[entry].wants_offers() {
@@ -201,7 +203,7 @@
                 engine.ledger.offer(self.now, request).ok()
             })
             .collect();
-        let trip = |target: &entry_router::EngineTarget| {
+        let trip = |target: &engine_directory::EngineTarget| {
             if target.near { profile.near } else { profile.far }
         };
         let asked = targets.iter().map(trip).max().unwrap_or_default();
--- a/crates/core/src/entry_router.rs
+++ b/crates/core/src/entry_router.rs
@@ -5,30 +5,13 @@
 use rand::{RngExt as _, SeedableRng as _, seq::IndexedRandom as _};
 
 use crate::{
-    budget, fleet_list, ids, placement, refusal, rendezvous, retry, routing, settings,
-    settings_resolve, units, version_store,
+    budget, engine_directory, fleet_list, ids, placement, refusal, rendezvous, retry, routing,
+    settings, settings_resolve, units, version_store, wake_watch,
 };
 
 /// Prompts whose engine is remembered, for its prefix cache.
 const MAX_AFFINITY: usize = 20_000;
 
-/// Where to reach the scheduler of an engine, and the engine itself.
-#[derive(Debug, Clone, PartialEq)]
-pub struct EngineTarget {
-    /// The engine.
-    pub engine: ids::EngineId,
-    /// Where it takes requests.
-    pub address: net::SocketAddr,
-    /// Its owner's scheduler.
-    pub scheduler: net::SocketAddr,
-    /// Whether it is in this entry's data centre.
-    pub near: bool,
-    /// Its memory for KV cache.
-    pub memory: units::TokenCount,
-    /// Whether it probably has the prompt's prefix cached.
-    pub warm: bool,
-}
-
 /// What an entry knows of a request when it asks for a plan.
 #[derive(Debug, Clone)]
 pub struct PlanQuestion {
@@ -90,7 +73,7 @@
     data_center: ids::DataCenterId,
     list: fleet_list::FleetList,
     store: version_store::VersionStore,
-    wake: WakeWatch,
+    wake: wake_watch::WakeWatch,
     policy: Box<dyn routing::RoutingPolicy>,
     policy_kind: settings::RoutingKind,
     purse: budget::BudgetPurse,
@@ -120,7 +103,7 @@
             data_center,
             list: fleet_list::FleetList::default(),
             store: version_store::VersionStore::default(),
-            wake: WakeWatch::new(sleep_bound),
+            wake: wake_watch::WakeWatch::new(sleep_bound),
             policy: routing::policy_for(fleet.routing),
             policy_kind: fleet.routing,
             purse: budget::BudgetPurse::default(),
@@ -301,50 +284,43 @@
         fleet: &settings::FleetOptions,
         prefix: u64,
         tried: &[ids::EngineId],
-    ) -> Vec<EngineTarget> {
+    ) -> Vec<engine_directory::EngineTarget> {
         self.shunned.retain(|_, until| *until > now);
         let warm = self.affinity.get(&prefix).cloned();
-        let eligible = self.eligible(&question.model, question.prompt, fleet);
-        let untried = eligible.into_iter().filter(|engine| !tried.contains(&engine.name)).cloned();
+        let sampled = self.policy.wants_offers();
+        let long = sampled && question.prompt > fleet.long_tokens;
+        let directory = engine_directory::EngineDirectory::new(&self.list, &self.data_center);
+        let share = if long { fleet.long_engines.factor() } else { 1.0 };
+        let eligible = directory.share_of(&question.model, share);
+        let untried = eligible.into_iter().filter(|engine| !tried.contains(&engine.name));
         let (shunned, mut open): (Vec<_>, Vec<_>) =
             untried.partition(|engine| self.shunned.contains_key(&engine.name));
         if open.is_empty() {
             // One that failed a moment ago is better than none.
             open = shunned;
         }
-        let picked = if self.policy.wants_offers() {
-            let long = question.prompt > fleet.long_tokens;
+        if sampled {
             let count = if long { fleet.long_candidates } else { fleet.candidates };
-            self.sample(&open, count, warm.as_ref())
-        } else {
-            open
-        };
-        picked.iter().filter_map(|engine| self.target(engine, warm.as_ref())).collect()
+            open = directory.sample(&open, count, warm.as_ref(), &mut self.random);
+        }
+        open.iter().filter_map(|engine| directory.target(engine, warm.as_ref())).collect()
     }
 
     /// Engines of one data centre that may serve a prompt larger than any of them together.
-    ///
-    /// The groups are cut from the list in one fixed order, so that no engine is in two of them
-    /// and two prompts cannot each hold a part that the other needs.
     pub fn group(
         &mut self,
         model: &ids::ModelId,
         need: units::TokenCount,
         fleet: &settings::FleetOptions,
-    ) -> Vec<EngineTarget> {
-        let mut centers: Vec<_> =
-            self.list.engines.iter().map(|engine| engine.data_center.clone()).collect();
-        centers.sort();
-        centers.dedup();
-        let groups: Vec<Vec<EngineTarget>> =
-            centers.iter().flat_map(|center| self.groups_in(center, model, need, fleet)).collect();
+    ) -> Vec<engine_directory::EngineTarget> {
+        let groups = self.directory().groups(model, need, fleet);
         groups.choose(&mut self.random).cloned().unwrap_or_default()
     }
 
     /// Chooses among candidates whose offers have come in.
     pub fn choose(
         &mut self,
-        targets: &[EngineTarget],
+        targets: &[engine_directory::EngineTarget],
         offers: &[Option<placement::EngineOffer>],
     ) -> Option<routing::RouteChoice> {
         let candidates: Vec<_> = targets
@@ -441,89 +417,8 @@
         self.shunned.retain(|_, until| *until > now);
     }
 
-    fn eligible(
-        &self,
-        model: &ids::ModelId,
-        prompt: units::TokenCount,
-        fleet: &settings::FleetOptions,
-    ) -> Vec<&fleet_list::EngineRecord> {
-        let fits = |engine: &&fleet_list::EngineRecord| {
-            engine.model == *model && engine.state == fleet_list::ListState::Live
-        };
-        let all = self.list.engines.iter().filter(fits);
-        if !self.policy.wants_offers() || prompt <= fleet.long_tokens {
-            return all.collect();
-        }
-        let ranked = rendezvous::ranked("long", all, |engine| engine.name.as_str());
-        let share = (ranked.len() as f64 * fleet.long_engines.factor()).ceil() as usize;
-        ranked.into_iter().take(share.max(1)).collect()
-    }
-
-    /// The warm engine if it is open, one of the same data centre, and others from anywhere.
-    fn sample(
-        &mut self,
-        open: &[fleet_list::EngineRecord],
-        count: usize,
-        warm: Option<&ids::EngineId>,
-    ) -> Vec<fleet_list::EngineRecord> {
-        let near: Vec<_> =
-            open.iter().filter(|engine| engine.data_center == self.data_center).collect();
-        let mut picked: Vec<fleet_list::EngineRecord> = Vec::with_capacity(count + 1);
-        picked.extend(open.iter().find(|engine| Some(&engine.name) == warm).cloned());
-        picked.extend(near.choose(&mut self.random).map(|engine| (*engine).clone()));
-        picked.extend(open.sample(&mut self.random, count).cloned());
-        let mut seen = collections::HashSet::new();
-        picked.retain(|engine| seen.insert(engine.name.clone()));
-        picked.truncate(count + usize::from(warm.is_some()));
-        picked
-    }
-
-    fn target(
-        &self,
-        engine: &fleet_list::EngineRecord,
-        warm: Option<&ids::EngineId>,
-    ) -> Option<EngineTarget> {
-        let owner = rendezvous::engine_owner(&self.list, &engine.name, &engine.data_center)?;
-        Some(EngineTarget {
-            engine: engine.name.clone(),
-            address: engine.address,
-            scheduler: owner.scheduler,
-            near: engine.data_center == self.data_center,
-            memory: engine.memory,
-            warm: Some(&engine.name) == warm,
-        })
-    }
-
-    fn groups_in(
-        &self,
-        center: &ids::DataCenterId,
-        model: &ids::ModelId,
-        need: units::TokenCount,
-        fleet: &settings::FleetOptions,
-    ) -> Vec<Vec<EngineTarget>> {
-        let fits = |engine: &&fleet_list::EngineRecord| {
-            engine.model == *model
-                && engine.data_center == *center
-                && engine.state == fleet_list::ListState::Live
-        };
-        let engines = self.list.engines.iter().filter(fits);
-        let ranked = rendezvous::ranked("group", engines, |engine| engine.name.as_str());
-        let Some(smallest) = ranked.iter().map(|engine| engine.memory).min() else {
-            return Vec::new();
-        };
-        let usable = smallest.scale(1.0 - fleet.headroom.factor()).0.max(1);
-        let size = usize::try_from(need.0.div_ceil(usable)).unwrap_or(usize::MAX);
-        ranked
-            .chunks_exact(size.clamp(1, ranked.len().max(1)))
-            .take(fleet.group_limit)
-            .filter(|members| members.len() >= size)
-            .map(|members| {
-                let mut members: Vec<_> =
-                    members.iter().filter_map(|engine| self.target(engine, None)).collect();
-                members.sort_by(|left, right| left.engine.cmp(&right.engine));
-                members
-            })
-            .collect()
+    fn directory(&self) -> engine_directory::EngineDirectory<'_> {
+        engine_directory::EngineDirectory::new(&self.list, &self.data_center)
     }
 
     /// The instance this entry runs on.
@@ -537,31 +432,6 @@
     }
 }
 
-/// Notices that the process was paused, from the gap between two events.
-#[derive(Debug)]
-struct WakeWatch {
-    bound: time::Duration,
-    last: Option<units::MonoTime>,
-    /// Pauses noticed so far.
-    wakes: u64,
-    /// Whether nothing was heard from any source since the last pause.
-    asleep: bool,
-}
-
-impl WakeWatch {
-    fn new(bound: time::Duration) -> Self {
-        Self { bound, last: None, wakes: 0, asleep: true }
-    }
-
-    fn notice(&mut self, now: units::MonoTime) {
-        if self.last.is_some_and(|last| now.since(last) > self.bound) {
-            self.wakes += 1;
-            self.asleep = true;
-        }
-        self.last = Some(now);
-    }
-}
-
 fn check_model(
     resolved: &settings_resolve::ResolvedSettings,
     model: &ids::ModelId,
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod budget;
 pub mod decision;
+pub mod engine_directory;
 pub mod engine_ledger;
 mod engine_room;
 pub mod entry_router;
@@ -23,3 +24,4 @@
 pub mod settings_resolve;
 pub mod units;
 pub mod version_store;
+mod wake_watch;
--- a/crates/entry/src/event.rs
+++ b/crates/entry/src/event.rs
@@ -4,8 +4,8 @@
 
 use futures::channel::{mpsc, oneshot};
 use slipturn_core::{
-    budget, decision, entry_router, fleet_list, histogram, ids, key_vote, placement, refusal,
-    retry, routing, settings, settings_resolve, units,
+    budget, decision, engine_directory, entry_router, fleet_list, histogram, ids, key_vote,
+    placement, refusal, retry, routing, settings, settings_resolve, units,
 };
 use slipturn_net::scheduler_link;
 
@@ -64,18 +64,18 @@
         rc::Rc<settings::SettingsTree>,
         u64,
         Vec<ids::EngineId>,
-        oneshot::Sender<Vec<entry_router::EngineTarget>>,
+        oneshot::Sender<Vec<engine_directory::EngineTarget>>,
     ),
     /// Which engines together serve a prompt larger than one?
     Group(
         ids::ModelId,
         units::TokenCount,
         rc::Rc<settings::SettingsTree>,
-        oneshot::Sender<Vec<entry_router::EngineTarget>>,
+        oneshot::Sender<Vec<engine_directory::EngineTarget>>,
     ),
     /// Which of the engines asked?
     Choose(
-        Vec<entry_router::EngineTarget>,
+        Vec<engine_directory::EngineTarget>,
         Vec<Option<placement::EngineOffer>>,
         oneshot::Sender<Option<routing::RouteChoice>>,
     ),
--- a/crates/entry/src/place.rs
+++ b/crates/entry/src/place.rs
@@ -3,7 +3,7 @@
 use std::{rc, time};
 
 use futures::future;
-use slipturn_core::{decision, entry_router, ids, placement, refusal, units};
+use slipturn_core::{decision, engine_directory, entry_router, ids, placement, refusal, units};
 
 use crate::{event, request_context, upstream_call::EngineOrders as _};
 
@@ -38,7 +38,7 @@
     fn request(
         &self,
         context: &request_context::EntryContext,
-        target: &entry_router::EngineTarget,
+        target: &engine_directory::EngineTarget,
     ) -> placement::PlaceRequest {
         let cached = if target.warm { self.prefix_tokens } else { units::TokenCount::ZERO };
         placement::PlaceRequest {
@@ -63,7 +63,7 @@
     context: rc::Rc<request_context::EntryContext>,
     attempt: ids::AttemptId,
     /// The first one gives the answer.
-    pub members: Vec<entry_router::EngineTarget>,
+    pub members: Vec<engine_directory::EngineTarget>,
     /// What each of the others keeps memory for.
     pub member_memory: units::TokenCount,
     /// Whether schedulers hold leases for it.
@@ -76,7 +76,7 @@
 
 impl HeldPlace {
     /// The engine that gives the answer.
-    pub fn engine(&self) -> &entry_router::EngineTarget {
+    pub fn engine(&self) -> &engine_directory::EngineTarget {
         &self.members[0]
     }
 
@@ -135,7 +135,7 @@
     context: &request_context::EntryContext,
     question: &PlaceQuestion,
     tried: &[ids::EngineId],
-) -> Vec<entry_router::EngineTarget> {
+) -> Vec<engine_directory::EngineTarget> {
     let make = |answer| {
         let tree = rc::Rc::clone(&question.grant.fleet);
         let plan = question.plan.clone();
@@ -145,7 +145,7 @@
 }
 
 /// Whether the prompt is larger than the largest of the engines can take.
-fn needs_group(question: &PlaceQuestion, targets: &[entry_router::EngineTarget]) -> bool {
+fn needs_group(question: &PlaceQuestion, targets: &[engine_directory::EngineTarget]) -> bool {
     let headroom = question.grant.fleet.fleet.headroom.factor();
     let largest = targets.iter().map(|target| target.memory.scale(1.0 - headroom)).max();
     largest.is_some_and(|largest| question.need() > largest)
@@ -154,7 +154,7 @@
 async fn try_candidates(
     context: &rc::Rc<request_context::EntryContext>,
     question: &PlaceQuestion,
-    targets: Vec<entry_router::EngineTarget>,
+    targets: Vec<engine_directory::EngineTarget>,
     tried: &mut Vec<ids::EngineId>,
 ) -> Result<HeldPlace, refusal::RequestRefusal> {
     let wants_offers = context.events.ask(event::EntryEvent::WantsOffers).await;
@@ -192,7 +192,7 @@
 async fn ask_offers(
     context: &request_context::EntryContext,
     question: &PlaceQuestion,
-    targets: &[entry_router::EngineTarget],
+    targets: &[engine_directory::EngineTarget],
 ) -> Vec<OfferOutcome> {
     let now = context.clock.now();
     let asked = targets.iter().map(|target| async move {
@@ -207,7 +207,7 @@
 }
 
 fn offer_row(
-    (target, outcome): (&entry_router::EngineTarget, &OfferOutcome),
+    (target, outcome): (&engine_directory::EngineTarget, &OfferOutcome),
 ) -> decision::CandidateRow {
     let offer = match outcome {
         OfferOutcome::Offered(offer) => format!(
@@ -228,7 +228,7 @@
 async fn refused_by_all(
     context: &rc::Rc<request_context::EntryContext>,
     question: &PlaceQuestion,
-    targets: Vec<entry_router::EngineTarget>,
+    targets: Vec<engine_directory::EngineTarget>,
     answers: Vec<OfferOutcome>,
     rows: Vec<decision::CandidateRow>,
     tried: &mut Vec<ids::EngineId>,
@@ -255,7 +255,7 @@
 async fn without_leases(
     context: &rc::Rc<request_context::EntryContext>,
     question: &PlaceQuestion,
-    targets: Vec<entry_router::EngineTarget>,
+    targets: Vec<engine_directory::EngineTarget>,
     tried: &mut Vec<ids::EngineId>,
 ) -> Result<HeldPlace, refusal::RequestRefusal> {
     let offers = vec![None; targets.len()];
@@ -269,7 +269,7 @@
 async fn acquire(
     context: &rc::Rc<request_context::EntryContext>,
     question: &PlaceQuestion,
-    target: entry_router::EngineTarget,
+    target: engine_directory::EngineTarget,
     rows: Vec<decision::CandidateRow>,
     reason: String,
 ) -> Result<HeldPlace, refusal::RequestRefusal> {
@@ -339,7 +339,7 @@
 fn hold(
     context: &rc::Rc<request_context::EntryContext>,
     question: &PlaceQuestion,
-    members: Vec<entry_router::EngineTarget>,
+    members: Vec<engine_directory::EngineTarget>,
     leased: bool,
     candidates: Vec<decision::CandidateRow>,
     reason: String,
@@ -372,7 +372,7 @@
     context: &request_context::EntryContext,
     question: &PlaceQuestion,
     place: &mut HeldPlace,
-    member: entry_router::EngineTarget,
+    member: engine_directory::EngineTarget,
     request: placement::PlaceRequest,
 ) {
     if !place.row.target.is_empty() {
@@ -387,7 +387,7 @@
 
 async fn give_back(
     context: rc::Rc<request_context::EntryContext>,
-    target: entry_router::EngineTarget,
+    target: engine_directory::EngineTarget,
     attempt: ids::AttemptId,
 ) {
     let link = context.links.link(target.scheduler);
--- a/crates/entry/src/program.rs
+++ b/crates/entry/src/program.rs
@@ -1,13 +1,14 @@
 //! The running entry: its listeners, its director and the tasks around them.
 
-use std::{cell, io, net, rc, time};
+use std::{cell, rc, time};
 
 use futures::{channel::oneshot, future};
 use slipturn_core::entry_router;
 use slipturn_net::{
     document_feed, http_client, http_server, local_settings, metrics, process, scheduler_link,
+    server,
 };
-use snafu::{ResultExt as _, Snafu};
+use snafu::ResultExt as _;
 
 use crate::{
     body_budget, caller_connection, director, documents, event, operators, renewal, request_context,
@@ -25,40 +26,15 @@
 /// Time between two looks at whether requests are in progress.
 const STOP_POLL: time::Duration = time::Duration::from_millis(20);
 
-/// Why an entry could not run.
-#[derive(Debug, Snafu)]
-pub enum ProgramError {
-    /// An address cannot be listened on.
-    #[snafu(display("cannot listen on {address}: {source}"))]
-    Listen {
-        /// The address.
-        address: net::SocketAddr,
-        /// What the system said.
-        source: io::Error,
-    },
-    /// Signals cannot be handled.
-    #[snafu(display("signals: {source}"))]
-    Signals {
-        /// What the system said.
-        source: io::Error,
-    },
-    /// Metrics cannot be sent.
-    #[snafu(display("{source}"))]
-    Metrics {
-        /// What is wrong.
-        source: metrics::MetricsError,
-    },
-}
-
 /// Runs an entry until a stop is asked for and its requests are done.
-pub async fn run(local: local_settings::LocalSettings) -> Result<(), ProgramError> {
-    let stop = process::StopSignal::install().context(SignalsSnafu)?;
+pub async fn run(local: local_settings::LocalSettings) -> Result<(), server::ServerError> {
+    let stop = process::StopSignal::install().context(server::SignalsSnafu)?;
     let clock = process::ProcessClock::start();
     let boot = process::new_boot_id();
     let sender =
-        metrics::MetricSender::new("slipturn.entry", local.statsd).context(MetricsSnafu)?;
-    let callers = listen(local.listen.callers)?;
-    let for_operators = listen(local.listen.operators)?;
+        metrics::MetricSender::new("slipturn.entry", local.statsd).context(server::MetricsSnafu)?;
+    let callers = server::listen(local.listen.callers)?;
+    let for_operators = server::listen(local.listen.operators)?;
     let local = rc::Rc::new(local);
 
     let (events, incoming) = event::EventSender::channel();
@@ -118,10 +94,6 @@
     Ok(())
 }
 
-fn listen(address: net::SocketAddr) -> Result<monoio::net::TcpListener, ProgramError> {
-    process::listen(address).context(ListenSnafu { address })
-}
-
 async fn finish_requests(context: &request_context::EntryContext) {
     let started = context.clock.now();
     while context.active.get() > 0 && context.clock.now().since(started) < STOP_LIMIT {
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -12,3 +12,4 @@
 pub mod metrics;
 pub mod process;
 pub mod scheduler_link;
+pub mod server;
--- a/crates/scheduler/src/program.rs
+++ b/crates/scheduler/src/program.rs
@@ -1,11 +1,13 @@
 //! The running scheduler: its event loop and the tasks around it.
 
-use std::{cell, collections, io, net, rc, time};
+use std::{cell, collections, rc, time};
 
 use futures::{StreamExt as _, channel::mpsc};
-use slipturn_net::{document_feed, http_client, local_settings, metrics, process, scheduler_link};
+use slipturn_net::{
+    document_feed, http_client, local_settings, metrics, process, scheduler_link, server,
+};
 use slipturn_wire::scheduler_capnp;
-use snafu::{ResultExt as _, Snafu};
+use snafu::ResultExt as _;
 
 use crate::{engine_client, event, exchange, rpc_service, state};
 
@@ -14,42 +16,17 @@
 /// After a stop was asked for, how long entries have to find another scheduler.
 const STOP_GRACE: time::Duration = time::Duration::from_secs(2);
 
-/// Why a scheduler could not run.
-#[derive(Debug, Snafu)]
-pub enum ProgramError {
-    /// The address cannot be listened on.
-    #[snafu(display("cannot listen on {address}: {source}"))]
-    Listen {
-        /// The address.
-        address: net::SocketAddr,
-        /// What the system said.
-        source: io::Error,
-    },
-    /// Signals cannot be handled.
-    #[snafu(display("signals: {source}"))]
-    Signals {
-        /// What the system said.
-        source: io::Error,
-    },
-    /// Metrics cannot be sent.
-    #[snafu(display("{source}"))]
-    Metrics {
-        /// What is wrong.
-        source: metrics::MetricsError,
-    },
-}
-
 type SharedState = rc::Rc<cell::RefCell<state::SchedulerState>>;
 type PollHandles = collections::HashMap<slipturn_core::ids::EngineId, rc::Rc<cell::Cell<bool>>>;
 
 /// Runs a scheduler until a stop is asked for.
-pub async fn run(local: local_settings::LocalSettings) -> Result<(), ProgramError> {
-    let stop = process::StopSignal::install().context(SignalsSnafu)?;
+pub async fn run(local: local_settings::LocalSettings) -> Result<(), server::ServerError> {
+    let stop = process::StopSignal::install().context(server::SignalsSnafu)?;
     let clock = process::ProcessClock::start();
-    let sender =
-        metrics::MetricSender::new("slipturn.scheduler", local.statsd).context(MetricsSnafu)?;
+    let sender = metrics::MetricSender::new("slipturn.scheduler", local.statsd)
+        .context(server::MetricsSnafu)?;
     let address = local.listen.scheduler;
-    let listener = process::listen(address).context(ListenSnafu { address })?;
+    let listener = server::listen(address)?;
     let (events, incoming) = mpsc::unbounded();
 
     let identity = state::SchedulerIdentity {
