--- /dev/null
+++ b/crates/core/src/engine_estimate.rs
@@ -0,0 +1,118 @@
+//! What a ledger expects of its engine, and what it refuses for that reason.
+
+use std::time;
+
+use crate::{engine_ledger, placement, refusal, service_rank, units};
+
+impl engine_ledger::EngineLedger {
+    /// Refuses what the engine cannot do, or not in time.
+    pub(crate) fn check(
+        &mut self,
+        now: units::MonoTime,
+        request: &placement::PlaceRequest,
+    ) -> Result<(), refusal::RequestRefusal> {
+        if self.draining {
+            return Err(engine_ledger::leaving_refusal());
+        }
+        if !self.reachable(now) {
+            let code = refusal::RefusalCode::NoUpstream;
+            return Err(refusal::RequestRefusal::not_run(code, "the engine is out of reach"));
+        }
+        if request.memory > self.largest(request) {
+            let text = format!("needs {}, the engine holds {}", request.memory, self.capacity);
+            let code = refusal::RefusalCode::TooLarge;
+            return Err(refusal::RequestRefusal::not_run(code, text));
+        }
+        let first = self.first_token(now, request);
+        let whole = first + engine_ledger::answer_time(request.output);
+        let left = request.deadline.since(now);
+        if whole > left {
+            return Err(engine_ledger::overload_refusal(
+                "would not finish inside its time limit",
+                whole - left,
+            ));
+        }
+        self.check_backlog(now, request)
+    }
+
+    /// Whether all that waits leaves room for one more that shorter ones will go before.
+    ///
+    /// Until a longer request is overdue, others may go first; then it is served before all that
+    /// come later. So the whole queue must be worked through in what is left from then on.
+    fn check_backlog(
+        &self,
+        now: units::MonoTime,
+        request: &placement::PlaceRequest,
+    ) -> Result<(), refusal::RequestRefusal> {
+        if self.band(request) == service_rank::LengthBand::Short {
+            return Ok(());
+        }
+        let queued: units::TokenCount = self.queue.iter().map(|item| item.payload.prefill()).sum();
+        let backlog = self.backlog(service_rank::ServiceRank::LAST);
+        let work = self.prefill_rate.time_for(backlog + queued);
+        let spare =
+            self.latest_start(request).since(now).mul_f64(1.0 - engine_ledger::OVERDUE_PART);
+        if work <= spare {
+            return Ok(());
+        }
+        Err(engine_ledger::overload_refusal("too much waits already", work - spare))
+    }
+
+    /// The most memory one request may have, so that shorts always find the headroom.
+    fn largest(&self, request: &placement::PlaceRequest) -> units::TokenCount {
+        match self.band(request) {
+            service_rank::LengthBand::Short => self.capacity,
+            _ => self.capacity.scale(1.0 - self.options.headroom.factor()),
+        }
+    }
+
+    /// Expected time until the first token of a request.
+    pub(crate) fn first_token(
+        &mut self,
+        now: units::MonoTime,
+        request: &placement::PlaceRequest,
+    ) -> time::Duration {
+        let rank = self.rank(now, request);
+        let cost = request.prefill() + request.output;
+        let queued = self.queue.cost_ahead(now, &request.customer, request.weight, cost);
+        let work = self.backlog(rank) + queued + request.prefill();
+        let prefill = self.prefill_rate.time_for(work);
+        if self.fits_now(request) { prefill } else { prefill + self.memory_wait(request) }
+    }
+
+    fn fits_now(&self, request: &placement::PlaceRequest) -> bool {
+        self.leases.len() < self.options.max_running && request.memory <= self.free()
+    }
+
+    /// Expected time until enough leases end: their prefill and half their answer, at worst.
+    fn memory_wait(&self, request: &placement::PlaceRequest) -> time::Duration {
+        let mut ends: Vec<_> = self
+            .leases
+            .values()
+            .map(|lease| {
+                let prefill =
+                    self.prefill_rate.time_for(units::TokenCount(lease.prefill_left as u64));
+                (
+                    prefill + engine_ledger::answer_time(lease.request.output) / 2,
+                    lease.request.memory,
+                )
+            })
+            .collect();
+        ends.sort();
+        let mut free = self.free();
+        for (end, memory) in ends {
+            free += memory;
+            if free >= request.memory {
+                return end;
+            }
+        }
+        self.options.orphan_grace.0
+    }
+
+    /// Prefill work on the engine that goes before a request of `rank`.
+    pub(crate) fn backlog(&self, rank: service_rank::ServiceRank) -> units::TokenCount {
+        let before = self.leases.values().filter(|lease| lease.rank <= rank);
+        let own: f64 = before.map(|lease| lease.prefill_left).sum();
+        units::TokenCount((own + self.foreign_prefill) as u64)
+    }
+}
--- a/crates/core/src/engine_ledger.rs
+++ b/crates/core/src/engine_ledger.rs
@@ -19,24 +19,24 @@
 /// How far back own prefill work is remembered; older reports are compared with the oldest.
 const HISTORY: time::Duration = time::Duration::from_secs(5);
 /// Part of the wait that passes before an item counts as overdue.
-const OVERDUE_PART: f64 = 0.5;
+pub(crate) const OVERDUE_PART: f64 = 0.5;
 /// After its time limit, how long a lease may still be in use by a cancel on its way.
 const LEASE_MARGIN: time::Duration = time::Duration::from_secs(2);
 
 /// A place on an engine, held for one attempt.
 #[derive(Debug, Clone)]
 pub struct EngineLease {
-    request: placement::PlaceRequest,
-    rank: service_rank::ServiceRank,
+    pub(crate) request: placement::PlaceRequest,
+    pub(crate) rank: service_rank::ServiceRank,
     /// Tokens of the prompt not worked through yet, as far as known. Only falls.
-    prefill_left: f64,
+    pub(crate) prefill_left: f64,
     /// Last time the entry said that it still streams.
-    renewed: units::MonoTime,
+    pub(crate) renewed: units::MonoTime,
 }
 
 /// Something the engine holds that no lease explains.
 #[derive(Debug, Clone, Copy)]
-struct OrphanRecord {
+pub(crate) struct OrphanRecord {
     tokens: units::TokenCount,
     since: units::MonoTime,
 }
@@ -44,24 +44,24 @@
 /// The scheduler's record of one engine.
 #[derive(Debug)]
 pub struct EngineLedger {
-    capacity: units::TokenCount,
-    prefill_rate: units::TokenRate,
-    options: settings::FleetOptions,
-    draining: bool,
+    pub(crate) capacity: units::TokenCount,
+    pub(crate) prefill_rate: units::TokenRate,
+    pub(crate) options: settings::FleetOptions,
+    pub(crate) draining: bool,
     /// Invariant: the sum of their memory never exceeds `capacity` less what orphans hold, as far
     /// as the ledger knew when it granted them.
-    leases: collections::HashMap<ids::AttemptId, EngineLease>,
-    orphans: collections::HashMap<ids::AttemptId, OrphanRecord>,
-    released: collections::HashMap<ids::AttemptId, units::MonoTime>,
-    queue: fair_queue::FairQueue<placement::PlaceRequest>,
-    shares: service_rank::ShareMeter,
+    pub(crate) leases: collections::HashMap<ids::AttemptId, EngineLease>,
+    pub(crate) orphans: collections::HashMap<ids::AttemptId, OrphanRecord>,
+    pub(crate) released: collections::HashMap<ids::AttemptId, units::MonoTime>,
+    pub(crate) queue: fair_queue::FairQueue<placement::PlaceRequest>,
+    pub(crate) shares: service_rank::ShareMeter,
     /// Prefill work the engine reported beyond what the leases explain.
-    foreign_prefill: f64,
+    pub(crate) foreign_prefill: f64,
     /// Prefill work that the leases explained at earlier times, oldest first, to compare an old
     /// report with its own time. Invariant: reaches back [`HISTORY`] at most.
-    history: collections::VecDeque<(units::MonoTime, f64)>,
-    advanced: units::MonoTime,
-    reported: Option<units::MonoTime>,
+    pub(crate) history: collections::VecDeque<(units::MonoTime, f64)>,
+    pub(crate) advanced: units::MonoTime,
+    pub(crate) reported: Option<units::MonoTime>,
 }
 
 impl EngineLedger {
@@ -415,7 +415,7 @@
             .collect()
     }
 
-    fn rank(
+    pub(crate) fn rank(
         &mut self,
         now: units::MonoTime,
         request: &placement::PlaceRequest,
@@ -437,113 +437,11 @@
         }
     }
 
-    fn check(
-        &mut self,
-        now: units::MonoTime,
-        request: &placement::PlaceRequest,
-    ) -> Result<(), refusal::RequestRefusal> {
-        if self.draining {
-            return Err(leaving_refusal());
-        }
-        if !self.reachable(now) {
-            let code = refusal::RefusalCode::NoUpstream;
-            return Err(refusal::RequestRefusal::not_run(code, "the engine is out of reach"));
-        }
-        if request.memory > self.largest(request) {
-            let text = format!("needs {}, the engine holds {}", request.memory, self.capacity);
-            let code = refusal::RefusalCode::TooLarge;
-            return Err(refusal::RequestRefusal::not_run(code, text));
-        }
-        let first = self.first_token(now, request);
-        let whole = first + answer_time(request.output);
-        let left = request.deadline.since(now);
-        if whole > left {
-            return Err(overload_refusal("would not finish inside its time limit", whole - left));
-        }
-        self.check_backlog(now, request)
-    }
-
-    /// Whether all that waits leaves room for one more that shorter ones will go before.
-    ///
-    /// Until a longer request is overdue, others may go first; then it is served before all that
-    /// come later. So the whole queue must be worked through in what is left from then on.
-    fn check_backlog(
-        &self,
-        now: units::MonoTime,
-        request: &placement::PlaceRequest,
-    ) -> Result<(), refusal::RequestRefusal> {
-        if self.band(request) == service_rank::LengthBand::Short {
-            return Ok(());
-        }
-        let queued: units::TokenCount = self.queue.iter().map(|item| item.payload.prefill()).sum();
-        let backlog = self.backlog(service_rank::ServiceRank::LAST);
-        let work = self.prefill_rate.time_for(backlog + queued);
-        let spare = self.latest_start(request).since(now).mul_f64(1.0 - OVERDUE_PART);
-        if work <= spare {
-            return Ok(());
-        }
-        Err(overload_refusal("too much waits already", work - spare))
-    }
-
-    /// The most memory one request may have, so that shorts always find the headroom.
-    fn largest(&self, request: &placement::PlaceRequest) -> units::TokenCount {
-        match self.band(request) {
-            service_rank::LengthBand::Short => self.capacity,
-            _ => self.capacity.scale(1.0 - self.options.headroom.factor()),
-        }
-    }
-
-    fn first_token(
-        &mut self,
-        now: units::MonoTime,
-        request: &placement::PlaceRequest,
-    ) -> time::Duration {
-        let rank = self.rank(now, request);
-        let cost = request.prefill() + request.output;
-        let queued = self.queue.cost_ahead(now, &request.customer, request.weight, cost);
-        let work = self.backlog(rank) + queued + request.prefill();
-        let prefill = self.prefill_rate.time_for(work);
-        if self.fits_now(request) { prefill } else { prefill + self.memory_wait(request) }
-    }
-
-    fn fits_now(&self, request: &placement::PlaceRequest) -> bool {
-        self.leases.len() < self.options.max_running && request.memory <= self.free()
-    }
-
-    /// Expected time until enough leases end: their prefill and half their answer, at worst.
-    fn memory_wait(&self, request: &placement::PlaceRequest) -> time::Duration {
-        let mut ends: Vec<_> = self
-            .leases
-            .values()
-            .map(|lease| {
-                let prefill =
-                    self.prefill_rate.time_for(units::TokenCount(lease.prefill_left as u64));
-                (prefill + answer_time(lease.request.output) / 2, lease.request.memory)
-            })
-            .collect();
-        ends.sort();
-        let mut free = self.free();
-        for (end, memory) in ends {
-            free += memory;
-            if free >= request.memory {
-                return end;
-            }
-        }
-        self.options.orphan_grace.0
-    }
-
-    /// Prefill work on the engine that goes before a request of `rank`.
-    fn backlog(&self, rank: service_rank::ServiceRank) -> units::TokenCount {
-        let before = self.leases.values().filter(|lease| lease.rank <= rank);
-        let own: f64 = before.map(|lease| lease.prefill_left).sum();
-        units::TokenCount((own + self.foreign_prefill) as u64)
-    }
-
-    fn band(&self, request: &placement::PlaceRequest) -> service_rank::LengthBand {
+    pub(crate) fn band(&self, request: &placement::PlaceRequest) -> service_rank::LengthBand {
         service_rank::LengthBand::of(request.prefill(), &self.options)
     }
 
-    fn latest_start(&self, request: &placement::PlaceRequest) -> units::MonoTime {
+    pub(crate) fn latest_start(&self, request: &placement::PlaceRequest) -> units::MonoTime {
         let needed = self.prefill_rate.time_for(request.prefill()) + answer_time(request.output);
         let needed = units::MonoTime::from_span(needed).0;
         units::MonoTime(request.deadline.0.saturating_sub(needed))
@@ -574,15 +472,15 @@
     }
 }
 
-fn answer_time(output: units::TokenCount) -> time::Duration {
+pub(crate) fn answer_time(output: units::TokenCount) -> time::Duration {
     TOKEN_INTERVAL.mul_f64(output.0 as f64)
 }
 
-fn leaving_refusal() -> refusal::RequestRefusal {
+pub(crate) fn leaving_refusal() -> refusal::RequestRefusal {
     let code = refusal::RefusalCode::NoUpstream;
     refusal::RequestRefusal::not_run(code, "the engine is leaving")
 }
 
-fn overload_refusal(message: &str, wait: time::Duration) -> refusal::RequestRefusal {
+pub(crate) fn overload_refusal(message: &str, wait: time::Duration) -> refusal::RequestRefusal {
     refusal::RequestRefusal::not_run(refusal::RefusalCode::Overloaded, message).retry_after(wait)
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod budget;
 pub mod decision;
 pub mod engine_directory;
+mod engine_estimate;
 pub mod engine_ledger;
 mod engine_room;
 pub mod entry_router;
--- a/crates/wire/src/convert.rs
+++ b/crates/wire/src/convert.rs
@@ -107,7 +107,8 @@
 ) {
     builder.set_code(refusal.code.word());
     builder.set_message(&refusal.message);
-    builder.set_retry_after_ms(refusal.retry_after.map_or(0, millis));
+    // Zero stands for no time at all, so a wait of less than a millisecond counts as one.
+    builder.set_retry_after_ms(refusal.retry_after.map_or(0, |wait| millis(wait).max(1)));
 }
 
 /// Reads a refusal.
