Learn of new settings in time although sources freeze; split three files

Cause: an entry whose own scheduler froze waited 10 s and 1.5 s for its answer before it asked another; with all schedulers but one frozen a new version took 14.3 s to be in force (9 s allowed; an_instance_whose_sources_freeze_has_a_new_version_in_time, red first). A watch of a peer waits 3 s now, of the platform 5 s, and a source that only stands in has 0.5 s.

Ruled out: asking all sources at once; it would multiply the platform's reads by the instances in just the moment when it may be in trouble.

The ledger worked out ranks by copying every waiting request at each grant; it looks at the waiting customers now.

--- a/crates/core/src/engine_ledger.rs
+++ b/crates/core/src/engine_ledger.rs
@@ -381,15 +381,20 @@
     fn grant_waiting(&mut self, now: units::MonoTime) -> Vec<placement::LedgerAction> {
         let mut actions = Vec::new();
         // A scheduler that slept knows nothing of its engine until the engine has told it.
-        while self.reachable(now) {
+        while self.reachable(now) && !self.queue.is_empty() {
             let mut room = self.room();
-            let ranks = self.waiting_ranks(now);
-            let yields = |request: &placement::PlaceRequest| ranks[&request.attempt].over_share;
+            let over = self.waiting_over_share(now);
+            let options = &self.options;
+            let rank = |request: &placement::PlaceRequest| service_rank::ServiceRank {
+                band: service_rank::LengthBand::of(request.prefill(), options),
+                over_share: over.contains(&request.customer),
+            };
+            let yields = |request: &placement::PlaceRequest| over.contains(&request.customer);
             let fits = |item: &fair_queue::QueueItem<placement::PlaceRequest>, overdue| {
-                room.fits(&item.payload, ranks[&item.payload.attempt], overdue)
+                room.fits(&item.payload, rank(&item.payload), overdue)
             };
             let Some(item) = self.queue.pop_where(now, yields, fits) else { break };
-            let rank = ranks[&item.payload.attempt];
+            let rank = rank(&item.payload);
             let request = item.payload;
             self.shares.count(now, &request.customer, request.weight, request.prefill());
             actions.push(placement::LedgerAction::Grant(request.attempt.clone(), rank));
@@ -401,18 +406,15 @@
         actions
     }
 
-    fn waiting_ranks(
+    /// Customers with waiting requests that are over their share.
+    fn waiting_over_share(
         &mut self,
         now: units::MonoTime,
-    ) -> collections::HashMap<ids::AttemptId, service_rank::ServiceRank> {
-        let requests: Vec<_> = self.queue.iter().map(|item| item.payload.clone()).collect();
-        requests
-            .into_iter()
-            .map(|request| {
-                let rank = self.rank(now, &request);
-                (request.attempt, rank)
-            })
-            .collect()
+    ) -> collections::HashSet<ids::CustomerId> {
+        let waiting: collections::HashSet<_> =
+            self.queue.iter().map(|item| item.customer.clone()).collect();
+        let rate = self.prefill_rate;
+        waiting.into_iter().filter(|customer| self.shares.over_share(now, customer, rate)).collect()
     }
 
     pub(crate) fn rank(
--- /dev/null
+++ b/crates/entry/src/group_place.rs
@@ -0,0 +1,49 @@
+//! Finds a prompt larger than one engine its places on a group of engines.
+
+use std::rc;
+
+use slipturn_core::{refusal, units};
+
+use crate::{event, place, request_context};
+
+/// All members or none, in one fixed order, and given back on any failure.
+pub(crate) async fn find(
+    context: &rc::Rc<request_context::EntryContext>,
+    question: &place::PlaceQuestion,
+) -> Result<place::HeldPlace, refusal::RequestRefusal> {
+    let need = question.need();
+    let make = |answer| {
+        let tree = rc::Rc::clone(&question.grant.fleet);
+        event::EntryEvent::Group(question.plan.model.clone(), need, tree, answer)
+    };
+    let members = context.events.ask(make).await;
+    if members.is_empty() {
+        let text = format!("no group of engines holds {need}");
+        return Err(refusal::RequestRefusal::not_run(refusal::RefusalCode::TooLarge, text));
+    }
+    let started = context.clock.now();
+    let patience = started + question.grant.fleet.fleet.group_wait.0;
+    let part = units::TokenCount(need.0.div_ceil(members.len() as u64));
+    let reason = format!("a group of {}, {part} each", members.len());
+    let mut held = place::hold(context, question, Vec::new(), true, Vec::new(), reason);
+    held.member_memory = part;
+    for member in members {
+        let mut request = question.request(context, &member);
+        request.memory = part;
+        request.grouped = true;
+        request.patience = patience.min(question.deadline);
+        let link = context.links.link(member.scheduler);
+        // Counted before the answer, so that a lease whose answer is lost is given back too.
+        place::add_member(context, question, &mut held, member.clone(), request.clone());
+        match link.acquire(&member.engine, &request, context.clock.now()).await {
+            Ok(Ok(priority)) => held.priority = held.priority.or(Some(priority)),
+            Ok(Err(refusal)) => return Err(refusal),
+            Err(error) => {
+                let code = refusal::RefusalCode::NoUpstream;
+                return Err(refusal::RequestRefusal::not_run(code, error.to_string()));
+            }
+        }
+    }
+    held.row.waited_ms = place::millis_since(context, started);
+    Ok(held)
+}
--- /dev/null
+++ b/crates/entry/src/model_answer.rs
@@ -0,0 +1,124 @@
+//! Passes an engine's answer on to the caller, and tells a whole one from a cut one.
+
+use slipturn_core::histogram;
+use slipturn_net::{http_client, http_server};
+
+use crate::{answer, model_request, upstream_call};
+
+/// Largest piece of a streamed answer.
+const MAX_PIECE: u64 = 4 << 20;
+/// The last event of a whole streamed answer.
+const DONE_EVENT: &[u8] = b"data: [DONE]";
+/// Bytes at the end of a stream that are kept to look for the last event.
+const TAIL_BYTES: usize = 32;
+
+impl model_request::ModelRequest {
+    /// Passes a streamed answer on, piece by piece.
+    pub(crate) async fn pass_stream(
+        &mut self,
+        connection: &mut http_server::ServerConnection,
+        answer: &mut http_client::StreamedAnswer<'_>,
+    ) -> model_request::AttemptEnd {
+        let mut tail = Vec::new();
+        let mut last = None;
+        loop {
+            let limited = monoio::time::timeout(self.left(), answer.next_piece(MAX_PIECE));
+            let piece = match connection.while_present(limited).await {
+                None => return model_request::AttemptEnd::CallerGone,
+                Some(Err(_)) => return model_request::AttemptEnd::TimedOut,
+                Some(Ok(Err(error))) => {
+                    return model_request::AttemptEnd::Failed(self.broke(&error.to_string()));
+                }
+                Some(Ok(Ok(None))) => return self.end_stream(connection, &tail).await,
+                Some(Ok(Ok(Some(piece)))) => piece,
+            };
+            if self.first_token.is_none() && self.start_answer(connection).await.is_err() {
+                return model_request::AttemptEnd::CallerGone;
+            }
+            self.measure_piece(&mut last);
+            keep_tail(&mut tail, &piece);
+            let sending = connection.send_piece(&piece);
+            match monoio::time::timeout(self.left(), sending).await {
+                Ok(Ok(())) => {}
+                Ok(Err(_)) => return model_request::AttemptEnd::CallerGone,
+                Err(_) => return model_request::AttemptEnd::TimedOut,
+            }
+        }
+    }
+
+    async fn start_answer(
+        &mut self,
+        connection: &mut http_server::ServerConnection,
+    ) -> Result<(), http_server::ServeError> {
+        let now = self.context.clock.now();
+        self.first_token = Some(now);
+        let spent = now.since(self.call.arrived);
+        self.record.first_token_ms = Some(model_request::millis(spent));
+        self.measure(histogram::MeasureKind::FirstToken, spent);
+        let mut head = http::Response::new(());
+        let headers = head.headers_mut();
+        let kind = http::HeaderValue::from_static("text/event-stream");
+        headers.insert(http::header::CONTENT_TYPE, kind);
+        let cache = http::HeaderValue::from_static("no-cache");
+        headers.insert(http::header::CACHE_CONTROL, cache);
+        self.call.names.mark(headers);
+        answer::mark_closing(headers, &self.context.stop);
+        connection.start_stream(&head).await
+    }
+
+    /// The engine has ended its answer properly; it is whole only with the last event.
+    async fn end_stream(
+        &self,
+        connection: &mut http_server::ServerConnection,
+        tail: &[u8],
+    ) -> model_request::AttemptEnd {
+        if !tail.trim_ascii_end().ends_with(DONE_EVENT) {
+            return model_request::AttemptEnd::Failed(
+                self.broke("the answer ends without its last event"),
+            );
+        }
+        match connection.finish_stream().await {
+            Ok(()) => model_request::AttemptEnd::Whole,
+            Err(_) => model_request::AttemptEnd::CallerGone,
+        }
+    }
+
+    /// Passes an answer on that is not streamed.
+    pub(crate) async fn pass_whole(
+        &mut self,
+        connection: &mut http_server::ServerConnection,
+        answer: &mut http_client::StreamedAnswer<'_>,
+    ) -> model_request::AttemptEnd {
+        let limit = self.context.local.limits.max_answer.0;
+        let limited = monoio::time::timeout(self.left(), answer.read_whole(limit));
+        let body = match connection.while_present(limited).await {
+            None => return model_request::AttemptEnd::CallerGone,
+            Some(Err(_)) => return model_request::AttemptEnd::TimedOut,
+            Some(Ok(Err(error))) => {
+                return model_request::AttemptEnd::Failed(
+                    upstream_call::AttemptFault::before_answer(&error),
+                );
+            }
+            Some(Ok(Ok(body))) => body,
+        };
+        let now = self.context.clock.now();
+        self.measure(histogram::MeasureKind::FirstToken, now.since(self.call.arrived));
+        let mut whole = http::Response::new(body);
+        *whole.status_mut() = answer.head.status;
+        let headers = whole.headers_mut();
+        let kind = http::HeaderValue::from_static("application/json");
+        headers.insert(http::header::CONTENT_TYPE, kind);
+        self.call.names.mark(headers);
+        answer::mark_closing(headers, &self.context.stop);
+        match connection.respond(whole).await {
+            Ok(()) => model_request::AttemptEnd::Whole,
+            Err(_) => model_request::AttemptEnd::CallerGone,
+        }
+    }
+}
+
+fn keep_tail(tail: &mut Vec<u8>, piece: &[u8]) {
+    tail.extend_from_slice(&piece[piece.len().saturating_sub(TAIL_BYTES)..]);
+    let surplus = tail.len().saturating_sub(TAIL_BYTES);
+    tail.drain(..surplus);
+}
--- /dev/null
+++ b/crates/entry/src/model_measure.rs
@@ -0,0 +1,34 @@
+//! What is measured of a model request, by customer and by request class and prompt length.
+
+use std::time;
+
+use slipturn_core::{histogram, ids, units};
+
+use crate::{event, model_request, place};
+
+impl model_request::ModelRequest {
+    pub(crate) fn measure(&self, measure: histogram::MeasureKind, span: time::Duration) {
+        self.measure_all(measure, vec![span]);
+    }
+
+    pub(crate) fn measure_all(&self, measure: histogram::MeasureKind, spans: Vec<time::Duration>) {
+        let settings = &self.admitted.grant.settings;
+        let class = settings.class.as_ref().map_or("-", ids::ClassId::as_str);
+        let band = histogram::band_name(self.admitted.plan.prompt);
+        let series =
+            vec![format!("customer/{}", settings.customer), format!("class/{class}/{band}")];
+        self.context.events.tell(event::EntryEvent::Measure(measure, series, spans));
+    }
+
+    pub(crate) fn measure_wait(&self, place: &place::HeldPlace) {
+        let waited = time::Duration::from_millis(place.row.waited_ms);
+        self.measure(histogram::MeasureKind::PlaceWait, waited);
+    }
+
+    pub(crate) fn measure_piece(&mut self, last: &mut Option<units::MonoTime>) {
+        let now = self.context.clock.now();
+        if let Some(last) = last.replace(now) {
+            self.intervals.push(now.since(last));
+        }
+    }
+}
--- a/crates/entry/src/place.rs
+++ b/crates/entry/src/place.rs
@@ -5,7 +5,7 @@
 use futures::future;
 use slipturn_core::{decision, engine_directory, entry_router, ids, placement, refusal, units};
 
-use crate::{event, request_context, upstream_call::EngineOrders as _};
+use crate::{event, group_place, request_context, upstream_call::EngineOrders as _};
 
 /// Rounds of candidates before a request is refused.
 const MAX_ROUNDS: usize = 3;
@@ -31,11 +31,11 @@
 }
 
 impl PlaceQuestion {
-    fn need(&self) -> units::TokenCount {
+    pub(crate) fn need(&self) -> units::TokenCount {
         self.plan.prompt + self.grant.output
     }
 
-    fn request(
+    pub(crate) fn request(
         &self,
         context: &request_context::EntryContext,
         target: &engine_directory::EngineTarget,
@@ -121,7 +121,7 @@
             break;
         }
         if needs_group(question, &targets) {
-            return find_group(context, question).await;
+            return group_place::find(context, question).await;
         }
         match try_candidates(context, question, targets, &mut tried).await {
             Ok(place) => return Ok(place),
@@ -294,49 +294,7 @@
     }
 }
 
-/// All members or none, in one fixed order, and given back on any failure.
-async fn find_group(
-    context: &rc::Rc<request_context::EntryContext>,
-    question: &PlaceQuestion,
-) -> Result<HeldPlace, refusal::RequestRefusal> {
-    let need = question.need();
-    let make = |answer| {
-        let tree = rc::Rc::clone(&question.grant.fleet);
-        event::EntryEvent::Group(question.plan.model.clone(), need, tree, answer)
-    };
-    let members = context.events.ask(make).await;
-    if members.is_empty() {
-        let text = format!("no group of engines holds {need}");
-        return Err(refusal::RequestRefusal::not_run(refusal::RefusalCode::TooLarge, text));
-    }
-    let started = context.clock.now();
-    let patience = started + question.grant.fleet.fleet.group_wait.0;
-    let part = units::TokenCount(need.0.div_ceil(members.len() as u64));
-    let reason = format!("a group of {}, {part} each", members.len());
-    let mut place = hold(context, question, Vec::new(), true, Vec::new(), reason);
-    place.member_memory = part;
-    for member in members {
-        let mut request = question.request(context, &member);
-        request.memory = part;
-        request.grouped = true;
-        request.patience = patience.min(question.deadline);
-        let link = context.links.link(member.scheduler);
-        // Counted before the answer, so that a lease whose answer is lost is given back too.
-        add_member(context, question, &mut place, member.clone(), request.clone());
-        match link.acquire(&member.engine, &request, context.clock.now()).await {
-            Ok(Ok(priority)) => place.priority = place.priority.or(Some(priority)),
-            Ok(Err(refusal)) => return Err(refusal),
-            Err(error) => {
-                let code = refusal::RefusalCode::NoUpstream;
-                return Err(refusal::RequestRefusal::not_run(code, error.to_string()));
-            }
-        }
-    }
-    place.row.waited_ms = millis_since(context, started);
-    Ok(place)
-}
-
-fn hold(
+pub(crate) fn hold(
     context: &rc::Rc<request_context::EntryContext>,
     question: &PlaceQuestion,
     members: Vec<engine_directory::EngineTarget>,
@@ -368,7 +326,7 @@
     place
 }
 
-fn add_member(
+pub(crate) fn add_member(
     context: &request_context::EntryContext,
     question: &PlaceQuestion,
     place: &mut HeldPlace,
@@ -420,6 +378,9 @@
         .retry_after(time::Duration::from_secs(1))
 }
 
-fn millis_since(context: &request_context::EntryContext, started: units::MonoTime) -> u64 {
+pub(crate) fn millis_since(
+    context: &request_context::EntryContext,
+    started: units::MonoTime,
+) -> u64 {
     u64::try_from(context.clock.now().since(started).as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/net/src/document_feed.rs
+++ b/crates/net/src/document_feed.rs
@@ -10,15 +10,25 @@
 
 use crate::{document_client, http_client, scheduler_link};
 
-/// How long one watch waits for something newer.
-const WATCH_WAIT: time::Duration = time::Duration::from_secs(10);
-/// Wait of the first question after a start or after all sources were silent.
-const FIRST_WAIT: time::Duration = time::Duration::ZERO;
+/// How long one watch of a peer waits for something newer. A peer that is frozen costs this and an
+/// answer's time, before the next source is asked.
+const PEER_WAIT: time::Duration = time::Duration::from_secs(3);
+/// How long one watch of the platform waits, where each counts as a read.
+const PLATFORM_WAIT: time::Duration = time::Duration::from_secs(5);
 /// Pause after all sources were silent, before jitter.
 const SILENCE_PAUSE: time::Duration = time::Duration::from_millis(500);
 /// Pause after a source answered without waiting.
 const MIN_PAUSE: time::Duration = time::Duration::from_millis(20);
 
+/// How the next question is asked.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum AskMode {
+    /// Answer at once.
+    AtOnce,
+    /// Wait for something newer.
+    Watch,
+}
+
 /// Where documents may come from.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum FeedSource {
@@ -48,14 +58,14 @@
     pool: rc::Rc<http_client::ConnectionPool>,
     links: rc::Rc<scheduler_link::LinkPool>,
 ) {
-    let mut wait = FIRST_WAIT;
+    let mut mode = AskMode::AtOnce;
     loop {
-        if ask_all(&*holder, &pool, &links, wait).await {
-            wait = WATCH_WAIT;
+        if ask_all(&*holder, &pool, &links, mode).await {
+            mode = AskMode::Watch;
             monoio::time::sleep(MIN_PAUSE).await;
         } else {
             holder.all_silent();
-            wait = FIRST_WAIT;
+            mode = AskMode::AtOnce;
             monoio::time::sleep(SILENCE_PAUSE.mul_f64(1.0 + holder.jitter())).await;
         }
     }
@@ -66,11 +76,15 @@
     holder: &dyn DocumentHolder,
     pool: &http_client::ConnectionPool,
     links: &scheduler_link::LinkPool,
-    wait: time::Duration,
+    mode: AskMode,
 ) -> bool {
     for (index, source) in holder.sources().into_iter().enumerate() {
         // Only the first choice is worth waiting at; the others stand in for it.
-        let wait = if index == 0 { wait } else { FIRST_WAIT };
+        let wait = match (mode, source) {
+            (AskMode::Watch, FeedSource::Peer(_)) if index == 0 => PEER_WAIT,
+            (AskMode::Watch, FeedSource::Platform(_)) if index == 0 => PLATFORM_WAIT,
+            _ => time::Duration::ZERO,
+        };
         if let Some(update) = ask(holder.known(), pool, links, source, wait).await {
             holder.take(update);
             return true;
--- a/crates/net/src/scheduler_link.rs
+++ b/crates/net/src/scheduler_link.rs
@@ -16,6 +16,8 @@
 const ANSWER_LIMIT: time::Duration = time::Duration::from_millis(1_000);
 /// Time for a vote: a call waits for two rounds of them.
 const VOTE_LIMIT: time::Duration = time::Duration::from_millis(400);
+/// Time for documents that are asked for without waiting; there are other sources.
+const PROMPT_LIMIT: time::Duration = time::Duration::from_millis(500);
 /// Time for an answer beyond the wait that was asked for.
 const WAIT_SLACK: time::Duration = time::Duration::from_millis(1_500);
 
@@ -192,7 +194,8 @@
         known: KnownDocuments,
         wait: time::Duration,
     ) -> Result<DocumentUpdate, LinkError> {
-        self.call(wait + WAIT_SLACK, async |client| {
+        let slack = if wait.is_zero() { PROMPT_LIMIT } else { WAIT_SLACK };
+        self.call(wait + slack, async |client| {
             let mut call = client.watch_request();
             call.get().set_settings_version(known.settings);
             call.get().set_list_revision(known.list);
--- /dev/null
+++ b/crates/scheduler/src/document_store.rs
@@ -0,0 +1,155 @@
+//! The documents a scheduler holds, and those that wait for newer ones.
+
+use std::rc;
+
+use futures::channel::oneshot;
+use slipturn_core::{fleet_list, settings, units, version_store};
+use slipturn_net::scheduler_link;
+
+use crate::event;
+
+/// Somebody waiting for newer documents.
+struct DocumentWaiter {
+    known: scheduler_link::KnownDocuments,
+    until: units::MonoTime,
+    answer: oneshot::Sender<event::DocumentAnswer>,
+}
+
+/// What an update brought.
+#[derive(Debug, Default)]
+pub struct DocumentNews {
+    /// Settings that came into force.
+    pub settings: Option<rc::Rc<settings::SettingsTree>>,
+    /// Whether a list came into force.
+    pub list: bool,
+}
+
+/// Settings and list, and their watchers.
+#[derive(Default)]
+pub struct DocumentStore {
+    store: version_store::VersionStore,
+    /// Invariant: its revision never falls while the process lives.
+    list: fleet_list::FleetList,
+    list_text: rc::Rc<str>,
+    watchers: Vec<DocumentWaiter>,
+}
+
+impl DocumentStore {
+    /// Numbers of the documents held, to ask only for newer ones.
+    pub fn known(&self) -> scheduler_link::KnownDocuments {
+        scheduler_link::KnownDocuments {
+            settings: self.store.version().0,
+            list: self.list.revision,
+        }
+    }
+
+    /// The settings in force.
+    pub fn store(&self) -> &version_store::VersionStore {
+        &self.store
+    }
+
+    /// The list in force.
+    pub fn list(&self) -> &fleet_list::FleetList {
+        &self.list
+    }
+
+    /// Processes that wait for newer documents.
+    pub fn watchers(&self) -> usize {
+        self.watchers.len()
+    }
+
+    /// Takes in an update; one without settings confirms those held.
+    pub fn take(
+        &mut self,
+        now: units::MonoTime,
+        update: &scheduler_link::DocumentUpdate,
+    ) -> DocumentNews {
+        let mut news = DocumentNews::default();
+        match &update.settings {
+            Some(text) => news.settings = self.take_settings(now, text),
+            None => self.store.confirm(now, update.age),
+        }
+        if let Some(text) = &update.list {
+            news.list = self.take_list(text);
+        }
+        self.answer_watchers(now);
+        news
+    }
+
+    /// Has somebody wait for documents newer than those known, until the time given.
+    pub fn watch(
+        &mut self,
+        now: units::MonoTime,
+        known: scheduler_link::KnownDocuments,
+        until: units::MonoTime,
+        answer: oneshot::Sender<event::DocumentAnswer>,
+    ) {
+        self.watchers.push(DocumentWaiter { known, until, answer });
+        self.answer_watchers(now);
+    }
+
+    /// Answers those for whom there is something newer, or whose time is over.
+    pub fn answer_watchers(&mut self, now: units::MonoTime) {
+        let known = self.known();
+        let due = |waiter: &DocumentWaiter| {
+            let newer = known.settings > waiter.known.settings || known.list > waiter.known.list;
+            newer || waiter.until <= now
+        };
+        let waiters = std::mem::take(&mut self.watchers);
+        let (ready, rest): (Vec<_>, Vec<_>) =
+            waiters.into_iter().filter(|one| !one.answer.is_canceled()).partition(due);
+        self.watchers = rest;
+        for waiter in ready {
+            let answer = self.newer_than(now, waiter.known);
+            // A watcher that has gone needs no answer.
+            let _ = waiter.answer.send(answer);
+        }
+    }
+
+    fn take_settings(
+        &mut self,
+        now: units::MonoTime,
+        text: &str,
+    ) -> Option<rc::Rc<settings::SettingsTree>> {
+        match self.store.offer(now, text) {
+            version_store::OfferOutcome::Accepted => {
+                log::info!("settings version {} is in force", self.store.version());
+                return self.store.tree();
+            }
+            version_store::OfferOutcome::Invalid(fault) => log::error!("settings refused: {fault}"),
+            version_store::OfferOutcome::Older => log::warn!("older settings were dropped"),
+            version_store::OfferOutcome::Same => {}
+        }
+        None
+    }
+
+    fn take_list(&mut self, text: &str) -> bool {
+        match fleet_list::FleetList::parse(text) {
+            Ok(list) if list.revision >= self.list.revision => {
+                self.list = list;
+                self.list_text = text.into();
+                true
+            }
+            Ok(_) => false,
+            Err(fault) => {
+                log::error!("list refused: {fault}");
+                false
+            }
+        }
+    }
+
+    fn newer_than(
+        &self,
+        now: units::MonoTime,
+        known: scheduler_link::KnownDocuments,
+    ) -> event::DocumentAnswer {
+        let have = self.known();
+        let settings = self.store.text().filter(|_| have.settings > known.settings);
+        let list = (have.list > known.list).then(|| rc::Rc::clone(&self.list_text));
+        event::DocumentAnswer {
+            settings: settings.map(|text| (have.settings, text)),
+            list: list.map(|text| (have.list, text)),
+            age: self.store.age(now),
+        }
+    }
+}
--- a/crates/scheduler/src/exchange.rs
+++ b/crates/scheduler/src/exchange.rs
@@ -36,13 +36,13 @@
 
 impl document_feed::DocumentHolder for SchedulerDocuments {
     fn known(&self) -> scheduler_link::KnownDocuments {
-        self.state.borrow().known()
+        self.state.borrow().documents().known()
     }
 
     fn sources(&self) -> Vec<document_feed::FeedSource> {
         let state = self.state.borrow();
         let local = &self.local;
-        sources(state.list(), &local.instance, &local.data_center, &local.platform)
+        sources(state.documents().list(), &local.instance, &local.data_center, &local.platform)
     }
 
     fn take(&self, update: scheduler_link::DocumentUpdate) {
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! One task owns all state ([`state`]); everything else sends it [`event::SchedulerEvent`]s.
 
+pub mod document_store;
 pub mod engine_client;
 pub mod event;
 pub mod exchange;
