--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -12,6 +12,21 @@
     about: "Sends requests at a given rate, whatever becomes of them, and reports on the answers.",
 };
 
+/// Options that a settings file may hold.
+const OPTIONS: [&str; 12] = [
+    "targets",
+    "keys",
+    "model",
+    "rate",
+    "seconds",
+    "min-prompt",
+    "max-prompt",
+    "long-share",
+    "output",
+    "seed",
+    "alone",
+    "json",
+];
 /// Longest prompt that counts as short here.
 const SHORT_PROMPT: u64 = 2_000;
 
@@ -40,11 +55,13 @@
     options.optopt("", "seed", "seed of all choices (default 1)", "N");
     options.optopt("", "alone", "then send shorts alone for this long, to compare", "SECONDS");
     options.optflag("", "json", "report as JSON");
+    command_line::ToolOptions::declare(&mut options);
     let matches = match command_line::parse(INFO, options) {
         command_line::ParsedLine::Run(matches) => matches,
         command_line::ParsedLine::Leave(code) => return process::ExitCode::from(code),
     };
-    let plan = match read_plan(&matches) {
+    let options = command_line::ToolOptions::load(matches, &OPTIONS);
+    let plan = match options.and_then(|options| read_plan(&options)) {
         Ok(plan) => plan,
         Err(text) => {
             eprintln!("{}: {text}", INFO.name);
@@ -65,31 +82,31 @@
     }
 }
 
-fn read_plan(matches: &getopts::Matches) -> Result<LoadPlan, String> {
-    let targets = list(matches, "targets")?;
+fn read_plan(options: &command_line::ToolOptions) -> Result<LoadPlan, String> {
+    let targets = list(options, "targets")?;
     let (mut keys, mut key_weights) = (Vec::new(), Vec::new());
-    for text in list(matches, "keys")? {
+    for text in list(options, "keys")? {
         let (key, weight) = text.split_once('=').unwrap_or((&text, "1"));
         keys.push(key.to_owned());
         key_weights.push(parse("keys", weight)?);
     }
     let shape = arrivals::ArrivalShape {
-        rate: number(matches, "rate", 10.0)?,
-        min_prompt: number(matches, "min-prompt", 1_000)?,
-        max_prompt: number(matches, "max-prompt", 1_000_000)?,
-        long_share: number(matches, "long-share", 0.02)?,
-        output: number(matches, "output", 64)?,
+        rate: options.value("rate", 10.0)?,
+        min_prompt: options.value("min-prompt", 1_000)?,
+        max_prompt: options.value("max-prompt", 1_000_000)?,
+        long_share: options.value("long-share", 0.02)?,
+        output: options.value("output", 64)?,
         key_weights,
-        seed: number(matches, "seed", 1)?,
+        seed: options.value("seed", 1)?,
     };
     Ok(LoadPlan {
         shape,
         targets: targets.iter().map(|text| parse("targets", text)).collect::<Result<_, _>>()?,
         keys,
-        model: matches.opt_str("model").unwrap_or_else(|| "invitation".to_owned()),
-        seconds: number(matches, "seconds", 20)?,
-        alone: number(matches, "alone", 0)?,
-        json: matches.opt_present("json"),
+        model: options.text("model").unwrap_or_else(|| "invitation".to_owned()),
+        seconds: options.value("seconds", 20)?,
+        alone: options.value("alone", 0)?,
+        json: options.flag("json"),
     })
 }
 
@@ -139,19 +156,11 @@
     builder.take().build()
 }
 
-fn list(matches: &getopts::Matches, name: &str) -> Result<Vec<String>, String> {
-    let text = matches.opt_str(name).ok_or_else(|| format!("--{name} is missing"))?;
+fn list(options: &command_line::ToolOptions, name: &str) -> Result<Vec<String>, String> {
+    let text = options.text(name).ok_or_else(|| format!("{name} is missing"))?;
     Ok(text.split(',').map(str::to_owned).collect())
 }
 
-fn number<T: std::str::FromStr>(
-    matches: &getopts::Matches,
-    name: &str,
-    default: T,
-) -> Result<T, String> {
-    matches.opt_str(name).map_or(Ok(default), |text| parse(name, &text))
-}
-
 fn parse<T: std::str::FromStr>(name: &str, text: &str) -> Result<T, String> {
-    text.parse().map_err(|_| format!("--{name}: found '{text}', which is not valid"))
+    text.parse().map_err(|_| format!("{name}: found '{text}', which is not valid"))
 }
--- a/crates/net/src/command_line.rs
+++ b/crates/net/src/command_line.rs
@@ -1,6 +1,8 @@
 //! Command lines of the programs: common options and exit codes.
 
-use std::{fmt, path, process};
+use std::{collections, fmt, fs, path, process, str};
+
+use slipturn_core::settings;
 
 use crate::{local_settings, logging, process as own_process};
 
@@ -64,6 +66,85 @@
     options
 }
 
+/// Options of a tool from its command line and, behind that, from a settings file: a YAML mapping
+/// of the options' long names to their values.
+#[derive(Debug)]
+pub struct ToolOptions {
+    matches: getopts::Matches,
+    file: collections::BTreeMap<String, String>,
+}
+
+impl ToolOptions {
+    /// Adds the option that names the settings file.
+    pub fn declare(options: &mut getopts::Options) {
+        options.optopt("s", "settings", "YAML file with values for options not given here", "FILE");
+    }
+
+    /// Reads the settings file, if one is named. `known` are the names that it may hold.
+    pub fn load(matches: getopts::Matches, known: &[&str]) -> Result<Self, String> {
+        let Some(name) = matches.opt_str("settings") else {
+            return Ok(Self { matches, file: collections::BTreeMap::new() });
+        };
+        let text = fs::read_to_string(&name).map_err(|error| format!("{name}: {error}"))?;
+        let file: collections::BTreeMap<String, ToolValue> =
+            settings::parse_yaml(&text).map_err(|error| format!("{name}: {error}"))?;
+        if let Some(unknown) = file.keys().find(|option| !known.contains(&option.as_str())) {
+            let known = known.join(", ");
+            return Err(format!("{name}: {unknown}: found an unknown option, expected {known}"));
+        }
+        let file = file.into_iter().map(|(option, value)| (option, value.into_text())).collect();
+        Ok(Self { matches, file })
+    }
+
+    /// An option's value as text.
+    pub fn text(&self, name: &str) -> Option<String> {
+        self.matches.opt_str(name).or_else(|| self.file.get(name).cloned())
+    }
+
+    /// An option's value, or its default.
+    pub fn value<T: str::FromStr>(&self, name: &str, default: T) -> Result<T, String> {
+        match self.text(name) {
+            None => Ok(default),
+            Some(text) => {
+                text.parse().map_err(|_| format!("{name}: found '{text}', which is not valid"))
+            }
+        }
+    }
+
+    /// Whether a flag is set.
+    pub fn flag(&self, name: &str) -> bool {
+        self.matches.opt_present(name) || self.file.get(name).is_some_and(|text| text == "true")
+    }
+
+    /// The words that are no options.
+    pub fn words(&self) -> Vec<&str> {
+        self.matches.free.iter().map(String::as_str).collect()
+    }
+}
+
+/// A value in a tool's settings file.
+#[derive(Debug, serde::Deserialize)]
+#[serde(untagged)]
+enum ToolValue {
+    Flag(bool),
+    Whole(u64),
+    Number(f64),
+    Text(String),
+    List(Vec<String>),
+}
+
+impl ToolValue {
+    fn into_text(self) -> String {
+        match self {
+            Self::Flag(flag) => flag.to_string(),
+            Self::Whole(number) => number.to_string(),
+            Self::Number(number) => number.to_string(),
+            Self::Text(text) => text,
+            Self::List(texts) => texts.join(","),
+        }
+    }
+}
+
 /// Says what went wrong and gives the exit code for it.
 pub fn fail(info: ProgramInfo, error: &dyn fmt::Display) -> process::ExitCode {
     eprintln!("{}: {error}", info.name);
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -13,6 +13,9 @@
     about: "Stands in for an engine, a plain service or the platform, in tests only.",
 };
 
+/// Options that a settings file may hold.
+const OPTIONS: [&str; 6] = ["listen", "memory", "prefill", "token-ms", "to", "checks-keys"];
+
 fn main() -> process::ExitCode {
     let mut options = getopts::Options::new();
     options.optopt("l", "listen", "address to listen on", "ADDRESS");
@@ -21,11 +24,13 @@
     options.optopt("", "token-ms", "engine: time between tokens when idle (default 10)", "MS");
     options.optopt("", "to", "publish: the platform stand-in's address", "ADDRESS");
     options.optflag("", "checks-keys", "service: refuse a key it has seen");
+    command_line::ToolOptions::declare(&mut options);
     let matches = match command_line::parse(INFO, options) {
         command_line::ParsedLine::Run(matches) => matches,
         command_line::ParsedLine::Leave(code) => return process::ExitCode::from(code),
     };
-    match run(&matches) {
+    let options = command_line::ToolOptions::load(matches, &OPTIONS);
+    match options.and_then(|options| run(&options)) {
         Ok(()) => process::ExitCode::from(command_line::EXIT_GOOD),
         Err(text) => {
             eprintln!("{}: {text}", INFO.name);
@@ -34,13 +39,13 @@
     }
 }
 
-fn run(matches: &getopts::Matches) -> Result<(), String> {
-    let words: Vec<&str> = matches.free.iter().map(String::as_str).collect();
+fn run(options: &command_line::ToolOptions) -> Result<(), String> {
+    let words = options.words();
     if let ["publish", name, document, file] = words.as_slice() {
         let text = std::fs::read(file).map_err(|error| format!("{file}: {error}"))?;
-        return publish(number(matches, "to", None)?, name, document, text.into());
+        return publish(address(options, "to")?, name, document, text.into());
     }
-    serve(matches)
+    serve(options)
 }
 
 /// Publishes a document, waiting a little for the platform to come up.
@@ -74,16 +79,16 @@
     }
 }
 
-fn serve(matches: &getopts::Matches) -> Result<(), String> {
-    let address: net::SocketAddr = number(matches, "listen", None)?;
+fn serve(options: &command_line::ToolOptions) -> Result<(), String> {
+    let address = address(options, "listen")?;
     let shape = engine_model::EngineShape {
-        memory: number(matches, "memory", Some(400_000))?,
-        prefill_rate: number(matches, "prefill", Some(100_000.0))?,
-        token_time: time::Duration::from_millis(number(matches, "token-ms", Some(10))?),
+        memory: options.value("memory", 400_000)?,
+        prefill_rate: options.value("prefill", 100_000.0)?,
+        token_time: time::Duration::from_millis(options.value("token-ms", 10)?),
         batch_knee: 64.0,
     };
-    let checks_keys = matches.opt_present("checks-keys");
-    let kind = matches.free.first().map(String::as_str).unwrap_or_default().to_owned();
+    let checks_keys = options.flag("checks-keys");
+    let kind = options.words().first().copied().unwrap_or_default().to_owned();
     let serving = async move {
         let listener = own_process::listen(address).map_err(|error| error.to_string())?;
         match kind.as_str() {
@@ -99,14 +104,7 @@
     own_process::run(serving).map_err(|error| error.to_string())?
 }
 
-fn number<T: std::str::FromStr>(
-    matches: &getopts::Matches,
-    name: &str,
-    default: Option<T>,
-) -> Result<T, String> {
-    match (matches.opt_str(name), default) {
-        (Some(text), _) => text.parse().map_err(|_| format!("--{name}: found '{text}'")),
-        (None, Some(default)) => Ok(default),
-        (None, None) => Err(format!("--{name} is missing")),
-    }
+fn address(options: &command_line::ToolOptions, name: &str) -> Result<net::SocketAddr, String> {
+    let text = options.text(name).ok_or_else(|| format!("{name} is missing"))?;
+    text.parse().map_err(|_| format!("{name}: found '{text}', expected IP:PORT"))
 }
