Read the whole change once more: one fault, four twins

Found by reading: a group's memory was given back at once when the answer is whole or an attempt breaks, but not when its first member refuses the prompt. The two fixes for the other ends were special cases; each end of an attempt now either frees the members or cancels all, and a reservation that fails needs no cancel of its own.

--- a/crates/core/src/engine_ledger.rs
+++ b/crates/core/src/engine_ledger.rs
@@ -237,11 +237,11 @@
         if report.memory > units::TokenCount::ZERO {
             self.capacity = report.memory;
         }
-        let taken = units::MonoTime(now.0.saturating_sub(units::MonoTime::from_span(report.age).0));
+        let taken = now.earlier_by(report.age);
         let done_since = self.prefill_rate.tokens_in(report.age).0 as f64;
         let foreign = report.prefill_backlog.0 as f64 - self.own_prefill_at(taken) - done_since;
         self.foreign_prefill = foreign.max(0.0);
-        self.update_orphans(now, report);
+        self.update_orphans(now, taken, &report.held);
         let mut actions = self.due_cancels(now);
         actions.extend(self.advance(now));
         actions
@@ -276,10 +276,15 @@
         self.leases.entry(request.attempt.clone()).or_insert_with(adopted).renewed = now;
     }
 
-    fn update_orphans(&mut self, now: units::MonoTime, report: &placement::EngineReport) {
-        let taken = units::MonoTime(now.0.saturating_sub(units::MonoTime::from_span(report.age).0));
+    /// Takes in what the engine held at the time `taken`.
+    fn update_orphans(
+        &mut self,
+        now: units::MonoTime,
+        taken: units::MonoTime,
+        report: &[(ids::AttemptId, units::TokenCount)],
+    ) {
         let mut orphans = collections::HashMap::new();
-        for (attempt, tokens) in &report.held {
+        for (attempt, tokens) in report {
             let fresh_release = self
                 .released
                 .get(attempt)
@@ -291,8 +296,7 @@
             orphans.insert(attempt.clone(), OrphanRecord { tokens: *tokens, since });
         }
         self.orphans = orphans;
-        let held: collections::HashSet<_> =
-            report.held.iter().map(|(attempt, _)| attempt).collect();
+        let held: collections::HashSet<_> = report.iter().map(|(attempt, _)| attempt).collect();
         self.released.retain(|attempt, released| {
             held.contains(attempt) || taken.since(*released) < RELEASE_SETTLE
         });
@@ -399,8 +403,9 @@
             self.shares.count(now, &request.customer, request.weight, request.prefill());
             actions.push(placement::LedgerAction::Grant(request.attempt.clone(), rank));
             let prefill_left = request.prefill().0 as f64;
-            let lease = EngineLease { rank, prefill_left, renewed: now, request: request.clone() };
-            self.leases.insert(request.attempt, lease);
+            let attempt = request.attempt.clone();
+            let lease = EngineLease { rank, prefill_left, renewed: now, request };
+            self.leases.insert(attempt, lease);
             self.keep_history(now);
         }
         actions
@@ -445,8 +450,7 @@
 
     pub(crate) fn latest_start(&self, request: &placement::PlaceRequest) -> units::MonoTime {
         let needed = self.prefill_rate.time_for(request.prefill()) + answer_time(request.output);
-        let needed = units::MonoTime::from_span(needed).0;
-        units::MonoTime(request.deadline.0.saturating_sub(needed))
+        request.deadline.earlier_by(needed)
     }
 
     fn leased(&self) -> units::TokenCount {
--- a/crates/core/src/units.rs
+++ b/crates/core/src/units.rs
@@ -285,6 +285,11 @@
         Self(u64::try_from(span.as_micros()).unwrap_or(u64::MAX))
     }
 
+    /// The point `span` before this one, or the process's start where that is nearer.
+    pub fn earlier_by(self, span: time::Duration) -> Self {
+        Self(self.0.saturating_sub(Self::from_span(span).0))
+    }
+
     /// The time since `earlier`, or zero where that lies ahead.
     pub fn since(self, earlier: Self) -> time::Duration {
         time::Duration::from_micros(self.0.saturating_sub(earlier.0))
--- a/crates/core/src/version_store.rs
+++ b/crates/core/src/version_store.rs
@@ -87,8 +87,7 @@
 
     /// Notes that a source, itself confirmed `age` ago, has nothing newer than what is in force.
     pub fn confirm(&mut self, now: units::MonoTime, age: time::Duration) {
-        let age = units::MonoTime::from_span(age);
-        self.confirmed = self.confirmed.max(units::MonoTime(now.0.saturating_sub(age.0)));
+        self.confirmed = self.confirmed.max(now.earlier_by(age));
     }
 
     fn reject(&mut self, fault: String) -> OfferOutcome {
--- a/crates/ctl/tests/command_line.rs
+++ b/crates/ctl/tests/command_line.rs
@@ -1,22 +1,15 @@
-//! The command line of `slipturnctl`: exit codes and faults in words.
+//! The command line of `slipturnctl`: exit codes, and faults in words.
 
 #![allow(clippy::unwrap_used)]
 
-use std::process;
+#[path = "../../net/tests/programs/mod.rs"]
+mod programs;
 
-fn run(arguments: &[&str]) -> (Option<i32>, String) {
-    let output =
-        process::Command::new(env!("CARGO_BIN_EXE_slipturnctl")).args(arguments).output().unwrap();
-    let text = [output.stdout, output.stderr].concat();
-    (output.status.code(), String::from_utf8(text).unwrap())
-}
+const PROGRAM: &str = env!("CARGO_BIN_EXE_slipturnctl");
 
 #[test]
 fn help_and_version_are_good_and_wrong_usage_is_two() {
-    assert_eq!(run(&["--help"]).0, Some(0));
-    assert_eq!(run(&["--version"]).0, Some(0));
-    assert_eq!(run(&["--no-such-option"]).0, Some(2));
-    assert_eq!(run(&[]).0, Some(2));
+    programs::check_usage(PROGRAM);
 }
 
 #[test]
@@ -24,16 +17,22 @@
     let file = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join("tree.yaml");
     std::fs::write(&file, "version: 3\n").unwrap();
     let name = file.to_str().unwrap();
-    assert_eq!(run(&["check", name]), (Some(0), format!("{name}: valid, version 3\n")));
+    assert_eq!(
+        programs::run(PROGRAM, &["check", name]),
+        (Some(0), format!("{name}: valid, version 3\n"))
+    );
     std::fs::write(&file, "version: 3\nfleet: {candidates: 99}\n").unwrap();
-    let (code, said) = run(&["check", name]);
+    let (code, said) = programs::run(PROGRAM, &["check", name]);
     assert_eq!(code, Some(1));
     assert!(said.contains("fleet.candidates: found 99, expected 1 to 16"), "{said}");
-    let (code, said) = run(&["-a", "127.0.0.1:1", "status"]);
+    let (code, said) = programs::run(PROGRAM, &["-a", "127.0.0.1:1", "status"]);
     assert_eq!(code, Some(1));
     assert!(said.contains("cannot connect to 127.0.0.1:1"), "{said}");
-    assert_eq!(run(&["-a", "here", "status"]).0, Some(2));
-    assert_eq!(run(&["-a", "127.0.0.1:1", "-c", "bluebonnet", "settings"]).0, Some(2));
+    assert_eq!(programs::run(PROGRAM, &["-a", "here", "status"]).0, Some(2));
+    assert_eq!(
+        programs::run(PROGRAM, &["-a", "127.0.0.1:1", "-c", "bluebonnet", "settings"]).0,
+        Some(2)
+    );
 }
 
 #[test]
--- a/crates/entry/src/model_request.rs
+++ b/crates/entry/src/model_request.rs
@@ -189,7 +189,9 @@
                     return Err(self.timed_out());
                 }
                 AttemptEnd::Failed(fault) => {
-                    if !fault.failure.surely_not_run() {
+                    if fault.failure.surely_not_run() {
+                        place.free_members().await;
+                    } else {
                         place.cancel();
                     }
                     self.after_fault(&place, &fault, number).await?;
@@ -293,7 +295,6 @@
             let tokens = place.member_memory;
             let reserved = self.context.pool.reserve(member.address, attempt.clone(), tokens).await;
             if let Err(fault) = reserved {
-                place.cancel();
                 // The prompt itself has reached no engine.
                 let failure = retry::AttemptFailure::SaidNotRun;
                 return Err(upstream_call::AttemptFault { failure, ..fault });
--- a/crates/entry/src/place.rs
+++ b/crates/entry/src/place.rs
@@ -80,7 +80,7 @@
         &self.members[0]
     }
 
-    /// Has the members that only kept memory give it back, once the answer is whole.
+    /// Has the members that only keep memory give it back: the answer is whole, or nothing runs.
     ///
     /// The leases are released after that: a ledger counts the memory as free from then on.
     pub async fn free_members(&self) {
--- a/crates/net/src/http_server.rs
+++ b/crates/net/src/http_server.rs
@@ -19,7 +19,7 @@
 };
 use snafu::{ResultExt as _, Snafu};
 
-use crate::{body, metered_read};
+use crate::{body, metered_read, server};
 
 /// Largest accepted request head.
 const MAX_HEAD_BYTES: u64 = 32 * 1024;
@@ -303,19 +303,7 @@
     F: Fn(ServerConnection) -> Fut,
     Fut: Future<Output = ()> + 'static,
 {
-    /// Pause after a failed accept, most often for want of file descriptors.
-    const ACCEPT_PAUSE: time::Duration = time::Duration::from_millis(50);
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                monoio::spawn(serve(ServerConnection::new(stream)));
-            }
-            Err(error) => {
-                log::warn!("accept failed: {error}");
-                monoio::time::sleep(ACCEPT_PAUSE).await;
-            }
-        }
-    }
+    server::accept_all(listener, |stream| serve(ServerConnection::new(stream))).await;
 }
 
 /// Whether a request asks for its connection to be closed after the answer.
--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -1,6 +1,6 @@
 //! What entry and scheduler have in common as servers: their start and why it fails.
 
-use std::{io, net};
+use std::{io, net, time};
 
 use snafu::{ResultExt as _, Snafu};
 
@@ -36,3 +36,24 @@
 pub fn listen(address: net::SocketAddr) -> Result<monoio::net::TcpListener, ServerError> {
     process::listen(address).context(ListenSnafu { address })
 }
+
+/// Accepts connections for ever and hands each to `serve` in a task of its own.
+pub async fn accept_all<F, Fut>(listener: monoio::net::TcpListener, serve: F)
+where
+    F: Fn(monoio::net::TcpStream) -> Fut,
+    Fut: Future<Output = ()> + 'static,
+{
+    /// Pause after a failed accept, most often for want of file descriptors.
+    const ACCEPT_PAUSE: time::Duration = time::Duration::from_millis(50);
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                monoio::spawn(serve(stream));
+            }
+            Err(error) => {
+                log::warn!("accept failed: {error}");
+                monoio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
--- a/crates/scheduler/src/program.rs
+++ b/crates/scheduler/src/program.rs
@@ -117,21 +117,11 @@
 }
 
 async fn accept(listener: monoio::net::TcpListener, service: rpc_service::SchedulerService) {
-    /// Pause after a failed accept, most often for want of file descriptors.
-    const ACCEPT_PAUSE: time::Duration = time::Duration::from_millis(50);
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                let client: scheduler_capnp::scheduler::Client =
-                    capnp_rpc::new_client(service.clone());
-                monoio::spawn(scheduler_link::serve(stream, client));
-            }
-            Err(error) => {
-                log::warn!("accept failed: {error}");
-                monoio::time::sleep(ACCEPT_PAUSE).await;
-            }
-        }
-    }
+    server::accept_all(listener, move |stream| {
+        let client: scheduler_capnp::scheduler::Client = capnp_rpc::new_client(service.clone());
+        scheduler_link::serve(stream, client)
+    })
+    .await;
 }
 
 async fn tick(events: event::EventSender) {
--- a/crates/trial/tests/memory.rs
+++ b/crates/trial/tests/memory.rs
@@ -178,3 +178,21 @@
     assert!(whole.filter(|whole| *whole).count() >= 3);
     fleet.wait_no_memory_held();
 }
+
+#[test]
+fn a_group_whose_first_member_refuses_gives_the_others_back_at_once() {
+    let fleet = Fleet::start(&FleetShape {
+        engines: 9,
+        fleet: "{orphan_grace: 3s, group_limit: 1}",
+        ..Default::default()
+    });
+    for engine in &fleet.engines {
+        support::set_faults(engine.address, &json!({ "refuse": true }));
+    }
+    let body = support::prompt_body("archive", 220_000, 5, true);
+    let answer = support::complete(fleet.instances[0].entry.address, &body).unwrap();
+    assert_eq!(answer.ran(), "no", "{}", answer.text());
+    let ended = time::Instant::now();
+    fleet.wait_no_memory_held();
+    assert!(ended.elapsed() < SECOND, "{:?}", ended.elapsed());
+}
