--- /dev/null
+++ b/crates/core/src/membership.rs
@@ -0,0 +1,239 @@
+//! Which other instances are there, from what they say of themselves.
+//!
+//! Every member repeats a heartbeat to the others. A member that is silent is suspected, then
+//! forgotten; one that starts again has another boot number. Views differ for moments: nothing
+//! that must hold rests on them.
+
+use std::{collections, net, time};
+
+use serde::{Deserialize, Serialize};
+
+use crate::{ids, rendezvous, units};
+
+/// Heartbeats of a small fleet are this far apart.
+const BEAT_INTERVAL: time::Duration = time::Duration::from_millis(200);
+/// Members up to which the interval stays the same; beyond, it grows with their number, so that
+/// what one member sends and hears a second stays the same.
+const BEAT_MEMBERS: u32 = 12;
+/// Heartbeats missed before a member is suspected.
+const SUSPECT_BEATS: u32 = 4;
+/// Heartbeats missed before a member is forgotten.
+const FORGET_BEATS: u32 = 40;
+/// Addresses of others named in one heartbeat.
+const NAMED_MEMBERS: usize = 4;
+/// A member this young is not asked to plan: it does not know yet what the engines are doing.
+const PLANNER_AGE: time::Duration = time::Duration::from_millis(1_200);
+
+/// What a member says of itself.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct MemberBeat {
+    /// Its name.
+    pub name: ids::InstanceId,
+    /// This start of it.
+    pub boot: u64,
+    /// Goes up with each heartbeat of a start.
+    pub sequence: u64,
+    /// Where it hears heartbeats and plans.
+    pub address: net::SocketAddrV4,
+    /// Its data centre.
+    pub data_center: ids::DataCenterId,
+    /// Thousandths of a core that it may use.
+    pub cpu: u32,
+    /// Whether it may plan for others: old enough, awake, knowing routes and upstreams.
+    pub plans: bool,
+    /// Whether it is leaving.
+    pub leaving: bool,
+    /// Version of its routes.
+    pub routes: u64,
+    /// Revision of its list of upstreams.
+    pub list: u64,
+    /// Whether it watches the platform's store itself.
+    pub watches: bool,
+    /// Where some others hear heartbeats.
+    pub others: Vec<net::SocketAddrV4>,
+}
+
+#[derive(Debug)]
+struct MemberState {
+    beat: MemberBeat,
+    heard: units::MonoTime,
+    /// Unanswered calls since it was last heard.
+    unanswered: u32,
+}
+
+/// What changed in the view.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum MemberEvent {
+    /// A member not known before, or started again.
+    Joined(ids::InstanceId),
+    /// A member that was silent for long.
+    Forgotten(ids::InstanceId),
+}
+
+/// The other members as this process believes them.
+#[derive(Debug)]
+pub struct MemberView {
+    own: ids::InstanceId,
+    members: collections::BTreeMap<ids::InstanceId, MemberState>,
+    /// Addresses heard of, not yet heard from.
+    hearsay: collections::BTreeMap<net::SocketAddrV4, units::MonoTime>,
+    seeds: Vec<net::SocketAddrV4>,
+    /// Most members alive at once since the start, this one included.
+    most: usize,
+}
+
+impl MemberView {
+    /// A view that knows only where to start asking.
+    pub fn new(own: ids::InstanceId, seeds: Vec<net::SocketAddrV4>) -> Self {
+        Self {
+            own,
+            members: collections::BTreeMap::new(),
+            hearsay: collections::BTreeMap::new(),
+            seeds,
+            most: 1,
+        }
+    }
+
+    /// Replaces the addresses to start asking at.
+    pub fn set_seeds(&mut self, seeds: Vec<net::SocketAddrV4>) {
+        self.seeds = seeds;
+    }
+
+    /// Time between two heartbeats.
+    pub fn beat_interval(&self) -> time::Duration {
+        let members = u32::try_from(self.members.len() + 1).unwrap_or(u32::MAX);
+        BEAT_INTERVAL * members.div_ceil(BEAT_MEMBERS).max(1)
+    }
+
+    /// Whom to send the next heartbeat to.
+    pub fn targets(&self, own: net::SocketAddrV4) -> Vec<net::SocketAddrV4> {
+        let known = self.members.values().map(|member| member.beat.address);
+        let mut targets: Vec<_> =
+            known.chain(self.hearsay.keys().copied()).chain(self.seeds.iter().copied()).collect();
+        targets.sort_unstable();
+        targets.dedup();
+        targets.retain(|target| *target != own);
+        targets
+    }
+
+    /// Some members' addresses to name in a heartbeat; others each time.
+    pub fn named(&self, sequence: u64) -> Vec<net::SocketAddrV4> {
+        let count = self.members.len();
+        if count == 0 {
+            return Vec::new();
+        }
+        let start = (sequence as usize).wrapping_mul(NAMED_MEMBERS) % count;
+        let addresses: Vec<_> = self.members.values().map(|member| member.beat.address).collect();
+        addresses.iter().cycle().skip(start).take(NAMED_MEMBERS.min(count)).copied().collect()
+    }
+
+    /// Takes a heartbeat in.
+    pub fn hear(&mut self, now: units::MonoTime, beat: MemberBeat) -> Option<MemberEvent> {
+        if beat.name == self.own {
+            return None;
+        }
+        self.hearsay.remove(&beat.address);
+        for address in &beat.others {
+            let known = self.members.values().any(|member| member.beat.address == *address);
+            if !known && self.hearsay.len() < 1_024 {
+                self.hearsay.entry(*address).or_insert(now);
+            }
+        }
+        let known = self.members.get(&beat.name);
+        let stale = known.is_some_and(|known| {
+            known.beat.boot == beat.boot && known.beat.sequence >= beat.sequence
+        });
+        if stale {
+            return None;
+        }
+        let joined = known.is_none_or(|known| known.beat.boot != beat.boot);
+        let name = beat.name.clone();
+        self.members.insert(name.clone(), MemberState { beat, heard: now, unanswered: 0 });
+        self.most = self.most.max(self.alive(now).count() + 1);
+        joined.then_some(MemberEvent::Joined(name))
+    }
+
+    /// Forgets members that have been silent for long.
+    pub fn tick(&mut self, now: units::MonoTime) -> Vec<MemberEvent> {
+        let limit = self.beat_interval() * FORGET_BEATS;
+        self.hearsay.retain(|_, since| now.since(*since) < limit);
+        let silent: Vec<_> = self
+            .members
+            .iter()
+            .filter(|(_, member)| now.since(member.heard) > limit)
+            .map(|(name, _)| name.clone())
+            .collect();
+        for name in &silent {
+            self.members.remove(name);
+        }
+        silent.into_iter().map(MemberEvent::Forgotten).collect()
+    }
+
+    /// Members that were heard lately.
+    pub fn alive(&self, now: units::MonoTime) -> impl Iterator<Item = &MemberBeat> {
+        let limit = self.beat_interval() * SUSPECT_BEATS;
+        self.members
+            .values()
+            .filter(move |member| now.since(member.heard) <= limit)
+            .map(|member| &member.beat)
+    }
+
+    /// Members believed to exist, this one included, alive or silent for moments only.
+    pub fn size(&self) -> usize {
+        (self.members.len() + 1).max(self.most.div_ceil(2))
+    }
+
+    /// Notes that a member left a call unanswered.
+    pub fn unanswered(&mut self, name: &ids::InstanceId) {
+        if let Some(member) = self.members.get_mut(name) {
+            member.unanswered += 1;
+        }
+    }
+
+    /// Notes that a member answered a call.
+    pub fn answered(&mut self, now: units::MonoTime, name: &ids::InstanceId) {
+        if let Some(member) = self.members.get_mut(name) {
+            member.unanswered = 0;
+            member.heard = now;
+        }
+    }
+
+    /// The member that plans for a service; `None` when that is this process.
+    ///
+    /// Members with more processor go first, then whoever the name's hash prefers.
+    pub fn planner(
+        &self,
+        now: units::MonoTime,
+        service: &ids::ServiceId,
+        own: &MemberBeat,
+    ) -> Option<MemberBeat> {
+        let fit = |member: &&MemberState| {
+            let beat = &member.beat;
+            let limit = self.beat_interval() * SUSPECT_BEATS;
+            beat.plans && !beat.leaving && member.unanswered < 2 && now.since(member.heard) <= limit
+        };
+        let others = self.members.values().filter(fit).map(|member| &member.beat);
+        let me = Some(own).filter(|own| own.plans && !own.leaving);
+        let score = |beat: &&MemberBeat| {
+            let hash = rendezvous::stable_hash(&[service.as_str(), beat.name.as_str()]);
+            (beat.cpu, hash)
+        };
+        let best = others.chain(me).max_by_key(score)?;
+        (best.name != own.name).then(|| best.clone())
+    }
+
+    /// The member that knows newer routes than `version`, the newest first.
+    pub fn newer_routes(&self, now: units::MonoTime, version: u64) -> Option<&MemberBeat> {
+        self.alive(now).filter(|beat| beat.routes > version).max_by_key(|beat| beat.routes)
+    }
+
+    /// The member that knows a newer list than `revision`, the newest first.
+    pub fn newer_list(&self, now: units::MonoTime, revision: u64) -> Option<&MemberBeat> {
+        self.alive(now).filter(|beat| beat.list > revision).max_by_key(|beat| beat.list)
+    }
+
+    /// Whether a process that started `age` ago may plan for others.
+    pub fn old_enough(age: time::Duration) -> bool {
+        age >= PLANNER_AGE
+    }
+}
--- /dev/null
+++ b/crates/core/src/read_planner.rs
@@ -0,0 +1,659 @@
+//! Where prompts are read: which engine answers a request, and which engines read parts of it.
+//!
+//! One planner holds the work of every engine of a service. Short prompts are packed onto few
+//! engines, long ones are read in parts by engines on which nobody's pauses suffer. A request
+//! that has slack waits for such a place; one that has none takes the place that loses least.
+//! Times are milliseconds as `f64`, see [`crate::pass_model`].
+
+use std::{collections, time};
+
+use serde::{Deserialize, Serialize};
+
+use crate::{ids, pass_model, route_table, units};
+
+/// Most helpers of one prompt; engines accept no more.
+pub const MAX_HELPERS: usize = 16;
+/// Numbers of parts that are compared.
+const PART_COUNTS: [usize; 9] = [1, 2, 3, 4, 6, 8, 11, 14, 17];
+/// Writers with a pause goal up to this are packed together, milliseconds.
+const TIGHT_PAUSE_MS: f64 = 300.0;
+/// Part of a pause goal that a pass may fill by plan; the rest is for what the plan cannot see.
+const PAUSE_PART: f64 = 0.85;
+/// Part of the goal for the first token that a plan may use.
+const GOAL_PART: f64 = 0.8;
+/// Part of an engine's memory that is given away.
+const MEMORY_PART: f64 = 0.96;
+/// A prompt that leaves its engine less than this part of the memory is held by several.
+const ALONE_PART: f64 = 0.85;
+/// Largest part of an engine's free memory that is set aside for a prompt answered elsewhere.
+const HELD_PART: f64 = 0.9;
+/// Tokens below which setting memory aside is not worth an order.
+const MIN_HELD_TOKENS: u64 = 4_096;
+/// Leases that their member does not renew for so long are given up.
+const LEASE_TIME: time::Duration = time::Duration::from_millis(2_500);
+/// Time an engine is left alone after a failure; doubles with each further one.
+const SHUN_TIME: time::Duration = time::Duration::from_millis(600);
+/// Longest time an engine is left alone.
+const MAX_SHUN_TIME: time::Duration = time::Duration::from_secs(5);
+/// Slack below which a request takes the best place there is, milliseconds.
+const MIN_SLACK_MS: f64 = 60.0;
+/// Time between two engines' readiness and a caller's patience that a late request is kept for.
+const LATE_RESERVE_MS: f64 = 1_200.0;
+
+/// How the planner weighs its choices; the figures come from runs of `slipturn-compare` and of
+/// the users' bench, see `docs/design/platform.md`.
+#[derive(Debug, Clone, Copy)]
+pub struct PlannerOptions {
+    /// Writers with tight pauses that an engine is filled up to before the next one is used.
+    pub packed_writers: usize,
+    /// Most parts of one prompt.
+    pub max_parts: usize,
+    /// Loss of an engine's tight writer whose pause grows by a whole goal, in shares of its worth.
+    pub pressure: f64,
+    /// Loss of a first token that comes a second later, for ties.
+    pub delay: f64,
+}
+
+impl Default for PlannerOptions {
+    fn default() -> Self {
+        Self { packed_writers: 10, max_parts: 17, pressure: 0.25, delay: 0.08 }
+    }
+}
+
+/// One request as the planner knows it, unique among all members and their starts.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct JobId {
+    /// Start of the member that holds the caller's connection.
+    pub boot: u64,
+    /// Number of the attempt at that member.
+    pub sequence: u64,
+}
+
+/// What is asked of the planner.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct PlaceAsk {
+    /// The attempt.
+    pub job: JobId,
+    /// Tokens of the prompt.
+    pub prompt: u64,
+    /// Most tokens of the answer.
+    pub output: u64,
+    /// Longest pause between events in time, milliseconds.
+    pub pause_ms: u32,
+    /// Time left until the first token is late, milliseconds; 0 when it is.
+    pub goal_left_ms: u32,
+    /// Time left until the caller gives up, milliseconds.
+    pub patience_ms: u32,
+    /// What it is worth in time, against a short request's 1.
+    pub worth: f32,
+    /// Engines that must not be used.
+    pub excluded: Vec<ids::UpstreamId>,
+}
+
+/// Memory set aside on an engine for a prompt that another answers.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HeldPart {
+    /// The engine.
+    pub engine: ids::UpstreamId,
+    /// Tokens.
+    pub tokens: u64,
+}
+
+/// Where a request goes.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct PlaceGrant {
+    /// The attempt.
+    pub job: JobId,
+    /// The engine that answers.
+    pub engine: ids::UpstreamId,
+    /// Engines that read parts.
+    pub helpers: Vec<ids::UpstreamId>,
+    /// Memory to set aside first.
+    pub held: Vec<HeldPart>,
+    /// Expected time to the first token, milliseconds.
+    pub first_token_ms: u32,
+    /// Time it has waited for the place, milliseconds.
+    pub waited_ms: u32,
+}
+
+/// A place in use, as its member repeats it: enough for a planner that has just taken over.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct PlaceLease {
+    /// The request as it was asked for.
+    pub ask: PlaceAsk,
+    /// Its place.
+    pub grant: PlaceGrant,
+    /// Whether its prompt has been read.
+    pub reading: bool,
+}
+
+/// How an attempt ended for its engine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum PlaceEnd {
+    /// Well, or by the caller's own wish.
+    Done,
+    /// The engine had no room.
+    Full,
+    /// The engine failed.
+    Failed,
+}
+
+#[derive(Debug, Clone)]
+struct PendingPart {
+    job: JobId,
+    left_ms: f64,
+}
+
+#[derive(Debug, Clone)]
+struct EngineWork {
+    /// Place in the order in which engines are filled.
+    rank: u64,
+    memory: u64,
+    /// Requests answered here.
+    answering: collections::BTreeSet<JobId>,
+    /// Parts not read yet, oldest first.
+    pending: collections::VecDeque<PendingPart>,
+    /// Tokens in use or set aside.
+    used: u64,
+    /// Above 1 the engine is slower than its figures.
+    pace: f64,
+    failures: u32,
+    shunned_until: units::MonoTime,
+    advanced: units::MonoTime,
+}
+
+#[derive(Debug, Clone)]
+struct JobState {
+    lease: PlaceLease,
+    renewed: units::MonoTime,
+}
+
+#[derive(Debug, Clone)]
+struct WaitingJob {
+    ask: PlaceAsk,
+    since: units::MonoTime,
+}
+
+/// An engine as one choice sees it.
+struct EngineView<'a> {
+    name: &'a ids::UpstreamId,
+    rank: u64,
+    /// Reading that waits there, milliseconds.
+    pending_ms: f64,
+    steps_ms: f64,
+    /// Smallest pause goal of those that write there; infinite without any.
+    pause_ms: f64,
+    /// Worth of those that write there.
+    worth: f64,
+    tight: usize,
+    answering: usize,
+    free: u64,
+    pace: f64,
+}
+
+struct Choice {
+    grant: PlaceGrant,
+    /// Worth that others lose.
+    harm: f64,
+    loss: f64,
+}
+
+/// The work of every engine of one service.
+#[derive(Debug)]
+pub struct ReadPlanner {
+    shape: route_table::EngineShape,
+    options: PlannerOptions,
+    engines: collections::BTreeMap<ids::UpstreamId, EngineWork>,
+    jobs: collections::HashMap<JobId, JobState>,
+    waiting: Vec<WaitingJob>,
+}
+
+impl ReadPlanner {
+    /// A planner without engines.
+    pub fn new(shape: route_table::EngineShape, options: PlannerOptions) -> Self {
+        Self {
+            shape,
+            options,
+            engines: collections::BTreeMap::new(),
+            jobs: collections::HashMap::new(),
+            waiting: Vec::new(),
+        }
+    }
+
+    /// Takes over new figures of the engines.
+    pub fn set_shape(&mut self, shape: route_table::EngineShape) {
+        self.shape = shape;
+    }
+
+    /// Sets which engines may be used; each with a number that orders them alike everywhere.
+    pub fn set_engines(&mut self, now: units::MonoTime, names: &[(ids::UpstreamId, u64)]) {
+        let wanted: collections::BTreeSet<_> = names.iter().map(|(name, _)| name).collect();
+        self.engines.retain(|name, _| wanted.contains(name));
+        for (name, rank) in names {
+            let memory = (self.shape.memory.0 as f64 * MEMORY_PART) as u64;
+            self.engines.entry(name.clone()).or_insert_with(|| EngineWork::new(*rank, memory, now));
+        }
+    }
+
+    /// Number of engines.
+    pub fn engine_count(&self) -> usize {
+        self.engines.len()
+    }
+
+    /// Number of requests that wait for a place.
+    pub fn waiting_count(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Number of requests that have a place.
+    pub fn placed_count(&self) -> usize {
+        self.jobs.len()
+    }
+
+    /// Asks for a place; asked again, it answers the same.
+    pub fn ask(&mut self, now: units::MonoTime, ask: PlaceAsk) -> Option<PlaceGrant> {
+        if let Some(state) = self.jobs.get(&ask.job) {
+            return Some(state.lease.grant.clone());
+        }
+        if self.waiting.iter().any(|waiting| waiting.ask.job == ask.job) {
+            return None;
+        }
+        let waiting = WaitingJob { ask, since: now };
+        match self.try_place(now, &waiting) {
+            Some(grant) => Some(grant),
+            None => {
+                self.waiting.push(waiting);
+                None
+            }
+        }
+    }
+
+    /// Gives places to those that wait, the most urgent first.
+    pub fn tick(&mut self, now: units::MonoTime) -> Vec<PlaceGrant> {
+        self.expire(now);
+        let mut waiting = std::mem::take(&mut self.waiting);
+        waiting.sort_by(|left, right| {
+            let urgency = |job: &WaitingJob| (job.late(now), job.goal_left(now));
+            let (left, right) = (urgency(left), urgency(right));
+            left.0.cmp(&right.0).then(left.1.total_cmp(&right.1))
+        });
+        let mut grants = Vec::new();
+        for job in waiting {
+            match self.try_place(now, &job) {
+                Some(grant) => grants.push(grant),
+                None => self.waiting.push(job),
+            }
+        }
+        grants
+    }
+
+    /// Notes that a prompt has been read and its answer begins.
+    pub fn first_token(&mut self, job: JobId) {
+        let Some(state) = self.jobs.get_mut(&job) else {
+            return;
+        };
+        state.lease.reading = false;
+        let grant = state.lease.grant.clone();
+        for name in std::iter::once(&grant.engine).chain(&grant.helpers) {
+            if let Some(engine) = self.engines.get_mut(name) {
+                engine.pending.retain(|part| part.job != job);
+                engine.failures = 0;
+            }
+        }
+    }
+
+    /// Ends a request, placed or waiting.
+    pub fn end(&mut self, now: units::MonoTime, job: JobId, end: PlaceEnd) {
+        self.waiting.retain(|waiting| waiting.ask.job != job);
+        let Some(state) = self.jobs.remove(&job) else {
+            return;
+        };
+        self.release(&state.lease);
+        if end == PlaceEnd::Failed {
+            self.shun(now, &state.lease.grant.engine);
+        }
+    }
+
+    /// Leaves an engine alone for a while.
+    pub fn shun(&mut self, now: units::MonoTime, name: &ids::UpstreamId) {
+        if let Some(engine) = self.engines.get_mut(name) {
+            let time = SHUN_TIME * 2_u32.pow(engine.failures.min(4));
+            engine.failures += 1;
+            engine.shunned_until = now + time.min(MAX_SHUN_TIME);
+        }
+    }
+
+    /// Takes over what an engine says of its speed: above 1 it is slower than its figures.
+    pub fn set_pace(&mut self, name: &ids::UpstreamId, pace: f64) {
+        if let Some(engine) = self.engines.get_mut(name) {
+            engine.pace = pace.clamp(0.5, 20.0);
+        }
+    }
+
+    /// Renews leases of a member, and takes over those not known here.
+    pub fn renew(&mut self, now: units::MonoTime, leases: Vec<PlaceLease>) {
+        for lease in leases {
+            let job = lease.ask.job;
+            match self.jobs.get_mut(&job) {
+                Some(state) => {
+                    state.renewed = now;
+                    if state.lease.reading && !lease.reading {
+                        self.first_token(job);
+                    }
+                }
+                None => self.adopt(now, lease),
+            }
+        }
+    }
+
+    fn adopt(&mut self, now: units::MonoTime, lease: PlaceLease) {
+        self.waiting.retain(|waiting| waiting.ask.job != lease.ask.job);
+        self.occupy(now, &lease);
+        self.jobs.insert(lease.ask.job, JobState { lease, renewed: now });
+    }
+
+    fn expire(&mut self, now: units::MonoTime) {
+        let silent: Vec<_> = self
+            .jobs
+            .iter()
+            .filter(|(_, state)| now.since(state.renewed) > LEASE_TIME)
+            .map(|(job, _)| *job)
+            .collect();
+        for job in silent {
+            if let Some(state) = self.jobs.remove(&job) {
+                self.release(&state.lease);
+            }
+        }
+        // Whoever still wants a place asks again within the lease time.
+        self.waiting.retain(|job| now.since(job.since).as_secs() < 30);
+    }
+
+    fn try_place(&mut self, now: units::MonoTime, job: &WaitingJob) -> Option<PlaceGrant> {
+        for engine in self.engines.values_mut() {
+            engine.advance(now);
+        }
+        let choice = self.choose(now, job)?;
+        if choice.harm > 0.0 && self.may_wait(now, job) {
+            return None;
+        }
+        let grant = choice.grant;
+        let lease =
+            PlaceLease { ask: job.ask.clone(), grant: grant.clone(), reading: true };
+        self.occupy(now, &lease);
+        self.jobs.insert(job.ask.job, JobState { lease, renewed: now });
+        Some(grant)
+    }
+
+    /// Whether a request still has time to wait for a place that harms nobody.
+    fn may_wait(&self, now: units::MonoTime, job: &WaitingJob) -> bool {
+        let parts = self.options.max_parts.min(self.engines.len().max(1));
+        let quickest = pass_model::part_ms(&self.shape, job.ask.prompt, parts);
+        if job.late(now) {
+            return job.patience_left(now) - quickest > LATE_RESERVE_MS;
+        }
+        job.goal_left(now) * GOAL_PART - quickest * 2.0 > MIN_SLACK_MS
+    }
+
+    fn choose(&self, now: units::MonoTime, job: &WaitingJob) -> Option<Choice> {
+        let views: Vec<_> = self
+            .engines
+            .iter()
+            .filter(|(name, engine)| {
+                engine.shunned_until <= now && !job.ask.excluded.contains(name)
+            })
+            .map(|(name, engine)| self.view(name, engine))
+            .collect();
+        let most = self.options.max_parts.min(views.len()).min(MAX_HELPERS + 1);
+        PART_COUNTS
+            .iter()
+            .filter(|parts| **parts <= most)
+            .filter(|parts| **parts == 1 || job.ask.prompt >= 12_000)
+            .filter_map(|parts| self.choose_parts(now, job, &views, *parts))
+            .min_by(|left, right| left.loss.total_cmp(&right.loss))
+    }
+
+    fn view<'a>(&'a self, name: &'a ids::UpstreamId, engine: &EngineWork) -> EngineView<'a> {
+        let asks = engine.answering.iter().filter_map(|job| self.jobs.get(job));
+        let (mut context, mut pause_ms, mut worth, mut tight) = (0, f64::INFINITY, 0.0, 0);
+        for state in asks {
+            let ask = &state.lease.ask;
+            context += ask.prompt / (state.lease.grant.helpers.len() as u64 + 1);
+            pause_ms = pause_ms.min(f64::from(ask.pause_ms));
+            worth += f64::from(ask.worth);
+            tight += usize::from(f64::from(ask.pause_ms) <= TIGHT_PAUSE_MS);
+        }
+        let answering = engine.answering.len();
+        EngineView {
+            name,
+            rank: engine.rank,
+            pending_ms: engine.pending.iter().map(|part| part.left_ms).sum(),
+            steps_ms: pass_model::steps_ms(&self.shape, answering, context),
+            pause_ms,
+            worth,
+            tight,
+            answering,
+            free: engine.memory.saturating_sub(engine.used),
+            pace: engine.pace,
+        }
+    }
+
+    fn choose_parts(
+        &self,
+        now: units::MonoTime,
+        job: &WaitingJob,
+        views: &[EngineView<'_>],
+        parts: usize,
+    ) -> Option<Choice> {
+        let ask = &job.ask;
+        let part = pass_model::part_ms(&self.shape, ask.prompt, parts);
+        let tight = f64::from(ask.pause_ms) <= TIGHT_PAUSE_MS;
+        let mut scored: Vec<_> = views
+            .iter()
+            .map(|view| (self.engine_loss(view, part, tight, parts), view))
+            .collect();
+        scored.sort_by(|left, right| {
+            left.0.total_cmp(&right.0).then(left.1.rank.cmp(&right.1.rank))
+        });
+        let need = ask.prompt + ask.output;
+        let capacity = (self.shape.memory.0 as f64 * MEMORY_PART) as u64;
+        let alone = need as f64 <= capacity as f64 * ALONE_PART;
+        let chosen = &scored[..parts];
+        let host = chosen
+            .iter()
+            .filter(|(_, view)| view.answering < self.shape.slots)
+            .filter(|(_, view)| !alone || view.free >= need)
+            .min_by_key(|(_, view)| (if tight { 0 } else { view.tight }, view.answering));
+        let host = match host {
+            Some((_, view)) => *view,
+            // Without a free slot anywhere the engine's own queue takes it, once it may not wait.
+            None if !self.may_wait(now, job) && alone => {
+                chosen.iter().min_by_key(|(_, view)| view.answering)?.1
+            }
+            None => return None,
+        };
+        let held = if alone { Vec::new() } else { self.hold(ask, host, chosen, capacity)? };
+        let ready = chosen
+            .iter()
+            .map(|(_, view)| (view.pending_ms + part + view.steps_ms) * view.pace)
+            .fold(0.0, f64::max);
+        let first_token_ms = ready + host.steps_ms * 0.5 * host.pace;
+        let harm: f64 = chosen.iter().map(|(_, view)| self.harm(view, part)).sum();
+        let late = if first_token_ms > job.goal_left(now) * GOAL_PART {
+            f64::from(ask.worth) * if job.late(now) { 0.1 } else { 1.0 }
+        } else {
+            0.0
+        };
+        let ranks: f64 = chosen.iter().map(|(loss, _)| loss).sum();
+        let loss = harm + late + ranks + first_token_ms / 1_000.0 * self.options.delay
+            * f64::from(ask.worth).max(1.0);
+        let helpers = chosen
+            .iter()
+            .filter(|(_, view)| view.name != host.name)
+            .map(|(_, view)| view.name.clone())
+            .collect();
+        let grant = PlaceGrant {
+            job: ask.job,
+            engine: host.name.clone(),
+            helpers,
+            held,
+            first_token_ms: first_token_ms as u32,
+            waited_ms: now.since(job.since).as_millis() as u32,
+        };
+        Some(Choice { grant, harm, loss })
+    }
+
+    /// Worth that those who write on an engine lose by one more part read there.
+    fn harm(&self, view: &EngineView<'_>, part: f64) -> f64 {
+        let before = (view.steps_ms + view.pending_ms) * view.pace;
+        let pause = before + part * view.pace;
+        let limit = view.pause_ms * PAUSE_PART;
+        // A pause that is too long already is not lost twice.
+        if pause > limit && before <= limit { view.worth * 0.75 } else { 0.0 }
+    }
+
+    /// What speaks against reading a part on an engine, for order and ties.
+    fn engine_loss(&self, view: &EngineView<'_>, part: f64, tight: bool, parts: usize) -> f64 {
+        let harm = self.harm(view, part);
+        let wait = (view.pending_ms + view.steps_ms + part) * view.pace / 1_000.0;
+        let wait = wait * self.options.delay / parts as f64;
+        let full = if view.answering >= self.shape.slots { 1.0 } else { 0.0 };
+        if tight && parts == 1 {
+            let own = (view.steps_ms + view.pending_ms + part) * view.pace;
+            let paused = if own > 250.0 * PAUSE_PART { 0.5 } else { 0.0 };
+            let packed = self.options.packed_writers;
+            let fill = if view.tight < packed {
+                (packed - view.tight) as f64 * 0.004
+            } else {
+                (view.tight - packed) as f64 * 0.02
+            };
+            let beside = (view.answering - view.tight) as f64 * 0.03;
+            return harm + wait * 4.0 + full + paused + fill + beside;
+        }
+        let stretch = part * view.pace / TIGHT_PAUSE_MS;
+        harm + wait + view.tight as f64 * stretch * self.options.pressure / parts as f64
+    }
+
+    /// Memory on other engines for what the answering one has no room for.
+    fn hold(
+        &self,
+        ask: &PlaceAsk,
+        host: &EngineView<'_>,
+        chosen: &[(f64, &EngineView<'_>)],
+        capacity: u64,
+    ) -> Option<Vec<HeldPart>> {
+        let own = host.free.min((capacity as f64 * ALONE_PART) as u64);
+        let mut left = (ask.prompt + ask.output).saturating_sub(own);
+        let mut others: Vec<_> =
+            chosen.iter().map(|(_, view)| *view).filter(|view| view.name != host.name).collect();
+        others.sort_by_key(|view| std::cmp::Reverse(view.free));
+        let mut held = Vec::new();
+        for view in others {
+            if left == 0 {
+                break;
+            }
+            let tokens = left.min((view.free as f64 * HELD_PART) as u64).max(MIN_HELD_TOKENS);
+            if view.free < tokens {
+                continue;
+            }
+            held.push(HeldPart { engine: view.name.clone(), tokens });
+            left = left.saturating_sub(tokens);
+        }
+        (left == 0).then_some(held)
+    }
+
+    fn occupy(&mut self, now: units::MonoTime, lease: &PlaceLease) {
+        let (ask, grant) = (&lease.ask, &lease.grant);
+        let part = pass_model::part_ms(&self.shape, ask.prompt, grant.helpers.len() + 1);
+        for name in std::iter::once(&grant.engine).chain(&grant.helpers) {
+            let Some(engine) = self.engines.get_mut(name) else {
+                continue;
+            };
+            engine.advance(now);
+            if lease.reading {
+                engine.pending.push_back(PendingPart { job: ask.job, left_ms: part });
+            }
+        }
+        let held: u64 = grant.held.iter().map(|part| part.tokens).sum();
+        if let Some(engine) = self.engines.get_mut(&grant.engine) {
+            engine.answering.insert(ask.job);
+            engine.used += (ask.prompt + ask.output).saturating_sub(held);
+        }
+        for part in &grant.held {
+            if let Some(engine) = self.engines.get_mut(&part.engine) {
+                engine.used += part.tokens;
+            }
+        }
+    }
+
+    fn release(&mut self, lease: &PlaceLease) {
+        let (ask, grant) = (&lease.ask, &lease.grant);
+        for name in std::iter::once(&grant.engine).chain(&grant.helpers) {
+            if let Some(engine) = self.engines.get_mut(name) {
+                engine.pending.retain(|part| part.job != ask.job);
+            }
+        }
+        let held: u64 = grant.held.iter().map(|part| part.tokens).sum();
+        if let Some(engine) = self.engines.get_mut(&grant.engine)
+            && engine.answering.remove(&ask.job)
+        {
+            let own = (ask.prompt + ask.output).saturating_sub(held);
+            engine.used = engine.used.saturating_sub(own);
+        }
+        for part in &grant.held {
+            if let Some(engine) = self.engines.get_mut(&part.engine) {
+                engine.used = engine.used.saturating_sub(part.tokens);
+            }
+        }
+    }
+}
+
+impl WaitingJob {
+    fn goal_left(&self, now: units::MonoTime) -> f64 {
+        f64::from(self.ask.goal_left_ms) - self.waited_ms(now)
+    }
+
+    fn patience_left(&self, now: units::MonoTime) -> f64 {
+        f64::from(self.ask.patience_ms) - self.waited_ms(now)
+    }
+
+    fn late(&self, now: units::MonoTime) -> bool {
+        self.goal_left(now) <= 0.0
+    }
+
+    fn waited_ms(&self, now: units::MonoTime) -> f64 {
+        now.since(self.since).as_secs_f64() * 1_000.0
+    }
+}
+
+impl EngineWork {
+    fn new(rank: u64, memory: u64, now: units::MonoTime) -> Self {
+        Self {
+            rank,
+            memory,
+            answering: collections::BTreeSet::new(),
+            pending: collections::VecDeque::new(),
+            used: 0,
+            pace: 1.0,
+            failures: 0,
+            shunned_until: units::MonoTime::default(),
+            advanced: now,
+        }
+    }
+
+    /// Works off what has been read since the last call.
+    fn advance(&mut self, now: units::MonoTime) {
+        let mut spent = now.since(self.advanced).as_secs_f64() * 1_000.0 / self.pace;
+        self.advanced = now;
+        while spent > 0.0 {
+            let Some(front) = self.pending.front_mut() else {
+                return;
+            };
+            if front.left_ms > spent {
+                front.left_ms -= spent;
+                return;
+            }
+            spent -= front.left_ms;
+            self.pending.pop_front();
+        }
+    }
+}
--- /dev/null
+++ b/crates/instance/src/border.rs
@@ -0,0 +1,205 @@
+//! What an instance needs of the outside: callers, upstreams and the platform's store.
+//!
+//! An adapter implements these traits with the names and formats of one platform. It translates
+//! and decides nothing.
+
+use std::{collections, net, time};
+
+use bytes::Bytes;
+use slipturn_core::{ids, route_table, upstream_list};
+use snafu::Snafu;
+
+/// Why bytes from outside could not be read.
+#[derive(Debug, Clone, PartialEq, Eq, Snafu)]
+#[snafu(display("{what}: {reason}"))]
+pub struct FormatError {
+    /// What was being read.
+    pub what: &'static str,
+    /// What is wrong with it.
+    pub reason: String,
+}
+
+impl FormatError {
+    /// An error in `what`.
+    pub fn new(what: &'static str, reason: impl ToString) -> Self {
+        Self { what, reason: reason.to_string() }
+    }
+}
+
+/// What a caller's request head says.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct CallerRequest {
+    /// The caller's id of this attempt.
+    pub id: String,
+    /// Key of the customer.
+    pub key: Option<String>,
+    /// How long the caller will wait.
+    pub patience: Option<time::Duration>,
+    /// Tokens of the prompt; 0 where it is none.
+    pub prompt: u64,
+    /// Most tokens of the answer.
+    pub output: u64,
+    /// The last event that the caller has, when it takes a stream up again.
+    pub last_event: Option<String>,
+}
+
+/// A request as it goes to an upstream.
+#[derive(Debug)]
+pub struct UpstreamCall<'a> {
+    /// What the caller sent.
+    pub head: &'a http::request::Parts,
+    /// Who must answer.
+    pub upstream: &'a ids::UpstreamId,
+    /// Whose request it is.
+    pub customer: Option<&'a ids::CustomerId>,
+    /// Time left.
+    pub left: time::Duration,
+    /// 0 is the most urgent; `None` leaves it to the upstream.
+    pub priority: Option<u8>,
+    /// The event behind which a stream goes on.
+    pub last_event: Option<&'a str>,
+    /// Engines that read parts of the prompt, with the ticket of the memory set aside there.
+    pub helpers: Vec<(net::SocketAddrV4, Option<String>)>,
+}
+
+/// What an upstream's answer head says.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct UpstreamAnswer {
+    /// The id of the request it answers.
+    pub id: Option<String>,
+    /// Whether it carries the upstream's signature.
+    pub sealed: bool,
+    /// Whether the upstream says that it did not run the request.
+    pub not_run: bool,
+    /// Requests running, waiting, and slots.
+    pub load: Option<(u32, u32, u32)>,
+    /// The upstream that is the cause of a refusal, where it is another.
+    pub at_fault: Option<net::SocketAddrV4>,
+}
+
+/// What an engine reports of itself.
+#[derive(Debug, Clone, PartialEq, Default)]
+pub struct EngineReport {
+    /// Above 1 the engine is slower than its figures.
+    pub pace: f64,
+    /// Requests running.
+    pub running: u32,
+    /// Requests waiting.
+    pub waiting: u32,
+    /// Tokens in use.
+    pub used: u64,
+}
+
+/// An order about an engine's memory.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum MemoryOrder {
+    /// Set memory aside, or go on holding it.
+    Hold {
+        /// Its ticket.
+        ticket: String,
+        /// How much.
+        tokens: u64,
+        /// For how long from now.
+        time: time::Duration,
+    },
+    /// Give it back.
+    Release {
+        /// Its ticket.
+        ticket: String,
+    },
+}
+
+/// The callers' side.
+pub trait CallerBorder {
+    /// Reads a request's head.
+    fn read_request(&self, head: &http::request::Parts) -> Result<CallerRequest, FormatError>;
+    /// Headers of an answer of the instance's own.
+    fn answer_headers(&self, request: &str, back_after: Option<time::Duration>) -> http::HeaderMap;
+    /// Whether a path of the health address asks for readiness.
+    fn is_readiness(&self, path: &str) -> bool;
+}
+
+/// The upstreams' side.
+pub trait UpstreamBorder {
+    /// The head of a request to an upstream; the length is added behind it.
+    fn call_head(&self, call: &UpstreamCall<'_>) -> http::request::Parts;
+    /// Reads an answer's head.
+    fn read_answer(&self, head: &http::response::Parts) -> UpstreamAnswer;
+    /// Path and body of an order about memory.
+    fn memory_order(&self, order: &MemoryOrder) -> (String, Bytes);
+    /// Path of an engine's report.
+    fn report_path(&self) -> String;
+    /// Reads an engine's report.
+    fn read_report(&self, body: &[u8]) -> Result<EngineReport, FormatError>;
+    /// Number of the event that `event` is, where it has one.
+    fn event_id(&self, event: &[u8]) -> Option<String>;
+}
+
+/// Raw documents of the store, as members pass them on to each other.
+#[derive(Debug, Clone, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct RawDocuments {
+    /// The routes, absent until published.
+    pub routes: Option<String>,
+    /// One document an upstream, by its name.
+    pub upstreams: collections::BTreeMap<String, String>,
+    /// Revision of the store they belong to.
+    pub revision: u64,
+}
+
+/// A page of what lies in the store.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct StorePage {
+    /// Keys with their values.
+    pub items: Vec<(String, String)>,
+    /// Key behind which the next page starts, if there is one.
+    pub next: Option<String>,
+    /// Revision of the store.
+    pub revision: u64,
+}
+
+/// A change in the store.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum StoreChange {
+    /// A key has this value.
+    Put(String, String),
+    /// A key is gone.
+    Gone(String),
+}
+
+/// What a key of the store holds.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum StoreKey {
+    /// The routes.
+    Routes,
+    /// An upstream of this name.
+    Upstream(String),
+    /// Nothing that concerns an instance.
+    Other,
+}
+
+/// The platform's store.
+pub trait SourceBorder {
+    /// Path that reads a page of the upstreams, behind a key.
+    fn upstreams_path(&self, after: Option<&str>) -> String;
+    /// Path that reads the routes.
+    fn routes_path(&self) -> String;
+    /// Path that waits for changes behind a revision.
+    fn watch_path(&self, after: u64, wait: time::Duration) -> String;
+    /// Reads a page; also of a single key.
+    fn read_page(&self, body: &[u8]) -> Result<StorePage, FormatError>;
+    /// Reads changes and the revision behind them.
+    fn read_changes(&self, body: &[u8]) -> Result<(Vec<StoreChange>, u64), FormatError>;
+    /// What a key holds.
+    fn key(&self, key: &str) -> StoreKey;
+    /// Reads the routes.
+    fn read_routes(&self, text: &str) -> Result<route_table::RouteTable, FormatError>;
+    /// Reads an upstream's entry.
+    fn read_upstream(
+        &self,
+        name: &str,
+        text: &str,
+    ) -> Result<upstream_list::UpstreamEntry, FormatError>;
+}
+
+/// All borders of one platform.
+pub trait PlatformBorder: CallerBorder + UpstreamBorder + SourceBorder {}
--- /dev/null
+++ b/crates/instance/src/caller_connection.rs
@@ -0,0 +1,290 @@
+//! A caller's connection: one request after the other, until either side closes.
+
+use std::{rc, time};
+
+use futures::future;
+use slipturn_core::{refusal, units};
+use slipturn_net::h1;
+
+use crate::{context, incoming_call, model_request, request_record, service_request};
+
+/// Bytes that a caller may send ahead of its answer.
+const MAX_AHEAD: usize = 64 * 1024;
+/// Time for reading what a refused caller still sends, so that it can read its answer.
+const LINGER_TIME: time::Duration = time::Duration::from_millis(500);
+
+/// What becomes of the connection behind a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ConnectionNext {
+    /// It takes another request.
+    Keep,
+    /// It is closed.
+    Close,
+}
+
+/// The writing side of a caller's connection while one request is served.
+pub struct CallerReply<'a> {
+    context: &'a context::InstanceContext,
+    writer: &'a mut h1::MessageWriter,
+    /// Whether the connection is closed behind the answer.
+    close: bool,
+}
+
+impl CallerReply<'_> {
+    /// Sends a whole answer of an upstream.
+    pub async fn whole(
+        &mut self,
+        head: &http::response::Parts,
+        body: &[u8],
+    ) -> Result<(), h1::MessageError> {
+        let mut headers = head.headers.clone();
+        h1::strip_connection_headers(&mut headers);
+        let mut bytes = h1::answer_bytes(head.status, &headers, Some(body.len()), self.closing());
+        bytes.extend_from_slice(body);
+        self.writer.write(bytes).await
+    }
+
+    /// Sends the head of a stream, with its first events.
+    pub async fn begin(
+        &mut self,
+        head: &http::response::Parts,
+        events: &[u8],
+    ) -> Result<(), h1::MessageError> {
+        let mut headers = head.headers.clone();
+        h1::strip_connection_headers(&mut headers);
+        let mut bytes = h1::answer_bytes(head.status, &headers, None, self.closing());
+        if !events.is_empty() {
+            bytes.extend_from_slice(&h1::chunk_bytes(events));
+        }
+        self.writer.write(bytes).await
+    }
+
+    /// Sends events of a stream.
+    pub async fn events(&mut self, events: &[u8]) -> Result<(), h1::MessageError> {
+        self.writer.write(h1::chunk_bytes(events)).await
+    }
+
+    /// Ends a stream.
+    pub async fn end(&mut self) -> Result<(), h1::MessageError> {
+        self.writer.write(h1::LAST_CHUNK).await
+    }
+
+    /// Sends a refusal.
+    pub async fn refuse(
+        &mut self,
+        id: &str,
+        refusal: &refusal::RequestRefusal,
+    ) -> Result<(), h1::MessageError> {
+        let status = http::StatusCode::from_u16(refusal.code.status())
+            .unwrap_or(http::StatusCode::INTERNAL_SERVER_ERROR);
+        let mut headers = self.context.border.answer_headers(id, refusal.retry_after);
+        let kind = http::HeaderValue::from_static("application/json");
+        headers.insert(http::header::CONTENT_TYPE, kind);
+        let body = serde_json::json!({"error": {
+            "code": refusal.code.word(),
+            "ran": refusal.ran.word(),
+            "message": refusal.message,
+        }});
+        let body = body.to_string();
+        let mut bytes = h1::answer_bytes(status, &headers, Some(body.len()), self.closing());
+        bytes.extend_from_slice(body.as_bytes());
+        self.writer.write(bytes).await
+    }
+
+    /// Whether the connection is closed behind this answer.
+    pub fn closing(&self) -> bool {
+        self.close || self.context.stop.asked()
+    }
+}
+
+/// Serves a connection to its end.
+pub async fn serve(context: rc::Rc<context::InstanceContext>, stream: monoio::net::TcpStream) {
+    let (mut reader, mut writer) = h1::split(stream);
+    loop {
+        match serve_next(&context, &mut reader, &mut writer).await {
+            Ok(ConnectionNext::Keep) => {}
+            Ok(ConnectionNext::Close) => break,
+            Err(error) => {
+                log::debug!(error:%; "caller.connection_failed");
+                break;
+            }
+        }
+    }
+    if writer.shutdown().await.is_ok() {
+        linger(&mut reader).await;
+    }
+}
+
+async fn serve_next(
+    context: &rc::Rc<context::InstanceContext>,
+    reader: &mut h1::MessageReader,
+    writer: &mut h1::MessageWriter,
+) -> Result<ConnectionNext, h1::MessageError> {
+    let limits = context.fleet.borrow().routes.limits;
+    if !reader.has_surplus() {
+        reader.rest();
+        let resting = std::pin::pin!(monoio::time::timeout(limits.idle, reader.fill()));
+        match future::select(resting, context.closing.clone()).await {
+            future::Either::Left((Ok(filled), _)) => {
+                if filled? == 0 {
+                    return Ok(ConnectionNext::Close);
+                }
+            }
+            // The caller has rested too long, or this process is about to end.
+            _ => return Ok(ConnectionNext::Close),
+        }
+    }
+    let _busy = context::BusyGuard::new(context);
+    let limits = context.fleet.borrow().routes.limits;
+    let head = monoio::time::timeout(limits.arrival, reader.request_head(limits.head_bytes)).await;
+    let mut reply = CallerReply { context, writer, close: true };
+    let head = match head {
+        Ok(Ok(Some(head))) => head,
+        Ok(Ok(None)) => return Ok(ConnectionNext::Close),
+        Ok(Err(error)) => return refuse_bytes(&mut reply, "", error).await,
+        Err(_) => {
+            let text = "the head of the request did not arrive in time";
+            let code = refusal::RefusalCode::BodyTimeout;
+            reply.refuse("", &refusal::RequestRefusal::not_run(code, text)).await?;
+            return Ok(ConnectionNext::Close);
+        }
+    };
+    reply.close = h1::closes(head.version, &head.headers);
+    serve_head(context, reader, &mut reply, head, limits).await
+}
+
+async fn serve_head(
+    context: &rc::Rc<context::InstanceContext>,
+    reader: &mut h1::MessageReader,
+    reply: &mut CallerReply<'_>,
+    head: http::request::Parts,
+    limits: slipturn_core::route_table::CallerLimits,
+) -> Result<ConnectionNext, h1::MessageError> {
+    let id = context.border.read_request(&head).map(|request| request.id).unwrap_or_default();
+    let mut framing = match h1::BodyFraming::of_request(&head) {
+        Ok(framing) => framing,
+        Err(error) => return refuse_bytes(reply, &id, error).await,
+    };
+    let expects = head.headers.contains_key(http::header::EXPECT);
+    if expects && !framing.ended() {
+        reply.writer.write(&b"HTTP/1.1 100 Continue\r\n\r\n"[..]).await?;
+    }
+    let reading = reader.whole_body(&mut framing, limits.body_bytes);
+    let body = match monoio::time::timeout(limits.arrival, reading).await {
+        Ok(Ok(body)) => body,
+        Ok(Err(error)) => return refuse_bytes(reply, &id, error).await,
+        Err(_) => {
+            let text = "the body of the request did not arrive in time";
+            let code = refusal::RefusalCode::BodyTimeout;
+            reply.refuse(&id, &refusal::RequestRefusal::not_run(code, text)).await?;
+            return Ok(ConnectionNext::Close);
+        }
+    };
+    let arrived = context.now();
+    let mut call = match incoming_call::admit(context, head, arrived) {
+        Ok(call) => call,
+        Err(refusal) => {
+            log::info!(id, code = refusal.code.word(), reason = refusal.message.as_str();
+                "request.not_admitted");
+            context.stats.borrow_mut().count("not_admitted", refusal.code.word());
+            reply.refuse(&id, &refusal).await?;
+            return Ok(if reply.closing() { ConnectionNext::Close } else { ConnectionNext::Keep });
+        }
+    };
+    call.body = body;
+    let mut record = call.record(context);
+    context.count_request(&call.service);
+    let next = {
+        let serving = std::pin::pin!(serve_call(context, &call, reply, &mut record));
+        let watching = std::pin::pin!(watch_caller(reader));
+        match future::select(serving, watching).await {
+            future::Either::Left((next, _)) => next,
+            future::Either::Right(_) => {
+                Ok(ConnectionNext::Close)
+            }
+        }
+    };
+    finish(context, &call, record, arrived);
+    next
+}
+
+async fn serve_call(
+    context: &rc::Rc<context::InstanceContext>,
+    call: &incoming_call::IncomingCall,
+    reply: &mut CallerReply<'_>,
+    record: &mut request_record::RequestRecord,
+) -> Result<ConnectionNext, h1::MessageError> {
+    "caller left".clone_into(&mut record.outcome);
+    let next = if call.route.streaming {
+        model_request::serve(context, call, reply, record).await?
+    } else {
+        service_request::serve(context, call, reply, record).await?
+    };
+    Ok(if reply.closing() { ConnectionNext::Close } else { next })
+}
+
+fn finish(
+    context: &context::InstanceContext,
+    call: &incoming_call::IncomingCall,
+    mut record: request_record::RequestRecord,
+    arrived: units::MonoTime,
+) {
+    record.total_ms = units::whole_millis(context.now().since(arrived));
+    let mut stats = context.stats.borrow_mut();
+    let series = call.route.name.as_str();
+    let status = record.status.map_or("none".to_owned(), |status| status.to_string());
+    stats.count("requests", &format!("{series}/{status}"));
+    stats.time("total", series, context.now().since(arrived));
+    if let Some(first) = record.first_ms {
+        stats.time("first_token", series, time::Duration::from_millis(first));
+        let customer = format!("customer/{}", record.customer);
+        stats.time("first_token", &customer, time::Duration::from_millis(first));
+    }
+    let shown = serde_json::to_string(&record).unwrap_or_else(|error| error.to_string());
+    if record.status == Some(200) {
+        log::info!(request = shown.as_str(); "request.ended");
+    } else {
+        log::warn!(request = shown.as_str(); "request.ended");
+    }
+    context.records.borrow_mut().push(record);
+}
+
+/// Ends when the caller has closed its connection; what it sends ahead stays for later.
+async fn watch_caller(reader: &mut h1::MessageReader) {
+    loop {
+        if reader.buffered() > MAX_AHEAD {
+            return future::pending().await;
+        }
+        if !matches!(reader.fill().await, Ok(count) if count > 0) {
+            return;
+        }
+    }
+}
+
+async fn refuse_bytes(
+    reply: &mut CallerReply<'_>,
+    id: &str,
+    error: h1::MessageError,
+) -> Result<ConnectionNext, h1::MessageError> {
+    let code = match &error {
+        h1::MessageError::BodyTooLarge { .. } | h1::MessageError::HeadTooLarge { .. } => {
+            refusal::RefusalCode::TooLarge
+        }
+        h1::MessageError::Malformed { .. } => refusal::RefusalCode::BadRequest,
+        _ => return Err(error),
+    };
+    reply.close = true;
+    reply.refuse(id, &refusal::RequestRefusal::not_run(code, error.to_string())).await?;
+    Ok(ConnectionNext::Close)
+}
+
+/// Reads and drops what still comes: a socket closed with unread data resets the connection, and
+/// the caller may lose the answer that it was just sent.
+async fn linger(reader: &mut h1::MessageReader) {
+    let dropping = async {
+        let mut framing = h1::BodyFraming::UntilClose;
+        while let Ok(Some(_)) = reader.next_piece(&mut framing).await {}
+    };
+    // A caller that takes longer has had its answer for as long.
+    let _ = monoio::time::timeout(LINGER_TIME, dropping).await;
+}
--- /dev/null
+++ b/crates/instance/src/context.rs
@@ -0,0 +1,221 @@
+//! What all tasks of one process share.
+
+use std::{cell, collections, rc, time};
+
+use futures::{channel::mpsc, channel::oneshot, future};
+use slipturn_core::{fleet_budget, ids, membership, read_planner, units};
+use slipturn_net::process;
+
+use crate::{
+    border, fleet_state, instance_settings, instance_stats, peer_message, planner_set,
+    upstream_pool,
+};
+
+/// A message to another member, or to all.
+#[derive(Debug)]
+pub struct Outgoing {
+    /// Where it goes.
+    pub to: std::net::SocketAddrV4,
+    /// What is said.
+    pub message: peer_message::PeerMessage,
+}
+
+/// A place in use by a request of this process.
+#[derive(Debug, Clone)]
+pub struct HeldLease {
+    /// The engines' service.
+    pub service: ids::ServiceId,
+    /// The lease, as it is repeated to the planner.
+    pub lease: read_planner::PlaceLease,
+}
+
+/// Shared by all tasks of one process; all run on one thread.
+pub struct InstanceContext {
+    /// Settings as of now; replaced by a reload.
+    pub settings: cell::RefCell<rc::Rc<instance_settings::InstanceSettings>>,
+    /// The outside.
+    pub border: rc::Rc<dyn border::PlatformBorder>,
+    /// Time since the start.
+    pub clock: process::ProcessClock,
+    /// This start of the process.
+    pub boot: u64,
+    /// Whether a planned stop was asked for.
+    pub stop: process::StopSignal,
+    /// Ends when resting connections are to be closed.
+    pub closing: future::Shared<oneshot::Receiver<()>>,
+    /// Routes and upstreams.
+    pub fleet: cell::RefCell<fleet_state::FleetState>,
+    /// Other instances.
+    pub members: cell::RefCell<membership::MemberView>,
+    /// Planners of services that this process plans for.
+    pub planners: cell::RefCell<planner_set::PlannerSet>,
+    /// Places in use by this process's requests.
+    pub leases: cell::RefCell<collections::HashMap<read_planner::JobId, HeldLease>>,
+    /// Requests waiting for a grant.
+    pub grants: cell::RefCell<collections::HashMap<read_planner::JobId, peer_message::ReplySender>>,
+    /// Retries of this process by service.
+    pub retries: cell::RefCell<collections::HashMap<ids::ServiceId, fleet_budget::RetryShare>>,
+    /// Idle connections to upstreams.
+    pub pool: upstream_pool::UpstreamPool,
+    /// What upstreams of plain services do for this process.
+    pub loads: cell::RefCell<crate::upstream_load::UpstreamLoads>,
+    /// Counters and histograms.
+    pub stats: cell::RefCell<instance_stats::InstanceStats>,
+    /// The last requests that ended.
+    pub records: cell::RefCell<crate::request_record::RecordLog>,
+    /// Requests and memory orders in progress.
+    pub busy: cell::Cell<usize>,
+    /// Whether the store answered this process lately.
+    pub store_ok: cell::Cell<bool>,
+    /// Whether this process watches the store.
+    pub watching: cell::Cell<bool>,
+    /// When this process noticed that it had been paused; it plans for nobody shortly after.
+    pub woke: cell::Cell<units::MonoTime>,
+    /// Messages to other members.
+    pub outgoing: mpsc::UnboundedSender<Outgoing>,
+    sequence: cell::Cell<u64>,
+}
+
+/// Parts that a context is made of.
+pub struct ContextParts {
+    /// Settings.
+    pub settings: instance_settings::InstanceSettings,
+    /// The outside.
+    pub border: rc::Rc<dyn border::PlatformBorder>,
+    /// Planned stop.
+    pub stop: process::StopSignal,
+    /// Ends when resting connections are to be closed.
+    pub closing: oneshot::Receiver<()>,
+    /// Messages to other members.
+    pub outgoing: mpsc::UnboundedSender<Outgoing>,
+}
+
+impl InstanceContext {
+    /// A context of a process that has just started.
+    pub fn new(parts: ContextParts) -> Self {
+        use futures::FutureExt as _;
+        let seeds = parts.settings.member_seeds();
+        let members = membership::MemberView::new(parts.settings.name.clone(), seeds);
+        Self {
+            border: rc::Rc::clone(&parts.border),
+            clock: process::ProcessClock::start(),
+            boot: rand::random(),
+            stop: parts.stop,
+            closing: parts.closing.shared(),
+            fleet: cell::RefCell::new(fleet_state::FleetState::new(parts.border)),
+            members: cell::RefCell::new(members),
+            planners: cell::RefCell::default(),
+            leases: cell::RefCell::default(),
+            grants: cell::RefCell::default(),
+            retries: cell::RefCell::default(),
+            pool: upstream_pool::UpstreamPool::default(),
+            loads: cell::RefCell::default(),
+            stats: cell::RefCell::default(),
+            records: cell::RefCell::default(),
+            busy: cell::Cell::new(0),
+            store_ok: cell::Cell::new(false),
+            watching: cell::Cell::new(false),
+            woke: cell::Cell::new(units::MonoTime::default()),
+            outgoing: parts.outgoing,
+            sequence: cell::Cell::new(0),
+            settings: cell::RefCell::new(rc::Rc::new(parts.settings)),
+        }
+    }
+
+    /// The time since the start.
+    pub fn now(&self) -> units::MonoTime {
+        self.clock.now()
+    }
+
+    /// The settings as of now.
+    pub fn settings(&self) -> rc::Rc<instance_settings::InstanceSettings> {
+        rc::Rc::clone(&self.settings.borrow())
+    }
+
+    /// An id of an attempt that no other attempt of any member has.
+    pub fn next_job(&self) -> read_planner::JobId {
+        let sequence = self.sequence.get() + 1;
+        self.sequence.set(sequence);
+        read_planner::JobId { boot: self.boot, sequence }
+    }
+
+    /// Says something to another member.
+    pub fn tell(&self, to: std::net::SocketAddrV4, message: peer_message::PeerMessage) {
+        // The receiver lives as long as the process.
+        let _ = self.outgoing.unbounded_send(Outgoing { to, message });
+    }
+
+    /// What this process says of itself.
+    pub fn own_beat(&self, sequence: u64) -> membership::MemberBeat {
+        let settings = self.settings();
+        let fleet = self.fleet.borrow();
+        let now = self.now();
+        let awake = self.woke.get() == units::MonoTime::default()
+            || membership::MemberView::old_enough(now.since(self.woke.get()));
+        let age = now.since(units::MonoTime::default());
+        let plans = fleet.is_known() && awake && membership::MemberView::old_enough(age);
+        membership::MemberBeat {
+            name: settings.name.clone(),
+            boot: self.boot,
+            sequence,
+            address: settings.member_address,
+            data_center: settings.data_center.clone(),
+            cpu: (settings.cpu_share * 1_000.0) as u32,
+            plans,
+            leaving: self.stop.asked(),
+            routes: fleet.routes.version.0,
+            list: fleet.list.revision(),
+            watches: self.watching.get() && self.store_ok.get(),
+            others: self.members.borrow().named(sequence),
+        }
+    }
+
+    /// Members believed to exist; `None` while that cannot be known.
+    pub fn member_count(&self) -> Option<usize> {
+        let age = self.now().since(units::MonoTime::default());
+        let members = self.members.borrow();
+        let alone = members.alive(self.now()).next().is_none();
+        (age > time::Duration::from_secs(3) && !alone).then(|| members.size())
+    }
+
+    /// Counts a request for a service.
+    pub fn count_request(&self, service: &ids::ServiceId) {
+        self.retry_share(service, |share, now| share.count_request(now));
+    }
+
+    /// Takes one retry from this process's share.
+    pub fn take_retry(&self, service: &ids::ServiceId) -> bool {
+        let members = self.member_count();
+        self.retry_share(service, |share, now| share.take(now, members))
+    }
+
+    fn retry_share<T>(
+        &self,
+        service: &ids::ServiceId,
+        work: impl FnOnce(&mut fleet_budget::RetryShare, units::MonoTime) -> T,
+    ) -> T {
+        let bound = self.settings().bounds.retry_bound();
+        let mut retries = self.retries.borrow_mut();
+        let share = retries
+            .entry(service.clone())
+            .or_insert_with(|| fleet_budget::RetryShare::new(bound));
+        work(share, self.now())
+    }
+}
+
+/// Counts one piece of work as in progress for as long as it lives.
+pub struct BusyGuard(rc::Rc<InstanceContext>);
+
+impl BusyGuard {
+    /// Starts counting.
+    pub fn new(context: &rc::Rc<InstanceContext>) -> Self {
+        context.busy.set(context.busy.get() + 1);
+        Self(rc::Rc::clone(context))
+    }
+}
+
+impl Drop for BusyGuard {
+    fn drop(&mut self) {
+        self.0.busy.set(self.0.busy.get() - 1);
+    }
+}
--- /dev/null
+++ b/crates/instance/src/document_call.rs
@@ -0,0 +1,121 @@
+//! Small HTTP calls for documents: from the store, from members, from engines.
+
+use std::{net, time};
+
+use bytes::Bytes;
+use slipturn_net::h1;
+use snafu::{ResultExt as _, Snafu};
+
+/// Time for a connection to come about.
+const CONNECT_TIME: time::Duration = time::Duration::from_millis(1_000);
+/// Largest document.
+const MAX_DOCUMENT: usize = 8 << 20;
+
+/// Why a call for a document failed.
+#[derive(Debug, Snafu)]
+pub enum CallError {
+    /// No connection.
+    #[snafu(display("cannot connect: {source}"))]
+    Connect {
+        /// What the system said.
+        source: std::io::Error,
+    },
+    /// Nothing came in time.
+    #[snafu(display("no answer within {limit:?}"))]
+    Silent {
+        /// The time allowed.
+        limit: time::Duration,
+    },
+    /// The connection or the message failed.
+    #[snafu(display("{source}"))]
+    Message {
+        /// What went wrong.
+        source: h1::MessageError,
+    },
+    /// Another status than 200.
+    #[snafu(display("status {status}"))]
+    Status {
+        /// The status.
+        status: u16,
+    },
+}
+
+/// A connection for one document call after the other.
+pub struct DocumentConnection {
+    address: net::SocketAddr,
+    open: Option<(h1::MessageReader, h1::MessageWriter)>,
+}
+
+impl DocumentConnection {
+    /// A connection that opens at the first call.
+    pub fn new(address: net::SocketAddr) -> Self {
+        Self { address, open: None }
+    }
+
+    /// Where it leads.
+    pub fn address(&self) -> net::SocketAddr {
+        self.address
+    }
+
+    /// Reads a document; after any failure the connection is closed.
+    pub async fn get(&mut self, path: &str, limit: time::Duration) -> Result<Bytes, CallError> {
+        self.call("GET", path, Bytes::new(), limit).await
+    }
+
+    /// Sends a document and reads the answer.
+    pub async fn call(
+        &mut self,
+        method: &str,
+        path: &str,
+        body: Bytes,
+        limit: time::Duration,
+    ) -> Result<Bytes, CallError> {
+        let mut open = self.open.take();
+        let work = exchange(&mut open, self.address, method, path, body);
+        let answered = monoio::time::timeout(limit, work).await;
+        let Ok(answered) = answered else {
+            return SilentSnafu { limit }.fail();
+        };
+        let (status, keep, body) = answered?;
+        self.open = open.filter(|_| keep);
+        if status != 200 { StatusSnafu { status }.fail() } else { Ok(body) }
+    }
+}
+
+async fn exchange(
+    open: &mut Option<(h1::MessageReader, h1::MessageWriter)>,
+    address: net::SocketAddr,
+    method: &str,
+    path: &str,
+    body: Bytes,
+) -> Result<(u16, bool, Bytes), CallError> {
+    if open.is_none() {
+        let connecting = monoio::net::TcpStream::connect_addr(address);
+        let connected = monoio::time::timeout(CONNECT_TIME, connecting).await;
+        let Ok(connected) = connected else {
+            return SilentSnafu { limit: CONNECT_TIME }.fail();
+        };
+        *open = Some(h1::split(connected.context(ConnectSnafu)?));
+    }
+    let Some((reader, writer)) = open.as_mut() else {
+        return SilentSnafu { limit: CONNECT_TIME }.fail();
+    };
+    let mut text = format!("{method} {path} HTTP/1.1\r\nhost: {address}\r\n").into_bytes();
+    if !body.is_empty() {
+        let head = format!(
+            "content-type: application/json\r\ncontent-length: {}\r\n",
+            body.len()
+        );
+        text.extend_from_slice(head.as_bytes());
+    }
+    text.extend_from_slice(b"\r\n");
+    text.extend_from_slice(&body);
+    writer.write(text).await.context(MessageSnafu)?;
+    let head = reader.answer_head().await.context(MessageSnafu)?;
+    let mut framing = h1::BodyFraming::of_answer(&head).context(MessageSnafu)?;
+    let until_close = framing == h1::BodyFraming::UntilClose;
+    let body = reader.whole_body(&mut framing, MAX_DOCUMENT).await.context(MessageSnafu)?;
+    let keep = !until_close && !h1::closes(head.version, &head.headers) && !reader.has_surplus();
+    reader.rest();
+    Ok((head.status.as_u16(), keep, body))
+}
--- /dev/null
+++ b/crates/instance/src/engine_reports.rs
@@ -0,0 +1,70 @@
+//! Engines' own reports, asked for by whoever plans: their pace, and whether they answer at all.
+
+use std::{rc, time};
+
+use slipturn_core::{ids, upstream_list};
+
+use crate::{context, document_call, peers};
+
+/// Time between two reports of one engine.
+const REPORT_INTERVAL: time::Duration = time::Duration::from_millis(2_000);
+/// Time between two looks at who plans.
+const LOOK_INTERVAL: time::Duration = time::Duration::from_millis(250);
+/// Time for a report; within a region it takes a few milliseconds.
+const REPORT_TIME: time::Duration = time::Duration::from_millis(400);
+/// A slower engine than this is noted in the log.
+const SLOW_PACE: f64 = 1.5;
+
+/// Asks engines of services that this process plans for, one after the other.
+pub async fn poll(context: rc::Rc<context::InstanceContext>) {
+    loop {
+        let services = context.planners.borrow().active(context.now());
+        let mut engines: Vec<upstream_list::UpstreamEntry> = Vec::new();
+        for service in services {
+            if peers::planner_of(&context, &service).is_none() {
+                let fleet = context.fleet.borrow();
+                engines.extend(fleet.list.usable(&service).into_iter().cloned());
+            }
+        }
+        if engines.is_empty() {
+            monoio::time::sleep(LOOK_INTERVAL).await;
+            continue;
+        }
+        let pause = REPORT_INTERVAL / u32::try_from(engines.len()).unwrap_or(u32::MAX);
+        for engine in engines {
+            monoio::spawn(report(rc::Rc::clone(&context), engine));
+            monoio::time::sleep(pause).await;
+        }
+    }
+}
+
+async fn report(context: rc::Rc<context::InstanceContext>, engine: upstream_list::UpstreamEntry) {
+    let mut connection = document_call::DocumentConnection::new(engine.address.into());
+    let path = context.border.report_path();
+    let body = match connection.get(&path, REPORT_TIME).await {
+        Ok(body) => body,
+        Err(error) => {
+            log::info!(engine:% = engine.name, error:%; "engine.silent");
+            shun(&context, &engine.service, &engine.name);
+            return;
+        }
+    };
+    match context.border.read_report(&body) {
+        Ok(report) => {
+            if report.pace > SLOW_PACE {
+                log::info!(engine:% = engine.name, pace = report.pace; "engine.slow");
+            }
+            if let Some(planner) = context.planners.borrow_mut().planner(&engine.service) {
+                planner.set_pace(&engine.name, report.pace);
+            }
+        }
+        Err(error) => log::warn!(engine:% = engine.name, error:%; "engine.unreadable"),
+    }
+}
+
+fn shun(context: &context::InstanceContext, service: &ids::ServiceId, engine: &ids::UpstreamId) {
+    let now = context.now();
+    if let Some(planner) = context.planners.borrow_mut().planner(service) {
+        planner.shun(now, engine);
+    }
+}
--- /dev/null
+++ b/crates/instance/src/incoming_call.rs
@@ -0,0 +1,106 @@
+//! A request that was read and admitted: whose it is, where it goes, until when.
+
+use std::{rc, time};
+
+use bytes::Bytes;
+use slipturn_core::{ids, refusal, route_table, units};
+
+use crate::{border, context, request_record};
+
+/// Time kept back for the way of an answer to the caller.
+const ANSWER_MARGIN: time::Duration = time::Duration::from_millis(15);
+
+/// An admitted request.
+pub struct IncomingCall {
+    /// What the caller sent.
+    pub head: http::request::Parts,
+    /// Its whole body.
+    pub body: Bytes,
+    /// What its head says.
+    pub request: border::CallerRequest,
+    /// Its route.
+    pub route: rc::Rc<route_table::RoutePolicy>,
+    /// Its customer, where it needs one.
+    pub customer: Option<ids::CustomerId>,
+    /// The service that takes it.
+    pub service: ids::ServiceId,
+    /// How the service's engines work, where it has any.
+    pub shape: Option<route_table::EngineShape>,
+    /// When its last byte had arrived.
+    pub arrived: units::MonoTime,
+    /// When it must have its final answer.
+    pub deadline: units::MonoTime,
+}
+
+impl IncomingCall {
+    /// Time left.
+    pub fn left(&self, now: units::MonoTime) -> time::Duration {
+        self.deadline.since(now)
+    }
+
+    /// The record of what happens to it.
+    pub fn record(&self, context: &context::InstanceContext) -> request_record::RequestRecord {
+        let fleet = context.fleet.borrow();
+        request_record::RequestRecord {
+            id: self.request.id.clone(),
+            route: self.route.name.to_string(),
+            customer: self.customer.as_ref().map(ToString::to_string).unwrap_or_default(),
+            service: self.service.to_string(),
+            routes: fleet.routes.version.0,
+            list: fleet.list.revision(),
+            repeat: self.route.repeat.word(),
+            prompt: self.request.prompt,
+            limit_ms: units::whole_millis(self.deadline.since(self.arrived)),
+            ..Default::default()
+        }
+    }
+}
+
+/// Admits a request whose head has been read.
+pub fn admit(
+    context: &context::InstanceContext,
+    head: http::request::Parts,
+    arrived: units::MonoTime,
+) -> Result<IncomingCall, refusal::RequestRefusal> {
+    let fleet = context.fleet.borrow();
+    if !fleet.is_known() {
+        let text = "routes and upstreams are not known yet";
+        let refusal = refusal::RequestRefusal::not_run(refusal::RefusalCode::NotReady, text);
+        return Err(refusal.retry_after(time::Duration::from_millis(500)));
+    }
+    let host = host_of(&head);
+    let Some(route) = fleet.routes.route(&host, head.uri.path()) else {
+        let text = format!("no route for {host}{}", head.uri.path());
+        return Err(refusal::RequestRefusal::not_run(refusal::RefusalCode::NotFound, text));
+    };
+    let request = context.border.read_request(&head).map_err(|error| {
+        refusal::RequestRefusal::not_run(refusal::RefusalCode::BadRequest, error.to_string())
+    })?;
+    let customer = match &request.key {
+        Some(key) => fleet.routes.customer(key).cloned(),
+        None => None,
+    };
+    if customer.is_none() && !route.anonymous {
+        let text = "no key, or a key that is not known";
+        return Err(refusal::RequestRefusal::not_run(refusal::RefusalCode::Unauthorized, text));
+    }
+    let limit = request.patience.map_or(route.time_limit, |wish| wish.min(route.time_limit));
+    let service = route.pick_service(rand::random()).clone();
+    let shape = fleet.routes.services.get(&service).and_then(|service| service.engine.clone());
+    Ok(IncomingCall {
+        route: rc::Rc::clone(route),
+        head,
+        body: Bytes::new(),
+        request,
+        customer,
+        service,
+        shape,
+        arrived,
+        deadline: arrived + limit.saturating_sub(ANSWER_MARGIN),
+    })
+}
+
+fn host_of(head: &http::request::Parts) -> String {
+    let named = head.headers.get(http::header::HOST).and_then(|value| value.to_str().ok());
+    named.or_else(|| head.uri.host()).unwrap_or_default().to_owned()
+}
--- /dev/null
+++ b/crates/instance/src/lib.rs
@@ -0,0 +1,32 @@
+//! One slipturn instance: callers in front, engines and services behind, other instances beside.
+//!
+//! Layout by life span: `incoming_call`, `model_request`, `service_request`, `plan_client`,
+//! `memory_hold`, `upstream_attempt`, `event_stream` and `request_record` live for a request;
+//! `caller_connection`, `document_call` and `upstream_pool` for a connection; `fleet_state` for a
+//! version; the rest for the process. What the outside looks like is behind `border`.
+
+pub mod border;
+pub mod caller_connection;
+pub mod context;
+pub mod document_call;
+pub mod engine_reports;
+pub mod event_stream;
+pub mod fleet_state;
+pub mod incoming_call;
+pub mod instance_settings;
+pub mod instance_stats;
+pub mod log_sink;
+pub mod memory_hold;
+pub mod model_request;
+pub mod peer_message;
+pub mod peers;
+pub mod plan_client;
+pub mod planner_set;
+pub mod program;
+pub mod request_record;
+pub mod service_request;
+pub mod small_server;
+pub mod store_feed;
+pub mod upstream_attempt;
+pub mod upstream_load;
+pub mod upstream_pool;
--- /dev/null
+++ b/crates/instance/src/memory_hold.rs
@@ -0,0 +1,163 @@
+//! Memory set aside on engines for a prompt that another engine answers.
+
+use std::{cell, net, rc, time};
+
+use slipturn_core::{ids, read_planner};
+use snafu::Snafu;
+
+use crate::{border, context, document_call};
+
+/// How long memory stays aside without a renewal: shorter than the time within which it must be
+/// free again behind a request whose instance has died.
+const HOLD_TIME: time::Duration = time::Duration::from_millis(3_400);
+/// Time between two renewals.
+const RENEW_INTERVAL: time::Duration = time::Duration::from_millis(900);
+/// Time for an engine's answer to an order.
+const ORDER_TIME: time::Duration = time::Duration::from_millis(350);
+/// Tries to give memory back; what is not given back by then lapses by itself.
+const RELEASE_TRIES: u32 = 6;
+/// Pause between two tries.
+const RELEASE_PAUSE: time::Duration = time::Duration::from_millis(250);
+
+/// Memory that could not be set aside.
+#[derive(Debug, Snafu)]
+#[snafu(display("{engine} sets no memory aside: {reason}"))]
+pub struct HoldError {
+    /// The engine.
+    pub engine: ids::UpstreamId,
+    /// Why.
+    pub reason: String,
+}
+
+/// Memory on one engine.
+#[derive(Debug, Clone)]
+struct HeldTicket {
+    engine: ids::UpstreamId,
+    address: net::SocketAddrV4,
+    ticket: String,
+    tokens: u64,
+}
+
+/// All memory set aside for one attempt; given back when dropped.
+pub struct MemoryHold {
+    context: rc::Rc<context::InstanceContext>,
+    tickets: Vec<HeldTicket>,
+    done: rc::Rc<cell::Cell<bool>>,
+}
+
+impl MemoryHold {
+    /// Sets memory aside as planned: all parts or none.
+    pub async fn take(
+        context: &rc::Rc<context::InstanceContext>,
+        job: read_planner::JobId,
+        parts: &[read_planner::HeldPart],
+    ) -> Result<Self, HoldError> {
+        let done = rc::Rc::new(cell::Cell::new(false));
+        let mut hold =
+            Self { context: rc::Rc::clone(context), tickets: Vec::new(), done };
+        for (number, part) in parts.iter().enumerate() {
+            let address = context.fleet.borrow().list.entry(&part.engine).map(|entry| entry.address);
+            let Some(address) = address else {
+                let reason = "it is not listed any more".to_owned();
+                return Err(HoldError { engine: part.engine.clone(), reason });
+            };
+            let ticket = format!("{:x}-{:x}-{number}", job.boot, job.sequence);
+            let held = HeldTicket {
+                engine: part.engine.clone(),
+                address,
+                ticket,
+                tokens: part.tokens,
+            };
+            // Kept before it is asked for: an order without an answer may be carried out later.
+            hold.tickets.push(held);
+        }
+        let orders = hold.tickets.iter().map(|held| held_order(context, held));
+        let results = futures::future::join_all(orders).await;
+        for (held, result) in hold.tickets.iter().zip(results) {
+            if let Err(reason) = result {
+                log::info!(engine:% = held.engine, ticket = held.ticket.as_str(),
+                    tokens = held.tokens, reason = reason.as_str(); "memory.not_held");
+                return Err(HoldError { engine: held.engine.clone(), reason });
+            }
+        }
+        if !hold.tickets.is_empty() {
+            log::info!(parts = hold.tickets.len(), job = job.sequence; "memory.held");
+            monoio::spawn(renew(
+                rc::Rc::clone(context),
+                hold.tickets.clone(),
+                rc::Rc::clone(&hold.done),
+            ));
+        }
+        Ok(hold)
+    }
+
+    /// The ticket on an engine.
+    pub fn ticket(&self, engine: &ids::UpstreamId) -> Option<String> {
+        self.tickets.iter().find(|held| held.engine == *engine).map(|held| held.ticket.clone())
+    }
+}
+
+impl Drop for MemoryHold {
+    fn drop(&mut self) {
+        self.done.set(true);
+        for held in self.tickets.drain(..) {
+            monoio::spawn(release(rc::Rc::clone(&self.context), held));
+        }
+    }
+}
+
+async fn held_order(context: &context::InstanceContext, held: &HeldTicket) -> Result<(), String> {
+    let order = border::MemoryOrder::Hold {
+        ticket: held.ticket.clone(),
+        tokens: held.tokens,
+        time: HOLD_TIME,
+    };
+    send_order(context, held.address, &order).await
+}
+
+async fn send_order(
+    context: &context::InstanceContext,
+    address: net::SocketAddrV4,
+    order: &border::MemoryOrder,
+) -> Result<(), String> {
+    let (path, body) = context.border.memory_order(order);
+    let mut connection = document_call::DocumentConnection::new(address.into());
+    let called = connection.call("POST", &path, body, ORDER_TIME).await;
+    called.map(|_| ()).map_err(|error| error.to_string())
+}
+
+async fn renew(
+    context: rc::Rc<context::InstanceContext>,
+    tickets: Vec<HeldTicket>,
+    done: rc::Rc<cell::Cell<bool>>,
+) {
+    loop {
+        monoio::time::sleep(RENEW_INTERVAL).await;
+        if done.get() {
+            return;
+        }
+        for held in &tickets {
+            if let Err(reason) = held_order(&context, held).await {
+                log::warn!(engine:% = held.engine, reason; "memory.not_renewed");
+            }
+            if done.get() {
+                // The release may have overtaken this renewal.
+                release(rc::Rc::clone(&context), held.clone()).await;
+            }
+        }
+    }
+}
+
+async fn release(context: rc::Rc<context::InstanceContext>, held: HeldTicket) {
+    let _busy = context::BusyGuard::new(&context);
+    let order = border::MemoryOrder::Release { ticket: held.ticket.clone() };
+    for attempt in 1..=RELEASE_TRIES {
+        match send_order(&context, held.address, &order).await {
+            Ok(()) => return,
+            Err(reason) => {
+                log::info!(engine:% = held.engine, attempt, reason; "memory.not_released");
+            }
+        }
+        monoio::time::sleep(RELEASE_PAUSE).await;
+    }
+}
--- /dev/null
+++ b/crates/instance/src/model_request.rs
@@ -0,0 +1,412 @@
+//! One streamed request: a place, an attempt, its events; and another attempt where one breaks.
+
+use std::{rc, time};
+
+use bytes::{Bytes, BytesMut};
+use slipturn_core::{ids, read_planner, refusal, retry};
+use slipturn_net::h1;
+
+use crate::{
+    caller_connection, context, event_stream, incoming_call, memory_hold, plan_client,
+    request_record, upstream_attempt,
+};
+
+/// Places tried at most, those whose engine never saw the request included.
+const MAX_TRIES: u32 = 5;
+/// Tokens of a prompt that are worth as much as one short request; the goal's weight grows with
+/// the work. From the users' sheets: 154,000 tokens are worth 16 times 5,000.
+const TOKENS_PER_WORTH: f32 = 8_000.0;
+/// Callers give a stream up after a silence of this, or of the multiples below, if longer.
+const CALLER_SILENCE: time::Duration = time::Duration::from_secs(2);
+/// Goals for the first token that callers wait.
+const CALLER_GOALS: u32 = 4;
+/// Goals for a pause that callers wait.
+const CALLER_PAUSES: u32 = 8;
+/// Part of the callers' patience after which a silent engine is given up.
+const SILENCE_PART: f64 = 0.72;
+/// When to come back after a refusal, where nothing better is known.
+const BACK_AFTER: time::Duration = time::Duration::from_millis(400);
+/// Largest failure answer of an engine that is passed on.
+const MAX_FAILURE: usize = 1 << 20;
+
+/// What stays of a stream between attempts.
+#[derive(Default)]
+struct StreamState {
+    /// Whether the caller has the head.
+    begun: bool,
+    last_event: Option<String>,
+    excluded: Vec<ids::UpstreamId>,
+    /// Attempts that reached an engine.
+    sent: u32,
+    ran: Option<refusal::RanState>,
+    last_at: Option<slipturn_core::units::MonoTime>,
+}
+
+/// How one attempt ended.
+enum AttemptEnd {
+    /// The caller has the whole answer.
+    Whole,
+    /// The engine's own failure, to be passed on if nothing better comes.
+    Failure(Box<http::response::Parts>, Bytes),
+    /// It did not work out.
+    Fault(upstream_attempt::AttemptFault),
+    /// There was no place.
+    NoPlace,
+}
+
+/// Serves a streamed request to its end.
+pub async fn serve(
+    context: &rc::Rc<context::InstanceContext>,
+    call: &incoming_call::IncomingCall,
+    reply: &mut caller_connection::CallerReply<'_>,
+    record: &mut request_record::RequestRecord,
+) -> Result<caller_connection::ConnectionNext, h1::MessageError> {
+    let left = call.left(context.now());
+    let mut state = StreamState { last_event: call.request.last_event.clone(), ..Default::default() };
+    let work = attempts(context, call, reply, record, &mut state);
+    let refusal = match monoio::time::timeout(left, work).await {
+        Ok(Ok(None)) => return Ok(caller_connection::ConnectionNext::Keep),
+        Ok(Ok(Some(refusal))) => refusal,
+        Ok(Err(error)) => return Err(error),
+        Err(_) => {
+            let text = format!("not finished within {left:?}");
+            let code = refusal::RefusalCode::TimedOut;
+            refusal::RequestRefusal::not_run(code, text).ran(refusal::RanState::Unknown)
+        }
+    };
+    record.outcome = format!("{} (ran: {})", refusal.message, refusal.ran.word());
+    if state.begun {
+        // The answer has begun; only a cut connection can say now that it is not whole.
+        return Ok(caller_connection::ConnectionNext::Close);
+    }
+    record.status = Some(refusal.code.status());
+    reply.refuse(&call.request.id, &refusal).await?;
+    Ok(caller_connection::ConnectionNext::Keep)
+}
+
+/// `None` when the caller has its answer.
+async fn attempts(
+    context: &rc::Rc<context::InstanceContext>,
+    call: &incoming_call::IncomingCall,
+    reply: &mut caller_connection::CallerReply<'_>,
+    record: &mut request_record::RequestRecord,
+    state: &mut StreamState,
+) -> Result<Option<refusal::RequestRefusal>, h1::MessageError> {
+    let mut failure = None;
+    let mut text = format!("service '{}' has no engine free", call.service);
+    for _ in 0..MAX_TRIES {
+        if state.sent >= call.route.max_attempts {
+            break;
+        }
+        if state.sent > 0 && !context.take_retry(&call.service) {
+            text.push_str("; the retry budget is used up");
+            break;
+        }
+        match attempt(context, call, reply, record, state).await? {
+            AttemptEnd::Whole => return Ok(None),
+            AttemptEnd::NoPlace => break,
+            AttemptEnd::Failure(head, body) => {
+                state.ran = Some(refusal::RanState::Yes);
+                failure = Some((head, body));
+                if !call.route.repeat.allows_repeat() {
+                    break;
+                }
+            }
+            AttemptEnd::Fault(fault) => {
+                let surely = fault.failure.surely_not_run();
+                text = fault.text;
+                if !surely {
+                    state.ran = Some(refusal::RanState::Unknown);
+                    if !call.route.repeat.allows_repeat() {
+                        break;
+                    }
+                }
+            }
+        }
+    }
+    if let Some((head, body)) = failure.filter(|_| !state.begun) {
+        record.status = Some(head.status.as_u16());
+        "the engine's own failure".clone_into(&mut record.outcome);
+        reply.whole(&head, &body).await?;
+        return Ok(None);
+    }
+    let ran = state.ran.unwrap_or(refusal::RanState::No);
+    let code = match ran {
+        refusal::RanState::No => refusal::RefusalCode::Overloaded,
+        _ => refusal::RefusalCode::UpstreamFailed,
+    };
+    Ok(Some(refusal::RequestRefusal::not_run(code, text).ran(ran).retry_after(BACK_AFTER)))
+}
+
+async fn attempt(
+    context: &rc::Rc<context::InstanceContext>,
+    call: &incoming_call::IncomingCall,
+    reply: &mut caller_connection::CallerReply<'_>,
+    record: &mut request_record::RequestRecord,
+    state: &mut StreamState,
+) -> Result<AttemptEnd, h1::MessageError> {
+    let limit = patience(call).saturating_sub(context.now().since(call.arrived));
+    let limit = limit.max(time::Duration::from_millis(200)).min(call.left(context.now()));
+    let ask = ask(context, call, state);
+    let Some(mut hold) = plan_client::place(context, &call.service, ask, limit).await else {
+        return Ok(AttemptEnd::NoPlace);
+    };
+    let mut row = request_record::AttemptRecord {
+        upstream: hold.grant.engine.to_string(),
+        helpers: hold.grant.helpers.len(),
+        waited_ms: u64::from(hold.grant.waited_ms),
+        planned_ms: u64::from(hold.grant.first_token_ms),
+        ..Default::default()
+    };
+    let end = run_place(context, call, reply, record, state, &mut hold, &mut row).await;
+    if let Ok(AttemptEnd::Fault(fault)) = &end {
+        row.end.clone_from(&fault.text);
+        hold.end = match fault.failure {
+            retry::AttemptFailure::SaidNotRun => read_planner::PlaceEnd::Full,
+            _ => read_planner::PlaceEnd::Failed,
+        };
+        blame(context, state, &hold, fault);
+    }
+    record.attempts.push(row);
+    end
+}
+
+async fn run_place(
+    context: &rc::Rc<context::InstanceContext>,
+    call: &incoming_call::IncomingCall,
+    reply: &mut caller_connection::CallerReply<'_>,
+    record: &mut request_record::RequestRecord,
+    state: &mut StreamState,
+    hold: &mut plan_client::PlaceHold,
+    row: &mut request_record::AttemptRecord,
+) -> Result<AttemptEnd, h1::MessageError> {
+    let not_connected = |text: String| {
+        let failure = retry::AttemptFailure::NotConnected;
+        Ok(AttemptEnd::Fault(upstream_attempt::AttemptFault::new(failure, text)))
+    };
+    let taken = memory_hold::MemoryHold::take(context, hold.grant.job, &hold.grant.held).await;
+    let memory = match taken {
+        Ok(memory) => memory,
+        Err(error) => {
+            state.excluded.push(error.engine.clone());
+            let failure = retry::AttemptFailure::SaidNotRun;
+            let fault = upstream_attempt::AttemptFault::new(failure, error);
+            return Ok(AttemptEnd::Fault(fault));
+        }
+    };
+    let Some(target) = target(context, call, state, &hold.grant, &memory) else {
+        return not_connected("the engine is not listed any more".to_owned());
+    };
+    let begun_at = context.now();
+    let silence = silence(call).min(call.left(context.now()));
+    let answered = upstream_attempt::send(context, call, &target, silence).await;
+    let mut answer = match answered {
+        Ok(answer) => answer,
+        Err(fault) => {
+            if fault.failure != retry::AttemptFailure::NotConnected {
+                state.sent += 1;
+            }
+            return Ok(AttemptEnd::Fault(fault));
+        }
+    };
+    state.sent += 1;
+    if !answer.head.status.is_success() {
+        row.end = format!("status {}", answer.head.status.as_u16());
+        hold.end = read_planner::PlaceEnd::Failed;
+        state.excluded.push(hold.grant.engine.clone());
+        let body = answer.connection.reader.whole_body(&mut answer.framing, MAX_FAILURE).await;
+        let head = Box::new(answer.head.clone());
+        return Ok(match body {
+            Ok(body) => {
+                answer.finish(&context.pool);
+                AttemptEnd::Failure(head, body)
+            }
+            Err(error) => {
+                let failure = retry::AttemptFailure::BrokeBeforeAnswer;
+                AttemptEnd::Fault(upstream_attempt::AttemptFault::new(failure, error))
+            }
+        });
+    }
+    let mut events = event_stream::EventBuffer::default();
+    loop {
+        let wait = silence.min(call.left(context.now()));
+        let next = answer.connection.reader.next_piece(&mut answer.framing);
+        let piece = match monoio::time::timeout(wait, next).await {
+            Ok(Ok(piece)) => piece,
+            Ok(Err(error)) => return Ok(broke(state, error)),
+            Err(_) => return Ok(broke(state, format!("no event within {wait:?}"))),
+        };
+        let Some(piece) = piece else {
+            break;
+        };
+        events.push(&piece);
+        let whole = events.take_whole();
+        if whole.is_empty() {
+            continue;
+        }
+        if row.first_ms.is_none() {
+            hold.first_token();
+            row.first_ms = Some(context.now().since(begun_at).as_millis() as u64);
+        }
+        note_events(context, call, record, state, &whole);
+        send_events(reply, state, &answer.head, &whole).await?;
+    }
+    if !events.is_empty() {
+        return Ok(broke(state, "the stream ends in the middle of an event"));
+    }
+    if !state.begun {
+        send_events(reply, state, &answer.head, &BytesMut::new()).await?;
+    }
+    reply.end().await?;
+    answer.finish(&context.pool);
+    record.status = Some(200);
+    "answered".clone_into(&mut record.outcome);
+    "whole".clone_into(&mut row.end);
+    Ok(AttemptEnd::Whole)
+}
+
+async fn send_events(
+    reply: &mut caller_connection::CallerReply<'_>,
+    state: &mut StreamState,
+    head: &http::response::Parts,
+    events: &BytesMut,
+) -> Result<(), h1::MessageError> {
+    if state.begun {
+        return reply.events(events).await;
+    }
+    state.begun = true;
+    reply.begin(head, events).await
+}
+
+fn note_events(
+    context: &context::InstanceContext,
+    call: &incoming_call::IncomingCall,
+    record: &mut request_record::RequestRecord,
+    state: &mut StreamState,
+    events: &BytesMut,
+) {
+    let now = context.now();
+    if record.first_ms.is_none() {
+        record.first_ms = Some(now.since(call.arrived).as_millis() as u64);
+    }
+    if let Some(last) = state.last_at {
+        record.pause_ms = record.pause_ms.max(now.since(last).as_millis() as u64);
+    }
+    state.last_at = Some(now);
+    for event in event_stream::split_events(events) {
+        record.events += 1;
+        if let Some(id) = context.border.event_id(event) {
+            state.last_event = Some(id);
+        }
+    }
+}
+
+fn broke(state: &StreamState, reason: impl ToString) -> AttemptEnd {
+    let failure = if state.begun {
+        retry::AttemptFailure::BrokeMidAnswer
+    } else {
+        retry::AttemptFailure::BrokeBeforeAnswer
+    };
+    AttemptEnd::Fault(upstream_attempt::AttemptFault::new(failure, reason))
+}
+
+/// Leaves the engine that was the cause alone.
+fn blame(
+    context: &context::InstanceContext,
+    state: &mut StreamState,
+    hold: &plan_client::PlaceHold,
+    fault: &upstream_attempt::AttemptFault,
+) {
+    let named = fault.at_fault.and_then(|address| {
+        let fleet = context.fleet.borrow();
+        let found = fleet.list.entries().find(|entry| entry.address == address);
+        found.map(|entry| entry.name.clone())
+    });
+    let cause = named.unwrap_or_else(|| hold.grant.engine.clone());
+    if cause != hold.grant.engine {
+        hold.shun(&cause);
+    }
+    if !state.excluded.contains(&cause) {
+        state.excluded.push(cause);
+    }
+}
+
+fn target(
+    context: &context::InstanceContext,
+    call: &incoming_call::IncomingCall,
+    state: &StreamState,
+    grant: &read_planner::PlaceGrant,
+    memory: &memory_hold::MemoryHold,
+) -> Option<upstream_attempt::AttemptTarget> {
+    let fleet = context.fleet.borrow();
+    if !fleet.list.is_usable(&grant.engine) {
+        return None;
+    }
+    let address = fleet.list.entry(&grant.engine)?.address;
+    let holders = grant.held.iter().map(|part| &part.engine);
+    let readers = grant.helpers.iter().filter(|helper| memory.ticket(helper).is_none());
+    let helpers = holders
+        .chain(readers)
+        .filter_map(|helper| {
+            let entry = fleet.list.entry(helper)?;
+            Some((entry.address, memory.ticket(helper)))
+        })
+        .collect();
+    let late = context.now().since(call.arrived) > call.route.first_token_goal;
+    Some(upstream_attempt::AttemptTarget {
+        upstream: grant.engine.clone(),
+        address,
+        helpers,
+        last_event: state.last_event.clone(),
+        priority: Some(priority(call, late)),
+    })
+}
+
+/// Short goals go first on an engine; what is late goes last.
+fn priority(call: &incoming_call::IncomingCall, late: bool) -> u8 {
+    if late {
+        return 8;
+    }
+    match call.route.first_token_goal.as_millis() {
+        0..=500 => 2,
+        501..=2_000 => 4,
+        _ => 5,
+    }
+}
+
+fn ask(
+    context: &context::InstanceContext,
+    call: &incoming_call::IncomingCall,
+    state: &StreamState,
+) -> read_planner::PlaceAsk {
+    let spent = context.now().since(call.arrived);
+    let millis = |span: time::Duration| u32::try_from(span.as_millis()).unwrap_or(u32::MAX);
+    let goal_left = if state.begun {
+        // The stream goes on as soon as it can; its first token is out.
+        call.route.pause_goal
+    } else {
+        call.route.first_token_goal.saturating_sub(spent)
+    };
+    read_planner::PlaceAsk {
+        job: context.next_job(),
+        prompt: call.request.prompt,
+        output: call.request.output,
+        pause_ms: millis(call.route.pause_goal),
+        goal_left_ms: millis(goal_left),
+        patience_ms: millis(patience(call).saturating_sub(spent)),
+        worth: (call.request.prompt as f32 / TOKENS_PER_WORTH).max(1.0),
+        excluded: state.excluded.clone(),
+    }
+}
+
+/// How long a caller waits without an event.
+fn patience(call: &incoming_call::IncomingCall) -> time::Duration {
+    CALLER_SILENCE
+        .max(call.route.first_token_goal * CALLER_GOALS)
+        .max(call.route.pause_goal * CALLER_PAUSES)
+}
+
+/// How long an engine may be silent.
+fn silence(call: &incoming_call::IncomingCall) -> time::Duration {
+    patience(call).mul_f64(SILENCE_PART)
+}
--- /dev/null
+++ b/crates/instance/src/peer_message.rs
@@ -0,0 +1,55 @@
+//! What instances say to each other: datagrams, coded by `postcard`.
+
+use futures::channel::mpsc;
+use serde::{Deserialize, Serialize};
+use slipturn_core::{ids, membership, read_planner};
+
+/// Largest datagram; larger messages are split by their sender.
+pub const MAX_DATAGRAM: usize = 16 * 1024;
+/// Most leases in one message.
+pub const MAX_LEASES: usize = 24;
+
+/// One message.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum PeerMessage {
+    /// A heartbeat.
+    Beat(Box<membership::MemberBeat>),
+    /// Asks for a place on an engine of a service.
+    Ask(ids::ServiceId, Box<read_planner::PlaceAsk>),
+    /// Gives a place.
+    Grant(Box<read_planner::PlaceGrant>),
+    /// The request waits for a place; the grant follows.
+    Queued(read_planner::JobId),
+    /// The answer of a request begins.
+    FirstToken(ids::ServiceId, read_planner::JobId),
+    /// A request is over.
+    End(ids::ServiceId, read_planner::JobId, read_planner::PlaceEnd),
+    /// An engine has failed, or refused as another's cause.
+    Shun(ids::ServiceId, ids::UpstreamId),
+    /// Places in use.
+    Renew(ids::ServiceId, Vec<read_planner::PlaceLease>),
+}
+
+/// What a request that waits for its place is told.
+#[derive(Debug, Clone, PartialEq)]
+pub enum PlanReply {
+    /// It has a place.
+    Grant(Box<read_planner::PlaceGrant>),
+    /// It waits in the planner.
+    Queued,
+}
+
+/// Where replies to one request go.
+pub type ReplySender = mpsc::UnboundedSender<PlanReply>;
+
+impl PeerMessage {
+    /// The message as a datagram.
+    pub fn encode(&self) -> Result<Vec<u8>, postcard::Error> {
+        postcard::to_stdvec(self)
+    }
+
+    /// Reads a datagram.
+    pub fn decode(bytes: &[u8]) -> Result<Self, postcard::Error> {
+        postcard::from_bytes(bytes)
+    }
+}
--- /dev/null
+++ b/crates/instance/src/peers.rs
@@ -0,0 +1,252 @@
+//! Datagrams between instances: heartbeats, places and leases; and the planners' clock.
+
+use std::{collections, net, rc, time};
+
+use futures::{StreamExt as _, channel::mpsc};
+use slipturn_core::{ids, membership, read_planner, units};
+
+use crate::{context, peer_message, planner_set};
+
+/// Time between two repetitions of the leases in use; a planner gives them up after five missed.
+const RENEW_INTERVAL: time::Duration = time::Duration::from_millis(500);
+/// Time between two looks at requests that wait, while any does.
+const PLAN_INTERVAL: time::Duration = time::Duration::from_millis(10);
+/// Time between two looks while none waits.
+const REST_INTERVAL: time::Duration = time::Duration::from_millis(50);
+/// Time between two timers' ends beyond which the process must have been paused.
+const PAUSE_SIGN: time::Duration = time::Duration::from_millis(700);
+
+/// Sends what other tasks say.
+pub async fn send_all(
+    socket: rc::Rc<monoio::net::udp::UdpSocket>,
+    mut outgoing: mpsc::UnboundedReceiver<context::Outgoing>,
+) {
+    while let Some(context::Outgoing { to, message }) = outgoing.next().await {
+        let bytes = match message.encode() {
+            Ok(bytes) => bytes,
+            Err(error) => {
+                log::error!(error:%; "peer.unencodable");
+                continue;
+            }
+        };
+        let (result, _) = socket.send_to(bytes, net::SocketAddr::V4(to)).await;
+        // Datagrams are lost now and then anyway; whoever needs an answer asks again.
+        if let Err(error) = result {
+            log::debug!(to:%, error:%; "peer.send_failed");
+        }
+    }
+}
+
+/// Receives what other members say.
+pub async fn receive_all(
+    context: rc::Rc<context::InstanceContext>,
+    socket: rc::Rc<monoio::net::udp::UdpSocket>,
+) {
+    loop {
+        let buffer = Vec::with_capacity(peer_message::MAX_DATAGRAM);
+        let (result, buffer) = socket.recv_from(buffer).await;
+        let from = match result {
+            Ok((_, net::SocketAddr::V4(from))) => from,
+            Ok(_) => continue,
+            Err(error) => {
+                // A dead peer's refusal shows up here.
+                log::debug!(error:%; "peer.receive_failed");
+                continue;
+            }
+        };
+        match peer_message::PeerMessage::decode(&buffer) {
+            Ok(message) => hear(&context, from, message),
+            Err(error) => log::warn!(from:%, error:%; "peer.unreadable"),
+        }
+    }
+}
+
+fn hear(
+    context: &rc::Rc<context::InstanceContext>,
+    from: net::SocketAddrV4,
+    message: peer_message::PeerMessage,
+) {
+    use peer_message::PeerMessage;
+    let now = context.now();
+    match message {
+        PeerMessage::Beat(beat) => {
+            let event = context.members.borrow_mut().hear(now, *beat);
+            if let Some(membership::MemberEvent::Joined(member)) = event {
+                log::info!(member:%; "member.joined");
+            }
+        }
+        PeerMessage::Ask(service, ask) => {
+            let job = ask.job;
+            let origin = planner_set::AskOrigin::Member(from);
+            let mut planners = context.planners.borrow_mut();
+            planners.sync(now, &context.fleet.borrow());
+            let reply = match planners.ask(now, &service, *ask, origin) {
+                Some(grant) => PeerMessage::Grant(Box::new(grant)),
+                None => PeerMessage::Queued(job),
+            };
+            context.tell(from, reply);
+        }
+        PeerMessage::Grant(grant) => {
+            let job = grant.job;
+            reply(context, job, peer_message::PlanReply::Grant(grant));
+        }
+        PeerMessage::Queued(job) => reply(context, job, peer_message::PlanReply::Queued),
+        PeerMessage::FirstToken(service, job) => {
+            if let Some(planner) = context.planners.borrow_mut().planner(&service) {
+                planner.first_token(job);
+            }
+        }
+        PeerMessage::End(service, job, end) => {
+            if let Some(planner) = context.planners.borrow_mut().planner(&service) {
+                planner.end(now, job, end);
+            }
+        }
+        PeerMessage::Shun(service, engine) => {
+            if let Some(planner) = context.planners.borrow_mut().planner(&service) {
+                planner.shun(now, &engine);
+            }
+        }
+        PeerMessage::Renew(service, leases) => {
+            let mut planners = context.planners.borrow_mut();
+            planners.sync(now, &context.fleet.borrow());
+            if let Some(planner) = planners.planner(&service) {
+                planner.renew(now, leases);
+            }
+        }
+    }
+}
+
+/// Hands a reply to the request that waits for it.
+fn reply(
+    context: &context::InstanceContext,
+    job: read_planner::JobId,
+    reply: peer_message::PlanReply,
+) {
+    if let Some(sender) = context.grants.borrow().get(&job) {
+        // A request that has ended in between needs no reply.
+        let _ = sender.unbounded_send(reply);
+    }
+}
+
+/// Repeats this process's heartbeat to the others and forgets silent ones.
+pub async fn beat(context: rc::Rc<context::InstanceContext>) {
+    let mut sequence = 0;
+    loop {
+        sequence += 1;
+        let beat = context.own_beat(sequence);
+        let targets = context.members.borrow().targets(beat.address);
+        for to in targets {
+            context.tell(to, peer_message::PeerMessage::Beat(Box::new(beat.clone())));
+        }
+        let events = context.members.borrow_mut().tick(context.now());
+        for event in events {
+            if let membership::MemberEvent::Forgotten(member) = event {
+                log::warn!(member:%; "member.forgotten");
+            }
+        }
+        let interval = context.members.borrow().beat_interval();
+        monoio::time::sleep(interval).await;
+    }
+}
+
+/// Gives places to requests that wait, and notices that the process had been paused.
+pub async fn plan(context: rc::Rc<context::InstanceContext>) {
+    let mut last = context.now();
+    loop {
+        let waiting = context.planners.borrow().waiting() > 0;
+        monoio::time::sleep(if waiting { PLAN_INTERVAL } else { REST_INTERVAL }).await;
+        let now = context.now();
+        if now.since(last) > PAUSE_SIGN {
+            log::warn!(paused_ms = now.since(last).as_millis() as u64; "process.woke");
+            context.woke.set(now);
+        }
+        last = now;
+        if context.fleet.borrow_mut().list.tick(now) {
+            log::info!("list.doubtful_gone");
+        }
+        let granted = {
+            let mut planners = context.planners.borrow_mut();
+            planners.sync(now, &context.fleet.borrow());
+            planners.tick(now)
+        };
+        for (origin, grant) in granted {
+            let job = grant.job;
+            match origin {
+                planner_set::AskOrigin::Own => {
+                    reply(&context, job, peer_message::PlanReply::Grant(Box::new(grant)));
+                }
+                planner_set::AskOrigin::Member(address) => {
+                    context.tell(address, peer_message::PeerMessage::Grant(Box::new(grant)));
+                }
+            }
+        }
+    }
+}
+
+/// Repeats the leases in use to whoever plans.
+pub async fn renew(context: rc::Rc<context::InstanceContext>) {
+    loop {
+        monoio::time::sleep(RENEW_INTERVAL).await;
+        let mut by_service: collections::BTreeMap<ids::ServiceId, Vec<_>> =
+            collections::BTreeMap::new();
+        for held in context.leases.borrow().values() {
+            by_service.entry(held.service.clone()).or_default().push(held.lease.clone());
+        }
+        let now = context.now();
+        for (service, leases) in by_service {
+            renew_service(&context, now, &service, leases);
+        }
+    }
+}
+
+fn renew_service(
+    context: &context::InstanceContext,
+    now: units::MonoTime,
+    service: &ids::ServiceId,
+    leases: Vec<read_planner::PlaceLease>,
+) {
+    match planner_of(context, service) {
+        Some(member) => {
+            for part in leases.chunks(peer_message::MAX_LEASES) {
+                let message = peer_message::PeerMessage::Renew(service.clone(), part.to_vec());
+                context.tell(member.address, message);
+            }
+        }
+        None => {
+            if let Some(planner) = context.planners.borrow_mut().planner(service) {
+                planner.renew(now, leases);
+            }
+        }
+    }
+}
+
+/// The other member that plans for a service; `None` when that is this process.
+pub fn planner_of(
+    context: &context::InstanceContext,
+    service: &ids::ServiceId,
+) -> Option<membership::MemberBeat> {
+    let own = context.own_beat(0);
+    context.members.borrow().planner(context.now(), service, &own)
+}
+
+/// Tells the planner of a service something about a job, wherever it runs.
+pub fn tell_planner(
+    context: &context::InstanceContext,
+    service: &ids::ServiceId,
+    message: peer_message::PeerMessage,
+) {
+    use peer_message::PeerMessage;
+    let now = context.now();
+    // This process's own planner may hold the job too, from a time when no other was in reach.
+    if let Some(planner) = context.planners.borrow_mut().planner(service) {
+        match &message {
+            PeerMessage::FirstToken(_, job) => planner.first_token(*job),
+            PeerMessage::End(_, job, end) => planner.end(now, *job, *end),
+            PeerMessage::Shun(_, engine) => planner.shun(now, engine),
+            _ => {}
+        }
+    }
+    if let Some(member) = planner_of(context, service) {
+        context.tell(member.address, message);
+    }
+}
--- /dev/null
+++ b/crates/instance/src/plan_client.rs
@@ -0,0 +1,173 @@
+//! A request's way to its place: from the planner in reach, else from this process's own.
+
+use std::{rc, time};
+
+use futures::{StreamExt as _, channel::mpsc};
+use slipturn_core::{ids, read_planner, units};
+
+use crate::{context, peer_message, peers, planner_set};
+
+/// Time for a planner's reply; within a region it takes a millisecond or two.
+const REPLY_TIME: time::Duration = time::Duration::from_millis(25);
+/// Time after which a waiting request asks again, in case the planner has lost it.
+const REPEAT_TIME: time::Duration = time::Duration::from_millis(300);
+/// Time after which a request that only this process's planner knows looks for another.
+const OWN_REPEAT_TIME: time::Duration = time::Duration::from_millis(200);
+
+/// A place on an engine; given back when dropped.
+pub struct PlaceHold {
+    context: rc::Rc<context::InstanceContext>,
+    service: ids::ServiceId,
+    /// The place.
+    pub grant: read_planner::PlaceGrant,
+    /// How the attempt ended, as far as is known.
+    pub end: read_planner::PlaceEnd,
+}
+
+impl PlaceHold {
+    /// Tells the planner that the prompt has been read.
+    pub fn first_token(&self) {
+        let job = self.grant.job;
+        if let Some(held) = self.context.leases.borrow_mut().get_mut(&job) {
+            held.lease.reading = false;
+        }
+        let message = peer_message::PeerMessage::FirstToken(self.service.clone(), job);
+        peers::tell_planner(&self.context, &self.service, message);
+    }
+
+    /// Tells the planner that another engine is the cause of a refusal.
+    pub fn shun(&self, engine: &ids::UpstreamId) {
+        let message = peer_message::PeerMessage::Shun(self.service.clone(), engine.clone());
+        peers::tell_planner(&self.context, &self.service, message);
+    }
+}
+
+impl Drop for PlaceHold {
+    fn drop(&mut self) {
+        let job = self.grant.job;
+        self.context.leases.borrow_mut().remove(&job);
+        let message = peer_message::PeerMessage::End(self.service.clone(), job, self.end);
+        peers::tell_planner(&self.context, &self.service, message);
+    }
+}
+
+/// Ends a request's wait when dropped.
+struct WaitGuard<'a> {
+    context: &'a rc::Rc<context::InstanceContext>,
+    service: &'a ids::ServiceId,
+    job: read_planner::JobId,
+    granted: bool,
+}
+
+impl Drop for WaitGuard<'_> {
+    fn drop(&mut self) {
+        self.context.grants.borrow_mut().remove(&self.job);
+        if !self.granted {
+            let end = read_planner::PlaceEnd::Done;
+            let message = peer_message::PeerMessage::End(self.service.clone(), self.job, end);
+            peers::tell_planner(self.context, self.service, message);
+        }
+    }
+}
+
+/// Waits for a place until `limit`; `None` when there was none by then.
+pub async fn place(
+    context: &rc::Rc<context::InstanceContext>,
+    service: &ids::ServiceId,
+    mut ask: read_planner::PlaceAsk,
+    limit: time::Duration,
+) -> Option<PlaceHold> {
+    let started = context.now();
+    let (sender, mut replies) = mpsc::unbounded();
+    context.grants.borrow_mut().insert(ask.job, sender);
+    let mut guard = WaitGuard { context, service, job: ask.job, granted: false };
+    let goal_left = ask.goal_left_ms;
+    loop {
+        let spent = context.now().since(started);
+        if spent >= limit {
+            return None;
+        }
+        let spent_ms = u32::try_from(spent.as_millis()).unwrap_or(u32::MAX);
+        ask.goal_left_ms = goal_left.saturating_sub(spent_ms);
+        let step = ask_once(context, service, &ask, &mut replies);
+        let granted = monoio::time::timeout(limit - spent, step).await.ok()?;
+        if let Some(grant) = granted {
+            guard.granted = true;
+            let lease =
+                read_planner::PlaceLease { ask: ask.clone(), grant: grant.clone(), reading: true };
+            let held = context::HeldLease { service: service.clone(), lease };
+            context.leases.borrow_mut().insert(ask.job, held);
+            return Some(PlaceHold {
+                context: rc::Rc::clone(context),
+                service: service.clone(),
+                grant,
+                end: read_planner::PlaceEnd::Done,
+            });
+        }
+    }
+}
+
+async fn ask_once(
+    context: &rc::Rc<context::InstanceContext>,
+    service: &ids::ServiceId,
+    ask: &read_planner::PlaceAsk,
+    replies: &mut mpsc::UnboundedReceiver<peer_message::PlanReply>,
+) -> Option<read_planner::PlaceGrant> {
+    let Some(member) = peers::planner_of(context, service) else {
+        return ask_own(context, service, ask, replies).await;
+    };
+    let message = peer_message::PeerMessage::Ask(service.clone(), Box::new(ask.clone()));
+    context.tell(member.address, message);
+    let mut patience = REPLY_TIME;
+    loop {
+        match monoio::time::timeout(patience, replies.next()).await {
+            Ok(Some(peer_message::PlanReply::Grant(grant))) => {
+                context.members.borrow_mut().answered(context.now(), &member.name);
+                return Some(*grant);
+            }
+            Ok(Some(peer_message::PlanReply::Queued)) => {
+                context.members.borrow_mut().answered(context.now(), &member.name);
+                patience = REPEAT_TIME;
+            }
+            Ok(None) => return None,
+            Err(_) => {
+                if patience == REPLY_TIME {
+                    context.members.borrow_mut().unanswered(&member.name);
+                    log::debug!(member:% = member.name; "planner.silent");
+                }
+                return None;
+            }
+        }
+    }
+}
+
+async fn ask_own(
+    context: &rc::Rc<context::InstanceContext>,
+    service: &ids::ServiceId,
+    ask: &read_planner::PlaceAsk,
+    replies: &mut mpsc::UnboundedReceiver<peer_message::PlanReply>,
+) -> Option<read_planner::PlaceGrant> {
+    let granted = ask_planner(context, service, ask, context.now());
+    if granted.is_some() {
+        return granted;
+    }
+    let waiting = async {
+        loop {
+            if let Some(peer_message::PlanReply::Grant(grant)) = replies.next().await {
+                return *grant;
+            }
+        }
+    };
+    monoio::time::timeout(OWN_REPEAT_TIME, waiting).await.ok()
+}
+
+fn ask_planner(
+    context: &context::InstanceContext,
+    service: &ids::ServiceId,
+    ask: &read_planner::PlaceAsk,
+    now: units::MonoTime,
+) -> Option<read_planner::PlaceGrant> {
+    let mut planners = context.planners.borrow_mut();
+    planners.sync(now, &context.fleet.borrow());
+    planners.ask(now, service, ask.clone(), planner_set::AskOrigin::Own)
+}
--- /dev/null
+++ b/crates/instance/src/program.rs
@@ -0,0 +1,204 @@
+//! The running instance: its listeners, its tasks, its start, reload and planned stop.
+
+use std::{
+    path, process as std_process, rc,
+    sync::{
+        self,
+        atomic::{self, AtomicBool},
+    },
+    time,
+};
+
+use futures::channel::{mpsc, oneshot};
+use slipturn_net::{command_line, process};
+use snafu::{ResultExt as _, Snafu};
+
+use crate::{
+    border, caller_connection, context, engine_reports, instance_settings, log_sink, peers,
+    small_server, store_feed,
+};
+
+/// Time between two looks at whether a stop or a reload was asked for.
+const SIGNAL_POLL: time::Duration = time::Duration::from_millis(100);
+/// After SIGTERM, connections are still taken for this long: the balancer asks every second and
+/// looks away after two misses.
+const UNREADY_TIME: time::Duration = time::Duration::from_millis(2_600);
+/// The process ends by itself this long before it would be killed.
+const GRACE_MARGIN: time::Duration = time::Duration::from_millis(350);
+/// Time between two clean-ups of resting connections.
+const PRUNE_INTERVAL: time::Duration = time::Duration::from_secs(1);
+
+/// Why an instance could not run.
+#[derive(Debug, Snafu)]
+pub enum ProgramError {
+    /// An address is not to be had.
+    #[snafu(display("cannot listen on {address}: {source}"))]
+    Listen {
+        /// The address.
+        address: std::net::SocketAddr,
+        /// What the system said.
+        source: std::io::Error,
+    },
+    /// The signal handlers could not be installed.
+    #[snafu(display("signals: {source}"))]
+    Signals {
+        /// What the system said.
+        source: std::io::Error,
+    },
+}
+
+/// Runs the program: command line, settings, logs, event loop.
+pub fn main(
+    info: command_line::ProgramInfo,
+    settings_variable: &str,
+    border: rc::Rc<dyn border::PlatformBorder>,
+) -> std_process::ExitCode {
+    let matches = match command_line::parse(info, command_line::server_options()) {
+        command_line::ParsedLine::Run(matches) => matches,
+        command_line::ParsedLine::Leave(code) => return std_process::ExitCode::from(code),
+    };
+    let named = matches.opt_str("settings").or_else(|| std::env::var(settings_variable).ok());
+    let Some(file) = named else {
+        eprintln!("{}: -s FILE or {settings_variable} is needed", info.name);
+        return std_process::ExitCode::from(command_line::EXIT_USAGE);
+    };
+    let path = path::PathBuf::from(&file);
+    let settings = match instance_settings::InstanceSettings::load(&path) {
+        Ok(settings) => settings,
+        Err(error) => return command_line::fail(info, &error),
+    };
+    if matches.opt_present("check") {
+        println!("{file}: valid");
+        return std_process::ExitCode::from(command_line::EXIT_GOOD);
+    }
+    if let Err(error) = log_sink::install(log::LevelFilter::Info) {
+        return command_line::fail(info, &error);
+    }
+    match process::run(run(settings, path, border)) {
+        Ok(Ok(())) => std_process::ExitCode::from(command_line::EXIT_GOOD),
+        Ok(Err(error)) => command_line::fail(info, &error),
+        Err(error) => command_line::fail(info, &error),
+    }
+}
+
+/// Runs an instance until a stop is asked for and its requests are done.
+pub async fn run(
+    settings: instance_settings::InstanceSettings,
+    path: path::PathBuf,
+    border: rc::Rc<dyn border::PlatformBorder>,
+) -> Result<(), ProgramError> {
+    let stop = process::StopSignal::install().context(SignalsSnafu)?;
+    let reload = sync::Arc::new(AtomicBool::new(false));
+    signal_hook::flag::register(signal_hook::consts::SIGHUP, sync::Arc::clone(&reload))
+        .context(SignalsSnafu)?;
+    let callers = listen(settings.listen.callers)?;
+    let health = listen(settings.listen.health)?;
+    let members = listen(settings.listen.members)?;
+    let operators = listen(settings.operator_address)?;
+    let member_address = settings.member_address;
+    let socket = monoio::net::udp::UdpSocket::bind(member_address)
+        .context(ListenSnafu { address: member_address })?;
+    let socket = rc::Rc::new(socket);
+    let (closing_sender, closing) = oneshot::channel();
+    let (outgoing, queue) = mpsc::unbounded();
+    let grace = settings.bounds.grace.0;
+    let parts = context::ContextParts { settings, border, stop: stop.clone(), closing, outgoing };
+    let context = rc::Rc::new(context::InstanceContext::new(parts));
+    log::info!(instance:% = context.settings().name, boot = context.boot,
+        version = env!("CARGO_PKG_VERSION"); "process.started");
+
+    let share = || rc::Rc::clone(&context);
+    monoio::spawn(peers::send_all(rc::Rc::clone(&socket), queue));
+    monoio::spawn(peers::receive_all(share(), socket));
+    monoio::spawn(peers::beat(share()));
+    monoio::spawn(peers::plan(share()));
+    monoio::spawn(peers::renew(share()));
+    monoio::spawn(store_feed::follow_store(share()));
+    monoio::spawn(store_feed::follow_members(share()));
+    monoio::spawn(engine_reports::poll(share()));
+    monoio::spawn(prune(share()));
+    let small = small_server::accept_all;
+    monoio::spawn(small(share(), health, small_server::SmallRole::Health));
+    monoio::spawn(small(share(), members, small_server::SmallRole::Members));
+    monoio::spawn(small(share(), operators, small_server::SmallRole::Operators));
+    monoio::spawn(accept_callers(share(), callers));
+
+    wait_for_stop(&context, &reload, &path).await;
+    finish(&context, closing_sender, grace).await;
+    Ok(())
+}
+
+async fn accept_callers(
+    context: rc::Rc<context::InstanceContext>,
+    listener: monoio::net::TcpListener,
+) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                monoio::spawn(caller_connection::serve(rc::Rc::clone(&context), stream));
+            }
+            Err(error) => {
+                log::warn!(error:%; "accept.failed");
+                monoio::time::sleep(time::Duration::from_millis(20)).await;
+            }
+        }
+    }
+}
+
+async fn prune(context: rc::Rc<context::InstanceContext>) {
+    loop {
+        monoio::time::sleep(PRUNE_INTERVAL).await;
+        context.pool.prune();
+        let fleet = context.fleet.borrow();
+        context.loads.borrow_mut().retain(|name| fleet.list.entry(name).is_some());
+    }
+}
+
+async fn wait_for_stop(
+    context: &context::InstanceContext,
+    reload: &AtomicBool,
+    path: &path::Path,
+) {
+    while !context.stop.asked() {
+        if reload.swap(false, atomic::Ordering::SeqCst) {
+            load_again(context, path);
+        }
+        monoio::time::sleep(SIGNAL_POLL).await;
+    }
+}
+
+/// Takes over what may change while the process runs; a bad file changes nothing.
+fn load_again(context: &context::InstanceContext, path: &path::Path) {
+    match instance_settings::InstanceSettings::load(path) {
+        Ok(settings) => {
+            log::info!(seeds = settings.seeds.len(); "settings.reloaded");
+            context.members.borrow_mut().set_seeds(settings.member_seeds());
+            *context.settings.borrow_mut() = rc::Rc::new(settings);
+        }
+        Err(error) => log::error!(error:%; "settings.rejected"),
+    }
+}
+
+async fn finish(
+    context: &context::InstanceContext,
+    closing: oneshot::Sender<()>,
+    grace: time::Duration,
+) {
+    let begun = context.now();
+    log::info!(busy = context.busy.get(); "process.stopping");
+    monoio::time::sleep(UNREADY_TIME.min(grace / 2)).await;
+    // Nobody may wait for it any more.
+    let _ = closing.send(());
+    let last = grace.saturating_sub(GRACE_MARGIN);
+    while context.busy.get() > 0 && context.now().since(begun) < last {
+        monoio::time::sleep(time::Duration::from_millis(20)).await;
+    }
+    // Answers and closed connections leave before the process does.
+    monoio::time::sleep(time::Duration::from_millis(50)).await;
+    log::info!(busy = context.busy.get(); "process.stopped");
+}
+
+fn listen(address: std::net::SocketAddr) -> Result<monoio::net::TcpListener, ProgramError> {
+    process::listen(address).context(ListenSnafu { address })
+}
+
--- /dev/null
+++ b/crates/instance/src/service_request.rs
@@ -0,0 +1,189 @@
+//! One call of a plain service.
+
+use std::{rc, time};
+
+use slipturn_core::{ids, refusal, retry, upstream_list};
+use slipturn_net::h1;
+
+use crate::{
+    caller_connection, context, incoming_call, request_record, upstream_attempt,
+};
+
+/// Largest answer of a plain service that is passed on.
+const MAX_ANSWER: usize = 8 << 20;
+/// Part of the time limit after which a silent upstream of a repeatable call is given up.
+const SILENCE_PART: f64 = 0.45;
+/// Upstreams tried at most, those that never saw the call included.
+const MAX_TRIES: u32 = 5;
+/// When to come back after a refusal, where nothing better is known.
+const BACK_AFTER: time::Duration = time::Duration::from_millis(250);
+
+/// What a call came to.
+enum CallEnd {
+    Answer(http::response::Parts, bytes::Bytes),
+    Refused(refusal::RequestRefusal),
+}
+
+/// Serves a call to its final answer.
+pub async fn serve(
+    context: &rc::Rc<context::InstanceContext>,
+    call: &incoming_call::IncomingCall,
+    reply: &mut caller_connection::CallerReply<'_>,
+    record: &mut request_record::RequestRecord,
+) -> Result<caller_connection::ConnectionNext, h1::MessageError> {
+    let left = call.left(context.now());
+    let end = match monoio::time::timeout(left, attempts(context, call, record)).await {
+        Ok(end) => end,
+        Err(_) => {
+            let code = refusal::RefusalCode::TimedOut;
+            let text = format!("no answer within {left:?}");
+            let ran = refusal::RanState::Unknown;
+            CallEnd::Refused(refusal::RequestRefusal::not_run(code, text).ran(ran))
+        }
+    };
+    record.first_ms = Some(context.now().since(call.arrived).as_millis() as u64);
+    match end {
+        CallEnd::Answer(head, body) => {
+            record.status = Some(head.status.as_u16());
+            "answered".clone_into(&mut record.outcome);
+            reply.whole(&head, &body).await?;
+        }
+        CallEnd::Refused(refusal) => {
+            record.status = Some(refusal.code.status());
+            record.outcome = format!("{} (ran: {})", refusal.message, refusal.ran.word());
+            reply.refuse(&call.request.id, &refusal).await?;
+        }
+    }
+    Ok(caller_connection::ConnectionNext::Keep)
+}
+
+async fn attempts(
+    context: &rc::Rc<context::InstanceContext>,
+    call: &incoming_call::IncomingCall,
+    record: &mut request_record::RequestRecord,
+) -> CallEnd {
+    let mut excluded: Vec<ids::UpstreamId> = Vec::new();
+    let mut sent = 0;
+    let mut ran = refusal::RanState::No;
+    let mut text = format!("service '{}' has no upstream", call.service);
+    let mut fallback = None;
+    for _ in 0..MAX_TRIES {
+        if sent >= call.route.max_attempts {
+            break;
+        }
+        if sent > 0 && !context.take_retry(&call.service) {
+            text.push_str("; the retry budget is used up");
+            break;
+        }
+        let Some(entry) = pick(context, &call.service, &excluded) else {
+            break;
+        };
+        excluded.push(entry.name.clone());
+        let mut row = request_record::AttemptRecord {
+            upstream: entry.name.to_string(),
+            ..Default::default()
+        };
+        let result = attempt(context, call, &entry).await;
+        match result {
+            Ok((head, body)) => {
+                let failed = head.status.is_server_error();
+                row.end = format!("status {}", head.status.as_u16());
+                record.attempts.push(row);
+                sent += 1;
+                if failed && call.route.repeat.allows_repeat() {
+                    ran = refusal::RanState::Yes;
+                    fallback = Some((head, body));
+                    continue;
+                }
+                return CallEnd::Answer(head, body);
+            }
+            Err(fault) => {
+                row.end.clone_from(&fault.text);
+                record.attempts.push(row);
+                text = fault.text;
+                let surely = fault.failure.surely_not_run();
+                if fault.failure != retry::AttemptFailure::NotConnected {
+                    sent += 1;
+                }
+                if !surely {
+                    ran = refusal::RanState::Unknown;
+                }
+                if !surely && !call.route.repeat.allows_repeat() {
+                    break;
+                }
+            }
+        }
+    }
+    if let Some((head, body)) = fallback {
+        return CallEnd::Answer(head, body);
+    }
+    let code = match ran {
+        refusal::RanState::No => refusal::RefusalCode::NoUpstream,
+        _ => refusal::RefusalCode::UpstreamFailed,
+    };
+    CallEnd::Refused(refusal::RequestRefusal::not_run(code, text).ran(ran).retry_after(BACK_AFTER))
+}
+
+async fn attempt(
+    context: &rc::Rc<context::InstanceContext>,
+    call: &incoming_call::IncomingCall,
+    entry: &upstream_list::UpstreamEntry,
+) -> Result<(http::response::Parts, bytes::Bytes), upstream_attempt::AttemptFault> {
+    let guard = LoadGuard { context, name: &entry.name, failed: std::cell::Cell::new(true) };
+    context.loads.borrow_mut().begin(&entry.name);
+    let target = upstream_attempt::AttemptTarget {
+        upstream: entry.name.clone(),
+        address: entry.address,
+        helpers: Vec::new(),
+        last_event: None,
+        priority: None,
+    };
+    let left = call.left(context.now());
+    let limit = if call.route.repeat.allows_repeat() { left.mul_f64(SILENCE_PART) } else { left };
+    let answered = upstream_attempt::send(context, call, &target, limit).await;
+    let mut answer = match answered {
+        Ok(answer) => answer,
+        Err(fault) => {
+            // An upstream that says it is full does its part.
+            guard.failed.set(fault.failure != retry::AttemptFailure::SaidNotRun);
+            return Err(fault);
+        }
+    };
+    let body = answer.connection.reader.whole_body(&mut answer.framing, MAX_ANSWER).await;
+    let body = body.map_err(|error| {
+        upstream_attempt::AttemptFault::new(retry::AttemptFailure::BrokeBeforeAnswer, error)
+    })?;
+    guard.failed.set(answer.head.status.is_server_error());
+    if let Some((running, waiting, _)) = answer.said.load {
+        context.loads.borrow_mut().told(context.now(), &entry.name, running + waiting);
+    }
+    let head = answer.head.clone();
+    answer.finish(&context.pool);
+    Ok((head, body))
+}
+
+/// Ends the count of a call in progress, also when the caller leaves.
+struct LoadGuard<'a> {
+    context: &'a context::InstanceContext,
+    name: &'a ids::UpstreamId,
+    failed: std::cell::Cell<bool>,
+}
+
+impl Drop for LoadGuard<'_> {
+    fn drop(&mut self) {
+        let now = self.context.now();
+        self.context.loads.borrow_mut().end(now, self.name, self.failed.get());
+    }
+}
+
+fn pick(
+    context: &context::InstanceContext,
+    service: &ids::ServiceId,
+    excluded: &[ids::UpstreamId],
+) -> Option<upstream_list::UpstreamEntry> {
+    let fleet = context.fleet.borrow();
+    let mut usable = fleet.list.usable(service);
+    usable.retain(|entry| !excluded.contains(&entry.name));
+    let own = context.settings().data_center.clone();
+    context.loads.borrow().pick(context.now(), &usable, &own).cloned()
+}
--- /dev/null
+++ b/crates/instance/src/small_server.rs
@@ -0,0 +1,137 @@
+//! Small HTTP answers beside callers' requests: readiness, members' documents, operators.
+
+use std::{rc, time};
+
+use slipturn_net::h1;
+
+use crate::{context, store_feed};
+
+/// Largest head of such a request.
+const MAX_HEAD: usize = 8 * 1024;
+/// Longest rest of such a connection.
+const REST_TIME: time::Duration = time::Duration::from_secs(10);
+
+/// Whom a listener answers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SmallRole {
+    /// The balancer.
+    Health,
+    /// Other instances.
+    Members,
+    /// Operators.
+    Operators,
+}
+
+/// Answers connections of one role for ever.
+pub async fn accept_all(
+    context: rc::Rc<context::InstanceContext>,
+    listener: monoio::net::TcpListener,
+    role: SmallRole,
+) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                monoio::spawn(serve(rc::Rc::clone(&context), stream, role));
+            }
+            Err(error) => {
+                log::warn!(error:%; "accept.failed");
+                monoio::time::sleep(time::Duration::from_millis(20)).await;
+            }
+        }
+    }
+}
+
+async fn serve(
+    context: rc::Rc<context::InstanceContext>,
+    stream: monoio::net::TcpStream,
+    role: SmallRole,
+) {
+    let (mut reader, mut writer) = h1::split(stream);
+    loop {
+        let next = monoio::time::timeout(REST_TIME, reader.request_head(MAX_HEAD)).await;
+        let Ok(Ok(Some(head))) = next else {
+            return;
+        };
+        let path = head.uri.path();
+        let (status, body) = match role {
+            SmallRole::Health => health(&context, path),
+            SmallRole::Members => documents(&context, path),
+            SmallRole::Operators => operators(&context, path),
+        };
+        let close = h1::closes(head.version, &head.headers);
+        let status = http::StatusCode::from_u16(status).unwrap_or_default();
+        let headers = http::HeaderMap::new();
+        let mut bytes = h1::answer_bytes(status, &headers, Some(body.len()), close);
+        bytes.extend_from_slice(body.as_bytes());
+        if writer.write(bytes).await.is_err() || close {
+            return;
+        }
+        reader.rest();
+    }
+}
+
+fn health(context: &context::InstanceContext, path: &str) -> (u16, String) {
+    let ready = is_ready(context);
+    match context.border.is_readiness(path) {
+        true if ready => (200, "ready\n".to_owned()),
+        true => (503, "not ready\n".to_owned()),
+        false => (404, String::new()),
+    }
+}
+
+/// Whether new connections should come here.
+pub fn is_ready(context: &context::InstanceContext) -> bool {
+    context.fleet.borrow().is_known() && !context.stop.asked()
+}
+
+fn documents(context: &context::InstanceContext, path: &str) -> (u16, String) {
+    if path != store_feed::DOCUMENTS_PATH {
+        return (404, String::new());
+    }
+    let fleet = context.fleet.borrow();
+    if !fleet.is_known() {
+        return (503, String::new());
+    }
+    match serde_json::to_string(fleet.documents()) {
+        Ok(body) => (200, body),
+        Err(error) => (500, error.to_string()),
+    }
+}
+
+fn operators(context: &context::InstanceContext, path: &str) -> (u16, String) {
+    if let Some(id) = path.strip_prefix("/explain/") {
+        let records = context.records.borrow();
+        return match records.find(id) {
+            Some(record) => match serde_json::to_string_pretty(record) {
+                Ok(text) => (200, text),
+                Err(error) => (500, error.to_string()),
+            },
+            None => (404, "not among the last requests of this instance\n".to_owned()),
+        };
+    }
+    match path {
+        "/metrics" => (200, context.stats.borrow().text()),
+        "/status" => (200, status(context)),
+        _ => (404, "try /metrics, /status or /explain/ID\n".to_owned()),
+    }
+}
+
+fn status(context: &context::InstanceContext) -> String {
+    let beat = context.own_beat(0);
+    let fleet = context.fleet.borrow();
+    let members = context.members.borrow();
+    let alive: Vec<_> = members.alive(context.now()).map(|beat| beat.name.to_string()).collect();
+    serde_json::json!({
+        "name": beat.name,
+        "ready": is_ready(context),
+        "leaving": beat.leaving,
+        "plans": beat.plans,
+        "routes": beat.routes,
+        "list": beat.list,
+        "upstreams": fleet.list.entries().count(),
+        "store_ok": context.store_ok.get(),
+        "members": alive,
+        "busy": context.busy.get(),
+    })
+    .to_string()
+}
--- /dev/null
+++ b/crates/instance/src/store_feed.rs
@@ -0,0 +1,190 @@
+//! Routes and upstreams from the platform's store, or from members that know newer ones.
+
+use std::{net, rc, time};
+
+use rand::RngExt as _;
+
+use crate::{border, context, document_call};
+
+/// Longest wait of one watch.
+const WATCH_WAIT: time::Duration = time::Duration::from_secs(25);
+/// Time for the store's answer to a read.
+const READ_TIME: time::Duration = time::Duration::from_millis(1_500);
+/// Time beyond a watch's wait after which its answer must have been lost.
+const WATCH_MARGIN: time::Duration = time::Duration::from_millis(1_500);
+/// Pause between two watches that brought something, so that changes in quick succession cost
+/// one call; well under the time within which changes must be in force.
+const CHANGE_PAUSE: time::Duration = time::Duration::from_millis(150);
+/// First pause after a failure; doubles up to [`MAX_RETRY_PAUSE`].
+const RETRY_PAUSE: time::Duration = time::Duration::from_millis(100);
+/// Longest pause after failures: the store's return is noticed within it.
+const MAX_RETRY_PAUSE: time::Duration = time::Duration::from_millis(800);
+/// Time between two looks at whether a member knows more.
+const MEMBER_INTERVAL: time::Duration = time::Duration::from_millis(150);
+/// Time for a member's documents.
+const MEMBER_TIME: time::Duration = time::Duration::from_millis(1_000);
+/// Path of a member's documents.
+pub const DOCUMENTS_PATH: &str = "/documents";
+/// Most pages of upstreams read at once.
+const MAX_PAGES: usize = 64;
+
+/// Follows the store for ever.
+pub async fn follow_store(context: rc::Rc<context::InstanceContext>) {
+    let mut pause = RETRY_PAUSE;
+    let mut away_since = None;
+    loop {
+        let store = context.settings().store;
+        let mut connection = document_call::DocumentConnection::new(store);
+        let error = match follow(&context, &mut connection, &mut away_since).await {
+            Ok(()) => {
+                pause = RETRY_PAUSE;
+                continue;
+            }
+            Err(error) => error,
+        };
+        if context.store_ok.replace(false) {
+            log::warn!(error = error.as_str(); "store.lost");
+            pause = RETRY_PAUSE;
+        }
+        away_since.get_or_insert(context.now());
+        let spread = rand::rng().random_range(0.7..1.3);
+        monoio::time::sleep(pause.mul_f64(spread)).await;
+        pause = (pause * 2).min(MAX_RETRY_PAUSE);
+    }
+}
+
+async fn follow(
+    context: &context::InstanceContext,
+    connection: &mut document_call::DocumentConnection,
+    away_since: &mut Option<slipturn_core::units::MonoTime>,
+) -> Result<(), String> {
+    let mut revision = context.fleet.borrow().documents().revision;
+    let known = context.fleet.borrow().is_known();
+    if !known || revision == 0 {
+        revision = read_all(context, connection).await?;
+        regained(context, away_since);
+    }
+    loop {
+        context.watching.set(true);
+        // After an outage the first watch returns at once, so that the return is noticed.
+        let wait = if context.store_ok.get() { WATCH_WAIT } else { time::Duration::from_millis(1) };
+        let path = context.border.watch_path(revision, wait);
+        let body = match connection.get(&path, wait + WATCH_MARGIN).await {
+            Ok(body) => body,
+            Err(document_call::CallError::Status { status: 410 }) => {
+                log::info!(revision; "store.history_gone");
+                revision = read_all(context, connection).await?;
+                regained(context, away_since);
+                continue;
+            }
+            Err(error) => return Err(error.to_string()),
+        };
+        let (changes, next) = context.border.read_changes(&body).map_err(|error| error.to_string())?;
+        regained(context, away_since);
+        let quiet = changes.is_empty();
+        let now = context.now();
+        if !quiet {
+            context.fleet.borrow_mut().apply(now, changes, next);
+        }
+        revision = revision.max(next);
+        if !quiet {
+            monoio::time::sleep(CHANGE_PAUSE).await;
+        }
+    }
+}
+
+fn regained(
+    context: &context::InstanceContext,
+    away_since: &mut Option<slipturn_core::units::MonoTime>,
+) {
+    let now = context.now();
+    if let Some(since) = away_since.take() {
+        let away_ms = now.since(since).as_millis() as u64;
+        log::info!(away_ms; "store.regained");
+        context.fleet.borrow_mut().list.source_returned(now);
+    }
+    context.store_ok.set(true);
+}
+
+async fn read_all(
+    context: &context::InstanceContext,
+    connection: &mut document_call::DocumentConnection,
+) -> Result<u64, String> {
+    let border = &context.border;
+    let text = |error: document_call::CallError| error.to_string();
+    let mut first_revision = None;
+    let mut documents = Vec::new();
+    let mut after = None;
+    for _ in 0..MAX_PAGES {
+        let path = border.upstreams_path(after.as_deref());
+        let body = connection.get(&path, READ_TIME).await.map_err(text)?;
+        let page = border.read_page(&body).map_err(|error| error.to_string())?;
+        // Pages are no snapshot: changes behind the first one are watched again.
+        first_revision.get_or_insert(page.revision);
+        for (key, value) in page.items {
+            if let border::StoreKey::Upstream(name) = border.key(&key) {
+                documents.push((name, value));
+            }
+        }
+        after = page.next;
+        if after.is_none() {
+            break;
+        }
+    }
+    let revision = first_revision.unwrap_or_default();
+    let body = connection.get(&border.routes_path(), READ_TIME).await.map_err(text)?;
+    let page = border.read_page(&body).map_err(|error| error.to_string())?;
+    let now = context.now();
+    let mut fleet = context.fleet.borrow_mut();
+    for (_, value) in page.items {
+        fleet.put_routes(value, "store");
+    }
+    fleet.replace_upstreams(now, documents, revision, "store");
+    Ok(revision)
+}
+
+/// Fetches from members what they know and this process doesn't.
+pub async fn follow_members(context: rc::Rc<context::InstanceContext>) {
+    loop {
+        monoio::time::sleep(MEMBER_INTERVAL).await;
+        let Some((member, address)) = better_informed(&context) else {
+            continue;
+        };
+        let mut connection = document_call::DocumentConnection::new(address);
+        let documents = match connection.get(DOCUMENTS_PATH, MEMBER_TIME).await {
+            Ok(body) => serde_json::from_slice::<border::RawDocuments>(&body)
+                .map_err(|error| error.to_string()),
+            Err(error) => Err(error.to_string()),
+        };
+        match documents {
+            Ok(documents) => {
+                let now = context.now();
+                context.fleet.borrow_mut().adopt(now, documents, member.as_str());
+            }
+            Err(error) => {
+                log::info!(member:%, error; "member.documents_failed");
+                monoio::time::sleep(MEMBER_INTERVAL * 3).await;
+            }
+        }
+    }
+}
+
+/// A member to ask: for routes always, for upstreams only while the store is silent, as otherwise
+/// the own watch brings the same a moment later.
+fn better_informed(
+    context: &context::InstanceContext,
+) -> Option<(slipturn_core::ids::InstanceId, net::SocketAddr)> {
+    let now = context.now();
+    let fleet = context.fleet.borrow();
+    let members = context.members.borrow();
+    let routes = members.newer_routes(now, fleet.routes.version.0);
+    let list = if context.store_ok.get() {
+        None
+    } else {
+        members.newer_list(now, fleet.list.revision())
+    };
+    let member = list.or(routes)?;
+    let port = context.settings().listen.members.port();
+    let address = net::SocketAddrV4::new(*member.address.ip(), port);
+    Some((member.name.clone(), net::SocketAddr::V4(address)))
+}
--- /dev/null
+++ b/crates/instance/src/upstream_load.rs
@@ -0,0 +1,83 @@
+//! Which upstream of a plain service takes the next call.
+
+use std::{collections, time};
+
+use slipturn_core::{ids, units, upstream_list};
+
+/// Time an upstream is left alone after a failure; doubles with each further one in a row.
+const SHUN_TIME: time::Duration = time::Duration::from_millis(500);
+/// Longest time it is left alone.
+const MAX_SHUN_TIME: time::Duration = time::Duration::from_secs(5);
+/// How long an upstream's word on its load counts.
+const LOAD_TIME: time::Duration = time::Duration::from_millis(500);
+/// Weight of the newest answer in the running mean of failures.
+const FAILURE_WEIGHT: f64 = 0.2;
+
+#[derive(Debug, Default, Clone)]
+struct LoadState {
+    /// Calls of this process in progress.
+    calls: u32,
+    /// Requests running and waiting there, and when it said so.
+    told: Option<(u32, units::MonoTime)>,
+    failures: u32,
+    shunned_until: units::MonoTime,
+    /// Share of calls that failed lately.
+    failing: f64,
+}
+
+/// What this process knows of upstreams' load.
+#[derive(Debug, Default)]
+pub struct UpstreamLoads {
+    states: collections::HashMap<ids::UpstreamId, LoadState>,
+}
+
+impl UpstreamLoads {
+    /// The least loaded of the candidates; those left alone only where there is no other.
+    pub fn pick<'a>(
+        &self,
+        now: units::MonoTime,
+        candidates: &[&'a upstream_list::UpstreamEntry],
+        own: &ids::DataCenterId,
+    ) -> Option<&'a upstream_list::UpstreamEntry> {
+        let cost = |entry: &upstream_list::UpstreamEntry| {
+            let state = self.states.get(&entry.name).cloned().unwrap_or_default();
+            let told = state.told.filter(|(_, at)| now.since(*at) < LOAD_TIME);
+            let running = told.map_or(0, |(running, _)| running).max(state.calls);
+            let load = f64::from(running) / entry.slots as f64;
+            let away = if entry.data_center == *own { 0.0 } else { 0.05 };
+            let shunned = if state.shunned_until > now { 100.0 } else { 0.0 };
+            load + state.failing * 3.0 + away + shunned
+        };
+        candidates.iter().copied().min_by(|left, right| cost(left).total_cmp(&cost(right)))
+    }
+
+    /// A call begins.
+    pub fn begin(&mut self, name: &ids::UpstreamId) {
+        self.states.entry(name.clone()).or_default().calls += 1;
+    }
+
+    /// A call ends; `failed` where the upstream did not do its part.
+    pub fn end(&mut self, now: units::MonoTime, name: &ids::UpstreamId, failed: bool) {
+        let state = self.states.entry(name.clone()).or_default();
+        state.calls = state.calls.saturating_sub(1);
+        let failure = if failed { 1.0 } else { 0.0 };
+        state.failing += (failure - state.failing) * FAILURE_WEIGHT;
+        if failed {
+            let time = SHUN_TIME * 2_u32.pow(state.failures.min(4));
+            state.failures += 1;
+            state.shunned_until = now + time.min(MAX_SHUN_TIME);
+        } else {
+            state.failures = 0;
+        }
+    }
+
+    /// Takes in what an upstream says of its load.
+    pub fn told(&mut self, now: units::MonoTime, name: &ids::UpstreamId, running: u32) {
+        self.states.entry(name.clone()).or_default().told = Some((running, now));
+    }
+
+    /// Forgets upstreams that are gone.
+    pub fn retain(&mut self, known: impl Fn(&ids::UpstreamId) -> bool) {
+        self.states.retain(|name, state| state.calls > 0 || known(name));
+    }
+}
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod command_line;
 pub mod document_client;
 pub mod document_feed;
+pub mod h1;
 pub mod http_client;
 pub mod http_server;
 pub mod local_settings;
