Plan long parts one at a time an engine, refuse shorts when all slots are taken

Ruled out: runners dead or draining (they answer 503), memory (no refusals of orders). Change: long parts only where nothing waits; least work first; a short one waits 16% of its goal, then is refused if 90% of the slots are taken; silence gives up only with a retry in hand.

--- a/crates/core/src/read_planner.rs
+++ b/crates/core/src/read_planner.rs
@@ -35,6 +35,26 @@
 const SHUN_TIME: time::Duration = time::Duration::from_millis(600);
 /// Longest time an engine is left alone.
 const MAX_SHUN_TIME: time::Duration = time::Duration::from_secs(5);
+/// Part of a tight goal that a request waits for a calm place: less than the quarter of it within
+/// which a refusal must be out.
+const TIGHT_WAIT_PART: f64 = 0.16;
+/// Part of a tight goal that a plan may use on the engine.
+const TIGHT_GOAL_PART: f64 = 0.75;
+/// Reading that may still wait on an engine when a long part is added, milliseconds: about the
+/// time that the request takes to get there.
+const MAX_STACKED_MS: f64 = 40.0;
+/// Longest part that is read in one go while there is a choice, milliseconds.
+const MAX_PART_MS: f64 = 500.0;
+/// Shortest part that is worth a helper, milliseconds.
+const MIN_PART_MS: f64 = 20.0;
+/// Parts up to this length may be read before a short prompt that waits on the same engine.
+const SHORT_PART_MS: f64 = 60.0;
+/// What a part costs beside its reading: a message and a pass cut short, milliseconds.
+const PART_COST_MS: f64 = 15.0;
+/// Part of all slots from which on short requests are refused that find no place in time.
+const FULL_PART: f64 = 0.9;
+/// When a refused request may come back, milliseconds; spread by its member.
+const BACK_AFTER_MS: u32 = 700;
 /// Slack below which a request takes the best place there is, milliseconds.
 const MIN_SLACK_MS: f64 = 60.0;
 /// Time between two engines' readiness and a caller's patience that a late request is kept for.
@@ -50,13 +70,13 @@
     pub max_parts: usize,
     /// Loss of an engine's tight writer whose pause grows by a whole goal, in shares of its worth.
     pub pressure: f64,
-    /// Loss of a first token that comes a second later, for ties.
+    /// Loss of a first token that takes its whole goal, in shares of its worth, for ties.
     pub delay: f64,
 }
 
 impl Default for PlannerOptions {
     fn default() -> Self {
-        Self { packed_writers: 10, max_parts: 17, pressure: 0.25, delay: 0.08 }
+        Self { packed_writers: 10, max_parts: 17, pressure: 0.25, delay: 0.3 }
     }
 }
 
@@ -80,12 +100,16 @@
     pub output: u64,
     /// Longest pause between events in time, milliseconds.
     pub pause_ms: u32,
+    /// Time from arrival within which the first token is in time, milliseconds.
+    pub goal_ms: u32,
     /// Time left until the first token is late, milliseconds; 0 when it is.
     pub goal_left_ms: u32,
     /// Time left until the caller gives up, milliseconds.
     pub patience_ms: u32,
     /// What it is worth in time, against a short request's 1.
     pub worth: f32,
+    /// Whether it may be refused: it has not been refused before.
+    pub refusable: bool,
     /// Engines that must not be used.
     pub excluded: Vec<ids::UpstreamId>,
 }
@@ -116,6 +140,38 @@
     pub waited_ms: u32,
 }
 
+/// A request for which there is no place in time.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct PlaceRefusal {
+    /// The attempt.
+    pub job: JobId,
+    /// When a place is likely, milliseconds from now.
+    pub back_after_ms: u32,
+    /// Requests that run, of so many that could.
+    pub running: u32,
+    /// Requests that all engines together could run.
+    pub slots: u32,
+}
+
+/// What the planner says to a request.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum PlaceAnswer {
+    /// It has a place.
+    Grant(PlaceGrant),
+    /// It will have none in time.
+    Refuse(PlaceRefusal),
+}
+
+impl PlaceAnswer {
+    /// The attempt.
+    pub fn job(&self) -> JobId {
+        match self {
+            Self::Grant(grant) => grant.job,
+            Self::Refuse(refusal) => refusal.job,
+        }
+    }
+}
+
 /// A place in use, as its member repeats it: enough for a planner that has just taken over.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct PlaceLease {
@@ -186,6 +242,8 @@
     /// Worth of those that write there.
     worth: f64,
     tight: usize,
+    /// Those of them whose prompt has not been read.
+    unread: usize,
     answering: usize,
     free: u64,
     pace: f64,
@@ -193,11 +251,18 @@
 
 struct Choice {
     grant: PlaceGrant,
-    /// Worth that others lose.
-    harm: f64,
     loss: f64,
 }
 
+/// What a choice may do to others.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum ChoiceMode {
+    /// Nobody's pauses suffer and no part waits behind another.
+    Calm,
+    /// Whatever loses least.
+    Forced,
+}
+
 /// The work of every engine of one service.
 #[derive(Debug)]
 pub struct ReadPlanner {
@@ -251,16 +316,16 @@
     }
 
     /// Asks for a place; asked again, it answers the same.
-    pub fn ask(&mut self, now: units::MonoTime, ask: PlaceAsk) -> Option<PlaceGrant> {
+    pub fn ask(&mut self, now: units::MonoTime, ask: PlaceAsk) -> Option<PlaceAnswer> {
         if let Some(state) = self.jobs.get(&ask.job) {
-            return Some(state.lease.grant.clone());
+            return Some(PlaceAnswer::Grant(state.lease.grant.clone()));
         }
         if self.waiting.iter().any(|waiting| waiting.ask.job == ask.job) {
             return None;
         }
         let waiting = WaitingJob { ask, since: now };
         match self.try_place(now, &waiting) {
-            Some(grant) => Some(grant),
+            Some(answer) => Some(answer),
             None => {
                 self.waiting.push(waiting);
                 None
@@ -269,22 +334,22 @@
     }
 
     /// Gives places to those that wait, the most urgent first.
-    pub fn tick(&mut self, now: units::MonoTime) -> Vec<PlaceGrant> {
+    pub fn tick(&mut self, now: units::MonoTime) -> Vec<PlaceAnswer> {
         self.expire(now);
         let mut waiting = std::mem::take(&mut self.waiting);
+        // Of those in time the least work goes first, as it earns most for an engine's time.
         waiting.sort_by(|left, right| {
-            let urgency = |job: &WaitingJob| (job.late(now), job.goal_left(now));
-            let (left, right) = (urgency(left), urgency(right));
-            left.0.cmp(&right.0).then(left.1.total_cmp(&right.1))
+            let order = |job: &WaitingJob| (job.late(now), job.ask.prompt);
+            order(left).cmp(&order(right))
         });
-        let mut grants = Vec::new();
+        let mut answers = Vec::new();
         for job in waiting {
             match self.try_place(now, &job) {
-                Some(grant) => grants.push(grant),
+                Some(answer) => answers.push(answer),
                 None => self.waiting.push(job),
             }
         }
-        grants
+        answers
     }
 
     /// Notes that a prompt has been read and its answer begins.
@@ -368,24 +433,52 @@
         self.waiting.retain(|job| now.since(job.since).as_secs() < 30);
     }
 
-    fn try_place(&mut self, now: units::MonoTime, job: &WaitingJob) -> Option<PlaceGrant> {
+    fn try_place(&mut self, now: units::MonoTime, job: &WaitingJob) -> Option<PlaceAnswer> {
         for engine in self.engines.values_mut() {
             engine.advance(now);
         }
-        let choice = self.choose(now, job)?;
-        if choice.harm > 0.0 && self.may_wait(now, job) {
-            return None;
-        }
+        let views = self.views(now, job);
+        let forced = !self.may_wait(now, job);
+        let calm = self.choose(now, job, &views, ChoiceMode::Calm);
+        let choice = match calm {
+            Some(choice) => choice,
+            None if !forced => return None,
+            None => match self.refuse(job) {
+                Some(refusal) => return Some(PlaceAnswer::Refuse(refusal)),
+                None => self.choose(now, job, &views, ChoiceMode::Forced)?,
+            },
+        };
         let grant = choice.grant;
-        let lease =
-            PlaceLease { ask: job.ask.clone(), grant: grant.clone(), reading: true };
+        let lease = PlaceLease { ask: job.ask.clone(), grant: grant.clone(), reading: true };
         self.occupy(now, &lease);
         self.jobs.insert(job.ask.job, JobState { lease, renewed: now });
-        Some(grant)
+        Some(PlaceAnswer::Grant(grant))
+    }
+
+    /// Refuses a short request while every slot is taken: in an engine's queue it would come late
+    /// and make those behind it late too. One that comes back is not refused again.
+    fn refuse(&self, job: &WaitingJob) -> Option<PlaceRefusal> {
+        if !job.ask.tight() || !job.ask.refusable {
+            return None;
+        }
+        let slots = self.engines.len() * self.shape.slots;
+        let running: usize = self.engines.values().map(|engine| engine.answering.len()).sum();
+        if slots == 0 || (running as f64) < slots as f64 * FULL_PART {
+            return None;
+        }
+        Some(PlaceRefusal {
+            job: job.ask.job,
+            back_after_ms: BACK_AFTER_MS,
+            running: u32::try_from(running).unwrap_or(u32::MAX),
+            slots: u32::try_from(slots).unwrap_or(u32::MAX),
+        })
     }
 
     /// Whether a request still has time to wait for a place that harms nobody.
     fn may_wait(&self, now: units::MonoTime, job: &WaitingJob) -> bool {
+        if job.ask.tight() {
+            return job.waited_ms(now) < f64::from(job.ask.goal_ms) * TIGHT_WAIT_PART;
+        }
         let parts = self.options.max_parts.min(self.engines.len().max(1));
         let quickest = pass_model::part_ms(&self.shape, job.ask.prompt, parts);
         if job.late(now) {
@@ -394,33 +487,46 @@
         job.goal_left(now) * GOAL_PART - quickest * 2.0 > MIN_SLACK_MS
     }
 
-    fn choose(&self, now: units::MonoTime, job: &WaitingJob) -> Option<Choice> {
-        let views: Vec<_> = self
-            .engines
-            .iter()
-            .filter(|(name, engine)| {
-                engine.shunned_until <= now && !job.ask.excluded.contains(name)
-            })
-            .map(|(name, engine)| self.view(name, engine))
-            .collect();
+    fn views(&self, now: units::MonoTime, job: &WaitingJob) -> Vec<EngineView<'_>> {
+        let usable = |shunned: bool| {
+            let allowed = self.engines.iter().filter(move |(name, engine)| {
+                (engine.shunned_until > now) == shunned && !job.ask.excluded.contains(name)
+            });
+            allowed.map(|(name, engine)| self.view(name, engine)).collect::<Vec<_>>()
+        };
+        let views = usable(false);
+        // An engine that failed lately is better than none.
+        if views.is_empty() { usable(true) } else { views }
+    }
+
+    fn choose(
+        &self,
+        now: units::MonoTime,
+        job: &WaitingJob,
+        views: &[EngineView<'_>],
+        mode: ChoiceMode,
+    ) -> Option<Choice> {
         let most = self.options.max_parts.min(views.len()).min(MAX_HELPERS + 1);
+        let whole = pass_model::read_ms(&self.shape, job.ask.prompt);
         PART_COUNTS
             .iter()
             .filter(|parts| **parts <= most)
-            .filter(|parts| **parts == 1 || job.ask.prompt >= 12_000)
-            .filter_map(|parts| self.choose_parts(now, job, &views, *parts))
+            .filter(|parts| **parts == 1 || whole / **parts as f64 >= MIN_PART_MS)
+            .filter_map(|parts| self.choose_parts(now, job, views, *parts, mode))
             .min_by(|left, right| left.loss.total_cmp(&right.loss))
     }
 
     fn view<'a>(&'a self, name: &'a ids::UpstreamId, engine: &EngineWork) -> EngineView<'a> {
         let asks = engine.answering.iter().filter_map(|job| self.jobs.get(job));
-        let (mut context, mut pause_ms, mut worth, mut tight) = (0, f64::INFINITY, 0.0, 0);
+        let (mut context, mut pause_ms, mut worth) = (0, f64::INFINITY, 0.0);
+        let (mut tight, mut unread) = (0, 0);
         for state in asks {
             let ask = &state.lease.ask;
             context += ask.prompt / (state.lease.grant.helpers.len() as u64 + 1);
             pause_ms = pause_ms.min(f64::from(ask.pause_ms));
             worth += f64::from(ask.worth);
-            tight += usize::from(f64::from(ask.pause_ms) <= TIGHT_PAUSE_MS);
+            tight += usize::from(ask.tight());
+            unread += usize::from(ask.tight() && state.lease.reading);
         }
         let answering = engine.answering.len();
         EngineView {
@@ -431,6 +537,7 @@
             pause_ms,
             worth,
             tight,
+            unread,
             answering,
             free: engine.memory.saturating_sub(engine.used),
             pace: engine.pace,
@@ -443,14 +550,18 @@
         job: &WaitingJob,
         views: &[EngineView<'_>],
         parts: usize,
+        mode: ChoiceMode,
     ) -> Option<Choice> {
         let ask = &job.ask;
         let part = pass_model::part_ms(&self.shape, ask.prompt, parts);
-        let tight = f64::from(ask.pause_ms) <= TIGHT_PAUSE_MS;
         let mut scored: Vec<_> = views
             .iter()
-            .map(|view| (self.engine_loss(view, part, tight, parts), view))
+            .filter(|view| mode == ChoiceMode::Forced || self.is_calm(view, ask, part))
+            .map(|view| (self.engine_loss(view, ask, part), view))
             .collect();
+        if scored.len() < parts {
+            return None;
+        }
         scored.sort_by(|left, right| {
             left.0.total_cmp(&right.0).then(left.1.rank.cmp(&right.1.rank))
         });
@@ -462,11 +573,19 @@
             .iter()
             .filter(|(_, view)| view.answering < self.shape.slots)
             .filter(|(_, view)| !alone || view.free >= need)
-            .min_by_key(|(_, view)| (if tight { 0 } else { view.tight }, view.answering));
+            .min_by(|left, right| {
+                let cost = |view: &EngineView<'_>| {
+                    // Answers of long prompts are written side by side, so that few engines
+                    // interrupt their reading for steps.
+                    let fresh = if view.answering == 0 { 0.5 } else { 0.0 };
+                    view.tight as f64 + fresh + view.pending_ms / 100.0
+                };
+                cost(left.1).total_cmp(&cost(right.1))
+            });
         let host = match host {
             Some((_, view)) => *view,
-            // Without a free slot anywhere the engine's own queue takes it, once it may not wait.
-            None if !self.may_wait(now, job) && alone => {
+            // Without a free slot anywhere the engine's own queue takes it.
+            None if mode == ChoiceMode::Forced && alone => {
                 chosen.iter().min_by_key(|(_, view)| view.answering)?.1
             }
             None => return None,
@@ -474,9 +593,9 @@
         let held = if alone { Vec::new() } else { self.hold(ask, host, chosen, capacity)? };
         let ready = chosen
             .iter()
-            .map(|(_, view)| (view.pending_ms + part + view.steps_ms) * view.pace)
+            .map(|(_, view)| (view.pending_ms + part + view.steps_ms * 1.5) * view.pace)
             .fold(0.0, f64::max);
-        let first_token_ms = ready + host.steps_ms * 0.5 * host.pace;
+        let first_token_ms = ready;
         let harm: f64 = chosen.iter().map(|(_, view)| self.harm(view, part)).sum();
         let late = if first_token_ms > job.goal_left(now) * GOAL_PART {
             f64::from(ask.worth) * if job.late(now) { 0.1 } else { 1.0 }
@@ -484,8 +603,8 @@
             0.0
         };
         let ranks: f64 = chosen.iter().map(|(loss, _)| loss).sum();
-        let loss = harm + late + ranks + first_token_ms / 1_000.0 * self.options.delay
-            * f64::from(ask.worth).max(1.0);
+        let delay = first_token_ms / f64::from(ask.goal_ms.max(1)) * self.options.delay;
+        let loss = harm + late + ranks + delay * f64::from(ask.worth);
         let helpers = chosen
             .iter()
             .filter(|(_, view)| view.name != host.name)
@@ -499,7 +618,25 @@
             first_token_ms: first_token_ms as u32,
             waited_ms: now.since(job.since).as_millis() as u32,
         };
-        Some(Choice { grant, harm, loss })
+        Some(Choice { grant, loss })
+    }
+
+    /// Whether an engine can read a part at once and nobody there suffers.
+    fn is_calm(&self, view: &EngineView<'_>, ask: &PlaceAsk, part: f64) -> bool {
+        if ask.tight() {
+            let pass = (view.steps_ms + view.pending_ms + part) * view.pace;
+            let first = pass + view.steps_ms * 0.5 * view.pace;
+            return view.answering < self.shape.slots
+                && pass <= f64::from(ask.pause_ms) * PAUSE_PART
+                && first <= f64::from(ask.goal_ms) * TIGHT_GOAL_PART
+                && self.harm(view, part) <= 0.0;
+        }
+        // Parts read for others go before an engine's own, so a second one on top could keep the
+        // first one waiting without end.
+        view.pending_ms <= MAX_STACKED_MS
+            && part <= MAX_PART_MS.max(f64::from(ask.goal_ms) * 0.2)
+            && (part <= SHORT_PART_MS || view.unread == 0)
+            && self.harm(view, part) <= 0.0
     }
 
     /// Worth that those who write on an engine lose by one more part read there.
@@ -512,14 +649,12 @@
     }
 
     /// What speaks against reading a part on an engine, for order and ties.
-    fn engine_loss(&self, view: &EngineView<'_>, part: f64, tight: bool, parts: usize) -> f64 {
+    fn engine_loss(&self, view: &EngineView<'_>, ask: &PlaceAsk, part: f64) -> f64 {
         let harm = self.harm(view, part);
-        let wait = (view.pending_ms + view.steps_ms + part) * view.pace / 1_000.0;
-        let wait = wait * self.options.delay / parts as f64;
-        let full = if view.answering >= self.shape.slots { 1.0 } else { 0.0 };
-        if tight && parts == 1 {
-            let own = (view.steps_ms + view.pending_ms + part) * view.pace;
-            let paused = if own > 250.0 * PAUSE_PART { 0.5 } else { 0.0 };
+        let wait = (view.pending_ms + view.steps_ms + part) * view.pace;
+        if ask.tight() {
+            let full = if view.answering >= self.shape.slots { 1.0 } else { 0.0 };
+            let paused = if wait > f64::from(ask.pause_ms) * PAUSE_PART { 0.5 } else { 0.0 };
             let packed = self.options.packed_writers;
             let fill = if view.tight < packed {
                 (packed - view.tight) as f64 * 0.004
@@ -527,10 +662,12 @@
                 (view.tight - packed) as f64 * 0.02
             };
             let beside = (view.answering - view.tight) as f64 * 0.03;
-            return harm + wait * 4.0 + full + paused + fill + beside;
+            return harm + wait / 1_000.0 * 0.5 + full + paused + fill + beside;
         }
-        let stretch = part * view.pace / TIGHT_PAUSE_MS;
-        harm + wait + view.tight as f64 * stretch * self.options.pressure / parts as f64
+        // Each part costs its engine a pass with the steps of those that write there.
+        let steps = if view.answering > 0 { view.steps_ms } else { 0.0 };
+        let crowd = view.tight as f64 * self.options.pressure * (part / TIGHT_PAUSE_MS).min(1.0);
+        harm + crowd + (steps + view.pending_ms + PART_COST_MS) * view.pace / 1_000.0
     }
 
     /// Memory on other engines for what the answering one has no room for.
@@ -607,6 +744,13 @@
     }
 }
 
+impl PlaceAsk {
+    /// Whether its pauses must be short, so that it suffers from long parts.
+    pub fn tight(&self) -> bool {
+        f64::from(self.pause_ms) <= TIGHT_PAUSE_MS
+    }
+}
+
 impl WaitingJob {
     fn goal_left(&self, now: units::MonoTime) -> f64 {
         f64::from(self.ask.goal_left_ms) - self.waited_ms(now)
--- a/crates/instance/src/model_request.rs
+++ b/crates/instance/src/model_request.rs
@@ -22,8 +22,16 @@
 const CALLER_GOALS: u32 = 4;
 /// Goals for a pause that callers wait.
 const CALLER_PAUSES: u32 = 8;
-/// Part of the callers' patience after which a silent engine is given up.
+/// Part of the callers' patience after which a silent engine is given up at the latest.
 const SILENCE_PART: f64 = 0.72;
+/// Goals for a pause after which an engine in the middle of an answer is given up.
+const SILENCE_PAUSES: f64 = 3.5;
+/// Expected times to the first token after which an engine is given up that has not begun.
+const SILENCE_PLANS: f64 = 3.0;
+/// Time beyond these, for what the plan could not see.
+const SILENCE_MARGIN: time::Duration = time::Duration::from_millis(600);
+/// Callers that have less than this part of the route's time have spent some on an earlier try.
+const FIRST_TRY_PART: f64 = 0.97;
 /// When to come back after a refusal, where nothing better is known.
 const BACK_AFTER: time::Duration = time::Duration::from_millis(400);
 /// Largest failure answer of an engine that is passed on.
@@ -38,6 +46,8 @@
     excluded: Vec<ids::UpstreamId>,
     /// Attempts that reached an engine.
     sent: u32,
+    /// Whether the next attempt has been taken from the retry budget already.
+    retry_taken: bool,
     ran: Option<refusal::RanState>,
     last_at: Option<slipturn_core::units::MonoTime>,
 }
@@ -52,6 +62,8 @@
     Fault(upstream_attempt::AttemptFault),
     /// There was no place.
     NoPlace,
+    /// There will be no place in time.
+    Refused(read_planner::PlaceRefusal),
 }
 
 /// Serves a streamed request to its end.
@@ -93,18 +105,25 @@
     state: &mut StreamState,
 ) -> Result<Option<refusal::RequestRefusal>, h1::MessageError> {
     let mut failure = None;
+    let mut back_after = BACK_AFTER;
     let mut text = format!("service '{}' has no engine free", call.service);
     for _ in 0..MAX_TRIES {
         if state.sent >= call.route.max_attempts {
             break;
         }
-        if state.sent > 0 && !context.take_retry(&call.service) {
+        let taken = std::mem::take(&mut state.retry_taken);
+        if state.sent > 0 && !taken && !context.take_retry(&call.service) {
             text.push_str("; the retry budget is used up");
             break;
         }
         match attempt(context, call, reply, record, state).await? {
             AttemptEnd::Whole => return Ok(None),
             AttemptEnd::NoPlace => break,
+            AttemptEnd::Refused(refused) => {
+                text = format!("{} of {} places are taken", refused.running, refused.slots);
+                back_after = time::Duration::from_millis(u64::from(refused.back_after_ms));
+                break;
+            }
             AttemptEnd::Failure(head, body) => {
                 state.ran = Some(refusal::RanState::Yes);
                 failure = Some((head, body));
@@ -135,7 +154,8 @@
         refusal::RanState::No => refusal::RefusalCode::Overloaded,
         _ => refusal::RefusalCode::UpstreamFailed,
     };
-    Ok(Some(refusal::RequestRefusal::not_run(code, text).ran(ran).retry_after(BACK_AFTER)))
+    let back_after = refusal::spread_retry(back_after, &mut rand::rng());
+    Ok(Some(refusal::RequestRefusal::not_run(code, text).ran(ran).retry_after(back_after)))
 }
 
 async fn attempt(
@@ -148,8 +168,10 @@
     let limit = patience(call).saturating_sub(context.now().since(call.arrived));
     let limit = limit.max(time::Duration::from_millis(200)).min(call.left(context.now()));
     let ask = ask(context, call, state);
-    let Some(mut hold) = plan_client::place(context, &call.service, ask, limit).await else {
-        return Ok(AttemptEnd::NoPlace);
+    let mut hold = match plan_client::place(context, &call.service, ask, limit).await {
+        plan_client::PlaceOutcome::Placed(hold) => hold,
+        plan_client::PlaceOutcome::Refused(refusal) => return Ok(AttemptEnd::Refused(refusal)),
+        plan_client::PlaceOutcome::TimedOut => return Ok(AttemptEnd::NoPlace),
     };
     let mut row = request_record::AttemptRecord {
         upstream: hold.grant.engine.to_string(),
@@ -198,8 +220,18 @@
         return not_connected("the engine is not listed any more".to_owned());
     };
     let begun_at = context.now();
-    let silence = silence(call).min(call.left(context.now()));
-    let answered = upstream_attempt::send(context, call, &target, silence).await;
+    let left = call.left(context.now());
+    let mut sending = std::pin::pin!(upstream_attempt::send(context, call, &target, left));
+    let first_wait = first_silence(call, &hold.grant).min(left);
+    let answered = match monoio::time::timeout(first_wait, sending.as_mut()).await {
+        Ok(answered) => answered,
+        Err(_) if give_up(context, call, state, state.sent + 1) => {
+            state.sent += 1;
+            return Ok(broke(state, format!("no answer within {first_wait:?}")));
+        }
+        // Silence alone is no reason to end an answer that nobody else can give.
+        Err(_) => sending.await,
+    };
     let mut answer = match answered {
         Ok(answer) => answer,
         Err(fault) => {
@@ -229,12 +261,18 @@
     }
     let mut events = event_stream::EventBuffer::default();
     loop {
-        let wait = silence.min(call.left(context.now()));
-        let next = answer.connection.reader.next_piece(&mut answer.framing);
-        let piece = match monoio::time::timeout(wait, next).await {
-            Ok(Ok(piece)) => piece,
-            Ok(Err(error)) => return Ok(broke(state, error)),
-            Err(_) => return Ok(broke(state, format!("no event within {wait:?}"))),
+        let wait = silence(call);
+        let mut next = std::pin::pin!(answer.connection.reader.next_piece(&mut answer.framing));
+        let piece = match monoio::time::timeout(wait, next.as_mut()).await {
+            Ok(piece) => piece,
+            Err(_) if give_up(context, call, state, state.sent) => {
+                return Ok(broke(state, format!("no event within {wait:?}")));
+            }
+            Err(_) => next.await,
+        };
+        let piece = match piece {
+            Ok(piece) => piece,
+            Err(error) => return Ok(broke(state, error)),
         };
         let Some(piece) = piece else {
             break;
@@ -392,13 +430,21 @@
         prompt: call.request.prompt,
         output: call.request.output,
         pause_ms: millis(call.route.pause_goal),
+        goal_ms: millis(call.route.first_token_goal),
         goal_left_ms: millis(goal_left),
         patience_ms: millis(patience(call).saturating_sub(spent)),
         worth: (call.request.prompt as f32 / TOKENS_PER_WORTH).max(1.0),
+        refusable: state.sent == 0 && !came_back(call),
         excluded: state.excluded.clone(),
     }
 }
 
+/// Whether a caller has probably been refused before: it has less time than its route gives.
+fn came_back(call: &incoming_call::IncomingCall) -> bool {
+    let whole = call.route.time_limit.mul_f64(FIRST_TRY_PART);
+    call.request.patience.is_some_and(|patience| patience < whole)
+}
+
 /// How long a caller waits without an event.
 fn patience(call: &incoming_call::IncomingCall) -> time::Duration {
     CALLER_SILENCE
@@ -406,7 +452,31 @@
         .max(call.route.pause_goal * CALLER_PAUSES)
 }
 
-/// How long an engine may be silent.
+/// Whether a silent engine, the `reached`th that got the request, is given up: another may go on, and the retry budget has room. The
+/// retry is taken then.
+fn give_up(
+    context: &context::InstanceContext,
+    call: &incoming_call::IncomingCall,
+    state: &mut StreamState,
+    reached: u32,
+) -> bool {
+    let allowed = call.route.repeat.allows_repeat() && reached < call.route.max_attempts;
+    state.retry_taken = allowed && context.take_retry(&call.service);
+    state.retry_taken
+}
+
+/// How long an engine may be silent in the middle of an answer.
 fn silence(call: &incoming_call::IncomingCall) -> time::Duration {
-    patience(call).mul_f64(SILENCE_PART)
+    let pauses = call.route.pause_goal.mul_f64(SILENCE_PAUSES);
+    pauses.min(patience(call).mul_f64(SILENCE_PART))
+}
+
+/// How long an engine may be silent before its answer begins.
+fn first_silence(
+    call: &incoming_call::IncomingCall,
+    grant: &read_planner::PlaceGrant,
+) -> time::Duration {
+    let planned = time::Duration::from_millis(u64::from(grant.first_token_ms));
+    let expected = planned.mul_f64(SILENCE_PLANS) + SILENCE_MARGIN;
+    expected.min(patience(call).mul_f64(SILENCE_PART))
 }
--- a/crates/instance/src/peer_message.rs
+++ b/crates/instance/src/peer_message.rs
@@ -16,9 +16,9 @@
     Beat(Box<membership::MemberBeat>),
     /// Asks for a place on an engine of a service.
     Ask(ids::ServiceId, Box<read_planner::PlaceAsk>),
-    /// Gives a place.
-    Grant(Box<read_planner::PlaceGrant>),
-    /// The request waits for a place; the grant follows.
+    /// Gives a place, or refuses one.
+    Answer(Box<read_planner::PlaceAnswer>),
+    /// The request waits for a place; the answer follows.
     Queued(read_planner::JobId),
     /// The answer of a request begins.
     FirstToken(ids::ServiceId, read_planner::JobId),
@@ -33,8 +33,8 @@
 /// What a request that waits for its place is told.
 #[derive(Debug, Clone, PartialEq)]
 pub enum PlanReply {
-    /// It has a place.
-    Grant(Box<read_planner::PlaceGrant>),
+    /// It has a place, or gets none.
+    Answer(Box<read_planner::PlaceAnswer>),
     /// It waits in the planner.
     Queued,
 }
--- a/crates/instance/src/peers.rs
+++ b/crates/instance/src/peers.rs
@@ -81,14 +81,14 @@
             let mut planners = context.planners.borrow_mut();
             planners.sync(now, &context.fleet.borrow());
             let reply = match planners.ask(now, &service, *ask, origin) {
-                Some(grant) => PeerMessage::Grant(Box::new(grant)),
+                Some(answer) => PeerMessage::Answer(Box::new(answer)),
                 None => PeerMessage::Queued(job),
             };
             context.tell(from, reply);
         }
-        PeerMessage::Grant(grant) => {
-            let job = grant.job;
-            reply(context, job, peer_message::PlanReply::Grant(grant));
+        PeerMessage::Answer(answer) => {
+            let job = answer.job();
+            reply(context, job, peer_message::PlanReply::Answer(answer));
         }
         PeerMessage::Queued(job) => reply(context, job, peer_message::PlanReply::Queued),
         PeerMessage::FirstToken(service, job) => {
@@ -164,19 +164,19 @@
         if context.fleet.borrow_mut().list.tick(now) {
             log::info!("list.doubtful_gone");
         }
-        let granted = {
+        let answers = {
             let mut planners = context.planners.borrow_mut();
             planners.sync(now, &context.fleet.borrow());
             planners.tick(now)
         };
-        for (origin, grant) in granted {
-            let job = grant.job;
+        for (origin, answer) in answers {
+            let job = answer.job();
             match origin {
                 planner_set::AskOrigin::Own => {
-                    reply(&context, job, peer_message::PlanReply::Grant(Box::new(grant)));
+                    reply(&context, job, peer_message::PlanReply::Answer(Box::new(answer)));
                 }
                 planner_set::AskOrigin::Member(address) => {
-                    context.tell(address, peer_message::PeerMessage::Grant(Box::new(grant)));
+                    context.tell(address, peer_message::PeerMessage::Answer(Box::new(answer)));
                 }
             }
         }
--- a/crates/instance/src/plan_client.rs
+++ b/crates/instance/src/plan_client.rs
@@ -70,13 +70,23 @@
     }
 }
 
-/// Waits for a place until `limit`; `None` when there was none by then.
+/// What a request's wait for a place came to.
+pub enum PlaceOutcome {
+    /// It has one.
+    Placed(PlaceHold),
+    /// It gets none in time.
+    Refused(read_planner::PlaceRefusal),
+    /// There was none by the end of its patience.
+    TimedOut,
+}
+
+/// Waits for a place until `limit`.
 pub async fn place(
     context: &rc::Rc<context::InstanceContext>,
     service: &ids::ServiceId,
     mut ask: read_planner::PlaceAsk,
     limit: time::Duration,
-) -> Option<PlaceHold> {
+) -> PlaceOutcome {
     let started = context.now();
     let (sender, mut replies) = mpsc::unbounded();
     context.grants.borrow_mut().insert(ask.job, sender);
@@ -85,19 +95,28 @@
     loop {
         let spent = context.now().since(started);
         if spent >= limit {
-            return None;
+            return PlaceOutcome::TimedOut;
         }
         let spent_ms = u32::try_from(spent.as_millis()).unwrap_or(u32::MAX);
         ask.goal_left_ms = goal_left.saturating_sub(spent_ms);
         let step = ask_once(context, service, &ask, &mut replies);
-        let granted = monoio::time::timeout(limit - spent, step).await.ok()?;
-        if let Some(grant) = granted {
+        let Ok(answer) = monoio::time::timeout(limit - spent, step).await else {
+            return PlaceOutcome::TimedOut;
+        };
+        let grant = match answer {
+            None => continue,
+            Some(read_planner::PlaceAnswer::Refuse(refusal)) => {
+                return PlaceOutcome::Refused(refusal);
+            }
+            Some(read_planner::PlaceAnswer::Grant(grant)) => grant,
+        };
+        {
             guard.granted = true;
             let lease =
                 read_planner::PlaceLease { ask: ask.clone(), grant: grant.clone(), reading: true };
             let held = context::HeldLease { service: service.clone(), lease };
             context.leases.borrow_mut().insert(ask.job, held);
-            return Some(PlaceHold {
+            return PlaceOutcome::Placed(PlaceHold {
                 context: rc::Rc::clone(context),
                 service: service.clone(),
                 grant,
@@ -112,7 +131,7 @@
     service: &ids::ServiceId,
     ask: &read_planner::PlaceAsk,
     replies: &mut mpsc::UnboundedReceiver<peer_message::PlanReply>,
-) -> Option<read_planner::PlaceGrant> {
+) -> Option<read_planner::PlaceAnswer> {
     let Some(member) = peers::planner_of(context, service) else {
         return ask_own(context, service, ask, replies).await;
     };
@@ -121,9 +140,9 @@
     let mut patience = REPLY_TIME;
     loop {
         match monoio::time::timeout(patience, replies.next()).await {
-            Ok(Some(peer_message::PlanReply::Grant(grant))) => {
+            Ok(Some(peer_message::PlanReply::Answer(answer))) => {
                 context.members.borrow_mut().answered(context.now(), &member.name);
-                return Some(*grant);
+                return Some(*answer);
             }
             Ok(Some(peer_message::PlanReply::Queued)) => {
                 context.members.borrow_mut().answered(context.now(), &member.name);
@@ -146,15 +165,15 @@
     service: &ids::ServiceId,
     ask: &read_planner::PlaceAsk,
     replies: &mut mpsc::UnboundedReceiver<peer_message::PlanReply>,
-) -> Option<read_planner::PlaceGrant> {
-    let granted = ask_planner(context, service, ask, context.now());
-    if granted.is_some() {
-        return granted;
+) -> Option<read_planner::PlaceAnswer> {
+    let answer = ask_planner(context, service, ask, context.now());
+    if answer.is_some() {
+        return answer;
     }
     let waiting = async {
         loop {
-            if let Some(peer_message::PlanReply::Grant(grant)) = replies.next().await {
-                return *grant;
+            if let Some(peer_message::PlanReply::Answer(answer)) = replies.next().await {
+                return *answer;
             }
         }
     };
@@ -166,7 +185,7 @@
     service: &ids::ServiceId,
     ask: &read_planner::PlaceAsk,
     now: units::MonoTime,
-) -> Option<read_planner::PlaceGrant> {
+) -> Option<read_planner::PlaceAnswer> {
     let mut planners = context.planners.borrow_mut();
     planners.sync(now, &context.fleet.borrow());
     planners.ask(now, service, ask.clone(), planner_set::AskOrigin::Own)
--- a/crates/instance/src/planner_set.rs
+++ b/crates/instance/src/planner_set.rs
@@ -1,4 +1,4 @@
-//! The planners that run in this process, and who waits for their grants.
+//! The planners that run in this process, and who waits for their answers.
 
 use std::collections;
 
@@ -19,7 +19,7 @@
 #[derive(Debug, Default)]
 pub struct PlannerSet {
     planners: collections::BTreeMap<ids::ServiceId, read_planner::ReadPlanner>,
-    /// Who waits for a grant.
+    /// Who waits for an answer.
     origins: collections::HashMap<read_planner::JobId, AskOrigin>,
     /// Revision of the list and version of the routes the planners know.
     synced: (u64, u64),
@@ -60,37 +60,37 @@
         self.planners.get_mut(service)
     }
 
-    /// Asks for a place; the grant, if it must wait, comes out of [`Self::tick`].
+    /// Asks for a place; the answer, if it must wait, comes out of [`Self::tick`].
     pub fn ask(
         &mut self,
         now: units::MonoTime,
         service: &ids::ServiceId,
         ask: read_planner::PlaceAsk,
         origin: AskOrigin,
-    ) -> Option<read_planner::PlaceGrant> {
+    ) -> Option<read_planner::PlaceAnswer> {
         self.asked.insert(service.clone(), now);
         let job = ask.job;
-        let grant = self.planners.get_mut(service)?.ask(now, ask);
-        if grant.is_none() {
+        let answer = self.planners.get_mut(service)?.ask(now, ask);
+        if answer.is_none() {
             self.origins.insert(job, origin);
         }
-        grant
+        answer
     }
 
-    /// Gives places to those that wait.
-    pub fn tick(&mut self, now: units::MonoTime) -> Vec<(AskOrigin, read_planner::PlaceGrant)> {
-        let mut granted = Vec::new();
+    /// Answers those that wait, as far as there are places or there will be none in time.
+    pub fn tick(&mut self, now: units::MonoTime) -> Vec<(AskOrigin, read_planner::PlaceAnswer)> {
+        let mut answers = Vec::new();
         for planner in self.planners.values_mut() {
-            for grant in planner.tick(now) {
-                if let Some(origin) = self.origins.remove(&grant.job) {
-                    granted.push((origin, grant));
+            for answer in planner.tick(now) {
+                if let Some(origin) = self.origins.remove(&answer.job()) {
+                    answers.push((origin, answer));
                 }
             }
         }
         if self.waiting() == 0 {
             self.origins.clear();
         }
-        granted
+        answers
     }
 
     /// Requests that wait in all planners.
