--- a/crates/core/src/membership.rs
+++ b/crates/core/src/membership.rs
@@ -200,7 +200,8 @@
 
     /// The member that plans for a service; `None` when that is this process.
     ///
-    /// Members with more processor go first, then whoever the name's hash prefers.
+    /// Members that know what the engines are doing go first; where all have just started, one of
+    /// them is still better than each for itself. Then more processor, then the name's hash.
     pub fn planner(
         &self,
         now: units::MonoTime,
@@ -210,13 +211,13 @@
         let fit = |member: &&MemberState| {
             let beat = &member.beat;
             let limit = self.beat_interval() * SUSPECT_BEATS;
-            beat.plans && !beat.leaving && member.unanswered < 2 && now.since(member.heard) <= limit
+            beat.routes > 0 && !beat.leaving && member.unanswered < 2 && now.since(member.heard) <= limit
         };
         let others = self.members.values().filter(fit).map(|member| &member.beat);
-        let me = Some(own).filter(|own| own.plans && !own.leaving);
+        let me = Some(own).filter(|own| own.routes > 0 && !own.leaving);
         let score = |beat: &&MemberBeat| {
             let hash = rendezvous::stable_hash(&[service.as_str(), beat.name.as_str()]);
-            (beat.cpu, hash)
+            (beat.plans, beat.cpu, hash)
         };
         let best = others.chain(me).max_by_key(score)?;
         (best.name != own.name).then(|| best.clone())
--- a/crates/core/src/read_planner.rs
+++ b/crates/core/src/read_planner.rs
@@ -45,6 +45,8 @@
 const MAX_STACKED_MS: f64 = 40.0;
 /// Longest part that is read in one go while there is a choice, milliseconds.
 const MAX_PART_MS: f64 = 500.0;
+/// Part of its own worth that a long prompt may cost others.
+const HARM_PART: f64 = 0.5;
 /// Shortest part that is worth a helper, milliseconds.
 const MIN_PART_MS: f64 = 20.0;
 /// Parts up to this length may be read before a short prompt that waits on the same engine.
@@ -259,6 +261,8 @@
 enum ChoiceMode {
     /// Nobody's pauses suffer and no part waits behind another.
     Calm,
+    /// No part waits behind another.
+    Harmful,
     /// Whatever loses least.
     Forced,
 }
@@ -315,6 +319,21 @@
         self.jobs.len()
     }
 
+    /// The planner's view of its engines, one short text an engine, for the log.
+    pub fn summary(&self, now: units::MonoTime) -> String {
+        let row = |(name, engine): (&ids::UpstreamId, &EngineWork)| {
+            let pending: f64 = engine.pending.iter().map(|part| part.left_ms).sum();
+            let shunned = if engine.shunned_until > now { " shunned" } else { "" };
+            format!(
+                "{name}: {} running, {pending:.0} ms to read, {} tokens, pace {:.1}{shunned}",
+                engine.answering.len(),
+                engine.used,
+                engine.pace
+            )
+        };
+        self.engines.iter().map(row).collect::<Vec<_>>().join("; ")
+    }
+
     /// Asks for a place; asked again, it answers the same.
     pub fn ask(&mut self, now: units::MonoTime, ask: PlaceAsk) -> Option<PlaceAnswer> {
         if let Some(state) = self.jobs.get(&ask.job) {
@@ -438,14 +457,14 @@
             engine.advance(now);
         }
         let views = self.views(now, job);
-        let forced = !self.may_wait(now, job);
+        let mode = self.mode(now, job);
         let calm = self.choose(now, job, &views, ChoiceMode::Calm);
-        let choice = match calm {
-            Some(choice) => choice,
-            None if !forced => return None,
-            None => match self.refuse(job) {
+        let choice = match (calm, mode) {
+            (Some(choice), _) => choice,
+            (None, ChoiceMode::Calm) => return None,
+            (None, mode) => match self.refuse(job) {
                 Some(refusal) => return Some(PlaceAnswer::Refuse(refusal)),
-                None => self.choose(now, job, &views, ChoiceMode::Forced)?,
+                None => self.choose(now, job, &views, mode)?,
             },
         };
         let grant = choice.grant;
@@ -474,17 +493,28 @@
         })
     }
 
-    /// Whether a request still has time to wait for a place that harms nobody.
-    fn may_wait(&self, now: units::MonoTime, job: &WaitingJob) -> bool {
+    /// What a request may do to others by now.
+    ///
+    /// A long one that can just be in time may cost others their pauses, but does not stand behind
+    /// another's part, where both would come late. One that is late waits for a calm place until
+    /// its caller's patience runs out.
+    fn mode(&self, now: units::MonoTime, job: &WaitingJob) -> ChoiceMode {
         if job.ask.tight() {
-            return job.waited_ms(now) < f64::from(job.ask.goal_ms) * TIGHT_WAIT_PART;
+            let patient = job.waited_ms(now) < f64::from(job.ask.goal_ms) * TIGHT_WAIT_PART;
+            return if patient { ChoiceMode::Calm } else { ChoiceMode::Forced };
         }
         let parts = self.options.max_parts.min(self.engines.len().max(1));
         let quickest = pass_model::part_ms(&self.shape, job.ask.prompt, parts);
         if job.late(now) {
-            return job.patience_left(now) - quickest > LATE_RESERVE_MS;
+            let spare = job.patience_left(now) - quickest;
+            return match spare {
+                spare if spare > LATE_RESERVE_MS * 2.0 => ChoiceMode::Calm,
+                spare if spare > LATE_RESERVE_MS => ChoiceMode::Harmful,
+                _ => ChoiceMode::Forced,
+            };
         }
-        job.goal_left(now) * GOAL_PART - quickest * 2.0 > MIN_SLACK_MS
+        let spare = job.goal_left(now) * GOAL_PART - quickest * 1.5;
+        if spare > MIN_SLACK_MS { ChoiceMode::Calm } else { ChoiceMode::Harmful }
     }
 
     fn views(&self, now: units::MonoTime, job: &WaitingJob) -> Vec<EngineView<'_>> {
@@ -556,7 +586,11 @@
         let part = pass_model::part_ms(&self.shape, ask.prompt, parts);
         let mut scored: Vec<_> = views
             .iter()
-            .filter(|view| mode == ChoiceMode::Forced || self.is_calm(view, ask, part))
+            .filter(|view| match mode {
+                ChoiceMode::Calm => self.is_calm(view, ask, part),
+                ChoiceMode::Harmful => view.pending_ms <= MAX_STACKED_MS,
+                ChoiceMode::Forced => true,
+            })
             .map(|view| (self.engine_loss(view, ask, part), view))
             .collect();
         if scored.len() < parts {
@@ -597,6 +631,9 @@
             .fold(0.0, f64::max);
         let first_token_ms = ready;
         let harm: f64 = chosen.iter().map(|(_, view)| self.harm(view, part)).sum();
+        if mode == ChoiceMode::Harmful && harm > f64::from(ask.worth) * HARM_PART {
+            return None;
+        }
         let late = if first_token_ms > job.goal_left(now) * GOAL_PART {
             f64::from(ask.worth) * if job.late(now) { 0.1 } else { 1.0 }
         } else {
--- a/crates/instance/src/peers.rs
+++ b/crates/instance/src/peers.rs
@@ -13,6 +13,8 @@
 const PLAN_INTERVAL: time::Duration = time::Duration::from_millis(10);
 /// Time between two looks while none waits.
 const REST_INTERVAL: time::Duration = time::Duration::from_millis(50);
+/// Time between two log lines on what a planner believes.
+const STATE_INTERVAL: time::Duration = time::Duration::from_secs(1);
 /// Time between two timers' ends beyond which the process must have been paused.
 const PAUSE_SIGN: time::Duration = time::Duration::from_millis(700);
 
@@ -152,6 +154,7 @@
 /// Gives places to requests that wait, and notices that the process had been paused.
 pub async fn plan(context: rc::Rc<context::InstanceContext>) {
     let mut last = context.now();
+    let mut logged = last;
     loop {
         let waiting = context.planners.borrow().waiting() > 0;
         monoio::time::sleep(if waiting { PLAN_INTERVAL } else { REST_INTERVAL }).await;
@@ -167,6 +170,10 @@
         let answers = {
             let mut planners = context.planners.borrow_mut();
             planners.sync(now, &context.fleet.borrow());
+            if now.since(logged) > STATE_INTERVAL {
+                logged = now;
+                planners.log_state(now);
+            }
             planners.tick(now)
         };
         for (origin, answer) in answers {
--- a/crates/instance/src/planner_set.rs
+++ b/crates/instance/src/planner_set.rs
@@ -93,6 +93,18 @@
         answers
     }
 
+    /// Logs what the planners in use believe.
+    pub fn log_state(&mut self, now: units::MonoTime) {
+        for service in self.active(now) {
+            if let Some(planner) = self.planners.get(&service) {
+                log::info!(
+                    service:%, waiting = planner.waiting_count(), placed = planner.placed_count(),
+                    engines = planner.summary(now).as_str(); "planner.state"
+                );
+            }
+        }
+    }
+
     /// Requests that wait in all planners.
     pub fn waiting(&self) -> usize {
         self.planners.values().map(read_planner::ReadPlanner::waiting_count).sum()
