--- a/crates/core/src/read_planner.rs
+++ b/crates/core/src/read_planner.rs
@@ -38,6 +38,8 @@
 /// Part of a tight goal that a request waits for a calm place: less than the quarter of it within
 /// which a refusal must be out.
 const TIGHT_WAIT_PART: f64 = 0.16;
+/// The same for a request that has been refused before and would not come back again.
+const RETURNED_WAIT_PART: f64 = 1.5;
 /// Part of a tight goal that a plan may use on the engine.
 const TIGHT_GOAL_PART: f64 = 0.75;
 /// Reading that may still wait on an engine when a long part is added, milliseconds: about the
@@ -45,6 +47,8 @@
 const MAX_STACKED_MS: f64 = 40.0;
 /// Longest part that is read in one go while there is a choice, milliseconds.
 const MAX_PART_MS: f64 = 500.0;
+/// Part of its worth that a request keeps that comes late.
+const LATE_PART: f64 = 0.25;
 /// Part of its own worth that a long prompt may cost others.
 const HARM_PART: f64 = 0.5;
 /// Shortest part that is worth a helper, milliseconds.
@@ -53,8 +57,9 @@
 const SHORT_PART_MS: f64 = 60.0;
 /// What a part costs beside its reading: a message and a pass cut short, milliseconds.
 const PART_COST_MS: f64 = 15.0;
-/// Part of all slots from which on short requests are refused that find no place in time.
-const FULL_PART: f64 = 0.9;
+/// Part of all engines' slots that must be taken before a short request is refused; below it,
+/// engines that seem unusable may only have been slow.
+const FULL_PART: f64 = 0.6;
 /// When a refused request may come back, milliseconds; spread by its member.
 const BACK_AFTER_MS: u32 = 700;
 /// Slack below which a request takes the best place there is, milliseconds.
@@ -194,6 +199,8 @@
     Full,
     /// The engine failed.
     Failed,
+    /// The engine was silent for long; it may be gone, or only busy.
+    Silent,
 }
 
 #[derive(Debug, Clone)]
@@ -275,6 +282,8 @@
     engines: collections::BTreeMap<ids::UpstreamId, EngineWork>,
     jobs: collections::HashMap<JobId, JobState>,
     waiting: Vec<WaitingJob>,
+    /// Engines that were silent; they should be asked for a report.
+    suspects: collections::BTreeSet<ids::UpstreamId>,
 }
 
 impl ReadPlanner {
@@ -286,6 +295,7 @@
             engines: collections::BTreeMap::new(),
             jobs: collections::HashMap::new(),
             waiting: Vec::new(),
+            suspects: collections::BTreeSet::new(),
         }
     }
 
@@ -356,9 +366,13 @@
     pub fn tick(&mut self, now: units::MonoTime) -> Vec<PlaceAnswer> {
         self.expire(now);
         let mut waiting = std::mem::take(&mut self.waiting);
-        // Of those in time the least work goes first, as it earns most for an engine's time.
+        // Of those in time the least work goes first, as it earns most for an engine's time; short
+        // ones that were refused once go before all.
         waiting.sort_by(|left, right| {
-            let order = |job: &WaitingJob| (job.late(now), job.ask.prompt);
+            let order = |job: &WaitingJob| {
+                let first = job.ask.refusable || !job.ask.tight();
+                (job.late(now) && !job.ask.tight(), first, job.ask.prompt)
+            };
             order(left).cmp(&order(right))
         });
         let mut answers = Vec::new();
@@ -393,8 +407,12 @@
             return;
         };
         self.release(&state.lease);
-        if end == PlaceEnd::Failed {
-            self.shun(now, &state.lease.grant.engine);
+        match end {
+            PlaceEnd::Failed => self.shun(now, &state.lease.grant.engine),
+            PlaceEnd::Silent => {
+                self.suspects.insert(state.lease.grant.engine.clone());
+            }
+            PlaceEnd::Done | PlaceEnd::Full => {}
         }
     }
 
@@ -407,6 +425,11 @@
         }
     }
 
+    /// Engines that were silent since the last call.
+    pub fn take_suspects(&mut self) -> Vec<ids::UpstreamId> {
+        std::mem::take(&mut self.suspects).into_iter().collect()
+    }
+
     /// Takes over what an engine says of its speed: above 1 it is slower than its figures.
     pub fn set_pace(&mut self, name: &ids::UpstreamId, pace: f64) {
         if let Some(engine) = self.engines.get_mut(name) {
@@ -462,7 +485,7 @@
         let choice = match (calm, mode) {
             (Some(choice), _) => choice,
             (None, ChoiceMode::Calm) => return None,
-            (None, mode) => match self.refuse(job) {
+            (None, mode) => match self.refuse(now, job) {
                 Some(refusal) => return Some(PlaceAnswer::Refuse(refusal)),
                 None => self.choose(now, job, &views, mode)?,
             },
@@ -475,14 +498,16 @@
     }
 
     /// Refuses a short request while every slot is taken: in an engine's queue it would come late
-    /// and make those behind it late too. One that comes back is not refused again.
-    fn refuse(&self, job: &WaitingJob) -> Option<PlaceRefusal> {
-        if !job.ask.tight() || !job.ask.refusable {
+    /// and make those behind it late too.
+    fn refuse(&self, now: units::MonoTime, job: &WaitingJob) -> Option<PlaceRefusal> {
+        if !job.ask.tight() {
             return None;
         }
+        let usable = self.engines.values().filter(|engine| engine.shunned_until <= now);
+        let free = usable.filter(|engine| engine.answering.len() < self.shape.slots).count();
         let slots = self.engines.len() * self.shape.slots;
         let running: usize = self.engines.values().map(|engine| engine.answering.len()).sum();
-        if slots == 0 || (running as f64) < slots as f64 * FULL_PART {
+        if free > 0 || (running as f64) < slots as f64 * FULL_PART {
             return None;
         }
         Some(PlaceRefusal {
@@ -500,7 +525,8 @@
     /// its caller's patience runs out.
     fn mode(&self, now: units::MonoTime, job: &WaitingJob) -> ChoiceMode {
         if job.ask.tight() {
-            let patient = job.waited_ms(now) < f64::from(job.ask.goal_ms) * TIGHT_WAIT_PART;
+            let part = if job.ask.refusable { TIGHT_WAIT_PART } else { RETURNED_WAIT_PART };
+            let patient = job.waited_ms(now) < f64::from(job.ask.goal_ms) * part;
             return if patient { ChoiceMode::Calm } else { ChoiceMode::Forced };
         }
         let parts = self.options.max_parts.min(self.engines.len().max(1));
@@ -631,17 +657,18 @@
             .fold(0.0, f64::max);
         let first_token_ms = ready;
         let harm: f64 = chosen.iter().map(|(_, view)| self.harm(view, part)).sum();
-        if mode == ChoiceMode::Harmful && harm > f64::from(ask.worth) * HARM_PART {
+        let worth = f64::from(ask.worth) * if job.late(now) { LATE_PART } else { 1.0 };
+        if mode == ChoiceMode::Harmful && harm > worth * HARM_PART {
             return None;
         }
         let late = if first_token_ms > job.goal_left(now) * GOAL_PART {
-            f64::from(ask.worth) * if job.late(now) { 0.1 } else { 1.0 }
+            worth
         } else {
             0.0
         };
         let ranks: f64 = chosen.iter().map(|(loss, _)| loss).sum();
         let delay = first_token_ms / f64::from(ask.goal_ms.max(1)) * self.options.delay;
-        let loss = harm + late + ranks + delay * f64::from(ask.worth);
+        let loss = harm + late + ranks + delay * worth;
         let helpers = chosen
             .iter()
             .filter(|(_, view)| view.name != host.name)
--- a/crates/instance/src/engine_reports.rs
+++ b/crates/instance/src/engine_reports.rs
@@ -33,11 +33,21 @@
         let pause = REPORT_INTERVAL / u32::try_from(engines.len()).unwrap_or(u32::MAX);
         for engine in engines {
             monoio::spawn(report(rc::Rc::clone(&context), engine));
+            ask_suspects(&context);
             monoio::time::sleep(pause).await;
         }
     }
 }
 
+/// Asks engines at once that were silent for a request.
+fn ask_suspects(context: &rc::Rc<context::InstanceContext>) {
+    let suspects = context.planners.borrow_mut().take_suspects();
+    let fleet = context.fleet.borrow();
+    for engine in suspects.iter().filter_map(|name| fleet.list.entry(name)) {
+        monoio::spawn(report(rc::Rc::clone(context), engine.clone()));
+    }
+}
+
 async fn report(context: rc::Rc<context::InstanceContext>, engine: upstream_list::UpstreamEntry) {
     let mut connection = document_call::DocumentConnection::new(engine.address.into());
     let path = context.border.report_path();
--- a/crates/instance/src/model_request.rs
+++ b/crates/instance/src/model_request.rs
@@ -183,8 +183,9 @@
     let end = run_place(context, call, reply, record, state, &mut hold, &mut row).await;
     if let Ok(AttemptEnd::Fault(fault)) = &end {
         row.end.clone_from(&fault.text);
-        hold.end = match fault.failure {
-            retry::AttemptFailure::SaidNotRun => read_planner::PlaceEnd::Full,
+        hold.end = match (fault.failure, hold.end) {
+            (_, read_planner::PlaceEnd::Silent) => read_planner::PlaceEnd::Silent,
+            (retry::AttemptFailure::SaidNotRun, _) => read_planner::PlaceEnd::Full,
             _ => read_planner::PlaceEnd::Failed,
         };
         blame(context, state, &hold, fault);
@@ -227,6 +228,7 @@
         Ok(answered) => answered,
         Err(_) if give_up(context, call, state, state.sent + 1) => {
             state.sent += 1;
+            hold.end = read_planner::PlaceEnd::Silent;
             return Ok(broke(state, format!("no answer within {first_wait:?}")));
         }
         // Silence alone is no reason to end an answer that nobody else can give.
@@ -266,6 +268,7 @@
         let piece = match monoio::time::timeout(wait, next.as_mut()).await {
             Ok(piece) => piece,
             Err(_) if give_up(context, call, state, state.sent) => {
+                hold.end = read_planner::PlaceEnd::Silent;
                 return Ok(broke(state, format!("no event within {wait:?}")));
             }
             Err(_) => next.await,
--- a/crates/instance/src/planner_set.rs
+++ b/crates/instance/src/planner_set.rs
@@ -93,6 +93,12 @@
         answers
     }
 
+    /// Engines that were silent for a request since the last call.
+    pub fn take_suspects(&mut self) -> Vec<ids::UpstreamId> {
+        let planners = self.planners.values_mut();
+        planners.flat_map(read_planner::ReadPlanner::take_suspects).collect()
+    }
+
     /// Logs what the planners in use believe.
     pub fn log_state(&mut self, now: units::MonoTime) {
         for service in self.active(now) {
