--- a/crates/core/src/read_planner.rs
+++ b/crates/core/src/read_planner.rs
@@ -62,6 +62,9 @@
 const FULL_PART: f64 = 0.6;
 /// When a refused request may come back, milliseconds; spread by its member.
 const BACK_AFTER_MS: u32 = 700;
+/// Slack below which a long prompt goes before others, milliseconds: about the time that an
+/// engine is busy with another's part.
+const URGENT_SLACK_MS: f64 = 500.0;
 /// Slack below which a request takes the best place there is, milliseconds.
 const MIN_SLACK_MS: f64 = 60.0;
 /// Time between two engines' readiness and a caller's patience that a late request is kept for.
@@ -366,12 +369,13 @@
     pub fn tick(&mut self, now: units::MonoTime) -> Vec<PlaceAnswer> {
         self.expire(now);
         let mut waiting = std::mem::take(&mut self.waiting);
-        // Of those in time the least work goes first, as it earns most for an engine's time; short
+        // What would be late after a short wait goes first. Of the others the least work goes first, as it earns most for an engine's time; short
         // ones that were refused once go before all.
         waiting.sort_by(|left, right| {
             let order = |job: &WaitingJob| {
                 let first = job.ask.refusable || !job.ask.tight();
-                (job.late(now) && !job.ask.tight(), first, job.ask.prompt)
+                let late = job.late(now) && !job.ask.tight();
+                (late, first, !self.is_urgent(now, job), job.ask.prompt)
             };
             order(left).cmp(&order(right))
         });
@@ -543,6 +547,14 @@
         if spare > MIN_SLACK_MS { ChoiceMode::Calm } else { ChoiceMode::Harmful }
     }
 
+    /// Whether a long prompt that is still in time would not be after a short wait.
+    fn is_urgent(&self, now: units::MonoTime, job: &WaitingJob) -> bool {
+        let parts = self.options.max_parts.min(self.engines.len().max(1));
+        let quickest = pass_model::part_ms(&self.shape, job.ask.prompt, parts);
+        let spare = job.goal_left(now) * GOAL_PART - quickest * 1.5;
+        !job.ask.tight() && !job.late(now) && spare < URGENT_SLACK_MS
+    }
+
     fn views(&self, now: units::MonoTime, job: &WaitingJob) -> Vec<EngineView<'_>> {
         let usable = |shunned: bool| {
             let allowed = self.engines.iter().filter(move |(name, engine)| {
