--- a/crates/instance/src/lib.rs
+++ b/crates/instance/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod program;
 pub mod request_record;
 pub mod service_request;
+pub mod silence_watch;
 pub mod small_server;
 pub mod store_feed;
 pub mod upstream_attempt;
--- a/crates/instance/src/memory_hold.rs
+++ b/crates/instance/src/memory_hold.rs
@@ -2,7 +2,7 @@
 
 use std::{cell, net, rc, time};
 
-use slipturn_core::{ids, read_planner};
+use slipturn_core::{ids, read_planner, units};
 use snafu::Snafu;
 
 use crate::{border, context, document_call};
@@ -16,6 +16,10 @@
 const ORDER_TIME: time::Duration = time::Duration::from_millis(350);
 /// Tries to give memory back; what is not given back by then lapses by itself.
 const RELEASE_TRIES: u32 = 6;
+/// An order without an answer may be carried out up to this much later.
+const LATE_ORDER_TIME: time::Duration = time::Duration::from_secs(13);
+/// Pause between two releases meanwhile; shorter than the time within which memory must be free.
+const LATE_RELEASE_PAUSE: time::Duration = time::Duration::from_millis(2_000);
 /// Pause between two tries.
 const RELEASE_PAUSE: time::Duration = time::Duration::from_millis(250);
 
@@ -32,6 +36,8 @@
 /// Memory on one engine.
 #[derive(Debug, Clone)]
 struct HeldTicket {
+    /// When an order to hold it last went unanswered; it may be carried out long after.
+    unanswered: rc::Rc<cell::Cell<Option<units::MonoTime>>>,
     engine: ids::UpstreamId,
     address: net::SocketAddrV4,
     ticket: String,
@@ -63,6 +69,7 @@
             };
             let ticket = format!("{:x}-{:x}-{number}", job.boot, job.sequence);
             let held = HeldTicket {
+                unanswered: rc::Rc::default(),
                 engine: part.engine.clone(),
                 address,
                 ticket,
@@ -91,6 +98,11 @@
         Ok(hold)
     }
 
+    /// Whether any memory is set aside.
+    pub fn holds(&self) -> bool {
+        !self.tickets.is_empty()
+    }
+
     /// The ticket on an engine.
     pub fn ticket(&self, engine: &ids::UpstreamId) -> Option<String> {
         self.tickets.iter().find(|held| held.engine == *engine).map(|held| held.ticket.clone())
@@ -112,18 +124,25 @@
         tokens: held.tokens,
         time: HOLD_TIME,
     };
-    send_order(context, held.address, &order).await
+    let result = send_order(context, held.address, &order).await;
+    if matches!(result, Err(document_call::CallError::Status { .. })) {
+        // A refusal is an answer: nothing is carried out later.
+        return result.map_err(|error| error.to_string());
+    }
+    result.map_err(|error| {
+        held.unanswered.set(Some(context.now()));
+        error.to_string()
+    })
 }
 
 async fn send_order(
     context: &context::InstanceContext,
     address: net::SocketAddrV4,
     order: &border::MemoryOrder,
-) -> Result<(), String> {
+) -> Result<(), document_call::CallError> {
     let (path, body) = context.border.memory_order(order);
     let mut connection = document_call::DocumentConnection::new(address.into());
-    let called = connection.call("POST", &path, body, ORDER_TIME).await;
-    called.map(|_| ()).map_err(|error| error.to_string())
+    connection.call("POST", &path, body, ORDER_TIME).await.map(|_| ())
 }
 
 async fn renew(
@@ -148,14 +167,27 @@
     }
 }
 
+/// Gives memory back, again and again while an unanswered order may still be carried out.
 async fn release(context: rc::Rc<context::InstanceContext>, held: HeldTicket) {
-    let _busy = context::BusyGuard::new(&context);
+    release_once(&context, &held).await;
+    while let Some(since) = held.unanswered.get() {
+        if context.now().since(since) > LATE_ORDER_TIME {
+            return;
+        }
+        monoio::time::sleep(LATE_RELEASE_PAUSE).await;
+        release_once(&context, &held).await;
+    }
+}
+
+async fn release_once(context: &rc::Rc<context::InstanceContext>, held: &HeldTicket) {
+    let _busy = context::BusyGuard::new(context);
     let order = border::MemoryOrder::Release { ticket: held.ticket.clone() };
     for attempt in 1..=RELEASE_TRIES {
-        match send_order(&context, held.address, &order).await {
-            Ok(()) => return,
-            Err(reason) => {
-                log::info!(engine:% = held.engine, attempt, reason; "memory.not_released");
+        match send_order(context, held.address, &order).await {
+            // An engine that knows no such ticket has nothing to give back.
+            Ok(()) | Err(document_call::CallError::Status { .. }) => return,
+            Err(error) => {
+                log::info!(engine:% = held.engine, attempt, error:%; "memory.not_released");
             }
         }
         monoio::time::sleep(RELEASE_PAUSE).await;
--- a/crates/instance/src/model_request.rs
+++ b/crates/instance/src/model_request.rs
@@ -8,7 +8,7 @@
 
 use crate::{
     caller_connection, context, event_stream, incoming_call, memory_hold, plan_client,
-    request_record, upstream_attempt,
+    request_record, silence_watch, upstream_attempt,
 };
 
 /// Places tried at most, those whose engine never saw the request included.
@@ -223,16 +223,17 @@
     let begun_at = context.now();
     let left = call.left(context.now());
     let mut sending = std::pin::pin!(upstream_attempt::send(context, call, &target, left));
+    let watch = silence_watch::SilenceWatch { context, call, address: target.address, holds: memory.holds() };
     let first_wait = first_silence(call, &hold.grant).min(left);
-    let answered = match monoio::time::timeout(first_wait, sending.as_mut()).await {
+    let reached = state.sent + 1;
+    let retry = || give_up(context, call, state, reached);
+    let answered = match watch.wait(sending.as_mut(), first_wait, retry).await {
         Ok(answered) => answered,
-        Err(_) if give_up(context, call, state, state.sent + 1) => {
+        Err(silence) => {
             state.sent += 1;
             hold.end = read_planner::PlaceEnd::Silent;
-            return Ok(broke(state, format!("no answer within {first_wait:?}")));
+            return Ok(broke(state, silence));
         }
-        // Silence alone is no reason to end an answer that nobody else can give.
-        Err(_) => sending.await,
     };
     let mut answer = match answered {
         Ok(answer) => answer,
@@ -263,19 +264,16 @@
     }
     let mut events = event_stream::EventBuffer::default();
     loop {
-        let wait = silence(call);
         let mut next = std::pin::pin!(answer.connection.reader.next_piece(&mut answer.framing));
-        let piece = match monoio::time::timeout(wait, next.as_mut()).await {
-            Ok(piece) => piece,
-            Err(_) if give_up(context, call, state, state.sent) => {
+        let sent = state.sent;
+        let retry = || give_up(context, call, state, sent);
+        let piece = match watch.wait(next.as_mut(), silence(call), retry).await {
+            Ok(Ok(piece)) => piece,
+            Ok(Err(error)) => return Ok(broke(state, error)),
+            Err(silence) => {
                 hold.end = read_planner::PlaceEnd::Silent;
-                return Ok(broke(state, format!("no event within {wait:?}")));
+                return Ok(broke(state, silence));
             }
-            Err(_) => next.await,
-        };
-        let piece = match piece {
-            Ok(piece) => piece,
-            Err(error) => return Ok(broke(state, error)),
         };
         let Some(piece) = piece else {
             break;
