--- a/crates/core/src/read_planner.rs
+++ b/crates/core/src/read_planner.rs
@@ -488,7 +488,9 @@
         let calm = self.choose(now, job, &views, ChoiceMode::Calm);
         let choice = match (calm, mode) {
             (Some(choice), _) => choice,
-            (None, ChoiceMode::Calm) => return None,
+            (None, ChoiceMode::Calm) => {
+                return self.refuse_long(now, job).map(PlaceAnswer::Refuse);
+            }
             (None, mode) => match self.refuse(now, job) {
                 Some(refusal) => return Some(PlaceAnswer::Refuse(refusal)),
                 None => self.choose(now, job, &views, mode)?,
@@ -505,7 +507,7 @@
     /// and make those behind it late too.
     fn refuse(&self, now: units::MonoTime, job: &WaitingJob) -> Option<PlaceRefusal> {
         if !job.ask.tight() {
-            return None;
+            return self.refuse_long(now, job);
         }
         let usable = self.engines.values().filter(|engine| engine.shunned_until <= now);
         let free = usable.filter(|engine| engine.answering.len() < self.shape.slots).count();
@@ -522,6 +524,37 @@
         })
     }
 
+    /// Refuses a long prompt whose turn will come too late, while its caller can still come back.
+    fn refuse_long(&self, now: units::MonoTime, job: &WaitingJob) -> Option<PlaceRefusal> {
+        let ask = &job.ask;
+        let waited = job.waited_ms(now) / f64::from(ask.goal_ms.max(1));
+        if ask.tight() || !ask.refusable || !(0.12..0.22).contains(&waited) {
+            return None;
+        }
+        let usable = self.engines.values().filter(|engine| engine.shunned_until <= now);
+        let engines = usable.clone().count().max(1) as f64;
+        let pending: f64 = usable.flat_map(|engine| &engine.pending).map(|part| part.left_ms).sum();
+        let before = self.waiting.iter().filter(|other| {
+            !other.ask.tight() && !other.late(now) && other.ask.prompt < ask.prompt
+        });
+        let ahead: f64 =
+            before.map(|other| pass_model::read_ms(&self.shape, other.ask.prompt)).sum();
+        let own = pass_model::part_ms(&self.shape, ask.prompt, self.options.max_parts);
+        let expected = (pending + ahead) / engines * 1.2 + own * 1.3 + 100.0;
+        let missing = expected - job.goal_left(now);
+        if missing <= 0.0 {
+            return None;
+        }
+        let slots = self.engines.len() * self.shape.slots;
+        let running: usize = self.engines.values().map(|engine| engine.answering.len()).sum();
+        Some(PlaceRefusal {
+            job: ask.job,
+            back_after_ms: (missing + 1_000.0).min(2_500.0) as u32,
+            running: u32::try_from(running).unwrap_or(u32::MAX),
+            slots: u32::try_from(slots).unwrap_or(u32::MAX),
+        })
+    }
+
     /// What a request may do to others by now.
     ///
     /// A long one that can just be in time may cost others their pauses, but does not stand behind
