--- a/crates/core/src/fleet_budget.rs
+++ b/crates/core/src/fleet_budget.rs
@@ -31,7 +31,11 @@
 impl RetryShare {
     /// An unused share.
     pub fn new(bound: RetryBound) -> Self {
-        Self { bound, requests: collections::VecDeque::new(), retries: collections::VecDeque::new() }
+        Self {
+            bound,
+            requests: collections::VecDeque::new(),
+            retries: collections::VecDeque::new(),
+        }
     }
 
     /// Counts a request.
--- a/crates/core/src/membership.rs
+++ b/crates/core/src/membership.rs
@@ -211,7 +211,10 @@
         let fit = |member: &&MemberState| {
             let beat = &member.beat;
             let limit = self.beat_interval() * SUSPECT_BEATS;
-            beat.routes > 0 && !beat.leaving && member.unanswered < 2 && now.since(member.heard) <= limit
+            beat.routes > 0
+                && !beat.leaving
+                && member.unanswered < 2
+                && now.since(member.heard) <= limit
         };
         let others = self.members.values().filter(fit).map(|member| &member.beat);
         let me = Some(own).filter(|own| own.routes > 0 && !own.leaving);
--- a/crates/core/src/read_planner.rs
+++ b/crates/core/src/read_planner.rs
@@ -42,6 +42,8 @@
 const RETURNED_WAIT_PART: f64 = 1.5;
 /// Part of a tight goal that a plan may use on the engine.
 const TIGHT_GOAL_PART: f64 = 0.75;
+/// Part of a tight goal within which a sooner start earns nothing.
+const TIGHT_EASY_PART: f64 = 0.4;
 /// Reading that may still wait on an engine when a long part is added, milliseconds: about the
 /// time that the request takes to get there.
 const MAX_STACKED_MS: f64 = 40.0;
@@ -51,6 +53,8 @@
 const LATE_PART: f64 = 0.25;
 /// Part of its own worth that a long prompt may cost others.
 const HARM_PART: f64 = 0.5;
+/// The same in shares of the prompt's goal, if longer.
+const MAX_GOAL_PART: f64 = 0.2;
 /// Shortest part that is worth a helper, milliseconds.
 const MIN_PART_MS: f64 = 20.0;
 /// Parts up to this length may be read before a short prompt that waits on the same engine.
@@ -655,10 +659,11 @@
     ) -> Option<Choice> {
         let ask = &job.ask;
         let part = pass_model::part_ms(&self.shape, ask.prompt, parts);
+        let longest = self.longest_part(ask, views.len());
         let mut scored: Vec<_> = views
             .iter()
             .filter(|view| match mode {
-                ChoiceMode::Calm => self.is_calm(view, ask, part),
+                ChoiceMode::Calm => part <= longest && self.is_calm(view, ask, part),
                 ChoiceMode::Harmful => view.pending_ms <= MAX_STACKED_MS,
                 ChoiceMode::Forced => true,
             })
@@ -667,9 +672,8 @@
         if scored.len() < parts {
             return None;
         }
-        scored.sort_by(|left, right| {
-            left.0.total_cmp(&right.0).then(left.1.rank.cmp(&right.1.rank))
-        });
+        scored
+            .sort_by(|left, right| left.0.total_cmp(&right.0).then(left.1.rank.cmp(&right.1.rank)));
         let need = ask.prompt + ask.output;
         let capacity = (self.shape.memory.0 as f64 * MEMORY_PART) as u64;
         let alone = need as f64 <= capacity as f64 * ALONE_PART;
@@ -706,11 +710,7 @@
         if mode == ChoiceMode::Harmful && harm > worth * HARM_PART {
             return None;
         }
-        let late = if first_token_ms > job.goal_left(now) * GOAL_PART {
-            worth
-        } else {
-            0.0
-        };
+        let late = if first_token_ms > job.goal_left(now) * GOAL_PART { worth } else { 0.0 };
         let ranks: f64 = chosen.iter().map(|(loss, _)| loss).sum();
         let delay = first_token_ms / f64::from(ask.goal_ms.max(1)) * self.options.delay;
         let loss = harm + late + ranks + delay * worth;
@@ -730,6 +730,13 @@
         Some(Choice { grant, loss })
     }
 
+    /// Longest part of a prompt while there is a choice: on few engines it cannot be short.
+    fn longest_part(&self, ask: &PlaceAsk, engines: usize) -> f64 {
+        let most = self.options.max_parts.min(engines).min(MAX_HELPERS + 1);
+        let shortest = pass_model::part_ms(&self.shape, ask.prompt, most);
+        MAX_PART_MS.max(f64::from(ask.goal_ms) * MAX_GOAL_PART).max(shortest)
+    }
+
     /// Whether an engine can read a part at once and nobody there suffers.
     fn is_calm(&self, view: &EngineView<'_>, ask: &PlaceAsk, part: f64) -> bool {
         if ask.tight() {
@@ -743,7 +750,6 @@
         // Parts read for others go before an engine's own, so a second one on top could keep the
         // first one waiting without end.
         view.pending_ms <= MAX_STACKED_MS
-            && part <= MAX_PART_MS.max(f64::from(ask.goal_ms) * 0.2)
             && (part <= SHORT_PART_MS || view.unread == 0)
             && self.harm(view, part) <= 0.0
     }
@@ -771,7 +777,9 @@
                 (view.tight - packed) as f64 * 0.02
             };
             let beside = (view.answering - view.tight) as f64 * 0.03;
-            return harm + wait / 1_000.0 * 0.5 + full + paused + fill + beside;
+            // Time that the goal leaves anyway costs nothing.
+            let slow = (wait - f64::from(ask.goal_ms) * TIGHT_EASY_PART).max(0.0) / 1_000.0;
+            return harm + slow + full + paused + fill + beside;
         }
         // Each part costs its engine a pass with the steps of those that write there.
         let steps = if view.answering > 0 { view.steps_ms } else { 0.0 };
--- /dev/null
+++ b/crates/core/tests/membership.rs
@@ -0,0 +1,160 @@
+//! Members: heard, silent, restarted, and who plans.
+
+use std::{net, time};
+
+use slipturn_core::{
+    ids,
+    membership::{MemberBeat, MemberEvent, MemberView},
+    units,
+};
+
+fn at(millis: u64) -> units::MonoTime {
+    units::MonoTime::from_span(time::Duration::from_millis(millis))
+}
+
+fn address(number: u8) -> net::SocketAddrV4 {
+    net::SocketAddrV4::new(net::Ipv4Addr::new(10, 0, 0, number), 7_000)
+}
+
+fn name(number: u8) -> ids::InstanceId {
+    format!("m{number}").parse().expect("a valid name")
+}
+
+fn beat(number: u8, boot: u64, sequence: u64) -> MemberBeat {
+    MemberBeat {
+        name: name(number),
+        boot,
+        sequence,
+        address: address(number),
+        data_center: "a".parse().expect("a valid name"),
+        cpu: 250,
+        plans: true,
+        leaving: false,
+        routes: 5,
+        list: 9,
+        watches: true,
+        others: Vec::new(),
+    }
+}
+
+fn view() -> MemberView {
+    MemberView::new(name(0), vec![address(1), address(2)])
+}
+
+fn service() -> ids::ServiceId {
+    "s".parse().expect("a valid name")
+}
+
+#[test]
+fn seeds_are_asked_until_members_are_known() {
+    let mut view = view();
+    assert_eq!(view.targets(address(0)), vec![address(1), address(2)]);
+    let mut first = beat(1, 1, 1);
+    first.others = vec![address(3), address(0)];
+    assert_eq!(view.hear(at(0), first), Some(MemberEvent::Joined(name(1))));
+    assert_eq!(view.targets(address(0)), vec![address(1), address(2), address(3)]);
+}
+
+#[test]
+fn a_silent_member_is_suspected_then_forgotten() {
+    let mut view = view();
+    view.hear(at(0), beat(1, 1, 1));
+    assert_eq!(view.alive(at(500)).count(), 1);
+    assert_eq!(view.alive(at(1_000)).count(), 0);
+    assert!(view.tick(at(1_000)).is_empty());
+    assert_eq!(view.tick(at(20_000)), vec![MemberEvent::Forgotten(name(1))]);
+}
+
+#[test]
+fn an_old_heartbeat_changes_nothing_and_a_restart_is_noticed() {
+    let mut view = view();
+    view.hear(at(0), beat(1, 1, 5));
+    let mut old = beat(1, 1, 4);
+    old.routes = 99;
+    assert_eq!(view.hear(at(10), old), None);
+    assert!(view.newer_routes(at(10), 50).is_none());
+    assert_eq!(view.hear(at(20), beat(1, 2, 1)), Some(MemberEvent::Joined(name(1))));
+}
+
+#[test]
+fn its_own_heartbeat_is_no_member() {
+    let mut view = view();
+    assert_eq!(view.hear(at(0), beat(0, 1, 1)), None);
+    assert_eq!(view.size(), 1);
+}
+
+#[test]
+fn all_members_name_the_same_planner() {
+    let beats: Vec<_> = (0..6).map(|number| beat(number, 1, 1)).collect();
+    let planners: std::collections::BTreeSet<_> = (0..6)
+        .map(|own| {
+            let mut view = MemberView::new(name(own), Vec::new());
+            for beat in &beats {
+                view.hear(at(0), beat.clone());
+            }
+            let planner = view.planner(at(10), &service(), &beats[usize::from(own)]);
+            planner.map_or_else(|| name(own), |beat| beat.name)
+        })
+        .collect();
+    assert_eq!(planners.len(), 1, "{planners:?}");
+}
+
+#[test]
+fn a_member_that_does_not_answer_no_longer_plans() {
+    let mut view = view();
+    let mut strong = beat(1, 1, 1);
+    strong.cpu = 500;
+    view.hear(at(0), strong);
+    let own = beat(0, 1, 1);
+    assert_eq!(view.planner(at(10), &service(), &own).map(|beat| beat.name), Some(name(1)));
+    view.unanswered(&name(1));
+    view.unanswered(&name(1));
+    assert_eq!(view.planner(at(10), &service(), &own), None);
+    view.answered(at(20), &name(1));
+    assert!(view.planner(at(30), &service(), &own).is_some());
+}
+
+#[test]
+fn young_members_plan_only_where_all_are_young() {
+    let mut view = view();
+    let mut young = beat(1, 1, 1);
+    young.plans = false;
+    young.cpu = 900;
+    view.hear(at(0), young.clone());
+    let own = beat(0, 1, 1);
+    assert_eq!(view.planner(at(10), &service(), &own), None);
+    let own = MemberBeat { plans: false, ..beat(0, 1, 1) };
+    assert_eq!(view.planner(at(10), &service(), &own).map(|beat| beat.name), Some(name(1)));
+}
+
+#[test]
+fn a_leaving_member_and_one_without_routes_do_not_plan() {
+    let mut view = view();
+    view.hear(at(0), MemberBeat { leaving: true, cpu: 900, ..beat(1, 1, 1) });
+    view.hear(at(0), MemberBeat { routes: 0, cpu: 900, ..beat(2, 1, 1) });
+    assert_eq!(view.planner(at(10), &service(), &beat(0, 1, 1)), None);
+}
+
+#[test]
+fn heartbeats_of_a_large_fleet_are_further_apart() {
+    let mut view = view();
+    let small = view.beat_interval();
+    for number in 1..=60 {
+        view.hear(at(0), beat(number, 1, 1));
+    }
+    assert!(view.beat_interval() >= small * 5);
+    let named: std::collections::BTreeSet<_> =
+        (0..60).flat_map(|sequence| view.named(sequence)).collect();
+    assert_eq!(named.len(), 60, "all members are named in turn");
+}
+
+#[test]
+fn the_size_outlasts_a_mass_failure() {
+    let mut view = view();
+    for number in 1..6 {
+        view.hear(at(0), beat(number, 1, 1));
+    }
+    assert_eq!(view.size(), 6);
+    view.tick(at(60_000));
+    assert_eq!(view.size(), 3, "half of the most, so that a lone member's share stays small");
+}
--- /dev/null
+++ b/crates/core/tests/read_planner.rs
@@ -0,0 +1,324 @@
+//! Where prompts are read: the choices, one by one.
+
+use std::time;
+
+use proptest::prelude::*;
+use slipturn_core::{
+    ids, pass_model,
+    read_planner::{
+        JobId, PlaceAnswer, PlaceAsk, PlaceEnd, PlaceGrant, PlaceLease, PlannerOptions, ReadPlanner,
+    },
+    route_table, units,
+};
+
+const SLOTS: usize = 16;
+const MEMORY: u64 = 315_000;
+
+fn shape() -> route_table::EngineShape {
+    route_table::EngineShape {
+        slots: SLOTS,
+        memory: units::TokenCount(MEMORY),
+        stride: 51.0,
+        step_ms: 0.85,
+        step_per_writer_ms: 0.004_25,
+        step_per_context_ms: 0.002_85,
+        read_per_ms: 177.0,
+        read_per_pairs_ms: 0.184,
+        report_lag_ms: 200.0,
+    }
+}
+
+fn at(millis: u64) -> units::MonoTime {
+    units::MonoTime::from_span(time::Duration::from_millis(millis))
+}
+
+fn engine(number: usize) -> ids::UpstreamId {
+    format!("e{number}").parse().expect("a valid name")
+}
+
+fn planner(engines: usize) -> ReadPlanner {
+    let mut planner = ReadPlanner::new(shape(), PlannerOptions::default());
+    let names: Vec<_> = (0..engines).map(|number| (engine(number), number as u64)).collect();
+    planner.set_engines(at(0), &names);
+    planner
+}
+
+fn short(sequence: u64) -> PlaceAsk {
+    PlaceAsk {
+        job: JobId { boot: 1, sequence },
+        prompt: 5_000,
+        output: 1_700,
+        pause_ms: 250,
+        goal_ms: 300,
+        goal_left_ms: 300,
+        patience_ms: 2_000,
+        worth: 1.0,
+        refusable: true,
+        excluded: Vec::new(),
+    }
+}
+
+fn long(sequence: u64, prompt: u64) -> PlaceAsk {
+    PlaceAsk {
+        prompt,
+        output: 800,
+        pause_ms: 1_000,
+        goal_ms: 3_000,
+        goal_left_ms: 3_000,
+        patience_ms: 12_000,
+        worth: prompt as f32 / 8_000.0,
+        ..short(sequence)
+    }
+}
+
+fn grant(answer: Option<PlaceAnswer>) -> PlaceGrant {
+    match answer {
+        Some(PlaceAnswer::Grant(grant)) => grant,
+        other => panic!("expected a place, found {other:?}"),
+    }
+}
+
+fn place(planner: &mut ReadPlanner, now: u64, ask: PlaceAsk) -> PlaceGrant {
+    grant(planner.ask(at(now), ask))
+}
+
+/// Lets a request write: its prompt has been read.
+fn write(planner: &mut ReadPlanner, now: u64, ask: PlaceAsk) -> PlaceGrant {
+    let grant = place(planner, now, ask);
+    planner.first_token(grant.job);
+    grant
+}
+
+#[test]
+fn shorts_are_packed_onto_few_engines() {
+    let mut planner = planner(8);
+    let used: std::collections::BTreeSet<_> =
+        (0..8).map(|number| write(&mut planner, number * 100, short(number)).engine).collect();
+    assert_eq!(used.len(), 1, "{used:?}");
+}
+
+#[test]
+fn a_long_prompt_is_read_in_parts_away_from_short_writers() {
+    let mut planner = planner(8);
+    let busy = write(&mut planner, 0, short(1)).engine;
+    let grant = place(&mut planner, 50, long(2, 154_000));
+    assert!(grant.helpers.len() >= 3, "{grant:?}");
+    assert!(grant.engine != busy && !grant.helpers.contains(&busy), "{grant:?}");
+    assert!(grant.first_token_ms < 3_000);
+}
+
+#[test]
+fn long_parts_are_not_stacked() {
+    let mut planner = planner(4);
+    let first = place(&mut planner, 0, long(1, 154_000));
+    let second = planner.ask(at(10), long(2, 154_000));
+    if let Some(PlaceAnswer::Grant(second)) = second {
+        let used: Vec<_> = second.helpers.iter().chain([&second.engine]).collect();
+        assert!(!used.contains(&&first.engine), "{first:?} {second:?}");
+        assert!(!first.helpers.iter().any(|helper| used.contains(&helper)), "{second:?}");
+    }
+}
+
+#[test]
+fn a_waiting_long_prompt_gets_its_place_when_the_parts_before_it_are_read() {
+    let mut planner = planner(2);
+    place(&mut planner, 0, long(1, 90_000));
+    assert!(planner.ask(at(1), long(2, 90_000)).is_none());
+    assert!(planner.tick(at(100)).is_empty());
+    let whole = pass_model::read_ms(&shape(), 90_000) as u64;
+    let answers = planner.tick(at(whole + 10));
+    assert_eq!(answers.len(), 1, "{answers:?}");
+}
+
+#[test]
+fn the_least_work_goes_first_among_those_with_slack() {
+    let mut planner = planner(1);
+    place(&mut planner, 0, long(1, 60_000));
+    assert!(planner.ask(at(1), long(2, 50_000)).is_none());
+    assert!(planner.ask(at(2), long(3, 30_000)).is_none());
+    planner.end(at(700), JobId { boot: 1, sequence: 1 }, PlaceEnd::Done);
+    let first = planner.tick(at(700)).into_iter().next();
+    assert_eq!(grant(first).job.sequence, 3);
+}
+
+#[test]
+fn what_would_be_late_soon_goes_before_smaller_ones() {
+    let mut planner = planner(1);
+    place(&mut planner, 0, long(1, 60_000));
+    let urgent = PlaceAsk { goal_left_ms: 1_900, goal_ms: 1_900, ..long(2, 80_000) };
+    assert!(planner.ask(at(1), urgent).is_none());
+    assert!(planner.ask(at(2), long(3, 30_000)).is_none());
+    planner.end(at(700), JobId { boot: 1, sequence: 1 }, PlaceEnd::Done);
+    let first = planner.tick(at(700)).into_iter().next();
+    assert_eq!(grant(first).job.sequence, 2);
+}
+
+#[test]
+fn a_late_long_prompt_does_not_break_the_pauses_of_many_writers() {
+    let mut planner = planner(2);
+    for number in 0..28 {
+        write(&mut planner, number * 20, short(number));
+    }
+    let late = PlaceAsk { goal_left_ms: 0, patience_ms: 9_000, ..long(99, 200_000) };
+    assert!(planner.ask(at(1_000), late).is_none(), "it waits for a calm place");
+    assert!(planner.tick(at(2_000)).is_empty());
+}
+
+#[test]
+fn a_short_prompt_is_refused_when_every_slot_is_taken_and_not_when_one_is_free() {
+    let mut planner = planner(1);
+    for number in 0..SLOTS as u64 {
+        write(&mut planner, number * 60, short(number));
+    }
+    assert!(planner.ask(at(2_000), short(50)).is_none(), "it waits a moment");
+    let answers = planner.tick(at(2_060));
+    let [PlaceAnswer::Refuse(refusal)] = answers.as_slice() else {
+        panic!("expected a refusal, found {answers:?}");
+    };
+    assert_eq!((refusal.running, refusal.slots), (16, 16));
+    assert!(refusal.back_after_ms > 0);
+    planner.end(at(2_100), JobId { boot: 1, sequence: 0 }, PlaceEnd::Done);
+    place(&mut planner, 2_100, short(51));
+}
+
+#[test]
+fn one_that_comes_back_waits_longer_before_it_is_refused() {
+    let mut planner = planner(1);
+    for number in 0..SLOTS as u64 {
+        write(&mut planner, number * 60, short(number));
+    }
+    let back = PlaceAsk { refusable: false, ..short(60) };
+    assert!(planner.ask(at(2_000), back).is_none());
+    assert!(planner.tick(at(2_200)).is_empty());
+    planner.end(at(2_210), JobId { boot: 1, sequence: 3 }, PlaceEnd::Done);
+    assert_eq!(grant(planner.tick(at(2_220)).pop()).job.sequence, 60);
+}
+
+#[test]
+fn a_prompt_larger_than_an_engine_is_held_by_several() {
+    let mut planner = planner(6);
+    let grant = place(&mut planner, 0, long(1, 600_000));
+    let held: u64 = grant.held.iter().map(|part| part.tokens).sum();
+    assert!(held + MEMORY * 85 / 100 >= 600_000, "{grant:?}");
+    for part in &grant.held {
+        assert!(part.engine != grant.engine && grant.helpers.contains(&part.engine), "{grant:?}");
+        assert!(part.tokens < MEMORY);
+    }
+}
+
+#[test]
+fn a_long_prompt_without_a_chance_is_refused_while_its_caller_can_come_back() {
+    let mut planner = planner(2);
+    place(&mut planner, 0, long(1, 250_000));
+    assert!(planner.ask(at(5), long(2, 250_000)).is_none());
+    let answers = planner.tick(at(450));
+    assert!(matches!(answers.as_slice(), [PlaceAnswer::Refuse(_)]), "{answers:?}");
+    let back = PlaceAsk { refusable: false, ..long(3, 250_000) };
+    assert!(planner.ask(at(460), back).is_none());
+    assert!(planner.tick(at(900)).is_empty(), "it was refused once already");
+}
+
+#[test]
+fn asked_again_a_planner_answers_the_same() {
+    let mut planner = planner(4);
+    let first = place(&mut planner, 0, long(1, 154_000));
+    assert_eq!(place(&mut planner, 40, long(1, 154_000)), first);
+    assert_eq!(planner.placed_count(), 1);
+}
+
+#[test]
+fn leases_that_nobody_renews_are_given_up() {
+    let mut planner = planner(1);
+    let kept = place(&mut planner, 0, short(1));
+    place(&mut planner, 0, short(2));
+    let lease = PlaceLease { ask: short(1), grant: kept, reading: false };
+    planner.renew(at(2_000), vec![lease]);
+    planner.tick(at(2_600));
+    assert_eq!(planner.placed_count(), 1);
+}
+
+#[test]
+fn a_planner_that_takes_over_learns_of_places_in_use() {
+    let mut before = planner(1);
+    let leases: Vec<_> = (0..SLOTS as u64)
+        .map(|number| {
+            let grant = write(&mut before, number * 60, short(number));
+            PlaceLease { ask: short(number), grant, reading: false }
+        })
+        .collect();
+    let mut after = planner(1);
+    after.renew(at(2_000), leases);
+    assert_eq!(after.placed_count(), SLOTS);
+    assert!(after.ask(at(2_001), short(90)).is_none(), "the slots are taken");
+}
+
+#[test]
+fn a_failed_engine_is_left_alone_and_a_silent_one_is_asked() {
+    let mut planner = planner(2);
+    let grant = place(&mut planner, 0, short(1));
+    planner.end(at(10), grant.job, PlaceEnd::Failed);
+    assert_ne!(place(&mut planner, 20, short(2)).engine, grant.engine);
+    let silent = place(&mut planner, 30, short(3));
+    planner.end(at(40), silent.job, PlaceEnd::Silent);
+    assert_eq!(planner.take_suspects(), vec![silent.engine]);
+    assert!(planner.take_suspects().is_empty());
+}
+
+#[test]
+fn an_excluded_engine_is_not_used_and_a_failed_one_is_better_than_none() {
+    let mut planner = planner(2);
+    let ask = PlaceAsk { excluded: vec![engine(0)], ..short(1) };
+    assert_eq!(place(&mut planner, 0, ask).engine, engine(1));
+    planner.shun(at(0), &engine(1));
+    let ask = PlaceAsk { excluded: vec![engine(0)], ..short(2) };
+    assert_eq!(place(&mut planner, 1, ask).engine, engine(1));
+}
+
+#[test]
+fn a_slow_engine_is_the_last_choice() {
+    let mut planner = planner(2);
+    planner.set_pace(&engine(0), 5.0);
+    assert_eq!(place(&mut planner, 0, short(1)).engine, engine(1));
+}
+
+proptest! {
+    /// Whatever comes in whatever order, a place names only known engines, each once, and nothing
+    /// is left in use when all have ended.
+    #[test]
+    fn nothing_is_lost(steps in prop::collection::vec((0_u8..5, 0_u64..40, 1_000_u64..700_000), 1..120)) {
+        let mut planner = planner(5);
+        let mut now = 0;
+        let mut jobs = std::collections::BTreeSet::new();
+        for (kind, number, prompt) in steps {
+            now += number * 13;
+            let job = JobId { boot: 1, sequence: number };
+            let mut answers = Vec::new();
+            match kind {
+                0 => answers.extend(planner.ask(at(now), short(number))),
+                1 => answers.extend(planner.ask(at(now), long(number, prompt))),
+                2 => planner.first_token(job),
+                3 => planner.end(at(now), job, PlaceEnd::Failed),
+                _ => answers.extend(planner.tick(at(now))),
+            }
+            jobs.insert(job);
+            for answer in answers {
+                let PlaceAnswer::Grant(grant) = answer else { continue };
+                let mut used = grant.helpers.clone();
+                used.push(grant.engine.clone());
+                let count = used.len();
+                used.sort();
+                used.dedup();
+                prop_assert_eq!(used.len(), count);
+                prop_assert!(grant.held.iter().all(|part| grant.helpers.contains(&part.engine)));
+            }
+        }
+        for job in jobs {
+            planner.end(at(now), job, PlaceEnd::Done);
+        }
+        prop_assert_eq!(planner.placed_count(), 0);
+        prop_assert_eq!(planner.waiting_count(), 0);
+        let summary = planner.summary(at(now));
+        prop_assert!(!summary.contains("1 running"), "{}", summary);
+        prop_assert_eq!(summary.matches(" 0 tokens").count(), 5, "{}", summary);
+    }
+}
--- a/crates/instance/src/caller_connection.rs
+++ b/crates/instance/src/caller_connection.rs
@@ -199,9 +199,7 @@
         let watching = std::pin::pin!(watch_caller(reader));
         match future::select(serving, watching).await {
             future::Either::Left((next, _)) => next,
-            future::Either::Right(_) => {
-                Ok(ConnectionNext::Close)
-            }
+            future::Either::Right(_) => Ok(ConnectionNext::Close),
         }
     };
     finish(context, &call, record, arrived);
--- a/crates/instance/src/context.rs
+++ b/crates/instance/src/context.rs
@@ -180,7 +180,7 @@
 
     /// Counts a request for a service.
     pub fn count_request(&self, service: &ids::ServiceId) {
-        self.retry_share(service, |share, now| share.count_request(now));
+        self.retry_share(service, fleet_budget::RetryShare::count_request);
     }
 
     /// Takes one retry from this process's share.
@@ -196,9 +196,8 @@
     ) -> T {
         let bound = self.settings().bounds.retry_bound();
         let mut retries = self.retries.borrow_mut();
-        let share = retries
-            .entry(service.clone())
-            .or_insert_with(|| fleet_budget::RetryShare::new(bound));
+        let share =
+            retries.entry(service.clone()).or_insert_with(|| fleet_budget::RetryShare::new(bound));
         work(share, self.now())
     }
 }
--- a/crates/instance/src/document_call.rs
+++ b/crates/instance/src/document_call.rs
@@ -102,10 +102,7 @@
     };
     let mut text = format!("{method} {path} HTTP/1.1\r\nhost: {address}\r\n").into_bytes();
     if !body.is_empty() {
-        let head = format!(
-            "content-type: application/json\r\ncontent-length: {}\r\n",
-            body.len()
-        );
+        let head = format!("content-type: application/json\r\ncontent-length: {}\r\n", body.len());
         text.extend_from_slice(head.as_bytes());
     }
     text.extend_from_slice(b"\r\n");
--- a/crates/instance/src/memory_hold.rs
+++ b/crates/instance/src/memory_hold.rs
@@ -59,10 +59,10 @@
         parts: &[read_planner::HeldPart],
     ) -> Result<Self, HoldError> {
         let done = rc::Rc::new(cell::Cell::new(false));
-        let mut hold =
-            Self { context: rc::Rc::clone(context), tickets: Vec::new(), done };
+        let mut hold = Self { context: rc::Rc::clone(context), tickets: Vec::new(), done };
         for (number, part) in parts.iter().enumerate() {
-            let address = context.fleet.borrow().list.entry(&part.engine).map(|entry| entry.address);
+            let address =
+                context.fleet.borrow().list.entry(&part.engine).map(|entry| entry.address);
             let Some(address) = address else {
                 let reason = "it is not listed any more".to_owned();
                 return Err(HoldError { engine: part.engine.clone(), reason });
--- a/crates/instance/src/model_request.rs
+++ b/crates/instance/src/model_request.rs
@@ -74,7 +74,8 @@
     record: &mut request_record::RequestRecord,
 ) -> Result<caller_connection::ConnectionNext, h1::MessageError> {
     let left = call.left(context.now());
-    let mut state = StreamState { last_event: call.request.last_event.clone(), ..Default::default() };
+    let mut state =
+        StreamState { last_event: call.request.last_event.clone(), ..Default::default() };
     let work = attempts(context, call, reply, record, &mut state);
     let refusal = match monoio::time::timeout(left, work).await {
         Ok(Ok(None)) => return Ok(caller_connection::ConnectionNext::Keep),
@@ -223,7 +224,12 @@
     let begun_at = context.now();
     let left = call.left(context.now());
     let mut sending = std::pin::pin!(upstream_attempt::send(context, call, &target, left));
-    let watch = silence_watch::SilenceWatch { context, call, address: target.address, holds: memory.holds() };
+    let watch = silence_watch::SilenceWatch {
+        context,
+        call,
+        address: target.address,
+        holds: memory.holds(),
+    };
     let first_wait = first_silence(call, &hold.grant).min(left);
     let reached = state.sent + 1;
     let retry = || give_up(context, call, state, reached);
--- a/crates/instance/src/planner_set.rs
+++ b/crates/instance/src/planner_set.rs
@@ -35,7 +35,10 @@
                 continue;
             };
             let planner = self.planners.entry(name.clone()).or_insert_with(|| {
-                read_planner::ReadPlanner::new(shape.clone(), read_planner::PlannerOptions::default())
+                read_planner::ReadPlanner::new(
+                    shape.clone(),
+                    read_planner::PlannerOptions::default(),
+                )
             });
             let version = (fleet.list.revision(), fleet.routes.version.0);
             if version != self.synced {
--- a/crates/instance/src/program.rs
+++ b/crates/instance/src/program.rs
@@ -154,11 +154,7 @@
     }
 }
 
-async fn wait_for_stop(
-    context: &context::InstanceContext,
-    reload: &AtomicBool,
-    path: &path::Path,
-) {
+async fn wait_for_stop(context: &context::InstanceContext, reload: &AtomicBool, path: &path::Path) {
     while !context.stop.asked() {
         if reload.swap(false, atomic::Ordering::SeqCst) {
             load_again(context, path);
@@ -201,4 +197,3 @@
 fn listen(address: std::net::SocketAddr) -> Result<monoio::net::TcpListener, ProgramError> {
     process::listen(address).context(ListenSnafu { address })
 }
-
--- a/crates/instance/src/service_request.rs
+++ b/crates/instance/src/service_request.rs
@@ -5,9 +5,7 @@
 use slipturn_core::{ids, refusal, retry, upstream_list};
 use slipturn_net::h1;
 
-use crate::{
-    caller_connection, context, incoming_call, request_record, upstream_attempt,
-};
+use crate::{caller_connection, context, incoming_call, request_record, upstream_attempt};
 
 /// Largest answer of a plain service that is passed on.
 const MAX_ANSWER: usize = 8 << 20;
--- a/crates/instance/src/store_feed.rs
+++ b/crates/instance/src/store_feed.rs
@@ -79,7 +79,8 @@
             }
             Err(error) => return Err(error.to_string()),
         };
-        let (changes, next) = context.border.read_changes(&body).map_err(|error| error.to_string())?;
+        let (changes, next) =
+            context.border.read_changes(&body).map_err(|error| error.to_string())?;
         regained(context, away_since);
         let quiet = changes.is_empty();
         let now = context.now();
@@ -178,11 +179,8 @@
     let fleet = context.fleet.borrow();
     let members = context.members.borrow();
     let routes = members.newer_routes(now, fleet.routes.version.0);
-    let list = if context.store_ok.get() {
-        None
-    } else {
-        members.newer_list(now, fleet.list.revision())
-    };
+    let list =
+        if context.store_ok.get() { None } else { members.newer_list(now, fleet.list.revision()) };
     let member = list.or(routes)?;
     let port = context.settings().listen.members.port();
     let address = net::SocketAddrV4::new(*member.address.ip(), port);
--- a/crates/instance/src/upstream_attempt.rs
+++ b/crates/instance/src/upstream_attempt.rs
@@ -81,9 +81,8 @@
     } else {
         context.pool.get(target.address).await
     };
-    let connection = opened.map_err(|error| {
-        AttemptFault::new(retry::AttemptFailure::NotConnected, error)
-    })?;
+    let connection =
+        opened.map_err(|error| AttemptFault::new(retry::AttemptFailure::NotConnected, error))?;
     let exchange = exchange(context, call, target, connection);
     match monoio::time::timeout(limit, exchange).await {
         Ok(answered) => answered,
@@ -122,9 +121,8 @@
         return Err(AttemptFault::broke("the answer belongs to another request"));
     }
     let framing = h1::BodyFraming::of_answer(&head).map_err(AttemptFault::broke)?;
-    let reusable = sent
-        && framing != h1::BodyFraming::UntilClose
-        && !h1::closes(head.version, &head.headers);
+    let reusable =
+        sent && framing != h1::BodyFraming::UntilClose && !h1::closes(head.version, &head.headers);
     let connection = upstream_pool::UpstreamConnection { reader, writer, used };
     let address = target.address;
     let answer = AttemptAnswer { head, said, framing, connection, address, reusable };
--- a/crates/instance/src/upstream_pool.rs
+++ b/crates/instance/src/upstream_pool.rs
@@ -54,7 +54,10 @@
 
 impl UpstreamPool {
     /// A resting connection, or a new one where there is none.
-    pub async fn get(&self, address: net::SocketAddrV4) -> Result<UpstreamConnection, ConnectError> {
+    pub async fn get(
+        &self,
+        address: net::SocketAddrV4,
+    ) -> Result<UpstreamConnection, ConnectError> {
         match self.take_resting(address) {
             Some(connection) => Ok(connection),
             None => self.open(address).await,
--- a/crates/net/src/h1.rs
+++ b/crates/net/src/h1.rs
@@ -264,22 +264,17 @@
                 return Ok(None);
             };
             match state {
-                ChunkState::Size => {
-                    match httparse::parse_chunk_size(&self.buffer) {
-                        Ok(httparse::Status::Complete((length, size))) => {
-                            self.buffer.advance(length);
-                            *state = if size == 0 {
-                                ChunkState::Trailer
-                            } else {
-                                ChunkState::Data(size)
-                            };
-                        }
-                        Ok(httparse::Status::Partial) if self.buffer.len() <= MAX_CHUNK_LINE => {
-                            return Ok(None);
-                        }
-                        _ => return MalformedSnafu { reason: "length of a chunk" }.fail(),
+                ChunkState::Size => match httparse::parse_chunk_size(&self.buffer) {
+                    Ok(httparse::Status::Complete((length, size))) => {
+                        self.buffer.advance(length);
+                        *state =
+                            if size == 0 { ChunkState::Trailer } else { ChunkState::Data(size) };
                     }
-                }
+                    Ok(httparse::Status::Partial) if self.buffer.len() <= MAX_CHUNK_LINE => {
+                        return Ok(None);
+                    }
+                    _ => return MalformedSnafu { reason: "length of a chunk" }.fail(),
+                },
                 ChunkState::Data(left) => {
                     let left = *left;
                     let Some(piece) = self.take(left) else {
