--- /dev/null
+++ b/crates/soak/src/check.rs
@@ -0,0 +1,99 @@
+//! What must hold, judged from what callers and upstreams saw.
+
+use std::{collections, time};
+
+use slipturn_platform_standin::{caller::Outcome, runner::RunRecord};
+
+use crate::traffic::SentRequest;
+
+/// Statuses that promise that a request has not run and never will.
+const PROMISES: [u16; 4] = [408, 421, 429, 503];
+/// Statuses of an instance's own that deny what every configuration allows.
+const DENIALS: [u16; 5] = [400, 401, 403, 404, 413];
+/// Time beyond a request's own within which it must have ended.
+const SLACK: time::Duration = time::Duration::from_millis(1_500);
+/// Longest time a request may take: its client's deadline.
+const LIMIT: time::Duration = time::Duration::from_secs(6);
+
+/// A time during which a promise was excused, by instance.
+#[derive(Debug, Clone, Copy)]
+pub struct Disturbance {
+    /// The instance; `None` for all.
+    pub instance: Option<u8>,
+    /// Its beginning.
+    pub from: time::Instant,
+    /// Its end, with the time after it that still counts.
+    pub to: time::Instant,
+}
+
+/// What a run has seen.
+#[derive(Debug, Default)]
+pub struct Evidence {
+    /// All requests.
+    pub sent: Vec<SentRequest>,
+    /// Runs at all upstreams, by request.
+    pub runs: collections::HashMap<String, RunRecord>,
+    /// Kills, pauses and the like, which excuse cut connections and long answers.
+    pub unplanned: Vec<Disturbance>,
+    /// Planned stops. A resting connection is closed in them, and a request may cross its end on
+    /// the way; it must not have been passed on then.
+    pub stops: Vec<Disturbance>,
+    /// Faults of upstreams and links, which excuse failures and cut streams.
+    pub outside: Vec<Disturbance>,
+    /// Violations found while the run went on.
+    pub found: Vec<String>,
+}
+
+/// All violations.
+pub fn violations(evidence: &Evidence) -> Vec<String> {
+    let mut found = evidence.found.clone();
+    for request in &evidence.sent {
+        found.extend(judge(evidence, request).map(|fault| {
+            format!("{fault}: {} ({}) at instance {}", request.id, request.route, request.instance)
+        }));
+    }
+    let sent: collections::HashSet<_> = evidence.sent.iter().map(|sent| sent.id.as_str()).collect();
+    let unasked = evidence.runs.keys().filter(|id| !sent.contains(id.as_str()));
+    found.extend(unasked.map(|id| format!("a run that nobody asked for: {id:?}")));
+    found
+}
+
+fn judge(evidence: &Evidence, request: &SentRequest) -> Option<String> {
+    let record = evidence.runs.get(&request.id);
+    let runs = record.map_or(0, |record| record.runs);
+    let once = matches!(request.route, "unsafe" | "once");
+    if once && runs > 1 {
+        return Some(format!("ran {runs} times"));
+    }
+    if record.is_some_and(|record| record.tenant != "t1") {
+        return Some("ran for another customer".to_owned());
+    }
+    match &request.outcome {
+        Outcome::Wrong(what) => Some(format!("a wrong answer, {what}")),
+        Outcome::Status(status, _) if DENIALS.contains(status) => {
+            Some(format!("denied with {status}"))
+        }
+        Outcome::Status(status, _) if PROMISES.contains(status) && once && runs > 0 => {
+            Some(format!("ran although {status} says that it did not"))
+        }
+        Outcome::Cut(false) if runs == 0 && disturbed(&evidence.stops, request) => None,
+        Outcome::Cut(_) if !disturbed(&evidence.unplanned, request) => {
+            let outside = disturbed(&evidence.outside, request);
+            // A broken upstream may cost an answer that has begun, or one that must not repeat.
+            (!outside).then(|| "cut without cause".to_owned())
+        }
+        _ if !disturbed(&evidence.unplanned, request) => {
+            let spent = request.to.duration_since(request.from);
+            (spent > LIMIT + SLACK).then(|| format!("took {spent:?}"))
+        }
+        _ => None,
+    }
+}
+
+fn disturbed(disturbances: &[Disturbance], request: &SentRequest) -> bool {
+    disturbances.iter().any(|disturbance| {
+        disturbance.instance.is_none_or(|instance| instance == request.instance)
+            && disturbance.from <= request.to
+            && disturbance.to >= request.from
+    })
+}
--- /dev/null
+++ b/crates/soak/src/fault_plan.rs
@@ -0,0 +1,130 @@
+//! Which faults strike, when and whom: all decided by the seed.
+
+use std::{fmt, time};
+
+use rand::{RngExt as _, SeedableRng as _};
+use rand_chacha::ChaCha8Rng;
+use slipturn_platform_standin::{proxy::LinkMode, runner::RunnerMode, store::StoreMode};
+
+
+
+/// Pause between two faults, milliseconds: short enough for faults to overlap.
+const GAP_MS: std::ops::Range<u64> = 150..900;
+/// How long a fault lasts, milliseconds.
+const LENGTH_MS: std::ops::Range<u64> = 200..2_500;
+/// Time at the start and the end without faults, milliseconds.
+const QUIET_MS: u64 = 600;
+
+/// A fault.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Fault {
+    /// SIGKILL, and a new start.
+    Kill(u8),
+    /// SIGTERM, and a new start after the end.
+    Stop(u8),
+    /// SIGSTOP, then SIGCONT.
+    Pause(u8),
+    /// SIGHUP.
+    Reload(u8),
+    /// SIGKILL to all, and new starts.
+    KillAll,
+    /// The store misbehaves.
+    Store(StoreMode),
+    /// The store forgets its history.
+    Forget,
+    /// A new configuration with one route more.
+    Publish,
+    /// The link from all instances to the store misbehaves.
+    StoreLink(LinkMode),
+    /// An upstream misbehaves.
+    Upstream(u8, RunnerMode),
+    /// The link to an upstream misbehaves.
+    UpstreamLink(u8, LinkMode),
+    /// An upstream says that it leaves, and comes back.
+    Leave(u8),
+}
+
+/// A fault with its time.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct PlannedFault {
+    /// When it strikes, from the start of traffic.
+    pub at: time::Duration,
+    /// How long it lasts.
+    pub length: time::Duration,
+    /// What it is.
+    pub fault: Fault,
+}
+
+impl fmt::Display for PlannedFault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:>6} ms, {:>5} ms: {:?}", self.at.as_millis(), self.length.as_millis(), self.fault)
+    }
+}
+
+/// Sizes that a plan is made for.
+#[derive(Debug, Clone, Copy)]
+pub struct PlanSize {
+    /// Instances.
+    pub instances: u8,
+    /// Upstreams of both services together.
+    pub upstreams: u8,
+    /// Length of the run.
+    pub length: time::Duration,
+}
+
+/// The plan of a seed.
+pub fn plan(seed: u64, size: PlanSize) -> Vec<PlannedFault> {
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    let end = (size.length.as_millis() as u64).saturating_sub(QUIET_MS);
+    let mut at = QUIET_MS;
+    let mut faults = Vec::new();
+    while at < end {
+        let fault = draw(&mut random, size);
+        let length = random.random_range(LENGTH_MS).min(end.saturating_sub(at).max(1));
+        faults.push(PlannedFault {
+            at: time::Duration::from_millis(at),
+            length: time::Duration::from_millis(length),
+            fault,
+        });
+        at += random.random_range(GAP_MS);
+    }
+    faults
+}
+
+fn draw(random: &mut ChaCha8Rng, size: PlanSize) -> Fault {
+    let instance = random.random_range(0..size.instances);
+    let upstream = random.random_range(0..size.upstreams);
+    match random.random_range(0..20) {
+        0 | 1 => Fault::Kill(instance),
+        2..=4 => Fault::Stop(instance),
+        5 | 6 => Fault::Pause(instance),
+        7 => Fault::Reload(instance),
+        8 => Fault::KillAll,
+        9 => Fault::Store(pick(random, &[StoreMode::Busy, StoreMode::Reset, StoreMode::Silent])),
+        10 => Fault::Forget,
+        11 | 12 => Fault::Publish,
+        13 => Fault::StoreLink(link(random)),
+        14 | 15 => Fault::Upstream(upstream, pick(random, &RUNNER_MODES)),
+        16 | 17 => Fault::UpstreamLink(upstream, link(random)),
+        _ => Fault::Leave(upstream),
+    }
+}
+
+const RUNNER_MODES: [RunnerMode; 7] = [
+    RunnerMode::Full,
+    RunnerMode::Failing,
+    RunnerMode::Dark,
+    RunnerMode::Breaking,
+    RunnerMode::Surplus,
+    RunnerMode::Crossed,
+    RunnerMode::Mute,
+];
+
+fn link(random: &mut ChaCha8Rng) -> LinkMode {
+    let modes = [LinkMode::Slow, LinkMode::Reset, LinkMode::DropForth, LinkMode::DropBack];
+    pick(random, &modes)
+}
+
+fn pick<T: Copy>(random: &mut ChaCha8Rng, from: &[T]) -> T {
+    from[random.random_range(0..from.len())]
+}
--- /dev/null
+++ b/crates/soak/src/main.rs
@@ -0,0 +1,73 @@
+//! `slipturn-soak`: see the library of the same name.
+
+use std::{path, process, time};
+
+use slipturn_net::command_line;
+use slipturn_soak::run;
+
+const INFO: command_line::ProgramInfo = command_line::ProgramInfo {
+    name: "slipturn-soak",
+    version: env!("CARGO_PKG_VERSION"),
+    arguments: "[--seed N] [--runs N] [--seconds S] [--instances N] [--clients N] [--plan]",
+    about: "Runs real instances under random faults from outside and checks their promises.",
+};
+
+fn main() -> process::ExitCode {
+    let mut options = getopts::Options::new();
+    options.optopt("", "seed", "first seed; drawn anew if left out", "N");
+    options.optopt("", "runs", "seeds to play, one after the other (1)", "N");
+    options.optopt("", "seconds", "length of a run's traffic (8)", "S");
+    options.optopt("", "instances", "instances (4)", "N");
+    options.optopt("", "clients", "clients (12)", "N");
+    options.optopt("", "program", "the instances' program (beside this one)", "FILE");
+    options.optflag("", "plan", "print the plan of each seed, and play nothing");
+    let matches = match command_line::parse(INFO, options) {
+        command_line::ParsedLine::Run(matches) => matches,
+        command_line::ParsedLine::Leave(code) => return process::ExitCode::from(code),
+    };
+    match soak(&matches) {
+        Ok(0) => process::ExitCode::from(command_line::EXIT_GOOD),
+        Ok(_) => process::ExitCode::from(command_line::EXIT_FAILED),
+        Err(error) => command_line::fail(INFO, &error),
+    }
+}
+
+/// Plays the seeds; how many of them found something.
+fn soak(matches: &getopts::Matches) -> Result<u64, String> {
+    let number = |name: &str, default: u64| match matches.opt_str(name) {
+        None => Ok(default),
+        Some(text) => text.parse::<u64>().map_err(|_| format!("{name}: found '{text}'")),
+    };
+    let first = number("seed", rand::random::<u32>().into())?;
+    let beside = std::env::current_exe().map_err(|error| error.to_string())?;
+    let program = match matches.opt_str("program") {
+        Some(program) => path::PathBuf::from(program),
+        None => beside.with_file_name("slipturn-instance"),
+    };
+    let mut failed = 0;
+    for seed in first..first + number("runs", 1)? {
+        let options = run::RunOptions {
+            program: program.clone(),
+            seed,
+            length: time::Duration::from_secs(number("seconds", 8)?),
+            instances: number("instances", 4)?.clamp(1, 90) as u8,
+            clients: number("clients", 12)?,
+        };
+        if matches.opt_present("plan") {
+            println!("seed {seed}");
+            run::plan(&options).iter().for_each(|planned| println!("  {planned}"));
+            continue;
+        }
+        let report = run::run(&options).map_err(|error| error.to_string())?;
+        let (requests, good) = report.requests;
+        println!("seed {seed}: {good} of {requests} served, {} violations", report.violations.len());
+        for violation in report.violations.iter().take(8) {
+            println!("  {violation}");
+        }
+        if let Some(logs) = report.logs {
+            println!("  logs: {}", logs.display());
+            failed += 1;
+        }
+    }
+    Ok(failed)
+}
--- /dev/null
+++ b/crates/soak/src/traffic.rs
@@ -0,0 +1,123 @@
+//! Clients: open connections used until they end, a record of every request.
+
+use std::{
+    collections, net,
+    sync::{
+        self,
+        atomic::{self, AtomicBool},
+    },
+    thread, time,
+};
+
+use rand::{RngExt as _, SeedableRng as _};
+use rand_chacha::ChaCha8Rng;
+use slipturn_platform_standin::{
+    caller::{Caller, Outcome, Request},
+    fleet,
+};
+
+/// Pause of a client between two requests, milliseconds.
+const PAUSE_MS: std::ops::Range<u64> = 2..40;
+/// Time a client is given, of each kind of request.
+const DEADLINE: time::Duration = time::Duration::from_secs(6);
+
+/// One request as its client saw it.
+#[derive(Debug, Clone)]
+pub struct SentRequest {
+    /// Its id.
+    pub id: String,
+    /// Its route.
+    pub route: &'static str,
+    /// The instance it went to.
+    pub instance: u8,
+    /// When it was sent, and when its answer ended.
+    pub from: time::Instant,
+    /// See `from`.
+    pub to: time::Instant,
+    /// What it came to.
+    pub outcome: Outcome,
+}
+
+/// Clients that run until told to end.
+pub struct Traffic {
+    ending: sync::Arc<AtomicBool>,
+    clients: Vec<thread::JoinHandle<Vec<SentRequest>>>,
+}
+
+impl Traffic {
+    /// Starts clients, each with its own random choices.
+    pub fn start(seed: u64, clients: u64, instances: Vec<net::SocketAddr>) -> Self {
+        let ending = sync::Arc::new(AtomicBool::new(false));
+        let start = |client: u64| {
+            let (ending, instances) = (sync::Arc::clone(&ending), instances.clone());
+            thread::spawn(move || run_client(seed ^ (client << 32), client, &instances, &ending))
+        };
+        let clients = (0..clients).map(start).collect();
+        Self { ending, clients }
+    }
+
+    /// Ends all clients behind their last request.
+    pub fn finish(self) -> Vec<SentRequest> {
+        self.ending.store(true, atomic::Ordering::SeqCst);
+        let sent = self.clients.into_iter().filter_map(|client| client.join().ok());
+        sent.flatten().collect()
+    }
+}
+
+/// A request of a route.
+pub fn request(id: String, route: &'static str, counts: (u64, u64)) -> Request {
+    let streaming = matches!(route, "draft" | "once");
+    Request {
+        id,
+        method: if route == "safe" { "GET" } else { "POST" },
+        path: format!("/{route}/x"),
+        key: Some(fleet::KEY.to_owned()),
+        deadline: DEADLINE,
+        counts: streaming.then_some(counts),
+        body: if route == "safe" { Vec::new() } else { b"body".to_vec() },
+    }
+}
+
+fn run_client(
+    seed: u64,
+    client: u64,
+    instances: &[net::SocketAddr],
+    ending: &AtomicBool,
+) -> Vec<SentRequest> {
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    let mut open: collections::HashMap<u8, Caller> = collections::HashMap::new();
+    let mut sent = Vec::new();
+    for turn in 0.. {
+        if ending.load(atomic::Ordering::SeqCst) {
+            break;
+        }
+        let instance = random.random_range(0..instances.len()) as u8;
+        let route = ["draft", "safe", "unsafe", "once"][random.random_range(0..4)];
+        let prompt = match random.random_range(0..12) {
+            0 => random.random_range(330_000..700_000),
+            1..=3 => random.random_range(30_000..200_000),
+            _ => random.random_range(500..9_000),
+        };
+        let counts = (prompt, random.random_range(50..1_500));
+        let request = request(format!("{seed:x}-{client}-{turn}"), route, counts);
+        let from = time::Instant::now();
+        let connection = open.remove(&instance).map_or_else(
+            || Caller::connect(instances[usize::from(instance)]).ok(),
+            Some,
+        );
+        let outcome = match connection {
+            None => Outcome::NoConnection,
+            Some(mut caller) => {
+                let outcome = caller.send(&request);
+                if !caller.closing && !matches!(outcome, Outcome::Cut(_)) {
+                    open.insert(instance, caller);
+                }
+                outcome
+            }
+        };
+        let to = time::Instant::now();
+        sent.push(SentRequest { id: request.id, route, instance, from, to, outcome });
+        thread::sleep(time::Duration::from_millis(random.random_range(PAUSE_MS)));
+    }
+    sent
+}
