Planner: pack short writers up to 14 an engine; operators' paths as slipturnctl asks them

Also: tests of HTTP framing, log lines that nobody reads, settings files, datagrams, the platform's formats; the settings file is read again when it changes without a signal.

--- a/crates/core/src/read_planner.rs
+++ b/crates/core/src/read_planner.rs
@@ -90,7 +90,7 @@
 
 impl Default for PlannerOptions {
     fn default() -> Self {
-        Self { packed_writers: 10, max_parts: 17, pressure: 0.25, delay: 0.3 }
+        Self { packed_writers: 14, max_parts: 17, pressure: 0.25, delay: 0.3 }
     }
 }
 
--- a/crates/core/src/route_table.rs
+++ b/crates/core/src/route_table.rs
@@ -190,6 +190,11 @@
         self.keys.get(key)
     }
 
+    /// All routes, in no order.
+    pub fn all_routes(&self) -> impl Iterator<Item = &RoutePolicy> {
+        self.routes.values().flatten().map(std::rc::Rc::as_ref)
+    }
+
     /// Number of routes.
     pub fn route_count(&self) -> usize {
         self.routes.values().map(Vec::len).sum()
--- a/crates/instance/src/incoming_call.rs
+++ b/crates/instance/src/incoming_call.rs
@@ -51,6 +51,10 @@
             repeat: self.route.repeat.word(),
             prompt: self.request.prompt,
             limit_ms: units::whole_millis(self.deadline.since(self.arrived)),
+            limit_from: match self.request.patience {
+                Some(patience) if patience < self.route.time_limit => "caller".to_owned(),
+                _ => format!("route {}", self.route.name),
+            },
             ..Default::default()
         }
     }
--- a/crates/instance/src/instance_stats.rs
+++ b/crates/instance/src/instance_stats.rs
@@ -2,6 +2,8 @@
 
 use std::{collections, fmt::Write as _, time};
 
+use serde::Serialize;
+
 /// Upper bounds of the latency buckets, milliseconds.
 const BUCKETS_MS: [u64; 14] =
     [5, 10, 25, 50, 100, 200, 300, 500, 800, 1_500, 3_000, 5_000, 10_000, 20_000];
@@ -15,6 +17,35 @@
     total_ms: u64,
 }
 
+impl LatencySeries {
+    /// Bound of the bucket below which this share lies; `None` above the last one.
+    fn bound_of(&self, share: f64) -> Option<u64> {
+        let wanted = (self.count as f64 * share).ceil() as u64;
+        let mut below = 0;
+        BUCKETS_MS.iter().zip(self.buckets).find_map(|(bound, count)| {
+            below += count;
+            (below >= wanted).then_some(*bound)
+        })
+    }
+}
+
+/// One series of latencies, for operators.
+#[derive(Debug, Serialize)]
+pub struct LatencyRow {
+    /// What is measured.
+    pub measure: &'static str,
+    /// Of which route or customer.
+    pub series: String,
+    /// Values counted.
+    pub count: u64,
+    /// Mean.
+    pub mean_ms: u64,
+    /// Bound below which half lie; absent above the largest bucket.
+    pub p50_below_ms: Option<u64>,
+    /// Bound below which 95% lie; absent above the largest bucket.
+    pub p95_below_ms: Option<u64>,
+}
+
 /// Counters and latencies; bounded in number.
 #[derive(Debug, Default)]
 pub struct InstanceStats {
@@ -42,6 +73,20 @@
         }
     }
 
+    /// Latencies as rows: mean, and the bounds below which half and 95% lie.
+    pub fn rows(&self) -> Vec<LatencyRow> {
+        let row =
+            |((metric, label), series): (&(&'static str, String), &LatencySeries)| LatencyRow {
+                measure: metric,
+                series: label.clone(),
+                count: series.count,
+                mean_ms: series.total_ms / series.count.max(1),
+                p50_below_ms: series.bound_of(0.5),
+                p95_below_ms: series.bound_of(0.95),
+            };
+        self.latencies.iter().map(row).collect()
+    }
+
     /// All figures, in the text form that collectors read.
     pub fn text(&self) -> String {
         let mut text = String::new();
--- a/crates/instance/src/plan_client.rs
+++ b/crates/instance/src/plan_client.rs
@@ -110,19 +110,27 @@
             }
             Some(read_planner::PlaceAnswer::Grant(grant)) => grant,
         };
-        {
-            guard.granted = true;
-            let lease =
-                read_planner::PlaceLease { ask: ask.clone(), grant: grant.clone(), reading: true };
-            let held = context::HeldLease { service: service.clone(), lease };
-            context.leases.borrow_mut().insert(ask.job, held);
-            return PlaceOutcome::Placed(PlaceHold {
-                context: rc::Rc::clone(context),
-                service: service.clone(),
-                grant,
-                end: read_planner::PlaceEnd::Done,
-            });
-        }
+        guard.granted = true;
+        return PlaceOutcome::Placed(hold(context, service, ask, grant));
+    }
+}
+
+/// Notes a place as in use until it is dropped.
+fn hold(
+    context: &rc::Rc<context::InstanceContext>,
+    service: &ids::ServiceId,
+    ask: read_planner::PlaceAsk,
+    grant: read_planner::PlaceGrant,
+) -> PlaceHold {
+    let job = ask.job;
+    let lease = read_planner::PlaceLease { ask, grant: grant.clone(), reading: true };
+    let held = context::HeldLease { service: service.clone(), lease };
+    context.leases.borrow_mut().insert(job, held);
+    PlaceHold {
+        context: rc::Rc::clone(context),
+        service: service.clone(),
+        grant,
+        end: read_planner::PlaceEnd::Done,
     }
 }
 
--- a/crates/instance/src/program.rs
+++ b/crates/instance/src/program.rs
@@ -20,6 +20,8 @@
 
 /// Time between two looks at whether a stop or a reload was asked for.
 const SIGNAL_POLL: time::Duration = time::Duration::from_millis(100);
+/// Looks for signals between two looks at the settings file.
+const FILE_POLLS: u32 = 20;
 /// After SIGTERM, connections are still taken for this long: the balancer asks every second and
 /// looks away after two misses.
 const UNREADY_TIME: time::Duration = time::Duration::from_millis(2_600);
@@ -155,14 +157,25 @@
 }
 
 async fn wait_for_stop(context: &context::InstanceContext, reload: &AtomicBool, path: &path::Path) {
+    let mut changed = modified(path);
+    let mut polls = 0_u32;
     while !context.stop.asked() {
-        if reload.swap(false, atomic::Ordering::SeqCst) {
+        polls += 1;
+        // The file may change without a signal.
+        let found = if polls.is_multiple_of(FILE_POLLS) { modified(path) } else { changed };
+        if reload.swap(false, atomic::Ordering::SeqCst) || found != changed {
+            changed = found;
             load_again(context, path);
         }
         monoio::time::sleep(SIGNAL_POLL).await;
     }
 }
 
+/// When a file was last written; `None` where that cannot be told.
+fn modified(path: &path::Path) -> Option<time::SystemTime> {
+    std::fs::metadata(path).and_then(|data| data.modified()).ok()
+}
+
 /// Takes over what may change while the process runs; a bad file changes nothing.
 fn load_again(context: &context::InstanceContext, path: &path::Path) {
     match instance_settings::InstanceSettings::load(path) {
--- a/crates/instance/src/request_record.rs
+++ b/crates/instance/src/request_record.rs
@@ -49,6 +49,8 @@
     pub prompt: u64,
     /// Time it had when it arrived.
     pub limit_ms: u64,
+    /// Who set that limit: the caller, or the route by name.
+    pub limit_from: String,
     /// Attempts, oldest first.
     pub attempts: Vec<AttemptRecord>,
     /// Status of the answer; absent where the caller had gone.
--- a/crates/instance/src/small_server.rs
+++ b/crates/instance/src/small_server.rs
@@ -2,6 +2,7 @@
 
 use std::{rc, time};
 
+use slipturn_core::units;
 use slipturn_net::h1;
 
 use crate::{context, store_feed};
@@ -56,7 +57,7 @@
         let (status, body) = match role {
             SmallRole::Health => health(&context, path),
             SmallRole::Members => documents(&context, path),
-            SmallRole::Operators => operators(&context, path),
+            SmallRole::Operators => operators(&context, &head.method, path),
         };
         let close = h1::closes(head.version, &head.headers);
         let status = http::StatusCode::from_u16(status).unwrap_or_default();
@@ -98,25 +99,70 @@
     }
 }
 
-fn operators(context: &context::InstanceContext, path: &str) -> (u16, String) {
-    if let Some(id) = path.strip_prefix("/explain/") {
-        let records = context.records.borrow();
-        return match records.find(id) {
-            Some(record) => match serde_json::to_string_pretty(record) {
-                Ok(text) => (200, text),
-                Err(error) => (500, error.to_string()),
-            },
-            None => (404, "not among the last requests of this instance\n".to_owned()),
+/// The paths that `slipturnctl` asks, and the metrics page.
+fn operators(
+    context: &context::InstanceContext,
+    method: &http::Method,
+    path: &str,
+) -> (u16, String) {
+    if let Some(id) = path.strip_prefix("/v1/decisions/") {
+        return match context.records.borrow().find(id) {
+            Some(record) => json(record),
+            None => (404, said("not among the last requests of this instance")),
         };
     }
-    match path {
-        "/metrics" => (200, context.stats.borrow().text()),
-        "/status" => (200, status(context)),
-        _ => (404, "try /metrics, /status or /explain/ID\n".to_owned()),
+    match (method.as_str(), path) {
+        ("GET", "/metrics") => (200, context.stats.borrow().text()),
+        ("GET", "/v1/status") => json(&status(context)),
+        ("GET", "/v1/histograms") => json(&context.stats.borrow().rows()),
+        ("GET", "/v1/settings") => json(&routes(context)),
+        ("POST", "/v1/drain") => {
+            log::info!("drain.asked");
+            context.stop.ask();
+            (200, said("draining"))
+        }
+        _ => {
+            (404, said("try /metrics, /v1/status, /v1/settings, /v1/histograms, /v1/decisions/ID"))
+        }
+    }
+}
+
+fn json(value: &impl serde::Serialize) -> (u16, String) {
+    match serde_json::to_string(value) {
+        Ok(text) => (200, text),
+        Err(error) => (500, said(&error.to_string())),
     }
 }
 
-fn status(context: &context::InstanceContext) -> String {
+/// A short answer to an operator, in the shape that `slipturnctl` shows.
+fn said(text: &str) -> String {
+    serde_json::json!({ "status": text }).to_string()
+}
+
+fn routes(context: &context::InstanceContext) -> serde_json::Value {
+    let fleet = context.fleet.borrow();
+    let rows: Vec<_> = fleet
+        .routes
+        .all_routes()
+        .map(|route| {
+            serde_json::json!({
+                "name": route.name,
+                "host": route.host,
+                "path_prefix": route.path_prefix,
+                "repeat": route.repeat.word(),
+                "streaming": route.streaming,
+                "time_limit_ms": units::whole_millis(route.time_limit),
+                "first_token_goal_ms": units::whole_millis(route.first_token_goal),
+                "pause_goal_ms": units::whole_millis(route.pause_goal),
+                "priority": route.priority,
+                "max_attempts": route.max_attempts,
+            })
+        })
+        .collect();
+    serde_json::json!({ "version": fleet.routes.version, "routes": rows })
+}
+
+fn status(context: &context::InstanceContext) -> serde_json::Value {
     let beat = context.own_beat(0);
     let fleet = context.fleet.borrow();
     let members = context.members.borrow();
@@ -133,5 +179,4 @@
         "members": alive,
         "busy": context.busy.get(),
     })
-    .to_string()
 }
--- /dev/null
+++ b/crates/instance/tests/event_stream.rs
@@ -0,0 +1,44 @@
+//! Whole events only, however the bytes are cut.
+
+use proptest::prelude::*;
+use slipturn_instance::event_stream::{EventBuffer, split_events};
+
+#[test]
+fn half_events_stay_in_the_buffer() {
+    let mut buffer = EventBuffer::default();
+    buffer.push(b"id: 1\ndata: a\n\nid: 2\nda");
+    assert_eq!(&buffer.take_whole()[..], b"id: 1\ndata: a\n\n");
+    assert!(!buffer.is_empty());
+    buffer.push(b"ta: b\r\n\r\n");
+    assert_eq!(&buffer.take_whole()[..], b"id: 2\ndata: b\r\n\r\n");
+    assert!(buffer.is_empty());
+}
+
+#[test]
+fn events_are_told_apart() {
+    let events = split_events(b"id: 1\n\nid: 2\ndata: x\n\nhalf");
+    assert_eq!(events, vec![&b"id: 1\n\n"[..], &b"id: 2\ndata: x\n\n"[..]]);
+}
+
+proptest! {
+    #[test]
+    fn nothing_is_lost_or_repeated(events in 1_usize..20, cuts in prop::collection::vec(1_usize..9, 1..80)) {
+        let whole: String =
+            (1..=events).map(|number| format!("id: {number}\ndata: {number}\n\n")).collect();
+        let mut buffer = EventBuffer::default();
+        let mut passed = Vec::new();
+        let mut rest = whole.as_bytes();
+        for cut in cuts {
+            let (piece, later) = rest.split_at(cut.min(rest.len()));
+            rest = later;
+            buffer.push(piece);
+            let taken = buffer.take_whole();
+            prop_assert!(taken.is_empty() || taken.ends_with(b"\n\n"));
+            passed.extend_from_slice(&taken);
+        }
+        prop_assert!(whole.as_bytes().starts_with(&passed));
+        buffer.push(rest);
+        passed.extend_from_slice(&buffer.take_whole());
+        prop_assert_eq!(passed, whole.as_bytes());
+    }
+}
--- /dev/null
+++ b/crates/instance/tests/peer_message.rs
@@ -0,0 +1,65 @@
+//! Datagrams between instances: what is said arrives, and garbage is an error.
+
+use proptest::prelude::*;
+use slipturn_core::read_planner::{JobId, PlaceAsk, PlaceEnd, PlaceGrant, PlaceLease};
+use slipturn_instance::peer_message::{MAX_DATAGRAM, MAX_LEASES, PeerMessage};
+
+fn name(text: &str) -> slipturn_core::ids::UpstreamId {
+    text.parse().expect("a valid name")
+}
+
+fn lease(sequence: u64) -> PlaceLease {
+    let job = JobId { boot: u64::MAX, sequence };
+    let ask = PlaceAsk {
+        job,
+        prompt: u64::MAX,
+        output: u64::MAX,
+        pause_ms: u32::MAX,
+        goal_ms: u32::MAX,
+        goal_left_ms: u32::MAX,
+        patience_ms: u32::MAX,
+        worth: 1.0,
+        refusable: true,
+        excluded: vec![name("i-0123456789ab"); 4],
+    };
+    let grant = PlaceGrant {
+        job,
+        engine: name("i-0123456789ab"),
+        helpers: vec![name("i-0123456789ab"); 16],
+        held: Vec::new(),
+        first_token_ms: u32::MAX,
+        waited_ms: u32::MAX,
+    };
+    PlaceLease { ask, grant, reading: true }
+}
+
+#[test]
+fn messages_arrive_as_they_were_said() {
+    let service: slipturn_core::ids::ServiceId = "models".parse().expect("a valid name");
+    let messages = [
+        PeerMessage::Renew(service.clone(), vec![lease(1), lease(2)]),
+        PeerMessage::End(service.clone(), JobId { boot: 1, sequence: 2 }, PlaceEnd::Silent),
+        PeerMessage::Shun(service.clone(), name("e1")),
+        PeerMessage::Ask(service, Box::new(lease(3).ask)),
+    ];
+    for message in messages {
+        let bytes = message.encode().expect("it can be coded");
+        assert_eq!(PeerMessage::decode(&bytes).expect("it can be read"), message);
+    }
+}
+
+#[test]
+fn the_largest_message_fits_a_datagram() {
+    let service = "models".parse().expect("a valid name");
+    let leases = (0..MAX_LEASES as u64).map(lease).collect();
+    let bytes = PeerMessage::Renew(service, leases).encode().expect("it can be coded");
+    assert!(bytes.len() <= MAX_DATAGRAM, "{} bytes", bytes.len());
+}
+
+proptest! {
+    #[test]
+    fn garbage_is_an_error_and_no_panic(bytes in prop::collection::vec(any::<u8>(), 0..600)) {
+        // Whether it happens to be a message does not matter; that it returns does.
+        let _ = PeerMessage::decode(&bytes);
+    }
+}
--- a/crates/soak/src/fault_plan.rs
+++ b/crates/soak/src/fault_plan.rs
@@ -6,8 +6,6 @@
 use rand_chacha::ChaCha8Rng;
 use slipturn_platform_standin::{proxy::LinkMode, runner::RunnerMode, store::StoreMode};
 
-
-
 /// Pause between two faults, milliseconds: short enough for faults to overlap.
 const GAP_MS: std::ops::Range<u64> = 150..900;
 /// How long a fault lasts, milliseconds.
@@ -57,7 +55,13 @@
 
 impl fmt::Display for PlannedFault {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{:>6} ms, {:>5} ms: {:?}", self.at.as_millis(), self.length.as_millis(), self.fault)
+        write!(
+            f,
+            "{:>6} ms, {:>5} ms: {:?}",
+            self.at.as_millis(),
+            self.length.as_millis(),
+            self.fault
+        )
     }
 }
 
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -60,7 +60,10 @@
         }
         let report = run::run(&options).map_err(|error| error.to_string())?;
         let (requests, good) = report.requests;
-        println!("seed {seed}: {good} of {requests} served, {} violations", report.violations.len());
+        println!(
+            "seed {seed}: {good} of {requests} served, {} violations",
+            report.violations.len()
+        );
         for violation in report.violations.iter().take(8) {
             println!("  {violation}");
         }
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -75,12 +75,14 @@
 
 /// Plays a seed.
 pub fn run(options: &RunOptions) -> io::Result<RunReport> {
-    let size = FleetPlan { instances: options.instances, engines: ENGINES, plain: PLAIN, proxied: true };
+    let size =
+        FleetPlan { instances: options.instances, engines: ENGINES, plain: PLAIN, proxied: true };
     let fleet = Fleet::start(&options.program, &size)?;
     fleet.wait_ready();
     let addresses = (0..options.instances).map(|number| fleet.callers(number)).collect();
     let traffic = Traffic::start(options.seed, options.clients, addresses);
-    let mut soak = Soak { fleet, evidence: Evidence::default(), ends: Vec::new(), routes: Vec::new() };
+    let mut soak =
+        Soak { fleet, evidence: Evidence::default(), ends: Vec::new(), routes: Vec::new() };
     soak.strike_all(&plan(options), options.length);
     soak.evidence.sent = traffic.finish();
     soak.recover();
@@ -266,7 +268,9 @@
         let all = 0..self.fleet.instances.len() as u8;
         while !all.clone().all(|number| self.fleet.ready(number)) {
             if Instant::now() > until {
-                self.evidence.found.push(format!("not all ready {RECOVERY:?} after the last fault"));
+                self.evidence
+                    .found
+                    .push(format!("not all ready {RECOVERY:?} after the last fault"));
                 return;
             }
             self.end_due(Instant::now());
@@ -307,7 +311,8 @@
                 return;
             }
             if Instant::now() > until {
-                let fault = format!("{held} tokens set aside and {running} requests running at the end");
+                let fault =
+                    format!("{held} tokens set aside and {running} requests running at the end");
                 self.evidence.found.push(fault);
                 return;
             }
--- a/crates/soak/src/traffic.rs
+++ b/crates/soak/src/traffic.rs
@@ -101,10 +101,9 @@
         let counts = (prompt, random.random_range(50..1_500));
         let request = request(format!("{seed:x}-{client}-{turn}"), route, counts);
         let from = time::Instant::now();
-        let connection = open.remove(&instance).map_or_else(
-            || Caller::connect(instances[usize::from(instance)]).ok(),
-            Some,
-        );
+        let connection = open
+            .remove(&instance)
+            .map_or_else(|| Caller::connect(instances[usize::from(instance)]).ok(), Some);
         let outcome = match connection {
             None => Outcome::NoConnection,
             Some(mut caller) => {
