Planner: a short request is refused where its best place is a queue, though engines that read for seconds have slots

Also two processes were killed at the end of their grace on slowed machines: they now end 0.9 s before it. Test: engines_that_read_for_seconds_are_no_free_slots (red before).

--- a/crates/core/src/read_planner.rs
+++ b/crates/core/src/read_planner.rs
@@ -64,6 +64,8 @@
 /// Part of all engines' slots that must be taken before a short request is refused; below it,
 /// engines that seem unusable may only have been slow.
 const FULL_PART: f64 = 0.6;
+/// Requests beyond its slots that an engine may get of those that come back.
+const RETURNED_EXTRA: usize = 2;
 /// When a refused request may come back, milliseconds; spread by its member.
 const BACK_AFTER_MS: u32 = 700;
 /// Slack below which a long prompt goes before others, milliseconds: about the time that an
@@ -495,10 +497,14 @@
             (None, ChoiceMode::Calm) => {
                 return self.refuse_long(now, job).map(PlaceAnswer::Refuse);
             }
-            (None, mode) => match self.refuse(now, job) {
-                Some(refusal) => return Some(PlaceAnswer::Refuse(refusal)),
-                None => self.choose(now, job, &views, mode)?,
-            },
+            (None, mode) => {
+                let choice = self.choose(now, job, &views, mode);
+                let crowded = choice.as_ref().is_none_or(|choice| self.is_crowded(job, choice));
+                if crowded && let Some(refusal) = self.refuse(now, job) {
+                    return Some(PlaceAnswer::Refuse(refusal));
+                }
+                choice?
+            }
         };
         let grant = choice.grant;
         let lease = PlaceLease { ask: job.ask.clone(), grant: grant.clone(), reading: true };
@@ -507,17 +513,23 @@
         Some(PlaceAnswer::Grant(grant))
     }
 
-    /// Refuses a short request while every slot is taken: in an engine's queue it would come late
-    /// and make those behind it late too.
+    /// Whether a short request would stand in an engine's queue, or come late.
+    fn is_crowded(&self, job: &WaitingJob, choice: &Choice) -> bool {
+        let engine = self.engines.get(&choice.grant.engine);
+        let running = engine.map_or(0, |engine| engine.answering.len());
+        let more = if job.ask.refusable { 0 } else { RETURNED_EXTRA };
+        running >= self.shape.slots + more || choice.grant.first_token_ms > job.ask.goal_ms * 2
+    }
+
+    /// Refuses a short request that finds no place in time: in an engine's queue it would come
+    /// late and make those behind it late too.
     fn refuse(&self, now: units::MonoTime, job: &WaitingJob) -> Option<PlaceRefusal> {
         if !job.ask.tight() {
             return self.refuse_long(now, job);
         }
-        let usable = self.engines.values().filter(|engine| engine.shunned_until <= now);
-        let free = usable.filter(|engine| engine.answering.len() < self.shape.slots).count();
         let slots = self.engines.len() * self.shape.slots;
         let running: usize = self.engines.values().map(|engine| engine.answering.len()).sum();
-        if free > 0 || (running as f64) < slots as f64 * FULL_PART {
+        if (running as f64) < slots as f64 * FULL_PART {
             return None;
         }
         Some(PlaceRefusal {
--- a/crates/core/tests/read_planner.rs
+++ b/crates/core/tests/read_planner.rs
@@ -181,6 +181,20 @@
     place(&mut planner, 2_100, short(51));
 }
 
+#[test]
+fn engines_that_read_for_seconds_are_no_free_slots() {
+    let mut planner = planner(3);
+    let late = PlaceAsk { goal_left_ms: 0, patience_ms: 0, ..long(99, 250_000) };
+    let long = place(&mut planner, 0, PlaceAsk { excluded: vec![engine(1), engine(2)], ..late });
+    assert_eq!(long.engine, engine(0));
+    for number in 0..2 * SLOTS as u64 {
+        write(&mut planner, 10 + number, short(number));
+    }
+    assert!(planner.ask(at(100), short(70)).is_none());
+    let answers = planner.tick(at(160));
+    assert!(matches!(answers.as_slice(), [PlaceAnswer::Refuse(_)]), "{answers:?}");
+}
+
 #[test]
 fn one_that_comes_back_waits_longer_before_it_is_refused() {
     let mut planner = planner(1);
--- a/crates/instance/src/program.rs
+++ b/crates/instance/src/program.rs
@@ -25,8 +25,9 @@
 /// After SIGTERM, connections are still taken for this long: the balancer asks every second and
 /// looks away after two misses.
 const UNREADY_TIME: time::Duration = time::Duration::from_millis(2_600);
-/// The process ends by itself this long before it would be killed.
-const GRACE_MARGIN: time::Duration = time::Duration::from_millis(350);
+/// The process ends by itself this long before it would be killed; on a slow machine its last
+/// steps take some hundred milliseconds.
+const GRACE_MARGIN: time::Duration = time::Duration::from_millis(900);
 /// Time between two clean-ups of resting connections.
 const PRUNE_INTERVAL: time::Duration = time::Duration::from_secs(1);
 
