Few instances of a data centre watch the store, the others learn from them

Change: two watchers a data centre where it has more than four others, the next in order take over where these lose the store; a change is announced at once; a member asks for what is newer than its own, and gets the changes only. Found on the way: an instance that knew nothing yet read the store every 15 ms, as the missing configuration counted as a failure that ends no pause.

--- a/crates/core/src/membership.rs
+++ b/crates/core/src/membership.rs
@@ -21,6 +21,15 @@
 const FORGET_BEATS: u32 = 40;
 /// Addresses of others named in one heartbeat.
 const NAMED_MEMBERS: usize = 4;
+/// Members of a data centre that watch the platform's store in a large fleet: one more than needed,
+/// so that the loss of one is not noticed.
+const WATCHERS: usize = 2;
+/// Data centres with fewer other members than this have all of them watch.
+const SMALL_DATA_CENTER: usize = 4;
+/// Time after which the next member in order takes a missing watcher's part.
+const TAKE_OVER_STEP: time::Duration = time::Duration::from_millis(120);
+/// Time after which any member does.
+const TAKE_OVER_LIMIT: time::Duration = time::Duration::from_millis(900);
 /// A member this young is not asked to plan: it does not know yet what the engines are doing.
 const PLANNER_AGE: time::Duration = time::Duration::from_millis(1_200);
 
@@ -236,6 +245,43 @@
         self.alive(now).filter(|beat| beat.list > revision).max_by_key(|beat| beat.list)
     }
 
+    /// Whether this member should watch the platform's store itself, given how long it has seen
+    /// too few others do so.
+    ///
+    /// In a small fleet all do. In a large one [`WATCHERS`] in each data centre do and the others
+    /// learn from them; where fewer are left, the next in order take over, one after the other.
+    pub fn should_watch(
+        &self,
+        now: units::MonoTime,
+        own: &MemberBeat,
+        missing_for: time::Duration,
+    ) -> bool {
+        let near: Vec<_> = self
+            .alive(now)
+            .filter(|beat| beat.data_center == own.data_center && !beat.leaving)
+            .collect();
+        if near.len() < SMALL_DATA_CENTER {
+            return true;
+        }
+        let order = |beat: &MemberBeat| rendezvous::stable_hash(&["watch", beat.name.as_str()]);
+        let mine = order(own);
+        let before = |wanted: bool| {
+            near.iter().filter(|beat| beat.watches == wanted && order(beat) < mine).count()
+        };
+        let watching = near.iter().filter(|beat| beat.watches).count();
+        if own.watches {
+            return before(true) < WATCHERS;
+        }
+        let turn = TAKE_OVER_STEP * u32::try_from(before(false)).unwrap_or(u32::MAX);
+        watching < WATCHERS && missing_for >= turn.min(TAKE_OVER_LIMIT)
+    }
+
+    /// Whether fewer members than wanted watch the store in this member's data centre.
+    pub fn watchers_missing(&self, now: units::MonoTime, own: &MemberBeat) -> bool {
+        let near = self.alive(now).filter(|beat| beat.data_center == own.data_center);
+        near.filter(|beat| beat.watches).count() < WATCHERS
+    }
+
     /// Whether a process that started `age` ago may plan for others.
     pub fn old_enough(age: time::Duration) -> bool {
         age >= PLANNER_AGE
--- a/crates/core/tests/membership.rs
+++ b/crates/core/tests/membership.rs
@@ -158,3 +158,36 @@
     view.tick(at(60_000));
     assert_eq!(view.size(), 3, "half of the most, so that a lone member's share stays small");
 }
+
+/// The members of a data centre that watch the store, once views have settled.
+fn watchers(count: u8, failing: &[u8]) -> Vec<u8> {
+    let mut beats: Vec<_> =
+        (0..count).map(|number| MemberBeat { watches: false, ..beat(number, 1, 1) }).collect();
+    for round in 0..30_u64 {
+        let before = beats.clone();
+        for own in 0..count {
+            let mut view = MemberView::new(name(own), Vec::new());
+            for other in &before {
+                view.hear(at(0), other.clone());
+            }
+            let missing = time::Duration::from_millis(round * 150);
+            let wants = view.should_watch(at(1), &before[usize::from(own)], missing);
+            beats[usize::from(own)].watches = wants && !failing.contains(&own);
+        }
+    }
+    (0..count).filter(|number| beats[usize::from(*number)].watches).collect()
+}
+
+#[test]
+fn all_watch_in_a_small_fleet_and_few_in_a_large_one() {
+    assert_eq!(watchers(3, &[]).len(), 3);
+    assert_eq!(watchers(20, &[]).len(), 2);
+}
+
+#[test]
+fn others_take_over_where_watchers_cannot_reach_the_store() {
+    let first = watchers(20, &[]);
+    let second = watchers(20, &first);
+    assert_eq!(second.len(), 2, "{second:?}");
+    assert!(second.iter().all(|number| !first.contains(number)), "{first:?} {second:?}");
+}
--- a/crates/instance/src/border.rs
+++ b/crates/instance/src/border.rs
@@ -135,15 +135,20 @@
     fn event_id(&self, event: &[u8]) -> Option<String>;
 }
 
-/// Raw documents of the store, as members pass them on to each other.
+/// What a member passes on of the store's documents, raw, to one that knows less.
 #[derive(Debug, Clone, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct RawDocuments {
-    /// The routes, absent until published.
+    /// The routes, if newer ones are known.
     pub routes: Option<String>,
-    /// One document an upstream, by its name.
-    pub upstreams: collections::BTreeMap<String, String>,
-    /// Revision of the store they belong to.
+    /// All upstreams by name, where the changes alone are not known any more.
+    pub upstreams: Option<collections::BTreeMap<String, String>>,
+    /// Changes to upstreams, oldest first: the name and its document, or nothing once it is gone.
+    pub changes: Vec<(String, Option<String>)>,
+    /// Revision of the store that the upstreams belong to.
     pub revision: u64,
+    /// How long ago the store came back from an outage, if that was a moment ago: what vanished
+    /// with it may return.
+    pub returned_ms: Option<u64>,
 }
 
 /// A page of what lies in the store.
--- a/crates/instance/src/context.rs
+++ b/crates/instance/src/context.rs
@@ -69,6 +69,8 @@
     pub store_ok: cell::Cell<bool>,
     /// Whether this process watches the store.
     pub watching: cell::Cell<bool>,
+    /// Heartbeats sent so far.
+    pub beats: cell::Cell<u64>,
     /// When this process noticed that it had been paused; it plans for nobody shortly after.
     pub woke: cell::Cell<units::MonoTime>,
     /// Messages to other members.
@@ -115,6 +117,7 @@
             busy: cell::Cell::new(0),
             store_ok: cell::Cell::new(false),
             watching: cell::Cell::new(false),
+            beats: cell::Cell::new(0),
             woke: cell::Cell::new(units::MonoTime::default()),
             outgoing: parts.outgoing,
             sequence: cell::Cell::new(0),
--- a/crates/instance/src/fleet_state.rs
+++ b/crates/instance/src/fleet_state.rs
@@ -1,11 +1,30 @@
 //! What this process believes of routes and upstreams, and the raw documents it passes on.
 
-use std::rc;
+use std::{collections, rc, time};
 
 use slipturn_core::{route_table, units, upstream_list};
 
 use crate::border;
 
+/// Changes to upstreams that are remembered for other members.
+const MAX_CHANGES: usize = 256;
+
+/// An outage's end this long ago explains no changes any more, milliseconds.
+const RECENT_RETURN_MS: u64 = 3_000;
+
+/// What was read, as it was written.
+#[derive(Default)]
+struct RawState {
+    routes: Option<String>,
+    upstreams: collections::BTreeMap<String, String>,
+    /// Revision, name and document of the last changes, oldest first.
+    changes: collections::VecDeque<(u64, String, Option<String>)>,
+    /// Changes up to this revision are not remembered.
+    floor: u64,
+    /// Revision of the store that was read last.
+    revision: u64,
+}
+
 /// Routes and upstreams in force in this process. Versions only ever go up.
 pub struct FleetState {
     border: rc::Rc<dyn border::PlatformBorder>,
@@ -14,9 +33,11 @@
     /// Upstreams.
     pub list: upstream_list::UpstreamList,
     /// What the two were read from.
-    raw: border::RawDocuments,
+    raw: RawState,
     /// Whether a list of upstreams was ever read.
     listed: bool,
+    /// When the store came back from its last outage.
+    returned: Option<units::MonoTime>,
 }
 
 impl FleetState {
@@ -26,8 +47,9 @@
             border,
             routes: rc::Rc::new(route_table::RouteTable::default()),
             list: upstream_list::UpstreamList::default(),
-            raw: border::RawDocuments::default(),
+            raw: RawState::default(),
             listed: false,
+            returned: None,
         }
     }
 
@@ -36,9 +58,34 @@
         self.routes.version.0 > 0 && self.listed
     }
 
-    /// The documents, for another member.
-    pub fn documents(&self) -> &border::RawDocuments {
-        &self.raw
+    /// Revision of the store that was read last.
+    pub fn revision(&self) -> u64 {
+        self.raw.revision
+    }
+
+    /// What a member that has these versions does not know yet.
+    pub fn documents(&self, now: units::MonoTime, routes: u64, list: u64) -> border::RawDocuments {
+        let newer = self.routes.version.0 > routes;
+        let routes = self.raw.routes.clone().filter(|_| newer);
+        let whole = list < self.raw.floor;
+        let changes = self.raw.changes.iter().filter(|(revision, _, _)| *revision > list);
+        let changes = changes.map(|(_, name, text)| (name.clone(), text.clone()));
+        border::RawDocuments {
+            routes,
+            upstreams: whole.then(|| self.raw.upstreams.clone()),
+            changes: if whole { Vec::new() } else { changes.collect() },
+            revision: self.raw.revision,
+            returned_ms: self
+                .returned
+                .map(|returned| units::whole_millis(now.since(returned)))
+                .filter(|millis| *millis < RECENT_RETURN_MS),
+        }
+    }
+
+    /// Notes that the store answers again after an outage.
+    pub fn source_returned(&mut self, now: units::MonoTime) {
+        self.returned = Some(now);
+        self.list.source_returned(now);
     }
 
     /// Takes over documents of another member, each only where it is newer.
@@ -46,13 +93,17 @@
         if let Some(text) = documents.routes {
             self.put_routes(text, source);
         }
-        if documents.revision > self.list.revision() || !self.listed {
-            self.replace_upstreams(
-                now,
-                documents.upstreams.into_iter().collect(),
-                documents.revision,
-                source,
-            );
+        if documents.revision <= self.raw.revision && self.listed {
+            return;
+        }
+        if let Some(millis) = documents.returned_ms {
+            self.source_returned(now.earlier_by(time::Duration::from_millis(millis)));
+        }
+        if let Some(upstreams) = documents.upstreams {
+            let upstreams = upstreams.into_iter().collect();
+            self.replace_upstreams(now, upstreams, documents.revision, source);
+        } else if self.listed {
+            self.change_upstreams(now, documents.changes, documents.revision);
         }
     }
 
@@ -95,6 +146,8 @@
             log::info!(source, revision, upstreams = count; "list.replaced");
         }
         self.raw.upstreams = documents.into_iter().collect();
+        self.raw.changes.clear();
+        self.raw.floor = revision;
         self.raw.revision = revision;
         self.listed = true;
     }
@@ -106,49 +159,64 @@
         changes: Vec<border::StoreChange>,
         revision: u64,
     ) {
-        let mut list_changes = Vec::new();
+        let mut upstreams = Vec::new();
         for change in changes {
-            let key = match &change {
-                border::StoreChange::Put(key, _) | border::StoreChange::Gone(key) => key,
+            let (key, text) = match change {
+                border::StoreChange::Put(key, text) => (key, Some(text)),
+                border::StoreChange::Gone(key) => (key, None),
             };
-            match (self.border.key(key), change) {
-                (border::StoreKey::Routes, border::StoreChange::Put(_, text)) => {
-                    self.put_routes(text, "store");
-                }
-                (border::StoreKey::Upstream(name), border::StoreChange::Put(_, text)) => {
-                    if let Some(entry) = self.read_entry(&name, &text) {
-                        list_changes.push(upstream_list::ListChange::Present(entry));
-                        self.raw.upstreams.insert(name, text);
-                    }
-                }
-                (border::StoreKey::Upstream(name), border::StoreChange::Gone(_)) => {
-                    self.raw.upstreams.remove(&name);
-                    if let Ok(name) = name.parse() {
-                        list_changes.push(upstream_list::ListChange::Gone(name));
-                    }
-                }
+            match (self.border.key(&key), text) {
+                (border::StoreKey::Routes, Some(text)) => self.put_routes(text, "store"),
+                (border::StoreKey::Upstream(name), text) => upstreams.push((name, text)),
                 _ => {}
             }
         }
-        for change in &list_changes {
-            match change {
-                upstream_list::ListChange::Present(entry) => {
-                    if self.list.entry(&entry.name) != Some(entry) {
-                        log::info!(
-                            upstream:% = entry.name, service:% = entry.service,
-                            state:? = entry.state, revision; "upstream.listed"
-                        );
-                    }
-                }
-                upstream_list::ListChange::Gone(name) => {
-                    log::info!(upstream:% = name, revision; "upstream.unlisted");
-                }
-            }
+        self.change_upstreams(now, upstreams, revision);
+    }
+
+    fn change_upstreams(
+        &mut self,
+        now: units::MonoTime,
+        changes: Vec<(String, Option<String>)>,
+        revision: u64,
+    ) {
+        let mut list_changes = Vec::new();
+        for (name, text) in changes {
+            list_changes.extend(self.read_change(&name, text.as_deref(), revision));
+            match &text {
+                Some(text) => self.raw.upstreams.insert(name.clone(), text.clone()),
+                None => self.raw.upstreams.remove(&name),
+            };
+            self.raw.changes.push_back((revision, name, text));
+        }
+        while self.raw.changes.len() > MAX_CHANGES {
+            self.raw.floor = self.raw.changes.pop_front().map_or(revision, |(oldest, _, _)| oldest);
         }
         self.list.apply(now, list_changes, revision);
         self.raw.revision = self.raw.revision.max(revision);
     }
 
+    /// One change as the list takes it; `None` where the entry cannot be read.
+    fn read_change(
+        &self,
+        name: &str,
+        text: Option<&str>,
+        revision: u64,
+    ) -> Option<upstream_list::ListChange> {
+        let Some(text) = text else {
+            log::info!(upstream = name, revision; "upstream.unlisted");
+            return name.parse().ok().map(upstream_list::ListChange::Gone);
+        };
+        let entry = self.read_entry(name, text)?;
+        if self.list.entry(&entry.name) != Some(&entry) {
+            log::info!(
+                upstream:% = entry.name, service:% = entry.service, state:? = entry.state,
+                revision; "upstream.listed"
+            );
+        }
+        Some(upstream_list::ListChange::Present(entry))
+    }
+
     fn read_entry(&self, name: &str, text: &str) -> Option<upstream_list::UpstreamEntry> {
         self.border
             .read_upstream(name, text)
--- a/crates/instance/src/peers.rs
+++ b/crates/instance/src/peers.rs
@@ -132,9 +132,9 @@
 
 /// Repeats this process's heartbeat to the others and forgets silent ones.
 pub async fn beat(context: rc::Rc<context::InstanceContext>) {
-    let mut sequence = 0;
     loop {
-        sequence += 1;
+        let sequence = context.beats.get() + 1;
+        context.beats.set(sequence);
         let beat = context.own_beat(sequence);
         let targets = context.members.borrow().targets(beat.address);
         for to in targets {
@@ -151,6 +151,24 @@
     }
 }
 
+/// Tells the members of this data centre at once that there is something new to fetch.
+pub fn announce(context: &context::InstanceContext) {
+    let sequence = context.beats.get() + 1;
+    context.beats.set(sequence);
+    let beat = context.own_beat(sequence);
+    let near: Vec<_> = {
+        let members = context.members.borrow();
+        let alive = members.alive(context.now());
+        alive
+            .filter(|other| other.data_center == beat.data_center)
+            .map(|other| other.address)
+            .collect()
+    };
+    for to in near {
+        context.tell(to, peer_message::PeerMessage::Beat(Box::new(beat.clone())));
+    }
+}
+
 /// Gives places to requests that wait, and notices that the process had been paused.
 pub async fn plan(context: rc::Rc<context::InstanceContext>) {
     let mut last = context.now();
--- a/crates/instance/src/small_server.rs
+++ b/crates/instance/src/small_server.rs
@@ -56,7 +56,7 @@
         let path = head.uri.path();
         let (status, body) = match role {
             SmallRole::Health => health(&context, path),
-            SmallRole::Members => documents(&context, path),
+            SmallRole::Members => documents(&context, &head.uri),
             SmallRole::Operators => operators(&context, &head.method, path),
         };
         let close = h1::closes(head.version, &head.headers);
@@ -85,18 +85,20 @@
     context.fleet.borrow().is_known() && !context.stop.asked()
 }
 
-fn documents(context: &context::InstanceContext, path: &str) -> (u16, String) {
-    if path != store_feed::DOCUMENTS_PATH {
-        return (404, String::new());
+fn documents(context: &context::InstanceContext, uri: &http::Uri) -> (u16, String) {
+    if uri.path() != store_feed::DOCUMENTS_PATH {
+        return (404, said("not a path of members"));
     }
     let fleet = context.fleet.borrow();
     if !fleet.is_known() {
-        return (503, String::new());
-    }
-    match serde_json::to_string(fleet.documents()) {
-        Ok(body) => (200, body),
-        Err(error) => (500, error.to_string()),
+        return (503, said("nothing is known yet"));
     }
+    let number = |name: &str| {
+        let pairs = uri.query().unwrap_or_default().split('&');
+        let mut values = pairs.filter_map(|pair| pair.strip_prefix(name)?.strip_prefix('='));
+        values.next().and_then(|text| text.parse().ok()).unwrap_or(0)
+    };
+    json(&fleet.documents(context.now(), number("routes"), number("list")))
 }
 
 /// The paths that `slipturnctl` asks, and the metrics page.
--- a/crates/instance/src/store_feed.rs
+++ b/crates/instance/src/store_feed.rs
@@ -4,7 +4,7 @@
 
 use rand::RngExt as _;
 
-use crate::{border, context, document_call};
+use crate::{border, context, document_call, peers};
 
 /// Longest wait of one watch.
 const WATCH_WAIT: time::Duration = time::Duration::from_secs(25);
@@ -33,17 +33,21 @@
     let mut pause = RETRY_PAUSE;
     let mut away_since = None;
     loop {
+        wait_for_turn(&context).await;
         let store = context.settings().store;
         let mut connection = document_call::DocumentConnection::new(store);
         let error = match follow(&context, &mut connection, &mut away_since).await {
             Ok(()) => {
-                pause = RETRY_PAUSE;
+                context.watching.set(false);
+                context.store_ok.set(false);
+                log::info!("store.left_to_others");
                 continue;
             }
             Err(error) => error,
         };
         if context.store_ok.replace(false) {
             log::warn!(error = error.as_str(); "store.lost");
+            peers::announce(&context);
             pause = RETRY_PAUSE;
         }
         away_since.get_or_insert(context.now());
@@ -53,19 +57,56 @@
     }
 }
 
+/// Waits until this member should watch the store itself: at once where it knows nothing.
+async fn wait_for_turn(context: &context::InstanceContext) {
+    let mut missing_since = None;
+    while !is_own_turn(context, &mut missing_since) {
+        monoio::time::sleep(MEMBER_INTERVAL).await;
+    }
+}
+
+fn is_own_turn(
+    context: &context::InstanceContext,
+    missing_since: &mut Option<slipturn_core::units::MonoTime>,
+) -> bool {
+    if context.watching.get() || !context.fleet.borrow().is_known() {
+        return true;
+    }
+    let now = context.now();
+    let own = context.own_beat(0);
+    let members = context.members.borrow();
+    let missing = members.watchers_missing(now, &own);
+    *missing_since = missing.then(|| missing_since.unwrap_or(now));
+    let missing_for = missing_since.map_or(time::Duration::ZERO, |since| now.since(since));
+    members.should_watch(now, &own, missing_for)
+}
+
+/// Whether enough others watch for this member to leave it to them.
+fn others_watch(context: &context::InstanceContext) -> bool {
+    let own = context.own_beat(0);
+    let missing_for = time::Duration::ZERO;
+    let needed = context.members.borrow().should_watch(context.now(), &own, missing_for);
+    context.fleet.borrow().is_known() && !needed
+}
+
+/// Follows the store until it fails, or until enough others do (`Ok`).
 async fn follow(
     context: &context::InstanceContext,
     connection: &mut document_call::DocumentConnection,
     away_since: &mut Option<slipturn_core::units::MonoTime>,
 ) -> Result<(), String> {
-    let mut revision = context.fleet.borrow().documents().revision;
+    let mut revision = context.fleet.borrow().revision();
     let known = context.fleet.borrow().is_known();
     if !known || revision == 0 {
         revision = read_all(context, connection).await?;
+        context.watching.set(true);
         regained(context, away_since);
     }
+    context.watching.set(true);
     loop {
-        context.watching.set(true);
+        if context.store_ok.get() && others_watch(context) {
+            return Ok(());
+        }
         // After an outage the first watch returns at once, so that the return is noticed.
         let wait = if context.store_ok.get() { WATCH_WAIT } else { time::Duration::from_millis(1) };
         let path = context.border.watch_path(revision, wait);
@@ -86,6 +127,7 @@
         let now = context.now();
         if !quiet {
             context.fleet.borrow_mut().apply(now, changes, next);
+            peers::announce(context);
         }
         revision = revision.max(next);
         if !quiet {
@@ -102,9 +144,12 @@
     if let Some(since) = away_since.take() {
         let away_ms = now.since(since).as_millis() as u64;
         log::info!(away_ms; "store.regained");
-        context.fleet.borrow_mut().list.source_returned(now);
+        context.fleet.borrow_mut().source_returned(now);
+    }
+    if !context.store_ok.replace(true) && context.watching.get() {
+        // The others count on this one from now on.
+        peers::announce(context);
     }
-    context.store_ok.set(true);
 }
 
 async fn read_all(
@@ -133,11 +178,15 @@
         }
     }
     let revision = first_revision.unwrap_or_default();
-    let body = connection.get(&border.routes_path(), READ_TIME).await.map_err(text)?;
-    let page = border.read_page(&body).map_err(|error| error.to_string())?;
+    let routes = match connection.get(&border.routes_path(), READ_TIME).await {
+        Ok(body) => border.read_page(&body).map_err(|error| error.to_string())?.items,
+        // Nothing has been published yet; the watch tells when it is.
+        Err(document_call::CallError::Status { status: 404 }) => Vec::new(),
+        Err(error) => return Err(text(error)),
+    };
     let now = context.now();
     let mut fleet = context.fleet.borrow_mut();
-    for (_, value) in page.items {
+    for (_, value) in routes {
         fleet.put_routes(value, "store");
     }
     fleet.replace_upstreams(now, documents, revision, "store");
@@ -152,7 +201,12 @@
             continue;
         };
         let mut connection = document_call::DocumentConnection::new(address);
-        let documents = match connection.get(DOCUMENTS_PATH, MEMBER_TIME).await {
+        let (routes, list) = {
+            let fleet = context.fleet.borrow();
+            (fleet.routes.version.0, if fleet.is_known() { fleet.revision() } else { 0 })
+        };
+        let path = format!("{DOCUMENTS_PATH}?routes={routes}&list={list}");
+        let documents = match connection.get(&path, MEMBER_TIME).await {
             Ok(body) => serde_json::from_slice::<border::RawDocuments>(&body)
                 .map_err(|error| error.to_string()),
             Err(error) => Err(error.to_string()),
