Plan large services in cells; measure what a planner costs

Change: at most some 96 engines a planner, each with a member of its own; a request draws a cell. Small services stay one cell.

--- a/crates/compare/src/lib.rs
+++ b/crates/compare/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod fake_engines;
 pub mod planned_size;
+pub mod planner_cost;
 pub mod policy_run;
 pub mod scenario;
 pub mod summary;
--- a/crates/compare/src/main.rs
+++ b/crates/compare/src/main.rs
@@ -2,7 +2,7 @@
 
 use std::{process, thread, time};
 
-use slipturn_compare::{planned_size, policy_run, scenario, summary};
+use slipturn_compare::{planned_size, planner_cost, policy_run, scenario, summary};
 use slipturn_core::settings;
 use slipturn_net::command_line;
 
@@ -32,7 +32,8 @@
         command_line::ParsedLine::Leave(code) => return process::ExitCode::from(code),
     };
     if matches.opt_present("planned-size") {
-        for row in planned_size::measure() {
+        let rows = planned_size::measure().into_iter().chain(planner_cost::measure());
+        for row in rows {
             println!("{:<46} {}", row.what, row.value);
         }
         return process::ExitCode::from(command_line::EXIT_GOOD);
--- a/crates/compare/src/planned_size.rs
+++ b/crates/compare/src/planned_size.rs
@@ -23,7 +23,7 @@
 /// One measured row.
 pub struct CostRow {
     /// What was done.
-    pub what: &'static str,
+    pub what: String,
     /// How long it took, or how much it held.
     pub value: String,
 }
@@ -130,8 +130,8 @@
     (done, started.elapsed())
 }
 
-fn row(what: &'static str, value: String) -> CostRow {
-    CostRow { what, value }
+pub(crate) fn row(what: impl Into<String>, value: String) -> CostRow {
+    CostRow { what: what.into(), value }
 }
 
 fn key(customer: usize) -> String {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod membership;
 pub mod pass_model;
 pub mod placement;
+pub mod planner_key;
 pub mod read_planner;
 pub mod refusal;
 pub mod rendezvous;
--- a/crates/core/src/membership.rs
+++ b/crates/core/src/membership.rs
@@ -8,7 +8,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{ids, rendezvous, units};
+use crate::{ids, planner_key, rendezvous, units};
 
 /// Heartbeats of a small fleet are this far apart.
 const BEAT_INTERVAL: time::Duration = time::Duration::from_millis(200);
@@ -207,14 +207,14 @@
         }
     }
 
-    /// The member that plans for a service; `None` when that is this process.
+    /// The member that plans for a cell of engines; `None` when that is this process.
     ///
     /// Members that know what the engines are doing go first; where all have just started, one of
     /// them is still better than each for itself. Then more processor, then the name's hash.
     pub fn planner(
         &self,
         now: units::MonoTime,
-        service: &ids::ServiceId,
+        key: &planner_key::PlannerKey,
         own: &MemberBeat,
     ) -> Option<MemberBeat> {
         let fit = |member: &&MemberState| {
@@ -227,8 +227,9 @@
         };
         let others = self.members.values().filter(fit).map(|member| &member.beat);
         let me = Some(own).filter(|own| own.routes > 0 && !own.leaving);
+        let key = key.to_string();
         let score = |beat: &&MemberBeat| {
-            let hash = rendezvous::stable_hash(&[service.as_str(), beat.name.as_str()]);
+            let hash = rendezvous::stable_hash(&[key.as_str(), beat.name.as_str()]);
             (beat.plans, beat.cpu, hash)
         };
         let best = others.chain(me).max_by_key(score)?;
--- /dev/null
+++ b/crates/core/src/planner_key.rs
@@ -0,0 +1,41 @@
+//! Which planner an engine belongs to: large services are planned in cells.
+//!
+//! One planner holds the work of at most some hundred engines, so that a choice among them stays
+//! a fraction of a millisecond and no member plans for a whole fleet. Members whose lists differ
+//! may see other cells for a while; that costs throughput, never safety.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+use crate::{ids, rendezvous};
+
+/// Engines that one planner is meant for; `slipturn-compare --planned-size` shows what a choice
+/// among them costs.
+const CELL_ENGINES: usize = 96;
+
+/// One planner of a service.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct PlannerKey {
+    /// The service.
+    pub service: ids::ServiceId,
+    /// Number of the cell, below [`cell_count`] of the service's engines.
+    pub cell: u16,
+}
+
+impl fmt::Display for PlannerKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/{}", self.service, self.cell)
+    }
+}
+
+/// Number of cells of so many engines.
+pub fn cell_count(engines: usize) -> u16 {
+    u16::try_from(engines.div_ceil(CELL_ENGINES).max(1)).unwrap_or(u16::MAX)
+}
+
+/// The cell of an engine.
+pub fn cell_of(service: &ids::ServiceId, engine: &ids::UpstreamId, cells: u16) -> u16 {
+    let hash = rendezvous::stable_hash(&["cell", service.as_str(), engine.as_str()]);
+    (hash % u64::from(cells.max(1))) as u16
+}
--- a/crates/core/tests/membership.rs
+++ b/crates/core/tests/membership.rs
@@ -5,7 +5,7 @@
 use slipturn_core::{
     ids,
     membership::{MemberBeat, MemberEvent, MemberView},
-    units,
+    planner_key, units,
 };
 
 fn at(millis: u64) -> units::MonoTime {
@@ -41,8 +41,8 @@
     MemberView::new(name(0), vec![address(1), address(2)])
 }
 
-fn service() -> ids::ServiceId {
-    "s".parse().expect("a valid name")
+fn service() -> planner_key::PlannerKey {
+    planner_key::PlannerKey { service: "s".parse().expect("a valid name"), cell: 0 }
 }
 
 #[test]
--- a/crates/instance/src/context.rs
+++ b/crates/instance/src/context.rs
@@ -3,7 +3,7 @@
 use std::{cell, collections, rc, time};
 
 use futures::{channel::mpsc, channel::oneshot, future};
-use slipturn_core::{fleet_budget, ids, membership, read_planner, units};
+use slipturn_core::{fleet_budget, ids, membership, planner_key, read_planner, units};
 use slipturn_net::process;
 
 use crate::{
@@ -23,8 +23,8 @@
 /// A place in use by a request of this process.
 #[derive(Debug, Clone)]
 pub struct HeldLease {
-    /// The engines' service.
-    pub service: ids::ServiceId,
+    /// The planner that gave it.
+    pub key: planner_key::PlannerKey,
     /// The lease, as it is repeated to the planner.
     pub lease: read_planner::PlaceLease,
 }
@@ -181,6 +181,14 @@
         (age > time::Duration::from_secs(3) && !alone).then(|| members.size())
     }
 
+    /// The planner that a request for a service asks: one of its cells, drawn anew each time.
+    pub fn pick_planner(&self, service: &ids::ServiceId) -> planner_key::PlannerKey {
+        let engines = self.fleet.borrow().list.usable(service).len();
+        let drawn: u16 = rand::random();
+        let cell = drawn % planner_key::cell_count(engines);
+        planner_key::PlannerKey { service: service.clone(), cell }
+    }
+
     /// Counts a request for a service.
     pub fn count_request(&self, service: &ids::ServiceId) {
         self.retry_share(service, fleet_budget::RetryShare::count_request);
--- a/crates/instance/src/engine_reports.rs
+++ b/crates/instance/src/engine_reports.rs
@@ -2,7 +2,7 @@
 
 use std::{rc, time};
 
-use slipturn_core::{ids, upstream_list};
+use slipturn_core::{planner_key, upstream_list};
 
 use crate::{context, document_call, peers};
 
@@ -18,14 +18,7 @@
 /// Asks engines of services that this process plans for, one after the other.
 pub async fn poll(context: rc::Rc<context::InstanceContext>) {
     loop {
-        let services = context.planners.borrow().active(context.now());
-        let mut engines: Vec<upstream_list::UpstreamEntry> = Vec::new();
-        for service in services {
-            if peers::planner_of(&context, &service).is_none() {
-                let fleet = context.fleet.borrow();
-                engines.extend(fleet.list.usable(&service).into_iter().cloned());
-            }
-        }
+        let engines = planned_engines(&context);
         if engines.is_empty() {
             monoio::time::sleep(LOOK_INTERVAL).await;
             continue;
@@ -39,6 +32,23 @@
     }
 }
 
+/// Engines of the planners that run in this process and are in use.
+fn planned_engines(context: &context::InstanceContext) -> Vec<upstream_list::UpstreamEntry> {
+    let keys = context.planners.borrow().active(context.now());
+    let own = keys.into_iter().filter(|key| peers::planner_of(context, key).is_none());
+    let mut engines = Vec::new();
+    for key in own {
+        let fleet = context.fleet.borrow();
+        let usable = fleet.list.usable(&key.service);
+        let cells = planner_key::cell_count(usable.len());
+        let in_cell = usable
+            .into_iter()
+            .filter(|entry| planner_key::cell_of(&key.service, &entry.name, cells) == key.cell);
+        engines.extend(in_cell.cloned());
+    }
+    engines
+}
+
 /// Asks engines at once that were silent for a request.
 fn ask_suspects(context: &rc::Rc<context::InstanceContext>) {
     let suspects = context.planners.borrow_mut().take_suspects();
@@ -55,7 +65,7 @@
         Ok(body) => body,
         Err(error) => {
             log::info!(engine:% = engine.name, error:%; "engine.silent");
-            shun(&context, &engine.service, &engine.name);
+            context.planners.borrow_mut().shun(context.now(), &engine.name);
             return;
         }
     };
@@ -64,17 +74,8 @@
             if report.pace > SLOW_PACE {
                 log::info!(engine:% = engine.name, pace = report.pace; "engine.slow");
             }
-            if let Some(planner) = context.planners.borrow_mut().planner(&engine.service) {
-                planner.set_pace(&engine.name, report.pace);
-            }
+            context.planners.borrow_mut().set_pace(&engine.name, report.pace);
         }
         Err(error) => log::warn!(engine:% = engine.name, error:%; "engine.unreadable"),
     }
 }
-
-fn shun(context: &context::InstanceContext, service: &ids::ServiceId, engine: &ids::UpstreamId) {
-    let now = context.now();
-    if let Some(planner) = context.planners.borrow_mut().planner(service) {
-        planner.shun(now, engine);
-    }
-}
--- a/crates/instance/src/model_request.rs
+++ b/crates/instance/src/model_request.rs
@@ -169,7 +169,8 @@
     let limit = patience(call).saturating_sub(context.now().since(call.arrived));
     let limit = limit.max(time::Duration::from_millis(200)).min(call.left(context.now()));
     let ask = ask(context, call, state);
-    let mut hold = match plan_client::place(context, &call.service, ask, limit).await {
+    let planner = context.pick_planner(&call.service);
+    let mut hold = match plan_client::place(context, &planner, ask, limit).await {
         plan_client::PlaceOutcome::Placed(hold) => hold,
         plan_client::PlaceOutcome::Refused(refusal) => return Ok(AttemptEnd::Refused(refusal)),
         plan_client::PlaceOutcome::TimedOut => return Ok(AttemptEnd::NoPlace),
--- a/crates/instance/src/peer_message.rs
+++ b/crates/instance/src/peer_message.rs
@@ -2,7 +2,7 @@
 
 use futures::channel::mpsc;
 use serde::{Deserialize, Serialize};
-use slipturn_core::{ids, membership, read_planner};
+use slipturn_core::{ids, membership, planner_key, read_planner};
 
 /// Largest datagram; larger messages are split by their sender.
 pub const MAX_DATAGRAM: usize = 16 * 1024;
@@ -14,20 +14,20 @@
 pub enum PeerMessage {
     /// A heartbeat.
     Beat(Box<membership::MemberBeat>),
-    /// Asks for a place on an engine of a service.
-    Ask(ids::ServiceId, Box<read_planner::PlaceAsk>),
+    /// Asks a planner for a place.
+    Ask(planner_key::PlannerKey, Box<read_planner::PlaceAsk>),
     /// Gives a place, or refuses one.
     Answer(Box<read_planner::PlaceAnswer>),
     /// The request waits for a place; the answer follows.
     Queued(read_planner::JobId),
     /// The answer of a request begins.
-    FirstToken(ids::ServiceId, read_planner::JobId),
+    FirstToken(planner_key::PlannerKey, read_planner::JobId),
     /// A request is over.
-    End(ids::ServiceId, read_planner::JobId, read_planner::PlaceEnd),
+    End(planner_key::PlannerKey, read_planner::JobId, read_planner::PlaceEnd),
     /// An engine has failed, or refused as another's cause.
-    Shun(ids::ServiceId, ids::UpstreamId),
+    Shun(planner_key::PlannerKey, ids::UpstreamId),
     /// Places in use.
-    Renew(ids::ServiceId, Vec<read_planner::PlaceLease>),
+    Renew(planner_key::PlannerKey, Vec<read_planner::PlaceLease>),
 }
 
 /// What a request that waits for its place is told.
--- a/crates/instance/src/peers.rs
+++ b/crates/instance/src/peers.rs
@@ -3,7 +3,7 @@
 use std::{collections, net, rc, time};
 
 use futures::{StreamExt as _, channel::mpsc};
-use slipturn_core::{ids, membership, read_planner, units};
+use slipturn_core::{membership, planner_key, read_planner, units};
 
 use crate::{context, peer_message, planner_set};
 
@@ -77,12 +77,12 @@
                 log::info!(member:%; "member.joined");
             }
         }
-        PeerMessage::Ask(service, ask) => {
+        PeerMessage::Ask(key, ask) => {
             let job = ask.job;
             let origin = planner_set::AskOrigin::Member(from);
             let mut planners = context.planners.borrow_mut();
             planners.sync(now, &context.fleet.borrow());
-            let reply = match planners.ask(now, &service, *ask, origin) {
+            let reply = match planners.ask(now, &key, *ask, origin) {
                 Some(answer) => PeerMessage::Answer(Box::new(answer)),
                 None => PeerMessage::Queued(job),
             };
@@ -93,25 +93,25 @@
             reply(context, job, peer_message::PlanReply::Answer(answer));
         }
         PeerMessage::Queued(job) => reply(context, job, peer_message::PlanReply::Queued),
-        PeerMessage::FirstToken(service, job) => {
-            if let Some(planner) = context.planners.borrow_mut().planner(&service) {
+        PeerMessage::FirstToken(key, job) => {
+            if let Some(planner) = context.planners.borrow_mut().planner(&key) {
                 planner.first_token(job);
             }
         }
-        PeerMessage::End(service, job, end) => {
-            if let Some(planner) = context.planners.borrow_mut().planner(&service) {
+        PeerMessage::End(key, job, end) => {
+            if let Some(planner) = context.planners.borrow_mut().planner(&key) {
                 planner.end(now, job, end);
             }
         }
-        PeerMessage::Shun(service, engine) => {
-            if let Some(planner) = context.planners.borrow_mut().planner(&service) {
+        PeerMessage::Shun(key, engine) => {
+            if let Some(planner) = context.planners.borrow_mut().planner(&key) {
                 planner.shun(now, &engine);
             }
         }
-        PeerMessage::Renew(service, leases) => {
+        PeerMessage::Renew(key, leases) => {
             let mut planners = context.planners.borrow_mut();
             planners.sync(now, &context.fleet.borrow());
-            if let Some(planner) = planners.planner(&service) {
+            if let Some(planner) = planners.planner(&key) {
                 planner.renew(now, leases);
             }
         }
@@ -212,58 +212,58 @@
 pub async fn renew(context: rc::Rc<context::InstanceContext>) {
     loop {
         monoio::time::sleep(RENEW_INTERVAL).await;
-        let mut by_service: collections::BTreeMap<ids::ServiceId, Vec<_>> =
+        let mut by_key: collections::BTreeMap<planner_key::PlannerKey, Vec<_>> =
             collections::BTreeMap::new();
         for held in context.leases.borrow().values() {
-            by_service.entry(held.service.clone()).or_default().push(held.lease.clone());
+            by_key.entry(held.key.clone()).or_default().push(held.lease.clone());
         }
         let now = context.now();
-        for (service, leases) in by_service {
-            renew_service(&context, now, &service, leases);
+        for (key, leases) in by_key {
+            renew_leases(&context, now, &key, leases);
         }
     }
 }
 
-fn renew_service(
+fn renew_leases(
     context: &context::InstanceContext,
     now: units::MonoTime,
-    service: &ids::ServiceId,
+    key: &planner_key::PlannerKey,
     leases: Vec<read_planner::PlaceLease>,
 ) {
-    match planner_of(context, service) {
+    match planner_of(context, key) {
         Some(member) => {
             for part in leases.chunks(peer_message::MAX_LEASES) {
-                let message = peer_message::PeerMessage::Renew(service.clone(), part.to_vec());
+                let message = peer_message::PeerMessage::Renew(key.clone(), part.to_vec());
                 context.tell(member.address, message);
             }
         }
         None => {
-            if let Some(planner) = context.planners.borrow_mut().planner(service) {
+            if let Some(planner) = context.planners.borrow_mut().planner(key) {
                 planner.renew(now, leases);
             }
         }
     }
 }
 
-/// The other member that plans for a service; `None` when that is this process.
+/// The other member that runs a planner; `None` when that is this process.
 pub fn planner_of(
     context: &context::InstanceContext,
-    service: &ids::ServiceId,
+    key: &planner_key::PlannerKey,
 ) -> Option<membership::MemberBeat> {
     let own = context.own_beat(0);
-    context.members.borrow().planner(context.now(), service, &own)
+    context.members.borrow().planner(context.now(), key, &own)
 }
 
-/// Tells the planner of a service something about a job, wherever it runs.
+/// Tells a planner something about a job, wherever it runs.
 pub fn tell_planner(
     context: &context::InstanceContext,
-    service: &ids::ServiceId,
+    key: &planner_key::PlannerKey,
     message: peer_message::PeerMessage,
 ) {
     use peer_message::PeerMessage;
     let now = context.now();
     // This process's own planner may hold the job too, from a time when no other was in reach.
-    if let Some(planner) = context.planners.borrow_mut().planner(service) {
+    if let Some(planner) = context.planners.borrow_mut().planner(key) {
         match &message {
             PeerMessage::FirstToken(_, job) => planner.first_token(*job),
             PeerMessage::End(_, job, end) => planner.end(now, *job, *end),
@@ -271,7 +271,7 @@
             _ => {}
         }
     }
-    if let Some(member) = planner_of(context, service) {
+    if let Some(member) = planner_of(context, key) {
         context.tell(member.address, message);
     }
 }
--- a/crates/instance/src/plan_client.rs
+++ b/crates/instance/src/plan_client.rs
@@ -3,7 +3,7 @@
 use std::{rc, time};
 
 use futures::{StreamExt as _, channel::mpsc};
-use slipturn_core::{ids, read_planner, units};
+use slipturn_core::{ids, planner_key, read_planner, units};
 
 use crate::{context, peer_message, peers, planner_set};
 
@@ -17,7 +17,7 @@
 /// A place on an engine; given back when dropped.
 pub struct PlaceHold {
     context: rc::Rc<context::InstanceContext>,
-    service: ids::ServiceId,
+    key: planner_key::PlannerKey,
     /// The place.
     pub grant: read_planner::PlaceGrant,
     /// How the attempt ended, as far as is known.
@@ -31,14 +31,14 @@
         if let Some(held) = self.context.leases.borrow_mut().get_mut(&job) {
             held.lease.reading = false;
         }
-        let message = peer_message::PeerMessage::FirstToken(self.service.clone(), job);
-        peers::tell_planner(&self.context, &self.service, message);
+        let message = peer_message::PeerMessage::FirstToken(self.key.clone(), job);
+        peers::tell_planner(&self.context, &self.key, message);
     }
 
     /// Tells the planner that another engine is the cause of a refusal.
     pub fn shun(&self, engine: &ids::UpstreamId) {
-        let message = peer_message::PeerMessage::Shun(self.service.clone(), engine.clone());
-        peers::tell_planner(&self.context, &self.service, message);
+        let message = peer_message::PeerMessage::Shun(self.key.clone(), engine.clone());
+        peers::tell_planner(&self.context, &self.key, message);
     }
 }
 
@@ -46,15 +46,15 @@
     fn drop(&mut self) {
         let job = self.grant.job;
         self.context.leases.borrow_mut().remove(&job);
-        let message = peer_message::PeerMessage::End(self.service.clone(), job, self.end);
-        peers::tell_planner(&self.context, &self.service, message);
+        let message = peer_message::PeerMessage::End(self.key.clone(), job, self.end);
+        peers::tell_planner(&self.context, &self.key, message);
     }
 }
 
 /// Ends a request's wait when dropped.
 struct WaitGuard<'a> {
     context: &'a rc::Rc<context::InstanceContext>,
-    service: &'a ids::ServiceId,
+    key: &'a planner_key::PlannerKey,
     job: read_planner::JobId,
     granted: bool,
 }
@@ -64,8 +64,8 @@
         self.context.grants.borrow_mut().remove(&self.job);
         if !self.granted {
             let end = read_planner::PlaceEnd::Done;
-            let message = peer_message::PeerMessage::End(self.service.clone(), self.job, end);
-            peers::tell_planner(self.context, self.service, message);
+            let message = peer_message::PeerMessage::End(self.key.clone(), self.job, end);
+            peers::tell_planner(self.context, self.key, message);
         }
     }
 }
@@ -83,14 +83,14 @@
 /// Waits for a place until `limit`.
 pub async fn place(
     context: &rc::Rc<context::InstanceContext>,
-    service: &ids::ServiceId,
+    key: &planner_key::PlannerKey,
     mut ask: read_planner::PlaceAsk,
     limit: time::Duration,
 ) -> PlaceOutcome {
     let started = context.now();
     let (sender, mut replies) = mpsc::unbounded();
     context.grants.borrow_mut().insert(ask.job, sender);
-    let mut guard = WaitGuard { context, service, job: ask.job, granted: false };
+    let mut guard = WaitGuard { context, key, job: ask.job, granted: false };
     let goal_left = ask.goal_left_ms;
     loop {
         let spent = context.now().since(started);
@@ -99,7 +99,7 @@
         }
         let spent_ms = u32::try_from(spent.as_millis()).unwrap_or(u32::MAX);
         ask.goal_left_ms = goal_left.saturating_sub(spent_ms);
-        let step = ask_once(context, service, &ask, &mut replies);
+        let step = ask_once(context, key, &ask, &mut replies);
         let Ok(answer) = monoio::time::timeout(limit - spent, step).await else {
             return PlaceOutcome::TimedOut;
         };
@@ -111,24 +111,24 @@
             Some(read_planner::PlaceAnswer::Grant(grant)) => grant,
         };
         guard.granted = true;
-        return PlaceOutcome::Placed(hold(context, service, ask, grant));
+        return PlaceOutcome::Placed(hold(context, key, ask, grant));
     }
 }
 
 /// Notes a place as in use until it is dropped.
 fn hold(
     context: &rc::Rc<context::InstanceContext>,
-    service: &ids::ServiceId,
+    key: &planner_key::PlannerKey,
     ask: read_planner::PlaceAsk,
     grant: read_planner::PlaceGrant,
 ) -> PlaceHold {
     let job = ask.job;
     let lease = read_planner::PlaceLease { ask, grant: grant.clone(), reading: true };
-    let held = context::HeldLease { service: service.clone(), lease };
+    let held = context::HeldLease { key: key.clone(), lease };
     context.leases.borrow_mut().insert(job, held);
     PlaceHold {
         context: rc::Rc::clone(context),
-        service: service.clone(),
+        key: key.clone(),
         grant,
         end: read_planner::PlaceEnd::Done,
     }
@@ -136,14 +136,14 @@
 
 async fn ask_once(
     context: &rc::Rc<context::InstanceContext>,
-    service: &ids::ServiceId,
+    key: &planner_key::PlannerKey,
     ask: &read_planner::PlaceAsk,
     replies: &mut mpsc::UnboundedReceiver<peer_message::PlanReply>,
 ) -> Option<read_planner::PlaceAnswer> {
-    let Some(member) = peers::planner_of(context, service) else {
-        return ask_own(context, service, ask, replies).await;
+    let Some(member) = peers::planner_of(context, key) else {
+        return ask_own(context, key, ask, replies).await;
     };
-    let message = peer_message::PeerMessage::Ask(service.clone(), Box::new(ask.clone()));
+    let message = peer_message::PeerMessage::Ask(key.clone(), Box::new(ask.clone()));
     context.tell(member.address, message);
     let mut patience = REPLY_TIME;
     loop {
@@ -170,11 +170,11 @@
 
 async fn ask_own(
     context: &rc::Rc<context::InstanceContext>,
-    service: &ids::ServiceId,
+    key: &planner_key::PlannerKey,
     ask: &read_planner::PlaceAsk,
     replies: &mut mpsc::UnboundedReceiver<peer_message::PlanReply>,
 ) -> Option<read_planner::PlaceAnswer> {
-    let answer = ask_planner(context, service, ask, context.now());
+    let answer = ask_planner(context, key, ask, context.now());
     if answer.is_some() {
         return answer;
     }
@@ -190,11 +190,11 @@
 
 fn ask_planner(
     context: &context::InstanceContext,
-    service: &ids::ServiceId,
+    key: &planner_key::PlannerKey,
     ask: &read_planner::PlaceAsk,
     now: units::MonoTime,
 ) -> Option<read_planner::PlaceAnswer> {
     let mut planners = context.planners.borrow_mut();
     planners.sync(now, &context.fleet.borrow());
-    planners.ask(now, service, ask.clone(), planner_set::AskOrigin::Own)
+    planners.ask(now, key, ask.clone(), planner_set::AskOrigin::Own)
 }
--- a/crates/instance/src/planner_set.rs
+++ b/crates/instance/src/planner_set.rs
@@ -2,7 +2,7 @@
 
 use std::collections;
 
-use slipturn_core::{ids, read_planner, rendezvous, units};
+use slipturn_core::{ids, planner_key, read_planner, rendezvous, route_table, units};
 
 use crate::fleet_state;
 
@@ -15,65 +15,79 @@
     Member(std::net::SocketAddrV4),
 }
 
-/// One planner for each service of engines that this process was asked about.
+/// One planner for each cell of engines.
 #[derive(Debug, Default)]
 pub struct PlannerSet {
-    planners: collections::BTreeMap<ids::ServiceId, read_planner::ReadPlanner>,
+    planners: collections::BTreeMap<planner_key::PlannerKey, read_planner::ReadPlanner>,
     /// Who waits for an answer.
     origins: collections::HashMap<read_planner::JobId, AskOrigin>,
     /// Revision of the list and version of the routes the planners know.
     synced: (u64, u64),
-    /// Services asked about lately by members.
-    asked: collections::BTreeMap<ids::ServiceId, units::MonoTime>,
+    /// Planners asked lately by members.
+    asked: collections::BTreeMap<planner_key::PlannerKey, units::MonoTime>,
 }
 
 impl PlannerSet {
     /// Brings the planners up to the list and routes in force.
     pub fn sync(&mut self, now: units::MonoTime, fleet: &fleet_state::FleetState) {
+        let version = (fleet.list.revision(), fleet.routes.version.0);
         for (name, service) in &fleet.routes.services {
-            let Some(shape) = &service.engine else {
-                continue;
-            };
-            let planner = self.planners.entry(name.clone()).or_insert_with(|| {
-                read_planner::ReadPlanner::new(
-                    shape.clone(),
-                    read_planner::PlannerOptions::default(),
-                )
+            if let Some(shape) = &service.engine {
+                self.sync_service(now, fleet, name, shape, version != self.synced);
+            }
+        }
+        self.synced = version;
+    }
+
+    fn sync_service(
+        &mut self,
+        now: units::MonoTime,
+        fleet: &fleet_state::FleetState,
+        name: &ids::ServiceId,
+        shape: &route_table::EngineShape,
+        changed: bool,
+    ) {
+        let usable = fleet.list.usable(name);
+        let cells = planner_key::cell_count(usable.len());
+        let mut engines = vec![Vec::new(); usize::from(cells)];
+        for entry in usable {
+            let cell = planner_key::cell_of(name, &entry.name, cells);
+            let rank = rendezvous::stable_hash(&[name.as_str(), entry.name.as_str()]);
+            engines[usize::from(cell)].push((entry.name.clone(), rank));
+        }
+        self.planners.retain(|key, _| key.service != *name || key.cell < cells);
+        for (cell, engines) in (0..cells).zip(engines) {
+            let key = planner_key::PlannerKey { service: name.clone(), cell };
+            let planner = self.planners.entry(key).or_insert_with(|| {
+                let options = read_planner::PlannerOptions::default();
+                read_planner::ReadPlanner::new(shape.clone(), options)
             });
-            let version = (fleet.list.revision(), fleet.routes.version.0);
-            if version != self.synced {
+            if changed {
                 planner.set_shape(shape.clone());
             }
-            let engines: Vec<_> = fleet
-                .list
-                .usable(name)
-                .into_iter()
-                .map(|entry| {
-                    let rank = rendezvous::stable_hash(&[name.as_str(), entry.name.as_str()]);
-                    (entry.name.clone(), rank)
-                })
-                .collect();
             planner.set_engines(now, &engines);
         }
-        self.synced = (fleet.list.revision(), fleet.routes.version.0);
     }
 
-    /// The planner of a service; `None` where it has no engines.
-    pub fn planner(&mut self, service: &ids::ServiceId) -> Option<&mut read_planner::ReadPlanner> {
-        self.planners.get_mut(service)
+    /// One planner; `None` where there are no such engines.
+    pub fn planner(
+        &mut self,
+        key: &planner_key::PlannerKey,
+    ) -> Option<&mut read_planner::ReadPlanner> {
+        self.planners.get_mut(key)
     }
 
     /// Asks for a place; the answer, if it must wait, comes out of [`Self::tick`].
     pub fn ask(
         &mut self,
         now: units::MonoTime,
-        service: &ids::ServiceId,
+        key: &planner_key::PlannerKey,
         ask: read_planner::PlaceAsk,
         origin: AskOrigin,
     ) -> Option<read_planner::PlaceAnswer> {
-        self.asked.insert(service.clone(), now);
+        self.asked.insert(key.clone(), now);
         let job = ask.job;
-        let answer = self.planners.get_mut(service)?.ask(now, ask);
+        let answer = self.planners.get_mut(key)?.ask(now, ask);
         if answer.is_none() {
             self.origins.insert(job, origin);
         }
@@ -102,12 +116,22 @@
         planners.flat_map(read_planner::ReadPlanner::take_suspects).collect()
     }
 
+    /// Leaves an engine alone for a while, in whichever planner it is.
+    pub fn shun(&mut self, now: units::MonoTime, engine: &ids::UpstreamId) {
+        self.planners.values_mut().for_each(|planner| planner.shun(now, engine));
+    }
+
+    /// Takes over what an engine says of its speed.
+    pub fn set_pace(&mut self, engine: &ids::UpstreamId, pace: f64) {
+        self.planners.values_mut().for_each(|planner| planner.set_pace(engine, pace));
+    }
+
     /// Logs what the planners in use believe.
     pub fn log_state(&mut self, now: units::MonoTime) {
-        for service in self.active(now) {
-            if let Some(planner) = self.planners.get(&service) {
+        for key in self.active(now) {
+            if let Some(planner) = self.planners.get(&key) {
                 log::info!(
-                    service:%, waiting = planner.waiting_count(), placed = planner.placed_count(),
+                    planner:% = key, waiting = planner.waiting_count(), placed = planner.placed_count(),
                     engines = planner.summary(now).as_str(); "planner.state"
                 );
             }
@@ -119,13 +143,9 @@
         self.planners.values().map(read_planner::ReadPlanner::waiting_count).sum()
     }
 
-    /// Services that this process has planned for within the last seconds.
-    pub fn active(&self, now: units::MonoTime) -> Vec<ids::ServiceId> {
+    /// Planners that were asked within the last seconds.
+    pub fn active(&self, now: units::MonoTime) -> Vec<planner_key::PlannerKey> {
         let recent = |since: &units::MonoTime| now.since(*since).as_secs() < 2;
-        self.asked
-            .iter()
-            .filter(|(_, since)| recent(since))
-            .map(|(service, _)| service.clone())
-            .collect()
+        self.asked.iter().filter(|(_, since)| recent(since)).map(|(key, _)| key.clone()).collect()
     }
 }
--- a/crates/instance/tests/peer_message.rs
+++ b/crates/instance/tests/peer_message.rs
@@ -1,6 +1,7 @@
 //! Datagrams between instances: what is said arrives, and garbage is an error.
 
 use proptest::prelude::*;
+use slipturn_core::planner_key::PlannerKey;
 use slipturn_core::read_planner::{JobId, PlaceAsk, PlaceEnd, PlaceGrant, PlaceLease};
 use slipturn_instance::peer_message::{MAX_DATAGRAM, MAX_LEASES, PeerMessage};
 
@@ -8,6 +9,10 @@
     text.parse().expect("a valid name")
 }
 
+fn key() -> PlannerKey {
+    PlannerKey { service: "models".parse().expect("a valid name"), cell: 3 }
+}
+
 fn lease(sequence: u64) -> PlaceLease {
     let job = JobId { boot: u64::MAX, sequence };
     let ask = PlaceAsk {
@@ -35,7 +40,7 @@
 
 #[test]
 fn messages_arrive_as_they_were_said() {
-    let service: slipturn_core::ids::ServiceId = "models".parse().expect("a valid name");
+    let service = key();
     let messages = [
         PeerMessage::Renew(service.clone(), vec![lease(1), lease(2)]),
         PeerMessage::End(service.clone(), JobId { boot: 1, sequence: 2 }, PlaceEnd::Silent),
@@ -50,7 +55,7 @@
 
 #[test]
 fn the_largest_message_fits_a_datagram() {
-    let service = "models".parse().expect("a valid name");
+    let service = key();
     let leases = (0..MAX_LEASES as u64).map(lease).collect();
     let bytes = PeerMessage::Renew(service, leases).encode().expect("it can be coded");
     assert!(bytes.len() <= MAX_DATAGRAM, "{} bytes", bytes.len());
