Planners on two sides of a cut fill engines in different orders and mind each other's load

Change: the order of engines depends on the planner; requests that an engine reports beyond the planner's own count as taken.

--- a/crates/core/src/read_planner.rs
+++ b/crates/core/src/read_planner.rs
@@ -64,6 +64,8 @@
 /// Part of all engines' slots that must be taken before a short request is refused; below it,
 /// engines that seem unusable may only have been slow.
 const FULL_PART: f64 = 0.6;
+/// Requests that come and go while a report is on its way; a difference up to this says nothing.
+const REPORT_SLACK: usize = 4;
 /// Requests beyond its slots that an engine may get of those that come back.
 const RETURNED_EXTRA: usize = 2;
 /// When a refused request may come back, milliseconds; spread by its member.
@@ -231,6 +233,8 @@
     used: u64,
     /// Above 1 the engine is slower than its figures.
     pace: f64,
+    /// Requests of other planners.
+    foreign: usize,
     failures: u32,
     shunned_until: units::MonoTime,
     advanced: units::MonoTime,
@@ -440,10 +444,15 @@
         std::mem::take(&mut self.suspects).into_iter().collect()
     }
 
-    /// Takes over what an engine says of its speed: above 1 it is slower than its figures.
-    pub fn set_pace(&mut self, name: &ids::UpstreamId, pace: f64) {
+    /// Takes over what an engine says of itself: its pace, above 1 when it is slower than its
+    /// figures, and the requests that it runs and holds in its queue.
+    ///
+    /// What goes clearly beyond this planner's own is the work of another one, as on the other
+    /// side of a cut.
+    pub fn set_report(&mut self, name: &ids::UpstreamId, pace: f64, requests: usize) {
         if let Some(engine) = self.engines.get_mut(name) {
             engine.pace = pace.clamp(0.5, 20.0);
+            engine.foreign = requests.saturating_sub(engine.answering.len() + REPORT_SLACK);
         }
     }
 
@@ -645,7 +654,7 @@
             tight += usize::from(ask.tight());
             unread += usize::from(ask.tight() && state.lease.reading);
         }
-        let answering = engine.answering.len();
+        let answering = engine.answering.len() + engine.foreign;
         EngineView {
             name,
             rank: engine.rank,
@@ -653,7 +662,7 @@
             steps_ms: pass_model::steps_ms(&self.shape, answering, context),
             pause_ms,
             worth,
-            tight,
+            tight: tight + engine.foreign,
             unread,
             answering,
             free: engine.memory.saturating_sub(engine.used),
@@ -907,6 +916,7 @@
             pending: collections::VecDeque::new(),
             used: 0,
             pace: 1.0,
+            foreign: 0,
             failures: 0,
             shunned_until: units::MonoTime::default(),
             advanced: now,
--- a/crates/core/tests/read_planner.rs
+++ b/crates/core/tests/read_planner.rs
@@ -288,10 +288,21 @@
     assert_eq!(place(&mut planner, 1, ask).engine, engine(1));
 }
 
+#[test]
+fn an_engine_full_of_anothers_requests_is_not_filled_further() {
+    let mut planner = planner(2);
+    planner.set_report(&engine(0), 1.0, SLOTS + 6);
+    for number in 0..SLOTS as u64 {
+        assert_eq!(write(&mut planner, number * 60, short(number)).engine, engine(1));
+    }
+    planner.set_report(&engine(0), 1.0, 3);
+    assert_eq!(place(&mut planner, 2_000, short(90)).engine, engine(0), "a few mean nothing");
+}
+
 #[test]
 fn a_slow_engine_is_the_last_choice() {
     let mut planner = planner(2);
-    planner.set_pace(&engine(0), 5.0);
+    planner.set_report(&engine(0), 5.0, 0);
     assert_eq!(place(&mut planner, 0, short(1)).engine, engine(1));
 }
 
--- a/crates/instance/src/context.rs
+++ b/crates/instance/src/context.rs
@@ -106,7 +106,7 @@
             closing: parts.closing.shared(),
             fleet: cell::RefCell::new(fleet_state::FleetState::new(parts.border)),
             members: cell::RefCell::new(members),
-            planners: cell::RefCell::default(),
+            planners: cell::RefCell::new(planner_set::PlannerSet::new(parts.settings.name.clone())),
             leases: cell::RefCell::default(),
             grants: cell::RefCell::default(),
             retries: cell::RefCell::default(),
--- a/crates/instance/src/engine_reports.rs
+++ b/crates/instance/src/engine_reports.rs
@@ -74,7 +74,8 @@
             if report.pace > SLOW_PACE {
                 log::info!(engine:% = engine.name, pace = report.pace; "engine.slow");
             }
-            context.planners.borrow_mut().set_pace(&engine.name, report.pace);
+            let requests = (report.running + report.waiting) as usize;
+            context.planners.borrow_mut().set_report(&engine.name, report.pace, requests);
         }
         Err(error) => log::warn!(engine:% = engine.name, error:%; "engine.unreadable"),
     }
--- a/crates/instance/src/planner_set.rs
+++ b/crates/instance/src/planner_set.rs
@@ -16,8 +16,10 @@
 }
 
 /// One planner for each cell of engines.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct PlannerSet {
+    /// The instance that they run on.
+    own: ids::InstanceId,
     planners: collections::BTreeMap<planner_key::PlannerKey, read_planner::ReadPlanner>,
     /// Who waits for an answer.
     origins: collections::HashMap<read_planner::JobId, AskOrigin>,
@@ -28,6 +30,17 @@
 }
 
 impl PlannerSet {
+    /// No planners yet.
+    pub fn new(own: ids::InstanceId) -> Self {
+        Self {
+            own,
+            planners: collections::BTreeMap::new(),
+            origins: collections::HashMap::new(),
+            synced: (0, 0),
+            asked: collections::BTreeMap::new(),
+        }
+    }
+
     /// Brings the planners up to the list and routes in force.
     pub fn sync(&mut self, now: units::MonoTime, fleet: &fleet_state::FleetState) {
         let version = (fleet.list.revision(), fleet.routes.version.0);
@@ -52,7 +65,8 @@
         let mut engines = vec![Vec::new(); usize::from(cells)];
         for entry in usable {
             let cell = planner_key::cell_of(name, &entry.name, cells);
-            let rank = rendezvous::stable_hash(&[name.as_str(), entry.name.as_str()]);
+            // Planners on two sides of a cut fill their engines in different orders.
+            let rank = rendezvous::stable_hash(&[self.own.as_str(), entry.name.as_str()]);
             engines[usize::from(cell)].push((entry.name.clone(), rank));
         }
         self.planners.retain(|key, _| key.service != *name || key.cell < cells);
@@ -121,9 +135,10 @@
         self.planners.values_mut().for_each(|planner| planner.shun(now, engine));
     }
 
-    /// Takes over what an engine says of its speed.
-    pub fn set_pace(&mut self, engine: &ids::UpstreamId, pace: f64) {
-        self.planners.values_mut().for_each(|planner| planner.set_pace(engine, pace));
+    /// Takes over what an engine says of itself.
+    pub fn set_report(&mut self, engine: &ids::UpstreamId, pace: f64, requests: usize) {
+        let planners = self.planners.values_mut();
+        planners.for_each(|planner| planner.set_report(engine, pace, requests));
     }
 
     /// Logs what the planners in use believe.
