--- a/crates/core/src/read_planner.rs
+++ b/crates/core/src/read_planner.rs
@@ -9,7 +9,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{ids, pass_model, route_table, units};
+use crate::{ids, pass_model, route_table, settings, units};
 
 /// Most helpers of one prompt; engines accept no more.
 pub const MAX_HELPERS: usize = 16;
@@ -82,6 +82,8 @@
 /// the users' bench, see `docs/design/platform.md`.
 #[derive(Debug, Clone, Copy)]
 pub struct PlannerOptions {
+    /// How engines are chosen; all but slipturn's own are there to compare with.
+    pub routing: settings::RoutingKind,
     /// Writers with tight pauses that an engine is filled up to before the next one is used.
     pub packed_writers: usize,
     /// Most parts of one prompt.
@@ -94,7 +96,8 @@
 
 impl Default for PlannerOptions {
     fn default() -> Self {
-        Self { packed_writers: 14, max_parts: 17, pressure: 0.25, delay: 0.3 }
+        let routing = settings::RoutingKind::ExpectedStart;
+        Self { routing, packed_writers: 14, max_parts: 17, pressure: 0.25, delay: 0.3 }
     }
 }
 
@@ -499,6 +502,10 @@
             engine.advance(now);
         }
         let views = self.views(now, job);
+        if self.options.routing != settings::RoutingKind::ExpectedStart {
+            let grant = self.choose_plainly(now, job, &views)?;
+            return Some(PlaceAnswer::Grant(self.take(now, job, grant)));
+        }
         let mode = self.mode(now, job);
         let calm = self.choose(now, job, &views, ChoiceMode::Calm);
         let choice = match (calm, mode) {
@@ -516,10 +523,41 @@
             }
         };
         let grant = choice.grant;
+        Some(PlaceAnswer::Grant(self.take(now, job, grant)))
+    }
+
+    /// Notes a place as taken.
+    fn take(&mut self, now: units::MonoTime, job: &WaitingJob, grant: PlaceGrant) -> PlaceGrant {
         let lease = PlaceLease { ask: job.ask.clone(), grant: grant.clone(), reading: true };
         self.occupy(now, &lease);
         self.jobs.insert(job.ask.job, JobState { lease, renewed: now });
-        Some(PlaceAnswer::Grant(grant))
+        grant
+    }
+
+    /// The choice of a plain router: one engine, at once, read by nobody else.
+    fn choose_plainly(
+        &self,
+        now: units::MonoTime,
+        job: &WaitingJob,
+        views: &[EngineView<'_>],
+    ) -> Option<PlaceGrant> {
+        let load = |view: &&EngineView<'_>| match self.options.routing {
+            settings::RoutingKind::LeastRequests => view.answering as u64,
+            settings::RoutingKind::LeastTokens => u64::MAX - view.free,
+            _ => 0,
+        };
+        let turn = job.ask.job.sequence as usize % views.len().max(1);
+        let (before, behind) = views.split_at(turn);
+        let engine = behind.iter().chain(before).min_by_key(load)?;
+        let part = pass_model::read_ms(&self.shape, job.ask.prompt);
+        Some(PlaceGrant {
+            job: job.ask.job,
+            engine: engine.name.clone(),
+            helpers: Vec::new(),
+            held: Vec::new(),
+            first_token_ms: (engine.pending_ms + part + engine.steps_ms) as u32,
+            waited_ms: now.since(job.since).as_millis() as u32,
+        })
     }
 
     /// Whether a short request would stand in an engine's queue, or come late.
--- a/crates/core/tests/read_planner.rs
+++ b/crates/core/tests/read_planner.rs
@@ -8,7 +8,9 @@
     read_planner::{
         JobId, PlaceAnswer, PlaceAsk, PlaceEnd, PlaceGrant, PlaceLease, PlannerOptions, ReadPlanner,
     },
-    route_table, units,
+    route_table,
+    settings::RoutingKind,
+    units,
 };
 
 const SLOTS: usize = 16;
@@ -299,6 +301,19 @@
     assert_eq!(place(&mut planner, 2_000, short(90)).engine, engine(0), "a few mean nothing");
 }
 
+#[test]
+fn plain_routers_take_one_engine_at_once() {
+    for routing in [RoutingKind::RoundRobin, RoutingKind::LeastRequests, RoutingKind::LeastTokens] {
+        let options = PlannerOptions { routing, ..PlannerOptions::default() };
+        let mut planner = ReadPlanner::new(shape(), options);
+        let names: Vec<_> = (0..4).map(|number| (engine(number), number as u64)).collect();
+        planner.set_engines(at(0), &names);
+        let used: std::collections::BTreeSet<_> =
+            (0..4).map(|number| place(&mut planner, 0, long(number, 90_000)).engine).collect();
+        assert_eq!(used.len(), 4, "{routing:?}");
+    }
+}
+
 #[test]
 fn a_slow_engine_is_the_last_choice() {
     let mut planner = planner(2);
--- a/crates/instance/src/context.rs
+++ b/crates/instance/src/context.rs
@@ -97,7 +97,12 @@
     pub fn new(parts: ContextParts) -> Self {
         use futures::FutureExt as _;
         let seeds = parts.settings.member_seeds();
-        let members = membership::MemberView::new(parts.settings.name.clone(), seeds);
+        let own = parts.settings.name.clone();
+        let options = read_planner::PlannerOptions {
+            routing: parts.settings.routing,
+            ..read_planner::PlannerOptions::default()
+        };
+        let members = membership::MemberView::new(own.clone(), seeds);
         Self {
             border: rc::Rc::clone(&parts.border),
             clock: process::ProcessClock::start(),
@@ -106,7 +111,7 @@
             closing: parts.closing.shared(),
             fleet: cell::RefCell::new(fleet_state::FleetState::new(parts.border)),
             members: cell::RefCell::new(members),
-            planners: cell::RefCell::new(planner_set::PlannerSet::new(parts.settings.name.clone())),
+            planners: cell::RefCell::new(planner_set::PlannerSet::new(own, options)),
             leases: cell::RefCell::default(),
             grants: cell::RefCell::default(),
             retries: cell::RefCell::default(),
--- a/crates/instance/src/instance_settings.rs
+++ b/crates/instance/src/instance_settings.rs
@@ -99,6 +99,9 @@
     /// Whether the whole fleet starts for the first time.
     #[serde(default)]
     pub first_start: bool,
+    /// How engines are chosen; all but the default are there to compare with.
+    #[serde(default = "default_routing")]
+    pub routing: settings::RoutingKind,
     /// Share of a core.
     pub cpu_share: f64,
     /// Memory, MB.
@@ -109,6 +112,10 @@
     pub bounds: FleetBounds,
 }
 
+fn default_routing() -> settings::RoutingKind {
+    settings::RoutingKind::ExpectedStart
+}
+
 impl InstanceSettings {
     /// Reads and checks a file.
     pub fn load(path: &path::Path) -> Result<Self, InstanceSettingsError> {
--- a/crates/instance/src/planner_set.rs
+++ b/crates/instance/src/planner_set.rs
@@ -20,6 +20,7 @@
 pub struct PlannerSet {
     /// The instance that they run on.
     own: ids::InstanceId,
+    options: read_planner::PlannerOptions,
     planners: collections::BTreeMap<planner_key::PlannerKey, read_planner::ReadPlanner>,
     /// Who waits for an answer.
     origins: collections::HashMap<read_planner::JobId, AskOrigin>,
@@ -31,9 +32,10 @@
 
 impl PlannerSet {
     /// No planners yet.
-    pub fn new(own: ids::InstanceId) -> Self {
+    pub fn new(own: ids::InstanceId, options: read_planner::PlannerOptions) -> Self {
         Self {
             own,
+            options,
             planners: collections::BTreeMap::new(),
             origins: collections::HashMap::new(),
             synced: (0, 0),
@@ -72,10 +74,10 @@
         self.planners.retain(|key, _| key.service != *name || key.cell < cells);
         for (cell, engines) in (0..cells).zip(engines) {
             let key = planner_key::PlannerKey { service: name.clone(), cell };
-            let planner = self.planners.entry(key).or_insert_with(|| {
-                let options = read_planner::PlannerOptions::default();
-                read_planner::ReadPlanner::new(shape.clone(), options)
-            });
+            let planner = self
+                .planners
+                .entry(key)
+                .or_insert_with(|| read_planner::ReadPlanner::new(shape.clone(), self.options));
             if changed {
                 planner.set_shape(shape.clone());
             }
