--- a/crates/core/src/read_planner.rs
+++ b/crates/core/src/read_planner.rs
@@ -73,6 +73,10 @@
 /// Slack below which a long prompt goes before others, milliseconds: about the time that an
 /// engine is busy with another's part.
 const URGENT_SLACK_MS: f64 = 500.0;
+/// Time after a short request found no calm place during which others are taken to find none.
+const PRESSED_TIME: time::Duration = time::Duration::from_millis(700);
+/// Tokens of a short request's answer, for what an engine could do instead of reading.
+const SHORT_ANSWER: u64 = 1_700;
 /// Slack below which a request takes the best place there is, milliseconds.
 const MIN_SLACK_MS: f64 = 60.0;
 /// Time between two engines' readiness and a caller's patience that a late request is kept for.
@@ -298,6 +302,8 @@
     engines: collections::BTreeMap<ids::UpstreamId, EngineWork>,
     jobs: collections::HashMap<JobId, JobState>,
     waiting: Vec<WaitingJob>,
+    /// Until when short requests are taken to find no room.
+    pressed_until: units::MonoTime,
     /// Engines that were silent; they should be asked for a report.
     suspects: collections::BTreeSet<ids::UpstreamId>,
 }
@@ -311,6 +317,7 @@
             engines: collections::BTreeMap::new(),
             jobs: collections::HashMap::new(),
             waiting: Vec::new(),
+            pressed_until: units::MonoTime::default(),
             suspects: collections::BTreeSet::new(),
         }
     }
@@ -501,12 +508,18 @@
         for engine in self.engines.values_mut() {
             engine.advance(now);
         }
+        let mode = self.mode(now, job);
+        if job.ask.tight() && mode == ChoiceMode::Forced {
+            self.pressed_until = now + PRESSED_TIME;
+        }
         let views = self.views(now, job);
         if self.options.routing != settings::RoutingKind::ExpectedStart {
             let grant = self.choose_plainly(now, job, &views)?;
             return Some(PlaceAnswer::Grant(self.take(now, job, grant)));
         }
-        let mode = self.mode(now, job);
+        if !self.earns_its_reading(now, job) {
+            return self.refuse_long(now, job).map(PlaceAnswer::Refuse);
+        }
         let calm = self.choose(now, job, &views, ChoiceMode::Calm);
         let choice = match (calm, mode) {
             (Some(choice), _) => choice,
@@ -643,6 +656,19 @@
         if spare > MIN_SLACK_MS { ChoiceMode::Calm } else { ChoiceMode::Harmful }
     }
 
+    /// Whether a long prompt is worth the short requests that its reading turns away, while these
+    /// find no room. What is late by then waits until they do.
+    fn earns_its_reading(&self, now: units::MonoTime, job: &WaitingJob) -> bool {
+        if job.ask.tight() || now >= self.pressed_until {
+            return true;
+        }
+        let worth = f64::from(job.ask.worth) * if job.late(now) { LATE_PART } else { 1.0 };
+        let seconds = pass_model::read_ms(&self.shape, job.ask.prompt) / 1_000.0;
+        let answer_ms = pass_model::write_ms(&self.shape, self.shape.slots, 0, SHORT_ANSWER);
+        let shorts = self.shape.slots as f64 * 1_000.0 / answer_ms;
+        worth >= seconds * shorts
+    }
+
     /// Whether a long prompt that is still in time would not be after a short wait.
     fn is_urgent(&self, now: units::MonoTime, job: &WaitingJob) -> bool {
         let parts = self.options.max_parts.min(self.engines.len().max(1));
--- a/crates/core/tests/read_planner.rs
+++ b/crates/core/tests/read_planner.rs
@@ -301,6 +301,23 @@
     assert_eq!(place(&mut planner, 2_000, short(90)).engine, engine(0), "a few mean nothing");
 }
 
+#[test]
+fn a_late_long_prompt_waits_while_short_ones_find_no_room() {
+    let mut planner = planner(3);
+    for number in 0..3 * SLOTS as u64 {
+        write(&mut planner, number * 10, short(number));
+    }
+    assert!(planner.ask(at(1_000), short(90)).is_none());
+    assert_eq!(planner.tick(at(1_060)).len(), 1, "refused");
+    for number in 0..3 * SLOTS as u64 {
+        planner.end(at(1_070), JobId { boot: 1, sequence: number }, PlaceEnd::Done);
+    }
+    let late = PlaceAsk { goal_left_ms: 0, patience_ms: 9_000, ..long(99, 150_000) };
+    assert!(planner.ask(at(1_080), late).is_none());
+    assert!(planner.tick(at(1_200)).is_empty());
+    assert_eq!(planner.tick(at(2_000)).len(), 1, "nobody was turned away since");
+}
+
 #[test]
 fn plain_routers_take_one_engine_at_once() {
     for routing in [RoutingKind::RoundRobin, RoutingKind::LeastRequests, RoutingKind::LeastTokens] {
--- a/crates/soak/src/fault_plan.rs
+++ b/crates/soak/src/fault_plan.rs
@@ -7,7 +7,7 @@
 use slipturn_platform_standin::{proxy::LinkMode, runner::RunnerMode, store::StoreMode};
 
 /// Pause between two faults, milliseconds: short enough for faults to overlap.
-const GAP_MS: std::ops::Range<u64> = 150..900;
+const GAP_MS: std::ops::Range<u64> = 100..600;
 /// How long a fault lasts, milliseconds.
 const LENGTH_MS: std::ops::Range<u64> = 200..2_500;
 /// Time at the start and the end without faults, milliseconds.
@@ -98,7 +98,7 @@
 fn draw(random: &mut ChaCha8Rng, size: PlanSize) -> Fault {
     let instance = random.random_range(0..size.instances);
     let upstream = random.random_range(0..size.upstreams);
-    match random.random_range(0..20) {
+    match random.random_range(0..26) {
         0 | 1 => Fault::Kill(instance),
         2..=4 => Fault::Stop(instance),
         5 | 6 => Fault::Pause(instance),
@@ -108,8 +108,8 @@
         10 => Fault::Forget,
         11 | 12 => Fault::Publish,
         13 => Fault::StoreLink(link(random)),
-        14 | 15 => Fault::Upstream(upstream, pick(random, &RUNNER_MODES)),
-        16 | 17 => Fault::UpstreamLink(upstream, link(random)),
+        14..=20 => Fault::Upstream(upstream, pick(random, &RUNNER_MODES)),
+        21 | 22 => Fault::UpstreamLink(upstream, link(random)),
         _ => Fault::Leave(upstream),
     }
 }
