--- a/crates/compare/src/planner_cost.rs
+++ b/crates/compare/src/planner_cost.rs
@@ -2,7 +2,7 @@
 
 use std::{hint, net, time};
 
-use slipturn_core::{ids, membership, planner_key, read_planner, route_table, units};
+use slipturn_core::{engine_place, ids, membership, planner_key, read_planner, route_table, units};
 
 use crate::planned_size;
 
@@ -43,7 +43,7 @@
         let now = at(10_000 + round);
         hint::black_box(planner.ask(now, ask(sequence, prompt)));
         planner.first_token(job(sequence));
-        planner.end(now, job(sequence), read_planner::PlaceEnd::Done);
+        planner.end(now, job(sequence), engine_place::PlaceEnd::Done);
     }
     let each = started.elapsed() / u32::try_from(ROUNDS).unwrap_or(u32::MAX);
     planned_size::row(format!("{what}, {engines} engines"), format!("{each:?}"))
@@ -65,10 +65,10 @@
     planned_size::row(format!("which of {MEMBERS} members plans"), format!("{each:?}"))
 }
 
-fn ask(sequence: u64, prompt: u64) -> read_planner::PlaceAsk {
+fn ask(sequence: u64, prompt: u64) -> engine_place::PlaceAsk {
     let long = prompt > 24_000;
     let goal_ms = if long { 3_000 } else { 300 };
-    read_planner::PlaceAsk {
+    engine_place::PlaceAsk {
         job: job(sequence),
         prompt,
         output: 1_000,
@@ -82,8 +82,8 @@
     }
 }
 
-fn job(sequence: u64) -> read_planner::JobId {
-    read_planner::JobId { boot: 1, sequence }
+fn job(sequence: u64) -> engine_place::JobId {
+    engine_place::JobId { boot: 1, sequence }
 }
 
 fn shape() -> route_table::EngineShape {
--- /dev/null
+++ b/crates/core/src/planner_choice.rs
@@ -0,0 +1,352 @@
+//! Which engines read a prompt: every way is weighed by what it loses, for the request and for
+//! those that write there. Times are milliseconds as `f64`, see [`crate::pass_model`].
+
+use crate::{
+    engine_place, engine_work, ids, pass_model, planner_urgency, read_planner, settings, units,
+};
+
+/// Numbers of parts that are compared.
+const PART_COUNTS: [usize; 9] = [1, 2, 3, 4, 6, 8, 11, 14, 17];
+/// Part of a pause goal that a pass may fill by plan; the rest is for what the plan cannot see.
+const PAUSE_PART: f64 = 0.85;
+/// Part of an engine's memory that is given away.
+pub(crate) const MEMORY_PART: f64 = 0.96;
+/// A prompt that leaves its engine less than this part of the memory is held by several.
+const ALONE_PART: f64 = 0.85;
+/// Largest part of an engine's free memory that is set aside for a prompt answered elsewhere.
+const HELD_PART: f64 = 0.9;
+/// Tokens below which setting memory aside is not worth an order.
+const MIN_HELD_TOKENS: u64 = 4_096;
+/// Part of a tight goal that a plan may use on the engine.
+const TIGHT_GOAL_PART: f64 = 0.55;
+/// Part of a tight goal within which a sooner start earns nothing.
+const TIGHT_EASY_PART: f64 = 0.33;
+/// Reading that may still wait on an engine when a long part is added, milliseconds: about the
+/// time that the request takes to get there.
+const MAX_STACKED_MS: f64 = 40.0;
+/// Longest part that is read in one go while there is a choice, milliseconds.
+const MAX_PART_MS: f64 = 500.0;
+/// The same in shares of the prompt's goal, if longer.
+const MAX_GOAL_PART: f64 = 0.2;
+/// Shortest part that is worth a helper, milliseconds.
+const MIN_PART_MS: f64 = 20.0;
+/// Parts up to this length may be read before a short prompt that waits on the same engine.
+const SHORT_PART_MS: f64 = 60.0;
+/// What a part costs beside its reading: a message and a pass cut short, milliseconds.
+const PART_COST_MS: f64 = 15.0;
+/// Part of its own worth that a long prompt may cost others.
+const HARM_PART: f64 = 0.5;
+
+/// An engine as one choice sees it.
+pub(crate) struct EngineView<'a> {
+    pub(crate) name: &'a ids::UpstreamId,
+    pub(crate) rank: u64,
+    /// Reading that waits there, milliseconds.
+    pub(crate) pending_ms: f64,
+    pub(crate) steps_ms: f64,
+    /// Smallest pause goal of those that write there; infinite without any.
+    pub(crate) pause_ms: f64,
+    /// Worth of those that write there.
+    pub(crate) worth: f64,
+    pub(crate) tight: usize,
+    /// Those of them whose prompt has not been read.
+    pub(crate) unread: usize,
+    pub(crate) answering: usize,
+    pub(crate) free: u64,
+    pub(crate) pace: f64,
+}
+
+/// A place with what it loses.
+pub(crate) struct Choice {
+    pub(crate) grant: engine_place::PlaceGrant,
+    pub(crate) loss: f64,
+}
+
+/// What a choice may do to others.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum ChoiceMode {
+    /// Nobody's pauses suffer and no part waits behind another.
+    Calm,
+    /// No part waits behind another.
+    Harmful,
+    /// Whatever loses least.
+    Forced,
+}
+
+impl read_planner::ReadPlanner {
+    /// The choice of a plain router: one engine, at once, read by nobody else.
+    pub(crate) fn choose_plainly(
+        &self,
+        now: units::MonoTime,
+        job: &planner_urgency::WaitingJob,
+        views: &[EngineView<'_>],
+    ) -> Option<engine_place::PlaceGrant> {
+        let load = |view: &&EngineView<'_>| match self.options.routing {
+            settings::RoutingKind::LeastRequests => view.answering as u64,
+            settings::RoutingKind::LeastTokens => u64::MAX - view.free,
+            _ => 0,
+        };
+        let turn = job.ask.job.sequence as usize % views.len().max(1);
+        let (before, behind) = views.split_at(turn);
+        let engine = behind.iter().chain(before).min_by_key(load)?;
+        let part = pass_model::read_ms(&self.shape, job.ask.prompt);
+        Some(engine_place::PlaceGrant {
+            job: job.ask.job,
+            engine: engine.name.clone(),
+            helpers: Vec::new(),
+            held: Vec::new(),
+            first_token_ms: (engine.pending_ms + part + engine.steps_ms) as u32,
+            waited_ms: now.since(job.since).as_millis() as u32,
+        })
+    }
+
+    /// The engines that a request may use.
+    pub(crate) fn views(
+        &self,
+        now: units::MonoTime,
+        job: &planner_urgency::WaitingJob,
+    ) -> Vec<EngineView<'_>> {
+        let usable = |shunned: bool| {
+            let allowed = self.engines.iter().filter(move |(name, engine)| {
+                (engine.shunned_until > now) == shunned && !job.ask.excluded.contains(name)
+            });
+            allowed.map(|(name, engine)| self.view(name, engine)).collect::<Vec<_>>()
+        };
+        let views = usable(false);
+        // An engine that failed lately is better than none.
+        if views.is_empty() { usable(true) } else { views }
+    }
+
+    /// The place that loses least; `None` where the mode allows none.
+    pub(crate) fn choose(
+        &self,
+        now: units::MonoTime,
+        job: &planner_urgency::WaitingJob,
+        views: &[EngineView<'_>],
+        mode: ChoiceMode,
+    ) -> Option<Choice> {
+        let most = self.options.max_parts.min(views.len()).min(engine_place::MAX_HELPERS + 1);
+        let whole = pass_model::read_ms(&self.shape, job.ask.prompt);
+        PART_COUNTS
+            .iter()
+            .filter(|parts| **parts <= most)
+            .filter(|parts| **parts == 1 || whole / **parts as f64 >= MIN_PART_MS)
+            .filter_map(|parts| self.choose_parts(now, job, views, *parts, mode))
+            .min_by(|left, right| left.loss.total_cmp(&right.loss))
+    }
+
+    pub(crate) fn view<'a>(
+        &'a self,
+        name: &'a ids::UpstreamId,
+        engine: &engine_work::EngineWork,
+    ) -> EngineView<'a> {
+        let asks = engine.answering.iter().filter_map(|job| self.jobs.get(job));
+        let (mut context, mut pause_ms, mut worth) = (0, f64::INFINITY, 0.0);
+        let (mut tight, mut unread) = (0, 0);
+        for state in asks {
+            let ask = &state.lease.ask;
+            context += ask.prompt / (state.lease.grant.helpers.len() as u64 + 1);
+            pause_ms = pause_ms.min(f64::from(ask.pause_ms));
+            worth += f64::from(ask.worth);
+            tight += usize::from(ask.tight());
+            unread += usize::from(ask.tight() && state.lease.reading);
+        }
+        let answering = engine.answering.len() + engine.foreign;
+        EngineView {
+            name,
+            rank: engine.rank,
+            pending_ms: engine.pending_ms(),
+            steps_ms: pass_model::steps_ms(&self.shape, answering, context),
+            pause_ms,
+            worth,
+            tight: tight + engine.foreign,
+            unread,
+            answering,
+            free: engine.memory.saturating_sub(engine.used),
+            pace: engine.pace,
+        }
+    }
+
+    pub(crate) fn choose_parts(
+        &self,
+        now: units::MonoTime,
+        job: &planner_urgency::WaitingJob,
+        views: &[EngineView<'_>],
+        parts: usize,
+        mode: ChoiceMode,
+    ) -> Option<Choice> {
+        let ask = &job.ask;
+        let part = pass_model::part_ms(&self.shape, ask.prompt, parts);
+        let longest = self.longest_part(ask, views.len());
+        let mut scored: Vec<_> = views
+            .iter()
+            .filter(|view| match mode {
+                ChoiceMode::Calm => part <= longest && self.is_calm(view, ask, part),
+                ChoiceMode::Harmful => view.pending_ms <= MAX_STACKED_MS,
+                ChoiceMode::Forced => true,
+            })
+            .map(|view| (self.engine_loss(view, ask, part), view))
+            .collect();
+        if scored.len() < parts {
+            return None;
+        }
+        scored
+            .sort_by(|left, right| left.0.total_cmp(&right.0).then(left.1.rank.cmp(&right.1.rank)));
+        let need = ask.prompt + ask.output;
+        let capacity = (self.shape.memory.0 as f64 * MEMORY_PART) as u64;
+        let alone = need as f64 <= capacity as f64 * ALONE_PART;
+        let chosen = &scored[..parts];
+        let host = chosen
+            .iter()
+            .filter(|(_, view)| view.answering < self.shape.slots)
+            .filter(|(_, view)| !alone || view.free >= need)
+            .min_by(|left, right| {
+                let cost = |view: &EngineView<'_>| {
+                    // Answers of long prompts are written side by side, so that few engines
+                    // interrupt their reading for steps.
+                    let fresh = if view.answering == 0 { 0.5 } else { 0.0 };
+                    view.tight as f64 + fresh + view.pending_ms / 100.0
+                };
+                cost(left.1).total_cmp(&cost(right.1))
+            });
+        let host = match host {
+            Some((_, view)) => *view,
+            // Without a free slot anywhere the engine's own queue takes it.
+            None if mode == ChoiceMode::Forced && alone => {
+                chosen.iter().min_by_key(|(_, view)| view.answering)?.1
+            }
+            None => return None,
+        };
+        let held = if alone { Vec::new() } else { self.hold(ask, host, chosen, capacity)? };
+        let ready = chosen
+            .iter()
+            .map(|(_, view)| (view.pending_ms + part + view.steps_ms * 1.5) * view.pace)
+            .fold(0.0, f64::max);
+        let first_token_ms = ready;
+        let harm: f64 = chosen.iter().map(|(_, view)| self.harm(view, part)).sum();
+        let worth =
+            f64::from(ask.worth) * if job.late(now) { planner_urgency::LATE_PART } else { 1.0 };
+        if mode == ChoiceMode::Harmful && harm > worth * HARM_PART {
+            return None;
+        }
+        let late = if first_token_ms > job.goal_left(now) * planner_urgency::GOAL_PART {
+            worth
+        } else {
+            0.0
+        };
+        let ranks: f64 = chosen.iter().map(|(loss, _)| loss).sum();
+        let delay = first_token_ms / f64::from(ask.goal_ms.max(1)) * self.options.delay;
+        let loss = harm + late + ranks + delay * worth;
+        let helpers = chosen
+            .iter()
+            .filter(|(_, view)| view.name != host.name)
+            .map(|(_, view)| view.name.clone())
+            .collect();
+        let grant = engine_place::PlaceGrant {
+            job: ask.job,
+            engine: host.name.clone(),
+            helpers,
+            held,
+            first_token_ms: first_token_ms as u32,
+            waited_ms: now.since(job.since).as_millis() as u32,
+        };
+        Some(Choice { grant, loss })
+    }
+
+    /// Longest part of a prompt while there is a choice: on few engines it cannot be short.
+    pub(crate) fn longest_part(&self, ask: &engine_place::PlaceAsk, engines: usize) -> f64 {
+        let most = self.options.max_parts.min(engines).min(engine_place::MAX_HELPERS + 1);
+        let shortest = pass_model::part_ms(&self.shape, ask.prompt, most);
+        MAX_PART_MS.max(f64::from(ask.goal_ms) * MAX_GOAL_PART).max(shortest)
+    }
+
+    /// Whether an engine can read a part at once and nobody there suffers.
+    pub(crate) fn is_calm(
+        &self,
+        view: &EngineView<'_>,
+        ask: &engine_place::PlaceAsk,
+        part: f64,
+    ) -> bool {
+        if ask.tight() {
+            let pass = (view.steps_ms + view.pending_ms + part) * view.pace;
+            let first = pass + view.steps_ms * 0.5 * view.pace;
+            return view.answering < self.shape.slots
+                && pass <= f64::from(ask.pause_ms) * PAUSE_PART
+                && first <= f64::from(ask.goal_ms) * TIGHT_GOAL_PART
+                && self.harm(view, part) <= 0.0;
+        }
+        // Parts read for others go before an engine's own, so a second one on top could keep the
+        // first one waiting without end.
+        view.pending_ms <= MAX_STACKED_MS
+            && (part <= SHORT_PART_MS || view.unread == 0)
+            && self.harm(view, part) <= 0.0
+    }
+
+    /// Worth that those who write on an engine lose by one more part read there.
+    pub(crate) fn harm(&self, view: &EngineView<'_>, part: f64) -> f64 {
+        let before = (view.steps_ms + view.pending_ms) * view.pace;
+        let pause = before + part * view.pace;
+        let limit = view.pause_ms * PAUSE_PART;
+        // A pause that is too long already is not lost twice.
+        if pause > limit && before <= limit { view.worth * 0.75 } else { 0.0 }
+    }
+
+    /// What speaks against reading a part on an engine, for order and ties.
+    pub(crate) fn engine_loss(
+        &self,
+        view: &EngineView<'_>,
+        ask: &engine_place::PlaceAsk,
+        part: f64,
+    ) -> f64 {
+        let harm = self.harm(view, part);
+        let wait = (view.pending_ms + view.steps_ms + part) * view.pace;
+        if ask.tight() {
+            let full = if view.answering >= self.shape.slots { 1.0 } else { 0.0 };
+            let paused = if wait > f64::from(ask.pause_ms) * PAUSE_PART { 0.5 } else { 0.0 };
+            let packed = self.options.packed_writers;
+            let fill = if view.tight < packed {
+                (packed - view.tight) as f64 * 0.004
+            } else {
+                (view.tight - packed) as f64 * 0.02
+            };
+            let beside = (view.answering - view.tight) as f64 * 0.03;
+            // Time that the goal leaves anyway costs nothing.
+            let slow = (wait - f64::from(ask.goal_ms) * TIGHT_EASY_PART).max(0.0) / 1_000.0;
+            return harm + slow + full + paused + fill + beside;
+        }
+        // Each part costs its engine a pass with the steps of those that write there.
+        let steps = if view.answering > 0 { view.steps_ms } else { 0.0 };
+        let crowd = view.tight as f64
+            * self.options.pressure
+            * (part / engine_place::TIGHT_PAUSE_MS).min(1.0);
+        harm + crowd + (steps + view.pending_ms + PART_COST_MS) * view.pace / 1_000.0
+    }
+
+    /// Memory on other engines for what the answering one has no room for.
+    pub(crate) fn hold(
+        &self,
+        ask: &engine_place::PlaceAsk,
+        host: &EngineView<'_>,
+        chosen: &[(f64, &EngineView<'_>)],
+        capacity: u64,
+    ) -> Option<Vec<engine_place::HeldPart>> {
+        let own = host.free.min((capacity as f64 * ALONE_PART) as u64);
+        let mut left = (ask.prompt + ask.output).saturating_sub(own);
+        let mut others: Vec<_> =
+            chosen.iter().map(|(_, view)| *view).filter(|view| view.name != host.name).collect();
+        others.sort_by_key(|view| std::cmp::Reverse(view.free));
+        let mut held = Vec::new();
+        for view in others {
+            if left == 0 {
+                break;
+            }
+            let tokens = left.min((view.free as f64 * HELD_PART) as u64).max(MIN_HELD_TOKENS);
+            if view.free < tokens {
+                continue;
+            }
+            held.push(engine_place::HeldPart { engine: view.name.clone(), tokens });
+            left = left.saturating_sub(tokens);
+        }
+        (left == 0).then_some(held)
+    }
+}
--- a/crates/core/tests/read_planner.rs
+++ b/crates/core/tests/read_planner.rs
@@ -4,10 +4,9 @@
 
 use proptest::prelude::*;
 use slipturn_core::{
+    engine_place::{JobId, PlaceAnswer, PlaceAsk, PlaceEnd, PlaceGrant, PlaceLease},
     ids, pass_model,
-    read_planner::{
-        JobId, PlaceAnswer, PlaceAsk, PlaceEnd, PlaceGrant, PlaceLease, PlannerOptions, ReadPlanner,
-    },
+    read_planner::{PlannerOptions, ReadPlanner},
     route_table,
     settings::RoutingKind,
     units,
--- a/crates/instance/src/context.rs
+++ b/crates/instance/src/context.rs
@@ -3,7 +3,9 @@
 use std::{cell, collections, rc, time};
 
 use futures::{channel::mpsc, channel::oneshot, future};
-use slipturn_core::{fleet_budget, ids, membership, planner_key, read_planner, units};
+use slipturn_core::{
+    engine_place, fleet_budget, ids, membership, planner_key, read_planner, units,
+};
 use slipturn_net::process;
 
 use crate::{
@@ -26,7 +28,7 @@
     /// The planner that gave it.
     pub key: planner_key::PlannerKey,
     /// The lease, as it is repeated to the planner.
-    pub lease: read_planner::PlaceLease,
+    pub lease: engine_place::PlaceLease,
 }
 
 /// Shared by all tasks of one process; all run on one thread.
@@ -50,9 +52,9 @@
     /// Planners of services that this process plans for.
     pub planners: cell::RefCell<planner_set::PlannerSet>,
     /// Places in use by this process's requests.
-    pub leases: cell::RefCell<collections::HashMap<read_planner::JobId, HeldLease>>,
+    pub leases: cell::RefCell<collections::HashMap<engine_place::JobId, HeldLease>>,
     /// Requests waiting for a grant.
-    pub grants: cell::RefCell<collections::HashMap<read_planner::JobId, peer_message::ReplySender>>,
+    pub grants: cell::RefCell<collections::HashMap<engine_place::JobId, peer_message::ReplySender>>,
     /// Retries of this process by service.
     pub retries: cell::RefCell<collections::HashMap<ids::ServiceId, fleet_budget::RetryShare>>,
     /// Idle connections to upstreams.
@@ -141,10 +143,10 @@
     }
 
     /// An id of an attempt that no other attempt of any member has.
-    pub fn next_job(&self) -> read_planner::JobId {
+    pub fn next_job(&self) -> engine_place::JobId {
         let sequence = self.sequence.get() + 1;
         self.sequence.set(sequence);
-        read_planner::JobId { boot: self.boot, sequence }
+        engine_place::JobId { boot: self.boot, sequence }
     }
 
     /// Says something to another member.
--- a/crates/instance/src/memory_hold.rs
+++ b/crates/instance/src/memory_hold.rs
@@ -2,7 +2,7 @@
 
 use std::{cell, net, rc, time};
 
-use slipturn_core::{ids, read_planner, units};
+use slipturn_core::{engine_place, ids, units};
 use snafu::Snafu;
 
 use crate::{border, context, document_call};
@@ -55,8 +55,8 @@
     /// Sets memory aside as planned: all parts or none.
     pub async fn take(
         context: &rc::Rc<context::InstanceContext>,
-        job: read_planner::JobId,
-        parts: &[read_planner::HeldPart],
+        job: engine_place::JobId,
+        parts: &[engine_place::HeldPart],
     ) -> Result<Self, HoldError> {
         let done = rc::Rc::new(cell::Cell::new(false));
         let mut hold = Self { context: rc::Rc::clone(context), tickets: Vec::new(), done };
--- a/crates/instance/src/model_request.rs
+++ b/crates/instance/src/model_request.rs
@@ -3,35 +3,16 @@
 use std::{rc, time};
 
 use bytes::{Bytes, BytesMut};
-use slipturn_core::{ids, read_planner, refusal, retry};
+use slipturn_core::{engine_place, ids, refusal, retry};
 use slipturn_net::h1;
 
 use crate::{
     caller_connection, context, event_stream, incoming_call, memory_hold, plan_client,
-    request_record, silence_watch, upstream_attempt,
+    request_record, silence_watch, stream_policy, upstream_attempt,
 };
 
 /// Places tried at most, those whose engine never saw the request included.
 const MAX_TRIES: u32 = 5;
-/// Tokens of a prompt that are worth as much as one short request; the goal's weight grows with
-/// the work. From the users' sheets: 154,000 tokens are worth 16 times 5,000.
-const TOKENS_PER_WORTH: f32 = 8_000.0;
-/// Callers give a stream up after a silence of this, or of the multiples below, if longer.
-const CALLER_SILENCE: time::Duration = time::Duration::from_secs(2);
-/// Goals for the first token that callers wait.
-const CALLER_GOALS: u32 = 4;
-/// Goals for a pause that callers wait.
-const CALLER_PAUSES: u32 = 8;
-/// Part of the callers' patience after which a silent engine is given up at the latest.
-const SILENCE_PART: f64 = 0.72;
-/// Goals for a pause after which an engine in the middle of an answer is given up.
-const SILENCE_PAUSES: f64 = 3.5;
-/// Expected times to the first token after which an engine is given up that has not begun.
-const SILENCE_PLANS: f64 = 3.0;
-/// Time beyond these, for what the plan could not see.
-const SILENCE_MARGIN: time::Duration = time::Duration::from_millis(600);
-/// Callers that have less than this part of the route's time have spent some on an earlier try.
-const FIRST_TRY_PART: f64 = 0.97;
 /// When to come back after a refusal, where nothing better is known.
 const BACK_AFTER: time::Duration = time::Duration::from_millis(400);
 /// Largest failure answer of an engine that is passed on.
@@ -63,7 +44,7 @@
     /// There was no place.
     NoPlace,
     /// There will be no place in time.
-    Refused(read_planner::PlaceRefusal),
+    Refused(engine_place::PlaceRefusal),
 }
 
 /// Serves a streamed request to its end.
@@ -166,9 +147,14 @@
     record: &mut request_record::RequestRecord,
     state: &mut StreamState,
 ) -> Result<AttemptEnd, h1::MessageError> {
-    let limit = patience(call).saturating_sub(context.now().since(call.arrived));
+    let limit = stream_policy::patience(call).saturating_sub(context.now().since(call.arrived));
     let limit = limit.max(time::Duration::from_millis(200)).min(call.left(context.now()));
-    let ask = ask(context, call, state);
+    let progress = stream_policy::AskProgress {
+        begun: state.begun,
+        sent: state.sent > 0,
+        excluded: &state.excluded,
+    };
+    let ask = stream_policy::ask(context, call, &progress);
     let planner = context.pick_planner(&call.service);
     let mut hold = match plan_client::place(context, &planner, ask, limit).await {
         plan_client::PlaceOutcome::Placed(hold) => hold,
@@ -186,9 +172,9 @@
     if let Ok(AttemptEnd::Fault(fault)) = &end {
         row.end.clone_from(&fault.text);
         hold.end = match (fault.failure, hold.end) {
-            (_, read_planner::PlaceEnd::Silent) => read_planner::PlaceEnd::Silent,
-            (retry::AttemptFailure::SaidNotRun, _) => read_planner::PlaceEnd::Full,
-            _ => read_planner::PlaceEnd::Failed,
+            (_, engine_place::PlaceEnd::Silent) => engine_place::PlaceEnd::Silent,
+            (retry::AttemptFailure::SaidNotRun, _) => engine_place::PlaceEnd::Full,
+            _ => engine_place::PlaceEnd::Failed,
         };
         blame(context, state, &hold, fault);
     }
@@ -231,14 +217,14 @@
         address: target.address,
         holds: memory.holds(),
     };
-    let first_wait = first_silence(call, &hold.grant).min(left);
+    let first_wait = stream_policy::first_silence(call, &hold.grant).min(left);
     let reached = state.sent + 1;
     let retry = || give_up(context, call, state, reached);
     let answered = match watch.wait(sending.as_mut(), first_wait, retry).await {
         Ok(answered) => answered,
         Err(silence) => {
             state.sent += 1;
-            hold.end = read_planner::PlaceEnd::Silent;
+            hold.end = engine_place::PlaceEnd::Silent;
             return Ok(broke(state, silence));
         }
     };
@@ -254,7 +240,7 @@
     state.sent += 1;
     if !answer.head.status.is_success() {
         row.end = format!("status {}", answer.head.status.as_u16());
-        hold.end = read_planner::PlaceEnd::Failed;
+        hold.end = engine_place::PlaceEnd::Failed;
         state.excluded.push(hold.grant.engine.clone());
         let body = answer.connection.reader.whole_body(&mut answer.framing, MAX_FAILURE).await;
         let head = Box::new(answer.head.clone());
@@ -274,11 +260,11 @@
         let mut next = std::pin::pin!(answer.connection.reader.next_piece(&mut answer.framing));
         let sent = state.sent;
         let retry = || give_up(context, call, state, sent);
-        let piece = match watch.wait(next.as_mut(), silence(call), retry).await {
+        let piece = match watch.wait(next.as_mut(), stream_policy::silence(call), retry).await {
             Ok(Ok(piece)) => piece,
             Ok(Err(error)) => return Ok(broke(state, error)),
             Err(silence) => {
-                hold.end = read_planner::PlaceEnd::Silent;
+                hold.end = engine_place::PlaceEnd::Silent;
                 return Ok(broke(state, silence));
             }
         };
@@ -381,7 +367,7 @@
     context: &context::InstanceContext,
     call: &incoming_call::IncomingCall,
     state: &StreamState,
-    grant: &read_planner::PlaceGrant,
+    grant: &engine_place::PlaceGrant,
     memory: &memory_hold::MemoryHold,
 ) -> Option<upstream_attempt::AttemptTarget> {
     let fleet = context.fleet.borrow();
@@ -404,62 +390,10 @@
         address,
         helpers,
         last_event: state.last_event.clone(),
-        priority: Some(priority(call, late)),
+        priority: Some(stream_policy::priority(call, late)),
     })
 }
 
-/// Short goals go first on an engine; what is late goes last.
-fn priority(call: &incoming_call::IncomingCall, late: bool) -> u8 {
-    if late {
-        return 8;
-    }
-    match call.route.first_token_goal.as_millis() {
-        0..=500 => 2,
-        501..=2_000 => 4,
-        _ => 5,
-    }
-}
-
-fn ask(
-    context: &context::InstanceContext,
-    call: &incoming_call::IncomingCall,
-    state: &StreamState,
-) -> read_planner::PlaceAsk {
-    let spent = context.now().since(call.arrived);
-    let millis = |span: time::Duration| u32::try_from(span.as_millis()).unwrap_or(u32::MAX);
-    let goal_left = if state.begun {
-        // The stream goes on as soon as it can; its first token is out.
-        call.route.pause_goal
-    } else {
-        call.route.first_token_goal.saturating_sub(spent)
-    };
-    read_planner::PlaceAsk {
-        job: context.next_job(),
-        prompt: call.request.prompt,
-        output: call.request.output,
-        pause_ms: millis(call.route.pause_goal),
-        goal_ms: millis(call.route.first_token_goal),
-        goal_left_ms: millis(goal_left),
-        patience_ms: millis(patience(call).saturating_sub(spent)),
-        worth: (call.request.prompt as f32 / TOKENS_PER_WORTH).max(1.0),
-        refusable: state.sent == 0 && !came_back(call),
-        excluded: state.excluded.clone(),
-    }
-}
-
-/// Whether a caller has probably been refused before: it has less time than its route gives.
-fn came_back(call: &incoming_call::IncomingCall) -> bool {
-    let whole = call.route.time_limit.mul_f64(FIRST_TRY_PART);
-    call.request.patience.is_some_and(|patience| patience < whole)
-}
-
-/// How long a caller waits without an event.
-fn patience(call: &incoming_call::IncomingCall) -> time::Duration {
-    CALLER_SILENCE
-        .max(call.route.first_token_goal * CALLER_GOALS)
-        .max(call.route.pause_goal * CALLER_PAUSES)
-}
-
 /// Whether a silent engine, the `reached`th that got the request, is given up: another may go on, and the retry budget has room. The
 /// retry is taken then.
 fn give_up(
@@ -472,19 +406,3 @@
     state.retry_taken = allowed && context.take_retry(&call.service);
     state.retry_taken
 }
-
-/// How long an engine may be silent in the middle of an answer.
-fn silence(call: &incoming_call::IncomingCall) -> time::Duration {
-    let pauses = call.route.pause_goal.mul_f64(SILENCE_PAUSES);
-    pauses.min(patience(call).mul_f64(SILENCE_PART))
-}
-
-/// How long an engine may be silent before its answer begins.
-fn first_silence(
-    call: &incoming_call::IncomingCall,
-    grant: &read_planner::PlaceGrant,
-) -> time::Duration {
-    let planned = time::Duration::from_millis(u64::from(grant.first_token_ms));
-    let expected = planned.mul_f64(SILENCE_PLANS) + SILENCE_MARGIN;
-    expected.min(patience(call).mul_f64(SILENCE_PART))
-}
--- a/crates/instance/src/peer_message.rs
+++ b/crates/instance/src/peer_message.rs
@@ -2,7 +2,7 @@
 
 use futures::channel::mpsc;
 use serde::{Deserialize, Serialize};
-use slipturn_core::{ids, membership, planner_key, read_planner};
+use slipturn_core::{engine_place, ids, membership, planner_key};
 
 /// Largest datagram; larger messages are split by their sender.
 pub const MAX_DATAGRAM: usize = 16 * 1024;
@@ -15,26 +15,26 @@
     /// A heartbeat.
     Beat(Box<membership::MemberBeat>),
     /// Asks a planner for a place.
-    Ask(planner_key::PlannerKey, Box<read_planner::PlaceAsk>),
+    Ask(planner_key::PlannerKey, Box<engine_place::PlaceAsk>),
     /// Gives a place, or refuses one.
-    Answer(Box<read_planner::PlaceAnswer>),
+    Answer(Box<engine_place::PlaceAnswer>),
     /// The request waits for a place; the answer follows.
-    Queued(read_planner::JobId),
+    Queued(engine_place::JobId),
     /// The answer of a request begins.
-    FirstToken(planner_key::PlannerKey, read_planner::JobId),
+    FirstToken(planner_key::PlannerKey, engine_place::JobId),
     /// A request is over.
-    End(planner_key::PlannerKey, read_planner::JobId, read_planner::PlaceEnd),
+    End(planner_key::PlannerKey, engine_place::JobId, engine_place::PlaceEnd),
     /// An engine has failed, or refused as another's cause.
     Shun(planner_key::PlannerKey, ids::UpstreamId),
     /// Places in use.
-    Renew(planner_key::PlannerKey, Vec<read_planner::PlaceLease>),
+    Renew(planner_key::PlannerKey, Vec<engine_place::PlaceLease>),
 }
 
 /// What a request that waits for its place is told.
 #[derive(Debug, Clone, PartialEq)]
 pub enum PlanReply {
     /// It has a place, or gets none.
-    Answer(Box<read_planner::PlaceAnswer>),
+    Answer(Box<engine_place::PlaceAnswer>),
     /// It waits in the planner.
     Queued,
 }
--- a/crates/instance/src/peers.rs
+++ b/crates/instance/src/peers.rs
@@ -3,7 +3,7 @@
 use std::{collections, net, rc, time};
 
 use futures::{StreamExt as _, channel::mpsc};
-use slipturn_core::{membership, planner_key, read_planner, units};
+use slipturn_core::{engine_place, membership, planner_key, units};
 
 use crate::{context, peer_message, planner_set};
 
@@ -121,7 +121,7 @@
 /// Hands a reply to the request that waits for it.
 fn reply(
     context: &context::InstanceContext,
-    job: read_planner::JobId,
+    job: engine_place::JobId,
     reply: peer_message::PlanReply,
 ) {
     if let Some(sender) = context.grants.borrow().get(&job) {
@@ -228,7 +228,7 @@
     context: &context::InstanceContext,
     now: units::MonoTime,
     key: &planner_key::PlannerKey,
-    leases: Vec<read_planner::PlaceLease>,
+    leases: Vec<engine_place::PlaceLease>,
 ) {
     match planner_of(context, key) {
         Some(member) => {
--- a/crates/instance/src/plan_client.rs
+++ b/crates/instance/src/plan_client.rs
@@ -3,7 +3,7 @@
 use std::{rc, time};
 
 use futures::{StreamExt as _, channel::mpsc};
-use slipturn_core::{ids, planner_key, read_planner, units};
+use slipturn_core::{engine_place, ids, planner_key, units};
 
 use crate::{context, peer_message, peers, planner_set};
 
@@ -19,9 +19,9 @@
     context: rc::Rc<context::InstanceContext>,
     key: planner_key::PlannerKey,
     /// The place.
-    pub grant: read_planner::PlaceGrant,
+    pub grant: engine_place::PlaceGrant,
     /// How the attempt ended, as far as is known.
-    pub end: read_planner::PlaceEnd,
+    pub end: engine_place::PlaceEnd,
 }
 
 impl PlaceHold {
@@ -55,7 +55,7 @@
 struct WaitGuard<'a> {
     context: &'a rc::Rc<context::InstanceContext>,
     key: &'a planner_key::PlannerKey,
-    job: read_planner::JobId,
+    job: engine_place::JobId,
     granted: bool,
 }
 
@@ -63,7 +63,7 @@
     fn drop(&mut self) {
         self.context.grants.borrow_mut().remove(&self.job);
         if !self.granted {
-            let end = read_planner::PlaceEnd::Done;
+            let end = engine_place::PlaceEnd::Done;
             let message = peer_message::PeerMessage::End(self.key.clone(), self.job, end);
             peers::tell_planner(self.context, self.key, message);
         }
@@ -75,7 +75,7 @@
     /// It has one.
     Placed(PlaceHold),
     /// It gets none in time.
-    Refused(read_planner::PlaceRefusal),
+    Refused(engine_place::PlaceRefusal),
     /// There was none by the end of its patience.
     TimedOut,
 }
@@ -84,7 +84,7 @@
 pub async fn place(
     context: &rc::Rc<context::InstanceContext>,
     key: &planner_key::PlannerKey,
-    mut ask: read_planner::PlaceAsk,
+    mut ask: engine_place::PlaceAsk,
     limit: time::Duration,
 ) -> PlaceOutcome {
     let started = context.now();
@@ -105,10 +105,10 @@
         };
         let grant = match answer {
             None => continue,
-            Some(read_planner::PlaceAnswer::Refuse(refusal)) => {
+            Some(engine_place::PlaceAnswer::Refuse(refusal)) => {
                 return PlaceOutcome::Refused(refusal);
             }
-            Some(read_planner::PlaceAnswer::Grant(grant)) => grant,
+            Some(engine_place::PlaceAnswer::Grant(grant)) => grant,
         };
         guard.granted = true;
         return PlaceOutcome::Placed(hold(context, key, ask, grant));
@@ -119,27 +119,27 @@
 fn hold(
     context: &rc::Rc<context::InstanceContext>,
     key: &planner_key::PlannerKey,
-    ask: read_planner::PlaceAsk,
-    grant: read_planner::PlaceGrant,
+    ask: engine_place::PlaceAsk,
+    grant: engine_place::PlaceGrant,
 ) -> PlaceHold {
     let job = ask.job;
-    let lease = read_planner::PlaceLease { ask, grant: grant.clone(), reading: true };
+    let lease = engine_place::PlaceLease { ask, grant: grant.clone(), reading: true };
     let held = context::HeldLease { key: key.clone(), lease };
     context.leases.borrow_mut().insert(job, held);
     PlaceHold {
         context: rc::Rc::clone(context),
         key: key.clone(),
         grant,
-        end: read_planner::PlaceEnd::Done,
+        end: engine_place::PlaceEnd::Done,
     }
 }
 
 async fn ask_once(
     context: &rc::Rc<context::InstanceContext>,
     key: &planner_key::PlannerKey,
-    ask: &read_planner::PlaceAsk,
+    ask: &engine_place::PlaceAsk,
     replies: &mut mpsc::UnboundedReceiver<peer_message::PlanReply>,
-) -> Option<read_planner::PlaceAnswer> {
+) -> Option<engine_place::PlaceAnswer> {
     let Some(member) = peers::planner_of(context, key) else {
         return ask_own(context, key, ask, replies).await;
     };
@@ -171,9 +171,9 @@
 async fn ask_own(
     context: &rc::Rc<context::InstanceContext>,
     key: &planner_key::PlannerKey,
-    ask: &read_planner::PlaceAsk,
+    ask: &engine_place::PlaceAsk,
     replies: &mut mpsc::UnboundedReceiver<peer_message::PlanReply>,
-) -> Option<read_planner::PlaceAnswer> {
+) -> Option<engine_place::PlaceAnswer> {
     let answer = ask_planner(context, key, ask, context.now());
     if answer.is_some() {
         return answer;
@@ -191,9 +191,9 @@
 fn ask_planner(
     context: &context::InstanceContext,
     key: &planner_key::PlannerKey,
-    ask: &read_planner::PlaceAsk,
+    ask: &engine_place::PlaceAsk,
     now: units::MonoTime,
-) -> Option<read_planner::PlaceAnswer> {
+) -> Option<engine_place::PlaceAnswer> {
     let mut planners = context.planners.borrow_mut();
     planners.sync(now, &context.fleet.borrow());
     planners.ask(now, key, ask.clone(), planner_set::AskOrigin::Own)
--- a/crates/instance/src/planner_set.rs
+++ b/crates/instance/src/planner_set.rs
@@ -2,7 +2,7 @@
 
 use std::collections;
 
-use slipturn_core::{ids, planner_key, read_planner, rendezvous, route_table, units};
+use slipturn_core::{engine_place, ids, planner_key, read_planner, rendezvous, route_table, units};
 
 use crate::fleet_state;
 
@@ -23,7 +23,7 @@
     options: read_planner::PlannerOptions,
     planners: collections::BTreeMap<planner_key::PlannerKey, read_planner::ReadPlanner>,
     /// Who waits for an answer.
-    origins: collections::HashMap<read_planner::JobId, AskOrigin>,
+    origins: collections::HashMap<engine_place::JobId, AskOrigin>,
     /// Revision of the list and version of the routes the planners know.
     synced: (u64, u64),
     /// Planners asked lately by members.
@@ -98,9 +98,9 @@
         &mut self,
         now: units::MonoTime,
         key: &planner_key::PlannerKey,
-        ask: read_planner::PlaceAsk,
+        ask: engine_place::PlaceAsk,
         origin: AskOrigin,
-    ) -> Option<read_planner::PlaceAnswer> {
+    ) -> Option<engine_place::PlaceAnswer> {
         self.asked.insert(key.clone(), now);
         let job = ask.job;
         let answer = self.planners.get_mut(key)?.ask(now, ask);
@@ -111,7 +111,7 @@
     }
 
     /// Answers those that wait, as far as there are places or there will be none in time.
-    pub fn tick(&mut self, now: units::MonoTime) -> Vec<(AskOrigin, read_planner::PlaceAnswer)> {
+    pub fn tick(&mut self, now: units::MonoTime) -> Vec<(AskOrigin, engine_place::PlaceAnswer)> {
         let mut answers = Vec::new();
         for planner in self.planners.values_mut() {
             for answer in planner.tick(now) {
--- /dev/null
+++ b/crates/instance/src/stream_policy.rs
@@ -0,0 +1,106 @@
+//! What a streamed request may expect: its worth, its urgency, and how long silence is borne.
+
+use std::time;
+
+use slipturn_core::{engine_place, ids};
+
+use crate::{context, incoming_call};
+
+/// Tokens of a prompt that are worth as much as one short request; the goal's weight grows with
+/// the work. From the users' sheets: 154,000 tokens are worth 16 times 5,000.
+const TOKENS_PER_WORTH: f32 = 8_000.0;
+/// Callers give a stream up after a silence of this, or of the multiples below, if longer.
+const CALLER_SILENCE: time::Duration = time::Duration::from_secs(2);
+/// Goals for the first token that callers wait.
+const CALLER_GOALS: u32 = 4;
+/// Goals for a pause that callers wait.
+const CALLER_PAUSES: u32 = 8;
+/// Part of the callers' patience after which a silent engine is given up at the latest.
+const SILENCE_PART: f64 = 0.72;
+/// Goals for a pause after which an engine in the middle of an answer is given up.
+const SILENCE_PAUSES: f64 = 3.5;
+/// Expected times to the first token after which an engine is given up that has not begun.
+const SILENCE_PLANS: f64 = 3.0;
+/// Time beyond these, for what the plan could not see.
+const SILENCE_MARGIN: time::Duration = time::Duration::from_millis(600);
+/// Callers that have less than this part of the route's time have spent some on an earlier try.
+const FIRST_TRY_PART: f64 = 0.97;
+
+/// Short goals go first on an engine; what is late goes last.
+pub(crate) fn priority(call: &incoming_call::IncomingCall, late: bool) -> u8 {
+    if late {
+        return 8;
+    }
+    match call.route.first_token_goal.as_millis() {
+        0..=500 => 2,
+        501..=2_000 => 4,
+        _ => 5,
+    }
+}
+
+/// What has become of a request so far.
+pub(crate) struct AskProgress<'a> {
+    /// Whether the caller has part of its answer.
+    pub(crate) begun: bool,
+    /// Whether an engine has got it.
+    pub(crate) sent: bool,
+    /// Engines that must not be used.
+    pub(crate) excluded: &'a [ids::UpstreamId],
+}
+
+/// What is asked of the planner for a request.
+pub(crate) fn ask(
+    context: &context::InstanceContext,
+    call: &incoming_call::IncomingCall,
+    progress: &AskProgress<'_>,
+) -> engine_place::PlaceAsk {
+    let spent = context.now().since(call.arrived);
+    let millis = |span: time::Duration| u32::try_from(span.as_millis()).unwrap_or(u32::MAX);
+    let goal_left = if progress.begun {
+        // The stream goes on as soon as it can; its first token is out.
+        call.route.pause_goal
+    } else {
+        call.route.first_token_goal.saturating_sub(spent)
+    };
+    engine_place::PlaceAsk {
+        job: context.next_job(),
+        prompt: call.request.prompt,
+        output: call.request.output,
+        pause_ms: millis(call.route.pause_goal),
+        goal_ms: millis(call.route.first_token_goal),
+        goal_left_ms: millis(goal_left),
+        patience_ms: millis(patience(call).saturating_sub(spent)),
+        worth: (call.request.prompt as f32 / TOKENS_PER_WORTH).max(1.0),
+        refusable: !progress.sent && !came_back(call),
+        excluded: progress.excluded.to_vec(),
+    }
+}
+
+/// Whether a caller has probably been refused before: it has less time than its route gives.
+fn came_back(call: &incoming_call::IncomingCall) -> bool {
+    let whole = call.route.time_limit.mul_f64(FIRST_TRY_PART);
+    call.request.patience.is_some_and(|patience| patience < whole)
+}
+
+/// How long a caller waits without an event.
+pub(crate) fn patience(call: &incoming_call::IncomingCall) -> time::Duration {
+    CALLER_SILENCE
+        .max(call.route.first_token_goal * CALLER_GOALS)
+        .max(call.route.pause_goal * CALLER_PAUSES)
+}
+
+/// How long an engine may be silent in the middle of an answer.
+pub(crate) fn silence(call: &incoming_call::IncomingCall) -> time::Duration {
+    let pauses = call.route.pause_goal.mul_f64(SILENCE_PAUSES);
+    pauses.min(patience(call).mul_f64(SILENCE_PART))
+}
+
+/// How long an engine may be silent before its answer begins.
+pub(crate) fn first_silence(
+    call: &incoming_call::IncomingCall,
+    grant: &engine_place::PlaceGrant,
+) -> time::Duration {
+    let planned = time::Duration::from_millis(u64::from(grant.first_token_ms));
+    let expected = planned.mul_f64(SILENCE_PLANS) + SILENCE_MARGIN;
+    expected.min(patience(call).mul_f64(SILENCE_PART))
+}
--- a/crates/instance/tests/peer_message.rs
+++ b/crates/instance/tests/peer_message.rs
@@ -1,8 +1,8 @@
 //! Datagrams between instances: what is said arrives, and garbage is an error.
 
 use proptest::prelude::*;
+use slipturn_core::engine_place::{JobId, PlaceAsk, PlaceEnd, PlaceGrant, PlaceLease};
 use slipturn_core::planner_key::PlannerKey;
-use slipturn_core::read_planner::{JobId, PlaceAsk, PlaceEnd, PlaceGrant, PlaceLease};
 use slipturn_instance::peer_message::{MAX_DATAGRAM, MAX_LEASES, PeerMessage};
 
 fn name(text: &str) -> slipturn_core::ids::UpstreamId {
