--- a/crates/core/src/engine_place.rs
+++ b/crates/core/src/engine_place.rs
@@ -1,5 +1,7 @@
 //! Places on engines: how they are asked for, given, held and ended.
 
+use std::fmt;
+
 use serde::{Deserialize, Serialize};
 
 use crate::ids;
@@ -83,12 +85,23 @@
     pub job: JobId,
     /// When a place is likely, milliseconds from now.
     pub back_after_ms: u32,
+    /// Expected time to the first token of a long prompt, milliseconds.
+    pub expected_ms: Option<u32>,
     /// Requests that run, of so many that could.
     pub running: u32,
     /// Requests that all engines together could run.
     pub slots: u32,
 }
 
+impl fmt::Display for PlaceRefusal {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        if let Some(expected) = self.expected_ms {
+            write!(f, "the first token is expected in {expected} ms, too late; ")?;
+        }
+        write!(f, "{} of {} places are taken", self.running, self.slots)
+    }
+}
+
 /// What the planner says to a request.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum PlaceAnswer {
--- a/crates/core/src/engine_work.rs
+++ b/crates/core/src/engine_work.rs
@@ -8,6 +8,8 @@
 const SHUN_TIME: time::Duration = time::Duration::from_millis(600);
 /// Longest time an engine is left alone.
 const MAX_SHUN_TIME: time::Duration = time::Duration::from_secs(5);
+/// Paces that are believed; a report beyond them is a fault.
+const PACES: (f64, f64) = (0.5, 20.0);
 /// Requests that come and go while a report is on its way; a difference up to this says nothing.
 const REPORT_SLACK: usize = 4;
 
@@ -82,7 +84,7 @@
 
     /// Takes over what it says of itself.
     pub(crate) fn report(&mut self, pace: f64, requests: usize) {
-        self.pace = pace.clamp(0.5, 20.0);
+        self.pace = pace.clamp(PACES.0, PACES.1);
         self.foreign = requests.saturating_sub(self.answering.len() + REPORT_SLACK);
     }
 
--- a/crates/core/src/planner_choice.rs
+++ b/crates/core/src/planner_choice.rs
@@ -37,6 +37,27 @@
 /// Part of its own worth that a long prompt may cost others.
 const HARM_PART: f64 = 0.5;
 
+/// Passes of token steps until a first token: its own, and half of the one that is under way.
+const PASSES: f64 = 1.5;
+/// Part of its worth that an answer loses by one long pause.
+const LOST_PART: f64 = 0.75;
+/// What speaks against an engine without writers as the one that answers, in short writers.
+const FRESH_HOST: f64 = 0.5;
+/// Reading that waits there and weighs as much as one short writer, milliseconds.
+const HOST_PENDING_MS: f64 = 100.0;
+/// Losses by which short requests are ordered onto engines, in shares of one's worth: for each
+/// writer missing to the packing, for each beyond it, for each long one beside, for a pause that
+/// is too long already, for an engine without a free slot.
+const PACK_LOSS: f64 = 0.004;
+/// See [`PACK_LOSS`].
+const CROWD_LOSS: f64 = 0.02;
+/// See [`PACK_LOSS`].
+const BESIDE_LOSS: f64 = 0.03;
+/// See [`PACK_LOSS`].
+const PAUSED_LOSS: f64 = 0.5;
+/// See [`PACK_LOSS`].
+const FULL_LOSS: f64 = 1.0;
+
 /// An engine as one choice sees it.
 pub(crate) struct EngineView<'a> {
     pub(crate) name: &'a ids::UpstreamId,
@@ -192,51 +213,16 @@
         }
         scored
             .sort_by(|left, right| left.0.total_cmp(&right.0).then(left.1.rank.cmp(&right.1.rank)));
-        let need = ask.prompt + ask.output;
-        let capacity = (self.shape.memory.0 as f64 * MEMORY_PART) as u64;
-        let alone = need as f64 <= capacity as f64 * ALONE_PART;
         let chosen = &scored[..parts];
-        let host = chosen
-            .iter()
-            .filter(|(_, view)| view.answering < self.shape.slots)
-            .filter(|(_, view)| !alone || view.free >= need)
-            .min_by(|left, right| {
-                let cost = |view: &EngineView<'_>| {
-                    // Answers of long prompts are written side by side, so that few engines
-                    // interrupt their reading for steps.
-                    let fresh = if view.answering == 0 { 0.5 } else { 0.0 };
-                    view.tight as f64 + fresh + view.pending_ms / 100.0
-                };
-                cost(left.1).total_cmp(&cost(right.1))
-            });
-        let host = match host {
-            Some((_, view)) => *view,
-            // Without a free slot anywhere the engine's own queue takes it.
-            None if mode == ChoiceMode::Forced && alone => {
-                chosen.iter().min_by_key(|(_, view)| view.answering)?.1
-            }
-            None => return None,
-        };
+        let capacity = (self.shape.memory.0 as f64 * MEMORY_PART) as u64;
+        let alone = (ask.prompt + ask.output) as f64 <= capacity as f64 * ALONE_PART;
+        let host = self.pick_host(ask, chosen, alone, mode)?;
         let held = if alone { Vec::new() } else { self.hold(ask, host, chosen, capacity)? };
-        let ready = chosen
+        let first_token_ms = chosen
             .iter()
-            .map(|(_, view)| (view.pending_ms + part + view.steps_ms * 1.5) * view.pace)
+            .map(|(_, view)| (view.pending_ms + part + view.steps_ms * PASSES) * view.pace)
             .fold(0.0, f64::max);
-        let first_token_ms = ready;
-        let harm: f64 = chosen.iter().map(|(_, view)| self.harm(view, part)).sum();
-        let worth =
-            f64::from(ask.worth) * if job.late(now) { planner_urgency::LATE_PART } else { 1.0 };
-        if mode == ChoiceMode::Harmful && harm > worth * HARM_PART {
-            return None;
-        }
-        let late = if first_token_ms > job.goal_left(now) * planner_urgency::GOAL_PART {
-            worth
-        } else {
-            0.0
-        };
-        let ranks: f64 = chosen.iter().map(|(loss, _)| loss).sum();
-        let delay = first_token_ms / f64::from(ask.goal_ms.max(1)) * self.options.delay;
-        let loss = harm + late + ranks + delay * worth;
+        let loss = self.loss(now, job, chosen, part, first_token_ms, mode)?;
         let helpers = chosen
             .iter()
             .filter(|(_, view)| view.name != host.name)
@@ -253,6 +239,55 @@
         Some(Choice { grant, loss })
     }
 
+    /// Of the engines that read a prompt, the one that answers.
+    fn pick_host<'a>(
+        &self,
+        ask: &engine_place::PlaceAsk,
+        chosen: &[(f64, &'a EngineView<'a>)],
+        alone: bool,
+        mode: ChoiceMode,
+    ) -> Option<&'a EngineView<'a>> {
+        let need = ask.prompt + ask.output;
+        // Answers of long prompts are written side by side, so that few engines interrupt their
+        // reading for steps.
+        let cost = |view: &EngineView<'_>| {
+            let fresh = if view.answering == 0 { FRESH_HOST } else { 0.0 };
+            view.tight as f64 + fresh + view.pending_ms / HOST_PENDING_MS
+        };
+        let free = chosen
+            .iter()
+            .map(|(_, view)| *view)
+            .filter(|view| view.answering < self.shape.slots)
+            .filter(|view| !alone || view.free >= need)
+            .min_by(|left, right| cost(left).total_cmp(&cost(right)));
+        // Without a free slot anywhere the engine's own queue takes it.
+        let queued = || chosen.iter().map(|(_, view)| *view).min_by_key(|view| view.answering);
+        free.or_else(|| if mode == ChoiceMode::Forced && alone { queued() } else { None })
+    }
+
+    /// What a way loses in all; `None` where it harms others more than its mode allows.
+    fn loss(
+        &self,
+        now: units::MonoTime,
+        job: &planner_urgency::WaitingJob,
+        chosen: &[(f64, &EngineView<'_>)],
+        part: f64,
+        first_token_ms: f64,
+        mode: ChoiceMode,
+    ) -> Option<f64> {
+        let left = if job.late(now) { planner_urgency::LATE_PART } else { 1.0 };
+        let worth = f64::from(job.ask.worth) * left;
+        let harm: f64 = chosen.iter().map(|(_, view)| self.harm(view, part)).sum();
+        if mode == ChoiceMode::Harmful && harm > worth * HARM_PART {
+            return None;
+        }
+        let in_time = first_token_ms <= job.goal_left(now) * planner_urgency::GOAL_PART;
+        let late = if in_time { 0.0 } else { worth };
+        let ranks: f64 = chosen.iter().map(|(loss, _)| loss).sum();
+        let delay = first_token_ms / f64::from(job.ask.goal_ms.max(1)) * self.options.delay;
+        Some(harm + late + ranks + delay * worth)
+    }
+
     /// Longest part of a prompt while there is a choice: on few engines it cannot be short.
     pub(crate) fn longest_part(&self, ask: &engine_place::PlaceAsk, engines: usize) -> f64 {
         let most = self.options.max_parts.min(engines).min(engine_place::MAX_HELPERS + 1);
@@ -269,7 +304,7 @@
     ) -> bool {
         if ask.tight() {
             let pass = (view.steps_ms + view.pending_ms + part) * view.pace;
-            let first = pass + view.steps_ms * 0.5 * view.pace;
+            let first = pass + view.steps_ms * (PASSES - 1.0) * view.pace;
             return view.answering < self.shape.slots
                 && pass <= f64::from(ask.pause_ms) * PAUSE_PART
                 && first <= f64::from(ask.goal_ms) * TIGHT_GOAL_PART
@@ -288,7 +323,7 @@
         let pause = before + part * view.pace;
         let limit = view.pause_ms * PAUSE_PART;
         // A pause that is too long already is not lost twice.
-        if pause > limit && before <= limit { view.worth * 0.75 } else { 0.0 }
+        if pause > limit && before <= limit { view.worth * LOST_PART } else { 0.0 }
     }
 
     /// What speaks against reading a part on an engine, for order and ties.
@@ -301,15 +336,16 @@
         let harm = self.harm(view, part);
         let wait = (view.pending_ms + view.steps_ms + part) * view.pace;
         if ask.tight() {
-            let full = if view.answering >= self.shape.slots { 1.0 } else { 0.0 };
-            let paused = if wait > f64::from(ask.pause_ms) * PAUSE_PART { 0.5 } else { 0.0 };
+            let full = if view.answering >= self.shape.slots { FULL_LOSS } else { 0.0 };
+            let paused =
+                if wait > f64::from(ask.pause_ms) * PAUSE_PART { PAUSED_LOSS } else { 0.0 };
             let packed = self.options.packed_writers;
             let fill = if view.tight < packed {
-                (packed - view.tight) as f64 * 0.004
+                (packed - view.tight) as f64 * PACK_LOSS
             } else {
-                (view.tight - packed) as f64 * 0.02
+                (view.tight - packed) as f64 * CROWD_LOSS
             };
-            let beside = (view.answering - view.tight) as f64 * 0.03;
+            let beside = (view.answering - view.tight) as f64 * BESIDE_LOSS;
             // Time that the goal leaves anyway costs nothing.
             let slow = (wait - f64::from(ask.goal_ms) * TIGHT_EASY_PART).max(0.0) / 1_000.0;
             return harm + slow + full + paused + fill + beside;
--- a/crates/core/src/planner_urgency.rs
+++ b/crates/core/src/planner_urgency.rs
@@ -18,6 +18,24 @@
 const RETURNED_EXTRA: usize = 2;
 /// When a refused request may come back, milliseconds; spread by its member.
 const BACK_AFTER_MS: u32 = 700;
+/// Parts of a long prompt's goal between which it may be refused: not before the planner has tried,
+/// and inside the quarter within which a refusal must be out.
+const LONG_REFUSAL: std::ops::Range<f64> = 0.12..0.22;
+/// Factors of the expected first token: what waits is read with this loss, and the own part takes
+/// this much longer than its reading alone; with [`LONG_EXTRA_MS`] beside. From runs on the bench.
+const LONG_QUEUE_FACTOR: f64 = 1.2;
+/// See [`LONG_QUEUE_FACTOR`].
+const LONG_OWN_FACTOR: f64 = 1.3;
+/// See [`LONG_QUEUE_FACTOR`], milliseconds.
+const LONG_EXTRA_MS: f64 = 100.0;
+/// A refused long prompt may come back this much later than its goal is missed by, milliseconds.
+const LONG_BACK_MS: f64 = 1_000.0;
+/// The latest that it is asked back, milliseconds; callers obey up to a third of their time.
+const MAX_LONG_BACK_MS: f64 = 2_500.0;
+/// Times its quickest reading that a long prompt needs, with what is under way on its engines.
+const READ_MARGIN: f64 = 1.5;
+/// Reserves of patience below which a late prompt may harm others.
+const HARMFUL_RESERVES: f64 = 2.0;
 /// Slack below which a long prompt goes before others, milliseconds: about the time that an
 /// engine is busy with another's part.
 const URGENT_SLACK_MS: f64 = 500.0;
@@ -80,6 +98,7 @@
         Some(engine_place::PlaceRefusal {
             job: job.ask.job,
             back_after_ms: BACK_AFTER_MS,
+            expected_ms: None,
             running: u32::try_from(running).unwrap_or(u32::MAX),
             slots: u32::try_from(slots).unwrap_or(u32::MAX),
         })
@@ -93,7 +112,7 @@
     ) -> Option<engine_place::PlaceRefusal> {
         let ask = &job.ask;
         let waited = job.waited_ms(now) / f64::from(ask.goal_ms.max(1));
-        if ask.tight() || !ask.refusable || !(0.12..0.22).contains(&waited) {
+        if ask.tight() || !ask.refusable || !LONG_REFUSAL.contains(&waited) {
             return None;
         }
         let usable = self.engines.values().filter(|engine| engine.shunned_until <= now);
@@ -105,7 +124,8 @@
         let ahead: f64 =
             before.map(|other| pass_model::read_ms(&self.shape, other.ask.prompt)).sum();
         let own = pass_model::part_ms(&self.shape, ask.prompt, self.options.max_parts);
-        let expected = (pending + ahead) / engines * 1.2 + own * 1.3 + 100.0;
+        let expected =
+            (pending + ahead) / engines * LONG_QUEUE_FACTOR + own * LONG_OWN_FACTOR + LONG_EXTRA_MS;
         let missing = expected - job.goal_left(now);
         if missing <= 0.0 {
             return None;
@@ -114,7 +134,8 @@
         let running: usize = self.engines.values().map(|engine| engine.answering.len()).sum();
         Some(engine_place::PlaceRefusal {
             job: ask.job,
-            back_after_ms: (missing + 1_000.0).min(2_500.0) as u32,
+            back_after_ms: (missing + LONG_BACK_MS).min(MAX_LONG_BACK_MS) as u32,
+            expected_ms: Some(expected as u32),
             running: u32::try_from(running).unwrap_or(u32::MAX),
             slots: u32::try_from(slots).unwrap_or(u32::MAX),
         })
@@ -144,12 +165,14 @@
         if job.late(now) {
             let spare = job.patience_left(now) - quickest;
             return match spare {
-                spare if spare > LATE_RESERVE_MS * 2.0 => planner_choice::ChoiceMode::Calm,
+                spare if spare > LATE_RESERVE_MS * HARMFUL_RESERVES => {
+                    planner_choice::ChoiceMode::Calm
+                }
                 spare if spare > LATE_RESERVE_MS => planner_choice::ChoiceMode::Harmful,
                 _ => planner_choice::ChoiceMode::Forced,
             };
         }
-        let spare = job.goal_left(now) * GOAL_PART - quickest * 1.5;
+        let spare = job.goal_left(now) * GOAL_PART - quickest * READ_MARGIN;
         if spare > MIN_SLACK_MS {
             planner_choice::ChoiceMode::Calm
         } else {
@@ -174,7 +197,7 @@
     pub(crate) fn is_urgent(&self, now: units::MonoTime, job: &WaitingJob) -> bool {
         let parts = self.options.max_parts.min(self.engines.len().max(1));
         let quickest = pass_model::part_ms(&self.shape, job.ask.prompt, parts);
-        let spare = job.goal_left(now) * GOAL_PART - quickest * 1.5;
+        let spare = job.goal_left(now) * GOAL_PART - quickest * READ_MARGIN;
         !job.ask.tight() && !job.late(now) && spare < URGENT_SLACK_MS
     }
 }
--- a/crates/core/src/read_planner.rs
+++ b/crates/core/src/read_planner.rs
@@ -14,6 +14,8 @@
 
 /// Leases that their member does not renew for so long are given up.
 const LEASE_TIME: time::Duration = time::Duration::from_millis(2_500);
+/// Longest that a request waits; its member has given up long before.
+const WAIT_TIME: time::Duration = time::Duration::from_secs(30);
 /// Time after a short request found no calm place during which others are taken to find none.
 const PRESSED_TIME: time::Duration = time::Duration::from_millis(700);
 
@@ -262,7 +264,7 @@
             }
         }
         // Whoever still wants a place asks again within the lease time.
-        self.waiting.retain(|job| now.since(job.since).as_secs() < 30);
+        self.waiting.retain(|job| now.since(job.since) < WAIT_TIME);
     }
 
     fn try_place(
--- a/crates/instance/src/context.rs
+++ b/crates/instance/src/context.rs
@@ -13,6 +13,9 @@
     upstream_pool,
 };
 
+/// Age at which a process knows how many members there are; heartbeats are a second apart at most.
+const SURE_AGE: time::Duration = time::Duration::from_secs(3);
+
 /// A message to another member, or to all.
 #[derive(Debug)]
 pub struct Outgoing {
@@ -185,7 +188,7 @@
         let age = self.now().since(units::MonoTime::default());
         let members = self.members.borrow();
         let alone = members.alive(self.now()).next().is_none();
-        (age > time::Duration::from_secs(3) && !alone).then(|| members.size())
+        (age > SURE_AGE && !alone).then(|| members.size())
     }
 
     /// The planner that a request for a service asks: one of its cells, drawn anew each time.
--- a/crates/instance/src/incoming_call.rs
+++ b/crates/instance/src/incoming_call.rs
@@ -10,6 +10,9 @@
 /// Time kept back for the way of an answer to the caller.
 const ANSWER_MARGIN: time::Duration = time::Duration::from_millis(15);
 
+/// When to come back to a process that knows nothing yet; it learns within a few calls.
+const START_TIME: time::Duration = time::Duration::from_millis(500);
+
 /// An admitted request.
 pub struct IncomingCall {
     /// What the caller sent.
@@ -70,7 +73,7 @@
     if !fleet.is_known() {
         let text = "routes and upstreams are not known yet";
         let refusal = refusal::RequestRefusal::not_run(refusal::RefusalCode::NotReady, text);
-        return Err(refusal.retry_after(time::Duration::from_millis(500)));
+        return Err(refusal.retry_after(START_TIME));
     }
     let host = host_of(&head);
     let Some(route) = fleet.routes.route(&host, head.uri.path()) else {
--- a/crates/instance/src/model_request.rs
+++ b/crates/instance/src/model_request.rs
@@ -15,6 +15,8 @@
 const MAX_TRIES: u32 = 5;
 /// When to come back after a refusal, where nothing better is known.
 const BACK_AFTER: time::Duration = time::Duration::from_millis(400);
+/// Shortest time in which a place is looked for, also behind a long first attempt.
+const MIN_PLACE_TIME: time::Duration = time::Duration::from_millis(200);
 /// Largest failure answer of an engine that is passed on.
 const MAX_FAILURE: usize = 1 << 20;
 
@@ -102,7 +104,7 @@
             AttemptEnd::Whole => return Ok(None),
             AttemptEnd::NoPlace => break,
             AttemptEnd::Refused(refused) => {
-                text = format!("{} of {} places are taken", refused.running, refused.slots);
+                text = refused.to_string();
                 back_after = time::Duration::from_millis(u64::from(refused.back_after_ms));
                 break;
             }
@@ -148,7 +150,7 @@
     state: &mut StreamState,
 ) -> Result<AttemptEnd, h1::MessageError> {
     let limit = stream_policy::patience(call).saturating_sub(context.now().since(call.arrived));
-    let limit = limit.max(time::Duration::from_millis(200)).min(call.left(context.now()));
+    let limit = limit.max(MIN_PLACE_TIME).min(call.left(context.now()));
     let progress = stream_policy::AskProgress {
         begun: state.begun,
         sent: state.sent > 0,
--- a/crates/instance/src/planner_set.rs
+++ b/crates/instance/src/planner_set.rs
@@ -1,11 +1,14 @@
 //! The planners that run in this process, and who waits for their answers.
 
-use std::collections;
+use std::{collections, time};
 
 use slipturn_core::{engine_place, ids, planner_key, read_planner, rendezvous, route_table, units};
 
 use crate::fleet_state;
 
+/// A planner that was not asked for so long is not in use.
+const ACTIVE_TIME: time::Duration = time::Duration::from_secs(2);
+
 /// Who asked for a place.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum AskOrigin {
@@ -162,7 +165,7 @@
 
     /// Planners that were asked within the last seconds.
     pub fn active(&self, now: units::MonoTime) -> Vec<planner_key::PlannerKey> {
-        let recent = |since: &units::MonoTime| now.since(*since).as_secs() < 2;
+        let recent = |since: &units::MonoTime| now.since(*since) < ACTIVE_TIME;
         self.asked.iter().filter(|(_, since)| recent(since)).map(|(key, _)| key.clone()).collect()
     }
 }
--- a/crates/instance/src/store_feed.rs
+++ b/crates/instance/src/store_feed.rs
@@ -8,6 +8,10 @@
 
 /// Longest wait of one watch.
 const WATCH_WAIT: time::Duration = time::Duration::from_secs(25);
+/// Wait of the first watch behind an outage: it returns at once.
+const FIRST_WAIT: time::Duration = time::Duration::from_millis(1);
+/// Spread of pauses behind failures, so that members do not return together.
+const RETRY_SPREAD: std::ops::Range<f64> = 0.7..1.3;
 /// Time for the store's answer to a read.
 const READ_TIME: time::Duration = time::Duration::from_millis(1_500);
 /// Time beyond a watch's wait after which its answer must have been lost.
@@ -51,7 +55,7 @@
             pause = RETRY_PAUSE;
         }
         away_since.get_or_insert(context.now());
-        let spread = rand::rng().random_range(0.7..1.3);
+        let spread = rand::rng().random_range(RETRY_SPREAD);
         monoio::time::sleep(pause.mul_f64(spread)).await;
         pause = (pause * 2).min(MAX_RETRY_PAUSE);
     }
@@ -108,7 +112,7 @@
             return Ok(());
         }
         // After an outage the first watch returns at once, so that the return is noticed.
-        let wait = if context.store_ok.get() { WATCH_WAIT } else { time::Duration::from_millis(1) };
+        let wait = if context.store_ok.get() { WATCH_WAIT } else { FIRST_WAIT };
         let path = context.border.watch_path(revision, wait);
         let body = match connection.get(&path, wait + WATCH_MARGIN).await {
             Ok(body) => body,
--- a/crates/instance/src/upstream_attempt.rs
+++ b/crates/instance/src/upstream_attempt.rs
@@ -8,6 +8,9 @@
 
 use crate::{border, context, incoming_call, upstream_pool};
 
+/// Time for an answer that an upstream may have sent before it stopped reading.
+const EARLY_ANSWER_TIME: time::Duration = time::Duration::from_millis(50);
+
 /// How an attempt failed before its answer could be used.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct AttemptFault {
@@ -105,7 +108,7 @@
             future::Either::Left((Ok(()), reading)) => (reading.await, true),
             future::Either::Left((Err(error), reading)) => {
                 // The upstream may have answered before it stopped reading.
-                let head = monoio::time::timeout(time::Duration::from_millis(50), reading).await;
+                let head = monoio::time::timeout(EARLY_ANSWER_TIME, reading).await;
                 match head {
                     Ok(Ok(head)) => (Ok(head), false),
                     _ => return Err(AttemptFault::broke(error)),
--- a/crates/instance/src/upstream_load.rs
+++ b/crates/instance/src/upstream_load.rs
@@ -13,6 +13,14 @@
 /// Weight of the newest answer in the running mean of failures.
 const FAILURE_WEIGHT: f64 = 0.2;
 
+/// What speaks against an upstream, in shares of its slots: that it failed all calls lately, that
+/// it is in another data centre, that it is left alone.
+const FAILING_COST: f64 = 3.0;
+/// See [`FAILING_COST`].
+const AWAY_COST: f64 = 0.05;
+/// See [`FAILING_COST`].
+const SHUNNED_COST: f64 = 100.0;
+
 #[derive(Debug, Default, Clone)]
 struct LoadState {
     /// Calls of this process in progress.
@@ -44,9 +52,9 @@
             let told = state.told.filter(|(_, at)| now.since(*at) < LOAD_TIME);
             let running = told.map_or(0, |(running, _)| running).max(state.calls);
             let load = f64::from(running) / entry.slots as f64;
-            let away = if entry.data_center == *own { 0.0 } else { 0.05 };
-            let shunned = if state.shunned_until > now { 100.0 } else { 0.0 };
-            load + state.failing * 3.0 + away + shunned
+            let away = if entry.data_center == *own { 0.0 } else { AWAY_COST };
+            let shunned = if state.shunned_until > now { SHUNNED_COST } else { 0.0 };
+            load + state.failing * FAILING_COST + away + shunned
         };
         candidates.iter().copied().min_by(|left, right| cost(left).total_cmp(&cost(right)))
     }
