Attempts under way stand in the record when the caller leaves; settings that nothing used are gone

Cause: a request whose caller had left showed no attempt at all, so on-call engineers could not see which engine it waited for. Three settings were read and used by nothing.

--- a/crates/instance/src/instance_settings.rs
+++ b/crates/instance/src/instance_settings.rs
@@ -96,18 +96,11 @@
     pub seeds: Vec<net::SocketAddrV4>,
     /// The platform's store.
     pub store: net::SocketAddr,
-    /// Whether the whole fleet starts for the first time.
-    #[serde(default)]
-    pub first_start: bool,
     /// How engines are chosen; all but the default are there to compare with.
     #[serde(default = "default_routing")]
     pub routing: settings::RoutingKind,
     /// Share of a core.
     pub cpu_share: f64,
-    /// Memory, MB.
-    pub memory_mb: u64,
-    /// Most open descriptors.
-    pub open_files: usize,
     /// Bounds that hold for the fleet.
     pub bounds: FleetBounds,
 }
--- a/crates/instance/src/model_request.rs
+++ b/crates/instance/src/model_request.rs
@@ -164,12 +164,15 @@
         plan_client::PlaceOutcome::TimedOut => return Ok(AttemptEnd::NoPlace),
     };
     let mut row = request_record::AttemptRecord {
+        // What stays in the record when the caller leaves meanwhile.
+        end: "under way".to_owned(),
         upstream: hold.grant.engine.to_string(),
         helpers: hold.grant.helpers.len(),
         waited_ms: u64::from(hold.grant.waited_ms),
         planned_ms: u64::from(hold.grant.first_token_ms),
         ..Default::default()
     };
+    record.attempts.push(row.clone());
     let end = run_place(context, call, reply, record, state, &mut hold, &mut row).await;
     if let Ok(AttemptEnd::Fault(fault)) = &end {
         row.end.clone_from(&fault.text);
@@ -180,7 +183,9 @@
         };
         blame(context, state, &hold, fault);
     }
-    record.attempts.push(row);
+    if let Some(last) = record.attempts.last_mut() {
+        *last = row;
+    }
     end
 }
 
--- a/crates/instance/src/service_request.rs
+++ b/crates/instance/src/service_request.rs
@@ -77,16 +77,22 @@
             break;
         };
         excluded.push(entry.name.clone());
-        let mut row = request_record::AttemptRecord {
+        record.attempts.push(request_record::AttemptRecord {
             upstream: entry.name.to_string(),
+            // What stays in the record when the caller leaves meanwhile.
+            end: "under way".to_owned(),
             ..Default::default()
-        };
+        });
         let result = attempt(context, call, &entry).await;
+        if let Some(row) = record.attempts.last_mut() {
+            row.end = match &result {
+                Ok((head, _)) => format!("status {}", head.status.as_u16()),
+                Err(fault) => fault.text.clone(),
+            };
+        }
         match result {
             Ok((head, body)) => {
                 let failed = head.status.is_server_error();
-                row.end = format!("status {}", head.status.as_u16());
-                record.attempts.push(row);
                 sent += 1;
                 if failed && call.route.repeat.allows_repeat() {
                     ran = refusal::RanState::Yes;
@@ -96,8 +102,6 @@
                 return CallEnd::Answer(head, body);
             }
             Err(fault) => {
-                row.end.clone_from(&fault.text);
-                record.attempts.push(row);
                 text = fault.text;
                 let surely = fault.failure.surely_not_run();
                 if fault.failure != retry::AttemptFailure::NotConnected {
