--- a/crates/compare/src/planner_cost.rs
+++ b/crates/compare/src/planner_cost.rs
@@ -78,6 +78,7 @@
         patience_ms: goal_ms * 4,
         worth: (prompt as f32 / 8_000.0).max(1.0),
         refusable: true,
+        resumed: false,
         excluded: Vec::new(),
     }
 }
--- a/crates/core/src/engine_place.rs
+++ b/crates/core/src/engine_place.rs
@@ -41,6 +41,8 @@
     pub worth: f32,
     /// Whether it may be refused: it has not been refused before.
     pub refusable: bool,
+    /// Whether an engine has had it before: what was begun goes on at once, wherever there is room.
+    pub resumed: bool,
     /// Engines that must not be used.
     pub excluded: Vec<ids::UpstreamId>,
 }
--- a/crates/core/src/planner_urgency.rs
+++ b/crates/core/src/planner_urgency.rs
@@ -87,6 +87,9 @@
         now: units::MonoTime,
         job: &WaitingJob,
     ) -> Option<engine_place::PlaceRefusal> {
+        if job.ask.resumed {
+            return None;
+        }
         if !job.ask.tight() {
             return self.refuse_long(now, job);
         }
@@ -151,6 +154,9 @@
         now: units::MonoTime,
         job: &WaitingJob,
     ) -> planner_choice::ChoiceMode {
+        if job.ask.resumed {
+            return planner_choice::ChoiceMode::Forced;
+        }
         if job.ask.tight() {
             let part = if job.ask.refusable { TIGHT_WAIT_PART } else { RETURNED_WAIT_PART };
             let patient = job.waited_ms(now) < f64::from(job.ask.goal_ms) * part;
@@ -183,7 +189,7 @@
     /// Whether a long prompt is worth the short requests that its reading turns away, while these
     /// find no room. What is late by then waits until they do.
     pub(crate) fn earns_its_reading(&self, now: units::MonoTime, job: &WaitingJob) -> bool {
-        if job.ask.tight() || now >= self.pressed_until {
+        if job.ask.tight() || job.ask.resumed || now >= self.pressed_until {
             return true;
         }
         let worth = f64::from(job.ask.worth) * if job.late(now) { LATE_PART } else { 1.0 };
--- a/crates/core/src/read_planner.rs
+++ b/crates/core/src/read_planner.rs
@@ -276,7 +276,7 @@
             engine.advance(now);
         }
         let mode = self.mode(now, job);
-        if job.ask.tight() && mode == planner_choice::ChoiceMode::Forced {
+        if job.ask.tight() && !job.ask.resumed && mode == planner_choice::ChoiceMode::Forced {
             self.pressed_until = now + PRESSED_TIME;
         }
         let views = self.views(now, job);
--- a/crates/core/tests/read_planner.rs
+++ b/crates/core/tests/read_planner.rs
@@ -55,6 +55,7 @@
         patience_ms: 2_000,
         worth: 1.0,
         refusable: true,
+        resumed: false,
         excluded: Vec::new(),
     }
 }
@@ -209,6 +210,18 @@
     assert_eq!(grant(planner.tick(at(2_220)).pop()).job.sequence, 60);
 }
 
+#[test]
+fn what_was_begun_goes_on_at_once_though_every_slot_is_taken() {
+    let mut planner = planner(2);
+    for number in 0..2 * SLOTS as u64 {
+        write(&mut planner, number * 30, short(number));
+    }
+    let resumed = PlaceAsk { refusable: false, resumed: true, ..short(80) };
+    place(&mut planner, 2_000, resumed);
+    let long = PlaceAsk { refusable: false, resumed: true, goal_left_ms: 0, ..long(81, 90_000) };
+    place(&mut planner, 2_001, long);
+}
+
 #[test]
 fn a_prompt_larger_than_an_engine_is_held_by_several() {
     let mut planner = planner(6);
--- a/crates/instance/src/stream_policy.rs
+++ b/crates/instance/src/stream_policy.rs
@@ -72,6 +72,7 @@
         patience_ms: millis(patience(call).saturating_sub(spent)),
         worth: (call.request.prompt as f32 / TOKENS_PER_WORTH).max(1.0),
         refusable: !progress.sent && !came_back(call),
+        resumed: progress.sent,
         excluded: progress.excluded.to_vec(),
     }
 }
--- a/crates/instance/tests/peer_message.rs
+++ b/crates/instance/tests/peer_message.rs
@@ -25,6 +25,7 @@
         patience_ms: u32::MAX,
         worth: 1.0,
         refusable: true,
+        resumed: false,
         excluded: vec![name("i-0123456789ab"); 4],
     };
     let grant = PlaceGrant {
