--- a/crates/instance/tests/peer_message.rs
+++ b/crates/instance/tests/peer_message.rs
@@ -1,7 +1,7 @@
 //! Datagrams between instances: what is said arrives, and garbage is an error.
 
 use proptest::prelude::*;
-use slipturn_core::engine_place::{JobId, PlaceAsk, PlaceEnd, PlaceGrant, PlaceLease};
+use slipturn_core::engine_place::{JobId, PlaceAnswer, PlaceAsk, PlaceEnd, PlaceGrant, PlaceLease};
 use slipturn_core::planner_key::PlannerKey;
 use slipturn_instance::peer_message::{MAX_DATAGRAM, MAX_LEASES, PeerMessage};
 
@@ -69,3 +69,21 @@
         let _ = PeerMessage::decode(&bytes);
     }
 }
+
+#[test]
+fn what_each_request_says_is_small() {
+    let short = PlaceAsk { prompt: 5_000, output: 1_700, excluded: Vec::new(), ..lease(7).ask };
+    let grant = PlaceGrant { helpers: Vec::new(), ..lease(7).grant };
+    let answer = PlaceAnswer::Grant(grant);
+    let messages = [
+        (PeerMessage::Ask(key(), Box::new(short)), 96),
+        (PeerMessage::Answer(Box::new(answer)), 64),
+        (PeerMessage::FirstToken(key(), lease(7).ask.job), 32),
+        (PeerMessage::End(key(), lease(7).ask.job, PlaceEnd::Done), 32),
+    ];
+    for (message, most) in messages {
+        let bytes = message.encode().expect("it can be coded");
+        assert!(bytes.len() <= most, "{} bytes: {message:?}", bytes.len());
+        println!("{} bytes", bytes.len());
+    }
+}
