Routes are read from the store on a member's word; lists come from any member that has the newest

Change: routes come from the store, one call a member and change, and from a member only where the store does not answer; lists are asked for apart, from any of those that have the newest.

--- a/crates/core/src/membership.rs
+++ b/crates/core/src/membership.rs
@@ -236,14 +236,41 @@
         (best.name != own.name).then(|| best.clone())
     }
 
-    /// The member that knows newer routes than `version`, the newest first.
-    pub fn newer_routes(&self, now: units::MonoTime, version: u64) -> Option<&MemberBeat> {
-        self.alive(now).filter(|beat| beat.routes > version).max_by_key(|beat| beat.routes)
+    /// Members that know the newest routes, where these are newer than `version`: those of this
+    /// data centre, or any. Whoever asks should pick one at random, as many ask at once.
+    pub fn routes_sources(
+        &self,
+        now: units::MonoTime,
+        version: u64,
+        near: &ids::DataCenterId,
+    ) -> Vec<&MemberBeat> {
+        self.sources(now, near, version, |beat| beat.routes)
+    }
+
+    /// The same for the list of upstreams.
+    pub fn list_sources(
+        &self,
+        now: units::MonoTime,
+        revision: u64,
+        near: &ids::DataCenterId,
+    ) -> Vec<&MemberBeat> {
+        self.sources(now, near, revision, |beat| beat.list)
     }
 
-    /// The member that knows a newer list than `revision`, the newest first.
-    pub fn newer_list(&self, now: units::MonoTime, revision: u64) -> Option<&MemberBeat> {
-        self.alive(now).filter(|beat| beat.list > revision).max_by_key(|beat| beat.list)
+    fn sources(
+        &self,
+        now: units::MonoTime,
+        near: &ids::DataCenterId,
+        known: u64,
+        version: impl Fn(&MemberBeat) -> u64,
+    ) -> Vec<&MemberBeat> {
+        let newest = self.alive(now).map(&version).max().filter(|newest| *newest > known);
+        let Some(newest) = newest else {
+            return Vec::new();
+        };
+        let all: Vec<_> = self.alive(now).filter(|beat| version(beat) == newest).collect();
+        let own: Vec<_> = all.iter().copied().filter(|beat| beat.data_center == *near).collect();
+        if own.is_empty() { all } else { own }
     }
 
     /// Whether this member should watch the platform's store itself, given how long it has seen
--- a/crates/core/tests/membership.rs
+++ b/crates/core/tests/membership.rs
@@ -72,7 +72,8 @@
     let mut old = beat(1, 1, 4);
     old.routes = 99;
     assert_eq!(view.hear(at(10), old), None);
-    assert!(view.newer_routes(at(10), 50).is_none());
+    let near = "a".parse().expect("a valid name");
+    assert!(view.routes_sources(at(10), 50, &near).is_empty());
     assert_eq!(view.hear(at(20), beat(1, 2, 1)), Some(MemberEvent::Joined(name(1))));
 }
 
@@ -191,3 +192,19 @@
     assert_eq!(second.len(), 2, "{second:?}");
     assert!(second.iter().all(|number| !first.contains(number)), "{first:?} {second:?}");
 }
+
+#[test]
+fn documents_come_from_members_of_the_own_data_centre_where_one_has_the_newest() {
+    let mut view = view();
+    let near: ids::DataCenterId = "a".parse().expect("a valid name");
+    let far: ids::DataCenterId = "b".parse().expect("a valid name");
+    for number in 1..4 {
+        view.hear(at(0), MemberBeat { routes: 7, ..beat(number, 1, 1) });
+    }
+    view.hear(at(0), MemberBeat { routes: 7, data_center: far.clone(), ..beat(4, 1, 1) });
+    assert_eq!(view.routes_sources(at(1), 6, &near).len(), 3);
+    assert!(view.routes_sources(at(1), 7, &near).is_empty(), "nothing newer");
+    view.hear(at(1), MemberBeat { routes: 8, data_center: far, ..beat(5, 1, 1) });
+    let sources: Vec<_> = view.routes_sources(at(2), 6, &near);
+    assert_eq!(sources.iter().map(|beat| &beat.name).collect::<Vec<_>>(), [&name(5)]);
+}
--- a/crates/instance/src/fleet_state.rs
+++ b/crates/instance/src/fleet_state.rs
@@ -58,6 +58,11 @@
         self.routes.version.0 > 0 && self.listed
     }
 
+    /// Whether a list of upstreams is known.
+    pub fn is_listed(&self) -> bool {
+        self.listed
+    }
+
     /// Revision of the store that was read last.
     pub fn revision(&self) -> u64 {
         self.raw.revision
@@ -74,7 +79,8 @@
             routes,
             upstreams: whole.then(|| self.raw.upstreams.clone()),
             changes: if whole { Vec::new() } else { changes.collect() },
-            revision: self.raw.revision,
+            // Who asks for routes only must not take the list for up to date.
+            revision: if list == u64::MAX { 0 } else { self.raw.revision },
             returned_ms: self
                 .returned
                 .map(|returned| units::whole_millis(now.since(returned)))
--- a/crates/instance/src/program.rs
+++ b/crates/instance/src/program.rs
@@ -117,7 +117,8 @@
     monoio::spawn(peers::plan(share()));
     monoio::spawn(peers::renew(share()));
     monoio::spawn(store_feed::follow_store(share()));
-    monoio::spawn(store_feed::follow_members(share()));
+    monoio::spawn(store_feed::follow_routes(share()));
+    monoio::spawn(store_feed::follow_list(share()));
     monoio::spawn(engine_reports::poll(share()));
     monoio::spawn(prune(share()));
     let small = small_server::accept_all;
--- a/crates/instance/src/store_feed.rs
+++ b/crates/instance/src/store_feed.rs
@@ -3,6 +3,7 @@
 use std::{net, rc, time};
 
 use rand::RngExt as _;
+use slipturn_core::{ids, membership, units};
 
 use crate::{border, context, document_call, peers};
 
@@ -25,8 +26,10 @@
 const MAX_RETRY_PAUSE: time::Duration = time::Duration::from_millis(800);
 /// Time between two looks at whether a member knows more.
 const MEMBER_INTERVAL: time::Duration = time::Duration::from_millis(150);
-/// Time for a member's documents.
-const MEMBER_TIME: time::Duration = time::Duration::from_millis(1_000);
+/// Lead of the own watch over reading the routes anew.
+const WATCH_LEAD: time::Duration = time::Duration::from_millis(500);
+/// Time for a member's documents: a configuration of a megabyte takes 0.4 s on a link of 20 Mbit/s.
+const MEMBER_TIME: time::Duration = time::Duration::from_millis(1_500);
 /// Path of a member's documents.
 pub const DOCUMENTS_PATH: &str = "/documents";
 /// Most pages of upstreams read at once.
@@ -71,7 +74,7 @@
 
 fn is_own_turn(
     context: &context::InstanceContext,
-    missing_since: &mut Option<slipturn_core::units::MonoTime>,
+    missing_since: &mut Option<units::MonoTime>,
 ) -> bool {
     if context.watching.get() || !context.fleet.borrow().is_known() {
         return true;
@@ -97,7 +100,7 @@
 async fn follow(
     context: &context::InstanceContext,
     connection: &mut document_call::DocumentConnection,
-    away_since: &mut Option<slipturn_core::units::MonoTime>,
+    away_since: &mut Option<units::MonoTime>,
 ) -> Result<(), String> {
     let mut revision = context.fleet.borrow().revision();
     let known = context.fleet.borrow().is_known();
@@ -140,10 +143,7 @@
     }
 }
 
-fn regained(
-    context: &context::InstanceContext,
-    away_since: &mut Option<slipturn_core::units::MonoTime>,
-) {
+fn regained(context: &context::InstanceContext, away_since: &mut Option<units::MonoTime>) {
     let now = context.now();
     if let Some(since) = away_since.take() {
         let away_ms = now.since(since).as_millis() as u64;
@@ -197,50 +197,103 @@
     Ok(revision)
 }
 
-/// Fetches from members what they know and this process doesn't.
-pub async fn follow_members(context: rc::Rc<context::InstanceContext>) {
+/// Follows newer routes that a member knows of: read from the store, which serves a large document
+/// to many at once, and from the member where the store does not answer.
+pub async fn follow_routes(context: rc::Rc<context::InstanceContext>) {
     loop {
         monoio::time::sleep(MEMBER_INTERVAL).await;
-        let Some((member, address)) = better_informed(&context) else {
+        if context.store_ok.get() && routes_source(&context).is_some() {
+            // The own watch probably brings them.
+            monoio::time::sleep(WATCH_LEAD).await;
+        }
+        let Some((member, address)) = routes_source(&context) else {
             continue;
         };
-        let mut connection = document_call::DocumentConnection::new(address);
-        let (routes, list) = {
-            let fleet = context.fleet.borrow();
-            (fleet.routes.version.0, if fleet.is_known() { fleet.revision() } else { 0 })
+        let Err(error) = read_routes(&context).await else {
+            continue;
         };
-        let path = format!("{DOCUMENTS_PATH}?routes={routes}&list={list}");
-        let documents = match connection.get(&path, MEMBER_TIME).await {
-            Ok(body) => serde_json::from_slice::<border::RawDocuments>(&body)
-                .map_err(|error| error.to_string()),
-            Err(error) => Err(error.to_string()),
+        log::info!(error; "store.routes_failed");
+        let known = context.fleet.borrow().routes.version.0;
+        let path = format!("{DOCUMENTS_PATH}?routes={known}&list={}", u64::MAX);
+        adopt_from(&context, &member, address, &path).await;
+    }
+}
+
+/// Follows the list of upstreams through members while others watch the store, or while it is
+/// silent.
+pub async fn follow_list(context: rc::Rc<context::InstanceContext>) {
+    loop {
+        monoio::time::sleep(MEMBER_INTERVAL).await;
+        let Some((member, address)) = list_source(&context) else {
+            continue;
         };
-        match documents {
-            Ok(documents) => {
-                let now = context.now();
-                context.fleet.borrow_mut().adopt(now, documents, member.as_str());
-            }
-            Err(error) => {
-                log::info!(member:%, error; "member.documents_failed");
-                monoio::time::sleep(MEMBER_INTERVAL * 3).await;
-            }
-        }
+        let known = {
+            let fleet = context.fleet.borrow();
+            if fleet.is_listed() { fleet.revision() } else { 0 }
+        };
+        let path = format!("{DOCUMENTS_PATH}?routes={}&list={known}", u64::MAX);
+        adopt_from(&context, &member, address, &path).await;
     }
 }
 
-/// A member to ask: for routes always, for upstreams only while the store is silent, as otherwise
-/// the own watch brings the same a moment later.
-fn better_informed(
+/// Reads the routes from the store.
+async fn read_routes(context: &context::InstanceContext) -> Result<(), String> {
+    let mut connection = document_call::DocumentConnection::new(context.settings().store);
+    let body = connection.get(&context.border.routes_path(), READ_TIME).await;
+    let body = body.map_err(|error| error.to_string())?;
+    let page = context.border.read_page(&body).map_err(|error| error.to_string())?;
+    let mut fleet = context.fleet.borrow_mut();
+    page.items.into_iter().for_each(|(_, text)| fleet.put_routes(text, "store"));
+    Ok(())
+}
+
+async fn adopt_from(
     context: &context::InstanceContext,
-) -> Option<(slipturn_core::ids::InstanceId, net::SocketAddr)> {
-    let now = context.now();
-    let fleet = context.fleet.borrow();
+    member: &ids::InstanceId,
+    address: net::SocketAddr,
+    path: &str,
+) {
+    let mut connection = document_call::DocumentConnection::new(address);
+    let documents = match connection.get(path, MEMBER_TIME).await {
+        Ok(body) => {
+            serde_json::from_slice::<border::RawDocuments>(&body).map_err(|error| error.to_string())
+        }
+        Err(error) => Err(error.to_string()),
+    };
+    match documents {
+        Ok(documents) => {
+            context.fleet.borrow_mut().adopt(context.now(), documents, member.as_str());
+        }
+        Err(error) => log::info!(member:%, error; "member.documents_failed"),
+    }
+}
+
+fn routes_source(context: &context::InstanceContext) -> Option<(ids::InstanceId, net::SocketAddr)> {
+    let settings = context.settings();
+    let known = context.fleet.borrow().routes.version.0;
+    let members = context.members.borrow();
+    let sources = members.routes_sources(context.now(), known, &settings.data_center);
+    pick_source(&sources, settings.listen.members.port())
+}
+
+fn list_source(context: &context::InstanceContext) -> Option<(ids::InstanceId, net::SocketAddr)> {
+    if context.store_ok.get() {
+        // The own watch brings the same a moment later.
+        return None;
+    }
+    let settings = context.settings();
+    let known = context.fleet.borrow().list.revision();
     let members = context.members.borrow();
-    let routes = members.newer_routes(now, fleet.routes.version.0);
-    let list =
-        if context.store_ok.get() { None } else { members.newer_list(now, fleet.list.revision()) };
-    let member = list.or(routes)?;
-    let port = context.settings().listen.members.port();
+    let sources = members.list_sources(context.now(), known, &settings.data_center);
+    pick_source(&sources, settings.listen.members.port())
+}
+
+fn pick_source(
+    sources: &[&membership::MemberBeat],
+    port: u16,
+) -> Option<(ids::InstanceId, net::SocketAddr)> {
+    let drawn = rand::rng().random_range(0..sources.len().max(1));
+    let member = sources.get(drawn)?;
     let address = net::SocketAddrV4::new(*member.address.ip(), port);
     Some((member.name.clone(), net::SocketAddr::V4(address)))
 }
