Planners are brought up to date when the list changes, not at every question

Cause: PlannerSet::sync ranked all engines of all services anew at each question, renewal and tick of every member, though the list had not changed; naming a planner hashed every member's name, and built a heartbeat with the addresses of others, some four times a request.

Change: the list counts its changes (doubtful entries included) and sync follows that count; a member's hash is worked out when it is heard; a heartbeat's addresses are collected when it is sent. Twins gone: what a planner is told of a place is one type (PlaceNote) and one function; heartbeats are counted in one place. Dead: ReadPlanner::engine_count, DocumentConnection::address.

Test: upstream_list::the_number_of_changes_stays_only_while_the_usable_upstreams_do.

--- a/crates/core/src/engine_place.rs
+++ b/crates/core/src/engine_place.rs
@@ -146,3 +146,14 @@
     /// The engine was silent for long; it may be gone, or only busy.
     Silent,
 }
+
+/// What a planner is told about a place that it gave, or about an engine.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum PlaceNote {
+    /// The prompt has been read; the answer begins.
+    FirstToken(JobId),
+    /// The attempt is over, or waits no longer.
+    Ended(JobId, PlaceEnd),
+    /// An engine has failed, or refused as another's cause.
+    Shun(ids::UpstreamId),
+}
--- a/crates/core/src/membership.rs
+++ b/crates/core/src/membership.rs
@@ -30,6 +30,8 @@
 const TAKE_OVER_STEP: time::Duration = time::Duration::from_millis(120);
 /// Time after which any member does.
 const TAKE_OVER_LIMIT: time::Duration = time::Duration::from_millis(900);
+/// Calls in a row left unanswered that make a member unfit to plan.
+const MAX_UNANSWERED: u32 = 2;
 /// A member this young is not asked to plan: it does not know yet what the engines are doing.
 const PLANNER_AGE: time::Duration = time::Duration::from_millis(1_200);
 
@@ -65,6 +67,8 @@
 #[derive(Debug)]
 struct MemberState {
     beat: MemberBeat,
+    /// Hash of the name: members differ in their order for each planner's key.
+    hash: u64,
     heard: units::MonoTime,
     /// Unanswered calls since it was last heard.
     unanswered: u32,
@@ -157,7 +161,8 @@
         }
         let joined = known.is_none_or(|known| known.beat.boot != beat.boot);
         let name = beat.name.clone();
-        self.members.insert(name.clone(), MemberState { beat, heard: now, unanswered: 0 });
+        let hash = rendezvous::stable_hash(&[name.as_str()]);
+        self.members.insert(name.clone(), MemberState { beat, hash, heard: now, unanswered: 0 });
         self.most = self.most.max(self.alive(now).count() + 1);
         joined.then_some(MemberEvent::Joined(name))
     }
@@ -217,22 +222,22 @@
         key: &planner_key::PlannerKey,
         own: &MemberBeat,
     ) -> Option<MemberBeat> {
+        let limit = self.beat_interval() * SUSPECT_BEATS;
         let fit = |member: &&MemberState| {
             let beat = &member.beat;
-            let limit = self.beat_interval() * SUSPECT_BEATS;
             beat.routes > 0
                 && !beat.leaving
-                && member.unanswered < 2
+                && member.unanswered < MAX_UNANSWERED
                 && now.since(member.heard) <= limit
         };
-        let others = self.members.values().filter(fit).map(|member| &member.beat);
-        let me = Some(own).filter(|own| own.routes > 0 && !own.leaving);
-        let key = key.to_string();
-        let score = |beat: &&MemberBeat| {
-            let hash = rendezvous::stable_hash(&[key.as_str(), beat.name.as_str()]);
-            (beat.plans, beat.cpu, hash)
+        let others = self.members.values().filter(fit).map(|member| (&member.beat, member.hash));
+        let me = Some((own, rendezvous::stable_hash(&[own.name.as_str()])));
+        let me = me.filter(|(own, _)| own.routes > 0 && !own.leaving);
+        let key = rendezvous::stable_hash(&[&key.to_string()]);
+        let score = |(beat, hash): &(&MemberBeat, u64)| {
+            (beat.plans, beat.cpu, rendezvous::mixed_hash(key ^ hash))
         };
-        let best = others.chain(me).max_by_key(score)?;
+        let (best, _) = others.chain(me).max_by_key(score)?;
         (best.name != own.name).then(|| best.clone())
     }
 
--- a/crates/core/src/read_planner.rs
+++ b/crates/core/src/read_planner.rs
@@ -94,11 +94,6 @@
         }
     }
 
-    /// Number of engines.
-    pub fn engine_count(&self) -> usize {
-        self.engines.len()
-    }
-
     /// Number of requests that wait for a place.
     pub fn waiting_count(&self) -> usize {
         self.waiting.len()
@@ -170,6 +165,15 @@
         answers
     }
 
+    /// Takes in what a member tells of one of its requests.
+    pub fn note(&mut self, now: units::MonoTime, note: &engine_place::PlaceNote) {
+        match note {
+            engine_place::PlaceNote::FirstToken(job) => self.first_token(*job),
+            engine_place::PlaceNote::Ended(job, end) => self.end(now, *job, *end),
+            engine_place::PlaceNote::Shun(engine) => self.shun(now, engine),
+        }
+    }
+
     /// Notes that a prompt has been read and its answer begins.
     pub fn first_token(&mut self, job: engine_place::JobId) {
         let Some(state) = self.jobs.get_mut(&job) else {
--- a/crates/core/src/rendezvous.rs
+++ b/crates/core/src/rendezvous.rs
@@ -15,11 +15,8 @@
 
 impl hash::Hasher for StableHasher {
     fn finish(&self) -> u64 {
-        // FNV leaves the high bits poorly mixed for short names; this is MurmurHash3's finaliser.
-        let mut mixed = self.0;
-        mixed = (mixed ^ (mixed >> 33)).wrapping_mul(0xff51_afd7_ed55_8ccd);
-        mixed = (mixed ^ (mixed >> 33)).wrapping_mul(0xc4ce_b9fe_1a85_ec53);
-        mixed ^ (mixed >> 33)
+        // FNV leaves the high bits poorly mixed for short names.
+        mixed_hash(self.0)
     }
 
     fn write(&mut self, bytes: &[u8]) {
@@ -29,6 +26,14 @@
     }
 }
 
+/// A number all of whose bits depend on all bits of `value`: MurmurHash3's finaliser.
+pub fn mixed_hash(value: u64) -> u64 {
+    let mut mixed = value;
+    mixed = (mixed ^ (mixed >> 33)).wrapping_mul(0xff51_afd7_ed55_8ccd);
+    mixed = (mixed ^ (mixed >> 33)).wrapping_mul(0xc4ce_b9fe_1a85_ec53);
+    mixed ^ (mixed >> 33)
+}
+
 /// The same number for the same texts on every build and machine.
 pub fn stable_hash(parts: &[&str]) -> u64 {
     use hash::Hasher as _;
--- a/crates/core/src/upstream_list.rs
+++ b/crates/core/src/upstream_list.rs
@@ -49,6 +49,8 @@
     doubt_until: Option<units::MonoTime>,
     /// The source's revision this state belongs to; only ever goes up.
     revision: u64,
+    /// Goes up whenever another set of upstreams may be usable.
+    changes: u64,
 }
 
 impl UpstreamList {
@@ -57,6 +59,11 @@
         self.revision
     }
 
+    /// Number of changes so far: while it stays the same, so does what is usable.
+    pub fn changes(&self) -> u64 {
+        self.changes
+    }
+
     /// Notes that the source answers again after an outage.
     pub fn source_returned(&mut self, now: units::MonoTime) {
         self.doubt_until = Some(now + RETURN_TIME);
@@ -109,6 +116,7 @@
             self.doubtful.remove(name);
             self.entries.remove(name);
         }
+        self.changes += gone.len() as u64;
         !gone.is_empty()
     }
 
@@ -147,7 +155,9 @@
     fn put(&mut self, entry: UpstreamEntry) -> bool {
         let returned = self.doubtful.remove(&entry.name).is_some();
         let before = self.entries.insert(entry.name.clone(), entry.clone());
-        returned || before.as_ref() != Some(&entry)
+        let changed = returned || before.as_ref() != Some(&entry);
+        self.changes += u64::from(changed);
+        changed
     }
 
     fn vanish(&mut self, now: units::MonoTime, name: ids::UpstreamId) -> bool {
@@ -155,6 +165,7 @@
             return false;
         };
         let leaving = entry.state == fleet_list::ListState::Leaving;
+        self.changes += 1;
         match self.doubt_until.filter(|until| now < *until && !leaving) {
             Some(until) => {
                 self.doubtful.entry(name).or_insert(until);
--- a/crates/core/tests/upstream_list.rs
+++ b/crates/core/tests/upstream_list.rs
@@ -97,3 +97,39 @@
     list.apply(at(1_010), vec![ListChange::Gone(name(1))], 12);
     assert!(list.entry(&name(1)).is_none());
 }
+
+#[test]
+fn the_number_of_changes_stays_only_while_the_usable_upstreams_do() {
+    let mut list = full();
+    let leaving = UpstreamEntry { state: ListState::Leaving, ..entry(1) };
+    let steps: [&dyn Fn(&mut UpstreamList) -> bool; 8] = [
+        &|list| list.apply(at(10), vec![ListChange::Present(entry(1))], 11),
+        &|list| list.apply(at(20), vec![ListChange::Present(leaving.clone())], 12),
+        &|list| list.apply(at(30), vec![ListChange::Gone(name(1))], 13),
+        &|list| {
+            list.source_returned(at(1_000));
+            true
+        },
+        &|list| list.apply(at(1_010), vec![ListChange::Gone(name(2))], 14),
+        &|list| list.apply(at(1_500), vec![ListChange::Present(entry(2))], 15),
+        &|list| list.apply(at(1_600), vec![ListChange::Gone(name(3))], 16),
+        &|list| list.tick(at(3_000)),
+    ];
+    let mut changed = 0;
+    for step in steps {
+        let names = |list: &UpstreamList| -> Vec<_> {
+            list.usable(&service()).iter().map(|entry| entry.name.clone()).collect()
+        };
+        let (before, count) = (names(&list), list.changes());
+        step(&mut list);
+        if names(&list) != before {
+            assert!(list.changes() > count);
+            changed += 1;
+        }
+    }
+    assert_eq!(changed, 4, "leaving, vanished, back, vanished");
+    let count = list.changes();
+    list.apply(at(4_000), vec![ListChange::Present(entry(4))], 17);
+    list.tick(at(5_000));
+    assert_eq!(list.changes(), count, "nothing new");
+}
--- a/crates/instance/src/context.rs
+++ b/crates/instance/src/context.rs
@@ -158,8 +158,16 @@
         let _ = self.outgoing.unbounded_send(Outgoing { to, message });
     }
 
-    /// What this process says of itself.
-    pub fn own_beat(&self, sequence: u64) -> membership::MemberBeat {
+    /// The next heartbeat.
+    pub fn next_beat(&self) -> membership::MemberBeat {
+        let sequence = self.beats.get() + 1;
+        self.beats.set(sequence);
+        let others = self.members.borrow().named(sequence);
+        membership::MemberBeat { sequence, others, ..self.own_beat() }
+    }
+
+    /// What this process says of itself, as of its last heartbeat's number and naming no others.
+    pub fn own_beat(&self) -> membership::MemberBeat {
         let settings = self.settings();
         let fleet = self.fleet.borrow();
         let now = self.now();
@@ -170,7 +178,7 @@
         membership::MemberBeat {
             name: settings.name.clone(),
             boot: self.boot,
-            sequence,
+            sequence: self.beats.get(),
             address: settings.member_address,
             data_center: settings.data_center.clone(),
             cpu: (settings.cpu_share * 1_000.0) as u32,
@@ -179,7 +187,7 @@
             routes: fleet.routes.version.0,
             list: fleet.list.revision(),
             watches: self.watching.get() && self.store_ok.get(),
-            others: self.members.borrow().named(sequence),
+            others: Vec::new(),
         }
     }
 
--- a/crates/instance/src/document_call.rs
+++ b/crates/instance/src/document_call.rs
@@ -52,11 +52,6 @@
         Self { address, open: None }
     }
 
-    /// Where it leads.
-    pub fn address(&self) -> net::SocketAddr {
-        self.address
-    }
-
     /// Reads a document; after any failure the connection is closed.
     pub async fn get(&mut self, path: &str, limit: time::Duration) -> Result<Bytes, CallError> {
         self.call("GET", path, Bytes::new(), limit).await
--- a/crates/instance/src/peer_message.rs
+++ b/crates/instance/src/peer_message.rs
@@ -2,7 +2,7 @@
 
 use futures::channel::mpsc;
 use serde::{Deserialize, Serialize};
-use slipturn_core::{engine_place, ids, membership, planner_key};
+use slipturn_core::{engine_place, membership, planner_key};
 
 /// Largest datagram; larger messages are split by their sender.
 pub const MAX_DATAGRAM: usize = 16 * 1024;
@@ -20,12 +20,8 @@
     Answer(Box<engine_place::PlaceAnswer>),
     /// The request waits for a place; the answer follows.
     Queued(engine_place::JobId),
-    /// The answer of a request begins.
-    FirstToken(planner_key::PlannerKey, engine_place::JobId),
-    /// A request is over.
-    End(planner_key::PlannerKey, engine_place::JobId, engine_place::PlaceEnd),
-    /// An engine has failed, or refused as another's cause.
-    Shun(planner_key::PlannerKey, ids::UpstreamId),
+    /// What has become of a place, or of an engine.
+    Note(planner_key::PlannerKey, engine_place::PlaceNote),
     /// Places in use.
     Renew(planner_key::PlannerKey, Vec<engine_place::PlaceLease>),
 }
--- a/crates/instance/src/peers.rs
+++ b/crates/instance/src/peers.rs
@@ -93,19 +93,9 @@
             reply(context, job, peer_message::PlanReply::Answer(answer));
         }
         PeerMessage::Queued(job) => reply(context, job, peer_message::PlanReply::Queued),
-        PeerMessage::FirstToken(key, job) => {
+        PeerMessage::Note(key, note) => {
             if let Some(planner) = context.planners.borrow_mut().planner(&key) {
-                planner.first_token(job);
-            }
-        }
-        PeerMessage::End(key, job, end) => {
-            if let Some(planner) = context.planners.borrow_mut().planner(&key) {
-                planner.end(now, job, end);
-            }
-        }
-        PeerMessage::Shun(key, engine) => {
-            if let Some(planner) = context.planners.borrow_mut().planner(&key) {
-                planner.shun(now, &engine);
+                planner.note(now, &note);
             }
         }
         PeerMessage::Renew(key, leases) => {
@@ -133,9 +123,7 @@
 /// Repeats this process's heartbeat to the others and forgets silent ones.
 pub async fn beat(context: rc::Rc<context::InstanceContext>) {
     loop {
-        let sequence = context.beats.get() + 1;
-        context.beats.set(sequence);
-        let beat = context.own_beat(sequence);
+        let beat = context.next_beat();
         let targets = context.members.borrow().targets(beat.address);
         for to in targets {
             context.tell(to, peer_message::PeerMessage::Beat(Box::new(beat.clone())));
@@ -153,9 +141,7 @@
 
 /// Tells the members of this data centre at once that there is something new to fetch.
 pub fn announce(context: &context::InstanceContext) {
-    let sequence = context.beats.get() + 1;
-    context.beats.set(sequence);
-    let beat = context.own_beat(sequence);
+    let beat = context.next_beat();
     let near: Vec<_> = {
         let members = context.members.borrow();
         let alive = members.alive(context.now());
@@ -250,28 +236,21 @@
     context: &context::InstanceContext,
     key: &planner_key::PlannerKey,
 ) -> Option<membership::MemberBeat> {
-    let own = context.own_beat(0);
+    let own = context.own_beat();
     context.members.borrow().planner(context.now(), key, &own)
 }
 
-/// Tells a planner something about a job, wherever it runs.
+/// Tells a planner what has become of a place, wherever it runs.
 pub fn tell_planner(
     context: &context::InstanceContext,
     key: &planner_key::PlannerKey,
-    message: peer_message::PeerMessage,
+    note: engine_place::PlaceNote,
 ) {
-    use peer_message::PeerMessage;
-    let now = context.now();
     // This process's own planner may hold the job too, from a time when no other was in reach.
     if let Some(planner) = context.planners.borrow_mut().planner(key) {
-        match &message {
-            PeerMessage::FirstToken(_, job) => planner.first_token(*job),
-            PeerMessage::End(_, job, end) => planner.end(now, *job, *end),
-            PeerMessage::Shun(_, engine) => planner.shun(now, engine),
-            _ => {}
-        }
+        planner.note(context.now(), &note);
     }
     if let Some(member) = planner_of(context, key) {
-        context.tell(member.address, message);
+        context.tell(member.address, peer_message::PeerMessage::Note(key.clone(), note));
     }
 }
--- a/crates/instance/src/plan_client.rs
+++ b/crates/instance/src/plan_client.rs
@@ -31,14 +31,14 @@
         if let Some(held) = self.context.leases.borrow_mut().get_mut(&job) {
             held.lease.reading = false;
         }
-        let message = peer_message::PeerMessage::FirstToken(self.key.clone(), job);
-        peers::tell_planner(&self.context, &self.key, message);
+        let note = engine_place::PlaceNote::FirstToken(job);
+        peers::tell_planner(&self.context, &self.key, note);
     }
 
     /// Tells the planner that another engine is the cause of a refusal.
     pub fn shun(&self, engine: &ids::UpstreamId) {
-        let message = peer_message::PeerMessage::Shun(self.key.clone(), engine.clone());
-        peers::tell_planner(&self.context, &self.key, message);
+        let note = engine_place::PlaceNote::Shun(engine.clone());
+        peers::tell_planner(&self.context, &self.key, note);
     }
 }
 
@@ -46,8 +46,8 @@
     fn drop(&mut self) {
         let job = self.grant.job;
         self.context.leases.borrow_mut().remove(&job);
-        let message = peer_message::PeerMessage::End(self.key.clone(), job, self.end);
-        peers::tell_planner(&self.context, &self.key, message);
+        let note = engine_place::PlaceNote::Ended(job, self.end);
+        peers::tell_planner(&self.context, &self.key, note);
     }
 }
 
@@ -64,8 +64,8 @@
         self.context.grants.borrow_mut().remove(&self.job);
         if !self.granted {
             let end = engine_place::PlaceEnd::Done;
-            let message = peer_message::PeerMessage::End(self.key.clone(), self.job, end);
-            peers::tell_planner(self.context, self.key, message);
+            let note = engine_place::PlaceNote::Ended(self.job, end);
+            peers::tell_planner(self.context, self.key, note);
         }
     }
 }
--- a/crates/instance/src/planner_set.rs
+++ b/crates/instance/src/planner_set.rs
@@ -27,7 +27,7 @@
     planners: collections::BTreeMap<planner_key::PlannerKey, read_planner::ReadPlanner>,
     /// Who waits for an answer.
     origins: collections::HashMap<engine_place::JobId, AskOrigin>,
-    /// Revision of the list and version of the routes the planners know.
+    /// Changes of the list and version of the routes that the planners know.
     synced: (u64, u64),
     /// Planners asked lately by members.
     asked: collections::BTreeMap<planner_key::PlannerKey, units::MonoTime>,
@@ -46,12 +46,15 @@
         }
     }
 
-    /// Brings the planners up to the list and routes in force.
+    /// Brings the planners up to the list and routes in force; costs nothing while these stay.
     pub fn sync(&mut self, now: units::MonoTime, fleet: &fleet_state::FleetState) {
-        let version = (fleet.list.revision(), fleet.routes.version.0);
+        let version = (fleet.list.changes(), fleet.routes.version.0);
+        if version == self.synced {
+            return;
+        }
         for (name, service) in &fleet.routes.services {
             if let Some(shape) = &service.engine {
-                self.sync_service(now, fleet, name, shape, version != self.synced);
+                self.sync_service(now, fleet, name, shape);
             }
         }
         self.synced = version;
@@ -63,7 +66,6 @@
         fleet: &fleet_state::FleetState,
         name: &ids::ServiceId,
         shape: &route_table::EngineShape,
-        changed: bool,
     ) {
         let usable = fleet.list.usable(name);
         let cells = planner_key::cell_count(usable.len());
@@ -81,9 +83,7 @@
                 .planners
                 .entry(key)
                 .or_insert_with(|| read_planner::ReadPlanner::new(shape.clone(), self.options));
-            if changed {
-                planner.set_shape(shape.clone());
-            }
+            planner.set_shape(shape.clone());
             planner.set_engines(now, &engines);
         }
     }
--- a/crates/instance/src/small_server.rs
+++ b/crates/instance/src/small_server.rs
@@ -165,7 +165,7 @@
 }
 
 fn status(context: &context::InstanceContext) -> serde_json::Value {
-    let beat = context.own_beat(0);
+    let beat = context.own_beat();
     let fleet = context.fleet.borrow();
     let members = context.members.borrow();
     let alive: Vec<_> = members.alive(context.now()).map(|beat| beat.name.to_string()).collect();
--- a/crates/instance/src/store_feed.rs
+++ b/crates/instance/src/store_feed.rs
@@ -80,7 +80,7 @@
         return true;
     }
     let now = context.now();
-    let own = context.own_beat(0);
+    let own = context.own_beat();
     let members = context.members.borrow();
     let missing = members.watchers_missing(now, &own);
     *missing_since = missing.then(|| missing_since.unwrap_or(now));
@@ -90,7 +90,7 @@
 
 /// Whether enough others watch for this member to leave it to them.
 fn others_watch(context: &context::InstanceContext) -> bool {
-    let own = context.own_beat(0);
+    let own = context.own_beat();
     let missing_for = time::Duration::ZERO;
     let needed = context.members.borrow().should_watch(context.now(), &own, missing_for);
     context.fleet.borrow().is_known() && !needed
--- a/crates/instance/tests/peer_message.rs
+++ b/crates/instance/tests/peer_message.rs
@@ -1,7 +1,9 @@
 //! Datagrams between instances: what is said arrives, and garbage is an error.
 
 use proptest::prelude::*;
-use slipturn_core::engine_place::{JobId, PlaceAnswer, PlaceAsk, PlaceEnd, PlaceGrant, PlaceLease};
+use slipturn_core::engine_place::{
+    JobId, PlaceAnswer, PlaceAsk, PlaceEnd, PlaceGrant, PlaceLease, PlaceNote,
+};
 use slipturn_core::planner_key::PlannerKey;
 use slipturn_instance::peer_message::{MAX_DATAGRAM, MAX_LEASES, PeerMessage};
 
@@ -42,10 +44,11 @@
 #[test]
 fn messages_arrive_as_they_were_said() {
     let service = key();
+    let job = JobId { boot: 1, sequence: 2 };
     let messages = [
         PeerMessage::Renew(service.clone(), vec![lease(1), lease(2)]),
-        PeerMessage::End(service.clone(), JobId { boot: 1, sequence: 2 }, PlaceEnd::Silent),
-        PeerMessage::Shun(service.clone(), name("e1")),
+        PeerMessage::Note(service.clone(), PlaceNote::Ended(job, PlaceEnd::Silent)),
+        PeerMessage::Note(service.clone(), PlaceNote::Shun(name("e1"))),
         PeerMessage::Ask(service, Box::new(lease(3).ask)),
     ];
     for message in messages {
@@ -75,11 +78,12 @@
     let short = PlaceAsk { prompt: 5_000, output: 1_700, excluded: Vec::new(), ..lease(7).ask };
     let grant = PlaceGrant { helpers: Vec::new(), ..lease(7).grant };
     let answer = PlaceAnswer::Grant(grant);
+    let job = lease(7).ask.job;
     let messages = [
         (PeerMessage::Ask(key(), Box::new(short)), 96),
         (PeerMessage::Answer(Box::new(answer)), 64),
-        (PeerMessage::FirstToken(key(), lease(7).ask.job), 32),
-        (PeerMessage::End(key(), lease(7).ask.job, PlaceEnd::Done), 32),
+        (PeerMessage::Note(key(), PlaceNote::FirstToken(job)), 32),
+        (PeerMessage::Note(key(), PlaceNote::Ended(job, PlaceEnd::Done)), 32),
     ];
     for (message, most) in messages {
         let bytes = message.encode().expect("it can be coded");
