A long prompt is not read for a caller who will have left

Cause: a late prompt takes whatever place there is when its caller's patience runs out, also one whose first token is expected later than that.

Change: a place whose first token is expected after the caller has left is refused at once, with a time to come back. The two refusals' twin sums are one function.

--- a/crates/core/src/planner_urgency.rs
+++ b/crates/core/src/planner_urgency.rs
@@ -93,18 +93,40 @@
         if !job.ask.tight() {
             return self.refuse_long(now, job);
         }
+        let refusal = self.refusal(job, f64::from(BACK_AFTER_MS), None);
+        let full = f64::from(refusal.running) >= f64::from(refusal.slots) * FULL_PART;
+        full.then_some(refusal)
+    }
+
+    /// Refuses a long prompt whose answer would begin after its caller has left.
+    ///
+    /// Reading it would only keep engines from prompts that somebody still waits for.
+    pub(crate) fn refuse_hopeless(
+        &self,
+        now: units::MonoTime,
+        job: &WaitingJob,
+        choice: &planner_choice::Choice,
+    ) -> Option<engine_place::PlaceRefusal> {
+        let expected = f64::from(choice.grant.first_token_ms);
+        let hopeless = !job.ask.tight() && expected > job.patience_left(now);
+        hopeless.then(|| self.refusal(job, LONG_BACK_MS, Some(expected)))
+    }
+
+    fn refusal(
+        &self,
+        job: &WaitingJob,
+        back_after_ms: f64,
+        expected_ms: Option<f64>,
+    ) -> engine_place::PlaceRefusal {
         let slots = self.engines.len() * self.shape.slots;
         let running: usize = self.engines.values().map(|engine| engine.answering.len()).sum();
-        if (running as f64) < slots as f64 * FULL_PART {
-            return None;
-        }
-        Some(engine_place::PlaceRefusal {
+        engine_place::PlaceRefusal {
             job: job.ask.job,
-            back_after_ms: BACK_AFTER_MS,
-            expected_ms: None,
+            back_after_ms: back_after_ms as u32,
+            expected_ms: expected_ms.map(|expected| expected as u32),
             running: u32::try_from(running).unwrap_or(u32::MAX),
             slots: u32::try_from(slots).unwrap_or(u32::MAX),
-        })
+        }
     }
 
     /// Refuses a long prompt whose turn will come too late, while its caller can still come back.
@@ -133,15 +155,8 @@
         if missing <= 0.0 {
             return None;
         }
-        let slots = self.engines.len() * self.shape.slots;
-        let running: usize = self.engines.values().map(|engine| engine.answering.len()).sum();
-        Some(engine_place::PlaceRefusal {
-            job: ask.job,
-            back_after_ms: (missing + LONG_BACK_MS).min(MAX_LONG_BACK_MS) as u32,
-            expected_ms: Some(expected as u32),
-            running: u32::try_from(running).unwrap_or(u32::MAX),
-            slots: u32::try_from(slots).unwrap_or(u32::MAX),
-        })
+        let back_after = (missing + LONG_BACK_MS).min(MAX_LONG_BACK_MS);
+        Some(self.refusal(job, back_after, Some(expected)))
     }
 
     /// What a request may do to others by now.
--- a/crates/core/src/read_planner.rs
+++ b/crates/core/src/read_planner.rs
@@ -306,6 +306,9 @@
                 choice?
             }
         };
+        if let Some(refusal) = self.refuse_hopeless(now, job, &choice) {
+            return Some(engine_place::PlaceAnswer::Refuse(refusal));
+        }
         let grant = choice.grant;
         Some(engine_place::PlaceAnswer::Grant(self.take(now, job, grant)))
     }
