Members that start together know each other at once; lists read anew are passed on as changes

Heartbeats of a large fleet are seconds apart, a start told only three seeds, and an answer came with the next heartbeat: after a mass start five members planned for the same engines, one engine of 12 slots had 26. The busiest instance sent 2,274 KB/s and held 72 MB: a watcher that had read the list anew (its history was gone) forgot its changes, and everybody behind it fetched the whole list from it at once.

Change: who has just started hears back at once, with all addresses where it knows few, and says something to whoever it is told of; what decides who plans (has routes, old enough, leaving) is told to all when it changes, not with the next heartbeat; a list read anew is remembered as what differs.

Ruled out: the store's rate (2,000 calls a second were not reached at 59 instances); the planner's time.

--- a/crates/core/src/membership.rs
+++ b/crates/core/src/membership.rs
@@ -21,6 +21,11 @@
 const FORGET_BEATS: u32 = 40;
 /// Addresses of others named in one heartbeat.
 const NAMED_MEMBERS: usize = 4;
+/// Addresses named at once to a member that knows few: 7 bytes each, so that the datagram is not
+/// split on its way.
+const WELCOME_MEMBERS: usize = 160;
+/// Addresses heard of that are remembered, some three times the largest fleet planned for.
+const MAX_HEARSAY: usize = 1_024;
 /// Members of a data centre that watch the platform's store in a large fleet: one more than needed,
 /// so that the loss of one is not noticed.
 const WATCHERS: usize = 2;
@@ -74,15 +79,6 @@
     unanswered: u32,
 }
 
-/// What changed in the view.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum MemberEvent {
-    /// A member not known before, or started again.
-    Joined(ids::InstanceId),
-    /// A member that was silent for long.
-    Forgotten(ids::InstanceId),
-}
-
 /// The other members as this process believes them.
 #[derive(Debug)]
 pub struct MemberView {
@@ -90,6 +86,8 @@
     members: collections::BTreeMap<ids::InstanceId, MemberState>,
     /// Addresses heard of, not yet heard from.
     hearsay: collections::BTreeMap<net::SocketAddrV4, units::MonoTime>,
+    /// Those of them that nothing has been said to yet.
+    unmet: Vec<net::SocketAddrV4>,
     seeds: Vec<net::SocketAddrV4>,
     /// Most members alive at once since the start, this one included.
     most: usize,
@@ -102,6 +100,7 @@
             own,
             members: collections::BTreeMap::new(),
             hearsay: collections::BTreeMap::new(),
+            unmet: Vec::new(),
             seeds,
             most: 1,
         }
@@ -129,27 +128,50 @@
         targets
     }
 
-    /// Some members' addresses to name in a heartbeat; others each time.
+    /// Some addresses to name in a heartbeat; others each time.
     pub fn named(&self, sequence: u64) -> Vec<net::SocketAddrV4> {
-        let count = self.members.len();
-        if count == 0 {
+        let addresses = self.addresses();
+        let count = addresses.len();
+        let start = (sequence as usize).wrapping_mul(NAMED_MEMBERS) % count.max(1);
+        addresses.iter().cycle().skip(start).take(NAMED_MEMBERS.min(count)).copied().collect()
+    }
+
+    /// All addresses in portions, for a member whose heartbeat shows that it knows few; nothing
+    /// for others. So whoever starts is known to all after one exchange with one of them, also
+    /// where all start at once and heartbeats are seconds apart.
+    pub fn welcome(&self, beat: &MemberBeat) -> Vec<Vec<net::SocketAddrV4>> {
+        if beat.others.len() >= NAMED_MEMBERS {
             return Vec::new();
         }
-        let start = (sequence as usize).wrapping_mul(NAMED_MEMBERS) % count;
-        let addresses: Vec<_> = self.members.values().map(|member| member.beat.address).collect();
-        addresses.iter().cycle().skip(start).take(NAMED_MEMBERS.min(count)).copied().collect()
+        let mut addresses = self.addresses();
+        addresses.retain(|address| *address != beat.address);
+        addresses.chunks(WELCOME_MEMBERS).map(<[_]>::to_vec).collect()
+    }
+
+    /// Addresses heard of since the last call, to say something to at once.
+    pub fn take_unmet(&mut self, own: net::SocketAddrV4) -> Vec<net::SocketAddrV4> {
+        let mut unmet = std::mem::take(&mut self.unmet);
+        unmet.retain(|address| *address != own);
+        unmet
+    }
+
+    fn addresses(&self) -> Vec<net::SocketAddrV4> {
+        let known = self.members.values().map(|member| member.beat.address);
+        known.chain(self.hearsay.keys().copied()).collect()
     }
 
-    /// Takes a heartbeat in.
-    pub fn hear(&mut self, now: units::MonoTime, beat: MemberBeat) -> Option<MemberEvent> {
+    /// Takes a heartbeat in; returns whether its member was not known before, or started again.
+    pub fn hear(&mut self, now: units::MonoTime, beat: MemberBeat) -> bool {
         if beat.name == self.own {
-            return None;
+            return false;
         }
         self.hearsay.remove(&beat.address);
         for address in &beat.others {
             let known = self.members.values().any(|member| member.beat.address == *address);
-            if !known && self.hearsay.len() < 1_024 {
-                self.hearsay.entry(*address).or_insert(now);
+            let heard_of = known || self.hearsay.contains_key(address);
+            if !heard_of && self.hearsay.len() < MAX_HEARSAY {
+                self.hearsay.insert(*address, now);
+                self.unmet.push(*address);
             }
         }
         let known = self.members.get(&beat.name);
@@ -157,18 +179,18 @@
             known.beat.boot == beat.boot && known.beat.sequence >= beat.sequence
         });
         if stale {
-            return None;
+            return false;
         }
         let joined = known.is_none_or(|known| known.beat.boot != beat.boot);
         let name = beat.name.clone();
         let hash = rendezvous::stable_hash(&[name.as_str()]);
-        self.members.insert(name.clone(), MemberState { beat, hash, heard: now, unanswered: 0 });
+        self.members.insert(name, MemberState { beat, hash, heard: now, unanswered: 0 });
         self.most = self.most.max(self.alive(now).count() + 1);
-        joined.then_some(MemberEvent::Joined(name))
+        joined
     }
 
-    /// Forgets members that have been silent for long.
-    pub fn tick(&mut self, now: units::MonoTime) -> Vec<MemberEvent> {
+    /// Forgets members that have been silent for long, and names them.
+    pub fn tick(&mut self, now: units::MonoTime) -> Vec<ids::InstanceId> {
         let limit = self.beat_interval() * FORGET_BEATS;
         self.hearsay.retain(|_, since| now.since(*since) < limit);
         let silent: Vec<_> = self
@@ -180,7 +202,7 @@
         for name in &silent {
             self.members.remove(name);
         }
-        silent.into_iter().map(MemberEvent::Forgotten).collect()
+        silent
     }
 
     /// Members that were heard lately.
--- a/crates/core/tests/membership.rs
+++ b/crates/core/tests/membership.rs
@@ -4,7 +4,7 @@
 
 use slipturn_core::{
     ids,
-    membership::{MemberBeat, MemberEvent, MemberView},
+    membership::{MemberBeat, MemberView},
     planner_key, units,
 };
 
@@ -51,7 +51,7 @@
     assert_eq!(view.targets(address(0)), vec![address(1), address(2)]);
     let mut first = beat(1, 1, 1);
     first.others = vec![address(3), address(0)];
-    assert_eq!(view.hear(at(0), first), Some(MemberEvent::Joined(name(1))));
+    assert!(view.hear(at(0), first));
     assert_eq!(view.targets(address(0)), vec![address(1), address(2), address(3)]);
 }
 
@@ -62,7 +62,7 @@
     assert_eq!(view.alive(at(500)).count(), 1);
     assert_eq!(view.alive(at(1_000)).count(), 0);
     assert!(view.tick(at(1_000)).is_empty());
-    assert_eq!(view.tick(at(20_000)), vec![MemberEvent::Forgotten(name(1))]);
+    assert_eq!(view.tick(at(20_000)), vec![name(1)]);
 }
 
 #[test]
@@ -71,16 +71,80 @@
     view.hear(at(0), beat(1, 1, 5));
     let mut old = beat(1, 1, 4);
     old.routes = 99;
-    assert_eq!(view.hear(at(10), old), None);
+    assert!(!view.hear(at(10), old));
     let near = "a".parse().expect("a valid name");
     assert!(view.routes_sources(at(10), 50, &near).is_empty());
-    assert_eq!(view.hear(at(20), beat(1, 2, 1)), Some(MemberEvent::Joined(name(1))));
+    assert!(view.hear(at(20), beat(1, 2, 1)));
+}
+
+/// Plays what members say to each other at once, without waiting for heartbeats: all start in the
+/// order given and know one seed. Returns how many others each knows, and the messages it sent.
+fn settled(count: u8) -> Vec<(usize, usize)> {
+    let mut views: Vec<_> =
+        (0..count).map(|own| MemberView::new(name(own), vec![address(0)])).collect();
+    let mut sent = vec![0; usize::from(count)];
+    let mut messages: std::collections::VecDeque<(u8, MemberBeat)> =
+        (1..count).map(|own| (0, beat(own, 1, 1))).collect();
+    while let Some((to, beat_heard)) = messages.pop_front() {
+        let view = &mut views[usize::from(to)];
+        let from = beat_heard.address.ip().octets()[3];
+        let mut replies = view.welcome(&beat_heard);
+        let joined = view.hear(at(1), beat_heard);
+        if joined && replies.is_empty() {
+            replies.push(view.named(7));
+        }
+        let say = |others| MemberBeat { others, ..beat(to, 1, 2) };
+        let unmet = view.take_unmet(address(to));
+        let met = unmet.iter().map(|address| (address.ip().octets()[3], say(view.named(8))));
+        let answers = replies.into_iter().filter(|_| joined).map(|others| (from, say(others)));
+        let all: Vec<_> = met.chain(answers).collect();
+        sent[usize::from(to)] += all.len();
+        messages.extend(all);
+    }
+    let known = |view: &MemberView| view.alive(at(2)).count();
+    views.iter().map(known).zip(sent).collect()
+}
+
+#[test]
+fn all_that_start_together_know_each_other_before_the_next_heartbeat() {
+    for count in [2, 6, 60, 200] {
+        let ends = settled(count);
+        let others = usize::from(count) - 1;
+        assert!(ends.iter().all(|(known, _)| *known == others), "{count}: {ends:?}");
+        // One message to each other and one answer, and the seed's welcomes in portions.
+        let most = ends.iter().map(|(_, sent)| *sent).max().unwrap_or_default();
+        assert!(most <= others * 3, "{count}: {most} messages");
+    }
+}
+
+#[test]
+fn who_knows_enough_is_told_no_list() {
+    let mut view = view();
+    for number in 1..=60 {
+        view.hear(at(0), beat(number, 1, 1));
+    }
+    let few = beat(99, 1, 1);
+    let listed: Vec<_> = view.welcome(&few).into_iter().flatten().collect();
+    assert_eq!(listed.len(), 60);
+    let enough = MemberBeat { others: (1..=4).map(address).collect(), ..beat(99, 1, 1) };
+    assert!(view.welcome(&enough).is_empty());
+}
+
+#[test]
+fn an_address_heard_of_twice_is_met_once() {
+    let mut view = view();
+    let naming = |sequence| MemberBeat { others: vec![address(9)], ..beat(1, 1, sequence) };
+    view.hear(at(0), naming(1));
+    assert_eq!(view.take_unmet(address(0)), vec![address(9)]);
+    view.hear(at(10), naming(2));
+    assert!(view.take_unmet(address(0)).is_empty());
+    assert!(view.targets(address(0)).contains(&address(9)), "it still gets heartbeats");
 }
 
 #[test]
 fn its_own_heartbeat_is_no_member() {
     let mut view = view();
-    assert_eq!(view.hear(at(0), beat(0, 1, 1)), None);
+    assert!(!view.hear(at(0), beat(0, 1, 1)));
     assert_eq!(view.size(), 1);
 }
 
--- a/crates/instance/src/context.rs
+++ b/crates/instance/src/context.rs
@@ -74,6 +74,8 @@
     pub store_ok: cell::Cell<bool>,
     /// Whether this process watches the store.
     pub watching: cell::Cell<bool>,
+    /// Members that joined since the last heartbeat, for the log.
+    pub joined: cell::Cell<usize>,
     /// Heartbeats sent so far.
     pub beats: cell::Cell<u64>,
     /// When this process noticed that it had been paused; it plans for nobody shortly after.
@@ -127,6 +129,7 @@
             busy: cell::Cell::new(0),
             store_ok: cell::Cell::new(false),
             watching: cell::Cell::new(false),
+            joined: cell::Cell::new(0),
             beats: cell::Cell::new(0),
             woke: cell::Cell::new(units::MonoTime::default()),
             outgoing: parts.outgoing,
--- a/crates/instance/src/fleet_state.rs
+++ b/crates/instance/src/fleet_state.rs
@@ -6,9 +6,10 @@
 
 use crate::border;
 
-/// Changes to upstreams that are remembered for other members.
-const MAX_CHANGES: usize = 256;
-
+/// Changes to upstreams that are remembered for other members, at least.
+const MIN_CHANGES: usize = 256;
+/// The same in shares of the list: with more changes than that, the whole list costs less.
+const CHANGES_SHARE: f64 = 0.5;
 /// An outage's end this long ago explains no changes any more, milliseconds.
 const RECENT_RETURN_MS: u64 = 3_000;
 
@@ -25,6 +26,52 @@
     revision: u64,
 }
 
+impl RawState {
+    /// Replaces the upstreams. Where they were `known` before, what differs is remembered as
+    /// changes: members that are a little behind then need not read the whole list, all at once.
+    fn replace(
+        &mut self,
+        upstreams: collections::BTreeMap<String, String>,
+        revision: u64,
+        known: bool,
+    ) {
+        if known {
+            let before = std::mem::take(&mut self.upstreams);
+            let gone = before.keys().filter(|name| !upstreams.contains_key(*name));
+            let gone: Vec<_> = gone.cloned().collect();
+            for name in gone {
+                self.change(name, None, revision);
+            }
+            for (name, text) in &upstreams {
+                if before.get(name) != Some(text) {
+                    self.change(name.clone(), Some(text.clone()), revision);
+                }
+            }
+        } else {
+            self.floor = revision;
+        }
+        self.upstreams = upstreams;
+        self.settle(revision);
+    }
+
+    fn change(&mut self, name: String, text: Option<String>, revision: u64) {
+        match &text {
+            Some(text) => self.upstreams.insert(name.clone(), text.clone()),
+            None => self.upstreams.remove(&name),
+        };
+        self.changes.push_back((revision, name, text));
+    }
+
+    /// Notes that all changes up to `revision` are in, and forgets the oldest.
+    fn settle(&mut self, revision: u64) {
+        let most = MIN_CHANGES.max((self.upstreams.len() as f64 * CHANGES_SHARE) as usize);
+        while self.changes.len() > most {
+            self.floor = self.changes.pop_front().map_or(revision, |(oldest, _, _)| oldest);
+        }
+        self.revision = self.revision.max(revision);
+    }
+}
+
 /// Routes and upstreams in force in this process. Versions only ever go up.
 pub struct FleetState {
     border: rc::Rc<dyn border::PlatformBorder>,
@@ -151,10 +198,8 @@
         if self.list.replace(now, entries, revision) {
             log::info!(source, revision, upstreams = count; "list.replaced");
         }
-        self.raw.upstreams = documents.into_iter().collect();
-        self.raw.changes.clear();
-        self.raw.floor = revision;
-        self.raw.revision = revision;
+        let known = self.listed;
+        self.raw.replace(documents.into_iter().collect(), revision, known);
         self.listed = true;
     }
 
@@ -189,17 +234,10 @@
         let mut list_changes = Vec::new();
         for (name, text) in changes {
             list_changes.extend(self.read_change(&name, text.as_deref(), revision));
-            match &text {
-                Some(text) => self.raw.upstreams.insert(name.clone(), text.clone()),
-                None => self.raw.upstreams.remove(&name),
-            };
-            self.raw.changes.push_back((revision, name, text));
-        }
-        while self.raw.changes.len() > MAX_CHANGES {
-            self.raw.floor = self.raw.changes.pop_front().map_or(revision, |(oldest, _, _)| oldest);
+            self.raw.change(name, text, revision);
         }
         self.list.apply(now, list_changes, revision);
-        self.raw.revision = self.raw.revision.max(revision);
+        self.raw.settle(revision);
     }
 
     /// One change as the list takes it; `None` where the entry cannot be read.
--- a/crates/instance/src/peers.rs
+++ b/crates/instance/src/peers.rs
@@ -71,12 +71,7 @@
     use peer_message::PeerMessage;
     let now = context.now();
     match message {
-        PeerMessage::Beat(beat) => {
-            let event = context.members.borrow_mut().hear(now, *beat);
-            if let Some(membership::MemberEvent::Joined(member)) = event {
-                log::info!(member:%; "member.joined");
-            }
-        }
+        PeerMessage::Beat(beat) => hear_beat(context, now, *beat),
         PeerMessage::Ask(key, ask) => {
             let job = ask.job;
             let origin = planner_set::AskOrigin::Member(from);
@@ -108,6 +103,45 @@
     }
 }
 
+/// Takes a heartbeat in. Who has just started hears back at once, and whoever it names hears from
+/// this process: waiting for heartbeats, a large fleet would need many seconds to know itself.
+fn hear_beat(
+    context: &context::InstanceContext,
+    now: units::MonoTime,
+    beat: membership::MemberBeat,
+) {
+    let from = beat.address;
+    let own = context.settings().member_address;
+    let (joined, welcome, unmet) = {
+        let mut members = context.members.borrow_mut();
+        let welcome = members.welcome(&beat);
+        let joined = members.hear(now, beat);
+        (joined, welcome, members.take_unmet(own))
+    };
+    if joined {
+        context.joined.set(context.joined.get() + 1);
+        let beat = context.next_beat();
+        if welcome.is_empty() {
+            context.tell(from, peer_message::PeerMessage::Beat(Box::new(beat.clone())));
+        }
+        for others in welcome {
+            let beat = membership::MemberBeat { others, ..beat.clone() };
+            context.tell(from, peer_message::PeerMessage::Beat(Box::new(beat)));
+        }
+    }
+    if !unmet.is_empty() {
+        tell_beat(context, unmet);
+    }
+}
+
+/// Says to these members what this process says of itself.
+fn tell_beat(context: &context::InstanceContext, targets: Vec<net::SocketAddrV4>) {
+    let beat = context.next_beat();
+    for to in targets {
+        context.tell(to, peer_message::PeerMessage::Beat(Box::new(beat.clone())));
+    }
+}
+
 /// Hands a reply to the request that waits for it.
 fn reply(
     context: &context::InstanceContext,
@@ -123,35 +157,49 @@
 /// Repeats this process's heartbeat to the others and forgets silent ones.
 pub async fn beat(context: rc::Rc<context::InstanceContext>) {
     loop {
-        let beat = context.next_beat();
-        let targets = context.members.borrow().targets(beat.address);
-        for to in targets {
-            context.tell(to, peer_message::PeerMessage::Beat(Box::new(beat.clone())));
+        tell_all(&context);
+        let forgotten = context.members.borrow_mut().tick(context.now());
+        for member in forgotten {
+            log::warn!(member:%; "member.forgotten");
         }
-        let events = context.members.borrow_mut().tick(context.now());
-        for event in events {
-            if let membership::MemberEvent::Forgotten(member) = event {
-                log::warn!(member:%; "member.forgotten");
-            }
+        let joined = context.joined.take();
+        if joined > 0 {
+            let alive = context.members.borrow().alive(context.now()).count();
+            log::info!(joined, alive; "members.joined");
         }
         let interval = context.members.borrow().beat_interval();
         monoio::time::sleep(interval).await;
     }
 }
 
+fn tell_all(context: &context::InstanceContext) {
+    let own = context.settings().member_address;
+    let targets = context.members.borrow().targets(own);
+    tell_beat(context, targets);
+}
+
 /// Tells the members of this data centre at once that there is something new to fetch.
 pub fn announce(context: &context::InstanceContext) {
-    let beat = context.next_beat();
     let near: Vec<_> = {
+        let data_center = context.settings().data_center.clone();
         let members = context.members.borrow();
         let alive = members.alive(context.now());
-        alive
-            .filter(|other| other.data_center == beat.data_center)
-            .map(|other| other.address)
-            .collect()
+        alive.filter(|other| other.data_center == data_center).map(|other| other.address).collect()
     };
-    for to in near {
-        context.tell(to, peer_message::PeerMessage::Beat(Box::new(beat.clone())));
+    tell_beat(context, near);
+}
+
+/// What the others must know at once, as it decides who plans.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+struct ToldState {
+    plans: bool,
+    leaving: bool,
+    has_routes: bool,
+}
+
+impl ToldState {
+    fn of(beat: &membership::MemberBeat) -> Self {
+        Self { plans: beat.plans, leaving: beat.leaving, has_routes: beat.routes > 0 }
     }
 }
 
@@ -159,7 +207,13 @@
 pub async fn plan(context: rc::Rc<context::InstanceContext>) {
     let mut last = context.now();
     let mut logged = last;
+    let mut told = ToldState::default();
     loop {
+        let state = ToldState::of(&context.own_beat());
+        if state != told {
+            told = state;
+            tell_all(&context);
+        }
         let waiting = context.planners.borrow().waiting() > 0;
         monoio::time::sleep(if waiting { PLAN_INTERVAL } else { REST_INTERVAL }).await;
         let now = context.now();
