Nobody's pauses are harmed for a long prompt that comes late anyway

The mode 'harmful' is for what can just be in time; it allowed harm up to half of the prompt's worth without asking whether it would be.

Change: in that mode a prompt that is not late yet harms nobody unless it comes in time. Test: read_planner::nobody_is_harmed_for_a_long_prompt_that_comes_late_anyway (red before).

--- a/crates/core/src/planner_choice.rs
+++ b/crates/core/src/planner_choice.rs
@@ -88,7 +88,8 @@
 pub(crate) enum ChoiceMode {
     /// Nobody's pauses suffer and no part waits behind another.
     Calm,
-    /// No part waits behind another.
+    /// No part waits behind another, and others suffer only for what comes in time, or is late
+    /// already and will soon be given up.
     Harmful,
     /// Whatever loses least.
     Forced,
@@ -282,6 +283,9 @@
             return None;
         }
         let in_time = first_token_ms <= job.goal_left(now) * planner_urgency::GOAL_PART;
+        if mode == ChoiceMode::Harmful && harm > 0.0 && !in_time && !job.late(now) {
+            return None;
+        }
         let late = if in_time { 0.0 } else { worth };
         let ranks: f64 = chosen.iter().map(|(loss, _)| loss).sum();
         let delay = first_token_ms / f64::from(job.ask.goal_ms.max(1)) * self.options.delay;
--- a/crates/core/tests/read_planner.rs
+++ b/crates/core/tests/read_planner.rs
@@ -342,6 +342,20 @@
     assert_eq!((planner.placed_count(), planner.waiting_count()), (1, 0));
 }
 
+#[test]
+fn nobody_is_harmed_for_a_long_prompt_that_comes_late_anyway() {
+    let mut planner = planner(2);
+    for number in 0..10 {
+        write(&mut planner, number * 50, short(number));
+    }
+    // On both engines it takes 3.6 s, and ten writers on one of them would stand still; it is due
+    // in 1.5 s.
+    let hurried = PlaceAsk { goal_left_ms: 1_500, ..long(99, 250_000) };
+    let hurried = PlaceAsk { refusable: false, ..hurried };
+    assert!(planner.ask(at(600), hurried).is_none());
+    assert!(planner.tick(at(900)).is_empty(), "it waits for a calm place");
+}
+
 #[test]
 fn plain_routers_take_one_engine_at_once() {
     for routing in [RoutingKind::RoundRobin, RoutingKind::LeastRequests, RoutingKind::LeastTokens] {
