Whoever starts in a large fleet takes the list of upstreams from members, not from the store

Cause: a process that knew nothing read the whole list from the store, page by page. At a mass start every instance did: nine reads by nine instances in the system test; 300 instances before 3,000 upstreams need some 18,000 calls (a sum) of the 2,000 a second that the store answers.

Change: a process that knows nothing listens to members for 60 ms; in a small data centre it then reads the list, in a large one the two whose turn it is do and the others take it from them. Behind 1.2 s it reads it itself.

--- a/crates/instance/src/store_feed.rs
+++ b/crates/instance/src/store_feed.rs
@@ -1,6 +1,6 @@
 //! Routes and upstreams from the platform's store, or from members that know newer ones.
 
-use std::{net, rc, time};
+use std::{net, ops, rc, time};
 
 use rand::RngExt as _;
 use slipturn_core::{ids, membership, units};
@@ -26,6 +26,12 @@
 const MAX_RETRY_PAUSE: time::Duration = time::Duration::from_millis(800);
 /// Time between two looks at whether a member knows more.
 const MEMBER_INTERVAL: time::Duration = time::Duration::from_millis(150);
+/// The same while this process knows nothing.
+const START_INTERVAL: time::Duration = time::Duration::from_millis(20);
+/// Ages at which a process that knows nothing leaves the store to others: before, it has not heard
+/// from them; behind, they do not know anything either.
+const START_PATIENCE: ops::Range<time::Duration> =
+    time::Duration::from_millis(60)..time::Duration::from_millis(1_200);
 /// Lead of the own watch over reading the routes anew.
 const WATCH_LEAD: time::Duration = time::Duration::from_millis(500);
 /// Time for a member's documents: a configuration of a megabyte takes 0.4 s on a link of 20 Mbit/s.
@@ -64,22 +70,35 @@
     }
 }
 
-/// Waits until this member should watch the store itself: at once where it knows nothing.
+/// Waits until this member should watch the store itself.
 async fn wait_for_turn(context: &context::InstanceContext) {
     let mut missing_since = None;
     while !is_own_turn(context, &mut missing_since) {
-        monoio::time::sleep(MEMBER_INTERVAL).await;
+        monoio::time::sleep(look_interval(context)).await;
     }
 }
 
+/// Time between two looks at what members know; short while this one knows nothing.
+fn look_interval(context: &context::InstanceContext) -> time::Duration {
+    if context.fleet.borrow().is_known() { MEMBER_INTERVAL } else { START_INTERVAL }
+}
+
 fn is_own_turn(
     context: &context::InstanceContext,
     missing_since: &mut Option<units::MonoTime>,
 ) -> bool {
-    if context.watching.get() || !context.fleet.borrow().is_known() {
+    if context.watching.get() {
         return true;
     }
     let now = context.now();
+    if !context.fleet.borrow().is_known() {
+        // Whoever starts in a large fleet has the list from members: with all reading it at
+        // once, a mass start would take as long as the store's rate allows.
+        let age = now.since(units::MonoTime::default());
+        if !START_PATIENCE.contains(&age) {
+            return age >= START_PATIENCE.end;
+        }
+    }
     let own = context.own_beat();
     let members = context.members.borrow();
     let missing = members.watchers_missing(now, &own);
@@ -201,7 +220,7 @@
 /// to many at once, and from the member where the store does not answer.
 pub async fn follow_routes(context: rc::Rc<context::InstanceContext>) {
     loop {
-        monoio::time::sleep(MEMBER_INTERVAL).await;
+        monoio::time::sleep(look_interval(&context)).await;
         if context.store_ok.get() && routes_source(&context).is_some() {
             // The own watch probably brings them.
             monoio::time::sleep(WATCH_LEAD).await;
@@ -223,7 +242,7 @@
 /// silent.
 pub async fn follow_list(context: rc::Rc<context::InstanceContext>) {
     loop {
-        monoio::time::sleep(MEMBER_INTERVAL).await;
+        monoio::time::sleep(look_interval(&context)).await;
         let Some((member, address)) = list_source(&context) else {
             continue;
         };
