A request that meets a starting process waits for its routes instead of being refused

Callers whose streams broke with the processes come back at once, find a process 20 to 300 ms old that knows no routes, and have no further try. Change: in its first 0.7 s a process lets requests wait until it knows routes and upstreams. Test: system::a_request_that_meets_a_starting_process_is_served (red before: 503).

--- a/crates/instance/src/caller_connection.rs
+++ b/crates/instance/src/caller_connection.rs
@@ -12,6 +12,11 @@
 const MAX_AHEAD: usize = 64 * 1024;
 /// Time for reading what a refused caller still sends, so that it can read its answer.
 const LINGER_TIME: time::Duration = time::Duration::from_millis(500);
+/// Age up to which a process lets requests wait that it knows no routes for yet; a start with the
+/// store in reach takes a third of that.
+const START_WAIT: time::Duration = time::Duration::from_millis(700);
+/// Time between two looks at whether they are known.
+const KNOWN_POLL: time::Duration = time::Duration::from_millis(10);
 
 /// What becomes of the connection behind a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -181,6 +186,7 @@
         }
     };
     let arrived = context.now();
+    wait_until_known(context).await;
     let mut call = match incoming_call::admit(context, head, arrived) {
         Ok(call) => call,
         Err(refusal) => {
@@ -206,6 +212,15 @@
     next
 }
 
+/// Waits while this process has just started and knows neither routes nor upstreams: it learns
+/// them within a moment, and many callers come back only once.
+async fn wait_until_known(context: &context::InstanceContext) {
+    let young = || context.now().since(units::MonoTime::default()) < START_WAIT;
+    while !context.fleet.borrow().is_known() && young() {
+        monoio::time::sleep(KNOWN_POLL).await;
+    }
+}
+
 async fn serve_call(
     context: &rc::Rc<context::InstanceContext>,
     call: &incoming_call::IncomingCall,
