Requests that meet a starting process wait until its members agree on who plans

Each knew routes before it heard that the others do, so five of six planned alone for 50 ms and gave away the same engines: shorts had first tokens after 590 to 720 ms that were planned for 100 to 160. Change: for the first 150 ms of a process requests wait, and a process that has no routes yet looks every 10 ms whether it must tell the others.

--- a/crates/instance/src/caller_connection.rs
+++ b/crates/instance/src/caller_connection.rs
@@ -15,6 +15,9 @@
 /// Age up to which a process lets requests wait that it knows no routes for yet; a start with the
 /// store in reach takes a third of that.
 const START_WAIT: time::Duration = time::Duration::from_millis(700);
+/// Age before which members that started at the same moment may not agree on who plans; each
+/// would plan alone then, and give away the same engines.
+const SETTLE_TIME: time::Duration = time::Duration::from_millis(150);
 /// Time between two looks at whether they are known.
 const KNOWN_POLL: time::Duration = time::Duration::from_millis(10);
 
@@ -212,11 +215,12 @@
     next
 }
 
-/// Waits while this process has just started and knows neither routes nor upstreams: it learns
-/// them within a moment, and many callers come back only once.
+/// Waits while this process has just started and knows neither routes nor upstreams nor who plans:
+/// it learns them within a moment, and many callers come back only once.
 async fn wait_until_known(context: &context::InstanceContext) {
-    let young = || context.now().since(units::MonoTime::default()) < START_WAIT;
-    while !context.fleet.borrow().is_known() && young() {
+    let age = || context.now().since(units::MonoTime::default());
+    let starting = || !context.fleet.borrow().is_known() || age() < SETTLE_TIME;
+    while age() < START_WAIT && starting() {
         monoio::time::sleep(KNOWN_POLL).await;
     }
 }
--- a/crates/instance/src/peers.rs
+++ b/crates/instance/src/peers.rs
@@ -214,8 +214,9 @@
             told = state;
             tell_all(&context);
         }
-        let waiting = context.planners.borrow().waiting() > 0;
-        monoio::time::sleep(if waiting { PLAN_INTERVAL } else { REST_INTERVAL }).await;
+        // A process that has just started tells at once when it has routes.
+        let busy = context.planners.borrow().waiting() > 0 || !told.has_routes;
+        monoio::time::sleep(if busy { PLAN_INTERVAL } else { REST_INTERVAL }).await;
         let now = context.now();
         if now.since(last) > PAUSE_SIGN {
             log::warn!(paused_ms = now.since(last).as_millis() as u64; "process.woke");
