Planner: passes as engines play them, and no more shorts for an engine that is behind

The planner worked off what waits at an engine millisecond by millisecond; an engine reads it pass by pass, each with the steps of its writers beside, and what arrives during a pass waits for its end. So an engine with 16 writers was taken for free while it still read.

Change: each engine has the pass under way, with what it reads, and what waits for the next; a first token says that its pass is over. The first token of a new prompt is expected at the end of the next pass; a plan may use 75% of a tight goal (55% before, which had paid for the missing wait). An engine whose first tokens are overdue by more than 120 ms counts as busy for that long. An engine slower than its figures comes behind one that is not.

Ruled out: wrong figures of engines (first tokens on idle engines meet the plan). Tests: read_planner::what_arrives_during_a_pass_waits_for_the_next_one, ...an_engine_that_is_behind_gets_no_more_shorts (both seen to fail with the mechanism switched off), ...reading_takes_longer_beside_writers.

--- a/crates/compare/src/planner_cost.rs
+++ b/crates/compare/src/planner_cost.rs
@@ -34,7 +34,7 @@
     for sequence in 0..PLACED.min(engines as u64 * 8) {
         let answer = planner.ask(at(0), ask(sequence, 5_000));
         hint::black_box(answer);
-        planner.first_token(job(sequence));
+        planner.first_token(at(0), job(sequence));
     }
     let started = time::Instant::now();
     for round in 0..ROUNDS {
@@ -42,7 +42,7 @@
         // A millisecond a round: what was read before is done by then.
         let now = at(10_000 + round);
         hint::black_box(planner.ask(now, ask(sequence, prompt)));
-        planner.first_token(job(sequence));
+        planner.first_token(now, job(sequence));
         planner.end(now, job(sequence), engine_place::PlaceEnd::Done);
     }
     let each = started.elapsed() / u32::try_from(ROUNDS).unwrap_or(u32::MAX);
--- a/crates/core/src/engine_work.rs
+++ b/crates/core/src/engine_work.rs
@@ -13,6 +13,12 @@
 /// Requests that come and go while a report is on its way; a difference up to this says nothing.
 const REPORT_SLACK: usize = 4;
 
+/// Time beyond an expected first token that says nothing: a pass, and the way to the planner.
+const EXPECTED_SLACK: time::Duration = time::Duration::from_millis(120);
+
+/// Shortest pass that is believed, milliseconds; below, figures of an engine are a fault.
+const MIN_PASS_MS: f64 = 0.5;
+
 /// A part of a prompt that an engine has not read yet.
 #[derive(Debug, Clone)]
 pub(crate) struct PendingPart {
@@ -20,6 +26,15 @@
     pub(crate) left_ms: f64,
 }
 
+/// A pass under way: an engine reads what waited when the pass began, and plays the steps of those
+/// that write there. What arrives meanwhile waits for the next one.
+#[derive(Debug, Clone)]
+pub(crate) struct EnginePass {
+    pub(crate) left_ms: f64,
+    /// Parts that it reads.
+    pub(crate) parts: Vec<PendingPart>,
+}
+
 /// What one engine is believed to do.
 #[derive(Debug, Clone)]
 pub(crate) struct EngineWork {
@@ -28,8 +43,16 @@
     pub(crate) memory: u64,
     /// Requests answered here.
     pub(crate) answering: collections::BTreeSet<engine_place::JobId>,
-    /// Parts not read yet, oldest first.
+    /// Those of them whose prompt has been read.
+    pub(crate) writers: collections::BTreeSet<engine_place::JobId>,
+    /// Time of the steps of a pass with the writers of now, milliseconds.
+    pub(crate) steps_ms: f64,
+    /// The pass under way; none while there is nothing to do.
+    pub(crate) pass: Option<EnginePass>,
+    /// Parts that wait for the next pass, oldest first.
     pub(crate) pending: collections::VecDeque<PendingPart>,
+    /// Prompts read here whose first token is not out, with the time at which it was expected.
+    pub(crate) expected: collections::BTreeMap<engine_place::JobId, units::MonoTime>,
     /// Tokens in use or set aside.
     pub(crate) used: u64,
     /// Above 1 the engine is slower than its figures.
@@ -48,6 +71,10 @@
             rank,
             memory,
             answering: collections::BTreeSet::new(),
+            writers: collections::BTreeSet::new(),
+            expected: collections::BTreeMap::new(),
+            steps_ms: 0.0,
+            pass: None,
             pending: collections::VecDeque::new(),
             used: 0,
             pace: 1.0,
@@ -58,20 +85,70 @@
         }
     }
 
-    /// Works off what has been read since the last call.
+    /// Plays the passes since the last call.
     pub(crate) fn advance(&mut self, now: units::MonoTime) {
         let mut spent = now.since(self.advanced).as_secs_f64() * 1_000.0 / self.pace;
         self.advanced = now;
-        while spent > 0.0 {
-            let Some(front) = self.pending.front_mut() else {
-                return;
+        loop {
+            let Some(pass) = self.pass.as_mut() else {
+                if !self.begin_pass() {
+                    return;
+                }
+                continue;
             };
-            if front.left_ms > spent {
-                front.left_ms -= spent;
+            if pass.left_ms > spent {
+                pass.left_ms -= spent;
                 return;
             }
-            spent -= front.left_ms;
-            self.pending.pop_front();
+            spent -= pass.left_ms;
+            self.pass = None;
+            // With nothing to read all passes are alike.
+            if self.pending.is_empty() {
+                spent %= self.steps_ms.max(MIN_PASS_MS);
+            }
+        }
+    }
+
+    /// Begins the next pass; `false` where there is nothing to do.
+    fn begin_pass(&mut self) -> bool {
+        if self.writers.is_empty() {
+            // Without steps in between, one part is read behind the other.
+            let Some(part) = self.pending.pop_front() else {
+                return false;
+            };
+            self.pass = Some(EnginePass { left_ms: part.left_ms, parts: vec![part] });
+            return true;
+        }
+        let parts: Vec<_> = self.pending.drain(..).collect();
+        let reading: f64 = parts.iter().map(|part| part.left_ms).sum();
+        self.pass = Some(EnginePass { left_ms: self.steps_ms.max(MIN_PASS_MS) + reading, parts });
+        true
+    }
+
+    /// Adds a part that is to be read.
+    pub(crate) fn add_part(&mut self, part: PendingPart) {
+        self.pending.push_back(part);
+    }
+
+    /// Notes that the first token of a job is out: the pass that read its part is over.
+    pub(crate) fn note_read(&mut self, job: engine_place::JobId) {
+        if self.pass.as_ref().is_some_and(|pass| pass.parts.iter().any(|part| part.job == job)) {
+            self.pass = None;
+        }
+        self.pending.retain(|part| part.job != job);
+        self.expected.remove(&job);
+        self.failures = 0;
+    }
+
+    /// Takes a job's part out, read or not.
+    pub(crate) fn drop_part(&mut self, job: engine_place::JobId) {
+        self.expected.remove(&job);
+        self.pending.retain(|part| part.job != job);
+        if let Some(pass) = &mut self.pass
+            && let Some(at) = pass.parts.iter().position(|part| part.job == job)
+        {
+            let part = pass.parts.remove(at);
+            pass.left_ms = (pass.left_ms - part.left_ms).max(0.0);
         }
     }
 
@@ -88,8 +165,27 @@
         self.foreign = requests.saturating_sub(self.answering.len() + REPORT_SLACK);
     }
 
-    /// Reading that waits, milliseconds.
+    /// Reading that waits for the next pass, milliseconds.
     pub(crate) fn pending_ms(&self) -> f64 {
         self.pending.iter().map(|part| part.left_ms).sum()
     }
+
+    /// Time until the next pass begins, milliseconds.
+    pub(crate) fn wait_ms(&self, now: units::MonoTime) -> f64 {
+        self.pass.as_ref().map_or(0.0, |pass| pass.left_ms) + self.behind_ms(now)
+    }
+
+    /// How far it is behind what was expected of it, milliseconds: it does something that its
+    /// planner does not know of, and nobody can tell for how long.
+    fn behind_ms(&self, now: units::MonoTime) -> f64 {
+        let oldest = self.expected.values().min();
+        let late = oldest.map_or(time::Duration::ZERO, |due| now.since(*due));
+        late.saturating_sub(EXPECTED_SLACK).as_secs_f64() * 1_000.0
+    }
+
+    /// Time until all that is to be read by now has been read, milliseconds.
+    pub(crate) fn unread_ms(&self) -> f64 {
+        let reads = self.pass.as_ref().filter(|pass| !pass.parts.is_empty());
+        reads.map_or(0.0, |pass| pass.left_ms) + self.pending_ms()
+    }
 }
--- a/crates/core/src/planner_choice.rs
+++ b/crates/core/src/planner_choice.rs
@@ -18,9 +18,9 @@
 /// Tokens below which setting memory aside is not worth an order.
 const MIN_HELD_TOKENS: u64 = 4_096;
 /// Part of a tight goal that a plan may use on the engine.
-const TIGHT_GOAL_PART: f64 = 0.55;
+const TIGHT_GOAL_PART: f64 = 0.75;
 /// Part of a tight goal within which a sooner start earns nothing.
-const TIGHT_EASY_PART: f64 = 0.33;
+const TIGHT_EASY_PART: f64 = 0.55;
 /// Reading that may still wait on an engine when a long part is added, milliseconds: about the
 /// time that the request takes to get there.
 const MAX_STACKED_MS: f64 = 40.0;
@@ -37,8 +37,6 @@
 /// Part of its own worth that a long prompt may cost others.
 const HARM_PART: f64 = 0.5;
 
-/// Passes of token steps until a first token: its own, and half of the one that is under way.
-const PASSES: f64 = 1.5;
 /// Part of its worth that an answer loses by one long pause.
 const LOST_PART: f64 = 0.75;
 /// What speaks against an engine without writers as the one that answers, in short writers.
@@ -57,13 +55,19 @@
 const PAUSED_LOSS: f64 = 0.5;
 /// See [`PACK_LOSS`].
 const FULL_LOSS: f64 = 1.0;
+/// Loss for each time that an engine is slower than its figures: it may get slower still.
+const PACE_LOSS: f64 = 0.05;
 
 /// An engine as one choice sees it.
 pub(crate) struct EngineView<'a> {
     pub(crate) name: &'a ids::UpstreamId,
     pub(crate) rank: u64,
-    /// Reading that waits there, milliseconds.
+    /// Time until its next pass begins, milliseconds.
+    pub(crate) wait_ms: f64,
+    /// Reading that waits for that pass, milliseconds.
     pub(crate) pending_ms: f64,
+    /// Time until all that is to be read there has been read, milliseconds.
+    pub(crate) unread_ms: f64,
     pub(crate) steps_ms: f64,
     /// Smallest pause goal of those that write there; infinite without any.
     pub(crate) pause_ms: f64,
@@ -77,6 +81,14 @@
     pub(crate) pace: f64,
 }
 
+impl EngineView<'_> {
+    /// Expected time to the first token of a prompt of which a part is read here: it is out when
+    /// the pass that reads it ends.
+    fn first_ms(&self, part: f64) -> f64 {
+        (self.wait_ms + self.pending_ms + part + self.steps_ms) * self.pace
+    }
+}
+
 /// A place with what it loses.
 pub(crate) struct Choice {
     pub(crate) grant: engine_place::PlaceGrant,
@@ -117,7 +129,7 @@
             engine: engine.name.clone(),
             helpers: Vec::new(),
             held: Vec::new(),
-            first_token_ms: (engine.pending_ms + part + engine.steps_ms) as u32,
+            first_token_ms: (engine.wait_ms + engine.pending_ms + part + engine.steps_ms) as u32,
             waited_ms: now.since(job.since).as_millis() as u32,
         })
     }
@@ -132,7 +144,7 @@
             let allowed = self.engines.iter().filter(move |(name, engine)| {
                 (engine.shunned_until > now) == shunned && !job.ask.excluded.contains(name)
             });
-            allowed.map(|(name, engine)| self.view(name, engine)).collect::<Vec<_>>()
+            allowed.map(|(name, engine)| self.view(now, name, engine)).collect::<Vec<_>>()
         };
         let views = usable(false);
         // An engine that failed lately is better than none.
@@ -159,6 +171,7 @@
 
     pub(crate) fn view<'a>(
         &'a self,
+        now: units::MonoTime,
         name: &'a ids::UpstreamId,
         engine: &engine_work::EngineWork,
     ) -> EngineView<'a> {
@@ -167,7 +180,7 @@
         let (mut tight, mut unread) = (0, 0);
         for state in asks {
             let ask = &state.lease.ask;
-            context += ask.prompt / (state.lease.grant.helpers.len() as u64 + 1);
+            context += read_planner::context_of(&state.lease);
             pause_ms = pause_ms.min(f64::from(ask.pause_ms));
             worth += f64::from(ask.worth);
             tight += usize::from(ask.tight());
@@ -177,7 +190,9 @@
         EngineView {
             name,
             rank: engine.rank,
+            wait_ms: engine.wait_ms(now),
             pending_ms: engine.pending_ms(),
+            unread_ms: engine.unread_ms(),
             steps_ms: pass_model::steps_ms(&self.shape, answering, context),
             pause_ms,
             worth,
@@ -204,7 +219,7 @@
             .iter()
             .filter(|view| match mode {
                 ChoiceMode::Calm => part <= longest && self.is_calm(view, ask, part),
-                ChoiceMode::Harmful => view.pending_ms <= MAX_STACKED_MS,
+                ChoiceMode::Harmful => view.unread_ms <= MAX_STACKED_MS,
                 ChoiceMode::Forced => true,
             })
             .map(|view| (self.engine_loss(view, ask, part), view))
@@ -219,10 +234,7 @@
         let alone = (ask.prompt + ask.output) as f64 <= capacity as f64 * ALONE_PART;
         let host = self.pick_host(ask, chosen, alone, mode)?;
         let held = if alone { Vec::new() } else { self.hold(ask, host, chosen, capacity)? };
-        let first_token_ms = chosen
-            .iter()
-            .map(|(_, view)| (view.pending_ms + part + view.steps_ms * PASSES) * view.pace)
-            .fold(0.0, f64::max);
+        let first_token_ms = chosen.iter().map(|(_, view)| view.first_ms(part)).fold(0.0, f64::max);
         let loss = self.loss(now, job, chosen, part, first_token_ms, mode)?;
         let helpers = chosen
             .iter()
@@ -253,7 +265,7 @@
         // reading for steps.
         let cost = |view: &EngineView<'_>| {
             let fresh = if view.answering == 0 { FRESH_HOST } else { 0.0 };
-            view.tight as f64 + fresh + view.pending_ms / HOST_PENDING_MS
+            view.tight as f64 + fresh + view.unread_ms / HOST_PENDING_MS
         };
         let free = chosen
             .iter()
@@ -308,15 +320,14 @@
     ) -> bool {
         if ask.tight() {
             let pass = (view.steps_ms + view.pending_ms + part) * view.pace;
-            let first = pass + view.steps_ms * (PASSES - 1.0) * view.pace;
             return view.answering < self.shape.slots
                 && pass <= f64::from(ask.pause_ms) * PAUSE_PART
-                && first <= f64::from(ask.goal_ms) * TIGHT_GOAL_PART
+                && view.first_ms(part) <= f64::from(ask.goal_ms) * TIGHT_GOAL_PART
                 && self.harm(view, part) <= 0.0;
         }
         // Parts read for others go before an engine's own, so a second one on top could keep the
         // first one waiting without end.
-        view.pending_ms <= MAX_STACKED_MS
+        view.unread_ms <= MAX_STACKED_MS
             && (part <= SHORT_PART_MS || view.unread == 0)
             && self.harm(view, part) <= 0.0
     }
@@ -339,6 +350,7 @@
     ) -> f64 {
         let harm = self.harm(view, part);
         let wait = (view.pending_ms + view.steps_ms + part) * view.pace;
+        let first = view.first_ms(part);
         if ask.tight() {
             let full = if view.answering >= self.shape.slots { FULL_LOSS } else { 0.0 };
             let paused =
@@ -351,15 +363,16 @@
             };
             let beside = (view.answering - view.tight) as f64 * BESIDE_LOSS;
             // Time that the goal leaves anyway costs nothing.
-            let slow = (wait - f64::from(ask.goal_ms) * TIGHT_EASY_PART).max(0.0) / 1_000.0;
-            return harm + slow + full + paused + fill + beside;
+            let slow = (first - f64::from(ask.goal_ms) * TIGHT_EASY_PART).max(0.0) / 1_000.0;
+            let pace = (view.pace - 1.0).max(0.0) * PACE_LOSS;
+            return harm + slow + full + paused + fill + beside + pace;
         }
         // Each part costs its engine a pass with the steps of those that write there.
         let steps = if view.answering > 0 { view.steps_ms } else { 0.0 };
         let crowd = view.tight as f64
             * self.options.pressure
             * (part / engine_place::TIGHT_PAUSE_MS).min(1.0);
-        harm + crowd + (steps + view.pending_ms + PART_COST_MS) * view.pace / 1_000.0
+        harm + crowd + (steps + view.unread_ms + PART_COST_MS) * view.pace / 1_000.0
     }
 
     /// Memory on other engines for what the answering one has no room for.
--- a/crates/core/src/planner_urgency.rs
+++ b/crates/core/src/planner_urgency.rs
@@ -1,6 +1,6 @@
 //! How long a request may wait, what it may do to others, and when it is refused.
 
-use crate::{engine_place, pass_model, planner_choice, read_planner, units};
+use crate::{engine_place, engine_work, pass_model, planner_choice, read_planner, units};
 
 /// Part of the goal for the first token that a plan may use.
 pub(crate) const GOAL_PART: f64 = 0.8;
@@ -142,7 +142,7 @@
         }
         let usable = self.engines.values().filter(|engine| engine.shunned_until <= now);
         let engines = usable.clone().count().max(1) as f64;
-        let pending: f64 = usable.flat_map(|engine| &engine.pending).map(|part| part.left_ms).sum();
+        let pending: f64 = usable.map(engine_work::EngineWork::unread_ms).sum();
         let before = self.waiting.iter().filter(|other| {
             !other.ask.tight() && !other.late(now) && other.ask.prompt < ask.prompt
         });
--- a/crates/core/src/read_planner.rs
+++ b/crates/core/src/read_planner.rs
@@ -107,7 +107,7 @@
     /// The planner's view of its engines, one short text an engine, for the log.
     pub fn summary(&self, now: units::MonoTime) -> String {
         let row = |(name, engine): (&ids::UpstreamId, &engine_work::EngineWork)| {
-            let pending = engine.pending_ms();
+            let pending = engine.unread_ms();
             let shunned = if engine.shunned_until > now { " shunned" } else { "" };
             format!(
                 "{name}: {} running, {pending:.0} ms to read, {} tokens, pace {:.1}{shunned}",
@@ -168,14 +168,14 @@
     /// Takes in what a member tells of one of its requests.
     pub fn note(&mut self, now: units::MonoTime, note: &engine_place::PlaceNote) {
         match note {
-            engine_place::PlaceNote::FirstToken(job) => self.first_token(*job),
+            engine_place::PlaceNote::FirstToken(job) => self.first_token(now, *job),
             engine_place::PlaceNote::Ended(job, end) => self.end(now, *job, *end),
             engine_place::PlaceNote::Shun(engine) => self.shun(now, engine),
         }
     }
 
     /// Notes that a prompt has been read and its answer begins.
-    pub fn first_token(&mut self, job: engine_place::JobId) {
+    pub fn first_token(&mut self, now: units::MonoTime, job: engine_place::JobId) {
         let Some(state) = self.jobs.get_mut(&job) else {
             return;
         };
@@ -183,10 +183,14 @@
         let grant = state.lease.grant.clone();
         for name in std::iter::once(&grant.engine).chain(&grant.helpers) {
             if let Some(engine) = self.engines.get_mut(name) {
-                engine.pending.retain(|part| part.job != job);
-                engine.failures = 0;
+                engine.advance(now);
+                engine.note_read(job);
             }
         }
+        if let Some(engine) = self.engines.get_mut(&grant.engine) {
+            engine.writers.insert(job);
+        }
+        self.refresh_steps(&grant.engine);
     }
 
     /// Ends a request, placed or waiting.
@@ -241,7 +245,7 @@
                 Some(state) => {
                     state.renewed = now;
                     if state.lease.reading && !lease.reading {
-                        self.first_token(job);
+                        self.first_token(now, job);
                     }
                 }
                 None => self.adopt(now, lease),
@@ -252,7 +256,9 @@
     fn adopt(&mut self, now: units::MonoTime, lease: engine_place::PlaceLease) {
         self.waiting.retain(|waiting| waiting.ask.job != lease.ask.job);
         self.occupy(now, &lease);
+        let engine = lease.grant.engine.clone();
         self.jobs.insert(lease.ask.job, JobState { lease, renewed: now });
+        self.refresh_steps(&engine);
     }
 
     fn expire(&mut self, now: units::MonoTime) {
@@ -336,13 +342,18 @@
             };
             engine.advance(now);
             if lease.reading {
-                engine.pending.push_back(engine_work::PendingPart { job: ask.job, left_ms: part });
+                engine.add_part(engine_work::PendingPart { job: ask.job, left_ms: part });
+                let first = time::Duration::from_millis(u64::from(grant.first_token_ms));
+                engine.expected.insert(ask.job, now + first);
             }
         }
         let held: u64 = grant.held.iter().map(|part| part.tokens).sum();
         if let Some(engine) = self.engines.get_mut(&grant.engine) {
             engine.answering.insert(ask.job);
             engine.used += (ask.prompt + ask.output).saturating_sub(held);
+            if !lease.reading {
+                engine.writers.insert(ask.job);
+            }
         }
         for part in &grant.held {
             if let Some(engine) = self.engines.get_mut(&part.engine) {
@@ -355,7 +366,7 @@
         let (ask, grant) = (&lease.ask, &lease.grant);
         for name in std::iter::once(&grant.engine).chain(&grant.helpers) {
             if let Some(engine) = self.engines.get_mut(name) {
-                engine.pending.retain(|part| part.job != ask.job);
+                engine.drop_part(ask.job);
             }
         }
         let held: u64 = grant.held.iter().map(|part| part.tokens).sum();
@@ -364,11 +375,30 @@
         {
             let own = (ask.prompt + ask.output).saturating_sub(held);
             engine.used = engine.used.saturating_sub(own);
+            engine.writers.remove(&ask.job);
         }
         for part in &grant.held {
             if let Some(engine) = self.engines.get_mut(&part.engine) {
                 engine.used = engine.used.saturating_sub(part.tokens);
             }
         }
+        self.refresh_steps(&grant.engine);
     }
+
+    /// Works out the steps of an engine's passes anew, after its writers have changed.
+    fn refresh_steps(&mut self, name: &ids::UpstreamId) {
+        let Some(engine) = self.engines.get_mut(name) else {
+            return;
+        };
+        let asks = engine.writers.iter().filter_map(|job| self.jobs.get(job));
+        let context = asks.map(|state| context_of(&state.lease)).sum();
+        let writers = engine.writers.len();
+        engine.steps_ms =
+            if writers == 0 { 0.0 } else { pass_model::steps_ms(&self.shape, writers, context) };
+    }
+}
+
+/// Tokens of a request's prompt that lie on its engine and slow down each step there.
+pub(crate) fn context_of(lease: &engine_place::PlaceLease) -> u64 {
+    lease.ask.prompt / (lease.grant.helpers.len() as u64 + 1)
 }
--- a/crates/core/tests/read_planner.rs
+++ b/crates/core/tests/read_planner.rs
@@ -87,7 +87,7 @@
 /// Lets a request write: its prompt has been read.
 fn write(planner: &mut ReadPlanner, now: u64, ask: PlaceAsk) -> PlaceGrant {
     let grant = place(planner, now, ask);
-    planner.first_token(grant.job);
+    planner.first_token(at(now), grant.job);
     grant
 }
 
@@ -375,6 +375,52 @@
     assert_eq!(place(&mut planner, 0, short(1)).engine, engine(1));
 }
 
+#[test]
+fn what_arrives_during_a_pass_waits_for_the_next_one() {
+    let mut planner = planner(1);
+    for number in 0..8 {
+        write(&mut planner, number * 100, short(number));
+    }
+    // A pass has just ended; the one that begins plays 51 steps, some 55 ms, and the one behind it
+    // reads 19,000 tokens, some 140 ms, beside as many steps.
+    let first = write(&mut planner, 1_000, short(20));
+    let second = place(&mut planner, 1_000, PlaceAsk { prompt: 19_000, ..short(21) });
+    assert!(second.first_token_ms > first.first_token_ms + 100, "{first:?} {second:?}");
+    // That pass still has some 50 ms to go, as it plays steps too, and the next one reads this.
+    let third = place(&mut planner, 1_150, short(22));
+    assert!(third.first_token_ms > 120, "{third:?}");
+    // The first token shows that the pass is over.
+    planner.first_token(at(1_200), second.job);
+    let fourth = place(&mut planner, 1_201, PlaceAsk { prompt: 500, ..short(23) });
+    assert!(fourth.first_token_ms < 180, "{fourth:?}");
+}
+
+#[test]
+fn reading_takes_longer_beside_writers() {
+    let mut planner = planner(2);
+    for number in 0..8 {
+        write(&mut planner, number * 100, short(number));
+    }
+    let ask = PlaceAsk { excluded: vec![engine(1)], ..short(20) };
+    let beside = place(&mut planner, 1_000, ask).first_token_ms;
+    let ask = PlaceAsk { excluded: vec![engine(0)], ..short(21) };
+    let alone = place(&mut planner, 1_000, ask).first_token_ms;
+    assert!(beside >= alone + 40, "a pass with eight writers plays 51 steps: {beside}, {alone}");
+}
+
+#[test]
+fn an_engine_that_is_behind_gets_no_more_shorts() {
+    let mut planner = planner(2);
+    let silent = write(&mut planner, 0, short(1)).engine;
+    let grant = place(&mut planner, 100, short(2));
+    assert_eq!(grant.engine, silent, "shorts are packed");
+    // Nothing was heard of it, long after its first token was due.
+    let now = 100 + u64::from(grant.first_token_ms) + 400;
+    assert_ne!(place(&mut planner, now, short(3)).engine, silent);
+    planner.first_token(at(now + 10), grant.job);
+    assert_eq!(place(&mut planner, now + 200, short(4)).engine, silent, "it goes on");
+}
+
 proptest! {
     /// Whatever comes in whatever order, a place names only known engines, each once, and nothing
     /// is left in use when all have ended.
@@ -390,7 +436,7 @@
             match kind {
                 0 => answers.extend(planner.ask(at(now), short(number))),
                 1 => answers.extend(planner.ask(at(now), long(number, prompt))),
-                2 => planner.first_token(job),
+                2 => planner.first_token(at(now), job),
                 3 => planner.end(at(now), job, PlaceEnd::Failed),
                 _ => answers.extend(planner.tick(at(now))),
             }
