--- a/crates/instance/src/log_sink.rs
+++ b/crates/instance/src/log_sink.rs
@@ -1,13 +1,15 @@
 //! Log lines on standard output, one JSON object a line, that never hold a request up.
 //!
-//! Lines go through a bounded queue to a thread of their own. When nobody reads the output, the
-//! queue fills, further lines are dropped, and the next line written says how many.
+//! Lines go through a bounded queue to a thread of their own. When nobody reads the output the
+//! queue fills, and lines beyond a number a second are too many; such lines are dropped, and the
+//! next line written says how many. Room is kept for warnings and errors: a flood of requests that
+//! went well does not push out those that failed.
 
 use std::{
     io::{self, Write as _},
     sync::{
         self,
-        atomic::{self, AtomicU64},
+        atomic::{self, AtomicU64, AtomicUsize},
         mpsc,
     },
     thread, time,
@@ -16,8 +18,13 @@
 use log::kv;
 use log4rs::{append, config};
 
-/// Lines that may wait to be written; a line has some 300 bytes.
+/// Lines that may wait to be written; a line has some 500 bytes.
 const QUEUE_LINES: usize = 512;
+/// Lines that may be taken a second: ten times what an instance of a large fleet writes at its
+/// peak, some 13 requests a second, three times over.
+const SECOND_LINES: usize = 400;
+/// Part of both that only warnings and errors may use.
+const KEPT_PART: f64 = 0.25;
 
 /// Starts logging; lines below `level` are left out.
 pub fn install(level: log::LevelFilter) -> Result<(), String> {
@@ -30,51 +37,97 @@
     Ok(())
 }
 
+/// Lines taken in the second under way.
+#[derive(Debug, Default)]
+struct LineRate {
+    /// Seconds since the appender's start.
+    second: u64,
+    taken: usize,
+}
+
 /// Hands lines to a thread that writes them.
 #[derive(Debug)]
 pub struct LineAppender {
     lines: mpsc::SyncSender<String>,
+    started: time::Instant,
+    rate: sync::Mutex<LineRate>,
+    /// Lines in the queue.
+    waiting: sync::Arc<AtomicUsize>,
     dropped: sync::Arc<AtomicU64>,
 }
 
 impl LineAppender {
     /// Starts the thread that writes to `output`.
-    pub fn start(mut output: Box<dyn io::Write + Send>) -> Self {
+    pub fn start(output: Box<dyn io::Write + Send>) -> Self {
         let (lines, queue) = mpsc::sync_channel::<String>(QUEUE_LINES);
+        let waiting = sync::Arc::new(AtomicUsize::new(0));
         let dropped = sync::Arc::new(AtomicU64::new(0));
-        let seen = sync::Arc::clone(&dropped);
-        let work = move || {
-            for line in queue {
-                let missing = seen.swap(0, atomic::Ordering::Relaxed);
-                let note = if missing > 0 {
-                    format!("{{\"event\":\"log.dropped\",\"lines\":{missing}}}\n")
-                } else {
-                    String::new()
-                };
-                // Without an output there is nowhere left to say so.
-                if output.write_all((note + &line).as_bytes()).is_err() {
-                    return;
-                }
-                let _ = output.flush();
-            }
-        };
+        let counts = (sync::Arc::clone(&waiting), sync::Arc::clone(&dropped));
+        let work = move || write_all(output, &queue, &counts.0, &counts.1);
         let spawned = thread::Builder::new().name("log".to_owned()).stack_size(64 * 1024);
         if let Err(error) = spawned.spawn(work) {
             eprintln!("no thread for log lines: {error}");
         }
-        Self { lines, dropped }
+        let (started, rate) = (time::Instant::now(), sync::Mutex::default());
+        Self { lines, started, rate, waiting, dropped }
     }
 
-    fn push(&self, line: String) {
+    fn push(&self, level: log::Level, line: String) {
+        if !self.has_room(level) {
+            self.dropped.fetch_add(1, atomic::Ordering::Relaxed);
+            return;
+        }
+        // Counted first: the thread may take the line before this goes on.
+        self.waiting.fetch_add(1, atomic::Ordering::Relaxed);
         if self.lines.try_send(line).is_err() {
+            self.waiting.fetch_sub(1, atomic::Ordering::Relaxed);
             self.dropped.fetch_add(1, atomic::Ordering::Relaxed);
         }
     }
+
+    fn has_room(&self, level: log::Level) -> bool {
+        let kept = if level <= log::Level::Warn { 0.0 } else { KEPT_PART };
+        let limit = |lines: usize| (lines as f64 * (1.0 - kept)) as usize;
+        if self.waiting.load(atomic::Ordering::Relaxed) >= limit(QUEUE_LINES) {
+            return false;
+        }
+        let second = self.started.elapsed().as_secs();
+        let mut rate = self.rate.lock().unwrap_or_else(sync::PoisonError::into_inner);
+        if rate.second != second {
+            *rate = LineRate { second, taken: 0 };
+        }
+        let room = rate.taken < limit(SECOND_LINES);
+        rate.taken += usize::from(room);
+        room
+    }
+}
+
+/// Writes what comes through the queue, until the output is gone.
+fn write_all(
+    mut output: Box<dyn io::Write + Send>,
+    queue: &mpsc::Receiver<String>,
+    waiting: &AtomicUsize,
+    dropped: &AtomicU64,
+) {
+    for line in queue {
+        waiting.fetch_sub(1, atomic::Ordering::Relaxed);
+        let missing = dropped.swap(0, atomic::Ordering::Relaxed);
+        let note = if missing > 0 {
+            format!("{{\"event\":\"log.dropped\",\"lines\":{missing}}}\n")
+        } else {
+            String::new()
+        };
+        // Without an output there is nowhere left to say so.
+        if output.write_all((note + &line).as_bytes()).is_err() {
+            return;
+        }
+        let _ = output.flush();
+    }
 }
 
 impl append::Append for LineAppender {
     fn append(&self, record: &log::Record<'_>) -> anyhow::Result<()> {
-        self.push(line(record));
+        self.push(record.level(), line(record));
         Ok(())
     }
 
--- a/crates/instance/tests/log_sink.rs
+++ b/crates/instance/tests/log_sink.rs
@@ -28,8 +28,12 @@
 }
 
 fn append(appender: &log_sink::LineAppender, number: i32) {
+    append_at(appender, log::Level::Info, number);
+}
+
+fn append_at(appender: &log_sink::LineAppender, level: log::Level, number: i32) {
     let mut builder = log::Record::builder();
-    let builder = builder.level(log::Level::Info);
+    let builder = builder.level(level);
     let appended = appender.append(&builder.args(format_args!("line.{number}")).build());
     appended.expect("appending never fails");
 }
@@ -50,6 +54,8 @@
     let patience = time::Duration::from_secs(5);
     let first = written.recv_timeout(patience).expect("the first line");
     assert!(first.contains("line.0"), "{first}");
+    // The next second's lines are taken again.
+    std::thread::sleep(time::Duration::from_millis(1_100));
     append(&appender, 20_001);
     let mut dropped = None;
     while dropped.is_none() {
@@ -76,3 +82,42 @@
     assert_eq!(value["reason"], "two\nlines");
     assert!(value["time_ms"].is_u64());
 }
+
+#[test]
+fn a_flood_of_good_requests_pushes_out_no_failure() {
+    let (go, waits) = mpsc::channel();
+    let (lines, written) = mpsc::channel();
+    let output = StuckOutput { go: waits, lines, stuck: true };
+    let appender = log_sink::LineAppender::start(Box::new(output));
+    for number in 0..5_000 {
+        append(&appender, number);
+    }
+    for number in 5_000..5_050 {
+        append_at(&appender, log::Level::Warn, number);
+    }
+    go.send(()).expect("the thread waits");
+    let patience = time::Duration::from_millis(500);
+    let lines: Vec<_> = std::iter::from_fn(|| written.recv_timeout(patience).ok()).collect();
+    let warnings = lines.iter().filter(|line| line.contains("WARN")).count();
+    assert_eq!(warnings, 50, "of {} lines", lines.len());
+    assert!(lines.len() < 520, "{} lines in one second", lines.len());
+}
+
+#[test]
+fn the_volume_of_a_second_is_bounded() {
+    let (lines, written) = mpsc::channel();
+    let (_go, waits) = mpsc::channel();
+    let output = StuckOutput { go: waits, lines, stuck: false };
+    let appender = log_sink::LineAppender::start(Box::new(output));
+    let started = time::Instant::now();
+    // Ten times the usual load of a large fleet's instance, for a little over two seconds.
+    let mut number = 0;
+    while started.elapsed() < time::Duration::from_millis(2_200) {
+        append(&appender, number);
+        number += 1;
+        std::thread::sleep(time::Duration::from_micros(500));
+    }
+    let patience = time::Duration::from_millis(500);
+    let count = std::iter::from_fn(|| written.recv_timeout(patience).ok()).count();
+    assert!((300..=1_210).contains(&count), "{count} of {number} lines in three seconds");
+}
