Heartbeats and renewals say only what may have changed

Cause: at 380 instances a member sends 59 heartbeats a second of some 150 bytes, 9 KB/s, and repeats each lease, 90 bytes, twice a second: 16.7 KB/s with the questions (sums on docs/CAPACITY.md), where 4 KB/s are allowed. Change: who knows a member's start hears 21 bytes of it (one heartbeat in 16 is whole, as addresses spread by it); whoever does not know it asks who it is. A planner hears the numbers of the jobs in use, four bytes each, and asks for the leases that it does not know, as after a hand-over. Tests: membership::a_short_heartbeat_renews_only_the_start_that_was_heard; the hand-over of planners as before (system::a_planner_that_is_killed_or_paused_delays_and_loses_nothing).

--- a/crates/core/src/membership.rs
+++ b/crates/core/src/membership.rs
@@ -19,6 +19,8 @@
 const SUSPECT_BEATS: u32 = 4;
 /// Heartbeats missed before a member is forgotten.
 const FORGET_BEATS: u32 = 40;
+/// Every so many heartbeats one is whole.
+const WHOLE_BEATS: u64 = 16;
 /// Addresses of others named in one heartbeat.
 const NAMED_MEMBERS: usize = 4;
 /// Addresses named at once to a member that knows few: 7 bytes each, so that the datagram is not
@@ -69,6 +71,46 @@
     pub others: Vec<net::SocketAddrV4>,
 }
 
+/// A heartbeat for those who have heard this start of the member before: what may change, a sixth
+/// of the whole one's bytes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AliveBeat {
+    /// See [`MemberBeat::boot`].
+    pub boot: u64,
+    /// See [`MemberBeat::sequence`].
+    pub sequence: u64,
+    /// See [`MemberBeat::plans`].
+    pub plans: bool,
+    /// See [`MemberBeat::leaving`].
+    pub leaving: bool,
+    /// See [`MemberBeat::watches`].
+    pub watches: bool,
+    /// See [`MemberBeat::routes`].
+    pub routes: u64,
+    /// See [`MemberBeat::list`].
+    pub list: u64,
+}
+
+impl MemberBeat {
+    /// The part of it that may change.
+    pub fn alive(&self) -> AliveBeat {
+        AliveBeat {
+            boot: self.boot,
+            sequence: self.sequence,
+            plans: self.plans,
+            leaving: self.leaving,
+            watches: self.watches,
+            routes: self.routes,
+            list: self.list,
+        }
+    }
+
+    /// Whether it is to be sent whole, also to those who know its member: addresses spread by it.
+    pub fn is_whole(&self) -> bool {
+        self.sequence.is_multiple_of(WHOLE_BEATS)
+    }
+}
+
 #[derive(Debug)]
 struct MemberState {
     beat: MemberBeat,
@@ -167,8 +209,7 @@
         }
         self.hearsay.remove(&beat.address);
         for address in &beat.others {
-            let known = self.members.values().any(|member| member.beat.address == *address);
-            let heard_of = known || self.hearsay.contains_key(address);
+            let heard_of = self.knows(*address) || self.hearsay.contains_key(address);
             if !heard_of && self.hearsay.len() < MAX_HEARSAY {
                 self.hearsay.insert(*address, now);
                 self.unmet.push(*address);
@@ -189,6 +230,33 @@
         joined
     }
 
+    /// Takes in a heartbeat of a member that was heard before; `false` where it was not.
+    pub fn hear_alive(&mut self, now: units::MonoTime, alive: &AliveBeat) -> bool {
+        let mut members = self.members.values_mut();
+        let Some(member) = members.find(|member| member.beat.boot == alive.boot) else {
+            return false;
+        };
+        if alive.sequence > member.beat.sequence {
+            member.beat = MemberBeat {
+                sequence: alive.sequence,
+                plans: alive.plans,
+                leaving: alive.leaving,
+                watches: alive.watches,
+                routes: alive.routes,
+                list: alive.list,
+                ..member.beat.clone()
+            };
+            member.heard = now;
+            member.unanswered = 0;
+        }
+        true
+    }
+
+    /// Whether a member with this address was heard.
+    pub fn knows(&self, address: net::SocketAddrV4) -> bool {
+        self.members.values().any(|member| member.beat.address == address)
+    }
+
     /// Forgets members that have been silent for long, and names them.
     pub fn tick(&mut self, now: units::MonoTime) -> Vec<ids::InstanceId> {
         let limit = self.beat_interval() * FORGET_BEATS;
--- a/crates/core/src/read_planner.rs
+++ b/crates/core/src/read_planner.rs
@@ -237,18 +237,23 @@
         }
     }
 
-    /// Renews leases of a member, and takes over those not known here.
-    pub fn renew(&mut self, now: units::MonoTime, leases: Vec<engine_place::PlaceLease>) {
+    /// Renews a place; `false` where it is not known here.
+    pub fn renew(&mut self, now: units::MonoTime, job: engine_place::JobId, reading: bool) -> bool {
+        let Some(state) = self.jobs.get_mut(&job) else {
+            return false;
+        };
+        state.renewed = now;
+        if state.lease.reading && !reading {
+            self.first_token(now, job);
+        }
+        true
+    }
+
+    /// Takes over places that another planner gave.
+    pub fn take_over(&mut self, now: units::MonoTime, leases: Vec<engine_place::PlaceLease>) {
         for lease in leases {
-            let job = lease.ask.job;
-            match self.jobs.get_mut(&job) {
-                Some(state) => {
-                    state.renewed = now;
-                    if state.lease.reading && !lease.reading {
-                        self.first_token(now, job);
-                    }
-                }
-                None => self.adopt(now, lease),
+            if !self.renew(now, lease.ask.job, lease.reading) {
+                self.adopt(now, lease);
             }
         }
     }
--- a/crates/core/tests/membership.rs
+++ b/crates/core/tests/membership.rs
@@ -141,6 +141,25 @@
     assert!(view.targets(address(0)).contains(&address(9)), "it still gets heartbeats");
 }
 
+#[test]
+fn a_short_heartbeat_renews_only_the_start_that_was_heard() {
+    let mut view = view();
+    view.hear(at(0), beat(1, 7, 1));
+    let alive = MemberBeat { routes: 9, leaving: true, ..beat(1, 7, 2) }.alive();
+    assert!(view.hear_alive(at(900), &alive));
+    assert_eq!(
+        view.alive(at(1_000)).map(|beat| (beat.routes, beat.leaving)).next(),
+        Some((9, true))
+    );
+    let old = beat(1, 7, 1).alive();
+    assert!(view.hear_alive(at(1_100), &old), "known, but nothing new");
+    assert_eq!(view.alive(at(1_100)).map(|beat| beat.routes).next(), Some(9));
+    assert!(
+        !view.hear_alive(at(1_200), &beat(1, 8, 3).alive()),
+        "another start must say who it is"
+    );
+}
+
 #[test]
 fn its_own_heartbeat_is_no_member() {
     let mut view = view();
--- a/crates/core/tests/read_planner.rs
+++ b/crates/core/tests/read_planner.rs
@@ -261,7 +261,7 @@
     let kept = place(&mut planner, 0, short(1));
     place(&mut planner, 0, short(2));
     let lease = PlaceLease { ask: short(1), grant: kept, reading: false };
-    planner.renew(at(2_000), vec![lease]);
+    planner.take_over(at(2_000), vec![lease]);
     planner.tick(at(2_600));
     assert_eq!(planner.placed_count(), 1);
 }
@@ -276,7 +276,7 @@
         })
         .collect();
     let mut after = planner(1);
-    after.renew(at(2_000), leases);
+    after.take_over(at(2_000), leases);
     assert_eq!(after.placed_count(), SLOTS);
     assert!(after.ask(at(2_001), short(90)).is_none(), "the slots are taken");
 }
--- a/crates/instance/src/peer_message.rs
+++ b/crates/instance/src/peer_message.rs
@@ -8,12 +8,18 @@
 pub const MAX_DATAGRAM: usize = 16 * 1024;
 /// Most leases in one message.
 pub const MAX_LEASES: usize = 24;
+/// Most jobs renewed by one message; each takes some four bytes.
+pub const MAX_RENEWED: usize = 256;
 
 /// One message.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum PeerMessage {
-    /// A heartbeat.
+    /// A whole heartbeat.
     Beat(Box<membership::MemberBeat>),
+    /// A heartbeat for those who have heard a whole one.
+    Alive(membership::AliveBeat),
+    /// Asks for a whole heartbeat: the member is not known.
+    Who,
     /// Asks a planner for a place.
     Ask(planner_key::PlannerKey, Box<engine_place::PlaceAsk>),
     /// Gives a place, or refuses one.
@@ -22,8 +28,21 @@
     Queued(engine_place::JobId),
     /// What has become of a place, or of an engine.
     Note(planner_key::PlannerKey, engine_place::PlaceNote),
-    /// Places in use.
-    Renew(planner_key::PlannerKey, Vec<engine_place::PlaceLease>),
+    /// Places still in use by jobs of the start of a member.
+    Renew(planner_key::PlannerKey, u64, Vec<RenewedJob>),
+    /// Asks for the leases of jobs that this planner does not know, by their numbers.
+    Unknown(planner_key::PlannerKey, Vec<u64>),
+    /// Leases in use, for a planner that does not know them.
+    Leases(planner_key::PlannerKey, Vec<engine_place::PlaceLease>),
+}
+
+/// A place that is still in use.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RenewedJob {
+    /// Number of the attempt at its member.
+    pub sequence: u64,
+    /// Whether its prompt is still being read.
+    pub reading: bool,
 }
 
 /// What a request that waits for its place is told.
--- a/crates/instance/src/peers.rs
+++ b/crates/instance/src/peers.rs
@@ -72,6 +72,15 @@
     let now = context.now();
     match message {
         PeerMessage::Beat(beat) => hear_beat(context, now, *beat),
+        PeerMessage::Alive(alive) => {
+            if !context.members.borrow_mut().hear_alive(now, &alive) {
+                context.tell(from, PeerMessage::Who);
+            }
+        }
+        PeerMessage::Who => {
+            let beat = context.next_beat();
+            context.tell(from, PeerMessage::Beat(Box::new(beat)));
+        }
         PeerMessage::Ask(key, ask) => {
             let job = ask.job;
             let origin = planner_set::AskOrigin::Member(from);
@@ -93,16 +102,61 @@
                 planner.note(now, &note);
             }
         }
-        PeerMessage::Renew(key, leases) => {
+        PeerMessage::Renew(key, boot, jobs) => hear_renewals(context, now, from, key, boot, jobs),
+        PeerMessage::Unknown(key, jobs) => tell_leases(context, from, key, &jobs),
+        PeerMessage::Leases(key, leases) => {
             let mut planners = context.planners.borrow_mut();
             planners.sync(now, &context.fleet.borrow());
             if let Some(planner) = planners.planner(&key) {
-                planner.renew(now, leases);
+                planner.take_over(now, leases);
             }
         }
     }
 }
 
+/// Renews places in this process's planner, and asks for those that it does not know.
+fn hear_renewals(
+    context: &context::InstanceContext,
+    now: units::MonoTime,
+    from: net::SocketAddrV4,
+    key: planner_key::PlannerKey,
+    boot: u64,
+    jobs: Vec<peer_message::RenewedJob>,
+) {
+    let mut planners = context.planners.borrow_mut();
+    planners.sync(now, &context.fleet.borrow());
+    let Some(planner) = planners.planner(&key) else {
+        return;
+    };
+    let mut unknown = Vec::new();
+    for job in jobs {
+        let id = engine_place::JobId { boot, sequence: job.sequence };
+        if !planner.renew(now, id, job.reading) {
+            unknown.push(job.sequence);
+        }
+    }
+    if !unknown.is_empty() {
+        context.tell(from, peer_message::PeerMessage::Unknown(key, unknown));
+    }
+}
+
+/// Tells a planner the leases that it asked for, as far as they are still in use.
+fn tell_leases(
+    context: &context::InstanceContext,
+    to: net::SocketAddrV4,
+    key: planner_key::PlannerKey,
+    jobs: &[u64],
+) {
+    let held = context.leases.borrow();
+    let ids =
+        jobs.iter().map(|sequence| engine_place::JobId { boot: context.boot, sequence: *sequence });
+    let leases: Vec<_> =
+        ids.filter_map(|job| held.get(&job)).map(|held| held.lease.clone()).collect();
+    for part in leases.chunks(peer_message::MAX_LEASES) {
+        context.tell(to, peer_message::PeerMessage::Leases(key.clone(), part.to_vec()));
+    }
+}
+
 /// Takes a heartbeat in. Who has just started hears back at once, and whoever it names hears from
 /// this process: waiting for heartbeats, a large fleet would need many seconds to know itself.
 fn hear_beat(
@@ -138,7 +192,12 @@
 fn tell_beat(context: &context::InstanceContext, targets: Vec<net::SocketAddrV4>) {
     let beat = context.next_beat();
     for to in targets {
-        context.tell(to, peer_message::PeerMessage::Beat(Box::new(beat.clone())));
+        let message = if beat.is_whole() || !context.members.borrow().knows(to) {
+            peer_message::PeerMessage::Beat(Box::new(beat.clone()))
+        } else {
+            peer_message::PeerMessage::Alive(beat.alive())
+        };
+        context.tell(to, message);
     }
 }
 
@@ -249,40 +308,44 @@
     }
 }
 
-/// Repeats the leases in use to whoever plans.
+/// Tells whoever plans which places are still in use.
 pub async fn renew(context: rc::Rc<context::InstanceContext>) {
     loop {
         monoio::time::sleep(RENEW_INTERVAL).await;
         let mut by_key: collections::BTreeMap<planner_key::PlannerKey, Vec<_>> =
             collections::BTreeMap::new();
-        for held in context.leases.borrow().values() {
-            by_key.entry(held.key.clone()).or_default().push(held.lease.clone());
+        for (job, held) in context.leases.borrow().iter() {
+            let reading = held.lease.reading;
+            let renewed = peer_message::RenewedJob { sequence: job.sequence, reading };
+            by_key.entry(held.key.clone()).or_default().push(renewed);
         }
-        let now = context.now();
-        for (key, leases) in by_key {
-            renew_leases(&context, now, &key, leases);
+        for (key, jobs) in by_key {
+            renew_jobs(&context, &key, &jobs);
         }
     }
 }
 
-fn renew_leases(
+fn renew_jobs(
     context: &context::InstanceContext,
-    now: units::MonoTime,
     key: &planner_key::PlannerKey,
-    leases: Vec<engine_place::PlaceLease>,
+    jobs: &[peer_message::RenewedJob],
 ) {
-    match planner_of(context, key) {
-        Some(member) => {
-            for part in leases.chunks(peer_message::MAX_LEASES) {
-                let message = peer_message::PeerMessage::Renew(key.clone(), part.to_vec());
-                context.tell(member.address, message);
-            }
-        }
-        None => {
-            if let Some(planner) = context.planners.borrow_mut().planner(key) {
-                planner.renew(now, leases);
-            }
+    if let Some(member) = planner_of(context, key) {
+        for part in jobs.chunks(peer_message::MAX_RENEWED) {
+            let message =
+                peer_message::PeerMessage::Renew(key.clone(), context.boot, part.to_vec());
+            context.tell(member.address, message);
         }
+        return;
+    }
+    let now = context.now();
+    if let Some(planner) = context.planners.borrow_mut().planner(key) {
+        let held = context.leases.borrow();
+        let jobs = jobs
+            .iter()
+            .map(|job| engine_place::JobId { boot: context.boot, sequence: job.sequence });
+        let leases = jobs.filter_map(|job| held.get(&job)).map(|held| held.lease.clone());
+        planner.take_over(now, leases.collect());
     }
 }
 
--- a/crates/instance/tests/peer_message.rs
+++ b/crates/instance/tests/peer_message.rs
@@ -4,8 +4,11 @@
 use slipturn_core::engine_place::{
     JobId, PlaceAnswer, PlaceAsk, PlaceEnd, PlaceGrant, PlaceLease, PlaceNote,
 };
+use slipturn_core::membership::AliveBeat;
 use slipturn_core::planner_key::PlannerKey;
-use slipturn_instance::peer_message::{MAX_DATAGRAM, MAX_LEASES, PeerMessage};
+use slipturn_instance::peer_message::{
+    MAX_DATAGRAM, MAX_LEASES, MAX_RENEWED, PeerMessage, RenewedJob,
+};
 
 fn name(text: &str) -> slipturn_core::ids::UpstreamId {
     text.parse().expect("a valid name")
@@ -46,7 +49,10 @@
     let service = key();
     let job = JobId { boot: 1, sequence: 2 };
     let messages = [
-        PeerMessage::Renew(service.clone(), vec![lease(1), lease(2)]),
+        PeerMessage::Leases(service.clone(), vec![lease(1), lease(2)]),
+        PeerMessage::Renew(service.clone(), 7, vec![RenewedJob { sequence: 2, reading: true }]),
+        PeerMessage::Unknown(service.clone(), vec![2, 900]),
+        PeerMessage::Who,
         PeerMessage::Note(service.clone(), PlaceNote::Ended(job, PlaceEnd::Silent)),
         PeerMessage::Note(service.clone(), PlaceNote::Shun(name("e1"))),
         PeerMessage::Ask(service, Box::new(lease(3).ask)),
@@ -61,7 +67,10 @@
 fn the_largest_message_fits_a_datagram() {
     let service = key();
     let leases = (0..MAX_LEASES as u64).map(lease).collect();
-    let bytes = PeerMessage::Renew(service, leases).encode().expect("it can be coded");
+    let bytes = PeerMessage::Leases(service, leases).encode().expect("it can be coded");
+    assert!(bytes.len() <= MAX_DATAGRAM, "{} bytes", bytes.len());
+    let jobs = vec![RenewedJob { sequence: u64::MAX, reading: true }; MAX_RENEWED];
+    let bytes = PeerMessage::Renew(key(), 1, jobs).encode().expect("it can be coded");
     assert!(bytes.len() <= MAX_DATAGRAM, "{} bytes", bytes.len());
 }
 
@@ -79,9 +88,22 @@
     let grant = PlaceGrant { helpers: Vec::new(), ..lease(7).grant };
     let answer = PlaceAnswer::Grant(grant);
     let job = lease(7).ask.job;
+    // After a day at 13 requests a second.
+    let renewed = RenewedJob { sequence: 1_200_000, reading: false };
+    let alive = AliveBeat {
+        boot: u64::MAX,
+        sequence: 13_000,
+        plans: true,
+        leaving: false,
+        watches: false,
+        routes: 9_000,
+        list: 100_000,
+    };
     let messages = [
         (PeerMessage::Ask(key(), Box::new(short)), 96),
         (PeerMessage::Answer(Box::new(answer)), 64),
+        (PeerMessage::Alive(alive), 24),
+        (PeerMessage::Renew(key(), u64::MAX, vec![renewed; 10]), 64),
         (PeerMessage::Note(key(), PlaceNote::FirstToken(job)), 32),
         (PeerMessage::Note(key(), PlaceNote::Ended(job, PlaceEnd::Done)), 32),
     ];
