--- a/crates/compare/src/planner_cost.rs
+++ b/crates/compare/src/planner_cost.rs
@@ -2,7 +2,9 @@
 
 use std::{hint, net, time};
 
-use slipturn_core::{engine_place, ids, membership, planner_key, read_planner, route_table, units};
+use slipturn_core::{
+    engine_place, ids, member_beat, membership, planner_key, read_planner, route_table, units,
+};
 
 use crate::planned_size;
 
@@ -101,9 +103,9 @@
     }
 }
 
-fn beat(number: u16) -> membership::MemberBeat {
+fn beat(number: u16) -> member_beat::MemberBeat {
     let [high, low] = number.to_be_bytes();
-    membership::MemberBeat {
+    member_beat::MemberBeat {
         name: name("m", usize::from(number)),
         boot: 1,
         sequence: 1,
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod histogram;
 pub mod ids;
 pub mod key_vote;
+pub mod member_beat;
 pub mod membership;
 pub mod pass_model;
 pub mod placement;
--- a/crates/core/src/membership.rs
+++ b/crates/core/src/membership.rs
@@ -6,9 +6,7 @@
 
 use std::{collections, net, time};
 
-use serde::{Deserialize, Serialize};
-
-use crate::{ids, planner_key, rendezvous, units};
+use crate::{ids, member_beat, planner_key, rendezvous, units};
 
 /// Heartbeats of a small fleet are this far apart.
 const BEAT_INTERVAL: time::Duration = time::Duration::from_millis(200);
@@ -19,8 +17,6 @@
 const SUSPECT_BEATS: u32 = 4;
 /// Heartbeats missed before a member is forgotten.
 const FORGET_BEATS: u32 = 40;
-/// Every so many heartbeats one is whole.
-const WHOLE_BEATS: u64 = 16;
 /// Addresses of others named in one heartbeat.
 const NAMED_MEMBERS: usize = 4;
 /// Addresses named at once to a member that knows few: 7 bytes each, so that the datagram is not
@@ -42,78 +38,9 @@
 /// A member this young is not asked to plan: it does not know yet what the engines are doing.
 const PLANNER_AGE: time::Duration = time::Duration::from_millis(1_200);
 
-/// What a member says of itself.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct MemberBeat {
-    /// Its name.
-    pub name: ids::InstanceId,
-    /// This start of it.
-    pub boot: u64,
-    /// Goes up with each heartbeat of a start.
-    pub sequence: u64,
-    /// Where it hears heartbeats and plans.
-    pub address: net::SocketAddrV4,
-    /// Its data centre.
-    pub data_center: ids::DataCenterId,
-    /// Thousandths of a core that it may use.
-    pub cpu: u32,
-    /// Whether it may plan for others: old enough, awake, knowing routes and upstreams.
-    pub plans: bool,
-    /// Whether it is leaving.
-    pub leaving: bool,
-    /// Version of its routes.
-    pub routes: u64,
-    /// Revision of its list of upstreams.
-    pub list: u64,
-    /// Whether it watches the platform's store itself.
-    pub watches: bool,
-    /// Where some others hear heartbeats.
-    pub others: Vec<net::SocketAddrV4>,
-}
-
-/// A heartbeat for those who have heard this start of the member before: what may change, a sixth
-/// of the whole one's bytes.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct AliveBeat {
-    /// See [`MemberBeat::boot`].
-    pub boot: u64,
-    /// See [`MemberBeat::sequence`].
-    pub sequence: u64,
-    /// See [`MemberBeat::plans`].
-    pub plans: bool,
-    /// See [`MemberBeat::leaving`].
-    pub leaving: bool,
-    /// See [`MemberBeat::watches`].
-    pub watches: bool,
-    /// See [`MemberBeat::routes`].
-    pub routes: u64,
-    /// See [`MemberBeat::list`].
-    pub list: u64,
-}
-
-impl MemberBeat {
-    /// The part of it that may change.
-    pub fn alive(&self) -> AliveBeat {
-        AliveBeat {
-            boot: self.boot,
-            sequence: self.sequence,
-            plans: self.plans,
-            leaving: self.leaving,
-            watches: self.watches,
-            routes: self.routes,
-            list: self.list,
-        }
-    }
-
-    /// Whether it is to be sent whole, also to those who know its member: addresses spread by it.
-    pub fn is_whole(&self) -> bool {
-        self.sequence.is_multiple_of(WHOLE_BEATS)
-    }
-}
-
 #[derive(Debug)]
 struct MemberState {
-    beat: MemberBeat,
+    beat: member_beat::MemberBeat,
     /// Hash of the name: members differ in their order for each planner's key.
     hash: u64,
     heard: units::MonoTime,
@@ -181,7 +108,7 @@
     /// All addresses in portions, for a member whose heartbeat shows that it knows few; nothing
     /// for others. So whoever starts is known to all after one exchange with one of them, also
     /// where all start at once and heartbeats are seconds apart.
-    pub fn welcome(&self, beat: &MemberBeat) -> Vec<Vec<net::SocketAddrV4>> {
+    pub fn welcome(&self, beat: &member_beat::MemberBeat) -> Vec<Vec<net::SocketAddrV4>> {
         if beat.others.len() >= NAMED_MEMBERS {
             return Vec::new();
         }
@@ -203,7 +130,7 @@
     }
 
     /// Takes a heartbeat in; returns whether its member was not known before, or started again.
-    pub fn hear(&mut self, now: units::MonoTime, beat: MemberBeat) -> bool {
+    pub fn hear(&mut self, now: units::MonoTime, beat: member_beat::MemberBeat) -> bool {
         if beat.name == self.own {
             return false;
         }
@@ -231,13 +158,13 @@
     }
 
     /// Takes in a heartbeat of a member that was heard before; `false` where it was not.
-    pub fn hear_alive(&mut self, now: units::MonoTime, alive: &AliveBeat) -> bool {
+    pub fn hear_alive(&mut self, now: units::MonoTime, alive: &member_beat::AliveBeat) -> bool {
         let mut members = self.members.values_mut();
         let Some(member) = members.find(|member| member.beat.boot == alive.boot) else {
             return false;
         };
         if alive.sequence > member.beat.sequence {
-            member.beat = MemberBeat {
+            member.beat = member_beat::MemberBeat {
                 sequence: alive.sequence,
                 plans: alive.plans,
                 leaving: alive.leaving,
@@ -274,7 +201,7 @@
     }
 
     /// Members that were heard lately.
-    pub fn alive(&self, now: units::MonoTime) -> impl Iterator<Item = &MemberBeat> {
+    pub fn alive(&self, now: units::MonoTime) -> impl Iterator<Item = &member_beat::MemberBeat> {
         let limit = self.beat_interval() * SUSPECT_BEATS;
         self.members
             .values()
@@ -310,8 +237,8 @@
         &self,
         now: units::MonoTime,
         key: &planner_key::PlannerKey,
-        own: &MemberBeat,
-    ) -> Option<MemberBeat> {
+        own: &member_beat::MemberBeat,
+    ) -> Option<member_beat::MemberBeat> {
         let limit = self.beat_interval() * SUSPECT_BEATS;
         let fit = |member: &&MemberState| {
             let beat = &member.beat;
@@ -324,7 +251,7 @@
         let me = Some((own, rendezvous::stable_hash(&[own.name.as_str()])));
         let me = me.filter(|(own, _)| own.routes > 0 && !own.leaving);
         let key = rendezvous::stable_hash(&[&key.to_string()]);
-        let score = |(beat, hash): &(&MemberBeat, u64)| {
+        let score = |(beat, hash): &(&member_beat::MemberBeat, u64)| {
             (beat.plans, beat.cpu, rendezvous::mixed_hash(key ^ hash))
         };
         let (best, _) = others.chain(me).max_by_key(score)?;
@@ -338,7 +265,7 @@
         now: units::MonoTime,
         version: u64,
         near: &ids::DataCenterId,
-    ) -> Vec<&MemberBeat> {
+    ) -> Vec<&member_beat::MemberBeat> {
         self.sources(now, near, version, |beat| beat.routes)
     }
 
@@ -348,7 +275,7 @@
         now: units::MonoTime,
         revision: u64,
         near: &ids::DataCenterId,
-    ) -> Vec<&MemberBeat> {
+    ) -> Vec<&member_beat::MemberBeat> {
         self.sources(now, near, revision, |beat| beat.list)
     }
 
@@ -357,8 +284,8 @@
         now: units::MonoTime,
         near: &ids::DataCenterId,
         known: u64,
-        version: impl Fn(&MemberBeat) -> u64,
-    ) -> Vec<&MemberBeat> {
+        version: impl Fn(&member_beat::MemberBeat) -> u64,
+    ) -> Vec<&member_beat::MemberBeat> {
         let newest = self.alive(now).map(&version).max().filter(|newest| *newest > known);
         let Some(newest) = newest else {
             return Vec::new();
@@ -376,7 +303,7 @@
     pub fn should_watch(
         &self,
         now: units::MonoTime,
-        own: &MemberBeat,
+        own: &member_beat::MemberBeat,
         missing_for: time::Duration,
     ) -> bool {
         let near: Vec<_> = self
@@ -386,7 +313,9 @@
         if near.len() < SMALL_DATA_CENTER {
             return true;
         }
-        let order = |beat: &MemberBeat| rendezvous::stable_hash(&["watch", beat.name.as_str()]);
+        let order = |beat: &member_beat::MemberBeat| {
+            rendezvous::stable_hash(&["watch", beat.name.as_str()])
+        };
         let mine = order(own);
         let before = |wanted: bool| {
             near.iter().filter(|beat| beat.watches == wanted && order(beat) < mine).count()
@@ -400,7 +329,7 @@
     }
 
     /// Whether fewer members than wanted watch the store in this member's data centre.
-    pub fn watchers_missing(&self, now: units::MonoTime, own: &MemberBeat) -> bool {
+    pub fn watchers_missing(&self, now: units::MonoTime, own: &member_beat::MemberBeat) -> bool {
         let near = self.alive(now).filter(|beat| beat.data_center == own.data_center);
         near.filter(|beat| beat.watches).count() < WATCHERS
     }
--- a/crates/core/tests/membership.rs
+++ b/crates/core/tests/membership.rs
@@ -2,11 +2,7 @@
 
 use std::{net, time};
 
-use slipturn_core::{
-    ids,
-    membership::{MemberBeat, MemberView},
-    planner_key, units,
-};
+use slipturn_core::{ids, member_beat::MemberBeat, membership::MemberView, planner_key, units};
 
 fn at(millis: u64) -> units::MonoTime {
     units::MonoTime::from_span(time::Duration::from_millis(millis))
--- a/crates/instance/src/context.rs
+++ b/crates/instance/src/context.rs
@@ -4,7 +4,7 @@
 
 use futures::{channel::mpsc, channel::oneshot, future};
 use slipturn_core::{
-    engine_place, fleet_budget, ids, membership, planner_key, read_planner, units,
+    engine_place, fleet_budget, ids, member_beat, membership, planner_key, read_planner, units,
 };
 use slipturn_net::process;
 
@@ -162,15 +162,15 @@
     }
 
     /// The next heartbeat.
-    pub fn next_beat(&self) -> membership::MemberBeat {
+    pub fn next_beat(&self) -> member_beat::MemberBeat {
         let sequence = self.beats.get() + 1;
         self.beats.set(sequence);
         let others = self.members.borrow().named(sequence);
-        membership::MemberBeat { sequence, others, ..self.own_beat() }
+        member_beat::MemberBeat { sequence, others, ..self.own_beat() }
     }
 
     /// What this process says of itself, as of its last heartbeat's number and naming no others.
-    pub fn own_beat(&self) -> membership::MemberBeat {
+    pub fn own_beat(&self) -> member_beat::MemberBeat {
         let settings = self.settings();
         let fleet = self.fleet.borrow();
         let now = self.now();
@@ -178,7 +178,7 @@
             || membership::MemberView::old_enough(now.since(self.woke.get()));
         let age = now.since(units::MonoTime::default());
         let plans = fleet.is_known() && awake && membership::MemberView::old_enough(age);
-        membership::MemberBeat {
+        member_beat::MemberBeat {
             name: settings.name.clone(),
             boot: self.boot,
             sequence: self.beats.get(),
--- /dev/null
+++ b/crates/instance/src/heartbeats.rs
@@ -0,0 +1,102 @@
+//! Heartbeats: said to all again and again, at once where something has changed, and heard.
+
+use std::{net, rc};
+
+use slipturn_core::{member_beat, units};
+
+use crate::{context, peer_message};
+
+/// Takes a heartbeat in. Who has just started hears back at once, and whoever it names hears from
+/// this process: waiting for heartbeats, a large fleet would need many seconds to know itself.
+pub(crate) fn hear(
+    context: &context::InstanceContext,
+    now: units::MonoTime,
+    beat: member_beat::MemberBeat,
+) {
+    let from = beat.address;
+    let own = context.settings().member_address;
+    let (joined, welcome, unmet) = {
+        let mut members = context.members.borrow_mut();
+        let welcome = members.welcome(&beat);
+        let joined = members.hear(now, beat);
+        (joined, welcome, members.take_unmet(own))
+    };
+    if joined {
+        context.joined.set(context.joined.get() + 1);
+        let beat = context.next_beat();
+        if welcome.is_empty() {
+            context.tell(from, peer_message::PeerMessage::Beat(Box::new(beat.clone())));
+        }
+        for others in welcome {
+            let beat = member_beat::MemberBeat { others, ..beat.clone() };
+            context.tell(from, peer_message::PeerMessage::Beat(Box::new(beat)));
+        }
+    }
+    if !unmet.is_empty() {
+        tell_beat(context, unmet);
+    }
+}
+
+/// Says to these members what this process says of itself.
+fn tell_beat(context: &context::InstanceContext, targets: Vec<net::SocketAddrV4>) {
+    let beat = context.next_beat();
+    for to in targets {
+        let message = if beat.is_whole() || !context.members.borrow().knows(to) {
+            peer_message::PeerMessage::Beat(Box::new(beat.clone()))
+        } else {
+            peer_message::PeerMessage::Alive(beat.alive())
+        };
+        context.tell(to, message);
+    }
+}
+
+/// Repeats this process's heartbeat to the others and forgets silent ones.
+pub async fn repeat(context: rc::Rc<context::InstanceContext>) {
+    loop {
+        tell_all(&context);
+        let forgotten = context.members.borrow_mut().tick(context.now());
+        for member in forgotten {
+            log::warn!(member:%; "member.forgotten");
+        }
+        let joined = context.joined.take();
+        if joined > 0 {
+            let alive = context.members.borrow().alive(context.now()).count();
+            log::info!(joined, alive; "members.joined");
+        }
+        let interval = context.members.borrow().beat_interval();
+        monoio::time::sleep(interval).await;
+    }
+}
+
+pub(crate) fn tell_all(context: &context::InstanceContext) {
+    let own = context.settings().member_address;
+    let targets = context.members.borrow().targets(own);
+    tell_beat(context, targets);
+}
+
+/// Tells the members of this data centre at once that there is something new to fetch.
+pub fn announce(context: &context::InstanceContext) {
+    let near: Vec<_> = {
+        let data_center = context.settings().data_center.clone();
+        let members = context.members.borrow();
+        let alive = members.alive(context.now());
+        alive.filter(|other| other.data_center == data_center).map(|other| other.address).collect()
+    };
+    tell_beat(context, near);
+}
+
+/// What the others must know at once, as it decides who plans.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct ToldState {
+    plans: bool,
+    leaving: bool,
+    /// Whether it knows any routes.
+    pub(crate) has_routes: bool,
+}
+
+impl ToldState {
+    /// Of a heartbeat that would be sent now.
+    pub(crate) fn of(beat: &member_beat::MemberBeat) -> Self {
+        Self { plans: beat.plans, leaving: beat.leaving, has_routes: beat.routes > 0 }
+    }
+}
--- /dev/null
+++ b/crates/instance/src/lease_renewal.rs
@@ -0,0 +1,95 @@
+//! Places in use, told to whoever plans: their numbers again and again, whole leases where a planner
+//! does not know them.
+
+use std::{collections, net, rc, time};
+
+use slipturn_core::{engine_place, planner_key, units};
+
+use crate::{context, peer_message, peers};
+
+/// Time between two repetitions of the leases in use; a planner gives them up after five missed.
+const RENEW_INTERVAL: time::Duration = time::Duration::from_millis(500);
+
+/// Renews places in this process's planner, and asks for those that it does not know.
+pub(crate) fn hear(
+    context: &context::InstanceContext,
+    now: units::MonoTime,
+    from: net::SocketAddrV4,
+    key: planner_key::PlannerKey,
+    boot: u64,
+    jobs: Vec<peer_message::RenewedJob>,
+) {
+    let mut planners = context.planners.borrow_mut();
+    planners.sync(now, &context.fleet.borrow());
+    let Some(planner) = planners.planner(&key) else {
+        return;
+    };
+    let mut unknown = Vec::new();
+    for job in jobs {
+        let id = engine_place::JobId { boot, sequence: job.sequence };
+        if !planner.renew(now, id, job.reading) {
+            unknown.push(job.sequence);
+        }
+    }
+    if !unknown.is_empty() {
+        context.tell(from, peer_message::PeerMessage::Unknown(key, unknown));
+    }
+}
+
+/// Tells a planner the leases that it asked for, as far as they are still in use.
+pub(crate) fn tell_leases(
+    context: &context::InstanceContext,
+    to: net::SocketAddrV4,
+    key: planner_key::PlannerKey,
+    jobs: &[u64],
+) {
+    let held = context.leases.borrow();
+    let ids =
+        jobs.iter().map(|sequence| engine_place::JobId { boot: context.boot, sequence: *sequence });
+    let leases: Vec<_> =
+        ids.filter_map(|job| held.get(&job)).map(|held| held.lease.clone()).collect();
+    for part in leases.chunks(peer_message::MAX_LEASES) {
+        context.tell(to, peer_message::PeerMessage::Leases(key.clone(), part.to_vec()));
+    }
+}
+
+/// Tells whoever plans which places are still in use.
+pub async fn repeat(context: rc::Rc<context::InstanceContext>) {
+    loop {
+        monoio::time::sleep(RENEW_INTERVAL).await;
+        let mut by_key: collections::BTreeMap<planner_key::PlannerKey, Vec<_>> =
+            collections::BTreeMap::new();
+        for (job, held) in context.leases.borrow().iter() {
+            let reading = held.lease.reading;
+            let renewed = peer_message::RenewedJob { sequence: job.sequence, reading };
+            by_key.entry(held.key.clone()).or_default().push(renewed);
+        }
+        for (key, jobs) in by_key {
+            renew_jobs(&context, &key, &jobs);
+        }
+    }
+}
+
+fn renew_jobs(
+    context: &context::InstanceContext,
+    key: &planner_key::PlannerKey,
+    jobs: &[peer_message::RenewedJob],
+) {
+    if let Some(member) = peers::planner_of(context, key) {
+        for part in jobs.chunks(peer_message::MAX_RENEWED) {
+            let message =
+                peer_message::PeerMessage::Renew(key.clone(), context.boot, part.to_vec());
+            context.tell(member.address, message);
+        }
+        return;
+    }
+    let now = context.now();
+    if let Some(planner) = context.planners.borrow_mut().planner(key) {
+        let held = context.leases.borrow();
+        let jobs = jobs
+            .iter()
+            .map(|job| engine_place::JobId { boot: context.boot, sequence: job.sequence });
+        let leases = jobs.filter_map(|job| held.get(&job)).map(|held| held.lease.clone());
+        planner.take_over(now, leases.collect());
+    }
+}
--- a/crates/instance/src/peer_message.rs
+++ b/crates/instance/src/peer_message.rs
@@ -2,7 +2,7 @@
 
 use futures::channel::mpsc;
 use serde::{Deserialize, Serialize};
-use slipturn_core::{engine_place, membership, planner_key};
+use slipturn_core::{engine_place, member_beat, planner_key};
 
 /// Largest datagram; larger messages are split by their sender.
 pub const MAX_DATAGRAM: usize = 16 * 1024;
@@ -15,9 +15,9 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum PeerMessage {
     /// A whole heartbeat.
-    Beat(Box<membership::MemberBeat>),
+    Beat(Box<member_beat::MemberBeat>),
     /// A heartbeat for those who have heard a whole one.
-    Alive(membership::AliveBeat),
+    Alive(member_beat::AliveBeat),
     /// Asks for a whole heartbeat: the member is not known.
     Who,
     /// Asks a planner for a place.
--- a/crates/instance/src/peers.rs
+++ b/crates/instance/src/peers.rs
@@ -1,14 +1,12 @@
-//! Datagrams between instances: heartbeats, places and leases; and the planners' clock.
+//! Datagrams between instances, sent and received; and the planners' clock.
 
-use std::{collections, net, rc, time};
+use std::{net, rc, time};
 
 use futures::{StreamExt as _, channel::mpsc};
-use slipturn_core::{engine_place, membership, planner_key, units};
+use slipturn_core::{engine_place, member_beat, planner_key};
 
-use crate::{context, peer_message, planner_set};
+use crate::{context, heartbeats, lease_renewal, peer_message, planner_set};
 
-/// Time between two repetitions of the leases in use; a planner gives them up after five missed.
-const RENEW_INTERVAL: time::Duration = time::Duration::from_millis(500);
 /// Time between two looks at requests that wait, while any does.
 const PLAN_INTERVAL: time::Duration = time::Duration::from_millis(10);
 /// Time between two looks while none waits.
@@ -71,7 +69,7 @@
     use peer_message::PeerMessage;
     let now = context.now();
     match message {
-        PeerMessage::Beat(beat) => hear_beat(context, now, *beat),
+        PeerMessage::Beat(beat) => heartbeats::hear(context, now, *beat),
         PeerMessage::Alive(alive) => {
             if !context.members.borrow_mut().hear_alive(now, &alive) {
                 context.tell(from, PeerMessage::Who);
@@ -102,8 +100,10 @@
                 planner.note(now, &note);
             }
         }
-        PeerMessage::Renew(key, boot, jobs) => hear_renewals(context, now, from, key, boot, jobs),
-        PeerMessage::Unknown(key, jobs) => tell_leases(context, from, key, &jobs),
+        PeerMessage::Renew(key, boot, jobs) => {
+            lease_renewal::hear(context, now, from, key, boot, jobs);
+        }
+        PeerMessage::Unknown(key, jobs) => lease_renewal::tell_leases(context, from, key, &jobs),
         PeerMessage::Leases(key, leases) => {
             let mut planners = context.planners.borrow_mut();
             planners.sync(now, &context.fleet.borrow());
@@ -114,93 +114,6 @@
     }
 }
 
-/// Renews places in this process's planner, and asks for those that it does not know.
-fn hear_renewals(
-    context: &context::InstanceContext,
-    now: units::MonoTime,
-    from: net::SocketAddrV4,
-    key: planner_key::PlannerKey,
-    boot: u64,
-    jobs: Vec<peer_message::RenewedJob>,
-) {
-    let mut planners = context.planners.borrow_mut();
-    planners.sync(now, &context.fleet.borrow());
-    let Some(planner) = planners.planner(&key) else {
-        return;
-    };
-    let mut unknown = Vec::new();
-    for job in jobs {
-        let id = engine_place::JobId { boot, sequence: job.sequence };
-        if !planner.renew(now, id, job.reading) {
-            unknown.push(job.sequence);
-        }
-    }
-    if !unknown.is_empty() {
-        context.tell(from, peer_message::PeerMessage::Unknown(key, unknown));
-    }
-}
-
-/// Tells a planner the leases that it asked for, as far as they are still in use.
-fn tell_leases(
-    context: &context::InstanceContext,
-    to: net::SocketAddrV4,
-    key: planner_key::PlannerKey,
-    jobs: &[u64],
-) {
-    let held = context.leases.borrow();
-    let ids =
-        jobs.iter().map(|sequence| engine_place::JobId { boot: context.boot, sequence: *sequence });
-    let leases: Vec<_> =
-        ids.filter_map(|job| held.get(&job)).map(|held| held.lease.clone()).collect();
-    for part in leases.chunks(peer_message::MAX_LEASES) {
-        context.tell(to, peer_message::PeerMessage::Leases(key.clone(), part.to_vec()));
-    }
-}
-
-/// Takes a heartbeat in. Who has just started hears back at once, and whoever it names hears from
-/// this process: waiting for heartbeats, a large fleet would need many seconds to know itself.
-fn hear_beat(
-    context: &context::InstanceContext,
-    now: units::MonoTime,
-    beat: membership::MemberBeat,
-) {
-    let from = beat.address;
-    let own = context.settings().member_address;
-    let (joined, welcome, unmet) = {
-        let mut members = context.members.borrow_mut();
-        let welcome = members.welcome(&beat);
-        let joined = members.hear(now, beat);
-        (joined, welcome, members.take_unmet(own))
-    };
-    if joined {
-        context.joined.set(context.joined.get() + 1);
-        let beat = context.next_beat();
-        if welcome.is_empty() {
-            context.tell(from, peer_message::PeerMessage::Beat(Box::new(beat.clone())));
-        }
-        for others in welcome {
-            let beat = membership::MemberBeat { others, ..beat.clone() };
-            context.tell(from, peer_message::PeerMessage::Beat(Box::new(beat)));
-        }
-    }
-    if !unmet.is_empty() {
-        tell_beat(context, unmet);
-    }
-}
-
-/// Says to these members what this process says of itself.
-fn tell_beat(context: &context::InstanceContext, targets: Vec<net::SocketAddrV4>) {
-    let beat = context.next_beat();
-    for to in targets {
-        let message = if beat.is_whole() || !context.members.borrow().knows(to) {
-            peer_message::PeerMessage::Beat(Box::new(beat.clone()))
-        } else {
-            peer_message::PeerMessage::Alive(beat.alive())
-        };
-        context.tell(to, message);
-    }
-}
-
 /// Hands a reply to the request that waits for it.
 fn reply(
     context: &context::InstanceContext,
@@ -213,65 +126,16 @@
     }
 }
 
-/// Repeats this process's heartbeat to the others and forgets silent ones.
-pub async fn beat(context: rc::Rc<context::InstanceContext>) {
-    loop {
-        tell_all(&context);
-        let forgotten = context.members.borrow_mut().tick(context.now());
-        for member in forgotten {
-            log::warn!(member:%; "member.forgotten");
-        }
-        let joined = context.joined.take();
-        if joined > 0 {
-            let alive = context.members.borrow().alive(context.now()).count();
-            log::info!(joined, alive; "members.joined");
-        }
-        let interval = context.members.borrow().beat_interval();
-        monoio::time::sleep(interval).await;
-    }
-}
-
-fn tell_all(context: &context::InstanceContext) {
-    let own = context.settings().member_address;
-    let targets = context.members.borrow().targets(own);
-    tell_beat(context, targets);
-}
-
-/// Tells the members of this data centre at once that there is something new to fetch.
-pub fn announce(context: &context::InstanceContext) {
-    let near: Vec<_> = {
-        let data_center = context.settings().data_center.clone();
-        let members = context.members.borrow();
-        let alive = members.alive(context.now());
-        alive.filter(|other| other.data_center == data_center).map(|other| other.address).collect()
-    };
-    tell_beat(context, near);
-}
-
-/// What the others must know at once, as it decides who plans.
-#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
-struct ToldState {
-    plans: bool,
-    leaving: bool,
-    has_routes: bool,
-}
-
-impl ToldState {
-    fn of(beat: &membership::MemberBeat) -> Self {
-        Self { plans: beat.plans, leaving: beat.leaving, has_routes: beat.routes > 0 }
-    }
-}
-
 /// Gives places to requests that wait, and notices that the process had been paused.
 pub async fn plan(context: rc::Rc<context::InstanceContext>) {
     let mut last = context.now();
     let mut logged = last;
-    let mut told = ToldState::default();
+    let mut told = heartbeats::ToldState::default();
     loop {
-        let state = ToldState::of(&context.own_beat());
+        let state = heartbeats::ToldState::of(&context.own_beat());
         if state != told {
             told = state;
-            tell_all(&context);
+            heartbeats::tell_all(&context);
         }
         // A process that has just started tells at once when it has routes.
         let busy = context.planners.borrow().waiting() > 0 || !told.has_routes;
@@ -308,52 +172,11 @@
     }
 }
 
-/// Tells whoever plans which places are still in use.
-pub async fn renew(context: rc::Rc<context::InstanceContext>) {
-    loop {
-        monoio::time::sleep(RENEW_INTERVAL).await;
-        let mut by_key: collections::BTreeMap<planner_key::PlannerKey, Vec<_>> =
-            collections::BTreeMap::new();
-        for (job, held) in context.leases.borrow().iter() {
-            let reading = held.lease.reading;
-            let renewed = peer_message::RenewedJob { sequence: job.sequence, reading };
-            by_key.entry(held.key.clone()).or_default().push(renewed);
-        }
-        for (key, jobs) in by_key {
-            renew_jobs(&context, &key, &jobs);
-        }
-    }
-}
-
-fn renew_jobs(
-    context: &context::InstanceContext,
-    key: &planner_key::PlannerKey,
-    jobs: &[peer_message::RenewedJob],
-) {
-    if let Some(member) = planner_of(context, key) {
-        for part in jobs.chunks(peer_message::MAX_RENEWED) {
-            let message =
-                peer_message::PeerMessage::Renew(key.clone(), context.boot, part.to_vec());
-            context.tell(member.address, message);
-        }
-        return;
-    }
-    let now = context.now();
-    if let Some(planner) = context.planners.borrow_mut().planner(key) {
-        let held = context.leases.borrow();
-        let jobs = jobs
-            .iter()
-            .map(|job| engine_place::JobId { boot: context.boot, sequence: job.sequence });
-        let leases = jobs.filter_map(|job| held.get(&job)).map(|held| held.lease.clone());
-        planner.take_over(now, leases.collect());
-    }
-}
-
 /// The other member that runs a planner; `None` when that is this process.
 pub fn planner_of(
     context: &context::InstanceContext,
     key: &planner_key::PlannerKey,
-) -> Option<membership::MemberBeat> {
+) -> Option<member_beat::MemberBeat> {
     let own = context.own_beat();
     context.members.borrow().planner(context.now(), key, &own)
 }
--- a/crates/instance/src/program.rs
+++ b/crates/instance/src/program.rs
@@ -14,8 +14,8 @@
 use snafu::{ResultExt as _, Snafu};
 
 use crate::{
-    border, caller_connection, context, engine_reports, instance_settings, log_sink, peers,
-    small_server, store_feed,
+    border, caller_connection, context, engine_reports, heartbeats, instance_settings,
+    lease_renewal, log_sink, peers, small_server, store_feed,
 };
 
 /// Time between two looks at whether a stop or a reload was asked for.
@@ -113,9 +113,9 @@
     let share = || rc::Rc::clone(&context);
     monoio::spawn(peers::send_all(rc::Rc::clone(&socket), queue));
     monoio::spawn(peers::receive_all(share(), socket));
-    monoio::spawn(peers::beat(share()));
+    monoio::spawn(heartbeats::repeat(share()));
     monoio::spawn(peers::plan(share()));
-    monoio::spawn(peers::renew(share()));
+    monoio::spawn(lease_renewal::repeat(share()));
     monoio::spawn(store_feed::follow_store(share()));
     monoio::spawn(store_feed::follow_routes(share()));
     monoio::spawn(store_feed::follow_list(share()));
--- a/crates/instance/src/store_feed.rs
+++ b/crates/instance/src/store_feed.rs
@@ -3,9 +3,9 @@
 use std::{net, ops, rc, time};
 
 use rand::RngExt as _;
-use slipturn_core::{ids, membership, units};
+use slipturn_core::{ids, member_beat, units};
 
-use crate::{border, context, document_call, peers};
+use crate::{border, context, document_call, heartbeats};
 
 /// Longest wait of one watch.
 const WATCH_WAIT: time::Duration = time::Duration::from_secs(25);
@@ -60,7 +60,7 @@
         };
         if context.store_ok.replace(false) {
             log::warn!(error = error.as_str(); "store.lost");
-            peers::announce(&context);
+            heartbeats::announce(&context);
             pause = RETRY_PAUSE;
         }
         away_since.get_or_insert(context.now());
@@ -153,7 +153,7 @@
         let now = context.now();
         if !quiet {
             context.fleet.borrow_mut().apply(now, changes, next);
-            peers::announce(context);
+            heartbeats::announce(context);
         }
         revision = revision.max(next);
         if !quiet {
@@ -171,7 +171,7 @@
     }
     if !context.store_ok.replace(true) && context.watching.get() {
         // The others count on this one from now on.
-        peers::announce(context);
+        heartbeats::announce(context);
     }
 }
 
@@ -308,7 +308,7 @@
 }
 
 fn pick_source(
-    sources: &[&membership::MemberBeat],
+    sources: &[&member_beat::MemberBeat],
     port: u16,
 ) -> Option<(ids::InstanceId, net::SocketAddr)> {
     let drawn = rand::rng().random_range(0..sources.len().max(1));
--- a/crates/instance/tests/peer_message.rs
+++ b/crates/instance/tests/peer_message.rs
@@ -4,7 +4,7 @@
 use slipturn_core::engine_place::{
     JobId, PlaceAnswer, PlaceAsk, PlaceEnd, PlaceGrant, PlaceLease, PlaceNote,
 };
-use slipturn_core::membership::AliveBeat;
+use slipturn_core::member_beat::AliveBeat;
 use slipturn_core::planner_key::PlannerKey;
 use slipturn_instance::peer_message::{
     MAX_DATAGRAM, MAX_LEASES, MAX_RENEWED, PeerMessage, RenewedJob,
