Soak: long streams over planned stops, and a bound on the return to the store

Before, two broken mechanisms went unnoticed: an instance that ends before its answers are done (all answers were shorter than the time for which connections are still taken), and a slow return to the store. Now one stream in 24 takes 3.3 to 4.5 s, and each run ends with the store away for 1.5 s, a configuration published meanwhile, and three seconds after its return in which every instance must know it.

--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -86,6 +86,7 @@
     soak.strike_all(&plan(options), options.length);
     soak.evidence.sent = traffic.finish();
     soak.recover();
+    soak.return_to_store(options.seed);
     soak.probe_routes();
     soak.wait_release();
     for runner in soak.fleet.runners() {
@@ -118,6 +119,11 @@
     Return(u8),
 }
 
+/// Time for which the store is away before its return is judged.
+const STORE_AWAY: Duration = Duration::from_millis(1_500);
+/// Time after its return by which instances must be up to date: the platform's bound.
+const RETURN: Duration = Duration::from_secs(3);
+
 struct Soak {
     fleet: Fleet,
     evidence: Evidence,
@@ -278,6 +284,18 @@
         }
     }
 
+    /// What was published while the store was away is in force soon after its return.
+    fn return_to_store(&mut self, seed: u64) {
+        let modes = [StoreMode::Silent, StoreMode::Reset, StoreMode::Busy];
+        self.fleet.store.set_mode(modes[(seed % 3) as usize]);
+        thread::sleep(STORE_AWAY);
+        self.publish();
+        self.fleet.store.set_mode(StoreMode::Good);
+        thread::sleep(RETURN);
+        let newest = self.routes.last().cloned().into_iter().collect::<Vec<_>>();
+        self.probe_all("return", &newest);
+    }
+
     /// Every route ever added is served everywhere, and a leaving upstream gets nothing.
     fn probe_routes(&mut self) {
         self.publish();
@@ -285,20 +303,26 @@
         thread::sleep(APPLY.max(LEAVE));
         let leaving = self.fleet.runners()[usize::from(ENGINES)].clone();
         let before = leaving.runs().len();
+        self.probe_all("end", &self.routes.clone());
+        if leaving.runs().len() > before {
+            self.evidence.found.push(format!("{} got requests while leaving", leaving.name));
+        }
+    }
+
+    fn probe_all(&mut self, when: &str, routes: &[String]) {
         for number in 0..self.fleet.instances.len() as u8 {
-            for route in self.routes.clone() {
-                let mut probe = traffic::request(format!("probe-{number}-{route}"), "safe", (0, 0));
+            for route in routes {
+                let id = format!("probe-{when}-{number}-{route}");
+                let mut probe = traffic::request(id, "safe", (0, 0));
                 probe.path = format!("/{route}/");
                 let outcome = caller::send(self.fleet.callers(number), &probe);
                 if matches!(outcome, Outcome::Status(401 | 403 | 404, _)) {
-                    let fault = format!("instance {number} does not know {route}: {outcome:?}");
+                    let fault =
+                        format!("{when}: instance {number} does not know {route}: {outcome:?}");
                     self.evidence.found.push(fault);
                 }
             }
         }
-        if leaving.runs().len() > before {
-            self.evidence.found.push(format!("{} got requests while leaving", leaving.name));
-        }
     }
 
     fn wait_release(&mut self) {
--- a/crates/soak/src/traffic.rs
+++ b/crates/soak/src/traffic.rs
@@ -18,6 +18,11 @@
 
 /// Pause of a client between two requests, milliseconds.
 const PAUSE_MS: std::ops::Range<u64> = 2..40;
+/// One stream in so many is long: it outlasts the time for which a stopping instance still takes
+/// connections, and ends inside the grace period.
+const LONG_STREAMS: u32 = 24;
+/// Tokens of a long stream's answer: 3.3 to 4.5 s of events.
+const LONG_ANSWER: std::ops::Range<u64> = 11_000..15_000;
 /// Time a client is given, of each kind of request.
 const DEADLINE: time::Duration = time::Duration::from_secs(6);
 
@@ -98,7 +103,11 @@
             1..=3 => random.random_range(30_000..200_000),
             _ => random.random_range(500..9_000),
         };
-        let counts = (prompt, random.random_range(50..1_500));
+        let answer = match random.random_range(0..LONG_STREAMS) {
+            0 => random.random_range(LONG_ANSWER),
+            _ => random.random_range(50..1_500),
+        };
+        let counts = (prompt, answer);
         let request = request(format!("{seed:x}-{client}-{turn}"), route, counts);
         let from = time::Instant::now();
         let connection = open
