A long prompt that has come back and has no chance is refused again, instead of being held for seconds

Long prompts that came back after a refusal could not be refused again; they waited up to twelve seconds for a calm place, and in overload left unserved. Their callers were told nothing meanwhile. Change: the same early refusal as for a first try. A request that is given up gets its answer at once.

--- a/crates/core/src/planner_urgency.rs
+++ b/crates/core/src/planner_urgency.rs
@@ -129,7 +129,8 @@
         }
     }
 
-    /// Refuses a long prompt whose turn will come too late, while its caller can still come back.
+    /// Refuses a long prompt whose turn will come too late, while its caller can still come back; and
+    /// one that has come back as well: held on, it would mostly end unserved after many seconds.
     pub(crate) fn refuse_long(
         &self,
         now: units::MonoTime,
@@ -137,7 +138,7 @@
     ) -> Option<engine_place::PlaceRefusal> {
         let ask = &job.ask;
         let waited = job.waited_ms(now) / f64::from(ask.goal_ms.max(1));
-        if ask.tight() || !ask.refusable || !LONG_REFUSAL.contains(&waited) {
+        if ask.tight() || ask.resumed || !LONG_REFUSAL.contains(&waited) {
             return None;
         }
         let usable = self.engines.values().filter(|engine| engine.shunned_until <= now);
