--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -87,6 +87,7 @@
     soak.evidence.sent = traffic.finish();
     soak.recover();
     soak.return_to_store(options.seed);
+    soak.stop_under_streams();
     soak.probe_routes();
     soak.wait_release();
     for runner in soak.fleet.runners() {
@@ -119,6 +120,10 @@
     Return(u8),
 }
 
+/// Streams that are open while an instance is stopped.
+const STOP_STREAMS: u64 = 3;
+/// Time in which they begin.
+const STREAM_START: Duration = Duration::from_millis(400);
 /// Time for which the store is away before its return is judged.
 const STORE_AWAY: Duration = Duration::from_millis(1_500);
 /// Time after its return by which instances must be up to date: the platform's bound.
@@ -296,6 +301,30 @@
         self.probe_all("return", &newest);
     }
 
+    /// A planned stop in calm times cuts no stream that ends inside the grace period.
+    fn stop_under_streams(&mut self) {
+        let address = self.fleet.callers(0);
+        let start = |number: u64| {
+            let id = format!("probe-stop-{number}");
+            let request = traffic::request(id, "draft", (1_000, traffic::LONG_ANSWER.start));
+            thread::spawn(move || caller::send(address, &request))
+        };
+        let streams: Vec<_> = (0..STOP_STREAMS).map(start).collect();
+        thread::sleep(STREAM_START);
+        self.fleet.signal(0, "TERM");
+        for stream in streams {
+            let outcome = stream.join();
+            if !matches!(outcome, Ok(Outcome::Good)) {
+                self.evidence.found.push(format!("a planned stop ended a stream: {outcome:?}"));
+            }
+        }
+        match self.fleet.wait_end(0, GRACE) {
+            Some(_) => self.end(FaultEnd::Start(0)),
+            None => self.evidence.found.push(format!("instance 0 has not ended in {GRACE:?}")),
+        }
+        self.fleet.wait_ready();
+    }
+
     /// Every route ever added is served everywhere, and a leaving upstream gets nothing.
     fn probe_routes(&mut self) {
         self.publish();
--- a/crates/soak/src/traffic.rs
+++ b/crates/soak/src/traffic.rs
@@ -22,7 +22,7 @@
 /// connections, and ends inside the grace period.
 const LONG_STREAMS: u32 = 24;
 /// Tokens of a long stream's answer: 3.3 to 4.5 s of events.
-const LONG_ANSWER: std::ops::Range<u64> = 11_000..15_000;
+pub const LONG_ANSWER: std::ops::Range<u64> = 11_000..15_000;
 /// Time a client is given, of each kind of request.
 const DEADLINE: time::Duration = time::Duration::from_secs(6);
 
