--- a/crates/core/src/planner_choice.rs
+++ b/crates/core/src/planner_choice.rs
@@ -2,7 +2,7 @@
 //! those that write there. Times are milliseconds as `f64`, see [`crate::pass_model`].
 
 use crate::{
-    engine_place, engine_work, ids, pass_model, planner_urgency, read_planner, settings, units,
+    engine_place, engine_view, pass_model, planner_urgency, read_planner, settings, units,
 };
 
 /// Numbers of parts that are compared.
@@ -58,37 +58,6 @@
 /// Loss for each time that an engine is slower than its figures: it may get slower still.
 const PACE_LOSS: f64 = 0.05;
 
-/// An engine as one choice sees it.
-pub(crate) struct EngineView<'a> {
-    pub(crate) name: &'a ids::UpstreamId,
-    pub(crate) rank: u64,
-    /// Time until its next pass begins, milliseconds.
-    pub(crate) wait_ms: f64,
-    /// Reading that waits for that pass, milliseconds.
-    pub(crate) pending_ms: f64,
-    /// Time until all that is to be read there has been read, milliseconds.
-    pub(crate) unread_ms: f64,
-    pub(crate) steps_ms: f64,
-    /// Smallest pause goal of those that write there; infinite without any.
-    pub(crate) pause_ms: f64,
-    /// Worth of those that write there.
-    pub(crate) worth: f64,
-    pub(crate) tight: usize,
-    /// Those of them whose prompt has not been read.
-    pub(crate) unread: usize,
-    pub(crate) answering: usize,
-    pub(crate) free: u64,
-    pub(crate) pace: f64,
-}
-
-impl EngineView<'_> {
-    /// Expected time to the first token of a prompt of which a part is read here: it is out when
-    /// the pass that reads it ends.
-    fn first_ms(&self, part: f64) -> f64 {
-        (self.wait_ms + self.pending_ms + part + self.steps_ms) * self.pace
-    }
-}
-
 /// A place with what it loses.
 pub(crate) struct Choice {
     pub(crate) grant: engine_place::PlaceGrant,
@@ -113,9 +82,9 @@
         &self,
         now: units::MonoTime,
         job: &planner_urgency::WaitingJob,
-        views: &[EngineView<'_>],
+        views: &[engine_view::EngineView<'_>],
     ) -> Option<engine_place::PlaceGrant> {
-        let load = |view: &&EngineView<'_>| match self.options.routing {
+        let load = |view: &&engine_view::EngineView<'_>| match self.options.routing {
             settings::RoutingKind::LeastRequests => view.answering as u64,
             settings::RoutingKind::LeastTokens => u64::MAX - view.free,
             _ => 0,
@@ -134,29 +103,12 @@
         })
     }
 
-    /// The engines that a request may use.
-    pub(crate) fn views(
-        &self,
-        now: units::MonoTime,
-        job: &planner_urgency::WaitingJob,
-    ) -> Vec<EngineView<'_>> {
-        let usable = |shunned: bool| {
-            let allowed = self.engines.iter().filter(move |(name, engine)| {
-                (engine.shunned_until > now) == shunned && !job.ask.excluded.contains(name)
-            });
-            allowed.map(|(name, engine)| self.view(now, name, engine)).collect::<Vec<_>>()
-        };
-        let views = usable(false);
-        // An engine that failed lately is better than none.
-        if views.is_empty() { usable(true) } else { views }
-    }
-
     /// The place that loses least; `None` where the mode allows none.
     pub(crate) fn choose(
         &self,
         now: units::MonoTime,
         job: &planner_urgency::WaitingJob,
-        views: &[EngineView<'_>],
+        views: &[engine_view::EngineView<'_>],
         mode: ChoiceMode,
     ) -> Option<Choice> {
         let most = self.options.max_parts.min(views.len()).min(engine_place::MAX_HELPERS + 1);
@@ -169,46 +121,11 @@
             .min_by(|left, right| left.loss.total_cmp(&right.loss))
     }
 
-    pub(crate) fn view<'a>(
-        &'a self,
-        now: units::MonoTime,
-        name: &'a ids::UpstreamId,
-        engine: &engine_work::EngineWork,
-    ) -> EngineView<'a> {
-        let asks = engine.answering.iter().filter_map(|job| self.jobs.get(job));
-        let (mut context, mut pause_ms, mut worth) = (0, f64::INFINITY, 0.0);
-        let (mut tight, mut unread) = (0, 0);
-        for state in asks {
-            let ask = &state.lease.ask;
-            context += read_planner::context_of(&state.lease);
-            pause_ms = pause_ms.min(f64::from(ask.pause_ms));
-            worth += f64::from(ask.worth);
-            tight += usize::from(ask.tight());
-            unread += usize::from(ask.tight() && state.lease.reading);
-        }
-        let answering = engine.answering.len() + engine.foreign;
-        EngineView {
-            name,
-            rank: engine.rank,
-            wait_ms: engine.wait_ms(now),
-            pending_ms: engine.pending_ms(),
-            unread_ms: engine.unread_ms(),
-            steps_ms: pass_model::steps_ms(&self.shape, answering, context),
-            pause_ms,
-            worth,
-            tight: tight + engine.foreign,
-            unread,
-            answering,
-            free: engine.memory.saturating_sub(engine.used),
-            pace: engine.pace,
-        }
-    }
-
     pub(crate) fn choose_parts(
         &self,
         now: units::MonoTime,
         job: &planner_urgency::WaitingJob,
-        views: &[EngineView<'_>],
+        views: &[engine_view::EngineView<'_>],
         parts: usize,
         mode: ChoiceMode,
     ) -> Option<Choice> {
@@ -256,14 +173,14 @@
     fn pick_host<'a>(
         &self,
         ask: &engine_place::PlaceAsk,
-        chosen: &[(f64, &'a EngineView<'a>)],
+        chosen: &[(f64, &'a engine_view::EngineView<'a>)],
         alone: bool,
         mode: ChoiceMode,
-    ) -> Option<&'a EngineView<'a>> {
+    ) -> Option<&'a engine_view::EngineView<'a>> {
         let need = ask.prompt + ask.output;
         // Answers of long prompts are written side by side, so that few engines interrupt their
         // reading for steps.
-        let cost = |view: &EngineView<'_>| {
+        let cost = |view: &engine_view::EngineView<'_>| {
             let fresh = if view.answering == 0 { FRESH_HOST } else { 0.0 };
             view.tight as f64 + fresh + view.unread_ms / HOST_PENDING_MS
         };
@@ -283,7 +200,7 @@
         &self,
         now: units::MonoTime,
         job: &planner_urgency::WaitingJob,
-        chosen: &[(f64, &EngineView<'_>)],
+        chosen: &[(f64, &engine_view::EngineView<'_>)],
         part: f64,
         first_token_ms: f64,
         mode: ChoiceMode,
@@ -314,7 +231,7 @@
     /// Whether an engine can read a part at once and nobody there suffers.
     pub(crate) fn is_calm(
         &self,
-        view: &EngineView<'_>,
+        view: &engine_view::EngineView<'_>,
         ask: &engine_place::PlaceAsk,
         part: f64,
     ) -> bool {
@@ -333,7 +250,7 @@
     }
 
     /// Worth that those who write on an engine lose by one more part read there.
-    pub(crate) fn harm(&self, view: &EngineView<'_>, part: f64) -> f64 {
+    pub(crate) fn harm(&self, view: &engine_view::EngineView<'_>, part: f64) -> f64 {
         let before = (view.steps_ms + view.pending_ms) * view.pace;
         let pause = before + part * view.pace;
         let limit = view.pause_ms * PAUSE_PART;
@@ -344,7 +261,7 @@
     /// What speaks against reading a part on an engine, for order and ties.
     pub(crate) fn engine_loss(
         &self,
-        view: &EngineView<'_>,
+        view: &engine_view::EngineView<'_>,
         ask: &engine_place::PlaceAsk,
         part: f64,
     ) -> f64 {
@@ -379,8 +296,8 @@
     pub(crate) fn hold(
         &self,
         ask: &engine_place::PlaceAsk,
-        host: &EngineView<'_>,
-        chosen: &[(f64, &EngineView<'_>)],
+        host: &engine_view::EngineView<'_>,
+        chosen: &[(f64, &engine_view::EngineView<'_>)],
         capacity: u64,
     ) -> Option<Vec<engine_place::HeldPart>> {
         let own = host.free.min((capacity as f64 * ALONE_PART) as u64);
--- a/crates/instance/src/caller_connection.rs
+++ b/crates/instance/src/caller_connection.rs
@@ -168,7 +168,8 @@
     head: http::request::Parts,
     limits: slipturn_core::route_table::CallerLimits,
 ) -> Result<ConnectionNext, h1::MessageError> {
-    let id = context.border.read_request(&head).map(|request| request.id).unwrap_or_default();
+    let request = context.border.read_request(&head);
+    let id = request.as_ref().map(|request| request.id.clone()).unwrap_or_default();
     let mut framing = match h1::BodyFraming::of_request(&head) {
         Ok(framing) => framing,
         Err(error) => return refuse_bytes(reply, &id, error).await,
@@ -190,7 +191,7 @@
     };
     let arrived = context.now();
     wait_until_known(context).await;
-    let mut call = match incoming_call::admit(context, head, arrived) {
+    let mut call = match incoming_call::admit(context, head, request, arrived) {
         Ok(call) => call,
         Err(refusal) => {
             log::info!(id, code = refusal.code.word(), reason = refusal.message.as_str();
--- a/crates/instance/src/incoming_call.rs
+++ b/crates/instance/src/incoming_call.rs
@@ -63,10 +63,11 @@
     }
 }
 
-/// Admits a request whose head has been read.
+/// Admits a request whose head has been read as `request`.
 pub fn admit(
     context: &context::InstanceContext,
     head: http::request::Parts,
+    request: Result<border::CallerRequest, border::FormatError>,
     arrived: units::MonoTime,
 ) -> Result<IncomingCall, refusal::RequestRefusal> {
     let fleet = context.fleet.borrow();
@@ -80,7 +81,7 @@
         let text = format!("no route for {host}{}", head.uri.path());
         return Err(refusal::RequestRefusal::not_run(refusal::RefusalCode::NotFound, text));
     };
-    let request = context.border.read_request(&head).map_err(|error| {
+    let request = request.map_err(|error| {
         refusal::RequestRefusal::not_run(refusal::RefusalCode::BadRequest, error.to_string())
     })?;
     let customer = match &request.key {
--- a/crates/instance/src/lib.rs
+++ b/crates/instance/src/lib.rs
@@ -1,7 +1,8 @@
 //! One slipturn instance: callers in front, engines and services behind, other instances beside.
 //!
 //! Layout by life span: `incoming_call`, `model_request`, `service_request`, `plan_client`,
-//! `memory_hold`, `stream_policy`, `silence_watch`, `upstream_attempt`, `event_stream` and `request_record` live for a request;
+//! `memory_hold`, `stream_policy`, `stream_state`, `silence_watch`, `upstream_attempt`,
+//! `event_stream` and `request_record` live for a request;
 //! `caller_connection`, `document_call` and `upstream_pool` for a connection; `fleet_state` for a
 //! version; the rest for the process. What the outside looks like is behind `border`.
 
@@ -31,6 +32,7 @@
 pub mod small_server;
 pub mod store_feed;
 mod stream_policy;
+mod stream_state;
 pub mod upstream_attempt;
 pub mod upstream_load;
 pub mod upstream_pool;
--- a/crates/instance/src/model_request.rs
+++ b/crates/instance/src/model_request.rs
@@ -3,12 +3,12 @@
 use std::{rc, time};
 
 use bytes::{Bytes, BytesMut};
-use slipturn_core::{engine_place, ids, refusal, retry};
+use slipturn_core::{engine_place, refusal, retry};
 use slipturn_net::h1;
 
 use crate::{
     caller_connection, context, event_stream, incoming_call, memory_hold, plan_client,
-    request_record, silence_watch, stream_policy, upstream_attempt,
+    request_record, silence_watch, stream_policy, stream_state, upstream_attempt,
 };
 
 /// Places tried at most, those whose engine never saw the request included.
@@ -20,21 +20,6 @@
 /// Largest failure answer of an engine that is passed on.
 const MAX_FAILURE: usize = 1 << 20;
 
-/// What stays of a stream between attempts.
-#[derive(Default)]
-struct StreamState {
-    /// Whether the caller has the head.
-    begun: bool,
-    last_event: Option<String>,
-    excluded: Vec<ids::UpstreamId>,
-    /// Attempts that reached an engine.
-    sent: u32,
-    /// Whether the next attempt has been taken from the retry budget already.
-    retry_taken: bool,
-    ran: Option<refusal::RanState>,
-    last_at: Option<slipturn_core::units::MonoTime>,
-}
-
 /// How one attempt ended.
 enum AttemptEnd {
     /// The caller has the whole answer.
@@ -57,8 +42,10 @@
     record: &mut request_record::RequestRecord,
 ) -> Result<caller_connection::ConnectionNext, h1::MessageError> {
     let left = call.left(context.now());
-    let mut state =
-        StreamState { last_event: call.request.last_event.clone(), ..Default::default() };
+    let mut state = stream_state::StreamState {
+        last_event: call.request.last_event.clone(),
+        ..Default::default()
+    };
     let work = attempts(context, call, reply, record, &mut state);
     let refusal = match monoio::time::timeout(left, work).await {
         Ok(Ok(None)) => return Ok(caller_connection::ConnectionNext::Keep),
@@ -86,7 +73,7 @@
     call: &incoming_call::IncomingCall,
     reply: &mut caller_connection::CallerReply<'_>,
     record: &mut request_record::RequestRecord,
-    state: &mut StreamState,
+    state: &mut stream_state::StreamState,
 ) -> Result<Option<refusal::RequestRefusal>, h1::MessageError> {
     let mut failure = None;
     let mut back_after = BACK_AFTER;
@@ -147,7 +134,7 @@
     call: &incoming_call::IncomingCall,
     reply: &mut caller_connection::CallerReply<'_>,
     record: &mut request_record::RequestRecord,
-    state: &mut StreamState,
+    state: &mut stream_state::StreamState,
 ) -> Result<AttemptEnd, h1::MessageError> {
     // The caller's patience begins anew with each event.
     let since = state.last_at.unwrap_or(call.arrived);
@@ -196,7 +183,7 @@
     call: &incoming_call::IncomingCall,
     reply: &mut caller_connection::CallerReply<'_>,
     record: &mut request_record::RequestRecord,
-    state: &mut StreamState,
+    state: &mut stream_state::StreamState,
     hold: &mut plan_client::PlaceHold,
     row: &mut request_record::AttemptRecord,
 ) -> Result<AttemptEnd, h1::MessageError> {
@@ -228,7 +215,7 @@
     };
     let first_wait = stream_policy::first_silence(call, &hold.grant).min(left);
     let reached = state.sent + 1;
-    let retry = || give_up(context, call, state, reached);
+    let retry = || state.give_up(context, call, reached);
     let answered = match watch.wait(sending.as_mut(), first_wait, retry).await {
         Ok(answered) => answered,
         Err(silence) => {
@@ -268,7 +255,7 @@
     loop {
         let mut next = std::pin::pin!(answer.connection.reader.next_piece(&mut answer.framing));
         let sent = state.sent;
-        let retry = || give_up(context, call, state, sent);
+        let retry = || state.give_up(context, call, sent);
         let piece = match watch.wait(next.as_mut(), stream_policy::silence(call), retry).await {
             Ok(Ok(piece)) => piece,
             Ok(Err(error)) => return Ok(broke(state, error)),
@@ -289,14 +276,14 @@
             hold.first_token();
             row.first_ms = Some(context.now().since(begun_at).as_millis() as u64);
         }
-        note_events(context, call, record, state, &whole);
-        send_events(reply, state, &answer.head, &whole).await?;
+        state.note_events(context, call, record, &whole);
+        state.send(reply, &answer.head, &whole).await?;
     }
     if !events.is_empty() {
         return Ok(broke(state, "the stream ends in the middle of an event"));
     }
     if !state.begun {
-        send_events(reply, state, &answer.head, &BytesMut::new()).await?;
+        state.send(reply, &answer.head, &BytesMut::new()).await?;
     }
     reply.end().await?;
     answer.finish(&context.pool);
@@ -306,43 +293,7 @@
     Ok(AttemptEnd::Whole)
 }
 
-async fn send_events(
-    reply: &mut caller_connection::CallerReply<'_>,
-    state: &mut StreamState,
-    head: &http::response::Parts,
-    events: &BytesMut,
-) -> Result<(), h1::MessageError> {
-    if state.begun {
-        return reply.events(events).await;
-    }
-    state.begun = true;
-    reply.begin(head, events).await
-}
-
-fn note_events(
-    context: &context::InstanceContext,
-    call: &incoming_call::IncomingCall,
-    record: &mut request_record::RequestRecord,
-    state: &mut StreamState,
-    events: &BytesMut,
-) {
-    let now = context.now();
-    if record.first_ms.is_none() {
-        record.first_ms = Some(now.since(call.arrived).as_millis() as u64);
-    }
-    if let Some(last) = state.last_at {
-        record.pause_ms = record.pause_ms.max(now.since(last).as_millis() as u64);
-    }
-    state.last_at = Some(now);
-    for event in event_stream::split_events(events) {
-        record.events += 1;
-        if let Some(id) = context.border.event_id(event) {
-            state.last_event = Some(id);
-        }
-    }
-}
-
-fn broke(state: &StreamState, reason: impl ToString) -> AttemptEnd {
+fn broke(state: &stream_state::StreamState, reason: impl ToString) -> AttemptEnd {
     let failure = if state.begun {
         retry::AttemptFailure::BrokeMidAnswer
     } else {
@@ -354,7 +305,7 @@
 /// Leaves the engine that was the cause alone.
 fn blame(
     context: &context::InstanceContext,
-    state: &mut StreamState,
+    state: &mut stream_state::StreamState,
     hold: &plan_client::PlaceHold,
     fault: &upstream_attempt::AttemptFault,
 ) {
@@ -375,7 +326,7 @@
 fn target(
     context: &context::InstanceContext,
     call: &incoming_call::IncomingCall,
-    state: &StreamState,
+    state: &stream_state::StreamState,
     grant: &engine_place::PlaceGrant,
     memory: &memory_hold::MemoryHold,
 ) -> Option<upstream_attempt::AttemptTarget> {
@@ -402,16 +353,3 @@
         priority: Some(stream_policy::priority(call, late)),
     })
 }
-
-/// Whether a silent engine, the `reached`th that got the request, is given up: another may go on, and the retry budget has room. The
-/// retry is taken then.
-fn give_up(
-    context: &context::InstanceContext,
-    call: &incoming_call::IncomingCall,
-    state: &mut StreamState,
-    reached: u32,
-) -> bool {
-    let allowed = call.route.repeat.allows_repeat() && reached < call.route.max_attempts;
-    state.retry_taken = allowed && context.take_retry(&call.service);
-    state.retry_taken
-}
--- /dev/null
+++ b/crates/instance/src/stream_state.rs
@@ -0,0 +1,79 @@
+//! What stays of a streamed request between its attempts.
+
+use bytes::BytesMut;
+use slipturn_core::{ids, refusal, units};
+use slipturn_net::h1;
+
+use crate::{caller_connection, context, event_stream, incoming_call, request_record};
+
+/// What stays of a stream between attempts.
+#[derive(Default)]
+pub(crate) struct StreamState {
+    /// Whether the caller has the head.
+    pub(crate) begun: bool,
+    /// Id of the last event that the caller has.
+    pub(crate) last_event: Option<String>,
+    /// Engines that must not be used again.
+    pub(crate) excluded: Vec<ids::UpstreamId>,
+    /// Attempts that reached an engine.
+    pub(crate) sent: u32,
+    /// Whether the next attempt has been taken from the retry budget already.
+    pub(crate) retry_taken: bool,
+    /// Whether an attempt ran, as far as is known; nothing while none reached an engine.
+    pub(crate) ran: Option<refusal::RanState>,
+    /// When the last event came.
+    pub(crate) last_at: Option<units::MonoTime>,
+}
+
+impl StreamState {
+    /// Passes whole events on, behind the head where it is not out yet.
+    pub(crate) async fn send(
+        &mut self,
+        reply: &mut caller_connection::CallerReply<'_>,
+        head: &http::response::Parts,
+        events: &BytesMut,
+    ) -> Result<(), h1::MessageError> {
+        if self.begun {
+            return reply.events(events).await;
+        }
+        self.begun = true;
+        reply.begin(head, events).await
+    }
+
+    /// Notes events that have come.
+    pub(crate) fn note_events(
+        &mut self,
+        context: &context::InstanceContext,
+        call: &incoming_call::IncomingCall,
+        record: &mut request_record::RequestRecord,
+        events: &BytesMut,
+    ) {
+        let now = context.now();
+        if record.first_ms.is_none() {
+            record.first_ms = Some(now.since(call.arrived).as_millis() as u64);
+        }
+        if let Some(last) = self.last_at {
+            record.pause_ms = record.pause_ms.max(now.since(last).as_millis() as u64);
+        }
+        self.last_at = Some(now);
+        for event in event_stream::split_events(events) {
+            record.events += 1;
+            if let Some(id) = context.border.event_id(event) {
+                self.last_event = Some(id);
+            }
+        }
+    }
+
+    /// Whether a silent engine, the `reached`th that got the request, is given up: another may go on,
+    /// and the retry budget has room. The retry is taken then.
+    pub(crate) fn give_up(
+        &mut self,
+        context: &context::InstanceContext,
+        call: &incoming_call::IncomingCall,
+        reached: u32,
+    ) -> bool {
+        let allowed = call.route.repeat.allows_repeat() && reached < call.route.max_attempts;
+        self.retry_taken = allowed && context.take_retry(&call.service);
+        self.retry_taken
+    }
+}
