--- a/crates/instance/src/instance_settings.rs
+++ b/crates/instance/src/instance_settings.rs
@@ -1,6 +1,6 @@
 //! Settings of one instance: a YAML file of its own, laid by the platform at every start.
 
-use std::{fs, net, path};
+use std::{fs, net, path, time};
 
 use serde::Deserialize;
 use slipturn_core::{fleet_budget, ids, settings, units};
@@ -65,9 +65,25 @@
     pub retry_extra: f64,
     /// Length of that window.
     pub retry_window: units::TimeSpan,
+    /// Time for which memory set aside on engines may lie unused.
+    #[serde(default = "default_memory_idle")]
+    pub memory_idle: units::TimeSpan,
+}
+
+/// Part of [`FleetBounds::memory_idle`] after which an attempt is given up that has not begun; the
+/// rest is for orders on their way and for the release.
+const UNUSED_PART: f64 = 0.8;
+
+fn default_memory_idle() -> units::TimeSpan {
+    units::TimeSpan(time::Duration::from_secs(9))
 }
 
 impl FleetBounds {
+    /// Time from setting memory aside by which the answer must have begun.
+    pub fn unused_time(&self) -> time::Duration {
+        self.memory_idle.0.mul_f64(UNUSED_PART)
+    }
+
     /// The bound on retries.
     pub fn retry_bound(&self) -> fleet_budget::RetryBound {
         fleet_budget::RetryBound {
--- a/crates/instance/src/model_request.rs
+++ b/crates/instance/src/model_request.rs
@@ -191,6 +191,7 @@
         let failure = retry::AttemptFailure::NotConnected;
         Ok(AttemptEnd::Fault(upstream_attempt::AttemptFault::new(failure, text)))
     };
+    let taken_at = context.now();
     let taken = memory_hold::MemoryHold::take(context, hold.grant.job, &hold.grant.held).await;
     let memory = match taken {
         Ok(memory) => memory,
@@ -207,11 +208,13 @@
     let begun_at = context.now();
     let left = call.left(context.now());
     let mut sending = std::pin::pin!(upstream_attempt::send(context, call, &target, left));
-    let watch = silence_watch::SilenceWatch {
+    let unused_time = context.settings().bounds.unused_time();
+    let mut watch = silence_watch::SilenceWatch {
         context,
         call,
         address: target.address,
         holds: memory.holds(),
+        unused_until: memory.holds().then(|| taken_at + unused_time),
     };
     let first_wait = stream_policy::first_silence(call, &hold.grant).min(left);
     let reached = state.sent + 1;
@@ -273,6 +276,7 @@
             continue;
         }
         if row.first_ms.is_none() {
+            watch.unused_until = None;
             hold.first_token();
             row.first_ms = Some(context.now().since(begun_at).as_millis() as u64);
         }
--- a/crates/instance/src/silence_watch.rs
+++ b/crates/instance/src/silence_watch.rs
@@ -2,6 +2,8 @@
 
 use std::{net, pin, time};
 
+use slipturn_core::units;
+
 use crate::{context, document_call, incoming_call};
 
 /// Time between two questions to an engine on which memory set aside elsewhere depends.
@@ -22,13 +24,16 @@
     pub address: net::SocketAddrV4,
     /// Whether memory is set aside elsewhere for the attempt.
     pub holds: bool,
+    /// Until when such memory may wait for the answer's first event; nothing once it is out.
+    pub unused_until: Option<units::MonoTime>,
 }
 
 impl SilenceWatch<'_> {
     /// Waits for `work`; the error says why it is given up.
     ///
     /// After `limit` the engine is given up if another may go on, which the retry budget decides
-    /// through `take_retry`. Silence alone is no reason to end an answer that nobody else can give.
+    /// through `take_retry`. Silence alone is no reason to end an answer that nobody else can give,
+    /// unless memory lies unused for it.
     pub async fn wait<T>(
         &self,
         mut work: pin::Pin<&mut impl Future<Output = T>>,
@@ -56,6 +61,9 @@
                     return Err("the engine does not answer any more".to_owned());
                 }
             }
+            if self.unused_until.is_some_and(|until| self.context.now() >= until) {
+                return Err("memory was set aside and the answer did not begin".to_owned());
+            }
             if limited && self.context.now().since(started) >= limit {
                 if take_retry() {
                     return Err(format!("silent for {limit:?}"));
