One timetable for long prompts in place of modes and windows; the planner is one folder

Cause: long prompts waited for engines that were all free at once (parts up to a fifth of the goal), and were refused while the engines were half idle. Behind it lay another one, found on the way: engines read the parts that come LAST first. Where a part was sent by plan just before the one ahead of it had been read, the earlier prompt came later by the whole of it (planned 490 ms, came after 1,308; planned 1,443, not there after 4.9 s).

Change: all that wait are booked on the engines, in the order in which they are due, each in the number of parts that costs least time for itself and for those behind; what has not begun is booked anew at each look. An engine gets no part before the first token of the prompt that it reads is out. Gaps before bookings are used. Engines on which shorts are not packed clear by themselves; a part may wait for that, or cost the writers less than a quarter of what is at stake. What cannot be in time gives way by the least worth an engine second and comes late, where the load of reading leaves room before its caller leaves; else it is refused in the same turn. While shorts find no room a long prompt is read that earns more. The five planner files that shared one type's impls are the folder planner/, in the direction in which a request goes.

--- /dev/null
+++ b/crates/core/src/planner/admission.rs
@@ -0,0 +1,174 @@
+//! Which long prompts are read in time, which late, and which are refused at once.
+//!
+//! All that wait are booked in the order in which they are due. Where one would miss its time, the one
+//! whose engine time earns least gives way: out of time it becomes late, and late it is refused.
+
+use crate::{
+    engine_place, pass_model,
+    planner::{engine_view, place_table, price, timetable, waiting_job},
+    units,
+};
+
+/// Part of what is at stake for a long prompt that its reading may cost others.
+const HARM_PART: f64 = 0.25;
+/// Shortest and latest time after which a refused prompt is asked back, milliseconds; callers obey
+/// up to a third of their time.
+const BACK_AFTER_MS: (f64, f64) = (300.0, 5_000.0);
+
+/// A prompt that gives way.
+struct GivenUp {
+    /// Its place in the list of those that wait.
+    at: usize,
+    /// When its first token was expected, milliseconds.
+    expected_ms: f64,
+}
+
+/// A reading that could be booked.
+struct PossibleRead {
+    booking: timetable::ReadBooking,
+    /// Whether it may begin; others would suffer too much otherwise.
+    allowed: bool,
+}
+
+/// One look at the long prompts that wait.
+pub(crate) struct ReadAdmission<'a> {
+    pub(crate) table: &'a place_table::PlaceTable,
+    pub(crate) price: &'a price::EnginePrice,
+    pub(crate) packed_writers: usize,
+    pub(crate) now: units::MonoTime,
+}
+
+impl ReadAdmission<'_> {
+    /// Books all long prompts that wait, and says which begin or are refused.
+    ///
+    /// `jobs` are changed where one becomes late.
+    pub(crate) fn plan(
+        &self,
+        jobs: &mut [&mut waiting_job::WaitingJob],
+    ) -> Vec<engine_place::PlaceAnswer> {
+        let views = self.table.views(self.now, self.packed_writers);
+        let load = self.load(&views);
+        let mut answers = Vec::new();
+        let mut order: Vec<_> = (0..jobs.len()).collect();
+        // Engines may be free sooner than they were expected to be.
+        jobs.iter_mut().for_each(|job| job.late = job.goal_left(self.now) <= 0.0);
+        loop {
+            order.sort_by(|left, right| {
+                jobs[*left].due_ms(self.now).total_cmp(&jobs[*right].due_ms(self.now))
+            });
+            let mut timetable = timetable::ReadTimetable::new(
+                &self.table.shape,
+                views.clone(),
+                jobs.len(),
+                self.price.ms_per_worth(),
+            );
+            let given = match self.book_all(&mut timetable, jobs, &order) {
+                Ok(grants) => {
+                    answers.extend(grants);
+                    return answers;
+                }
+                Err(given) => given,
+            };
+            let job = &mut jobs[given.at];
+            let hopeless = job.late;
+            job.late = true;
+            // What comes late waits for others that arrive meanwhile, too; once it is kept, it stays
+            // as long as it can.
+            let others = if job.kept { 1.0 } else { 1.0 / (1.0 - load) };
+            let expected_ms = given.expected_ms * others;
+            job.kept = true;
+            if hopeless || expected_ms > job.due_ms(self.now) {
+                order.retain(|at| *at != given.at);
+                let refusal = self.refuse(&job.ask, expected_ms);
+                answers.push(engine_place::PlaceAnswer::Refuse(refusal));
+            }
+        }
+    }
+
+    /// Part of the time of engines free of short requests that reading in time takes.
+    fn load(&self, views: &[engine_view::EngineView<'_>]) -> f64 {
+        let free = views.iter().filter(|view| !view.packed && !view.shunned).count();
+        self.price.load(self.now, free)
+    }
+
+    fn book_all(
+        &self,
+        timetable: &mut timetable::ReadTimetable<'_>,
+        jobs: &[&mut waiting_job::WaitingJob],
+        order: &[usize],
+    ) -> Result<Vec<engine_place::PlaceAnswer>, GivenUp> {
+        let mut grants = Vec::new();
+        let mut booked = Vec::new();
+        for at in order {
+            let job = &jobs[*at];
+            let Some(PossibleRead { booking, allowed }) = self.best_read(timetable, job) else {
+                continue;
+            };
+            let missed = booking.first_ms > job.due_ms(self.now) && !job.ask.resumed;
+            if !missed && !allowed {
+                // It waits until nobody suffers from it.
+                continue;
+            }
+            booked.push(GivenUp { at: *at, expected_ms: booking.first_ms });
+            if missed {
+                return Err(self.give_way(jobs, booked));
+            }
+            let granted = if booking.starts_now() || job.ask.resumed {
+                timetable.grant(job, &booking, job.waited_ms(self.now), job.ask.resumed)
+            } else {
+                None
+            };
+            timetable.book(&booking);
+            grants.extend(granted.map(engine_place::PlaceAnswer::Grant));
+        }
+        Ok(grants)
+    }
+
+    /// The best reading that is in time and costs others less than what is at stake; else the one
+    /// that shows how late it would be.
+    fn best_read(
+        &self,
+        timetable: &timetable::ReadTimetable<'_>,
+        job: &waiting_job::WaitingJob,
+    ) -> Option<PossibleRead> {
+        let forced = || timetable.soonest(&job.ask, f64::INFINITY);
+        if job.ask.resumed {
+            return forced().map(|booking| PossibleRead { booking, allowed: true });
+        }
+        let due = job.due_ms(self.now);
+        let calm = timetable.soonest(&job.ask, 0.0);
+        let harmful = timetable.soonest(&job.ask, job.stake() * HARM_PART);
+        let in_time = [&calm, &harmful].into_iter().flatten().filter(|row| row.first_ms <= due);
+        let best = in_time.min_by(|left, right| left.cost_ms.total_cmp(&right.cost_ms));
+        if let Some(booking) = best.cloned().or(calm) {
+            return Some(PossibleRead { booking, allowed: true });
+        }
+        forced().map(|booking| PossibleRead { booking, allowed: false })
+    }
+
+    /// Of prompts that cannot all be in time, the one whose engine time earns least; the last of
+    /// `booked` is the one that missed.
+    fn give_way(&self, jobs: &[&mut waiting_job::WaitingJob], mut booked: Vec<GivenUp>) -> GivenUp {
+        let missed = jobs[booked[booked.len() - 1].at].stake();
+        let density = |row: &GivenUp| {
+            let job = &jobs[row.at];
+            job.stake() / pass_model::read_ms(&self.table.shape, job.ask.prompt)
+        };
+        let able = |row: &GivenUp| !jobs[row.at].ask.resumed && jobs[row.at].stake() <= missed;
+        let worst = (0..booked.len())
+            .filter(|at| able(&booked[*at]))
+            .min_by(|left, right| density(&booked[*left]).total_cmp(&density(&booked[*right])));
+        booked.swap_remove(worst.unwrap_or(booked.len() - 1))
+    }
+
+    /// Refuses a request: it may come back when there is room for it.
+    fn refuse(&self, ask: &engine_place::PlaceAsk, expected_ms: f64) -> engine_place::PlaceRefusal {
+        engine_place::PlaceRefusal {
+            job: ask.job,
+            back_after_ms: expected_ms.clamp(BACK_AFTER_MS.0, BACK_AFTER_MS.1) as u32,
+            expected_ms: Some(expected_ms as u32),
+            running: u32::try_from(self.table.running()).unwrap_or(u32::MAX),
+            slots: u32::try_from(self.table.slots()).unwrap_or(u32::MAX),
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/planner/engine_view.rs
@@ -0,0 +1,86 @@
+//! Engines as one decision of the planner sees them. Times are milliseconds as `f64`, see
+//! [`crate::pass_model`].
+
+use crate::{engine_place, ids};
+
+/// An engine as one decision sees it.
+#[derive(Debug, Clone)]
+pub(crate) struct EngineView<'a> {
+    pub(crate) name: &'a ids::UpstreamId,
+    pub(crate) rank: u64,
+    /// Whether it failed lately and is left alone.
+    pub(crate) shunned: bool,
+    /// Time until its next pass begins, milliseconds.
+    pub(crate) wait_ms: f64,
+    /// Reading that waits for that pass, milliseconds.
+    pub(crate) pending_ms: f64,
+    /// Time until all that is to be read there has been read, milliseconds.
+    pub(crate) unread_ms: f64,
+    /// Steps of a pass there, milliseconds.
+    pub(crate) steps_ms: f64,
+    /// Time until the answers written here are expected to have ended, milliseconds; says nothing
+    /// where the engine is packed.
+    pub(crate) clear_ms: f64,
+    /// Smallest pause goal of those that write there; infinite without any.
+    pub(crate) pause_ms: f64,
+    /// Worth of those that write there.
+    pub(crate) worth: f64,
+    /// Requests with tight pauses there.
+    pub(crate) tight: usize,
+    /// Whether new ones come here, too.
+    pub(crate) packed: bool,
+    /// Those of them whose prompt has not been read.
+    pub(crate) unread: usize,
+    /// Requests that it answers.
+    pub(crate) answering: usize,
+    /// Tokens of its memory that are neither in use nor set aside.
+    pub(crate) free: u64,
+    /// Above 1 it is slower than its figures.
+    pub(crate) pace: f64,
+}
+
+/// Part of a pause goal that a pass may fill by plan; the rest is for what the plan cannot see.
+pub(crate) const PAUSE_PART: f64 = 0.85;
+/// Part of its worth that an answer loses by one long pause.
+const LOST_PART: f64 = 0.75;
+
+/// Pause goals beyond which nobody may be kept waiting by plan: behind 8 of them callers leave.
+const MAX_PAUSES: f64 = 6.0;
+
+impl EngineView<'_> {
+    /// Expected time to the first token of a prompt of which a part is read here: it is out when
+    /// the pass that reads it ends.
+    pub(crate) fn first_ms(&self, part: f64) -> f64 {
+        (self.wait_ms + self.pending_ms + part + self.steps_ms) * self.pace
+    }
+
+    /// Time of a pass that reads a part here, milliseconds.
+    pub(crate) fn own_ms(&self, part: f64) -> f64 {
+        (part + self.steps_ms) * self.pace
+    }
+
+    /// Worth that those who write here lose by one more part read here.
+    pub(crate) fn harm(&self, part: f64) -> f64 {
+        let before = (self.steps_ms + self.pending_ms) * self.pace;
+        let pause = before + part * self.pace;
+        let limit = self.pause_ms * PAUSE_PART;
+        if pause > self.pause_ms * MAX_PAUSES {
+            return f64::INFINITY;
+        }
+        // A pause that is too long already is not lost twice.
+        if pause > limit && before <= limit { self.worth * LOST_PART } else { 0.0 }
+    }
+}
+
+/// Engines that a request may use, by their places among the views; one that failed lately is
+/// better than none.
+pub(crate) fn usable(views: &[EngineView<'_>], ask: &engine_place::PlaceAsk) -> Vec<usize> {
+    let allowed = |shunned: bool| {
+        let rows = views.iter().enumerate();
+        rows.filter(|(_, view)| view.shunned == shunned && !ask.excluded.contains(view.name))
+            .map(|(at, _)| at)
+            .collect::<Vec<_>>()
+    };
+    let usable = allowed(false);
+    if usable.is_empty() { allowed(true) } else { usable }
+}
--- /dev/null
+++ b/crates/core/src/planner/mod.rs
@@ -0,0 +1,319 @@
+//! Where and when prompts are read: which engine answers a request, and which engines read parts of it.
+//!
+//! One planner holds the work of every engine of a service. A request goes through its parts in this
+//! order: [`ReadPlanner::ask`]; the place table, which shows what the engines do; for a short prompt
+//! the choice of one engine; for a long one the timetable, on which all that wait are booked, and
+//! admission, which says who is in time, late or refused; and a grant, noted in the place table.
+
+mod admission;
+mod engine_view;
+mod engine_work;
+mod place_table;
+mod plain_choice;
+mod price;
+mod short_choice;
+mod timetable;
+mod waiting_job;
+
+use std::time;
+
+use crate::{engine_place, ids, route_table, settings, units};
+
+/// Longest that a request waits; its member has given up long before.
+const WAIT_TIME: time::Duration = time::Duration::from_secs(30);
+/// Part of a short goal that a request waits for a calm place: less than the quarter of it within
+/// which a refusal must be out.
+const SHORT_WAIT_PART: f64 = 0.16;
+/// The same for a request that has been refused before and would not come back again.
+const RETURNED_WAIT_PART: f64 = 1.5;
+/// Part of all engines' slots that must be taken before a short request is refused; below it,
+/// engines that seem unusable may only have been slow.
+const FULL_PART: f64 = 0.6;
+/// Requests beyond its slots that an engine may get of those that come back.
+const RETURNED_EXTRA: usize = 2;
+/// When a refused request may come back, milliseconds; spread by its member.
+const BACK_AFTER_MS: u32 = 700;
+
+/// How the planner weighs its choices; the figures come from runs of `slipturn-compare` and of
+/// the users' bench, see `docs/design/platform.md`.
+#[derive(Debug, Clone, Copy)]
+pub struct PlannerOptions {
+    /// How engines are chosen; all but slipturn's own are there to compare with.
+    pub routing: settings::RoutingKind,
+    /// Writers with tight pauses that an engine is filled up to before the next one is used.
+    pub packed_writers: usize,
+}
+
+impl Default for PlannerOptions {
+    fn default() -> Self {
+        Self { routing: settings::RoutingKind::ExpectedStart, packed_writers: 14 }
+    }
+}
+
+/// The planner of one service, or of one cell of its engines.
+#[derive(Debug)]
+pub struct ReadPlanner {
+    options: PlannerOptions,
+    table: place_table::PlaceTable,
+    price: price::EnginePrice,
+    /// Requests without a place, in no order.
+    waiting: Vec<waiting_job::WaitingJob>,
+    /// Answers that another's ask brought about; they go out at the next look.
+    settled: Vec<engine_place::PlaceAnswer>,
+}
+
+impl ReadPlanner {
+    /// A planner without engines.
+    pub fn new(shape: route_table::EngineShape, options: PlannerOptions) -> Self {
+        Self {
+            options,
+            table: place_table::PlaceTable::new(shape),
+            price: price::EnginePrice::default(),
+            waiting: Vec::new(),
+            settled: Vec::new(),
+        }
+    }
+
+    /// Takes over new figures of the engines.
+    pub fn set_shape(&mut self, shape: route_table::EngineShape) {
+        self.table.shape = shape;
+    }
+
+    /// Sets which engines may be used; each with a number that orders them alike everywhere.
+    pub fn set_engines(&mut self, now: units::MonoTime, names: &[(ids::UpstreamId, u64)]) {
+        self.table.set_engines(now, names);
+    }
+
+    /// Number of requests that wait for a place.
+    pub fn waiting_count(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Number of requests that have a place.
+    pub fn placed_count(&self) -> usize {
+        self.table.placed_count()
+    }
+
+    /// The planner's view of its engines, one short text an engine, for the log.
+    pub fn summary(&self, now: units::MonoTime) -> String {
+        self.table.summary(now)
+    }
+
+    /// Asks for a place; asked again, it answers the same.
+    pub fn ask(
+        &mut self,
+        now: units::MonoTime,
+        ask: engine_place::PlaceAsk,
+    ) -> Option<engine_place::PlaceAnswer> {
+        let id = ask.job;
+        if let Some(grant) = self.table.grant(id) {
+            return Some(engine_place::PlaceAnswer::Grant(grant.clone()));
+        }
+        if self.waiting.iter().any(|waiting| waiting.ask.job == id) {
+            return None;
+        }
+        let job = waiting_job::WaitingJob::new(ask, now);
+        self.table.advance(now);
+        if self.is_short(&job.ask) {
+            let answer = self.place_short(now, &job);
+            if answer.is_none() {
+                self.waiting.push(job);
+            }
+            return answer;
+        }
+        self.waiting.push(job);
+        let (own, others) = self.plan_long(now).into_iter().partition(|answer| answer.job() == id);
+        self.settled.extend::<Vec<_>>(others);
+        let own: Vec<_> = own;
+        own.into_iter().next()
+    }
+
+    /// Gives places to those that wait, the most urgent first.
+    pub fn tick(&mut self, now: units::MonoTime) -> Vec<engine_place::PlaceAnswer> {
+        self.table.expire(now);
+        // Whoever still wants a place asks again within the lease time.
+        self.waiting.retain(|job| now.since(job.since) < WAIT_TIME);
+        let mut answers = std::mem::take(&mut self.settled);
+        if self.waiting.is_empty() {
+            return answers;
+        }
+        self.table.advance(now);
+        answers.extend(self.tick_short(now));
+        answers.extend(self.plan_long(now));
+        answers
+    }
+
+    /// Takes in what a member tells of one of its requests.
+    pub fn note(&mut self, now: units::MonoTime, note: &engine_place::PlaceNote) {
+        match note {
+            engine_place::PlaceNote::FirstToken(job) => self.first_token(now, *job),
+            engine_place::PlaceNote::Ended(job, end) => self.end(now, *job, *end),
+            engine_place::PlaceNote::Shun(engine) => self.shun(now, engine),
+        }
+    }
+
+    /// Notes that a prompt has been read and its answer begins.
+    pub fn first_token(&mut self, now: units::MonoTime, job: engine_place::JobId) {
+        self.table.first_token(now, job);
+    }
+
+    /// Ends a request, placed or waiting.
+    pub fn end(
+        &mut self,
+        now: units::MonoTime,
+        job: engine_place::JobId,
+        end: engine_place::PlaceEnd,
+    ) {
+        self.waiting.retain(|waiting| waiting.ask.job != job);
+        self.table.end(now, job, end);
+    }
+
+    /// Renews a place; `false` where it is not known here.
+    pub fn renew(&mut self, now: units::MonoTime, job: engine_place::JobId, reading: bool) -> bool {
+        self.table.renew(now, job, reading)
+    }
+
+    /// Takes over places that another planner gave.
+    pub fn take_over(&mut self, now: units::MonoTime, leases: Vec<engine_place::PlaceLease>) {
+        for lease in &leases {
+            self.waiting.retain(|waiting| waiting.ask.job != lease.ask.job);
+        }
+        self.table.take_over(now, leases);
+    }
+
+    /// Leaves an engine alone for a while.
+    pub fn shun(&mut self, now: units::MonoTime, name: &ids::UpstreamId) {
+        self.table.shun(now, name);
+    }
+
+    /// Engines that were silent since the last call.
+    pub fn take_suspects(&mut self) -> Vec<ids::UpstreamId> {
+        self.table.take_suspects()
+    }
+
+    /// Takes over what an engine says of itself: its pace, above 1 when it is slower than its
+    /// figures, and the requests that it runs and holds in its queue.
+    ///
+    /// What goes clearly beyond this planner's own is the work of another one, as on the other
+    /// side of a cut.
+    pub fn set_report(&mut self, name: &ids::UpstreamId, pace: f64, requests: usize) {
+        self.table.set_report(name, pace, requests);
+    }
+
+    /// Whether a request is read by one engine, packed beside others like it.
+    fn is_short(&self, ask: &engine_place::PlaceAsk) -> bool {
+        ask.tight() || self.options.routing != settings::RoutingKind::ExpectedStart
+    }
+
+    fn take(
+        &mut self,
+        now: units::MonoTime,
+        ask: &engine_place::PlaceAsk,
+        grant: engine_place::PlaceGrant,
+    ) -> engine_place::PlaceAnswer {
+        engine_place::PlaceAnswer::Grant(self.table.take(now, ask, grant))
+    }
+
+    /// Places short requests that wait: those that come back go first, then the oldest.
+    fn tick_short(&mut self, now: units::MonoTime) -> Vec<engine_place::PlaceAnswer> {
+        let waiting = std::mem::take(&mut self.waiting);
+        let (mut shorts, longs): (Vec<_>, Vec<_>) =
+            waiting.into_iter().partition(|job| self.is_short(&job.ask));
+        self.waiting = longs;
+        shorts.sort_by_key(|job| (job.ask.refusable, job.since));
+        let mut answers = Vec::new();
+        for job in shorts {
+            match self.place_short(now, &job) {
+                Some(answer) => answers.push(answer),
+                None => self.waiting.push(job),
+            }
+        }
+        answers
+    }
+
+    /// A short request's engine, or its refusal; `None` while it waits.
+    fn place_short(
+        &mut self,
+        now: units::MonoTime,
+        job: &waiting_job::WaitingJob,
+    ) -> Option<engine_place::PlaceAnswer> {
+        let views = self.table.views(now, self.options.packed_writers);
+        if self.options.routing != settings::RoutingKind::ExpectedStart {
+            let shape = &self.table.shape;
+            let grant = plain_choice::choose(shape, self.options.routing, now, job, &views)?;
+            return Some(self.take(now, &job.ask, grant));
+        }
+        let packed_writers = self.options.packed_writers;
+        let choice = short_choice::ShortChoice { shape: &self.table.shape, packed_writers };
+        if let Some(grant) = choice.choose(now, job, &views, true) {
+            return Some(self.take(now, &job.ask, grant));
+        }
+        if !job.ask.resumed {
+            let part = if job.ask.refusable { SHORT_WAIT_PART } else { RETURNED_WAIT_PART };
+            if job.waited_ms(now) < f64::from(job.ask.goal_ms) * part {
+                return None;
+            }
+        }
+        let grant = choice.choose(now, job, &views, false);
+        if !job.ask.resumed {
+            self.price.press(now);
+        }
+        let crowded = grant.as_ref().is_none_or(|grant| self.is_crowded(job, grant));
+        if crowded && let Some(refusal) = self.refuse_short(job) {
+            return Some(engine_place::PlaceAnswer::Refuse(refusal));
+        }
+        Some(self.take(now, &job.ask, grant?))
+    }
+
+    /// Whether a short request would stand in an engine's queue, or come late.
+    fn is_crowded(&self, job: &waiting_job::WaitingJob, grant: &engine_place::PlaceGrant) -> bool {
+        let more = if job.ask.refusable { 0 } else { RETURNED_EXTRA };
+        self.table.running_on(&grant.engine) >= self.table.shape.slots + more
+            || grant.first_token_ms > job.ask.goal_ms * 2
+    }
+
+    /// Refuses a short request that finds no place in time: in an engine's queue it would come
+    /// late and make those behind it late too.
+    fn refuse_short(&self, job: &waiting_job::WaitingJob) -> Option<engine_place::PlaceRefusal> {
+        let (running, slots) = (self.table.running(), self.table.slots());
+        if job.ask.resumed || (running as f64) < slots as f64 * FULL_PART {
+            return None;
+        }
+        Some(engine_place::PlaceRefusal {
+            job: job.ask.job,
+            back_after_ms: BACK_AFTER_MS,
+            expected_ms: None,
+            running: u32::try_from(running).unwrap_or(u32::MAX),
+            slots: u32::try_from(slots).unwrap_or(u32::MAX),
+        })
+    }
+
+    /// Books all long prompts that wait; the answers of those that begin or are refused.
+    fn plan_long(&mut self, now: units::MonoTime) -> Vec<engine_place::PlaceAnswer> {
+        let shape = &self.table.shape;
+        let longs = self.waiting.iter_mut().filter(|job| !job.ask.tight());
+        let longs = longs.filter(|job| self.price.is_earned(now, shape, job));
+        let mut jobs: Vec<_> = longs.collect();
+        if jobs.is_empty() {
+            return Vec::new();
+        }
+        let packed_writers = self.options.packed_writers;
+        let admission = admission::ReadAdmission {
+            table: &self.table,
+            price: &self.price,
+            packed_writers,
+            now,
+        };
+        let answers = admission.plan(&mut jobs);
+        for answer in &answers {
+            let job = answer.job();
+            let at = self.waiting.iter().position(|waiting| waiting.ask.job == job);
+            let waiting = at.map(|at| self.waiting.swap_remove(at));
+            if let (Some(waiting), engine_place::PlaceAnswer::Grant(grant)) = (waiting, answer) {
+                self.price.note_reading(now, &self.table.shape, &waiting);
+                self.table.take(now, &waiting.ask, grant.clone());
+            }
+        }
+        answers
+    }
+}
--- /dev/null
+++ b/crates/core/src/planner/plain_choice.rs
@@ -0,0 +1,36 @@
+//! The choice of a plain router, to compare with: one engine, at once, read by nobody else.
+
+use crate::{
+    engine_place, pass_model,
+    planner::{engine_view, waiting_job},
+    route_table, settings, units,
+};
+
+/// The engine that a plain router takes; `None` where there is none.
+pub(crate) fn choose(
+    shape: &route_table::EngineShape,
+    routing: settings::RoutingKind,
+    now: units::MonoTime,
+    job: &waiting_job::WaitingJob,
+    views: &[engine_view::EngineView<'_>],
+) -> Option<engine_place::PlaceGrant> {
+    let load = |view: &&engine_view::EngineView<'_>| match routing {
+        settings::RoutingKind::LeastRequests => view.answering as u64,
+        settings::RoutingKind::LeastTokens => u64::MAX - view.free,
+        _ => 0,
+    };
+    let usable = engine_view::usable(views, &job.ask);
+    let usable: Vec<_> = usable.into_iter().map(|at| &views[at]).collect();
+    let turn = job.ask.job.sequence as usize % usable.len().max(1);
+    let (before, behind) = usable.split_at(turn);
+    let engine = behind.iter().chain(before).copied().min_by_key(load)?;
+    let part = pass_model::read_ms(shape, job.ask.prompt);
+    Some(engine_place::PlaceGrant {
+        job: job.ask.job,
+        engine: engine.name.clone(),
+        helpers: Vec::new(),
+        held: Vec::new(),
+        first_token_ms: (engine.wait_ms + engine.pending_ms + part + engine.steps_ms) as u32,
+        waited_ms: job.waited_ms(now) as u32,
+    })
+}
--- /dev/null
+++ b/crates/core/src/planner/timetable.rs
@@ -0,0 +1,290 @@
+//! When long prompts are read, and by which engines: reading is booked on the engines one prompt
+//! after the other, each in even parts, so that its first token comes soonest.
+//!
+//! What is booked and has not begun is booked anew at each look, from what the engines do then.
+
+use crate::{
+    engine_place, pass_model,
+    planner::{engine_view, place_table, waiting_job},
+    route_table,
+};
+
+/// Numbers of parts that are compared.
+const PART_COUNTS: [usize; 11] = [1, 2, 3, 4, 5, 6, 8, 10, 12, 14, 17];
+/// Shortest part that is worth a helper, milliseconds.
+const MIN_PART_MS: f64 = 20.0;
+/// What a part costs its engine beside its reading: a message, a pass cut short, milliseconds.
+const PART_COST_MS: f64 = 25.0;
+/// Reading that may still wait on an engine when a part is sent there, milliseconds: about the time
+/// that the request takes to get there. Parts read for others go before an engine's own, so much
+/// more on top could keep the first one waiting without end.
+const MAX_STACKED_MS: f64 = 40.0;
+/// Parts up to this length may be read before a short prompt that waits on the same engine.
+const SHORT_PART_MS: f64 = 60.0;
+/// A prompt that leaves its engine less than this part of the memory is held by several.
+const ALONE_PART: f64 = 0.85;
+/// Largest part of an engine's free memory that is set aside for a prompt answered elsewhere.
+const HELD_PART: f64 = 0.9;
+/// Tokens below which setting memory aside is not worth an order.
+const MIN_HELD_TOKENS: u64 = 4_096;
+/// What speaks against an engine without writers as the one that answers, in short writers.
+const FRESH_HOST: f64 = 0.5;
+/// Reading that waits there and weighs as much as one short writer, milliseconds.
+const HOST_PENDING_MS: f64 = 100.0;
+/// What speaks against an engine for each request with tight pauses there, milliseconds of delay.
+const TIGHT_COST_MS: f64 = 20.0;
+
+/// Reading booked for one prompt.
+#[derive(Debug, Clone)]
+pub(crate) struct ReadBooking {
+    /// The engines, by their places in the timetable.
+    pub(crate) engines: Vec<usize>,
+    /// Time until the last of them has read what it has by now, milliseconds.
+    pub(crate) start_ms: f64,
+    /// Time until the first token, milliseconds.
+    pub(crate) first_ms: f64,
+    /// That time, and what those behind it lose by it, milliseconds.
+    pub(crate) cost_ms: f64,
+}
+
+impl ReadBooking {
+    /// Whether it can be sent now.
+    pub(crate) fn starts_now(&self) -> bool {
+        self.start_ms <= MAX_STACKED_MS
+    }
+}
+
+/// A part that one engine might read.
+struct ReadingRow {
+    /// The engine's place in the timetable.
+    at: usize,
+    /// Worth that others lose by pauses there.
+    harm: f64,
+    /// Time until the engine has read what comes before, milliseconds.
+    ready_ms: f64,
+    /// Time until the part may begin, milliseconds; not before `ready_ms`.
+    start_ms: f64,
+    /// Time until it has been read, milliseconds.
+    first_ms: f64,
+    /// Time by which it must have been read, milliseconds.
+    end_ms: f64,
+    /// What speaks against the engine, milliseconds of delay.
+    cost_ms: f64,
+}
+
+/// When an engine is booked: from its first booking to the end of its last; milliseconds.
+#[derive(Debug, Clone)]
+struct BookedTime {
+    start_ms: f64,
+    first_ms: f64,
+}
+
+/// The engines with what is booked on them.
+pub(crate) struct ReadTimetable<'a> {
+    shape: &'a route_table::EngineShape,
+    views: Vec<engine_view::EngineView<'a>>,
+    /// One for each view.
+    booked: Vec<BookedTime>,
+    /// Prompts that wait for engine time.
+    waiting: usize,
+    /// Engine time that earns as much as one short request, milliseconds.
+    ms_per_worth: f64,
+}
+
+impl<'a> ReadTimetable<'a> {
+    /// A timetable of engines as they are now, for so many prompts.
+    pub(crate) fn new(
+        shape: &'a route_table::EngineShape,
+        views: Vec<engine_view::EngineView<'a>>,
+        waiting: usize,
+        ms_per_worth: f64,
+    ) -> Self {
+        let free = BookedTime { start_ms: f64::INFINITY, first_ms: 0.0 };
+        let booked = vec![free; views.len()];
+        Self { shape, views, booked, waiting, ms_per_worth }
+    }
+
+    /// The reading of a prompt beside all that is booked that costs least, at most so much worth
+    /// lost by others; `None` where no engine may be used.
+    pub(crate) fn soonest(
+        &self,
+        ask: &engine_place::PlaceAsk,
+        max_harm: f64,
+    ) -> Option<ReadBooking> {
+        let usable = engine_view::usable(&self.views, ask);
+        let most = usable.len().min(engine_place::MAX_HELPERS + 1);
+        let whole = pass_model::read_ms(self.shape, ask.prompt);
+        PART_COUNTS
+            .iter()
+            .filter(|parts| **parts <= most)
+            .filter(|parts| **parts == 1 || whole / **parts as f64 >= MIN_PART_MS)
+            .filter_map(|parts| self.in_parts(&usable, whole / *parts as f64, *parts, max_harm))
+            .min_by(|left, right| left.cost_ms.total_cmp(&right.cost_ms))
+    }
+
+    /// The best reading in so many parts.
+    fn in_parts(
+        &self,
+        usable: &[usize],
+        part: f64,
+        parts: usize,
+        max_harm: f64,
+    ) -> Option<ReadBooking> {
+        let mut rows: Vec<_> = usable
+            .iter()
+            .filter(|at| part <= SHORT_PART_MS || self.views[**at].unread == 0)
+            .map(|at| self.reading_row(*at, part, max_harm))
+            .filter(|row| row.harm <= max_harm)
+            .collect();
+        if rows.len() < parts {
+            return None;
+        }
+        rows.sort_by(|left, right| {
+            let rank = || self.views[left.at].rank.cmp(&self.views[right.at].rank);
+            left.cost_ms.total_cmp(&right.cost_ms).then_with(rank)
+        });
+        rows.truncate(parts);
+        let harm: f64 = rows.iter().map(|row| row.harm).sum();
+        if harm > max_harm {
+            return None;
+        }
+        let start_ms = rows.iter().map(|row| row.start_ms).fold(0.0, f64::max);
+        let first_ms = rows
+            .iter()
+            .map(|row| row.first_ms.max(start_ms + self.views[row.at].own_ms(part)))
+            .fold(0.0, f64::max);
+        // A gap before a booking is no longer one if the prompt begins later.
+        if rows.iter().any(|row| first_ms > row.end_ms) {
+            return None;
+        }
+        let taken: f64 = rows.iter().map(|row| first_ms - row.ready_ms - part + PART_COST_MS).sum();
+        let behind = (1 + self.waiting) as f64 / self.views.len() as f64;
+        let cost_ms = first_ms + (taken + harm * self.ms_per_worth) * behind;
+        let engines = rows.iter().map(|row| row.at).collect();
+        Some(ReadBooking { engines, start_ms, first_ms, cost_ms })
+    }
+
+    /// A part read on one engine: when it may begin there, and what speaks against it.
+    fn reading_row(&self, at: usize, part: f64, max_harm: f64) -> ReadingRow {
+        let view = &self.views[at];
+        let own = view.own_ms(part);
+        let harm = view.harm(part);
+        let ready_ms = view.unread_ms * view.pace;
+        // The answers written there end soon, and the part can wait for that.
+        let waits = harm > 0.0 && !view.packed && (max_harm <= 0.0 || harm > max_harm);
+        let (harm, start_ms) =
+            if waits { (0.0, ready_ms.max(view.clear_ms)) } else { (harm, ready_ms) };
+        let mut row = ReadingRow {
+            at,
+            harm,
+            start_ms,
+            ready_ms,
+            first_ms: view.first_ms(part).max(start_ms + own),
+            end_ms: self.booked[at].start_ms,
+            cost_ms: 0.0,
+        };
+        if row.first_ms > row.end_ms {
+            // Behind what is booked there; whoever writes there by now will have ended.
+            let start_ms = self.booked[at].first_ms.max(row.start_ms);
+            row = ReadingRow { start_ms, ready_ms: start_ms, ..row };
+            row.first_ms = start_ms + own;
+            row.end_ms = f64::INFINITY;
+        }
+        let steps = if view.answering > 0 { view.steps_ms * view.pace } else { 0.0 };
+        let passes = row.start_ms.max(view.wait_ms * view.pace) + steps;
+        row.cost_ms = passes + view.tight as f64 * TIGHT_COST_MS + row.harm * self.ms_per_worth;
+        row
+    }
+
+    /// Notes a reading as booked: what is asked for next comes behind it, or ends before it.
+    pub(crate) fn book(&mut self, booking: &ReadBooking) {
+        for at in &booking.engines {
+            let booked = &mut self.booked[*at];
+            booked.start_ms = booked.start_ms.min(booking.start_ms);
+            booked.first_ms = booked.first_ms.max(booking.first_ms);
+        }
+    }
+
+    /// The place of a reading that starts now; `None` where no engine has the room to answer.
+    pub(crate) fn grant(
+        &mut self,
+        job: &waiting_job::WaitingJob,
+        booking: &ReadBooking,
+        waited_ms: f64,
+        forced: bool,
+    ) -> Option<engine_place::PlaceGrant> {
+        let ask = &job.ask;
+        let capacity = (self.shape.memory.0 as f64 * place_table::MEMORY_PART) as u64;
+        let alone = (ask.prompt + ask.output) as f64 <= capacity as f64 * ALONE_PART;
+        let at = self.pick_host(ask, booking, alone, forced)?;
+        let held = if alone { Vec::new() } else { self.hold(ask, at, booking, capacity)? };
+        let set_aside: u64 = held.iter().map(|part| part.tokens).sum();
+        let host = &mut self.views[at];
+        host.answering += 1;
+        host.free = host.free.saturating_sub((ask.prompt + ask.output).saturating_sub(set_aside));
+        let engine = host.name.clone();
+        let others = booking.engines.iter().filter(|other| **other != at);
+        Some(engine_place::PlaceGrant {
+            job: ask.job,
+            engine,
+            helpers: others.map(|other| self.views[*other].name.clone()).collect(),
+            held,
+            first_token_ms: booking.first_ms as u32,
+            waited_ms: waited_ms as u32,
+        })
+    }
+
+    /// Of the engines that read a prompt, the one that answers.
+    fn pick_host(
+        &self,
+        ask: &engine_place::PlaceAsk,
+        booking: &ReadBooking,
+        alone: bool,
+        forced: bool,
+    ) -> Option<usize> {
+        let need = ask.prompt + ask.output;
+        // Answers of long prompts are written side by side, so that few engines interrupt their
+        // reading for steps.
+        let cost = |at: usize| {
+            let view = &self.views[at];
+            let fresh = if view.answering == 0 { FRESH_HOST } else { 0.0 };
+            view.tight as f64 + fresh + view.unread_ms / HOST_PENDING_MS
+        };
+        let engines = || booking.engines.iter().copied();
+        let free = engines()
+            .filter(|at| self.views[*at].answering < self.shape.slots)
+            .filter(|at| !alone || self.views[*at].free >= need)
+            .min_by(|left, right| cost(*left).total_cmp(&cost(*right)));
+        // Without a free slot anywhere the engine's own queue takes it.
+        let queued = || engines().min_by_key(|at| self.views[*at].answering);
+        free.or_else(|| if forced && alone { queued() } else { None })
+    }
+
+    /// Memory on other engines for what the answering one has no room for.
+    fn hold(
+        &self,
+        ask: &engine_place::PlaceAsk,
+        host: usize,
+        booking: &ReadBooking,
+        capacity: u64,
+    ) -> Option<Vec<engine_place::HeldPart>> {
+        let own = self.views[host].free.min((capacity as f64 * ALONE_PART) as u64);
+        let mut left = (ask.prompt + ask.output).saturating_sub(own);
+        let others = booking.engines.iter().filter(|at| **at != host);
+        let mut others: Vec<_> = others.map(|at| &self.views[*at]).collect();
+        others.sort_by_key(|view| std::cmp::Reverse(view.free));
+        let mut held = Vec::new();
+        for view in others {
+            if left == 0 {
+                break;
+            }
+            let tokens = left.min((view.free as f64 * HELD_PART) as u64).max(MIN_HELD_TOKENS);
+            if view.free < tokens {
+                continue;
+            }
+            held.push(engine_place::HeldPart { engine: view.name.clone(), tokens });
+            left = left.saturating_sub(tokens);
+        }
+        (left == 0).then_some(held)
+    }
+}
--- /dev/null
+++ b/crates/core/src/planner/waiting_job.rs
@@ -0,0 +1,60 @@
+//! A request that waits for a place, and what is left of its times.
+
+use crate::{engine_place, units};
+
+/// Part of the time left until a first token is late that a plan may use.
+const GOAL_PART: f64 = 0.93;
+/// Time on the way to an engine and back, and until the planner looks again, milliseconds.
+const WAY_MS: f64 = 40.0;
+/// Part of a caller's patience that a plan may use; behind it the caller has left.
+const PATIENCE_PART: f64 = 0.9;
+/// Part of its worth that a request keeps that comes late.
+pub(crate) const LATE_PART: f64 = 0.25;
+
+/// A request without a place.
+#[derive(Debug, Clone)]
+pub(crate) struct WaitingJob {
+    pub(crate) ask: engine_place::PlaceAsk,
+    pub(crate) since: units::MonoTime,
+    /// Whether it is planned to come late, behind all that can be in time.
+    pub(crate) late: bool,
+    /// Whether it was late once and not refused.
+    pub(crate) kept: bool,
+}
+
+impl WaitingJob {
+    /// A request that has just asked.
+    pub(crate) fn new(ask: engine_place::PlaceAsk, since: units::MonoTime) -> Self {
+        let late = ask.goal_left_ms == 0;
+        Self { ask, since, late, kept: false }
+    }
+
+    pub(crate) fn waited_ms(&self, now: units::MonoTime) -> f64 {
+        now.since(self.since).as_secs_f64() * 1_000.0
+    }
+
+    pub(crate) fn goal_left(&self, now: units::MonoTime) -> f64 {
+        f64::from(self.ask.goal_left_ms) - self.waited_ms(now)
+    }
+
+    /// Time within which its first token must be planned, milliseconds: for its goal, or before its
+    /// caller leaves where it comes late.
+    pub(crate) fn due_ms(&self, now: units::MonoTime) -> f64 {
+        if self.late {
+            let left = f64::from(self.ask.patience_ms) - self.waited_ms(now);
+            return left * PATIENCE_PART;
+        }
+        self.goal_left(now) * GOAL_PART - WAY_MS
+    }
+
+    /// What its answer is worth by now.
+    pub(crate) fn value(&self) -> f64 {
+        f64::from(self.ask.worth) * if self.late { LATE_PART } else { 1.0 }
+    }
+
+    /// What is lost where that time is missed.
+    pub(crate) fn stake(&self) -> f64 {
+        let part = if self.late { LATE_PART } else { 1.0 - LATE_PART };
+        f64::from(self.ask.worth) * part
+    }
+}
--- a/crates/instance/src/context.rs
+++ b/crates/instance/src/context.rs
@@ -4,7 +4,7 @@
 
 use futures::{channel::mpsc, channel::oneshot, future};
 use slipturn_core::{
-    engine_place, fleet_budget, ids, member_beat, membership, planner_key, read_planner, units,
+    engine_place, fleet_budget, ids, member_beat, membership, planner, planner_key, units,
 };
 use slipturn_net::process;
 
@@ -105,9 +105,9 @@
         use futures::FutureExt as _;
         let seeds = parts.settings.member_seeds();
         let own = parts.settings.name.clone();
-        let options = read_planner::PlannerOptions {
+        let options = planner::PlannerOptions {
             routing: parts.settings.routing,
-            ..read_planner::PlannerOptions::default()
+            ..planner::PlannerOptions::default()
         };
         let members = membership::MemberView::new(own.clone(), seeds);
         Self {
--- a/crates/instance/src/planner_set.rs
+++ b/crates/instance/src/planner_set.rs
@@ -2,7 +2,7 @@
 
 use std::{collections, time};
 
-use slipturn_core::{engine_place, ids, planner_key, read_planner, rendezvous, route_table, units};
+use slipturn_core::{engine_place, ids, planner, planner_key, rendezvous, route_table, units};
 
 use crate::fleet_state;
 
@@ -23,8 +23,8 @@
 pub struct PlannerSet {
     /// The instance that they run on.
     own: ids::InstanceId,
-    options: read_planner::PlannerOptions,
-    planners: collections::BTreeMap<planner_key::PlannerKey, read_planner::ReadPlanner>,
+    options: planner::PlannerOptions,
+    planners: collections::BTreeMap<planner_key::PlannerKey, planner::ReadPlanner>,
     /// Who waits for an answer.
     origins: collections::HashMap<engine_place::JobId, AskOrigin>,
     /// Changes of the list and version of the routes that the planners know.
@@ -35,7 +35,7 @@
 
 impl PlannerSet {
     /// No planners yet.
-    pub fn new(own: ids::InstanceId, options: read_planner::PlannerOptions) -> Self {
+    pub fn new(own: ids::InstanceId, options: planner::PlannerOptions) -> Self {
         Self {
             own,
             options,
@@ -82,17 +82,14 @@
             let planner = self
                 .planners
                 .entry(key)
-                .or_insert_with(|| read_planner::ReadPlanner::new(shape.clone(), self.options));
+                .or_insert_with(|| planner::ReadPlanner::new(shape.clone(), self.options));
             planner.set_shape(shape.clone());
             planner.set_engines(now, &engines);
         }
     }
 
     /// One planner; `None` where there are no such engines.
-    pub fn planner(
-        &mut self,
-        key: &planner_key::PlannerKey,
-    ) -> Option<&mut read_planner::ReadPlanner> {
+    pub fn planner(&mut self, key: &planner_key::PlannerKey) -> Option<&mut planner::ReadPlanner> {
         self.planners.get_mut(key)
     }
 
@@ -132,7 +129,7 @@
     /// Engines that were silent for a request since the last call.
     pub fn take_suspects(&mut self) -> Vec<ids::UpstreamId> {
         let planners = self.planners.values_mut();
-        planners.flat_map(read_planner::ReadPlanner::take_suspects).collect()
+        planners.flat_map(planner::ReadPlanner::take_suspects).collect()
     }
 
     /// Leaves an engine alone for a while, in whichever planner it is.
@@ -160,7 +157,7 @@
 
     /// Requests that wait in all planners.
     pub fn waiting(&self) -> usize {
-        self.planners.values().map(read_planner::ReadPlanner::waiting_count).sum()
+        self.planners.values().map(planner::ReadPlanner::waiting_count).sum()
     }
 
     /// Planners that were asked within the last seconds.
