What comes late is kept only where others leave room for it, and what its caller waited for counts

Ruled out: the order of booking (three orders measured alike). Change: the engine time that long prompts asked for in the last seconds is the load of reading; a prompt that is about to come late is expected later by what others take meanwhile, and refused at once where that is beyond its caller's patience, unless it is nearly alone. Time waited in vain and a second refusal count in what is at stake for a late one.

--- a/crates/core/src/planner/admission.rs
+++ b/crates/core/src/planner/admission.rs
@@ -5,12 +5,12 @@
 
 use crate::{
     engine_place, pass_model,
-    planner::{engine_view, place_table, price, timetable, waiting_job},
+    planner::{place_table, price, timetable, waiting_job},
     units,
 };
 
 /// Part of what is at stake for a long prompt that its reading may cost others.
-const HARM_PART: f64 = 0.25;
+const HARM_PART: f64 = 0.12;
 /// Shortest and latest time after which a refused prompt is asked back, milliseconds; callers obey
 /// up to a third of their time.
 const BACK_AFTER_MS: (f64, f64) = (300.0, 5_000.0);
@@ -47,11 +47,15 @@
         jobs: &mut [&mut waiting_job::WaitingJob],
     ) -> Vec<engine_place::PlaceAnswer> {
         let views = self.table.views(self.now, self.packed_writers);
-        let load = self.load(&views);
+        let free = views.iter().filter(|view| !view.packed && !view.shunned).count();
         let mut answers = Vec::new();
-        let mut order: Vec<_> = (0..jobs.len()).collect();
         // Engines may be free sooner than they were expected to be.
         jobs.iter_mut().for_each(|job| job.late = job.goal_left(self.now) <= 0.0);
+        let earned = |at: &usize| {
+            // Short requests take the engines of what earns less; nobody can tell for how long.
+            self.price.is_earned(self.now, &self.table.shape, jobs[*at])
+        };
+        let mut order: Vec<_> = (0..jobs.len()).filter(earned).collect();
         loop {
             order.sort_by(|left, right| {
                 jobs[*left].due_ms(self.now).total_cmp(&jobs[*right].due_ms(self.now))
@@ -74,6 +78,7 @@
             job.late = true;
             // What comes late waits for others that arrive meanwhile, too; once it is kept, it stays
             // as long as it can.
+            let load = self.price.load(self.now, free, &self.table.shape, &job.ask);
             let others = if job.kept { 1.0 } else { 1.0 / (1.0 - load) };
             let expected_ms = given.expected_ms * others;
             job.kept = true;
@@ -85,12 +90,6 @@
         }
     }
 
-    /// Part of the time of engines free of short requests that reading in time takes.
-    fn load(&self, views: &[engine_view::EngineView<'_>]) -> f64 {
-        let free = views.iter().filter(|view| !view.packed && !view.shunned).count();
-        self.price.load(self.now, free)
-    }
-
     fn book_all(
         &self,
         timetable: &mut timetable::ReadTimetable<'_>,
@@ -137,7 +136,7 @@
         }
         let due = job.due_ms(self.now);
         let calm = timetable.soonest(&job.ask, 0.0);
-        let harmful = timetable.soonest(&job.ask, job.stake() * HARM_PART);
+        let harmful = timetable.soonest(&job.ask, job.stake(self.now) * HARM_PART);
         let in_time = [&calm, &harmful].into_iter().flatten().filter(|row| row.first_ms <= due);
         let best = in_time.min_by(|left, right| left.cost_ms.total_cmp(&right.cost_ms));
         if let Some(booking) = best.cloned().or(calm) {
@@ -149,12 +148,13 @@
     /// Of prompts that cannot all be in time, the one whose engine time earns least; the last of
     /// `booked` is the one that missed.
     fn give_way(&self, jobs: &[&mut waiting_job::WaitingJob], mut booked: Vec<GivenUp>) -> GivenUp {
-        let missed = jobs[booked[booked.len() - 1].at].stake();
+        let missed = jobs[booked[booked.len() - 1].at].stake(self.now);
         let density = |row: &GivenUp| {
             let job = &jobs[row.at];
-            job.stake() / pass_model::read_ms(&self.table.shape, job.ask.prompt)
+            job.stake(self.now) / pass_model::read_ms(&self.table.shape, job.ask.prompt)
         };
-        let able = |row: &GivenUp| !jobs[row.at].ask.resumed && jobs[row.at].stake() <= missed;
+        let able =
+            |row: &GivenUp| !jobs[row.at].ask.resumed && jobs[row.at].stake(self.now) <= missed;
         let worst = (0..booked.len())
             .filter(|at| able(&booked[*at]))
             .min_by(|left, right| density(&booked[*left]).total_cmp(&density(&booked[*right])));
--- a/crates/core/src/planner/mod.rs
+++ b/crates/core/src/planner/mod.rs
@@ -121,6 +121,7 @@
             }
             return answer;
         }
+        self.price.note_demand(now, &self.table.shape, &job.ask);
         self.waiting.push(job);
         let (own, others) = self.plan_long(now).into_iter().partition(|answer| answer.job() == id);
         self.settled.extend::<Vec<_>>(others);
@@ -290,9 +291,7 @@
 
     /// Books all long prompts that wait; the answers of those that begin or are refused.
     fn plan_long(&mut self, now: units::MonoTime) -> Vec<engine_place::PlaceAnswer> {
-        let shape = &self.table.shape;
         let longs = self.waiting.iter_mut().filter(|job| !job.ask.tight());
-        let longs = longs.filter(|job| self.price.is_earned(now, shape, job));
         let mut jobs: Vec<_> = longs.collect();
         if jobs.is_empty() {
             return Vec::new();
@@ -310,7 +309,7 @@
             let at = self.waiting.iter().position(|waiting| waiting.ask.job == job);
             let waiting = at.map(|at| self.waiting.swap_remove(at));
             if let (Some(waiting), engine_place::PlaceAnswer::Grant(grant)) = (waiting, answer) {
-                self.price.note_reading(now, &self.table.shape, &waiting);
+                self.price.note_reading(&self.table.shape, &waiting.ask);
                 self.table.take(now, &waiting.ask, grant.clone());
             }
         }
--- a/crates/core/src/planner/price.rs
+++ b/crates/core/src/planner/price.rs
@@ -2,7 +2,7 @@
 
 use std::time;
 
-use crate::{pass_model, planner::waiting_job, route_table, units};
+use crate::{engine_place, pass_model, planner::waiting_job, route_table, units};
 
 /// Time after a short request found no calm place during which others are taken to find none.
 const PRESSED_TIME: time::Duration = time::Duration::from_millis(700);
@@ -15,6 +15,8 @@
 const LOAD_TIME: time::Duration = time::Duration::from_secs(3);
 /// Largest load that is believed: something is always left over.
 const MAX_LOAD: f64 = 0.95;
+/// Load of others below which a prompt takes nobody's time.
+const ALONE_LOAD: f64 = 0.1;
 /// Weight of the newest prompt in the mean.
 const READING_WEIGHT: f64 = 0.05;
 
@@ -26,10 +28,10 @@
     /// Engine time that earned as much as one short request with the long prompts that were read
     /// lately, milliseconds.
     ms_per_worth: f64,
-    /// Engine time that was taken for reading in time, decaying over [`LOAD_TIME`], milliseconds; as
-    /// of the time beside.
-    reading_ms: f64,
-    reading_since: units::MonoTime,
+    /// Engine time that long prompts asked for, decaying over [`LOAD_TIME`], milliseconds; as of the
+    /// time beside.
+    demand_ms: f64,
+    demand_since: units::MonoTime,
 }
 
 impl Default for EnginePrice {
@@ -37,8 +39,8 @@
         Self {
             pressed_until: units::MonoTime::default(),
             ms_per_worth: FIRST_MS_PER_WORTH,
-            reading_ms: 0.0,
-            reading_since: units::MonoTime::default(),
+            demand_ms: 0.0,
+            demand_since: units::MonoTime::default(),
         }
     }
 }
@@ -47,28 +49,45 @@
     /// Notes that a long prompt gets engine time.
     pub(crate) fn note_reading(
         &mut self,
-        now: units::MonoTime,
         shape: &route_table::EngineShape,
-        job: &waiting_job::WaitingJob,
+        ask: &engine_place::PlaceAsk,
     ) {
-        let reading = pass_model::read_ms(shape, job.ask.prompt);
-        if !job.late {
-            self.reading_ms = self.reading_ms(now) + reading;
-            self.reading_since = now;
-        }
-        let each = reading / f64::from(job.ask.worth);
+        let each = pass_model::read_ms(shape, ask.prompt) / f64::from(ask.worth);
         self.ms_per_worth += (each - self.ms_per_worth) * READING_WEIGHT;
     }
 
-    /// Part of so many engines' time that reading in time has taken lately.
-    pub(crate) fn load(&self, now: units::MonoTime, engines: usize) -> f64 {
+    /// Notes that a long prompt asks for engine time.
+    pub(crate) fn note_demand(
+        &mut self,
+        now: units::MonoTime,
+        shape: &route_table::EngineShape,
+        ask: &engine_place::PlaceAsk,
+    ) {
+        self.demand_ms = self.demand_ms(now) + pass_model::read_ms(shape, ask.prompt);
+        self.demand_since = now;
+    }
+
+    /// Part of so many engines' time that long prompts have asked for lately; nothing where this one
+    /// was nearly alone.
+    pub(crate) fn load(
+        &self,
+        now: units::MonoTime,
+        engines: usize,
+        shape: &route_table::EngineShape,
+        ask: &engine_place::PlaceAsk,
+    ) -> f64 {
         let whole = LOAD_TIME.as_secs_f64() * 1_000.0 * engines.max(1) as f64;
-        (self.reading_ms(now) / whole).min(MAX_LOAD)
+        let demand = self.demand_ms(now);
+        let others = demand - pass_model::read_ms(shape, ask.prompt);
+        if others < whole * ALONE_LOAD {
+            return 0.0;
+        }
+        (demand / whole).min(MAX_LOAD)
     }
 
-    fn reading_ms(&self, now: units::MonoTime) -> f64 {
-        let spent = now.since(self.reading_since).as_secs_f64();
-        self.reading_ms * (-spent / LOAD_TIME.as_secs_f64()).exp()
+    fn demand_ms(&self, now: units::MonoTime) -> f64 {
+        let spent = now.since(self.demand_since).as_secs_f64();
+        self.demand_ms * (-spent / LOAD_TIME.as_secs_f64()).exp()
     }
 
     /// Engine time that earns as much as one short request, milliseconds.
