Others are harmed only where nothing else is in time, and then for up to half of the stake

Cause: a prompt of 335,000 tokens waited 1.3 s beside a dozen engines with one or two stragglers each, until it was late: an eighth of what is at stake did not pay for them; and where a calm place was in time too, others were harmed for a few milliseconds. Ruled out: too few engines (read 5 to 9 of 18 in those seconds, refused 28). Change: a calm reading that is in time is taken as it is; else others may lose up to half of the stake, an eighth for a late one.

--- a/crates/core/src/planner/admission.rs
+++ b/crates/core/src/planner/admission.rs
@@ -10,7 +10,9 @@
 };
 
 /// Part of what is at stake for a long prompt that its reading may cost others.
-const HARM_PART: f64 = 0.12;
+const HARM_PART: f64 = 0.5;
+/// The same for one that comes late: its caller waits anyway.
+const LATE_HARM_PART: f64 = 0.12;
 /// Shortest and latest time after which a refused prompt is asked back, milliseconds; callers obey
 /// up to a third of their time.
 const BACK_AFTER_MS: (f64, f64) = (300.0, 5_000.0);
@@ -135,11 +137,14 @@
             return forced().map(|booking| PossibleRead { booking, allowed: true });
         }
         let due = job.due_ms(self.now);
+        let in_time = |read: &timetable::ReadBooking| read.first_ms <= due;
         let calm = timetable.soonest(&job.ask, 0.0);
-        let harmful = timetable.soonest(&job.ask, job.stake(self.now) * HARM_PART);
-        let in_time = [&calm, &harmful].into_iter().flatten().filter(|row| row.first_ms <= due);
-        let best = in_time.min_by(|left, right| left.cost_ms.total_cmp(&right.cost_ms));
-        if let Some(booking) = best.cloned().or(calm) {
+        if calm.as_ref().is_some_and(in_time) {
+            return calm.map(|booking| PossibleRead { booking, allowed: true });
+        }
+        let part = if job.late { LATE_HARM_PART } else { HARM_PART };
+        let harmful = timetable.soonest(&job.ask, job.stake(self.now) * part);
+        if let Some(booking) = harmful.filter(in_time).or(calm) {
             return Some(PossibleRead { booking, allowed: true });
         }
         forced().map(|booking| PossibleRead { booking, allowed: false })
