An engine that refused to help is left alone until the list may say that it leaves; patience ends with the route's time

A returned prompt was planned for a patience of 12 s with 9 s left. Change: 2.5 s without new work for an engine named as the cause of another's refusal; patience is no longer than the route's. Test: an_engine_that_refused_to_help_gets_no_more_parts..., red with 0.6 s.

--- a/crates/core/src/planner/engine_work.rs
+++ b/crates/core/src/planner/engine_work.rs
@@ -8,6 +8,9 @@
 const SHUN_TIME: time::Duration = time::Duration::from_millis(600);
 /// Longest time an engine is left alone.
 const MAX_SHUN_TIME: time::Duration = time::Duration::from_secs(5);
+/// Time an engine is left alone that refused to read a part for another one: about the time until the
+/// list says that it leaves. With 0.6 s a prompt met two such engines in a row and was refused.
+const HELPER_SHUN_TIME: time::Duration = time::Duration::from_millis(2_500);
 /// Paces that are believed; a report beyond them is a fault.
 const PACES: (f64, f64) = (0.5, 20.0);
 /// Requests that come and go while a report is on its way; a difference up to this says nothing.
@@ -159,6 +162,12 @@
         self.shunned_until = now + time.min(MAX_SHUN_TIME);
     }
 
+    /// Leaves it alone after it refused to read a part for another engine: mostly it is leaving, which
+    /// its own answers do not show.
+    pub(crate) fn shun_helper(&mut self, now: units::MonoTime) {
+        self.shunned_until = self.shunned_until.max(now + HELPER_SHUN_TIME);
+    }
+
     /// Takes over what it says of itself.
     pub(crate) fn report(&mut self, pace: f64, requests: usize) {
         self.pace = pace.clamp(PACES.0, PACES.1);
--- a/crates/core/src/planner/mod.rs
+++ b/crates/core/src/planner/mod.rs
@@ -147,7 +147,7 @@
         match note {
             engine_place::PlaceNote::FirstToken(job) => self.first_token(now, *job),
             engine_place::PlaceNote::Ended(job, end) => self.end(now, *job, *end),
-            engine_place::PlaceNote::Shun(engine) => self.shun(now, engine),
+            engine_place::PlaceNote::Shun(engine) => self.table.shun_helper(now, engine),
         }
     }
 
--- a/crates/core/src/planner/place_table.rs
+++ b/crates/core/src/planner/place_table.rs
@@ -235,6 +235,13 @@
         }
     }
 
+    /// Leaves an engine alone that refused to read a part for another one.
+    pub(crate) fn shun_helper(&mut self, now: units::MonoTime, name: &ids::UpstreamId) {
+        if let Some(engine) = self.engines.get_mut(name) {
+            engine.shun_helper(now);
+        }
+    }
+
     /// Engines that were silent since the last call.
     pub(crate) fn take_suspects(&mut self) -> Vec<ids::UpstreamId> {
         std::mem::take(&mut self.suspects).into_iter().collect()
--- a/crates/core/tests/planner.rs
+++ b/crates/core/tests/planner.rs
@@ -4,7 +4,7 @@
 
 use proptest::prelude::*;
 use slipturn_core::{
-    engine_place::{JobId, PlaceAnswer, PlaceAsk, PlaceEnd, PlaceGrant, PlaceLease},
+    engine_place::{JobId, PlaceAnswer, PlaceAsk, PlaceEnd, PlaceGrant, PlaceLease, PlaceNote},
     ids, pass_model,
     planner::{PlannerOptions, ReadPlanner},
     route_table,
@@ -328,6 +328,17 @@
     assert!(planner.take_suspects().is_empty());
 }
 
+#[test]
+fn an_engine_that_refused_to_help_gets_no_more_parts_until_the_list_may_say_why() {
+    let mut planner = planner(3);
+    planner.note(at(0), &PlaceNote::Shun(engine(1)));
+    let grant = place(&mut planner, 2_000, long(1, 154_000));
+    assert!(grant.engine != engine(1) && !grant.helpers.contains(&engine(1)), "{grant:?}");
+    planner.end(at(2_001), grant.job, PlaceEnd::Done);
+    let grant = place(&mut planner, 2_600, long(2, 154_000));
+    assert_eq!(grant.helpers.len(), 2, "all three read: {grant:?}");
+}
+
 #[test]
 fn an_excluded_engine_is_not_used_and_a_failed_one_is_better_than_none() {
     let mut planner = planner(2);
--- a/crates/instance/src/stream_policy.rs
+++ b/crates/instance/src/stream_policy.rs
@@ -72,7 +72,7 @@
         pause_ms: millis(call.route.pause_goal),
         goal_ms: millis(call.route.first_token_goal),
         goal_left_ms: millis(goal_left),
-        patience_ms: millis(patience(call).saturating_sub(spent)),
+        patience_ms: millis(patience(call).saturating_sub(spent).min(call.left(context.now()))),
         tight: is_short(context, call),
         worth: worth(context, call),
         refusable: !progress.sent && !came_back(call),
