--- a/crates/core/src/planner/admission.rs
+++ b/crates/core/src/planner/admission.rs
@@ -153,15 +153,12 @@
     /// Of prompts that cannot all be in time, the one whose engine time earns least; the last of
     /// `booked` is the one that missed.
     fn give_way(&self, jobs: &[&mut waiting_job::WaitingJob], mut booked: Vec<GivenUp>) -> GivenUp {
-        let missed = jobs[booked[booked.len() - 1].at].stake(self.now);
         let density = |row: &GivenUp| {
             let job = &jobs[row.at];
             job.stake(self.now) / pass_model::read_ms(&self.table.shape, job.ask.prompt)
         };
-        let able =
-            |row: &GivenUp| !jobs[row.at].ask.resumed && jobs[row.at].stake(self.now) <= missed;
         let worst = (0..booked.len())
-            .filter(|at| able(&booked[*at]))
+            .filter(|at| !jobs[booked[*at].at].ask.resumed)
             .min_by(|left, right| density(&booked[*left]).total_cmp(&density(&booked[*right])));
         booked.swap_remove(worst.unwrap_or(booked.len() - 1))
     }
