--- a/crates/core/src/planner/mod.rs
+++ b/crates/core/src/planner/mod.rs
@@ -32,13 +32,13 @@
 /// member.
 const MIN_BACK_AFTER_MS: f64 = 300.0;
 
-/// How the planner weighs its choices; the figures come from runs of `slipturn-compare` and of
-/// the users' bench, see `docs/design/platform.md`.
+/// How the planner weighs its choices.
 #[derive(Debug, Clone, Copy)]
 pub struct PlannerOptions {
     /// How engines are chosen; all but slipturn's own are there to compare with.
     pub routing: settings::RoutingKind,
-    /// Writers with tight pauses that an engine is filled up to before the next one is used.
+    /// Writers with tight pauses that an engine is filled up to before the next one is used; two of 16
+    /// slots stay for bursts.
     pub packed_writers: usize,
 }
 
--- a/crates/core/src/planner/timetable.rs
+++ b/crates/core/src/planner/timetable.rs
@@ -18,8 +18,7 @@
 /// prompts were cut finer and worth was 0.689 in place of 0.694 (mean of 30 days with trouble).
 const PART_COST_MS: f64 = 60.0;
 /// Reading that may still wait on an engine when a part is sent there, milliseconds: about the time
-/// that the request takes to get there. Parts read for others go before an engine's own, so much
-/// more on top could keep the first one waiting without end.
+/// that the request takes to get there. Engines with a long part are out until it is known to be read.
 const MAX_STACKED_MS: f64 = 40.0;
 /// Parts up to this length may be read before a short prompt that waits on the same engine.
 const SHORT_PART_MS: f64 = 60.0;
@@ -124,6 +123,19 @@
             .min_by(|left, right| left.cost_ms.total_cmp(&right.cost_ms))
     }
 
+    /// Whether all engines together could hold a prompt and its answer.
+    pub(crate) fn can_hold(&self, ask: &engine_place::PlaceAsk) -> bool {
+        let engines =
+            engine_view::usable(&self.views, ask).len().min(engine_place::MAX_HELPERS + 1);
+        let others = engines.saturating_sub(1) as f64 * HELD_PART;
+        (ask.prompt + ask.output) as f64 <= self.capacity() * (ALONE_PART + others)
+    }
+
+    /// Tokens of one engine's memory that are given away.
+    fn capacity(&self) -> f64 {
+        self.shape.memory.0 as f64 * place_table::MEMORY_PART
+    }
+
     /// The best reading in so many parts.
     fn in_parts(
         &self,
@@ -216,7 +228,7 @@
         forced: bool,
     ) -> Option<engine_place::PlaceGrant> {
         let ask = &job.ask;
-        let capacity = (self.shape.memory.0 as f64 * place_table::MEMORY_PART) as u64;
+        let capacity = self.capacity() as u64;
         let alone = (ask.prompt + ask.output) as f64 <= capacity as f64 * ALONE_PART;
         let at = self.pick_host(ask, booking, alone, forced)?;
         let held = if alone { Vec::new() } else { self.hold(ask, at, booking, capacity)? };
--- a/crates/core/tests/planner.rs
+++ b/crates/core/tests/planner.rs
@@ -251,6 +251,15 @@
     }
 }
 
+#[test]
+fn a_prompt_larger_than_all_engines_is_refused_in_the_same_turn() {
+    let mut planner = planner(2);
+    let ask = PlaceAsk { patience_ms: 600_000, goal_left_ms: 500_000, ..long(1, 900_000) };
+    let answer = planner.ask(at(0), ask);
+    assert!(matches!(answer, Some(PlaceAnswer::Refuse(_))), "{answer:?}");
+    assert_eq!(planner.waiting_count(), 0);
+}
+
 #[test]
 fn a_long_prompt_without_a_chance_is_refused_in_the_same_turn() {
     let mut planner = planner(2);
