--- a/crates/core/src/planner/admission.rs
+++ b/crates/core/src/planner/admission.rs
@@ -48,8 +48,11 @@
         &self,
         jobs: &mut [&mut waiting_job::WaitingJob],
     ) -> Vec<engine_place::PlaceAnswer> {
-        let views = self.table.views(self.now, self.packed_writers);
-        let free = views.iter().filter(|view| !view.packed && !view.shunned).count();
+        let views = self.table.views(self.now);
+        let tight: usize = views.iter().map(|view| view.tight).sum();
+        let usable = views.iter().filter(|view| !view.shunned).count();
+        // Engines that short requests leave to long ones.
+        let free = usable.saturating_sub(tight.div_ceil(self.packed_writers));
         let mut answers = Vec::new();
         // Engines may be free sooner than they were expected to be.
         jobs.iter_mut().for_each(|job| job.late = job.goal_left(self.now) <= 0.0);
--- a/crates/core/src/planner/engine_view.rs
+++ b/crates/core/src/planner/engine_view.rs
@@ -18,17 +18,12 @@
     pub(crate) unread_ms: f64,
     /// Steps of a pass there, milliseconds.
     pub(crate) steps_ms: f64,
-    /// Time until the answers written here are expected to have ended, milliseconds; says nothing
-    /// where the engine is packed.
-    pub(crate) clear_ms: f64,
     /// Smallest pause goal of those that write there; infinite without any.
     pub(crate) pause_ms: f64,
     /// Worth of those that write there.
     pub(crate) worth: f64,
     /// Requests with tight pauses there.
     pub(crate) tight: usize,
-    /// Whether new ones come here, too.
-    pub(crate) packed: bool,
     /// Those of them whose prompt has not been read.
     pub(crate) unread: usize,
     /// Requests that it answers.
--- a/crates/core/src/planner/mod.rs
+++ b/crates/core/src/planner/mod.rs
@@ -236,7 +236,7 @@
         now: units::MonoTime,
         job: &waiting_job::WaitingJob,
     ) -> Option<engine_place::PlaceAnswer> {
-        let views = self.table.views(now, self.options.packed_writers);
+        let views = self.table.views(now);
         if self.options.routing != settings::RoutingKind::ExpectedStart {
             let shape = &self.table.shape;
             let grant = plain_choice::choose(shape, self.options.routing, now, job, &views)?;
--- a/crates/core/src/planner/place_table.rs
+++ b/crates/core/src/planner/place_table.rs
@@ -27,9 +27,6 @@
 const FIRST_ANSWER_MS: f64 = 1_500.0;
 /// Weight of the newest answer in the mean.
 const ANSWER_WEIGHT: f64 = 0.05;
-/// Time that an answer is taken to go on that has lasted longer than most, milliseconds.
-const MIN_WRITING_MS: f64 = 150.0;
-
 /// A request with a place.
 #[derive(Debug, Clone)]
 struct JobState {
@@ -49,9 +46,8 @@
     jobs: collections::HashMap<engine_place::JobId, JobState>,
     /// Engines that were silent; they should be asked for a report.
     suspects: collections::BTreeSet<ids::UpstreamId>,
-    /// Mean time from the first token to the end of an answer, milliseconds, learned: of long
-    /// prompts, and of those with tight pauses.
-    answer_ms: [f64; 2],
+    /// Mean time from the first token to the end of an answer with tight pauses, milliseconds; learned.
+    answer_ms: f64,
 }
 
 impl PlaceTable {
@@ -62,7 +58,7 @@
             engines: collections::BTreeMap::new(),
             jobs: collections::HashMap::new(),
             suspects: collections::BTreeSet::new(),
-            answer_ms: [FIRST_ANSWER_MS; 2],
+            answer_ms: FIRST_ANSWER_MS,
         }
     }
 
@@ -124,23 +120,8 @@
     }
 
     /// All engines as they are now.
-    ///
-    /// Engines are packed that are needed for so many writers with tight pauses on each; from the
-    /// others these go away as their answers end.
-    pub(crate) fn views(
-        &self,
-        now: units::MonoTime,
-        packed_writers: usize,
-    ) -> Vec<engine_view::EngineView<'_>> {
-        let mut views: Vec<_> =
-            self.engines.iter().map(|(name, engine)| self.view(now, name, engine)).collect();
-        let tight: usize = views.iter().map(|view| view.tight).sum();
-        let mut order: Vec<_> = (0..views.len()).filter(|at| views[*at].tight > 0).collect();
-        order.sort_by_key(|at| (std::cmp::Reverse(views[*at].tight), views[*at].rank));
-        for at in order.into_iter().take(tight.div_ceil(packed_writers)) {
-            views[at].packed = true;
-        }
-        views
+    pub(crate) fn views(&self, now: units::MonoTime) -> Vec<engine_view::EngineView<'_>> {
+        self.engines.iter().map(|(name, engine)| self.view(now, name, engine)).collect()
     }
 
     fn view<'a>(
@@ -152,7 +133,6 @@
         let asks = engine.answering.iter().filter_map(|job| self.jobs.get(job));
         let (mut context, mut pause_ms, mut worth) = (0, f64::INFINITY, 0.0);
         let (mut tight, mut unread) = (0, 0);
-        let mut clear_ms: f64 = 0.0;
         for state in asks {
             let ask = &state.lease.ask;
             context += context_of(&state.lease);
@@ -160,7 +140,6 @@
             worth += f64::from(ask.worth);
             tight += usize::from(ask.tight);
             unread += usize::from(ask.tight && state.lease.reading);
-            clear_ms = clear_ms.max(self.writing_ms(now, state));
         }
         let answering = engine.answering.len() + engine.foreign;
         engine_view::EngineView {
@@ -171,11 +150,9 @@
             pending_ms: engine.pending_ms(),
             unread_ms: engine.unread_ms().max(self.unconfirmed_ms(now, engine)),
             steps_ms: pass_model::steps_ms(&self.shape, answering, context),
-            clear_ms,
             pause_ms,
             worth,
             tight: tight + engine.foreign,
-            packed: false,
             unread,
             answering,
             free: engine.memory.saturating_sub(engine.used),
@@ -214,10 +191,9 @@
             return;
         };
         self.release(&state.lease);
-        if let Some(since) = state.writing_since {
+        if let Some(since) = state.writing_since.filter(|_| state.lease.ask.tight) {
             let lasted = now.since(since).as_secs_f64() * 1_000.0;
-            let mean = &mut self.answer_ms[usize::from(state.lease.ask.tight)];
-            *mean += (lasted - *mean) * ANSWER_WEIGHT;
+            self.answer_ms += (lasted - self.answer_ms) * ANSWER_WEIGHT;
         }
         match end {
             engine_place::PlaceEnd::Failed => self.shun(now, &state.lease.grant.engine),
@@ -254,18 +230,12 @@
         }
     }
 
-    /// Time until an answer is expected to end once its prompt has been read, milliseconds.
-    fn writing_ms(&self, now: units::MonoTime, state: &JobState) -> f64 {
-        let written = state.writing_since.map_or(0.0, |since| now.since(since).as_secs_f64());
-        (self.answer_ms[usize::from(state.lease.ask.tight)] - written * 1_000.0).max(MIN_WRITING_MS)
-    }
-
     /// Mean time until one of those who write with tight pauses has ended, milliseconds; endless
     /// where nobody does.
     pub(crate) fn slot_ms(&self) -> f64 {
         let writing = self.jobs.values().filter(|state| state.lease.ask.tight);
         let writing = writing.filter(|state| state.writing_since.is_some()).count();
-        self.answer_ms[usize::from(true)] / writing as f64
+        self.answer_ms / writing as f64
     }
 
     /// Time until the long prompts that are read here are known to have been read, milliseconds.
--- a/crates/core/src/planner/timetable.rs
+++ b/crates/core/src/planner/timetable.rs
@@ -61,31 +61,18 @@
     at: usize,
     /// Worth that others lose by pauses there.
     harm: f64,
-    /// Time until the engine has read what comes before, milliseconds.
-    ready_ms: f64,
-    /// Time until the part may begin, milliseconds; not before `ready_ms`.
+    /// Time until the part may begin, milliseconds.
     start_ms: f64,
     /// Time until it has been read, milliseconds.
     first_ms: f64,
-    /// Time by which it must have been read, milliseconds.
-    end_ms: f64,
     /// What speaks against the engine, milliseconds of delay.
     cost_ms: f64,
 }
 
-/// When an engine is booked: from its first booking to the end of its last; milliseconds.
-#[derive(Debug, Clone)]
-struct BookedTime {
-    start_ms: f64,
-    first_ms: f64,
-}
-
 /// The engines with what is booked on them.
 pub(crate) struct ReadTimetable<'a> {
     shape: &'a route_table::EngineShape,
     views: Vec<engine_view::EngineView<'a>>,
-    /// One for each view.
-    booked: Vec<BookedTime>,
     /// Prompts that wait for engine time.
     waiting: usize,
     /// Engine time that earns as much as one short request, milliseconds.
@@ -100,12 +87,10 @@
         waiting: usize,
         ms_per_worth: f64,
     ) -> Self {
-        let free = BookedTime { start_ms: f64::INFINITY, first_ms: 0.0 };
-        let booked = vec![free; views.len()];
-        Self { shape, views, booked, waiting, ms_per_worth }
+        Self { shape, views, waiting, ms_per_worth }
     }
 
-    /// The reading of a prompt beside all that is booked that costs least, at most so much worth
+    /// The reading of a prompt behind all that is booked that costs least, at most so much worth
     /// lost by others; `None` where no engine may be used.
     pub(crate) fn soonest(
         &self,
@@ -147,7 +132,7 @@
         let mut rows: Vec<_> = usable
             .iter()
             .filter(|at| part <= SHORT_PART_MS || self.views[**at].unread == 0)
-            .map(|at| self.reading_row(*at, part, max_harm))
+            .map(|at| self.reading_row(*at, part))
             .filter(|row| row.harm <= max_harm)
             .collect();
         if rows.len() < parts {
@@ -167,11 +152,7 @@
             .iter()
             .map(|row| row.first_ms.max(start_ms + self.views[row.at].own_ms(part)))
             .fold(0.0, f64::max);
-        // A gap before a booking is no longer one if the prompt begins later.
-        if rows.iter().any(|row| first_ms > row.end_ms) {
-            return None;
-        }
-        let taken: f64 = rows.iter().map(|row| first_ms - row.ready_ms - part + PART_COST_MS).sum();
+        let taken: f64 = rows.iter().map(|row| first_ms - row.start_ms - part + PART_COST_MS).sum();
         let behind = (1 + self.waiting) as f64 / self.views.len() as f64;
         let cost_ms = first_ms + (taken + harm * self.ms_per_worth) * behind;
         let engines = rows.iter().map(|row| row.at).collect();
@@ -179,43 +160,26 @@
     }
 
     /// A part read on one engine: when it may begin there, and what speaks against it.
-    fn reading_row(&self, at: usize, part: f64, max_harm: f64) -> ReadingRow {
+    fn reading_row(&self, at: usize, part: f64) -> ReadingRow {
         let view = &self.views[at];
         let own = view.own_ms(part);
         let harm = view.harm(part);
-        let ready_ms = view.unread_ms * view.pace;
-        // The answers written there end soon, and the part can wait for that.
-        let waits = harm > 0.0 && !view.packed && (max_harm <= 0.0 || harm > max_harm);
-        let (harm, start_ms) =
-            if waits { (0.0, ready_ms.max(view.clear_ms)) } else { (harm, ready_ms) };
-        let mut row = ReadingRow {
-            at,
-            harm,
-            start_ms,
-            ready_ms,
-            first_ms: view.first_ms(part).max(start_ms + own),
-            end_ms: self.booked[at].start_ms,
-            cost_ms: 0.0,
-        };
-        if row.first_ms > row.end_ms {
-            // Behind what is booked there; whoever writes there by now will have ended.
-            let start_ms = self.booked[at].first_ms.max(row.start_ms);
-            row = ReadingRow { start_ms, ready_ms: start_ms, ..row };
-            row.first_ms = start_ms + own;
-            row.end_ms = f64::INFINITY;
-        }
+        let start_ms = view.unread_ms * view.pace;
+        let first_ms = view.first_ms(part).max(start_ms + own);
         let steps = if view.answering > 0 { view.steps_ms * view.pace } else { 0.0 };
-        let passes = row.start_ms.max(view.wait_ms * view.pace) + steps;
-        row.cost_ms = passes + view.tight as f64 * TIGHT_COST_MS + row.harm * self.ms_per_worth;
-        row
+        let passes = start_ms.max(view.wait_ms * view.pace) + steps;
+        let cost_ms = passes + view.tight as f64 * TIGHT_COST_MS + harm * self.ms_per_worth;
+        ReadingRow { at, harm, start_ms, first_ms, cost_ms }
     }
 
-    /// Notes a reading as booked: what is asked for next comes behind it, or ends before it.
+    /// Notes a reading as booked: what is asked for next comes behind it.
     pub(crate) fn book(&mut self, booking: &ReadBooking) {
         for at in &booking.engines {
-            let booked = &mut self.booked[*at];
-            booked.start_ms = booked.start_ms.min(booking.start_ms);
-            booked.first_ms = booked.first_ms.max(booking.first_ms);
+            let view = &mut self.views[*at];
+            let until = booking.first_ms / view.pace;
+            view.wait_ms = until;
+            view.pending_ms = 0.0;
+            view.unread_ms = until;
         }
     }
 
