A short request is placed or refused at once; time held in vain leaves the stake

Ruled out: silent engines (sent late, not answered late). Change: without a calm place the best engine is taken, unless most slots are taken and it is crowded, or its first token would come after the caller has left: then the refusal goes out in the same turn. The stake is what is lost by lateness alone.

--- a/crates/core/src/planner/admission.rs
+++ b/crates/core/src/planner/admission.rs
@@ -152,7 +152,7 @@
             return calm.map(|booking| PossibleRead { booking, allowed: true });
         }
         let part = if job.late { LATE_HARM_PART } else { HARM_PART };
-        let harmful = timetable.soonest(&job.ask, job.stake(self.now) * part);
+        let harmful = timetable.soonest(&job.ask, job.stake() * part);
         if let Some(booking) = harmful.filter(in_time).or(calm) {
             return Some(PossibleRead { booking, allowed: true });
         }
@@ -164,7 +164,7 @@
     fn give_way(&self, jobs: &[&mut waiting_job::WaitingJob], mut booked: Vec<GivenUp>) -> GivenUp {
         let density = |row: &GivenUp| {
             let job = &jobs[row.at];
-            job.stake(self.now) / pass_model::read_ms(&self.table.shape, job.ask.prompt)
+            job.stake() / pass_model::read_ms(&self.table.shape, job.ask.prompt)
         };
         let worst = (0..booked.len())
             .filter(|at| !jobs[booked[*at].at].ask.resumed)
--- a/crates/core/src/planner/mod.rs
+++ b/crates/core/src/planner/mod.rs
@@ -17,7 +17,7 @@
 
 use std::time;
 
-use crate::{engine_place, ids, pass_model, route_table, settings, units};
+use crate::{engine_place, ids, route_table, settings, units};
 
 /// Longest that a request waits; its member has given up long before.
 const WAIT_TIME: time::Duration = time::Duration::from_secs(30);
@@ -26,11 +26,13 @@
 const FULL_PART: f64 = 0.6;
 /// Requests beyond its slots that an engine may get of those that come back.
 const RETURNED_EXTRA: usize = 2;
-/// Slots that come free for each that one who waits gets: some go to requests that arrive meanwhile.
+/// Slots that come free for each that one who comes back gets: some go to others that arrive meanwhile.
 const SLOT_SHARE: f64 = 2.0;
 /// Shortest time after which a refused short request is asked back, milliseconds; spread by its
 /// member.
 const MIN_BACK_AFTER_MS: f64 = 300.0;
+/// The latest, milliseconds.
+const MAX_BACK_AFTER_MS: f64 = 2_500.0;
 
 /// How the planner weighs its choices.
 #[derive(Debug, Clone, Copy)]
@@ -247,30 +249,15 @@
         if let Some(grant) = choice.choose(now, job, &views, true) {
             return Some(self.take(now, &job.ask, grant));
         }
-        let room_ms = self.room_ms();
-        // One that has come back has lost its goal; it waits as long as its caller does.
-        let due_ms = if job.ask.refusable { job.due_ms(now) } else { job.patience_ms(now) };
-        if !job.ask.resumed && room_ms <= due_ms {
-            return None;
-        }
         let grant = choice.choose(now, job, &views, false);
         if !job.ask.resumed {
             self.price.press(now);
         }
-        let crowded = grant.as_ref().is_none_or(|grant| self.is_crowded(job, grant));
-        if crowded && let Some(refusal) = self.refuse_short(job, room_ms) {
+        let grant = grant?;
+        if let Some(refusal) = self.refuse_short(now, job, &grant) {
             return Some(engine_place::PlaceAnswer::Refuse(refusal));
         }
-        Some(self.take(now, &job.ask, grant?))
-    }
-
-    /// Time until there is room for one more short request behind those that wait, and until its first
-    /// token is out, milliseconds.
-    fn room_ms(&self) -> f64 {
-        let ahead = self.waiting.iter().filter(|job| job.ask.tight).count();
-        let packed = self.options.packed_writers;
-        let pass_ms = pass_model::steps_ms(&self.table.shape, packed, 0);
-        self.table.slot_ms() * (ahead + 1) as f64 * SLOT_SHARE + pass_ms
+        Some(self.take(now, &job.ask, grant))
     }
 
     /// Whether a short request would stand in an engine's queue, or come late.
@@ -280,26 +267,35 @@
             || grant.first_token_ms > job.ask.goal_ms * 2
     }
 
-    /// Refuses a short request that finds no place in time: in an engine's queue it would come
-    /// late and make those behind it late too.
+    /// Refuses a short request whose caller would have left by its first token; and one that finds no
+    /// place in time while most are taken: in an engine's queue it would come late and make those
+    /// behind it late too.
     fn refuse_short(
         &self,
+        now: units::MonoTime,
         job: &waiting_job::WaitingJob,
-        room_ms: f64,
+        grant: &engine_place::PlaceGrant,
     ) -> Option<engine_place::PlaceRefusal> {
         let (running, slots) = (self.table.running(), self.table.slots());
-        if job.ask.resumed || (running as f64) < slots as f64 * FULL_PART {
+        let full = running as f64 >= slots as f64 * FULL_PART;
+        let hopeless = f64::from(grant.first_token_ms) > job.patience_ms(now);
+        if job.ask.resumed || !(hopeless || full && self.is_crowded(job, grant)) {
             return None;
         }
         Some(engine_place::PlaceRefusal {
             job: job.ask.job,
-            back_after_ms: room_ms.max(MIN_BACK_AFTER_MS) as u32,
-            expected_ms: None,
+            back_after_ms: self.room_ms() as u32,
+            expected_ms: hopeless.then_some(grant.first_token_ms),
             running: u32::try_from(running).unwrap_or(u32::MAX),
             slots: u32::try_from(slots).unwrap_or(u32::MAX),
         })
     }
 
+    /// When a refused short request finds room, milliseconds: slots come free as answers end.
+    fn room_ms(&self) -> f64 {
+        (self.table.slot_ms() * SLOT_SHARE).clamp(MIN_BACK_AFTER_MS, MAX_BACK_AFTER_MS)
+    }
+
     /// Books all long prompts that wait; the answers of those that begin or are refused.
     fn plan_long(&mut self, now: units::MonoTime) -> Vec<engine_place::PlaceAnswer> {
         let longs = self.waiting.iter_mut().filter(|job| !job.ask.tight);
--- a/crates/core/src/planner/waiting_job.rs
+++ b/crates/core/src/planner/waiting_job.rs
@@ -11,12 +11,6 @@
 /// Part of its worth that a request keeps that comes late.
 pub(crate) const LATE_PART: f64 = 0.25;
 
-/// Part of its worth that is lost beside where a caller is kept waiting for all its patience and
-/// then not served; less time costs less.
-const HELD_PART: f64 = 1.0;
-/// Part of its worth that is lost beside where a request that came back is refused again.
-const RETURNED_PART: f64 = 0.3;
-
 /// A request without a place.
 #[derive(Debug, Clone)]
 pub(crate) struct WaitingJob {
@@ -59,16 +53,9 @@
         f64::from(self.ask.worth) * if self.late { LATE_PART } else { 1.0 }
     }
 
-    /// What is lost where that time is missed: the difference to a late answer; or that answer and
-    /// the time for which its caller was kept waiting in vain, also before a refusal.
-    pub(crate) fn stake(&self, now: units::MonoTime) -> f64 {
-        let part = if self.late {
-            let waited = self.waited_ms(now) / f64::from(self.ask.patience_ms.max(1));
-            let returned = if self.ask.refusable { 0.0 } else { RETURNED_PART };
-            LATE_PART + waited.min(1.0) * HELD_PART + returned
-        } else {
-            1.0 - LATE_PART
-        };
+    /// What is lost where that time is missed: the difference to a late answer, or that answer.
+    pub(crate) fn stake(&self) -> f64 {
+        let part = if self.late { LATE_PART } else { 1.0 - LATE_PART };
         f64::from(self.ask.worth) * part
     }
 }
