A goal of nothing does not make a worth of nothing

Cause: found by reading: a route whose published goal is zero would have had no worth, by which the price of engine time divides. Change: a class's worth has bounds.

--- a/crates/core/src/class_worth.rs
+++ b/crates/core/src/class_worth.rs
@@ -10,6 +10,8 @@
 
 /// Part of its class's worth that any prompt has, however small; the rest grows with its size.
 const BASE_PART: f64 = 0.3;
+/// Worths of a class that are believed: a goal of nothing is no reason to divide by it.
+const WORTHS: (f64, f64) = (0.1, 1_000.0);
 /// Least weight of the newest prompt in a mean.
 const MEAN_WEIGHT: f64 = 0.02;
 /// Classes that are remembered; routes come and go.
@@ -68,6 +70,7 @@
         let urgent = self.urgent.get(ask.service).map(|urgent| urgent.tokens.max(1.0));
         let goals = ask.goal.as_secs_f64() / ask.shortest_goal.as_secs_f64().max(f64::EPSILON);
         let sizes = urgent.map_or(goals, |urgent| mean / urgent);
-        (goals * sizes).sqrt() * (BASE_PART + (1.0 - BASE_PART) * prompt / mean)
+        let class = (goals * sizes).sqrt().clamp(WORTHS.0, WORTHS.1);
+        class * (BASE_PART + (1.0 - BASE_PART) * prompt / mean)
     }
 }
--- a/crates/core/tests/class_worth.rs
+++ b/crates/core/tests/class_worth.rs
@@ -53,3 +53,12 @@
         assert!(worth(&mut classes, &format!("class-{number}"), 1_000, 300, 300) > 0.0);
     }
 }
+
+#[test]
+fn goals_of_nothing_give_a_worth_that_can_be_reckoned_with() {
+    let mut classes = ClassWorth::default();
+    for (goal, shortest) in [(0, 0), (3_000, 0), (0, 300)] {
+        let worth = worth(&mut classes, "class", 0, goal, shortest);
+        assert!(worth > 0.0 && worth.is_finite(), "{goal} {shortest}: {worth}");
+    }
+}
