Clean-up: one refusal for short and long requests, lateness worked out in one place

The refusal with its count of taken places stood twice (admission, planner): it is one method of the place table. A prompt too large for all engines was booked before it was refused; the check goes first. Whether a waiting job is late was also set when it asked, and overwritten by each plan; it is worked out there alone. Looked at and left: the planner's constants and views, alike in shape only; planner_cost's engine figures and the tests' (a measurement and a test, each with its own). Seen and not changed here, as it would change decisions: a prompt counts in its class's mean once an attempt, not once a request.

--- a/crates/core/src/planner/admission.rs
+++ b/crates/core/src/planner/admission.rs
@@ -108,18 +108,16 @@
             let Some(PossibleRead { booking, allowed }) = self.best_read(timetable, job) else {
                 continue;
             };
-            let too_large = !timetable.can_hold(&job.ask);
-            let late = booking.first_ms > job.due_ms(self.now);
-            let missed = (late || too_large) && !job.ask.resumed;
+            if !timetable.can_hold(&job.ask) && !job.ask.resumed {
+                // Nobody else's giving way would help.
+                return Err(GivenUp { at: *at, expected_ms: f64::INFINITY });
+            }
+            let missed = booking.first_ms > job.due_ms(self.now) && !job.ask.resumed;
             if !missed && !allowed {
                 // It waits until nobody suffers from it.
                 continue;
             }
             booked.push(GivenUp { at: *at, expected_ms: booking.first_ms });
-            if missed && too_large {
-                // Nobody else's giving way would help.
-                return Err(GivenUp { at: *at, expected_ms: f64::INFINITY });
-            }
             if missed {
                 return Err(self.give_way(jobs, booked));
             }
@@ -174,12 +172,8 @@
 
     /// Refuses a request: it may come back when there is room for it.
     fn refuse(&self, ask: &engine_place::PlaceAsk, expected_ms: f64) -> engine_place::PlaceRefusal {
-        engine_place::PlaceRefusal {
-            job: ask.job,
-            back_after_ms: expected_ms.clamp(BACK_AFTER_MS.0, BACK_AFTER_MS.1) as u32,
-            expected_ms: expected_ms.is_finite().then_some(expected_ms as u32),
-            running: u32::try_from(self.table.running()).unwrap_or(u32::MAX),
-            slots: u32::try_from(self.table.slots()).unwrap_or(u32::MAX),
-        }
+        let back_after_ms = expected_ms.clamp(BACK_AFTER_MS.0, BACK_AFTER_MS.1);
+        let expected_ms = Some(expected_ms).filter(|expected| expected.is_finite());
+        self.table.refusal(ask.job, back_after_ms, expected_ms)
     }
 }
--- a/crates/core/src/planner/mod.rs
+++ b/crates/core/src/planner/mod.rs
@@ -282,13 +282,8 @@
         if job.ask.resumed || !(hopeless || full && self.is_crowded(job, grant)) {
             return None;
         }
-        Some(engine_place::PlaceRefusal {
-            job: job.ask.job,
-            back_after_ms: self.room_ms() as u32,
-            expected_ms: hopeless.then_some(grant.first_token_ms),
-            running: u32::try_from(running).unwrap_or(u32::MAX),
-            slots: u32::try_from(slots).unwrap_or(u32::MAX),
-        })
+        let expected_ms = hopeless.then_some(f64::from(grant.first_token_ms));
+        Some(self.table.refusal(job.ask.job, self.room_ms(), expected_ms))
     }
 
     /// When a refused short request finds room, milliseconds: slots come free as answers end.
--- a/crates/core/src/planner/place_table.rs
+++ b/crates/core/src/planner/place_table.rs
@@ -99,6 +99,22 @@
         self.engines.len() * self.shape.slots
     }
 
+    /// A refusal that tells how many places are taken.
+    pub(crate) fn refusal(
+        &self,
+        job: engine_place::JobId,
+        back_after_ms: f64,
+        expected_ms: Option<f64>,
+    ) -> engine_place::PlaceRefusal {
+        engine_place::PlaceRefusal {
+            job,
+            back_after_ms: back_after_ms as u32,
+            expected_ms: expected_ms.map(|expected| expected as u32),
+            running: u32::try_from(self.running()).unwrap_or(u32::MAX),
+            slots: u32::try_from(self.slots()).unwrap_or(u32::MAX),
+        }
+    }
+
     /// The engines' work, one short text an engine, for the log.
     pub(crate) fn summary(&self, now: units::MonoTime) -> String {
         let row = |(name, engine): (&ids::UpstreamId, &engine_work::EngineWork)| {
--- a/crates/core/src/planner/waiting_job.rs
+++ b/crates/core/src/planner/waiting_job.rs
@@ -16,7 +16,7 @@
 pub(crate) struct WaitingJob {
     pub(crate) ask: engine_place::PlaceAsk,
     pub(crate) since: units::MonoTime,
-    /// Whether it is planned to come late, behind all that can be in time.
+    /// Whether it is planned to come late, behind all that can be in time; worked out at each plan.
     pub(crate) late: bool,
     /// Whether it was late once and not refused.
     pub(crate) kept: bool,
@@ -25,8 +25,7 @@
 impl WaitingJob {
     /// A request that has just asked.
     pub(crate) fn new(ask: engine_place::PlaceAsk, since: units::MonoTime) -> Self {
-        let late = ask.goal_left_ms == 0;
-        Self { ask, since, late, kept: false }
+        Self { ask, since, late: false, kept: false }
     }
 
     pub(crate) fn waited_ms(&self, now: units::MonoTime) -> f64 {
