Who begins to plan asks all members for their places, and is told at once by those that change to it

Cause: when whoever plans is killed, frozen or cut off, the next one learns of places by renewals, up to half a second later (and each place in two messages); until then it places on engines that are full. Ruled out: the time to notice (two questions of 25 ms).

Change: asked for the first time in two seconds, a process takes its own leases over and asks all members for theirs (planner.begins in the log); a member that sees another planner than before tells it its leases before it asks. The status of operators shows the places known.

Test: planners (real processes): 150 ms behind the first request that met a killed planner the next one knows 11 of 11 places. Red before: 1.

--- a/crates/core/tests/document_source.rs
+++ b/crates/core/tests/document_source.rs
@@ -13,7 +13,9 @@
 
 /// Asks as an instance does, every 150 ms from 1,000 ms on, without success; whom at the end.
 fn ask_until(source: &mut DocumentSource, end: u64) -> SourceChoice {
-    (1_000..end).step_by(150).for_each(|now| drop(source.choose(at(now))));
+    for now in (1_000..end).step_by(150) {
+        source.choose(at(now));
+    }
     source.choose(at(end))
 }
 
--- a/crates/instance/src/context.rs
+++ b/crates/instance/src/context.rs
@@ -70,6 +70,8 @@
     pub planners: cell::RefCell<planner_set::PlannerSet>,
     /// Places in use by this process's requests.
     pub leases: cell::RefCell<collections::HashMap<engine_place::JobId, HeldLease>>,
+    /// The other member that last planned for a key, as this process sees it.
+    pub planned_by: cell::RefCell<collections::BTreeMap<planner_key::PlannerKey, ids::InstanceId>>,
     /// Requests waiting for a grant.
     pub grants: cell::RefCell<collections::HashMap<engine_place::JobId, peer_message::ReplySender>>,
     /// Retries of this process by service.
@@ -154,6 +156,7 @@
             planners: cell::RefCell::new(planner_set::PlannerSet::new(own, options)),
             classes: cell::RefCell::default(),
             leases: cell::RefCell::default(),
+            planned_by: cell::RefCell::default(),
             grants: cell::RefCell::default(),
             retries: cell::RefCell::default(),
             pool: upstream_pool::UpstreamPool::default(),
--- a/crates/instance/src/lease_renewal.rs
+++ b/crates/instance/src/lease_renewal.rs
@@ -5,7 +5,7 @@
 
 use slipturn_core::{engine_place, planner_key, units};
 
-use crate::{context, peer_message, peers};
+use crate::{context, peer_message, peers, planner_set};
 
 /// Time between two repetitions of the leases in use; a planner gives them up after five missed.
 const RENEW_INTERVAL: time::Duration = time::Duration::from_millis(500);
@@ -36,6 +36,56 @@
     }
 }
 
+/// Begins to plan for a key if this process has not done so lately: takes over the own leases and asks
+/// all members for theirs. Renewals would tell of them up to half a second later, and until then it
+/// would place on engines that are full.
+pub(crate) fn begin_if_idle(
+    context: &context::InstanceContext,
+    planners: &mut planner_set::PlannerSet,
+    now: units::MonoTime,
+    key: &planner_key::PlannerKey,
+) {
+    if !planners.is_idle(now, key) {
+        return;
+    }
+    log::info!(planner:% = key; "planner.begins");
+    if let Some(planner) = planners.planner(key) {
+        planner.take_over(now, held_leases(context, key));
+    }
+    for member in context.members.borrow().alive(now) {
+        context.tell(member.address, peer_message::PeerMessage::Census(key.clone()));
+    }
+}
+
+/// Places of a key in use by this process's requests.
+fn held_leases(
+    context: &context::InstanceContext,
+    key: &planner_key::PlannerKey,
+) -> Vec<engine_place::PlaceLease> {
+    let held = context.leases.borrow();
+    held.values().filter(|held| held.key == *key).map(|held| held.lease.clone()).collect()
+}
+
+/// Tells a planner all leases of its key.
+pub(crate) fn tell_all(
+    context: &context::InstanceContext,
+    to: net::SocketAddrV4,
+    key: &planner_key::PlannerKey,
+) {
+    send_leases(context, to, key, &held_leases(context, key));
+}
+
+fn send_leases(
+    context: &context::InstanceContext,
+    to: net::SocketAddrV4,
+    key: &planner_key::PlannerKey,
+    leases: &[engine_place::PlaceLease],
+) {
+    for part in leases.chunks(peer_message::MAX_LEASES) {
+        context.tell(to, peer_message::PeerMessage::Leases(key.clone(), part.to_vec()));
+    }
+}
+
 /// Tells a planner the leases that it asked for, as far as they are still in use.
 pub(crate) fn tell_leases(
     context: &context::InstanceContext,
@@ -48,9 +98,7 @@
         jobs.iter().map(|sequence| engine_place::JobId { boot: context.boot, sequence: *sequence });
     let leases: Vec<_> =
         ids.filter_map(|job| held.get(&job)).map(|held| held.lease.clone()).collect();
-    for part in leases.chunks(peer_message::MAX_LEASES) {
-        context.tell(to, peer_message::PeerMessage::Leases(key.clone(), part.to_vec()));
-    }
+    send_leases(context, to, &key, &leases);
 }
 
 /// Tells whoever plans which places are still in use.
--- a/crates/instance/src/peer_message.rs
+++ b/crates/instance/src/peer_message.rs
@@ -34,6 +34,8 @@
     Unknown(planner_key::PlannerKey, Vec<u64>),
     /// Leases in use, for a planner that does not know them.
     Leases(planner_key::PlannerKey, Vec<engine_place::PlaceLease>),
+    /// Asks for all leases of a planner's key, of one that has just begun to plan.
+    Census(planner_key::PlannerKey),
 }
 
 /// A place that is still in use.
--- a/crates/instance/src/peers.rs
+++ b/crates/instance/src/peers.rs
@@ -84,6 +84,7 @@
             let origin = planner_set::AskOrigin::Member(from);
             let mut planners = context.planners.borrow_mut();
             planners.sync(now, &context.fleet.borrow());
+            lease_renewal::begin_if_idle(context, &mut planners, now, &key);
             let reply = match planners.ask(now, &key, *ask, origin) {
                 Some(answer) => PeerMessage::Answer(Box::new(answer)),
                 None => PeerMessage::Queued(job),
@@ -103,6 +104,7 @@
         PeerMessage::Renew(key, boot, jobs) => {
             lease_renewal::hear(context, now, from, key, boot, jobs);
         }
+        PeerMessage::Census(key) => lease_renewal::tell_all(context, from, &key),
         PeerMessage::Unknown(key, jobs) => lease_renewal::tell_leases(context, from, key, &jobs),
         PeerMessage::Leases(key, leases) => {
             let mut planners = context.planners.borrow_mut();
--- a/crates/instance/src/plan_client.rs
+++ b/crates/instance/src/plan_client.rs
@@ -5,7 +5,7 @@
 use futures::{StreamExt as _, channel::mpsc};
 use slipturn_core::{engine_place, ids, planner_key, units};
 
-use crate::{context, peer_message, peers, planner_set};
+use crate::{context, lease_renewal, peer_message, peers, planner_set};
 
 /// Time for a planner's reply; within a region it takes a millisecond or two.
 const REPLY_TIME: time::Duration = time::Duration::from_millis(25);
@@ -149,6 +149,9 @@
     let Some(member) = peers::planner_of(context, key) else {
         return ask_own(context, key, ask, replies).await;
     };
+    if note_planner(context, key, &member.name) {
+        lease_renewal::tell_all(context, member.address, key);
+    }
     let message = peer_message::PeerMessage::Ask(key.clone(), Box::new(ask.clone()));
     context.tell(member.address, message);
     let mut patience = REPLY_TIME;
@@ -174,6 +177,18 @@
     }
 }
 
+/// Notes which member plans for a key; whether it is another than before, and so may not know of the
+/// places in use here.
+fn note_planner(
+    context: &context::InstanceContext,
+    key: &planner_key::PlannerKey,
+    member: &ids::InstanceId,
+) -> bool {
+    let mut planned_by = context.planned_by.borrow_mut();
+    let before = planned_by.insert(key.clone(), member.clone());
+    before.is_some_and(|before| before != *member)
+}
+
 async fn ask_own(
     context: &rc::Rc<context::InstanceContext>,
     key: &planner_key::PlannerKey,
@@ -202,5 +217,6 @@
 ) -> Option<engine_place::PlaceAnswer> {
     let mut planners = context.planners.borrow_mut();
     planners.sync(now, &context.fleet.borrow());
+    lease_renewal::begin_if_idle(context, &mut planners, now, key);
     planners.ask(now, key, ask.clone(), planner_set::AskOrigin::Own)
 }
--- a/crates/instance/src/planner_set.rs
+++ b/crates/instance/src/planner_set.rs
@@ -88,6 +88,11 @@
         }
     }
 
+    /// Whether a planner has not been asked for so long that it knows little of its engines.
+    pub fn is_idle(&self, now: units::MonoTime, key: &planner_key::PlannerKey) -> bool {
+        self.asked.get(key).is_none_or(|since| now.since(*since) >= ACTIVE_TIME)
+    }
+
     /// One planner; `None` where there are no such engines.
     pub fn planner(&mut self, key: &planner_key::PlannerKey) -> Option<&mut planner::ReadPlanner> {
         self.planners.get_mut(key)
@@ -160,6 +165,11 @@
         self.planners.values().map(planner::ReadPlanner::waiting_count).sum()
     }
 
+    /// Requests that have a place, as all planners here know it.
+    pub fn placed(&self) -> usize {
+        self.planners.values().map(planner::ReadPlanner::placed_count).sum()
+    }
+
     /// Planners that were asked within the last seconds.
     pub fn active(&self, now: units::MonoTime) -> Vec<planner_key::PlannerKey> {
         let recent = |since: &units::MonoTime| now.since(*since) < ACTIVE_TIME;
--- a/crates/instance/src/small_server.rs
+++ b/crates/instance/src/small_server.rs
@@ -237,5 +237,6 @@
         "list_lag_ms": units::whole_millis(list_lag),
         "members": alive,
         "busy": context.busy.get(),
+        "placed": context.planners.borrow().placed(),
     })
 }
