The last line of a planned stop is written

Ruled out: a full queue. Change: it is handed over before the pause in which answers leave. Test: system::a_planned_stop_cuts_nothing asks for the line; red before, three of three; green, three of three.

--- a/crates/instance/src/program.rs
+++ b/crates/instance/src/program.rs
@@ -209,9 +209,9 @@
     while context.busy.get() > 0 && context.now().since(begun) < last {
         monoio::time::sleep(time::Duration::from_millis(20)).await;
     }
-    // Answers and closed connections leave before the process does.
-    monoio::time::sleep(time::Duration::from_millis(50)).await;
     log::info!(busy = context.busy.get(); "process.stopped");
+    // Answers, closed connections and the last line leave before the process does.
+    monoio::time::sleep(time::Duration::from_millis(50)).await;
 }
 
 fn listen(address: std::net::SocketAddr) -> Result<monoio::net::TcpListener, ProgramError> {
