Beliefs about the store in one type with its transitions; reads, conclusions and feeds apart

Cause: whether the store answers, since when it is away, when it was heard, who watches and what members have were seven cells of the context, changed in five files, and store_feed, store_watch and member_feed formed a circle.

Change: core::store_belief holds them, without a network and a clock; store_sight (log lines, announcements), store_read (reads); the feeds use these and not each other.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -36,6 +36,7 @@
 pub mod service_rank;
 pub mod settings;
 pub mod settings_resolve;
+pub mod store_belief;
 pub mod units;
 pub mod upstream_list;
 pub mod version_store;
--- a/crates/core/src/membership.rs
+++ b/crates/core/src/membership.rs
@@ -6,7 +6,7 @@
 
 use std::{collections, net, time};
 
-use crate::{ids, member_beat, planner_key, rendezvous, units};
+use crate::{ids, member_beat, planner_key, rendezvous, store_belief, units};
 
 /// Heartbeats of a small fleet are this far apart.
 const BEAT_INTERVAL: time::Duration = time::Duration::from_millis(200);
@@ -312,9 +312,12 @@
     }
 
     /// Newest versions of routes and of the list that other members have.
-    pub fn newest(&self, now: units::MonoTime) -> (u64, u64) {
-        let versions = self.alive(now).map(|beat| (beat.routes, beat.list));
-        versions.fold((0, 0), |(routes, list), beat| (routes.max(beat.0), list.max(beat.1)))
+    pub fn newest(&self, now: units::MonoTime) -> store_belief::DocumentVersions {
+        let none = store_belief::DocumentVersions::default();
+        self.alive(now).fold(none, |newest, beat| store_belief::DocumentVersions {
+            routes: newest.routes.max(beat.routes),
+            list: newest.list.max(beat.list),
+        })
     }
 
     fn sources(
--- /dev/null
+++ b/crates/core/src/store_belief.rs
@@ -0,0 +1,186 @@
+//! What a process believes of the platform's store, and of documents that other members have and it
+//! lacks: from whom, how old, and what ends it.
+
+use std::time;
+
+use crate::{document_lag, units};
+
+/// What is believed of the store's answers.
+///
+/// Begins [`Away`](Self::Away). An answer makes it [`Answering`](Self::Answering); a watch that is
+/// overdue, or members that know what it should have brought, [`Doubted`](Self::Doubted); a failed call,
+/// or leaving the store to others, `Away` again.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StoreContact {
+    /// It has not answered yet, its last answer failed, or it is left to others.
+    Away,
+    /// It has answered, and the next answer is not overdue.
+    Answering,
+    /// Its next answer is overdue; it is asked anew.
+    Doubted,
+}
+
+/// Versions of the routes and of the list of upstreams.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct DocumentVersions {
+    /// Of the routes.
+    pub routes: u64,
+    /// Of the list.
+    pub list: u64,
+}
+
+/// For how long others have had what is missing here.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct DocumentLags {
+    /// Newer routes.
+    pub routes: time::Duration,
+    /// A newer list.
+    pub list: time::Duration,
+}
+
+impl DocumentLags {
+    /// The longer of the two.
+    pub fn longest(&self) -> time::Duration {
+        self.routes.max(self.list)
+    }
+}
+
+/// What an answer of the store changes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct HeardStore {
+    /// How long it had been away; nothing where it had not.
+    pub away: Option<time::Duration>,
+    /// Whether the others may count on this process's watch again.
+    pub watches_again: bool,
+}
+
+/// What one process believes.
+#[derive(Debug)]
+pub struct StoreBelief {
+    contact: StoreContact,
+    /// Whether this process watches the store itself; it goes on trying while the store is away.
+    watching: bool,
+    /// Revision up to which this process itself has read the store, routes and list alike; 0 before,
+    /// and once it has left the store to others. The list alone may be newer, from members.
+    watched: u64,
+    /// Since when calls have failed; nothing while the store answers.
+    away_since: Option<units::MonoTime>,
+    /// When its last answer came; the process's start before any.
+    heard: units::MonoTime,
+    /// Routes of other members that this process lacks.
+    routes: document_lag::DocumentLag,
+    /// Lists of other members that this process lacks.
+    list: document_lag::DocumentLag,
+}
+
+impl Default for StoreBelief {
+    fn default() -> Self {
+        Self {
+            contact: StoreContact::Away,
+            watching: false,
+            watched: 0,
+            away_since: None,
+            heard: units::MonoTime::default(),
+            routes: document_lag::DocumentLag::default(),
+            list: document_lag::DocumentLag::default(),
+        }
+    }
+}
+
+impl StoreBelief {
+    /// What is believed of its answers.
+    pub fn contact(&self) -> StoreContact {
+        self.contact
+    }
+
+    /// Whether it answers this process, as far as is known.
+    pub fn answers(&self) -> bool {
+        self.contact == StoreContact::Answering
+    }
+
+    /// Whether this process watches it, in reach or not.
+    pub fn is_watching(&self) -> bool {
+        self.watching
+    }
+
+    /// Whether others may count on this process's watch. While that is doubted only they need not take
+    /// over: a slow store would be asked by more and more of them.
+    pub fn is_counted_on(&self) -> bool {
+        self.watching && self.contact != StoreContact::Away
+    }
+
+    /// Revision up to which this process itself has read it.
+    pub fn watched(&self) -> u64 {
+        self.watched
+    }
+
+    /// How long ago its last answer came.
+    pub fn heard_age(&self, now: units::MonoTime) -> time::Duration {
+        now.since(self.heard)
+    }
+
+    /// Takes in an answer.
+    pub fn hear(&mut self, now: units::MonoTime) -> HeardStore {
+        let before = std::mem::replace(&mut self.contact, StoreContact::Answering);
+        let away = self.away_since.take().map(|since| now.since(since));
+        self.heard = now;
+        HeardStore { away, watches_again: before == StoreContact::Away && self.watching }
+    }
+
+    /// Takes in that an answer is overdue.
+    pub fn doubt(&mut self) {
+        self.contact = StoreContact::Doubted;
+    }
+
+    /// Takes in that a call failed; whether that is new.
+    pub fn lose(&mut self, now: units::MonoTime) -> bool {
+        self.away_since.get_or_insert(now);
+        std::mem::replace(&mut self.contact, StoreContact::Away) != StoreContact::Away
+    }
+
+    /// Begins to watch it, or goes on.
+    pub fn watch(&mut self) {
+        self.watching = true;
+    }
+
+    /// Takes in that all up to a revision has been read.
+    pub fn note_watched(&mut self, revision: u64) {
+        self.watched = revision;
+    }
+
+    /// Leaves it to others.
+    pub fn leave_to_others(&mut self) {
+        self.watching = false;
+        self.watched = 0;
+        self.contact = StoreContact::Away;
+    }
+
+    /// For how long others have had what is missing here, given the own versions and the newest that
+    /// others have.
+    pub fn lags(
+        &mut self,
+        now: units::MonoTime,
+        own: DocumentVersions,
+        newest: DocumentVersions,
+    ) -> DocumentLags {
+        DocumentLags {
+            routes: self.routes.observe(now, own.routes, newest.routes),
+            list: self.list.observe(now, own.list, newest.list),
+        }
+    }
+
+    /// Takes in that the store, asked at `asked`, has no routes newer than `own`.
+    pub fn refute_routes(&mut self, own: u64, asked: units::MonoTime) {
+        self.routes.refute(own, asked);
+    }
+
+    /// Takes in that the store, asked at `asked`, has no list newer than `own`.
+    pub fn refute_list(&mut self, own: u64, asked: units::MonoTime) {
+        self.list.refute(own, asked);
+    }
+
+    /// Versions up to which nothing newer is to be had, whatever members claim.
+    pub fn known(&self, own: DocumentVersions) -> DocumentVersions {
+        DocumentVersions { routes: self.routes.known(own.routes), list: self.list.known(own.list) }
+    }
+}
--- a/crates/instance/src/context.rs
+++ b/crates/instance/src/context.rs
@@ -4,8 +4,8 @@
 
 use futures::{channel::mpsc, channel::oneshot, future};
 use slipturn_core::{
-    class_worth, document_lag, engine_place, fleet_budget, ids, member_beat, membership, planner,
-    planner_key, units,
+    class_worth, engine_place, fleet_budget, ids, member_beat, membership, planner, planner_key,
+    store_belief, units,
 };
 use slipturn_net::process;
 
@@ -26,17 +26,6 @@
     pub message: peer_message::PeerMessage,
 }
 
-/// What a process knows of the store's answers to it.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum StoreContact {
-    /// It has not answered yet, or its last answer failed.
-    Away,
-    /// It has answered, and the next answer is not overdue.
-    Answering,
-    /// A watch is overdue, or members know what it should have brought; the store is asked anew.
-    Doubted,
-}
-
 /// A place in use by a request of this process.
 #[derive(Debug, Clone)]
 pub struct HeldLease {
@@ -90,21 +79,8 @@
     pub records: cell::RefCell<crate::request_record::RecordLog>,
     /// Requests and memory orders in progress.
     pub busy: cell::Cell<usize>,
-    /// What is known of the store's answers to this process.
-    pub store: cell::Cell<StoreContact>,
-    /// Whether this process watches the store.
-    pub watching: cell::Cell<bool>,
-    /// Revision up to which this process itself has read the store, routes and list alike; 0 before,
-    /// and once it has left the store to others. The list alone may be newer, from members.
-    pub watched: cell::Cell<u64>,
-    /// Since when the store has been away; nothing while it answers.
-    pub store_away: cell::Cell<Option<units::MonoTime>>,
-    /// When the store's last answer came; the process's start before any.
-    pub store_heard: cell::Cell<units::MonoTime>,
-    /// Routes of other members that this process lacks.
-    pub routes_lag: cell::RefCell<document_lag::DocumentLag>,
-    /// Lists of other members that this process lacks.
-    pub list_lag: cell::RefCell<document_lag::DocumentLag>,
+    /// What is believed of the store, and of documents that other members have.
+    pub belief: cell::RefCell<store_belief::StoreBelief>,
     /// Members that joined since the last heartbeat, for the log.
     pub joined: cell::Cell<usize>,
     /// Heartbeats sent so far.
@@ -166,13 +142,7 @@
             stats: cell::RefCell::default(),
             records: cell::RefCell::default(),
             busy: cell::Cell::new(0),
-            store: cell::Cell::new(StoreContact::Away),
-            watching: cell::Cell::new(false),
-            watched: cell::Cell::default(),
-            store_away: cell::Cell::default(),
-            store_heard: cell::Cell::default(),
-            routes_lag: cell::RefCell::default(),
-            list_lag: cell::RefCell::default(),
+            belief: cell::RefCell::default(),
             joined: cell::Cell::new(0),
             beats: cell::Cell::new(0),
             woke: cell::Cell::new(units::MonoTime::default()),
@@ -235,33 +205,23 @@
             leaving: self.stop.asked(),
             routes: fleet.routes.version.0,
             list: fleet.list.revision(),
-            // While it is doubted only, the others need not take over: a slow store would be asked
-            // by more and more of them.
-            watches: self.watching.get() && self.store.get() != StoreContact::Away,
+            watches: self.belief.borrow().is_counted_on(),
             others: Vec::new(),
         }
     }
 
-    /// For how long routes, and a list of upstreams, that other members have are missing here.
-    pub fn lags(&self) -> (time::Duration, time::Duration) {
-        let now = self.now();
-        let (routes, list) = self.members.borrow().newest(now);
+    /// Versions of routes and list here.
+    pub fn versions(&self) -> store_belief::DocumentVersions {
         let fleet = self.fleet.borrow();
-        let routes = self.routes_lag.borrow_mut().observe(now, fleet.routes.version.0, routes);
-        let list = self.list_lag.borrow_mut().observe(now, fleet.list.revision(), list);
-        (routes, list)
+        let (routes, list) = (fleet.routes.version.0, fleet.list.revision());
+        store_belief::DocumentVersions { routes, list }
     }
 
-    /// Takes in that the store, asked at `asked`, has no newer routes than this process.
-    pub fn refute_routes(&self, asked: units::MonoTime) {
-        let own = self.fleet.borrow().routes.version.0;
-        self.routes_lag.borrow_mut().refute(own, asked);
-    }
-
-    /// Takes in that the store, asked at `asked`, has no newer list than this process.
-    pub fn refute_list(&self, asked: units::MonoTime) {
-        let own = self.fleet.borrow().list.revision();
-        self.list_lag.borrow_mut().refute(own, asked);
+    /// For how long routes, and a list of upstreams, that other members have are missing here.
+    pub fn lags(&self) -> store_belief::DocumentLags {
+        let now = self.now();
+        let newest = self.members.borrow().newest(now);
+        self.belief.borrow_mut().lags(now, self.versions(), newest)
     }
 
     /// Members believed to exist; `None` while that cannot be known.
--- a/crates/instance/src/lib.rs
+++ b/crates/instance/src/lib.rs
@@ -36,6 +36,8 @@
 pub mod silence_watch;
 pub mod small_server;
 pub mod store_feed;
+mod store_read;
+mod store_sight;
 mod store_watch;
 mod stream_policy;
 mod stream_state;
--- a/crates/instance/src/member_feed.rs
+++ b/crates/instance/src/member_feed.rs
@@ -5,16 +5,10 @@
 use rand::RngExt as _;
 use slipturn_core::{document_source, ids, member_beat, units};
 
-use crate::{context, document_answers, document_call, heartbeats, packed_bytes, store_feed};
+use crate::{
+    context, document_answers, document_call, heartbeats, packed_bytes, store_read, store_sight,
+};
 
-/// Time between two looks at whether a member knows more.
-pub(crate) const MEMBER_INTERVAL: time::Duration = time::Duration::from_millis(150);
-/// The same while this process knows nothing.
-const START_INTERVAL: time::Duration = time::Duration::from_millis(20);
-/// Time that the own watch has to bring what a member knows before it is doubted, and the member
-/// asked: a change reaches all watches within 50 ms of each other, and up to 150 ms later where
-/// others came just before it.
-pub(crate) const WATCH_LEAD: time::Duration = time::Duration::from_millis(500);
 /// Time for a member's routes: 100 KB, packed, take 0.04 s on a link of 20 Mbit/s, eight at once 0.3 s.
 /// One that is silent must leave time for others and the store.
 const ROUTES_TIME: time::Duration = time::Duration::from_millis(600);
@@ -28,19 +22,14 @@
 /// Path of a member's documents.
 pub const DOCUMENTS_PATH: &str = "/documents";
 
-/// Time between two looks at what members know; short while this one knows nothing.
-pub(crate) fn look_interval(context: &context::InstanceContext) -> time::Duration {
-    if context.fleet.borrow().is_known() { MEMBER_INTERVAL } else { START_INTERVAL }
-}
-
 /// Follows newer routes that a member knows of: from members that have them, or from the store.
 pub async fn follow_routes(context: rc::Rc<context::InstanceContext>) {
     let mut source = document_source::DocumentSource::new(rand::random());
     // A member that did not give them when it was last asked.
     let mut failing = None;
     loop {
-        monoio::time::sleep(look_interval(&context)).await;
-        if own_watch_leads(&context) {
+        monoio::time::sleep(store_sight::look_interval(&context)).await;
+        if store_sight::own_watch_leads(&context) {
             continue;
         }
         let Some((member, address)) = routes_source(&context, failing.as_ref()) else {
@@ -59,10 +48,10 @@
                     CopyOutcome::Damaged => source.note_damage(),
                 }
             }
-            document_source::SourceChoice::Store => match store_feed::read_routes(&context).await {
+            document_source::SourceChoice::Store => match store_read::read_routes(&context).await {
                 Ok(()) => {
                     source.note_answer();
-                    context.refute_routes(now);
+                    refute_routes(&context, now);
                 }
                 Err(error) => {
                     log::info!(error; "store.routes_failed");
@@ -73,6 +62,12 @@
     }
 }
 
+/// Takes in that the store, asked at `asked`, has no newer routes than this process.
+fn refute_routes(context: &context::InstanceContext, asked: units::MonoTime) {
+    let own = context.versions().routes;
+    context.belief.borrow_mut().refute_routes(own, asked);
+}
+
 /// What came of asking a member for what it has.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum CopyOutcome {
@@ -102,9 +97,9 @@
 pub async fn follow_list(context: rc::Rc<context::InstanceContext>) {
     let mut behind_since = None;
     loop {
-        monoio::time::sleep(look_interval(&context)).await;
-        note_lag(&context, &mut behind_since);
-        if own_watch_leads(&context) {
+        monoio::time::sleep(store_sight::look_interval(&context)).await;
+        store_sight::note_lag(&context, &mut behind_since);
+        if store_sight::own_watch_leads(&context) {
             continue;
         }
         let Some((member, address)) = list_source(&context) else {
@@ -119,39 +114,6 @@
     }
 }
 
-/// Whether the own watch is expected to bring what members know already.
-///
-/// That a watch is open is no reason: its connection may have fallen silent. Members that have had
-/// something for [`WATCH_LEAD`] are believed rather than the own watch.
-fn own_watch_leads(context: &context::InstanceContext) -> bool {
-    store_feed::answers(context) && !is_behind(context)
-}
-
-/// Whether a member has had newer routes, or a newer list, for longer than the own watch needs.
-pub(crate) fn is_behind(context: &context::InstanceContext) -> bool {
-    let (routes, list) = context.lags();
-    routes.max(list) >= WATCH_LEAD
-}
-
-/// Logs that this process has fallen behind other members, and that it has caught up.
-fn note_lag(context: &context::InstanceContext, behind_since: &mut Option<units::MonoTime>) {
-    let now = context.now();
-    let (routes, list) = context.lags();
-    let behind = routes.max(list) >= WATCH_LEAD && context.fleet.borrow().is_known();
-    if behind && behind_since.is_none() {
-        *behind_since = Some(now);
-        log::warn!(
-            routes_ms = units::whole_millis(routes), list_ms = units::whole_millis(list),
-            heard_ms = units::whole_millis(now.since(context.store_heard.get())),
-            store:? = context.store.get(); "store.behind_members"
-        );
-    }
-    if let Some(since) = behind_since.filter(|_| !behind) {
-        *behind_since = None;
-        log::info!(behind_ms = units::whole_millis(now.since(since)); "store.caught_up");
-    }
-}
-
 /// Takes over what a member knows.
 async fn adopt_from(
     context: &context::InstanceContext,
@@ -197,7 +159,7 @@
     failing: Option<&ids::InstanceId>,
 ) -> Option<(ids::InstanceId, net::SocketAddr)> {
     let settings = context.settings();
-    let known = context.routes_lag.borrow().known(context.fleet.borrow().routes.version.0);
+    let known = context.belief.borrow().known(context.versions()).routes;
     let members = context.members.borrow();
     let mut sources = members.routes_sources(context.now(), known, &settings.data_center);
     if sources.len() > 1 {
@@ -208,7 +170,7 @@
 
 fn list_source(context: &context::InstanceContext) -> Option<(ids::InstanceId, net::SocketAddr)> {
     let settings = context.settings();
-    let known = context.list_lag.borrow().known(context.fleet.borrow().list.revision());
+    let known = context.belief.borrow().known(context.versions()).list;
     let members = context.members.borrow();
     let sources = members.list_sources(context.now(), known, &settings.data_center);
     pick_source(&sources, settings.listen.members.port())
--- a/crates/instance/src/small_server.rs
+++ b/crates/instance/src/small_server.rs
@@ -205,21 +205,22 @@
 /// How old what this process knows may be: a watch on which nothing is heard any more looks like one
 /// on which nothing has changed, but for these.
 fn source_gauges(context: &context::InstanceContext) -> String {
-    let heard = context.now().since(context.store_heard.get());
-    let (routes, list) = context.lags();
+    let lags = context.lags();
+    let belief = context.belief.borrow();
     format!(
         "slipturn_store_ok {}\nslipturn_store_heard_ms {}\nslipturn_routes_lag_ms {}\n\
          slipturn_list_lag_ms {}\n",
-        u8::from(context.store.get() == context::StoreContact::Answering),
-        units::whole_millis(heard),
-        units::whole_millis(routes),
-        units::whole_millis(list),
+        u8::from(belief.answers()),
+        units::whole_millis(belief.heard_age(context.now())),
+        units::whole_millis(lags.routes),
+        units::whole_millis(lags.list),
     )
 }
 
 fn status(context: &context::InstanceContext) -> serde_json::Value {
-    let (routes_lag, list_lag) = context.lags();
+    let lags = context.lags();
     let beat = context.own_beat();
+    let belief = context.belief.borrow();
     let fleet = context.fleet.borrow();
     let members = context.members.borrow();
     let alive: Vec<_> = members.alive(context.now()).map(|beat| beat.name.to_string()).collect();
@@ -231,10 +232,10 @@
         "routes": beat.routes,
         "list": beat.list,
         "upstreams": fleet.list.entries().count(),
-        "store_ok": context.store.get() == context::StoreContact::Answering,
-        "store_heard_ms": units::whole_millis(context.now().since(context.store_heard.get())),
-        "routes_lag_ms": units::whole_millis(routes_lag),
-        "list_lag_ms": units::whole_millis(list_lag),
+        "store_ok": belief.answers(),
+        "store_heard_ms": units::whole_millis(belief.heard_age(context.now())),
+        "routes_lag_ms": units::whole_millis(lags.routes),
+        "list_lag_ms": units::whole_millis(lags.list),
         "members": alive,
         "busy": context.busy.get(),
         "placed": context.planners.borrow().placed(),
--- a/crates/instance/src/store_feed.rs
+++ b/crates/instance/src/store_feed.rs
@@ -5,12 +5,10 @@
 use rand::RngExt as _;
 use slipturn_core::units;
 
-use crate::{border, context, document_call, heartbeats, member_feed, store_watch};
+use crate::{context, document_call, heartbeats, store_read, store_sight, store_watch};
 
 /// Spread of pauses behind failures, so that members do not return together.
 const RETRY_SPREAD: std::ops::Range<f64> = 0.7..1.3;
-/// Time for the store's answer to a read.
-const READ_TIME: time::Duration = time::Duration::from_millis(1_500);
 /// Pause between two watches that brought something, so that changes in quick succession cost
 /// one call; well under the time within which changes must be in force.
 const CHANGE_PAUSE: time::Duration = time::Duration::from_millis(150);
@@ -24,8 +22,6 @@
 /// not heard from them; behind, they do not give it what they know.
 const START_PATIENCE: ops::Range<time::Duration> =
     time::Duration::from_millis(60)..time::Duration::from_millis(1_200);
-/// Most pages of upstreams read at once.
-const MAX_PAGES: usize = 64;
 
 /// Follows the store for ever.
 pub async fn follow_store(context: rc::Rc<context::InstanceContext>) {
@@ -38,9 +34,7 @@
         let tried = context.now();
         let error = match follow(&context, &mut connection).await {
             Ok(()) => {
-                context.watching.set(false);
-                context.watched.set(0);
-                context.store.set(context::StoreContact::Away);
+                context.belief.borrow_mut().leave_to_others();
                 log::info!("store.left_to_others");
                 failed = false;
                 continue;
@@ -48,7 +42,7 @@
             Err(error) => error,
         };
         failed = true;
-        if lose(&context, &error) {
+        if store_sight::lose(&context, &error) {
             pause = RETRY_PAUSE;
         }
         let spread = rand::rng().random_range(RETRY_SPREAD);
@@ -64,7 +58,7 @@
 async fn wait_for_turn(context: &context::InstanceContext, failed: bool) {
     let mut missing_since = None;
     while !is_own_turn(context, &mut missing_since, failed) {
-        monoio::time::sleep(member_feed::look_interval(context)).await;
+        monoio::time::sleep(store_sight::look_interval(context)).await;
     }
 }
 
@@ -73,7 +67,7 @@
     missing_since: &mut Option<units::MonoTime>,
     failed: bool,
 ) -> bool {
-    if context.watching.get() {
+    if context.belief.borrow().is_watching() {
         return true;
     }
     let now = context.now();
@@ -110,38 +104,39 @@
     context: &context::InstanceContext,
     connection: &mut document_call::DocumentConnection,
 ) -> Result<(), String> {
-    let mut revision = context.watched.get();
+    let mut revision = context.belief.borrow().watched();
     let listed = context.fleet.borrow().revision();
     let known = context.fleet.borrow().is_known();
     if !known || listed == 0 {
-        revision = read_all(context, connection).await?;
-        context.watching.set(true);
-        regained(context);
+        revision = store_read::read_all(context, connection).await?;
+        context.belief.borrow_mut().watch();
+        store_sight::regained(context);
     } else if revision == 0 {
         // The list is a member's: routes of before its revision would not come by the watch.
         revision = listed;
-        read_routes(context).await?;
+        store_read::read_routes(context).await?;
     }
-    context.watching.set(true);
+    context.belief.borrow_mut().watch();
     loop {
-        if answers(context) && others_watch(context) {
+        let answers = context.belief.borrow().answers();
+        if answers && others_watch(context) {
             return Ok(());
         }
-        context.watched.set(revision);
+        context.belief.borrow_mut().note_watched(revision);
         let asked = context.now();
         let body = match store_watch::watch(context, connection, revision).await {
             Ok(body) => body,
             Err(document_call::CallError::Status { status: 410 }) => {
                 log::info!(revision; "store.history_gone");
-                revision = read_all(context, connection).await?;
-                regained(context);
+                revision = store_read::read_all(context, connection).await?;
+                store_sight::regained(context);
                 continue;
             }
             Err(error) => return Err(error.to_string()),
         };
         let (changes, next) =
             context.border.read_changes(&body).map_err(|error| error.to_string())?;
-        regained(context);
+        store_sight::regained(context);
         let quiet = changes.is_empty();
         let now = context.now();
         if !quiet {
@@ -150,93 +145,10 @@
         }
         revision = revision.max(next);
         if quiet {
-            context.refute_list(asked);
+            let own = context.versions().list;
+            context.belief.borrow_mut().refute_list(own, asked);
         } else {
             monoio::time::sleep(CHANGE_PAUSE).await;
         }
     }
 }
-
-/// Notes that the store does not answer; whether that is new.
-pub(crate) fn lose(context: &context::InstanceContext, error: &str) -> bool {
-    let since = context.store_away.get().unwrap_or(context.now());
-    context.store_away.set(Some(since));
-    let lost = context.store.replace(context::StoreContact::Away) != context::StoreContact::Away;
-    if lost {
-        log::warn!(error; "store.lost");
-        heartbeats::announce(context);
-    }
-    lost
-}
-
-fn regained(context: &context::InstanceContext) {
-    let now = context.now();
-    if let Some(since) = context.store_away.take() {
-        let away_ms = now.since(since).as_millis() as u64;
-        log::info!(away_ms; "store.regained");
-        context.fleet.borrow_mut().source_returned(now);
-    }
-    context.store_heard.set(now);
-    let before = context.store.replace(context::StoreContact::Answering);
-    if before == context::StoreContact::Away && context.watching.get() {
-        // The others count on this one from now on.
-        heartbeats::announce(context);
-    }
-}
-
-async fn read_all(
-    context: &context::InstanceContext,
-    connection: &mut document_call::DocumentConnection,
-) -> Result<u64, String> {
-    let border = &context.border;
-    let text = |error: document_call::CallError| error.to_string();
-    let mut first_revision = None;
-    let mut documents = Vec::new();
-    let mut after = None;
-    for _ in 0..MAX_PAGES {
-        let path = border.upstreams_path(after.as_deref());
-        let body = connection.get(&path, READ_TIME).await.map_err(text)?;
-        let page = border.read_page(&body).map_err(|error| error.to_string())?;
-        // Pages are no snapshot: changes behind the first one are watched again.
-        first_revision.get_or_insert(page.revision);
-        for (key, value) in page.items {
-            if let border::StoreKey::Upstream(name) = border.key(&key) {
-                documents.push((name, value));
-            }
-        }
-        after = page.next;
-        if after.is_none() {
-            break;
-        }
-    }
-    let revision = first_revision.unwrap_or_default();
-    let routes = match connection.get(&border.routes_path(), READ_TIME).await {
-        Ok(body) => border.read_page(&body).map_err(|error| error.to_string())?.items,
-        // Nothing has been published yet; the watch tells when it is.
-        Err(document_call::CallError::Status { status: 404 }) => Vec::new(),
-        Err(error) => return Err(text(error)),
-    };
-    let now = context.now();
-    let mut fleet = context.fleet.borrow_mut();
-    for (_, value) in routes {
-        fleet.put_routes(value, "store");
-    }
-    fleet.replace_upstreams(now, documents, revision, "store");
-    Ok(revision)
-}
-
-/// Reads the routes from the store.
-pub(crate) async fn read_routes(context: &context::InstanceContext) -> Result<(), String> {
-    let mut connection = document_call::DocumentConnection::new(context.settings().store);
-    let body = connection.get(&context.border.routes_path(), READ_TIME).await;
-    let body = body.map_err(|error| error.to_string())?;
-    let page = context.border.read_page(&body).map_err(|error| error.to_string())?;
-    let mut fleet = context.fleet.borrow_mut();
-    page.items.into_iter().for_each(|(_, text)| fleet.put_routes(text, "store"));
-    Ok(())
-}
-
-/// Whether the store answers this process, as far as is known.
-pub(crate) fn answers(context: &context::InstanceContext) -> bool {
-    context.store.get() == context::StoreContact::Answering
-}
--- a/crates/instance/src/store_watch.rs
+++ b/crates/instance/src/store_watch.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use futures::{StreamExt as _, future, stream};
 
-use crate::{context, document_call, member_feed, store_feed};
+use crate::{context, document_call, store_sight};
 
 /// Longest wait of one watch, as a share of the time within which a leaving upstream gets no more
 /// work. A connection may fall silent for good without a sign, so a change is heard at the latest
@@ -33,7 +33,7 @@
     connection: &mut document_call::DocumentConnection,
     revision: u64,
 ) -> Result<Bytes, document_call::CallError> {
-    if context.store.get() != context::StoreContact::Answering {
+    if !context.belief.borrow().answers() {
         // After an outage the store's return is to be noticed.
         return probe(context, connection, revision).await;
     }
@@ -46,7 +46,7 @@
         if let Some(answered) = until_doubted(context, waiting.as_mut(), wait + OVERDUE).await {
             return answered;
         }
-        context.store.set(context::StoreContact::Doubted);
+        context.belief.borrow_mut().doubt();
         // The store may be slow, or the connection silent while new ones work: who answers first
         // tells. Waiting for the one watch alone kept changes from instances for half a minute.
         match future::select(waiting, pin::pin!(probe(context, &mut second, revision))).await {
@@ -81,7 +81,7 @@
         let Ok(Some((fresh, answered))) = monoio::time::timeout(PROBE_TIME, probes.next()).await
         else {
             // Entries may lapse from now on: its return is the end of an outage.
-            store_feed::lose(context, "no answer on a new connection");
+            store_sight::lose(context, "no answer on a new connection");
             continue;
         };
         *connection = fresh;
@@ -100,12 +100,12 @@
     let started = context.now();
     loop {
         let open = context.now().since(started);
-        let slice = member_feed::MEMBER_INTERVAL.min(limit.saturating_sub(open));
+        let slice = store_sight::MEMBER_INTERVAL.min(limit.saturating_sub(open));
         if let Ok(done) = monoio::time::timeout(slice, waiting.as_mut()).await {
             return Some(done);
         }
         let open = context.now().since(started);
-        let behind = open >= member_feed::WATCH_LEAD && member_feed::is_behind(context);
+        let behind = open >= store_sight::WATCH_LEAD && store_sight::is_behind(context);
         if behind || open >= limit {
             return None;
         }
