--- a/crates/core/src/engine_place.rs
+++ b/crates/core/src/engine_place.rs
@@ -1,6 +1,6 @@
 //! Places on engines: how they are asked for, given, held and ended.
 
-use std::fmt;
+use std::{fmt, time};
 
 use serde::{Deserialize, Serialize};
 
@@ -48,6 +48,18 @@
     pub excluded: Vec<ids::UpstreamId>,
 }
 
+impl PlaceAsk {
+    /// The same, asked so much later.
+    pub fn after(&self, spent: time::Duration) -> Self {
+        let spent_ms = u32::try_from(spent.as_millis()).unwrap_or(u32::MAX);
+        Self {
+            goal_left_ms: self.goal_left_ms.saturating_sub(spent_ms),
+            patience_ms: self.patience_ms.saturating_sub(spent_ms),
+            ..self.clone()
+        }
+    }
+}
+
 /// Memory set aside on an engine for a prompt that another answers.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HeldPart {
--- a/crates/core/src/planner_key.rs
+++ b/crates/core/src/planner_key.rs
@@ -39,3 +39,25 @@
     let hash = rendezvous::stable_hash(&["cell", service.as_str(), engine.as_str()]);
     (hash % u64::from(cells.max(1))) as u16
 }
+
+/// The planner that a request asks, of a service with these engines: that of an engine `drawn` among
+/// them, so that each cell is asked as often as it has engines. Cells differ: two of
+/// 150 engines have 72 and 78, and asked alike the smaller one is a twelfth fuller.
+///
+/// Of cells that have `refused` the request none is asked again; nothing where all have.
+pub fn pick(
+    service: &ids::ServiceId,
+    engines: &[&ids::UpstreamId],
+    refused: &[u16],
+    drawn: usize,
+) -> Option<PlannerKey> {
+    let cells = cell_count(engines.len());
+    let key = |cell| PlannerKey { service: service.clone(), cell };
+    if engines.is_empty() || cells == 1 {
+        // Also a planner without engines gives an answer.
+        return Some(key(0)).filter(|key| !refused.contains(&key.cell));
+    }
+    let in_turn = engines.iter().cycle().skip(drawn % engines.len()).take(engines.len());
+    let mut cells = in_turn.map(|engine| cell_of(service, engine, cells));
+    cells.find(|cell| !refused.contains(cell)).map(key)
+}
--- a/crates/core/tests/planner_key.rs
+++ b/crates/core/tests/planner_key.rs
@@ -2,7 +2,7 @@
 
 use slipturn_core::{
     ids,
-    planner_key::{PlannerKey, cell_count, cell_of},
+    planner_key::{PlannerKey, cell_count, cell_of, pick},
 };
 
 fn service() -> ids::ServiceId {
@@ -34,3 +34,38 @@
     let key = PlannerKey { service: service(), cell: 4 };
     assert_eq!(key.to_string(), "models/4");
 }
+
+/// Two cells of 150 engines are of unlike size; asked alike, the smaller is the fuller.
+#[test]
+fn each_cell_is_asked_as_often_as_it_has_engines() {
+    let engines = engines(150);
+    let names: Vec<_> = engines.iter().collect();
+    let cells = cell_count(names.len());
+    assert_eq!(cells, 2);
+    let size = |cell| names.iter().filter(|name| cell_of(&service(), name, cells) == cell).count();
+    let asked = |cell| {
+        let keys = (0..150).filter_map(|drawn| pick(&service(), &names, &[], drawn));
+        keys.filter(|key| key.cell == cell).count()
+    };
+    println!("{} and {} engines", size(0), size(1));
+    assert_ne!(size(0), size(1));
+    assert_eq!((asked(0), asked(1)), (size(0), size(1)));
+}
+
+#[test]
+fn a_cell_that_refused_is_not_asked_again() {
+    let engines = engines(600);
+    let names: Vec<_> = engines.iter().collect();
+    let mut refused = Vec::new();
+    while let Some(key) = pick(&service(), &names, &refused, 17 * refused.len()) {
+        assert!(!refused.contains(&key.cell));
+        refused.push(key.cell);
+    }
+    assert_eq!(refused.len(), usize::from(cell_count(600)));
+}
+
+#[test]
+fn a_service_without_engines_has_one_planner() {
+    assert_eq!(pick(&service(), &[], &[], 0), Some(PlannerKey { service: service(), cell: 0 }));
+    assert_eq!(pick(&service(), &[], &[0], 0), None);
+}
--- a/crates/instance/src/context.rs
+++ b/crates/instance/src/context.rs
@@ -232,12 +232,17 @@
         (age > SURE_AGE && !alone).then(|| members.size())
     }
 
-    /// The planner that a request for a service asks: one of its cells, drawn anew each time.
-    pub fn pick_planner(&self, service: &ids::ServiceId) -> planner_key::PlannerKey {
-        let engines = self.fleet.borrow().list.usable(service).len();
-        let drawn: u16 = rand::random();
-        let cell = drawn % planner_key::cell_count(engines);
-        planner_key::PlannerKey { service: service.clone(), cell }
+    /// The planner that a request for a service asks, of one of its cells; nothing where all have
+    /// `refused` it.
+    pub fn pick_planner(
+        &self,
+        service: &ids::ServiceId,
+        refused: &[u16],
+    ) -> Option<planner_key::PlannerKey> {
+        let fleet = self.fleet.borrow();
+        let usable = fleet.list.usable(service);
+        let engines: Vec<_> = usable.into_iter().map(|entry| &entry.name).collect();
+        planner_key::pick(service, &engines, refused, rand::random_range(0..=engines.len()))
     }
 
     /// Counts a request for a service.
