Members that left calls unanswered are asked whether they are back

Ruled out: the choice itself (one order for all), leases (told at the change).

Change: each 300 ms a member asks those that left its calls unanswered (MemberView::silent) for a heartbeat. Test: membership.

--- a/crates/core/src/membership.rs
+++ b/crates/core/src/membership.rs
@@ -261,6 +261,17 @@
         }
     }
 
+    /// Members that left calls unanswered and have not been heard since: they should be asked again and
+    /// again whether they are back.
+    ///
+    /// By heartbeats alone, five seconds apart in a fleet of 300, each learns at another moment that a
+    /// cut has healed, and two members plan for the same engines meanwhile: still five seconds behind the
+    /// end of a cut one planner took engines for idle that the other had filled.
+    pub fn silent(&self) -> Vec<net::SocketAddrV4> {
+        let silent = self.members.values().filter(|member| member.unanswered >= MAX_UNANSWERED);
+        silent.map(|member| member.beat.address).collect()
+    }
+
     /// The member that plans for a cell of engines; `None` when that is this process.
     ///
     /// Members that know what the engines are doing go first; where all have just started, one of
--- a/crates/core/tests/membership.rs
+++ b/crates/core/tests/membership.rs
@@ -330,3 +330,15 @@
     view.hear(at(520), beat(2, 1, 2));
     assert!(view.is_settled(at(540)), "known ones say nothing new");
 }
+
+#[test]
+fn a_member_that_left_calls_unanswered_is_asked_until_it_is_heard() {
+    let mut view = view();
+    view.hear(at(0), beat(1, 1, 1));
+    view.hear(at(0), beat(2, 1, 1));
+    assert!(view.silent().is_empty());
+    (0..2).for_each(|_| view.unanswered(&name(1)));
+    assert_eq!(view.silent(), [beat(1, 1, 1).address]);
+    view.hear(at(900), beat(1, 1, 2));
+    assert!(view.silent().is_empty(), "it plans again at once");
+}
--- a/crates/instance/src/heartbeats.rs
+++ b/crates/instance/src/heartbeats.rs
@@ -1,12 +1,16 @@
 //! Heartbeats: said to all again and again, at once where something has changed, and heard.
 
-use std::{net, rc};
+use std::{net, rc, time};
 
 use rand::seq::IndexedRandom as _;
 use slipturn_core::{member_beat, units};
 
 use crate::{context, peer_message};
 
+/// Time between two questions to a member that left calls unanswered: while it is silent two members may
+/// plan for the same engines. A question and its answer are some 60 bytes, to one or two members.
+const SILENT_INTERVAL: time::Duration = time::Duration::from_millis(300);
+
 /// Takes a heartbeat in. Who has just started hears back at once, and whoever it names hears from
 /// this process: waiting for heartbeats, a large fleet would need many seconds to know itself.
 pub(crate) fn hear(
@@ -69,6 +73,17 @@
     }
 }
 
+/// Asks members that left calls unanswered whether they are back.
+pub async fn ask_silent(context: rc::Rc<context::InstanceContext>) {
+    loop {
+        monoio::time::sleep(SILENT_INTERVAL).await;
+        let silent = context.members.borrow().silent();
+        for to in silent {
+            context.tell(to, peer_message::PeerMessage::Who);
+        }
+    }
+}
+
 pub(crate) fn tell_all(context: &context::InstanceContext) {
     let own = context.settings().member_address;
     let targets = context.members.borrow().targets(own);
--- a/crates/instance/src/program.rs
+++ b/crates/instance/src/program.rs
@@ -116,6 +116,7 @@
     monoio::spawn(peers::send_all(rc::Rc::clone(&socket), queue));
     monoio::spawn(peers::receive_all(share(), socket));
     monoio::spawn(heartbeats::repeat(share()));
+    monoio::spawn(heartbeats::ask_silent(share()));
     monoio::spawn(peers::plan(share()));
     monoio::spawn(lease_renewal::repeat(share()));
     monoio::spawn(store_feed::follow_store(share()));
