Clean-up: cells apart from attempts, shared test parts; the soak has callers who read nothing until the end

Tests of the planner share engines and requests (support) in place of two copies.

Soak: one request in 40 is written by a client that reads nothing until its run ends; its answer must still be whole, and be ready by its deadline. Not added: datagrams between members that are lost (members send to the address that they bind, so no proxy stands between), and dozens of instances in two cells (the stand-in's engines do not go beyond one).

--- a/crates/core/tests/planner.rs
+++ b/crates/core/tests/planner.rs
@@ -1,41 +1,15 @@
 //! Where prompts are read: the choices, one by one.
 
-use std::time;
+mod support;
 
 use proptest::prelude::*;
 use slipturn_core::{
     engine_place::{JobId, PlaceAnswer, PlaceAsk, PlaceEnd, PlaceGrant, PlaceLease, PlaceNote},
-    ids, pass_model,
+    pass_model,
     planner::{PlannerOptions, ReadPlanner},
-    route_table,
     settings::RoutingKind,
-    units,
 };
-
-const SLOTS: usize = 16;
-const MEMORY: u64 = 315_000;
-
-fn shape() -> route_table::EngineShape {
-    route_table::EngineShape {
-        slots: SLOTS,
-        memory: units::TokenCount(MEMORY),
-        stride: 51.0,
-        step_ms: 0.85,
-        step_per_writer_ms: 0.004_25,
-        step_per_context_ms: 0.002_85,
-        read_per_ms: 177.0,
-        read_per_pairs_ms: 0.184,
-        report_lag_ms: 200.0,
-    }
-}
-
-fn at(millis: u64) -> units::MonoTime {
-    units::MonoTime::from_span(time::Duration::from_millis(millis))
-}
-
-fn engine(number: usize) -> ids::UpstreamId {
-    format!("e{number}").parse().expect("a valid name")
-}
+use support::{MEMORY, SLOTS, at, engine, long, shape, short};
 
 fn planner(engines: usize) -> ReadPlanner {
     let mut planner = ReadPlanner::new(shape(), PlannerOptions::default());
@@ -44,37 +18,6 @@
     planner
 }
 
-fn short(sequence: u64) -> PlaceAsk {
-    PlaceAsk {
-        job: JobId { boot: 1, sequence },
-        prompt: 5_000,
-        output: 1_700,
-        pause_ms: 250,
-        goal_ms: 300,
-        goal_left_ms: 300,
-        patience_ms: 2_000,
-        tight: true,
-        worth: 1.0,
-        refusable: true,
-        resumed: false,
-        excluded: Vec::new(),
-    }
-}
-
-fn long(sequence: u64, prompt: u64) -> PlaceAsk {
-    PlaceAsk {
-        prompt,
-        output: 800,
-        pause_ms: 1_000,
-        goal_ms: 3_000,
-        goal_left_ms: 3_000,
-        patience_ms: 12_000,
-        tight: false,
-        worth: prompt as f32 / 8_000.0,
-        ..short(sequence)
-    }
-}
-
 fn grant(answer: Option<PlaceAnswer>) -> PlaceGrant {
     match answer {
         Some(PlaceAnswer::Grant(grant)) => grant,
--- a/crates/core/tests/two_planners.rs
+++ b/crates/core/tests/two_planners.rs
@@ -1,16 +1,17 @@
 //! Two planners of the same engines, as on the two sides of a cut: neither hears of the other but
 //! through the engines.
 
-use std::{collections, time};
+mod support;
+
+use std::collections;
 
 use slipturn_core::{
     engine_place::{JobId, PlaceAnswer, PlaceAsk, PlaceEnd, PlaceGrant, PlaceNote},
     ids,
     planner::{PlannerOptions, ReadPlanner},
-    route_table, units,
 };
+use support::{SLOTS, at, engine, long, shape, short, short_of};
 
-const SLOTS: usize = 16;
 const ENGINES: usize = 12;
 /// Time from a place to the first token, and from there to the end, milliseconds.
 const FIRST_MS: u64 = 120;
@@ -20,59 +21,6 @@
 /// Age of the reports that engines give every two seconds, milliseconds.
 const REPORT_MS: u64 = 2_000;
 
-fn shape() -> route_table::EngineShape {
-    route_table::EngineShape {
-        slots: SLOTS,
-        memory: units::TokenCount(315_000),
-        stride: 51.0,
-        step_ms: 0.85,
-        step_per_writer_ms: 0.004_25,
-        step_per_context_ms: 0.002_85,
-        read_per_ms: 177.0,
-        read_per_pairs_ms: 0.184,
-        report_lag_ms: 200.0,
-    }
-}
-
-fn at(millis: u64) -> units::MonoTime {
-    units::MonoTime::from_span(time::Duration::from_millis(millis))
-}
-
-fn engine(number: usize) -> ids::UpstreamId {
-    format!("e{number}").parse().expect("a valid name")
-}
-
-fn short(boot: u64, sequence: u64) -> PlaceAsk {
-    PlaceAsk {
-        job: JobId { boot, sequence },
-        prompt: 5_000,
-        output: 1_700,
-        pause_ms: 250,
-        goal_ms: 300,
-        goal_left_ms: 300,
-        patience_ms: 2_000,
-        tight: true,
-        worth: 1.0,
-        refusable: true,
-        resumed: false,
-        excluded: Vec::new(),
-    }
-}
-
-fn long(boot: u64, sequence: u64) -> PlaceAsk {
-    PlaceAsk {
-        prompt: 154_000,
-        output: 800,
-        pause_ms: 1_000,
-        goal_ms: 3_000,
-        goal_left_ms: 3_000,
-        patience_ms: 12_000,
-        tight: false,
-        worth: 19.0,
-        ..short(boot, sequence)
-    }
-}
-
 /// One side: its planner, and what its requests do.
 struct PlannerSide {
     boot: u64,
@@ -121,7 +69,7 @@
             let other = 1 - side;
             step(&mut sides, side, now, told);
             if (now + side as u64 * ARRIVAL_MS / 2).is_multiple_of(ARRIVAL_MS) {
-                let ask = short(sides[side].boot, now);
+                let ask = short_of(sides[side].boot, now);
                 match sides[side].ask(now, ask) {
                     Some(grant) => {
                         load.placed += 1;
@@ -178,7 +126,7 @@
     let mut side = PlannerSide::new(1, 3);
     let mut shared = Vec::new();
     for number in 0..2 {
-        let ask = PlaceAsk { excluded: shared.clone(), ..short(1, number) };
+        let ask = PlaceAsk { excluded: shared.clone(), ..short(number) };
         let grant = side.ask(number, ask).expect("a place");
         let told = PlaceNote::FirstToken(grant.job, Some(8));
         side.planner.note(at(number + FIRST_MS), &told);
@@ -188,7 +136,7 @@
         let job = JobId { boot: 1, sequence: number };
         side.planner.note(at(200), &PlaceNote::Ended(job, PlaceEnd::Done));
     }
-    let ask = PlaceAsk { prompt: 100_000, ..long(1, 9) };
+    let ask = long(9, 100_000);
     let grant = side.ask(210, ask).expect("a place");
     let mut used = grant.helpers.iter().chain([&grant.engine]);
     assert!(used.all(|engine| !shared.contains(engine)), "{grant:?} beside {shared:?}");
--- a/crates/instance/src/lib.rs
+++ b/crates/instance/src/lib.rs
@@ -8,6 +8,7 @@
 
 pub mod border;
 pub mod caller_connection;
+mod cell_search;
 pub mod context;
 pub mod document_answers;
 pub mod document_call;
--- a/crates/instance/src/model_request.rs
+++ b/crates/instance/src/model_request.rs
@@ -7,15 +7,13 @@
 use slipturn_net::h1;
 
 use crate::{
-    caller_connection, context, engine_fault, event_stream, incoming_call, memory_hold,
-    plan_client, request_record, silence_watch, stream_policy, stream_state, upstream_attempt,
+    caller_connection, cell_search, context, engine_fault, event_stream, incoming_call,
+    memory_hold, plan_client, request_record, silence_watch, stream_policy, stream_state,
+    upstream_attempt,
 };
 
 /// Places tried at most, those whose engine never saw the request included.
 const MAX_TRIES: u32 = 5;
-/// Cells asked for a place: one that is full and another, drawn. More would multiply the questions of a
-/// flood.
-const MAX_CELLS: usize = 2;
 /// When to come back after a refusal, where nothing better is known.
 const BACK_AFTER: time::Duration = time::Duration::from_millis(400);
 /// Shortest time in which a place is looked for, also behind a long first attempt.
@@ -170,7 +168,7 @@
         excluded: &state.excluded,
     };
     let ask = stream_policy::ask(context, call, &progress);
-    let mut hold = match place(context, call, ask, limit).await {
+    let mut hold = match cell_search::place(context, call, ask, limit).await {
         plan_client::PlaceOutcome::Placed(hold) => hold,
         plan_client::PlaceOutcome::Refused(refusal) => return Ok(AttemptEnd::Refused(refusal)),
         plan_client::PlaceOutcome::TimedOut => return Ok(AttemptEnd::NoPlace),
@@ -201,40 +199,6 @@
     end
 }
 
-/// Asks for a place in one cell of the service's engines, and in another where that one refuses: its
-/// engines may be full while others are not. The refusal is that with the sooner time to come back.
-async fn place(
-    context: &rc::Rc<context::InstanceContext>,
-    call: &incoming_call::IncomingCall,
-    ask: engine_place::PlaceAsk,
-    limit: time::Duration,
-) -> plan_client::PlaceOutcome {
-    let asked = context.now();
-    let mut refused = Vec::new();
-    let mut best: Option<engine_place::PlaceRefusal> = None;
-    while refused.len() < MAX_CELLS
-        && let Some(planner) = context.pick_planner(&call.service, &refused)
-    {
-        let spent = context.now().since(asked);
-        let ask = engine_place::PlaceAsk { job: context.next_job(), ..ask.after(spent) };
-        if !refused.is_empty() && ask.goal_left_ms == 0 {
-            // It has waited in the first cell; another would keep its caller waiting longer.
-            break;
-        }
-        match plan_client::place(context, &planner, ask, limit.saturating_sub(spent)).await {
-            plan_client::PlaceOutcome::Refused(refusal) => {
-                refused.push(planner.cell);
-                best = Some(match best.take() {
-                    Some(best) if best.back_after_ms <= refusal.back_after_ms => best,
-                    _ => refusal,
-                });
-            }
-            outcome => return outcome,
-        }
-    }
-    best.map_or(plan_client::PlaceOutcome::TimedOut, plan_client::PlaceOutcome::Refused)
-}
-
 async fn run_place(
     context: &rc::Rc<context::InstanceContext>,
     call: &incoming_call::IncomingCall,
--- a/crates/soak/src/traffic.rs
+++ b/crates/soak/src/traffic.rs
@@ -29,6 +29,10 @@
 const LEFT_WAIT_MS: std::ops::Range<u64> = 0..400;
 /// Random stream of the choice who leaves.
 const LEFT_STREAM: u64 = 1;
+/// One request in so many is written by a client that reads nothing of its answer until the run ends.
+const UNREAD_REQUESTS: u32 = 40;
+/// Random stream of the choice who reads nothing.
+const UNREAD_STREAM: u64 = 2;
 /// Longest rest of a connection that is used again: well under the instances' idle time of 10 s,
 /// so that its use does not cross their close.
 const MAX_REST: time::Duration = time::Duration::from_secs(8);
@@ -71,6 +75,22 @@
     }
 }
 
+/// A request whose client has read nothing of its answer yet.
+struct UnreadRequest {
+    caller: Caller,
+    request: Request,
+    sent: SentRequest,
+}
+
+impl UnreadRequest {
+    /// Reads the answer, which must still be whole; it must have been sent by its deadline.
+    fn read(mut self) -> SentRequest {
+        let outcome = self.caller.read(&self.request);
+        let to = time::Instant::now().min(self.sent.from + DEADLINE);
+        SentRequest { to, outcome: Some(outcome), ..self.sent }
+    }
+}
+
 /// Clients that run until told to end.
 pub struct Traffic {
     ending: sync::Arc<AtomicBool>,
@@ -120,6 +140,9 @@
     let mut random = ChaCha8Rng::seed_from_u64(seed);
     let mut leaving = random.clone();
     leaving.set_stream(LEFT_STREAM);
+    let mut silent = random.clone();
+    silent.set_stream(UNREAD_STREAM);
+    let mut unread = Vec::new();
     let mut open: collections::HashMap<u8, RestingCaller> = collections::HashMap::new();
     let mut sent = Vec::new();
     for turn in 0.. {
@@ -148,7 +171,17 @@
         let connection = resting.ok();
         let connection =
             connection.or_else(|| Caller::connect(instances[usize::from(instance)]).ok());
+        let reads_nothing = silent.random_range(0..UNREAD_REQUESTS) == 0;
         let outcome = match connection {
+            Some(mut caller) if reads_nothing && !leaves => {
+                let to = time::Instant::now();
+                let id = request.id.clone();
+                let sent = SentRequest { id, route, instance, from, to, ended_rest, outcome: None };
+                // A connection that has ended shows when it is read.
+                let _ = caller.write(&request);
+                unread.push(UnreadRequest { caller, request, sent });
+                continue;
+            }
             None => Some(Outcome::NoConnection),
             Some(caller) if leaves => {
                 let wait = leaving.random_range(LEFT_WAIT_MS);
@@ -168,6 +201,7 @@
         sent.push(SentRequest { id, route, instance, from, to, ended_rest, outcome });
         thread::sleep(time::Duration::from_millis(random.random_range(PAUSE_MS)));
     }
+    sent.extend(unread.into_iter().map(UnreadRequest::read));
     sent
 }
 
