--- a/crates/core/src/document_source.rs
+++ b/crates/core/src/document_source.rs
@@ -2,7 +2,7 @@
 //! cannot give it.
 //!
 //! A document that every instance reads from the store itself costs instances times changes: 1,464 of
-//! the 5,052 calls of a day with seven changes and a restart of all 295 instances.
+//! the 5,052 calls of a day of 295 instances, with few changes and a restart of all.
 
 use std::time;
 
--- a/crates/core/src/membership.rs
+++ b/crates/core/src/membership.rs
@@ -36,7 +36,7 @@
 /// The same for a member whose last try has failed, for each one before it in order: while the store is
 /// away for all, those first in order go on asking and the others ask ever more seldom, 12 calls a second
 /// in all of a data centre of 60 instances. With all of them asking as often as the first, a day of 295
-/// instances on which the store was away for 15 s had some 3,000 calls more.
+/// instances on which the store was away for 15 s had some 1,700 calls more.
 const FAILED_STEP: time::Duration = time::Duration::from_millis(400);
 /// Longest time until a member tries again, whatever the others do.
 const FAILED_LIMIT: time::Duration = time::Duration::from_secs(10);
@@ -233,7 +233,7 @@
     /// new for a while.
     ///
     /// Before that each takes its data centre for a small one, and asks the platform's store itself: 282
-    /// of 295 instances did so at a first start, some 1,400 calls.
+    /// of 295 instances did so at a first start, some 850 calls.
     pub fn is_settled(&self, now: units::MonoTime) -> bool {
         match self.grown {
             Some(grown) => now.since(grown) >= SETTLE_TIME,
--- a/crates/core/src/planner/engine_work.rs
+++ b/crates/core/src/planner/engine_work.rs
@@ -180,7 +180,7 @@
     /// Takes over how many requests it had as an answer of its own began.
     ///
     /// Answers come several times a second where reports come each two: across a cut that left 21 of
-    /// 59 planners to themselves, 24 in 100 short requests came late by reports alone.
+    /// 59 instances to a second planner, 24 in 100 short requests came late by reports alone.
     pub(crate) fn note_load(&mut self, requests: usize) {
         self.foreign = requests.saturating_sub(self.answering.len() + NOTE_SLACK);
     }
