What is believed of an upstream belongs to one start of it; entries of other writers name nobody and hold nothing up

Cause: `born` was read nowhere, and an upstream's name was taken for one start of it: shuns, places, leases, memory and calls under way outlived a restart under the same identifier. One value in the store that is no base64 made a whole page or set of changes unreadable, and a good entry overwritten by one that cannot be read stayed in use. Ruled out: keeping beliefs by identifier and clearing them at a restart (every late message of a member, a lease or an order would have to be told apart again); taking the larger `born` for the newer (clocks may be wrong); passing an unreadable value on to members as it is (it may be a megabyte); taking an entry without its start for one that has none where starts are told. Change: `UpstreamId` names one start (`IDENTIFIER@START`), so that whatever is kept by name ends with it; the list is kept by identifier and says which start is present: the upstream's own word (report, order's answer) asked for since, else the list's newer one, never one that is known to be over. Whoever is sent to another start than it knows reaches the one that runs. Attempts at a start that is over end at once, resting connections close, memory is not renewed at another start.

--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -21,11 +21,20 @@
     if !text.is_empty() && text.len() <= MAX_NAME_LENGTH && text.bytes().all(allowed) {
         return Ok(());
     }
-    Err(NameError { found: text.chars().take(MAX_NAME_LENGTH).collect() })
+    Err(NameError::of(text))
+}
+
+impl NameError {
+    fn of(text: &str) -> Self {
+        Self { found: text.chars().take(MAX_NAME_LENGTH).collect() }
+    }
 }
 
 macro_rules! text_id {
     ($(#[$doc:meta])* $name:ident) => {
+        text_id! { $(#[$doc])* checked by check_name $name }
+    };
+    ($(#[$doc:meta])* checked by $check:ident $name:ident) => {
         $(#[$doc])*
         #[derive(Clone, PartialEq, Eq, PartialOrd, Ord, Hash, serde::Serialize, serde::Deserialize)]
         #[serde(try_from = "String", into = "String")]
@@ -42,7 +51,7 @@
             type Err = NameError;
 
             fn from_str(text: &str) -> Result<Self, NameError> {
-                check_name(text)?;
+                $check(text)?;
                 Ok(Self(text.into()))
             }
         }
@@ -79,10 +88,6 @@
     /// One model engine, the upstream of completions.
     EngineId
 }
-text_id! {
-    /// One upstream of a plain service.
-    UpstreamId
-}
 text_id! {
     /// A plain service, served by any of its upstreams.
     ServiceId
@@ -120,6 +125,66 @@
     AttemptId
 }
 
+text_id! {
+    /// One start of an upstream: `IDENTIFIER`, or `IDENTIFIER@START` where upstreams tell their starts
+    /// apart.
+    ///
+    /// An upstream may start again under its identifier, and then knows nothing of before. What it
+    /// held, was given and was believed of it belongs to one start, and is kept under this name.
+    checked by check_upstream
+    UpstreamId
+}
+
+impl UpstreamId {
+    /// This start of the same upstream.
+    pub fn with_start(&self, start: UpstreamStart) -> Self {
+        Self(format!("{}{START_MARK}{start}", self.identifier()).into())
+    }
+
+    /// What all starts of the upstream have in common.
+    pub fn identifier(&self) -> &str {
+        self.0.split_once(START_MARK).map_or(&*self.0, |(identifier, _)| identifier)
+    }
+
+    /// Which start it is, where the upstream tells.
+    pub fn start(&self) -> Option<UpstreamStart> {
+        self.0.split_once(START_MARK)?.1.parse().ok()
+    }
+}
+
+/// Between an upstream's identifier and its start; no identifier holds it.
+const START_MARK: char = '@';
+
+fn check_upstream(text: &str) -> Result<(), NameError> {
+    let (identifier, start) = match text.split_once(START_MARK) {
+        Some((identifier, start)) => (identifier, Some(start)),
+        None => (text, None),
+    };
+    let sound = start.is_none_or(|start| start.parse::<UpstreamStart>().is_ok());
+    if sound { check_name(identifier) } else { Err(NameError::of(text)) }
+}
+
+/// When an upstream started, Unix milliseconds by its own clock.
+///
+/// Clocks may be wrong: two starts that differ are different ones, and neither is known to be the
+/// later.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct UpstreamStart(pub u64);
+
+impl fmt::Display for UpstreamStart {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.0)
+    }
+}
+
+impl str::FromStr for UpstreamStart {
+    type Err = std::num::ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        text.parse().map(Self)
+    }
+}
+
 impl RequestId {
     /// Builds the id of the `sequence`th request of an instance since it started.
     pub fn new(instance: &InstanceId, boot: BootId, sequence: u64) -> Self {
--- a/crates/core/src/planner_key.rs
+++ b/crates/core/src/planner_key.rs
@@ -36,7 +36,8 @@
 
 /// The cell of an engine.
 pub fn cell_of(service: &ids::ServiceId, engine: &ids::UpstreamId, cells: u16) -> u16 {
-    let hash = rendezvous::stable_hash(&["cell", service.as_str(), engine.as_str()]);
+    // Members that know different starts of an engine must agree on its cell.
+    let hash = rendezvous::stable_hash(&["cell", service.as_str(), engine.identifier()]);
     (hash % u64::from(cells.max(1))) as u16
 }
 
--- a/crates/core/src/upstream_list.rs
+++ b/crates/core/src/upstream_list.rs
@@ -1,6 +1,7 @@
-//! Upstreams as the platform lists them, and what is believed of those that vanish from the list.
+//! Upstreams as the platform lists them, what is believed of those that vanish from the list, and
+//! which start of each is the present one.
 
-use std::{collections, net, time};
+use std::{collections, net, sync, time};
 
 use crate::{fleet_list, ids, units};
 
@@ -12,6 +13,10 @@
 /// Beyond this share of a service vanished at once, the vanished are still used until they are
 /// surely gone: the source's own outage is likelier than all of them leaving.
 const DOUBT_SHARE: f64 = 0.5;
+/// Starts of one upstream that are remembered as over. An entry of one may still arrive seconds later,
+/// by a store that is slow or a member that is behind; an upstream that starts more often meanwhile
+/// is of no use to anybody.
+const MAX_OVER: usize = 8;
 
 /// One upstream of a service, engine or not.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -37,14 +42,61 @@
     Present(UpstreamEntry),
     /// An upstream is gone.
     Gone(ids::UpstreamId),
+    /// Its entry is not one that names an upstream to use: somebody else has written there.
+    Unreadable(ids::UpstreamId),
+}
+
+/// What is known of the starts of one upstream.
+#[derive(Debug, Default)]
+struct StartRecord {
+    /// When the present one became known.
+    known_since: units::MonoTime,
+    /// Those that are over, oldest first, at most [`MAX_OVER`]; never holds the present one.
+    over: collections::VecDeque<ids::UpstreamStart>,
+}
+
+impl StartRecord {
+    fn is_over(&self, start: Option<ids::UpstreamStart>) -> bool {
+        start.is_some_and(|start| self.over.contains(&start))
+    }
+
+    fn replace(
+        &mut self,
+        now: units::MonoTime,
+        before: Option<ids::UpstreamStart>,
+        present: Option<ids::UpstreamStart>,
+    ) {
+        self.known_since = now;
+        self.over.retain(|start| Some(*start) != present);
+        self.over.extend(before);
+        if self.over.len() > MAX_OVER {
+            self.over.pop_front();
+        }
+    }
+}
+
+/// A start of an upstream that is over, as another one is the present one.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct EndedStart {
+    /// The start that is over.
+    pub name: ids::UpstreamId,
+    /// Where it took requests.
+    pub address: net::SocketAddrV4,
+    /// The present one.
+    pub present: ids::UpstreamId,
 }
 
 /// The list as this process believes it.
 #[derive(Debug, Default)]
 pub struct UpstreamList {
-    entries: collections::BTreeMap<ids::UpstreamId, UpstreamEntry>,
+    /// By identifier: of each upstream one start is the present one.
+    entries: collections::BTreeMap<sync::Arc<str>, UpstreamEntry>,
+    /// Starts of those that have started again; holds no upstream that is not listed.
+    starts: collections::BTreeMap<sync::Arc<str>, StartRecord>,
     /// Upstreams that vanished and may return, with the time at which they are taken for gone.
-    doubtful: collections::BTreeMap<ids::UpstreamId, units::MonoTime>,
+    doubtful: collections::BTreeMap<sync::Arc<str>, units::MonoTime>,
+    /// Starts that were found to be over since the last look.
+    ended: Vec<EndedStart>,
     /// Until when vanishing is doubted.
     doubt_until: Option<units::MonoTime>,
     /// The source's revision this state belongs to; only ever goes up.
@@ -78,8 +130,9 @@
         let mut changed = false;
         for change in changes {
             changed |= match change {
-                ListChange::Present(entry) => self.put(entry),
-                ListChange::Gone(name) => self.vanish(now, name),
+                ListChange::Present(entry) => self.put(now, entry),
+                ListChange::Gone(name) => self.vanish(now, &name),
+                ListChange::Unreadable(name) => self.remove(name.identifier()),
             };
         }
         changed
@@ -96,9 +149,9 @@
             return false;
         }
         let listed: collections::BTreeSet<_> =
-            entries.iter().map(|entry| entry.name.clone()).collect();
-        let missing: Vec<_> =
-            self.entries.keys().filter(|name| !listed.contains(*name)).cloned().collect();
+            entries.iter().map(|entry| entry.name.identifier()).collect();
+        let known = self.entries.iter().filter(|(identifier, _)| !listed.contains(&***identifier));
+        let missing: Vec<_> = known.map(|(_, entry)| entry.name.clone()).collect();
         let mut changes: Vec<_> = entries.into_iter().map(ListChange::Present).collect();
         changes.extend(missing.into_iter().map(ListChange::Gone));
         self.apply(now, changes, revision)
@@ -110,13 +163,11 @@
             .doubtful
             .iter()
             .filter(|(_, until)| **until <= now)
-            .map(|(name, _)| name.clone())
+            .map(|(identifier, _)| sync::Arc::clone(identifier))
             .collect();
-        for name in &gone {
-            self.doubtful.remove(name);
-            self.entries.remove(name);
+        for identifier in &gone {
+            self.remove(identifier);
         }
-        self.changes += gone.len() as u64;
         !gone.is_empty()
     }
 
@@ -128,23 +179,32 @@
             .filter(|entry| entry.service == *service)
             .filter(|entry| entry.state == fleet_list::ListState::Live)
             .collect();
-        let certain: Vec<_> =
-            live.iter().copied().filter(|entry| !self.doubtful.contains_key(&entry.name)).collect();
+        let is_certain =
+            |entry: &&UpstreamEntry| !self.doubtful.contains_key(entry.name.identifier());
+        let certain: Vec<_> = live.iter().copied().filter(is_certain).collect();
         let vanished = live.len() - certain.len();
         if vanished as f64 > live.len() as f64 * DOUBT_SHARE { live } else { certain }
     }
 
-    /// Whether an upstream may still be sent a request.
+    /// Whether an upstream may still be sent a request, whichever its present start is.
     pub fn is_usable(&self, name: &ids::UpstreamId) -> bool {
-        self.entries.get(name).is_some_and(|entry| {
+        self.entry(name).is_some_and(|entry| {
             entry.state == fleet_list::ListState::Live
-                && self.usable(&entry.service).iter().any(|usable| usable.name == *name)
+                && self.usable(&entry.service).iter().any(|usable| usable.name == entry.name)
         })
     }
 
-    /// One upstream, leaving or not.
+    /// One upstream, leaving or not, with its present start.
+    ///
+    /// Members may know different starts for some seconds. Whoever is sent to another start than
+    /// it knows means the same upstream, and reaches the one that runs.
     pub fn entry(&self, name: &ids::UpstreamId) -> Option<&UpstreamEntry> {
-        self.entries.get(name)
+        self.entries.get(name.identifier())
+    }
+
+    /// Whether a start of an upstream is the present one.
+    pub fn is_present(&self, name: &ids::UpstreamId) -> bool {
+        self.entry(name).is_some_and(|entry| entry.name == *name)
     }
 
     /// All upstreams.
@@ -152,29 +212,95 @@
         self.entries.values()
     }
 
-    fn put(&mut self, entry: UpstreamEntry) -> bool {
-        let returned = self.doubtful.remove(&entry.name).is_some();
-        let before = self.entries.insert(entry.name.clone(), entry.clone());
+    /// Takes in which start an upstream itself told, asked at `asked`; returns whether it is another
+    /// than the one believed to be present.
+    ///
+    /// Starts say other, not newer, as clocks may be wrong. What decides is who speaks, and when:
+    /// the upstream's own word, asked for after the present start became known, is true whatever
+    /// the list said; one that was on its way already may be of the start before. The list's newer
+    /// word replaces the present one, unless it names a start that is over.
+    pub fn tell_start(
+        &mut self,
+        now: units::MonoTime,
+        name: &ids::UpstreamId,
+        start: ids::UpstreamStart,
+        asked: units::MonoTime,
+    ) -> bool {
+        let Some(entry) = self.entries.get(name.identifier()) else {
+            return false;
+        };
+        let before = entry.name.start();
+        let since = self.starts.get(name.identifier()).map(|record| record.known_since);
+        // Where the list tells no starts, there is nothing to compare with.
+        if before.is_none() || before == Some(start) || since.is_some_and(|since| asked < since) {
+            return false;
+        }
+        let present = UpstreamEntry { name: entry.name.with_start(start), ..entry.clone() };
+        self.begin_start(now, present);
+        self.changes += 1;
+        true
+    }
+
+    /// Starts that were found to be over since the last call.
+    pub fn take_ended(&mut self) -> Vec<EndedStart> {
+        std::mem::take(&mut self.ended)
+    }
+
+    fn put(&mut self, now: units::MonoTime, entry: UpstreamEntry) -> bool {
+        let identifier = entry.name.identifier();
+        if let Some(before) = self.entries.get(identifier)
+            && before.name != entry.name
+        {
+            if entry.name.start().is_none() {
+                // Upstreams always tell their start: this entry is another writer's.
+                return self.remove(identifier);
+            }
+            let record = self.starts.get(identifier);
+            if record.is_some_and(|record| record.is_over(entry.name.start())) {
+                return false;
+            }
+            self.doubtful.remove(identifier);
+            self.begin_start(now, entry);
+            self.changes += 1;
+            return true;
+        }
+        let returned = self.doubtful.remove(identifier).is_some();
+        let before = self.entries.insert(identifier.into(), entry.clone());
         let changed = returned || before.as_ref() != Some(&entry);
         self.changes += u64::from(changed);
         changed
     }
 
-    fn vanish(&mut self, now: units::MonoTime, name: ids::UpstreamId) -> bool {
-        let Some(entry) = self.entries.get(&name) else {
+    /// Puts another start of a listed upstream in the place of the one before.
+    fn begin_start(&mut self, now: units::MonoTime, entry: UpstreamEntry) {
+        let identifier: sync::Arc<str> = entry.name.identifier().into();
+        let present = entry.name.clone();
+        let Some(before) = self.entries.insert(sync::Arc::clone(&identifier), entry) else {
+            return;
+        };
+        let record = self.starts.entry(identifier).or_default();
+        record.replace(now, before.name.start(), present.start());
+        self.ended.push(EndedStart { name: before.name, address: before.address, present });
+    }
+
+    fn vanish(&mut self, now: units::MonoTime, name: &ids::UpstreamId) -> bool {
+        let Some((identifier, entry)) = self.entries.get_key_value(name.identifier()) else {
             return false;
         };
         let leaving = entry.state == fleet_list::ListState::Leaving;
+        let Some(until) = self.doubt_until.filter(|until| now < *until && !leaving) else {
+            return self.remove(name.identifier());
+        };
+        self.doubtful.entry(sync::Arc::clone(identifier)).or_insert(until);
         self.changes += 1;
-        match self.doubt_until.filter(|until| now < *until && !leaving) {
-            Some(until) => {
-                self.doubtful.entry(name).or_insert(until);
-            }
-            None => {
-                self.doubtful.remove(&name);
-                self.entries.remove(&name);
-            }
-        }
         true
     }
+
+    fn remove(&mut self, identifier: &str) -> bool {
+        self.doubtful.remove(identifier);
+        self.starts.remove(identifier);
+        let removed = self.entries.remove(identifier).is_some();
+        self.changes += u64::from(removed);
+        removed
+    }
 }
--- a/crates/core/tests/upstream_list.rs
+++ b/crates/core/tests/upstream_list.rs
@@ -133,3 +133,98 @@
     list.tick(at(5_000));
     assert_eq!(list.changes(), count, "nothing new");
 }
+
+fn start(number: u8, born: u64) -> UpstreamEntry {
+    UpstreamEntry { name: name(number).with_start(ids::UpstreamStart(born)), ..entry(number) }
+}
+
+fn present(list: &UpstreamList, number: u8) -> Option<u64> {
+    list.entry(&name(number)).and_then(|entry| entry.name.start()).map(|start| start.0)
+}
+
+#[test]
+fn an_entry_of_another_start_replaces_the_one_before_and_says_so() {
+    let mut list = UpstreamList::default();
+    list.replace(at(0), vec![start(1, 50)], 10);
+    assert!(list.apply(at(1), vec![ListChange::Present(start(1, 40))], 11), "other, not newer");
+    assert_eq!(present(&list, 1), Some(40));
+    let ended = list.take_ended();
+    assert_eq!(ended.len(), 1);
+    assert_eq!(ended[0].name, start(1, 50).name);
+    assert!(list.is_present(&start(1, 40).name) && !list.is_present(&start(1, 50).name));
+    assert!(list.is_usable(&start(1, 50).name), "whoever is sent there reaches the one that runs");
+    assert_eq!(usable(&list), 1);
+}
+
+#[test]
+fn entries_of_starts_that_are_over_change_nothing() {
+    let mut list = UpstreamList::default();
+    list.replace(at(0), vec![start(1, 50)], 10);
+    // Twice within a second.
+    list.apply(
+        at(100),
+        vec![ListChange::Present(start(1, 60)), ListChange::Present(start(1, 70))],
+        11,
+    );
+    for (number, over) in [50, 60].into_iter().enumerate() {
+        let draining = UpstreamEntry { state: ListState::Leaving, ..start(1, over) };
+        let revision = 12 + number as u64;
+        assert!(!list.apply(at(200), vec![ListChange::Present(draining)], revision));
+    }
+    list.replace(at(300), vec![start(1, 60)], 20);
+    assert_eq!((present(&list, 1), usable(&list)), (Some(70), 1));
+    // Once it is gone, nothing of that is remembered.
+    list.apply(at(400), vec![ListChange::Gone(name(1)), ListChange::Present(start(1, 50))], 21);
+    assert_eq!(present(&list, 1), Some(50));
+}
+
+#[test]
+fn an_upstreams_own_word_decides_unless_it_was_asked_for_before() {
+    let mut list = UpstreamList::default();
+    list.replace(at(0), vec![start(1, 50)], 10);
+    let told = |list: &mut UpstreamList, now, born, asked| {
+        list.tell_start(at(now), &name(1), ids::UpstreamStart(born), at(asked))
+    };
+    assert!(!told(&mut list, 100, 50, 90), "the same");
+    assert!(told(&mut list, 200, 60, 190));
+    assert!(!told(&mut list, 210, 50, 195), "asked before it was known");
+    assert!(!list.apply(at(220), vec![ListChange::Present(start(1, 50))], 11), "an old entry");
+    assert_eq!(present(&list, 1), Some(60));
+    // The list's word on one that nobody has heard of holds, and the upstream's own again after it.
+    list.apply(at(300), vec![ListChange::Present(start(1, 55))], 12);
+    assert!(told(&mut list, 400, 60, 390), "a start taken for over that answers is present");
+    assert_eq!(present(&list, 1), Some(60));
+    assert!(!list.tell_start(at(400), &name(9), ids::UpstreamStart(1), at(390)), "not listed");
+}
+
+#[test]
+fn an_entry_without_its_start_is_another_writers_where_starts_are_told() {
+    let mut list = UpstreamList::default();
+    list.replace(at(0), vec![start(1, 50), entry(2)], 10);
+    assert!(list.apply(at(1), vec![ListChange::Present(entry(1))], 11));
+    assert_eq!((present(&list, 1), usable(&list)), (None, 1));
+    // Where none are told there is nothing to tell apart.
+    assert!(!list.tell_start(at(5), &name(2), ids::UpstreamStart(9), at(4)));
+    list.apply(at(6), vec![ListChange::Present(start(2, 9))], 12);
+    assert_eq!(present(&list, 2), Some(9));
+}
+
+#[test]
+fn an_entry_that_cannot_be_read_names_nobody_also_while_vanishing_is_doubted() {
+    let mut list = full();
+    list.source_returned(at(1_000));
+    list.apply(at(1_010), vec![ListChange::Unreadable(name(1)), ListChange::Gone(name(2))], 14);
+    assert!(list.entry(&name(1)).is_none() && list.entry(&name(2)).is_some());
+}
+
+#[test]
+fn names_of_starts_are_read_and_written() {
+    let parse = |text: &str| text.parse::<ids::UpstreamId>();
+    let first = parse("i-1@17").expect("a valid name");
+    assert_eq!((first.identifier(), first.start()), ("i-1", Some(ids::UpstreamStart(17))));
+    assert_eq!(first.with_start(ids::UpstreamStart(18)).to_string(), "i-1@18");
+    assert_eq!(parse("i-1").expect("a valid name").start(), None);
+    for bad in ["", "@", "@5", "i-1@", "i-1@x", "i-1@1@2", "i-1@-4", "a b"] {
+        assert!(parse(bad).is_err(), "{bad}");
+    }
+}
--- a/crates/instance/src/border.rs
+++ b/crates/instance/src/border.rs
@@ -100,6 +100,8 @@
     pub used: u64,
     /// Memory set aside, where the engine tells.
     pub tickets: Option<Vec<TicketReport>>,
+    /// Which start of the engine reports, where it tells.
+    pub start: Option<ids::UpstreamStart>,
 }
 
 impl EngineReport {
@@ -156,6 +158,8 @@
     fn read_answer(&self, head: &http::response::Parts) -> UpstreamAnswer;
     /// Path and body of an order about memory.
     fn memory_order(&self, order: &MemoryOrder) -> (String, Bytes);
+    /// Which start of an engine answered an order, where the answer tells.
+    fn order_start(&self, body: &[u8]) -> Option<ids::UpstreamStart>;
     /// Path of an engine's report.
     fn report_path(&self) -> String;
     /// Reads an engine's report.
@@ -180,11 +184,20 @@
     pub returned_ms: Option<u64>,
 }
 
+/// A key of the store with its value.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct StoreItem {
+    /// The key; empty where not even that can be read.
+    pub key: String,
+    /// The value, or why it is none: anybody may write to the store.
+    pub value: Result<String, FormatError>,
+}
+
 /// A page of what lies in the store.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct StorePage {
-    /// Keys with their values.
-    pub items: Vec<(String, String)>,
+    /// What it holds.
+    pub items: Vec<StoreItem>,
     /// Key behind which the next page starts, if there is one.
     pub next: Option<String>,
     /// Revision of the store.
@@ -194,8 +207,8 @@
 /// A change in the store.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum StoreChange {
-    /// A key has this value.
-    Put(String, String),
+    /// A key has a value.
+    Put(StoreItem),
     /// A key is gone.
     Gone(String),
 }
--- a/crates/instance/src/context.rs
+++ b/crates/instance/src/context.rs
@@ -11,7 +11,7 @@
 
 use crate::{
     border, document_answers, fleet_state, instance_settings, instance_stats, peer_message,
-    planner_set, upstream_pool, upstream_silence,
+    planner_set, upstream_pool, upstream_silence, upstream_starts,
 };
 
 /// Age at which a process knows how many members there are; heartbeats are a second apart at most.
@@ -69,6 +69,8 @@
     pub pool: upstream_pool::UpstreamPool,
     /// What upstreams of plain services do for this process.
     pub loads: cell::RefCell<crate::upstream_load::UpstreamLoads>,
+    /// Attempts that wait for starts of upstreams.
+    pub starts: upstream_starts::StartWaiters,
     /// Answers to members about the store's documents.
     pub answers: cell::RefCell<document_answers::DocumentAnswers>,
     /// When silent connections were last logged.
@@ -137,6 +139,7 @@
             retries: cell::RefCell::default(),
             pool: upstream_pool::UpstreamPool::default(),
             loads: cell::RefCell::default(),
+            starts: upstream_starts::StartWaiters::default(),
             answers: cell::RefCell::default(),
             silence_log: upstream_silence::SilenceLog::default(),
             stats: cell::RefCell::default(),
--- a/crates/instance/src/document_answers.rs
+++ b/crates/instance/src/document_answers.rs
@@ -113,7 +113,7 @@
 }
 
 /// Reads documents of another member.
-pub(crate) fn decode(bytes: &[u8]) -> Result<border::RawDocuments, packed_bytes::PackError> {
+pub fn decode(bytes: &[u8]) -> Result<border::RawDocuments, packed_bytes::PackError> {
     let packed: packed_bytes::PackedBytes =
         postcard::from_bytes(bytes).map_err(packed_bytes::PackError::code)?;
     let plain = packed.unpack(&[])?;
--- a/crates/instance/src/engine_fault.rs
+++ b/crates/instance/src/engine_fault.rs
@@ -3,7 +3,8 @@
 use slipturn_core::{connection_silence, engine_place, units};
 
 use crate::{
-    context, plan_client, stream_state, upstream_attempt, upstream_pool, upstream_silence,
+    context, plan_client, silence_watch, stream_state, upstream_attempt, upstream_pool,
+    upstream_silence, upstream_starts,
 };
 
 /// Leaves the engine that was the cause alone.
@@ -45,16 +46,22 @@
         .all(|entry| entry.name == hold.grant.engine || state.excluded.contains(&entry.name))
 }
 
-/// Draws the conclusions of a silence that began at `since`; returns what it is taken for.
-pub(crate) fn note_silence(
+/// Draws the conclusions of a wait, begun at `since`, that is given up; returns what it says in the
+/// request's record.
+pub(crate) fn note_wait(
     context: &context::InstanceContext,
-    hold: &plan_client::PlaceHold,
+    hold: &mut plan_client::PlaceHold,
     life: &upstream_pool::ConnectionLife,
     moment: connection_silence::SilentMoment,
     since: units::MonoTime,
-) -> &'static str {
+    fault: silence_watch::WaitFault,
+) -> String {
+    let silence_watch::WaitFault::Silent(silence) = fault else {
+        return upstream_starts::RESTARTED.to_owned();
+    };
+    hold.end = engine_place::PlaceEnd::Silent;
     let waited = context.now().since(since);
     let upstream = &hold.grant.engine;
     let wait = upstream_silence::SilentWait { upstream, life, moment, waited };
-    upstream_silence::note(context, &wait).word()
+    format!("{silence}: {}", upstream_silence::note(context, &wait).word())
 }
--- a/crates/instance/src/engine_reports.rs
+++ b/crates/instance/src/engine_reports.rs
@@ -4,7 +4,7 @@
 
 use slipturn_core::{planner_key, upstream_list};
 
-use crate::{context, document_call, peers};
+use crate::{context, document_call, peers, upstream_starts};
 
 /// Time between two reports of one engine.
 const REPORT_INTERVAL: time::Duration = time::Duration::from_millis(2_000);
@@ -61,6 +61,7 @@
 async fn report(context: rc::Rc<context::InstanceContext>, engine: upstream_list::UpstreamEntry) {
     let mut connection = document_call::DocumentConnection::new(engine.address.into());
     let path = context.border.report_path();
+    let asked = context.now();
     let body = match connection.get(&path, REPORT_TIME).await {
         Ok(body) => body,
         Err(error) => {
@@ -74,8 +75,15 @@
             if report.pace > SLOW_PACE {
                 log::info!(engine:% = engine.name, pace = report.pace; "engine.slow");
             }
+            upstream_starts::hear(&context, engine.address, report.start, asked);
+            let fleet = context.fleet.borrow();
+            let Some(present) = fleet.list.entry(&engine.name) else {
+                return;
+            };
             let requests = (report.running + report.waiting) as usize;
-            context.planners.borrow_mut().set_report(&engine.name, report.pace, requests);
+            let mut planners = context.planners.borrow_mut();
+            planners.sync(context.now(), &fleet);
+            planners.set_report(&present.name, report.pace, requests);
         }
         Err(error) => log::warn!(engine:% = engine.name, error:%; "engine.unreadable"),
     }
--- a/crates/instance/src/fleet_state.rs
+++ b/crates/instance/src/fleet_state.rs
@@ -1,8 +1,8 @@
 //! What this process believes of routes and upstreams, and the raw documents it passes on.
 
-use std::{collections, rc, time};
+use std::{collections, net, rc, time};
 
-use slipturn_core::{route_table, units, upstream_list};
+use slipturn_core::{ids, route_table, units, upstream_list};
 
 use crate::{border, packed_bytes, routes_history};
 
@@ -13,12 +13,16 @@
 /// An outage's end this long ago explains no changes any more, milliseconds.
 const RECENT_RETURN_MS: u64 = 3_000;
 
+/// Characters of a name or error from outside that a log line shows.
+const MAX_LOGGED: usize = 160;
+
 /// What was read, as it was written.
 #[derive(Default)]
 struct RawState {
     routes: Option<String>,
     /// Their last changes.
     history: routes_history::RoutesHistory,
+    /// Documents by name; empty where nobody can read them.
     upstreams: collections::BTreeMap<String, String>,
     /// Revision, name and document of the last changes, oldest first.
     changes: collections::VecDeque<(u64, String, Option<String>)>,
@@ -191,6 +195,14 @@
         }
     }
 
+    /// Takes over routes as they lie in the store, if they can be read and are newer.
+    pub fn put_routes_item(&mut self, item: border::StoreItem, source: &str) {
+        match item.value {
+            Ok(text) => self.put_routes(text, source),
+            Err(error) => log::error!(source, error:%; "routes.rejected"),
+        }
+    }
+
     /// Takes over routes that the store has, if they are newer.
     pub fn put_routes(&mut self, text: String, source: &str) {
         if let Some((version, before)) = self.replace_routes(text, source) {
@@ -232,17 +244,46 @@
             log::debug!(source, revision; "list.older");
             return;
         }
-        let entries = documents.iter().filter_map(|(name, text)| self.read_entry(name, text));
-        let entries: Vec<_> = entries.collect();
+        // Of a key that is there twice the last one holds.
+        let mut documents: collections::BTreeMap<_, _> = documents.into_iter().collect();
+        let mut entries = Vec::new();
+        let mut unreadable = Vec::new();
+        for (name, text) in &mut documents {
+            match self.read_entry(name, text) {
+                Some(entry) => entries.push(entry),
+                None => {
+                    text.clear();
+                    unreadable.extend(read_name(name).map(upstream_list::ListChange::Unreadable));
+                }
+            }
+        }
         let count = entries.len();
-        if self.list.replace(now, entries, revision) {
+        let replaced = self.list.replace(now, entries, revision);
+        if self.list.apply(now, unreadable, revision) || replaced {
             log::info!(source, revision, upstreams = count; "list.replaced");
         }
         let known = self.listed;
-        self.raw.replace(documents.into_iter().collect(), revision, known);
+        self.raw.replace(documents, revision, known);
         self.listed = true;
     }
 
+    /// Takes in which start answers at an address, asked at `asked`.
+    ///
+    /// An address at which two upstreams are listed tells of neither.
+    pub fn hear_start(
+        &mut self,
+        now: units::MonoTime,
+        address: net::SocketAddrV4,
+        start: ids::UpstreamStart,
+        asked: units::MonoTime,
+    ) {
+        let there = self.list.entries().filter(|entry| entry.address == address);
+        let names: Vec<_> = there.map(|entry| entry.name.clone()).collect();
+        if let [name] = names.as_slice() {
+            self.list.tell_start(now, name, start, asked);
+        }
+    }
+
     /// Applies changes of the store.
     pub fn apply(
         &mut self,
@@ -252,14 +293,17 @@
     ) {
         let mut upstreams = Vec::new();
         for change in changes {
-            let (key, text) = match change {
-                border::StoreChange::Put(key, text) => (key, Some(text)),
-                border::StoreChange::Gone(key) => (key, None),
-            };
-            match (self.border.key(&key), text) {
-                (border::StoreKey::Routes, Some(text)) => self.put_routes(text, "store"),
-                (border::StoreKey::Upstream(name), text) => upstreams.push((name, text)),
-                _ => {}
+            match change {
+                border::StoreChange::Put(item) => match self.border.key(&item.key) {
+                    border::StoreKey::Routes => self.put_routes_item(item, "store"),
+                    border::StoreKey::Upstream(name) => upstreams.push((name, Some(text_of(item)))),
+                    border::StoreKey::Other => {}
+                },
+                border::StoreChange::Gone(key) => {
+                    if let border::StoreKey::Upstream(name) = self.border.key(&key) {
+                        upstreams.push((name, None));
+                    }
+                }
             }
         }
         self.change_upstreams(now, upstreams, revision);
@@ -277,15 +321,22 @@
             return;
         }
         let mut list_changes = Vec::new();
-        for (name, text) in changes {
-            list_changes.extend(self.read_change(&name, text.as_deref(), revision));
+        for (name, mut text) in changes {
+            let change = self.read_change(&name, text.as_deref(), revision);
+            if matches!(change, None | Some(upstream_list::ListChange::Unreadable(_))) {
+                // What nobody can read is passed on as that, not as it is: it may be of any size.
+                text.as_mut().map(String::clear);
+            }
+            list_changes.extend(change);
             self.raw.change(name, text, revision);
         }
         self.list.apply(now, list_changes, revision);
         self.raw.settle(revision);
     }
 
-    /// One change as the list takes it; `None` where the entry cannot be read.
+    /// One change as the list takes it; `None` where its name is none.
+    ///
+    /// An entry that cannot be read names no upstream to use, also where a good one stood before.
     fn read_change(
         &self,
         name: &str,
@@ -293,10 +344,12 @@
         revision: u64,
     ) -> Option<upstream_list::ListChange> {
         let Some(text) = text else {
-            log::info!(upstream = name, revision; "upstream.unlisted");
-            return name.parse().ok().map(upstream_list::ListChange::Gone);
+            log::info!(upstream = bounded(name), revision; "upstream.unlisted");
+            return read_name(name).map(upstream_list::ListChange::Gone);
+        };
+        let Some(entry) = self.read_entry(name, text) else {
+            return read_name(name).map(upstream_list::ListChange::Unreadable);
         };
-        let entry = self.read_entry(name, text)?;
         if self.list.entry(&entry.name) != Some(&entry) {
             log::info!(
                 upstream:% = entry.name, service:% = entry.service, state:? = entry.state,
@@ -307,9 +360,37 @@
     }
 
     fn read_entry(&self, name: &str, text: &str) -> Option<upstream_list::UpstreamEntry> {
-        self.border
-            .read_upstream(name, text)
-            .inspect_err(|error| log::error!(upstream = name, error:%; "upstream.rejected"))
-            .ok()
+        // One line for each time that such an entry is written, not for each time that it is read.
+        let known = self.raw.upstreams.get(name).is_some_and(String::is_empty);
+        let read = match read_name(name) {
+            Some(_) => self.border.read_upstream(name, text),
+            None => Err(border::FormatError::new("upstream", "its name is none")),
+        };
+        read.inspect_err(|error| {
+            if !known {
+                let error = error.to_string();
+                log::error!(upstream = bounded(name), error = bounded(&error); "upstream.rejected");
+            }
+        })
+        .ok()
     }
 }
+
+/// The identifier that a key of the store names; `None` where it is none.
+fn read_name(name: &str) -> Option<ids::UpstreamId> {
+    name.parse().ok().filter(|name: &ids::UpstreamId| name.start().is_none())
+}
+
+/// An item's text; empty, which no entry is, where it cannot be read.
+pub(crate) fn text_of(item: border::StoreItem) -> String {
+    let reject = |error: &border::FormatError| {
+        log::debug!(key = bounded(&item.key), error:%; "store.item_unreadable");
+    };
+    item.value.inspect_err(reject).unwrap_or_default()
+}
+
+/// The beginning of a text that may be of any length.
+fn bounded(text: &str) -> &str {
+    let end = text.char_indices().nth(MAX_LOGGED).map_or(text.len(), |(end, _)| end);
+    &text[..end]
+}
--- a/crates/instance/src/lib.rs
+++ b/crates/instance/src/lib.rs
@@ -46,3 +46,4 @@
 pub mod upstream_load;
 pub mod upstream_pool;
 pub mod upstream_silence;
+pub mod upstream_starts;
--- a/crates/instance/src/memory_hold.rs
+++ b/crates/instance/src/memory_hold.rs
@@ -5,7 +5,7 @@
 use slipturn_core::{engine_place, ids, units};
 use snafu::Snafu;
 
-use crate::{border, context, document_call};
+use crate::{border, context, document_call, upstream_starts};
 
 /// How long memory stays aside without a renewal: shorter than the time within which it must be
 /// free again behind a request whose instance has died.
@@ -39,11 +39,21 @@
     /// When the last order to hold it went out that has no answer; it may be carried out long after.
     unanswered: rc::Rc<cell::Cell<Option<units::MonoTime>>>,
     engine: ids::UpstreamId,
+    /// The start of the engine that holds it; another one holds nothing of it.
+    start: rc::Rc<cell::RefCell<ids::UpstreamId>>,
     address: net::SocketAddrV4,
     ticket: String,
     tokens: u64,
 }
 
+impl HeldTicket {
+    /// Whether the start that held the memory is over, and the memory with it.
+    fn is_lost(&self, context: &context::InstanceContext) -> bool {
+        let fleet = context.fleet.borrow();
+        fleet.list.entry(&self.engine).is_some_and(|entry| entry.name != *self.start.borrow())
+    }
+}
+
 /// All memory set aside for one attempt; given back when dropped.
 pub struct MemoryHold {
     context: rc::Rc<context::InstanceContext>,
@@ -61,9 +71,7 @@
         let done = rc::Rc::new(cell::Cell::new(false));
         let mut hold = Self { context: rc::Rc::clone(context), tickets: Vec::new(), done };
         for (number, part) in parts.iter().enumerate() {
-            let address =
-                context.fleet.borrow().list.entry(&part.engine).map(|entry| entry.address);
-            let Some(address) = address else {
+            let Some(entry) = context.fleet.borrow().list.entry(&part.engine).cloned() else {
                 let reason = "it is not listed any more".to_owned();
                 return Err(HoldError { engine: part.engine.clone(), reason });
             };
@@ -71,7 +79,8 @@
             let held = HeldTicket {
                 unanswered: rc::Rc::default(),
                 engine: part.engine.clone(),
-                address,
+                start: rc::Rc::new(cell::RefCell::new(entry.name)),
+                address: entry.address,
                 ticket,
                 tokens: part.tokens,
             };
@@ -81,10 +90,18 @@
         let orders = hold.tickets.iter().map(|held| held_order(context, held));
         let results = futures::future::join_all(orders).await;
         for (held, result) in hold.tickets.iter().zip(results) {
-            if let Err(reason) = result {
-                log::info!(engine:% = held.engine, ticket = held.ticket.as_str(),
-                    tokens = held.tokens, reason = reason.as_str(); "memory.not_held");
-                return Err(HoldError { engine: held.engine.clone(), reason });
+            match result {
+                // It may have started again since the list was read; this start holds it.
+                Ok(Some(start)) => {
+                    let name = held.engine.with_start(start);
+                    held.start.replace(name);
+                }
+                Ok(None) => {}
+                Err(reason) => {
+                    log::info!(engine:% = held.engine, ticket = held.ticket.as_str(),
+                        tokens = held.tokens, reason = reason.as_str(); "memory.not_held");
+                    return Err(HoldError { engine: held.engine.clone(), reason });
+                }
             }
         }
         if !hold.tickets.is_empty() {
@@ -123,7 +140,11 @@
     }
 }
 
-async fn held_order(context: &context::InstanceContext, held: &HeldTicket) -> Result<(), String> {
+/// Orders memory to be held; which start holds it, where the engine tells.
+async fn held_order(
+    context: &context::InstanceContext,
+    held: &HeldTicket,
+) -> Result<Option<ids::UpstreamStart>, String> {
     let order = border::MemoryOrder::Hold {
         ticket: held.ticket.clone(),
         tokens: held.tokens,
@@ -131,22 +152,25 @@
     };
     // Noted before it goes out: whoever waits for the answer may leave first.
     let before = held.unanswered.replace(Some(context.now()));
-    let result = send_order(context, held.address, &order).await;
-    if matches!(result, Ok(()) | Err(document_call::CallError::Status { .. })) {
+    let result = send_order(context, held, &order).await;
+    if matches!(result, Ok(_) | Err(document_call::CallError::Status { .. })) {
         // A refusal is an answer too: nothing is carried out later.
         held.unanswered.set(before);
     }
     result.map_err(|error| error.to_string())
 }
 
+/// Sends an order; which start of the engine has carried it out, where it tells.
 async fn send_order(
     context: &context::InstanceContext,
-    address: net::SocketAddrV4,
+    held: &HeldTicket,
     order: &border::MemoryOrder,
-) -> Result<(), document_call::CallError> {
+) -> Result<Option<ids::UpstreamStart>, document_call::CallError> {
     let (path, body) = context.border.memory_order(order);
-    let mut connection = document_call::DocumentConnection::new(address.into());
-    connection.call("POST", &path, body, ORDER_TIME).await.map(|_| ())
+    let mut connection = document_call::DocumentConnection::new(held.address.into());
+    let asked = context.now();
+    let answer = connection.call("POST", &path, body, ORDER_TIME).await?;
+    Ok(upstream_starts::hear_order(context, held.address, &answer, asked))
 }
 
 async fn renew(
@@ -160,10 +184,14 @@
             return;
         }
         for held in &tickets {
+            // Renewed at another start it would be set aside anew, for nobody.
+            if held.is_lost(&context) {
+                continue;
+            }
             if let Err(reason) = held_order(&context, held).await {
                 log::warn!(engine:% = held.engine, reason; "memory.not_renewed");
             }
-            if done.get() {
+            if done.get() || held.is_lost(&context) {
                 // The release may have overtaken this renewal.
                 release(rc::Rc::clone(&context), held.clone()).await;
             }
@@ -191,9 +219,9 @@
     let _busy = context::BusyGuard::new(context);
     let order = border::MemoryOrder::Release { ticket: held.ticket.clone() };
     for attempt in 1..=RELEASE_TRIES {
-        match send_order(context, held.address, &order).await {
+        match send_order(context, held, &order).await {
             // An engine that knows no such ticket has nothing to give back.
-            Ok(()) | Err(document_call::CallError::Status { .. }) => return,
+            Ok(_) | Err(document_call::CallError::Status { .. }) => return,
             Err(error) => {
                 log::info!(engine:% = held.engine, attempt, error:%; "memory.not_released");
             }
--- a/crates/instance/src/model_request.rs
+++ b/crates/instance/src/model_request.rs
@@ -240,6 +240,7 @@
     let mut watch = silence_watch::SilenceWatch {
         context,
         call,
+        upstream: &target.upstream,
         address: target.address,
         held: memory.first_held(),
         answering: false,
@@ -252,12 +253,11 @@
     let retry = |reach| state.give_up(context, call, &hold.grant.engine, reached, reach);
     let answered = match watch.wait(sending.as_mut(), limits, retry).await {
         Ok(answered) => answered,
-        Err(silence) => {
+        Err(fault) => {
             state.sent += 1;
             let moment = connection_silence::SilentMoment::Head;
-            let cause = engine_fault::note_silence(context, hold, &life, moment, begun_at);
-            hold.end = engine_place::PlaceEnd::Silent;
-            return Ok(broke(state, format!("{silence}: {cause}")));
+            let text = engine_fault::note_wait(context, hold, &life, moment, begun_at, fault);
+            return Ok(broke(state, text));
         }
     };
     let mut answer = match answered {
@@ -299,11 +299,10 @@
         let piece = match watch.wait(next.as_mut(), limits, retry).await {
             Ok(Ok(piece)) => piece,
             Ok(Err(error)) => return Ok(broke(state, error)),
-            Err(silence) => {
+            Err(fault) => {
                 let moment = connection_silence::SilentMoment::Midway;
-                let cause = engine_fault::note_silence(context, hold, &life, moment, asked_at);
-                hold.end = engine_place::PlaceEnd::Silent;
-                return Ok(broke(state, format!("{silence}: {cause}")));
+                let text = engine_fault::note_wait(context, hold, &life, moment, asked_at, fault);
+                return Ok(broke(state, text));
             }
         };
         let Some(piece) = piece else {
@@ -359,7 +358,7 @@
     if !fleet.list.is_usable(&grant.engine) {
         return None;
     }
-    let address = fleet.list.entry(&grant.engine)?.address;
+    let engine = fleet.list.entry(&grant.engine)?;
     let holders = grant.held.iter().map(|part| &part.engine);
     let readers = grant.helpers.iter().filter(|helper| memory.ticket(helper).is_none());
     let helpers = holders
@@ -371,8 +370,8 @@
         .collect();
     let late = context.now().since(call.arrived) > call.route.first_token_goal;
     Some(upstream_attempt::AttemptTarget {
-        upstream: grant.engine.clone(),
-        address,
+        upstream: engine.name.clone(),
+        address: engine.address,
         helpers,
         last_event: state.last_event.clone(),
         priority: Some(stream_policy::priority(call, late)),
--- a/crates/instance/src/peers.rs
+++ b/crates/instance/src/peers.rs
@@ -5,7 +5,7 @@
 use futures::{StreamExt as _, channel::mpsc};
 use slipturn_core::{engine_place, member_beat, planner_key};
 
-use crate::{context, heartbeats, lease_renewal, peer_message, planner_set};
+use crate::{context, heartbeats, lease_renewal, peer_message, planner_set, upstream_starts};
 
 /// Time between two looks at requests that wait, while any does.
 const PLAN_INTERVAL: time::Duration = time::Duration::from_millis(10);
@@ -151,6 +151,7 @@
         if context.fleet.borrow_mut().list.tick(now) {
             log::info!("list.doubtful_gone");
         }
+        upstream_starts::settle(&context);
         let answers = {
             let mut planners = context.planners.borrow_mut();
             planners.sync(now, &context.fleet.borrow());
--- a/crates/instance/src/planner_set.rs
+++ b/crates/instance/src/planner_set.rs
@@ -73,7 +73,7 @@
         for entry in usable {
             let cell = planner_key::cell_of(name, &entry.name, cells);
             // Planners on two sides of a cut fill their engines in different orders.
-            let rank = rendezvous::stable_hash(&[self.own.as_str(), entry.name.as_str()]);
+            let rank = rendezvous::stable_hash(&[self.own.as_str(), entry.name.identifier()]);
             engines[usize::from(cell)].push((entry.name.clone(), rank));
         }
         self.planners.retain(|key, _| key.service != *name || key.cell < cells);
--- a/crates/instance/src/program.rs
+++ b/crates/instance/src/program.rs
@@ -159,7 +159,7 @@
         monoio::time::sleep(PRUNE_INTERVAL).await;
         context.pool.prune();
         let fleet = context.fleet.borrow();
-        context.loads.borrow_mut().retain(|name| fleet.list.entry(name).is_some());
+        context.loads.borrow_mut().retain(|name| fleet.list.is_present(name));
     }
 }
 
--- a/crates/instance/src/service_request.rs
+++ b/crates/instance/src/service_request.rs
@@ -1,7 +1,8 @@
 //! One call of a plain service.
 
-use std::{rc, time};
+use std::{pin, rc, time};
 
+use futures::future;
 use slipturn_core::{ids, refusal, retry, upstream_list};
 use slipturn_net::h1;
 
@@ -154,7 +155,23 @@
     CallEnd::Refused(refusal::RequestRefusal::not_run(code, text).ran(ran).retry_after(BACK_AFTER))
 }
 
+/// One attempt; it ends with the start of the upstream that has it.
 async fn attempt(
+    context: &rc::Rc<context::InstanceContext>,
+    call: &incoming_call::IncomingCall,
+    entry: &upstream_list::UpstreamEntry,
+    anew: bool,
+    give_up: impl FnMut(upstream_attempt::RetryReach) -> bool,
+) -> Result<(http::response::Parts, bytes::Bytes), upstream_attempt::AttemptFault> {
+    let work = pin::pin!(call_upstream(context, call, entry, anew, give_up));
+    let over = pin::pin!(context.starts.until_over(&entry.name));
+    match future::select(work, over).await {
+        future::Either::Left((result, _)) => result,
+        future::Either::Right(_) => Err(upstream_attempt::AttemptFault::restarted()),
+    }
+}
+
+async fn call_upstream(
     context: &rc::Rc<context::InstanceContext>,
     call: &incoming_call::IncomingCall,
     entry: &upstream_list::UpstreamEntry,
--- a/crates/instance/src/silence_watch.rs
+++ b/crates/instance/src/silence_watch.rs
@@ -3,9 +3,9 @@
 use std::{net, pin, time};
 
 use futures::future;
-use slipturn_core::units;
+use slipturn_core::{ids, units};
 
-use crate::{border, context, document_call, incoming_call, upstream_attempt};
+use crate::{border, context, document_call, incoming_call, upstream_attempt, upstream_starts};
 
 /// Time between two questions to an engine on which memory set aside elsewhere depends.
 const PROBE_INTERVAL: time::Duration = time::Duration::from_millis(900);
@@ -19,6 +19,15 @@
 /// hundred milliseconds old, so one is not enough.
 const UNUSED_REPORTS: u32 = 2;
 
+/// Why an attempt is given up.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum WaitFault {
+    /// The engine is silent, or its silence holds memory that nobody uses.
+    Silent(String),
+    /// It has started again: what is awaited was lost with the start before.
+    Restarted,
+}
+
 /// When a silent engine is given up.
 #[derive(Debug, Clone, Copy)]
 pub struct SilenceLimits {
@@ -45,7 +54,9 @@
     pub context: &'a context::InstanceContext,
     /// The request.
     pub call: &'a incoming_call::IncomingCall,
-    /// The engine.
+    /// The start of the engine that has the request.
+    pub upstream: &'a ids::UpstreamId,
+    /// Its address.
     pub address: net::SocketAddrV4,
     /// Where memory is set aside for the attempt, and its ticket there.
     pub held: Option<(net::SocketAddrV4, String)>,
@@ -62,6 +73,20 @@
     /// retry budget decides through `take_retry`. Silence alone is no reason to end an answer that
     /// nobody else can give, unless memory lies unused for it.
     pub async fn wait<T>(
+        &self,
+        work: pin::Pin<&mut impl Future<Output = T>>,
+        limits: SilenceLimits,
+        take_retry: impl FnMut(upstream_attempt::RetryReach) -> bool,
+    ) -> Result<T, WaitFault> {
+        let over = pin::pin!(self.context.starts.until_over(self.upstream));
+        let silence = pin::pin!(self.until_given_up(work, limits, take_retry));
+        match future::select(silence, over).await {
+            future::Either::Left((waited, _)) => waited.map_err(WaitFault::Silent),
+            future::Either::Right(_) => Err(WaitFault::Restarted),
+        }
+    }
+
+    async fn until_given_up<T>(
         &self,
         mut work: pin::Pin<&mut impl Future<Output = T>>,
         limits: SilenceLimits,
@@ -121,8 +146,12 @@
     async fn report(&self, engine: net::SocketAddrV4) -> Option<Option<border::EngineReport>> {
         let mut connection = document_call::DocumentConnection::new(engine.into());
         let path = self.context.border.report_path();
+        let asked = self.context.now();
         let body = connection.get(&path, PROBE_TIME).await.ok()?;
-        Some(self.context.border.read_report(&body).ok())
+        let report = self.context.border.read_report(&body).ok();
+        let start = report.as_ref().and_then(|report| report.start);
+        upstream_starts::hear(self.context, engine, start, asked);
+        Some(report)
     }
 
     async fn is_unused(&self, holder: net::SocketAddrV4, ticket: &str) -> bool {
--- a/crates/instance/src/store_read.rs
+++ b/crates/instance/src/store_read.rs
@@ -2,7 +2,7 @@
 
 use std::time;
 
-use crate::{border, context, document_call};
+use crate::{border, context, document_call, fleet_state};
 
 /// Time for the store's answer to a read.
 const READ_TIME: time::Duration = time::Duration::from_millis(1_500);
@@ -25,9 +25,9 @@
         let page = border.read_page(&body).map_err(|error| error.to_string())?;
         // Pages are no snapshot: changes behind the first one are watched again.
         first_revision.get_or_insert(page.revision);
-        for (key, value) in page.items {
-            if let border::StoreKey::Upstream(name) = border.key(&key) {
-                documents.push((name, value));
+        for item in page.items {
+            if let border::StoreKey::Upstream(name) = border.key(&item.key) {
+                documents.push((name, fleet_state::text_of(item)));
             }
         }
         after = page.next;
@@ -44,8 +44,8 @@
     };
     let now = context.now();
     let mut fleet = context.fleet.borrow_mut();
-    for (_, value) in routes {
-        fleet.put_routes(value, "store");
+    for item in routes {
+        fleet.put_routes_item(item, "store");
     }
     fleet.replace_upstreams(now, documents, revision, "store");
     Ok(revision)
@@ -58,6 +58,6 @@
     let body = body.map_err(|error| error.to_string())?;
     let page = context.border.read_page(&body).map_err(|error| error.to_string())?;
     let mut fleet = context.fleet.borrow_mut();
-    page.items.into_iter().for_each(|(_, text)| fleet.put_routes(text, "store"));
+    page.items.into_iter().for_each(|item| fleet.put_routes_item(item, "store"));
     Ok(())
 }
--- a/crates/instance/src/upstream_attempt.rs
+++ b/crates/instance/src/upstream_attempt.rs
@@ -7,7 +7,7 @@
 use slipturn_core::{connection_silence, ids, retry};
 use slipturn_net::h1;
 
-use crate::{border, context, incoming_call, upstream_pool, upstream_silence};
+use crate::{border, context, incoming_call, upstream_pool, upstream_silence, upstream_starts};
 
 /// Time for an answer that an upstream may have sent before it stopped reading.
 const EARLY_ANSWER_TIME: time::Duration = time::Duration::from_millis(50);
@@ -30,6 +30,11 @@
         Self { failure, at_fault: None, kept_silent: false, text: text.to_string() }
     }
 
+    /// What was sent to an upstream that has started again: it may have run at the start before.
+    pub(crate) fn restarted() -> Self {
+        Self::broke(upstream_starts::RESTARTED)
+    }
+
     fn broke(text: impl ToString) -> Self {
         Self::new(retry::AttemptFailure::BrokeBeforeAnswer, text)
     }
--- a/crates/instance/src/upstream_pool.rs
+++ b/crates/instance/src/upstream_pool.rs
@@ -146,6 +146,11 @@
         });
     }
 
+    /// Closes the connections that rest to an address; returns how many.
+    pub fn forget(&self, address: net::SocketAddrV4) -> usize {
+        self.resting.borrow_mut().remove(&address).map_or(0, |kept| kept.len())
+    }
+
     /// What the silence of a connection shows, beside the others to its upstream.
     pub fn cause(
         &self,
