Soak: upstreams that start again under their name, entries of other writers

Cause: no soak had an upstream with a second start, nor a store that others write to. Ruled out: putting these faults into the streams of old seeds, which would change what they showed.

--- a/crates/soak/src/contact_plan.rs
+++ b/crates/soak/src/contact_plan.rs
@@ -150,12 +150,12 @@
     }
 }
 
-fn planned(at: u64, length: u64, fault: Fault) -> PlannedFault {
+pub(crate) fn planned(at: u64, length: u64, fault: Fault) -> PlannedFault {
     let [at, length] = [at, length].map(time::Duration::from_millis);
     PlannedFault { at, length, fault }
 }
 
-fn stream(seed: u64, number: u64) -> ChaCha8Rng {
+pub(crate) fn stream(seed: u64, number: u64) -> ChaCha8Rng {
     let mut random = ChaCha8Rng::seed_from_u64(seed);
     random.set_stream(number);
     random
--- a/crates/soak/src/fault_plan.rs
+++ b/crates/soak/src/fault_plan.rs
@@ -10,7 +10,7 @@
 use rand_chacha::ChaCha8Rng;
 use slipturn_platform_standin::{proxy::LinkMode, runner::RunnerMode, store::StoreMode};
 
-use crate::contact_plan;
+use crate::{contact_plan, odd_plan};
 
 /// Pause between two faults, milliseconds: short enough for faults to overlap.
 const GAP_MS: std::ops::Range<u64> = 100..600;
@@ -58,6 +58,12 @@
     StoreLinkOf(u8, LinkMode),
     /// The link on which members read documents of one instance misbehaves.
     MemberLink(u8, LinkMode),
+    /// An upstream starts again under its name; its new entry comes at the end.
+    Restart(u8),
+    /// Another writer overwrites an upstream's entry until the end.
+    Overwrite(u8),
+    /// Another writer writes an entry of its own, under this number.
+    Litter(u8),
 }
 
 /// A fault with its time.
@@ -108,6 +114,7 @@
     let mut faults = dense_part(seed, size);
     faults.extend(contact_plan::faults_beside(seed, size));
     faults.extend(contact_plan::scenes(seed, size));
+    faults.extend(odd_plan::faults(seed, size));
     faults.sort_by_key(|planned| planned.at);
     faults
 }
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod evidence;
 pub mod fault_plan;
 pub mod leave_check;
+mod odd_plan;
 pub mod run;
 mod struck_fleet;
 pub mod traffic;
--- a/crates/soak/src/struck_fleet.rs
+++ b/crates/soak/src/struck_fleet.rs
@@ -23,6 +23,9 @@
 /// Time after a disturbance that still counts as disturbed: the platform's bound.
 const AFTER: Duration = Duration::from_millis(3_000);
 
+/// What another writer writes: no code of any text, no entry, an entry of nobody.
+const ODD_VALUES: [&str; 4] = ["!", "e30=", "[[[[", r#"{"service":"plain","address":7}"#];
+
 /// What ends a fault.
 #[derive(Debug, Clone, Copy)]
 pub(crate) enum FaultEnd {
@@ -114,6 +117,16 @@
                 self.ends.push((until, FaultEnd::UpstreamGood(number)));
             }
             Fault::Leave(number) => self.leave(number, until),
+            Fault::Restart(number) => {
+                self.fleet.runners()[usize::from(number)].restart();
+                self.disturb_outside(until);
+                self.ends.push((until, FaultEnd::Return(number)));
+            }
+            Fault::Overwrite(number) => {
+                self.overwrite(number);
+                self.ends.push((until, FaultEnd::Return(number)));
+            }
+            Fault::Litter(number) => self.litter(number),
             link => self.strike_link(link, until),
         }
     }
@@ -269,6 +282,26 @@
         self.ends.push((until, FaultEnd::Return(number)));
     }
 
+    /// Another writer's entry stands where an upstream's did: it names nobody to use.
+    fn overwrite(&mut self, number: u8) {
+        let name = self.fleet.runners()[usize::from(number)].name.clone();
+        let odd = ODD_VALUES[usize::from(number) % ODD_VALUES.len()];
+        self.fleet.store.put_raw(&format!("servers/{name}"), serde_json::json!(odd));
+        let listing = UpstreamListing { upstream: number, leaving: true, at: Instant::now() };
+        self.evidence.listings.push(listing);
+    }
+
+    /// Writes an entry that names nobody under a key of its own.
+    fn litter(&self, number: u8) {
+        let odd = ODD_VALUES[usize::from(number) % ODD_VALUES.len()];
+        let key = format!("servers/odd-{number}");
+        if number.is_multiple_of(2) {
+            self.fleet.store.put_raw(&key, serde_json::json!(odd));
+        } else {
+            self.fleet.store.put(&key, Some(odd.to_owned()));
+        }
+    }
+
     /// Lists an upstream as leaving, or as ready.
     pub(crate) fn list(&mut self, number: u8, leaving: bool) {
         let index = usize::from(number);
--- a/crates/soak/tests/plans.rs
+++ b/crates/soak/tests/plans.rs
@@ -34,3 +34,14 @@
         assert!(last.clone().any(|planned| matches!(planned.fault, Fault::Leave(_))));
     }
 }
+
+#[test]
+fn plans_of_earlier_seeds_have_no_restarts_and_later_ones_have() {
+    let odd = |planned: &fault_plan::PlannedFault| {
+        matches!(planned.fault, Fault::Restart(_) | Fault::Overwrite(_) | Fault::Litter(_))
+    };
+    for seed in SEEDS {
+        assert!(!fault_plan::plan(seed, SIZE).iter().any(odd));
+        assert!(fault_plan::plan(seed + 20_000, SIZE).iter().any(odd));
+    }
+}
