--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -36,6 +36,7 @@
 pub mod service_rank;
 pub mod settings;
 pub mod settings_resolve;
+mod start_record;
 pub mod store_belief;
 pub mod units;
 pub mod upstream_health;
--- a/crates/core/src/upstream_list.rs
+++ b/crates/core/src/upstream_list.rs
@@ -3,7 +3,7 @@
 
 use std::{collections, net, sync, time};
 
-use crate::{fleet_list, ids, units};
+use crate::{fleet_list, ids, start_record, units};
 
 /// How long upstreams that vanished right after the list's source came back may still return.
 ///
@@ -13,10 +13,6 @@
 /// Beyond this share of a service vanished at once, the vanished are still used until they are
 /// surely gone: the source's own outage is likelier than all of them leaving.
 const DOUBT_SHARE: f64 = 0.5;
-/// Starts of one upstream that are remembered as over. An entry of one may still arrive seconds later,
-/// by a store that is slow or a member that is behind; an upstream that starts more often meanwhile
-/// is of no use to anybody.
-const MAX_OVER: usize = 8;
 
 /// One upstream of a service, engine or not.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -46,35 +42,6 @@
     Unreadable(ids::UpstreamId),
 }
 
-/// What is known of the starts of one upstream.
-#[derive(Debug, Default)]
-struct StartRecord {
-    /// When the present one became known.
-    known_since: units::MonoTime,
-    /// Those that are over, oldest first, at most [`MAX_OVER`]; never holds the present one.
-    over: collections::VecDeque<ids::UpstreamStart>,
-}
-
-impl StartRecord {
-    fn is_over(&self, start: Option<ids::UpstreamStart>) -> bool {
-        start.is_some_and(|start| self.over.contains(&start))
-    }
-
-    fn replace(
-        &mut self,
-        now: units::MonoTime,
-        before: Option<ids::UpstreamStart>,
-        present: Option<ids::UpstreamStart>,
-    ) {
-        self.known_since = now;
-        self.over.retain(|start| Some(*start) != present);
-        self.over.extend(before);
-        if self.over.len() > MAX_OVER {
-            self.over.pop_front();
-        }
-    }
-}
-
 /// A start of an upstream that is over, as another one is the present one.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct EndedStart {
@@ -92,7 +59,7 @@
     /// By identifier: of each upstream one start is the present one.
     entries: collections::BTreeMap<sync::Arc<str>, UpstreamEntry>,
     /// Starts of those that have started again; holds no upstream that is not listed.
-    starts: collections::BTreeMap<sync::Arc<str>, StartRecord>,
+    starts: collections::BTreeMap<sync::Arc<str>, start_record::StartRecord>,
     /// Upstreams that vanished and may return, with the time at which they are taken for gone.
     doubtful: collections::BTreeMap<sync::Arc<str>, units::MonoTime>,
     /// Starts that were found to be over since the last look.
--- a/crates/instance/src/fleet_state.rs
+++ b/crates/instance/src/fleet_state.rs
@@ -4,80 +4,14 @@
 
 use slipturn_core::{ids, route_table, units, upstream_list};
 
-use crate::{border, packed_bytes, routes_history};
+use crate::{border, packed_bytes, raw_state, routes_history};
 
-/// Changes to upstreams that are remembered for other members, at least.
-const MIN_CHANGES: usize = 256;
-/// The same in shares of the list: with more changes than that, the whole list costs less.
-const CHANGES_SHARE: f64 = 0.5;
 /// An outage's end this long ago explains no changes any more, milliseconds.
 const RECENT_RETURN_MS: u64 = 3_000;
 
 /// Characters of a name or error from outside that a log line shows.
 const MAX_LOGGED: usize = 160;
 
-/// What was read, as it was written.
-#[derive(Default)]
-struct RawState {
-    routes: Option<String>,
-    /// Their last changes.
-    history: routes_history::RoutesHistory,
-    /// Documents by name; empty where nobody can read them.
-    upstreams: collections::BTreeMap<String, String>,
-    /// Revision, name and document of the last changes, oldest first.
-    changes: collections::VecDeque<(u64, String, Option<String>)>,
-    /// Changes up to this revision are not remembered.
-    floor: u64,
-    /// Revision of the store that was read last.
-    revision: u64,
-}
-
-impl RawState {
-    /// Replaces the upstreams. Where they were `known` before, what differs is remembered as
-    /// changes: members that are a little behind then need not read the whole list, all at once.
-    fn replace(
-        &mut self,
-        upstreams: collections::BTreeMap<String, String>,
-        revision: u64,
-        known: bool,
-    ) {
-        if known {
-            let before = std::mem::take(&mut self.upstreams);
-            let gone = before.keys().filter(|name| !upstreams.contains_key(*name));
-            let gone: Vec<_> = gone.cloned().collect();
-            for name in gone {
-                self.change(name, None, revision);
-            }
-            for (name, text) in &upstreams {
-                if before.get(name) != Some(text) {
-                    self.change(name.clone(), Some(text.clone()), revision);
-                }
-            }
-        } else {
-            self.floor = revision;
-        }
-        self.upstreams = upstreams;
-        self.settle(revision);
-    }
-
-    fn change(&mut self, name: String, text: Option<String>, revision: u64) {
-        match &text {
-            Some(text) => self.upstreams.insert(name.clone(), text.clone()),
-            None => self.upstreams.remove(&name),
-        };
-        self.changes.push_back((revision, name, text));
-    }
-
-    /// Notes that all changes up to `revision` are in, and forgets the oldest.
-    fn settle(&mut self, revision: u64) {
-        let most = MIN_CHANGES.max((self.upstreams.len() as f64 * CHANGES_SHARE) as usize);
-        while self.changes.len() > most {
-            self.floor = self.changes.pop_front().map_or(revision, |(oldest, _, _)| oldest);
-        }
-        self.revision = self.revision.max(revision);
-    }
-}
-
 /// Routes and upstreams in force in this process. Versions only ever go up.
 pub struct FleetState {
     border: rc::Rc<dyn border::PlatformBorder>,
@@ -86,7 +20,7 @@
     /// Upstreams.
     pub list: upstream_list::UpstreamList,
     /// What the two were read from.
-    raw: RawState,
+    raw: raw_state::RawState,
     /// Whether a list of upstreams was ever read.
     listed: bool,
     /// When the store came back from its last outage.
@@ -100,7 +34,7 @@
             border,
             routes: rc::Rc::new(route_table::RouteTable::default()),
             list: upstream_list::UpstreamList::default(),
-            raw: RawState::default(),
+            raw: raw_state::RawState::default(),
             listed: false,
             returned: None,
         }
--- a/crates/instance/src/lib.rs
+++ b/crates/instance/src/lib.rs
@@ -3,8 +3,8 @@
 //! Layout by life span: `incoming_call`, `model_request`, `service_request`, `plan_client`,
 //! `memory_hold`, `stream_policy`, `stream_state`, `silence_watch`, `upstream_attempt`,
 //! `event_stream`, `engine_fault`, `upstream_silence` and `request_record` live for a request;
-//! `caller_connection`, `document_call` and `upstream_pool` for a connection; `fleet_state` for a
-//! version; the rest for the process. What the outside looks like is behind `border`.
+//! `caller_connection`, `document_call` and `upstream_pool` for a connection; `fleet_state` and
+//! `raw_state` for a version; the rest for the process. What the outside looks like is behind `border`.
 
 pub mod border;
 pub mod caller_connection;
@@ -31,6 +31,7 @@
 pub mod plan_client;
 pub mod planner_set;
 pub mod program;
+mod raw_state;
 pub mod request_record;
 pub mod routes_history;
 pub mod service_request;
--- /dev/null
+++ b/crates/instance/src/raw_state.rs
@@ -0,0 +1,72 @@
+//! The store's documents as they were read, for members that know less.
+
+use std::collections;
+
+use crate::routes_history;
+
+/// Changes to upstreams that are remembered for other members, at least.
+const MIN_CHANGES: usize = 256;
+/// The same in shares of the list: with more changes than that, the whole list costs less.
+const CHANGES_SHARE: f64 = 0.5;
+
+/// What was read, as it was written.
+#[derive(Default)]
+pub(crate) struct RawState {
+    pub(crate) routes: Option<String>,
+    /// Their last changes.
+    pub(crate) history: routes_history::RoutesHistory,
+    /// Documents by name; empty where nobody can read them.
+    pub(crate) upstreams: collections::BTreeMap<String, String>,
+    /// Revision, name and document of the last changes, oldest first.
+    pub(crate) changes: collections::VecDeque<(u64, String, Option<String>)>,
+    /// Changes up to this revision are not remembered.
+    pub(crate) floor: u64,
+    /// Revision of the store that was read last.
+    pub(crate) revision: u64,
+}
+
+impl RawState {
+    /// Replaces the upstreams. Where they were `known` before, what differs is remembered as
+    /// changes: members that are a little behind then need not read the whole list, all at once.
+    pub(crate) fn replace(
+        &mut self,
+        upstreams: collections::BTreeMap<String, String>,
+        revision: u64,
+        known: bool,
+    ) {
+        if known {
+            let before = std::mem::take(&mut self.upstreams);
+            let gone = before.keys().filter(|name| !upstreams.contains_key(*name));
+            let gone: Vec<_> = gone.cloned().collect();
+            for name in gone {
+                self.change(name, None, revision);
+            }
+            for (name, text) in &upstreams {
+                if before.get(name) != Some(text) {
+                    self.change(name.clone(), Some(text.clone()), revision);
+                }
+            }
+        } else {
+            self.floor = revision;
+        }
+        self.upstreams = upstreams;
+        self.settle(revision);
+    }
+
+    pub(crate) fn change(&mut self, name: String, text: Option<String>, revision: u64) {
+        match &text {
+            Some(text) => self.upstreams.insert(name.clone(), text.clone()),
+            None => self.upstreams.remove(&name),
+        };
+        self.changes.push_back((revision, name, text));
+    }
+
+    /// Notes that all changes up to `revision` are in, and forgets the oldest.
+    pub(crate) fn settle(&mut self, revision: u64) {
+        let most = MIN_CHANGES.max((self.upstreams.len() as f64 * CHANGES_SHARE) as usize);
+        while self.changes.len() > most {
+            self.floor = self.changes.pop_front().map_or(revision, |(oldest, _, _)| oldest);
+        }
+        self.revision = self.revision.max(revision);
+    }
+}
