Ways of the planner's decisions under one settings key: packing, engines that failed, refusal of shorts

Cause: ways were compared by copies of the code; nothing said in a log which way a process goes. Change: `experiments` in the instance's settings, checked, named in `process.started`; engines' faults and refusals tested without a network. Tests: planner_faults (an engine that refuses at once got 150 of 150 prompts with refusals ignored, 6 at most now), two settings cases.

--- a/crates/core/src/planner/engine_work.rs
+++ b/crates/core/src/planner/engine_work.rs
@@ -2,7 +2,7 @@
 
 use std::{collections, time};
 
-use crate::{engine_place, units};
+use crate::{engine_place, planner::ways, units};
 
 /// Time an engine is left alone after a failure; doubles with each further one.
 const SHUN_TIME: time::Duration = time::Duration::from_millis(600);
@@ -185,8 +185,9 @@
 
     /// Whether it is left alone: for a while behind a failure, and then until the first token of the
     /// one request that finds out whether it is sound again.
-    pub(crate) fn is_shunned(&self, now: units::MonoTime) -> bool {
-        let probed = self.failures > 0 && !self.expected.is_empty();
+    pub(crate) fn is_shunned(&self, now: units::MonoTime, way: ways::EngineFaultWay) -> bool {
+        let probed =
+            way == ways::EngineFaultWay::Probe && self.failures > 0 && !self.expected.is_empty();
         self.shunned_until > now || probed
     }
 
--- a/crates/core/src/planner/mod.rs
+++ b/crates/core/src/planner/mod.rs
@@ -14,6 +14,7 @@
 mod short_choice;
 mod timetable;
 mod waiting_job;
+pub mod ways;
 
 use std::time;
 
@@ -39,14 +40,13 @@
 pub struct PlannerOptions {
     /// How engines are chosen; all but slipturn's own are there to compare with.
     pub routing: settings::RoutingKind,
-    /// Writers with tight pauses that an engine is filled up to before the next one is used; two of 16
-    /// slots stay for bursts.
-    pub packed_writers: usize,
+    /// Ways of decisions; all but the defaults are there to compare with.
+    pub ways: ways::PlannerWays,
 }
 
 impl Default for PlannerOptions {
     fn default() -> Self {
-        Self { routing: settings::RoutingKind::ExpectedStart, packed_writers: 14 }
+        Self { routing: settings::RoutingKind::ExpectedStart, ways: ways::PlannerWays::default() }
     }
 }
 
@@ -67,7 +67,7 @@
     pub fn new(shape: route_table::EngineShape, options: PlannerOptions) -> Self {
         Self {
             options,
-            table: place_table::PlaceTable::new(shape),
+            table: place_table::PlaceTable::new(shape, options.ways.engine_faults),
             price: price::EnginePrice::default(),
             waiting: Vec::new(),
             settled: Vec::new(),
@@ -247,8 +247,9 @@
             let grant = plain_choice::choose(shape, self.options.routing, now, job, &views)?;
             return Some(self.take(now, &job.ask, grant));
         }
-        let packed_writers = self.options.packed_writers;
-        let choice = short_choice::ShortChoice { shape: &self.table.shape, packed_writers };
+        let shape = &self.table.shape;
+        let packed_writers = self.options.ways.packing.writers(shape);
+        let choice = short_choice::ShortChoice { shape, packed_writers };
         if let Some(grant) = choice.choose(now, job, &views, true) {
             return Some(self.take(now, &job.ask, grant));
         }
@@ -282,7 +283,10 @@
         let (running, slots) = (self.table.running(), self.table.slots());
         let full = running as f64 >= slots as f64 * FULL_PART;
         let hopeless = f64::from(grant.first_token_ms) > job.patience_ms(now);
-        if job.ask.resumed || !(hopeless || full && self.is_crowded(job, grant)) {
+        let crowded = self.options.ways.short_refusal == ways::ShortRefusalWay::Crowded
+            && full
+            && self.is_crowded(job, grant);
+        if job.ask.resumed || !(hopeless || crowded) {
             return None;
         }
         let expected_ms = hopeless.then_some(f64::from(grant.first_token_ms));
@@ -301,7 +305,8 @@
         if jobs.is_empty() {
             return Vec::new();
         }
-        let packed_writers = self.options.packed_writers;
+        let shape = &self.table.shape;
+        let packed_writers = self.options.ways.packing.writers(shape).unwrap_or(shape.slots);
         let admission = admission::ReadAdmission {
             table: &self.table,
             price: &self.price,
--- a/crates/core/src/planner/place_table.rs
+++ b/crates/core/src/planner/place_table.rs
@@ -5,7 +5,7 @@
 
 use crate::{
     engine_place, ids, pass_model,
-    planner::{engine_view, engine_work},
+    planner::{engine_view, engine_work, ways},
     route_table, units,
 };
 
@@ -41,6 +41,7 @@
 pub(crate) struct PlaceTable {
     /// Figures of the engines.
     pub(crate) shape: route_table::EngineShape,
+    engine_faults: ways::EngineFaultWay,
     /// What each engine is believed to do; holds just what `jobs` says.
     engines: collections::BTreeMap<ids::UpstreamId, engine_work::EngineWork>,
     jobs: collections::HashMap<engine_place::JobId, JobState>,
@@ -54,9 +55,13 @@
 
 impl PlaceTable {
     /// A table without engines.
-    pub(crate) fn new(shape: route_table::EngineShape) -> Self {
+    pub(crate) fn new(
+        shape: route_table::EngineShape,
+        engine_faults: ways::EngineFaultWay,
+    ) -> Self {
         Self {
             shape,
+            engine_faults,
             engines: collections::BTreeMap::new(),
             jobs: collections::HashMap::new(),
             suspects: collections::BTreeSet::new(),
@@ -122,7 +127,7 @@
     pub(crate) fn summary(&self, now: units::MonoTime) -> String {
         let row = |(name, engine): (&ids::UpstreamId, &engine_work::EngineWork)| {
             let pending = engine.unread_ms();
-            let shunned = if engine.is_shunned(now) { " shunned" } else { "" };
+            let shunned = if engine.is_shunned(now, self.engine_faults) { " shunned" } else { "" };
             format!(
                 "{name}: {} running, {pending:.0} ms to read, {} tokens, pace {:.1}{shunned}",
                 engine.answering.len(),
@@ -170,7 +175,7 @@
         engine_view::EngineView {
             name,
             rank: engine.rank,
-            shunned: engine.is_shunned(now),
+            shunned: engine.is_shunned(now, self.engine_faults),
             wait_ms: engine.wait_ms(now),
             pending_ms: engine.pending_ms(),
             unread_ms: engine.unread_ms().max(self.unconfirmed_ms(now, engine)),
@@ -227,7 +232,10 @@
                 self.suspects.insert(state.lease.grant.engine.clone());
             }
             engine_place::PlaceEnd::Full => {
-                if let Some(engine) = self.engines.get_mut(&state.lease.grant.engine) {
+                let engine = self.engines.get_mut(&state.lease.grant.engine);
+                if let Some(engine) =
+                    engine.filter(|_| self.engine_faults == ways::EngineFaultWay::Probe)
+                {
                     engine.note_refusal(now);
                 }
             }
--- a/crates/core/src/planner/short_choice.rs
+++ b/crates/core/src/planner/short_choice.rs
@@ -32,8 +32,9 @@
 /// How a choice among engines is weighed.
 pub(crate) struct ShortChoice<'a> {
     pub(crate) shape: &'a route_table::EngineShape,
-    /// Writers with tight pauses that an engine is filled up to before the next one is used.
-    pub(crate) packed_writers: usize,
+    /// Writers with tight pauses that an engine is filled up to before the next one is used, where
+    /// they are packed.
+    pub(crate) packed_writers: Option<usize>,
 }
 
 impl ShortChoice<'_> {
@@ -90,11 +91,10 @@
         let full = if view.answering >= self.shape.slots { FULL_LOSS } else { 0.0 };
         let pause_limit = f64::from(ask.pause_ms) * engine_view::PAUSE_PART;
         let paused = if wait > pause_limit { PAUSED_LOSS } else { 0.0 };
-        let packed = self.packed_writers;
-        let fill = if view.tight < packed {
-            (packed - view.tight) as f64 * PACK_LOSS
-        } else {
-            (view.tight - packed) as f64 * CROWD_LOSS
+        let fill = match self.packed_writers {
+            Some(packed) if view.tight < packed => (packed - view.tight) as f64 * PACK_LOSS,
+            Some(packed) => (view.tight - packed) as f64 * CROWD_LOSS,
+            None => 0.0,
         };
         let foreign = view.foreign as f64 * FOREIGN_LOSS;
         let beside = (view.answering - view.tight - view.foreign) as f64 * BESIDE_LOSS;
--- /dev/null
+++ b/crates/core/src/planner/ways.rs
@@ -0,0 +1,83 @@
+//! Ways of the planner's decisions that can be compared: one is the default, the others are there to
+//! measure against it.
+
+use std::fmt;
+
+use serde::Deserialize;
+
+use crate::route_table;
+
+/// Writers with tight pauses that an engine is filled up to before the next one is used, where the
+/// number is fixed: two of 16 slots stay for bursts.
+const FIXED_WRITERS: usize = 14;
+/// The same in shares of an engine's slots.
+const WRITERS_SHARE: f64 = 0.875;
+
+/// How short prompts are packed onto few engines, so that others stay free for long ones.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum PackingWay {
+    /// Up to a fixed number of writers.
+    #[default]
+    Fixed,
+    /// Up to a share of the engine's slots.
+    SlotShare,
+    /// Not at all: onto the engine with the earliest start.
+    Off,
+}
+
+impl PackingWay {
+    /// Writers that an engine is filled up to; nothing where they are not packed.
+    pub(crate) fn writers(self, shape: &route_table::EngineShape) -> Option<usize> {
+        match self {
+            Self::Fixed => Some(FIXED_WRITERS),
+            Self::SlotShare => Some(((shape.slots as f64 * WRITERS_SHARE) as usize).max(1)),
+            Self::Off => None,
+        }
+    }
+}
+
+/// How an engine that failed is given work again.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum EngineFaultWay {
+    /// Behind a pause, one prompt until its first token; a refusal for want of room pauses, too.
+    #[default]
+    Probe,
+    /// Behind a pause, as any other; a refusal says nothing.
+    Pause,
+}
+
+/// When a short prompt that finds no calm place is refused.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ShortRefusalWay {
+    /// If its first token would come too late for its caller, or most places are taken and it would
+    /// stand in a queue.
+    #[default]
+    Crowded,
+    /// Only if its first token would come too late.
+    Hopeless,
+}
+
+/// The way of each decision.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct PlannerWays {
+    /// Packing of short prompts.
+    pub packing: PackingWay,
+    /// Engines that failed.
+    pub engine_faults: EngineFaultWay,
+    /// Refusal of short prompts.
+    pub short_refusal: ShortRefusalWay,
+}
+
+impl fmt::Display for PlannerWays {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "packing {:?}, engine faults {:?}, short refusal {:?}",
+            self.packing, self.engine_faults, self.short_refusal
+        )
+    }
+}
--- /dev/null
+++ b/crates/core/tests/planner_faults.rs
@@ -0,0 +1,144 @@
+//! Engines that fail, refuse or start again: who gets prompts meanwhile.
+
+mod support;
+
+use slipturn_core::{
+    engine_place::{JobId, PlaceAnswer, PlaceAsk, PlaceEnd, PlaceGrant},
+    ids,
+    planner::{
+        PlannerOptions, ReadPlanner,
+        ways::{EngineFaultWay, PackingWay, PlannerWays, ShortRefusalWay},
+    },
+    settings::RoutingKind,
+};
+use support::{at, engine, shape, short};
+
+fn planner(engines: usize, ways: PlannerWays) -> ReadPlanner {
+    let options = PlannerOptions { routing: RoutingKind::ExpectedStart, ways };
+    let mut planner = ReadPlanner::new(shape(), options);
+    set_engines(&mut planner, 0, &(0..engines).map(engine).collect::<Vec<_>>());
+    planner
+}
+
+fn set_engines(planner: &mut ReadPlanner, now: u64, names: &[ids::UpstreamId]) {
+    let ranked: Vec<_> = names.iter().cloned().zip(0..).collect();
+    planner.set_engines(at(now), &ranked);
+}
+
+fn place(planner: &mut ReadPlanner, now: u64, ask: PlaceAsk) -> PlaceGrant {
+    match planner.ask(at(now), ask) {
+        Some(PlaceAnswer::Grant(grant)) => grant,
+        other => panic!("expected a place, found {other:?}"),
+    }
+}
+
+/// Sends prompts, one each 20 ms, to two engines of which the first ends each at once as `end` says, and
+/// the other answers in a second; how many of so many the first one got.
+fn asked(way: EngineFaultWay, end: PlaceEnd, prompts: u64) -> usize {
+    let ways = PlannerWays { engine_faults: way, ..Default::default() };
+    let mut planner = planner(2, ways);
+    let mut asked = 0;
+    for number in 0..prompts {
+        let now = number * 20;
+        let grant = place(&mut planner, now, short(number));
+        if grant.engine == engine(0) {
+            asked += 1;
+            planner.end(at(now + 4), grant.job, end);
+        } else {
+            planner.first_token(at(now + 15), grant.job);
+        }
+        if let Some(done) = number.checked_sub(12) {
+            planner.end(at(now + 16), JobId { boot: 1, sequence: done }, PlaceEnd::Done);
+        }
+    }
+    asked
+}
+
+/// Where a refusal said nothing, all prompts went to the engine that refused them at once.
+#[test]
+fn an_engine_that_refuses_at_once_gets_few_prompts() {
+    assert_eq!(asked(EngineFaultWay::Pause, PlaceEnd::Full, 150), 150);
+    let asked = asked(EngineFaultWay::Probe, PlaceEnd::Full, 150);
+    assert!(asked <= 6, "{asked} of 150 in three seconds");
+}
+
+#[test]
+fn an_engine_that_fails_gets_few_prompts() {
+    let asked = asked(EngineFaultWay::Probe, PlaceEnd::Failed, 150);
+    assert!(asked <= 4, "{asked} of 150 in three seconds");
+}
+
+#[test]
+fn behind_a_failure_one_prompt_at_a_time_until_a_first_token() {
+    let mut planner = planner(2, PlannerWays::default());
+    let failed = place(&mut planner, 0, short(0));
+    planner.end(at(5), failed.job, PlaceEnd::Failed);
+    // Its pause is over, and as packing goes it is the first choice.
+    let probe = place(&mut planner, 700, short(1));
+    assert_eq!(probe.engine, failed.engine);
+    let beside = place(&mut planner, 710, short(2));
+    assert_ne!(beside.engine, failed.engine);
+    planner.first_token(at(760), probe.job);
+    let next = place(&mut planner, 800, PlaceAsk { excluded: vec![beside.engine], ..short(3) });
+    assert_eq!(next.engine, failed.engine);
+}
+
+#[test]
+fn the_last_engine_left_gets_prompts_whatever_it_did() {
+    let mut planner = planner(1, PlannerWays::default());
+    for number in 0..5 {
+        let grant = place(&mut planner, number * 10, short(number));
+        planner.end(at(number * 10 + 2), grant.job, PlaceEnd::Failed);
+    }
+}
+
+#[test]
+fn another_start_of_an_engine_has_no_past_and_holds_nothing() {
+    let starts = [7, 8].map(|start| engine(0).with_start(ids::UpstreamStart(start)));
+    let mut planner = planner(0, PlannerWays::default());
+    set_engines(&mut planner, 0, &starts[..1]);
+    let before = place(&mut planner, 0, short(0));
+    planner.end(at(2), before.job, PlaceEnd::Failed);
+    let under_way = place(&mut planner, 10, short(1));
+    set_engines(&mut planner, 20, &starts[1..]);
+    let after = place(&mut planner, 30, short(2));
+    assert_eq!((&after.engine, after.first_token_ms < 120), (&starts[1], true), "{after:?}");
+    // What its member still tells of the start before changes nothing.
+    planner.first_token(at(40), under_way.job);
+    planner.end(at(50), under_way.job, PlaceEnd::Failed);
+    let next = place(&mut planner, 60, PlaceAsk { excluded: vec![starts[0].clone()], ..short(3) });
+    assert_eq!(next.engine, starts[1]);
+}
+
+/// An engine is filled beyond the number, until what crowds it outweighs an empty one's: by up to two.
+/// So the ways differ only where a share of the slots is less than that below them.
+#[test]
+fn packing_fills_an_engine_by_up_to_two_beyond_its_number() {
+    // The most prompts that one of some engines with 8 slots gets of 8 that come slowly.
+    let fullest = |packing| {
+        let ways = PlannerWays { packing, ..Default::default() };
+        let options = PlannerOptions { routing: RoutingKind::ExpectedStart, ways };
+        let small = slipturn_core::route_table::EngineShape { slots: 8, ..shape() };
+        let mut planner = ReadPlanner::new(small, options);
+        set_engines(&mut planner, 0, &(0..4).map(engine).collect::<Vec<_>>());
+        let mut engines = std::collections::BTreeMap::<_, usize>::new();
+        for number in 0..8 {
+            let grant = place(&mut planner, number * 200, short(number));
+            planner.first_token(at(number * 200 + 60), grant.job);
+            *engines.entry(grant.engine).or_default() += 1;
+        }
+        engines.into_values().max()
+    };
+    assert_eq!((fullest(PackingWay::Fixed), fullest(PackingWay::SlotShare)), (Some(8), Some(8)));
+}
+
+#[test]
+fn a_refusal_for_want_of_calm_can_be_switched_off() {
+    let refused = |short_refusal| {
+        let mut planner = planner(1, PlannerWays { short_refusal, ..Default::default() });
+        (0..24).any(|number| {
+            matches!(planner.ask(at(number), short(number)), Some(PlaceAnswer::Refuse(_)))
+        })
+    };
+    assert!(refused(ShortRefusalWay::Crowded) && !refused(ShortRefusalWay::Hopeless));
+}
--- a/crates/core/tests/support/mod.rs
+++ b/crates/core/tests/support/mod.rs
@@ -7,7 +7,9 @@
     ids, route_table, units,
 };
 
+#[allow(dead_code, reason = "each test file uses its part")]
 pub(crate) const SLOTS: usize = 16;
+#[allow(dead_code, reason = "each test file uses its part")]
 pub(crate) const MEMORY: u64 = 315_000;
 
 pub(crate) fn shape() -> route_table::EngineShape {
@@ -50,6 +52,7 @@
     }
 }
 
+#[allow(dead_code, reason = "each test file uses its part")]
 pub(crate) fn long(sequence: u64, prompt: u64) -> PlaceAsk {
     PlaceAsk {
         prompt,
--- a/crates/instance/src/context.rs
+++ b/crates/instance/src/context.rs
@@ -120,7 +120,7 @@
         let own = parts.settings.name.clone();
         let options = planner::PlannerOptions {
             routing: parts.settings.routing,
-            ..planner::PlannerOptions::default()
+            ways: parts.settings.experiments,
         };
         let members = membership::MemberView::new(own.clone(), seeds);
         Self {
--- a/crates/instance/src/instance_settings.rs
+++ b/crates/instance/src/instance_settings.rs
@@ -3,7 +3,7 @@
 use std::{fs, net, path, time};
 
 use serde::Deserialize;
-use slipturn_core::{fleet_budget, ids, settings, units};
+use slipturn_core::{fleet_budget, ids, planner, settings, units};
 use snafu::{ResultExt as _, Snafu};
 
 /// Why the settings could not be used.
@@ -115,6 +115,9 @@
     /// How engines are chosen; all but the default are there to compare with.
     #[serde(default = "default_routing")]
     pub routing: settings::RoutingKind,
+    /// Ways of decisions, for experiments; all but the defaults are there to compare with.
+    #[serde(default)]
+    pub experiments: planner::ways::PlannerWays,
     /// Share of a core.
     pub cpu_share: f64,
     /// Bounds that hold for the fleet.
--- a/crates/instance/src/program.rs
+++ b/crates/instance/src/program.rs
@@ -110,7 +110,8 @@
     let parts = context::ContextParts { settings, border, stop: stop.clone(), closing, outgoing };
     let context = rc::Rc::new(context::InstanceContext::new(parts));
     log::info!(instance:% = context.settings().name, boot = context.boot,
-        version = env!("CARGO_PKG_VERSION"); "process.started");
+        version = env!("CARGO_PKG_VERSION"), ways:% = context.settings().experiments;
+        "process.started");
 
     let share = || rc::Rc::clone(&context);
     monoio::spawn(peers::send_all(rc::Rc::clone(&socket), queue));
