--- a/crates/core/src/upstream_health.rs
+++ b/crates/core/src/upstream_health.rs
@@ -44,7 +44,9 @@
     Good,
     /// It refused for want of room.
     Full,
-    /// It failed, could not be reached, or broke off.
+    /// It ran the call to a failure of its own: the call may be the cause as well.
+    Erred,
+    /// It could not be reached, or broke off.
     Failed,
     /// Another one answers at its address.
     Gone,
@@ -105,6 +107,8 @@
                 self.run = 0;
                 return;
             }
+            // Its share tells; whether this one call or the upstream is the cause, nobody knows.
+            CallResult::Erred => return,
             CallResult::Full => FULL_PAUSE,
             CallResult::Failed => FIRST_PAUSE,
             CallResult::Gone => GONE_PAUSE,
--- a/crates/instance/src/service_request.rs
+++ b/crates/instance/src/service_request.rs
@@ -213,7 +213,7 @@
     let body = answer.whole_body(context, &entry.name, MAX_ANSWER, slow, give_up).await;
     let body = body.inspect_err(|fault| guard.note(fault))?;
     let failed = answer.head.status.is_server_error();
-    guard.result.set(Some(if failed { CallResult::Failed } else { CallResult::Good }));
+    guard.result.set(Some(if failed { CallResult::Erred } else { CallResult::Good }));
     if let Some((running, waiting, _)) = answer.said.load {
         context.loads.borrow_mut().told(context.now(), &entry.name, running + waiting);
     }
