A start that is over may be named by a late write: it counts once the list goes on naming it; of a set of changes the last word on each

Cause, found by reading: the watch may bring changes again that a member's list held already (A, then B, while B is known); A then seemed the next start, B over, and B's entry was ignored for good. And a write of the start before may be carried out seconds late: taken for a start nobody had heard of, it would have put the present one among those that are over, for good where nothing asks the upstream itself (plain services). Ruled out: no memory of what is over (each late write would end the attempts under way at the present start); the larger `born`. Change: within a set of changes only the last word on an upstream counts; a start that is over and named again becomes present after three seconds in which nothing else was named (a present one writes each 1.2 s), or by its own word.

--- a/crates/core/src/start_record.rs
+++ b/crates/core/src/start_record.rs
@@ -1,8 +1,13 @@
 //! The starts of one upstream: which are over, and since when the present one is known.
 
-use std::collections;
+use std::{collections, time};
 
-use crate::{ids, units};
+use crate::{ids, units, upstream_list};
+
+/// Time for which the list must go on naming a start that is over before it is taken for the present
+/// one after all. A write of the start before may be carried out seconds late, and the present one
+/// writes over it with its next heartbeat, each 1.2 s.
+const NAMED_TIME: time::Duration = time::Duration::from_secs(3);
 
 /// Starts of one upstream that are remembered as over. An entry of one may still arrive seconds later,
 /// by a store that is slow or a member that is behind; an upstream that starts more often meanwhile
@@ -16,6 +21,8 @@
     pub(crate) known_since: units::MonoTime,
     /// Those that are over, oldest first, at most [`MAX_OVER`]; never holds the present one.
     over: collections::VecDeque<ids::UpstreamStart>,
+    /// The entry of one that is over, which the list names again, and since when.
+    named: Option<(upstream_list::UpstreamEntry, units::MonoTime)>,
 }
 
 impl StartRecord {
@@ -32,10 +39,31 @@
         present: Option<ids::UpstreamStart>,
     ) {
         self.known_since = now;
+        self.named = None;
         self.over.retain(|start| Some(*start) != present);
         self.over.extend(before);
         if self.over.len() > MAX_OVER {
             self.over.pop_front();
         }
     }
+
+    /// Notes that the list names a start that is over.
+    pub(crate) fn name_again(&mut self, now: units::MonoTime, entry: upstream_list::UpstreamEntry) {
+        let same = self.named.take().filter(|(named, _)| named.name == entry.name);
+        self.named = Some((entry, same.map_or(now, |(_, since)| since)));
+    }
+
+    /// Notes that the present one was named, or has spoken itself.
+    pub(crate) fn confirm(&mut self) {
+        self.named = None;
+    }
+
+    /// The entry that the list has named for long enough.
+    pub(crate) fn take_named(
+        &mut self,
+        now: units::MonoTime,
+    ) -> Option<upstream_list::UpstreamEntry> {
+        let due = self.named.take_if(|(_, since)| now.since(*since) >= NAMED_TIME);
+        due.map(|(entry, _)| entry)
+    }
 }
--- a/crates/core/src/upstream_list.rs
+++ b/crates/core/src/upstream_list.rs
@@ -124,7 +124,8 @@
         self.apply(now, changes, revision)
     }
 
-    /// Takes doubtful upstreams for gone whose time has come.
+    /// Takes doubtful upstreams for gone whose time has come, and starts for present that the list has
+    /// named for long although they were taken for over.
     pub fn tick(&mut self, now: units::MonoTime) -> bool {
         let gone: Vec<_> = self
             .doubtful
@@ -135,7 +136,12 @@
         for identifier in &gone {
             self.remove(identifier);
         }
-        !gone.is_empty()
+        let records = self.starts.values_mut();
+        let named: Vec<_> = records.filter_map(|record| record.take_named(now)).collect();
+        let changed = !gone.is_empty() || !named.is_empty();
+        self.changes += named.len() as u64;
+        named.into_iter().for_each(|entry| self.begin_start(now, entry));
+        changed
     }
 
     /// Upstreams of a service that may take new work.
@@ -185,7 +191,8 @@
     /// Starts say other, not newer, as clocks may be wrong. What decides is who speaks, and when:
     /// the upstream's own word, asked for after the present start became known, is true whatever
     /// the list said; one that was on its way already may be of the start before. The list's newer
-    /// word replaces the present one, unless it names a start that is over.
+    /// word replaces the present one; a start that is over must be named for some seconds, as a write
+    /// of it may be late.
     pub fn tell_start(
         &mut self,
         now: units::MonoTime,
@@ -198,8 +205,16 @@
         };
         let before = entry.name.start();
         let since = self.starts.get(name.identifier()).map(|record| record.known_since);
+        if since.is_some_and(|since| asked < since) {
+            return false;
+        }
+        if before == Some(start)
+            && let Some(record) = self.starts.get_mut(name.identifier())
+        {
+            record.confirm();
+        }
         // Where the list tells no starts, there is nothing to compare with.
-        if before.is_none() || before == Some(start) || since.is_some_and(|since| asked < since) {
+        if before.is_none() || before == Some(start) {
             return false;
         }
         let present = UpstreamEntry { name: entry.name.with_start(start), ..entry.clone() };
@@ -222,8 +237,9 @@
                 // Upstreams always tell their start: this entry is another writer's.
                 return self.remove(identifier);
             }
-            let record = self.starts.get(identifier);
-            if record.is_some_and(|record| record.is_over(entry.name.start())) {
+            let record = self.starts.get_mut(identifier);
+            if let Some(record) = record.filter(|record| record.is_over(entry.name.start())) {
+                record.name_again(now, entry);
                 return false;
             }
             self.doubtful.remove(identifier);
@@ -231,6 +247,9 @@
             self.changes += 1;
             return true;
         }
+        if let Some(record) = self.starts.get_mut(identifier) {
+            record.confirm();
+        }
         let returned = self.doubtful.remove(identifier).is_some();
         let before = self.entries.insert(identifier.into(), entry.clone());
         let changed = returned || before.as_ref() != Some(&entry);
--- a/crates/core/tests/upstream_list.rs
+++ b/crates/core/tests/upstream_list.rs
@@ -228,3 +228,32 @@
         assert!(parse(bad).is_err(), "{bad}");
     }
 }
+
+#[test]
+fn a_late_write_of_the_start_before_changes_nothing_unless_it_stays() {
+    let mut list = UpstreamList::default();
+    let named = |list: &mut UpstreamList, now, born, revision| {
+        list.apply(at(now), vec![ListChange::Present(start(1, born))], revision);
+    };
+    list.replace(at(0), vec![start(1, 50)], 10);
+    named(&mut list, 100, 60, 11);
+    // A write of the first is carried out late, and the second writes over it with its next heartbeat.
+    named(&mut list, 1_000, 50, 12);
+    list.tick(at(2_000));
+    named(&mut list, 2_100, 60, 13);
+    list.tick(at(9_000));
+    assert_eq!(present(&list, 1), Some(60));
+    // One that nobody here had heard of looks like a new start; the present one is named again.
+    named(&mut list, 10_000, 40, 14);
+    assert_eq!(present(&list, 1), Some(40));
+    named(&mut list, 11_200, 60, 15);
+    list.tick(at(13_000));
+    assert_eq!(present(&list, 1), Some(40), "it may be a late write, too");
+    list.tick(at(14_300));
+    assert_eq!(present(&list, 1), Some(60), "the list goes on naming it");
+    // The upstream's own word is quicker.
+    named(&mut list, 20_000, 40, 16);
+    assert!(!list.tell_start(at(20_500), &name(1), ids::UpstreamStart(60), at(20_400)));
+    list.tick(at(30_000));
+    assert_eq!(present(&list, 1), Some(60));
+}
--- a/crates/instance/src/fleet_state.rs
+++ b/crates/instance/src/fleet_state.rs
@@ -254,17 +254,19 @@
             log::debug!(revision; "list.older");
             return;
         }
-        let mut list_changes = Vec::new();
+        // What members have told already may come again, with what lay before it: only the last word on
+        // each counts, or a start that is long over would seem to be the next one for a moment.
+        let mut list_changes = collections::BTreeMap::new();
         for (name, mut text) in changes {
             let change = self.read_change(&name, text.as_deref(), revision);
             if matches!(change, None | Some(upstream_list::ListChange::Unreadable(_))) {
                 // What nobody can read is passed on as that, not as it is: it may be of any size.
                 text.as_mut().map(String::clear);
             }
-            list_changes.extend(change);
+            list_changes.insert(name.clone(), change);
             self.raw.change(name, text, revision);
         }
-        self.list.apply(now, list_changes, revision);
+        self.list.apply(now, list_changes.into_values().flatten().collect(), revision);
         self.raw.settle(revision);
     }
 
