--- a/crates/core/src/start_record.rs
+++ b/crates/core/src/start_record.rs
@@ -17,8 +17,10 @@
 /// What is known of the starts of one upstream.
 #[derive(Debug, Default)]
 pub(crate) struct StartRecord {
-    /// When the present one became known.
+    /// When the present one became known, or the last one was not listed any more.
     pub(crate) known_since: units::MonoTime,
+    /// The last one, while none is listed.
+    last: Option<ids::UpstreamStart>,
     /// Those that are over, oldest first, at most [`MAX_OVER`]; never holds the present one.
     over: collections::VecDeque<ids::UpstreamStart>,
     /// The entry of one that is over, which the list names again, and since when.
@@ -41,20 +43,28 @@
         self.known_since = now;
         self.named = None;
         self.over.retain(|start| Some(*start) != present);
-        self.over.extend(before);
+        let last = self.last.take().filter(|last| Some(*last) != present);
+        self.over.extend(before.or(last));
         if self.over.len() > MAX_OVER {
             self.over.pop_front();
         }
     }
 
+    /// Notes that the present one is not listed any more: it may come back, or another one in its place.
+    pub(crate) fn leave(&mut self, now: units::MonoTime, present: ids::UpstreamStart) {
+        self.known_since = now;
+        self.named = None;
+        self.last = Some(present);
+    }
+
     /// Notes that the list names a start that is over.
     pub(crate) fn name_again(&mut self, now: units::MonoTime, entry: upstream_list::UpstreamEntry) {
         let same = self.named.take().filter(|(named, _)| named.name == entry.name);
         self.named = Some((entry, same.map_or(now, |(_, since)| since)));
     }
 
-    /// Notes that the present one was named, or has spoken itself.
-    pub(crate) fn confirm(&mut self) {
+    /// Notes that the list does not go on naming one that is over, or that the present one has spoken.
+    pub(crate) fn forget_named(&mut self) {
         self.named = None;
     }
 
--- a/crates/core/src/upstream_list.rs
+++ b/crates/core/src/upstream_list.rs
@@ -13,6 +13,9 @@
 /// Beyond this share of a service vanished at once, the vanished are still used until they are
 /// surely gone: the source's own outage is likelier than all of them leaving.
 const DOUBT_SHARE: f64 = 0.5;
+/// How long the starts of an upstream that is not listed any more are remembered: writes of one that
+/// is over may come seconds late, also behind a lapse.
+const START_MEMORY: time::Duration = time::Duration::from_secs(30);
 
 /// One upstream of a service, engine or not.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -58,7 +61,7 @@
 pub struct UpstreamList {
     /// By identifier: of each upstream one start is the present one.
     entries: collections::BTreeMap<sync::Arc<str>, UpstreamEntry>,
-    /// Starts of those that have started again; holds no upstream that is not listed.
+    /// Starts of those that have started again, listed now or within [`START_MEMORY`].
     starts: collections::BTreeMap<sync::Arc<str>, start_record::StartRecord>,
     /// Upstreams that vanished and may return, with the time at which they are taken for gone.
     doubtful: collections::BTreeMap<sync::Arc<str>, units::MonoTime>,
@@ -99,7 +102,7 @@
             changed |= match change {
                 ListChange::Present(entry) => self.put(now, entry),
                 ListChange::Gone(name) => self.vanish(now, &name),
-                ListChange::Unreadable(name) => self.remove(name.identifier()),
+                ListChange::Unreadable(name) => self.remove(now, name.identifier()),
             };
         }
         changed
@@ -134,12 +137,15 @@
             .map(|(identifier, _)| sync::Arc::clone(identifier))
             .collect();
         for identifier in &gone {
-            self.remove(identifier);
+            self.remove(now, identifier);
         }
         let records = self.starts.values_mut();
         let named: Vec<_> = records.filter_map(|record| record.take_named(now)).collect();
         let changed = !gone.is_empty() || !named.is_empty();
-        self.changes += named.len() as u64;
+        let entries = &self.entries;
+        self.starts.retain(|identifier, record| {
+            entries.contains_key(identifier) || now.since(record.known_since) < START_MEMORY
+        });
         named.into_iter().for_each(|entry| self.begin_start(now, entry));
         changed
     }
@@ -203,23 +209,18 @@
         let Some(entry) = self.entries.get(name.identifier()) else {
             return false;
         };
+        let present = UpstreamEntry { name: entry.name.with_start(start), ..entry.clone() };
         let before = entry.name.start();
         let since = self.starts.get(name.identifier()).map(|record| record.known_since);
-        if since.is_some_and(|since| asked < since) {
+        // Where the list tells no starts, there is nothing to compare with.
+        if before.is_none() || since.is_some_and(|since| asked < since) {
             return false;
         }
-        if before == Some(start)
-            && let Some(record) = self.starts.get_mut(name.identifier())
-        {
-            record.confirm();
-        }
-        // Where the list tells no starts, there is nothing to compare with.
-        if before.is_none() || before == Some(start) {
+        if before == Some(start) {
+            self.forget_named(name.identifier());
             return false;
         }
-        let present = UpstreamEntry { name: entry.name.with_start(start), ..entry.clone() };
         self.begin_start(now, present);
-        self.changes += 1;
         true
     }
 
@@ -230,26 +231,29 @@
 
     fn put(&mut self, now: units::MonoTime, entry: UpstreamEntry) -> bool {
         let identifier = entry.name.identifier();
-        if let Some(before) = self.entries.get(identifier)
-            && before.name != entry.name
-        {
-            if entry.name.start().is_none() {
-                // Upstreams always tell their start: this entry is another writer's.
-                return self.remove(identifier);
-            }
-            let record = self.starts.get_mut(identifier);
-            if let Some(record) = record.filter(|record| record.is_over(entry.name.start())) {
-                record.name_again(now, entry);
-                return false;
-            }
-            self.doubtful.remove(identifier);
-            self.begin_start(now, entry);
-            self.changes += 1;
-            return true;
+        let known = self.entries.get(identifier).map(|known| &known.name);
+        if known == Some(&entry.name) {
+            return self.put_present(entry);
         }
-        if let Some(record) = self.starts.get_mut(identifier) {
-            record.confirm();
+        let another = known.is_some();
+        if another && entry.name.start().is_none() {
+            // Upstreams always tell their start: this entry is another writer's.
+            return self.remove(now, identifier);
         }
+        let record = self.starts.get_mut(identifier);
+        if let Some(record) = record.filter(|record| record.is_over(entry.name.start())) {
+            record.name_again(now, entry);
+            return false;
+        }
+        self.doubtful.remove(identifier);
+        self.begin_start(now, entry);
+        true
+    }
+
+    /// Puts another entry of the present start.
+    fn put_present(&mut self, entry: UpstreamEntry) -> bool {
+        let identifier = entry.name.identifier();
+        self.forget_named(identifier);
         let returned = self.doubtful.remove(identifier).is_some();
         let before = self.entries.insert(identifier.into(), entry.clone());
         let changed = returned || before.as_ref() != Some(&entry);
@@ -257,36 +261,54 @@
         changed
     }
 
-    /// Puts another start of a listed upstream in the place of the one before.
+    /// Makes another start of an upstream the present one, or the first of one that was not listed.
     fn begin_start(&mut self, now: units::MonoTime, entry: UpstreamEntry) {
         let identifier: sync::Arc<str> = entry.name.identifier().into();
         let present = entry.name.clone();
-        let Some(before) = self.entries.insert(sync::Arc::clone(&identifier), entry) else {
-            return;
-        };
-        let record = self.starts.entry(identifier).or_default();
-        record.replace(now, before.name.start(), present.start());
-        self.ended.push(EndedStart { name: before.name, address: before.address, present });
+        let before = self.entries.insert(sync::Arc::clone(&identifier), entry);
+        if before.is_some() || self.starts.contains_key(&identifier) {
+            let over = before.as_ref().and_then(|before| before.name.start());
+            self.starts.entry(identifier).or_default().replace(now, over, present.start());
+        }
+        self.ended.extend(before.map(|before| EndedStart {
+            name: before.name,
+            address: before.address,
+            present,
+        }));
+        self.changes += 1;
     }
 
     fn vanish(&mut self, now: units::MonoTime, name: &ids::UpstreamId) -> bool {
+        self.forget_named(name.identifier());
         let Some((identifier, entry)) = self.entries.get_key_value(name.identifier()) else {
             return false;
         };
         let leaving = entry.state == fleet_list::ListState::Leaving;
         let Some(until) = self.doubt_until.filter(|until| now < *until && !leaving) else {
-            return self.remove(name.identifier());
+            return self.remove(now, name.identifier());
         };
         self.doubtful.entry(sync::Arc::clone(identifier)).or_insert(until);
         self.changes += 1;
         true
     }
 
-    fn remove(&mut self, identifier: &str) -> bool {
+    /// The list names no start that is over any more.
+    fn forget_named(&mut self, identifier: &str) {
+        if let Some(record) = self.starts.get_mut(identifier) {
+            record.forget_named();
+        }
+    }
+
+    fn remove(&mut self, now: units::MonoTime, identifier: &str) -> bool {
         self.doubtful.remove(identifier);
-        self.starts.remove(identifier);
-        let removed = self.entries.remove(identifier).is_some();
-        self.changes += u64::from(removed);
-        removed
+        self.forget_named(identifier);
+        let Some((identifier, removed)) = self.entries.remove_entry(identifier) else {
+            return false;
+        };
+        if let Some(start) = removed.name.start() {
+            self.starts.entry(identifier).or_default().leave(now, start);
+        }
+        self.changes += 1;
+        true
     }
 }
--- a/crates/instance/src/fleet_state.rs
+++ b/crates/instance/src/fleet_state.rs
@@ -256,17 +256,24 @@
         }
         // What members have told already may come again, with what lay before it: only the last word on
         // each counts, or a start that is long over would seem to be the next one for a moment.
-        let mut list_changes = collections::BTreeMap::new();
+        let mut last_changes = collections::BTreeMap::new();
+        let mut list_changes = Vec::new();
         for (name, mut text) in changes {
             let change = self.read_change(&name, text.as_deref(), revision);
             if matches!(change, None | Some(upstream_list::ListChange::Unreadable(_))) {
                 // What nobody can read is passed on as that, not as it is: it may be of any size.
                 text.as_mut().map(String::clear);
             }
-            list_changes.insert(name.clone(), change);
+            let untold = matches!(&change, Some(upstream_list::ListChange::Present(entry))
+                if entry.name.start().is_none());
+            let before = last_changes.insert(name.clone(), change).flatten();
+            // Who tells no start may be listed behind one that did only if that one had gone.
+            let gone = before.filter(|before| matches!(before, upstream_list::ListChange::Gone(_)));
+            list_changes.extend(gone.filter(|_| untold));
             self.raw.change(name, text, revision);
         }
-        self.list.apply(now, list_changes.into_values().flatten().collect(), revision);
+        list_changes.extend(last_changes.into_values().flatten());
+        self.list.apply(now, list_changes, revision);
         self.raw.settle(revision);
     }
 
