Read once more: a start's end is awaited once an attempt, "not run" names its cases, identifiers are read in one place

Ruled out: one shared future a start (the line `upstream.restarted` would lose its count of attempts); taking `blame` and `place_end` together (they differ for a cause that is not listed). Change: the attempt holds the future from its sending on and lends it to each wait; the cases are listed; `UpstreamId::of_identifier` serves adapter and list; the clone stands behind the checks. The reason in the line for a key that names a start is now the name's own error. Not covered by a test of its own: the start that ends between two waits.

--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -136,6 +136,12 @@
 }
 
 impl UpstreamId {
+    /// An upstream by its identifier alone; a text that names a start is none.
+    pub fn of_identifier(text: &str) -> Result<Self, NameError> {
+        check_name(text)?;
+        Ok(Self(text.into()))
+    }
+
     /// This start of the same upstream.
     pub fn with_start(&self, start: UpstreamStart) -> Self {
         Self(format!("{}{START_MARK}{start}", self.identifier()).into())
--- a/crates/core/src/retry.rs
+++ b/crates/core/src/retry.rs
@@ -24,7 +24,10 @@
 impl AttemptFailure {
     /// Whether the upstream certainly did not run the request.
     pub fn surely_not_run(self) -> bool {
-        !matches!(self, Self::BrokeBeforeAnswer | Self::BrokeMidAnswer)
+        matches!(
+            self,
+            Self::NotConnected | Self::SaidNotRun | Self::Misdirected | Self::NotPrepared
+        )
     }
 }
 
--- a/crates/core/src/upstream_list.rs
+++ b/crates/core/src/upstream_list.rs
@@ -209,7 +209,6 @@
         let Some(entry) = self.entries.get(name.identifier()) else {
             return false;
         };
-        let present = UpstreamEntry { name: entry.name.with_start(start), ..entry.clone() };
         let before = entry.name.start();
         let since = self.starts.get(name.identifier()).map(|record| record.known_since);
         // Where the list tells no starts, there is nothing to compare with.
@@ -220,6 +219,7 @@
             self.forget_named(name.identifier());
             return false;
         }
+        let present = UpstreamEntry { name: entry.name.with_start(start), ..entry.clone() };
         self.begin_start(now, present);
         true
     }
--- a/crates/instance/src/fleet_state.rs
+++ b/crates/instance/src/fleet_state.rs
@@ -305,10 +305,7 @@
     fn read_entry(&self, name: &str, text: &str) -> Option<upstream_list::UpstreamEntry> {
         // One line for each time that such an entry is written, not for each time that it is read.
         let known = self.raw.upstreams.get(name).is_some_and(String::is_empty);
-        let read = match read_name(name) {
-            Some(_) => self.border.read_upstream(name, text),
-            None => Err(border::FormatError::new("upstream", "its name is none")),
-        };
+        let read = self.border.read_upstream(name, text);
         read.inspect_err(|error| {
             if !known {
                 let error = error.to_string();
@@ -319,9 +316,9 @@
     }
 }
 
-/// The identifier that a key of the store names; `None` where it is none.
+/// The upstream that a key of the store names; `None` where it names none.
 fn read_name(name: &str) -> Option<ids::UpstreamId> {
-    name.parse().ok().filter(|name: &ids::UpstreamId| name.start().is_none())
+    ids::UpstreamId::of_identifier(name).ok()
 }
 
 /// An item's text; empty, which no entry is, where it cannot be read.
--- a/crates/instance/src/model_request.rs
+++ b/crates/instance/src/model_request.rs
@@ -231,12 +231,12 @@
     };
     let life = rc::Rc::clone(&connection.life);
     let left = call.left(context.now());
+    let mut over = pin::pin!(context.starts.until_over(&target.upstream));
     let mut sending = pin::pin!(upstream_attempt::exchange(context, call, &target, connection));
     let unused_time = context.settings().bounds.unused_time();
     let mut watch = silence_watch::SilenceWatch {
         context,
         call,
-        upstream: &target.upstream,
         address: target.address,
         held: memory.first_held(),
         answering: false,
@@ -247,7 +247,7 @@
     let last_silence = stream_policy::last_silence(call);
     let limits = silence_watch::SilenceLimits { other: first_wait, any: last_silence };
     let retry = |reach| state.give_up(context, call, &hold.grant.engine, reached, reach);
-    let answered = match watch.wait(sending.as_mut(), limits, retry).await {
+    let answered = match watch.wait(sending.as_mut(), over.as_mut(), limits, retry).await {
         Ok(answered) => answered,
         Err(fault) => {
             state.sent += 1;
@@ -292,7 +292,7 @@
         let mut next = pin::pin!(answer.connection.reader.next_piece(&mut answer.framing));
         let sent = state.sent;
         let retry = |reach| state.give_up(context, call, &hold.grant.engine, sent, reach);
-        let piece = match watch.wait(next.as_mut(), limits, retry).await {
+        let piece = match watch.wait(next.as_mut(), over.as_mut(), limits, retry).await {
             Ok(Ok(piece)) => piece,
             Ok(Err(error)) => return Ok(broke(state, error)),
             Err(fault) => {
--- a/crates/instance/src/silence_watch.rs
+++ b/crates/instance/src/silence_watch.rs
@@ -3,7 +3,7 @@
 use std::{net, pin, time};
 
 use futures::future;
-use slipturn_core::{ids, units};
+use slipturn_core::units;
 
 use crate::{border, context, document_call, incoming_call, upstream_attempt, upstream_starts};
 
@@ -54,9 +54,7 @@
     pub context: &'a context::InstanceContext,
     /// The request.
     pub call: &'a incoming_call::IncomingCall,
-    /// The start of the engine that has the request.
-    pub upstream: &'a ids::UpstreamId,
-    /// Its address.
+    /// The engine.
     pub address: net::SocketAddrV4,
     /// Where memory is set aside for the attempt, and its ticket there.
     pub held: Option<(net::SocketAddrV4, String)>,
@@ -67,7 +65,8 @@
 }
 
 impl SilenceWatch<'_> {
-    /// Waits for `work`; the error says why it is given up.
+    /// Waits for `work`, or until the start of the engine that has it is `over`; the error says why it
+    /// is given up. `over` is awaited from the sending on: a restart between two waits ends the next.
     ///
     /// After each of `limits` the engine is given up if one within its reach may go on, which the
     /// retry budget decides through `take_retry`. Silence alone is no reason to end an answer that
@@ -75,10 +74,10 @@
     pub async fn wait<T>(
         &self,
         work: pin::Pin<&mut impl Future<Output = T>>,
+        over: pin::Pin<&mut impl Future<Output = ()>>,
         limits: SilenceLimits,
         take_retry: impl FnMut(upstream_attempt::RetryReach) -> bool,
     ) -> Result<T, WaitFault> {
-        let over = pin::pin!(self.context.starts.until_over(self.upstream));
         let silence = pin::pin!(self.until_given_up(work, limits, take_retry));
         match future::select(silence, over).await {
             future::Either::Left((waited, _)) => waited.map_err(WaitFault::Silent),
