Sight: which requests an upstream ended under, and whether it ended at all

Cause: the lines of the incident cannot tell the hypotheses apart: they name no body, each instance's lines know only its own requests, and 'closed before the end of a message' is also a reset connection. An upstream that leaves by plan is not looked at. Before: 60 characters of outcome. Cost: at most two connections for each upstream that broke a run.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -30,6 +30,7 @@
 
 pub mod refusal;
 pub mod rendezvous;
+pub mod request_digest;
 pub mod retry;
 pub mod route_table;
 pub mod routing;
--- a/crates/instance/src/context.rs
+++ b/crates/instance/src/context.rs
@@ -11,7 +11,7 @@
 
 use crate::{
     border, document_answers, fleet_state, instance_settings, instance_stats, peer_message,
-    planner_set, upstream_pool, upstream_silence, upstream_starts,
+    planner_set, upstream_ends, upstream_pool, upstream_silence, upstream_starts,
 };
 
 /// Age at which a process knows how many members there are; heartbeats are a second apart at most.
@@ -95,6 +95,8 @@
     pub not_let_in: cell::Cell<Option<units::MonoTime>>,
     /// Messages to other members.
     pub outgoing: mpsc::UnboundedSender<Outgoing>,
+    /// News of runs at upstreams.
+    runs: mpsc::UnboundedSender<upstream_ends::RunNews>,
     sequence: cell::Cell<u64>,
 }
 
@@ -110,6 +112,8 @@
     pub closing: oneshot::Receiver<()>,
     /// Messages to other members.
     pub outgoing: mpsc::UnboundedSender<Outgoing>,
+    /// News of runs at upstreams.
+    pub runs: mpsc::UnboundedSender<upstream_ends::RunNews>,
 }
 
 impl InstanceContext {
@@ -152,6 +156,7 @@
             places_until: cell::Cell::new(None),
             not_let_in: cell::Cell::new(None),
             outgoing: parts.outgoing,
+            runs: parts.runs,
             sequence: cell::Cell::new(0),
             settings: cell::RefCell::new(rc::Rc::new(parts.settings)),
         }
@@ -180,6 +185,12 @@
         let _ = self.outgoing.unbounded_send(Outgoing { to, message });
     }
 
+    /// Tells what has become of a run.
+    pub(crate) fn tell_run(&self, news: upstream_ends::RunNews) {
+        // The receiver lives as long as the process.
+        let _ = self.runs.unbounded_send(news);
+    }
+
     /// The next heartbeat.
     pub fn next_beat(&self) -> member_beat::MemberBeat {
         let sequence = self.beats.get() + 1;
--- a/crates/instance/src/incoming_call.rs
+++ b/crates/instance/src/incoming_call.rs
@@ -3,7 +3,7 @@
 use std::{cell, rc, time};
 
 use bytes::Bytes;
-use slipturn_core::{ids, refusal, route_table, units};
+use slipturn_core::{ids, refusal, request_digest, route_table, units};
 
 use crate::{border, context, request_record};
 
@@ -35,6 +35,8 @@
     pub deadline: units::MonoTime,
     /// Attempts whose upstream may have run it: bytes went out, and it did not say otherwise.
     pub may_have_run: cell::Cell<u32>,
+    /// What it is recognised by, once somebody has asked: few requests ever need it.
+    digest: cell::OnceCell<request_digest::RequestDigest>,
 }
 
 impl IncomingCall {
@@ -43,6 +45,15 @@
         self.deadline.since(now)
     }
 
+    /// What it is recognised by when its caller repeats it.
+    pub fn digest(&self) -> request_digest::RequestDigest {
+        *self.digest.get_or_init(|| {
+            let target = self.head.uri.path_and_query().map_or("/", |target| target.as_str());
+            let (method, customer) = (self.head.method.as_str(), self.customer.as_ref());
+            request_digest::RequestDigest::of(method, target, customer, &self.body)
+        })
+    }
+
     /// The refusal once the time that it had, `limit`, is over.
     pub fn out_of_time(
         &self,
@@ -127,6 +138,7 @@
         arrived,
         deadline: arrived + limit.saturating_sub(ANSWER_MARGIN),
         may_have_run: cell::Cell::new(0),
+        digest: cell::OnceCell::new(),
     })
 }
 
--- a/crates/instance/src/lib.rs
+++ b/crates/instance/src/lib.rs
@@ -44,6 +44,7 @@
 mod stream_policy;
 mod stream_state;
 pub mod upstream_attempt;
+pub mod upstream_ends;
 pub mod upstream_load;
 mod upstream_news;
 pub mod upstream_pool;
--- a/crates/instance/src/model_request.rs
+++ b/crates/instance/src/model_request.rs
@@ -9,7 +9,7 @@
 use crate::{
     caller_connection, cell_search, context, engine_fault, event_stream, incoming_call,
     memory_hold, plan_client, request_record, silence_watch, stream_policy, stream_state,
-    upstream_attempt,
+    upstream_attempt, upstream_ends,
 };
 
 /// Places tried at most, those whose engine never saw the request included.
@@ -106,6 +106,9 @@
             }
             AttemptEnd::Fault(fault) => {
                 let surely = fault.failure.surely_not_run();
+                if !surely {
+                    record.digest = Some(call.digest().to_string());
+                }
                 if fault.failure == retry::AttemptFailure::NotConnected {
                     // Nothing arrived anywhere: the retry is not spent. Streams were cut for want
                     // of another one, after the first went to an engine that was gone.
@@ -231,6 +234,7 @@
     };
     let life = rc::Rc::clone(&connection.life);
     let left = call.left(context.now());
+    let run = upstream_ends::RunGuard::begin(context, call, &target.upstream, target.address);
     let mut over = pin::pin!(context.starts.until_over(&target.upstream));
     let mut sending = pin::pin!(upstream_attempt::exchange(context, call, &target, connection));
     let unused_time = context.settings().bounds.unused_time();
@@ -262,6 +266,9 @@
             if fault.failure != retry::AttemptFailure::NotConnected {
                 state.sent += 1;
             }
+            if fault.failure.surely_not_run() {
+                run.not_run();
+            }
             return Ok(AttemptEnd::Fault(fault));
         }
     };
@@ -276,6 +283,7 @@
         let head = Box::new(answer.head.clone());
         return Ok(match body {
             Ok(body) => {
+                run.answered();
                 answer.finish(&context.pool);
                 AttemptEnd::Failure(head, body)
             }
@@ -323,6 +331,7 @@
     if !events.is_empty() {
         return Ok(broke(state, "the stream ends in the middle of an event"));
     }
+    run.answered();
     if !state.begun {
         state.send(reply, &answer.head, &BytesMut::new()).await?;
     }
--- a/crates/instance/src/program.rs
+++ b/crates/instance/src/program.rs
@@ -15,7 +15,7 @@
 
 use crate::{
     border, caller_connection, context, engine_reports, heartbeats, instance_settings,
-    lease_renewal, log_sink, member_feed, peers, small_server, store_feed,
+    lease_renewal, log_sink, member_feed, peers, small_server, store_feed, upstream_ends,
 };
 
 /// Time between two looks at whether a stop or a reload was asked for.
@@ -106,8 +106,10 @@
     let socket = rc::Rc::new(socket);
     let (closing_sender, closing) = oneshot::channel();
     let (outgoing, queue) = mpsc::unbounded();
+    let (runs, run_news) = mpsc::unbounded();
     let grace = settings.bounds.grace.0;
-    let parts = context::ContextParts { settings, border, stop: stop.clone(), closing, outgoing };
+    let stopping = stop.clone();
+    let parts = context::ContextParts { settings, border, stop: stopping, closing, outgoing, runs };
     let context = rc::Rc::new(context::InstanceContext::new(parts));
     log::info!(instance:% = context.settings().name, boot = context.boot,
         version = env!("CARGO_PKG_VERSION"), ways:% = context.settings().experiments;
@@ -125,6 +127,7 @@
     monoio::spawn(member_feed::follow_list(share()));
     monoio::spawn(engine_reports::poll(share()));
     monoio::spawn(prune(share()));
+    monoio::spawn(upstream_ends::judge_runs(share(), run_news));
     let small = small_server::accept_all;
     monoio::spawn(small(share(), health, small_server::SmallRole::Health));
     monoio::spawn(small(share(), members, small_server::SmallRole::Members));
--- a/crates/instance/src/request_record.rs
+++ b/crates/instance/src/request_record.rs
@@ -45,6 +45,9 @@
     pub list: u64,
     /// How often it may run.
     pub repeat: &'static str,
+    /// What it is recognised by when its caller repeats it; told where an attempt broke.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub digest: Option<String>,
     /// Tokens of the prompt.
     pub prompt: u64,
     /// Time it had when it arrived.
--- a/crates/instance/src/service_request.rs
+++ b/crates/instance/src/service_request.rs
@@ -7,7 +7,8 @@
 use slipturn_net::h1;
 
 use crate::{
-    caller_connection, context, incoming_call, request_record, upstream_attempt, upstream_news,
+    caller_connection, context, incoming_call, request_record, upstream_attempt, upstream_ends,
+    upstream_news,
 };
 
 /// Largest answer of a plain service that is passed on.
@@ -138,6 +139,7 @@
                     sent += 1;
                 }
                 if !surely {
+                    record.digest = Some(call.digest().to_string());
                     ran = refusal::RanState::Unknown;
                     anew = true;
                 }
@@ -199,12 +201,16 @@
         let kept = loads.kept_wait(&call.route, slow);
         upstream_attempt::HeadWait { kept, longest: slow, usual: loads.usual(&call.route) }
     };
+    let run = upstream_ends::RunGuard::begin(context, call, &entry.name, entry.address);
     let sending = upstream_attempt::send(context, call, &target, connection, wait, &mut give_up);
     let answered = sending.await;
     let mut answer = match answered {
         Ok(answer) => answer,
         Err(fault) => {
             guard.note(&fault);
+            if fault.failure.surely_not_run() {
+                run.not_run();
+            }
             return Err(fault);
         }
     };
@@ -212,6 +218,7 @@
     context.loads.borrow_mut().answered(&call.route.name, taken);
     let body = answer.whole_body(context, &entry.name, MAX_ANSWER, slow, give_up).await;
     let body = body.inspect_err(|fault| guard.note(fault))?;
+    run.answered();
     let failed = answer.head.status.is_server_error();
     guard.result.set(Some(if failed { CallResult::Erred } else { CallResult::Good }));
     if let Some((running, waiting, _)) = answer.said.load {
