A request under which upstreams end in a sequence is held back at all members

Change: evidence by request (quarantine.rs): runs under which an upstream ended count in a sequence, each begun after the one before had ended; three hold the request back for 300 s, doubled for each further one; an answer to the end clears it. One gate around the future that serves a request; 503 quarantined with the time of the next trial, 502 where it may have run. slipturnctl quarantine and release. A prompt under which an engine may have ended gets an engine where few others run.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod planner;
 pub mod planner_key;
 
+pub mod quarantine;
 pub mod refusal;
 pub mod rendezvous;
 pub mod request_digest;
--- a/crates/core/src/refusal.rs
+++ b/crates/core/src/refusal.rs
@@ -62,6 +62,8 @@
     KeyInDoubt,
     /// The settings are not known yet, or not confirmed for too long.
     NotReady,
+    /// Upstreams have ended under it again and again.
+    Quarantined,
     /// The upstream failed.
     UpstreamFailed,
     /// The time limit has passed.
@@ -85,7 +87,8 @@
             | Self::OutOfMemory
             | Self::NoUpstream
             | Self::KeyInDoubt
-            | Self::NotReady => 503,
+            | Self::NotReady
+            | Self::Quarantined => 503,
         }
     }
 
@@ -104,6 +107,7 @@
             Self::NoUpstream => "no_upstream",
             Self::KeyInDoubt => "key_in_doubt",
             Self::NotReady => "not_ready",
+            Self::Quarantined => "quarantined",
             Self::UpstreamFailed => "upstream_failed",
             Self::TimedOut => "timed_out",
         }
@@ -126,7 +130,7 @@
 }
 
 /// Every code, for tables and tests.
-pub const ALL_CODES: [RefusalCode; 14] = [
+pub const ALL_CODES: [RefusalCode; 15] = [
     RefusalCode::BadRequest,
     RefusalCode::Unauthorized,
     RefusalCode::NotFound,
@@ -139,6 +143,7 @@
     RefusalCode::NoUpstream,
     RefusalCode::KeyInDoubt,
     RefusalCode::NotReady,
+    RefusalCode::Quarantined,
     RefusalCode::UpstreamFailed,
     RefusalCode::TimedOut,
 ];
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -8,7 +8,7 @@
 const INFO: command_line::ProgramInfo = command_line::ProgramInfo {
     name: "slipturnctl",
     version: env!("CARGO_PKG_VERSION"),
-    arguments: "[options] check FILE | status | settings | explain ID | histograms | drain",
+    arguments: "[options] check FILE | status | settings | explain ID | histograms | quarantine | release DIGEST | drain",
     about: "Asks an instance of slipturn, or checks a settings document before it is published.",
 };
 
@@ -53,6 +53,10 @@
         ["settings"] => show(matches, get, &settings_path(matches)?),
         ["explain", id] => show(matches, get, &format!("/v1/decisions/{id}")),
         ["histograms"] => show(matches, get, "/v1/histograms"),
+        ["quarantine"] => show(matches, get, "/v1/quarantine"),
+        ["release", digest] => {
+            show(matches, http::Method::POST, &format!("/v1/quarantine/{digest}/release"))
+        }
         ["drain"] => show(matches, http::Method::POST, "/v1/drain"),
         [] => Err(CommandError::Usage("a command is missing".to_owned())),
         other => Err(CommandError::Usage(format!("'{}' is not a command", other.join(" ")))),
--- a/crates/instance/src/caller_connection.rs
+++ b/crates/instance/src/caller_connection.rs
@@ -3,10 +3,12 @@
 use std::{rc, time};
 
 use futures::future;
-use slipturn_core::{refusal, units};
+use slipturn_core::{quarantine, refusal, units};
 use slipturn_net::h1;
 
-use crate::{context, incoming_call, model_request, request_record, service_request};
+use crate::{
+    context, incoming_call, model_request, quarantine_gate, request_record, service_request,
+};
 
 /// Bytes that a caller may send ahead of its answer.
 const MAX_AHEAD: usize = 64 * 1024;
@@ -36,6 +38,8 @@
     writer: &'a mut h1::MessageWriter,
     /// Whether the connection is closed behind the answer.
     close: bool,
+    /// Whether part of an answer may be on its way.
+    begun: bool,
 }
 
 impl CallerReply<'_> {
@@ -45,6 +49,7 @@
         head: &http::response::Parts,
         body: &[u8],
     ) -> Result<(), h1::MessageError> {
+        self.begun = true;
         let mut headers = head.headers.clone();
         h1::strip_connection_headers(&mut headers);
         let mut bytes = h1::answer_bytes(head.status, &headers, Some(body.len()), self.closing());
@@ -58,6 +63,7 @@
         head: &http::response::Parts,
         events: &[u8],
     ) -> Result<(), h1::MessageError> {
+        self.begun = true;
         let mut headers = head.headers.clone();
         h1::strip_connection_headers(&mut headers);
         let mut bytes = h1::answer_bytes(head.status, &headers, None, self.closing());
@@ -83,6 +89,7 @@
         id: &str,
         refusal: &refusal::RequestRefusal,
     ) -> Result<(), h1::MessageError> {
+        self.begun = true;
         let status = http::StatusCode::from_u16(refusal.code.status())
             .unwrap_or(http::StatusCode::INTERNAL_SERVER_ERROR);
         let mut headers = self.context.border.answer_headers(id, refusal.retry_after);
@@ -145,7 +152,7 @@
     let _busy = context::BusyGuard::new(context);
     let limits = context.fleet.borrow().routes.limits;
     let head = monoio::time::timeout(limits.arrival, reader.request_head(limits.head_bytes)).await;
-    let mut reply = CallerReply { context, writer, close: true };
+    let mut reply = CallerReply { context, writer, close: true, begun: false };
     let head = match head {
         Ok(Ok(Some(head))) => head,
         Ok(Ok(None)) => return Ok(ConnectionNext::Close),
@@ -235,14 +242,43 @@
     reply: &mut CallerReply<'_>,
     record: &mut request_record::RequestRecord,
 ) -> Result<ConnectionNext, h1::MessageError> {
-    let next = if call.route.streaming {
-        model_request::serve(context, call, reply, record).await?
-    } else {
-        service_request::serve(context, call, reply, record).await?
+    let work = async {
+        if call.route.streaming {
+            model_request::serve(context, call, reply, record).await
+        } else {
+            service_request::serve(context, call, reply, record).await
+        }
+    };
+    let next = match quarantine_gate::pass(context, call, work).await {
+        Ok(next) => next?,
+        Err(verdict) => hold_back(context, call, reply, record, &verdict).await?,
     };
     Ok(if reply.closing() { ConnectionNext::Close } else { next })
 }
 
+/// Answers a request that is held back.
+async fn hold_back(
+    context: &context::InstanceContext,
+    call: &incoming_call::IncomingCall,
+    reply: &mut CallerReply<'_>,
+    record: &mut request_record::RequestRecord,
+    verdict: &quarantine::QuarantineVerdict,
+) -> Result<ConnectionNext, h1::MessageError> {
+    let refusal = quarantine_gate::refusal(context, call, verdict);
+    let upstreams: Vec<_> = verdict.upstreams.iter().map(ToString::to_string).collect();
+    let (why, ran) = (&refusal.message, refusal.ran.word());
+    record.outcome = format!("{why}: {} (ran: {ran})", upstreams.join(" "));
+    record.digest = Some(call.digest().to_string());
+    context.stats.borrow_mut().count("held_back", &call.service.to_string());
+    if reply.begun {
+        // Only a cut connection can say now that the answer is not whole.
+        return Ok(ConnectionNext::Close);
+    }
+    record.status = Some(refusal.code.status());
+    reply.refuse(&call.request.id, &refusal).await?;
+    Ok(ConnectionNext::Keep)
+}
+
 fn finish(
     context: &context::InstanceContext,
     call: &incoming_call::IncomingCall,
--- a/crates/instance/src/context.rs
+++ b/crates/instance/src/context.rs
@@ -5,13 +5,13 @@
 use futures::{channel::mpsc, channel::oneshot, future};
 use slipturn_core::{
     class_worth, engine_place, fleet_budget, ids, member_beat, membership, planner, planner_key,
-    store_belief, units,
+    quarantine, store_belief, units,
 };
 use slipturn_net::process;
 
 use crate::{
     border, document_answers, fleet_state, instance_settings, instance_stats, peer_message,
-    planner_set, upstream_ends, upstream_pool, upstream_silence, upstream_starts,
+    planner_set, quarantine_gate, upstream_ends, upstream_pool, upstream_silence, upstream_starts,
 };
 
 /// Age at which a process knows how many members there are; heartbeats are a second apart at most.
@@ -71,6 +71,12 @@
     pub loads: cell::RefCell<crate::upstream_load::UpstreamLoads>,
     /// Attempts that wait for starts of upstreams.
     pub starts: upstream_starts::StartWaiters,
+    /// Requests that upstreams ended under.
+    pub quarantine: cell::RefCell<quarantine::QuarantineTable>,
+    /// Rings when a request is held back.
+    pub verdicts: quarantine_gate::VerdictBell,
+    /// Second in which this process last asked members what they hold back, and how many it asked in it.
+    pub asked_held: cell::Cell<(u64, usize)>,
     /// Answers to members about the store's documents.
     pub answers: cell::RefCell<document_answers::DocumentAnswers>,
     /// When silent connections were last logged.
@@ -144,6 +150,9 @@
             pool: upstream_pool::UpstreamPool::default(),
             loads: cell::RefCell::default(),
             starts: upstream_starts::StartWaiters::default(),
+            quarantine: cell::RefCell::default(),
+            verdicts: quarantine_gate::VerdictBell::default(),
+            asked_held: cell::Cell::default(),
             answers: cell::RefCell::default(),
             silence_log: upstream_silence::SilenceLog::default(),
             stats: cell::RefCell::default(),
--- a/crates/instance/src/lib.rs
+++ b/crates/instance/src/lib.rs
@@ -31,6 +31,8 @@
 pub mod plan_client;
 pub mod planner_set;
 pub mod program;
+pub mod quarantine_gate;
+mod quarantine_news;
 mod raw_state;
 pub mod request_record;
 pub mod routes_history;
--- a/crates/instance/src/model_request.rs
+++ b/crates/instance/src/model_request.rs
@@ -8,8 +8,8 @@
 
 use crate::{
     caller_connection, cell_search, context, engine_fault, event_stream, incoming_call,
-    memory_hold, plan_client, request_record, silence_watch, stream_policy, stream_state,
-    upstream_attempt, upstream_ends,
+    memory_hold, plan_client, quarantine_gate, request_record, silence_watch, stream_policy,
+    stream_state, upstream_attempt, upstream_ends,
 };
 
 /// Places tried at most, those whose engine never saw the request included.
@@ -107,6 +107,7 @@
             AttemptEnd::Fault(fault) => {
                 let surely = fault.failure.surely_not_run();
                 if !surely {
+                    state.broke = true;
                     record.digest = Some(call.digest().to_string());
                 }
                 if fault.failure == retry::AttemptFailure::NotConnected {
@@ -168,6 +169,7 @@
     let progress = stream_policy::AskProgress {
         begun: state.begun,
         sent: state.sent > 0,
+        suspect: state.broke || quarantine_gate::is_suspect(context, call),
         excluded: &state.excluded,
     };
     let ask = stream_policy::ask(context, call, &progress);
--- a/crates/instance/src/peer_message.rs
+++ b/crates/instance/src/peer_message.rs
@@ -2,7 +2,7 @@
 
 use futures::channel::mpsc;
 use serde::{Deserialize, Serialize};
-use slipturn_core::{engine_place, ids, member_beat, planner_key};
+use slipturn_core::{engine_place, ids, member_beat, planner_key, request_digest};
 
 /// Largest datagram; larger messages are split by their sender.
 pub const MAX_DATAGRAM: usize = 16 * 1024;
@@ -11,6 +11,9 @@
 /// Most jobs renewed by one message; each takes some four bytes.
 pub const MAX_RENEWED: usize = 256;
 
+/// Most end reports in one message; each takes some 60 bytes.
+pub const MAX_ENDS: usize = 200;
+
 /// One message.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum PeerMessage {
@@ -38,6 +41,28 @@
     Census(planner_key::PlannerKey),
     /// An upstream is gone from its address: another one answered there.
     Gone(ids::UpstreamId),
+    /// Runs under which upstreams ended, for a member that keeps the evidence against their requests.
+    Ends(Vec<EndReport>),
+    /// The evidence against requests that are held back, for all.
+    Held(Vec<EndReport>),
+    /// A request that upstreams had ended under was answered to the end so many milliseconds ago, or an
+    /// operator lets it go.
+    Cleared(request_digest::RequestDigest, u32),
+    /// Asks for the evidence against requests that are held back.
+    AskHeld,
+}
+
+/// A run under which an upstream ended. Times are milliseconds ago, as members' clocks differ.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EndReport {
+    /// The request.
+    pub digest: request_digest::RequestDigest,
+    /// The start of the upstream.
+    pub upstream: ids::UpstreamId,
+    /// When the request was sent.
+    pub sent_ms: u32,
+    /// When the run ended.
+    pub ended_ms: u32,
 }
 
 /// A place that is still in use.
--- a/crates/instance/src/peers.rs
+++ b/crates/instance/src/peers.rs
@@ -5,7 +5,9 @@
 use futures::{StreamExt as _, channel::mpsc};
 use slipturn_core::{engine_place, member_beat, planner_key};
 
-use crate::{context, heartbeats, lease_renewal, peer_message, planner_set, upstream_starts};
+use crate::{
+    context, heartbeats, lease_renewal, peer_message, planner_set, quarantine_news, upstream_starts,
+};
 
 /// Time between two looks at requests that wait, while any does.
 const PLAN_INTERVAL: time::Duration = time::Duration::from_millis(10);
@@ -107,6 +109,12 @@
         PeerMessage::Gone(upstream) => {
             context.loads.borrow_mut().hear_gone(now, &upstream);
         }
+        PeerMessage::Ends(reports) => quarantine_news::hear_ends(context, reports),
+        PeerMessage::Held(reports) => quarantine_news::hear_held(context, from, reports),
+        PeerMessage::Cleared(digest, millis_ago) => {
+            quarantine_news::hear_cleared(context, digest, millis_ago);
+        }
+        PeerMessage::AskHeld => quarantine_news::tell_held(context, from),
         PeerMessage::Census(key) => lease_renewal::tell_all(context, from, &key),
         PeerMessage::Unknown(key, jobs) => lease_renewal::tell_leases(context, from, key, &jobs),
         PeerMessage::Leases(key, leases) => {
--- a/crates/instance/src/program.rs
+++ b/crates/instance/src/program.rs
@@ -15,7 +15,8 @@
 
 use crate::{
     border, caller_connection, context, engine_reports, heartbeats, instance_settings,
-    lease_renewal, log_sink, member_feed, peers, small_server, store_feed, upstream_ends,
+    lease_renewal, log_sink, member_feed, peers, quarantine_news, small_server, store_feed,
+    upstream_ends,
 };
 
 /// Time between two looks at whether a stop or a reload was asked for.
@@ -128,6 +129,7 @@
     monoio::spawn(engine_reports::poll(share()));
     monoio::spawn(prune(share()));
     monoio::spawn(upstream_ends::judge_runs(share(), run_news));
+    monoio::spawn(quarantine_news::repeat(share()));
     let small = small_server::accept_all;
     monoio::spawn(small(share(), health, small_server::SmallRole::Health));
     monoio::spawn(small(share(), members, small_server::SmallRole::Members));
--- /dev/null
+++ b/crates/instance/src/quarantine_news.rs
@@ -0,0 +1,286 @@
+//! What members tell each other of requests that upstreams end under.
+//!
+//! Evidence goes to a few members, found by hashing the request's digest over those that are alive:
+//! a storm of crashes costs each member some datagrams, however many there are. Who sees there that a
+//! request is to be held back tells all. Whoever has just started, woken or met others asks, and all
+//! repeat what they hold to another one each second: datagrams are lost.
+
+use std::{net, rc, time};
+
+use rand::seq::IteratorRandom as _;
+use slipturn_core::{quarantine, rendezvous, request_digest, units};
+
+use crate::{context, peer_message, upstream_ends};
+
+/// Members that keep the evidence against one request: with four of them gone or cut off, one is left.
+const KEEPERS: usize = 5;
+/// Members up to which all keep it: a small fleet needs no choice, and who serves a request knows then
+/// that it is a suspect.
+const SMALL_FLEET: usize = 12;
+/// Members that are asked by one that knows nothing.
+const ASKED: usize = 3;
+/// Time between two repeats of what is held back.
+const REPEAT_INTERVAL: time::Duration = time::Duration::from_secs(1);
+/// Digests that a log line names in full; more are counted.
+const MAX_LOGGED: usize = 16;
+
+/// Takes in runs of this process under which an upstream ended.
+pub(crate) fn report(context: &context::InstanceContext, runs: &[upstream_ends::BrokenRun]) {
+    let ended = |run: &upstream_ends::BrokenRun| quarantine::EndedRun {
+        digest: run.digest,
+        upstream: run.upstream.clone(),
+        sent: run.sent,
+        ended: run.broke,
+    };
+    let ends: Vec<_> = runs.iter().map(ended).collect();
+    let now = context.now();
+    for keeper in members_for(context, ends.iter().map(|end| end.digest)) {
+        let theirs = ends.iter().filter(|end| keeper.1.contains(&end.digest));
+        for reports in reports(now, theirs) {
+            context.tell(keeper.0, peer_message::PeerMessage::Ends(reports));
+        }
+    }
+    hold_new(context, ends);
+}
+
+/// Takes in evidence that this member is to keep.
+pub(crate) fn hear_ends(context: &context::InstanceContext, reports: Vec<peer_message::EndReport>) {
+    hold_new(context, ended_runs(context.now(), reports));
+}
+
+/// Takes in evidence against requests that another member holds back.
+pub(crate) fn hear_held(
+    context: &context::InstanceContext,
+    from: net::SocketAddrV4,
+    reports: Vec<peer_message::EndReport>,
+) {
+    let now = context.now();
+    let ends = ended_runs(now, reports);
+    tell_answered(context, from, &ends);
+    let held = context.quarantine.borrow_mut().note_ends(now, ends);
+    log_held(context, &held, "member");
+}
+
+/// Takes in that a request is not the cause of ends before.
+pub(crate) fn hear_cleared(
+    context: &context::InstanceContext,
+    digest: request_digest::RequestDigest,
+    millis_ago: u32,
+) {
+    let age = time::Duration::from_millis(u64::from(millis_ago));
+    context.quarantine.borrow_mut().clear(digest, context.now().earlier_by(age));
+}
+
+/// Tells a member what is held back here.
+pub(crate) fn tell_held(context: &context::InstanceContext, to: net::SocketAddrV4) {
+    let now = context.now();
+    let ends = held_ends(context, now);
+    for reports in reports(now, ends.iter()) {
+        context.tell(to, peer_message::PeerMessage::Held(reports));
+    }
+}
+
+/// Asks a member that has just been met, if few were asked in this second: all are met at once behind a
+/// start and behind a cut.
+pub(crate) fn ask_met(context: &context::InstanceContext, to: net::SocketAddrV4) {
+    let second = context.now().since(units::MonoTime::default()).as_secs();
+    let (last, count) = context.asked_held.get();
+    let count = if last == second { count } else { 0 };
+    if count < ASKED {
+        context.asked_held.set((second, count + 1));
+        context.tell(to, peer_message::PeerMessage::AskHeld);
+    }
+}
+
+/// Asks some members what is held back there.
+fn ask(context: &context::InstanceContext) {
+    for to in some_members(context, ASKED) {
+        context.tell(to, peer_message::PeerMessage::AskHeld);
+    }
+}
+
+/// Notes that an upstream has answered a request to the end, where ends speak against it; `digest` is
+/// asked for only then.
+pub(crate) fn answered(
+    context: &context::InstanceContext,
+    digest: impl FnOnce() -> request_digest::RequestDigest,
+) {
+    if context.quarantine.borrow().is_empty() {
+        return;
+    }
+    let digest = digest();
+    if context.quarantine.borrow().suspects(digest) {
+        clear(context, digest);
+    }
+}
+
+/// Lets a request go, here and at all members; whether anything was known of it.
+pub(crate) fn clear(
+    context: &context::InstanceContext,
+    digest: request_digest::RequestDigest,
+) -> bool {
+    let now = context.now();
+    let held = context.quarantine.borrow().verdict(now, digest).is_some();
+    let known = context.quarantine.borrow_mut().clear(digest, now);
+    let told: Vec<_> = if held {
+        context.members.borrow().targets(context.settings().member_address)
+    } else {
+        members_for(context, [digest].into_iter()).into_iter().map(|(to, _)| to).collect()
+    };
+    for to in told {
+        context.tell(to, peer_message::PeerMessage::Cleared(digest, 0));
+    }
+    if held {
+        log::warn!(digest:%; "request.released");
+    }
+    known
+}
+
+/// Repeats what is held back to one member after the other, drawn.
+pub(crate) async fn repeat(context: rc::Rc<context::InstanceContext>) {
+    let mut woken = context.woke.get();
+    loop {
+        monoio::time::sleep(REPEAT_INTERVAL).await;
+        if context.woke.get() != woken {
+            woken = context.woke.get();
+            ask(&context);
+        }
+        if context.quarantine.borrow().holds_any() {
+            some_members(&context, 1).into_iter().for_each(|to| tell_held(&context, to));
+        }
+    }
+}
+
+/// Takes evidence in, and tells all members who is held back by it.
+fn hold_new(context: &context::InstanceContext, ends: Vec<quarantine::EndedRun>) {
+    let now = context.now();
+    let held = context.quarantine.borrow_mut().note_ends(now, ends);
+    if held.is_empty() {
+        return;
+    }
+    log_held(context, &held, "evidence");
+    let against: Vec<_> = {
+        let table = context.quarantine.borrow();
+        held.iter().flat_map(|digest| table.ends(*digest).to_vec()).collect()
+    };
+    for to in context.members.borrow().targets(context.settings().member_address) {
+        for reports in reports(now, against.iter()) {
+            context.tell(to, peer_message::PeerMessage::Held(reports));
+        }
+    }
+}
+
+/// Tells a member that holds back what was answered here since.
+fn tell_answered(
+    context: &context::InstanceContext,
+    to: net::SocketAddrV4,
+    ends: &[quarantine::EndedRun],
+) {
+    let now = context.now();
+    let table = context.quarantine.borrow();
+    let mut digests: Vec<_> = ends.iter().map(|end| end.digest).collect();
+    digests.dedup();
+    for digest in digests {
+        let Some(age) = table.answered_age(now, digest) else {
+            continue;
+        };
+        let of_digest = ends.iter().filter(|end| end.digest == digest);
+        if of_digest.map(|end| now.since(end.ended)).all(|ended| ended >= age) {
+            let message = peer_message::PeerMessage::Cleared(digest, millis(age));
+            context.tell(to, message);
+        }
+    }
+}
+
+fn held_ends(
+    context: &context::InstanceContext,
+    now: units::MonoTime,
+) -> Vec<quarantine::EndedRun> {
+    let table = context.quarantine.borrow();
+    table.held_at(now).into_iter().flat_map(|digest| table.ends(digest).to_vec()).collect()
+}
+
+/// Members that keep the evidence against these requests, each with its part of them.
+fn members_for(
+    context: &context::InstanceContext,
+    digests: impl Iterator<Item = request_digest::RequestDigest>,
+) -> Vec<(net::SocketAddrV4, Vec<request_digest::RequestDigest>)> {
+    let members = context.members.borrow();
+    let alive: Vec<_> = members.alive(context.now()).collect();
+    let mut keepers = std::collections::BTreeMap::<_, Vec<_>>::new();
+    let mut digests: Vec<_> = digests.collect();
+    digests.sort_unstable();
+    digests.dedup();
+    for digest in digests {
+        let subject = digest.to_string();
+        let ranked = rendezvous::ranked(&subject, alive.iter(), |beat| beat.name.as_str());
+        let count = if alive.len() <= SMALL_FLEET { alive.len() } else { KEEPERS };
+        for keeper in ranked.into_iter().take(count) {
+            keepers.entry(keeper.address).or_default().push(digest);
+        }
+    }
+    keepers.into_iter().collect()
+}
+
+fn some_members(context: &context::InstanceContext, count: usize) -> Vec<net::SocketAddrV4> {
+    let members = context.members.borrow();
+    let alive = members.alive(context.now()).map(|beat| beat.address);
+    alive.sample(&mut rand::rng(), count)
+}
+
+/// Messages' worth of reports.
+fn reports<'a>(
+    now: units::MonoTime,
+    ends: impl Iterator<Item = &'a quarantine::EndedRun>,
+) -> Vec<Vec<peer_message::EndReport>> {
+    let report = |end: &quarantine::EndedRun| peer_message::EndReport {
+        digest: end.digest,
+        upstream: end.upstream.clone(),
+        sent_ms: millis(now.since(end.sent)),
+        ended_ms: millis(now.since(end.ended)),
+    };
+    let all: Vec<_> = ends.map(report).collect();
+    all.chunks(peer_message::MAX_ENDS).map(<[_]>::to_vec).collect()
+}
+
+/// Runs as this process's clock tells their times; those before its start lie at its start.
+fn ended_runs(
+    now: units::MonoTime,
+    reports: Vec<peer_message::EndReport>,
+) -> Vec<quarantine::EndedRun> {
+    let ago = |millis: u32| now.earlier_by(time::Duration::from_millis(u64::from(millis)));
+    let run = |report: peer_message::EndReport| quarantine::EndedRun {
+        digest: report.digest,
+        upstream: report.upstream,
+        sent: ago(report.sent_ms.max(report.ended_ms)),
+        ended: ago(report.ended_ms),
+    };
+    reports.into_iter().map(run).collect()
+}
+
+fn millis(span: time::Duration) -> u32 {
+    u32::try_from(span.as_millis()).unwrap_or(u32::MAX)
+}
+
+fn log_held(
+    context: &context::InstanceContext,
+    held: &[request_digest::RequestDigest],
+    source: &str,
+) {
+    let table = context.quarantine.borrow();
+    for digest in held.iter().take(MAX_LOGGED) {
+        let Some(verdict) = table.verdict(context.now(), *digest) else {
+            continue;
+        };
+        let upstreams: Vec<_> = verdict.upstreams.iter().map(ToString::to_string).collect();
+        let for_ms = units::whole_millis(verdict.until.since(context.now()));
+        log::warn!(digest:%, source, upstreams = upstreams.join(" "), for_ms; "request.quarantined");
+    }
+    drop(table);
+    for _ in held {
+        context.stats.borrow_mut().count("quarantined", source);
+    }
+    if !held.is_empty() {
+        context.verdicts.ring();
+    }
+}
--- a/crates/instance/src/small_server.rs
+++ b/crates/instance/src/small_server.rs
@@ -3,10 +3,13 @@
 use std::{rc, time};
 
 use bytes::Bytes;
-use slipturn_core::units;
+use slipturn_core::{quarantine, request_digest, units};
 use slipturn_net::h1;
 
-use crate::{context, document_answers, member_feed};
+use crate::{context, document_answers, member_feed, quarantine_news};
+
+/// Requests that are held back.
+const QUARANTINE_PATH: &str = "/v1/quarantine";
 
 /// Largest head of such a request.
 const MAX_HEAD: usize = 8 * 1024;
@@ -151,10 +154,17 @@
             None => (404, said("not among the last requests of this instance")),
         };
     }
+    if let Some(named) = path.strip_prefix(QUARANTINE_PATH) {
+        return quarantine(context, method, named);
+    }
     match (method.as_str(), path) {
-        ("GET", "/metrics") => {
-            (200, context.stats.borrow().text() + &source_gauges(context) + &ways_gauge(context))
-        }
+        ("GET", "/metrics") => (
+            200,
+            context.stats.borrow().text()
+                + &source_gauges(context)
+                + &ways_gauge(context)
+                + &held_gauge(context),
+        ),
         ("GET", "/v1/status") => json(&status(context)),
         ("GET", "/v1/histograms") => json(&context.stats.borrow().rows()),
         ("GET", "/v1/settings") => json(&routes(context)),
@@ -163,12 +173,50 @@
             context.stop.ask();
             (200, said("draining"))
         }
-        _ => {
-            (404, said("try /metrics, /v1/status, /v1/settings, /v1/histograms, /v1/decisions/ID"))
+        _ => (
+            404,
+            said(
+                "try /metrics, /v1/status, /v1/settings, /v1/histograms, /v1/decisions/ID, /v1/quarantine",
+            ),
+        ),
+    }
+}
+
+/// What is held back, and an operator's word that a request may go.
+fn quarantine(
+    context: &context::InstanceContext,
+    method: &http::Method,
+    named: &str,
+) -> (u16, String) {
+    let release = named.strip_prefix('/').and_then(|rest| rest.strip_suffix("/release"));
+    match (method.as_str(), named, release.map(str::parse)) {
+        ("GET", "", _) => json(&held_rows(context)),
+        ("POST", _, Some(Ok(digest))) if quarantine_news::clear(context, digest) => {
+            (200, said("released"))
         }
+        ("POST", _, Some(Ok(_))) => (404, said("no upstream has ended under this request")),
+        ("POST", _, Some(Err(error))) => (400, said(&error.to_string())),
+        _ => (404, said("try GET /v1/quarantine, POST /v1/quarantine/DIGEST/release")),
     }
 }
 
+fn held_rows(context: &context::InstanceContext) -> Vec<serde_json::Value> {
+    let now = context.now();
+    let table = context.quarantine.borrow();
+    let held = table.held_at(now).into_iter();
+    let verdicts = held.filter_map(|digest| Some((digest, table.verdict(now, digest)?)));
+    let row =
+        |(digest, verdict): (request_digest::RequestDigest, quarantine::QuarantineVerdict)| {
+            let upstreams: Vec<_> = verdict.upstreams.iter().map(ToString::to_string).collect();
+            serde_json::json!({
+                "digest": digest.to_string(),
+                "for_ms": units::whole_millis(verdict.until.since(now)),
+                "upstreams": upstreams.join(" "),
+            })
+        };
+    verdicts.map(row).collect()
+}
+
 fn json(value: &impl serde::Serialize) -> (u16, String) {
     match serde_json::to_string(value) {
         Ok(text) => (200, text),
@@ -219,6 +267,12 @@
     )
 }
 
+/// How many requests are held back.
+fn held_gauge(context: &context::InstanceContext) -> String {
+    let held = context.quarantine.borrow().held_at(context.now()).len();
+    format!("slipturn_requests_held {held}\n")
+}
+
 /// Which way each decision goes here, for whoever compares them.
 fn ways_gauge(context: &context::InstanceContext) -> String {
     format!("slipturn_ways{{ways=\"{}\"}} 1\n", context.settings().experiments)
--- a/crates/instance/src/upstream_attempt.rs
+++ b/crates/instance/src/upstream_attempt.rs
@@ -7,7 +7,9 @@
 use slipturn_core::{connection_silence, ids, retry};
 use slipturn_net::h1;
 
-use crate::{border, context, incoming_call, upstream_pool, upstream_silence, upstream_starts};
+use crate::{
+    border, context, incoming_call, upstream_ends, upstream_pool, upstream_silence, upstream_starts,
+};
 
 /// Time for an answer that an upstream may have sent before it stopped reading.
 const EARLY_ANSWER_TIME: time::Duration = time::Duration::from_millis(50);
@@ -153,7 +155,12 @@
         context.pool.get(target.address).await
     };
     let not_connected = retry::AttemptFailure::NotConnected;
-    let connection = opened.map_err(|error| AttemptFault::new(not_connected, error))?;
+    let connection = opened.map_err(|error| {
+        if error.nobody_listens() {
+            context.tell_run(upstream_ends::RunNews::Refused(target.upstream.clone()));
+        }
+        AttemptFault::new(not_connected, error)
+    })?;
     // It was chosen before the connection came about; who leaves meanwhile gets nothing new.
     if !connection.used && !context.fleet.borrow().list.is_usable(&target.upstream) {
         return Err(AttemptFault::new(not_connected, "the upstream leaves"));
--- a/crates/instance/src/upstream_ends.rs
+++ b/crates/instance/src/upstream_ends.rs
@@ -9,7 +9,7 @@
 use futures::{StreamExt as _, channel::mpsc};
 use slipturn_core::{fleet_list, ids, request_digest, units};
 
-use crate::{context, incoming_call, upstream_pool};
+use crate::{context, incoming_call, quarantine_news};
 
 /// Moments behind a break at which a connection is tried: a process that has ended refuses at once, but
 /// its connections may be reset a moment before its listener is.
@@ -108,6 +108,7 @@
     /// The upstream has answered to the end, whatever it answered: it outlives such a run.
     pub(crate) fn answered(mut self) {
         self.ended = true;
+        quarantine_news::answered(self.context, || self.call.digest());
     }
 }
 
@@ -225,8 +226,8 @@
         monoio::time::sleep(delay).await;
         seen = match context.pool.open(address).await {
             Ok(_) => CheckResult::Lives,
-            Err(upstream_pool::ConnectError::Refused { .. }) => CheckResult::Refuses,
-            Err(upstream_pool::ConnectError::Silent) => CheckResult::Silent,
+            Err(error) if error.nobody_listens() => CheckResult::Refuses,
+            Err(_) => CheckResult::Silent,
         };
         if seen == CheckResult::Refuses {
             break;
@@ -255,4 +256,5 @@
         digests = requests.join(" "); "upstream.ended"
     );
     context.stats.borrow_mut().count("upstream_ended", proof.word());
+    quarantine_news::report(context, &runs);
 }
--- a/crates/instance/src/upstream_pool.rs
+++ b/crates/instance/src/upstream_pool.rs
@@ -30,6 +30,19 @@
     Silent,
 }
 
+impl ConnectError {
+    /// Whether the other side's system said that nobody listens there.
+    pub fn nobody_listens(&self) -> bool {
+        let refused = |source: &io::Error| {
+            matches!(
+                source.kind(),
+                io::ErrorKind::ConnectionRefused | io::ErrorKind::ConnectionReset
+            )
+        };
+        matches!(self, Self::Refused { source } if refused(source))
+    }
+}
+
 /// When a connection was opened and last heard.
 #[derive(Debug)]
 pub struct ConnectionLife {
