Evidence whose times were told late counts too; tests of what is held back, for whom and until when

A paused member reads all messages at once when it wakes, so that three ends in a sequence seemed to lie at one moment, and kept the times that it heard first; also, ages cut to milliseconds put a second attempt before the end of the first, so that one of two members saw no sequence (seen in the lines: held at the one at its third end, at the other at the fourth). Ruled out: lost datagrams (all were received); trusting a verdict in place of the evidence (two members would prolong each other's). Change: microseconds; each message tells all that is known of a request, so that its times fit each other; of two reports of a run the earlier times hold; a run may seem to begin by a quarter of its length, 25 ms at most, before the one ahead ended.

--- a/crates/core/src/quarantine.rs
+++ b/crates/core/src/quarantine.rs
@@ -19,6 +19,12 @@
 /// Upstreams that end in a sequence under a request before it is held back. In storms of crashes in
 /// virtual time, without a cause among the requests, no sound prompt of 17,900 met three.
 const SEQUENCE: usize = 3;
+/// Part of a run, and longest time, by which it may seem to begin before the one ahead has ended: members
+/// tell times as ages, which are off by the way that a message took. A second attempt is sent a fraction
+/// of a millisecond behind the break of the first.
+const OVERLAP_PART: u32 = 4;
+/// See [`OVERLAP_PART`].
+const MAX_OVERLAP: time::Duration = time::Duration::from_millis(25);
 /// How long a request is held back behind the last end under it: about what it takes operators to see
 /// that engines restart, and far longer than callers repeat by themselves.
 const HOLD_TIME: time::Duration = time::Duration::from_secs(300);
@@ -45,6 +51,19 @@
     pub ended: units::MonoTime,
 }
 
+impl EndedRun {
+    /// What two members tell of the same run: a message that was long on its way makes its times
+    /// seem later than they are.
+    fn merge(self, other: Self) -> Self {
+        let (sent, ended) = (self.sent.min(other.sent), self.ended.min(other.ended));
+        Self { sent, ended, ..self }
+    }
+
+    fn slack(&self) -> time::Duration {
+        (self.ended.since(self.sent) / OVERLAP_PART).min(MAX_OVERLAP)
+    }
+}
+
 /// How ends are counted; all but the default are there to measure against it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub enum BlameWay {
@@ -78,15 +97,7 @@
 impl SuspectRecord {
     /// Ends in a sequence.
     fn sequence(&self) -> usize {
-        let mut last = None;
-        let mut count = 0;
-        for end in &self.ends {
-            if last.is_none_or(|last| end.sent >= last) {
-                last = Some(end.ended);
-                count += 1;
-            }
-        }
-        count
+        in_sequence(&self.ends).iter().filter(|adds| **adds).count()
     }
 
     /// Whether another one was there at all ends, and at more: it explains them.
@@ -194,10 +205,14 @@
 
     fn note_end(&mut self, run: EndedRun) {
         let record = self.suspects.entry(run.digest).or_default();
-        let known = record.ends.iter().any(|end| end.upstream == run.upstream);
-        if known || record.answered.is_some_and(|answered| run.ended <= answered) {
+        if record.answered.is_some_and(|answered| run.ended <= answered) {
             return;
         }
+        let known = record.ends.iter().position(|end| end.upstream == run.upstream);
+        let run = match known.map(|at| record.ends.remove(at)) {
+            Some(known) => known.merge(run),
+            None => run,
+        };
         let at = record.ends.partition_point(|end| end.ended <= run.ended);
         record.ends.insert(at, run);
         if record.ends.len() > MAX_ENDS {
@@ -262,15 +277,21 @@
     Some(record.last_end() + HOLD_TIME * 2_u32.pow(more.min(MAX_DOUBLINGS)))
 }
 
-/// Drops an end that adds nothing to the sequence, or the oldest.
-fn remove_least(ends: &mut Vec<EndedRun>) {
+/// Which of these ends, ordered by their times, add to the longest sequence.
+fn in_sequence(ends: &[EndedRun]) -> Vec<bool> {
     let mut last = None;
-    let beside = ends.iter().position(|end| {
-        let adds = last.is_none_or(|last| end.sent >= last);
+    let adds = ends.iter().map(|end| {
+        let adds = last.is_none_or(|last| end.sent + end.slack() >= last);
         if adds {
             last = Some(end.ended);
         }
-        !adds
+        adds
     });
+    adds.collect()
+}
+
+/// Drops an end that adds nothing to the sequence, or the oldest.
+fn remove_least(ends: &mut Vec<EndedRun>) {
+    let beside = in_sequence(ends).iter().position(|adds| !adds);
     ends.remove(beside.unwrap_or(0));
 }
--- a/crates/core/tests/quarantine.rs
+++ b/crates/core/tests/quarantine.rs
@@ -54,6 +54,29 @@
     assert!(!held(&table_of(runs), "x", 300));
 }
 
+/// Told as ages, the end of a first attempt and the sending of the second may change places.
+#[test]
+fn times_that_are_off_by_the_way_of_a_message_do_not_hide_a_sequence() {
+    let runs = [run("x", "a", 0, 100), run("x", "b", 97, 200), run("x", "c", 196, 300)];
+    assert!(held(&table_of(runs), "x", 300));
+    let overlap = [run("x", "a", 0, 100), run("x", "b", 60, 200), run("x", "c", 150, 300)];
+    assert!(!held(&table_of(overlap), "x", 300));
+}
+
+/// A member that was paused hears all messages at once when it wakes, as if the runs were just over; what it
+/// is told later has the truer times.
+#[test]
+fn the_earliest_times_that_were_told_of_a_run_hold() {
+    let mut table =
+        table_of([run("x", "a", 800, 900), run("x", "b", 801, 901), run("x", "c", 802, 902)]);
+    assert!(!held(&table, "x", 902));
+    table.note_ends(
+        at(903),
+        [run("x", "a", 0, 100), run("x", "b", 101, 201), run("x", "c", 202, 302)],
+    );
+    assert!(held(&table, "x", 903));
+}
+
 #[test]
 fn copies_that_end_at_one_moment_are_one_run_in_the_sequence() {
     let copies = (0..40).map(|copy| run("x", &format!("e{copy}"), copy, 500 + copy % 3));
--- a/crates/instance/src/peer_message.rs
+++ b/crates/instance/src/peer_message.rs
@@ -45,14 +45,15 @@
     Ends(Vec<EndReport>),
     /// The evidence against requests that are held back, for all.
     Held(Vec<EndReport>),
-    /// A request that upstreams had ended under was answered to the end so many milliseconds ago, or an
+    /// A request that upstreams had ended under was answered to the end so many microseconds ago, or an
     /// operator lets it go.
-    Cleared(request_digest::RequestDigest, u32),
+    Cleared(request_digest::RequestDigest, u64),
     /// Asks for the evidence against requests that are held back.
     AskHeld,
 }
 
-/// A run under which an upstream ended. Times are milliseconds ago, as members' clocks differ.
+/// A run under which an upstream ended. Times are microseconds ago, as members' clocks differ; those of
+/// one message fit each other.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EndReport {
     /// The request.
@@ -60,9 +61,9 @@
     /// The start of the upstream.
     pub upstream: ids::UpstreamId,
     /// When the request was sent.
-    pub sent_ms: u32,
+    pub sent_us: u64,
     /// When the run ended.
-    pub ended_ms: u32,
+    pub ended_us: u64,
 }
 
 /// A place that is still in use.
--- a/crates/instance/src/peers.rs
+++ b/crates/instance/src/peers.rs
@@ -111,8 +111,8 @@
         }
         PeerMessage::Ends(reports) => quarantine_news::hear_ends(context, reports),
         PeerMessage::Held(reports) => quarantine_news::hear_held(context, from, reports),
-        PeerMessage::Cleared(digest, millis_ago) => {
-            quarantine_news::hear_cleared(context, digest, millis_ago);
+        PeerMessage::Cleared(digest, micros_ago) => {
+            quarantine_news::hear_cleared(context, digest, micros_ago);
         }
         PeerMessage::AskHeld => quarantine_news::tell_held(context, from),
         PeerMessage::Census(key) => lease_renewal::tell_all(context, from, &key),
--- a/crates/instance/src/quarantine_news.rs
+++ b/crates/instance/src/quarantine_news.rs
@@ -32,15 +32,15 @@
         sent: run.sent,
         ended: run.broke,
     };
-    let ends: Vec<_> = runs.iter().map(ended).collect();
+    hold_new(context, runs.iter().map(ended).collect());
     let now = context.now();
-    for keeper in members_for(context, ends.iter().map(|end| end.digest)) {
-        let theirs = ends.iter().filter(|end| keeper.1.contains(&end.digest));
-        for reports in reports(now, theirs) {
-            context.tell(keeper.0, peer_message::PeerMessage::Ends(reports));
+    for (keeper, digests) in members_for(context, runs.iter().map(|run| run.digest)) {
+        // All that is known here of these requests, so that the times fit each other.
+        let ends = ends_of(context, &digests);
+        for reports in reports(now, &ends) {
+            context.tell(keeper, peer_message::PeerMessage::Ends(reports));
         }
     }
-    hold_new(context, ends);
 }
 
 /// Takes in evidence that this member is to keep.
@@ -65,17 +65,17 @@
 pub(crate) fn hear_cleared(
     context: &context::InstanceContext,
     digest: request_digest::RequestDigest,
-    millis_ago: u32,
+    micros_ago: u64,
 ) {
-    let age = time::Duration::from_millis(u64::from(millis_ago));
+    let age = time::Duration::from_micros(micros_ago);
     context.quarantine.borrow_mut().clear(digest, context.now().earlier_by(age));
 }
 
 /// Tells a member what is held back here.
 pub(crate) fn tell_held(context: &context::InstanceContext, to: net::SocketAddrV4) {
     let now = context.now();
-    let ends = held_ends(context, now);
-    for reports in reports(now, ends.iter()) {
+    let held = context.quarantine.borrow().held_at(now);
+    for reports in reports(now, &ends_of(context, &held)) {
         context.tell(to, peer_message::PeerMessage::Held(reports));
     }
 }
@@ -159,12 +159,9 @@
         return;
     }
     log_held(context, &held, "evidence");
-    let against: Vec<_> = {
-        let table = context.quarantine.borrow();
-        held.iter().flat_map(|digest| table.ends(*digest).to_vec()).collect()
-    };
+    let against = ends_of(context, &held);
     for to in context.members.borrow().targets(context.settings().member_address) {
-        for reports in reports(now, against.iter()) {
+        for reports in reports(now, &against) {
             context.tell(to, peer_message::PeerMessage::Held(reports));
         }
     }
@@ -186,18 +183,19 @@
         };
         let of_digest = ends.iter().filter(|end| end.digest == digest);
         if of_digest.map(|end| now.since(end.ended)).all(|ended| ended >= age) {
-            let message = peer_message::PeerMessage::Cleared(digest, millis(age));
+            let message = peer_message::PeerMessage::Cleared(digest, micros(age));
             context.tell(to, message);
         }
     }
 }
 
-fn held_ends(
+/// The evidence against these requests.
+fn ends_of(
     context: &context::InstanceContext,
-    now: units::MonoTime,
+    digests: &[request_digest::RequestDigest],
 ) -> Vec<quarantine::EndedRun> {
     let table = context.quarantine.borrow();
-    table.held_at(now).into_iter().flat_map(|digest| table.ends(digest).to_vec()).collect()
+    digests.iter().flat_map(|digest| table.ends(*digest).to_vec()).collect()
 }
 
 /// Members that keep the evidence against these requests, each with its part of them.
@@ -229,18 +227,18 @@
 }
 
 /// Messages' worth of reports.
-fn reports<'a>(
+fn reports(
     now: units::MonoTime,
-    ends: impl Iterator<Item = &'a quarantine::EndedRun>,
+    ends: &[quarantine::EndedRun],
 ) -> Vec<Vec<peer_message::EndReport>> {
     let report = |end: &quarantine::EndedRun| peer_message::EndReport {
         digest: end.digest,
         upstream: end.upstream.clone(),
-        sent_ms: millis(now.since(end.sent)),
-        ended_ms: millis(now.since(end.ended)),
+        sent_us: micros(now.since(end.sent)),
+        ended_us: micros(now.since(end.ended)),
     };
-    let all: Vec<_> = ends.map(report).collect();
-    all.chunks(peer_message::MAX_ENDS).map(<[_]>::to_vec).collect()
+    let message = |ends: &[quarantine::EndedRun]| ends.iter().map(report).collect();
+    ends.chunks(peer_message::MAX_ENDS).map(message).collect()
 }
 
 /// Runs as this process's clock tells their times; those before its start lie at its start.
@@ -248,18 +246,18 @@
     now: units::MonoTime,
     reports: Vec<peer_message::EndReport>,
 ) -> Vec<quarantine::EndedRun> {
-    let ago = |millis: u32| now.earlier_by(time::Duration::from_millis(u64::from(millis)));
+    let ago = |micros: u64| now.earlier_by(time::Duration::from_micros(micros));
     let run = |report: peer_message::EndReport| quarantine::EndedRun {
         digest: report.digest,
         upstream: report.upstream,
-        sent: ago(report.sent_ms.max(report.ended_ms)),
-        ended: ago(report.ended_ms),
+        sent: ago(report.sent_us.max(report.ended_us)),
+        ended: ago(report.ended_us),
     };
     reports.into_iter().map(run).collect()
 }
 
-fn millis(span: time::Duration) -> u32 {
-    u32::try_from(span.as_millis()).unwrap_or(u32::MAX)
+fn micros(span: time::Duration) -> u64 {
+    u64::try_from(span.as_micros()).unwrap_or(u64::MAX)
 }
 
 fn log_held(
