Decisions go by the clock that counts the time of a suspended machine

Ruled out: one clock for everything (how long an attempt is silent is time at work: a sleeper would blame upstreams for its own sleep).

--- a/crates/instance/src/upstream_pool.rs
+++ b/crates/instance/src/upstream_pool.rs
@@ -4,7 +4,7 @@
 
 use futures::FutureExt as _;
 use slipturn_core::connection_silence;
-use slipturn_net::h1;
+use slipturn_net::{boot_clock, h1};
 use snafu::Snafu;
 
 /// Time for a connection to come about; within a region it takes a few milliseconds.
@@ -47,20 +47,20 @@
 #[derive(Debug)]
 pub struct ConnectionLife {
     address: net::SocketAddrV4,
-    opened: time::Instant,
-    heard: cell::Cell<Option<time::Instant>>,
+    opened: boot_clock::BootInstant,
+    heard: cell::Cell<Option<boot_clock::BootInstant>>,
 }
 
 impl ConnectionLife {
     /// Notes that bytes have come over it.
     pub fn hear(&self) {
-        self.heard.set(Some(time::Instant::now()));
+        self.heard.set(Some(boot_clock::BootInstant::now()));
     }
 
     fn ages(&self) -> connection_silence::ConnectionAges {
         connection_silence::ConnectionAges {
             opened: self.opened.elapsed(),
-            heard: self.heard.get().map(|heard| heard.elapsed()),
+            heard: self.heard.get().map(boot_clock::BootInstant::elapsed),
         }
     }
 }
@@ -81,7 +81,7 @@
 #[derive(Debug)]
 struct RestingConnection {
     connection: UpstreamConnection,
-    until: time::Instant,
+    until: boot_clock::BootInstant,
 }
 
 /// Resting connections by address, and the times of all.
@@ -116,7 +116,7 @@
         let stream = connected.map_err(|source| ConnectError::Refused { source })?;
         let (reader, writer) = h1::split(stream);
         let heard = cell::Cell::new(None);
-        let life = ConnectionLife { address, opened: time::Instant::now(), heard };
+        let life = ConnectionLife { address, opened: boot_clock::BootInstant::now(), heard };
         let life = rc::Rc::new(life);
         self.lives.borrow_mut().entry(address).or_default().push(rc::Rc::downgrade(&life));
         Ok(UpstreamConnection { reader, writer, used: false, life })
@@ -142,13 +142,16 @@
         let mut resting = self.resting.borrow_mut();
         let kept = resting.entry(address).or_default();
         if kept.len() < MAX_RESTING {
-            kept.push(RestingConnection { connection, until: time::Instant::now() + rest });
+            kept.push(RestingConnection {
+                connection,
+                until: boot_clock::BootInstant::now() + rest,
+            });
         }
     }
 
     /// Closes connections that have rested long enough.
     pub fn prune(&self) {
-        let now = time::Instant::now();
+        let now = boot_clock::BootInstant::now();
         self.resting.borrow_mut().retain(|_, kept| {
             kept.retain(|resting| resting.until > now);
             !kept.is_empty()
@@ -198,7 +201,7 @@
     }
 
     fn take_resting(&self, address: net::SocketAddrV4) -> Option<UpstreamConnection> {
-        let now = time::Instant::now();
+        let now = boot_clock::BootInstant::now();
         loop {
             let mut resting = self.resting.borrow_mut().get_mut(&address)?.pop()?;
             // Anything to read means that the upstream has closed, or speaks out of turn.
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -1,6 +1,7 @@
 //! What slipturn's programs share beside their decisions: sockets, HTTP, RPC, command line, logs.
 
 mod body;
+pub mod boot_clock;
 pub mod command_line;
 pub mod document_client;
 pub mod document_feed;
--- a/crates/net/src/process.rs
+++ b/crates/net/src/process.rs
@@ -8,19 +8,22 @@
 
 use slipturn_core::{ids, units};
 
+use crate::boot_clock;
+
 /// Time between two looks at whether a stop was asked for.
 const STOP_POLL: time::Duration = time::Duration::from_millis(50);
 
-/// The process's monotonic clock. It goes on while the process is paused.
+/// The process's monotonic clock. It goes on while the process is paused, and while the machine is
+/// suspended.
 #[derive(Debug, Clone, Copy)]
 pub struct ProcessClock {
-    started: time::Instant,
+    started: boot_clock::BootInstant,
 }
 
 impl ProcessClock {
     /// A clock that starts now.
     pub fn start() -> Self {
-        Self { started: time::Instant::now() }
+        Self { started: boot_clock::BootInstant::now() }
     }
 
     /// The time since the start.
