Engines that end behind a proxy are known by their next start

Cause, found by reading and shown by a test that was red first (20 ends and no verdict): where something before an upstream takes connections while it is down, the one connection that is tried says that it lives, and its runs were dropped. Ruled out: waiting for any word of the list; an upstream that leaves without a word vanishes from it too, and would be blamed on what it ran. Change: such a run waits its ten seconds on for the list to name another start.

--- a/crates/instance/src/upstream_ends.rs
+++ b/crates/instance/src/upstream_ends.rs
@@ -162,6 +162,9 @@
 #[derive(Default)]
 struct WaitingRuns {
     runs: collections::VecDeque<BrokenRun>,
+    /// Upstreams at whose address somebody takes connections. It may be a proxy: their runs wait on for
+    /// another start in the list; that it names none any more would show no end.
+    alive: collections::BTreeSet<ids::UpstreamId>,
     /// Upstreams that are tried behind a broken connection.
     checked: collections::BTreeSet<ids::UpstreamId>,
 }
@@ -185,14 +188,20 @@
         taken.into()
     }
 
-    /// Upstreams that are not listed any more, or by another start.
-    fn unlisted(
-        &self,
-        context: &context::InstanceContext,
-    ) -> collections::BTreeSet<ids::UpstreamId> {
+    fn forget_old(&mut self, now: units::MonoTime) {
+        self.runs.retain(|run| now.since(run.broke) < PROOF_TIME);
+        let runs = &self.runs;
+        self.alive.retain(|upstream| runs.iter().any(|run| run.upstream == *upstream));
+    }
+
+    /// Upstreams of which the list shows that they have ended.
+    fn ended(&self, context: &context::InstanceContext) -> collections::BTreeSet<ids::UpstreamId> {
         let fleet = context.fleet.borrow();
-        let upstreams = self.runs.iter().map(|run| &run.upstream);
-        upstreams.filter(|upstream| !fleet.list.is_present(upstream)).cloned().collect()
+        let ended = |upstream: &&ids::UpstreamId| match fleet.list.entry(upstream) {
+            Some(entry) => entry.name != **upstream,
+            None => !self.alive.contains(*upstream),
+        };
+        self.runs.iter().map(|run| &run.upstream).filter(ended).cloned().collect()
     }
 }
 
@@ -221,7 +230,7 @@
                     CheckResult::Refuses => {
                         end(&context, &upstream, waiting.take(&upstream), EndProof::Refused);
                     }
-                    CheckResult::Lives => drop(waiting.take(&upstream)),
+                    CheckResult::Lives => _ = waiting.alive.insert(upstream),
                     CheckResult::Silent => {}
                 }
             }
@@ -229,8 +238,8 @@
             Err(_) => {}
         }
         let now = context.now();
-        waiting.runs.retain(|run| now.since(run.broke) < PROOF_TIME);
-        for upstream in waiting.unlisted(&context) {
+        waiting.forget_old(now);
+        for upstream in waiting.ended(&context) {
             end(&context, &upstream, waiting.take(&upstream), EndProof::List);
         }
     }
