Sight: what upstreams say in passing is read, kept by start, logged and told to operators

Cause: nothing shows whether the word that an upstream leaves, or wants rest, ever reached an instance.

Ruled out: nothing yet; no decision changes here.

Change: the adapter reads both words from heads of answers; Retry-After in all its forms is read in slipturn-net (seconds, fractions, a date by the sender's own clock, several, nonsense). core::upstream_notice keeps them by start with source and age, bounded. Heard from answers to requests, reports and answers to orders; not from another one at the address, another request's answer, or an unsigned success. Log lines, counters, 'known' in a request's record, slipturnctl upstreams.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -43,5 +43,6 @@
 pub mod units;
 pub mod upstream_health;
 pub mod upstream_list;
+pub mod upstream_notice;
 pub mod version_store;
 mod wake_watch;
--- a/crates/core/src/upstream_list.rs
+++ b/crates/core/src/upstream_list.rs
@@ -3,7 +3,7 @@
 
 use std::{collections, net, sync, time};
 
-use crate::{fleet_list, ids, start_record, units};
+use crate::{fleet_list, ids, start_record, units, upstream_notice};
 
 /// How long upstreams that vanished right after the list's source came back may still return.
 ///
@@ -65,6 +65,8 @@
     starts: collections::BTreeMap<sync::Arc<str>, start_record::StartRecord>,
     /// Upstreams that vanished and may return, with the time at which they are taken for gone.
     doubtful: collections::BTreeMap<sync::Arc<str>, units::MonoTime>,
+    /// What upstreams say of themselves in passing, and that the list says that they leave.
+    notices: upstream_notice::NoticeTable,
     /// Starts that were found to be over since the last look.
     ended: Vec<EndedStart>,
     /// Until when vanishing is doubted.
@@ -186,6 +188,48 @@
         self.entry(name).is_some_and(|entry| entry.name == *name)
     }
 
+    /// What upstreams have said.
+    pub fn notices(&self) -> &upstream_notice::NoticeTable {
+        &self.notices
+    }
+
+    /// Takes in that a start says that it leaves; returns whether that is news.
+    pub fn hear_leaving(
+        &mut self,
+        now: units::MonoTime,
+        name: &ids::UpstreamId,
+        source: upstream_notice::NoticeSource,
+        age: time::Duration,
+    ) -> bool {
+        self.notices.hear_leaving(now, name, source, age)
+    }
+
+    /// Takes in for how long a start wants rest.
+    pub fn hear_rest(
+        &mut self,
+        now: units::MonoTime,
+        name: &ids::UpstreamId,
+        asked: time::Duration,
+    ) -> upstream_notice::RestNews {
+        self.notices.hear_rest(now, name, asked)
+    }
+
+    /// Forgets what was said by starts that have not been listed for long.
+    pub fn forget_notices(&mut self, now: units::MonoTime) {
+        let entries = &self.entries;
+        let listed = |name: &ids::UpstreamId| {
+            entries.get(name.identifier()).is_some_and(|entry| entry.name == *name)
+        };
+        self.notices.retain(now, listed);
+    }
+
+    /// The upstream at an address, where only one is listed there.
+    pub fn name_at(&self, address: net::SocketAddrV4) -> Option<&ids::UpstreamId> {
+        let mut there = self.entries.values().filter(|entry| entry.address == address);
+        let name = there.next().map(|entry| &entry.name);
+        name.filter(|_| there.next().is_none())
+    }
+
     /// All upstreams.
     pub fn entries(&self) -> impl Iterator<Item = &UpstreamEntry> {
         self.entries.values()
@@ -231,6 +275,13 @@
 
     fn put(&mut self, now: units::MonoTime, entry: UpstreamEntry) -> bool {
         let identifier = entry.name.identifier();
+        match entry.state {
+            fleet_list::ListState::Live => self.notices.hear_live(&entry.name),
+            fleet_list::ListState::Leaving => {
+                let source = upstream_notice::NoticeSource::List;
+                self.notices.hear_leaving(now, &entry.name, source, time::Duration::ZERO);
+            }
+        }
         let known = self.entries.get(identifier).map(|known| &known.name);
         if known == Some(&entry.name) {
             return self.put_present(entry);
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -8,7 +8,7 @@
 const INFO: command_line::ProgramInfo = command_line::ProgramInfo {
     name: "slipturnctl",
     version: env!("CARGO_PKG_VERSION"),
-    arguments: "[options] check FILE | status | settings | explain ID | histograms | quarantine | release DIGEST | drain",
+    arguments: "[options] check FILE | status | settings | explain ID | histograms | quarantine | release DIGEST | upstreams | drain",
     about: "Asks an instance of slipturn, or checks a settings document before it is published.",
 };
 
@@ -53,6 +53,7 @@
         ["settings"] => show(matches, get, &settings_path(matches)?),
         ["explain", id] => show(matches, get, &format!("/v1/decisions/{id}")),
         ["histograms"] => show(matches, get, "/v1/histograms"),
+        ["upstreams"] => show(matches, get, "/v1/upstreams"),
         ["quarantine"] => show(matches, get, "/v1/quarantine"),
         ["release", digest] => {
             show(matches, http::Method::POST, &format!("/v1/quarantine/{digest}/release"))
--- a/crates/instance/src/border.rs
+++ b/crates/instance/src/border.rs
@@ -79,6 +79,10 @@
     pub load: Option<(u32, u32, u32)>,
     /// The upstream that is the cause of a refusal, where it is another.
     pub at_fault: Option<net::SocketAddrV4>,
+    /// Whether the upstream says that it leaves.
+    pub leaving: bool,
+    /// For how long it wants to be left alone, if it names a time; an error says what cannot be read.
+    pub rest: Option<Result<time::Duration, FormatError>>,
 }
 
 impl UpstreamAnswer {
--- a/crates/instance/src/document_call.rs
+++ b/crates/instance/src/document_call.rs
@@ -40,6 +40,23 @@
     },
 }
 
+/// A whole answer.
+#[derive(Debug)]
+pub struct DocumentAnswer {
+    /// Its head.
+    pub head: http::response::Parts,
+    /// Its body.
+    pub body: Bytes,
+}
+
+impl DocumentAnswer {
+    /// The body of a good answer.
+    pub fn into_body(self) -> Result<Bytes, CallError> {
+        let status = self.head.status.as_u16();
+        if status == 200 { Ok(self.body) } else { StatusSnafu { status }.fail() }
+    }
+}
+
 /// A connection for one document call after the other.
 pub struct DocumentConnection {
     address: net::SocketAddr,
@@ -65,15 +82,26 @@
         body: Bytes,
         limit: time::Duration,
     ) -> Result<Bytes, CallError> {
+        self.call_whole(method, path, body, limit).await?.into_body()
+    }
+
+    /// Sends a document and reads the answer, whatever its status.
+    pub async fn call_whole(
+        &mut self,
+        method: &str,
+        path: &str,
+        body: Bytes,
+        limit: time::Duration,
+    ) -> Result<DocumentAnswer, CallError> {
         let mut open = self.open.take();
         let work = exchange(&mut open, self.address, method, path, body);
         let answered = monoio::time::timeout(limit, work).await;
         let Ok(answered) = answered else {
             return SilentSnafu { limit }.fail();
         };
-        let (status, keep, body) = answered?;
+        let (answer, keep) = answered?;
         self.open = open.filter(|_| keep);
-        if status != 200 { StatusSnafu { status }.fail() } else { Ok(body) }
+        Ok(answer)
     }
 }
 
@@ -83,7 +111,7 @@
     method: &str,
     path: &str,
     body: Bytes,
-) -> Result<(u16, bool, Bytes), CallError> {
+) -> Result<(DocumentAnswer, bool), CallError> {
     if open.is_none() {
         let connecting = monoio::net::TcpStream::connect_addr(address);
         let connected = monoio::time::timeout(CONNECT_TIME, connecting).await;
@@ -109,5 +137,5 @@
     let body = reader.whole_body(&mut framing, MAX_DOCUMENT).await.context(MessageSnafu)?;
     let keep = !until_close && !h1::closes(head.version, &head.headers) && !reader.has_surplus();
     reader.rest();
-    Ok((head.status.as_u16(), keep, body))
+    Ok((DocumentAnswer { head, body }, keep))
 }
--- a/crates/instance/src/engine_reports.rs
+++ b/crates/instance/src/engine_reports.rs
@@ -4,7 +4,7 @@
 
 use slipturn_core::{planner_key, upstream_list};
 
-use crate::{context, document_call, peers, upstream_starts};
+use crate::{context, engine_call, peers, upstream_starts};
 
 /// Time between two reports of one engine.
 const REPORT_INTERVAL: time::Duration = time::Duration::from_millis(2_000);
@@ -59,10 +59,8 @@
 }
 
 async fn report(context: rc::Rc<context::InstanceContext>, engine: upstream_list::UpstreamEntry) {
-    let mut connection = document_call::DocumentConnection::new(engine.address.into());
-    let path = context.border.report_path();
     let asked = context.now();
-    let body = match connection.get(&path, REPORT_TIME).await {
+    let body = match engine_call::report(&context, engine.address, REPORT_TIME).await {
         Ok(body) => body,
         Err(error) => {
             log::info!(engine:% = engine.name, error:%; "engine.silent");
--- a/crates/instance/src/fleet_state.rs
+++ b/crates/instance/src/fleet_state.rs
@@ -211,10 +211,8 @@
         start: ids::UpstreamStart,
         asked: units::MonoTime,
     ) {
-        let there = self.list.entries().filter(|entry| entry.address == address);
-        let names: Vec<_> = there.map(|entry| entry.name.clone()).collect();
-        if let [name] = names.as_slice() {
-            self.list.tell_start(now, name, start, asked);
+        if let Some(name) = self.list.name_at(address).cloned() {
+            self.list.tell_start(now, &name, start, asked);
         }
     }
 
--- a/crates/instance/src/lib.rs
+++ b/crates/instance/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod context;
 pub mod document_answers;
 pub mod document_call;
+mod engine_call;
 mod engine_fault;
 pub mod engine_reports;
 pub mod event_stream;
--- a/crates/instance/src/memory_hold.rs
+++ b/crates/instance/src/memory_hold.rs
@@ -5,7 +5,7 @@
 use slipturn_core::{engine_place, ids, units};
 use snafu::Snafu;
 
-use crate::{border, context, document_call, upstream_starts};
+use crate::{border, context, document_call, engine_call, upstream_starts};
 
 /// How long memory stays aside without a renewal: shorter than the time within which it must be
 /// free again behind a request whose instance has died.
@@ -167,9 +167,8 @@
     order: &border::MemoryOrder,
 ) -> Result<Option<ids::UpstreamStart>, document_call::CallError> {
     let (path, body) = context.border.memory_order(order);
-    let mut connection = document_call::DocumentConnection::new(held.address.into());
     let asked = context.now();
-    let answer = connection.call("POST", &path, body, ORDER_TIME).await?;
+    let answer = engine_call::order(context, held.address, &path, body, ORDER_TIME).await?;
     Ok(upstream_starts::hear_order(context, held.address, &answer, asked))
 }
 
--- a/crates/instance/src/model_request.rs
+++ b/crates/instance/src/model_request.rs
@@ -9,7 +9,7 @@
 use crate::{
     caller_connection, cell_search, context, engine_fault, event_stream, incoming_call,
     memory_hold, plan_client, quarantine_gate, request_record, silence_watch, stream_policy,
-    stream_state, upstream_attempt, upstream_ends,
+    stream_state, upstream_attempt, upstream_ends, upstream_news,
 };
 
 /// Places tried at most, those whose engine never saw the request included.
@@ -181,6 +181,7 @@
         // What stays in the record when the caller leaves meanwhile.
         end: "under way".to_owned(),
         upstream: hold.grant.engine.to_string(),
+        known: upstream_news::known(context, &hold.grant.engine),
         helpers: hold.grant.helpers.len(),
         waited_ms: u64::from(hold.grant.waited_ms),
         planned_ms: u64::from(hold.grant.first_token_ms),
--- a/crates/instance/src/program.rs
+++ b/crates/instance/src/program.rs
@@ -164,6 +164,7 @@
     loop {
         monoio::time::sleep(PRUNE_INTERVAL).await;
         context.pool.prune();
+        context.fleet.borrow_mut().list.forget_notices(context.now());
         let fleet = context.fleet.borrow();
         context.loads.borrow_mut().retain(|name| fleet.list.is_present(name));
     }
--- a/crates/instance/src/request_record.rs
+++ b/crates/instance/src/request_record.rs
@@ -12,6 +12,9 @@
 pub struct AttemptRecord {
     /// The upstream.
     pub upstream: String,
+    /// What was known of it as it was chosen: that it leaves or rests, since when and by whose word.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub known: Option<String>,
     /// How many engines read parts of the prompt, beside it.
     #[serde(skip_serializing_if = "is_zero")]
     pub helpers: usize,
--- a/crates/instance/src/service_request.rs
+++ b/crates/instance/src/service_request.rs
@@ -94,6 +94,7 @@
         excluded.push(entry.name.clone());
         record.attempts.push(request_record::AttemptRecord {
             upstream: entry.name.to_string(),
+            known: upstream_news::known(context, &entry.name),
             // What stays in the record when the caller leaves meanwhile.
             end: "under way".to_owned(),
             ..Default::default()
--- a/crates/instance/src/silence_watch.rs
+++ b/crates/instance/src/silence_watch.rs
@@ -5,7 +5,7 @@
 use futures::future;
 use slipturn_core::units;
 
-use crate::{border, context, document_call, incoming_call, upstream_attempt, upstream_starts};
+use crate::{border, context, engine_call, incoming_call, upstream_attempt, upstream_starts};
 
 /// Time between two questions to an engine on which memory set aside elsewhere depends.
 const PROBE_INTERVAL: time::Duration = time::Duration::from_millis(900);
@@ -143,10 +143,8 @@
     /// Asks over a connection of its own, as the answer's may be the one that is silent; an
     /// unreadable report is an answer, too.
     async fn report(&self, engine: net::SocketAddrV4) -> Option<Option<border::EngineReport>> {
-        let mut connection = document_call::DocumentConnection::new(engine.into());
-        let path = self.context.border.report_path();
         let asked = self.context.now();
-        let body = connection.get(&path, PROBE_TIME).await.ok()?;
+        let body = engine_call::report(self.context, engine, PROBE_TIME).await.ok()?;
         let report = self.context.border.read_report(&body).ok();
         let start = report.as_ref().and_then(|report| report.start);
         upstream_starts::hear(self.context, engine, start, asked);
--- a/crates/instance/src/small_server.rs
+++ b/crates/instance/src/small_server.rs
@@ -3,7 +3,7 @@
 use std::{rc, time};
 
 use bytes::Bytes;
-use slipturn_core::{quarantine, request_digest, units};
+use slipturn_core::{quarantine, request_digest, units, upstream_list};
 use slipturn_net::h1;
 
 use crate::{context, document_answers, member_feed, quarantine_news};
@@ -11,6 +11,9 @@
 /// Requests that are held back.
 const QUARANTINE_PATH: &str = "/v1/quarantine";
 
+/// Upstreams, and what they have said.
+const UPSTREAMS_PATH: &str = "/v1/upstreams";
+
 /// Largest head of such a request.
 const MAX_HEAD: usize = 8 * 1024;
 /// Longest rest of such a connection.
@@ -163,9 +166,11 @@
             context.stats.borrow().text()
                 + &source_gauges(context)
                 + &ways_gauge(context)
-                + &held_gauge(context),
+                + &held_gauge(context)
+                + &notice_gauges(context),
         ),
         ("GET", "/v1/status") => json(&status(context)),
+        ("GET", UPSTREAMS_PATH) => json(&upstream_rows(context)),
         ("GET", "/v1/histograms") => json(&context.stats.borrow().rows()),
         ("GET", "/v1/settings") => json(&routes(context)),
         ("POST", "/v1/drain") => {
@@ -176,7 +181,7 @@
         _ => (
             404,
             said(
-                "try /metrics, /v1/status, /v1/settings, /v1/histograms, /v1/decisions/ID, /v1/quarantine",
+                "try /metrics, /v1/status, /v1/settings, /v1/histograms, /v1/decisions/ID, /v1/quarantine, /v1/upstreams",
             ),
         ),
     }
@@ -217,6 +222,21 @@
     verdicts.map(row).collect()
 }
 
+/// Upstreams with what the list and they themselves say.
+fn upstream_rows(context: &context::InstanceContext) -> Vec<serde_json::Value> {
+    let now = context.now();
+    let fleet = context.fleet.borrow();
+    let row = |entry: &upstream_list::UpstreamEntry| {
+        serde_json::json!({
+            "upstream": entry.name.to_string(),
+            "service": entry.service,
+            "listed": format!("{:?}", entry.state).to_lowercase(),
+            "said": fleet.list.notices().told(now, &entry.name).unwrap_or_default(),
+        })
+    };
+    fleet.list.entries().map(row).collect()
+}
+
 fn json(value: &impl serde::Serialize) -> (u16, String) {
     match serde_json::to_string(value) {
         Ok(text) => (200, text),
@@ -273,6 +293,16 @@
     format!("slipturn_requests_held {held}\n")
 }
 
+/// How many upstreams leave and rest, as far as this process knows.
+fn notice_gauges(context: &context::InstanceContext) -> String {
+    let now = context.now();
+    let fleet = context.fleet.borrow();
+    let notices = fleet.list.notices();
+    let leaving = notices.names().filter(|name| notices.leaving(name).is_some()).count();
+    let resting = notices.names().filter(|name| notices.rest(now, name).is_some()).count();
+    format!("slipturn_upstreams_leaving {leaving}\nslipturn_upstreams_resting {resting}\n")
+}
+
 /// Which way each decision goes here, for whoever compares them.
 fn ways_gauge(context: &context::InstanceContext) -> String {
     format!("slipturn_ways{{ways=\"{}\"}} 1\n", context.settings().experiments)
--- a/crates/instance/src/upstream_attempt.rs
+++ b/crates/instance/src/upstream_attempt.rs
@@ -4,11 +4,12 @@
 
 use bytes::{Bytes, BytesMut};
 use futures::future;
-use slipturn_core::{connection_silence, ids, retry};
+use slipturn_core::{connection_silence, ids, retry, upstream_notice};
 use slipturn_net::h1;
 
 use crate::{
-    border, context, incoming_call, upstream_ends, upstream_pool, upstream_silence, upstream_starts,
+    border, context, incoming_call, upstream_ends, upstream_news, upstream_pool, upstream_silence,
+    upstream_starts,
 };
 
 /// Time for an answer that an upstream may have sent before it stopped reading.
@@ -256,6 +257,10 @@
     if said.id.as_deref() != Some(call.request.id.as_str()) {
         return Err(AttemptFault::broke("the answer belongs to another request"));
     }
+    if is_own_word(&head, &said) {
+        let source = upstream_notice::NoticeSource::Answer;
+        upstream_news::hear(context, &target.upstream, head.status, &said, source);
+    }
     let framing = h1::BodyFraming::of_answer(&head).map_err(AttemptFault::broke)?;
     let reusable =
         sent && framing != h1::BodyFraming::UntilClose && !h1::closes(head.version, &head.headers);
@@ -283,6 +288,12 @@
     Ok(answer)
 }
 
+/// Whether an answer's head speaks for the upstream that was asked: another one at its address has no say, nor
+/// has a success that nobody has signed.
+fn is_own_word(head: &http::response::Parts, said: &border::UpstreamAnswer) -> bool {
+    !said.misdirected && (said.sealed || !head.status.is_success())
+}
+
 /// Reads a refusal to its end, so that its connection can be used again.
 async fn settle(context: &context::InstanceContext, mut answer: AttemptAnswer) {
     const REFUSAL_BYTES: usize = 16 * 1024;
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -13,5 +13,6 @@
 pub mod metered_read;
 pub mod metrics;
 pub mod process;
+pub mod retry_after;
 pub mod scheduler_link;
 pub mod server;
