--- a/crates/core/src/planner/mod.rs
+++ b/crates/core/src/planner/mod.rs
@@ -109,7 +109,9 @@
         if let Some(grant) = self.table.grant(id) {
             return Some(engine_place::PlaceAnswer::Grant(grant.clone()));
         }
-        if self.waiting.iter().any(|waiting| waiting.ask.job == id) {
+        if let Some(waiting) = self.waiting.iter_mut().find(|waiting| waiting.ask.job == id) {
+            // Engines may have asked its member for rest meanwhile.
+            waiting.ask.excluded = ask.excluded;
             return None;
         }
         let job = waiting_job::WaitingJob::new(ask, now);
@@ -280,7 +282,9 @@
         job: &waiting_job::WaitingJob,
         grant: &engine_place::PlaceGrant,
     ) -> Option<engine_place::PlaceRefusal> {
-        let (running, slots) = (self.table.running(), self.table.slots());
+        // Engines that it may not use have no places for it: with a third of 18 resting and idle, 12 full ones
+        // are two thirds of all places, and of its own all.
+        let (running, slots) = self.table.taken(&job.ask.excluded);
         let full = running as f64 >= slots as f64 * FULL_PART;
         let hopeless = f64::from(grant.first_token_ms) > job.patience_ms(now);
         let crowded = self.options.ways.short_refusal == ways::ShortRefusalWay::Crowded
--- a/crates/core/src/planner/place_table.rs
+++ b/crates/core/src/planner/place_table.rs
@@ -107,6 +107,13 @@
         self.engines.len() * self.shape.slots
     }
 
+    /// Requests that engines answer and could answer at once, of engines that are not `excluded`.
+    pub(crate) fn taken(&self, excluded: &[ids::UpstreamId]) -> (usize, usize) {
+        let open = self.engines.iter().filter(|(name, _)| !excluded.contains(name));
+        let counts = open.map(|(_, engine)| (engine.answering.len(), self.shape.slots));
+        counts.fold((0, 0), |(running, slots), one| (running + one.0, slots + one.1))
+    }
+
     /// A refusal that tells how many places are taken.
     pub(crate) fn refusal(
         &self,
--- a/crates/core/src/planner/ways.rs
+++ b/crates/core/src/planner/ways.rs
@@ -5,7 +5,7 @@
 
 use serde::Deserialize;
 
-use crate::route_table;
+use crate::{route_table, upstream_notice};
 
 /// Writers with tight pauses that an engine is filled up to before the next one is used, where the
 /// number is fixed: two of 16 slots stay for bursts.
@@ -60,6 +60,28 @@
     Hopeless,
 }
 
+/// How the other instances learn that an upstream leaves.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum LeavingNewsWay {
+    /// Whoever an upstream tells, tells all at once.
+    #[default]
+    All,
+    /// Each from the upstream itself, or from the list.
+    Heard,
+}
+
+/// How a planner learns that a member must not send to an engine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ClosedEngineWay {
+    /// By each ask of that member.
+    #[default]
+    Asked,
+    /// Not at all: the member keeps the request back and asks again.
+    KeptBack,
+}
+
 /// The way of each decision.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Deserialize)]
 #[serde(deny_unknown_fields, default)]
@@ -70,14 +92,26 @@
     pub engine_faults: EngineFaultWay,
     /// Refusal of short prompts.
     pub short_refusal: ShortRefusalWay,
+    /// Return behind a rest.
+    pub rest_return: upstream_notice::RestReturnWay,
+    /// News of upstreams that leave.
+    pub leaving_news: LeavingNewsWay,
+    /// Engines that a member must not send to.
+    pub closed_engines: ClosedEngineWay,
 }
 
 impl fmt::Display for PlannerWays {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(
             f,
-            "packing {:?}, engine faults {:?}, short refusal {:?}",
-            self.packing, self.engine_faults, self.short_refusal
+            "packing {:?}, engine faults {:?}, short refusal {:?}, rest return {:?}, leaving news {:?}, \
+             closed engines {:?}",
+            self.packing,
+            self.engine_faults,
+            self.short_refusal,
+            self.rest_return,
+            self.leaving_news,
+            self.closed_engines
         )
     }
 }
--- a/crates/core/src/planner_key.rs
+++ b/crates/core/src/planner_key.rs
@@ -45,10 +45,12 @@
 /// them, so that each cell is asked as often as it has engines. Cells differ: two of
 /// 150 engines have 72 and 78, and asked alike the smaller one is a twelfth fuller.
 ///
-/// Of cells that have `refused` the request none is asked again; nothing where all have.
+/// Of cells that have `refused` the request none is asked again, and none all of whose engines are `closed` to
+/// it; nothing where that leaves none.
 pub fn pick(
     service: &ids::ServiceId,
     engines: &[&ids::UpstreamId],
+    closed: &[&ids::UpstreamId],
     refused: &[u16],
     drawn: usize,
 ) -> Option<PlannerKey> {
@@ -59,6 +61,7 @@
         return Some(key(0)).filter(|key| !refused.contains(&key.cell));
     }
     let in_turn = engines.iter().cycle().skip(drawn % engines.len()).take(engines.len());
+    let in_turn = in_turn.filter(|engine| !closed.contains(engine));
     let mut cells = in_turn.map(|engine| cell_of(service, engine, cells));
     cells.find(|cell| !refused.contains(cell)).map(key)
 }
--- a/crates/core/src/retry.rs
+++ b/crates/core/src/retry.rs
@@ -15,6 +15,8 @@
     Misdirected,
     /// What it needs first, as memory elsewhere, is not to be had; nothing was sent.
     NotPrepared,
+    /// The upstream leaves, or wants rest; nothing was sent.
+    KeptBack,
     /// It broke off after bytes were written and before anything reached the caller.
     BrokeBeforeAnswer,
     /// It broke off after part of the answer reached the caller.
@@ -26,9 +28,18 @@
     pub fn surely_not_run(self) -> bool {
         matches!(
             self,
-            Self::NotConnected | Self::SaidNotRun | Self::Misdirected | Self::NotPrepared
+            Self::NotConnected
+                | Self::SaidNotRun
+                | Self::Misdirected
+                | Self::NotPrepared
+                | Self::KeptBack
         )
     }
+
+    /// Whether no upstream got anything of the request: the attempt, and the retry taken for it, are not spent.
+    pub fn reached_nobody(self) -> bool {
+        matches!(self, Self::NotConnected | Self::NotPrepared | Self::KeptBack)
+    }
 }
 
 /// What is known when an attempt has failed.
--- a/crates/core/src/upstream_list.rs
+++ b/crates/core/src/upstream_list.rs
@@ -152,13 +152,13 @@
         changed
     }
 
-    /// Upstreams of a service that may take new work.
+    /// Upstreams of a service that may take new work, as far as all instances are concerned: neither the list
+    /// nor they themselves say that they leave.
     pub fn usable<'a>(&'a self, service: &'a ids::ServiceId) -> Vec<&'a UpstreamEntry> {
         let live: Vec<_> = self
             .entries
             .values()
-            .filter(|entry| entry.service == *service)
-            .filter(|entry| entry.state == fleet_list::ListState::Live)
+            .filter(|entry| entry.service == *service && self.is_staying(entry))
             .collect();
         let is_certain =
             |entry: &&UpstreamEntry| !self.doubtful.contains_key(entry.name.identifier());
@@ -170,11 +170,85 @@
     /// Whether an upstream may still be sent a request, whichever its present start is.
     pub fn is_usable(&self, name: &ids::UpstreamId) -> bool {
         self.entry(name).is_some_and(|entry| {
-            entry.state == fleet_list::ListState::Live
+            self.is_staying(entry)
                 && self.usable(&entry.service).iter().any(|usable| usable.name == entry.name)
         })
     }
 
+    /// Whether nobody says that an upstream leaves.
+    fn is_staying(&self, entry: &UpstreamEntry) -> bool {
+        entry.state == fleet_list::ListState::Live && self.notices.leaving(&entry.name).is_none()
+    }
+
+    /// Upstreams of a service that this instance may send a request to now: usable ones that want no rest of
+    /// it; and of these, where there are any, those that it need not avoid behind a rest.
+    pub fn open<'a>(
+        &'a self,
+        now: units::MonoTime,
+        service: &'a ids::ServiceId,
+        turn: upstream_notice::TrialTurn,
+    ) -> Vec<&'a UpstreamEntry> {
+        let mut open = self.usable(service);
+        open.retain(|entry| self.notices.rest(now, &entry.name).is_none());
+        let avoided = |entry: &&UpstreamEntry| self.notices.is_avoided(now, &entry.name, turn);
+        if !open.iter().all(avoided) {
+            open.retain(|entry| !avoided(entry));
+        }
+        open
+    }
+
+    /// Upstreams of a service that the list names as live and that are not [`Self::open`] now.
+    pub fn closed<'a>(
+        &'a self,
+        now: units::MonoTime,
+        service: &'a ids::ServiceId,
+        turn: upstream_notice::TrialTurn,
+    ) -> Vec<&'a ids::UpstreamId> {
+        // Few upstreams have said anything; mostly none of a service has.
+        let listed = |name: &&ids::UpstreamId| {
+            let entry = self.entry(name).filter(|entry| entry.name == **name);
+            entry.is_some_and(|entry| {
+                entry.service == *service && entry.state == fleet_list::ListState::Live
+            })
+        };
+        let mut closed: Vec<_> = self.notices.names().filter(listed).collect();
+        if !closed.is_empty() {
+            let open = self.open(now, service, turn);
+            closed.retain(|name| open.iter().all(|entry| entry.name != **name));
+        }
+        closed
+    }
+
+    /// When the first of a service's upstreams ends its rest, and how long a rest it had asked for; nothing
+    /// where none that is usable rests.
+    pub fn first_back(
+        &self,
+        now: units::MonoTime,
+        service: &ids::ServiceId,
+    ) -> Option<upstream_notice::RestNotice> {
+        let usable = self.usable(service).into_iter();
+        let rests = usable.filter_map(|entry| self.notices.rest(now, &entry.name));
+        rests.min_by_key(|rest| rest.until)
+    }
+
+    /// Whether something may be sent to an upstream now, whichever its present start is. What begins work there
+    /// needs it to be listed.
+    pub fn permits(
+        &self,
+        now: units::MonoTime,
+        name: &ids::UpstreamId,
+        kind: upstream_notice::SendKind,
+    ) -> Result<(), upstream_notice::KeptBack> {
+        use upstream_notice::SendKind;
+        let present = self.entry(name).map_or(name, |entry| &entry.name);
+        self.notices.permits(now, present, kind)?;
+        let begins = matches!(kind, SendKind::Request | SendKind::Hold);
+        if begins && !self.is_usable(name) {
+            return Err(upstream_notice::KeptBack::Unlisted);
+        }
+        Ok(())
+    }
+
     /// One upstream, leaving or not, with its present start.
     ///
     /// Members may know different starts for some seconds. Whoever is sent to another start than
@@ -201,17 +275,17 @@
         source: upstream_notice::NoticeSource,
         age: time::Duration,
     ) -> bool {
-        self.notices.hear_leaving(now, name, source, age)
+        if age >= upstream_notice::NOTICE_MEMORY && !self.is_present(name) {
+            return false;
+        }
+        let news = self.notices.hear_leaving(now, name, source, age);
+        self.changes += u64::from(news);
+        news
     }
 
-    /// Takes in for how long a start wants rest.
-    pub fn hear_rest(
-        &mut self,
-        now: units::MonoTime,
-        name: &ids::UpstreamId,
-        asked: time::Duration,
-    ) -> upstream_notice::RestNews {
-        self.notices.hear_rest(now, name, asked)
+    /// What upstreams have said, to take in what concerns this instance alone.
+    pub fn notices_mut(&mut self) -> &mut upstream_notice::NoticeTable {
+        &mut self.notices
     }
 
     /// Forgets what was said by starts that have not been listed for long.
@@ -275,13 +349,7 @@
 
     fn put(&mut self, now: units::MonoTime, entry: UpstreamEntry) -> bool {
         let identifier = entry.name.identifier();
-        match entry.state {
-            fleet_list::ListState::Live => self.notices.hear_live(&entry.name),
-            fleet_list::ListState::Leaving => {
-                let source = upstream_notice::NoticeSource::List;
-                self.notices.hear_leaving(now, &entry.name, source, time::Duration::ZERO);
-            }
-        }
+        self.hear_listed(now, &entry);
         let known = self.entries.get(identifier).map(|known| &known.name);
         if known == Some(&entry.name) {
             return self.put_present(entry);
@@ -301,6 +369,17 @@
         true
     }
 
+    /// Takes in what the list says of a start's leaving.
+    fn hear_listed(&mut self, now: units::MonoTime, entry: &UpstreamEntry) {
+        match entry.state {
+            fleet_list::ListState::Live => self.notices.hear_live(&entry.name),
+            fleet_list::ListState::Leaving => {
+                let source = upstream_notice::NoticeSource::List;
+                self.notices.hear_leaving(now, &entry.name, source, time::Duration::ZERO);
+            }
+        }
+    }
+
     /// Puts another entry of the present start.
     fn put_present(&mut self, entry: UpstreamEntry) -> bool {
         let identifier = entry.name.identifier();
--- a/crates/core/src/upstream_notice.rs
+++ b/crates/core/src/upstream_notice.rs
@@ -1,8 +1,9 @@
 //! What upstreams say of themselves in passing: that they leave, and for how long they want rest.
 //!
 //! Leaving concerns all instances, rest only the one that was asked for it. Both belong to one start of
-//! an upstream and end with it. A rest ends with its time, too; leaving does not end otherwise: no upstream
-//! that has said that it leaves comes back.
+//! an upstream and end with it. Leaving does not end otherwise: no upstream that has said that it leaves comes
+//! back. A rest ends with its time; then one request finds out whether the upstream takes work again, and the
+//! others follow its answer.
 
 use std::{collections, fmt, time};
 
@@ -13,7 +14,12 @@
 pub const MAX_REST: time::Duration = time::Duration::from_secs(300);
 /// How long words of a start are kept that is not listed: its entry may lapse with the list's source and come
 /// back, while it serves on for many seconds.
-const NOTICE_MEMORY: time::Duration = time::Duration::from_secs(120);
+pub(crate) const NOTICE_MEMORY: time::Duration = time::Duration::from_secs(120);
+/// A request that finds out whether an upstream takes work again is waited for so long; its caller may have left.
+const TRIAL_TIME: time::Duration = time::Duration::from_secs(2);
+/// How long behind a rest the first request there is one that finds out; later nothing is left of what made the
+/// upstream ask.
+const RETURN_TIME: time::Duration = time::Duration::from_secs(10);
 /// Starts of which words are kept at most, some 100 bytes each: more than thrice as many as the largest planned
 /// fleet has upstreams.
 const MAX_NOTICES: usize = 2_048;
@@ -63,6 +69,107 @@
     pub since: units::MonoTime,
     /// When it is over: [`MAX_REST`] behind `since` at most.
     pub until: units::MonoTime,
+    /// When the request was sent that finds out whether the upstream takes work again; not before `until`.
+    trial: Option<units::MonoTime>,
+}
+
+impl RestNotice {
+    /// How long it lasts: what was asked for, as far as that is believed.
+    pub fn lasts(&self) -> time::Duration {
+        self.until.since(self.since)
+    }
+}
+
+/// How requests come back to an upstream behind its rest.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, serde::Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum RestReturnWay {
+    /// One first, the others once it is answered.
+    #[default]
+    One,
+    /// All at once.
+    All,
+}
+
+/// Whether a request may be the one that finds out whether an upstream takes work again behind its rest.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum TrialTurn {
+    /// It has another attempt left, should it be turned away.
+    Yes,
+    /// It has none, or has been turned away already: of six upstreams two of which turned all away, each time that
+    /// their rests were over a call met both, one behind the other, and was lost (12 of 928).
+    No,
+}
+
+impl TrialTurn {
+    /// Of a request that has made so many attempts of so many.
+    pub fn of(made: usize, allowed: u32) -> Self {
+        if made == 0 && allowed > 1 { Self::Yes } else { Self::No }
+    }
+}
+
+/// What is sent to an upstream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SendKind {
+    /// A request, or one that names it for a part of its prompt.
+    Request,
+    /// An order that sets memory aside.
+    Hold,
+    /// An order that keeps it for a request under way.
+    Renewal,
+    /// An order that gives it back.
+    Release,
+    /// A question for its report.
+    Report,
+    /// A connection that shows whether it listens.
+    Check,
+}
+
+impl fmt::Display for SendKind {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Request => "request",
+            Self::Hold => "hold",
+            Self::Renewal => "renewal",
+            Self::Release => "release",
+            Self::Report => "report",
+            Self::Check => "check",
+        })
+    }
+}
+
+/// Why something is not sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum KeptBack {
+    /// The upstream leaves: by whose word, and for how long that is known.
+    Leaves(NoticeSource, time::Duration),
+    /// It wants rest for so much longer.
+    Rests(time::Duration),
+    /// It is not listed any more.
+    Unlisted,
+}
+
+impl KeptBack {
+    /// The case in one word, for counters.
+    pub fn word(self) -> &'static str {
+        match self {
+            Self::Leaves(..) => "leaves",
+            Self::Rests(_) => "rests",
+            Self::Unlisted => "unlisted",
+        }
+    }
+}
+
+impl fmt::Display for KeptBack {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Leaves(source, age) => {
+                write!(f, "kept back: it leaves, by {source} {} ago", seconds(*age))
+            }
+            Self::Rests(left) => write!(f, "kept back: it rests {} more", seconds(*left)),
+            Self::Unlisted => f.write_str("kept back: it is not listed any more"),
+        }
+    }
 }
 
 /// What a word on rest changed.
@@ -89,9 +196,15 @@
 #[derive(Debug, Default)]
 pub struct NoticeTable {
     notices: collections::BTreeMap<ids::UpstreamId, UpstreamNotice>,
+    rest_return: RestReturnWay,
 }
 
 impl NoticeTable {
+    /// Sets how requests come back behind a rest.
+    pub fn set_return(&mut self, way: RestReturnWay) {
+        self.rest_return = way;
+    }
+
     /// Takes in that a start leaves; returns whether that is news.
     ///
     /// The upstream's own word, also passed on by a member, stands from then on. The list's may be taken back
@@ -104,7 +217,8 @@
         age: time::Duration,
     ) -> bool {
         let since = now.earlier_by(age);
-        let notice = self.notice(now, name);
+        // What members repeat to each other keeps nothing known that nobody lists any more.
+        let notice = self.notice(since, name);
         match &mut notice.leaving {
             Some(known) if known.source == NoticeSource::List => {
                 known.source = source;
@@ -127,6 +241,78 @@
         }
     }
 
+    /// Whether something may be sent to a start now.
+    ///
+    /// What ends work there goes at any time: memory is given back, and what a request under way holds is kept
+    /// for it. A report disturbs nobody who leaves; who wants rest wants nothing. A check shows whether a start
+    /// has ended under what it ran, which one that leaves does by plan.
+    pub fn permits(
+        &self,
+        now: units::MonoTime,
+        name: &ids::UpstreamId,
+        kind: SendKind,
+    ) -> Result<(), KeptBack> {
+        if matches!(kind, SendKind::Renewal | SendKind::Release) {
+            return Ok(());
+        }
+        let Some(notice) = self.notices.get(name) else {
+            return Ok(());
+        };
+        if let Some(leaving) = notice.leaving.filter(|_| kind != SendKind::Report) {
+            return Err(KeptBack::Leaves(leaving.source, now.since(leaving.since)));
+        }
+        match notice.rest.filter(|rest| now < rest.until) {
+            Some(rest) => Err(KeptBack::Rests(rest.until.since(now))),
+            None => Ok(()),
+        }
+    }
+
+    /// Whether requests keep away from a start, where they can, that has rested and has not taken one since.
+    pub fn is_avoided(
+        &self,
+        now: units::MonoTime,
+        name: &ids::UpstreamId,
+        turn: TrialTurn,
+    ) -> bool {
+        let rest = self.notices.get(name).and_then(|notice| notice.rest);
+        let rested = rest.filter(|rest| rest.until <= now && now < rest.until + RETURN_TIME);
+        let Some(rest) = rested.filter(|_| self.rest_return == RestReturnWay::One) else {
+            return false;
+        };
+        let tried = rest.trial.is_some_and(|at| now.since(at) < TRIAL_TIME);
+        tried || turn == TrialTurn::No
+    }
+
+    /// Notes that a request goes to a start; whether it is the one that finds out behind a rest.
+    pub fn begin(&mut self, now: units::MonoTime, name: &ids::UpstreamId) -> bool {
+        let rest = self.notices.get_mut(name).and_then(|notice| notice.rest.as_mut());
+        let Some(rest) = rest.filter(|rest| rest.until <= now) else {
+            return false;
+        };
+        rest.trial = Some(now);
+        true
+    }
+
+    /// The request that finds out has ended; without an answer, another one may.
+    pub fn end_trial(&mut self, name: &ids::UpstreamId) {
+        if let Some(rest) = self.notices.get_mut(name).and_then(|notice| notice.rest.as_mut()) {
+            rest.trial = None;
+        }
+    }
+
+    /// Takes in that a start has taken a request behind its rest; returns whether that ends it.
+    pub fn hear_taken(&mut self, now: units::MonoTime, name: &ids::UpstreamId) -> bool {
+        let Some(notice) = self.notices.get_mut(name) else {
+            return false;
+        };
+        // What was under way as it asked for rest takes nothing back.
+        let over = notice.rest.is_some_and(|rest| rest.until <= now);
+        if over {
+            notice.rest = None;
+        }
+        over
+    }
+
     /// Takes in for how long a start wants rest. A shorter one inside a longer changes nothing: the longer
     /// was asked for and not taken back.
     pub fn hear_rest(
@@ -137,11 +323,11 @@
     ) -> RestNews {
         let until = now + asked.min(MAX_REST);
         let notice = self.notice(now, name);
-        let known = notice.rest.map_or(now, |rest| rest.until);
+        let known = notice.rest.map_or(now, |rest| rest.until).max(now);
         if until <= known {
             return RestNews::Known;
         }
-        notice.rest = Some(RestNotice { asked, since: now, until });
+        notice.rest = Some(RestNotice { asked, since: now, until, trial: None });
         if known <= now { RestNews::Begun } else { RestNews::Longer }
     }
 
@@ -174,6 +360,13 @@
         (!told.is_empty()).then(|| told.join("; "))
     }
 
+    /// Starts that have said themselves that they leave, to this instance or another.
+    pub fn own_words(&self) -> impl Iterator<Item = (&ids::UpstreamId, LeavingNotice)> {
+        let leaving =
+            self.notices.iter().filter_map(|(name, notice)| Some((name, notice.leaving?)));
+        leaving.filter(|(_, leaving)| leaving.source != NoticeSource::List)
+    }
+
     /// Starts of which something is known.
     pub fn names(&self) -> impl Iterator<Item = &ids::UpstreamId> {
         self.notices.keys()
@@ -185,19 +378,20 @@
             if listed(name) {
                 notice.known = now;
             }
-            let said = notice.leaving.is_some() || notice.rest.is_some_and(|rest| now < rest.until);
+            let remembered = |rest: RestNotice| now < rest.until + RETURN_TIME;
+            let said = notice.leaving.is_some() || notice.rest.is_some_and(remembered);
             said && now.since(notice.known) < NOTICE_MEMORY
         });
     }
 
-    fn notice(&mut self, now: units::MonoTime, name: &ids::UpstreamId) -> &mut UpstreamNotice {
+    fn notice(&mut self, known: units::MonoTime, name: &ids::UpstreamId) -> &mut UpstreamNotice {
         if self.notices.len() >= MAX_NOTICES && !self.notices.contains_key(name) {
             let oldest = self.notices.iter().min_by_key(|(_, notice)| notice.known);
             let oldest = oldest.map(|(name, _)| name.clone());
             oldest.and_then(|oldest| self.notices.remove(&oldest));
         }
         let notice = self.notices.entry(name.clone()).or_default();
-        notice.known = now;
+        notice.known = notice.known.max(known);
         notice
     }
 }
--- a/crates/core/tests/planner_key.rs
+++ b/crates/core/tests/planner_key.rs
@@ -44,7 +44,7 @@
     assert_eq!(cells, 2);
     let size = |cell| names.iter().filter(|name| cell_of(&service(), name, cells) == cell).count();
     let asked = |cell| {
-        let keys = (0..150).filter_map(|drawn| pick(&service(), &names, &[], drawn));
+        let keys = (0..150).filter_map(|drawn| pick(&service(), &names, &[], &[], drawn));
         keys.filter(|key| key.cell == cell).count()
     };
     println!("{} and {} engines", size(0), size(1));
@@ -57,7 +57,7 @@
     let engines = engines(600);
     let names: Vec<_> = engines.iter().collect();
     let mut refused = Vec::new();
-    while let Some(key) = pick(&service(), &names, &refused, 17 * refused.len()) {
+    while let Some(key) = pick(&service(), &names, &[], &refused, 17 * refused.len()) {
         assert!(!refused.contains(&key.cell));
         refused.push(key.cell);
     }
@@ -66,6 +66,9 @@
 
 #[test]
 fn a_service_without_engines_has_one_planner() {
-    assert_eq!(pick(&service(), &[], &[], 0), Some(PlannerKey { service: service(), cell: 0 }));
-    assert_eq!(pick(&service(), &[], &[0], 0), None);
+    assert_eq!(
+        pick(&service(), &[], &[], &[], 0),
+        Some(PlannerKey { service: service(), cell: 0 })
+    );
+    assert_eq!(pick(&service(), &[], &[], &[0], 0), None);
 }
--- a/crates/core/tests/refusal.rs
+++ b/crates/core/tests/refusal.rs
@@ -34,3 +34,35 @@
     assert_eq!(back(60_000, 9_000), millis(2_970));
     assert_eq!(back(2_000, 100), millis(500));
 }
+
+/// Callers that come back in the busiest tenth of a second, in shares of those that come anew, where so many
+/// milliseconds of rest are told as `told` says.
+fn busiest(rest: u64, told: impl Fn(u64) -> u64) -> f64 {
+    let callers = 20;
+    let mut counts = std::collections::BTreeMap::<u64, u64>::new();
+    for caller in 0..rest * callers {
+        let came = caller / callers;
+        *counts.entry((came + told(rest - came)) / 100).or_default() += 1;
+    }
+    counts.values().max().copied().unwrap_or_default() as f64 / (100 * callers) as f64
+}
+
+/// Of a rest of 4 s: told its end alone, all that came in it return in one tenth of a second, 40 times the load
+/// before; spread over half a second 8 times, over its length once.
+#[test]
+fn callers_that_came_in_a_rest_return_spread_over_its_length() {
+    use rand::{RngExt as _, SeedableRng as _};
+    let mut random = rand_chacha::ChaCha8Rng::seed_from_u64(1);
+    let mut half_second = rand_chacha::ChaCha8Rng::seed_from_u64(2);
+    let spread = std::cell::RefCell::new(&mut random);
+    let whole = busiest(4_000, |left| {
+        let back = refusal::rest_return(millis(left), millis(4_000), &mut **spread.borrow_mut());
+        assert!(back >= millis(left), "never within the rest");
+        back.as_millis() as u64
+    });
+    let narrow = std::cell::RefCell::new(&mut half_second);
+    let narrow = busiest(4_000, |left| left + narrow.borrow_mut().random_range(0..500));
+    let fixed = busiest(4_000, |left| left);
+    println!("busiest tenth of a second: {fixed:.1}, {narrow:.1} over 0.5 s, {whole:.1} over 4 s");
+    assert!(whole <= 1.2 && narrow >= 5.0 && fixed >= 30.0, "{fixed}, {narrow}, {whole}");
+}
--- a/crates/instance/src/cell_search.rs
+++ b/crates/instance/src/cell_search.rs
@@ -2,7 +2,7 @@
 
 use std::{rc, time};
 
-use slipturn_core::engine_place;
+use slipturn_core::{engine_place, planner::ways, upstream_notice};
 
 use crate::{context, incoming_call, plan_client};
 
@@ -16,16 +16,20 @@
     context: &rc::Rc<context::InstanceContext>,
     call: &incoming_call::IncomingCall,
     ask: engine_place::PlaceAsk,
+    turn: upstream_notice::TrialTurn,
     limit: time::Duration,
 ) -> plan_client::PlaceOutcome {
     let asked = context.now();
     let mut refused = Vec::new();
     let mut best: Option<engine_place::PlaceRefusal> = None;
     while refused.len() < MAX_CELLS
-        && let Some(planner) = context.pick_planner(&call.service, &refused)
+        && let Some(planner) = context.pick_planner(&call.service, turn, &refused)
     {
         let spent = context.now().since(asked);
-        let ask = engine_place::PlaceAsk { job: context.next_job(), ..ask.after(spent) };
+        let mut ask = engine_place::PlaceAsk { job: context.next_job(), ..ask.after(spent) };
+        if context.settings().experiments.closed_engines == ways::ClosedEngineWay::Asked {
+            ask.excluded.extend(context.closed_engines(&planner, turn));
+        }
         if !refused.is_empty() && ask.goal_left_ms == 0 {
             // It has waited in the first cell; another would keep its caller waiting longer.
             break;
--- a/crates/instance/src/context.rs
+++ b/crates/instance/src/context.rs
@@ -5,7 +5,7 @@
 use futures::{channel::mpsc, channel::oneshot, future};
 use slipturn_core::{
     class_worth, engine_place, fleet_budget, ids, member_beat, membership, planner, planner_key,
-    quarantine, store_belief, units,
+    quarantine, store_belief, units, upstream_notice,
 };
 use slipturn_net::process;
 
@@ -75,8 +75,8 @@
     pub quarantine: cell::RefCell<quarantine::QuarantineTable>,
     /// Rings when a request is held back.
     pub verdicts: quarantine_gate::VerdictBell,
-    /// Second in which this process last asked members what they hold back, and how many it asked in it.
-    pub asked_held: cell::Cell<(u64, usize)>,
+    /// Second in which this process last asked members what they know, and how many it asked in it.
+    pub asked_news: cell::Cell<(u64, usize)>,
     /// Answers to members about the store's documents.
     pub answers: cell::RefCell<document_answers::DocumentAnswers>,
     /// When silent connections were last logged.
@@ -133,13 +133,15 @@
             ways: parts.settings.experiments,
         };
         let members = membership::MemberView::new(own.clone(), seeds);
+        let mut fleet = fleet_state::FleetState::new(rc::Rc::clone(&parts.border));
+        fleet.list.notices_mut().set_return(parts.settings.experiments.rest_return);
         Self {
-            border: rc::Rc::clone(&parts.border),
+            border: parts.border,
             clock: process::ProcessClock::start(),
             boot: rand::random(),
             stop: parts.stop,
             closing: parts.closing.shared(),
-            fleet: cell::RefCell::new(fleet_state::FleetState::new(parts.border)),
+            fleet: cell::RefCell::new(fleet),
             members: cell::RefCell::new(members),
             planners: cell::RefCell::new(planner_set::PlannerSet::new(own, options)),
             classes: cell::RefCell::default(),
@@ -152,7 +154,7 @@
             starts: upstream_starts::StartWaiters::default(),
             quarantine: cell::RefCell::default(),
             verdicts: quarantine_gate::VerdictBell::default(),
-            asked_held: cell::Cell::default(),
+            asked_news: cell::Cell::default(),
             answers: cell::RefCell::default(),
             silence_log: upstream_silence::SilenceLog::default(),
             stats: cell::RefCell::default(),
@@ -260,12 +262,32 @@
     pub fn pick_planner(
         &self,
         service: &ids::ServiceId,
+        turn: upstream_notice::TrialTurn,
         refused: &[u16],
     ) -> Option<planner_key::PlannerKey> {
         let fleet = self.fleet.borrow();
         let usable = fleet.list.usable(service);
         let engines: Vec<_> = usable.into_iter().map(|entry| &entry.name).collect();
-        planner_key::pick(service, &engines, refused, rand::random_range(0..=engines.len()))
+        let closed = fleet.list.closed(self.now(), service, turn);
+        let drawn = rand::random_range(0..=engines.len());
+        planner_key::pick(service, &engines, &closed, refused, drawn)
+    }
+
+    /// Engines of a planner that the list names as live and that must get no request from this instance now.
+    pub fn closed_engines(
+        &self,
+        key: &planner_key::PlannerKey,
+        turn: upstream_notice::TrialTurn,
+    ) -> Vec<ids::UpstreamId> {
+        let fleet = self.fleet.borrow();
+        let closed = fleet.list.closed(self.now(), &key.service, turn);
+        if closed.is_empty() {
+            return Vec::new();
+        }
+        let cells = planner_key::cell_count(fleet.list.usable(&key.service).len());
+        let in_cell =
+            |name: &&&ids::UpstreamId| planner_key::cell_of(&key.service, name, cells) == key.cell;
+        closed.iter().filter(in_cell).map(|name| (*name).clone()).collect()
     }
 
     /// Counts a request for a service.
--- a/crates/instance/src/document_call.rs
+++ b/crates/instance/src/document_call.rs
@@ -69,6 +69,18 @@
         Self { address, open: None }
     }
 
+    /// Opens it ahead of a call, where it is not open.
+    pub async fn open(&mut self, limit: time::Duration) -> Result<(), CallError> {
+        if self.open.is_none() {
+            let connected = monoio::time::timeout(limit, connect(self.address)).await;
+            let Ok(connected) = connected else {
+                return SilentSnafu { limit }.fail();
+            };
+            self.open = Some(connected?);
+        }
+        Ok(())
+    }
+
     /// Reads a document; after any failure the connection is closed.
     pub async fn get(&mut self, path: &str, limit: time::Duration) -> Result<Bytes, CallError> {
         self.call("GET", path, Bytes::new(), limit).await
@@ -105,6 +117,17 @@
     }
 }
 
+async fn connect(
+    address: net::SocketAddr,
+) -> Result<(h1::MessageReader, h1::MessageWriter), CallError> {
+    let connecting = monoio::net::TcpStream::connect_addr(address);
+    let connected = monoio::time::timeout(CONNECT_TIME, connecting).await;
+    let Ok(connected) = connected else {
+        return SilentSnafu { limit: CONNECT_TIME }.fail();
+    };
+    Ok(h1::split(connected.context(ConnectSnafu)?))
+}
+
 async fn exchange(
     open: &mut Option<(h1::MessageReader, h1::MessageWriter)>,
     address: net::SocketAddr,
@@ -113,12 +136,7 @@
     body: Bytes,
 ) -> Result<(DocumentAnswer, bool), CallError> {
     if open.is_none() {
-        let connecting = monoio::net::TcpStream::connect_addr(address);
-        let connected = monoio::time::timeout(CONNECT_TIME, connecting).await;
-        let Ok(connected) = connected else {
-            return SilentSnafu { limit: CONNECT_TIME }.fail();
-        };
-        *open = Some(h1::split(connected.context(ConnectSnafu)?));
+        *open = Some(connect(address).await?);
     }
     let Some((reader, writer)) = open.as_mut() else {
         return SilentSnafu { limit: CONNECT_TIME }.fail();
--- a/crates/instance/src/engine_call.rs
+++ b/crates/instance/src/engine_call.rs
@@ -3,34 +3,92 @@
 use std::{net, time};
 
 use bytes::Bytes;
-use slipturn_core::upstream_notice;
+use slipturn_core::{ids, upstream_notice};
+use snafu::Snafu;
 
-use crate::{border, context, document_call, upstream_news};
+use crate::{border, context, document_call, upstream_gate, upstream_news};
+
+/// Why an engine gave no good answer.
+#[derive(Debug, Snafu)]
+pub(crate) enum EngineCallError {
+    /// Nothing was sent.
+    #[snafu(display("{reason}"))]
+    KeptBack {
+        /// Why.
+        reason: upstream_notice::KeptBack,
+    },
+    /// The call failed, or was refused.
+    #[snafu(display("{source}"))]
+    Call {
+        /// How.
+        source: document_call::CallError,
+    },
+}
+
+impl EngineCallError {
+    /// Whether nothing of the call is carried out any more: the engine refused it, or never got it.
+    pub(crate) fn is_over(&self) -> bool {
+        match self {
+            Self::KeptBack { .. } => true,
+            Self::Call { source } => matches!(source, document_call::CallError::Status { .. }),
+        }
+    }
+}
+
+/// An engine, and where it takes calls.
+#[derive(Debug, Clone)]
+pub struct EngineAddress {
+    /// The engine.
+    pub engine: ids::UpstreamId,
+    /// Its address.
+    pub address: net::SocketAddrV4,
+}
 
 /// Asks an engine for its report, over a connection of its own.
 pub(crate) async fn report(
     context: &context::InstanceContext,
-    engine: net::SocketAddrV4,
+    to: &EngineAddress,
     limit: time::Duration,
-) -> Result<Bytes, document_call::CallError> {
+) -> Result<Bytes, EngineCallError> {
     let path = border::UpstreamBorder::report_path(&*context.border);
-    let mut connection = document_call::DocumentConnection::new(engine.into());
-    let answer = connection.call_whole("GET", &path, Bytes::new(), limit).await?;
-    // What it says in passing is heard also where it refuses.
-    upstream_news::hear_at(context, engine, &answer.head, upstream_notice::NoticeSource::Report);
-    answer.into_body()
+    let kind = upstream_notice::SendKind::Report;
+    send(context, to, kind, ("GET", &path, Bytes::new()), limit).await
 }
 
-/// Gives an engine an order, over a connection of its own.
+/// Gives an engine an order of this kind about its memory, over a connection of its own.
 pub(crate) async fn order(
     context: &context::InstanceContext,
-    engine: net::SocketAddrV4,
-    path: &str,
-    body: Bytes,
+    to: &EngineAddress,
+    kind: upstream_notice::SendKind,
+    order: &border::MemoryOrder,
+    limit: time::Duration,
+) -> Result<Bytes, EngineCallError> {
+    let (path, body) = context.border.memory_order(order);
+    send(context, to, kind, ("POST", &path, body), limit).await
+}
+
+async fn send(
+    context: &context::InstanceContext,
+    to: &EngineAddress,
+    kind: upstream_notice::SendKind,
+    (method, path, body): (&str, &str, Bytes),
     limit: time::Duration,
-) -> Result<Bytes, document_call::CallError> {
-    let mut connection = document_call::DocumentConnection::new(engine.into());
-    let answer = connection.call_whole("POST", path, body, limit).await?;
-    upstream_news::hear_at(context, engine, &answer.head, upstream_notice::NoticeSource::Order);
-    answer.into_body()
+) -> Result<Bytes, EngineCallError> {
+    let kept_back = |reason| EngineCallError::KeptBack { reason };
+    let failed = |source| EngineCallError::Call { source };
+    upstream_gate::look(context, &to.engine, kind).map_err(kept_back)?;
+    let started = context.now();
+    let mut connection = document_call::DocumentConnection::new(to.address.into());
+    connection.open(limit).await.map_err(failed)?;
+    // Asked once more right before the first byte.
+    let _pass = upstream_gate::pass(context, &to.engine, kind).map_err(kept_back)?;
+    let left = limit.saturating_sub(context.now().since(started));
+    let answer = connection.call_whole(method, path, body, left).await.map_err(failed)?;
+    // What it says in passing is heard also where it refuses.
+    let source = match kind {
+        upstream_notice::SendKind::Report => upstream_notice::NoticeSource::Report,
+        _ => upstream_notice::NoticeSource::Order,
+    };
+    upstream_news::hear_at(context, to.address, &answer.head, source);
+    answer.into_body().map_err(failed)
 }
--- a/crates/instance/src/engine_fault.rs
+++ b/crates/instance/src/engine_fault.rs
@@ -1,6 +1,6 @@
 //! What follows from an engine's fault for the other attempts of a request, and for others.
 
-use slipturn_core::{connection_silence, engine_place, retry, units};
+use slipturn_core::{connection_silence, engine_place, retry, units, upstream_notice};
 
 use crate::{
     context, plan_client, silence_watch, stream_state, upstream_attempt, upstream_pool,
@@ -20,7 +20,9 @@
     match (fault.failure, other) {
         // It refused for another one's sake, or never had the request.
         (AttemptFailure::SaidNotRun | AttemptFailure::Misdirected, Some(_))
-        | (AttemptFailure::NotPrepared, _) => engine_place::PlaceEnd::Done,
+        | (AttemptFailure::NotPrepared | AttemptFailure::KeptBack, _) => {
+            engine_place::PlaceEnd::Done
+        }
         (AttemptFailure::SaidNotRun, None) => engine_place::PlaceEnd::Full,
         _ => engine_place::PlaceEnd::Failed,
     }
@@ -33,6 +35,10 @@
     hold: &plan_client::PlaceHold,
     fault: &upstream_attempt::AttemptFault,
 ) {
+    if fault.failure == retry::AttemptFailure::KeptBack {
+        // Nobody has failed; the gate is asked again before the next attempt.
+        return;
+    }
     let named = fault.at_fault.and_then(|address| {
         let fleet = context.fleet.borrow();
         let found = fleet.list.entries().find(|entry| entry.address == address);
@@ -59,10 +65,8 @@
     hold: &plan_client::PlaceHold,
 ) -> bool {
     let fleet = context.fleet.borrow();
-    let usable = fleet.list.usable(&hold.key().service);
-    usable
-        .iter()
-        .all(|entry| entry.name == hold.grant.engine || state.excluded.contains(&entry.name))
+    let open = fleet.list.open(context.now(), &hold.key().service, upstream_notice::TrialTurn::No);
+    open.iter().all(|entry| entry.name == hold.grant.engine || state.excluded.contains(&entry.name))
 }
 
 /// Draws the conclusions of a wait, begun at `since`, that is given up; returns what it says in the
--- a/crates/instance/src/engine_reports.rs
+++ b/crates/instance/src/engine_reports.rs
@@ -60,8 +60,11 @@
 
 async fn report(context: rc::Rc<context::InstanceContext>, engine: upstream_list::UpstreamEntry) {
     let asked = context.now();
-    let body = match engine_call::report(&context, engine.address, REPORT_TIME).await {
+    let to = engine_call::EngineAddress { engine: engine.name.clone(), address: engine.address };
+    let body = match engine_call::report(&context, &to, REPORT_TIME).await {
         Ok(body) => body,
+        // It wants rest; that says nothing of whether it answers.
+        Err(engine_call::EngineCallError::KeptBack { .. }) => return,
         Err(error) => {
             log::info!(engine:% = engine.name, error:%; "engine.silent");
             context.planners.borrow_mut().shun(context.now(), &engine.name);
--- a/crates/instance/src/heartbeats.rs
+++ b/crates/instance/src/heartbeats.rs
@@ -5,7 +5,7 @@
 use rand::seq::IndexedRandom as _;
 use slipturn_core::{member_beat, units};
 
-use crate::{context, peer_message, quarantine_news};
+use crate::{context, member_news, peer_message};
 
 /// Time between two questions to a member that left calls unanswered: while it is silent two members may
 /// plan for the same engines. A question and its answer are some 60 bytes, to one or two members.
@@ -28,7 +28,7 @@
     };
     if joined {
         context.joined.set(context.joined.get() + 1);
-        quarantine_news::ask_met(context, from);
+        member_news::ask_met(context, from);
         let beat = context.next_beat();
         if welcome.is_empty() {
             context.tell(from, peer_message::PeerMessage::Beat(Box::new(beat.clone())));
--- a/crates/instance/src/memory_hold.rs
+++ b/crates/instance/src/memory_hold.rs
@@ -2,10 +2,10 @@
 
 use std::{cell, net, rc, time};
 
-use slipturn_core::{engine_place, ids, units};
+use slipturn_core::{engine_place, ids, units, upstream_notice};
 use snafu::Snafu;
 
-use crate::{border, context, document_call, engine_call, upstream_starts};
+use crate::{border, context, engine_call, upstream_starts};
 
 /// How long memory stays aside without a renewal: shorter than the time within which it must be
 /// free again behind a request whose instance has died.
@@ -47,6 +47,12 @@
 }
 
 impl HeldTicket {
+    /// Where orders about it go.
+    fn to(&self) -> engine_call::EngineAddress {
+        let engine = self.start.borrow().clone();
+        engine_call::EngineAddress { engine, address: self.address }
+    }
+
     /// Whether the start that held the memory is over, and the memory with it.
     fn is_lost(&self, context: &context::InstanceContext) -> bool {
         let fleet = context.fleet.borrow();
@@ -87,7 +93,8 @@
             // Kept before it is asked for: an order without an answer may be carried out later.
             hold.tickets.push(held);
         }
-        let orders = hold.tickets.iter().map(|held| held_order(context, held));
+        let kind = upstream_notice::SendKind::Hold;
+        let orders = hold.tickets.iter().map(|held| held_order(context, held, kind));
         let results = futures::future::join_all(orders).await;
         for (held, result) in hold.tickets.iter().zip(results) {
             match result {
@@ -121,8 +128,8 @@
     }
 
     /// An engine with memory set aside, and the ticket there; an answer uses all or none.
-    pub fn first_held(&self) -> Option<(net::SocketAddrV4, String)> {
-        self.tickets.first().map(|held| (held.address, held.ticket.clone()))
+    pub fn first_held(&self) -> Option<(engine_call::EngineAddress, String)> {
+        self.tickets.first().map(|held| (held.to(), held.ticket.clone()))
     }
 
     /// The ticket on an engine.
@@ -144,6 +151,7 @@
 async fn held_order(
     context: &context::InstanceContext,
     held: &HeldTicket,
+    kind: upstream_notice::SendKind,
 ) -> Result<Option<ids::UpstreamStart>, String> {
     let order = border::MemoryOrder::Hold {
         ticket: held.ticket.clone(),
@@ -152,9 +160,10 @@
     };
     // Noted before it goes out: whoever waits for the answer may leave first.
     let before = held.unanswered.replace(Some(context.now()));
-    let result = send_order(context, held, &order).await;
-    if matches!(result, Ok(_) | Err(document_call::CallError::Status { .. })) {
-        // A refusal is an answer too: nothing is carried out later.
+    let result = send_order(context, held, kind, &order).await;
+    // A refusal is an answer too, and what was not sent has none: nothing is carried out later.
+    let over = result.as_ref().map_or_else(engine_call::EngineCallError::is_over, |_| true);
+    if over {
         held.unanswered.set(before);
     }
     result.map_err(|error| error.to_string())
@@ -164,11 +173,11 @@
 async fn send_order(
     context: &context::InstanceContext,
     held: &HeldTicket,
+    kind: upstream_notice::SendKind,
     order: &border::MemoryOrder,
-) -> Result<Option<ids::UpstreamStart>, document_call::CallError> {
-    let (path, body) = context.border.memory_order(order);
+) -> Result<Option<ids::UpstreamStart>, engine_call::EngineCallError> {
     let asked = context.now();
-    let answer = engine_call::order(context, held.address, &path, body, ORDER_TIME).await?;
+    let answer = engine_call::order(context, &held.to(), kind, order, ORDER_TIME).await?;
     Ok(upstream_starts::hear_order(context, held.address, &answer, asked))
 }
 
@@ -187,7 +196,8 @@
             if held.is_lost(&context) {
                 continue;
             }
-            if let Err(reason) = held_order(&context, held).await {
+            let kind = upstream_notice::SendKind::Renewal;
+            if let Err(reason) = held_order(&context, held, kind).await {
                 log::warn!(engine:% = held.engine, reason; "memory.not_renewed");
             }
             if done.get() || held.is_lost(&context) {
@@ -218,9 +228,10 @@
     let _busy = context::BusyGuard::new(context);
     let order = border::MemoryOrder::Release { ticket: held.ticket.clone() };
     for attempt in 1..=RELEASE_TRIES {
-        match send_order(context, held, &order).await {
+        match send_order(context, held, upstream_notice::SendKind::Release, &order).await {
+            Ok(_) => return,
             // An engine that knows no such ticket has nothing to give back.
-            Ok(_) | Err(document_call::CallError::Status { .. }) => return,
+            Err(error) if error.is_over() => return,
             Err(error) => {
                 log::info!(engine:% = held.engine, attempt, error:%; "memory.not_released");
             }
--- a/crates/instance/src/model_request.rs
+++ b/crates/instance/src/model_request.rs
@@ -3,13 +3,14 @@
 use std::{pin, rc, time};
 
 use bytes::{Bytes, BytesMut};
-use slipturn_core::{connection_silence, engine_place, refusal, retry};
+use slipturn_core::{connection_silence, engine_place, refusal, retry, upstream_notice};
 use slipturn_net::h1;
 
 use crate::{
-    caller_connection, cell_search, context, engine_fault, event_stream, incoming_call,
-    memory_hold, plan_client, quarantine_gate, request_record, silence_watch, stream_policy,
-    stream_state, upstream_attempt, upstream_ends, upstream_news,
+    caller_connection, cell_search, context, engine_call, engine_fault, event_stream,
+    incoming_call, memory_hold, plan_client, quarantine_gate, request_record, silence_watch,
+    stream_policy, stream_state, upstream_attempt, upstream_choice, upstream_ends, upstream_gate,
+    upstream_news,
 };
 
 /// Places tried at most, those whose engine never saw the request included.
@@ -34,6 +35,8 @@
     Fault(upstream_attempt::AttemptFault),
     /// There was no place.
     NoPlace,
+    /// No engine may have it now: all leave, rest, or have failed it.
+    NoEngine,
     /// There will be no place in time.
     Refused(engine_place::PlaceRefusal),
 }
@@ -78,7 +81,7 @@
     record: &mut request_record::RequestRecord,
     state: &mut stream_state::StreamState,
 ) -> Result<Option<refusal::RequestRefusal>, h1::MessageError> {
-    let mut back_after = BACK_AFTER;
+    let mut back_after = None;
     let mut text = format!("service '{}' has no engine free", call.service);
     for _ in 0..MAX_TRIES {
         if state.sent >= call.route.max_attempts {
@@ -92,9 +95,11 @@
         match attempt(context, call, reply, record, state).await? {
             AttemptEnd::Whole => return Ok(None),
             AttemptEnd::NoPlace => break,
+            AttemptEnd::NoEngine => break,
             AttemptEnd::Refused(refused) => {
                 text = refused.to_string();
-                back_after = time::Duration::from_millis(u64::from(refused.back_after_ms));
+                let back = time::Duration::from_millis(u64::from(refused.back_after_ms));
+                back_after = Some(refusal::spread_retry(back, &mut rand::rng()));
                 break;
             }
             AttemptEnd::Failure(head, body) => {
@@ -109,7 +114,7 @@
                 if !surely {
                     record.digest = Some(call.digest().to_string());
                 }
-                if fault.failure == retry::AttemptFailure::NotConnected {
+                if fault.failure.reached_nobody() {
                     // Nothing arrived anywhere: the retry is not spent. Streams were cut for want
                     // of another one, after the first went to an engine that was gone.
                     state.retry_taken = state.sent > 0;
@@ -127,12 +132,17 @@
     if pass_failure(reply, record, state).await? {
         return Ok(None);
     }
+    if let Some(rest) = upstream_choice::first_back(context, &call.service) {
+        text = rest.to_string();
+        back_after = Some(rest.back_after());
+    }
     let ran = state.ran.unwrap_or(refusal::RanState::No);
     let code = match ran {
         refusal::RanState::No => refusal::RefusalCode::Overloaded,
         _ => refusal::RefusalCode::UpstreamFailed,
     };
-    let back_after = refusal::spread_retry(back_after, &mut rand::rng());
+    let spread = || refusal::spread_retry(BACK_AFTER, &mut rand::rng());
+    let back_after = back_after.unwrap_or_else(spread);
     Ok(Some(refusal::RequestRefusal::not_run(code, text).ran(ran).retry_after(back_after)))
 }
 
@@ -159,7 +169,7 @@
     state: &mut stream_state::StreamState,
 ) -> Result<AttemptEnd, h1::MessageError> {
     if !state.has_engine(context, call, None) {
-        return Ok(AttemptEnd::NoPlace);
+        return Ok(AttemptEnd::NoEngine);
     }
     // The caller's patience begins anew with each event.
     let since = state.last_at.unwrap_or(call.arrived);
@@ -172,7 +182,7 @@
         excluded: &state.excluded,
     };
     let ask = stream_policy::ask(context, call, &progress);
-    let mut hold = match cell_search::place(context, call, ask, limit).await {
+    let mut hold = match cell_search::place(context, call, ask, state.turn(call), limit).await {
         plan_client::PlaceOutcome::Placed(hold) => hold,
         plan_client::PlaceOutcome::Refused(refusal) => return Ok(AttemptEnd::Refused(refusal)),
         plan_client::PlaceOutcome::TimedOut => return Ok(AttemptEnd::NoPlace),
@@ -209,10 +219,9 @@
     hold: &mut plan_client::PlaceHold,
     row: &mut request_record::AttemptRecord,
 ) -> Result<AttemptEnd, h1::MessageError> {
-    let not_connected = |text: String| {
-        let failure = retry::AttemptFailure::NotConnected;
-        Ok(AttemptEnd::Fault(upstream_attempt::AttemptFault::new(failure, text)))
-    };
+    if let Err(fault) = upstream_gate::look_at_grant(context, &hold.grant) {
+        return Ok(AttemptEnd::Fault(fault));
+    }
     let taken_at = context.now();
     let taken = memory_hold::MemoryHold::take(context, hold.grant.job, &hold.grant.held).await;
     let memory = match taken {
@@ -225,7 +234,8 @@
         }
     };
     let Some(target) = target(context, call, state, &hold.grant, &memory) else {
-        return not_connected("the engine is not listed any more".to_owned());
+        let fault = upstream_gate::fault(upstream_notice::KeptBack::Unlisted);
+        return Ok(AttemptEnd::Fault(fault));
     };
     let begun_at = context.now();
     // What broke on its way may have met a silent connection; another could be as old.
@@ -243,7 +253,10 @@
     let mut watch = silence_watch::SilenceWatch {
         context,
         call,
-        address: target.address,
+        engine: engine_call::EngineAddress {
+            engine: target.upstream.clone(),
+            address: target.address,
+        },
         held: memory.first_held(),
         answering: false,
         unused_until: memory.holds().then(|| taken_at + unused_time),
@@ -265,7 +278,7 @@
     let mut answer = match answered {
         Ok(answer) => answer,
         Err(fault) => {
-            if fault.failure != retry::AttemptFailure::NotConnected {
+            if !fault.failure.reached_nobody() {
                 state.sent += 1;
             }
             run.failed(&fault);
@@ -367,9 +380,6 @@
     memory: &memory_hold::MemoryHold,
 ) -> Option<upstream_attempt::AttemptTarget> {
     let fleet = context.fleet.borrow();
-    if !fleet.list.is_usable(&grant.engine) {
-        return None;
-    }
     let engine = fleet.list.entry(&grant.engine)?;
     let holders = grant.held.iter().map(|part| &part.engine);
     let readers = grant.helpers.iter().filter(|helper| memory.ticket(helper).is_none());
@@ -377,7 +387,8 @@
         .chain(readers)
         .filter_map(|helper| {
             let entry = fleet.list.entry(helper)?;
-            Some((entry.address, memory.ticket(helper)))
+            let (engine, address) = (entry.name.clone(), entry.address);
+            Some(upstream_attempt::PartReader { engine, address, ticket: memory.ticket(helper) })
         })
         .collect();
     let late = context.now().since(call.arrived) > call.route.first_token_goal;
--- a/crates/instance/src/peer_message.rs
+++ b/crates/instance/src/peer_message.rs
@@ -11,6 +11,9 @@
 /// Most jobs renewed by one message; each takes some four bytes.
 pub const MAX_RENEWED: usize = 256;
 
+/// Most upstreams in one message that leave; each takes some 25 bytes.
+pub const MAX_LEAVING: usize = 200;
+
 /// Most end reports in one message; each takes some 60 bytes.
 pub const MAX_ENDS: usize = 200;
 
@@ -48,8 +51,19 @@
     /// A request that upstreams had ended under was answered to the end so many microseconds ago, or an
     /// operator lets it go.
     Cleared(request_digest::RequestDigest, u64),
-    /// Asks for the evidence against requests that are held back.
-    AskHeld,
+    /// Asks what is held back and which upstreams leave, of a member that may know more.
+    AskNews,
+    /// Upstreams have said that they leave.
+    Leaving(Vec<LeavingReport>),
+}
+
+/// That an upstream has said that it leaves.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeavingReport {
+    /// The start of the upstream.
+    pub upstream: ids::UpstreamId,
+    /// How long ago it said so first, milliseconds.
+    pub age_ms: u64,
 }
 
 /// A run under which an upstream ended. Times are microseconds ago, as members' clocks differ; those of
--- a/crates/instance/src/peers.rs
+++ b/crates/instance/src/peers.rs
@@ -6,7 +6,8 @@
 use slipturn_core::{engine_place, member_beat, planner_key};
 
 use crate::{
-    context, heartbeats, lease_renewal, peer_message, planner_set, quarantine_news, upstream_starts,
+    context, heartbeats, lease_renewal, member_news, peer_message, planner_set, quarantine_news,
+    upstream_news, upstream_starts,
 };
 
 /// Time between two looks at requests that wait, while any does.
@@ -114,7 +115,8 @@
         PeerMessage::Cleared(digest, micros_ago) => {
             quarantine_news::hear_cleared(context, digest, micros_ago);
         }
-        PeerMessage::AskHeld => quarantine_news::tell_held(context, from),
+        PeerMessage::AskNews => member_news::tell(context, from),
+        PeerMessage::Leaving(reports) => upstream_news::hear_members(context, reports),
         PeerMessage::Census(key) => lease_renewal::tell_all(context, from, &key),
         PeerMessage::Unknown(key, jobs) => lease_renewal::tell_leases(context, from, key, &jobs),
         PeerMessage::Leases(key, leases) => {
--- a/crates/instance/src/quarantine_news.rs
+++ b/crates/instance/src/quarantine_news.rs
@@ -2,12 +2,10 @@
 //!
 //! Evidence goes to a few members, found by hashing the request's digest over those that are alive:
 //! a storm of crashes costs each member some datagrams, however many there are. Who sees there that a
-//! request is to be held back tells all. Whoever has just started, woken or met others asks, and all
-//! repeat what they hold to another one each second: datagrams are lost.
+//! request is to be held back tells all.
 
-use std::{net, rc, time};
+use std::{net, time};
 
-use rand::seq::IteratorRandom as _;
 use slipturn_core::{quarantine, rendezvous, request_digest, units};
 
 use crate::{context, peer_message, upstream_ends};
@@ -17,10 +15,6 @@
 /// Members up to which all keep it: a small fleet needs no choice, and who serves a request knows then
 /// that it is a suspect.
 const SMALL_FLEET: usize = 12;
-/// Members that are asked by one that knows nothing.
-const ASKED: usize = 3;
-/// Time between two repeats of what is held back.
-const REPEAT_INTERVAL: time::Duration = time::Duration::from_secs(1);
 /// Digests that a log line names in full; more are counted.
 const MAX_LOGGED: usize = 16;
 
@@ -80,25 +74,6 @@
     }
 }
 
-/// Asks a member that has just been met, if few were asked in this second: all are met at once behind a
-/// start and behind a cut.
-pub(crate) fn ask_met(context: &context::InstanceContext, to: net::SocketAddrV4) {
-    let second = context.now().since(units::MonoTime::default()).as_secs();
-    let (last, count) = context.asked_held.get();
-    let count = if last == second { count } else { 0 };
-    if count < ASKED {
-        context.asked_held.set((second, count + 1));
-        context.tell(to, peer_message::PeerMessage::AskHeld);
-    }
-}
-
-/// Asks some members what is held back there.
-fn ask(context: &context::InstanceContext) {
-    for to in some_members(context, ASKED) {
-        context.tell(to, peer_message::PeerMessage::AskHeld);
-    }
-}
-
 /// Notes that an upstream has answered a request to the end, where ends speak against it; `digest` is
 /// asked for only then.
 pub(crate) fn answered(
@@ -136,21 +111,6 @@
     known
 }
 
-/// Repeats what is held back to one member after the other, drawn.
-pub(crate) async fn repeat(context: rc::Rc<context::InstanceContext>) {
-    let mut woken = context.woke.get();
-    loop {
-        monoio::time::sleep(REPEAT_INTERVAL).await;
-        if context.woke.get() != woken {
-            woken = context.woke.get();
-            ask(&context);
-        }
-        if context.quarantine.borrow().holds_any() {
-            some_members(&context, 1).into_iter().for_each(|to| tell_held(&context, to));
-        }
-    }
-}
-
 /// Takes evidence in, and tells all members who is held back by it.
 fn hold_new(context: &context::InstanceContext, ends: Vec<quarantine::EndedRun>) {
     let now = context.now();
@@ -220,12 +180,6 @@
     keepers.into_iter().collect()
 }
 
-fn some_members(context: &context::InstanceContext, count: usize) -> Vec<net::SocketAddrV4> {
-    let members = context.members.borrow();
-    let alive = members.alive(context.now()).map(|beat| beat.address);
-    alive.sample(&mut rand::rng(), count)
-}
-
 /// Messages' worth of reports.
 fn reports(
     now: units::MonoTime,
--- a/crates/instance/src/service_request.rs
+++ b/crates/instance/src/service_request.rs
@@ -3,12 +3,14 @@
 use std::{pin, rc, time};
 
 use futures::future;
-use slipturn_core::{ids, refusal, retry, upstream_health::CallResult, upstream_list};
+use slipturn_core::{
+    ids, refusal, retry, upstream_health::CallResult, upstream_list, upstream_notice,
+};
 use slipturn_net::h1;
 
 use crate::{
-    caller_connection, context, incoming_call, request_record, upstream_attempt, upstream_ends,
-    upstream_news,
+    caller_connection, context, incoming_call, request_record, upstream_attempt, upstream_choice,
+    upstream_ends, upstream_news,
 };
 
 /// Largest answer of a plain service that is passed on.
@@ -89,6 +91,9 @@
             pick(context, call, &excluded)
         });
         let Some(entry) = entry else {
+            if let Some(rest) = upstream_choice::first_back(context, &call.service) {
+                text = rest.to_string();
+            }
             break;
         };
         excluded.push(entry.name.clone());
@@ -133,7 +138,7 @@
                 }
                 text = fault.text;
                 let surely = fault.failure.surely_not_run();
-                if fault.failure == retry::AttemptFailure::NotConnected {
+                if fault.failure.reached_nobody() {
                     // Nothing arrived anywhere: the retry is not spent.
                     retry_taken = sent > 0;
                 } else {
@@ -157,7 +162,9 @@
         refusal::RanState::No => refusal::RefusalCode::NoUpstream,
         _ => refusal::RefusalCode::UpstreamFailed,
     };
-    CallEnd::Refused(refusal::RequestRefusal::not_run(code, text).ran(ran).retry_after(BACK_AFTER))
+    let rest = upstream_choice::first_back(context, &call.service);
+    let back_after = rest.map_or(BACK_AFTER, |rest| rest.back_after());
+    CallEnd::Refused(refusal::RequestRefusal::not_run(code, text).ran(ran).retry_after(back_after))
 }
 
 /// One attempt; it ends with the start of the upstream that has it.
@@ -252,7 +259,8 @@
             retry::AttemptFailure::Misdirected => CallResult::Gone,
             _ => CallResult::Failed,
         };
-        self.result.set((!fault.kept_silent).then_some(result));
+        let says_something = !fault.kept_silent && fault.failure != retry::AttemptFailure::KeptBack;
+        self.result.set(says_something.then_some(result));
         if result == CallResult::Gone {
             upstream_news::tell_gone(self.context, self.name);
         }
@@ -272,11 +280,12 @@
     excluded: &[ids::UpstreamId],
 ) -> Option<upstream_list::UpstreamEntry> {
     let fleet = context.fleet.borrow();
-    let mut usable = fleet.list.usable(&call.service);
-    usable.retain(|entry| !excluded.contains(&entry.name));
+    let turn = upstream_notice::TrialTurn::of(excluded.len(), call.route.max_attempts);
+    let mut open = fleet.list.open(context.now(), &call.service, turn);
+    open.retain(|entry| !excluded.contains(&entry.name));
     let own = context.settings().data_center.clone();
     // A call finds out whether an upstream is sound again only while it has another attempt left.
     let first = excluded.is_empty() && call.route.max_attempts > 1;
     let repeatable = first && call.route.repeat.allows_repeat();
-    context.loads.borrow().pick(context.now(), &usable, &own, repeatable).cloned()
+    context.loads.borrow().pick(context.now(), &open, &own, repeatable).cloned()
 }
--- a/crates/instance/src/silence_watch.rs
+++ b/crates/instance/src/silence_watch.rs
@@ -1,6 +1,6 @@
 //! Waiting for an engine, and when its silence ends an attempt.
 
-use std::{net, pin, time};
+use std::{pin, time};
 
 use futures::future;
 use slipturn_core::units;
@@ -55,9 +55,9 @@
     /// The request.
     pub call: &'a incoming_call::IncomingCall,
     /// The engine.
-    pub address: net::SocketAddrV4,
+    pub engine: engine_call::EngineAddress,
     /// Where memory is set aside for the attempt, and its ticket there.
-    pub held: Option<(net::SocketAddrV4, String)>,
+    pub held: Option<(engine_call::EngineAddress, String)>,
     /// Whether the answer has begun.
     pub answering: bool,
     /// Until when such memory may wait for the answer's first event; nothing once it is out.
@@ -108,7 +108,7 @@
                 return Ok(done);
             }
             if let Some((holder, ticket)) = &self.held {
-                let looking = pin::pin!(self.look(*holder, ticket));
+                let looking = pin::pin!(self.look(holder, ticket));
                 let (answers, idle) = match future::select(work.as_mut(), looking).await {
                     future::Either::Left((done, _)) => return Ok(done),
                     future::Either::Right((seen, _)) => seen,
@@ -134,24 +134,32 @@
         }
     }
 
-    /// Whether the engine answers, and whether the memory set aside for its answer lies unused.
-    async fn look(&self, holder: net::SocketAddrV4, ticket: &str) -> (bool, bool) {
-        let answers = self.report(self.address).await.is_some();
+    /// Whether the engine answers, and whether the memory set aside for its answer lies unused. One that wants rest
+    /// is not asked: it has just answered, by asking for that.
+    async fn look(&self, holder: &engine_call::EngineAddress, ticket: &str) -> (bool, bool) {
+        let answers = self.report(&self.engine).await.is_some();
         (answers, self.answering && answers && self.is_unused(holder, ticket).await)
     }
 
     /// Asks over a connection of its own, as the answer's may be the one that is silent; an
     /// unreadable report is an answer, too.
-    async fn report(&self, engine: net::SocketAddrV4) -> Option<Option<border::EngineReport>> {
+    async fn report(
+        &self,
+        engine: &engine_call::EngineAddress,
+    ) -> Option<Option<border::EngineReport>> {
         let asked = self.context.now();
-        let body = engine_call::report(self.context, engine, PROBE_TIME).await.ok()?;
+        let body = match engine_call::report(self.context, engine, PROBE_TIME).await {
+            Ok(body) => body,
+            Err(engine_call::EngineCallError::KeptBack { .. }) => return Some(None),
+            Err(engine_call::EngineCallError::Call { .. }) => return None,
+        };
         let report = self.context.border.read_report(&body).ok();
         let start = report.as_ref().and_then(|report| report.start);
-        upstream_starts::hear(self.context, engine, start, asked);
+        upstream_starts::hear(self.context, engine.address, start, asked);
         Some(report)
     }
 
-    async fn is_unused(&self, holder: net::SocketAddrV4, ticket: &str) -> bool {
+    async fn is_unused(&self, holder: &engine_call::EngineAddress, ticket: &str) -> bool {
         let report = self.report(holder).await.flatten();
         report.and_then(|report| report.uses(ticket)) == Some(false)
     }
--- a/crates/instance/src/stream_state.rs
+++ b/crates/instance/src/stream_state.rs
@@ -1,7 +1,7 @@
 //! What stays of a streamed request between its attempts.
 
 use bytes::{Bytes, BytesMut};
-use slipturn_core::{ids, refusal, units};
+use slipturn_core::{ids, refusal, units, upstream_notice};
 use slipturn_net::h1;
 
 use crate::{
@@ -68,6 +68,12 @@
         }
     }
 
+    /// Whether its next attempt may find out whether an engine takes work again behind its rest.
+    pub(crate) fn turn(&self, call: &incoming_call::IncomingCall) -> upstream_notice::TrialTurn {
+        let made = self.excluded.len().max(self.sent as usize);
+        upstream_notice::TrialTurn::of(made, call.route.max_attempts)
+    }
+
     /// Whether any engine is left for the request, beside one that has it; where there is none,
     /// waiting for a place is in vain.
     pub(crate) fn has_engine(
@@ -77,8 +83,9 @@
         used: Option<&ids::UpstreamId>,
     ) -> bool {
         let fleet = context.fleet.borrow();
-        let mut usable = fleet.list.usable(&call.service).into_iter().map(|entry| &entry.name);
-        usable.any(|name| Some(name) != used && !self.excluded.contains(name))
+        let open = fleet.list.open(context.now(), &call.service, self.turn(call));
+        let mut open = open.into_iter().map(|entry| &entry.name);
+        open.any(|name| Some(name) != used && !self.excluded.contains(name))
     }
 
     /// Whether a silent `engine`, the `reached`th that got the request, is given up: one within
--- a/crates/instance/src/upstream_attempt.rs
+++ b/crates/instance/src/upstream_attempt.rs
@@ -8,8 +8,8 @@
 use slipturn_net::h1;
 
 use crate::{
-    border, context, incoming_call, upstream_ends, upstream_news, upstream_pool, upstream_silence,
-    upstream_starts,
+    border, context, incoming_call, upstream_ends, upstream_gate, upstream_news, upstream_pool,
+    upstream_silence, upstream_starts,
 };
 
 /// Time for an answer that an upstream may have sent before it stopped reading.
@@ -51,13 +51,24 @@
     /// Its address.
     pub address: net::SocketAddrV4,
     /// Engines that read parts of the prompt.
-    pub helpers: Vec<(net::SocketAddrV4, Option<String>)>,
+    pub helpers: Vec<PartReader>,
     /// Event behind which the stream goes on.
     pub last_event: Option<String>,
     /// 0 is the most urgent.
     pub priority: Option<u8>,
 }
 
+/// An engine that reads a part of a prompt.
+#[derive(Debug, Clone)]
+pub struct PartReader {
+    /// The engine.
+    pub engine: ids::UpstreamId,
+    /// Its address.
+    pub address: net::SocketAddrV4,
+    /// The ticket of the memory set aside there, if any is.
+    pub ticket: Option<String>,
+}
+
 /// An answer whose head has been read.
 pub struct AttemptAnswer {
     /// Its head, with what concerns only its connection.
@@ -149,6 +160,8 @@
     target: &AttemptTarget,
     anew: bool,
 ) -> Result<upstream_pool::UpstreamConnection, AttemptFault> {
+    // Before a connection is opened in vain; what counts is asked once more as the first byte goes out.
+    upstream_gate::look_at_request(context, target)?;
     let another = call.route.repeat.allows_repeat() && call.route.max_attempts > 1;
     let opened = if anew || !another {
         context.pool.open(target.address).await
@@ -156,17 +169,12 @@
         context.pool.get(target.address).await
     };
     let not_connected = retry::AttemptFailure::NotConnected;
-    let connection = opened.map_err(|error| {
+    opened.map_err(|error| {
         if error.nobody_listens() {
             context.tell_run(upstream_ends::RunNews::Refused(target.upstream.clone()));
         }
         AttemptFault::new(not_connected, error)
-    })?;
-    // It was chosen before the connection came about; who leaves meanwhile gets nothing new.
-    if !connection.used && !context.fleet.borrow().list.is_usable(&target.upstream) {
-        return Err(AttemptFault::new(not_connected, "the upstream leaves"));
-    }
-    Ok(connection)
+    })
 }
 
 /// Sends a request over a connection and reads the head of its answer.
@@ -230,11 +238,12 @@
     context: &context::InstanceContext,
     call: &incoming_call::IncomingCall,
     target: &AttemptTarget,
-    connection: upstream_pool::UpstreamConnection,
+    mut connection: upstream_pool::UpstreamConnection,
 ) -> Result<AttemptAnswer, AttemptFault> {
     let message = message(context, call, target);
-    let upstream_pool::UpstreamConnection { mut reader, mut writer, used, life } = connection;
+    let pass = upstream_gate::pass_request(context, target)?;
     let (head, sent) = {
+        let (reader, writer) = connection.sides(&pass);
         let writing = std::pin::pin!(writer.write(message));
         let reading = std::pin::pin!(reader.answer_head());
         match future::select(writing, reading).await {
@@ -252,7 +261,7 @@
         }
     };
     let head = head.map_err(AttemptFault::broke)?;
-    life.hear();
+    connection.life.hear();
     let said = context.border.read_answer(&head);
     if said.id.as_deref() != Some(call.request.id.as_str()) {
         return Err(AttemptFault::broke("the answer belongs to another request"));
@@ -264,7 +273,6 @@
     let framing = h1::BodyFraming::of_answer(&head).map_err(AttemptFault::broke)?;
     let reusable =
         sent && framing != h1::BodyFraming::UntilClose && !h1::closes(head.version, &head.headers);
-    let connection = upstream_pool::UpstreamConnection { reader, writer, used, life };
     let address = target.address;
     let answer = AttemptAnswer { head, said, framing, connection, address, reusable };
     if answer.said.not_run && !answer.head.status.is_success() {
@@ -311,6 +319,8 @@
     target: &AttemptTarget,
 ) -> Vec<u8> {
     let left = call.left(context.now());
+    let helper = |part: &PartReader| (part.address, part.ticket.clone());
+    let helpers = target.helpers.iter().map(helper).collect();
     let mut head = context.border.call_head(&border::UpstreamCall {
         head: &call.head,
         upstream: &target.upstream,
@@ -318,7 +328,7 @@
         left,
         priority: target.priority,
         last_event: target.last_event.as_deref(),
-        helpers: target.helpers.clone(),
+        helpers,
     });
     h1::strip_connection_headers(&mut head.headers);
     let bodiless = call.body.is_empty() && head.method == http::Method::GET;
--- a/crates/instance/src/upstream_ends.rs
+++ b/crates/instance/src/upstream_ends.rs
@@ -7,9 +7,9 @@
 use std::{collections, net, rc, time};
 
 use futures::{StreamExt as _, channel::mpsc};
-use slipturn_core::{fleet_list, ids, request_digest, units};
+use slipturn_core::{ids, request_digest, units, upstream_notice};
 
-use crate::{context, incoming_call, quarantine_news, upstream_attempt};
+use crate::{context, incoming_call, quarantine_news, upstream_attempt, upstream_gate};
 
 /// Time behind a break after which a connection is tried: a process that has ended refuses at once, but
 /// its connections may be reset a moment before its listener is. One connection only: a second one
@@ -148,14 +148,12 @@
     }
 }
 
-/// Whether the list names this start and it is not leaving: one that leaves ends by plan, whatever
+/// Whether the list names this start and nobody says that it leaves: one that leaves ends by plan, whatever
 /// it runs.
 fn is_live(context: &context::InstanceContext, name: &ids::UpstreamId) -> bool {
     let fleet = context.fleet.borrow();
-    let live = |entry: &slipturn_core::upstream_list::UpstreamEntry| {
-        entry.name == *name && entry.state == fleet_list::ListState::Live
-    };
-    fleet.list.entry(name).is_some_and(live)
+    let leaving = fleet.list.notices().leaving(name).is_some();
+    !leaving && fleet.list.entry(name).is_some_and(|entry| entry.name == *name)
 }
 
 /// Broken runs that wait for proof.
@@ -253,6 +251,10 @@
     delay: time::Duration,
 ) {
     monoio::time::sleep(delay).await;
+    if upstream_gate::look(&context, &upstream, upstream_notice::SendKind::Check).is_err() {
+        context.tell_run(RunNews::Checked(upstream, CheckResult::Silent));
+        return;
+    }
     let seen = match context.pool.open(address).await {
         Ok(_) => CheckResult::Lives,
         Err(error) if error.nobody_listens() => CheckResult::Refuses,
--- a/crates/instance/src/upstream_news.rs
+++ b/crates/instance/src/upstream_news.rs
@@ -2,7 +2,7 @@
 
 use std::{net, time};
 
-use slipturn_core::{ids, units, upstream_notice};
+use slipturn_core::{fleet_list, ids, planner::ways, units, upstream_notice};
 
 use crate::{border, context, peer_message};
 
@@ -18,8 +18,13 @@
     if said.leaving {
         hear_leaving(context, upstream, source);
     }
-    if let Some(rest) = &said.rest {
-        hear_rest(context, upstream, status, rest);
+    let turned_away = [http::StatusCode::SERVICE_UNAVAILABLE, http::StatusCode::TOO_MANY_REQUESTS];
+    if turned_away.contains(&status) {
+        if let Some(rest) = &said.rest {
+            hear_rest(context, upstream, rest);
+        }
+    } else if source == upstream_notice::NoticeSource::Answer {
+        hear_taken(context, upstream);
     }
 }
 
@@ -49,16 +54,86 @@
     context.fleet.borrow().list.notices().told(context.now(), upstream)
 }
 
+/// Takes in what an upstream told another member.
+pub(crate) fn hear_members(
+    context: &context::InstanceContext,
+    reports: Vec<peer_message::LeavingReport>,
+) {
+    for report in reports {
+        let age = time::Duration::from_millis(report.age_ms);
+        note_leaving(context, &report.upstream, upstream_notice::NoticeSource::Member, age);
+    }
+}
+
+/// Tells a member which upstreams have said that they leave while the list goes on naming them, or lacks them.
+pub(crate) fn tell_leaving(context: &context::InstanceContext, to: net::SocketAddrV4) {
+    if context.settings().experiments.leaving_news == ways::LeavingNewsWay::Heard {
+        return;
+    }
+    let now = context.now();
+    let told = {
+        let fleet = context.fleet.borrow();
+        let notices = fleet.list.notices();
+        // Where the list says so too, it tells the others.
+        let is_listed_live = |(upstream, _): &(&ids::UpstreamId, _)| {
+            let entry = fleet.list.entry(upstream);
+            entry.is_none_or(|entry| entry.state == fleet_list::ListState::Live)
+        };
+        let report = |(upstream, leaving): (&ids::UpstreamId, upstream_notice::LeavingNotice)| {
+            let age_ms = units::whole_millis(now.since(leaving.since));
+            peer_message::LeavingReport { upstream: upstream.clone(), age_ms }
+        };
+        notices.own_words().filter(is_listed_live).map(report).collect::<Vec<_>>()
+    };
+    for reports in told.chunks(peer_message::MAX_LEAVING) {
+        context.tell(to, peer_message::PeerMessage::Leaving(reports.to_vec()));
+    }
+}
+
+/// Takes in an upstream's own word that it leaves, and tells all members: the list may be late by as long as its
+/// source is away, and whoever else sends there would need an answer of its own to know.
 fn hear_leaving(
     context: &context::InstanceContext,
     upstream: &ids::UpstreamId,
     source: upstream_notice::NoticeSource,
 ) {
-    let now = context.now();
+    let news = note_leaving(context, upstream, source, time::Duration::ZERO);
+    if !news || context.settings().experiments.leaving_news == ways::LeavingNewsWay::Heard {
+        return;
+    }
+    let report = peer_message::LeavingReport { upstream: upstream.clone(), age_ms: 0 };
+    for member in context.members.borrow().alive(context.now()) {
+        let message = peer_message::PeerMessage::Leaving(vec![report.clone()]);
+        context.tell(member.address, message);
+    }
+}
+
+/// Notes that an upstream leaves; whether that is news.
+fn note_leaving(
+    context: &context::InstanceContext,
+    upstream: &ids::UpstreamId,
+    source: upstream_notice::NoticeSource,
+    age: time::Duration,
+) -> bool {
     let mut fleet = context.fleet.borrow_mut();
-    if fleet.list.hear_leaving(now, upstream, source, time::Duration::ZERO) {
-        log::info!(upstream:%, source:%; "upstream.leaves");
+    let news = fleet.list.hear_leaving(context.now(), upstream, source, age);
+    if news {
+        let age_ms = units::whole_millis(age);
+        log::info!(upstream:%, source:%, age_ms; "upstream.leaves");
         context.stats.borrow_mut().count("upstream_leaves", &source.to_string());
+        if let Some(entry) = fleet.list.entry(upstream) {
+            // Nothing goes over them any more.
+            context.pool.forget(entry.address);
+        }
+    }
+    news
+}
+
+/// Takes in that an upstream has taken a request.
+fn hear_taken(context: &context::InstanceContext, upstream: &ids::UpstreamId) {
+    let mut fleet = context.fleet.borrow_mut();
+    if fleet.list.notices_mut().hear_taken(context.now(), upstream) {
+        log::info!(upstream:%; "upstream.rested");
     }
 }
 
@@ -67,13 +142,8 @@
 fn hear_rest(
     context: &context::InstanceContext,
     upstream: &ids::UpstreamId,
-    status: http::StatusCode,
     rest: &Result<time::Duration, border::FormatError>,
 ) {
-    let turned_away = [http::StatusCode::SERVICE_UNAVAILABLE, http::StatusCode::TOO_MANY_REQUESTS];
-    if !turned_away.contains(&status) {
-        return;
-    }
     let asked = match rest {
         Ok(asked) => *asked,
         Err(error) => {
@@ -82,7 +152,10 @@
             return;
         }
     };
-    let news = context.fleet.borrow_mut().list.hear_rest(context.now(), upstream, asked);
+    let news = {
+        let mut fleet = context.fleet.borrow_mut();
+        fleet.list.notices_mut().hear_rest(context.now(), upstream, asked)
+    };
     let asked_ms = units::whole_millis(asked);
     let for_ms = units::whole_millis(asked.min(upstream_notice::MAX_REST));
     match news {
--- a/crates/instance/src/upstream_pool.rs
+++ b/crates/instance/src/upstream_pool.rs
@@ -7,6 +7,8 @@
 use slipturn_net::{boot_clock, h1};
 use snafu::Snafu;
 
+use crate::upstream_gate;
+
 /// Time for a connection to come about; within a region it takes a few milliseconds.
 const CONNECT_TIME: time::Duration = time::Duration::from_millis(400);
 /// Resting connections kept for each upstream.
@@ -70,14 +72,23 @@
 pub struct UpstreamConnection {
     /// What the upstream sends.
     pub reader: h1::MessageReader,
-    /// What is sent to it.
-    pub writer: h1::MessageWriter,
+    writer: h1::MessageWriter,
     /// Whether it has carried a request before.
     pub used: bool,
     /// Its times.
     pub life: rc::Rc<ConnectionLife>,
 }
 
+impl UpstreamConnection {
+    /// Both sides, for a request that the gate has let through.
+    pub fn sides(
+        &mut self,
+        _pass: &upstream_gate::SendPass<'_>,
+    ) -> (&mut h1::MessageReader, &mut h1::MessageWriter) {
+        (&mut self.reader, &mut self.writer)
+    }
+}
+
 #[derive(Debug)]
 struct RestingConnection {
     connection: UpstreamConnection,
