News that must reach all members in one decision; tests of the gate, the members and the belief

Change: core::news_spread decides to whom (found: all; repeat: three a second; woke: asks three); member_news, the quarantine's news and the word of a 421 go by it.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod key_vote;
 pub mod member_beat;
 pub mod membership;
+pub mod news_spread;
 pub mod pass_model;
 pub mod placement;
 pub mod planner;
--- a/crates/core/tests/planner_faults.rs
+++ b/crates/core/tests/planner_faults.rs
@@ -11,7 +11,7 @@
     },
     settings::RoutingKind,
 };
-use support::{at, engine, shape, short};
+use support::{SLOTS, at, engine, long, shape, short};
 
 fn planner(engines: usize, ways: PlannerWays) -> ReadPlanner {
     let options = PlannerOptions { routing: RoutingKind::ExpectedStart, ways };
@@ -142,3 +142,66 @@
     };
     assert!(refused(ShortRefusalWay::Crowded) && !refused(ShortRefusalWay::Hopeless));
 }
+
+/// An engine that wants rest of one member stands idle for its requests: its free places are none of theirs.
+#[test]
+fn places_that_a_member_must_not_use_are_not_counted_for_it() {
+    let mut planner = planner(3, PlannerWays::default());
+    let closed = vec![engine(0), engine(1)];
+    let closed_to = |number| PlaceAsk { excluded: closed.clone(), ..short(number) };
+    for number in 0..SLOTS as u64 {
+        let grant =
+            place(&mut planner, number * 100, PlaceAsk { refusable: false, ..closed_to(number) });
+        assert_eq!(grant.engine, engine(2));
+        planner.first_token(at(number * 100 + 60), grant.job);
+    }
+    let now = SLOTS as u64 * 100;
+    let answer = planner.ask(at(now), closed_to(100));
+    assert!(matches!(answer, Some(PlaceAnswer::Refuse(_))), "at once, not in a queue: {answer:?}");
+    let other = place(&mut planner, now, short(101));
+    assert_ne!(other.engine, engine(2), "another member's request has two engines of its own");
+}
+
+/// Its engine may ask a member for rest while a prompt of that member waits for its turn there.
+#[test]
+fn a_prompt_that_waits_follows_what_its_member_asks_again() {
+    let mut planner = planner(2, PlannerWays::default());
+    let patient = |number| PlaceAsk {
+        goal_ms: 20_000,
+        goal_left_ms: 20_000,
+        patience_ms: 40_000,
+        ..long(number, 280_000)
+    };
+    let closed = |number| PlaceAsk { excluded: vec![engine(0)], ..patient(number) };
+    let mut reading = Vec::new();
+    let mut waiting = Vec::new();
+    for number in 0..6 {
+        match planner.ask(at(number), patient(number)) {
+            Some(PlaceAnswer::Grant(grant)) => reading.push((number, grant)),
+            _ => waiting.push(number),
+        }
+    }
+    waiting.retain(|number| planner.ask(at(10), closed(*number)).is_none());
+    assert!(!waiting.is_empty(), "there is more than both can read at once");
+    let mut answered = std::collections::BTreeSet::new();
+    for now in (20..60_000).step_by(10) {
+        for answer in planner.tick(at(now)) {
+            answered.insert(answer.job().sequence);
+            let PlaceAnswer::Grant(grant) = answer else { continue };
+            let mut used = std::iter::once(&grant.engine).chain(&grant.helpers);
+            let after = waiting.contains(&grant.job.sequence);
+            assert!(!after || used.all(|used| *used != engine(0)), "{grant:?}");
+            reading.push((now, grant));
+        }
+        for (since, grant) in &reading {
+            planner.renew(at(now), grant.job, true);
+            if now >= since + u64::from(grant.first_token_ms) {
+                planner.first_token(at(now), grant.job);
+                planner.end(at(now), grant.job, PlaceEnd::Done);
+            }
+        }
+        reading.retain(|(since, grant)| now < since + u64::from(grant.first_token_ms));
+    }
+    let told = waiting.iter().filter(|number| answered.contains(*number)).count();
+    assert_eq!(told, waiting.len(), "each has its turn elsewhere, or is told that it has none");
+}
--- a/crates/core/tests/planner_key.rs
+++ b/crates/core/tests/planner_key.rs
@@ -72,3 +72,18 @@
     );
     assert_eq!(pick(&service(), &[], &[], &[0], 0), None);
 }
+
+/// A cell all of whose engines are closed to a request would keep it waiting in vain.
+#[test]
+fn a_cell_that_is_closed_to_a_request_is_not_asked() {
+    let engines = engines(150);
+    let names: Vec<_> = engines.iter().collect();
+    let cells = cell_count(names.len());
+    let closed: Vec<_> =
+        names.iter().copied().filter(|name| cell_of(&service(), name, cells) == 0).collect();
+    for drawn in 0..150 {
+        let key = pick(&service(), &names, &closed, &[], drawn).expect("one is open");
+        assert_eq!(key.cell, 1, "drawn {drawn}");
+    }
+    assert_eq!(pick(&service(), &names, &names, &[], 0), None, "none is open");
+}
--- a/crates/core/tests/upstream_list.rs
+++ b/crates/core/tests/upstream_list.rs
@@ -6,6 +6,7 @@
     fleet_list::ListState,
     ids, units,
     upstream_list::{ListChange, UpstreamEntry, UpstreamList},
+    upstream_notice::{KeptBack, NoticeSource, SendKind, TrialTurn},
 };
 
 fn at(millis: u64) -> units::MonoTime {
@@ -267,3 +268,83 @@
     list.tick(at(30_000));
     assert_eq!(present(&list, 1), Some(60));
 }
+
+fn none() -> time::Duration {
+    time::Duration::ZERO
+}
+
+fn rest(list: &mut UpstreamList, now: u64, number: u8, millis: u64) {
+    let asked = time::Duration::from_millis(millis);
+    list.notices_mut().hear_rest(at(now), &name(number), asked);
+}
+
+fn open(list: &UpstreamList, now: u64, turn: TrialTurn) -> Vec<ids::UpstreamId> {
+    list.open(at(now), &service(), turn).into_iter().map(|entry| entry.name.clone()).collect()
+}
+
+/// The list goes on naming it, lapses and names it again; another start begins anew.
+#[test]
+fn an_upstreams_own_word_outlives_what_the_list_says() {
+    let mut list = full();
+    let before = list.changes();
+    assert!(list.hear_leaving(at(1), &name(1), NoticeSource::Answer, none()));
+    assert!(list.changes() > before, "planners are brought up to it");
+    assert_eq!(usable(&list), 3);
+    list.apply(at(2), vec![ListChange::Present(entry(1))], 11);
+    assert_eq!(usable(&list), 3, "a write that was on its way");
+    list.apply(at(3), vec![ListChange::Gone(name(1))], 12);
+    list.forget_notices(at(4));
+    list.apply(at(30_000), vec![ListChange::Present(entry(1))], 13);
+    assert_eq!(usable(&list), 3, "a lapse");
+    let kept_back = list.permits(at(30_001), &name(1), SendKind::Request);
+    assert!(matches!(kept_back, Err(KeptBack::Leaves(NoticeSource::Answer, _))), "{kept_back:?}");
+    let again = UpstreamEntry { name: "u1@200".parse().expect("a valid name"), ..entry(1) };
+    list.apply(at(31_000), vec![ListChange::Present(again)], 14);
+    assert_eq!(usable(&list), 4, "another start of it");
+    assert_eq!(list.permits(at(31_001), &name(1), SendKind::Request), Ok(()));
+}
+
+/// Of a start that is over no old word counts for the present one, whoever repeats it.
+#[test]
+fn a_word_on_a_start_that_is_over_changes_nothing() {
+    let mut list = UpstreamList::default();
+    let start = |start: u64| UpstreamEntry {
+        name: format!("u1@{start}").parse().expect("a valid name"),
+        ..entry(1)
+    };
+    list.replace(at(0), vec![start(100)], 1);
+    list.apply(at(10), vec![ListChange::Present(start(200))], 2);
+    list.hear_leaving(at(20), &start(100).name, NoticeSource::Member, none());
+    assert_eq!(usable(&list), 1);
+    let old = time::Duration::from_secs(500);
+    assert!(!list.hear_leaving(at(30), &start(100).name, NoticeSource::Member, old));
+    assert!(list.hear_leaving(at(30), &start(200).name, NoticeSource::Member, old), "listed");
+}
+
+#[test]
+fn rest_concerns_this_instance_alone_and_ends_with_its_time() {
+    let mut list = full();
+    rest(&mut list, 0, 1, 3_000);
+    rest(&mut list, 0, 2, 5_000);
+    assert_eq!(usable(&list), 4, "others may send there");
+    assert_eq!(open(&list, 10, TrialTurn::Yes), [name(3), name(4)]);
+    assert_eq!(list.closed(at(10), &service(), TrialTurn::Yes), [&name(1), &name(2)]);
+    assert_eq!(list.first_back(at(10), &service()).expect("two rest").until, at(3_000));
+    // It has rested: who has another attempt in hand finds out, one at a time.
+    assert_eq!(open(&list, 3_000, TrialTurn::No), [name(3), name(4)]);
+    assert_eq!(open(&list, 3_000, TrialTurn::Yes), [name(1), name(3), name(4)]);
+    list.notices_mut().begin(at(3_000), &name(1));
+    assert_eq!(open(&list, 3_010, TrialTurn::Yes), [name(3), name(4)]);
+    list.notices_mut().hear_taken(at(3_020), &name(1));
+    assert_eq!(open(&list, 3_020, TrialTurn::No), [name(1), name(3), name(4)]);
+}
+
+#[test]
+fn where_only_rested_ones_are_left_they_are_used() {
+    let mut list = full();
+    (1..=4).for_each(|number| rest(&mut list, 0, number, 1_000 * u64::from(number)));
+    assert!(open(&list, 500, TrialTurn::Yes).is_empty());
+    assert_eq!(open(&list, 1_000, TrialTurn::No), [name(1)], "better than none");
+    list.notices_mut().begin(at(1_000), &name(1));
+    assert_eq!(open(&list, 1_010, TrialTurn::Yes), [name(1)]);
+}
--- a/crates/instance/src/upstream_news.rs
+++ b/crates/instance/src/upstream_news.rs
@@ -4,7 +4,7 @@
 
 use slipturn_core::{fleet_list, ids, planner::ways, units, upstream_notice};
 
-use crate::{border, context, peer_message};
+use crate::{border, context, member_news, peer_message};
 
 /// Takes in what the head of an answer says of the upstream that gave it, from the head's last byte on: an
 /// answer that breaks behind it has said it all the same.
@@ -102,10 +102,7 @@
         return;
     }
     let report = peer_message::LeavingReport { upstream: upstream.clone(), age_ms: 0 };
-    for member in context.members.borrow().alive(context.now()) {
-        let message = peer_message::PeerMessage::Leaving(vec![report.clone()]);
-        context.tell(member.address, message);
-    }
+    member_news::tell_all(context, &peer_message::PeerMessage::Leaving(vec![report]));
 }
 
 /// Notes that an upstream leaves; whether that is news.
@@ -180,8 +177,5 @@
         return;
     }
     log::info!(upstream:%; "upstream.gone");
-    for member in context.members.borrow().alive(context.now()) {
-        let message = peer_message::PeerMessage::Gone(upstream.clone());
-        context.tell(member.address, message);
-    }
+    member_news::tell_all(context, &peer_message::PeerMessage::Gone(upstream.clone()));
 }
