--- a/crates/instance/src/engine_fault.rs
+++ b/crates/instance/src/engine_fault.rs
@@ -36,7 +36,13 @@
     fault: &upstream_attempt::AttemptFault,
 ) {
     if fault.failure == retry::AttemptFailure::KeptBack {
-        // Nobody has failed; the gate is asked again before the next attempt.
+        // Nobody has failed, and the gate is asked again before the next attempt; a planner that does not
+        // know of it would give the same engine again.
+        let kind = upstream_notice::SendKind::Request;
+        let engine = &hold.grant.engine;
+        if context.fleet.borrow().list.permits(context.now(), engine, kind).is_err() {
+            state.excluded.push(engine.clone());
+        }
         return;
     }
     let named = fault.at_fault.and_then(|address| {
--- a/crates/soak/src/check.rs
+++ b/crates/soak/src/check.rs
@@ -9,6 +9,7 @@
     evidence::{self, Disturbance, Evidence},
     leave_check,
     traffic::SentRequest,
+    word_check,
 };
 
 /// Statuses that promise that a request has not run and never will.
@@ -37,6 +38,7 @@
     found.extend(unasked.map(|id| format!("a run that nobody asked for: {id:?}")));
     found.extend(config_check::violations(evidence));
     found.extend(leave_check::violations(evidence));
+    found.extend(word_check::violations(evidence));
     found
 }
 
--- a/crates/soak/src/evidence.rs
+++ b/crates/soak/src/evidence.rs
@@ -69,6 +69,21 @@
     pub ended: time::Instant,
 }
 
+/// A request's arrival at an upstream, run or not, and what its answer said in passing.
+#[derive(Debug, Clone)]
+pub struct UpstreamWord {
+    /// The upstream.
+    pub upstream: u8,
+    /// The request.
+    pub id: String,
+    /// When it came.
+    pub at: time::Instant,
+    /// When its answer said that the upstream leaves.
+    pub leaving: Option<time::Instant>,
+    /// When its answer turned it away, and for how long the upstream wanted rest.
+    pub rest: Option<(time::Instant, time::Duration)>,
+}
+
 /// What a run has seen.
 #[derive(Debug)]
 pub struct Evidence {
@@ -80,6 +95,10 @@
     pub runs: collections::HashMap<String, RunRecord>,
     /// Arrivals at all upstreams, those of probes among them.
     pub arrivals: Vec<RequestArrival>,
+    /// Arrivals of requests, run or not, with what upstreams said.
+    pub words: Vec<UpstreamWord>,
+    /// New starts of upstreams, which have said nothing yet.
+    pub renewals: Vec<(u8, time::Instant)>,
     /// Kills, pauses and the like, which excuse cut connections and long answers.
     pub unplanned: Vec<Disturbance>,
     /// Planned stops. A resting connection is closed in them, and a request may cross its end on
@@ -111,6 +130,8 @@
             sent: Vec::new(),
             runs: collections::HashMap::new(),
             arrivals: Vec::new(),
+            words: Vec::new(),
+            renewals: Vec::new(),
             unplanned: Vec::new(),
             stops: Vec::new(),
             outside: Vec::new(),
--- a/crates/soak/src/fault_plan.rs
+++ b/crates/soak/src/fault_plan.rs
@@ -10,7 +10,7 @@
 use rand_chacha::ChaCha8Rng;
 use slipturn_platform_standin::{proxy::LinkMode, runner::RunnerMode, store::StoreMode};
 
-use crate::{contact_plan, odd_plan};
+use crate::{contact_plan, odd_plan, word_plan};
 
 /// Pause between two faults, milliseconds: short enough for faults to overlap.
 const GAP_MS: std::ops::Range<u64> = 100..600;
@@ -60,6 +60,10 @@
     MemberLink(u8, LinkMode),
     /// An upstream starts again under its name; its new entry comes at the end.
     Restart(u8),
+    /// An upstream says in its answers that it leaves, and at the end starts again; the list hears nothing.
+    SayLeaving(u8),
+    /// An upstream turns away what comes, and asks for so many milliseconds of rest.
+    AskRest(u8, u64),
     /// Another writer overwrites an upstream's entry until the end.
     Overwrite(u8),
     /// Another writer writes an entry of its own, under this number.
@@ -115,6 +119,7 @@
     faults.extend(contact_plan::faults_beside(seed, size));
     faults.extend(contact_plan::scenes(seed, size));
     faults.extend(odd_plan::faults(seed, size));
+    faults.extend(word_plan::faults(seed, size));
     faults.sort_by_key(|planned| planned.at);
     faults
 }
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -13,3 +13,5 @@
 pub mod run;
 mod struck_fleet;
 pub mod traffic;
+mod word_check;
+mod word_plan;
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -8,13 +8,14 @@
 use slipturn_platform_standin::{
     caller::Outcome,
     fleet::{Fleet, FleetPlan},
+    runner::ArrivalKind,
 };
 
 use crate::{
     check,
     config_probe::ConfigProber,
     contact_plan,
-    evidence::{Evidence, RequestArrival},
+    evidence::{Evidence, RequestArrival, UpstreamWord},
     fault_plan::{self, PlannedFault},
     struck_fleet::StruckFleet,
     traffic::Traffic,
@@ -113,6 +114,15 @@
 /// Takes over what upstreams have noted.
 fn note_runs(fleet: &Fleet, evidence: &mut Evidence) {
     for (upstream, runner) in (0..).zip(fleet.runners()) {
+        let requests = runner.arrivals().into_iter();
+        let requests = requests.filter(|arrival| arrival.kind == ArrivalKind::Request);
+        evidence.words.extend(requests.map(|arrival| UpstreamWord {
+            upstream,
+            id: arrival.id,
+            at: arrival.at,
+            leaving: arrival.told,
+            rest: arrival.turned_away,
+        }));
         for (id, record) in runner.runs() {
             let arrival = |at: &_| {
                 let ended = record.ended.unwrap_or(*at);
--- a/crates/soak/src/struck_fleet.rs
+++ b/crates/soak/src/struck_fleet.rs
@@ -8,7 +8,7 @@
 use slipturn_platform_standin::{
     fleet::Fleet,
     proxy::{LinkMode, Proxy},
-    runner::RunnerMode,
+    runner::{RunnerMode, TurnAway},
     store::StoreMode,
 };
 
@@ -37,6 +37,8 @@
     UpstreamGood(u8),
     UpstreamLinkGood(u8),
     Return(u8),
+    Restart(u8),
+    RestOver(u8),
 }
 
 /// A fleet with its faults.
@@ -118,10 +120,21 @@
             }
             Fault::Leave(number) => self.leave(number, until),
             Fault::Restart(number) => {
-                self.fleet.runners()[usize::from(number)].restart();
+                self.restart(number);
                 self.disturb_outside(until);
                 self.ends.push((until, FaultEnd::Return(number)));
             }
+            Fault::SayLeaving(number) => {
+                self.fleet.runners()[usize::from(number)].say_leaving(true);
+                self.ends.push((until, FaultEnd::Restart(number)));
+            }
+            Fault::AskRest(number, millis) => {
+                let seconds = format!("{:.3}", millis as f64 / 1_000.0);
+                let how = Some(TurnAway::for_seconds(&seconds));
+                self.fleet.runners()[usize::from(number)].turn_away(how);
+                self.disturb_outside(until);
+                self.ends.push((until, FaultEnd::RestOver(number)));
+            }
             Fault::Overwrite(number) => {
                 self.overwrite(number);
                 self.ends.push((until, FaultEnd::Return(number)));
@@ -243,6 +256,15 @@
                 self.trouble_link(number, now);
             }
             FaultEnd::Return(number) => self.list(number, false),
+            FaultEnd::Restart(number) => {
+                // Another start has said nothing; what ran at the one before is lost.
+                self.restart(number);
+                self.disturb_outside(now);
+                self.list(number, false);
+            }
+            FaultEnd::RestOver(number) => {
+                self.fleet.runners()[usize::from(number)].turn_away(None);
+            }
         }
     }
 
@@ -277,6 +299,12 @@
         self.ends.push((until, FaultEnd::Start(number)));
     }
 
+    /// Starts an upstream again.
+    fn restart(&mut self, number: u8) {
+        self.evidence.renewals.push((number, Instant::now()));
+        self.fleet.runners()[usize::from(number)].restart();
+    }
+
     fn leave(&mut self, number: u8, until: Instant) {
         self.list(number, true);
         self.ends.push((until, FaultEnd::Return(number)));
--- a/crates/soak/tests/judgements.rs
+++ b/crates/soak/tests/judgements.rs
@@ -6,7 +6,7 @@
 use slipturn_soak::{
     check,
     config_probe::{ConfigProbe, ProbeAim, Publication},
-    evidence::{Disturbance, Evidence, LinkTrouble, RequestArrival, UpstreamListing},
+    evidence::{Disturbance, Evidence, LinkTrouble, RequestArrival, UpstreamListing, UpstreamWord},
     traffic::SentRequest,
 };
 
@@ -167,3 +167,64 @@
         assert_eq!(check::violations(&evidence).len(), found, "{kill:?}");
     }
 }
+
+/// A run with one request of instance 0 that an upstream answered with a word at 1 s, and another there later.
+fn spoken(leaving: bool, rest: Option<Duration>, later: Duration) -> Evidence {
+    let mut evidence = Evidence::new();
+    let [told, at] = [SECOND, later].map(|at| evidence.started + at);
+    for (number, at) in [told, at].into_iter().enumerate() {
+        let id = format!("1-0-{number}");
+        let first = number == 0;
+        evidence.words.push(UpstreamWord {
+            upstream: 5,
+            id: id.clone(),
+            at,
+            leaving: leaving.then_some(told).filter(|_| first),
+            rest: rest.map(|rest| (told, rest)).filter(|_| first),
+        });
+        evidence.sent.push(SentRequest {
+            id,
+            route: "safe",
+            instance: 0,
+            outcome: Some(Outcome::Good),
+            from: at,
+            to: at,
+            ended_rest: None,
+        });
+    }
+    evidence
+}
+
+#[test]
+fn a_request_behind_a_word_is_a_violation() {
+    let three = Some(SECOND * 3);
+    for (leaving, rest, later, found) in [
+        (true, None, 3_100, 0),
+        (true, None, 3_300, 1),
+        (false, three, 1_400, 0),
+        (false, three, 1_600, 1),
+        (false, three, 3_900, 1),
+        (false, three, 4_100, 0),
+        (false, None, 60_000, 0),
+    ] {
+        let evidence = spoken(leaving, rest, MILLI * later);
+        let violations = check::violations(&evidence);
+        assert_eq!(violations.len(), found, "{leaving} {rest:?} {later} ms: {violations:?}");
+    }
+}
+
+#[test]
+fn another_start_a_lost_contact_and_a_harmed_link_excuse_it() {
+    let mut renewed = spoken(true, None, SECOND * 10);
+    renewed.renewals.push((5, renewed.started + SECOND * 2));
+    assert_eq!(check::violations(&renewed).len(), 0);
+    for (instance, found) in [(0, 0), (1, 1)] {
+        let mut evidence = spoken(true, None, SECOND * 10);
+        lose_contact(&mut evidence, Some(instance), SECOND * 2, SECOND * 5);
+        assert_eq!(check::violations(&evidence).len(), found, "instance {instance}");
+    }
+    let mut harmed = spoken(false, Some(SECOND * 20), SECOND * 10);
+    let (from, to) = (harmed.started, harmed.started + SECOND * 2);
+    harmed.link_troubles.push(LinkTrouble { upstream: 5, from, to });
+    assert_eq!(check::violations(&harmed).len(), 0);
+}
