--- a/crates/core/src/upstream_list.rs
+++ b/crates/core/src/upstream_list.rs
@@ -169,10 +169,12 @@
 
     /// Whether an upstream may still be sent a request, whichever its present start is.
     pub fn is_usable(&self, name: &ids::UpstreamId) -> bool {
-        self.entry(name).is_some_and(|entry| {
-            self.is_staying(entry)
-                && self.usable(&entry.service).iter().any(|usable| usable.name == entry.name)
-        })
+        let Some(entry) = self.entry(name).filter(|entry| self.is_staying(entry)) else {
+            return false;
+        };
+        // Asked for each request and each engine that reads a part of it; only doubt needs all the others.
+        !self.doubtful.contains_key(entry.name.identifier())
+            || self.usable(&entry.service).iter().any(|usable| usable.name == entry.name)
     }
 
     /// Whether nobody says that an upstream leaves.
--- a/crates/instance/src/plan_client.rs
+++ b/crates/instance/src/plan_client.rs
@@ -134,6 +134,8 @@
     grant: engine_place::PlaceGrant,
 ) -> PlaceHold {
     let job = ask.job;
+    // Whom it must not use mattered for the choice alone; many repeated leases must fit a datagram.
+    let ask = engine_place::PlaceAsk { excluded: Vec::new(), ..ask };
     let lease = engine_place::PlaceLease { ask, grant: grant.clone(), reading: true };
     let held = context::HeldLease { key: key.clone(), lease };
     context.leases.borrow_mut().insert(job, held);
--- a/crates/instance/tests/peer_message.rs
+++ b/crates/instance/tests/peer_message.rs
@@ -7,7 +7,7 @@
 use slipturn_core::member_beat::AliveBeat;
 use slipturn_core::planner_key::PlannerKey;
 use slipturn_instance::peer_message::{
-    MAX_DATAGRAM, MAX_LEASES, MAX_RENEWED, PeerMessage, RenewedJob,
+    LeavingReport, MAX_DATAGRAM, MAX_LEASES, MAX_LEAVING, MAX_RENEWED, PeerMessage, RenewedJob,
 };
 
 fn name(text: &str) -> slipturn_core::ids::UpstreamId {
@@ -114,3 +114,19 @@
         println!("{} bytes", bytes.len());
     }
 }
+
+/// Members' largest words on upstreams: a whole cell of engines that one must not use, and a message full of
+/// engines that leave, with starts that are told.
+#[test]
+fn words_on_upstreams_fit_a_datagram() {
+    let named = name("i-0123456789ab@1764633600000");
+    let ask = PlaceAsk { excluded: vec![named.clone(); 140], ..lease(1).ask };
+    let asked = PeerMessage::Ask(key(), Box::new(ask)).encode().expect("it can be coded");
+    let report = LeavingReport { upstream: named, age_ms: 9_999_999 };
+    let full = PeerMessage::Leaving(vec![report.clone(); MAX_LEAVING]);
+    let full = full.encode().expect("it can be coded");
+    let one = PeerMessage::Leaving(vec![report]).encode().expect("it can be coded");
+    println!("{} bytes asked, {} and {} bytes of leaving", asked.len(), one.len(), full.len());
+    assert!(asked.len() < MAX_DATAGRAM && full.len() < MAX_DATAGRAM);
+    assert!(one.len() <= 40);
+}
