What is sent and why not apart from what is believed; targets of streams apart; a verdict's names in one place

Ruled out: a change of behaviour: moves only.

Tests of core, instance, net and of the words, the quarantine and the walks on real instances pass.

--- a/crates/core/src/quarantine.rs
+++ b/crates/core/src/quarantine.rs
@@ -83,6 +83,14 @@
     pub until: units::MonoTime,
 }
 
+impl QuarantineVerdict {
+    /// The upstreams' names, for people.
+    pub fn names(&self) -> String {
+        let names: Vec<_> = self.upstreams.iter().map(ToString::to_string).collect();
+        names.join(" ")
+    }
+}
+
 /// One request that upstreams ended under.
 #[derive(Debug, Default)]
 struct SuspectRecord {
--- a/crates/core/src/upstream_notice.rs
+++ b/crates/core/src/upstream_notice.rs
@@ -7,7 +7,7 @@
 
 use std::{collections, fmt, time};
 
-use crate::{ids, units};
+use crate::{ids, send_permit, units};
 
 /// Longest rest that is believed. Longer ones are mistakes more likely than wishes, and nobody who gets no
 /// requests can take them back; service proxies bound what they are asked for at the same five minutes.
@@ -91,87 +91,6 @@
     All,
 }
 
-/// Whether a request may be the one that finds out whether an upstream takes work again behind its rest.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum TrialTurn {
-    /// It has another attempt left, should it be turned away.
-    Yes,
-    /// It has none, or has been turned away already: of six upstreams two of which turned all away, each time that
-    /// their rests were over a call met both, one behind the other, and was lost (12 of 928).
-    No,
-}
-
-impl TrialTurn {
-    /// Of a request that has made so many attempts of so many.
-    pub fn of(made: usize, allowed: u32) -> Self {
-        if made == 0 && allowed > 1 { Self::Yes } else { Self::No }
-    }
-}
-
-/// What is sent to an upstream.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum SendKind {
-    /// A request, or one that names it for a part of its prompt.
-    Request,
-    /// An order that sets memory aside.
-    Hold,
-    /// An order that keeps it for a request under way.
-    Renewal,
-    /// An order that gives it back.
-    Release,
-    /// A question for its report.
-    Report,
-    /// A connection that shows whether it listens.
-    Check,
-}
-
-impl fmt::Display for SendKind {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(match self {
-            Self::Request => "request",
-            Self::Hold => "hold",
-            Self::Renewal => "renewal",
-            Self::Release => "release",
-            Self::Report => "report",
-            Self::Check => "check",
-        })
-    }
-}
-
-/// Why something is not sent.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum KeptBack {
-    /// The upstream leaves: by whose word, and for how long that is known.
-    Leaves(NoticeSource, time::Duration),
-    /// It wants rest for so much longer.
-    Rests(time::Duration),
-    /// It is not listed any more.
-    Unlisted,
-}
-
-impl KeptBack {
-    /// The case in one word, for counters.
-    pub fn word(self) -> &'static str {
-        match self {
-            Self::Leaves(..) => "leaves",
-            Self::Rests(_) => "rests",
-            Self::Unlisted => "unlisted",
-        }
-    }
-}
-
-impl fmt::Display for KeptBack {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Self::Leaves(source, age) => {
-                write!(f, "kept back: it leaves, by {source} {} ago", seconds(*age))
-            }
-            Self::Rests(left) => write!(f, "kept back: it rests {} more", seconds(*left)),
-            Self::Unlisted => f.write_str("kept back: it is not listed any more"),
-        }
-    }
-}
-
 /// What a word on rest changed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RestNews {
@@ -250,19 +169,19 @@
         &self,
         now: units::MonoTime,
         name: &ids::UpstreamId,
-        kind: SendKind,
-    ) -> Result<(), KeptBack> {
-        if matches!(kind, SendKind::Renewal | SendKind::Release) {
+        kind: send_permit::SendKind,
+    ) -> Result<(), send_permit::KeptBack> {
+        if matches!(kind, send_permit::SendKind::Renewal | send_permit::SendKind::Release) {
             return Ok(());
         }
         let Some(notice) = self.notices.get(name) else {
             return Ok(());
         };
-        if let Some(leaving) = notice.leaving.filter(|_| kind != SendKind::Report) {
-            return Err(KeptBack::Leaves(leaving.source, now.since(leaving.since)));
+        if let Some(leaving) = notice.leaving.filter(|_| kind != send_permit::SendKind::Report) {
+            return Err(send_permit::KeptBack::Leaves(leaving.source, now.since(leaving.since)));
         }
         match notice.rest.filter(|rest| now < rest.until) {
-            Some(rest) => Err(KeptBack::Rests(rest.until.since(now))),
+            Some(rest) => Err(send_permit::KeptBack::Rests(rest.until.since(now))),
             None => Ok(()),
         }
     }
@@ -272,7 +191,7 @@
         &self,
         now: units::MonoTime,
         name: &ids::UpstreamId,
-        turn: TrialTurn,
+        turn: send_permit::TrialTurn,
     ) -> bool {
         let rest = self.notices.get(name).and_then(|notice| notice.rest);
         let rested = rest.filter(|rest| rest.until <= now && now < rest.until + RETURN_TIME);
@@ -280,7 +199,7 @@
             return false;
         };
         let tried = rest.trial.is_some_and(|at| now.since(at) < TRIAL_TIME);
-        tried || turn == TrialTurn::No
+        tried || turn == send_permit::TrialTurn::No
     }
 
     /// Notes that a request goes to a start; whether it is the one that finds out behind a rest.
@@ -396,6 +315,7 @@
     }
 }
 
-fn seconds(span: time::Duration) -> String {
+/// A span for people.
+pub(crate) fn seconds(span: time::Duration) -> String {
     format!("{:.1} s", span.as_secs_f64())
 }
--- a/crates/core/tests/upstream_list.rs
+++ b/crates/core/tests/upstream_list.rs
@@ -4,9 +4,11 @@
 
 use slipturn_core::{
     fleet_list::ListState,
-    ids, units,
+    ids,
+    send_permit::{KeptBack, SendKind, TrialTurn},
+    units,
     upstream_list::{ListChange, UpstreamEntry, UpstreamList},
-    upstream_notice::{KeptBack, NoticeSource, SendKind, TrialTurn},
+    upstream_notice::NoticeSource,
 };
 
 fn at(millis: u64) -> units::MonoTime {
--- a/crates/core/tests/upstream_notice.rs
+++ b/crates/core/tests/upstream_notice.rs
@@ -4,10 +4,10 @@
 
 use proptest::prelude::*;
 use slipturn_core::{
-    ids, units,
-    upstream_notice::{
-        KeptBack, MAX_REST, NoticeSource, NoticeTable, RestNews, RestReturnWay, SendKind, TrialTurn,
-    },
+    ids,
+    send_permit::{KeptBack, SendKind, TrialTurn},
+    units,
+    upstream_notice::{MAX_REST, NoticeSource, NoticeTable, RestNews, RestReturnWay},
 };
 
 const ALL_KINDS: [SendKind; 6] = [
--- a/crates/instance/src/caller_connection.rs
+++ b/crates/instance/src/caller_connection.rs
@@ -265,9 +265,8 @@
     verdict: &quarantine::QuarantineVerdict,
 ) -> Result<ConnectionNext, h1::MessageError> {
     let refusal = quarantine_gate::refusal(context, call, verdict);
-    let upstreams: Vec<_> = verdict.upstreams.iter().map(ToString::to_string).collect();
     let (why, ran) = (&refusal.message, refusal.ran.word());
-    record.outcome = format!("{why}: {} (ran: {ran})", upstreams.join(" "));
+    record.outcome = format!("{why}: {} (ran: {ran})", verdict.names());
     record.digest = Some(call.digest().to_string());
     context.stats.borrow_mut().count("held_back", &call.service.to_string());
     if reply.begun {
--- a/crates/instance/src/cell_search.rs
+++ b/crates/instance/src/cell_search.rs
@@ -2,7 +2,7 @@
 
 use std::{rc, time};
 
-use slipturn_core::{engine_place, planner::ways, upstream_notice};
+use slipturn_core::{engine_place, planner::ways, send_permit};
 
 use crate::{context, incoming_call, plan_client};
 
@@ -16,7 +16,7 @@
     context: &rc::Rc<context::InstanceContext>,
     call: &incoming_call::IncomingCall,
     ask: engine_place::PlaceAsk,
-    turn: upstream_notice::TrialTurn,
+    turn: send_permit::TrialTurn,
     limit: time::Duration,
 ) -> plan_client::PlaceOutcome {
     let asked = context.now();
--- a/crates/instance/src/context.rs
+++ b/crates/instance/src/context.rs
@@ -5,7 +5,7 @@
 use futures::{channel::mpsc, channel::oneshot, future};
 use slipturn_core::{
     class_worth, engine_place, fleet_budget, ids, member_beat, membership, planner, planner_key,
-    quarantine, store_belief, units, upstream_notice,
+    quarantine, send_permit, store_belief, units,
 };
 use slipturn_net::process;
 
@@ -262,7 +262,7 @@
     pub fn pick_planner(
         &self,
         service: &ids::ServiceId,
-        turn: upstream_notice::TrialTurn,
+        turn: send_permit::TrialTurn,
         refused: &[u16],
     ) -> Option<planner_key::PlannerKey> {
         let fleet = self.fleet.borrow();
@@ -277,7 +277,7 @@
     pub fn closed_engines(
         &self,
         key: &planner_key::PlannerKey,
-        turn: upstream_notice::TrialTurn,
+        turn: send_permit::TrialTurn,
     ) -> Vec<ids::UpstreamId> {
         let fleet = self.fleet.borrow();
         let closed = fleet.list.closed(self.now(), &key.service, turn);
--- a/crates/instance/src/engine_call.rs
+++ b/crates/instance/src/engine_call.rs
@@ -3,7 +3,7 @@
 use std::{net, time};
 
 use bytes::Bytes;
-use slipturn_core::{ids, upstream_notice};
+use slipturn_core::{ids, send_permit, upstream_notice};
 use snafu::Snafu;
 
 use crate::{border, context, document_call, upstream_gate, upstream_news};
@@ -15,7 +15,7 @@
     #[snafu(display("{reason}"))]
     KeptBack {
         /// Why.
-        reason: upstream_notice::KeptBack,
+        reason: send_permit::KeptBack,
     },
     /// The call failed, or was refused.
     #[snafu(display("{source}"))]
@@ -51,7 +51,7 @@
     limit: time::Duration,
 ) -> Result<Bytes, EngineCallError> {
     let path = border::UpstreamBorder::report_path(&*context.border);
-    let kind = upstream_notice::SendKind::Report;
+    let kind = send_permit::SendKind::Report;
     send(context, to, kind, ("GET", &path, Bytes::new()), limit).await
 }
 
@@ -59,7 +59,7 @@
 pub(crate) async fn order(
     context: &context::InstanceContext,
     to: &EngineAddress,
-    kind: upstream_notice::SendKind,
+    kind: send_permit::SendKind,
     order: &border::MemoryOrder,
     limit: time::Duration,
 ) -> Result<Bytes, EngineCallError> {
@@ -70,7 +70,7 @@
 async fn send(
     context: &context::InstanceContext,
     to: &EngineAddress,
-    kind: upstream_notice::SendKind,
+    kind: send_permit::SendKind,
     (method, path, body): (&str, &str, Bytes),
     limit: time::Duration,
 ) -> Result<Bytes, EngineCallError> {
@@ -86,7 +86,7 @@
     let answer = connection.call_whole(method, path, body, left).await.map_err(failed)?;
     // What it says in passing is heard also where it refuses.
     let source = match kind {
-        upstream_notice::SendKind::Report => upstream_notice::NoticeSource::Report,
+        send_permit::SendKind::Report => upstream_notice::NoticeSource::Report,
         _ => upstream_notice::NoticeSource::Order,
     };
     upstream_news::hear_at(context, to.address, &answer.head, source);
--- a/crates/instance/src/engine_fault.rs
+++ b/crates/instance/src/engine_fault.rs
@@ -1,6 +1,6 @@
 //! What follows from an engine's fault for the other attempts of a request, and for others.
 
-use slipturn_core::{connection_silence, engine_place, retry, units, upstream_notice};
+use slipturn_core::{connection_silence, engine_place, retry, send_permit, units};
 
 use crate::{
     context, plan_client, silence_watch, stream_state, upstream_attempt, upstream_pool,
@@ -38,7 +38,7 @@
     if fault.failure == retry::AttemptFailure::KeptBack {
         // Nobody has failed, and the gate is asked again before the next attempt; a planner that does not
         // know of it would give the same engine again.
-        let kind = upstream_notice::SendKind::Request;
+        let kind = send_permit::SendKind::Request;
         let engine = &hold.grant.engine;
         if context.fleet.borrow().list.permits(context.now(), engine, kind).is_err() {
             state.excluded.push(engine.clone());
@@ -71,7 +71,7 @@
     hold: &plan_client::PlaceHold,
 ) -> bool {
     let fleet = context.fleet.borrow();
-    let open = fleet.list.open(context.now(), &hold.key().service, upstream_notice::TrialTurn::No);
+    let open = fleet.list.open(context.now(), &hold.key().service, send_permit::TrialTurn::No);
     open.iter().all(|entry| entry.name == hold.grant.engine || state.excluded.contains(&entry.name))
 }
 
--- a/crates/instance/src/lib.rs
+++ b/crates/instance/src/lib.rs
@@ -47,6 +47,7 @@
 mod store_watch;
 mod stream_policy;
 mod stream_state;
+mod stream_target;
 pub mod upstream_attempt;
 mod upstream_choice;
 pub mod upstream_ends;
--- a/crates/instance/src/memory_hold.rs
+++ b/crates/instance/src/memory_hold.rs
@@ -2,7 +2,7 @@
 
 use std::{cell, net, rc, time};
 
-use slipturn_core::{engine_place, ids, units, upstream_notice};
+use slipturn_core::{engine_place, ids, send_permit, units};
 use snafu::Snafu;
 
 use crate::{border, context, engine_call, upstream_starts};
@@ -93,7 +93,7 @@
             // Kept before it is asked for: an order without an answer may be carried out later.
             hold.tickets.push(held);
         }
-        let kind = upstream_notice::SendKind::Hold;
+        let kind = send_permit::SendKind::Hold;
         let orders = hold.tickets.iter().map(|held| held_order(context, held, kind));
         let results = futures::future::join_all(orders).await;
         for (held, result) in hold.tickets.iter().zip(results) {
@@ -151,7 +151,7 @@
 async fn held_order(
     context: &context::InstanceContext,
     held: &HeldTicket,
-    kind: upstream_notice::SendKind,
+    kind: send_permit::SendKind,
 ) -> Result<Option<ids::UpstreamStart>, String> {
     let order = border::MemoryOrder::Hold {
         ticket: held.ticket.clone(),
@@ -173,7 +173,7 @@
 async fn send_order(
     context: &context::InstanceContext,
     held: &HeldTicket,
-    kind: upstream_notice::SendKind,
+    kind: send_permit::SendKind,
     order: &border::MemoryOrder,
 ) -> Result<Option<ids::UpstreamStart>, engine_call::EngineCallError> {
     let asked = context.now();
@@ -196,7 +196,7 @@
             if held.is_lost(&context) {
                 continue;
             }
-            let kind = upstream_notice::SendKind::Renewal;
+            let kind = send_permit::SendKind::Renewal;
             if let Err(reason) = held_order(&context, held, kind).await {
                 log::warn!(engine:% = held.engine, reason; "memory.not_renewed");
             }
@@ -228,7 +228,7 @@
     let _busy = context::BusyGuard::new(context);
     let order = border::MemoryOrder::Release { ticket: held.ticket.clone() };
     for attempt in 1..=RELEASE_TRIES {
-        match send_order(context, held, upstream_notice::SendKind::Release, &order).await {
+        match send_order(context, held, send_permit::SendKind::Release, &order).await {
             Ok(_) => return,
             // An engine that knows no such ticket has nothing to give back.
             Err(error) if error.is_over() => return,
--- a/crates/instance/src/model_request.rs
+++ b/crates/instance/src/model_request.rs
@@ -3,14 +3,14 @@
 use std::{pin, rc, time};
 
 use bytes::{Bytes, BytesMut};
-use slipturn_core::{connection_silence, engine_place, refusal, retry, upstream_notice};
+use slipturn_core::{connection_silence, engine_place, refusal, retry, send_permit};
 use slipturn_net::h1;
 
 use crate::{
     caller_connection, cell_search, context, engine_call, engine_fault, event_stream,
     incoming_call, memory_hold, plan_client, quarantine_gate, request_record, silence_watch,
-    stream_policy, stream_state, upstream_attempt, upstream_choice, upstream_ends, upstream_gate,
-    upstream_news,
+    stream_policy, stream_state, stream_target, upstream_attempt, upstream_choice, upstream_ends,
+    upstream_gate, upstream_news,
 };
 
 /// Places tried at most, those whose engine never saw the request included.
@@ -233,8 +233,8 @@
             return Ok(AttemptEnd::Fault(fault));
         }
     };
-    let Some(target) = target(context, call, state, &hold.grant, &memory) else {
-        let fault = upstream_gate::fault(upstream_notice::KeptBack::Unlisted);
+    let Some(target) = stream_target::target(context, call, state, &hold.grant, &memory) else {
+        let fault = upstream_gate::fault(send_permit::KeptBack::Unlisted);
         return Ok(AttemptEnd::Fault(fault));
     };
     let begun_at = context.now();
@@ -371,32 +371,3 @@
     };
     AttemptEnd::Fault(upstream_attempt::AttemptFault::new(failure, reason))
 }
-
-fn target(
-    context: &context::InstanceContext,
-    call: &incoming_call::IncomingCall,
-    state: &stream_state::StreamState,
-    grant: &engine_place::PlaceGrant,
-    memory: &memory_hold::MemoryHold,
-) -> Option<upstream_attempt::AttemptTarget> {
-    let fleet = context.fleet.borrow();
-    let engine = fleet.list.entry(&grant.engine)?;
-    let holders = grant.held.iter().map(|part| &part.engine);
-    let readers = grant.helpers.iter().filter(|helper| memory.ticket(helper).is_none());
-    let helpers = holders
-        .chain(readers)
-        .filter_map(|helper| {
-            let entry = fleet.list.entry(helper)?;
-            let (engine, address) = (entry.name.clone(), entry.address);
-            Some(upstream_attempt::PartReader { engine, address, ticket: memory.ticket(helper) })
-        })
-        .collect();
-    let late = context.now().since(call.arrived) > call.route.first_token_goal;
-    Some(upstream_attempt::AttemptTarget {
-        upstream: engine.name.clone(),
-        address: engine.address,
-        helpers,
-        last_event: state.last_event.clone(),
-        priority: Some(stream_policy::priority(call, late)),
-    })
-}
--- a/crates/instance/src/quarantine_news.rs
+++ b/crates/instance/src/quarantine_news.rs
@@ -224,9 +224,8 @@
         let Some(verdict) = table.verdict(context.now(), *digest) else {
             continue;
         };
-        let upstreams: Vec<_> = verdict.upstreams.iter().map(ToString::to_string).collect();
         let for_ms = units::whole_millis(verdict.until.since(context.now()));
-        log::warn!(digest:%, source, upstreams = upstreams.join(" "), for_ms; "request.quarantined");
+        log::warn!(digest:%, source, upstreams = verdict.names(), for_ms; "request.quarantined");
     }
     drop(table);
     for _ in held {
--- a/crates/instance/src/service_request.rs
+++ b/crates/instance/src/service_request.rs
@@ -3,9 +3,7 @@
 use std::{pin, rc, time};
 
 use futures::future;
-use slipturn_core::{
-    ids, refusal, retry, upstream_health::CallResult, upstream_list, upstream_notice,
-};
+use slipturn_core::{ids, refusal, retry, send_permit, upstream_health::CallResult, upstream_list};
 use slipturn_net::h1;
 
 use crate::{
@@ -280,7 +278,7 @@
     excluded: &[ids::UpstreamId],
 ) -> Option<upstream_list::UpstreamEntry> {
     let fleet = context.fleet.borrow();
-    let turn = upstream_notice::TrialTurn::of(excluded.len(), call.route.max_attempts);
+    let turn = send_permit::TrialTurn::of(excluded.len(), call.route.max_attempts);
     let mut open = fleet.list.open(context.now(), &call.service, turn);
     open.retain(|entry| !excluded.contains(&entry.name));
     let own = context.settings().data_center.clone();
--- a/crates/instance/src/small_server.rs
+++ b/crates/instance/src/small_server.rs
@@ -212,11 +212,10 @@
     let verdicts = held.filter_map(|digest| Some((digest, table.verdict(now, digest)?)));
     let row =
         |(digest, verdict): (request_digest::RequestDigest, quarantine::QuarantineVerdict)| {
-            let upstreams: Vec<_> = verdict.upstreams.iter().map(ToString::to_string).collect();
             serde_json::json!({
                 "digest": digest.to_string(),
                 "for_ms": units::whole_millis(verdict.until.since(now)),
-                "upstreams": upstreams.join(" "),
+                "upstreams": verdict.names(),
             })
         };
     verdicts.map(row).collect()
--- a/crates/instance/src/stream_state.rs
+++ b/crates/instance/src/stream_state.rs
@@ -1,7 +1,7 @@
 //! What stays of a streamed request between its attempts.
 
 use bytes::{Bytes, BytesMut};
-use slipturn_core::{ids, refusal, units, upstream_notice};
+use slipturn_core::{ids, refusal, send_permit, units};
 use slipturn_net::h1;
 
 use crate::{
@@ -69,9 +69,9 @@
     }
 
     /// Whether its next attempt may find out whether an engine takes work again behind its rest.
-    pub(crate) fn turn(&self, call: &incoming_call::IncomingCall) -> upstream_notice::TrialTurn {
+    pub(crate) fn turn(&self, call: &incoming_call::IncomingCall) -> send_permit::TrialTurn {
         let made = self.excluded.len().max(self.sent as usize);
-        upstream_notice::TrialTurn::of(made, call.route.max_attempts)
+        send_permit::TrialTurn::of(made, call.route.max_attempts)
     }
 
     /// Whether any engine is left for the request, beside one that has it; where there is none,
--- /dev/null
+++ b/crates/instance/src/stream_target.rs
@@ -0,0 +1,35 @@
+//! Whom a streamed request goes to, once it has a place and its memory.
+
+use slipturn_core::engine_place;
+
+use crate::{context, incoming_call, memory_hold, stream_policy, stream_state, upstream_attempt};
+
+/// The engine that answers and those that read parts; nothing where the first is not listed any more.
+pub(crate) fn target(
+    context: &context::InstanceContext,
+    call: &incoming_call::IncomingCall,
+    state: &stream_state::StreamState,
+    grant: &engine_place::PlaceGrant,
+    memory: &memory_hold::MemoryHold,
+) -> Option<upstream_attempt::AttemptTarget> {
+    let fleet = context.fleet.borrow();
+    let engine = fleet.list.entry(&grant.engine)?;
+    let holders = grant.held.iter().map(|part| &part.engine);
+    let readers = grant.helpers.iter().filter(|helper| memory.ticket(helper).is_none());
+    let helpers = holders
+        .chain(readers)
+        .filter_map(|helper| {
+            let entry = fleet.list.entry(helper)?;
+            let (engine, address) = (entry.name.clone(), entry.address);
+            Some(upstream_attempt::PartReader { engine, address, ticket: memory.ticket(helper) })
+        })
+        .collect();
+    let late = context.now().since(call.arrived) > call.route.first_token_goal;
+    Some(upstream_attempt::AttemptTarget {
+        upstream: engine.name.clone(),
+        address: engine.address,
+        helpers,
+        last_event: state.last_event.clone(),
+        priority: Some(stream_policy::priority(call, late)),
+    })
+}
--- a/crates/instance/src/upstream_choice.rs
+++ b/crates/instance/src/upstream_choice.rs
@@ -2,7 +2,7 @@
 
 use std::{fmt, time};
 
-use slipturn_core::{ids, refusal, units, upstream_notice};
+use slipturn_core::{ids, refusal, send_permit, units, upstream_notice};
 
 use crate::context;
 
@@ -37,7 +37,7 @@
 ) -> Option<ServiceRest> {
     let now = context.now();
     let fleet = context.fleet.borrow();
-    if !fleet.list.open(now, service, upstream_notice::TrialTurn::Yes).is_empty() {
+    if !fleet.list.open(now, service, send_permit::TrialTurn::Yes).is_empty() {
         return None;
     }
     let first = fleet.list.first_back(now, service)?;
--- a/crates/instance/src/upstream_ends.rs
+++ b/crates/instance/src/upstream_ends.rs
@@ -7,7 +7,7 @@
 use std::{collections, net, rc, time};
 
 use futures::{StreamExt as _, channel::mpsc};
-use slipturn_core::{ids, request_digest, units, upstream_notice};
+use slipturn_core::{ids, request_digest, send_permit, units};
 
 use crate::{context, incoming_call, quarantine_news, upstream_attempt, upstream_gate};
 
@@ -251,7 +251,7 @@
     delay: time::Duration,
 ) {
     monoio::time::sleep(delay).await;
-    if upstream_gate::look(&context, &upstream, upstream_notice::SendKind::Check).is_err() {
+    if upstream_gate::look(&context, &upstream, send_permit::SendKind::Check).is_err() {
         context.tell_run(RunNews::Checked(upstream, CheckResult::Silent));
         return;
     }
--- a/crates/instance/src/upstream_gate.rs
+++ b/crates/instance/src/upstream_gate.rs
@@ -5,7 +5,7 @@
 //! sending, and whoever sends knows it best; so no way of sending has a check of its own, and a connection to an
 //! upstream gives its writing side only to who shows a [`SendPass`].
 
-use slipturn_core::{engine_place, ids, retry, upstream_notice};
+use slipturn_core::{engine_place, ids, retry, send_permit};
 
 use crate::{context, upstream_attempt};
 
@@ -31,10 +31,10 @@
 pub(crate) fn pass<'a>(
     context: &'a context::InstanceContext,
     upstream: &ids::UpstreamId,
-    kind: upstream_notice::SendKind,
-) -> Result<SendPass<'a>, upstream_notice::KeptBack> {
+    kind: send_permit::SendKind,
+) -> Result<SendPass<'a>, send_permit::KeptBack> {
     look(context, upstream, kind)?;
-    let begun = kind == upstream_notice::SendKind::Request;
+    let begun = kind == send_permit::SendKind::Request;
     let mut fleet = context.fleet.borrow_mut();
     let trial = begun && fleet.list.notices_mut().begin(context.now(), upstream);
     Ok(SendPass { context, upstream: upstream.clone(), trial })
@@ -44,8 +44,8 @@
 pub(crate) fn look(
     context: &context::InstanceContext,
     upstream: &ids::UpstreamId,
-    kind: upstream_notice::SendKind,
-) -> Result<(), upstream_notice::KeptBack> {
+    kind: send_permit::SendKind,
+) -> Result<(), send_permit::KeptBack> {
     let permitted = context.fleet.borrow().list.permits(context.now(), upstream, kind);
     permitted.inspect_err(|reason| {
         let label = format!("{kind}/{}", reason.word());
@@ -60,7 +60,7 @@
     target: &upstream_attempt::AttemptTarget,
 ) -> Result<SendPass<'a>, upstream_attempt::AttemptFault> {
     look_at_parts(context, target)?;
-    pass(context, &target.upstream, upstream_notice::SendKind::Request).map_err(fault)
+    pass(context, &target.upstream, send_permit::SendKind::Request).map_err(fault)
 }
 
 /// Whether a request would be let through now.
@@ -69,7 +69,7 @@
     target: &upstream_attempt::AttemptTarget,
 ) -> Result<(), upstream_attempt::AttemptFault> {
     look_at_parts(context, target)?;
-    look(context, &target.upstream, upstream_notice::SendKind::Request).map_err(fault)
+    look(context, &target.upstream, send_permit::SendKind::Request).map_err(fault)
 }
 
 /// Whether a place that a planner gave may be used now, before memory is set aside for it.
@@ -79,7 +79,7 @@
 ) -> Result<(), upstream_attempt::AttemptFault> {
     let holders = grant.held.iter().map(|part| &part.engine);
     let mut engines = std::iter::once(&grant.engine).chain(&grant.helpers).chain(holders);
-    let kind = upstream_notice::SendKind::Request;
+    let kind = send_permit::SendKind::Request;
     engines.try_for_each(|engine| look(context, engine, kind)).map_err(fault)
 }
 
@@ -89,10 +89,10 @@
     target: &upstream_attempt::AttemptTarget,
 ) -> Result<(), upstream_attempt::AttemptFault> {
     let mut parts = target.helpers.iter();
-    let kind = upstream_notice::SendKind::Request;
+    let kind = send_permit::SendKind::Request;
     parts.try_for_each(|part| look(context, &part.engine, kind)).map_err(fault)
 }
 
-pub(crate) fn fault(reason: upstream_notice::KeptBack) -> upstream_attempt::AttemptFault {
+pub(crate) fn fault(reason: send_permit::KeptBack) -> upstream_attempt::AttemptFault {
     upstream_attempt::AttemptFault::new(retry::AttemptFailure::KeptBack, reason)
 }
--- a/crates/instance/tests/rest_ways.rs
+++ b/crates/instance/tests/rest_ways.rs
@@ -14,10 +14,11 @@
         ways::{ClosedEngineWay, PlannerWays},
     },
     route_table,
+    send_permit::{SendKind, TrialTurn},
     settings::RoutingKind,
     units,
     upstream_list::{UpstreamEntry, UpstreamList},
-    upstream_notice::{RestReturnWay, SendKind, TrialTurn},
+    upstream_notice::RestReturnWay,
 };
 
 const MEMBERS: usize = 6;
