--- a/crates/core/tests/retry.rs
+++ b/crates/core/tests/retry.rs
@@ -78,3 +78,17 @@
     budget.count_request(units::MonoTime(0));
     assert_eq!(budget.ask(units::MonoTime(0), asked), retry::RetryVerdict::Retry);
 }
+
+/// What reached nobody spends neither an attempt nor the retry taken for it; whoever saw a request and turned it
+/// away has been reached.
+#[test]
+fn what_reached_nobody_is_not_spent() {
+    use retry::AttemptFailure;
+    let nobody =
+        [AttemptFailure::NotConnected, AttemptFailure::NotPrepared, AttemptFailure::KeptBack];
+    assert!(nobody.iter().all(|failure| failure.reached_nobody() && failure.surely_not_run()));
+    let reached = [AttemptFailure::SaidNotRun, AttemptFailure::Misdirected];
+    assert!(reached.iter().all(|failure| !failure.reached_nobody() && failure.surely_not_run()));
+    let unclear = [AttemptFailure::BrokeBeforeAnswer, AttemptFailure::BrokeMidAnswer];
+    assert!(unclear.iter().all(|failure| !failure.reached_nobody() && !failure.surely_not_run()));
+}
