Sight: the limit that an upstream names is read, kept by start, logged and told to operators

Cause: no line, counter or record tells what an answer's head named, so the hypotheses of the incident (not read; kept by each instance for itself; heard by another than who decides) cannot be told apart.

Ruled out: that sight alone changes what is sent: nothing is decided by it; the tests of words and of members pass as before.

Change: the adapter reads the header (of several the lowest that can be read); core::upstream_limit orders words by the time between request and answer; NoticeTable keeps the one that holds; lines upstream.limited, .limit_changed, .unlimited, .limit_unreadable; counter upstream_limits; gauge slipturn_upstreams_limited; `known` of a request's record and `slipturnctl upstreams` name it. Stand-in runners can name limits. Load and words of tests stand in one place.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -44,6 +44,7 @@
 pub mod store_belief;
 pub mod units;
 pub mod upstream_health;
+pub mod upstream_limit;
 pub mod upstream_list;
 pub mod upstream_notice;
 mod upstream_open;
--- a/crates/core/src/units.rs
+++ b/crates/core/src/units.rs
@@ -4,6 +4,9 @@
 
 use snafu::{ResultExt as _, Snafu};
 
+/// Characters of a text from outside that an error shows.
+const MAX_SHOWN: usize = 40;
+
 /// Why a text is not a valid quantity.
 #[derive(Debug, Snafu)]
 pub enum UnitError {
@@ -31,6 +34,12 @@
         /// What the library said.
         reason: String,
     },
+    /// Not a number of requests a second.
+    #[snafu(display("found '{found}', expected requests a second such as 2 or 0.5"))]
+    Requests {
+        /// The offending text.
+        found: String,
+    },
     /// Not a share between 0 and 1.
     #[snafu(display("found {found}, expected a share from 0 to 1"))]
     Share {
@@ -135,6 +144,57 @@
     }
 }
 
+/// Requests a second: finite, and not below zero.
+#[derive(Debug, Clone, Copy, PartialEq, PartialOrd, serde::Serialize, serde::Deserialize)]
+#[serde(try_from = "f64", into = "f64")]
+pub struct RequestRate(f64);
+
+// No value is other than itself: it is finite.
+impl Eq for RequestRate {}
+
+impl RequestRate {
+    /// The rate as a number.
+    pub fn per_second(self) -> f64 {
+        self.0
+    }
+}
+
+impl TryFrom<f64> for RequestRate {
+    type Error = UnitError;
+
+    fn try_from(found: f64) -> Result<Self, UnitError> {
+        let found = Some(found).filter(|rate| rate.is_finite() && *rate >= 0.0).ok_or(found);
+        found.map(Self).or_else(|found| RequestsSnafu { found: found.to_string() }.fail())
+    }
+}
+
+impl From<RequestRate> for f64 {
+    fn from(rate: RequestRate) -> Self {
+        rate.0
+    }
+}
+
+impl fmt::Display for RequestRate {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} requests/s", self.0)
+    }
+}
+
+impl str::FromStr for RequestRate {
+    type Err = UnitError;
+
+    fn from_str(text: &str) -> Result<Self, UnitError> {
+        let number = text.trim_end_matches(" requests/s");
+        // Digits with at most one point; what else a number may be written as is none here.
+        let plain = number.bytes().all(|byte| byte.is_ascii_digit() || byte == b'.');
+        let rate = number.parse::<f64>().ok().filter(|_| plain);
+        match rate.map(Self::try_from) {
+            Some(Ok(rate)) => Ok(rate),
+            _ => RequestsSnafu { found: text.chars().take(MAX_SHOWN).collect::<String>() }.fail(),
+        }
+    }
+}
+
 /// A number of bytes, written in settings as `64MiB`.
 #[derive(
     Debug,
--- a/crates/core/src/upstream_notice.rs
+++ b/crates/core/src/upstream_notice.rs
@@ -1,13 +1,14 @@
-//! What upstreams say of themselves in passing: that they leave, and for how long they want rest.
+//! What upstreams say of themselves in passing: that they leave, for how long they want rest, and how many
+//! requests they take.
 //!
-//! Leaving concerns all instances, rest only the one that was asked for it. Both belong to one start of
-//! an upstream and end with it. Leaving does not end otherwise: no upstream that has said that it leaves comes
+//! Leaving concerns all instances alike, rest only the one that was asked for it, and a limit the sum over all
+//! instances. All belong to one start of an upstream and end with it. Leaving does not end otherwise: no upstream that has said that it leaves comes
 //! back. A rest ends with its time; then one request finds out whether the upstream takes work again, and the
 //! others follow its answer.
 
 use std::{collections, fmt, time};
 
-use crate::{ids, send_permit, units};
+use crate::{ids, send_permit, units, upstream_limit};
 
 /// Longest rest that is believed. Longer ones are mistakes more likely than wishes, and nobody who gets no
 /// requests can take them back; service proxies bound what they are asked for at the same five minutes.
@@ -20,6 +21,8 @@
 /// How long behind a rest the first request there is one that finds out; later nothing is left of what made the
 /// upstream ask.
 const RETURN_TIME: time::Duration = time::Duration::from_secs(10);
+/// How long behind the end of a limit words on it may come that were given before.
+const ENDED_LIMIT_MEMORY: time::Duration = time::Duration::from_secs(30);
 /// Starts of which words are kept at most, some 100 bytes each: more than thrice as many as the largest planned
 /// fleet has upstreams.
 const MAX_NOTICES: usize = 2_048;
@@ -103,10 +106,12 @@
 }
 
 /// What one start of an upstream has said.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
 struct UpstreamNotice {
     leaving: Option<LeavingNotice>,
     rest: Option<RestNotice>,
+    /// Also one that has ended, for as long as late words on it may come.
+    limit: Option<upstream_limit::LimitNotice>,
     /// When the start was last listed, or spoke.
     known: units::MonoTime,
 }
@@ -250,6 +255,31 @@
         if known <= now { RestNews::Begun } else { RestNews::Longer }
     }
 
+    /// Takes in what an answer said of a start's limit, or left out.
+    pub fn hear_limit(
+        &mut self,
+        name: &ids::UpstreamId,
+        word: upstream_limit::LimitWord,
+    ) -> upstream_limit::LimitNews {
+        let known = self.notices.get(name).and_then(|notice| notice.limit);
+        if known.is_none() && word.rate.is_none() {
+            // As nearly all answers say.
+            return upstream_limit::LimitNews::Known;
+        }
+        let before = known.and_then(|known| known.word.rate);
+        let word = known.map_or(word, |known| known.word.or(word));
+        let news = upstream_limit::LimitNews::of(before, word.rate);
+        let goes_on = known.filter(|_| before.is_some() == word.rate.is_some());
+        let since = goes_on.map_or(word.heard, |known| known.since);
+        self.notice(word.heard, name).limit = Some(upstream_limit::LimitNotice { word, since });
+        news
+    }
+
+    /// The limit that a start has named and not ended.
+    pub fn limit(&self, name: &ids::UpstreamId) -> Option<upstream_limit::LimitNotice> {
+        self.notices.get(name)?.limit.filter(|limit| limit.word.rate.is_some())
+    }
+
     /// Whether, and by whose word, a start leaves.
     pub fn leaving(&self, name: &ids::UpstreamId) -> Option<LeavingNotice> {
         self.notices.get(name)?.leaving
@@ -275,7 +305,17 @@
                 seconds(age)
             )
         });
-        let told: Vec<_> = leaving.into_iter().chain(rest).collect();
+        let limit = self.limit(name).and_then(|limit| {
+            let rate = limit.word.rate?;
+            let (age, lasts) = (now.since(limit.word.heard), now.since(limit.since));
+            let source = limit.word.source;
+            Some(format!(
+                "takes {rate} of all, by {source} {} ago, limited for {}",
+                seconds(age),
+                seconds(lasts)
+            ))
+        });
+        let told: Vec<_> = leaving.into_iter().chain(rest).chain(limit).collect();
         (!told.is_empty()).then(|| told.join("; "))
     }
 
@@ -298,7 +338,12 @@
                 notice.known = now;
             }
             let remembered = |rest: RestNotice| now < rest.until + RETURN_TIME;
-            let said = notice.leaving.is_some() || notice.rest.is_some_and(remembered);
+            let is_limited = |limit: upstream_limit::LimitNotice| {
+                limit.word.rate.is_some() || now.since(limit.word.heard) < ENDED_LIMIT_MEMORY
+            };
+            let said = notice.leaving.is_some()
+                || notice.rest.is_some_and(remembered)
+                || notice.limit.is_some_and(is_limited);
             said && now.since(notice.known) < NOTICE_MEMORY
         });
     }
--- a/crates/instance/src/border.rs
+++ b/crates/instance/src/border.rs
@@ -6,7 +6,7 @@
 use std::{collections, net, time};
 
 use bytes::Bytes;
-use slipturn_core::{ids, route_table, upstream_list};
+use slipturn_core::{ids, route_table, units, upstream_list};
 use snafu::Snafu;
 
 use crate::routes_history;
@@ -83,6 +83,9 @@
     pub leaving: bool,
     /// For how long it wants to be left alone, if it names a time; an error says what cannot be read.
     pub rest: Option<Result<time::Duration, FormatError>>,
+    /// How many requests it takes from all instances together, if it names a limit; an error says what cannot be
+    /// read.
+    pub limit: Option<Result<units::RequestRate, FormatError>>,
 }
 
 impl UpstreamAnswer {
--- a/crates/instance/src/engine_call.rs
+++ b/crates/instance/src/engine_call.rs
@@ -82,13 +82,15 @@
     connection.open(limit).await.map_err(failed)?;
     // Asked once more right before the first byte.
     let _pass = upstream_gate::pass(context, &to.engine, kind).map_err(kept_back)?;
-    let left = limit.saturating_sub(context.now().since(started));
+    let asked_at = context.now();
+    let left = limit.saturating_sub(asked_at.since(started));
     let answer = connection.call_whole(method, path, body, left).await.map_err(failed)?;
     // What it says in passing is heard also where it refuses.
     let source = match kind {
         send_permit::SendKind::Report => upstream_notice::NoticeSource::Report,
         _ => upstream_notice::NoticeSource::Order,
     };
-    upstream_news::hear_at(context, to.address, &answer.head, source);
+    let asked = upstream_news::AskedWord { at: asked_at, source };
+    upstream_news::hear_at(context, to.address, &answer.head, asked);
     answer.into_body().map_err(failed)
 }
--- a/crates/instance/src/small_server.rs
+++ b/crates/instance/src/small_server.rs
@@ -292,14 +292,18 @@
     format!("slipturn_requests_held {held}\n")
 }
 
-/// How many upstreams leave and rest, as far as this process knows.
+/// How many upstreams leave, rest and have a limit, as far as this process knows.
 fn notice_gauges(context: &context::InstanceContext) -> String {
     let now = context.now();
     let fleet = context.fleet.borrow();
     let notices = fleet.list.notices();
     let leaving = notices.names().filter(|name| notices.leaving(name).is_some()).count();
     let resting = notices.names().filter(|name| notices.rest(now, name).is_some()).count();
-    format!("slipturn_upstreams_leaving {leaving}\nslipturn_upstreams_resting {resting}\n")
+    let limited = notices.names().filter(|name| notices.limit(name).is_some()).count();
+    format!(
+        "slipturn_upstreams_leaving {leaving}\nslipturn_upstreams_resting {resting}\n\
+         slipturn_upstreams_limited {limited}\n"
+    )
 }
 
 /// Which way each decision goes here, for whoever compares them.
--- a/crates/instance/src/upstream_attempt.rs
+++ b/crates/instance/src/upstream_attempt.rs
@@ -242,6 +242,7 @@
 ) -> Result<AttemptAnswer, AttemptFault> {
     let message = message(context, call, target);
     let pass = upstream_gate::pass_request(context, target)?;
+    let asked_at = context.now();
     let (head, sent) = {
         let (reader, writer) = connection.sides(&pass);
         let writing = std::pin::pin!(writer.write(message));
@@ -268,7 +269,8 @@
     }
     if is_own_word(&head, &said) {
         let source = upstream_notice::NoticeSource::Answer;
-        upstream_news::hear(context, &target.upstream, head.status, &said, source);
+        let asked = upstream_news::AskedWord { at: asked_at, source };
+        upstream_news::hear(context, &target.upstream, head.status, &said, asked);
     }
     let framing = h1::BodyFraming::of_answer(&head).map_err(AttemptFault::broke)?;
     let reusable =
