--- a/crates/core/src/engine_place.rs
+++ b/crates/core/src/engine_place.rs
@@ -117,13 +117,15 @@
     Grant(PlaceGrant),
     /// It will have none in time.
     Refuse(PlaceRefusal),
+    /// It has a place, and leave to send to those of its engines that have a limit.
+    Paced(PlaceGrant, Vec<ids::UpstreamId>),
 }
 
 impl PlaceAnswer {
     /// The attempt.
     pub fn job(&self) -> JobId {
         match self {
-            Self::Grant(grant) => grant.job,
+            Self::Grant(grant) | Self::Paced(grant, _) => grant.job,
             Self::Refuse(refusal) => refusal.job,
         }
     }
--- a/crates/core/src/membership.rs
+++ b/crates/core/src/membership.rs
@@ -246,6 +246,30 @@
         (self.members.len() + 1).max(self.most.div_ceil(2))
     }
 
+    /// Part of the members that this process hears: what each side of a cut may use of what all share.
+    ///
+    /// Members that have said that they leave are in neither count: they are missed by plan.
+    pub fn seen_part(&self, now: units::MonoTime) -> f64 {
+        let limit = self.beat_interval() * SUSPECT_BEATS;
+        let staying = || self.members.values().filter(|member| !member.beat.leaving);
+        let is_heard = |member: &&MemberState| {
+            now.since(member.heard) <= limit && member.unanswered < MAX_UNANSWERED
+        };
+        let heard = staying().filter(is_heard).count();
+        (heard + 1) as f64 / (staying().count() + 1) as f64
+    }
+
+    /// Whether a member has been heard behind a moment.
+    pub fn heard_since(&self, name: &ids::InstanceId, at: units::MonoTime) -> bool {
+        self.members.get(name).is_some_and(|member| member.heard > at)
+    }
+
+    /// The member whose start this is.
+    pub fn name_of_boot(&self, boot: u64) -> Option<&ids::InstanceId> {
+        let mut members = self.members.iter();
+        members.find(|(_, member)| member.beat.boot == boot).map(|(name, _)| name)
+    }
+
     /// Notes that a member left a call unanswered.
     pub fn unanswered(&mut self, name: &ids::InstanceId) {
         if let Some(member) = self.members.get_mut(name) {
--- a/crates/core/src/planner/admission.rs
+++ b/crates/core/src/planner/admission.rs
@@ -50,7 +50,7 @@
     ) -> Vec<engine_place::PlaceAnswer> {
         let views = self.table.views(self.now);
         let tight: usize = views.iter().map(engine_view::EngineView::sensitive).sum();
-        let usable = views.iter().filter(|view| !view.shunned).count();
+        let usable = views.iter().filter(|view| !view.shunned && view.has_leave()).count();
         // Engines that short requests leave to long ones.
         let free = usable.saturating_sub(tight.div_ceil(self.packed_writers));
         let mut answers = Vec::new();
@@ -83,7 +83,10 @@
             job.late = true;
             // What comes late waits for others that arrive meanwhile, too; once it is kept, it stays
             // as long as it can.
-            let load = self.price.load(self.now, free, &self.table.shape, &job.ask);
+            let reading = self.price.load(self.now, free, &self.table.shape, &job.ask);
+            let rate = self.table.limited_rate(&job.ask.excluded);
+            let limited = rate.map_or(0.0, |rate| self.price.limited_load(self.now, rate));
+            let load = reading.max(limited);
             let others = if job.kept { 1.0 } else { 1.0 / (1.0 - load) };
             let expected_ms = given.expected_ms * others;
             job.kept = true;
@@ -121,7 +124,7 @@
             if missed {
                 return Err(self.give_way(jobs, booked));
             }
-            let granted = if booking.starts_now() || job.ask.resumed {
+            let granted = if booking.starts_now() || job.ask.resumed && booking.has_leave() {
                 timetable.grant(job, &booking, job.waited_ms(self.now), job.ask.resumed)
             } else {
                 None
@@ -157,16 +160,20 @@
         forced().map(|booking| PossibleRead { booking, allowed: false })
     }
 
-    /// Of prompts that cannot all be in time, the one whose engine time earns least; the last of
-    /// `booked` is the one that missed.
+    /// Of prompts that cannot all be in time, the one whose engine time earns least, of equal ones the one that has
+    /// waited least; the last of `booked` is the one that missed.
     fn give_way(&self, jobs: &[&mut waiting_job::WaitingJob], mut booked: Vec<GivenUp>) -> GivenUp {
         let density = |row: &GivenUp| {
             let job = &jobs[row.at];
             job.stake() / pass_model::read_ms(&self.table.shape, job.ask.prompt)
         };
-        let worst = (0..booked.len())
-            .filter(|at| !jobs[booked[*at].at].ask.resumed)
-            .min_by(|left, right| density(&booked[*left]).total_cmp(&density(&booked[*right])));
+        let worst = (0..booked.len()).filter(|at| !jobs[booked[*at].at].ask.resumed).min_by(
+            |left, right| {
+                let since = |at: usize| jobs[booked[at].at].since;
+                let earns = density(&booked[*left]).total_cmp(&density(&booked[*right]));
+                earns.then(since(*right).cmp(&since(*left)))
+            },
+        );
         booked.swap_remove(worst.unwrap_or(booked.len() - 1))
     }
 
--- a/crates/core/src/planner/engine_view.rs
+++ b/crates/core/src/planner/engine_view.rs
@@ -34,6 +34,11 @@
     pub(crate) free: u64,
     /// Above 1 it is slower than its figures.
     pub(crate) pace: f64,
+    /// Time until its limit lets another request through, milliseconds: 0 without one, endless where another
+    /// process keeps it.
+    pub(crate) leave_ms: f64,
+    /// Time between two requests that its limit lets through, milliseconds; 0 without one.
+    pub(crate) leave_interval_ms: f64,
 }
 
 /// Part of a pause goal that a pass may fill by plan; the rest is for what the plan cannot see.
@@ -45,6 +50,11 @@
 const MAX_PAUSES: f64 = 6.0;
 
 impl EngineView<'_> {
+    /// Whether its limit lets a request through now.
+    pub(crate) fn has_leave(&self) -> bool {
+        self.leave_ms <= 0.0
+    }
+
     /// Requests there that a long part beside them may harm: those with tight pauses, and those of
     /// other planners.
     pub(crate) fn sensitive(&self) -> usize {
--- a/crates/core/src/planner/mod.rs
+++ b/crates/core/src/planner/mod.rs
@@ -16,9 +16,9 @@
 mod waiting_job;
 pub mod ways;
 
-use std::time;
+use std::{collections, time};
 
-use crate::{engine_place, ids, route_table, settings, units};
+use crate::{engine_place, ids, leave_ledger, return_line, route_table, settings, units};
 
 /// Longest that a request waits; its member has given up long before.
 const WAIT_TIME: time::Duration = time::Duration::from_secs(30);
@@ -29,6 +29,8 @@
 const RETURNED_EXTRA: usize = 2;
 /// Slots that come free for each that one who comes back gets: some go to others that arrive meanwhile.
 const SLOT_SHARE: f64 = 2.0;
+/// Goals for the first token that a short request which came back waits for the leave of a limit: it is late by then.
+const RETURNED_GOALS: f64 = 2.0;
 /// Shortest time after which a refused short request is asked back, milliseconds; spread by its
 /// member.
 const MIN_BACK_AFTER_MS: f64 = 300.0;
@@ -60,6 +62,8 @@
     waiting: Vec<waiting_job::WaitingJob>,
     /// Answers that another's ask brought about; they go out at the next look.
     settled: Vec<engine_place::PlaceAnswer>,
+    /// When those come back that limits keep from all engines.
+    returns: return_line::ReturnLine,
 }
 
 impl ReadPlanner {
@@ -71,9 +75,26 @@
             price: price::EnginePrice::default(),
             waiting: Vec::new(),
             settled: Vec::new(),
+            returns: return_line::ReturnLine::default(),
         }
     }
 
+    /// Sets which engines have a limit: at which rate where this process keeps it, and those whose limit another
+    /// process keeps, which get nothing from here.
+    pub fn set_limits(
+        &mut self,
+        now: units::MonoTime,
+        kept: &collections::BTreeMap<ids::UpstreamId, units::RequestRate>,
+        elsewhere: collections::BTreeSet<ids::UpstreamId>,
+    ) {
+        self.table.set_limits(now, kept, elsewhere);
+    }
+
+    /// The leaves of its engines, to take and ask for, also for requests that need no place.
+    pub fn leaves(&mut self) -> &mut leave_ledger::LeaveLedger {
+        &mut self.table.leaves
+    }
+
     /// Takes over new figures of the engines.
     pub fn set_shape(&mut self, shape: route_table::EngineShape) {
         self.table.shape = shape;
@@ -106,8 +127,8 @@
         ask: engine_place::PlaceAsk,
     ) -> Option<engine_place::PlaceAnswer> {
         let id = ask.job;
-        if let Some(grant) = self.table.grant(id) {
-            return Some(engine_place::PlaceAnswer::Grant(grant.clone()));
+        if let Some(answer) = self.table.answer(id) {
+            return Some(answer);
         }
         if let Some(waiting) = self.waiting.iter_mut().find(|waiting| waiting.ask.job == id) {
             // Engines may have asked its member for rest meanwhile.
@@ -216,8 +237,9 @@
         now: units::MonoTime,
         ask: &engine_place::PlaceAsk,
         grant: engine_place::PlaceGrant,
-    ) -> engine_place::PlaceAnswer {
-        engine_place::PlaceAnswer::Grant(self.table.take(now, ask, grant))
+    ) -> Option<engine_place::PlaceAnswer> {
+        self.table.take(now, ask, grant);
+        self.table.answer(ask.job)
     }
 
     /// Places short requests that wait: those that come back go first, then the oldest.
@@ -247,23 +269,26 @@
         if self.options.routing != settings::RoutingKind::ExpectedStart {
             let shape = &self.table.shape;
             let grant = plain_choice::choose(shape, self.options.routing, now, job, &views)?;
-            return Some(self.take(now, &job.ask, grant));
+            return self.take(now, &job.ask, grant);
         }
         let shape = &self.table.shape;
         let packed_writers = self.options.ways.packing.writers(shape);
         let choice = short_choice::ShortChoice { shape, packed_writers };
         if let Some(grant) = choice.choose(now, job, &views, true) {
-            return Some(self.take(now, &job.ask, grant));
+            return self.take(now, &job.ask, grant);
         }
         let grant = choice.choose(now, job, &views, false);
         if !job.ask.resumed {
             self.price.press(now);
         }
-        let grant = grant?;
+        let Some(grant) = grant else {
+            let refusal = self.refuse_limited(now, job);
+            return refusal.map(engine_place::PlaceAnswer::Refuse);
+        };
         if let Some(refusal) = self.refuse_short(now, job, &grant) {
             return Some(engine_place::PlaceAnswer::Refuse(refusal));
         }
-        Some(self.take(now, &job.ask, grant))
+        self.take(now, &job.ask, grant)
     }
 
     /// Whether a short request would stand in an engine's queue, or come late.
@@ -297,6 +322,37 @@
         Some(self.table.refusal(job.ask.job, self.room_ms(), expected_ms))
     }
 
+    /// Refuses a short request that limits keep from all engines for longer than it can wait: any until it is late, one
+    /// that came back for longer. It is told so at once, as who has waited in vain has lost more.
+    fn refuse_limited(
+        &mut self,
+        now: units::MonoTime,
+        job: &waiting_job::WaitingJob,
+    ) -> Option<engine_place::PlaceRefusal> {
+        let rate = self.table.limited_rate(&job.ask.excluded)?;
+        if job.ask.resumed {
+            return None;
+        }
+        let ahead = |other: &&waiting_job::WaitingJob| {
+            let order = |job: &waiting_job::WaitingJob| (job.ask.refusable, job.since);
+            self.is_short(&other.ask) && order(other) < order(job)
+        };
+        let ahead = self.waiting.iter().filter(ahead).count();
+        let wait_ms = self.table.soonest_leave_ms(now) + ahead as f64 * 1_000.0 / rate;
+        let would_wait_ms = match (job.waited_ms(now) > 0.0, job.ask.refusable) {
+            // Who was let into the line stays there.
+            (true, _) => f64::INFINITY,
+            (false, true) => job.goal_left(now),
+            (false, false) => f64::from(job.ask.goal_ms) * RETURNED_GOALS,
+        };
+        if wait_ms <= would_wait_ms.min(job.patience_ms(now)) {
+            return None;
+        }
+        let back = self.returns.next(now, rate);
+        let back_ms = back.as_secs_f64() * 1_000.0;
+        Some(self.table.refusal(job.ask.job, back_ms.max(MIN_BACK_AFTER_MS), Some(wait_ms)))
+    }
+
     /// When a refused short request finds room, milliseconds: slots come free as answers end.
     fn room_ms(&self) -> f64 {
         (self.table.slot_ms() * SLOT_SHARE).clamp(MIN_BACK_AFTER_MS, MAX_BACK_AFTER_MS)
@@ -318,15 +374,22 @@
             now,
         };
         let answers = admission.plan(&mut jobs);
-        for answer in &answers {
-            let job = answer.job();
-            let at = self.waiting.iter().position(|waiting| waiting.ask.job == job);
-            let waiting = at.map(|at| self.waiting.swap_remove(at));
-            if let (Some(waiting), engine_place::PlaceAnswer::Grant(grant)) = (waiting, answer) {
-                self.price.note_reading(&self.table.shape, &waiting.ask);
-                self.table.take(now, &waiting.ask, grant.clone());
-            }
-        }
-        answers
+        let settle = |answer| self.settle_long(now, answer);
+        answers.into_iter().filter_map(settle).collect()
+    }
+
+    /// Takes a long prompt's place, or lets it go.
+    fn settle_long(
+        &mut self,
+        now: units::MonoTime,
+        answer: engine_place::PlaceAnswer,
+    ) -> Option<engine_place::PlaceAnswer> {
+        let at = self.waiting.iter().position(|waiting| waiting.ask.job == answer.job())?;
+        let waiting = self.waiting.swap_remove(at);
+        let engine_place::PlaceAnswer::Grant(grant) = answer else {
+            return Some(answer);
+        };
+        self.price.note_reading(&self.table.shape, &waiting.ask);
+        self.take(now, &waiting.ask, grant)
     }
 }
--- a/crates/core/src/planner/place_table.rs
+++ b/crates/core/src/planner/place_table.rs
@@ -4,9 +4,9 @@
 use std::{collections, time};
 
 use crate::{
-    engine_place, ids, pass_model,
+    engine_place, ids, leave_ledger, pass_model,
     planner::{engine_view, engine_work, ways},
-    route_table, units,
+    route_table, send_pace, units,
 };
 
 /// Leases that their member does not renew for so long are given up.
@@ -34,6 +34,8 @@
     renewed: units::MonoTime,
     /// When its answer began; nothing before.
     writing_since: Option<units::MonoTime>,
+    /// Engines with a limit that it was given leave for.
+    paced: Vec<ids::UpstreamId>,
 }
 
 /// The engines of one planner, and who has a place there.
@@ -51,6 +53,10 @@
     answer_ms: f64,
     /// Smallest pause goal seen, milliseconds; infinite before any.
     tightest_ms: f64,
+    /// Limits of engines that this process keeps.
+    pub(crate) leaves: leave_ledger::LeaveLedger,
+    /// Engines whose limit another process keeps.
+    kept_elsewhere: collections::BTreeSet<ids::UpstreamId>,
 }
 
 impl PlaceTable {
@@ -67,9 +73,22 @@
             suspects: collections::BTreeSet::new(),
             answer_ms: FIRST_ANSWER_MS,
             tightest_ms: f64::INFINITY,
+            leaves: leave_ledger::LeaveLedger::default(),
+            kept_elsewhere: collections::BTreeSet::new(),
         }
     }
 
+    /// Sets which engines have a limit: at which rate where this process keeps it, and those of others.
+    pub(crate) fn set_limits(
+        &mut self,
+        now: units::MonoTime,
+        kept: &collections::BTreeMap<ids::UpstreamId, units::RequestRate>,
+        elsewhere: collections::BTreeSet<ids::UpstreamId>,
+    ) {
+        self.leaves.set_kept(now, kept);
+        self.kept_elsewhere = elsewhere;
+    }
+
     /// Sets which engines may be used; each with a number that orders them alike everywhere.
     pub(crate) fn set_engines(&mut self, now: units::MonoTime, names: &[(ids::UpstreamId, u64)]) {
         let wanted: collections::BTreeSet<_> = names.iter().map(|(name, _)| name).collect();
@@ -87,9 +106,15 @@
         self.jobs.len()
     }
 
-    /// The place of a request.
-    pub(crate) fn grant(&self, job: engine_place::JobId) -> Option<&engine_place::PlaceGrant> {
-        self.jobs.get(&job).map(|state| &state.lease.grant)
+    /// The answer that a request got which has a place.
+    pub(crate) fn answer(&self, job: engine_place::JobId) -> Option<engine_place::PlaceAnswer> {
+        let state = self.jobs.get(&job)?;
+        let grant = state.lease.grant.clone();
+        Some(if state.paced.is_empty() {
+            engine_place::PlaceAnswer::Grant(grant)
+        } else {
+            engine_place::PlaceAnswer::Paced(grant, state.paced.clone())
+        })
     }
 
     /// Requests that an engine answers.
@@ -97,23 +122,44 @@
         self.engines.get(engine).map_or(0, |engine| engine.answering.len())
     }
 
-    /// Requests that all engines answer.
-    pub(crate) fn running(&self) -> usize {
-        self.engines.values().map(|engine| engine.answering.len()).sum()
-    }
-
-    /// Requests that all engines could answer at once.
-    pub(crate) fn slots(&self) -> usize {
-        self.engines.len() * self.shape.slots
-    }
-
     /// Requests that engines answer and could answer at once, of engines that are not `excluded`.
     pub(crate) fn taken(&self, excluded: &[ids::UpstreamId]) -> (usize, usize) {
         let open = self.engines.iter().filter(|(name, _)| !excluded.contains(name));
-        let counts = open.map(|(_, engine)| (engine.answering.len(), self.shape.slots));
+        let counts = open.map(|(name, engine)| (engine.answering.len(), self.places(name, engine)));
         counts.fold((0, 0), |(running, slots), one| (running + one.0, slots + one.1))
     }
 
+    /// Requests that an engine could answer at once: as many as come to it within one answer where it has a limit, as
+    /// its other places may not be used.
+    fn places(&self, name: &ids::UpstreamId, engine: &engine_work::EngineWork) -> usize {
+        let answering = engine.answering.len();
+        if self.kept_elsewhere.contains(name) {
+            return answering;
+        }
+        let Some(rate) = self.leaves.rate(name) else {
+            return self.shape.slots;
+        };
+        let within = (rate.per_second() * self.answer_ms / 1_000.0).ceil() as usize;
+        within.clamp(answering.min(self.shape.slots), self.shape.slots)
+    }
+
+    /// Time until the first limit lets another request through, milliseconds.
+    pub(crate) fn soonest_leave_ms(&self, now: units::MonoTime) -> f64 {
+        let times = self.engines.keys().map(|name| self.leave_times(now, name).0);
+        times.fold(f64::INFINITY, f64::min)
+    }
+
+    /// Requests a second that limits let through to engines that are not `excluded`; nothing while one of these has no
+    /// limit.
+    pub(crate) fn limited_rate(&self, excluded: &[ids::UpstreamId]) -> Option<f64> {
+        let open = self.engines.keys().filter(|name| !excluded.contains(name));
+        open.map(|name| {
+            let kept = self.leaves.rate(name).map(units::RequestRate::per_second);
+            kept.or_else(|| self.kept_elsewhere.contains(name).then_some(0.0))
+        })
+        .sum()
+    }
+
     /// A refusal that tells how many places are taken.
     pub(crate) fn refusal(
         &self,
@@ -121,12 +167,13 @@
         back_after_ms: f64,
         expected_ms: Option<f64>,
     ) -> engine_place::PlaceRefusal {
+        let (running, slots) = self.taken(&[]);
         engine_place::PlaceRefusal {
             job,
             back_after_ms: back_after_ms as u32,
             expected_ms: expected_ms.map(|expected| expected as u32),
-            running: u32::try_from(self.running()).unwrap_or(u32::MAX),
-            slots: u32::try_from(self.slots()).unwrap_or(u32::MAX),
+            running: u32::try_from(running).unwrap_or(u32::MAX),
+            slots: u32::try_from(slots).unwrap_or(u32::MAX),
         }
     }
 
@@ -179,6 +226,7 @@
             worth += engine.foreign as f64;
         }
         let answering = engine.answering.len() + engine.foreign;
+        let (leave_ms, leave_interval_ms) = self.leave_times(now, name);
         engine_view::EngineView {
             name,
             rank: engine.rank,
@@ -195,6 +243,18 @@
             answering,
             free: engine.memory.saturating_sub(engine.used),
             pace: engine.pace,
+            leave_ms,
+            leave_interval_ms,
+        }
+    }
+
+    /// Time until an engine's limit lets a request through, and between two of them, milliseconds.
+    fn leave_times(&self, now: units::MonoTime, name: &ids::UpstreamId) -> (f64, f64) {
+        let millis = |span: time::Duration| span.as_secs_f64() * 1_000.0;
+        match (self.leaves.wait(now, name), self.leaves.rate(name)) {
+            (Some(wait), Some(rate)) => (millis(wait), millis(send_pace::interval(rate))),
+            _ if self.kept_elsewhere.contains(name) => (f64::INFINITY, 0.0),
+            _ => (0.0, 0.0),
         }
     }
 
@@ -339,7 +399,8 @@
         self.occupy(now, &lease);
         let engine = lease.grant.engine.clone();
         let writing_since = (!lease.reading).then_some(now);
-        self.jobs.insert(lease.ask.job, JobState { lease, renewed: now, writing_since });
+        let paced = Vec::new();
+        self.jobs.insert(lease.ask.job, JobState { lease, renewed: now, writing_since, paced });
         self.refresh_steps(&engine);
     }
 
@@ -358,19 +419,21 @@
         }
     }
 
-    /// Notes a place as taken.
+    /// Notes a place as taken, and its leaves as given.
     pub(crate) fn take(
         &mut self,
         now: units::MonoTime,
         ask: &engine_place::PlaceAsk,
         grant: engine_place::PlaceGrant,
-    ) -> engine_place::PlaceGrant {
-        let lease =
-            engine_place::PlaceLease { ask: ask.clone(), grant: grant.clone(), reading: true };
+    ) {
+        let engines = std::iter::once(&grant.engine).chain(&grant.helpers);
+        let leaves = &mut self.leaves;
+        let paced = engines.filter(|engine| leaves.take(now, engine, ask.job.boot));
+        let paced = paced.cloned().collect();
+        let lease = engine_place::PlaceLease { ask: ask.clone(), grant, reading: true };
         self.occupy(now, &lease);
         let writing_since = None;
-        self.jobs.insert(ask.job, JobState { lease, renewed: now, writing_since });
-        grant
+        self.jobs.insert(ask.job, JobState { lease, renewed: now, writing_since, paced });
     }
 
     fn occupy(&mut self, now: units::MonoTime, lease: &engine_place::PlaceLease) {
--- a/crates/core/src/planner/price.rs
+++ b/crates/core/src/planner/price.rs
@@ -31,6 +31,8 @@
     /// Engine time that long prompts asked for, decaying over [`LOAD_TIME`], milliseconds; as of the
     /// time beside.
     demand_ms: f64,
+    /// The same in prompts.
+    demand_count: f64,
     demand_since: units::MonoTime,
 }
 
@@ -40,6 +42,7 @@
             pressed_until: units::MonoTime::default(),
             ms_per_worth: FIRST_MS_PER_WORTH,
             demand_ms: 0.0,
+            demand_count: 0.0,
             demand_since: units::MonoTime::default(),
         }
     }
@@ -64,9 +67,16 @@
         ask: &engine_place::PlaceAsk,
     ) {
         self.demand_ms = self.demand_ms(now) + pass_model::read_ms(shape, ask.prompt);
+        self.demand_count = self.demand_count * self.left(now) + 1.0;
         self.demand_since = now;
     }
 
+    /// Part of what limits of all engines let through, so many a second, that long prompts have asked for lately.
+    pub(crate) fn limited_load(&self, now: units::MonoTime, rate: f64) -> f64 {
+        let asked = self.demand_count * self.left(now);
+        (asked / (LOAD_TIME.as_secs_f64() * rate)).min(MAX_LOAD)
+    }
+
     /// Part of so many engines' time that long prompts have asked for lately; nothing where this one
     /// was nearly alone.
     pub(crate) fn load(
@@ -86,8 +96,13 @@
     }
 
     fn demand_ms(&self, now: units::MonoTime) -> f64 {
+        self.demand_ms * self.left(now)
+    }
+
+    /// Part of a demand that is remembered by now.
+    fn left(&self, now: units::MonoTime) -> f64 {
         let spent = now.since(self.demand_since).as_secs_f64();
-        self.demand_ms * (-spent / LOAD_TIME.as_secs_f64()).exp()
+        (-spent / LOAD_TIME.as_secs_f64()).exp()
     }
 
     /// Engine time that earns as much as one short request, milliseconds.
--- a/crates/core/src/planner/timetable.rs
+++ b/crates/core/src/planner/timetable.rs
@@ -42,6 +42,8 @@
     pub(crate) engines: Vec<usize>,
     /// Time until the last of them has read what it has by now, milliseconds.
     pub(crate) start_ms: f64,
+    /// Time until the limits of all of them let it through, milliseconds.
+    leave_ms: f64,
     /// Time until the first token, milliseconds.
     pub(crate) first_ms: f64,
     /// That time, and what those behind it lose by it, milliseconds.
@@ -51,7 +53,12 @@
 impl ReadBooking {
     /// Whether it can be sent now.
     pub(crate) fn starts_now(&self) -> bool {
-        self.start_ms <= MAX_STACKED_MS
+        self.start_ms <= MAX_STACKED_MS && self.has_leave()
+    }
+
+    /// Whether the limits of all its engines let it through now.
+    pub(crate) fn has_leave(&self) -> bool {
+        self.leave_ms <= 0.0
     }
 }
 
@@ -132,6 +139,7 @@
         let mut rows: Vec<_> = usable
             .iter()
             .filter(|at| part <= SHORT_PART_MS || self.views[**at].unread == 0)
+            .filter(|at| self.views[**at].leave_ms.is_finite())
             .map(|at| self.reading_row(*at, part))
             .filter(|row| row.harm <= max_harm)
             .collect();
@@ -148,6 +156,7 @@
             return None;
         }
         let start_ms = rows.iter().map(|row| row.start_ms).fold(0.0, f64::max);
+        let leave_ms = rows.iter().map(|row| self.views[row.at].leave_ms).fold(0.0, f64::max);
         let first_ms = rows
             .iter()
             .map(|row| row.first_ms.max(start_ms + self.views[row.at].own_ms(part)))
@@ -156,7 +165,7 @@
         let behind = (1 + self.waiting) as f64 / self.views.len() as f64;
         let cost_ms = first_ms + (taken + harm * self.ms_per_worth) * behind;
         let engines = rows.iter().map(|row| row.at).collect();
-        Some(ReadBooking { engines, start_ms, first_ms, cost_ms })
+        Some(ReadBooking { engines, start_ms, leave_ms, first_ms, cost_ms })
     }
 
     /// A part read on one engine: when it may begin there, and what speaks against it.
@@ -164,7 +173,7 @@
         let view = &self.views[at];
         let own = view.own_ms(part);
         let harm = view.harm(part);
-        let start_ms = view.unread_ms * view.pace;
+        let start_ms = (view.unread_ms * view.pace).max(view.leave_ms);
         let first_ms = view.first_ms(part).max(start_ms + own);
         let steps = if view.answering > 0 { view.steps_ms * view.pace } else { 0.0 };
         let passes = start_ms.max(view.wait_ms * view.pace) + steps;
@@ -180,6 +189,7 @@
             view.wait_ms = until;
             view.pending_ms = 0.0;
             view.unread_ms = until;
+            view.leave_ms = view.leave_ms.max(0.0) + view.leave_interval_ms;
         }
     }
 
--- a/crates/core/src/planner_key.rs
+++ b/crates/core/src/planner_key.rs
@@ -29,6 +29,14 @@
     }
 }
 
+impl PlannerKey {
+    /// The key by which a member is found that keeps what concerns one plain upstream: it is a cell of its own.
+    pub fn of_plain(service: &ids::ServiceId, upstream: &ids::UpstreamId) -> Self {
+        let hash = rendezvous::stable_hash(&["plain", service.as_str(), upstream.identifier()]);
+        Self { service: service.clone(), cell: hash as u16 }
+    }
+}
+
 /// Number of cells of so many engines.
 pub fn cell_count(engines: usize) -> u16 {
     u16::try_from(engines.div_ceil(CELL_ENGINES).max(1)).unwrap_or(u16::MAX)
--- a/crates/core/src/send_permit.rs
+++ b/crates/core/src/send_permit.rs
@@ -2,7 +2,7 @@
 
 use std::{fmt, time};
 
-use crate::upstream_notice;
+use crate::{units, upstream_notice};
 
 /// Whether a request may be the one that finds out whether an upstream takes work again behind its rest.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -58,6 +58,8 @@
     Leaves(upstream_notice::NoticeSource, time::Duration),
     /// It wants rest for so much longer.
     Rests(time::Duration),
+    /// It takes so many requests of all instances, and whoever keeps that has given no leave for this one.
+    Limited(units::RequestRate),
     /// It is not listed any more.
     Unlisted,
 }
@@ -68,6 +70,7 @@
         match self {
             Self::Leaves(..) => "leaves",
             Self::Rests(_) => "rests",
+            Self::Limited(_) => "limited",
             Self::Unlisted => "unlisted",
         }
     }
@@ -86,6 +89,9 @@
             Self::Rests(left) => {
                 write!(f, "kept back: it rests {} more", upstream_notice::seconds(*left))
             }
+            Self::Limited(rate) => {
+                write!(f, "kept back: it takes {rate} of all, and there is no leave for this one")
+            }
             Self::Unlisted => f.write_str("kept back: it is not listed any more"),
         }
     }
--- a/crates/core/src/units.rs
+++ b/crates/core/src/units.rs
@@ -157,6 +157,11 @@
     pub fn per_second(self) -> f64 {
         self.0
     }
+
+    /// A part of it, from 0 to 1.
+    pub fn scaled(self, part: f64) -> Self {
+        Self(self.0 * part.clamp(0.0, 1.0))
+    }
 }
 
 impl TryFrom<f64> for RequestRate {
--- a/crates/core/src/upstream_notice.rs
+++ b/crates/core/src/upstream_notice.rs
@@ -121,6 +121,8 @@
 pub struct NoticeTable {
     notices: collections::BTreeMap<ids::UpstreamId, UpstreamNotice>,
     rest_return: RestReturnWay,
+    /// Goes up whenever another limit holds.
+    limit_changes: u64,
 }
 
 impl NoticeTable {
@@ -272,9 +274,32 @@
         let goes_on = known.filter(|_| before.is_some() == word.rate.is_some());
         let since = goes_on.map_or(word.heard, |known| known.since);
         self.notice(word.heard, name).limit = Some(upstream_limit::LimitNotice { word, since });
+        self.limit_changes += u64::from(news != upstream_limit::LimitNews::Known);
         news
     }
 
+    /// Number of changes of limits so far.
+    pub fn limit_changes(&self) -> u64 {
+        self.limit_changes
+    }
+
+    /// Words on limits, also those that have ended them lately.
+    pub fn limit_words(
+        &self,
+    ) -> impl Iterator<Item = (&ids::UpstreamId, upstream_limit::LimitWord)> {
+        self.notices.iter().filter_map(|(name, notice)| Some((name, notice.limit?.word)))
+    }
+
+    /// The word on a start's limit, also one that has ended it lately.
+    pub fn limit_word(&self, name: &ids::UpstreamId) -> Option<upstream_limit::LimitWord> {
+        Some(self.notices.get(name)?.limit?.word)
+    }
+
+    /// Starts with a limit.
+    pub fn limits(&self) -> impl Iterator<Item = (&ids::UpstreamId, units::RequestRate)> {
+        self.limit_words().filter_map(|(name, word)| Some((name, word.rate?)))
+    }
+
     /// The limit that a start has named and not ended.
     pub fn limit(&self, name: &ids::UpstreamId) -> Option<upstream_limit::LimitNotice> {
         self.notices.get(name)?.limit.filter(|limit| limit.word.rate.is_some())
--- a/crates/core/src/upstream_open.rs
+++ b/crates/core/src/upstream_open.rs
@@ -1,6 +1,6 @@
 //! Which upstreams this instance may send to now: the list's answers that go by what upstreams have said.
 
-use crate::{fleet_list, ids, send_permit, units, upstream_list, upstream_notice};
+use crate::{fleet_list, ids, send_leave, send_permit, units, upstream_list, upstream_notice};
 
 impl upstream_list::UpstreamList {
     /// Upstreams of a service that this instance may send a request to now: usable ones that want no rest of
@@ -57,12 +57,13 @@
     }
 
     /// Whether something may be sent to an upstream now, whichever its present start is. What begins work there
-    /// needs it to be listed.
+    /// needs it to be listed, and leave where it has a limit.
     pub fn permits(
         &self,
         now: units::MonoTime,
         name: &ids::UpstreamId,
         kind: send_permit::SendKind,
+        leaves: &[send_leave::SendLeave],
     ) -> Result<(), send_permit::KeptBack> {
         use send_permit::SendKind;
 
@@ -72,6 +73,12 @@
         if begins && !self.is_usable(name) {
             return Err(send_permit::KeptBack::Unlisted);
         }
-        Ok(())
+        let limit = self.notices().limit(present).filter(|_| begins);
+        match limit.and_then(|limit| limit.word.rate) {
+            Some(rate) if !leaves.iter().any(|leave| leave.is_good(now, present)) => {
+                Err(send_permit::KeptBack::Limited(rate))
+            }
+            _ => Ok(()),
+        }
     }
 }
--- /dev/null
+++ b/crates/core/tests/planner_limits.rs
@@ -0,0 +1,197 @@
+//! Engines that take so many requests a second of all instances: who gets a place there, and who is told what.
+
+mod support;
+
+use std::collections;
+
+use slipturn_core::{
+    engine_place::{PlaceAnswer, PlaceAsk, PlaceEnd},
+    ids,
+    planner::{PlannerOptions, ReadPlanner},
+    units,
+};
+use support::{at, engine, long, shape, short};
+
+fn planner(engines: usize, limits: &[(usize, f64)]) -> ReadPlanner {
+    let mut planner = ReadPlanner::new(shape(), PlannerOptions::default());
+    let names: Vec<_> = (0..engines).map(engine).zip(0..).collect();
+    planner.set_engines(at(0), &names);
+    set_limits(&mut planner, 0, limits);
+    planner
+}
+
+fn set_limits(planner: &mut ReadPlanner, now: u64, limits: &[(usize, f64)]) {
+    let rate = |limit| units::RequestRate::try_from(limit).expect("a rate");
+    let kept = limits.iter().map(|(number, limit)| (engine(*number), rate(*limit))).collect();
+    planner.set_limits(at(now), &kept, collections::BTreeSet::new());
+}
+
+/// What became of requests that arrive one each so many milliseconds, each answered within 1 s of its place.
+#[derive(Debug, Default)]
+struct PlayedLoad {
+    /// When each engine got a request that it answers or reads a part of.
+    sent: collections::BTreeMap<ids::UpstreamId, Vec<u64>>,
+    /// How long each refused one had waited, milliseconds, and when it was asked back.
+    refused: Vec<(u64, u32)>,
+    /// How long each one waited that got a place.
+    waited: Vec<u32>,
+    /// Places given without the leave of an engine's limit.
+    without_leave: usize,
+}
+
+impl PlayedLoad {
+    fn play(
+        planner: &mut ReadPlanner,
+        until: u64,
+        every: u64,
+        ask: impl Fn(u64) -> PlaceAsk,
+    ) -> Self {
+        let mut load = Self::default();
+        let mut asked = collections::HashMap::new();
+        let mut ends = collections::BTreeMap::<u64, Vec<_>>::new();
+        for now in (1..until).filter(|now| now % 10 == 1) {
+            for (job, answering) in ends.remove(&now).unwrap_or_default() {
+                if answering {
+                    planner.end(at(now), job, PlaceEnd::Done);
+                } else {
+                    planner.first_token(at(now), job);
+                }
+            }
+            let mut answers = planner.tick(at(now));
+            if now % every <= 1 {
+                let ask = ask(now);
+                asked.insert(ask.job, now);
+                answers.extend(planner.ask(at(now), ask));
+            }
+            for answer in answers {
+                let job = answer.job();
+                if load.note(now, asked[&job], &answer) {
+                    ends.entry(now + 100).or_default().push((job, false));
+                    ends.entry(now + 1_000).or_default().push((job, true));
+                }
+            }
+        }
+        load
+    }
+
+    /// Notes an answer; whether it gave a place.
+    fn note(&mut self, now: u64, asked: u64, answer: &PlaceAnswer) -> bool {
+        let (grant, paced) = match answer {
+            PlaceAnswer::Refuse(refusal) => {
+                self.refused.push((now - asked, refusal.back_after_ms));
+                return false;
+            }
+            PlaceAnswer::Grant(grant) => (grant, &[][..]),
+            PlaceAnswer::Paced(grant, paced) => (grant, &paced[..]),
+        };
+        self.waited.push(grant.waited_ms);
+        for name in std::iter::once(&grant.engine).chain(&grant.helpers) {
+            self.sent.entry(name.clone()).or_default().push(now);
+            self.without_leave += usize::from(!paced.contains(name));
+        }
+        true
+    }
+
+    fn count(&self, number: usize) -> usize {
+        self.sent.get(&engine(number)).map_or(0, Vec::len)
+    }
+
+    /// Most that an engine got within 4 s.
+    fn most(&self, number: usize) -> usize {
+        let sent = self.sent.get(&engine(number)).map_or(&[][..], Vec::as_slice);
+        let within =
+            |first: &u64| sent.iter().filter(|at| (*first..first + 4_000).contains(*at)).count();
+        sent.iter().map(within).max().unwrap_or(0)
+    }
+}
+
+/// Three other engines hold all who ask: they are served at once. Two are full: what the one with a limit takes is used.
+#[test]
+fn an_engine_with_a_limit_is_used_where_the_others_are_full_and_not_beyond() {
+    let mut roomy = planner(4, &[(0, 2.0)]);
+    let load = PlayedLoad::play(&mut roomy, 20_000, 30, short);
+    assert!(load.refused.is_empty() && load.waited.iter().all(|waited| *waited == 0));
+    assert!(load.most(0) <= 9);
+    let mut full = planner(3, &[(0, 2.0)]);
+    let load = PlayedLoad::play(&mut full, 20_000, 30, short);
+    println!(
+        "{} of 667, most {} in 4 s, {} refused",
+        load.count(0),
+        load.most(0),
+        load.refused.len()
+    );
+    assert!(load.most(0) <= 9 && load.count(0) >= 2 * 20 * 8 / 10);
+    assert_eq!(load.without_leave, load.count(1) + load.count(2));
+}
+
+/// All are limited, and asked for far more: what they take is used, who gets no place is told so at once, and those are
+/// asked back one behind the other.
+#[test]
+fn where_all_engines_have_a_limit_the_rest_is_refused_at_once() {
+    let mut planner = planner(3, &[(0, 2.0), (1, 2.0), (2, 2.0)]);
+    let load = PlayedLoad::play(&mut planner, 20_000, 20, short);
+    let sent: usize = (0..3).map(|number| load.count(number)).sum();
+    println!("{sent} of 1,000 sent, {} refused", load.refused.len());
+    assert!(sent >= 6 * 20 * 8 / 10 && (0..3).all(|number| load.most(number) <= 9));
+    assert_eq!(load.without_leave, 0);
+    assert!(load.refused.iter().all(|(waited, _)| *waited == 0), "nobody waits in vain");
+    assert!(load.waited.iter().all(|waited| *waited <= 300), "nobody waits until it is late");
+    let backs: collections::BTreeSet<_> = load.refused.iter().map(|(_, back)| *back).collect();
+    assert!(backs.len() > 20 && backs.last() > Some(&5_000), "they come back spread");
+}
+
+/// Just as many as are taken ask: all are served, those that come a moment early wait for their turn.
+#[test]
+fn nobody_is_refused_who_can_be_served_in_time() {
+    let mut planner = planner(2, &[(0, 4.0), (1, 4.0)]);
+    let load = PlayedLoad::play(&mut planner, 20_000, 130, short);
+    println!("{} served, {} refused", load.waited.len(), load.refused.len());
+    assert!(load.refused.len() <= 2, "{:?}", load.refused);
+}
+
+/// Each part of a long prompt that an engine reads is a request to it.
+#[test]
+fn parts_of_long_prompts_take_leave_too() {
+    let mut planner = planner(6, &[(0, 0.5), (1, 0.5)]);
+    let load = PlayedLoad::play(&mut planner, 20_000, 700, |number| long(number, 154_000));
+    println!("{} and {} of {}", load.count(0), load.count(1), load.waited.len());
+    assert!(load.most(0) <= 3 && load.most(1) <= 3);
+    assert!((2..6).any(|number| load.count(number) > load.count(0)), "the others read");
+    assert_eq!(load.without_leave, (2..6).map(|number| load.count(number)).sum::<usize>());
+}
+
+/// A long prompt that limits keep from all engines is told at once that there is no place in time.
+#[test]
+fn long_prompts_wait_for_leave_or_are_refused() {
+    let mut planner = planner(2, &[(0, 0.2), (1, 0.2)]);
+    let load = PlayedLoad::play(&mut planner, 40_000, 1_000, |number| long(number, 45_000));
+    println!("{} served, {} refused", load.waited.len(), load.refused.len());
+    assert!(load.count(0) + load.count(1) >= 12, "what they take is used");
+    assert!(load.most(0) <= 2 && load.most(1) <= 2);
+    let at_once = load.refused.iter().filter(|(waited, _)| *waited <= 20).count();
+    assert!(at_once * 10 >= load.refused.len() * 9, "{:?}", load.refused);
+}
+
+/// Whose limit another process keeps gets nothing from here, and counts as no room.
+#[test]
+fn an_engine_whose_limit_another_keeps_gets_nothing() {
+    let mut planner = planner(2, &[]);
+    planner.set_limits(at(0), &collections::BTreeMap::new(), [engine(0)].into());
+    let load = PlayedLoad::play(&mut planner, 5_000, 100, short);
+    assert_eq!(load.count(0), 0);
+    assert!(load.refused.is_empty());
+}
+
+/// A limit that ends lets all through at once; one that begins counts what others may just have sent.
+#[test]
+fn a_limit_begins_behind_one_interval_and_ends_at_once() {
+    let mut planner = planner(1, &[(0, 0.5)]);
+    assert!(
+        planner.ask(at(1), short(1)).is_none_or(|answer| matches!(answer, PlaceAnswer::Refuse(_)))
+    );
+    set_limits(&mut planner, 500, &[]);
+    assert!(matches!(planner.ask(at(501), short(2)), Some(PlaceAnswer::Grant(_))));
+    set_limits(&mut planner, 1_000, &[(0, 4.0)]);
+    assert!(planner.ask(at(1_200), short(3)).is_none(), "it waits for its turn");
+    assert!(planner.tick(at(1_260)).iter().any(|answer| matches!(answer, PlaceAnswer::Paced(..))));
+}
--- a/crates/core/tests/upstream_list.rs
+++ b/crates/core/tests/upstream_list.rs
@@ -298,12 +298,12 @@
     list.forget_notices(at(4));
     list.apply(at(30_000), vec![ListChange::Present(entry(1))], 13);
     assert_eq!(usable(&list), 3, "a lapse");
-    let kept_back = list.permits(at(30_001), &name(1), SendKind::Request);
+    let kept_back = list.permits(at(30_001), &name(1), SendKind::Request, &[]);
     assert!(matches!(kept_back, Err(KeptBack::Leaves(NoticeSource::Answer, _))), "{kept_back:?}");
     let again = UpstreamEntry { name: "u1@200".parse().expect("a valid name"), ..entry(1) };
     list.apply(at(31_000), vec![ListChange::Present(again)], 14);
     assert_eq!(usable(&list), 4, "another start of it");
-    assert_eq!(list.permits(at(31_001), &name(1), SendKind::Request), Ok(()));
+    assert_eq!(list.permits(at(31_001), &name(1), SendKind::Request, &[]), Ok(()));
 }
 
 /// Of a start that is over no old word counts for the present one, whoever repeats it.
--- a/crates/instance/src/context.rs
+++ b/crates/instance/src/context.rs
@@ -10,8 +10,9 @@
 use slipturn_net::process;
 
 use crate::{
-    border, document_answers, fleet_state, instance_settings, instance_stats, peer_message,
-    planner_set, quarantine_gate, upstream_ends, upstream_pool, upstream_silence, upstream_starts,
+    border, document_answers, fleet_state, instance_settings, instance_stats, limit_keeping,
+    peer_message, planner_set, quarantine_gate, upstream_ends, upstream_pool, upstream_silence,
+    upstream_starts,
 };
 
 /// Age at which a process knows how many members there are; heartbeats are a second apart at most.
@@ -69,6 +70,8 @@
     pub pool: upstream_pool::UpstreamPool,
     /// What upstreams of plain services do for this process.
     pub loads: cell::RefCell<crate::upstream_load::UpstreamLoads>,
+    /// Limits of upstreams.
+    pub limits: limit_keeping::LimitState,
     /// Attempts that wait for starts of upstreams.
     pub starts: upstream_starts::StartWaiters,
     /// Requests that upstreams ended under.
@@ -151,6 +154,7 @@
             retries: cell::RefCell::default(),
             pool: upstream_pool::UpstreamPool::default(),
             loads: cell::RefCell::default(),
+            limits: limit_keeping::LimitState::default(),
             starts: upstream_starts::StartWaiters::default(),
             quarantine: cell::RefCell::default(),
             verdicts: quarantine_gate::VerdictBell::default(),
--- a/crates/instance/src/engine_call.rs
+++ b/crates/instance/src/engine_call.rs
@@ -3,7 +3,7 @@
 use std::{net, time};
 
 use bytes::Bytes;
-use slipturn_core::{ids, send_permit, upstream_notice};
+use slipturn_core::{ids, send_leave, send_permit, upstream_notice};
 use snafu::Snafu;
 
 use crate::{border, context, document_call, upstream_gate, upstream_news};
@@ -44,6 +44,16 @@
     pub address: net::SocketAddrV4,
 }
 
+/// An order about an engine's memory.
+pub(crate) struct EngineOrder<'a> {
+    /// What is ordered.
+    pub(crate) order: &'a border::MemoryOrder,
+    /// What it is sent for.
+    pub(crate) kind: send_permit::SendKind,
+    /// Leaves by which it is sent, where it begins work at an engine with a limit.
+    pub(crate) leaves: &'a [send_leave::SendLeave],
+}
+
 /// Asks an engine for its report, over a connection of its own.
 pub(crate) async fn report(
     context: &context::InstanceContext,
@@ -52,36 +62,35 @@
 ) -> Result<Bytes, EngineCallError> {
     let path = border::UpstreamBorder::report_path(&*context.border);
     let kind = send_permit::SendKind::Report;
-    send(context, to, kind, ("GET", &path, Bytes::new()), limit).await
+    send(context, to, (kind, &[]), ("GET", &path, Bytes::new()), limit).await
 }
 
-/// Gives an engine an order of this kind about its memory, over a connection of its own.
+/// Gives an engine an order about its memory, over a connection of its own.
 pub(crate) async fn order(
     context: &context::InstanceContext,
     to: &EngineAddress,
-    kind: send_permit::SendKind,
-    order: &border::MemoryOrder,
+    given: &EngineOrder<'_>,
     limit: time::Duration,
 ) -> Result<Bytes, EngineCallError> {
-    let (path, body) = context.border.memory_order(order);
-    send(context, to, kind, ("POST", &path, body), limit).await
+    let (path, body) = context.border.memory_order(given.order);
+    send(context, to, (given.kind, given.leaves), ("POST", &path, body), limit).await
 }
 
 async fn send(
     context: &context::InstanceContext,
     to: &EngineAddress,
-    kind: send_permit::SendKind,
+    (kind, leaves): (send_permit::SendKind, &[send_leave::SendLeave]),
     (method, path, body): (&str, &str, Bytes),
     limit: time::Duration,
 ) -> Result<Bytes, EngineCallError> {
     let kept_back = |reason| EngineCallError::KeptBack { reason };
     let failed = |source| EngineCallError::Call { source };
-    upstream_gate::look(context, &to.engine, kind).map_err(kept_back)?;
+    upstream_gate::look(context, &to.engine, kind, leaves).map_err(kept_back)?;
     let started = context.now();
     let mut connection = document_call::DocumentConnection::new(to.address.into());
     connection.open(limit).await.map_err(failed)?;
     // Asked once more right before the first byte.
-    let _pass = upstream_gate::pass(context, &to.engine, kind).map_err(kept_back)?;
+    let _pass = upstream_gate::pass(context, &to.engine, kind, leaves).map_err(kept_back)?;
     let asked_at = context.now();
     let left = limit.saturating_sub(asked_at.since(started));
     let answer = connection.call_whole(method, path, body, left).await.map_err(failed)?;
--- a/crates/instance/src/engine_fault.rs
+++ b/crates/instance/src/engine_fault.rs
@@ -1,9 +1,9 @@
 //! What follows from an engine's fault for the other attempts of a request, and for others.
 
-use slipturn_core::{connection_silence, engine_place, retry, send_permit, units};
+use slipturn_core::{connection_silence, engine_place, ids, retry, send_permit, units};
 
 use crate::{
-    context, plan_client, silence_watch, stream_state, upstream_attempt, upstream_pool,
+    context, limit_news, plan_client, silence_watch, stream_state, upstream_attempt, upstream_pool,
     upstream_silence, upstream_starts,
 };
 
@@ -38,11 +38,7 @@
     if fault.failure == retry::AttemptFailure::KeptBack {
         // Nobody has failed, and the gate is asked again before the next attempt; a planner that does not
         // know of it would give the same engine again.
-        let kind = send_permit::SendKind::Request;
-        let engine = &hold.grant.engine;
-        if context.fleet.borrow().list.permits(context.now(), engine, kind).is_err() {
-            state.excluded.push(engine.clone());
-        }
+        exclude_kept_back(context, state, hold);
         return;
     }
     let named = fault.at_fault.and_then(|address| {
@@ -64,6 +60,25 @@
     state.excluded.push(cause);
 }
 
+/// Leaves out for a request what its planner would give again, as it does not know why this instance must not use it.
+fn exclude_kept_back(
+    context: &context::InstanceContext,
+    state: &mut stream_state::StreamState,
+    hold: &plan_client::PlaceHold,
+) {
+    let now = context.now();
+    let kind = send_permit::SendKind::Request;
+    let mut engines = std::iter::once(&hold.grant.engine).chain(&hold.grant.helpers);
+    let is_kept_back = |engine: &&ids::UpstreamId| {
+        context.fleet.borrow().list.permits(now, engine, kind, &hold.leaves).is_err()
+    };
+    let Some(engine) = engines.find(is_kept_back) else {
+        return;
+    };
+    limit_news::tell_keeper(context, engine);
+    state.excluded.push(engine.clone());
+}
+
 /// Whether no other engine is left for a request than the one of its last attempt.
 fn is_last(
     context: &context::InstanceContext,
--- a/crates/instance/src/member_news.rs
+++ b/crates/instance/src/member_news.rs
@@ -1,5 +1,5 @@
 //! What members tell each other that must outlast a lost datagram, a start and a pause: requests that are held
-//! back, and upstreams that leave.
+//! back, upstreams that leave, and limits.
 //!
 //! To whom and how often: `slipturn_core::news_spread`.
 
@@ -7,12 +7,13 @@
 
 use slipturn_core::{news_spread, units};
 
-use crate::{context, peer_message, quarantine_news, upstream_news};
+use crate::{context, limit_news, peer_message, quarantine_news, upstream_news};
 
 /// Tells a member what is known here.
 pub(crate) fn tell(context: &context::InstanceContext, to: net::SocketAddrV4) {
     quarantine_news::tell_held(context, to);
     upstream_news::tell_leaving(context, to);
+    limit_news::tell(context, to);
 }
 
 /// Asks a member that has just been met, if few were asked in this second: all are met at once behind a
@@ -46,7 +47,10 @@
             }
         }
         let told = drawn(&context, news_spread::SpreadCause::Repeat);
-        told.iter().for_each(|to| upstream_news::tell_leaving(&context, *to));
+        for to in &told {
+            upstream_news::tell_leaving(&context, *to);
+            limit_news::tell(&context, *to);
+        }
         // Evidence against requests is larger, and nobody needs it for what it was sent already.
         told.first().into_iter().for_each(|to| quarantine_news::tell_held(&context, *to));
     }
--- a/crates/instance/src/memory_hold.rs
+++ b/crates/instance/src/memory_hold.rs
@@ -2,7 +2,7 @@
 
 use std::{cell, net, rc, time};
 
-use slipturn_core::{engine_place, ids, send_permit, units};
+use slipturn_core::{engine_place, ids, send_leave, send_permit, units};
 use snafu::Snafu;
 
 use crate::{border, context, engine_call, upstream_starts};
@@ -73,6 +73,7 @@
         context: &rc::Rc<context::InstanceContext>,
         job: engine_place::JobId,
         parts: &[engine_place::HeldPart],
+        leaves: &[send_leave::SendLeave],
     ) -> Result<Self, HoldError> {
         let done = rc::Rc::new(cell::Cell::new(false));
         let mut hold = Self { context: rc::Rc::clone(context), tickets: Vec::new(), done };
@@ -94,7 +95,7 @@
             hold.tickets.push(held);
         }
         let kind = send_permit::SendKind::Hold;
-        let orders = hold.tickets.iter().map(|held| held_order(context, held, kind));
+        let orders = hold.tickets.iter().map(|held| held_order(context, held, kind, leaves));
         let results = futures::future::join_all(orders).await;
         for (held, result) in hold.tickets.iter().zip(results) {
             match result {
@@ -152,6 +153,7 @@
     context: &context::InstanceContext,
     held: &HeldTicket,
     kind: send_permit::SendKind,
+    leaves: &[send_leave::SendLeave],
 ) -> Result<Option<ids::UpstreamStart>, String> {
     let order = border::MemoryOrder::Hold {
         ticket: held.ticket.clone(),
@@ -160,7 +162,8 @@
     };
     // Noted before it goes out: whoever waits for the answer may leave first.
     let before = held.unanswered.replace(Some(context.now()));
-    let result = send_order(context, held, kind, &order).await;
+    let given = engine_call::EngineOrder { order: &order, kind, leaves };
+    let result = send_order(context, held, &given).await;
     // A refusal is an answer too, and what was not sent has none: nothing is carried out later.
     let over = result.as_ref().map_or_else(engine_call::EngineCallError::is_over, |_| true);
     if over {
@@ -173,11 +176,10 @@
 async fn send_order(
     context: &context::InstanceContext,
     held: &HeldTicket,
-    kind: send_permit::SendKind,
-    order: &border::MemoryOrder,
+    given: &engine_call::EngineOrder<'_>,
 ) -> Result<Option<ids::UpstreamStart>, engine_call::EngineCallError> {
     let asked = context.now();
-    let answer = engine_call::order(context, &held.to(), kind, order, ORDER_TIME).await?;
+    let answer = engine_call::order(context, &held.to(), given, ORDER_TIME).await?;
     Ok(upstream_starts::hear_order(context, held.address, &answer, asked))
 }
 
@@ -197,7 +199,7 @@
                 continue;
             }
             let kind = send_permit::SendKind::Renewal;
-            if let Err(reason) = held_order(&context, held, kind).await {
+            if let Err(reason) = held_order(&context, held, kind, &[]).await {
                 log::warn!(engine:% = held.engine, reason; "memory.not_renewed");
             }
             if done.get() || held.is_lost(&context) {
@@ -227,8 +229,10 @@
 async fn release_once(context: &rc::Rc<context::InstanceContext>, held: &HeldTicket) {
     let _busy = context::BusyGuard::new(context);
     let order = border::MemoryOrder::Release { ticket: held.ticket.clone() };
+    let kind = send_permit::SendKind::Release;
+    let given = engine_call::EngineOrder { order: &order, kind, leaves: &[] };
     for attempt in 1..=RELEASE_TRIES {
-        match send_order(context, held, send_permit::SendKind::Release, &order).await {
+        match send_order(context, held, &given).await {
             Ok(_) => return,
             // An engine that knows no such ticket has nothing to give back.
             Err(error) if error.is_over() => return,
--- a/crates/instance/src/model_request.rs
+++ b/crates/instance/src/model_request.rs
@@ -132,9 +132,12 @@
     if pass_failure(reply, record, state).await? {
         return Ok(None);
     }
-    if let Some(rest) = upstream_choice::first_back(context, &call.service) {
-        text = rest.to_string();
-        back_after = Some(rest.back_after());
+    // A planner knows better when limits of its engines let the next one through.
+    let planned = back_after.is_some();
+    let none = upstream_choice::none_open(context, &call.service);
+    if let Some(none) = none.filter(|none| none.is_rest() || !planned) {
+        text = none.to_string();
+        back_after = Some(none.back_after());
     }
     let ran = state.ran.unwrap_or(refusal::RanState::No);
     let code = match ran {
@@ -219,11 +222,12 @@
     hold: &mut plan_client::PlaceHold,
     row: &mut request_record::AttemptRecord,
 ) -> Result<AttemptEnd, h1::MessageError> {
-    if let Err(fault) = upstream_gate::look_at_grant(context, &hold.grant) {
+    if let Err(fault) = upstream_gate::look_at_grant(context, &hold.grant, &hold.leaves) {
         return Ok(AttemptEnd::Fault(fault));
     }
     let taken_at = context.now();
-    let taken = memory_hold::MemoryHold::take(context, hold.grant.job, &hold.grant.held).await;
+    let (job, held) = (hold.grant.job, &hold.grant.held);
+    let taken = memory_hold::MemoryHold::take(context, job, held, &hold.leaves).await;
     let memory = match taken {
         Ok(memory) => memory,
         Err(error) => {
@@ -233,7 +237,7 @@
             return Ok(AttemptEnd::Fault(fault));
         }
     };
-    let Some(target) = stream_target::target(context, call, state, &hold.grant, &memory) else {
+    let Some(target) = stream_target::target(context, call, state, hold, &memory) else {
         let fault = upstream_gate::fault(send_permit::KeptBack::Unlisted);
         return Ok(AttemptEnd::Fault(fault));
     };
--- a/crates/instance/src/peer_message.rs
+++ b/crates/instance/src/peer_message.rs
@@ -2,7 +2,9 @@
 
 use futures::channel::mpsc;
 use serde::{Deserialize, Serialize};
-use slipturn_core::{engine_place, ids, member_beat, planner_key, request_digest};
+use slipturn_core::{
+    engine_place, ids, member_beat, planner_key, request_digest, send_leave, units,
+};
 
 /// Largest datagram; larger messages are split by their sender.
 pub const MAX_DATAGRAM: usize = 16 * 1024;
@@ -14,6 +16,9 @@
 /// Most upstreams in one message that leave; each takes some 25 bytes.
 pub const MAX_LEAVING: usize = 200;
 
+/// Most limits in one message; each takes some 45 bytes.
+pub const MAX_LIMITS: usize = 200;
+
 /// Most end reports in one message; each takes some 60 bytes.
 pub const MAX_ENDS: usize = 200;
 
@@ -55,6 +60,38 @@
     AskNews,
     /// Upstreams have said that they leave.
     Leaving(Vec<LeavingReport>),
+    /// Upstreams have named limits, or ended them.
+    Limits(Vec<LimitReport>),
+    /// Asks the keeper of an upstream's limit for leave to send there.
+    AskLeave(Box<LeaveQuestion>),
+    /// The answer to the question of this number.
+    Leave(u64, send_leave::LeaveAnswer),
+}
+
+/// What an upstream has said of its limit. Times are microseconds ago, as members' clocks differ.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct LimitReport {
+    /// The start of the upstream.
+    pub upstream: ids::UpstreamId,
+    /// The limit; `None` where it has ended it.
+    pub rate: Option<units::RequestRate>,
+    /// When it was asked.
+    pub asked_us: u64,
+    /// When its answer was heard.
+    pub heard_us: u64,
+}
+
+/// A question for leave.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct LeaveQuestion {
+    /// Number of the question at its member.
+    pub number: u64,
+    /// Start of the member.
+    pub boot: u64,
+    /// What is asked.
+    pub ask: send_leave::LeaveAsk,
+    /// What the member knows of the limit: the keeper may have missed it.
+    pub known: LimitReport,
 }
 
 /// That an upstream has said that it leaves.
--- a/crates/instance/src/plan_client.rs
+++ b/crates/instance/src/plan_client.rs
@@ -3,7 +3,7 @@
 use std::{net, rc, time};
 
 use futures::{StreamExt as _, channel::mpsc};
-use slipturn_core::{engine_place, ids, planner_key, units};
+use slipturn_core::{engine_place, ids, planner_key, send_leave, units};
 
 use crate::{context, lease_renewal, peer_message, peers, planner_set};
 
@@ -20,6 +20,8 @@
     key: planner_key::PlannerKey,
     /// The place.
     pub grant: engine_place::PlaceGrant,
+    /// Leaves for those of its engines that have a limit.
+    pub leaves: Vec<send_leave::SendLeave>,
     /// How the attempt ended, as far as is known.
     pub end: engine_place::PlaceEnd,
 }
@@ -114,15 +116,23 @@
         let Ok(answer) = monoio::time::timeout(limit - spent, step).await else {
             return PlaceOutcome::TimedOut;
         };
-        let grant = match answer {
+        let (grant, paced) = match answer {
             None => continue,
             Some(engine_place::PlaceAnswer::Refuse(refusal)) => {
                 return PlaceOutcome::Refused(refusal);
             }
-            Some(engine_place::PlaceAnswer::Grant(grant)) => grant,
+            Some(engine_place::PlaceAnswer::Grant(grant)) => (grant, Vec::new()),
+            Some(engine_place::PlaceAnswer::Paced(grant, paced)) => (grant, paced),
         };
         guard.granted = true;
-        return PlaceOutcome::Placed(hold(context, key, ask, grant));
+        // They were given when the request had waited so long in the planner, which it cannot have reached sooner
+        // than it was asked.
+        let waited = time::Duration::from_millis(u64::from(grant.waited_ms));
+        let leave = |engine| send_leave::SendLeave::of_answer(engine, started, waited);
+        let leaves = paced.into_iter().map(leave).collect();
+        let mut hold = hold(context, key, ask, grant);
+        hold.leaves = leaves;
+        return PlaceOutcome::Placed(hold);
     }
 }
 
@@ -143,6 +153,7 @@
         context: rc::Rc::clone(context),
         key: key.clone(),
         grant,
+        leaves: Vec::new(),
         end: engine_place::PlaceEnd::Done,
     }
 }
--- a/crates/instance/src/planner_set.rs
+++ b/crates/instance/src/planner_set.rs
@@ -9,6 +9,12 @@
 /// A planner that was not asked for so long is not in use.
 const ACTIVE_TIME: time::Duration = time::Duration::from_secs(2);
 
+/// Engines of a planner with a limit: those whose limit this process keeps, and those of others.
+pub type EngineLimits = (
+    collections::BTreeMap<ids::UpstreamId, units::RequestRate>,
+    collections::BTreeSet<ids::UpstreamId>,
+);
+
 /// Who asked for a place.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum AskOrigin {
@@ -137,6 +143,23 @@
         planners.flat_map(planner::ReadPlanner::take_suspects).collect()
     }
 
+    /// Sets which engines have a limit, by planner: at which rate where this process keeps it, and those of others.
+    pub fn set_limits(
+        &mut self,
+        now: units::MonoTime,
+        mut limits: collections::BTreeMap<planner_key::PlannerKey, EngineLimits>,
+    ) {
+        for (key, planner) in &mut self.planners {
+            let (kept, elsewhere) = limits.remove(key).unwrap_or_default();
+            planner.set_limits(now, &kept, elsewhere);
+        }
+    }
+
+    /// Begins anew with all limits that planners here keep.
+    pub fn begin_limits_anew(&mut self, now: units::MonoTime) {
+        self.planners.values_mut().for_each(|planner| planner.leaves().begin_anew(now));
+    }
+
     /// Leaves an engine alone for a while, in whichever planner it is.
     pub fn shun(&mut self, now: units::MonoTime, engine: &ids::UpstreamId) {
         self.planners.values_mut().for_each(|planner| planner.shun(now, engine));
--- a/crates/instance/src/service_request.rs
+++ b/crates/instance/src/service_request.rs
@@ -3,12 +3,12 @@
 use std::{pin, rc, time};
 
 use futures::future;
-use slipturn_core::{ids, refusal, retry, send_permit, upstream_health::CallResult, upstream_list};
+use slipturn_core::{ids, refusal, retry, send_leave, upstream_health::CallResult, upstream_list};
 use slipturn_net::h1;
 
 use crate::{
-    caller_connection, context, incoming_call, request_record, upstream_attempt, upstream_choice,
-    upstream_ends, upstream_news,
+    caller_connection, context, incoming_call, request_record, service_choice, upstream_attempt,
+    upstream_choice, upstream_ends, upstream_news,
 };
 
 /// Largest answer of a plain service that is passed on.
@@ -73,6 +73,7 @@
     let mut text = format!("service '{}' has no upstream", call.service);
     let mut kept_silent = None;
     let mut anew = false;
+    let mut none_left = None;
     for _ in 0..MAX_TRIES {
         if sent >= call.route.max_attempts {
             break;
@@ -82,16 +83,16 @@
             text.push_str("; the retry budget is used up");
             break;
         }
-        let entry = pick(context, call, &excluded).or_else(|| {
+        let mut chosen = service_choice::choose(context, call, &excluded).await;
+        if chosen.is_none()
+            && let Some(again) = kept_silent.take()
+        {
             // Only a connection has failed; the upstream takes the call over a new one.
-            let again = kept_silent.take()?;
             excluded.retain(|name| *name != again);
-            pick(context, call, &excluded)
-        });
-        let Some(entry) = entry else {
-            if let Some(rest) = upstream_choice::first_back(context, &call.service) {
-                text = rest.to_string();
-            }
+            chosen = service_choice::choose(context, call, &excluded).await;
+        }
+        let Some(service_choice::ChosenUpstream { entry, leave }) = chosen else {
+            none_left = upstream_choice::none_open(context, &call.service);
             break;
         };
         excluded.push(entry.name.clone());
@@ -105,14 +106,15 @@
         let in_hand = fallback.is_some();
         let give_up = |reach| {
             let next = reach == upstream_attempt::RetryReach::AnyUpstream
-                || pick(context, call, &excluded).is_some();
+                || service_choice::pick(context, call, &excluded).is_some();
             let allowed =
                 call.route.repeat.allows_repeat() && sent + 1 < call.route.max_attempts && next;
             retry_taken = allowed && context.take_retry(&call.service);
             // A failure that an upstream gave is better than our own at the end of the time.
             retry_taken || (in_hand && reach == upstream_attempt::RetryReach::OtherUpstream)
         };
-        let result = attempt(context, call, &entry, anew, give_up).await;
+        let start = AttemptStart { entry: &entry, leave, anew };
+        let result = attempt(context, call, start, give_up).await;
         if let Some(row) = record.attempts.last_mut() {
             row.end = match &result {
                 Ok((head, _)) => format!("status {}", head.status.as_u16()),
@@ -160,21 +162,32 @@
         refusal::RanState::No => refusal::RefusalCode::NoUpstream,
         _ => refusal::RefusalCode::UpstreamFailed,
     };
-    let rest = upstream_choice::first_back(context, &call.service);
-    let back_after = rest.map_or(BACK_AFTER, |rest| rest.back_after());
+    let mut back_after = BACK_AFTER;
+    if let Some(none) = none_left.or_else(|| upstream_choice::none_open(context, &call.service)) {
+        text = none.to_string();
+        back_after = none.back_after();
+    }
     CallEnd::Refused(refusal::RequestRefusal::not_run(code, text).ran(ran).retry_after(back_after))
 }
 
+/// Where an attempt goes, and how.
+struct AttemptStart<'a> {
+    entry: &'a upstream_list::UpstreamEntry,
+    /// The leave by which it goes there, where the upstream has a limit.
+    leave: Option<send_leave::SendLeave>,
+    /// Whether it goes over a new connection.
+    anew: bool,
+}
+
 /// One attempt; it ends with the start of the upstream that has it.
 async fn attempt(
     context: &rc::Rc<context::InstanceContext>,
     call: &incoming_call::IncomingCall,
-    entry: &upstream_list::UpstreamEntry,
-    anew: bool,
+    start: AttemptStart<'_>,
     give_up: impl FnMut(upstream_attempt::RetryReach) -> bool,
 ) -> Result<(http::response::Parts, bytes::Bytes), upstream_attempt::AttemptFault> {
-    let work = pin::pin!(call_upstream(context, call, entry, anew, give_up));
-    let over = pin::pin!(context.starts.until_over(&entry.name));
+    let over = pin::pin!(context.starts.until_over(&start.entry.name));
+    let work = pin::pin!(call_upstream(context, call, start, give_up));
     match future::select(work, over).await {
         future::Either::Left((result, _)) => result,
         future::Either::Right(_) => Err(upstream_attempt::AttemptFault::restarted()),
@@ -184,8 +197,7 @@
 async fn call_upstream(
     context: &rc::Rc<context::InstanceContext>,
     call: &incoming_call::IncomingCall,
-    entry: &upstream_list::UpstreamEntry,
-    anew: bool,
+    AttemptStart { entry, leave, anew }: AttemptStart<'_>,
     mut give_up: impl FnMut(upstream_attempt::RetryReach) -> bool,
 ) -> Result<(http::response::Parts, bytes::Bytes), upstream_attempt::AttemptFault> {
     let guard = LoadGuard { context, name: &entry.name, result: std::cell::Cell::new(None) };
@@ -196,6 +208,7 @@
         helpers: Vec::new(),
         last_event: None,
         priority: None,
+        leaves: leave.into_iter().collect(),
     };
     let left = call.left(context.now());
     let connected = upstream_attempt::connect(context, call, &target, anew).await;
@@ -271,19 +284,3 @@
         self.context.loads.borrow_mut().end(now, self.name, self.result.get());
     }
 }
-
-fn pick(
-    context: &context::InstanceContext,
-    call: &incoming_call::IncomingCall,
-    excluded: &[ids::UpstreamId],
-) -> Option<upstream_list::UpstreamEntry> {
-    let fleet = context.fleet.borrow();
-    let turn = send_permit::TrialTurn::of(excluded.len(), call.route.max_attempts);
-    let mut open = fleet.list.open(context.now(), &call.service, turn);
-    open.retain(|entry| !excluded.contains(&entry.name));
-    let own = context.settings().data_center.clone();
-    // A call finds out whether an upstream is sound again only while it has another attempt left.
-    let first = excluded.is_empty() && call.route.max_attempts > 1;
-    let repeatable = first && call.route.repeat.allows_repeat();
-    context.loads.borrow().pick(context.now(), &open, &own, repeatable).cloned()
-}
--- a/crates/instance/src/small_server.rs
+++ b/crates/instance/src/small_server.rs
@@ -3,10 +3,10 @@
 use std::{rc, time};
 
 use bytes::Bytes;
-use slipturn_core::{quarantine, request_digest, units, upstream_list};
+use slipturn_core::{ids, quarantine, request_digest, units, upstream_list};
 use slipturn_net::h1;
 
-use crate::{context, document_answers, member_feed, quarantine_news};
+use crate::{context, document_answers, limit_keeping, member_feed, quarantine_news};
 
 /// Requests that are held back.
 const QUARANTINE_PATH: &str = "/v1/quarantine";
@@ -225,12 +225,17 @@
 fn upstream_rows(context: &context::InstanceContext) -> Vec<serde_json::Value> {
     let now = context.now();
     let fleet = context.fleet.borrow();
+    let keeping = |name: &ids::UpstreamId| {
+        let limited = fleet.list.notices().limit(name).is_some();
+        limited.then(|| limit_keeping::summary(context, name)).flatten().unwrap_or_default()
+    };
     let row = |entry: &upstream_list::UpstreamEntry| {
         serde_json::json!({
             "upstream": entry.name.to_string(),
             "service": entry.service,
             "listed": format!("{:?}", entry.state).to_lowercase(),
             "said": fleet.list.notices().told(now, &entry.name).unwrap_or_default(),
+            "limit": keeping(&entry.name),
         })
     };
     fleet.list.entries().map(row).collect()
--- a/crates/instance/src/stream_policy.rs
+++ b/crates/instance/src/stream_policy.rs
@@ -113,7 +113,7 @@
 }
 
 /// Whether a caller has probably been refused before: it has less time than its route gives.
-fn came_back(call: &incoming_call::IncomingCall) -> bool {
+pub(crate) fn came_back(call: &incoming_call::IncomingCall) -> bool {
     let whole = call.route.time_limit.mul_f64(FIRST_TRY_PART);
     call.request.patience.is_some_and(|patience| patience < whole)
 }
--- a/crates/instance/src/stream_target.rs
+++ b/crates/instance/src/stream_target.rs
@@ -1,18 +1,19 @@
 //! Whom a streamed request goes to, once it has a place and its memory.
 
-use slipturn_core::engine_place;
-
-use crate::{context, incoming_call, memory_hold, stream_policy, stream_state, upstream_attempt};
+use crate::{
+    context, incoming_call, memory_hold, plan_client, stream_policy, stream_state, upstream_attempt,
+};
 
 /// The engine that answers and those that read parts; nothing where the first is not listed any more.
 pub(crate) fn target(
     context: &context::InstanceContext,
     call: &incoming_call::IncomingCall,
     state: &stream_state::StreamState,
-    grant: &engine_place::PlaceGrant,
+    hold: &plan_client::PlaceHold,
     memory: &memory_hold::MemoryHold,
 ) -> Option<upstream_attempt::AttemptTarget> {
     let fleet = context.fleet.borrow();
+    let grant = &hold.grant;
     let engine = fleet.list.entry(&grant.engine)?;
     let holders = grant.held.iter().map(|part| &part.engine);
     let readers = grant.helpers.iter().filter(|helper| memory.ticket(helper).is_none());
@@ -31,5 +32,6 @@
         helpers,
         last_event: state.last_event.clone(),
         priority: Some(stream_policy::priority(call, late)),
+        leaves: hold.leaves.clone(),
     })
 }
--- a/crates/instance/src/upstream_attempt.rs
+++ b/crates/instance/src/upstream_attempt.rs
@@ -4,7 +4,7 @@
 
 use bytes::{Bytes, BytesMut};
 use futures::future;
-use slipturn_core::{connection_silence, ids, retry, upstream_notice};
+use slipturn_core::{connection_silence, ids, retry, send_leave, upstream_notice};
 use slipturn_net::h1;
 
 use crate::{
@@ -56,6 +56,8 @@
     pub last_event: Option<String>,
     /// 0 is the most urgent.
     pub priority: Option<u8>,
+    /// Leaves for those of these upstreams that have a limit.
+    pub leaves: Vec<send_leave::SendLeave>,
 }
 
 /// An engine that reads a part of a prompt.
--- a/crates/instance/src/upstream_choice.rs
+++ b/crates/instance/src/upstream_choice.rs
@@ -6,40 +6,77 @@
 
 use crate::context;
 
-/// All upstreams of a service that might take a request rest.
+/// Why none of a service's upstreams may get a request now, and when one will.
 #[derive(Debug, Clone)]
-pub(crate) struct ServiceRest {
-    service: ids::ServiceId,
-    /// The rest that ends first.
-    first: upstream_notice::RestNotice,
-    now: units::MonoTime,
+pub(crate) enum NoneOpen {
+    /// All that might take one rest; the rest that ends first.
+    Rest {
+        /// The service.
+        service: ids::ServiceId,
+        /// The rest that ends first.
+        first: upstream_notice::RestNotice,
+        /// As of when.
+        now: units::MonoTime,
+    },
+    /// All that might take one have a limit, and there is no leave.
+    Limited {
+        /// The service.
+        service: ids::ServiceId,
+        /// When a caller comes back.
+        back_after: time::Duration,
+    },
 }
 
-impl ServiceRest {
+impl NoneOpen {
+    /// Whether it is because of rests.
+    pub(crate) fn is_rest(&self) -> bool {
+        matches!(self, Self::Rest { .. })
+    }
+
     /// When a caller should come back.
     pub(crate) fn back_after(&self) -> time::Duration {
-        let (left, lasted) = (self.first.until.since(self.now), self.first.lasts());
-        refusal::rest_return(left, lasted, &mut rand::rng())
+        match self {
+            Self::Rest { first, now, .. } => {
+                let (left, lasted) = (first.until.since(*now), first.lasts());
+                refusal::rest_return(left, lasted, &mut rand::rng())
+            }
+            Self::Limited { back_after, .. } => *back_after,
+        }
     }
 }
 
-impl fmt::Display for ServiceRest {
+impl fmt::Display for NoneOpen {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let left = units::whole_millis(self.first.until.since(self.now));
-        write!(f, "all upstreams of service '{}' rest, the first {left} ms more", self.service)
+        match self {
+            Self::Rest { service, first, now } => {
+                let left = units::whole_millis(first.until.since(*now));
+                write!(f, "all upstreams of service '{service}' rest, the first {left} ms more")
+            }
+            Self::Limited { service, .. } => {
+                write!(f, "all upstreams of service '{service}' get as many requests as they take")
+            }
+        }
     }
 }
 
-/// The rest that ends first, where none of a service's upstreams may get a request now and some will again.
-pub(crate) fn first_back(
+/// Why none of a service's upstreams may get a request now where some will again; nothing where one may.
+pub(crate) fn none_open(
     context: &context::InstanceContext,
     service: &ids::ServiceId,
-) -> Option<ServiceRest> {
+) -> Option<NoneOpen> {
     let now = context.now();
     let fleet = context.fleet.borrow();
-    if !fleet.list.open(now, service, send_permit::TrialTurn::Yes).is_empty() {
-        return None;
+    let open = fleet.list.open(now, service, send_permit::TrialTurn::Yes);
+    if open.is_empty() {
+        let first = fleet.list.first_back(now, service)?;
+        return Some(NoneOpen::Rest { service: service.clone(), first, now });
     }
-    let first = fleet.list.first_back(now, service)?;
-    Some(ServiceRest { service: service.clone(), first, now })
+    let limits = open.iter().map(|entry| fleet.list.notices().limit(&entry.name)?.word.rate);
+    let rates = limits.collect::<Option<Vec<_>>>()?;
+    // Each member sees its part of those that come back.
+    let rate: f64 = rates.into_iter().map(units::RequestRate::per_second).sum();
+    let share = rate / context.members.borrow().size() as f64;
+    let mut returns = context.limits.returns.borrow_mut();
+    let back_after = returns.entry(service.clone()).or_default().next(now, share);
+    Some(NoneOpen::Limited { service: service.clone(), back_after })
 }
--- a/crates/instance/src/upstream_ends.rs
+++ b/crates/instance/src/upstream_ends.rs
@@ -251,7 +251,7 @@
     delay: time::Duration,
 ) {
     monoio::time::sleep(delay).await;
-    if upstream_gate::look(&context, &upstream, send_permit::SendKind::Check).is_err() {
+    if upstream_gate::look(&context, &upstream, send_permit::SendKind::Check, &[]).is_err() {
         context.tell_run(RunNews::Checked(upstream, CheckResult::Silent));
         return;
     }
--- a/crates/instance/src/upstream_gate.rs
+++ b/crates/instance/src/upstream_gate.rs
@@ -4,8 +4,11 @@
 //! connection, behind an attempt before. What the upstream says meanwhile, to whomever, counts at the moment of
 //! sending, and whoever sends knows it best; so no way of sending has a check of its own, and a connection to an
 //! upstream gives its writing side only to who shows a [`SendPass`].
+//!
+//! To an upstream with a limit only that begins work for which its keeper has given leave: no instance sees the sum
+//! that the limit concerns.
 
-use slipturn_core::{engine_place, ids, retry, send_permit};
+use slipturn_core::{engine_place, ids, retry, send_leave, send_permit};
 
 use crate::{context, upstream_attempt};
 
@@ -32,8 +35,9 @@
     context: &'a context::InstanceContext,
     upstream: &ids::UpstreamId,
     kind: send_permit::SendKind,
+    leaves: &[send_leave::SendLeave],
 ) -> Result<SendPass<'a>, send_permit::KeptBack> {
-    look(context, upstream, kind)?;
+    look(context, upstream, kind, leaves)?;
     let begun = kind == send_permit::SendKind::Request;
     let mut fleet = context.fleet.borrow_mut();
     let trial = begun && fleet.list.notices_mut().begin(context.now(), upstream);
@@ -45,8 +49,9 @@
     context: &context::InstanceContext,
     upstream: &ids::UpstreamId,
     kind: send_permit::SendKind,
+    leaves: &[send_leave::SendLeave],
 ) -> Result<(), send_permit::KeptBack> {
-    let permitted = context.fleet.borrow().list.permits(context.now(), upstream, kind);
+    let permitted = context.fleet.borrow().list.permits(context.now(), upstream, kind, leaves);
     permitted.inspect_err(|reason| {
         let label = format!("{kind}/{}", reason.word());
         context.stats.borrow_mut().count("kept_back", &label);
@@ -60,7 +65,8 @@
     target: &upstream_attempt::AttemptTarget,
 ) -> Result<SendPass<'a>, upstream_attempt::AttemptFault> {
     look_at_parts(context, target)?;
-    pass(context, &target.upstream, send_permit::SendKind::Request).map_err(fault)
+    let kind = send_permit::SendKind::Request;
+    pass(context, &target.upstream, kind, &target.leaves).map_err(fault)
 }
 
 /// Whether a request would be let through now.
@@ -69,18 +75,20 @@
     target: &upstream_attempt::AttemptTarget,
 ) -> Result<(), upstream_attempt::AttemptFault> {
     look_at_parts(context, target)?;
-    look(context, &target.upstream, send_permit::SendKind::Request).map_err(fault)
+    let kind = send_permit::SendKind::Request;
+    look(context, &target.upstream, kind, &target.leaves).map_err(fault)
 }
 
 /// Whether a place that a planner gave may be used now, before memory is set aside for it.
 pub(crate) fn look_at_grant(
     context: &context::InstanceContext,
     grant: &engine_place::PlaceGrant,
+    leaves: &[send_leave::SendLeave],
 ) -> Result<(), upstream_attempt::AttemptFault> {
     let holders = grant.held.iter().map(|part| &part.engine);
     let mut engines = std::iter::once(&grant.engine).chain(&grant.helpers).chain(holders);
     let kind = send_permit::SendKind::Request;
-    engines.try_for_each(|engine| look(context, engine, kind)).map_err(fault)
+    engines.try_for_each(|engine| look(context, engine, kind, leaves)).map_err(fault)
 }
 
 /// Engines that read parts get them from the one that answers, but for this instance's request.
@@ -90,7 +98,8 @@
 ) -> Result<(), upstream_attempt::AttemptFault> {
     let mut parts = target.helpers.iter();
     let kind = send_permit::SendKind::Request;
-    parts.try_for_each(|part| look(context, &part.engine, kind)).map_err(fault)
+    let leaves = &target.leaves;
+    parts.try_for_each(|part| look(context, &part.engine, kind, leaves)).map_err(fault)
 }
 
 pub(crate) fn fault(reason: send_permit::KeptBack) -> upstream_attempt::AttemptFault {
--- a/crates/instance/src/upstream_news.rs
+++ b/crates/instance/src/upstream_news.rs
@@ -2,9 +2,9 @@
 
 use std::{net, time};
 
-use slipturn_core::{fleet_list, ids, planner::ways, units, upstream_limit, upstream_notice};
+use slipturn_core::{fleet_list, ids, planner::ways, units, upstream_notice};
 
-use crate::{border, context, member_news, peer_message};
+use crate::{border, context, limit_news, member_news, peer_message};
 
 /// When and how an upstream was asked.
 #[derive(Debug, Clone, Copy)]
@@ -28,7 +28,7 @@
     if said.leaving {
         hear_leaving(context, upstream, source);
     }
-    hear_limit(context, upstream, said, asked);
+    limit_news::hear(context, upstream, said, asked);
     let turned_away = [http::StatusCode::SERVICE_UNAVAILABLE, http::StatusCode::TOO_MANY_REQUESTS];
     if turned_away.contains(&status) {
         if let Some(rest) = &said.rest {
@@ -137,58 +137,6 @@
     news
 }
 
-/// Takes in what an answer says of its upstream's limit. That it leaves one out counts where it answers a
-/// request: nobody says that other answers carry it.
-fn hear_limit(
-    context: &context::InstanceContext,
-    upstream: &ids::UpstreamId,
-    said: &border::UpstreamAnswer,
-    asked: AskedWord,
-) {
-    let rate = match &said.limit {
-        Some(Ok(rate)) => Some(*rate),
-        Some(Err(error)) => {
-            log::info!(upstream:%, error:%; "upstream.limit_unreadable");
-            context.stats.borrow_mut().count("upstream_limits", "unreadable");
-            return;
-        }
-        None if asked.source == upstream_notice::NoticeSource::Answer => None,
-        None => return,
-    };
-    let (heard, source) = (context.now(), asked.source);
-    note_limit(
-        context,
-        upstream,
-        upstream_limit::LimitWord { rate, asked: asked.at, heard, source },
-    );
-}
-
-/// Notes what a word says of an upstream's limit.
-fn note_limit(
-    context: &context::InstanceContext,
-    upstream: &ids::UpstreamId,
-    word: upstream_limit::LimitWord,
-) {
-    let news = context.fleet.borrow_mut().list.notices_mut().hear_limit(upstream, word);
-    let source = word.source;
-    let change = match news {
-        upstream_limit::LimitNews::Known => return,
-        upstream_limit::LimitNews::Begun(rate) => {
-            log::info!(upstream:%, source:%, rate:%; "upstream.limited");
-            "begun"
-        }
-        upstream_limit::LimitNews::Changed(rate, before) => {
-            log::info!(upstream:%, source:%, rate:%, before:%; "upstream.limit_changed");
-            "changed"
-        }
-        upstream_limit::LimitNews::Ended => {
-            log::info!(upstream:%, source:%; "upstream.unlimited");
-            "ended"
-        }
-    };
-    context.stats.borrow_mut().count("upstream_limits", &format!("{change}/{source}"));
-}
-
 /// Takes in that an upstream has taken a request.
 fn hear_taken(context: &context::InstanceContext, upstream: &ids::UpstreamId) {
     let mut fleet = context.fleet.borrow_mut();
--- a/crates/instance/tests/peer_message.rs
+++ b/crates/instance/tests/peer_message.rs
@@ -6,8 +6,10 @@
 };
 use slipturn_core::member_beat::AliveBeat;
 use slipturn_core::planner_key::PlannerKey;
+use slipturn_core::send_leave::{LeaveAnswer, LeaveAsk};
 use slipturn_instance::peer_message::{
-    LeavingReport, MAX_DATAGRAM, MAX_LEASES, MAX_LEAVING, MAX_RENEWED, PeerMessage, RenewedJob,
+    LeaveQuestion, LeavingReport, LimitReport, MAX_DATAGRAM, MAX_LEASES, MAX_LEAVING, MAX_LIMITS,
+    MAX_RENEWED, PeerMessage, RenewedJob,
 };
 
 fn name(text: &str) -> slipturn_core::ids::UpstreamId {
@@ -130,3 +132,28 @@
     assert!(asked.len() < MAX_DATAGRAM && full.len() < MAX_DATAGRAM);
     assert!(one.len() <= 40);
 }
+
+/// Limits, questions for leave and their answers: few bytes each, and a message full of limits fits.
+#[test]
+fn words_on_limits_are_small() {
+    let upstream = name("i-0123456789ab@1764633600000");
+    let rate = Some("2.6".parse().expect("a rate"));
+    let (asked_us, heard_us) = (9_999_999, 9_999_998);
+    let known = LimitReport { upstream: upstream.clone(), rate, asked_us, heard_us };
+    let full = PeerMessage::Limits(vec![known.clone(); MAX_LIMITS]);
+    assert!(full.encode().expect("it can be coded").len() < MAX_DATAGRAM);
+    let ask = LeaveAsk { upstream, wanted: 9, patience_ms: 300 };
+    let question = LeaveQuestion { number: 90_000, boot: u64::MAX, ask, known: known.clone() };
+    let given = LeaveAnswer::Given { count: 1, wait_ms: 200 };
+    let messages = [
+        (PeerMessage::Limits(vec![known]), 64),
+        (PeerMessage::AskLeave(Box::new(question)), 112),
+        (PeerMessage::Leave(90_000, given), 16),
+    ];
+    for (message, most) in messages {
+        let bytes = message.encode().expect("it can be coded");
+        println!("{} bytes", bytes.len());
+        assert!(bytes.len() <= most, "{} bytes: {message:?}", bytes.len());
+        assert_eq!(PeerMessage::decode(&bytes).expect("it can be read"), message);
+    }
+}
--- a/crates/instance/tests/rest_ways.rs
+++ b/crates/instance/tests/rest_ways.rs
@@ -161,7 +161,7 @@
                 return true;
             };
             let list = &mut self.lists[member];
-            if list.permits(at(now), &grant.engine, SendKind::Request).is_err() {
+            if list.permits(at(now), &grant.engine, SendKind::Request, &[]).is_err() {
                 self.outcome.kept_back += 1;
                 self.planner.end(at(now), grant.job, PlaceEnd::Done);
                 excluded.push(grant.engine);
