Calls to upstreams of a plain service that are alike to an instance go to any of them, not to the first in the list

Callers saw late answers in the fleets with many small instances: nearly all calls stood in one upstream's queue.

Cause: each instance takes the upstream with the fewest of its own calls, and of equal ones the first in the list, which is the same for all. The fewer calls an instance has under way, the more upstreams are equal to it.

--- a/crates/core/src/planner/ways.rs
+++ b/crates/core/src/planner/ways.rs
@@ -82,6 +82,21 @@
     KeptBack,
 }
 
+/// Which of the upstreams of a plain service takes a call, of those that speak for themselves alike.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum LoadChoiceWay {
+    /// Any of the least loaded.
+    #[default]
+    Random,
+    /// The less loaded of two that are drawn.
+    TwoChoices,
+    /// The least loaded, of equal ones that which comes first in an order of this instance's own.
+    OwnOrder,
+    /// The least loaded, of equal ones the first in the list.
+    First,
+}
+
 /// The way of each decision.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Deserialize)]
 #[serde(deny_unknown_fields, default)]
@@ -98,6 +113,8 @@
     pub leaving_news: LeavingNewsWay,
     /// Engines that a member must not send to.
     pub closed_engines: ClosedEngineWay,
+    /// Choice among the upstreams of a plain service.
+    pub load_choice: LoadChoiceWay,
 }
 
 impl fmt::Display for PlannerWays {
@@ -105,13 +122,14 @@
         write!(
             f,
             "packing {:?}, engine faults {:?}, short refusal {:?}, rest return {:?}, leaving news {:?}, \
-             closed engines {:?}",
+             closed engines {:?}, load choice {:?}",
             self.packing,
             self.engine_faults,
             self.short_refusal,
             self.rest_return,
             self.leaving_news,
-            self.closed_engines
+            self.closed_engines,
+            self.load_choice
         )
     }
 }
--- a/crates/instance/src/context.rs
+++ b/crates/instance/src/context.rs
@@ -11,8 +11,8 @@
 
 use crate::{
     border, document_answers, fleet_state, instance_settings, instance_stats, limit_keeping,
-    peer_message, planner_set, quarantine_gate, upstream_ends, upstream_pool, upstream_silence,
-    upstream_starts,
+    peer_message, planner_set, quarantine_gate, upstream_ends, upstream_load, upstream_pool,
+    upstream_silence, upstream_starts,
 };
 
 /// Age at which a process knows how many members there are; heartbeats are a second apart at most.
@@ -69,7 +69,7 @@
     /// Idle connections to upstreams.
     pub pool: upstream_pool::UpstreamPool,
     /// What upstreams of plain services do for this process.
-    pub loads: cell::RefCell<crate::upstream_load::UpstreamLoads>,
+    pub loads: cell::RefCell<upstream_load::UpstreamLoads>,
     /// Limits of upstreams.
     pub limits: limit_keeping::LimitState,
     /// Attempts that wait for starts of upstreams.
@@ -136,6 +136,8 @@
             ways: parts.settings.experiments,
         };
         let members = membership::MemberView::new(own.clone(), seeds);
+        let load_choice = parts.settings.experiments.load_choice;
+        let loads = upstream_load::UpstreamLoads::new(load_choice, own.as_str());
         let mut fleet = fleet_state::FleetState::new(rc::Rc::clone(&parts.border));
         fleet.list.notices_mut().set_return(parts.settings.experiments.rest_return);
         Self {
@@ -153,7 +155,7 @@
             grants: cell::RefCell::default(),
             retries: cell::RefCell::default(),
             pool: upstream_pool::UpstreamPool::default(),
-            loads: cell::RefCell::default(),
+            loads: cell::RefCell::new(loads),
             limits: limit_keeping::LimitState::default(),
             starts: upstream_starts::StartWaiters::default(),
             quarantine: cell::RefCell::default(),
--- a/crates/instance/src/upstream_load.rs
+++ b/crates/instance/src/upstream_load.rs
@@ -2,7 +2,11 @@
 
 use std::{collections, time};
 
-use slipturn_core::{connection_silence, ids, route_table, units, upstream_health, upstream_list};
+use rand::seq::IndexedRandom as _;
+use slipturn_core::{
+    connection_silence, ids, planner::ways, rendezvous, route_table, units, upstream_health,
+    upstream_list,
+};
 
 /// How long an upstream's word on its load counts.
 const LOAD_TIME: time::Duration = time::Duration::from_millis(500);
@@ -29,12 +33,20 @@
 /// What this process knows of upstreams' load.
 #[derive(Debug, Default)]
 pub struct UpstreamLoads {
+    way: ways::LoadChoiceWay,
+    /// Name of this instance.
+    own: String,
     states: collections::HashMap<ids::UpstreamId, LoadState>,
     /// How long answers take, by route.
     times: collections::HashMap<ids::ClassId, connection_silence::AnswerTimes>,
 }
 
 impl UpstreamLoads {
+    /// Nothing known yet, for the instance of this name.
+    pub fn new(way: ways::LoadChoiceWay, own: &str) -> Self {
+        Self { way, own: own.to_owned(), ..Self::default() }
+    }
+
     /// The least loaded of the candidates, but for one that failed and is to be asked again; those
     /// left alone only where there is no other.
     pub fn pick<'a>(
@@ -60,7 +72,30 @@
             let shunned = if state.health.is_trusted() { 0.0 } else { SHUNNED_COST };
             load + state.health.failing(now) * FAILING_COST + away + shunned
         };
-        candidates.iter().copied().min_by(|left, right| cost(left).total_cmp(&cost(right)))
+        let costs: Vec<_> = candidates.iter().map(|entry| (cost(entry), *entry)).collect();
+        let least = |costs: &[(f64, &'a upstream_list::UpstreamEntry)]| {
+            let least = costs.iter().min_by(|left, right| left.0.total_cmp(&right.0));
+            least.copied()
+        };
+        let (lowest, first) = least(&costs)?;
+        let equal = costs.iter().filter(|(cost, _)| *cost <= lowest).map(|(_, entry)| *entry);
+        match self.way {
+            ways::LoadChoiceWay::First => Some(first),
+            // Instances whose own calls are few find all upstreams alike: none of these may be the first for all.
+            ways::LoadChoiceWay::Random => {
+                equal.collect::<Vec<_>>().choose(&mut rand::rng()).copied()
+            }
+            ways::LoadChoiceWay::OwnOrder => equal.max_by_key(|entry| self.place(entry)),
+            ways::LoadChoiceWay::TwoChoices => {
+                let drawn: Vec<_> = costs.sample(&mut rand::rng(), 2).copied().collect();
+                least(&drawn).map(|(_, entry)| entry)
+            }
+        }
+    }
+
+    /// Place of an upstream in this instance's own order.
+    fn place(&self, entry: &upstream_list::UpstreamEntry) -> u64 {
+        rendezvous::stable_hash(&[&self.own, entry.name.identifier()])
     }
 
     /// A call begins.
