What a limit lets through is asked for first, of upstreams that are alike to an instance

Cause: a leave that nobody asks for while it is due is lost, and with equal choice an upstream of six is asked for by a sixth of the calls of those instances whose turn it is.

Ruled out: a larger burst to make up for it (it lets more through at once); more turns for each leave (more asks in vain).

Change: UpstreamLoads::pick takes of equal ones the one whose limit lets a request through now.

Conclusion: what upstreams in need take is used; a slow one costs more than others and is not preferred.

--- a/crates/instance/src/service_choice.rs
+++ b/crates/instance/src/service_choice.rs
@@ -62,7 +62,9 @@
     // A call finds out whether an upstream is sound again only while it has another attempt left.
     let first = excluded.is_empty() && call.route.max_attempts > 1;
     let repeatable = first && call.route.repeat.allows_repeat();
-    context.loads.borrow().pick(context.now(), &open, &own, repeatable).cloned()
+    let is_paced =
+        |entry: &upstream_list::UpstreamEntry| fleet.list.notices().limit(&entry.name).is_some();
+    context.loads.borrow().pick(context.now(), &open, &own, repeatable, is_paced).cloned()
 }
 
 /// Waits for leave at the upstreams that are closed for the shortest time.
--- a/crates/instance/src/upstream_load.rs
+++ b/crates/instance/src/upstream_load.rs
@@ -48,13 +48,15 @@
     }
 
     /// The least loaded of the candidates, but for one that failed and is to be asked again; those
-    /// left alone only where there is no other.
+    /// left alone only where there is no other. Of equal ones one that `is_paced`: its limit lets a request through
+    /// now.
     pub fn pick<'a>(
         &self,
         now: units::MonoTime,
         candidates: &[&'a upstream_list::UpstreamEntry],
         own: &ids::DataCenterId,
         repeatable: bool,
+        is_paced: impl Fn(&upstream_list::UpstreamEntry) -> bool,
     ) -> Option<&'a upstream_list::UpstreamEntry> {
         let to_probe = |entry: &&&upstream_list::UpstreamEntry| {
             let state = self.states.get(&entry.name);
@@ -79,6 +81,10 @@
         };
         let (lowest, first) = least(&costs)?;
         let equal = costs.iter().filter(|(cost, _)| *cost <= lowest).map(|(_, entry)| *entry);
+        // What a limit lets through is lost if nobody asks for it in time; the others take the rest.
+        if let Some(paced) = equal.clone().find(|entry| is_paced(entry)) {
+            return Some(paced);
+        }
         match self.way {
             ways::LoadChoiceWay::First => Some(first),
             // Instances whose own calls are few find all upstreams alike: none of these may be the first for all.
--- a/crates/instance/tests/upstream_load.rs
+++ b/crates/instance/tests/upstream_load.rs
@@ -109,8 +109,9 @@
         let own = entries[instance % entries.len()].data_center.clone();
         let repeatable = rng.random_bool(plan.repeatable);
         let bad = repeatable && rng.random_bool(plan.bad_calls);
-        let picked =
-            loads[instance].pick(at(now), &usable, &own, repeatable).expect("there are some");
+        let picked = loads[instance]
+            .pick(at(now), &usable, &own, repeatable, |_| false)
+            .expect("there are some");
         let upstream = names.iter().position(|name| *name == picked.name).expect("it is one");
         let failing = upstream == 0 && (plan.from_ms..plan.until_ms).contains(&now);
         let fails = failing && rng.random_bool(plan.share);
@@ -228,7 +229,7 @@
         loads.begin(at(0), &entries[0].name);
         loads.end(at(0), &entries[0].name, Some(result));
     }
-    let picked = loads.pick(at(1), &[&entries[0]], &own, false).expect("there is one");
+    let picked = loads.pick(at(1), &[&entries[0]], &own, false, |_| false).expect("there is one");
     assert_eq!(picked.name, entries[0].name);
 }
 
@@ -240,6 +241,7 @@
     loads.begin(at(0), &entries[0].name);
     loads.end(at(0), &entries[0].name, Some(Gone));
     let again = UpstreamEntry { name: "u1@8".parse().expect("a valid name"), ..entries[0].clone() };
-    let picked = loads.pick(at(1), &[&again, &entries[1]], &own, false).expect("there are some");
+    let picked =
+        loads.pick(at(1), &[&again, &entries[1]], &own, false, |_| false).expect("there are some");
     assert_eq!(picked.name, again.name);
 }
--- a/crates/instance/tests/upstream_shares.rs
+++ b/crates/instance/tests/upstream_shares.rs
@@ -93,7 +93,7 @@
         |number| PlayedUpstream { places: [0; SLOTS], work_ms: work(number), calls: 0, running: 0 };
     let mut upstreams: Vec<_> = (0..UPSTREAMS).map(new).collect();
     let mut ends = collections::BTreeMap::<u64, Vec<(usize, usize)>>::new();
-    let (mut calls, mut late) = (0, 0);
+    let (mut calls, mut late) = (0_u32, 0_u32);
     for now in 0..PLAY_MS {
         for (instance, upstream) in ends.remove(&now).unwrap_or_default() {
             upstreams[upstream].running -= 1;
@@ -106,7 +106,7 @@
         let due = CAPACITY * plan.load / 1_000.0 + random.random::<f64>();
         for _ in 0..due as usize {
             let instance = random.random_range(0..plan.instances);
-            let picked = loads[instance].pick(at(now), &usable, &own, false);
+            let picked = loads[instance].pick(at(now), &usable, &own, false, |_| false);
             let picked = picked.expect("there are some");
             let upstream = entries.iter().position(|entry| entry.name == picked.name);
             let upstream = upstream.expect("it is one");
@@ -114,13 +114,13 @@
             let end = upstreams[upstream].take(now);
             ends.entry(end).or_default().push((instance, upstream));
             calls += 1;
-            late += usize::from(end > now + GOAL_MS);
+            late += u32::from(end > now + GOAL_MS);
         }
     }
     let busiest = upstreams.iter().map(|upstream| upstream.calls).max().unwrap_or(0);
     ShareFigures {
-        busiest: busiest as f64 * UPSTREAMS as f64 / calls as f64,
-        late: late as f64 / calls as f64,
+        busiest: busiest as f64 * UPSTREAMS as f64 / f64::from(calls),
+        late: f64::from(late) / f64::from(calls),
     }
 }
 
