--- a/crates/soak/src/check.rs
+++ b/crates/soak/src/check.rs
@@ -7,7 +7,7 @@
 use crate::{
     config_check,
     evidence::{self, Disturbance, Evidence},
-    leave_check,
+    leave_check, limit_check,
     traffic::SentRequest,
     word_check,
 };
@@ -39,6 +39,7 @@
     found.extend(config_check::violations(evidence));
     found.extend(leave_check::violations(evidence));
     found.extend(word_check::violations(evidence));
+    found.extend(limit_check::violations(evidence));
     found
 }
 
--- a/crates/soak/src/evidence.rs
+++ b/crates/soak/src/evidence.rs
@@ -82,6 +82,21 @@
     pub leaving: Option<time::Instant>,
     /// When its answer turned it away, and for how long the upstream wanted rest.
     pub rest: Option<(time::Instant, time::Duration)>,
+    /// When its answer named a limit.
+    pub limited: Option<time::Instant>,
+}
+
+/// A limit that an upstream named, while it stood.
+#[derive(Debug, Clone)]
+pub struct NamedLimit {
+    /// The upstream.
+    pub upstream: u8,
+    /// Requests a second.
+    pub rate: f64,
+    /// From when on answers named it.
+    pub since: time::Instant,
+    /// Until when.
+    pub until: time::Instant,
 }
 
 /// What a run has seen.
@@ -97,6 +112,8 @@
     pub arrivals: Vec<RequestArrival>,
     /// Arrivals of requests, run or not, with what upstreams said.
     pub words: Vec<UpstreamWord>,
+    /// Limits that upstreams named.
+    pub limits: Vec<NamedLimit>,
     /// New starts of upstreams, which have said nothing yet.
     pub renewals: Vec<(u8, time::Instant)>,
     /// Kills, pauses and the like, which excuse cut connections and long answers.
@@ -131,6 +148,7 @@
             runs: collections::HashMap::new(),
             arrivals: Vec::new(),
             words: Vec::new(),
+            limits: Vec::new(),
             renewals: Vec::new(),
             unplanned: Vec::new(),
             stops: Vec::new(),
--- a/crates/soak/src/fault_plan.rs
+++ b/crates/soak/src/fault_plan.rs
@@ -10,7 +10,7 @@
 use rand_chacha::ChaCha8Rng;
 use slipturn_platform_standin::{proxy::LinkMode, runner::RunnerMode, store::StoreMode};
 
-use crate::{contact_plan, odd_plan, word_plan};
+use crate::{contact_plan, limit_plan, odd_plan, word_plan};
 
 /// Pause between two faults, milliseconds: short enough for faults to overlap.
 const GAP_MS: std::ops::Range<u64> = 100..600;
@@ -64,6 +64,8 @@
     SayLeaving(u8),
     /// An upstream turns away what comes, and asks for so many milliseconds of rest.
     AskRest(u8, u64),
+    /// An upstream names how many requests it takes, thousandths a second.
+    NameLimit(u8, u32),
     /// Another writer overwrites an upstream's entry until the end.
     Overwrite(u8),
     /// Another writer writes an entry of its own, under this number.
@@ -120,6 +122,7 @@
     faults.extend(contact_plan::scenes(seed, size));
     faults.extend(odd_plan::faults(seed, size));
     faults.extend(word_plan::faults(seed, size));
+    faults.extend(limit_plan::faults(seed, size));
     faults.sort_by_key(|planned| planned.at);
     faults
 }
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -9,6 +9,8 @@
 pub mod evidence;
 pub mod fault_plan;
 pub mod leave_check;
+mod limit_check;
+mod limit_plan;
 mod odd_plan;
 pub mod run;
 mod struck_fleet;
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -8,14 +8,14 @@
 use slipturn_platform_standin::{
     caller::Outcome,
     fleet::{Fleet, FleetPlan},
-    runner::ArrivalKind,
+    runner::{self, ArrivalKind},
 };
 
 use crate::{
     check,
     config_probe::ConfigProber,
     contact_plan,
-    evidence::{Evidence, RequestArrival, UpstreamWord},
+    evidence::{Evidence, NamedLimit, RequestArrival, UpstreamWord},
     fault_plan::{self, PlannedFault},
     struck_fleet::StruckFleet,
     traffic::Traffic,
@@ -122,7 +122,9 @@
             at: arrival.at,
             leaving: arrival.told,
             rest: arrival.turned_away,
+            limited: arrival.limited,
         }));
+        evidence.limits.extend(named_limits(upstream, &runner.limits()));
         for (id, record) in runner.runs() {
             let arrival = |at: &_| {
                 let ended = record.ended.unwrap_or(*at);
@@ -140,3 +142,13 @@
     }
     evidence.arrivals.sort_by_key(|arrival| arrival.at);
 }
+
+/// The limits that an upstream named, each until the next.
+fn named_limits(upstream: u8, limits: &[runner::NamedLimit]) -> Vec<NamedLimit> {
+    let ends = limits.iter().skip(1).map(|limit| limit.since).chain([time::Instant::now()]);
+    let named = |(limit, until): (&runner::NamedLimit, _)| {
+        let rate = limit.text.parse().ok()?;
+        Some(NamedLimit { upstream, rate, since: limit.since, until })
+    };
+    limits.iter().zip(ends).filter_map(named).collect()
+}
--- a/crates/soak/src/struck_fleet.rs
+++ b/crates/soak/src/struck_fleet.rs
@@ -39,6 +39,7 @@
     Return(u8),
     Restart(u8),
     RestOver(u8),
+    LimitOver(u8),
 }
 
 /// A fleet with its faults.
@@ -135,6 +136,12 @@
                 self.disturb_outside(until);
                 self.ends.push((until, FaultEnd::RestOver(number)));
             }
+            Fault::NameLimit(number, thousandths) => {
+                let rate = f64::from(thousandths) / 1_000.0;
+                self.fleet.runners()[usize::from(number)].name_limit(&rate.to_string());
+                self.disturb_outside(until);
+                self.ends.push((until, FaultEnd::LimitOver(number)));
+            }
             Fault::Overwrite(number) => {
                 self.overwrite(number);
                 self.ends.push((until, FaultEnd::Return(number)));
@@ -262,6 +269,9 @@
                 self.disturb_outside(now);
                 self.list(number, false);
             }
+            FaultEnd::LimitOver(number) => {
+                self.fleet.runners()[usize::from(number)].name_limit("");
+            }
             FaultEnd::RestOver(number) => {
                 self.fleet.runners()[usize::from(number)].turn_away(None);
             }
--- a/crates/soak/src/word_check.rs
+++ b/crates/soak/src/word_check.rs
@@ -12,14 +12,19 @@
 const CROSSING: time::Duration = time::Duration::from_millis(500);
 
 /// Who has sent a request, and when.
-type RequestOrigins<'a> = collections::HashMap<&'a str, (u8, time::Instant)>;
+pub(crate) type RequestOrigins<'a> = collections::HashMap<&'a str, (u8, time::Instant)>;
 
-/// All violations.
-pub(crate) fn violations(evidence: &Evidence) -> Vec<String> {
+/// Who has sent which request.
+pub(crate) fn origins(evidence: &Evidence) -> RequestOrigins<'_> {
     let sent = evidence.sent.iter().map(|sent| (sent.id.as_str(), (sent.instance, sent.from)));
     let probes = evidence.probes.iter();
     let probes = probes.map(|probe| (probe.id.as_str(), (probe.instance, probe.from)));
-    let origins: RequestOrigins<'_> = sent.chain(probes).collect();
+    sent.chain(probes).collect()
+}
+
+/// All violations.
+pub(crate) fn violations(evidence: &Evidence) -> Vec<String> {
+    let origins = origins(evidence);
     let found = evidence.words.iter().flat_map(|arrival| judge(evidence, &origins, arrival));
     evidence::first_of_each(found)
 }
--- a/crates/soak/tests/judgements.rs
+++ b/crates/soak/tests/judgements.rs
@@ -6,7 +6,10 @@
 use slipturn_soak::{
     check,
     config_probe::{ConfigProbe, ProbeAim, Publication},
-    evidence::{Disturbance, Evidence, LinkTrouble, RequestArrival, UpstreamListing, UpstreamWord},
+    evidence::{
+        Disturbance, Evidence, LinkTrouble, NamedLimit, RequestArrival, UpstreamListing,
+        UpstreamWord,
+    },
     traffic::SentRequest,
 };
 
@@ -181,6 +184,7 @@
             at,
             leaving: leaving.then_some(told).filter(|_| first),
             rest: rest.map(|rest| (told, rest)).filter(|_| first),
+            limited: None,
         });
         evidence.sent.push(SentRequest {
             id,
@@ -228,3 +232,49 @@
     harmed.link_troubles.push(LinkTrouble { upstream: 5, from, to });
     assert_eq!(check::violations(&harmed).len(), 0);
 }
+
+/// A run with so many requests of two instances in turn, 100 ms apart from 1 s on, at an upstream that has named 2 a
+/// second in all its answers.
+fn limited(count: u32) -> Evidence {
+    let mut evidence = Evidence::new();
+    let started = evidence.started;
+    let (since, until) = (started, started + SECOND * 30);
+    evidence.limits.push(NamedLimit { upstream: 5, rate: 2.0, since, until });
+    for number in 0..count {
+        let id = format!("1-0-{number}");
+        let at = started + SECOND + MILLI * 100 * number;
+        evidence.words.push(UpstreamWord {
+            upstream: 5,
+            id: id.clone(),
+            at,
+            leaving: None,
+            rest: None,
+            limited: Some(at + MILLI),
+        });
+        evidence.sent.push(SentRequest {
+            id,
+            route: "safe",
+            instance: (number % 2) as u8,
+            outcome: Some(Outcome::Good),
+            from: at,
+            to: at,
+            ended_rest: None,
+        });
+    }
+    evidence
+}
+
+/// 17 in 4 s are allowed; of each instance those count that come half a second behind its first answer.
+#[test]
+fn more_than_a_limit_allows_is_a_violation() {
+    for (count, found) in [(23, 0), (24, 1), (30, 1), (60, 1)] {
+        let violations = check::violations(&limited(count));
+        assert_eq!(violations.len(), found, "{count}: {violations:?}");
+    }
+    let mut cut = limited(30);
+    lose_contact(&mut cut, Some(0), SECOND * 2, SECOND * 5);
+    assert_eq!(check::violations(&cut).len(), 0, "what is left of one instance's is half");
+    let mut ended = limited(40);
+    ended.limits[0].until = ended.started + SECOND * 2;
+    assert_eq!(check::violations(&ended).len(), 0, "the limit had ended");
+}
