Engines with a limit whose answers tell enough are not asked for reports

Cause: an engine in need is asked for a report each two seconds beside the requests that it takes.

Change: the planner asks it only where it has heard nothing of it for ten seconds; reports about a request under way go on, as they show whether an engine is dead.

--- a/crates/instance/src/engine_reports.rs
+++ b/crates/instance/src/engine_reports.rs
@@ -12,6 +12,8 @@
 const LOOK_INTERVAL: time::Duration = time::Duration::from_millis(250);
 /// Time for a report; within a region it takes a few milliseconds.
 const REPORT_TIME: time::Duration = time::Duration::from_millis(400);
+/// An engine with a limit that has answered within this time is not asked: it is in need, and its answers tell enough.
+const LIMITED_INTERVAL: time::Duration = time::Duration::from_secs(10);
 /// A slower engine than this is noted in the log.
 const SLOW_PACE: f64 = 1.5;
 
@@ -36,6 +38,7 @@
 fn planned_engines(context: &context::InstanceContext) -> Vec<upstream_list::UpstreamEntry> {
     let keys = context.planners.borrow().active(context.now());
     let own = keys.into_iter().filter(|key| peers::planner_of(context, key).is_none());
+    let now = context.now();
     let mut engines = Vec::new();
     for key in own {
         let fleet = context.fleet.borrow();
@@ -43,7 +46,11 @@
         let cells = planner_key::cell_count(usable.len());
         let in_cell = usable
             .into_iter()
-            .filter(|entry| planner_key::cell_of(&key.service, &entry.name, cells) == key.cell);
+            .filter(|entry| planner_key::cell_of(&key.service, &entry.name, cells) == key.cell)
+            .filter(|entry| {
+                let limit = fleet.list.notices().limit(&entry.name);
+                limit.is_none_or(|limit| now.since(limit.word.heard) >= LIMITED_INTERVAL)
+            });
         engines.extend(in_cell.cloned());
     }
     engines
