Retries beyond what own requests add are kept for all members by one, in place of one each and a guess at their number

Callers: none saw it yet; a service whose calls fail at all instances at once would get more retries than the fleet may make.

Ruled out: an even share (its parts are no whole retry from 60 members on); a draw of who may (the one that needs it mostly loses it).

Change: RetryShare has what own requests add and, while it is a whole retry, the split part of the rest; RetryBound::kept is given by a member by rendezvous through the same ledger, desk and messages as leaves for limits (LeaveSubject). Giving a silent upstream up asks for it, too.

Open: which retries help most is not weighed.

--- a/crates/core/src/fleet_budget.rs
+++ b/crates/core/src/fleet_budget.rs
@@ -1,13 +1,22 @@
-//! This member's share of the retries that the whole fleet may make.
+//! The retries that all members together may make, and this member's own share of them.
+//!
+//! The bound grows with the requests of all, so what each member's own requests add is its own to use. What goes beyond
+//! that is one number for all: a part of it is split evenly, for members that reach nobody, and the rest is given
+//! by the member that keeps it, to those that need it.
 
 use std::{collections, time};
 
-use crate::units;
+use crate::{send_pace, units};
 
-/// Part of the fleet's bound that is used; the rest is for views that differ.
+/// Part of the bound that own requests add to it which is used; the rest is for views that differ.
 const USED_PART: f64 = 0.6;
-/// Members assumed while none has been heard of for long enough to know.
-const UNSURE_MEMBERS: usize = 24;
+/// Part of the number for all that is split evenly among the members: where these are cut in halves that take each
+/// other for gone, it is used twice.
+const SPLIT_PART: f64 = 0.3;
+/// Part of that number which its keeper gives; used twice behind a cut, too.
+const KEPT_PART: f64 = 0.2;
+/// The same where there are so many members that no split share is a whole retry.
+const KEPT_ALONE_PART: f64 = SPLIT_PART + KEPT_PART;
 
 /// The fleet's bound on retries to one service.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -20,6 +29,25 @@
     pub window: time::Duration,
 }
 
+impl RetryBound {
+    /// What the keeper gives, of which `part` is its own to give, where it knows how many `members` there are: half of
+    /// it at once, the rest as time goes by, so that no window has more than the whole.
+    pub fn kept(&self, part: f64, members: Option<usize>) -> send_pace::PaceBound {
+        let is_split = members.is_none_or(|members| self.split(members) >= 1.0);
+        let kept = if is_split { KEPT_PART } else { KEPT_ALONE_PART };
+        let most = self.extra * kept * part.clamp(0.0, 1.0);
+        let rate = most / 2.0 / self.window.as_secs_f64();
+        let rate = units::RequestRate::try_from(rate).unwrap_or_default();
+        // A keeper that changes a few times within a window still gives less than is left of the whole.
+        send_pace::PaceBound { rate, catch_up: self.window, credit: self.window / 2 }
+    }
+
+    /// Each member's share of what is split among so many.
+    fn split(&self, members: usize) -> f64 {
+        self.extra * SPLIT_PART / members.max(1) as f64
+    }
+}
+
 /// Retries and requests of this member in the window.
 #[derive(Debug)]
 pub struct RetryShare {
@@ -44,13 +72,13 @@
         self.requests.push_back(now);
     }
 
-    /// Takes one retry, if this member's share has one left; `members` is `None` while unsure.
+    /// Takes one retry, if this member's share has one left. While the `members` are not known it has what its own
+    /// requests add and no more: however many there are, all may be as unsure.
     pub fn take(&mut self, now: units::MonoTime, members: Option<usize>) -> bool {
         self.prune(now);
-        let members = members.unwrap_or(UNSURE_MEMBERS).max(1);
-        let extra = self.bound.extra / members as f64;
-        let allowed = (self.requests.len() as f64 * self.bound.ratio + extra) * USED_PART;
-        if self.retries.len() as f64 + 1.0 > allowed.max(1.0) {
+        let split = members.map_or(0.0, |members| self.bound.split(members));
+        let added = self.requests.len() as f64 * self.bound.ratio * USED_PART;
+        if self.retries.len() as f64 + 1.0 > added + split {
             return false;
         }
         self.retries.push_back(now);
--- a/crates/core/src/leave_ledger.rs
+++ b/crates/core/src/leave_ledger.rs
@@ -1,19 +1,20 @@
-//! The keeper's side of limits: how many requests members may send to each upstream whose limit this process keeps.
+//! The keeper's side of what all members share: how many requests they may send to each upstream whose limit this
+//! process keeps, and how many retries they may make.
 //!
-//! One member keeps a limit, as the sum over all is seen by none of them. It gives leave for each send, and ahead for a
-//! short time where the limit is high. What is given counts as used; whoever begins to keep a limit begins as though
-//! the keeper before had just given a leave.
+//! One member keeps each sum, as none of them sees it. It gives leave for each send, and ahead for a short time where the
+//! rate is high. What is given counts as used; whoever begins to keep a sum begins as though the keeper before had
+//! just given all that it may.
 
 use std::{collections, time};
 
-use crate::{ids, send_leave, send_pace, units};
+use crate::{send_leave, send_pace, units};
 
-/// For how much time leaves are given ahead, at limits so high that members send several within it.
+/// For how much time leaves are given ahead, at rates so high that members send several within it.
 const AHEAD_TIME: time::Duration = time::Duration::from_millis(100);
 /// Members that asked within this time share what is given ahead.
 const ASKER_TIME: time::Duration = time::Duration::from_secs(1);
 /// Longest time after which a member that was refused asks again: it bounds what waits in vain for one that has
-/// nothing more to send, and how long a limit that was raised stays unused.
+/// nothing more to send, and how long a rate that was raised stays unused.
 const MAX_BACK: time::Duration = time::Duration::from_secs(2);
 /// Members that may ask again for each leave: not each of them has a request when its turn comes, and a leave that nobody
 /// asks for is lost.
@@ -29,10 +30,9 @@
     turn: units::MonoTime,
 }
 
-/// What one upstream's limit lets through.
+/// What is given of one sum.
 #[derive(Debug)]
 struct LedgerRow {
-    rate: units::RequestRate,
     pace: send_pace::SendPace,
     /// When the last of those that were refused are to ask again, and how many they are.
     tail: units::MonoTime,
@@ -43,51 +43,56 @@
     given: collections::VecDeque<(units::MonoTime, u64, u32)>,
 }
 
-/// The limits that this process keeps.
-#[derive(Debug, Default)]
-pub struct LeaveLedger {
-    rows: collections::BTreeMap<ids::UpstreamId, LedgerRow>,
+/// The sums that this process keeps, by what they are about.
+#[derive(Debug)]
+pub struct LeaveLedger<K> {
+    rows: collections::BTreeMap<K, LedgerRow>,
+}
+
+impl<K> Default for LeaveLedger<K> {
+    fn default() -> Self {
+        Self { rows: collections::BTreeMap::new() }
+    }
 }
 
-impl LeaveLedger {
-    /// Sets which limits this process keeps, and at which rates.
+impl<K: Ord + Clone> LeaveLedger<K> {
+    /// Sets which sums this process keeps, and how much of them.
     pub fn set_kept(
         &mut self,
         now: units::MonoTime,
-        kept: &collections::BTreeMap<ids::UpstreamId, units::RequestRate>,
+        kept: &collections::BTreeMap<K, send_pace::PaceBound>,
     ) {
-        self.rows.retain(|upstream, _| kept.contains_key(upstream));
-        for (upstream, rate) in kept {
-            let row = self.rows.entry(upstream.clone()).or_insert_with(|| LedgerRow {
-                rate: *rate,
-                pace: send_pace::SendPace::begun(now, *rate),
+        self.rows.retain(|subject, _| kept.contains_key(subject));
+        for (subject, bound) in kept {
+            let row = self.rows.entry(subject.clone()).or_insert_with(|| LedgerRow {
+                pace: send_pace::SendPace::begun(now, *bound),
                 tail: now,
                 turns: 0,
                 askers: collections::BTreeMap::new(),
                 given: collections::VecDeque::new(),
             });
-            if row.rate != *rate {
-                row.rate = *rate;
-                row.pace.change(now, *rate);
+            if row.pace.bound() != *bound {
+                row.pace.change(now, *bound);
             }
         }
     }
 
-    /// Begins anew with all limits: this process was paused, and others may have kept them meanwhile.
+    /// Begins anew with all sums: this process was paused, and others may have kept them meanwhile.
     pub fn begin_anew(&mut self, now: units::MonoTime) {
         for row in self.rows.values_mut() {
-            row.pace = send_pace::SendPace::begun(now, row.rate);
+            row.pace = send_pace::SendPace::begun(now, row.pace.bound());
         }
     }
 
-    /// Answers a member; `None` where this process does not keep the limit.
+    /// Answers a member; `None` where this process does not keep the sum.
     pub fn ask(
         &mut self,
         now: units::MonoTime,
+        subject: &K,
         asker: u64,
         ask: &send_leave::LeaveAsk,
     ) -> Option<send_leave::LeaveAnswer> {
-        let row = self.rows.get_mut(&ask.upstream)?;
+        let row = self.rows.get_mut(subject)?;
         row.note_asker(now, asker);
         let wait = row.pace.wait(now);
         if wait > time::Duration::from_millis(u64::from(ask.patience_ms)) {
@@ -99,39 +104,39 @@
             (row.tail, row.turns) = (now, 0);
         }
         let count = row.count(ask.wanted);
-        row.pace.take(now, row.rate, count);
+        row.pace.take(now, count);
         row.given.push_back((now, asker, count));
         Some(send_leave::LeaveAnswer::Given { count, wait_ms: millis(wait) })
     }
 
-    /// Time until something may be sent to an upstream; `None` where this process keeps no limit of it.
-    pub fn wait(&self, now: units::MonoTime, upstream: &ids::UpstreamId) -> Option<time::Duration> {
-        self.rows.get(upstream).map(|row| row.pace.wait(now))
+    /// Time until the next leave is due; `None` where this process does not keep the sum.
+    pub fn wait(&self, now: units::MonoTime, subject: &K) -> Option<time::Duration> {
+        self.rows.get(subject).map(|row| row.pace.wait(now))
     }
 
-    /// The rate of a limit that this process keeps.
-    pub fn rate(&self, upstream: &ids::UpstreamId) -> Option<units::RequestRate> {
-        self.rows.get(upstream).map(|row| row.rate)
+    /// How much this process gives of a sum that it keeps.
+    pub fn bound(&self, subject: &K) -> Option<send_pace::PaceBound> {
+        self.rows.get(subject).map(|row| row.pace.bound())
     }
 
-    /// Gives one leave to a member, whatever the wait; whether this process keeps a limit of the upstream.
-    pub fn take(&mut self, now: units::MonoTime, upstream: &ids::UpstreamId, asker: u64) -> bool {
-        let Some(row) = self.rows.get_mut(upstream) else {
+    /// Gives one leave to a member, whatever the wait; whether this process keeps the sum.
+    pub fn take(&mut self, now: units::MonoTime, subject: &K, asker: u64) -> bool {
+        let Some(row) = self.rows.get_mut(subject) else {
             return false;
         };
         row.note_asker(now, asker);
-        row.pace.take(now, row.rate, 1);
+        row.pace.take(now, 1);
         row.given.push_back((now, asker, 1));
         true
     }
 
-    /// What was given of a limit lately, by member; nothing where this process does not keep it.
+    /// What was given of a sum lately, by member; nothing where this process does not keep it.
     pub fn given(
         &self,
         now: units::MonoTime,
-        upstream: &ids::UpstreamId,
+        subject: &K,
     ) -> Option<collections::BTreeMap<u64, u32>> {
-        let row = self.rows.get(upstream)?;
+        let row = self.rows.get(subject)?;
         let lately = row.given.iter().filter(|(at, ..)| now.since(*at) < TOLD_TIME);
         Some(lately.fold(collections::BTreeMap::new(), |mut sums, (_, asker, count)| {
             *sums.entry(*asker).or_default() += count;
@@ -151,7 +156,8 @@
 
     /// Leaves given at once to a member that wants so many.
     fn count(&self, wanted: u32) -> u32 {
-        let ahead = self.rate.per_second() * AHEAD_TIME.as_secs_f64() / self.askers.len() as f64;
+        let rate = self.pace.bound().rate;
+        let ahead = rate.per_second() * AHEAD_TIME.as_secs_f64() / self.askers.len() as f64;
         (ahead as u32).clamp(1, wanted.max(1))
     }
 
@@ -163,7 +169,7 @@
             if self.tail < now + wait {
                 (self.tail, self.turns) = (now + wait, 0);
             } else if self.turns == TURNS_EACH {
-                (self.tail, self.turns) = (self.tail + send_pace::interval(self.rate), 0);
+                (self.tail, self.turns) = (self.tail + self.pace.bound().interval(), 0);
             }
             self.turns += 1;
             asker.turn = self.tail.min(now + MAX_BACK);
--- a/crates/core/src/planner/mod.rs
+++ b/crates/core/src/planner/mod.rs
@@ -18,7 +18,9 @@
 
 use std::{collections, time};
 
-use crate::{engine_place, ids, leave_ledger, return_line, route_table, settings, units};
+use crate::{
+    engine_place, ids, leave_ledger, return_line, route_table, send_pace, settings, units,
+};
 
 /// Longest that a request waits; its member has given up long before.
 const WAIT_TIME: time::Duration = time::Duration::from_secs(30);
@@ -84,14 +86,14 @@
     pub fn set_limits(
         &mut self,
         now: units::MonoTime,
-        kept: &collections::BTreeMap<ids::UpstreamId, units::RequestRate>,
+        kept: &collections::BTreeMap<ids::UpstreamId, send_pace::PaceBound>,
         elsewhere: collections::BTreeSet<ids::UpstreamId>,
     ) {
         self.table.set_limits(now, kept, elsewhere);
     }
 
     /// The leaves of its engines, to take and ask for, also for requests that need no place.
-    pub fn leaves(&mut self) -> &mut leave_ledger::LeaveLedger {
+    pub fn leaves(&mut self) -> &mut leave_ledger::LeaveLedger<ids::UpstreamId> {
         &mut self.table.leaves
     }
 
--- a/crates/core/src/planner/place_table.rs
+++ b/crates/core/src/planner/place_table.rs
@@ -54,7 +54,7 @@
     /// Smallest pause goal seen, milliseconds; infinite before any.
     tightest_ms: f64,
     /// Limits of engines that this process keeps.
-    pub(crate) leaves: leave_ledger::LeaveLedger,
+    pub(crate) leaves: leave_ledger::LeaveLedger<ids::UpstreamId>,
     /// Engines whose limit another process keeps.
     kept_elsewhere: collections::BTreeSet<ids::UpstreamId>,
 }
@@ -82,7 +82,7 @@
     pub(crate) fn set_limits(
         &mut self,
         now: units::MonoTime,
-        kept: &collections::BTreeMap<ids::UpstreamId, units::RequestRate>,
+        kept: &collections::BTreeMap<ids::UpstreamId, send_pace::PaceBound>,
         elsewhere: collections::BTreeSet<ids::UpstreamId>,
     ) {
         self.leaves.set_kept(now, kept);
@@ -136,10 +136,10 @@
         if self.kept_elsewhere.contains(name) {
             return answering;
         }
-        let Some(rate) = self.leaves.rate(name) else {
+        let Some(bound) = self.leaves.bound(name) else {
             return self.shape.slots;
         };
-        let within = (rate.per_second() * self.answer_ms / 1_000.0).ceil() as usize;
+        let within = (bound.rate.per_second() * self.answer_ms / 1_000.0).ceil() as usize;
         within.clamp(answering.min(self.shape.slots), self.shape.slots)
     }
 
@@ -154,7 +154,7 @@
     pub(crate) fn limited_rate(&self, excluded: &[ids::UpstreamId]) -> Option<f64> {
         let open = self.engines.keys().filter(|name| !excluded.contains(name));
         open.map(|name| {
-            let kept = self.leaves.rate(name).map(units::RequestRate::per_second);
+            let kept = self.leaves.bound(name).map(|bound| bound.rate.per_second());
             kept.or_else(|| self.kept_elsewhere.contains(name).then_some(0.0))
         })
         .sum()
@@ -251,8 +251,8 @@
     /// Time until an engine's limit lets a request through, and between two of them, milliseconds.
     fn leave_times(&self, now: units::MonoTime, name: &ids::UpstreamId) -> (f64, f64) {
         let millis = |span: time::Duration| span.as_secs_f64() * 1_000.0;
-        match (self.leaves.wait(now, name), self.leaves.rate(name)) {
-            (Some(wait), Some(rate)) => (millis(wait), millis(send_pace::interval(rate))),
+        match (self.leaves.wait(now, name), self.leaves.bound(name)) {
+            (Some(wait), Some(bound)) => (millis(wait), millis(bound.interval())),
             _ if self.kept_elsewhere.contains(name) => (f64::INFINITY, 0.0),
             _ => (0.0, 0.0),
         }
--- a/crates/core/src/planner_key.rs
+++ b/crates/core/src/planner_key.rs
@@ -35,6 +35,12 @@
         let hash = rendezvous::stable_hash(&["plain", service.as_str(), upstream.identifier()]);
         Self { service: service.clone(), cell: hash as u16 }
     }
+
+    /// The key by which a member is found that keeps what concerns all retries to a service.
+    pub fn of_retries(service: &ids::ServiceId) -> Self {
+        let hash = rendezvous::stable_hash(&["retries", service.as_str()]);
+        Self { service: service.clone(), cell: hash as u16 }
+    }
 }
 
 /// Number of cells of so many engines.
--- a/crates/core/src/send_leave.rs
+++ b/crates/core/src/send_leave.rs
@@ -1,4 +1,4 @@
-//! Leave to send one request to an upstream with a limit, asked of the member that keeps it.
+//! Leave to send one request where all members together may send so many, asked of the member that keeps the sum.
 
 use std::time;
 
@@ -10,42 +10,59 @@
 /// span of time than its keeper believes; a connection opens and a lost message is repeated within it.
 pub const LEAVE_TIME: time::Duration = time::Duration::from_millis(500);
 
-/// Leave to send one request.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct SendLeave {
-    /// The start of the upstream.
-    pub upstream: ids::UpstreamId,
-    /// When it may be used.
+/// What all members together do only so often.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum LeaveSubject {
+    /// Requests to a start of an upstream with a limit.
+    Upstream(ids::UpstreamId),
+    /// Retries of requests to a service.
+    Retries(ids::ServiceId),
+}
+
+/// When a leave may be used.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LeaveTerm {
+    /// From when on.
     pub from: units::MonoTime,
-    /// When it is over: [`LEAVE_TIME`] behind the moment for which it was given, or sooner.
+    /// Until when: [`LEAVE_TIME`] behind the moment for which it was given, or sooner.
     pub until: units::MonoTime,
 }
 
-impl SendLeave {
-    /// One that was asked for at `asked` and is to be used so long behind the ask's arrival. The arrival is not
+impl LeaveTerm {
+    /// Of one that was asked for at `asked` and is to be used so long behind the ask's arrival. The arrival is not
     /// known here, only that it was not before the ask: so the leave is never good for too long, also where its
     /// answer lay unread while this process was paused.
-    pub fn of_answer(
-        upstream: ids::UpstreamId,
-        asked: units::MonoTime,
-        wait: time::Duration,
-    ) -> Self {
+    pub fn of_answer(asked: units::MonoTime, wait: time::Duration) -> Self {
         let from = asked + wait;
-        Self { upstream, from, until: from + LEAVE_TIME }
+        Self { from, until: from + LEAVE_TIME }
     }
 
+    /// Whether it is not over.
+    pub fn is_good(&self, now: units::MonoTime) -> bool {
+        now < self.until
+    }
+}
+
+/// Leave to send one request to an upstream.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct SendLeave {
+    /// The start of the upstream.
+    pub upstream: ids::UpstreamId,
+    /// When it may be used.
+    pub term: LeaveTerm,
+}
+
+impl SendLeave {
     /// Whether something may be sent to an upstream by it.
     pub fn is_good(&self, now: units::MonoTime, upstream: &ids::UpstreamId) -> bool {
-        self.upstream == *upstream && now < self.until
+        self.upstream == *upstream && self.term.is_good(now)
     }
 }
 
-/// What a member asks of the keeper of a limit.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+/// What a member asks of the keeper of a limit, or of what all share otherwise.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LeaveAsk {
-    /// The start of the upstream.
-    pub upstream: ids::UpstreamId,
-    /// Requests that the member sends there within a moment; one at least.
+    /// Leaves that the member will use within a moment; one at least.
     pub wanted: u32,
     /// For how long its request would wait for the leave, milliseconds.
     pub patience_ms: u32,
--- a/crates/core/src/units.rs
+++ b/crates/core/src/units.rs
@@ -145,7 +145,9 @@
 }
 
 /// Requests a second: finite, and not below zero.
-#[derive(Debug, Clone, Copy, PartialEq, PartialOrd, serde::Serialize, serde::Deserialize)]
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, PartialOrd, serde::Serialize, serde::Deserialize,
+)]
 #[serde(try_from = "f64", into = "f64")]
 pub struct RequestRate(f64);
 
--- a/crates/instance/src/context.rs
+++ b/crates/instance/src/context.rs
@@ -10,8 +10,8 @@
 use slipturn_net::process;
 
 use crate::{
-    border, document_answers, fleet_state, instance_settings, instance_stats, limit_keeping,
-    peer_message, planner_set, quarantine_gate, upstream_ends, upstream_load, upstream_pool,
+    border, document_answers, fleet_state, instance_settings, instance_stats, peer_message,
+    planner_set, quarantine_gate, sum_keeping, upstream_ends, upstream_load, upstream_pool,
     upstream_silence, upstream_starts,
 };
 
@@ -70,8 +70,8 @@
     pub pool: upstream_pool::UpstreamPool,
     /// What upstreams of plain services do for this process.
     pub loads: cell::RefCell<upstream_load::UpstreamLoads>,
-    /// Limits of upstreams.
-    pub limits: limit_keeping::LimitState,
+    /// What all members together do only so often.
+    pub sums: sum_keeping::SumState,
     /// Attempts that wait for starts of upstreams.
     pub starts: upstream_starts::StartWaiters,
     /// Requests that upstreams ended under.
@@ -156,7 +156,7 @@
             retries: cell::RefCell::default(),
             pool: upstream_pool::UpstreamPool::default(),
             loads: cell::RefCell::new(loads),
-            limits: limit_keeping::LimitState::default(),
+            sums: sum_keeping::SumState::default(),
             starts: upstream_starts::StartWaiters::default(),
             quarantine: cell::RefCell::default(),
             verdicts: quarantine_gate::VerdictBell::default(),
@@ -301,7 +301,7 @@
         self.retry_share(service, fleet_budget::RetryShare::count_request);
     }
 
-    /// Takes one retry from this process's share.
+    /// Takes one retry from this process's own share.
     pub fn take_retry(&self, service: &ids::ServiceId) -> bool {
         let members = self.member_count();
         self.retry_share(service, |share, now| share.take(now, members))
--- a/crates/instance/src/leave_request.rs
+++ b/crates/instance/src/leave_request.rs
@@ -1,11 +1,11 @@
-//! A request's way to the leave that it needs for an upstream with a limit.
+//! A request's way to the leave that it needs where all members together may send only so much.
 
 use std::{cell, collections, time};
 
 use futures::channel::oneshot;
-use slipturn_core::{ids, leave_desk, send_leave, units, upstream_list};
+use slipturn_core::{ids, leave_desk, send_leave, units};
 
-use crate::{context, limit_keeping, limit_news, peer_message};
+use crate::{context, limit_news, peer_message, sum_keeping};
 
 /// Time for a keeper's answer; within a region it takes a millisecond or two.
 const REPLY_TIME: time::Duration = time::Duration::from_millis(25);
@@ -17,7 +17,7 @@
 /// An ask that went out.
 #[derive(Debug)]
 struct SentAsk {
-    upstream: ids::UpstreamId,
+    subject: send_leave::LeaveSubject,
     at: units::MonoTime,
     /// Where the answer goes while somebody waits for it.
     reply: Option<oneshot::Sender<send_leave::LeaveAnswer>>,
@@ -34,41 +34,66 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct NoLeave(pub(crate) time::Duration);
 
-/// For how long asking for leave is in vain.
+/// For how long asking for leave at an upstream is in vain; one without a limit needs none.
 pub(crate) fn closed(
     context: &context::InstanceContext,
     upstream: &ids::UpstreamId,
 ) -> time::Duration {
-    let limited = context.fleet.borrow().list.notices().limit(upstream).is_some();
-    let closed = || context.limits.desk.borrow().closed(context.now(), upstream);
-    if limited { closed() } else { time::Duration::ZERO }
+    if context.fleet.borrow().list.notices().limit(upstream).is_none() {
+        return time::Duration::ZERO;
+    }
+    let subject = send_leave::LeaveSubject::Upstream(upstream.clone());
+    context.sums.desk.borrow().closed(context.now(), &subject)
 }
 
-/// The leave for one request, waited for as long as `patience`; nothing where the upstream has no limit.
+/// The leave for one request to an upstream, waited for as long as `patience`; nothing where it has no limit.
 pub(crate) async fn obtain(
     context: &context::InstanceContext,
-    entry: &upstream_list::UpstreamEntry,
+    upstream: &ids::UpstreamId,
     patience: time::Duration,
 ) -> Result<Option<send_leave::SendLeave>, NoLeave> {
-    let upstream = &entry.name;
     if context.fleet.borrow().list.notices().limit(upstream).is_none() {
         return Ok(None);
     }
+    let subject = send_leave::LeaveSubject::Upstream(upstream.clone());
+    let term = obtain_term(context, &subject, patience).await?;
+    Ok(Some(send_leave::SendLeave { upstream: upstream.clone(), term }))
+}
+
+/// Takes one retry to a service: from this member's own share, else from what is kept for all.
+pub(crate) async fn obtain_retry(
+    context: &context::InstanceContext,
+    service: &ids::ServiceId,
+) -> bool {
+    if context.take_retry(service) {
+        return true;
+    }
+    let subject = send_leave::LeaveSubject::Retries(service.clone());
+    obtain_term(context, &subject, time::Duration::ZERO).await.is_ok()
+}
+
+async fn obtain_term(
+    context: &context::InstanceContext,
+    subject: &send_leave::LeaveSubject,
+    patience: time::Duration,
+) -> Result<send_leave::LeaveTerm, NoLeave> {
     let now = context.now();
-    let step = context.limits.desk.borrow_mut().step(now, upstream, patience);
-    let ask = match step {
-        leave_desk::LeaveStep::Send(leave) => return Ok(Some(leave)),
+    let step = context.sums.desk.borrow_mut().step(now, subject, patience);
+    let term = match step {
+        leave_desk::LeaveStep::Send(term) => term,
         leave_desk::LeaveStep::Closed(closed) => return Err(NoLeave(closed)),
-        leave_desk::LeaveStep::Ask(ask) => ask,
-    };
-    let Some(answer) = ask_keeper(context, ask).await else {
-        let mut desk = context.limits.desk.borrow_mut();
-        desk.note_silence(context.now(), upstream, SILENCE_PAUSE);
-        return Err(NoLeave(SILENCE_PAUSE));
+        leave_desk::LeaveStep::Ask(ask) => {
+            let Some(answer) = ask_keeper(context, subject, ask).await else {
+                let mut desk = context.sums.desk.borrow_mut();
+                desk.note_silence(context.now(), subject, SILENCE_PAUSE);
+                return Err(NoLeave(SILENCE_PAUSE));
+            };
+            let mut desk = context.sums.desk.borrow_mut();
+            desk.hear(context.now(), subject, now, answer).map_err(NoLeave)?
+        }
     };
-    let heard = context.limits.desk.borrow_mut().hear(context.now(), upstream, now, answer);
-    let unused = UnusedLeave { context, leave: Some(heard.map_err(NoLeave)?) };
-    unused.when_due().await
+    let unused = UnusedLeave { context, subject, term: Some(term) };
+    Ok(unused.when_due().await)
 }
 
 /// Takes in a keeper's answer.
@@ -77,7 +102,7 @@
     number: u64,
     answer: send_leave::LeaveAnswer,
 ) {
-    let Some(sent) = context.limits.asks.asks.borrow_mut().remove(&number) else {
+    let Some(sent) = context.sums.asks.asks.borrow_mut().remove(&number) else {
         return;
     };
     let unheard = match sent.reply {
@@ -86,24 +111,28 @@
     };
     if let Some(answer) = unheard {
         // Its request has gone elsewhere; the leave serves another one.
-        let mut desk = context.limits.desk.borrow_mut();
-        if let Ok(leave) = desk.hear(context.now(), &sent.upstream, sent.at, answer) {
-            desk.put_back(leave);
+        let mut desk = context.sums.desk.borrow_mut();
+        if let Ok(term) = desk.hear(context.now(), &sent.subject, sent.at, answer) {
+            desk.put_back(&sent.subject, term);
         }
     }
 }
 
 async fn ask_keeper(
     context: &context::InstanceContext,
+    subject: &send_leave::LeaveSubject,
     ask: send_leave::LeaveAsk,
 ) -> Option<send_leave::LeaveAnswer> {
-    let Some(keeper) = limit_keeping::keeper_of(context, &ask.upstream) else {
-        return Some(limit_keeping::answer(context, context.boot, &ask));
+    let Some(keeper) = sum_keeping::keeper_of(context, subject) else {
+        return Some(sum_keeping::answer(context, context.boot, subject, &ask));
+    };
+    let known = match subject {
+        send_leave::LeaveSubject::Upstream(upstream) => limit_news::report(context, upstream),
+        send_leave::LeaveSubject::Retries(_) => None,
     };
-    let known = limit_news::report(context, &ask.upstream)?;
-    let (number, reply) = context.limits.asks.note(&ask.upstream, context.now());
-    let boot = context.boot;
-    let question = peer_message::LeaveQuestion { number, boot, ask, known };
+    let (number, reply) = context.sums.asks.note(subject, context.now());
+    let (subject, boot) = (subject.clone(), context.boot);
+    let question = peer_message::LeaveQuestion { number, boot, subject, ask, known };
     context.tell(keeper.address, peer_message::PeerMessage::AskLeave(Box::new(question)));
     match monoio::time::timeout(REPLY_TIME, reply).await {
         Ok(answer) => {
@@ -122,14 +151,14 @@
 impl SentAsks {
     fn note(
         &self,
-        upstream: &ids::UpstreamId,
+        subject: &send_leave::LeaveSubject,
         at: units::MonoTime,
     ) -> (u64, oneshot::Receiver<send_leave::LeaveAnswer>) {
         let number = self.number.get() + 1;
         self.number.set(number);
         let (sender, receiver) = oneshot::channel();
         let mut asks = self.asks.borrow_mut();
-        asks.insert(number, SentAsk { upstream: upstream.clone(), at, reply: Some(sender) });
+        asks.insert(number, SentAsk { subject: subject.clone(), at, reply: Some(sender) });
         while asks.len() > MAX_ASKS {
             asks.pop_first();
         }
@@ -140,24 +169,25 @@
 /// A leave whose request may still leave before its time.
 struct UnusedLeave<'a> {
     context: &'a context::InstanceContext,
-    leave: Option<send_leave::SendLeave>,
+    subject: &'a send_leave::LeaveSubject,
+    term: Option<send_leave::LeaveTerm>,
 }
 
 impl UnusedLeave<'_> {
-    async fn when_due(mut self) -> Result<Option<send_leave::SendLeave>, NoLeave> {
-        let from = self.leave.as_ref().map_or_else(units::MonoTime::default, |leave| leave.from);
+    async fn when_due(mut self) -> send_leave::LeaveTerm {
+        let from = self.term.map_or_else(units::MonoTime::default, |term| term.from);
         let wait = from.since(self.context.now());
         if !wait.is_zero() {
             monoio::time::sleep(wait).await;
         }
-        Ok(self.leave.take())
+        self.term.take().expect("it is taken here alone")
     }
 }
 
 impl Drop for UnusedLeave<'_> {
     fn drop(&mut self) {
-        if let Some(leave) = self.leave.take() {
-            self.context.limits.desk.borrow_mut().put_back(leave);
+        if let Some(term) = self.term.take() {
+            self.context.sums.desk.borrow_mut().put_back(self.subject, term);
         }
     }
 }
--- a/crates/instance/src/limit_news.rs
+++ b/crates/instance/src/limit_news.rs
@@ -5,9 +5,9 @@
 
 use std::{collections, net, time};
 
-use slipturn_core::{ids, units, upstream_limit, upstream_notice};
+use slipturn_core::{ids, send_leave, units, upstream_limit, upstream_notice};
 
-use crate::{border, context, limit_keeping, member_news, peer_message, upstream_news};
+use crate::{border, context, member_news, peer_message, sum_keeping, upstream_news};
 
 /// Time between two lines on changes of one upstream's limit.
 const CHANGE_LOG_INTERVAL: time::Duration = time::Duration::from_secs(1);
@@ -81,7 +81,8 @@
 
 /// Tells the member that keeps an upstream's limit what is known of it here.
 pub(crate) fn tell_keeper(context: &context::InstanceContext, upstream: &ids::UpstreamId) {
-    let keeper = limit_keeping::keeper_of(context, upstream);
+    let subject = send_leave::LeaveSubject::Upstream(upstream.clone());
+    let keeper = sum_keeping::keeper_of(context, &subject);
     if let (Some(keeper), Some(report)) = (keeper, report(context, upstream)) {
         context.tell(keeper.address, peer_message::PeerMessage::Limits(vec![report]));
     }
@@ -137,15 +138,16 @@
         }
     };
     context.stats.borrow_mut().count("upstream_limits", &format!("{change}/{source}"));
-    limit_keeping::refresh(context);
-    context.limits.desk.borrow_mut().reopen(upstream);
+    sum_keeping::refresh(context);
+    let subject = send_leave::LeaveSubject::Upstream(upstream.clone());
+    context.sums.desk.borrow_mut().reopen(&subject);
     news
 }
 
 /// Whether a line on a change is due: a limit may be another one in each answer.
 fn may_log_change(context: &context::InstanceContext, upstream: &ids::UpstreamId) -> bool {
     let now = context.now();
-    let mut log = context.limits.log.borrow_mut();
+    let mut log = context.sums.limit_log.borrow_mut();
     let due = log.get(upstream).is_none_or(|last| now.since(*last) >= CHANGE_LOG_INTERVAL);
     if due {
         log.insert(upstream.clone(), now);
--- a/crates/instance/src/peer_message.rs
+++ b/crates/instance/src/peer_message.rs
@@ -62,7 +62,7 @@
     Leaving(Vec<LeavingReport>),
     /// Upstreams have named limits, or ended them.
     Limits(Vec<LimitReport>),
-    /// Asks the keeper of an upstream's limit for leave to send there.
+    /// Asks the keeper of a sum for leave.
     AskLeave(Box<LeaveQuestion>),
     /// The answer to the question of this number.
     Leave(u64, send_leave::LeaveAnswer),
@@ -88,10 +88,12 @@
     pub number: u64,
     /// Start of the member.
     pub boot: u64,
+    /// What it is about.
+    pub subject: send_leave::LeaveSubject,
     /// What is asked.
     pub ask: send_leave::LeaveAsk,
-    /// What the member knows of the limit: the keeper may have missed it.
-    pub known: LimitReport,
+    /// What the member knows of an upstream's limit: the keeper may have missed it.
+    pub known: Option<LimitReport>,
 }
 
 /// That an upstream has said that it leaves.
--- a/crates/instance/src/peers.rs
+++ b/crates/instance/src/peers.rs
@@ -6,8 +6,8 @@
 use slipturn_core::{engine_place, member_beat, planner_key};
 
 use crate::{
-    context, heartbeats, lease_renewal, leave_request, limit_keeping, limit_news, member_news,
-    peer_message, planner_set, quarantine_news, upstream_news, upstream_starts,
+    context, heartbeats, lease_renewal, leave_request, limit_news, member_news, peer_message,
+    planner_set, quarantine_news, sum_keeping, upstream_news, upstream_starts,
 };
 
 /// Time between two looks at requests that wait, while any does.
@@ -118,7 +118,7 @@
         PeerMessage::AskNews => member_news::tell(context, from),
         PeerMessage::Leaving(reports) => upstream_news::hear_members(context, reports),
         PeerMessage::Limits(reports) => limit_news::hear_members(context, reports),
-        PeerMessage::AskLeave(question) => limit_keeping::hear_ask(context, from, *question),
+        PeerMessage::AskLeave(question) => sum_keeping::hear_ask(context, from, *question),
         PeerMessage::Leave(number, answer) => leave_request::hear(context, number, answer),
         PeerMessage::Census(key) => lease_renewal::tell_all(context, from, &key),
         PeerMessage::Unknown(key, jobs) => lease_renewal::tell_leases(context, from, key, &jobs),
@@ -162,14 +162,14 @@
         if now.since(last) > PAUSE_SIGN {
             log::warn!(paused_ms = now.since(last).as_millis() as u64; "process.woke");
             context.woke.set(now);
-            limit_keeping::begin_anew(&context);
+            sum_keeping::begin_anew(&context);
         }
         last = now;
         if context.fleet.borrow_mut().list.tick(now) {
             log::info!("list.doubtful_gone");
         }
         upstream_starts::settle(&context);
-        limit_keeping::tick(&context);
+        sum_keeping::tick(&context);
         let answers = {
             let mut planners = context.planners.borrow_mut();
             planners.sync(now, &context.fleet.borrow());
--- a/crates/instance/src/plan_client.rs
+++ b/crates/instance/src/plan_client.rs
@@ -128,7 +128,8 @@
         // They were given when the request had waited so long in the planner, which it cannot have reached sooner
         // than it was asked.
         let waited = time::Duration::from_millis(u64::from(grant.waited_ms));
-        let leave = |engine| send_leave::SendLeave::of_answer(engine, started, waited);
+        let term = send_leave::LeaveTerm::of_answer(started, waited);
+        let leave = |upstream| send_leave::SendLeave { upstream, term };
         let leaves = paced.into_iter().map(leave).collect();
         let mut hold = hold(context, key, ask, grant);
         hold.leaves = leaves;
--- a/crates/instance/src/planner_set.rs
+++ b/crates/instance/src/planner_set.rs
@@ -2,7 +2,9 @@
 
 use std::{collections, time};
 
-use slipturn_core::{engine_place, ids, planner, planner_key, rendezvous, route_table, units};
+use slipturn_core::{
+    engine_place, ids, planner, planner_key, rendezvous, route_table, send_pace, units,
+};
 
 use crate::fleet_state;
 
@@ -11,7 +13,7 @@
 
 /// Engines of a planner with a limit: those whose limit this process keeps, and those of others.
 pub type EngineLimits = (
-    collections::BTreeMap<ids::UpstreamId, units::RequestRate>,
+    collections::BTreeMap<ids::UpstreamId, send_pace::PaceBound>,
     collections::BTreeSet<ids::UpstreamId>,
 );
 
--- a/crates/instance/src/service_choice.rs
+++ b/crates/instance/src/service_choice.rs
@@ -30,7 +30,7 @@
 ) -> Option<ChosenUpstream> {
     let mut refused = Vec::new();
     while let Some(entry) = pick_beside(context, call, excluded, &refused) {
-        match leave_request::obtain(context, &entry, time::Duration::ZERO).await {
+        match leave_request::obtain(context, &entry.name, time::Duration::ZERO).await {
             Ok(leave) => return Some(ChosenUpstream { entry, leave }),
             Err(_) => refused.push(entry.name),
         }
@@ -74,7 +74,7 @@
     excluded: &[ids::UpstreamId],
 ) -> Option<ChosenUpstream> {
     for entry in closed(context, call, excluded).into_iter().take(MAX_WAITS) {
-        let obtained = leave_request::obtain(context, &entry, patience(context, call)).await;
+        let obtained = leave_request::obtain(context, &entry.name, patience(context, call)).await;
         if let Ok(leave) = obtained {
             return Some(ChosenUpstream { entry, leave });
         }
--- a/crates/instance/src/service_request.rs
+++ b/crates/instance/src/service_request.rs
@@ -7,8 +7,8 @@
 use slipturn_net::h1;
 
 use crate::{
-    caller_connection, context, incoming_call, request_record, service_choice, upstream_attempt,
-    upstream_choice, upstream_ends, upstream_news,
+    caller_connection, context, incoming_call, leave_request, request_record, service_choice,
+    upstream_attempt, upstream_choice, upstream_ends, upstream_news,
 };
 
 /// Largest answer of a plain service that is passed on.
@@ -79,7 +79,7 @@
             break;
         }
         let taken = std::mem::take(&mut retry_taken);
-        if sent > 0 && !taken && !context.take_retry(&call.service) {
+        if sent > 0 && !taken && !leave_request::obtain_retry(context, &call.service).await {
             text.push_str("; the retry budget is used up");
             break;
         }
@@ -104,12 +104,12 @@
             ..Default::default()
         });
         let in_hand = fallback.is_some();
-        let give_up = |reach| {
+        let give_up = async |reach| {
             let next = reach == upstream_attempt::RetryReach::AnyUpstream
                 || service_choice::pick(context, call, &excluded).is_some();
             let allowed =
                 call.route.repeat.allows_repeat() && sent + 1 < call.route.max_attempts && next;
-            retry_taken = allowed && context.take_retry(&call.service);
+            retry_taken = allowed && leave_request::obtain_retry(context, &call.service).await;
             // A failure that an upstream gave is better than our own at the end of the time.
             retry_taken || (in_hand && reach == upstream_attempt::RetryReach::OtherUpstream)
         };
@@ -184,7 +184,7 @@
     context: &rc::Rc<context::InstanceContext>,
     call: &incoming_call::IncomingCall,
     start: AttemptStart<'_>,
-    give_up: impl FnMut(upstream_attempt::RetryReach) -> bool,
+    give_up: impl AsyncFnMut(upstream_attempt::RetryReach) -> bool,
 ) -> Result<(http::response::Parts, bytes::Bytes), upstream_attempt::AttemptFault> {
     let over = pin::pin!(context.starts.until_over(&start.entry.name));
     let work = pin::pin!(call_upstream(context, call, start, give_up));
@@ -198,7 +198,7 @@
     context: &rc::Rc<context::InstanceContext>,
     call: &incoming_call::IncomingCall,
     AttemptStart { entry, leave, anew }: AttemptStart<'_>,
-    mut give_up: impl FnMut(upstream_attempt::RetryReach) -> bool,
+    mut give_up: impl AsyncFnMut(upstream_attempt::RetryReach) -> bool,
 ) -> Result<(http::response::Parts, bytes::Bytes), upstream_attempt::AttemptFault> {
     let guard = LoadGuard { context, name: &entry.name, result: std::cell::Cell::new(None) };
     context.loads.borrow_mut().begin(context.now(), &entry.name);
--- a/crates/instance/src/silence_watch.rs
+++ b/crates/instance/src/silence_watch.rs
@@ -76,7 +76,7 @@
         work: pin::Pin<&mut impl Future<Output = T>>,
         over: pin::Pin<&mut impl Future<Output = ()>>,
         limits: SilenceLimits,
-        take_retry: impl FnMut(upstream_attempt::RetryReach) -> bool,
+        take_retry: impl AsyncFnMut(upstream_attempt::RetryReach) -> bool,
     ) -> Result<T, WaitFault> {
         let silence = pin::pin!(self.until_given_up(work, limits, take_retry));
         match future::select(silence, over).await {
@@ -89,7 +89,7 @@
         &self,
         mut work: pin::Pin<&mut impl Future<Output = T>>,
         limits: SilenceLimits,
-        mut take_retry: impl FnMut(upstream_attempt::RetryReach) -> bool,
+        mut take_retry: impl AsyncFnMut(upstream_attempt::RetryReach) -> bool,
     ) -> Result<T, String> {
         let started = self.context.now();
         let mut stages = limits.stages().into_iter().peekable();
@@ -127,7 +127,7 @@
             }
             let spent = self.context.now().since(started);
             if let Some((limit, reach)) = stages.next_if(|(limit, _)| spent >= *limit)
-                && take_retry(reach)
+                && take_retry(reach).await
             {
                 return Err(format!("silent for {limit:?}"));
             }
--- a/crates/instance/src/small_server.rs
+++ b/crates/instance/src/small_server.rs
@@ -6,7 +6,7 @@
 use slipturn_core::{ids, quarantine, request_digest, units, upstream_list};
 use slipturn_net::h1;
 
-use crate::{context, document_answers, limit_keeping, member_feed, quarantine_news};
+use crate::{context, document_answers, member_feed, quarantine_news, sum_keeping};
 
 /// Requests that are held back.
 const QUARANTINE_PATH: &str = "/v1/quarantine";
@@ -227,7 +227,7 @@
     let fleet = context.fleet.borrow();
     let keeping = |name: &ids::UpstreamId| {
         let limited = fleet.list.notices().limit(name).is_some();
-        limited.then(|| limit_keeping::summary(context, name)).flatten().unwrap_or_default()
+        limited.then(|| sum_keeping::summary(context, name)).flatten().unwrap_or_default()
     };
     let row = |entry: &upstream_list::UpstreamEntry| {
         serde_json::json!({
--- a/crates/instance/src/stream_state.rs
+++ b/crates/instance/src/stream_state.rs
@@ -5,7 +5,8 @@
 use slipturn_net::h1;
 
 use crate::{
-    caller_connection, context, event_stream, incoming_call, request_record, upstream_attempt,
+    caller_connection, context, event_stream, incoming_call, leave_request, request_record,
+    upstream_attempt,
 };
 
 /// What stays of a stream between attempts.
@@ -90,7 +91,7 @@
 
     /// Whether a silent `engine`, the `reached`th that got the request, is given up: one within
     /// `reach` may go on, and the retry budget has room. The retry is taken then.
-    pub(crate) fn give_up(
+    pub(crate) async fn give_up(
         &mut self,
         context: &context::InstanceContext,
         call: &incoming_call::IncomingCall,
@@ -102,7 +103,7 @@
         let allowed = call.route.repeat.allows_repeat()
             && reached < call.route.max_attempts
             && self.has_engine(context, call, beside);
-        self.retry_taken = allowed && context.take_retry(&call.service);
+        self.retry_taken = allowed && leave_request::obtain_retry(context, &call.service).await;
         // A failure that an engine gave is better than our own at the end of the time.
         let in_hand = self.failure.is_some() && !self.begun;
         self.retry_taken || (in_hand && reach == upstream_attempt::RetryReach::OtherUpstream)
--- a/crates/instance/src/upstream_attempt.rs
+++ b/crates/instance/src/upstream_attempt.rs
@@ -95,7 +95,7 @@
         upstream: &ids::UpstreamId,
         most: usize,
         silence: time::Duration,
-        mut give_up: impl FnMut(RetryReach) -> bool,
+        mut give_up: impl AsyncFnMut(RetryReach) -> bool,
     ) -> Result<Bytes, AttemptFault> {
         let mut body = BytesMut::new();
         loop {
@@ -103,7 +103,7 @@
             let mut next = std::pin::pin!(next);
             let piece = match monoio::time::timeout(silence, next.as_mut()).await {
                 Ok(piece) => piece,
-                Err(_) if give_up(RetryReach::OtherUpstream) => {
+                Err(_) if give_up(RetryReach::OtherUpstream).await => {
                     let moment = connection_silence::SilentMoment::Midway;
                     let life = &self.connection.life;
                     let waited = silence;
@@ -189,7 +189,7 @@
     target: &AttemptTarget,
     connection: upstream_pool::UpstreamConnection,
     wait: HeadWait,
-    mut give_up: impl FnMut(RetryReach) -> bool,
+    mut give_up: impl AsyncFnMut(RetryReach) -> bool,
 ) -> Result<AttemptAnswer, AttemptFault> {
     let used = connection.used;
     let life = rc::Rc::clone(&connection.life);
@@ -201,13 +201,13 @@
     let moment = connection_silence::SilentMoment::Head;
     let doubted = used && context.pool.cause(&life, moment, wait.kept).doubts_others();
     let in_time = call.left(context.now()) >= wait.usual;
-    let kept_silent = doubted && in_time && give_up(RetryReach::AnyUpstream);
+    let kept_silent = doubted && in_time && give_up(RetryReach::AnyUpstream).await;
     if !kept_silent {
         let left = wait.longest.saturating_sub(started.elapsed());
         if let Ok(answered) = monoio::time::timeout(left, work.as_mut()).await {
             return answered;
         }
-        if !give_up(RetryReach::OtherUpstream) {
+        if !give_up(RetryReach::OtherUpstream).await {
             return work.await;
         }
     }
--- a/crates/instance/src/upstream_choice.rs
+++ b/crates/instance/src/upstream_choice.rs
@@ -76,7 +76,7 @@
     // Each member sees its part of those that come back.
     let rate: f64 = rates.into_iter().map(units::RequestRate::per_second).sum();
     let share = rate / context.members.borrow().size() as f64;
-    let mut returns = context.limits.returns.borrow_mut();
+    let mut returns = context.sums.returns.borrow_mut();
     let back_after = returns.entry(service.clone()).or_default().next(now, share);
     Some(NoneOpen::Limited { service: service.clone(), back_after })
 }
