Connections that rest at an upstream are bounded by this member's share of what it accepts from all

Cause: `connection_limit` of a service, what an upstream accepts from all callers together, was read into the route table and used by nobody; each instance kept up to four connections at rest to each upstream: 1,520 of 380 instances.

Ruled out: a keeper's leave for each (a connection that rests costs nothing while there is room; what matters is their sum, which an even share bounds well enough); a probability at each answer (members would open and close in turn).

Change: core::connection_share: half of the limit is for those at rest; where shares are no whole connections the members' names say which of them keep one more.

Left: connections under way are not bounded; a reset by a full upstream still speaks against its health.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod budget;
 pub mod class_worth;
+pub mod connection_share;
 pub mod connection_silence;
 pub mod decision;
 pub mod document_lag;
--- a/crates/instance/src/context.rs
+++ b/crates/instance/src/context.rs
@@ -4,8 +4,8 @@
 
 use futures::{channel::mpsc, channel::oneshot, future};
 use slipturn_core::{
-    class_worth, engine_place, fleet_budget, ids, member_beat, membership, planner, planner_key,
-    quarantine, send_permit, store_belief, units,
+    class_worth, connection_share, engine_place, fleet_budget, ids, member_beat, membership,
+    planner, planner_key, quarantine, send_permit, store_belief, units,
 };
 use slipturn_net::process;
 
@@ -296,6 +296,16 @@
         closed.iter().filter(in_cell).map(|name| (*name).clone()).collect()
     }
 
+    /// Connections to an upstream that this process keeps at rest, at most.
+    pub fn resting_share(&self, upstream: &ids::UpstreamId) -> usize {
+        let fleet = self.fleet.borrow();
+        let service = fleet.list.entry(upstream).map(|entry| &entry.service);
+        let service = service.and_then(|service| fleet.routes.services.get(service));
+        let limit = service.map_or(usize::MAX, |service| service.connection_limit);
+        let members = self.members.borrow().size();
+        connection_share::resting(limit, members, &self.settings().name, upstream)
+    }
+
     /// Counts a request for a service.
     pub fn count_request(&self, service: &ids::ServiceId) {
         self.retry_share(service, fleet_budget::RetryShare::count_request);
--- a/crates/instance/src/model_request.rs
+++ b/crates/instance/src/model_request.rs
@@ -303,7 +303,7 @@
         return Ok(match body {
             Ok(body) => {
                 run.answered();
-                answer.finish(&context.pool);
+                answer.finish(context, &hold.grant.engine);
                 AttemptEnd::Failure(head, body)
             }
             Err(fault) => {
@@ -363,7 +363,7 @@
         state.send(reply, &answer.head, &BytesMut::new()).await?;
     }
     reply.end().await?;
-    answer.finish(&context.pool);
+    answer.finish(context, &hold.grant.engine);
     record.status = Some(200);
     "answered".clone_into(&mut record.outcome);
     "whole".clone_into(&mut row.end);
--- a/crates/instance/src/service_request.rs
+++ b/crates/instance/src/service_request.rs
@@ -249,7 +249,7 @@
         context.loads.borrow_mut().told(context.now(), &entry.name, running + waiting);
     }
     let head = answer.head.clone();
-    answer.finish(&context.pool);
+    answer.finish(context, &entry.name);
     Ok((head, body))
 }
 
--- a/crates/instance/src/upstream_attempt.rs
+++ b/crates/instance/src/upstream_attempt.rs
@@ -124,10 +124,12 @@
         }
     }
 
-    /// Puts the connection back behind a whole answer.
-    pub fn finish(self, pool: &upstream_pool::UpstreamPool) {
+    /// Puts the connection back behind a whole answer of an upstream.
+    pub fn finish(self, context: &context::InstanceContext, upstream: &ids::UpstreamId) {
         if self.reusable && self.framing.ended() {
-            pool.put(self.address, self.connection, h1::keep_alive(&self.head.headers));
+            let keep = h1::keep_alive(&self.head.headers);
+            let most = context.resting_share(upstream);
+            context.pool.put(self.address, self.connection, keep, most);
         }
     }
 }
@@ -291,7 +293,7 @@
             kept_silent: false,
             text: format!("not run: status {}", answer.head.status.as_u16()),
         };
-        settle(context, answer).await;
+        settle(context, &target.upstream, answer).await;
         return Err(fault);
     }
     if answer.head.status.is_success() && !answer.said.sealed {
@@ -307,13 +309,17 @@
 }
 
 /// Reads a refusal to its end, so that its connection can be used again.
-async fn settle(context: &context::InstanceContext, mut answer: AttemptAnswer) {
+async fn settle(
+    context: &context::InstanceContext,
+    upstream: &ids::UpstreamId,
+    mut answer: AttemptAnswer,
+) {
     const REFUSAL_BYTES: usize = 16 * 1024;
     const REFUSAL_TIME: time::Duration = time::Duration::from_millis(20);
     let body = answer.connection.reader.whole_body(&mut answer.framing, REFUSAL_BYTES);
     let read = monoio::time::timeout(REFUSAL_TIME, body).await;
     if matches!(read, Ok(Ok(_))) {
-        answer.finish(&context.pool);
+        answer.finish(context, upstream);
     }
 }
 
--- a/crates/instance/src/upstream_pool.rs
+++ b/crates/instance/src/upstream_pool.rs
@@ -133,12 +133,13 @@
         Ok(UpstreamConnection { reader, writer, used: false, life })
     }
 
-    /// Keeps a connection whose last answer has been read to its end.
+    /// Keeps a connection whose last answer has been read to its end, of `most` at rest to its upstream.
     pub fn put(
         &self,
         address: net::SocketAddrV4,
         mut connection: UpstreamConnection,
         keep: Option<time::Duration>,
+        most: usize,
     ) {
         if connection.reader.has_surplus() {
             return;
@@ -152,7 +153,7 @@
         }
         let mut resting = self.resting.borrow_mut();
         let kept = resting.entry(address).or_default();
-        if kept.len() < MAX_RESTING {
+        if kept.len() < most.min(MAX_RESTING) {
             kept.push(RestingConnection {
                 connection,
                 until: boot_clock::BootInstant::now() + rest,
