--- a/crates/core/src/document_source.rs
+++ b/crates/core/src/document_source.rs
@@ -1,8 +1,7 @@
 //! Whom a document that other members have is asked of: members first, the platform's store where they
 //! cannot give it.
 //!
-//! A document that every instance reads from the store itself costs instances times changes: 1,464 of
-//! the 5,052 calls of a day of 295 instances, with few changes and a restart of all.
+//! A document that every instance reads from the store itself costs instances times changes.
 
 use std::time;
 
--- a/crates/core/src/membership.rs
+++ b/crates/core/src/membership.rs
@@ -34,9 +34,8 @@
 /// Time after which any member does: by then twelve before it have tried.
 const TAKE_OVER_LIMIT: time::Duration = time::Duration::from_millis(1_500);
 /// The same for a member whose last try has failed, for each one before it in order: while the store is
-/// away for all, those first in order go on asking and the others ask ever more seldom, 12 calls a second
-/// in all of a data centre of 60 instances. With all of them asking as often as the first, a day of 295
-/// instances on which the store was away for 15 s had some 1,700 calls more.
+/// away for all, those first in order go on asking and the others ask ever more seldom, so that their calls do
+/// not grow with the number of instances.
 const FAILED_STEP: time::Duration = time::Duration::from_millis(400);
 /// Longest time until a member tries again, whatever the others do.
 const FAILED_LIMIT: time::Duration = time::Duration::from_secs(10);
@@ -232,8 +231,7 @@
     /// it: members that start together greet each other within some hundred milliseconds, and none was
     /// new for a while.
     ///
-    /// Before that each takes its data centre for a small one, and asks the platform's store itself: 282
-    /// of 295 instances did so at a first start, some 850 calls.
+    /// Before that each takes its data centre for a small one, and would ask the platform's store itself.
     pub fn is_settled(&self, now: units::MonoTime) -> bool {
         match self.grown {
             Some(grown) => now.since(grown) >= SETTLE_TIME,
@@ -288,9 +286,8 @@
     /// Members that left calls unanswered and have not been heard since: they should be asked again and
     /// again whether they are back.
     ///
-    /// By heartbeats alone, five seconds apart in a fleet of 300, each learns at another moment that a
-    /// cut has healed, and two members plan for the same engines meanwhile: still five seconds behind the
-    /// end of a cut one planner took engines for idle that the other had filled.
+    /// By heartbeats alone, seconds apart in a large fleet, each learns at another moment that a cut has healed,
+    /// and two members plan for the same engines meanwhile: one takes engines for idle that the other has filled.
     pub fn silent(&self) -> Vec<net::SocketAddrV4> {
         let silent = self.members.values().filter(|member| member.unanswered >= MAX_UNANSWERED);
         silent.map(|member| member.beat.address).collect()
--- a/crates/core/src/news_spread.rs
+++ b/crates/core/src/news_spread.rs
@@ -2,8 +2,8 @@
 //! included.
 //!
 //! Whoever finds something out tells all at once, and each repeats what it knows to some others a second; who
-//! may have missed something asks some. Of 300 members whose datagrams are lost one in a hundred three miss the
-//! first telling; all know it within 1.2 s, by repeats alone within 5.4 s (longest of twenty runs).
+//! may have missed something asks some. The first telling reaches nearly all at once, and repeats those whose
+//! datagram was lost.
 
 use std::time;
 
@@ -13,8 +13,8 @@
 pub const REPEAT_INTERVAL: time::Duration = time::Duration::from_secs(1);
 /// Members that are asked by one that may have missed something.
 const ASKED: usize = 3;
-/// Members to which each repeats what it knows: with one, the last of 300 knew it after 5.1 s, with three after
-/// 1.2 s, and 3.1 s behind a cut in halves. Upstreams that leave serve on for two seconds.
+/// Members to which each repeats what it knows: with fewer the last of a large fleet hears of an upstream that leaves
+/// only when that has ended.
 const REPEATED: usize = 3;
 
 /// Why a member tells or asks others.
--- a/crates/core/src/planner/engine_work.rs
+++ b/crates/core/src/planner/engine_work.rs
@@ -15,7 +15,7 @@
 /// Doublings of these times at most.
 const MAX_DOUBLINGS: u32 = 4;
 /// Time an engine is left alone that refused to read a part for another one: about the time until the
-/// list says that it leaves. With 0.6 s a prompt met two such engines in a row and was refused.
+/// list says that it leaves. With a shorter one a prompt may meet two such engines in a row.
 const HELPER_SHUN_TIME: time::Duration = time::Duration::from_millis(2_500);
 /// Paces that are believed; a report beyond them is a fault.
 const PACES: (f64, f64) = (0.5, 20.0);
@@ -205,8 +205,8 @@
 
     /// Takes over how many requests it had as an answer of its own began.
     ///
-    /// Answers come several times a second where reports come each two: across a cut that left 21 of
-    /// 59 instances to a second planner, 24 in 100 short requests came late by reports alone.
+    /// Answers come several times a second where reports come each two: by reports alone two planners on the sides of
+    /// a cut fill the same engines.
     pub(crate) fn note_load(&mut self, requests: usize) {
         self.foreign = requests.saturating_sub(self.answering.len() + NOTE_SLACK);
     }
--- a/crates/core/src/planner/mod.rs
+++ b/crates/core/src/planner/mod.rs
@@ -309,8 +309,7 @@
         job: &waiting_job::WaitingJob,
         grant: &engine_place::PlaceGrant,
     ) -> Option<engine_place::PlaceRefusal> {
-        // Engines that it may not use have no places for it: with a third of 18 resting and idle, 12 full ones
-        // are two thirds of all places, and of its own all.
+        // Engines that it may not use have no places for it, however idle they are.
         let (running, slots) = self.table.taken(&job.ask.excluded);
         let full = running as f64 >= slots as f64 * FULL_PART;
         let hopeless = f64::from(grant.first_token_ms) > job.patience_ms(now);
--- a/crates/core/src/planner/place_table.rs
+++ b/crates/core/src/planner/place_table.rs
@@ -16,8 +16,7 @@
 
 /// Reading left at least on an engine that reads a long prompt until its first token is out,
 /// milliseconds. Engines put parts that come later first: where one was sent by plan just before the
-/// part before it had been read, the earlier prompt came later by the whole of it (1.3 s and 4.9 s
-/// in place of 0.5 and 1.4).
+/// part before it had been read, the earlier prompt would come later by the whole of it.
 const MIN_UNREAD_MS: f64 = 50.0;
 /// Time overdue beyond which a first token is not waited for, milliseconds: another engine of the
 /// same prompt has failed.
--- a/crates/core/src/planner/price.rs
+++ b/crates/core/src/planner/price.rs
@@ -116,9 +116,6 @@
     }
 
     /// Whether a long prompt earns more than the short requests that its reading turns away.
-    ///
-    /// Without it 23 in 1,000 of all credit were lost by refused shorts, with it 13 (mean of 15
-    /// days with trouble).
     pub(crate) fn is_earned(
         &self,
         now: units::MonoTime,
--- a/crates/core/src/planner/timetable.rs
+++ b/crates/core/src/planner/timetable.rs
@@ -14,8 +14,7 @@
 /// Shortest part that is worth a helper, milliseconds.
 const MIN_PART_MS: f64 = 20.0;
 /// What a part costs its engine beside its reading: a pass that plays the steps of those that write
-/// there, some 45 ms on the engines measured, and the wait for the message that it is read. With 25 ms
-/// prompts were cut finer and worth was 0.689 in place of 0.694 (mean of 30 days with trouble).
+/// there, and the wait for the message that it is read. With less, prompts are cut finer than it pays.
 const PART_COST_MS: f64 = 60.0;
 /// Reading that may still wait on an engine when a part is sent there, milliseconds: about the time
 /// that the request takes to get there. Engines with a long part are out until it is known to be read.
--- a/crates/core/src/quarantine.rs
+++ b/crates/core/src/quarantine.rs
@@ -16,8 +16,8 @@
 
 use crate::{ids, request_digest, units};
 
-/// Upstreams that end in a sequence under a request before it is held back. In storms of crashes in
-/// virtual time, without a cause among the requests, no sound prompt of 17,900 met three.
+/// Upstreams that end in a sequence under a request before it is held back: in storms of crashes without a cause
+/// among the requests sound ones may meet two.
 const SEQUENCE: usize = 3;
 /// Part of a run, and longest time, by which it may seem to begin before the one ahead has ended: members
 /// tell times as ages, which are off by the way that a message took. A second attempt is sent a fraction
@@ -34,8 +34,7 @@
 const MEMORY_TIME: time::Duration = time::Duration::from_secs(600);
 /// Ends kept of one request; each takes some 60 bytes.
 const MAX_ENDS: usize = 16;
-/// Requests kept; with three ends each, some 150 KB. A storm that takes 25 engines of 10 prompts fills
-/// half of it.
+/// Requests kept; with three ends each, some 150 KB. A storm of crashes among dozens of engines fills half of it.
 const MAX_REQUESTS: usize = 512;
 
 /// One run under which an upstream ended.
--- a/crates/core/src/refusal.rs
+++ b/crates/core/src/refusal.rs
@@ -206,8 +206,7 @@
 /// When a caller should come back whose upstreams all rest, the first of them for `left` more.
 ///
 /// Never before that, also where its caller has less time: it then knows that waiting is in vain. Spread over as
-/// long as the rest `lasted`, as all that came in it come back: told its end alone they return as 40 times the load
-/// before, over half a second as 8 times, over its length as 1.1 times (a rest of 4 s, busiest tenth of a second).
+/// long as the rest `lasted`, as all that came in it come back: told its end alone they return all at once.
 pub fn rest_return(
     left: time::Duration,
     lasted: time::Duration,
--- a/crates/core/src/send_permit.rs
+++ b/crates/core/src/send_permit.rs
@@ -9,8 +9,8 @@
 pub enum TrialTurn {
     /// It has another attempt left, should it be turned away.
     Yes,
-    /// It has none, or has been turned away already: of six upstreams two of which turned all away, each time that
-    /// their rests were over a call met both, one behind the other, and was lost (12 of 928).
+    /// It has none, or has been turned away already: where two upstreams turn all away, a call would meet both, one
+    /// behind the other, each time that their rests are over.
     No,
 }
 
--- a/crates/core/src/upstream_health.rs
+++ b/crates/core/src/upstream_health.rs
@@ -2,10 +2,7 @@
 //! call at a time.
 //!
 //! Answers to the load that failures draw: whoever fails at once has no call in progress, so by load
-//! alone it is the best choice and gets all calls. One of three upstreams that was gone from its
-//! address was asked 149 times within 9.5 s by six instances, and 29 in 100 calls that must not be
-//! repeated were refused for it. By the load that the tests play (40 calls a second) it was asked 196
-//! times, and is 5 times by these rules; 26 times where each failure counts as a load for two seconds.
+//! alone it is the best choice and gets all calls.
 
 use std::time;
 
@@ -30,8 +27,7 @@
 const NEWS_INTERVAL: time::Duration = time::Duration::from_millis(500);
 /// Weight of the newest call in the running mean of failures.
 const FAILURE_WEIGHT: f64 = 0.2;
-/// Time in which that mean fades: who is avoided for it gets no calls by which it could fall. Without,
-/// an upstream that had failed got none of 390 calls seven seconds after it was sound again.
+/// Time in which that mean fades: who is avoided for it gets no calls by which it could fall.
 const FAILURE_TIME: time::Duration = time::Duration::from_secs(2);
 /// For so long only calls that may be repeated find out whether an upstream is sound again: the others
 /// are lost where it is not.
--- a/crates/instance/src/document_answers.rs
+++ b/crates/instance/src/document_answers.rs
@@ -1,8 +1,7 @@
 //! What members are given of the store's documents, coded once for all who lack the same.
 //!
-//! At a start and behind each change many members lack the same at the same moment. Coded apart for
-//! each, the list of 3,000 upstreams stood in the memory of the one who had it first once for each
-//! that asked: 67 MB at the busiest of 300 instances.
+//! At a start and behind each change many members lack the same at the same moment. Coded apart for each, a long list
+//! would stand in the memory of the one who has it first once for each that asks.
 
 use std::rc;
 
--- a/crates/instance/src/store_sight.rs
+++ b/crates/instance/src/store_sight.rs
@@ -11,8 +11,7 @@
 /// The same while this process knows nothing.
 const START_INTERVAL: time::Duration = time::Duration::from_millis(20);
 /// Time that the own watch has to bring what a member knows before it is doubted, and the member
-/// asked: a change reaches all watches within 50 ms of each other, and up to 150 ms later where
-/// others came just before it.
+/// asked: a change does not reach all watches at one moment, and later where others came just before it.
 pub(crate) const WATCH_LEAD: time::Duration = time::Duration::from_millis(500);
 
 /// Time between two looks at what members know; short while this one knows nothing.
--- a/crates/instance/src/store_watch.rs
+++ b/crates/instance/src/store_watch.rs
@@ -9,9 +9,8 @@
 
 /// Longest wait of one watch, as a share of the time within which a leaving upstream gets no more
 /// work. A connection may fall silent for good without a sign, so a change is heard at the latest
-/// when the wait, [`OVERDUE`] and a read are over; at a share of 0.75 that is 2.1 s for a bound of
-/// 2 s, inside the 3 s after which the platform holds a struck instance to its bounds again. A
-/// call each 1.5 s costs a small fleet 0.002 of its worth.
+/// when the wait, [`OVERDUE`] and a read are over: before the platform holds a struck instance to its bounds
+/// again.
 const WAIT_PART: f64 = 0.75;
 /// Wait of a watch that only asks whether the store is there: it returns at once.
 const FIRST_WAIT: time::Duration = time::Duration::from_millis(1);
@@ -21,7 +20,7 @@
 /// Time for the answer to a watch that returns at once, before another is sent beside it.
 const PROBE_TIME: time::Duration = time::Duration::from_millis(1_500);
 /// Such watches at once, each on a connection of its own: a store that is as late as all of them is
-/// taken for away. With one alone, a store that answered after 2.2 s was never heard.
+/// taken for away. With one alone, a store that is later than its wait is never heard.
 const MAX_PROBES: u32 = 3;
 /// Shortest wait of a watch, whatever the settings say, so that quiet ones do not follow at once.
 const LEAST_WAIT: time::Duration = time::Duration::from_millis(250);
--- a/crates/instance/src/stream_policy.rs
+++ b/crates/instance/src/stream_policy.rs
@@ -75,8 +75,7 @@
         goal_ms: millis(call.route.first_token_goal),
         goal_left_ms: millis(goal_left),
         patience_ms: millis(patience(call).saturating_sub(spent).min(call.left(context.now()))),
-        // Where it may end the next engine, it gets one where few others run: beside three requests
-        // that ended three engines each, 2 to 6 of 794 sound prompts were lost, without it 15 and 26.
+        // Where it may end the next engine, it gets one where few others run.
         tight: is_short(context, call) && !progress.suspect,
         worth: worth(context, call),
         refusable: !progress.sent && !came_back(call),
@@ -144,7 +143,7 @@
 ) -> time::Duration {
     let planned = time::Duration::from_millis(u64::from(grant.first_token_ms));
     let expected = planned.mul_f64(SILENCE_PLANS) + SILENCE_MARGIN;
-    // Never shorter than the plan: 8.6 s of an engine were spent in vain on plans of 9.5 s.
+    // Never shorter than the plan: what was read by then is lost.
     let least = planned.mul_f64(LEAST_PLANS) + SILENCE_MARGIN;
     expected.min(last_silence(call)).max(least)
 }
--- a/crates/instance/src/sum_keeping.rs
+++ b/crates/instance/src/sum_keeping.rs
@@ -59,12 +59,15 @@
     context.sums.looked.set((notices.limit_changes(), now));
     let mut kept = kept_retries(context, &fleet, part);
     let mut planned = collections::BTreeMap::<_, planner_set::EngineLimits>::new();
+    // Engines of one cell have one keeper.
+    let mut own_keys = collections::BTreeMap::new();
     for (upstream, limit) in notices.limits() {
         let Some(entry) = fleet.list.entry(upstream).filter(|entry| entry.name == *upstream) else {
             continue;
         };
         let key = key_of_limit(&fleet, entry);
-        let own = peers::planner_of(context, &key).is_none();
+        let is_own = || peers::planner_of(context, &key).is_none();
+        let own = *own_keys.entry(key.clone()).or_insert_with(is_own);
         let bound = send_pace::PaceBound::of_limit(limit.scaled(part));
         if !is_planned(&fleet, entry) {
             let subject = send_leave::LeaveSubject::Upstream(upstream.clone());
--- a/crates/instance/src/upstream_ends.rs
+++ b/crates/instance/src/upstream_ends.rs
@@ -12,8 +12,7 @@
 use crate::{context, incoming_call, quarantine_news, upstream_attempt, upstream_gate};
 
 /// Time behind a break after which a connection is tried: a process that has ended refuses at once, but
-/// its connections may be reset a moment before its listener is. One connection only: a second one
-/// 250 ms later cost 0.005 of the worth of 45 days with trouble (0.740 and 0.735).
+/// its connections may be reset a moment before its listener is. One connection only: each costs the upstream one.
 const BREAK_CHECK: time::Duration = time::Duration::from_millis(15);
 /// The same behind a run that its caller has left: its engine begins it a moment later, or drops it.
 const LEFT_CHECK: time::Duration = time::Duration::from_millis(250);
--- a/crates/instance/src/upstream_starts.rs
+++ b/crates/instance/src/upstream_starts.rs
@@ -19,8 +19,8 @@
 impl StartWaiters {
     /// Ends once a start is known to be over; never where the upstream does not tell its starts.
     ///
-    /// Whatever ran there is lost then, and nothing comes over its connections any more: a call is
-    /// answered within 0.1 s of the news, where silence took 1.5 s, its limit, to end it.
+    /// Whatever ran there is lost then, and nothing comes over its connections any more: a call is answered with the
+    /// news, and need not wait for the limit of a silence.
     pub fn until_over(&self, name: &ids::UpstreamId) -> impl Future<Output = ()> + use<> {
         let over = name.start().map(|_| {
             let (sender, over) = oneshot::channel();
