Who waits for the leave of a limit is not overtaken by who asks as it is due

Callers: two of 2,300 prompts, of three whose limits all engines had named, were held for 1.7 s and then refused.

Cause: a short prompt that asks is placed at once where a leave is due, and those that wait are looked at each 10 ms; with a hundred asks a second the next ask had each leave before the line did. Evidence: its record says `the first token is expected in 294 ms` after 1,686 ms, first in line, while others got 9 places a second.

Change: where limits bind all engines those that wait are served before the one that asks.

--- a/crates/core/src/planner/mod.rs
+++ b/crates/core/src/planner/mod.rs
@@ -140,6 +140,11 @@
         let job = waiting_job::WaitingJob::new(ask, now);
         self.table.advance(now);
         if self.is_short(&job.ask) {
+            if self.table.limited_rate(&[]).is_some() {
+                // Leaves come one by one: who asks as one is due stands behind those that wait for it.
+                let answers = self.tick_short(now);
+                self.settled.extend(answers);
+            }
             let answer = self.place_short(now, &job);
             if answer.is_none() {
                 self.waiting.push(job);
--- a/crates/core/tests/planner_limits.rs
+++ b/crates/core/tests/planner_limits.rs
@@ -197,3 +197,14 @@
     assert!(planner.ask(at(1_200), short(3)).is_none(), "it waits for its turn");
     assert!(planner.tick(at(1_260)).iter().any(|answer| matches!(answer, PlaceAnswer::Paced(..))));
 }
+
+/// Who waits for its turn is not overtaken by who asks at the moment at which it comes.
+#[test]
+fn who_asks_as_a_leave_is_due_stands_behind_who_waits_for_it() {
+    let mut planner = planner(1, &[(0, 4.0)]);
+    assert!(planner.ask(at(1), short(1)).is_none(), "it waits for its turn");
+    let later = planner.ask(at(251), short(2));
+    assert!(!matches!(later, Some(PlaceAnswer::Paced(..))), "{later:?}");
+    let answers = planner.tick(at(255));
+    assert!(answers.iter().any(|answer| answer.job() == short(1).job), "{answers:?}");
+}
