--- a/crates/core/tests/membership.rs
+++ b/crates/core/tests/membership.rs
@@ -342,3 +342,30 @@
     view.hear(at(900), beat(1, 1, 2));
     assert!(view.silent().is_empty(), "it plans again at once");
 }
+
+/// Two sides of a cut use what all share by the part of the members that each hears: together no more than all of it.
+#[test]
+fn each_side_of_a_cut_sees_its_part_of_the_members() {
+    let mut view = view();
+    for number in 1..6 {
+        view.hear(at(0), beat(number, 1, 1));
+    }
+    assert!((view.seen_part(at(500)) - 1.0).abs() < 1e-9);
+    for number in 1..3 {
+        view.hear(at(900), beat(number, 1, 2));
+    }
+    assert!((view.seen_part(at(1_000)) - 0.5).abs() < 1e-9, "three of six are silent");
+    // Who has said that it leaves is missed by plan.
+    let leaving = MemberBeat { leaving: true, ..beat(3, 1, 2) };
+    view.hear(at(950), leaving);
+    assert!((view.seen_part(at(1_000)) - 0.6).abs() < 1e-9, "three of five that stay");
+    // Calls that stay unanswered show it sooner than heartbeats that are missed.
+    (0..2).for_each(|_| view.unanswered(&name(1)));
+    assert!((view.seen_part(at(1_000)) - 0.4).abs() < 1e-9);
+    assert!(!view.heard_since(&name(1), at(900)));
+    view.hear(at(1_100), beat(1, 1, 3));
+    assert!(view.heard_since(&name(1), at(900)));
+    assert!((view.seen_part(at(1_200)) - 0.6).abs() < 1e-9);
+    assert_eq!(view.name_of_boot(1), Some(&name(1)));
+    assert_eq!(view.name_of_boot(9), None);
+}
