--- a/crates/core/src/planner/engine_view.rs
+++ b/crates/core/src/planner/engine_view.rs
@@ -1,7 +1,7 @@
 //! Engines as one decision of the planner sees them. Times are milliseconds as `f64`, see
 //! [`crate::pass_model`].
 
-use crate::{engine_place, ids};
+use crate::{engine_place, ids, planner::engine_limits};
 
 /// An engine as one decision sees it.
 #[derive(Debug, Clone)]
@@ -34,11 +34,8 @@
     pub(crate) free: u64,
     /// Above 1 it is slower than its figures.
     pub(crate) pace: f64,
-    /// Time until its limit lets another request through, milliseconds: 0 without one, endless where another
-    /// process keeps it.
-    pub(crate) leave_ms: f64,
-    /// Time between two requests that its limit lets through, milliseconds; 0 without one.
-    pub(crate) leave_interval_ms: f64,
+    /// When its limit lets requests through.
+    pub(crate) leave: engine_limits::LeaveTimes,
 }
 
 /// Part of a pause goal that a pass may fill by plan; the rest is for what the plan cannot see.
@@ -52,7 +49,7 @@
 impl EngineView<'_> {
     /// Whether its limit lets a request through now.
     pub(crate) fn has_leave(&self) -> bool {
-        self.leave_ms <= 0.0
+        self.leave.wait_ms <= 0.0
     }
 
     /// Requests there that a long part beside them may harm: those with tight pauses, and those of
--- a/crates/core/src/planner/mod.rs
+++ b/crates/core/src/planner/mod.rs
@@ -6,6 +6,7 @@
 //! admission, which says who is in time, late or refused; and a grant, noted in the place table.
 
 mod admission;
+mod engine_limits;
 mod engine_view;
 mod engine_work;
 mod place_table;
@@ -89,12 +90,12 @@
         kept: &collections::BTreeMap<ids::UpstreamId, send_pace::PaceBound>,
         elsewhere: collections::BTreeSet<ids::UpstreamId>,
     ) {
-        self.table.set_limits(now, kept, elsewhere);
+        self.table.limits.set(now, kept, elsewhere);
     }
 
     /// The leaves of its engines, to take and ask for, also for requests that need no place.
     pub fn leaves(&mut self) -> &mut leave_ledger::LeaveLedger<ids::UpstreamId> {
-        &mut self.table.leaves
+        &mut self.table.limits.leaves
     }
 
     /// Takes over new figures of the engines.
--- a/crates/core/src/planner/place_table.rs
+++ b/crates/core/src/planner/place_table.rs
@@ -4,9 +4,9 @@
 use std::{collections, time};
 
 use crate::{
-    engine_place, ids, leave_ledger, pass_model,
-    planner::{engine_view, engine_work, ways},
-    route_table, send_pace, units,
+    engine_place, ids, pass_model,
+    planner::{engine_limits, engine_view, engine_work, ways},
+    route_table, units,
 };
 
 /// Leases that their member does not renew for so long are given up.
@@ -52,10 +52,8 @@
     answer_ms: f64,
     /// Smallest pause goal seen, milliseconds; infinite before any.
     tightest_ms: f64,
-    /// Limits of engines that this process keeps.
-    pub(crate) leaves: leave_ledger::LeaveLedger<ids::UpstreamId>,
-    /// Engines whose limit another process keeps.
-    kept_elsewhere: collections::BTreeSet<ids::UpstreamId>,
+    /// Engines that take only so many requests.
+    pub(crate) limits: engine_limits::EngineLimits,
 }
 
 impl PlaceTable {
@@ -72,22 +70,10 @@
             suspects: collections::BTreeSet::new(),
             answer_ms: FIRST_ANSWER_MS,
             tightest_ms: f64::INFINITY,
-            leaves: leave_ledger::LeaveLedger::default(),
-            kept_elsewhere: collections::BTreeSet::new(),
+            limits: engine_limits::EngineLimits::default(),
         }
     }
 
-    /// Sets which engines have a limit: at which rate where this process keeps it, and those of others.
-    pub(crate) fn set_limits(
-        &mut self,
-        now: units::MonoTime,
-        kept: &collections::BTreeMap<ids::UpstreamId, send_pace::PaceBound>,
-        elsewhere: collections::BTreeSet<ids::UpstreamId>,
-    ) {
-        self.leaves.set_kept(now, kept);
-        self.kept_elsewhere = elsewhere;
-    }
-
     /// Sets which engines may be used; each with a number that orders them alike everywhere.
     pub(crate) fn set_engines(&mut self, now: units::MonoTime, names: &[(ids::UpstreamId, u64)]) {
         let wanted: collections::BTreeSet<_> = names.iter().map(|(name, _)| name).collect();
@@ -132,19 +118,16 @@
     /// its other places may not be used.
     fn places(&self, name: &ids::UpstreamId, engine: &engine_work::EngineWork) -> usize {
         let answering = engine.answering.len();
-        if self.kept_elsewhere.contains(name) {
-            return answering;
-        }
-        let Some(bound) = self.leaves.bound(name) else {
+        let Some(rate) = self.limits.rate(name) else {
             return self.shape.slots;
         };
-        let within = (bound.rate.per_second() * self.answer_ms / 1_000.0).ceil() as usize;
+        let within = (rate * self.answer_ms / 1_000.0).ceil() as usize;
         within.clamp(answering.min(self.shape.slots), self.shape.slots)
     }
 
     /// Time until the first limit lets another request through, milliseconds.
     pub(crate) fn soonest_leave_ms(&self, now: units::MonoTime) -> f64 {
-        let times = self.engines.keys().map(|name| self.leave_times(now, name).0);
+        let times = self.engines.keys().map(|name| self.limits.times(now, name).wait_ms);
         times.fold(f64::INFINITY, f64::min)
     }
 
@@ -152,11 +135,7 @@
     /// limit.
     pub(crate) fn limited_rate(&self, excluded: &[ids::UpstreamId]) -> Option<f64> {
         let open = self.engines.keys().filter(|name| !excluded.contains(name));
-        open.map(|name| {
-            let kept = self.leaves.bound(name).map(|bound| bound.rate.per_second());
-            kept.or_else(|| self.kept_elsewhere.contains(name).then_some(0.0))
-        })
-        .sum()
+        open.map(|name| self.limits.rate(name)).sum()
     }
 
     /// A refusal that tells how many places are taken.
@@ -225,7 +204,7 @@
             worth += engine.foreign as f64;
         }
         let answering = engine.answering.len() + engine.foreign;
-        let (leave_ms, leave_interval_ms) = self.leave_times(now, name);
+        let leave = self.limits.times(now, name);
         engine_view::EngineView {
             name,
             rank: engine.rank,
@@ -242,18 +221,7 @@
             answering,
             free: engine.memory.saturating_sub(engine.used),
             pace: engine.pace,
-            leave_ms,
-            leave_interval_ms,
-        }
-    }
-
-    /// Time until an engine's limit lets a request through, and between two of them, milliseconds.
-    fn leave_times(&self, now: units::MonoTime, name: &ids::UpstreamId) -> (f64, f64) {
-        let millis = |span: time::Duration| span.as_secs_f64() * 1_000.0;
-        match (self.leaves.wait(now, name), self.leaves.bound(name)) {
-            (Some(wait), Some(bound)) => (millis(wait), millis(bound.interval())),
-            _ if self.kept_elsewhere.contains(name) => (f64::INFINITY, 0.0),
-            _ => (0.0, 0.0),
+            leave,
         }
     }
 
@@ -426,9 +394,7 @@
         grant: engine_place::PlaceGrant,
     ) {
         let engines = std::iter::once(&grant.engine).chain(&grant.helpers);
-        let leaves = &mut self.leaves;
-        let paced = engines.filter(|engine| leaves.take(now, engine, ask.job.boot));
-        let paced = paced.cloned().collect();
+        let paced = self.limits.take(now, engines, ask.job.boot);
         let lease = engine_place::PlaceLease { ask: ask.clone(), grant, reading: true };
         self.occupy(now, &lease);
         let writing_since = None;
--- a/crates/core/src/planner/timetable.rs
+++ b/crates/core/src/planner/timetable.rs
@@ -138,7 +138,7 @@
         let mut rows: Vec<_> = usable
             .iter()
             .filter(|at| part <= SHORT_PART_MS || self.views[**at].unread == 0)
-            .filter(|at| self.views[**at].leave_ms.is_finite())
+            .filter(|at| self.views[**at].leave.wait_ms.is_finite())
             .map(|at| self.reading_row(*at, part))
             .filter(|row| row.harm <= max_harm)
             .collect();
@@ -155,7 +155,7 @@
             return None;
         }
         let start_ms = rows.iter().map(|row| row.start_ms).fold(0.0, f64::max);
-        let leave_ms = rows.iter().map(|row| self.views[row.at].leave_ms).fold(0.0, f64::max);
+        let leave_ms = rows.iter().map(|row| self.views[row.at].leave.wait_ms).fold(0.0, f64::max);
         let first_ms = rows
             .iter()
             .map(|row| row.first_ms.max(start_ms + self.views[row.at].own_ms(part)))
@@ -172,7 +172,7 @@
         let view = &self.views[at];
         let own = view.own_ms(part);
         let harm = view.harm(part);
-        let start_ms = (view.unread_ms * view.pace).max(view.leave_ms);
+        let start_ms = (view.unread_ms * view.pace).max(view.leave.wait_ms);
         let first_ms = view.first_ms(part).max(start_ms + own);
         let steps = if view.answering > 0 { view.steps_ms * view.pace } else { 0.0 };
         let passes = start_ms.max(view.wait_ms * view.pace) + steps;
@@ -188,7 +188,7 @@
             view.wait_ms = until;
             view.pending_ms = 0.0;
             view.unread_ms = until;
-            view.leave_ms = view.leave_ms.max(0.0) + view.leave_interval_ms;
+            view.leave.wait_ms += view.leave.interval_ms;
         }
     }
 
--- a/crates/instance/src/leave_request.rs
+++ b/crates/instance/src/leave_request.rs
@@ -68,6 +68,7 @@
     if context.take_retry(service) {
         return true;
     }
+    sum_keeping::until_settled(context).await;
     let subject = send_leave::LeaveSubject::Retries(service.clone());
     obtain_term(context, &subject, time::Duration::ZERO).await.is_ok()
 }
--- a/crates/instance/src/sum_keeping.rs
+++ b/crates/instance/src/sum_keeping.rs
@@ -16,6 +16,8 @@
 
 /// Time between two looks at which sums this process keeps.
 const LOOK_INTERVAL: time::Duration = time::Duration::from_millis(250);
+/// Time between two looks at whether the members are known.
+const SETTLE_LOOK: time::Duration = time::Duration::from_millis(20);
 /// Time after which a member asks again that took this process for the keeper of what another one keeps.
 const NOT_KEPT_PAUSE: time::Duration = time::Duration::from_millis(100);
 /// Time for the answer of a member that others find silent.
@@ -35,28 +37,55 @@
         cell::RefCell<collections::HashMap<ids::ServiceId, return_line::ReturnLine>>,
     /// Lines written on changes of limits.
     pub(crate) limit_log: cell::RefCell<limit_news::LimitLog>,
-    /// Changes of limits up to the last look, and when that was.
-    looked: cell::Cell<(u64, units::MonoTime)>,
+    /// What the last look went by, and when it was.
+    looked: cell::Cell<(LookedState, units::MonoTime)>,
     /// A keeper that others find silent, and when it was asked.
     probe: cell::RefCell<Option<(ids::InstanceId, units::MonoTime)>>,
 }
 
+/// What there is to keep, and whether it can be known by whom: another one is looked at at once.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+struct LookedState {
+    limit_changes: u64,
+    routes: u64,
+    settled: bool,
+}
+
+impl LookedState {
+    fn of(context: &context::InstanceContext) -> Self {
+        let fleet = context.fleet.borrow();
+        Self {
+            limit_changes: fleet.list.notices().limit_changes(),
+            routes: fleet.routes.version.0,
+            settled: is_settled(context),
+        }
+    }
+}
+
 /// Looks now and then at which sums this process keeps.
 pub(crate) fn tick(context: &context::InstanceContext) {
-    let changes = context.fleet.borrow().list.notices().limit_changes();
     let (seen, last) = context.sums.looked.get();
-    if changes != seen || context.now().since(last) >= LOOK_INTERVAL {
+    let is_due = context.now().since(last) >= LOOK_INTERVAL;
+    if is_due || seen != LookedState::of(context) {
         refresh(context);
     }
 }
 
+/// Waits until this process can know who keeps what: a few tenths of a second behind its start, no time later.
+pub(crate) async fn until_settled(context: &context::InstanceContext) {
+    while !is_settled(context) {
+        monoio::time::sleep(SETTLE_LOOK).await;
+    }
+    tick(context);
+}
+
 /// Works out which sums this process keeps, and how much of them.
 pub(crate) fn refresh(context: &context::InstanceContext) {
     let now = context.now();
     let fleet = context.fleet.borrow();
     let part = context.members.borrow().seen_part(now);
     let notices = fleet.list.notices();
-    context.sums.looked.set((notices.limit_changes(), now));
+    context.sums.looked.set((LookedState::of(context), now));
     let mut kept = kept_retries(context, &fleet, part);
     let mut planned = collections::BTreeMap::<_, planner_set::EngineLimits>::new();
     // Engines of one cell have one keeper.
@@ -92,13 +121,17 @@
     context.planners.borrow_mut().set_limits(now, planned);
 }
 
+fn is_settled(context: &context::InstanceContext) -> bool {
+    context.members.borrow().is_settled(context.now())
+}
+
 /// Sums of retries that this process keeps.
 fn kept_retries(
     context: &context::InstanceContext,
     fleet: &fleet_state::FleetState,
     part: f64,
 ) -> collections::BTreeMap<send_leave::LeaveSubject, send_pace::PaceBound> {
-    if !context.members.borrow().is_settled(context.now()) {
+    if !is_settled(context) {
         // All may have just started, and each would take itself for the keeper.
         return collections::BTreeMap::new();
     }
--- a/crates/soak/tests/judgements.rs
+++ b/crates/soak/tests/judgements.rs
@@ -171,6 +171,12 @@
     }
 }
 
+/// A request of an instance that was served at once.
+fn served(id: String, instance: u8, at: Instant) -> SentRequest {
+    let outcome = Some(Outcome::Good);
+    SentRequest { id, route: "safe", instance, outcome, from: at, to: at, ended_rest: None }
+}
+
 /// A run with one request of instance 0 that an upstream answered with a word at 1 s, and another there later.
 fn spoken(leaving: bool, rest: Option<Duration>, later: Duration) -> Evidence {
     let mut evidence = Evidence::new();
@@ -186,15 +192,7 @@
             rest: rest.map(|rest| (told, rest)).filter(|_| first),
             limited: None,
         });
-        evidence.sent.push(SentRequest {
-            id,
-            route: "safe",
-            instance: 0,
-            outcome: Some(Outcome::Good),
-            from: at,
-            to: at,
-            ended_rest: None,
-        });
+        evidence.sent.push(served(id, 0, at));
     }
     evidence
 }
@@ -251,15 +249,7 @@
             rest: None,
             limited: Some(at + MILLI),
         });
-        evidence.sent.push(SentRequest {
-            id,
-            route: "safe",
-            instance: (number % 2) as u8,
-            outcome: Some(Outcome::Good),
-            from: at,
-            to: at,
-            ended_rest: None,
-        });
+        evidence.sent.push(served(id, (number % 2) as u8, at));
     }
     evidence
 }
