Sight: what each upstream gets of an instance, connections with their share, and who keeps the retries

An operator could see that an upstream was busy, not how many of its requests came from where, how many connections are kept there and why, or which member keeps the retries that all share.

Cause: the gate let requests through without counting them; shares were worked out and shown nowhere.

Ruled out: a metric for each upstream (hundreds of series at each instance); sums over members (another message a second, for what few look at).

Change: the gate counts requests by upstream over ten seconds; `upstreams` shows them with their part of the service's, connections open and at rest with the share of what the upstream accepts; `status` shows who keeps retries of each service and to whom they were given. Rows of operators in a file of their own; the most at rest is part of the share that is shown.

Conclusion: the shares of one instance are seen; a sum over instances is left to who asks them.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -40,6 +40,7 @@
 pub mod return_line;
 pub mod route_table;
 pub mod routing;
+pub mod send_counts;
 pub mod send_leave;
 pub mod send_pace;
 pub mod send_permit;
--- /dev/null
+++ b/crates/core/tests/send_counts.rs
@@ -0,0 +1,38 @@
+//! What this process sent to each upstream lately.
+
+use std::time;
+
+use slipturn_core::{
+    ids,
+    send_counts::{COUNT_TIME, SendCounts},
+    units,
+};
+
+fn at(millis: u64) -> units::MonoTime {
+    units::MonoTime::from_span(time::Duration::from_millis(millis))
+}
+
+fn upstream(name: &str) -> ids::UpstreamId {
+    name.parse().expect("a name")
+}
+
+#[test]
+fn each_upstream_has_its_own_count() {
+    let mut counts = SendCounts::default();
+    (0..5).for_each(|turn| counts.count(at(turn * 300), &upstream("a")));
+    counts.count(at(1_500), &upstream("b"));
+    let now = at(2_000);
+    let lately = ["a", "b", "c"].map(|name| counts.lately(now, &upstream(name)));
+    assert_eq!(lately, [5, 1, 0]);
+}
+
+/// What is older does not count, and takes no room.
+#[test]
+fn what_was_sent_long_ago_is_forgotten() {
+    let mut counts = SendCounts::default();
+    counts.count(at(0), &upstream("a"));
+    counts.count(at(5_000), &upstream("a"));
+    let span = u64::try_from(COUNT_TIME.as_millis()).expect("a short time");
+    assert_eq!(counts.lately(at(span + 1_000), &upstream("a")), 1);
+    assert_eq!(counts.lately(at(span + 6_000), &upstream("a")), 0);
+}
--- a/crates/instance/src/context.rs
+++ b/crates/instance/src/context.rs
@@ -5,7 +5,7 @@
 use futures::{channel::mpsc, channel::oneshot, future};
 use slipturn_core::{
     class_worth, connection_share, engine_place, fleet_budget, ids, member_beat, membership,
-    planner, planner_key, quarantine, send_permit, store_belief, units,
+    planner, planner_key, quarantine, send_counts, send_permit, store_belief, units,
 };
 use slipturn_net::process;
 
@@ -70,6 +70,8 @@
     pub pool: upstream_pool::UpstreamPool,
     /// What upstreams of plain services do for this process.
     pub loads: cell::RefCell<upstream_load::UpstreamLoads>,
+    /// Requests that this process sent lately.
+    pub sent: cell::RefCell<send_counts::SendCounts>,
     /// What all members together do only so often.
     pub sums: sum_keeping::SumState,
     /// Attempts that wait for starts of upstreams.
@@ -156,6 +158,7 @@
             retries: cell::RefCell::default(),
             pool: upstream_pool::UpstreamPool::default(),
             loads: cell::RefCell::new(loads),
+            sent: cell::RefCell::default(),
             sums: sum_keeping::SumState::default(),
             starts: upstream_starts::StartWaiters::default(),
             quarantine: cell::RefCell::default(),
@@ -303,7 +306,8 @@
         let service = service.and_then(|service| fleet.routes.services.get(service));
         let limit = service.map_or(usize::MAX, |service| service.connection_limit);
         let members = self.members.borrow().size();
-        connection_share::resting(limit, members, &self.settings().name, upstream)
+        let share = connection_share::resting(limit, members, &self.settings().name, upstream);
+        share.min(upstream_pool::MAX_RESTING)
     }
 
     /// Counts a request for a service.
--- a/crates/instance/src/lib.rs
+++ b/crates/instance/src/lib.rs
@@ -59,5 +59,6 @@
 pub mod upstream_load;
 mod upstream_news;
 pub mod upstream_pool;
+mod upstream_rows;
 pub mod upstream_silence;
 pub mod upstream_starts;
--- a/crates/instance/src/small_server.rs
+++ b/crates/instance/src/small_server.rs
@@ -3,10 +3,10 @@
 use std::{rc, time};
 
 use bytes::Bytes;
-use slipturn_core::{ids, quarantine, request_digest, units, upstream_list};
+use slipturn_core::{quarantine, request_digest, units};
 use slipturn_net::h1;
 
-use crate::{context, document_answers, member_feed, quarantine_news, sum_keeping};
+use crate::{context, document_answers, member_feed, quarantine_news, upstream_rows};
 
 /// Requests that are held back.
 const QUARANTINE_PATH: &str = "/v1/quarantine";
@@ -170,7 +170,7 @@
                 + &notice_gauges(context),
         ),
         ("GET", "/v1/status") => json(&status(context)),
-        ("GET", UPSTREAMS_PATH) => json(&upstream_rows(context)),
+        ("GET", UPSTREAMS_PATH) => json(&upstream_rows::upstreams(context)),
         ("GET", "/v1/histograms") => json(&context.stats.borrow().rows()),
         ("GET", "/v1/settings") => json(&routes(context)),
         ("POST", "/v1/drain") => {
@@ -221,26 +221,6 @@
     verdicts.map(row).collect()
 }
 
-/// Upstreams with what the list and they themselves say.
-fn upstream_rows(context: &context::InstanceContext) -> Vec<serde_json::Value> {
-    let now = context.now();
-    let fleet = context.fleet.borrow();
-    let keeping = |name: &ids::UpstreamId| {
-        let limited = fleet.list.notices().limit(name).is_some();
-        limited.then(|| sum_keeping::summary(context, name)).flatten().unwrap_or_default()
-    };
-    let row = |entry: &upstream_list::UpstreamEntry| {
-        serde_json::json!({
-            "upstream": entry.name.to_string(),
-            "service": entry.service,
-            "listed": format!("{:?}", entry.state).to_lowercase(),
-            "said": fleet.list.notices().told(now, &entry.name).unwrap_or_default(),
-            "limit": keeping(&entry.name),
-        })
-    };
-    fleet.list.entries().map(row).collect()
-}
-
 fn json(value: &impl serde::Serialize) -> (u16, String) {
     match serde_json::to_string(value) {
         Ok(text) => (200, text),
@@ -317,6 +297,7 @@
 }
 
 fn status(context: &context::InstanceContext) -> serde_json::Value {
+    let retries = upstream_rows::retries(context);
     let lags = context.lags();
     let beat = context.own_beat();
     let belief = context.belief.borrow();
@@ -338,5 +319,6 @@
         "members": alive,
         "busy": context.busy.get(),
         "placed": context.planners.borrow().placed(),
+        "retries": retries,
     })
 }
--- a/crates/instance/src/sum_keeping.rs
+++ b/crates/instance/src/sum_keeping.rs
@@ -226,22 +226,21 @@
     context.tell(from, peer_message::PeerMessage::Leave(asked.number, answer));
 }
 
-/// Who keeps an upstream's limit, and what was given of it lately, for people.
+/// Who keeps a sum, and what was given of it lately, for people.
 pub(crate) fn summary(
     context: &context::InstanceContext,
-    upstream: &ids::UpstreamId,
+    subject: &send_leave::LeaveSubject,
 ) -> Option<String> {
     let now = context.now();
-    let subject = send_leave::LeaveSubject::Upstream(upstream.clone());
-    if let Some(keeper) = keeper_of(context, &subject) {
+    if let Some(keeper) = keeper_of(context, subject) {
         return Some(format!("kept by {}", keeper.name));
     }
-    let given = match planned_engine(context, &subject) {
+    let given = match planned_engine(context, subject) {
         Some((key, engine)) => {
             let mut planners = context.planners.borrow_mut();
             planners.planner(&key).and_then(|planner| planner.leaves().given(now, &engine))
         }
-        None => context.sums.ledger.borrow().given(now, &subject),
+        None => context.sums.ledger.borrow().given(now, subject),
     };
     let members = context.members.borrow();
     let name = |boot: u64| {
--- a/crates/instance/src/upstream_gate.rs
+++ b/crates/instance/src/upstream_gate.rs
@@ -39,6 +39,9 @@
 ) -> Result<SendPass<'a>, send_permit::KeptBack> {
     look(context, upstream, kind, leaves)?;
     let begun = kind == send_permit::SendKind::Request;
+    if begun {
+        context.sent.borrow_mut().count(context.now(), upstream);
+    }
     let mut fleet = context.fleet.borrow_mut();
     let trial = begun && fleet.list.notices_mut().begin(context.now(), upstream);
     Ok(SendPass { context, upstream: upstream.clone(), trial })
--- a/crates/instance/src/upstream_pool.rs
+++ b/crates/instance/src/upstream_pool.rs
@@ -12,7 +12,7 @@
 /// Time for a connection to come about; within a region it takes a few milliseconds.
 const CONNECT_TIME: time::Duration = time::Duration::from_millis(400);
 /// Resting connections kept for each upstream.
-const MAX_RESTING: usize = 4;
+pub(crate) const MAX_RESTING: usize = 4;
 /// Longest a connection rests where the upstream does not say.
 const REST_TIME: time::Duration = time::Duration::from_secs(4);
 /// A connection is given up this long before the upstream would close it.
@@ -95,6 +95,15 @@
     until: boot_clock::BootInstant,
 }
 
+/// Connections of this process to one address.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct HeldConnections {
+    /// All of them.
+    pub(crate) open: usize,
+    /// Those that wait for another request.
+    pub(crate) resting: usize,
+}
+
 /// Resting connections by address, and the times of all.
 #[derive(Debug, Default)]
 pub struct UpstreamPool {
@@ -153,7 +162,7 @@
         }
         let mut resting = self.resting.borrow_mut();
         let kept = resting.entry(address).or_default();
-        if kept.len() < most.min(MAX_RESTING) {
+        if kept.len() < most {
             kept.push(RestingConnection {
                 connection,
                 until: boot_clock::BootInstant::now() + rest,
@@ -161,6 +170,16 @@
         }
     }
 
+    /// How many connections to an address there are.
+    pub(crate) fn held(&self, address: net::SocketAddrV4) -> HeldConnections {
+        let is_open = |life: &&rc::Weak<ConnectionLife>| life.strong_count() > 0;
+        let lives = self.lives.borrow();
+        HeldConnections {
+            open: lives.get(&address).map_or(0, |lives| lives.iter().filter(is_open).count()),
+            resting: self.resting.borrow().get(&address).map_or(0, Vec::len),
+        }
+    }
+
     /// Closes connections that have rested long enough.
     pub fn prune(&self) {
         let now = boot_clock::BootInstant::now();
