Retries that save more go first, where all members share what is left

Answers that had begun were lost while the retries that all share went to attempts that may still have answered.

Cause: the member that keeps these retries gave them as they were asked for; slow attempts ask all the while, and the bucket was empty when an upstream ended under several answers.

Test: a storm in virtual time.

--- a/crates/core/src/leave_ledger.rs
+++ b/crates/core/src/leave_ledger.rs
@@ -91,10 +91,22 @@
         subject: &K,
         asker: u64,
         ask: &send_leave::LeaveAsk,
+    ) -> Option<send_leave::LeaveAnswer> {
+        self.ask_sparing(now, subject, asker, ask, 0.0)
+    }
+
+    /// The same for a wish that leaves a part of what may be given at once to others.
+    pub fn ask_sparing(
+        &mut self,
+        now: units::MonoTime,
+        subject: &K,
+        asker: u64,
+        ask: &send_leave::LeaveAsk,
+        part: f64,
     ) -> Option<send_leave::LeaveAnswer> {
         let row = self.rows.get_mut(subject)?;
         row.note_asker(now, asker);
-        let wait = row.pace.wait(now);
+        let wait = row.pace.wait_sparing(now, part);
         if wait > time::Duration::from_millis(u64::from(ask.patience_ms)) {
             let back_ms = millis(row.refuse(now, asker, wait));
             return Some(send_leave::LeaveAnswer::Refused { back_ms });
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -37,6 +37,7 @@
 pub mod rendezvous;
 pub mod request_digest;
 pub mod retry;
+pub mod retry_need;
 pub mod return_line;
 pub mod route_table;
 pub mod routing;
--- /dev/null
+++ b/crates/core/src/planner/place_table/occupancy.rs
@@ -0,0 +1,78 @@
+//! How a place that is taken or given back changes the work of its engines.
+
+use std::time;
+
+use crate::{
+    engine_place, ids, pass_model,
+    planner::{engine_work, place_table},
+    units,
+};
+
+impl place_table::PlaceTable {
+    /// Adds what a request brings to its engines.
+    pub(super) fn occupy(&mut self, now: units::MonoTime, lease: &engine_place::PlaceLease) {
+        let (ask, grant) = (&lease.ask, &lease.grant);
+        self.tightest_ms = self.tightest_ms.min(f64::from(ask.pause_ms));
+        let part = pass_model::part_ms(&self.shape, ask.prompt, grant.helpers.len() + 1);
+        for name in std::iter::once(&grant.engine).chain(&grant.helpers) {
+            let Some(engine) = self.engines.get_mut(name) else {
+                continue;
+            };
+            engine.advance(now);
+            if lease.reading {
+                engine.add_part(engine_work::PendingPart { job: ask.job, left_ms: part });
+                let first = time::Duration::from_millis(u64::from(grant.first_token_ms));
+                engine.expected.insert(ask.job, now + first);
+            }
+        }
+        let held: u64 = grant.held.iter().map(|part| part.tokens).sum();
+        if let Some(engine) = self.engines.get_mut(&grant.engine) {
+            engine.answering.insert(ask.job);
+            engine.used += (ask.prompt + ask.output).saturating_sub(held);
+            if !lease.reading {
+                engine.writers.insert(ask.job);
+            }
+        }
+        for part in &grant.held {
+            if let Some(engine) = self.engines.get_mut(&part.engine) {
+                engine.used += part.tokens;
+            }
+        }
+    }
+
+    /// Takes that away again.
+    pub(super) fn release(&mut self, lease: &engine_place::PlaceLease) {
+        let (ask, grant) = (&lease.ask, &lease.grant);
+        for name in std::iter::once(&grant.engine).chain(&grant.helpers) {
+            if let Some(engine) = self.engines.get_mut(name) {
+                engine.drop_part(ask.job);
+            }
+        }
+        let held: u64 = grant.held.iter().map(|part| part.tokens).sum();
+        if let Some(engine) = self.engines.get_mut(&grant.engine)
+            && engine.answering.remove(&ask.job)
+        {
+            let own = (ask.prompt + ask.output).saturating_sub(held);
+            engine.used = engine.used.saturating_sub(own);
+            engine.writers.remove(&ask.job);
+        }
+        for part in &grant.held {
+            if let Some(engine) = self.engines.get_mut(&part.engine) {
+                engine.used = engine.used.saturating_sub(part.tokens);
+            }
+        }
+        self.refresh_steps(&grant.engine);
+    }
+
+    /// Works out the steps of an engine's passes anew, after its writers have changed.
+    pub(super) fn refresh_steps(&mut self, name: &ids::UpstreamId) {
+        let Some(engine) = self.engines.get_mut(name) else {
+            return;
+        };
+        let asks = engine.writers.iter().filter_map(|job| self.jobs.get(job));
+        let context = asks.map(|state| place_table::context_of(&state.lease)).sum();
+        let writers = engine.writers.len();
+        engine.steps_ms =
+            if writers == 0 { 0.0 } else { pass_model::steps_ms(&self.shape, writers, context) };
+    }
+}
--- a/crates/core/src/planner/ways.rs
+++ b/crates/core/src/planner/ways.rs
@@ -5,7 +5,7 @@
 
 use serde::Deserialize;
 
-use crate::{route_table, upstream_notice};
+use crate::{retry_need, route_table, upstream_notice};
 
 /// Writers with tight pauses that an engine is filled up to before the next one is used, where the
 /// number is fixed: two of 16 slots stay for bursts.
@@ -97,6 +97,27 @@
     First,
 }
 
+/// In which order the retries go that all members share.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum RetryOrderWay {
+    /// Those that save more first.
+    #[default]
+    ByNeed,
+    /// As they come.
+    Arrival,
+}
+
+impl RetryOrderWay {
+    /// What a retry counts as.
+    pub fn need(self, need: retry_need::RetryNeed) -> retry_need::RetryNeed {
+        match self {
+            Self::ByNeed => need,
+            Self::Arrival => retry_need::RetryNeed::Begun,
+        }
+    }
+}
+
 /// The way of each decision.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Deserialize)]
 #[serde(deny_unknown_fields, default)]
@@ -115,6 +136,8 @@
     pub closed_engines: ClosedEngineWay,
     /// Choice among the upstreams of a plain service.
     pub load_choice: LoadChoiceWay,
+    /// Order of retries.
+    pub retry_order: RetryOrderWay,
 }
 
 impl fmt::Display for PlannerWays {
@@ -122,14 +145,15 @@
         write!(
             f,
             "packing {:?}, engine faults {:?}, short refusal {:?}, rest return {:?}, leaving news {:?}, \
-             closed engines {:?}, load choice {:?}",
+             closed engines {:?}, load choice {:?}, retry order {:?}",
             self.packing,
             self.engine_faults,
             self.short_refusal,
             self.rest_return,
             self.leaving_news,
             self.closed_engines,
-            self.load_choice
+            self.load_choice,
+            self.retry_order
         )
     }
 }
--- a/crates/core/src/send_leave.rs
+++ b/crates/core/src/send_leave.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{ids, units};
+use crate::{ids, retry_need, units};
 
 /// How long a leave is good for behind the moment for which it was given. What is sent later counts in another
 /// span of time than its keeper believes; a connection opens and a lost message is repeated within it.
@@ -15,8 +15,31 @@
 pub enum LeaveSubject {
     /// Requests to a start of an upstream with a limit.
     Upstream(ids::UpstreamId),
-    /// Retries of requests to a service.
-    Retries(ids::ServiceId),
+    /// Retries of requests to a service that save so much. All of them are one sum.
+    Retries(ids::ServiceId, retry_need::RetryNeed),
+}
+
+impl LeaveSubject {
+    /// All retries to a service.
+    pub fn all_retries(service: ids::ServiceId) -> Self {
+        Self::Retries(service, retry_need::RetryNeed::Begun)
+    }
+
+    /// The sum that this belongs to, as its keeper knows it.
+    pub fn sum(&self) -> Self {
+        match self {
+            Self::Upstream(upstream) => Self::Upstream(upstream.clone()),
+            Self::Retries(service, _) => Self::all_retries(service.clone()),
+        }
+    }
+
+    /// Part of what may be given at once that is left for others.
+    pub fn spared(&self) -> f64 {
+        match self {
+            Self::Upstream(_) => 0.0,
+            Self::Retries(_, need) => need.spared(),
+        }
+    }
 }
 
 /// When a leave may be used.
--- a/crates/core/src/send_pace.rs
+++ b/crates/core/src/send_pace.rs
@@ -58,7 +58,13 @@
 
     /// Time until something may be sent.
     pub fn wait(&self, now: units::MonoTime) -> time::Duration {
-        self.due.earlier_by(self.bound.catch_up).since(now)
+        self.wait_sparing(now, 0.0)
+    }
+
+    /// The same for what leaves a part of the sends that may be made up for to others.
+    pub fn wait_sparing(&self, now: units::MonoTime, part: f64) -> time::Duration {
+        let made_up = self.bound.catch_up.mul_f64(1.0 - part.clamp(0.0, 1.0));
+        self.due.earlier_by(made_up).since(now)
     }
 
     /// Takes so many sends, the first as soon as it may be.
--- a/crates/core/tests/fleet_budget.rs
+++ b/crates/core/tests/fleet_budget.rs
@@ -5,6 +5,8 @@
 use slipturn_core::{
     fleet_budget::{RetryBound, RetryShare},
     leave_ledger::LeaveLedger,
+    planner::ways::RetryOrderWay,
+    retry_need::RetryNeed,
     send_leave::{LeaveAnswer, LeaveAsk},
     units,
 };
@@ -41,12 +43,18 @@
 
     /// Whether a member may make a retry, by its own share or its keeper's leave.
     fn takes(&mut self, now: u64, member: usize) -> bool {
+        self.takes_for(now, member, RetryNeed::Begun)
+    }
+
+    /// The same for a retry that saves so much.
+    fn takes_for(&mut self, now: u64, member: usize, need: RetryNeed) -> bool {
         if self.shares[member].take(at(now), self.members) {
             return true;
         }
         let keeper = member % self.keepers.len();
         let ask = LeaveAsk { wanted: 1, patience_ms: 0 };
-        let answer = self.keepers[keeper].ask(at(now), &(), member as u64, &ask);
+        let part = need.spared();
+        let answer = self.keepers[keeper].ask_sparing(at(now), &(), member as u64, &ask, part);
         matches!(answer, Some(LeaveAnswer::Given { .. }))
     }
 
@@ -117,3 +125,51 @@
     assert_eq!(taken(5_000), 0);
     assert!(taken(10_200) > 0);
 }
+
+/// What came of a storm: retries wished for and made, of answers that had begun and of all others.
+#[derive(Debug, Default, Clone, Copy)]
+struct StormResult {
+    begun: (usize, usize),
+    others: (usize, usize),
+}
+
+/// For 20 s many attempts are slow and some fail, in turn at all members; every two seconds an upstream ends, and
+/// some answers are broken off that had begun.
+fn storm(members: usize, order: RetryOrderWay, broken: usize) -> StormResult {
+    let mut fleet = Fleet::new(members, Some(members), 1, 1.0);
+    let mut result = StormResult::default();
+    let mut turn = 0;
+    let mut wish = |now: u64, need: RetryNeed, result: &mut StormResult| {
+        turn += 1;
+        let made = fleet.takes_for(now, turn * 7 % members, order.need(need));
+        let sums = if need == RetryNeed::Begun { &mut result.begun } else { &mut result.others };
+        sums.0 += 1;
+        sums.1 += usize::from(made);
+    };
+    for now in (60_000..80_000).step_by(50) {
+        wish(now, RetryNeed::Early, &mut result);
+        if now % 200 == 0 {
+            wish(now, RetryNeed::Failed, &mut result);
+        }
+        if now % 2_000 == 1_000 {
+            (0..broken).for_each(|_| wish(now, RetryNeed::Begun, &mut result));
+        }
+    }
+    result
+}
+
+/// Answers that have begun are lost whole, so their retries come before those that save time; and these lose little
+/// where there is nothing else to save.
+#[test]
+fn retries_that_save_more_go_first() {
+    for members in [6, 60, 300] {
+        let [arrival, by_need] = [RetryOrderWay::Arrival, RetryOrderWay::ByNeed];
+        let (before, after) = (storm(members, arrival, 6), storm(members, by_need, 6));
+        println!("{members} members, as they come {before:?}, by need {after:?}");
+        assert!(after.begun.1 >= before.begun.1 * 3, "{members} members");
+        assert!(after.others.1 > 0, "{members} members");
+        let (before, after) = (storm(members, arrival, 0), storm(members, by_need, 0));
+        println!("without answers that break: {} and {}", before.others.1, after.others.1);
+        assert!(after.others.1 * 10 >= before.others.1 * 9, "{members} members");
+    }
+}
--- a/crates/instance/src/leave_request.rs
+++ b/crates/instance/src/leave_request.rs
@@ -3,7 +3,7 @@
 use std::{cell, collections, time};
 
 use futures::channel::oneshot;
-use slipturn_core::{ids, leave_desk, send_leave, units};
+use slipturn_core::{ids, leave_desk, retry_need, send_leave, units};
 
 use crate::{context, limit_news, peer_message, sum_keeping};
 
@@ -64,12 +64,14 @@
 pub(crate) async fn obtain_retry(
     context: &context::InstanceContext,
     service: &ids::ServiceId,
+    need: retry_need::RetryNeed,
 ) -> bool {
     if context.take_retry(service) {
         return true;
     }
     sum_keeping::until_settled(context).await;
-    let subject = send_leave::LeaveSubject::Retries(service.clone());
+    let need = context.settings().experiments.retry_order.need(need);
+    let subject = send_leave::LeaveSubject::Retries(service.clone(), need);
     obtain_term(context, &subject, time::Duration::ZERO).await.is_ok()
 }
 
@@ -129,7 +131,7 @@
     };
     let known = match subject {
         send_leave::LeaveSubject::Upstream(upstream) => limit_news::report(context, upstream),
-        send_leave::LeaveSubject::Retries(_) => None,
+        send_leave::LeaveSubject::Retries(..) => None,
     };
     let (number, reply) = context.sums.asks.note(subject, context.now());
     let (subject, boot) = (subject.clone(), context.boot);
--- a/crates/instance/src/model_request.rs
+++ b/crates/instance/src/model_request.rs
@@ -3,7 +3,7 @@
 use std::{pin, rc, time};
 
 use bytes::{Bytes, BytesMut};
-use slipturn_core::{connection_silence, engine_place, refusal, retry, send_permit};
+use slipturn_core::{connection_silence, engine_place, refusal, retry, retry_need, send_permit};
 use slipturn_net::h1;
 
 use crate::{
@@ -88,7 +88,11 @@
             break;
         }
         let taken = std::mem::take(&mut state.retry_taken);
-        if state.sent > 0 && !taken && !leave_request::obtain_retry(context, &call.service).await {
+        let need = state.retry_need(retry_need::RetryNeed::Failed);
+        if state.sent > 0
+            && !taken
+            && !leave_request::obtain_retry(context, &call.service, need).await
+        {
             text.push_str("; the retry budget is used up");
             break;
         }
--- a/crates/instance/src/service_request.rs
+++ b/crates/instance/src/service_request.rs
@@ -3,7 +3,9 @@
 use std::{pin, rc, time};
 
 use futures::future;
-use slipturn_core::{ids, refusal, retry, send_leave, upstream_health::CallResult, upstream_list};
+use slipturn_core::{
+    ids, refusal, retry, retry_need, send_leave, upstream_health::CallResult, upstream_list,
+};
 use slipturn_net::h1;
 
 use crate::{
@@ -79,7 +81,8 @@
             break;
         }
         let taken = std::mem::take(&mut retry_taken);
-        if sent > 0 && !taken && !leave_request::obtain_retry(context, &call.service).await {
+        let need = retry_need::RetryNeed::Failed;
+        if sent > 0 && !taken && !leave_request::obtain_retry(context, &call.service, need).await {
             text.push_str("; the retry budget is used up");
             break;
         }
@@ -109,7 +112,9 @@
                 || service_choice::pick(context, call, &excluded).is_some();
             let allowed =
                 call.route.repeat.allows_repeat() && sent + 1 < call.route.max_attempts && next;
-            retry_taken = allowed && leave_request::obtain_retry(context, &call.service).await;
+            let need = retry_need::RetryNeed::Early;
+            retry_taken =
+                allowed && leave_request::obtain_retry(context, &call.service, need).await;
             // A failure that an upstream gave is better than our own at the end of the time.
             retry_taken || (in_hand && reach == upstream_attempt::RetryReach::OtherUpstream)
         };
--- a/crates/instance/src/stream_state.rs
+++ b/crates/instance/src/stream_state.rs
@@ -1,7 +1,7 @@
 //! What stays of a streamed request between its attempts.
 
 use bytes::{Bytes, BytesMut};
-use slipturn_core::{ids, refusal, send_permit, units};
+use slipturn_core::{ids, refusal, retry_need, send_permit, units};
 use slipturn_net::h1;
 
 use crate::{
@@ -89,6 +89,11 @@
         open.any(|name| Some(name) != used && !self.excluded.contains(name))
     }
 
+    /// What a retry saves that saves `otherwise` where nothing has reached the caller.
+    pub(crate) fn retry_need(&self, otherwise: retry_need::RetryNeed) -> retry_need::RetryNeed {
+        if self.begun { retry_need::RetryNeed::Begun } else { otherwise }
+    }
+
     /// Whether a silent `engine`, the `reached`th that got the request, is given up: one within
     /// `reach` may go on, and the retry budget has room. The retry is taken then.
     pub(crate) async fn give_up(
@@ -103,7 +108,9 @@
         let allowed = call.route.repeat.allows_repeat()
             && reached < call.route.max_attempts
             && self.has_engine(context, call, beside);
-        self.retry_taken = allowed && leave_request::obtain_retry(context, &call.service).await;
+        let need = self.retry_need(retry_need::RetryNeed::Early);
+        self.retry_taken =
+            allowed && leave_request::obtain_retry(context, &call.service, need).await;
         // A failure that an engine gave is better than our own at the end of the time.
         let in_hand = self.failure.is_some() && !self.begun;
         self.retry_taken || (in_hand && reach == upstream_attempt::RetryReach::OtherUpstream)
--- a/crates/instance/src/sum_keeping.rs
+++ b/crates/instance/src/sum_keeping.rs
@@ -112,7 +112,9 @@
     }
     let is_needed = |subject: &send_leave::LeaveSubject| match subject {
         send_leave::LeaveSubject::Upstream(upstream) => notices.limit(upstream).is_some(),
-        send_leave::LeaveSubject::Retries(service) => fleet.routes.services.contains_key(service),
+        send_leave::LeaveSubject::Retries(service, _) => {
+            fleet.routes.services.contains_key(service)
+        }
     };
     context.sums.desk.borrow_mut().retain(is_needed);
     let mut log = context.sums.limit_log.borrow_mut();
@@ -140,7 +142,7 @@
     let own = services.filter(|service| {
         peers::planner_of(context, &planner_key::PlannerKey::of_retries(service)).is_none()
     });
-    own.map(|service| (send_leave::LeaveSubject::Retries(service.clone()), bound)).collect()
+    own.map(|service| (send_leave::LeaveSubject::all_retries(service.clone()), bound)).collect()
 }
 
 /// Begins anew with all sums that this process keeps: it was paused, and others have kept them meanwhile.
@@ -161,7 +163,7 @@
             send_leave::LeaveSubject::Upstream(upstream) => {
                 key_of_limit(&fleet, fleet.list.entry(upstream)?)
             }
-            send_leave::LeaveSubject::Retries(service) => {
+            send_leave::LeaveSubject::Retries(service, _) => {
                 planner_key::PlannerKey::of_retries(service)
             }
         }
@@ -194,7 +196,10 @@
             let planner = planners.planner(&key);
             planner.and_then(|planner| planner.leaves().ask(now, &engine, asker, ask))
         }
-        None => context.sums.ledger.borrow_mut().ask(now, subject, asker, ask),
+        None => {
+            let mut ledger = context.sums.ledger.borrow_mut();
+            ledger.ask_sparing(now, &subject.sum(), asker, ask, subject.spared())
+        }
     };
     let answer = answer.unwrap_or_else(not_kept);
     let word = match answer {
@@ -203,7 +208,7 @@
     };
     let kind = match subject {
         send_leave::LeaveSubject::Upstream(_) => "limit",
-        send_leave::LeaveSubject::Retries(_) => "retry",
+        send_leave::LeaveSubject::Retries(..) => "retry",
     };
     context.stats.borrow_mut().count("leaves", &format!("{word}/{kind}"));
     answer
--- a/crates/instance/src/upstream_rows.rs
+++ b/crates/instance/src/upstream_rows.rs
@@ -30,7 +30,7 @@
 pub(crate) fn retries(context: &context::InstanceContext) -> Vec<serde_json::Value> {
     let services: Vec<_> = context.fleet.borrow().routes.services.keys().cloned().collect();
     let row = |service: ids::ServiceId| {
-        let subject = send_leave::LeaveSubject::Retries(service.clone());
+        let subject = send_leave::LeaveSubject::all_retries(service.clone());
         let kept = sum_keeping::summary(context, &subject).unwrap_or_default();
         serde_json::json!({ "service": service, "kept": kept })
     };
--- a/crates/instance/tests/peer_message.rs
+++ b/crates/instance/tests/peer_message.rs
@@ -6,7 +6,10 @@
 };
 use slipturn_core::member_beat::AliveBeat;
 use slipturn_core::planner_key::PlannerKey;
-use slipturn_core::send_leave::{LeaveAnswer, LeaveAsk, LeaveSubject};
+use slipturn_core::{
+    retry_need::RetryNeed,
+    send_leave::{LeaveAnswer, LeaveAsk, LeaveSubject},
+};
 use slipturn_instance::peer_message::{
     LeaveQuestion, LeavingReport, LimitReport, MAX_DATAGRAM, MAX_LEASES, MAX_LEAVING, MAX_LIMITS,
     MAX_RENEWED, PeerMessage, RenewedJob,
@@ -146,10 +149,13 @@
     let subject = LeaveSubject::Upstream(upstream);
     let (number, boot) = (90_000, u64::MAX);
     let question = LeaveQuestion { number, boot, subject, ask, known: Some(known.clone()) };
+    let subject = LeaveSubject::Retries("plain".parse().expect("a name"), RetryNeed::Early);
+    let retry = LeaveQuestion { number, boot, subject, ask, known: None };
     let given = LeaveAnswer::Given { count: 1, wait_ms: 200 };
     let messages = [
         (PeerMessage::Limits(vec![known]), 64),
         (PeerMessage::AskLeave(Box::new(question)), 112),
+        (PeerMessage::AskLeave(Box::new(retry)), 48),
         (PeerMessage::Leave(90_000, given), 16),
     ];
     for (message, most) in messages {
