Heartbeats of members that began together are out of step

Cause: both members of one data centre that watch the store were cut; the others there hear of news by other data centres' heartbeats, 4.9 s apart at 295 members. All had begun within 0.3 s and their intervals had grown alike, so all spoke within one moment of each interval, and nobody between: 39 members heard 3.95 to 4.08 s late.

Change: each member draws its place in the interval, anew when that has changed; never longer than the interval, so silence is told as before.

Watchers cut off are still not missed for 20 s at this size.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -3,6 +3,7 @@
 //! Nothing here opens a socket or reads a clock: the time and messages come in as arguments, and
 //! actions go out as values. One test can therefore freeze, cut, reorder and repeat anything.
 
+pub mod beat_clock;
 pub mod budget;
 pub mod class_worth;
 pub mod connection_share;
--- a/crates/instance/src/heartbeats.rs
+++ b/crates/instance/src/heartbeats.rs
@@ -3,7 +3,7 @@
 use std::{net, rc, time};
 
 use rand::seq::IndexedRandom as _;
-use slipturn_core::{member_beat, units};
+use slipturn_core::{beat_clock, member_beat, units};
 
 use crate::{context, member_news, peer_message};
 
@@ -58,6 +58,7 @@
 
 /// Repeats this process's heartbeat to the others and forgets silent ones.
 pub async fn repeat(context: rc::Rc<context::InstanceContext>) {
+    let mut clock = beat_clock::BeatClock::default();
     loop {
         tell_all(&context);
         let forgotten = context.members.borrow_mut().tick(context.now());
@@ -70,7 +71,7 @@
             log::info!(joined, alive; "members.joined");
         }
         let interval = context.members.borrow().beat_interval();
-        monoio::time::sleep(interval).await;
+        monoio::time::sleep(clock.next(interval, rand::random())).await;
     }
 }
 
