Data centres are evacuated: nothing new goes to their upstreams until that is taken back

Ways weighed: a document of its own with a version of its own (another version in each heartbeat, and a second way by which members get it), or with the list of upstreams, whose revisions, watches, exchange among members and starts it shares. The second: an evacuation is a change of the list.

Change: the store's adapter names the key; what operators publish is read as one range in place of a single key, so a start costs no call more; members pass on which data centres are evacuated with any newer list; the list takes their upstreams as not usable, and the gate before each send keeps back requests, memory orders and reports, not renewals and releases. A service all of whose upstreams are evacuated is refused at once. Log lines, status, upstream rows and a gauge tell it.

--- a/crates/core/src/send_permit.rs
+++ b/crates/core/src/send_permit.rs
@@ -60,6 +60,8 @@
     Rests(time::Duration),
     /// It takes so many requests of all instances, and whoever keeps that has given no leave for this one.
     Limited(units::RequestRate),
+    /// Its data centre is under evacuation.
+    Evacuated,
     /// It is not listed any more.
     Unlisted,
 }
@@ -71,6 +73,7 @@
             Self::Leaves(..) => "leaves",
             Self::Rests(_) => "rests",
             Self::Limited(_) => "limited",
+            Self::Evacuated => "evacuated",
             Self::Unlisted => "unlisted",
         }
     }
@@ -92,6 +95,7 @@
             Self::Limited(rate) => {
                 write!(f, "kept back: it takes {rate} of all, and there is no leave for this one")
             }
+            Self::Evacuated => f.write_str("kept back: its data centre is evacuated"),
             Self::Unlisted => f.write_str("kept back: it is not listed any more"),
         }
     }
--- a/crates/core/src/upstream_list.rs
+++ b/crates/core/src/upstream_list.rs
@@ -43,6 +43,10 @@
     Gone(ids::UpstreamId),
     /// Its entry is not one that names an upstream to use: somebody else has written there.
     Unreadable(ids::UpstreamId),
+    /// A data centre is evacuated: none of its upstreams takes new work.
+    Evacuated(ids::DataCenterId),
+    /// The evacuation of a data centre is over.
+    Restored(ids::DataCenterId),
 }
 
 /// A start of an upstream that is over, as another one is the present one.
@@ -67,6 +71,8 @@
     doubtful: collections::BTreeMap<sync::Arc<str>, units::MonoTime>,
     /// What upstreams say of themselves in passing, and that the list says that they leave.
     notices: upstream_notice::NoticeTable,
+    /// Data centres under evacuation, with the time at which each became known.
+    evacuated: collections::BTreeMap<ids::DataCenterId, units::MonoTime>,
     /// Starts that were found to be over since the last look.
     ended: Vec<EndedStart>,
     /// Until when vanishing is doubted.
@@ -105,6 +111,8 @@
                 ListChange::Present(entry) => self.put(now, entry),
                 ListChange::Gone(name) => self.vanish(now, &name),
                 ListChange::Unreadable(name) => self.remove(now, name.identifier()),
+                ListChange::Evacuated(data_center) => self.evacuate(now, data_center),
+                ListChange::Restored(data_center) => self.restore(&data_center),
             };
         }
         changed
@@ -129,6 +137,35 @@
         self.apply(now, changes, revision)
     }
 
+    /// Data centres under evacuation.
+    pub fn evacuated(&self) -> impl Iterator<Item = &ids::DataCenterId> {
+        self.evacuated.keys()
+    }
+
+    /// Whether an upstream is in a data centre under evacuation.
+    pub fn is_evacuated(&self, entry: &UpstreamEntry) -> bool {
+        self.evacuated.contains_key(&entry.data_center)
+    }
+
+    /// For how long the evacuation has lasted that keeps requests from a service's upstreams; the latest
+    /// one, and nothing where none does.
+    pub fn evacuated_for(
+        &self,
+        now: units::MonoTime,
+        service: &ids::ServiceId,
+    ) -> Option<time::Duration> {
+        let entries = self.entries.values().filter(|entry| entry.service == *service);
+        let since = entries.filter_map(|entry| self.evacuated.get(&entry.data_center)).max()?;
+        Some(now.since(*since))
+    }
+
+    /// Upstreams of a service that are listed, in use or not.
+    ///
+    /// Unlike the number of usable ones it does not change with an evacuation or a planned end.
+    pub fn listed_count(&self, service: &ids::ServiceId) -> usize {
+        self.entries.values().filter(|entry| entry.service == *service).count()
+    }
+
     /// Takes doubtful upstreams for gone whose time has come, and starts for present that the list has
     /// named for long although they were taken for over.
     pub fn tick(&mut self, now: units::MonoTime) -> bool {
@@ -153,7 +190,7 @@
     }
 
     /// Upstreams of a service that may take new work, as far as all instances are concerned: neither the list
-    /// nor they themselves say that they leave.
+    /// nor they themselves say that they leave, and their data centre is not evacuated.
     pub fn usable<'a>(&'a self, service: &'a ids::ServiceId) -> Vec<&'a UpstreamEntry> {
         let live: Vec<_> = self
             .entries
@@ -177,9 +214,11 @@
             || self.usable(&entry.service).iter().any(|usable| usable.name == entry.name)
     }
 
-    /// Whether nobody says that an upstream leaves.
+    /// Whether nobody says that an upstream leaves, and its data centre is not evacuated.
     fn is_staying(&self, entry: &UpstreamEntry) -> bool {
-        entry.state == fleet_list::ListState::Live && self.notices.leaving(&entry.name).is_none()
+        entry.state == fleet_list::ListState::Live
+            && self.notices.leaving(&entry.name).is_none()
+            && !self.is_evacuated(entry)
     }
 
     /// One upstream, leaving or not, with its present start.
@@ -355,6 +394,21 @@
         true
     }
 
+    fn evacuate(&mut self, now: units::MonoTime, data_center: ids::DataCenterId) -> bool {
+        let began = !self.evacuated.contains_key(&data_center);
+        if began {
+            self.evacuated.insert(data_center, now);
+            self.changes += 1;
+        }
+        began
+    }
+
+    fn restore(&mut self, data_center: &ids::DataCenterId) -> bool {
+        let ended = self.evacuated.remove(data_center).is_some();
+        self.changes += u64::from(ended);
+        ended
+    }
+
     /// The list names no start that is over any more.
     fn forget_named(&mut self, identifier: &str) {
         if let Some(record) = self.starts.get_mut(identifier) {
--- a/crates/core/src/upstream_open.rs
+++ b/crates/core/src/upstream_open.rs
@@ -70,6 +70,10 @@
         let present = self.entry(name).map_or(name, |entry| &entry.name);
         self.notices().permits(now, present, kind)?;
         let begins = matches!(kind, SendKind::Request | SendKind::Hold);
+        let evacuated = self.entry(name).is_some_and(|entry| self.is_evacuated(entry));
+        if evacuated && (begins || kind == SendKind::Report) {
+            return Err(send_permit::KeptBack::Evacuated);
+        }
         if begins && !self.is_usable(name) {
             return Err(send_permit::KeptBack::Unlisted);
         }
--- a/crates/instance/src/border.rs
+++ b/crates/instance/src/border.rs
@@ -186,7 +186,9 @@
     pub upstreams: Option<collections::BTreeMap<String, String>>,
     /// Changes to upstreams, oldest first: the name and its document, or nothing once it is gone.
     pub changes: Vec<(String, Option<String>)>,
-    /// Revision of the store that the upstreams belong to.
+    /// All data centres under evacuation; empty where only routes were asked for.
+    pub evacuated: collections::BTreeSet<ids::DataCenterId>,
+    /// Revision of the store that the upstreams and evacuations belong to.
     pub revision: u64,
     /// How long ago the store came back from an outage, if that was a moment ago: what vanished
     /// with it may return.
@@ -229,6 +231,8 @@
     Routes,
     /// An upstream of this name.
     Upstream(String),
+    /// The order to evacuate this data centre, in force for as long as the key exists.
+    Evacuation(ids::DataCenterId),
     /// Nothing that concerns an instance.
     Other,
 }
@@ -239,6 +243,8 @@
     fn upstreams_path(&self, after: Option<&str>) -> String;
     /// Path that reads the routes.
     fn routes_path(&self) -> String;
+    /// Path that reads a page of what operators publish, routes and evacuations, behind a key.
+    fn operator_path(&self, after: Option<&str>) -> String;
     /// Path that waits for changes behind a revision.
     fn watch_path(&self, after: u64, wait: time::Duration) -> String;
     /// Reads a page; also of a single key.
--- a/crates/instance/src/fleet_state.rs
+++ b/crates/instance/src/fleet_state.rs
@@ -74,6 +74,10 @@
             changes: if whole { Vec::new() } else { changes.collect() },
             // Who asks for routes only must not take the list for up to date.
             revision: if list == u64::MAX { 0 } else { self.raw.revision },
+            evacuated: match list {
+                u64::MAX => collections::BTreeSet::new(),
+                _ => self.list.evacuated().cloned().collect(),
+            },
             returned_ms: self
                 .returned
                 .map(|returned| units::whole_millis(now.since(returned)))
@@ -121,6 +125,9 @@
         if let Some(millis) = documents.returned_ms {
             self.source_returned(now.earlier_by(time::Duration::from_millis(millis)));
         }
+        if documents.upstreams.is_some() || self.listed {
+            self.replace_evacuations(now, &documents.evacuated, documents.revision, source);
+        }
         if let Some(upstreams) = documents.upstreams {
             let upstreams = upstreams.into_iter().collect();
             self.replace_upstreams(now, upstreams, documents.revision, source);
@@ -201,6 +208,42 @@
         self.listed = true;
     }
 
+    /// Replaces the data centres under evacuation.
+    pub fn replace_evacuations(
+        &mut self,
+        now: units::MonoTime,
+        evacuated: &collections::BTreeSet<ids::DataCenterId>,
+        revision: u64,
+        source: &str,
+    ) {
+        let known: collections::BTreeSet<_> = self.list.evacuated().cloned().collect();
+        let began = evacuated.difference(&known).cloned().map(upstream_list::ListChange::Evacuated);
+        let ended = known.difference(evacuated).cloned().map(upstream_list::ListChange::Restored);
+        self.change_evacuations(now, began.chain(ended).collect(), revision, source);
+    }
+
+    fn change_evacuations(
+        &mut self,
+        now: units::MonoTime,
+        changes: Vec<upstream_list::ListChange>,
+        revision: u64,
+        source: &str,
+    ) {
+        for change in changes {
+            let event = match &change {
+                upstream_list::ListChange::Evacuated(name) => {
+                    ("data_center.evacuated", name.clone())
+                }
+                upstream_list::ListChange::Restored(name) => ("data_center.restored", name.clone()),
+                _ => continue,
+            };
+            if self.list.apply(now, vec![change], revision) {
+                let (event, data_center) = event;
+                log::info!(data_center:%, source, revision; "{event}");
+            }
+        }
+    }
+
     /// Takes in which start answers at an address, asked at `asked`.
     ///
     /// An address at which two upstreams are listed tells of neither.
@@ -224,20 +267,27 @@
         revision: u64,
     ) {
         let mut upstreams = Vec::new();
+        let mut evacuations = Vec::new();
         for change in changes {
             match change {
                 border::StoreChange::Put(item) => match self.border.key(&item.key) {
                     border::StoreKey::Routes => self.put_routes_item(item, "store"),
                     border::StoreKey::Upstream(name) => upstreams.push((name, Some(text_of(item)))),
+                    border::StoreKey::Evacuation(data_center) => {
+                        evacuations.push(upstream_list::ListChange::Evacuated(data_center));
+                    }
                     border::StoreKey::Other => {}
                 },
-                border::StoreChange::Gone(key) => {
-                    if let border::StoreKey::Upstream(name) = self.border.key(&key) {
-                        upstreams.push((name, None));
+                border::StoreChange::Gone(key) => match self.border.key(&key) {
+                    border::StoreKey::Upstream(name) => upstreams.push((name, None)),
+                    border::StoreKey::Evacuation(data_center) => {
+                        evacuations.push(upstream_list::ListChange::Restored(data_center));
                     }
-                }
+                    border::StoreKey::Routes | border::StoreKey::Other => {}
+                },
             }
         }
+        self.change_evacuations(now, evacuations, revision, "store");
         self.change_upstreams(now, upstreams, revision);
     }
 
--- a/crates/instance/src/model_request.rs
+++ b/crates/instance/src/model_request.rs
@@ -138,7 +138,7 @@
     }
     // A planner knows better when limits of its engines let the next one through.
     let planned = back_after.is_some();
-    let none = upstream_choice::none_open(context, &call.service);
+    let none = upstream_choice::none_open(context, &call.service, call.left(context.now()));
     if let Some(none) = none.filter(|none| none.is_rest() || !planned) {
         text = none.to_string();
         back_after = Some(none.back_after());
--- a/crates/instance/src/service_request.rs
+++ b/crates/instance/src/service_request.rs
@@ -95,7 +95,8 @@
             chosen = service_choice::choose(context, call, &excluded).await;
         }
         let Some(service_choice::ChosenUpstream { entry, leave }) = chosen else {
-            none_left = upstream_choice::none_open(context, &call.service);
+            none_left =
+                upstream_choice::none_open(context, &call.service, call.left(context.now()));
             break;
         };
         excluded.push(entry.name.clone());
@@ -168,7 +169,9 @@
         _ => refusal::RefusalCode::UpstreamFailed,
     };
     let mut back_after = BACK_AFTER;
-    if let Some(none) = none_left.or_else(|| upstream_choice::none_open(context, &call.service)) {
+    if let Some(none) = none_left
+        .or_else(|| upstream_choice::none_open(context, &call.service, call.left(context.now())))
+    {
         text = none.to_string();
         back_after = none.back_after();
     }
--- a/crates/instance/src/small_server.rs
+++ b/crates/instance/src/small_server.rs
@@ -285,8 +285,9 @@
     let leaving = notices.names().filter(|name| notices.leaving(name).is_some()).count();
     let resting = notices.names().filter(|name| notices.rest(now, name).is_some()).count();
     let limited = notices.names().filter(|name| notices.limit(name).is_some()).count();
+    let evacuated = fleet.list.evacuated().count();
     format!(
-        "slipturn_upstreams_leaving {leaving}\nslipturn_upstreams_resting {resting}\n\
+        "slipturn_data_centers_evacuated {evacuated}\nslipturn_upstreams_leaving {leaving}\nslipturn_upstreams_resting {resting}\n\
          slipturn_upstreams_limited {limited}\n"
     )
 }
@@ -312,6 +313,7 @@
         "routes": beat.routes,
         "list": beat.list,
         "upstreams": fleet.list.entries().count(),
+        "evacuated": fleet.list.evacuated().collect::<Vec<_>>(),
         "store_ok": belief.answers(),
         "store_heard_ms": units::whole_millis(belief.heard_age(context.now())),
         "routes_lag_ms": units::whole_millis(lags.routes),
--- a/crates/instance/src/store_read.rs
+++ b/crates/instance/src/store_read.rs
@@ -1,54 +1,75 @@
 //! Reads of the platform's store: all that an instance must know, or the routes alone.
 
-use std::time;
+use std::{collections, time};
+
+use slipturn_core::ids;
 
 use crate::{border, context, document_call, fleet_state};
 
 /// Time for the store's answer to a read.
 const READ_TIME: time::Duration = time::Duration::from_millis(1_500);
-/// Most pages of upstreams read at once.
+/// Most pages of one range read at once.
 const MAX_PAGES: usize = 64;
 
-/// Reads routes and upstreams; the revision of the store that they belong to.
+/// Items of a range of keys, with the revision of the store at its first page.
+struct RangeRead {
+    items: Vec<border::StoreItem>,
+    revision: u64,
+}
+
+/// Reads routes, evacuations and upstreams; the revision of the store that they belong to.
 pub(crate) async fn read_all(
     context: &context::InstanceContext,
     connection: &mut document_call::DocumentConnection,
 ) -> Result<u64, String> {
     let border = &context.border;
-    let text = |error: document_call::CallError| error.to_string();
+    let upstreams = read_range(context, connection, |after| border.upstreams_path(after)).await?;
+    let published = read_range(context, connection, |after| border.operator_path(after)).await?;
+    // Pages are no snapshot: changes behind the first one are watched again.
+    let revision = upstreams.revision;
+    let documents = upstreams.items.into_iter().filter_map(|item| match border.key(&item.key) {
+        border::StoreKey::Upstream(name) => Some((name, fleet_state::text_of(item))),
+        _ => None,
+    });
+    let documents = documents.collect();
+    let now = context.now();
+    let mut fleet = context.fleet.borrow_mut();
+    let mut evacuated = collections::BTreeSet::<ids::DataCenterId>::new();
+    for item in published.items {
+        match border.key(&item.key) {
+            border::StoreKey::Routes => fleet.put_routes_item(item, "store"),
+            border::StoreKey::Evacuation(data_center) => {
+                evacuated.insert(data_center);
+            }
+            border::StoreKey::Upstream(_) | border::StoreKey::Other => {}
+        }
+    }
+    fleet.replace_evacuations(now, &evacuated, revision, "store");
+    fleet.replace_upstreams(now, documents, revision, "store");
+    Ok(revision)
+}
+
+/// Reads all pages of a range, whose paths follow from the key behind which a page starts.
+async fn read_range(
+    context: &context::InstanceContext,
+    connection: &mut document_call::DocumentConnection,
+    path: impl Fn(Option<&str>) -> String,
+) -> Result<RangeRead, String> {
+    let mut items = Vec::new();
     let mut first_revision = None;
-    let mut documents = Vec::new();
     let mut after = None;
     for _ in 0..MAX_PAGES {
-        let path = border.upstreams_path(after.as_deref());
-        let body = connection.get(&path, READ_TIME).await.map_err(text)?;
-        let page = border.read_page(&body).map_err(|error| error.to_string())?;
-        // Pages are no snapshot: changes behind the first one are watched again.
+        let body = connection.get(&path(after.as_deref()), READ_TIME).await;
+        let body = body.map_err(|error| error.to_string())?;
+        let page = context.border.read_page(&body).map_err(|error| error.to_string())?;
         first_revision.get_or_insert(page.revision);
-        for item in page.items {
-            if let border::StoreKey::Upstream(name) = border.key(&item.key) {
-                documents.push((name, fleet_state::text_of(item)));
-            }
-        }
+        items.extend(page.items);
         after = page.next;
         if after.is_none() {
             break;
         }
     }
-    let revision = first_revision.unwrap_or_default();
-    let routes = match connection.get(&border.routes_path(), READ_TIME).await {
-        Ok(body) => border.read_page(&body).map_err(|error| error.to_string())?.items,
-        // Nothing has been published yet; the watch tells when it is.
-        Err(document_call::CallError::Status { status: 404 }) => Vec::new(),
-        Err(error) => return Err(text(error)),
-    };
-    let now = context.now();
-    let mut fleet = context.fleet.borrow_mut();
-    for item in routes {
-        fleet.put_routes_item(item, "store");
-    }
-    fleet.replace_upstreams(now, documents, revision, "store");
-    Ok(revision)
+    Ok(RangeRead { items, revision: first_revision.unwrap_or_default() })
 }
 
 /// Reads the routes from the store.
--- a/crates/instance/src/upstream_choice.rs
+++ b/crates/instance/src/upstream_choice.rs
@@ -18,6 +18,13 @@
         /// As of when.
         now: units::MonoTime,
     },
+    /// All that might take one are in data centres under evacuation.
+    Evacuated {
+        /// The service.
+        service: ids::ServiceId,
+        /// When a caller comes back.
+        back_after: time::Duration,
+    },
     /// All that might take one have a limit, and there is no leave.
     Limited {
         /// The service.
@@ -40,7 +47,7 @@
                 let (left, lasted) = (first.until.since(*now), first.lasts());
                 refusal::rest_return(left, lasted, &mut rand::rng())
             }
-            Self::Limited { back_after, .. } => *back_after,
+            Self::Evacuated { back_after, .. } | Self::Limited { back_after, .. } => *back_after,
         }
     }
 }
@@ -52,6 +59,9 @@
                 let left = units::whole_millis(first.until.since(*now));
                 write!(f, "all upstreams of service '{service}' rest, the first {left} ms more")
             }
+            Self::Evacuated { service, .. } => {
+                write!(f, "all upstreams of service '{service}' are in evacuated data centres")
+            }
             Self::Limited { service, .. } => {
                 write!(f, "all upstreams of service '{service}' get as many requests as they take")
             }
@@ -60,16 +70,24 @@
 }
 
 /// Why none of a service's upstreams may get a request now where some will again; nothing where one may.
+///
+/// `left` is the time that the caller has left.
 pub(crate) fn none_open(
     context: &context::InstanceContext,
     service: &ids::ServiceId,
+    left: time::Duration,
 ) -> Option<NoneOpen> {
     let now = context.now();
     let fleet = context.fleet.borrow();
     let open = fleet.list.open(now, service, send_permit::TrialTurn::Yes);
     if open.is_empty() {
-        let first = fleet.list.first_back(now, service)?;
-        return Some(NoneOpen::Rest { service: service.clone(), first, now });
+        let service = service.clone();
+        if let Some(first) = fleet.list.first_back(now, &service) {
+            return Some(NoneOpen::Rest { service, first, now });
+        }
+        let away = fleet.list.evacuated_for(now, &service)?;
+        let back_after = refusal::outage_return(away, left);
+        return Some(NoneOpen::Evacuated { service, back_after });
     }
     let limits = open.iter().map(|entry| fleet.list.notices().limit(&entry.name)?.word.rate);
     let rates = limits.collect::<Option<Vec<_>>>()?;
--- a/crates/instance/src/upstream_rows.rs
+++ b/crates/instance/src/upstream_rows.rs
@@ -16,7 +16,9 @@
         serde_json::json!({
             "upstream": entry.name.to_string(),
             "service": entry.service,
+            "data_center": entry.data_center,
             "listed": format!("{:?}", entry.state).to_lowercase(),
+            "evacuated": fleet.list.is_evacuated(entry),
             "said": fleet.list.notices().told(now, &entry.name).unwrap_or_default(),
             "limit": limit(context, &fleet, &entry.name),
             "sent": sent(context, entry, &sums),
