Cold upstreams get no more requests of all instances than they bear

Cause: what entries say of cold upstreams and what services say of them (cold_per_s, cold_start_s) was not read; an engine that comes back empty looks like the best choice to its planner, and FAILBACK bounds the sum over all instances.

Change: a cold phase of a start, with the limit of its service, from the list; the lower of it and of a limit that the upstream names itself is kept by the mechanism for named limits, by the engine's planner or the keeper of a plain upstream. It ends with its time, or with the entry that says so; an entry that is read again says nothing new. Upstreams of a restored data centre are taken for cold, as they may be without having said so.

Two ways: `experiments.cold_upstreams: limited` (default) and `full`. Not done: cold phases told by health answers, which nobody asks for.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod beat_clock;
 pub mod budget;
 pub mod class_worth;
+pub mod cold_start;
 pub mod connection_share;
 pub mod connection_silence;
 pub mod decision;
--- a/crates/core/src/planner/ways.rs
+++ b/crates/core/src/planner/ways.rs
@@ -5,7 +5,7 @@
 
 use serde::Deserialize;
 
-use crate::{retry_need, route_table, upstream_notice};
+use crate::{cold_start, retry_need, route_table, upstream_notice};
 
 /// Writers with tight pauses that an engine is filled up to before the next one is used, where the
 /// number is fixed: two of 16 slots stay for bursts.
@@ -138,6 +138,8 @@
     pub load_choice: LoadChoiceWay,
     /// Order of retries.
     pub retry_order: RetryOrderWay,
+    /// Upstreams that have just started.
+    pub cold_upstreams: cold_start::ColdUpstreamWay,
 }
 
 impl fmt::Display for PlannerWays {
@@ -145,7 +147,7 @@
         write!(
             f,
             "packing {:?}, engine faults {:?}, short refusal {:?}, rest return {:?}, leaving news {:?}, \
-             closed engines {:?}, load choice {:?}, retry order {:?}",
+             closed engines {:?}, load choice {:?}, retry order {:?}, cold upstreams {:?}",
             self.packing,
             self.engine_faults,
             self.short_refusal,
@@ -153,7 +155,8 @@
             self.leaving_news,
             self.closed_engines,
             self.load_choice,
-            self.retry_order
+            self.retry_order,
+            self.cold_upstreams
         )
     }
 }
--- a/crates/core/src/route_table.rs
+++ b/crates/core/src/route_table.rs
@@ -2,7 +2,7 @@
 
 use std::{collections, time};
 
-use crate::{ids, settings, units};
+use crate::{cold_start, ids, settings, units};
 
 /// How often a request may run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
@@ -116,6 +116,8 @@
     pub connection_limit: usize,
     /// Present where its upstreams are model engines.
     pub engine: Option<EngineShape>,
+    /// Present where an upstream that has just started bears fewer requests.
+    pub cold: Option<cold_start::ColdPolicy>,
 }
 
 /// Bounds on what callers send.
@@ -225,6 +227,12 @@
         self.routes.values().flatten().map(std::rc::Rc::as_ref)
     }
 
+    /// What services say of their cold upstreams.
+    pub fn cold_policies(&self) -> collections::BTreeMap<ids::ServiceId, cold_start::ColdPolicy> {
+        let services = self.services.values();
+        services.filter_map(|service| Some((service.name.clone(), service.cold?))).collect()
+    }
+
     /// Number of routes.
     pub fn route_count(&self) -> usize {
         self.routes.values().map(Vec::len).sum()
--- a/crates/core/src/upstream_list.rs
+++ b/crates/core/src/upstream_list.rs
@@ -3,7 +3,7 @@
 
 use std::{collections, net, sync, time};
 
-use crate::{fleet_list, ids, start_record, units, upstream_notice};
+use crate::{cold_start, fleet_list, ids, start_record, units, upstream_limit, upstream_notice};
 
 /// How long upstreams that vanished right after the list's source came back may still return.
 ///
@@ -32,6 +32,8 @@
     pub slots: usize,
     /// Whether it takes new work.
     pub state: fleet_list::ListState,
+    /// For how much longer it was cold when it was written.
+    pub cold: time::Duration,
 }
 
 /// A change to the list.
@@ -71,6 +73,8 @@
     doubtful: collections::BTreeMap<sync::Arc<str>, units::MonoTime>,
     /// What upstreams say of themselves in passing, and that the list says that they leave.
     notices: upstream_notice::NoticeTable,
+    /// Upstreams that have just started.
+    cold: cold_start::ColdTable,
     /// Data centres under evacuation, with the time at which each became known.
     evacuated: collections::BTreeMap<ids::DataCenterId, units::MonoTime>,
     /// Starts that were found to be over since the last look.
@@ -112,7 +116,7 @@
                 ListChange::Gone(name) => self.vanish(now, &name),
                 ListChange::Unreadable(name) => self.remove(now, name.identifier()),
                 ListChange::Evacuated(data_center) => self.evacuate(now, data_center),
-                ListChange::Restored(data_center) => self.restore(&data_center),
+                ListChange::Restored(data_center) => self.restore(now, &data_center),
             };
         }
         changed
@@ -137,6 +141,51 @@
         self.apply(now, changes, revision)
     }
 
+    /// Sets whether cold upstreams get fewer requests.
+    pub fn set_cold_way(&mut self, way: cold_start::ColdUpstreamWay) {
+        self.cold.set_way(way);
+    }
+
+    /// Sets the services whose upstreams may be cold.
+    pub fn set_cold_policies(
+        &mut self,
+        policies: collections::BTreeMap<ids::ServiceId, cold_start::ColdPolicy>,
+    ) {
+        self.cold.set_policies(policies);
+    }
+
+    /// How many requests an upstream takes of all instances together: by its own word, or as it is cold.
+    pub fn limit(&self, name: &ids::UpstreamId) -> Option<upstream_limit::LimitNotice> {
+        let named = self.notices.limit(name);
+        let Some((rate, phase)) = self.cold.limit(name) else {
+            return named;
+        };
+        let lower = |limit: &upstream_limit::LimitNotice| {
+            limit.word.rate.is_some_and(|named| named.per_second() <= rate.per_second())
+        };
+        named.filter(lower).or(Some(upstream_limit::LimitNotice {
+            word: upstream_limit::LimitWord {
+                rate: Some(rate),
+                asked: phase.since,
+                heard: phase.since,
+                source: upstream_notice::NoticeSource::List,
+            },
+            since: phase.since,
+        }))
+    }
+
+    /// Upstreams that take only so many requests.
+    pub fn limits(&self) -> collections::BTreeMap<&ids::UpstreamId, units::RequestRate> {
+        let named = self.notices.limits().map(|(name, _)| name);
+        let names = named.chain(self.cold.names());
+        names.filter_map(|name| Some((name, self.limit(name)?.word.rate?))).collect()
+    }
+
+    /// Number of changes of limits so far.
+    pub fn limit_changes(&self) -> u64 {
+        self.notices.limit_changes() + self.cold.changes()
+    }
+
     /// Data centres under evacuation.
     pub fn evacuated(&self) -> impl Iterator<Item = &ids::DataCenterId> {
         self.evacuated.keys()
@@ -182,6 +231,9 @@
         let named: Vec<_> = records.filter_map(|record| record.take_named(now)).collect();
         let changed = !gone.is_empty() || !named.is_empty();
         let entries = &self.entries;
+        self.cold.retain(now, |name| {
+            entries.get(name.identifier()).is_some_and(|entry| entry.name == *name)
+        });
         self.starts.retain(|identifier, record| {
             entries.contains_key(identifier) || now.since(record.known_since) < START_MEMORY
         });
@@ -324,7 +376,7 @@
         self.hear_listed(now, &entry);
         let known = self.entries.get(identifier).map(|known| &known.name);
         if known == Some(&entry.name) {
-            return self.put_present(entry);
+            return self.put_present(now, entry);
         }
         let another = known.is_some();
         if another && entry.name.start().is_none() {
@@ -353,11 +405,15 @@
     }
 
     /// Puts another entry of the present start.
-    fn put_present(&mut self, entry: UpstreamEntry) -> bool {
+    fn put_present(&mut self, now: units::MonoTime, entry: UpstreamEntry) -> bool {
         let identifier = entry.name.identifier();
         self.forget_named(identifier);
         let returned = self.doubtful.remove(identifier).is_some();
         let before = self.entries.insert(identifier.into(), entry.clone());
+        // An entry stays as it was written: read again it says nothing new.
+        if before.as_ref().is_some_and(|before| before.cold != entry.cold) {
+            self.cold.set(now, &entry.name, &entry.service, Some(entry.cold));
+        }
         let changed = returned || before.as_ref() != Some(&entry);
         self.changes += u64::from(changed);
         changed
@@ -367,6 +423,7 @@
     fn begin_start(&mut self, now: units::MonoTime, entry: UpstreamEntry) {
         let identifier: sync::Arc<str> = entry.name.identifier().into();
         let present = entry.name.clone();
+        self.cold.set(now, &entry.name, &entry.service, Some(entry.cold));
         let before = self.entries.insert(sync::Arc::clone(&identifier), entry);
         if before.is_some() || self.starts.contains_key(&identifier) {
             let over = before.as_ref().and_then(|before| before.name.start());
@@ -403,10 +460,17 @@
         began
     }
 
-    fn restore(&mut self, data_center: &ids::DataCenterId) -> bool {
-        let ended = self.evacuated.remove(data_center).is_some();
-        self.changes += u64::from(ended);
-        ended
+    /// Ends an evacuation. Upstreams that got nothing all the while may be cold without having said so.
+    fn restore(&mut self, now: units::MonoTime, data_center: &ids::DataCenterId) -> bool {
+        if self.evacuated.remove(data_center).is_none() {
+            return false;
+        }
+        let entries = self.entries.values().filter(|entry| entry.data_center == *data_center);
+        for entry in entries {
+            self.cold.set(now, &entry.name, &entry.service, None);
+        }
+        self.changes += 1;
+        true
     }
 
     /// The list names no start that is over any more.
--- a/crates/core/tests/evacuation.rs
+++ b/crates/core/tests/evacuation.rs
@@ -22,6 +22,7 @@
         address: format!("10.0.0.{number}:80").parse().expect("an address"),
         slots: 4,
         state: ListState::Live,
+        cold: time::Duration::ZERO,
     }
 }
 
--- a/crates/core/tests/upstream_starts.rs
+++ b/crates/core/tests/upstream_starts.rs
@@ -39,6 +39,7 @@
         address: "10.0.0.1:80".parse().expect("an address"),
         slots: 4,
         state: ListState::Live,
+        cold: time::Duration::ZERO,
     }
 }
 
--- a/crates/instance/src/fleet_state.rs
+++ b/crates/instance/src/fleet_state.rs
@@ -168,6 +168,7 @@
             version = read.version.0, before = self.routes.version.0, routes = read.route_count(),
             source; "routes.adopted"
         );
+        self.list.set_cold_policies(read.cold_policies());
         let before = std::mem::replace(&mut self.routes, rc::Rc::new(read));
         let text = self.raw.routes.replace(text).unwrap_or_default();
         Some((before.version.0, text))
--- a/crates/instance/src/leave_request.rs
+++ b/crates/instance/src/leave_request.rs
@@ -39,7 +39,7 @@
     context: &context::InstanceContext,
     upstream: &ids::UpstreamId,
 ) -> time::Duration {
-    if context.fleet.borrow().list.notices().limit(upstream).is_none() {
+    if context.fleet.borrow().list.limit(upstream).is_none() {
         return time::Duration::ZERO;
     }
     let subject = send_leave::LeaveSubject::Upstream(upstream.clone());
@@ -52,7 +52,7 @@
     upstream: &ids::UpstreamId,
     patience: time::Duration,
 ) -> Result<Option<send_leave::SendLeave>, NoLeave> {
-    if context.fleet.borrow().list.notices().limit(upstream).is_none() {
+    if context.fleet.borrow().list.limit(upstream).is_none() {
         return Ok(None);
     }
     let subject = send_leave::LeaveSubject::Upstream(upstream.clone());
--- a/crates/instance/src/service_choice.rs
+++ b/crates/instance/src/service_choice.rs
@@ -62,8 +62,7 @@
     // A call finds out whether an upstream is sound again only while it has another attempt left.
     let first = excluded.is_empty() && call.route.max_attempts > 1;
     let repeatable = first && call.route.repeat.allows_repeat();
-    let is_paced =
-        |entry: &upstream_list::UpstreamEntry| fleet.list.notices().limit(&entry.name).is_some();
+    let is_paced = |entry: &upstream_list::UpstreamEntry| fleet.list.limit(&entry.name).is_some();
     context.loads.borrow().pick(context.now(), &open, &own, repeatable, is_paced).cloned()
 }
 
@@ -92,7 +91,7 @@
     let turn = send_permit::TrialTurn::of(excluded.len(), call.route.max_attempts);
     let open = fleet.list.open(context.now(), &call.service, turn).into_iter();
     let is_closed = |entry: &&upstream_list::UpstreamEntry| {
-        !excluded.contains(&entry.name) && fleet.list.notices().limit(&entry.name).is_some()
+        !excluded.contains(&entry.name) && fleet.list.limit(&entry.name).is_some()
     };
     let mut closed: Vec<_> = open.filter(is_closed).cloned().collect();
     closed.sort_by_key(|entry| leave_request::closed(context, &entry.name));
--- a/crates/instance/src/small_server.rs
+++ b/crates/instance/src/small_server.rs
@@ -284,7 +284,7 @@
     let notices = fleet.list.notices();
     let leaving = notices.names().filter(|name| notices.leaving(name).is_some()).count();
     let resting = notices.names().filter(|name| notices.rest(now, name).is_some()).count();
-    let limited = notices.names().filter(|name| notices.limit(name).is_some()).count();
+    let limited = fleet.list.limits().len();
     let evacuated = fleet.list.evacuated().count();
     format!(
         "slipturn_data_centers_evacuated {evacuated}\nslipturn_upstreams_leaving {leaving}\nslipturn_upstreams_resting {resting}\n\
--- a/crates/instance/src/sum_keeping.rs
+++ b/crates/instance/src/sum_keeping.rs
@@ -55,7 +55,7 @@
     fn of(context: &context::InstanceContext) -> Self {
         let fleet = context.fleet.borrow();
         Self {
-            limit_changes: fleet.list.notices().limit_changes(),
+            limit_changes: fleet.list.limit_changes(),
             routes: fleet.routes.version.0,
             settled: is_settled(context),
         }
@@ -84,13 +84,12 @@
     let now = context.now();
     let fleet = context.fleet.borrow();
     let part = context.members.borrow().seen_part(now);
-    let notices = fleet.list.notices();
     context.sums.looked.set((LookedState::of(context), now));
     let mut kept = kept_retries(context, &fleet, part);
     let mut planned = collections::BTreeMap::<_, planner_set::EngineLimits>::new();
     // Engines of one cell have one keeper.
     let mut own_keys = collections::BTreeMap::new();
-    for (upstream, limit) in notices.limits() {
+    for (upstream, limit) in fleet.list.limits() {
         let Some(entry) = fleet.list.entry(upstream).filter(|entry| entry.name == *upstream) else {
             continue;
         };
@@ -111,14 +110,14 @@
         }
     }
     let is_needed = |subject: &send_leave::LeaveSubject| match subject {
-        send_leave::LeaveSubject::Upstream(upstream) => notices.limit(upstream).is_some(),
+        send_leave::LeaveSubject::Upstream(upstream) => fleet.list.limit(upstream).is_some(),
         send_leave::LeaveSubject::Retries(service, _) => {
             fleet.routes.services.contains_key(service)
         }
     };
     context.sums.desk.borrow_mut().retain(is_needed);
     let mut log = context.sums.limit_log.borrow_mut();
-    log.retain(|upstream, _| notices.limit(upstream).is_some());
+    log.retain(|upstream, _| fleet.list.limit(upstream).is_some());
     context.sums.ledger.borrow_mut().set_kept(now, &kept);
     context.planners.borrow_mut().set_limits(now, planned);
 }
@@ -185,7 +184,7 @@
         return not_kept();
     }
     if let send_leave::LeaveSubject::Upstream(upstream) = subject
-        && context.fleet.borrow().list.notices().limit(upstream).is_none()
+        && context.fleet.borrow().list.limit(upstream).is_none()
     {
         // The limit has ended, which the member does not know yet.
         return send_leave::LeaveAnswer::Given { count: 1, wait_ms: 0 };
@@ -223,7 +222,7 @@
     limit_news::hear_members(context, asked.known.into_iter().collect());
     let answer = answer(context, asked.boot, &asked.subject, &asked.ask);
     if let send_leave::LeaveSubject::Upstream(upstream) = &asked.subject
-        && context.fleet.borrow().list.notices().limit(upstream).is_none()
+        && context.fleet.borrow().list.limit(upstream).is_none()
         && let Some(report) = limit_news::report(context, upstream)
     {
         context.tell(from, peer_message::PeerMessage::Limits(vec![report]));
--- a/crates/instance/src/upstream_choice.rs
+++ b/crates/instance/src/upstream_choice.rs
@@ -89,7 +89,7 @@
         let back_after = refusal::outage_return(away, left);
         return Some(NoneOpen::Evacuated { service, back_after });
     }
-    let limits = open.iter().map(|entry| fleet.list.notices().limit(&entry.name)?.word.rate);
+    let limits = open.iter().map(|entry| fleet.list.limit(&entry.name)?.word.rate);
     let rates = limits.collect::<Option<Vec<_>>>()?;
     // Each member sees its part of those that come back.
     let rate: f64 = rates.into_iter().map(units::RequestRate::per_second).sum();
--- a/crates/instance/src/upstream_rows.rs
+++ b/crates/instance/src/upstream_rows.rs
@@ -44,7 +44,7 @@
     fleet: &fleet_state::FleetState,
     upstream: &ids::UpstreamId,
 ) -> String {
-    if fleet.list.notices().limit(upstream).is_none() {
+    if fleet.list.limit(upstream).is_none() {
         return String::new();
     }
     let subject = send_leave::LeaveSubject::Upstream(upstream.clone());
--- a/crates/instance/tests/rest_ways.rs
+++ b/crates/instance/tests/rest_ways.rs
@@ -56,6 +56,7 @@
         address: format!("10.0.0.{number}:80").parse().expect("an address"),
         slots: 16,
         state: ListState::Live,
+        cold: time::Duration::ZERO,
     };
     let mut list = UpstreamList::default();
     list.replace(at(0), (0..ENGINES).map(entry).collect(), 1);
--- a/crates/instance/tests/upstream_load.rs
+++ b/crates/instance/tests/upstream_load.rs
@@ -72,6 +72,7 @@
         address: format!("10.0.0.{number}:80").parse().expect("an address"),
         slots: 6,
         state: ListState::Live,
+        cold: time::Duration::ZERO,
     };
     (1..=UPSTREAMS).map(entry).collect()
 }
--- a/crates/instance/tests/upstream_shares.rs
+++ b/crates/instance/tests/upstream_shares.rs
@@ -78,6 +78,7 @@
         address: format!("10.0.0.{number}:80").parse().expect("an address"),
         slots: SLOTS,
         state: ListState::Live,
+        cold: std::time::Duration::ZERO,
     }
 }
 
