Cells follow the listed engines, and one cell more moves only its own engines

Cause, holds only while small: the cell of an engine was its hash modulo the number of cells, and that number followed the usable engines. With 960 engines in ten cells the next engine that starts (a release, a scale-out), or the next that leaves, moved 91 of 100 engines to another planner, which knew nothing of their work. Up to 96 engines there is one cell, so no smaller deployment shows it. An evacuation of a data centre would do the same.

Change: jump consistent hashing, and the number of cells from all listed engines of the service, leaving and evacuated ones included.

Measured (test one_cell_more_moves_its_own_engines_only): moved with one cell more 54, 28, 9.4 and 4.5 of 100 at 1, 2, 10 and 21 cells, to the new cell alone. Largest cell / mean 1.11 to 1.32 at 300 to 4,000 engines.

--- a/crates/core/src/planner_key.rs
+++ b/crates/core/src/planner_key.rs
@@ -43,19 +43,20 @@
     }
 }
 
-/// Number of cells of so many engines.
+/// Number of cells of so many engines, those that take no new work included: cells that come and go with an
+/// evacuation would take from planners what they know of their engines.
 pub fn cell_count(engines: usize) -> u16 {
     u16::try_from(engines.div_ceil(CELL_ENGINES).max(1)).unwrap_or(u16::MAX)
 }
 
-/// The cell of an engine.
+/// The cell of an engine. One cell more takes its engines evenly from the others, and nothing else moves.
 pub fn cell_of(service: &ids::ServiceId, engine: &ids::UpstreamId, cells: u16) -> u16 {
     // Members that know different starts of an engine must agree on its cell.
     let hash = rendezvous::stable_hash(&["cell", service.as_str(), engine.identifier()]);
-    (hash % u64::from(cells.max(1))) as u16
+    rendezvous::jump_bucket(hash, cells.max(1))
 }
 
-/// The planner that a request asks, of a service with these engines: that of an engine `drawn` among
+/// The planner that a request asks, of a service with so many cells and these engines: that of an engine `drawn` among
 /// them, so that each cell is asked as often as it has engines. Cells differ: two of
 /// 150 engines have 72 and 78, and asked alike the smaller one is a twelfth fuller.
 ///
@@ -63,12 +64,12 @@
 /// it; nothing where that leaves none.
 pub fn pick(
     service: &ids::ServiceId,
+    cells: u16,
     engines: &[&ids::UpstreamId],
     closed: &[&ids::UpstreamId],
     refused: &[u16],
     drawn: usize,
 ) -> Option<PlannerKey> {
-    let cells = cell_count(engines.len());
     let key = |cell| PlannerKey { service: service.clone(), cell };
     if engines.is_empty() || cells == 1 {
         // Also a planner without engines gives an answer.
--- a/crates/core/src/rendezvous.rs
+++ b/crates/core/src/rendezvous.rs
@@ -103,3 +103,19 @@
         score(left).cmp(&score(right)).then(right.name.cmp(&left.name))
     })
 }
+
+/// The bucket of a key among `buckets`, by jump consistent hashing: with one bucket more, only the keys that it
+/// takes change theirs.
+pub fn jump_bucket(key: u64, buckets: u16) -> u16 {
+    let mut state = key;
+    let mut bucket = 0;
+    let mut next = 0.0;
+    while next < f64::from(buckets) {
+        bucket = next as u16;
+        state = state.wrapping_mul(2_862_933_555_777_941_757).wrapping_add(1);
+        let drawn = ((state >> 33) + 1) as f64;
+        next = (f64::from(bucket) + 1.0) * ((1_u64 << 31) as f64 / drawn);
+        next = next.floor();
+    }
+    bucket
+}
--- a/crates/core/tests/planner_key.rs
+++ b/crates/core/tests/planner_key.rs
@@ -44,7 +44,7 @@
     assert_eq!(cells, 2);
     let size = |cell| names.iter().filter(|name| cell_of(&service(), name, cells) == cell).count();
     let asked = |cell| {
-        let keys = (0..150).filter_map(|drawn| pick(&service(), &names, &[], &[], drawn));
+        let keys = (0..150).filter_map(|drawn| pick(&service(), cells, &names, &[], &[], drawn));
         keys.filter(|key| key.cell == cell).count()
     };
     println!("{} and {} engines", size(0), size(1));
@@ -56,8 +56,9 @@
 fn a_cell_that_refused_is_not_asked_again() {
     let engines = engines(600);
     let names: Vec<_> = engines.iter().collect();
+    let cells = cell_count(names.len());
     let mut refused = Vec::new();
-    while let Some(key) = pick(&service(), &names, &[], &refused, 17 * refused.len()) {
+    while let Some(key) = pick(&service(), cells, &names, &[], &refused, 17 * refused.len()) {
         assert!(!refused.contains(&key.cell));
         refused.push(key.cell);
     }
@@ -67,10 +68,10 @@
 #[test]
 fn a_service_without_engines_has_one_planner() {
     assert_eq!(
-        pick(&service(), &[], &[], &[], 0),
+        pick(&service(), 1, &[], &[], &[], 0),
         Some(PlannerKey { service: service(), cell: 0 })
     );
-    assert_eq!(pick(&service(), &[], &[], &[0], 0), None);
+    assert_eq!(pick(&service(), 1, &[], &[], &[0], 0), None);
 }
 
 /// A cell all of whose engines are closed to a request would keep it waiting in vain.
@@ -82,8 +83,42 @@
     let closed: Vec<_> =
         names.iter().copied().filter(|name| cell_of(&service(), name, cells) == 0).collect();
     for drawn in 0..150 {
-        let key = pick(&service(), &names, &closed, &[], drawn).expect("one is open");
+        let key = pick(&service(), cells, &names, &closed, &[], drawn).expect("one is open");
         assert_eq!(key.cell, 1, "drawn {drawn}");
     }
-    assert_eq!(pick(&service(), &names, &names, &[], 0), None, "none is open");
+    assert_eq!(pick(&service(), cells, &names, &names, &[], 0), None, "none is open");
+}
+
+/// Planners lose what they know of an engine that goes to another cell. Of 960 engines in ten cells, one more
+/// engine makes an eleventh.
+#[test]
+fn one_cell_more_moves_its_own_engines_only() {
+    for cells in [1, 2, 10, 21] {
+        let engines = engines(96 * usize::from(cells));
+        let before = |engine| cell_of(&service(), engine, cells);
+        let after = |engine| cell_of(&service(), engine, cells + 1);
+        let moved: Vec<_> =
+            engines.iter().filter(|engine| before(*engine) != after(*engine)).collect();
+        let share = moved.len() as f64 / engines.len() as f64;
+        println!("{cells} cells: {share:.3} moved");
+        assert!(share <= 1.5 / f64::from(cells + 1), "{cells} cells: {share:.3} moved");
+        assert!(moved.iter().all(|engine| after(engine) == cells), "to the new cell alone");
+    }
+}
+
+/// The largest cell bounds what one member plans: at most 1.4 times the mean, at twice the planned size as well.
+#[test]
+fn cells_are_of_like_size() {
+    for count in [300, 600, 960, 2_000, 4_000] {
+        let engines = engines(count);
+        let cells = cell_count(count);
+        let mut sizes = vec![0_usize; usize::from(cells)];
+        engines.iter().for_each(|engine| {
+            sizes[usize::from(cell_of(&service(), engine, cells))] += 1;
+        });
+        let mean = count as f64 / f64::from(cells);
+        let largest = sizes.iter().copied().max().unwrap_or_default() as f64;
+        println!("{count} engines, {cells} cells: largest / mean {:.2}", largest / mean);
+        assert!(largest <= mean * 1.4, "{sizes:?}");
+    }
 }
--- a/crates/instance/src/context.rs
+++ b/crates/instance/src/context.rs
@@ -276,11 +276,12 @@
         refused: &[u16],
     ) -> Option<planner_key::PlannerKey> {
         let fleet = self.fleet.borrow();
+        let cells = planner_key::cell_count(fleet.list.listed_count(service));
         let usable = fleet.list.usable(service);
         let engines: Vec<_> = usable.into_iter().map(|entry| &entry.name).collect();
         let closed = fleet.list.closed(self.now(), service, turn);
         let drawn = rand::random_range(0..=engines.len());
-        planner_key::pick(service, &engines, &closed, refused, drawn)
+        planner_key::pick(service, cells, &engines, &closed, refused, drawn)
     }
 
     /// Engines of a planner that the list names as live and that must get no request from this instance now.
@@ -294,7 +295,7 @@
         if closed.is_empty() {
             return Vec::new();
         }
-        let cells = planner_key::cell_count(fleet.list.usable(&key.service).len());
+        let cells = planner_key::cell_count(fleet.list.listed_count(&key.service));
         let in_cell =
             |name: &&&ids::UpstreamId| planner_key::cell_of(&key.service, name, cells) == key.cell;
         closed.iter().filter(in_cell).map(|name| (*name).clone()).collect()
--- a/crates/instance/src/engine_reports.rs
+++ b/crates/instance/src/engine_reports.rs
@@ -43,7 +43,7 @@
     for key in own {
         let fleet = context.fleet.borrow();
         let usable = fleet.list.usable(&key.service);
-        let cells = planner_key::cell_count(usable.len());
+        let cells = planner_key::cell_count(fleet.list.listed_count(&key.service));
         let in_cell = usable
             .into_iter()
             .filter(|entry| planner_key::cell_of(&key.service, &entry.name, cells) == key.cell)
--- a/crates/instance/src/planner_set.rs
+++ b/crates/instance/src/planner_set.rs
@@ -76,7 +76,7 @@
         shape: &route_table::EngineShape,
     ) {
         let usable = fleet.list.usable(name);
-        let cells = planner_key::cell_count(usable.len());
+        let cells = planner_key::cell_count(fleet.list.listed_count(name));
         let mut engines = vec![Vec::new(); usize::from(cells)];
         for entry in usable {
             let cell = planner_key::cell_of(name, &entry.name, cells);
--- a/crates/instance/src/sum_keeping.rs
+++ b/crates/instance/src/sum_keeping.rs
@@ -306,7 +306,7 @@
     if !is_planned(fleet, entry) {
         return planner_key::PlannerKey::of_plain(service, &entry.name);
     }
-    let cells = planner_key::cell_count(fleet.list.usable(service).len());
+    let cells = planner_key::cell_count(fleet.list.listed_count(service));
     let cell = planner_key::cell_of(service, &entry.name, cells);
     planner_key::PlannerKey { service: service.clone(), cell }
 }
