Silent members are known to all within seconds at any size: probes along a ring

Cause, grows with the fleet: heartbeats go from all to all, so their interval grows with the members (9.75 s at 585, 19.6 s at 1,170) and four missed ones are the sign of silence.

What broke on the way, each with its test: a suspicion that crossed a cut as it healed was never taken back, as its monitors knew better and said nothing (they say so now); a monitor that was just chosen took its choice for an answer; members suspected by one side alone fell out of the probes of those that could take it back; runs of silent members longer than the probed three took a round each (the probed part doubles now).

Heartbeats stay for versions and addresses; with up to 45 members they show silence within 3 s and nobody is probed. Who is suspected plans, keeps and watches nothing; a member that is suspected and hears of it says that it lives, as does one that was paused.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod engine_place;
 mod engine_room;
 pub mod entry_router;
+pub mod failure_detector;
 pub mod fair_queue;
 pub mod fleet_budget;
 pub mod fleet_list;
--- a/crates/core/src/membership/contact.rs
+++ b/crates/core/src/membership/contact.rs
@@ -1,8 +1,12 @@
 //! Whom this process reaches and hears: calls that stay unanswered, and its part of the members.
 
-use std::net;
+use std::{net, sync, time};
 
-use crate::{ids, membership, units};
+use crate::{failure_detector, ids, membership, units};
+
+/// Time within which a silent member must be known as that. Where heartbeats take longer to show it, members are
+/// probed.
+const SUSPECT_TIME: time::Duration = time::Duration::from_secs(3);
 
 impl membership::MemberView {
     /// Part of the members that this process hears: what each side of a cut may use of what all share.
@@ -12,7 +16,7 @@
         let limit = self.beat_interval() * membership::SUSPECT_BEATS;
         let staying = || self.members.values().filter(|member| !member.beat.leaving);
         let is_heard = |member: &&membership::MemberState| {
-            now.since(member.heard) <= limit && member.unanswered < membership::MAX_UNANSWERED
+            member.is_heard(now, limit) && member.unanswered < membership::MAX_UNANSWERED
         };
         let heard = staying().filter(is_heard).count();
         (heard + 1) as f64 / (staying().count() + 1) as f64
@@ -40,10 +44,50 @@
     pub fn answered(&mut self, now: units::MonoTime, name: &ids::InstanceId) {
         if let Some(member) = self.members.get_mut(name) {
             member.unanswered = 0;
+            member.suspected = false;
             member.heard = now;
         }
     }
 
+    /// Whether there are so many members that heartbeats alone would show a silent one too late.
+    pub fn needs_probes(&self) -> bool {
+        self.beat_interval() * membership::SUSPECT_BEATS > SUSPECT_TIME
+    }
+
+    /// The other members as the failure detector sees them, but for those that leave by plan.
+    pub fn ring(&self) -> sync::Arc<[failure_detector::RingMember]> {
+        let staying = self.members.values().filter(|member| !member.beat.leaving);
+        let mut ring: Vec<_> = staying
+            .map(|member| failure_detector::RingMember {
+                hash: member.hash,
+                boot: member.beat.boot,
+                address: member.beat.address,
+            })
+            .collect();
+        ring.sort_unstable_by_key(|member| (member.hash, member.boot));
+        ring.into()
+    }
+
+    /// Takes in whether a start of a member is suspected; one that was heard within `silent` is not. Returns
+    /// whether that holds now.
+    pub fn set_suspected(
+        &mut self,
+        now: units::MonoTime,
+        boot: u64,
+        silent: Option<time::Duration>,
+    ) -> bool {
+        let mut members = self.members.values_mut();
+        let Some(member) = members.find(|member| member.beat.boot == boot) else {
+            return false;
+        };
+        member.suspected = silent.is_some_and(|silent| now.since(member.heard) >= silent);
+        if silent.is_none() {
+            member.heard = now;
+            member.unanswered = 0;
+        }
+        member.suspected
+    }
+
     /// Members that left calls unanswered and have not been heard since: they should be asked again and
     /// again whether they are back.
     ///
--- a/crates/core/src/membership/mod.rs
+++ b/crates/core/src/membership/mod.rs
@@ -60,6 +60,15 @@
     heard: units::MonoTime,
     /// Unanswered calls since it was last heard.
     unanswered: u32,
+    /// Whether the failure detector suspects it; ends with the first sign of life.
+    suspected: bool,
+}
+
+impl MemberState {
+    /// Whether it was heard within `limit`, and is not suspected since.
+    fn is_heard(&self, now: units::MonoTime, limit: time::Duration) -> bool {
+        !self.suspected && now.since(self.heard) <= limit
+    }
 }
 
 /// The other members as this process believes them.
@@ -99,7 +108,12 @@
 
     /// Time between two heartbeats.
     pub fn beat_interval(&self) -> time::Duration {
-        let members = u32::try_from(self.members.len() + 1).unwrap_or(u32::MAX);
+        Self::beat_interval_of(self.members.len() + 1)
+    }
+
+    /// Time between two heartbeats of each of so many members.
+    pub fn beat_interval_of(members: usize) -> time::Duration {
+        let members = u32::try_from(members).unwrap_or(u32::MAX);
         BEAT_INTERVAL * members.div_ceil(BEAT_MEMBERS).max(1)
     }
 
@@ -172,7 +186,8 @@
         let joined = known.is_none_or(|known| known.beat.boot != beat.boot);
         let name = beat.name.clone();
         let hash = rendezvous::stable_hash(&[name.as_str()]);
-        self.members.insert(name, MemberState { beat, hash, heard: now, unanswered: 0 });
+        let state = MemberState { beat, hash, heard: now, unanswered: 0, suspected: false };
+        self.members.insert(name, state);
         self.most = self.most.max(self.alive(now).count() + 1);
         joined
     }
@@ -195,6 +210,7 @@
             };
             member.heard = now;
             member.unanswered = 0;
+            member.suspected = false;
         }
         true
     }
@@ -225,7 +241,7 @@
         let limit = self.beat_interval() * SUSPECT_BEATS;
         self.members
             .values()
-            .filter(move |member| now.since(member.heard) <= limit)
+            .filter(move |member| member.is_heard(now, limit))
             .map(|member| &member.beat)
     }
 
@@ -262,7 +278,7 @@
             beat.routes > 0
                 && !beat.leaving
                 && member.unanswered < MAX_UNANSWERED
-                && now.since(member.heard) <= limit
+                && member.is_heard(now, limit)
         };
         let others = self.members.values().filter(fit).map(|member| (&member.beat, member.hash));
         let me = Some((own, rendezvous::stable_hash(&[own.name.as_str()])));
--- a/crates/instance/src/context.rs
+++ b/crates/instance/src/context.rs
@@ -4,8 +4,9 @@
 
 use futures::{channel::mpsc, channel::oneshot, future};
 use slipturn_core::{
-    class_worth, connection_share, engine_place, fleet_budget, ids, member_beat, membership,
-    planner, planner_key, quarantine, send_counts, send_permit, store_belief, units,
+    class_worth, connection_share, engine_place, failure_detector, fleet_budget, ids, member_beat,
+    membership, planner, planner_key, quarantine, rendezvous, send_counts, send_permit,
+    store_belief, units,
 };
 use slipturn_net::process;
 
@@ -54,6 +55,10 @@
     pub fleet: cell::RefCell<fleet_state::FleetState>,
     /// Other instances.
     pub members: cell::RefCell<membership::MemberView>,
+    /// Which of them answer.
+    pub detector: cell::RefCell<failure_detector::FailureDetector>,
+    /// When this process last denied to be silent.
+    pub denied: cell::Cell<Option<units::MonoTime>>,
     /// What requests of each class are worth.
     pub classes: cell::RefCell<class_worth::ClassWorth>,
     /// Planners of services that this process plans for.
@@ -138,6 +143,8 @@
             ways: parts.settings.experiments,
         };
         let members = membership::MemberView::new(own.clone(), seeds);
+        let place = rendezvous::stable_hash(&[own.as_str()]);
+        let detector = failure_detector::FailureDetector::new(place);
         let load_choice = parts.settings.experiments.load_choice;
         let loads = upstream_load::UpstreamLoads::new(load_choice, own.as_str());
         let mut fleet = fleet_state::FleetState::new(rc::Rc::clone(&parts.border));
@@ -151,6 +158,8 @@
             closing: parts.closing.shared(),
             fleet: cell::RefCell::new(fleet),
             members: cell::RefCell::new(members),
+            detector: cell::RefCell::new(detector),
+            denied: cell::Cell::new(None),
             planners: cell::RefCell::new(planner_set::PlannerSet::new(own, options)),
             classes: cell::RefCell::default(),
             leases: cell::RefCell::default(),
--- /dev/null
+++ b/crates/instance/src/failure_watch.rs
@@ -0,0 +1,136 @@
+//! Probes of other members, and what all are told of those that do not answer.
+
+use std::{net, rc, time};
+
+use slipturn_core::{failure_detector, units};
+
+use crate::{context, heartbeats, peer_message};
+
+/// Time between two looks at probes.
+const TICK: time::Duration = time::Duration::from_millis(100);
+/// Time between two looks at which members there are.
+const RING_INTERVAL: time::Duration = time::Duration::from_secs(1);
+/// Time between two denials of being silent.
+const DENIAL_INTERVAL: time::Duration = time::Duration::from_secs(1);
+/// Most reports in one message; each takes some twelve bytes.
+const MAX_REPORTS: usize = 200;
+
+/// Probes other members for ever, where there are many.
+pub async fn run(context: rc::Rc<context::InstanceContext>) {
+    let mut ring_at = units::MonoTime::default();
+    loop {
+        monoio::time::sleep(TICK).await;
+        let now = context.now();
+        let members = context.members.borrow();
+        if !members.needs_probes() || !members.is_settled(now) {
+            continue;
+        }
+        if now.since(ring_at) >= RING_INTERVAL {
+            ring_at = now;
+            context.detector.borrow_mut().set_members(now, members.ring());
+        }
+        drop(members);
+        let actions = context.detector.borrow_mut().tick(now, &mut rand::rng());
+        act(&context, actions);
+    }
+}
+
+/// Takes in a probe, or its answer.
+pub(crate) fn hear(
+    context: &context::InstanceContext,
+    from: net::SocketAddrV4,
+    message: failure_detector::ProbeMessage,
+) {
+    let now = context.now();
+    let actions = context.detector.borrow_mut().hear(now, from, message);
+    act(context, actions);
+}
+
+/// Takes in suspicions of another member.
+pub(crate) fn hear_suspects(
+    context: &context::InstanceContext,
+    reports: Vec<failure_detector::SuspectReport>,
+) {
+    for report in reports {
+        if report.boot == context.boot {
+            deny(context);
+            continue;
+        }
+        let heard = context.detector.borrow_mut().hear_suspect(context.now(), report);
+        let (news, actions) = heard;
+        if news {
+            suspect(context, report);
+        }
+        act(context, actions);
+    }
+}
+
+/// Takes in signs of life that another member has seen.
+pub(crate) fn hear_restored(context: &context::InstanceContext, boots: &[u64]) {
+    boots.iter().for_each(|boot| restore(context, *boot));
+}
+
+/// Takes in a sign of life of a member.
+pub(crate) fn restore(context: &context::InstanceContext, boot: u64) {
+    let now = context.now();
+    if context.detector.borrow_mut().restore(now, boot) {
+        context.members.borrow_mut().set_suspected(now, boot, None);
+        log::info!(boot; "member.restored");
+    }
+}
+
+fn suspect(context: &context::InstanceContext, report: failure_detector::SuspectReport) {
+    let now = context.now();
+    let silent = time::Duration::from_millis(u64::from(report.silent_ms));
+    let suspected = context.members.borrow_mut().set_suspected(now, report.boot, Some(silent));
+    if suspected {
+        context.stats.borrow_mut().count("members", "suspected");
+        log::info!(boot = report.boot, silent_ms = report.silent_ms; "member.suspected");
+    } else {
+        // It was heard since its monitor heard it.
+        context.detector.borrow_mut().restore(now, report.boot);
+    }
+}
+
+/// Tells all that this process lives: others take it for silent.
+fn deny(context: &context::InstanceContext) {
+    let now = context.now();
+    if context.denied.get().is_none_or(|last| now.since(last) >= DENIAL_INTERVAL) {
+        context.denied.set(Some(now));
+        log::warn!("process.suspected");
+        heartbeats::tell_all(context);
+    }
+}
+
+fn act(context: &context::InstanceContext, actions: Vec<failure_detector::DetectorAction>) {
+    use failure_detector::DetectorAction;
+    let (mut suspects, mut restored) = (Vec::new(), Vec::new());
+    for action in actions {
+        match action {
+            DetectorAction::Send(to, message) => {
+                context.tell(to, peer_message::PeerMessage::Probe(message));
+            }
+            DetectorAction::Suspect(report) => suspects.push(report),
+            DetectorAction::Restore(boot) => restored.push(boot),
+        }
+    }
+    suspects.iter().for_each(|report| suspect(context, *report));
+    for reports in suspects.chunks(MAX_REPORTS) {
+        announce(context, &peer_message::PeerMessage::Suspects(reports.to_vec()));
+    }
+    if !restored.is_empty() {
+        let now = context.now();
+        let mut members = context.members.borrow_mut();
+        restored.iter().for_each(|boot| {
+            members.set_suspected(now, *boot, None);
+        });
+        drop(members);
+        announce(context, &peer_message::PeerMessage::Restored(restored));
+    }
+}
+
+fn announce(context: &context::InstanceContext, message: &peer_message::PeerMessage) {
+    let own = context.settings().member_address;
+    let targets = context.members.borrow().targets(own);
+    targets.into_iter().for_each(|to| context.tell(to, message.clone()));
+}
--- a/crates/instance/src/heartbeats.rs
+++ b/crates/instance/src/heartbeats.rs
@@ -5,7 +5,7 @@
 use rand::seq::IndexedRandom as _;
 use slipturn_core::{beat_clock, member_beat, units};
 
-use crate::{context, member_news, peer_message};
+use crate::{context, failure_watch, member_news, peer_message};
 
 /// Time between two questions to a member that left calls unanswered: while it is silent two members may
 /// plan for the same engines. A question and its answer are some 60 bytes, to one or two members.
@@ -19,6 +19,7 @@
     beat: member_beat::MemberBeat,
 ) {
     let from = beat.address;
+    failure_watch::restore(context, beat.boot);
     let own = context.settings().member_address;
     let (joined, welcome, unmet) = {
         let mut members = context.members.borrow_mut();
--- a/crates/instance/src/lib.rs
+++ b/crates/instance/src/lib.rs
@@ -16,6 +16,7 @@
 mod engine_fault;
 pub mod engine_reports;
 pub mod event_stream;
+pub mod failure_watch;
 pub mod fleet_state;
 pub mod heartbeats;
 pub mod incoming_call;
--- a/crates/instance/src/peer_message.rs
+++ b/crates/instance/src/peer_message.rs
@@ -3,7 +3,8 @@
 use futures::channel::mpsc;
 use serde::{Deserialize, Serialize};
 use slipturn_core::{
-    engine_place, ids, member_beat, planner_key, request_digest, send_leave, units,
+    engine_place, failure_detector, ids, member_beat, planner_key, request_digest, send_leave,
+    units,
 };
 
 /// Largest datagram; larger messages are split by their sender.
@@ -66,6 +67,12 @@
     AskLeave(Box<LeaveQuestion>),
     /// The answer to the question of this number.
     Leave(u64, send_leave::LeaveAnswer),
+    /// A probe of the failure detector, or its answer.
+    Probe(failure_detector::ProbeMessage),
+    /// Members that do not answer.
+    Suspects(Vec<failure_detector::SuspectReport>),
+    /// Starts of members that answer again.
+    Restored(Vec<u64>),
 }
 
 /// What an upstream has said of its limit. Times are microseconds ago, as members' clocks differ.
--- a/crates/instance/src/peers.rs
+++ b/crates/instance/src/peers.rs
@@ -6,8 +6,8 @@
 use slipturn_core::{engine_place, member_beat, planner_key};
 
 use crate::{
-    context, heartbeats, lease_renewal, leave_request, limit_news, member_news, peer_message,
-    planner_set, quarantine_news, sum_keeping, upstream_news, upstream_starts,
+    context, failure_watch, heartbeats, lease_renewal, leave_request, limit_news, member_news,
+    peer_message, planner_set, quarantine_news, sum_keeping, upstream_news, upstream_starts,
 };
 
 /// Time between two looks at requests that wait, while any does.
@@ -74,6 +74,7 @@
     match message {
         PeerMessage::Beat(beat) => heartbeats::hear(context, now, *beat),
         PeerMessage::Alive(alive) => {
+            failure_watch::restore(context, alive.boot);
             if !context.members.borrow_mut().hear_alive(now, &alive) {
                 context.tell(from, PeerMessage::Who);
             }
@@ -120,6 +121,9 @@
         PeerMessage::Limits(reports) => limit_news::hear_members(context, reports),
         PeerMessage::AskLeave(question) => sum_keeping::hear_ask(context, from, *question),
         PeerMessage::Leave(number, answer) => leave_request::hear(context, number, answer),
+        PeerMessage::Probe(message) => failure_watch::hear(context, from, message),
+        PeerMessage::Suspects(reports) => failure_watch::hear_suspects(context, reports),
+        PeerMessage::Restored(boots) => failure_watch::hear_restored(context, &boots),
         PeerMessage::Census(key) => lease_renewal::tell_all(context, from, &key),
         PeerMessage::Unknown(key, jobs) => lease_renewal::tell_leases(context, from, key, &jobs),
         PeerMessage::Leases(key, leases) => {
@@ -163,6 +167,8 @@
             log::warn!(paused_ms = now.since(last).as_millis() as u64; "process.woke");
             context.woke.set(now);
             sum_keeping::begin_anew(&context);
+            // Others may suspect it by now.
+            heartbeats::tell_all(&context);
         }
         last = now;
         if context.fleet.borrow_mut().list.tick(now) {
--- a/crates/instance/src/program.rs
+++ b/crates/instance/src/program.rs
@@ -14,9 +14,9 @@
 use snafu::{ResultExt as _, Snafu};
 
 use crate::{
-    border, caller_connection, context, engine_reports, heartbeats, instance_settings,
-    lease_renewal, log_sink, member_feed, member_news, peers, small_server, store_feed,
-    upstream_ends,
+    border, caller_connection, context, engine_reports, failure_watch, heartbeats,
+    instance_settings, lease_renewal, log_sink, member_feed, member_news, peers, small_server,
+    store_feed, upstream_ends,
 };
 
 /// Time between two looks at whether a stop or a reload was asked for.
@@ -121,6 +121,7 @@
     monoio::spawn(peers::receive_all(share(), socket));
     monoio::spawn(heartbeats::repeat(share()));
     monoio::spawn(heartbeats::ask_silent(share()));
+    monoio::spawn(failure_watch::run(share()));
     monoio::spawn(peers::plan(share()));
     monoio::spawn(lease_renewal::repeat(share()));
     monoio::spawn(store_feed::follow_store(share()));
