A start of all: any member that knows the list gives it, and seeds read the store at once

Three parts: - a starting member asked those with the newest list only; while changes follow each other that is the watchers alone, so five members gave 525 of 585 their lists over links of 20 Mbit/s; - nobody read the store before no new member had shown for 80 ms, 0.48 s behind the start at this size; - those not served after 1.2 s turned to the store: 187 began to watch it, 50 read the list. Ruled out: the cut of 30%: those instances reach members, and were as late as the others.

Change: who knows nothing takes both documents of any member that has them, in one answer; seeds read the store at once and the others have it from them; large answers are bounded by bytes in place of eight, as the bound is the link; a process says to all that it knows the routes only where it may be chosen to plan, else to its data centre; members are found by start and address without a search. A request that comes meanwhile waits for as long as there is somebody to hear from, and is sent elsewhere at once from a process that hears nobody.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -52,6 +52,7 @@
 pub mod settings;
 pub mod settings_resolve;
 mod start_record;
+pub mod start_wait;
 pub mod store_belief;
 pub mod units;
 pub mod upstream_health;
--- a/crates/core/src/membership/contact.rs
+++ b/crates/core/src/membership/contact.rs
@@ -29,8 +29,7 @@
 
     /// The member whose start this is.
     pub fn name_of_boot(&self, boot: u64) -> Option<&ids::InstanceId> {
-        let mut members = self.members.iter();
-        members.find(|(_, member)| member.beat.boot == boot).map(|(name, _)| name)
+        self.by_boot.get(&boot)
     }
 
     /// Notes that a member left a call unanswered.
@@ -76,8 +75,8 @@
         boot: u64,
         silent: Option<time::Duration>,
     ) -> bool {
-        let mut members = self.members.values_mut();
-        let Some(member) = members.find(|member| member.beat.boot == boot) else {
+        let name = self.by_boot.get(&boot);
+        let Some(member) = name.and_then(|name| self.members.get_mut(name)) else {
             return false;
         };
         member.suspected = silent.is_some_and(|silent| now.since(member.heard) >= silent);
--- a/crates/core/src/membership/mod.rs
+++ b/crates/core/src/membership/mod.rs
@@ -76,6 +76,10 @@
 pub struct MemberView {
     own: ids::InstanceId,
     members: collections::BTreeMap<ids::InstanceId, MemberState>,
+    /// The members by their starts; holds just what `members` says.
+    by_boot: collections::HashMap<u64, ids::InstanceId>,
+    /// The members by their addresses; holds just what `members` says.
+    by_address: collections::HashMap<net::SocketAddrV4, ids::InstanceId>,
     /// Addresses heard of, not yet heard from.
     hearsay: collections::BTreeMap<net::SocketAddrV4, units::MonoTime>,
     /// Those of them that nothing has been said to yet.
@@ -93,6 +97,8 @@
         Self {
             own,
             members: collections::BTreeMap::new(),
+            by_boot: collections::HashMap::new(),
+            by_address: collections::HashMap::new(),
             hearsay: collections::BTreeMap::new(),
             unmet: Vec::new(),
             seeds,
@@ -187,15 +193,34 @@
         let name = beat.name.clone();
         let hash = rendezvous::stable_hash(&[name.as_str()]);
         let state = MemberState { beat, hash, heard: now, unanswered: 0, suspected: false };
-        self.members.insert(name, state);
-        self.most = self.most.max(self.alive(now).count() + 1);
+        self.insert(name, state);
+        if joined {
+            self.most = self.most.max(self.alive(now).count() + 1);
+        }
         joined
     }
 
+    fn insert(&mut self, name: ids::InstanceId, state: MemberState) {
+        let (boot, address) = (state.beat.boot, state.beat.address);
+        if let Some(before) = self.members.insert(name.clone(), state) {
+            self.by_boot.remove(&before.beat.boot);
+            self.by_address.remove(&before.beat.address);
+        }
+        self.by_boot.insert(boot, name.clone());
+        self.by_address.insert(address, name);
+    }
+
+    fn remove(&mut self, name: &ids::InstanceId) {
+        if let Some(removed) = self.members.remove(name) {
+            self.by_boot.remove(&removed.beat.boot);
+            self.by_address.remove(&removed.beat.address);
+        }
+    }
+
     /// Takes in a heartbeat of a member that was heard before; `false` where it was not.
     pub fn hear_alive(&mut self, now: units::MonoTime, alive: &member_beat::AliveBeat) -> bool {
-        let mut members = self.members.values_mut();
-        let Some(member) = members.find(|member| member.beat.boot == alive.boot) else {
+        let name = self.by_boot.get(&alive.boot);
+        let Some(member) = name.and_then(|name| self.members.get_mut(name)) else {
             return false;
         };
         if alive.sequence > member.beat.sequence {
@@ -217,7 +242,7 @@
 
     /// Whether a member with this address was heard.
     pub fn knows(&self, address: net::SocketAddrV4) -> bool {
-        self.members.values().any(|member| member.beat.address == address)
+        self.by_address.contains_key(&address)
     }
 
     /// Forgets members that have been silent for long, and names them.
@@ -230,9 +255,7 @@
             .filter(|(_, member)| now.since(member.heard) > limit)
             .map(|(name, _)| name.clone())
             .collect();
-        for name in &silent {
-            self.members.remove(name);
-        }
+        silent.iter().for_each(|name| self.remove(name));
         silent
     }
 
@@ -302,6 +325,22 @@
         self.sources(now, near, version, |beat| beat.routes)
     }
 
+    /// Members that know routes and a list of upstreams, of whichever version, for one that knows nothing: those of
+    /// this data centre, or any. While changes follow each other only few have the newest.
+    pub fn any_sources(
+        &self,
+        now: units::MonoTime,
+        near: &ids::DataCenterId,
+    ) -> Vec<&member_beat::MemberBeat> {
+        let is_source = |beat: &&member_beat::MemberBeat| beat.routes > 0 && beat.list > 0;
+        nearest(self.alive(now).filter(is_source).collect(), near)
+    }
+
+    /// Whether this much processor is the most that any member has: planners are chosen among those.
+    pub fn is_largest(&self, now: units::MonoTime, cpu: u32) -> bool {
+        self.alive(now).all(|beat| beat.cpu <= cpu)
+    }
+
     /// The same for the list of upstreams.
     pub fn list_sources(
         &self,
@@ -332,9 +371,7 @@
         let Some(newest) = newest else {
             return Vec::new();
         };
-        let all: Vec<_> = self.alive(now).filter(|beat| version(beat) == newest).collect();
-        let own: Vec<_> = all.iter().copied().filter(|beat| beat.data_center == *near).collect();
-        if own.is_empty() { all } else { own }
+        nearest(self.alive(now).filter(|beat| version(beat) == newest).collect(), near)
     }
 
     /// Whether this member should watch the platform's store itself, given how long it has seen
@@ -384,3 +421,12 @@
         age >= PLANNER_AGE
     }
 }
+
+/// Those of a data centre, or all where it has none.
+fn nearest<'a>(
+    all: Vec<&'a member_beat::MemberBeat>,
+    near: &ids::DataCenterId,
+) -> Vec<&'a member_beat::MemberBeat> {
+    let own: Vec<_> = all.iter().copied().filter(|beat| beat.data_center == *near).collect();
+    if own.is_empty() { all } else { own }
+}
--- a/crates/core/tests/membership.rs
+++ b/crates/core/tests/membership.rs
@@ -369,3 +369,52 @@
     assert_eq!(view.name_of_boot(1), Some(&name(1)));
     assert_eq!(view.name_of_boot(9), None);
 }
+
+/// While changes follow each other, only the watchers have the newest list; any list serves who has none.
+#[test]
+fn who_knows_nothing_takes_documents_of_any_version() {
+    let mut view = view();
+    view.hear(at(0), MemberBeat { list: 12, ..beat(1, 1, 1) });
+    view.hear(at(0), beat(2, 1, 1));
+    view.hear(at(0), MemberBeat { routes: 0, list: 0, ..beat(3, 1, 1) });
+    let far = "b".parse().expect("a valid name");
+    view.hear(at(0), MemberBeat { data_center: far, ..beat(4, 1, 1) });
+    let near = "a".parse().expect("a valid name");
+    let names = |sources: Vec<&MemberBeat>| {
+        sources.iter().map(|source| source.name.to_string()).collect::<Vec<_>>()
+    };
+    assert_eq!(names(view.list_sources(at(1), 0, &near)), ["m1"]);
+    assert_eq!(names(view.any_sources(at(1), &near)), ["m1", "m2"]);
+    let third = "c".parse().expect("a valid name");
+    assert_eq!(names(view.any_sources(at(1), &third)), ["m1", "m2", "m4"]);
+}
+
+#[test]
+fn a_suspected_member_counts_as_silent_until_a_sign_of_life() {
+    let mut view = view();
+    view.hear(at(0), beat(1, 7, 1));
+    let silent = |millis| Some(time::Duration::from_millis(millis));
+    assert!(!view.set_suspected(at(100), 7, silent(300)), "heard since");
+    assert!(view.set_suspected(at(700), 7, silent(300)));
+    assert_eq!(view.alive(at(700)).count(), 0);
+    assert!(view.seen_part(at(700)) < 1.0);
+    assert!(view.hear_alive(at(750), &beat(1, 7, 2).alive()));
+    assert_eq!(view.alive(at(750)).count(), 1);
+    assert!(!view.set_suspected(at(2_000), 99, silent(300)), "nobody");
+}
+
+#[test]
+fn members_are_probed_where_heartbeats_would_be_late() {
+    let mut view = view();
+    for number in 1..36 {
+        view.hear(at(0), beat(number, u64::from(number), 1));
+    }
+    assert!(!view.needs_probes(), "four heartbeats show a silent one of 36 within 2.4 s");
+    for number in 36..60 {
+        view.hear(at(0), beat(number, u64::from(number), 1));
+    }
+    assert!(view.needs_probes());
+    let leaving = MemberBeat { leaving: true, ..beat(1, 1, 2) };
+    view.hear(at(10), leaving);
+    assert_eq!(view.ring().len(), 58, "one leaves by plan");
+}
--- /dev/null
+++ b/crates/core/tests/start_wait.rs
@@ -0,0 +1,33 @@
+//! Requests at a process that has just started: who waits, and who is sent elsewhere.
+
+use std::time;
+
+use slipturn_core::start_wait::{StartContact, goes_on};
+
+const PATIENCE: time::Duration = time::Duration::from_secs(10);
+
+fn at(millis: u64) -> time::Duration {
+    time::Duration::from_millis(millis)
+}
+
+fn waits(contact: StartContact, age: u64) -> bool {
+    goes_on(contact, at(age), at(0), PATIENCE)
+}
+
+#[test]
+fn it_waits_for_as_long_as_there_is_somebody_to_hear_from() {
+    let contacts = [StartContact::Nobody, StartContact::Members, StartContact::Source];
+    let at_age = |age| contacts.map(|contact| waits(contact, age));
+    assert_eq!(at_age(200), [true, true, true]);
+    assert_eq!(at_age(400), [false, true, true]);
+    assert_eq!(at_age(800), [false, false, true]);
+    assert_eq!(at_age(1_600), [false, false, false]);
+}
+
+/// A caller of little patience needs the rest of it for its answer, or for another process.
+#[test]
+fn it_waits_for_a_part_of_its_callers_patience_only() {
+    let short = time::Duration::from_millis(1_500);
+    assert!(goes_on(StartContact::Source, at(500), at(400), short));
+    assert!(!goes_on(StartContact::Source, at(500), at(500), short));
+}
--- a/crates/instance/src/caller_connection.rs
+++ b/crates/instance/src/caller_connection.rs
@@ -3,7 +3,7 @@
 use std::{rc, time};
 
 use futures::future;
-use slipturn_core::{quarantine, refusal, units};
+use slipturn_core::{quarantine, refusal, start_wait, units};
 use slipturn_net::h1;
 
 use crate::{
@@ -14,9 +14,6 @@
 const MAX_AHEAD: usize = 64 * 1024;
 /// Time for reading what a refused caller still sends, so that it can read its answer.
 const LINGER_TIME: time::Duration = time::Duration::from_millis(500);
-/// Age up to which a process lets requests wait that it knows no routes for yet; a start with the
-/// store in reach takes a third of that.
-const START_WAIT: time::Duration = time::Duration::from_millis(700);
 /// Age before which members that started at the same moment may not agree on who plans; each
 /// would plan alone then, and give away the same engines.
 const SETTLE_TIME: time::Duration = time::Duration::from_millis(150);
@@ -197,7 +194,8 @@
         }
     };
     let arrived = context.now();
-    wait_until_known(context).await;
+    let patience = request.as_ref().ok().and_then(|request| request.patience);
+    wait_until_known(context, arrived, patience.unwrap_or(incoming_call::USUAL_PATIENCE)).await;
     let mut call = match incoming_call::admit(context, head, request, arrived) {
         Ok(call) => call,
         Err(refusal) => {
@@ -228,14 +226,41 @@
 
 /// Waits while this process has just started and knows neither routes nor upstreams nor who plans:
 /// it learns them within a moment, and many callers come back only once.
-async fn wait_until_known(context: &context::InstanceContext) {
-    let age = || context.now().since(units::MonoTime::default());
-    let starting = || !context.fleet.borrow().is_known() || age() < SETTLE_TIME;
-    while age() < START_WAIT && starting() {
+async fn wait_until_known(
+    context: &context::InstanceContext,
+    arrived: units::MonoTime,
+    patience: time::Duration,
+) {
+    loop {
+        let now = context.now();
+        let age = now.since(units::MonoTime::default());
+        let known = context.fleet.borrow().is_known();
+        if known && age >= SETTLE_TIME {
+            return;
+        }
+        let contact = start_contact(context, now);
+        if !start_wait::goes_on(contact, age, now.since(arrived), patience) {
+            return;
+        }
         monoio::time::sleep(KNOWN_POLL).await;
     }
 }
 
+fn start_contact(
+    context: &context::InstanceContext,
+    now: units::MonoTime,
+) -> start_wait::StartContact {
+    let members = context.members.borrow();
+    let near = &context.settings().data_center;
+    if context.belief.borrow().answers() || !members.any_sources(now, near).is_empty() {
+        start_wait::StartContact::Source
+    } else if members.alive(now).next().is_some() {
+        start_wait::StartContact::Members
+    } else {
+        start_wait::StartContact::Nobody
+    }
+}
+
 async fn serve_call(
     context: &rc::Rc<context::InstanceContext>,
     call: &incoming_call::IncomingCall,
--- a/crates/instance/src/document_answers.rs
+++ b/crates/instance/src/document_answers.rs
@@ -13,9 +13,11 @@
 const MAX_ANSWERS: usize = 4;
 /// Answers of at least this size, bytes, count as large: on a link of 20 Mbit/s one takes 7 ms.
 const LARGE_ANSWER: usize = 16 * 1024;
-/// Large answers sent at once: on such a link eight of 60 KB take 0.2 s. Whoever comes beyond asks
-/// another member, and by then more have what it lacks.
-const MAX_LARGE: usize = 8;
+/// Bytes of large answers sent at once: on such a link they take 0.2 s. Whoever comes beyond asks another member, and
+/// by then more have what it lacks.
+const MAX_LARGE_BYTES: usize = 480 * 1024;
+/// Large answers sent at once in any case.
+const MIN_LARGE: usize = 8;
 
 /// What an answer was made for, and of.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -31,15 +33,23 @@
 pub struct DocumentAnswers {
     /// Newest last.
     kept: Vec<(AnswerKey, Bytes)>,
+    /// Large answers on their way.
     large: usize,
+    /// Bytes of these.
+    large_bytes: usize,
 }
 
 /// Counts a large answer as on its way for as long as it lives.
-pub(crate) struct LargeGuard(rc::Rc<context::InstanceContext>);
+pub(crate) struct LargeGuard {
+    context: rc::Rc<context::InstanceContext>,
+    bytes: usize,
+}
 
 impl Drop for LargeGuard {
     fn drop(&mut self) {
-        self.0.answers.borrow_mut().large -= 1;
+        let mut answers = self.context.answers.borrow_mut();
+        answers.large -= 1;
+        answers.large_bytes -= self.bytes;
     }
 }
 
@@ -67,11 +77,13 @@
         return DocumentAnswer::Ready(bytes, None);
     }
     let mut answers = context.answers.borrow_mut();
-    if answers.large >= MAX_LARGE {
+    if answers.large >= MIN_LARGE && answers.large_bytes + bytes.len() > MAX_LARGE_BYTES {
         return DocumentAnswer::Busy;
     }
     answers.large += 1;
-    DocumentAnswer::Ready(bytes, Some(LargeGuard(rc::Rc::clone(context))))
+    answers.large_bytes += bytes.len();
+    let guard = LargeGuard { context: rc::Rc::clone(context), bytes: bytes.len() };
+    DocumentAnswer::Ready(bytes, Some(guard))
 }
 
 fn coded(
--- a/crates/instance/src/heartbeats.rs
+++ b/crates/instance/src/heartbeats.rs
@@ -87,6 +87,18 @@
     }
 }
 
+/// Tells what has changed: to all where it decides who plans, else to those that may ask this process for documents.
+pub(crate) fn tell_state(context: &context::InstanceContext, state: ToldState, before: ToldState) {
+    let now = context.now();
+    let cpu = context.own_beat().cpu;
+    let may_plan = context.members.borrow().is_largest(now, cpu);
+    if may_plan || state.leaving != before.leaving {
+        tell_all(context);
+    } else {
+        announce(context);
+    }
+}
+
 pub(crate) fn tell_all(context: &context::InstanceContext) {
     let own = context.settings().member_address;
     let targets = context.members.borrow().targets(own);
--- a/crates/instance/src/incoming_call.rs
+++ b/crates/instance/src/incoming_call.rs
@@ -11,7 +11,7 @@
 const ANSWER_MARGIN: time::Duration = time::Duration::from_millis(15);
 
 /// What a caller of a process that knows no routes yet is taken to wait, where it does not say.
-const USUAL_PATIENCE: time::Duration = time::Duration::from_secs(10);
+pub(crate) const USUAL_PATIENCE: time::Duration = time::Duration::from_secs(10);
 
 /// An admitted request.
 pub struct IncomingCall {
--- a/crates/instance/src/instance_settings.rs
+++ b/crates/instance/src/instance_settings.rs
@@ -149,6 +149,11 @@
         Ok(settings)
     }
 
+    /// Whether others begin to ask at this instance.
+    pub fn is_seed(&self) -> bool {
+        self.member_seeds().contains(&self.member_address)
+    }
+
     /// Where other instances' heartbeats are heard, for those named by their document address.
     pub fn member_seeds(&self) -> Vec<net::SocketAddrV4> {
         let port = self.member_address.port();
--- a/crates/instance/src/member_feed.rs
+++ b/crates/instance/src/member_feed.rs
@@ -14,6 +14,8 @@
 const ROUTES_TIME: time::Duration = time::Duration::from_millis(600);
 /// Time for a member's list.
 const LIST_TIME: time::Duration = time::Duration::from_millis(1_500);
+/// Time for both at a start, when others that have them are many.
+const START_TIME: time::Duration = time::Duration::from_millis(500);
 /// Pause behind a member that is busy giving documents to others, with its spread.
 const BUSY_PAUSE: std::ops::Range<f64> = 0.05..0.15;
 /// Members told by one that has got a large document from another: enough that the number of those who
@@ -29,7 +31,8 @@
     let mut failing = None;
     loop {
         monoio::time::sleep(store_sight::look_interval(&context)).await;
-        if store_sight::own_watch_leads(&context) {
+        // At a start the routes come with the list.
+        if store_sight::own_watch_leads(&context) || !context.fleet.borrow().is_listed() {
             continue;
         }
         let Some((member, address)) = routes_source(&context, failing.as_ref()) else {
@@ -102,15 +105,16 @@
         if store_sight::own_watch_leads(&context) {
             continue;
         }
-        let Some((member, address)) = list_source(&context) else {
+        let listed = context.fleet.borrow().is_listed();
+        let source = if listed { list_source(&context) } else { any_source(&context) };
+        let Some((member, address)) = source else {
             continue;
         };
-        let known = {
-            let fleet = context.fleet.borrow();
-            if fleet.is_listed() { fleet.revision() } else { 0 }
-        };
-        let path = format!("{DOCUMENTS_PATH}?routes={}&list={known}", u64::MAX);
-        adopt_from(&context, &member, address, &path, LIST_TIME).await;
+        let versions = context.versions();
+        let (routes, list) = if listed { (u64::MAX, versions.list) } else { (versions.routes, 0) };
+        let path = format!("{DOCUMENTS_PATH}?routes={routes}&list={list}");
+        let limit = if listed { LIST_TIME } else { START_TIME };
+        adopt_from(&context, &member, address, &path, limit).await;
     }
 }
 
@@ -176,6 +180,14 @@
     pick_source(&sources, settings.listen.members.port())
 }
 
+/// A member, drawn, that has both documents, for a process that has just started.
+fn any_source(context: &context::InstanceContext) -> Option<(ids::InstanceId, net::SocketAddr)> {
+    let settings = context.settings();
+    let members = context.members.borrow();
+    let sources = members.any_sources(context.now(), &settings.data_center);
+    pick_source(&sources, settings.listen.members.port())
+}
+
 fn pick_source(
     sources: &[&member_beat::MemberBeat],
     port: u16,
--- a/crates/instance/src/peers.rs
+++ b/crates/instance/src/peers.rs
@@ -156,8 +156,8 @@
     loop {
         let state = heartbeats::ToldState::of(&context.own_beat());
         if state != told {
+            heartbeats::tell_state(&context, state, told);
             told = state;
-            heartbeats::tell_all(&context);
         }
         // A process that has just started tells at once when it has routes.
         let busy = context.planners.borrow().waiting() > 0 || !told.has_routes;
--- a/crates/instance/src/program.rs
+++ b/crates/instance/src/program.rs
@@ -113,6 +113,7 @@
     let parts = context::ContextParts { settings, border, stop: stopping, closing, outgoing, runs };
     let context = rc::Rc::new(context::InstanceContext::new(parts));
     log::info!(instance:% = context.settings().name, boot = context.boot,
+        seed = context.settings().is_seed(),
         version = env!("CARGO_PKG_VERSION"), ways:% = context.settings().experiments;
         "process.started");
 
--- a/crates/instance/src/store_feed.rs
+++ b/crates/instance/src/store_feed.rs
@@ -75,6 +75,10 @@
     let members = context.members.borrow();
     let missing = members.watchers_missing(now, &own);
     if !context.fleet.borrow().is_known() {
+        if context.settings().is_seed() {
+            // All know a seed; where all start together the others have from it what it reads.
+            return true;
+        }
         // Whoever starts in a large fleet has the list from members: with all reading it at
         // once, a mass start would take as long as the store's rate allows.
         let age = now.since(units::MonoTime::default());
