Idle engines are asked for reports seldom, and planners log only engines with work

The log line of a planner named all its engines, 8 KB a second at 96.

Change: an engine without work for 4 s, and without a failure, slowness or another planner's requests, is asked each 6 s, about as long as the list takes to lose one that has ended. `experiments.reports: used` (default) and `all`, as it was.

--- a/crates/core/src/planner/engine_work.rs
+++ b/crates/core/src/planner/engine_work.rs
@@ -19,12 +19,19 @@
 const HELPER_SHUN_TIME: time::Duration = time::Duration::from_millis(2_500);
 /// Paces that are believed; a report beyond them is a fault.
 const PACES: (f64, f64) = (0.5, 20.0);
+/// An engine that is slower than this is asked as often as one with work.
+const SLOW_PACE: f64 = 1.2;
 /// Requests that come and go while a report is on its way; a difference up to this says nothing.
 const REPORT_SLACK: usize = 4;
 /// The same while a first token's note is on its way: some milliseconds, where reports are some 200
 /// old.
 const NOTE_SLACK: usize = 2;
 
+/// An engine without work for so long is idle.
+const IDLE_TIME: time::Duration = time::Duration::from_secs(4);
+/// Time between two reports of an idle engine: somewhat longer than the list takes to lose one that has ended.
+const IDLE_REPORT_INTERVAL: time::Duration = time::Duration::from_secs(6);
+
 /// Time beyond an expected first token that says nothing: a pass, and the way to the planner.
 const EXPECTED_SLACK: time::Duration = time::Duration::from_millis(120);
 
@@ -76,6 +83,10 @@
     /// Refusals for want of room since the last first token there.
     pub(crate) refusals: u32,
     shunned_until: units::MonoTime,
+    /// When work was last placed here; nothing before any.
+    placed: Option<units::MonoTime>,
+    /// When it was last asked for a report.
+    asked: Option<units::MonoTime>,
     pub(crate) advanced: units::MonoTime,
 }
 
@@ -97,6 +108,8 @@
             failures: 0,
             refusals: 0,
             shunned_until: units::MonoTime::default(),
+            placed: None,
+            asked: None,
             advanced: now,
         }
     }
@@ -197,6 +210,27 @@
         self.shunned_until = self.shunned_until.max(now + HELPER_SHUN_TIME);
     }
 
+    /// Notes that work is placed here.
+    pub(crate) fn note_placed(&mut self, now: units::MonoTime) {
+        self.placed = Some(now);
+    }
+
+    /// Whether it has nothing to do and nothing to make up for, as far as is known.
+    pub(crate) fn is_idle(&self, now: units::MonoTime) -> bool {
+        let has_work = !self.answering.is_empty() || self.used > 0 || self.pass.is_some();
+        let is_doubted = self.foreign > 0 || self.failures > 0 || self.pace > SLOW_PACE;
+        let is_recent = self.placed.is_some_and(|placed| now.since(placed) < IDLE_TIME);
+        !(has_work || is_doubted || is_recent)
+    }
+
+    /// Whether it should be asked for a report now; counts it as asked then.
+    pub(crate) fn take_report_due(&mut self, now: units::MonoTime) -> bool {
+        let asked = self.asked.is_some_and(|asked| now.since(asked) < IDLE_REPORT_INTERVAL);
+        let due = !(asked && self.is_idle(now));
+        self.asked = if due { Some(now) } else { self.asked };
+        due
+    }
+
     /// Takes over what it says of itself.
     pub(crate) fn report(&mut self, pace: f64, requests: usize) {
         self.pace = pace.clamp(PACES.0, PACES.1);
--- a/crates/core/src/planner/mod.rs
+++ b/crates/core/src/planner/mod.rs
@@ -226,6 +226,11 @@
         self.table.take_suspects()
     }
 
+    /// Whether an engine should be asked for a report now: one with work at each turn, an idle one seldom.
+    pub fn take_report_due(&mut self, now: units::MonoTime, name: &ids::UpstreamId) -> bool {
+        self.options.ways.reports == ways::ReportWay::All || self.table.take_report_due(now, name)
+    }
+
     /// Takes over what an engine says of itself: its pace, above 1 when it is slower than its
     /// figures, and the requests that it runs and holds in its queue.
     ///
--- a/crates/core/src/planner/place_table/figures.rs
+++ b/crates/core/src/planner/place_table/figures.rs
@@ -68,7 +68,7 @@
         }
     }
 
-    /// The engines' work, one short text an engine, for the log.
+    /// The engines' work, one short text for each that is not idle, for the log.
     pub(crate) fn summary(&self, now: units::MonoTime) -> String {
         let row = |(name, engine): (&ids::UpstreamId, &engine_work::EngineWork)| {
             let pending = engine.unread_ms();
@@ -80,7 +80,11 @@
                 engine.pace
             )
         };
-        self.engines.iter().map(row).collect::<Vec<_>>().join("; ")
+        let (idle, busy): (Vec<_>, Vec<_>) =
+            self.engines.iter().partition(|(_, engine)| engine.is_idle(now));
+        let mut rows: Vec<_> = busy.into_iter().map(row).collect();
+        rows.push(format!("{} idle", idle.len()));
+        rows.join("; ")
     }
 
     /// All engines as they are now.
--- a/crates/core/src/planner/place_table/mod.rs
+++ b/crates/core/src/planner/place_table/mod.rs
@@ -181,6 +181,11 @@
         }
     }
 
+    /// Whether an engine should be asked for a report now.
+    pub(crate) fn take_report_due(&mut self, now: units::MonoTime, name: &ids::UpstreamId) -> bool {
+        self.engines.get_mut(name).is_some_and(|engine| engine.take_report_due(now))
+    }
+
     /// Takes over how many requests the engine of a place had as its answer began.
     pub(crate) fn note_load(&mut self, job: engine_place::JobId, requests: Option<u16>) {
         let (Some(state), Some(requests)) = (self.jobs.get(&job), requests) else {
--- a/crates/core/src/planner/place_table/occupancy.rs
+++ b/crates/core/src/planner/place_table/occupancy.rs
@@ -19,6 +19,7 @@
                 continue;
             };
             engine.advance(now);
+            engine.note_placed(now);
             if lease.reading {
                 engine.add_part(engine_work::PendingPart { job: ask.job, left_ms: part });
                 let first = time::Duration::from_millis(u64::from(grant.first_token_ms));
--- a/crates/core/src/planner/ways.rs
+++ b/crates/core/src/planner/ways.rs
@@ -118,6 +118,17 @@
     }
 }
 
+/// Which engines are asked for reports at each turn.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ReportWay {
+    /// Those with work; idle ones seldom.
+    #[default]
+    Used,
+    /// All.
+    All,
+}
+
 /// The way of each decision.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Deserialize)]
 #[serde(deny_unknown_fields, default)]
@@ -140,6 +151,8 @@
     pub retry_order: RetryOrderWay,
     /// Upstreams that have just started.
     pub cold_upstreams: cold_start::ColdUpstreamWay,
+    /// Reports of engines.
+    pub reports: ReportWay,
 }
 
 impl fmt::Display for PlannerWays {
@@ -147,7 +160,8 @@
         write!(
             f,
             "packing {:?}, engine faults {:?}, short refusal {:?}, rest return {:?}, leaving news {:?}, \
-             closed engines {:?}, load choice {:?}, retry order {:?}, cold upstreams {:?}",
+             closed engines {:?}, load choice {:?}, retry order {:?}, cold upstreams {:?}, \
+             reports {:?}",
             self.packing,
             self.engine_faults,
             self.short_refusal,
@@ -156,7 +170,8 @@
             self.closed_engines,
             self.load_choice,
             self.retry_order,
-            self.cold_upstreams
+            self.cold_upstreams,
+            self.reports
         )
     }
 }
--- a/crates/instance/src/engine_reports.rs
+++ b/crates/instance/src/engine_reports.rs
@@ -27,7 +27,10 @@
         }
         let pause = REPORT_INTERVAL / u32::try_from(engines.len()).unwrap_or(u32::MAX);
         for engine in engines {
-            monoio::spawn(report(rc::Rc::clone(&context), engine));
+            let now = context.now();
+            if context.planners.borrow_mut().take_report_due(now, &engine.name) {
+                monoio::spawn(report(rc::Rc::clone(&context), engine));
+            }
             ask_suspects(&context);
             monoio::time::sleep(pause).await;
         }
--- a/crates/instance/src/planner_set.rs
+++ b/crates/instance/src/planner_set.rs
@@ -167,6 +167,11 @@
         self.planners.values_mut().for_each(|planner| planner.shun(now, engine));
     }
 
+    /// Whether an engine should be asked for a report now.
+    pub fn take_report_due(&mut self, now: units::MonoTime, engine: &ids::UpstreamId) -> bool {
+        self.planners.values_mut().any(|planner| planner.take_report_due(now, engine))
+    }
+
     /// Takes over what an engine says of itself.
     pub fn set_report(&mut self, engine: &ids::UpstreamId, pace: f64, requests: usize) {
         let planners = self.planners.values_mut();
