The pause between changes of the store follows the time in which they must be in force

Cause: each change of the store wakes every watcher, ten in five data centres; the pause that joins changes in quick succession was 150 ms, right for a bound of 2 s.

Change: 7.5 in 100 of the bound for leaving upstreams: 150 ms at 2 s as before, 225 at 3 s, 375 at 5 s.

--- a/crates/instance/src/store_feed.rs
+++ b/crates/instance/src/store_feed.rs
@@ -9,9 +9,9 @@
 
 /// Spread of pauses behind failures, so that members do not return together.
 const RETRY_SPREAD: std::ops::Range<f64> = 0.7..1.3;
-/// Pause between two watches that brought something, so that changes in quick succession cost
-/// one call; well under the time within which changes must be in force.
-const CHANGE_PAUSE: time::Duration = time::Duration::from_millis(150);
+/// Pause between two watches that brought something, so that changes in quick succession cost one call: a share
+/// of the time within which a leaving upstream gets no more work.
+const CHANGE_PART: f64 = 0.075;
 /// First pause after a failure; doubles up to [`MAX_RETRY_PAUSE`].
 const RETRY_PAUSE: time::Duration = time::Duration::from_millis(100);
 /// Longest pause after failures: the store's return is noticed within it.
@@ -152,7 +152,7 @@
             let own = context.versions().list;
             context.belief.borrow_mut().refute_list(own, asked);
         } else {
-            monoio::time::sleep(CHANGE_PAUSE).await;
+            monoio::time::sleep(context.settings().bounds.leave.0.mul_f64(CHANGE_PART)).await;
         }
     }
 }
