--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -44,6 +44,7 @@
 pub mod return_line;
 pub mod route_table;
 pub mod routing;
+pub mod search_budget;
 pub mod send_counts;
 pub mod send_leave;
 pub mod send_pace;
--- a/crates/core/src/membership/mod.rs
+++ b/crates/core/src/membership/mod.rs
@@ -24,8 +24,8 @@
 /// Addresses named at once to a member that knows few: 7 bytes each, so that the datagram is not
 /// split on its way.
 const WELCOME_MEMBERS: usize = 160;
-/// Addresses heard of that are remembered, some three times the largest fleet planned for.
-const MAX_HEARSAY: usize = 1_024;
+/// Addresses heard of that are remembered: twice the members of the largest fleet planned for, some 40 bytes each.
+const MAX_HEARSAY: usize = 2_400;
 /// Members of a data centre that watch the platform's store in a large fleet: one more than needed,
 /// so that the loss of one is not noticed.
 const WATCHERS: usize = 2;
--- a/crates/instance/src/cell_search.rs
+++ b/crates/instance/src/cell_search.rs
@@ -6,12 +6,8 @@
 
 use crate::{context, incoming_call, plan_client};
 
-/// Cells asked for a place: one that is full and another, drawn. More would multiply the questions of a
-/// flood.
-const MAX_CELLS: usize = 2;
-
-/// Asks for a place in one cell of the service's engines, and in another where that one refuses: its
-/// engines may be full while others are not. The refusal is that with the sooner time to come back.
+/// Asks for a place in one cell of the service's engines, and in others where that one refuses: its engines may be
+/// full while others are not. The refusal is that with the soonest time to come back.
 pub(crate) async fn place(
     context: &rc::Rc<context::InstanceContext>,
     call: &incoming_call::IncomingCall,
@@ -22,7 +18,8 @@
     let asked = context.now();
     let mut refused = Vec::new();
     let mut best: Option<engine_place::PlaceRefusal> = None;
-    while refused.len() < MAX_CELLS
+    context.search.borrow_mut().note_request();
+    while context.search.borrow_mut().take(refused.len())
         && let Some(planner) = context.pick_planner(&call.service, turn, &refused)
     {
         let spent = context.now().since(asked);
--- a/crates/instance/src/context.rs
+++ b/crates/instance/src/context.rs
@@ -5,8 +5,8 @@
 use futures::{channel::mpsc, channel::oneshot, future};
 use slipturn_core::{
     class_worth, connection_share, engine_place, failure_detector, fleet_budget, ids, member_beat,
-    membership, planner, planner_key, quarantine, rendezvous, send_counts, send_permit,
-    store_belief, units,
+    membership, planner, planner_key, quarantine, rendezvous, search_budget, send_counts,
+    send_permit, store_belief, units,
 };
 use slipturn_net::process;
 
@@ -67,6 +67,8 @@
     pub leases: cell::RefCell<collections::HashMap<engine_place::JobId, HeldLease>>,
     /// The other member that last planned for a key, as this process sees it.
     pub planned_by: cell::RefCell<collections::BTreeMap<planner_key::PlannerKey, ids::InstanceId>>,
+    /// Cells that requests may ask beyond the first ones.
+    pub search: cell::RefCell<search_budget::SearchBudget>,
     /// Requests waiting for a grant.
     pub grants: cell::RefCell<collections::HashMap<engine_place::JobId, peer_message::ReplySender>>,
     /// Retries of this process by service.
@@ -164,6 +166,7 @@
             classes: cell::RefCell::default(),
             leases: cell::RefCell::default(),
             planned_by: cell::RefCell::default(),
+            search: cell::RefCell::default(),
             grants: cell::RefCell::default(),
             retries: cell::RefCell::default(),
             pool: upstream_pool::UpstreamPool::default(),
