--- a/crates/core/src/upstream_notice.rs
+++ b/crates/core/src/upstream_notice.rs
@@ -23,8 +23,9 @@
 const RETURN_TIME: time::Duration = time::Duration::from_secs(10);
 /// How long behind the end of a limit words on it may come that were given before.
 const ENDED_LIMIT_MEMORY: time::Duration = time::Duration::from_secs(30);
-/// Starts of which words are kept at most, some 100 bytes each: twice the upstreams of a fleet with 2,000.
-const MAX_NOTICES: usize = 4_096;
+/// Starts of which words are kept at most, some 100 bytes each: those of a fleet with 2,000 upstreams that all say
+/// something at once. Beyond that the oldest are forgotten, and learned anew from the next answer.
+const MAX_NOTICES: usize = 2_048;
 
 /// Who said it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
