--- a/crates/compare/src/planner_cost.rs
+++ b/crates/compare/src/planner_cost.rs
@@ -53,7 +53,7 @@
 fn planner_row() -> planned_size::CostRow {
     let mut view = membership::MemberView::new(name("m", 0), Vec::new());
     for number in 1..MEMBERS {
-        view.hear(at(0), beat(number));
+        view.receive(at(0), beat(number));
     }
     let own = beat(0);
     let service = name("s", 1);
--- a/crates/compare/src/policy_run.rs
+++ b/crates/compare/src/policy_run.rs
@@ -388,7 +388,7 @@
             time_left: true,
         };
         let router = &mut self.entries[open.entry];
-        router.shun(self.now, engine);
+        router.eject(self.now, engine);
         if router.ask_retry(self.now, question) != retry::RetryVerdict::Retry {
             self.fail(attempt);
             return;
--- a/crates/core/src/connection_silence.rs
+++ b/crates/core/src/connection_silence.rs
@@ -84,7 +84,11 @@
 
     /// Whether one of `others` was open all the time in which this one may have fallen silent, and
     /// was heard late in the wait: whatever struck this one has spared that one.
-    pub fn spared(&self, waited: time::Duration, mut others: impl Iterator<Item = Self>) -> bool {
+    pub fn reserved_part(
+        &self,
+        waited: time::Duration,
+        mut others: impl Iterator<Item = Self>,
+    ) -> bool {
         let silent = self.silent();
         others.any(|other| other.opened >= silent && other.trusted(waited))
     }
@@ -128,7 +132,7 @@
         if silent.heard.is_none() {
             return Self::Upstream;
         }
-        if silent.spared(waited, others) {
+        if silent.reserved_part(waited, others) {
             return Self::SlowUpstream;
         }
         match moment {
@@ -143,7 +147,7 @@
     }
 
     /// Its name in figures and log lines.
-    pub fn word(self) -> &'static str {
+    pub fn label(self) -> &'static str {
         match self {
             Self::KeptConnection => "kept connection",
             Self::OpenConnection => "open connection",
--- a/crates/core/src/engine_place.rs
+++ b/crates/core/src/engine_place.rs
@@ -164,5 +164,5 @@
     /// The attempt is over, or waits no longer.
     Ended(JobId, PlaceEnd),
     /// An engine has failed, or refused as another's cause.
-    Shun(ids::UpstreamId),
+    Eject(ids::UpstreamId),
 }
--- a/crates/core/src/entry_router.rs
+++ b/crates/core/src/entry_router.rs
@@ -80,14 +80,14 @@
     retries: retry::RetryBudget,
     own: collections::HashMap<ids::EngineId, OwnLoad>,
     /// Engines that refused as leaving, until the list or their scheduler says otherwise.
-    shunned: collections::HashMap<ids::EngineId, units::MonoTime>,
+    ejected: collections::HashMap<ids::EngineId, units::MonoTime>,
     /// Invariant: at most [`MAX_AFFINITY`] prefixes.
     affinity: collections::HashMap<u64, ids::EngineId>,
     random: rand_chacha::ChaCha8Rng,
 }
 
 /// How long an engine that refused or broke is left out of the sample.
-const SHUN_TIME: time::Duration = time::Duration::from_secs(3);
+const EJECTION_TIME: time::Duration = time::Duration::from_secs(3);
 
 impl EntryRouter {
     /// A router that knows neither settings nor fleet yet.
@@ -109,7 +109,7 @@
             purse: budget::BudgetPurse::default(),
             retries: retry::RetryBudget::new(fleet.retry_share),
             own: collections::HashMap::new(),
-            shunned: collections::HashMap::new(),
+            ejected: collections::HashMap::new(),
             affinity: collections::HashMap::new(),
             random: rand_chacha::ChaCha8Rng::seed_from_u64(seed),
         }
@@ -285,7 +285,7 @@
         prefix: u64,
         tried: &[ids::EngineId],
     ) -> Vec<engine_directory::EngineTarget> {
-        self.shunned.retain(|_, until| *until > now);
+        self.ejected.retain(|_, until| *until > now);
         let warm = self.affinity.get(&prefix).cloned();
         let sampled = self.policy.wants_offers();
         let long = sampled && question.prompt > fleet.long_tokens;
@@ -293,11 +293,11 @@
         let share = if long { fleet.long_engines.factor() } else { 1.0 };
         let eligible = directory.share_of(&question.model, share);
         let untried = eligible.into_iter().filter(|engine| !tried.contains(&engine.name));
-        let (shunned, mut open): (Vec<_>, Vec<_>) =
-            untried.partition(|engine| self.shunned.contains_key(&engine.name));
+        let (ejected, mut open): (Vec<_>, Vec<_>) =
+            untried.partition(|engine| self.ejected.contains_key(&engine.name));
         if open.is_empty() {
             // One that failed a moment ago is better than none.
-            open = shunned;
+            open = ejected;
         }
         if sampled {
             let count = if long { fleet.long_candidates } else { fleet.candidates };
@@ -375,8 +375,8 @@
     }
 
     /// Leaves an engine out for a while after it refused or broke.
-    pub fn shun(&mut self, now: units::MonoTime, engine: &ids::EngineId) {
-        self.shunned.insert(engine.clone(), now + SHUN_TIME);
+    pub fn eject(&mut self, now: units::MonoTime, engine: &ids::EngineId) {
+        self.ejected.insert(engine.clone(), now + EJECTION_TIME);
     }
 
     /// Decides on another attempt.
@@ -414,7 +414,7 @@
     pub fn tick(&mut self, now: units::MonoTime) {
         self.wake.notice(now);
         self.purse.prune(now);
-        self.shunned.retain(|_, until| *until > now);
+        self.ejected.retain(|_, until| *until > now);
     }
 
     fn directory(&self) -> engine_directory::EngineDirectory<'_> {
--- a/crates/core/src/failure_detector.rs
+++ b/crates/core/src/failure_detector.rs
@@ -227,7 +227,7 @@
     }
 
     /// Takes in a message of another member.
-    pub fn hear(
+    pub fn receive(
         &mut self,
         now: units::MonoTime,
         from: net::SocketAddrV4,
@@ -237,7 +237,7 @@
             ProbeMessage::Ping(number) => {
                 vec![DetectorAction::Send(from, ProbeMessage::Ack(number))]
             }
-            ProbeMessage::Ack(number) => self.hear_ack(now, from, number),
+            ProbeMessage::Ack(number) => self.receive_ack(now, from, number),
             ProbeMessage::AckFor(target) => self.note_answer(now, target),
             ProbeMessage::PingFor(target) => {
                 self.number += 1;
@@ -251,7 +251,7 @@
     }
 
     /// Takes in that another member suspects one; whether that is news here. Monitors that know better say so.
-    pub fn hear_suspect(
+    pub fn receive_suspect(
         &mut self,
         now: units::MonoTime,
         report: SuspectReport,
@@ -301,7 +301,7 @@
         true
     }
 
-    fn hear_ack(
+    fn receive_ack(
         &mut self,
         now: units::MonoTime,
         from: net::SocketAddrV4,
--- a/crates/core/src/fair_queue.rs
+++ b/crates/core/src/fair_queue.rs
@@ -83,9 +83,9 @@
         first.map(|index| self.take(index))
     }
 
-    /// Removes all items for which `leaves` holds.
-    pub fn remove_where(&mut self, mut leaves: impl FnMut(&T) -> bool) -> Vec<QueueItem<T>> {
-        let (gone, kept) = self.items.drain(..).partition(|item| leaves(&item.payload));
+    /// Removes all items for which `permits` holds.
+    pub fn remove_where(&mut self, mut permits: impl FnMut(&T) -> bool) -> Vec<QueueItem<T>> {
+        let (gone, kept) = self.items.drain(..).partition(|item| permits(&item.payload));
         self.items = kept;
         self.advance_clock();
         gone
--- a/crates/core/src/fleet_budget.rs
+++ b/crates/core/src/fleet_budget.rs
@@ -1,24 +1,22 @@
-//! The retries that all members together may make, and this member's own share of them.
+//! The retry budget of the fleet and this member's share of it.
 //!
-//! The bound grows with the requests of all, so what each member's own requests add is its own to use. What goes beyond
-//! that is one number for all: a part of it is split evenly, for members that reach nobody, and the rest is given
-//! by the member that keeps it, to those that need it.
+//! The budget grows with the requests of all members, so each may use what its own requests add. The fixed part is a
+//! shared quota: one part is split evenly, for members that reach nobody, and the rest is granted by its coordinator.
 
 use std::{collections, time};
 
 use crate::{send_pace, units};
 
-/// Part of the bound that own requests add to it which is used; the rest is for views that differ.
+/// Part of the budget added by own requests that is used; the rest absorbs differing views.
 const USED_PART: f64 = 0.6;
-/// Part of the number for all that is split evenly among the members: where these are cut in halves that take each
-/// other for gone, it is used twice.
+/// Part of the fixed quota that is split evenly. Halves of a partitioned fleet that forget each other use it twice.
 const SPLIT_PART: f64 = 0.3;
-/// Part of that number which its keeper gives; used twice behind a cut, too.
+/// Part of the fixed quota that its coordinator grants; also used twice after a partition.
 const KEPT_PART: f64 = 0.2;
-/// The same where there are so many members that no split share is a whole retry.
+/// The same in fleets so large that a split share is less than one retry.
 const KEPT_ALONE_PART: f64 = SPLIT_PART + KEPT_PART;
 
-/// The fleet's bound on retries to one service.
+/// The fleet's retry budget for one service.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct RetryBound {
     /// Retries for each request.
@@ -30,25 +28,25 @@
 }
 
 impl RetryBound {
-    /// What the keeper gives, of which `part` is its own to give, where it knows how many `members` there are: half of
-    /// it at once, the rest as time goes by, so that no window has more than the whole.
+    /// The coordinator's token bucket for its `part` of the quota. Half of it is available at once and the rest over
+    /// time, so that no window exceeds the quota.
     pub fn kept(&self, part: f64, members: Option<usize>) -> send_pace::PaceBound {
         let is_split = members.is_none_or(|members| self.split(members) >= 1.0);
         let kept = if is_split { KEPT_PART } else { KEPT_ALONE_PART };
         let most = self.extra * kept * part.clamp(0.0, 1.0);
         let rate = most / 2.0 / self.window.as_secs_f64();
         let rate = units::RequestRate::try_from(rate).unwrap_or_default();
-        // A keeper that changes a few times within a window still gives less than is left of the whole.
+        // A coordinator that changes a few times within a window grants less than the remainder of the quota.
         send_pace::PaceBound { rate, catch_up: self.window, credit: self.window / 2 }
     }
 
-    /// Each member's share of what is split among so many.
+    /// Each member's share of the evenly split part.
     fn split(&self, members: usize) -> f64 {
         self.extra * SPLIT_PART / members.max(1) as f64
     }
 }
 
-/// Retries and requests of this member in the window.
+/// Recent requests and retries of this member.
 #[derive(Debug)]
 pub struct RetryShare {
     bound: RetryBound,
@@ -72,8 +70,8 @@
         self.requests.push_back(now);
     }
 
-    /// Takes one retry, if this member's share has one left. While the `members` are not known it has what its own
-    /// requests add and no more: however many there are, all may be as unsure.
+    /// Takes one retry from this member's share. While the number of `members` is unknown the share is what its own
+    /// requests add, as all members may be in the same state.
     pub fn take(&mut self, now: units::MonoTime, members: Option<usize>) -> bool {
         self.prune(now);
         let split = members.map_or(0.0, |members| self.bound.split(members));
--- a/crates/core/src/gossip.rs
+++ b/crates/core/src/gossip.rs
@@ -1,48 +1,46 @@
-//! To whom a member tells news that must reach all: lost datagrams, starts, pauses and cuts between members
-//! included.
+//! Targets of gossip rounds.
 //!
-//! Whoever finds something out tells all at once, and each repeats what it knows to some others a second; who
-//! may have missed something asks some. The first telling reaches nearly all at once, and repeats those whose
-//! datagram was lost.
+//! A member that learns of a change broadcasts it, and each member repeats what it knows to a few random ones each second.
+//! A member that may have missed something requests the state of a few. The broadcast reaches nearly all; the rounds
+//! repair lost datagrams, starts, pauses and cuts.
 
 use std::time;
 
 use rand::seq::IteratorRandom as _;
 
-/// Time between two repeats of what is known.
+/// Time between two rounds.
 pub const REPEAT_INTERVAL: time::Duration = time::Duration::from_secs(1);
-/// Members that are asked by one that may have missed something.
-const ASKED: usize = 3;
-/// Members to which each repeats what it knows: with fewer the last of a large fleet hears of an upstream that leaves
-/// only when that has ended.
-const REPEATED: usize = 3;
+/// Members asked for their state by one that may have missed something.
+const REQUESTED_MEMBERS: usize = 3;
+/// Fan-out of a round. With less, the last member of a large fleet learns of a leaving upstream after its end.
+const REPEATED_MEMBERS: usize = 3;
 
-/// Why a member tells or asks others.
+/// What triggers a round.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum SpreadCause {
-    /// It has found something out itself.
+pub enum GossipCause {
+    /// A change learned first-hand.
     Found,
-    /// It repeats what it knows.
+    /// The periodic round.
     Repeat,
-    /// It has just woken: it asks.
+    /// The end of a pause of this process.
     Woke,
 }
 
-/// Those of the members believed alive that are told, or asked.
+/// Targets among the live members.
 pub fn targets<T>(
-    cause: SpreadCause,
+    cause: GossipCause,
     alive: impl Iterator<Item = T>,
     random: &mut impl rand::Rng,
 ) -> Vec<T> {
     match cause {
-        SpreadCause::Found => alive.collect(),
-        SpreadCause::Repeat => alive.sample(random, REPEATED),
-        SpreadCause::Woke => alive.sample(random, ASKED),
+        GossipCause::Found => alive.collect(),
+        GossipCause::Repeat => alive.sample(random, REPEATED_MEMBERS),
+        GossipCause::Woke => alive.sample(random, REQUESTED_MEMBERS),
     }
 }
 
-/// Members met within one second, of which so many were asked: all are met at once behind a start and behind a
-/// cut; whether the next one is asked.
-pub fn asks_met(asked: usize) -> bool {
-    asked < ASKED
+/// Whether to request the state of a newly met member, after `asked` such requests within this second: after a start
+/// or a cut all members are met at once.
+pub fn requests_from_met(asked: usize) -> bool {
+    asked < REQUESTED_MEMBERS
 }
--- a/crates/core/src/membership/contact.rs
+++ b/crates/core/src/membership/contact.rs
@@ -1,45 +1,43 @@
-//! Whom this process reaches and hears: calls that stay unanswered, and its part of the members.
+//! Contact with members: unanswered calls, suspicions, and the part of the fleet in contact.
 
 use std::{net, sync, time};
 
 use crate::{failure_detector, ids, membership, units};
 
-/// Time within which a silent member must be known as that. Where heartbeats take longer to show it, members are
-/// probed.
+/// Time within which a silent member must be suspected. Members are probed where heartbeats take longer.
 const SUSPECT_TIME: time::Duration = time::Duration::from_secs(3);
 
 impl membership::MemberView {
-    /// Part of the members that this process hears: what each side of a cut may use of what all share.
-    ///
-    /// Members that have said that they leave are in neither count: they are missed by plan.
+    /// Part of the members in contact, which is this side's part of a quota during a partition. Members that are leaving by
+    /// plan are not counted.
     pub fn seen_part(&self, now: units::MonoTime) -> f64 {
         let limit = self.beat_interval() * membership::SUSPECT_BEATS;
         let staying = || self.members.values().filter(|member| !member.beat.leaving);
-        let is_heard = |member: &&membership::MemberState| {
-            member.is_heard(now, limit) && member.unanswered < membership::MAX_UNANSWERED
+        let is_live = |member: &&membership::MemberState| {
+            member.is_live(now, limit) && member.unanswered < membership::MAX_UNANSWERED
         };
-        let heard = staying().filter(is_heard).count();
+        let heard = staying().filter(is_live).count();
         (heard + 1) as f64 / (staying().count() + 1) as f64
     }
 
-    /// Whether a member has been heard behind a moment.
-    pub fn heard_since(&self, name: &ids::InstanceId, at: units::MonoTime) -> bool {
+    /// Whether there was a sign of life of a member after `at`.
+    pub fn seen_since(&self, name: &ids::InstanceId, at: units::MonoTime) -> bool {
         self.members.get(name).is_some_and(|member| member.heard > at)
     }
 
-    /// The member whose start this is.
+    /// The member with this boot number.
     pub fn name_of_boot(&self, boot: u64) -> Option<&ids::InstanceId> {
         self.by_boot.get(&boot)
     }
 
-    /// Notes that a member left a call unanswered.
+    /// Records an unanswered call.
     pub fn unanswered(&mut self, name: &ids::InstanceId) {
         if let Some(member) = self.members.get_mut(name) {
             member.unanswered += 1;
         }
     }
 
-    /// Notes that a member answered a call.
+    /// Records an answered call.
     pub fn answered(&mut self, now: units::MonoTime, name: &ids::InstanceId) {
         if let Some(member) = self.members.get_mut(name) {
             member.unanswered = 0;
@@ -48,12 +46,12 @@
         }
     }
 
-    /// Whether there are so many members that heartbeats alone would show a silent one too late.
+    /// Whether heartbeats alone would show a silent member too late.
     pub fn needs_probes(&self) -> bool {
         self.beat_interval() * membership::SUSPECT_BEATS > SUSPECT_TIME
     }
 
-    /// The other members as the failure detector sees them, but for those that leave by plan.
+    /// The ring of the failure detector: all members but those that are leaving by plan.
     pub fn ring(&self) -> sync::Arc<[failure_detector::RingMember]> {
         let staying = self.members.values().filter(|member| !member.beat.leaving);
         let mut ring: Vec<_> = staying
@@ -67,8 +65,8 @@
         ring.into()
     }
 
-    /// Takes in whether a start of a member is suspected; one that was heard within `silent` is not. Returns
-    /// whether that holds now.
+    /// Sets or clears the suspicion of a member. A sign of life within `silent` prevents it. Returns whether the member is
+    /// suspected now.
     pub fn set_suspected(
         &mut self,
         now: units::MonoTime,
@@ -87,11 +85,10 @@
         member.suspected
     }
 
-    /// Members that left calls unanswered and have not been heard since: they should be asked again and
-    /// again whether they are back.
+    /// Members with unanswered calls and no sign of life since, to be probed for their return.
     ///
-    /// By heartbeats alone, seconds apart in a large fleet, each learns at another moment that a cut has healed,
-    /// and two members plan for the same engines meanwhile: one takes engines for idle that the other has filled.
+    /// Heartbeats alone would show the end of a partition to each member at another time, and two members would plan for
+    /// the same engines meanwhile.
     pub fn silent(&self) -> Vec<net::SocketAddrV4> {
         let silent =
             self.members.values().filter(|member| member.unanswered >= membership::MAX_UNANSWERED);
--- a/crates/core/src/membership/mod.rs
+++ b/crates/core/src/membership/mod.rs
@@ -1,8 +1,7 @@
-//! Which other instances are there, from what they say of themselves.
+//! Membership: the other instances, as their heartbeats describe them.
 //!
-//! Every member repeats a heartbeat to the others. A member that is silent is suspected, then
-//! forgotten; one that starts again has another boot number. Views differ for moments: nothing
-//! that must hold rests on them.
+//! Each member sends heartbeats to all others. A silent member is suspected, and removed later; a restarted one has another
+//! boot number. Views may differ for a while, and no guarantee depends on their agreement.
 
 mod contact;
 
@@ -10,89 +9,84 @@
 
 use crate::{ids, member_beat, planner_key, rendezvous, store_belief, units};
 
-/// Heartbeats of a small fleet are this far apart.
+/// Interval between heartbeats in a small fleet.
 const BEAT_INTERVAL: time::Duration = time::Duration::from_millis(200);
-/// Members up to which the interval stays the same; beyond, it grows with their number, so that
-/// what one member sends and hears a second stays the same.
+/// Members up to which that interval holds. It grows beyond, so that the heartbeats of a member a second stay constant.
 const BEAT_MEMBERS: u32 = 12;
-/// Heartbeats missed before a member is suspected.
+/// Missed heartbeats until a member is suspected.
 const SUSPECT_BEATS: u32 = 4;
-/// Heartbeats missed before a member is forgotten.
+/// Missed heartbeats until a member is removed.
 const FORGET_BEATS: u32 = 40;
-/// Addresses of others named in one heartbeat.
+/// Addresses of other members in a heartbeat.
 const NAMED_MEMBERS: usize = 4;
-/// Addresses named at once to a member that knows few: 7 bytes each, so that the datagram is not
-/// split on its way.
+/// Addresses in a reply to a member that knows few; 7 bytes each, to keep the datagram unfragmented.
 const WELCOME_MEMBERS: usize = 160;
-/// Addresses heard of that are remembered: twice the members of the largest fleet planned for, some 40 bytes each.
+/// Most addresses kept of members not met yet: twice the largest planned fleet, some 40 bytes each.
 const MAX_HEARSAY: usize = 2_400;
-/// Members of a data centre that watch the platform's store in a large fleet: one more than needed,
-/// so that the loss of one is not noticed.
+/// Members of a data centre that watch the store in a large fleet; one of them is redundant.
 const WATCHERS: usize = 2;
-/// Data centres with fewer other members than this have all of them watch.
+/// With fewer other members in its data centre, each member watches the store.
 const SMALL_DATA_CENTER: usize = 4;
-/// Time after which the next member in order takes a missing watcher's part.
+/// Delay until the next member in order replaces a missing watcher.
 const TAKE_OVER_STEP: time::Duration = time::Duration::from_millis(120);
-/// Time after which any member does: by then twelve before it have tried.
+/// Longest such delay.
 const TAKE_OVER_LIMIT: time::Duration = time::Duration::from_millis(1_500);
-/// The same for a member whose last try has failed, for each one before it in order: while the store is
-/// away for all, those first in order go on asking and the others ask ever more seldom, so that their calls do
-/// not grow with the number of instances.
+/// The delay for a member whose last attempt failed. While the store is down for all, the first in order keep trying
+/// and the others back off, so that the calls do not grow with the fleet.
 const FAILED_STEP: time::Duration = time::Duration::from_millis(400);
-/// Longest time until a member tries again, whatever the others do.
+/// Longest such delay after a failure.
 const FAILED_LIMIT: time::Duration = time::Duration::from_secs(10);
-/// Calls in a row left unanswered that make a member unfit to plan.
+/// Unanswered calls in a row that exclude a member from planning.
 const MAX_UNANSWERED: u32 = 2;
-/// A member this young is not asked to plan: it does not know yet what the engines are doing.
+/// Least age of a planner: a younger member does not know the load of the engines yet.
 const PLANNER_AGE: time::Duration = time::Duration::from_millis(1_200);
 
-/// Time without a new member after which a starting process believes to know all.
+/// Time without a new member after which a starting process assumes to know all.
 const SETTLE_TIME: time::Duration = time::Duration::from_millis(80);
-/// Time after which a process that nobody has answered believes to be alone: the platform starts all
-/// within 0.3 s, those that are asked first among them.
+/// Time without any reply after which a starting process assumes to be alone.
 const LONE_TIME: time::Duration = time::Duration::from_millis(350);
 
 #[derive(Debug)]
 struct MemberState {
     beat: member_beat::MemberBeat,
-    /// Hash of the name: members differ in their order for each planner's key.
+    /// Hash of the name, for the order of members by key.
     hash: u64,
     heard: units::MonoTime,
-    /// Unanswered calls since it was last heard.
+    /// Unanswered calls since its last sign of life.
     unanswered: u32,
-    /// Whether the failure detector suspects it; ends with the first sign of life.
+    /// Whether the failure detector suspects it; reset by any sign of life.
     suspected: bool,
 }
 
 impl MemberState {
-    /// Whether it was heard within `limit`, and is not suspected since.
-    fn is_heard(&self, now: units::MonoTime, limit: time::Duration) -> bool {
+    /// Whether there was a sign of life within `limit` and no suspicion since.
+    fn is_live(&self, now: units::MonoTime, limit: time::Duration) -> bool {
         !self.suspected && now.since(self.heard) <= limit
     }
 }
 
-/// The other members as this process believes them.
+/// This process's view of the other members.
 #[derive(Debug)]
 pub struct MemberView {
     own: ids::InstanceId,
     members: collections::BTreeMap<ids::InstanceId, MemberState>,
-    /// The members by their starts; holds just what `members` says.
+    /// Index of `members` by boot number.
     by_boot: collections::HashMap<u64, ids::InstanceId>,
-    /// The members by their addresses; holds just what `members` says.
+    /// Index of `members` by address.
     by_address: collections::HashMap<net::SocketAddrV4, ids::InstanceId>,
-    /// Addresses heard of, not yet heard from.
+    /// Addresses of members not met yet, and when each was learned.
     hearsay: collections::BTreeMap<net::SocketAddrV4, units::MonoTime>,
-    /// Those of them that nothing has been said to yet.
+    /// Those of them that have not been contacted.
     unmet: Vec<net::SocketAddrV4>,
     seeds: Vec<net::SocketAddrV4>,
-    /// Most members alive at once since the start, this one included.
+    /// Most live members since the start, this one included.
     most: usize,
-    /// When a member was last heard for the first time; nothing before any.
+    /// When the last new member was met.
     grown: Option<units::MonoTime>,
 }
 
 impl MemberView {
-    /// A view that knows only where to start asking.
+    /// An empty view with seeds.
     pub fn new(own: ids::InstanceId, seeds: Vec<net::SocketAddrV4>) -> Self {
         Self {
             own,
@@ -107,23 +101,23 @@
         }
     }
 
-    /// Replaces the addresses to start asking at.
+    /// Replaces the seeds.
     pub fn set_seeds(&mut self, seeds: Vec<net::SocketAddrV4>) {
         self.seeds = seeds;
     }
 
-    /// Time between two heartbeats.
+    /// Interval between heartbeats.
     pub fn beat_interval(&self) -> time::Duration {
         Self::beat_interval_of(self.members.len() + 1)
     }
 
-    /// Time between two heartbeats of each of so many members.
+    /// Interval between heartbeats in a fleet of `members`.
     pub fn beat_interval_of(members: usize) -> time::Duration {
         let members = u32::try_from(members).unwrap_or(u32::MAX);
         BEAT_INTERVAL * members.div_ceil(BEAT_MEMBERS).max(1)
     }
 
-    /// Whom to send the next heartbeat to.
+    /// Targets of the next heartbeat.
     pub fn targets(&self, own: net::SocketAddrV4) -> Vec<net::SocketAddrV4> {
         let known = self.members.values().map(|member| member.beat.address);
         let mut targets: Vec<_> =
@@ -134,7 +128,7 @@
         targets
     }
 
-    /// Some addresses to name in a heartbeat; others each time.
+    /// Addresses to include in a heartbeat, in rotation.
     pub fn named(&self, sequence: u64) -> Vec<net::SocketAddrV4> {
         let addresses = self.addresses();
         let count = addresses.len();
@@ -142,9 +136,8 @@
         addresses.iter().cycle().skip(start).take(NAMED_MEMBERS.min(count)).copied().collect()
     }
 
-    /// All addresses in portions, for a member whose heartbeat shows that it knows few; nothing
-    /// for others. So whoever starts is known to all after one exchange with one of them, also
-    /// where all start at once and heartbeats are seconds apart.
+    /// All known addresses in chunks, for a member whose heartbeat shows that it knows few; empty for others. A starting
+    /// member is known to all after one exchange, however long the heartbeat interval is.
     pub fn welcome(&self, beat: &member_beat::MemberBeat) -> Vec<Vec<net::SocketAddrV4>> {
         if beat.others.len() >= NAMED_MEMBERS {
             return Vec::new();
@@ -154,7 +147,7 @@
         addresses.chunks(WELCOME_MEMBERS).map(<[_]>::to_vec).collect()
     }
 
-    /// Addresses heard of since the last call, to say something to at once.
+    /// Takes the addresses to contact first.
     pub fn take_unmet(&mut self, own: net::SocketAddrV4) -> Vec<net::SocketAddrV4> {
         let mut unmet = std::mem::take(&mut self.unmet);
         unmet.retain(|address| *address != own);
@@ -166,8 +159,8 @@
         known.chain(self.hearsay.keys().copied()).collect()
     }
 
-    /// Takes a heartbeat in; returns whether its member was not known before, or started again.
-    pub fn hear(&mut self, now: units::MonoTime, beat: member_beat::MemberBeat) -> bool {
+    /// Applies a heartbeat; returns whether its member is new or restarted.
+    pub fn receive(&mut self, now: units::MonoTime, beat: member_beat::MemberBeat) -> bool {
         if beat.name == self.own {
             return false;
         }
@@ -217,8 +210,8 @@
         }
     }
 
-    /// Takes in a heartbeat of a member that was heard before; `false` where it was not.
-    pub fn hear_alive(&mut self, now: units::MonoTime, alive: &member_beat::AliveBeat) -> bool {
+    /// Applies a short heartbeat; returns whether its member is known.
+    pub fn receive_alive(&mut self, now: units::MonoTime, alive: &member_beat::AliveBeat) -> bool {
         let name = self.by_boot.get(&alive.boot);
         let Some(member) = name.and_then(|name| self.members.get_mut(name)) else {
             return false;
@@ -240,12 +233,12 @@
         true
     }
 
-    /// Whether a member with this address was heard.
+    /// Whether a member has this address.
     pub fn knows(&self, address: net::SocketAddrV4) -> bool {
         self.by_address.contains_key(&address)
     }
 
-    /// Forgets members that have been silent for long, and names them.
+    /// Removes members that have been silent for long, and returns them.
     pub fn tick(&mut self, now: units::MonoTime) -> Vec<ids::InstanceId> {
         let limit = self.beat_interval() * FORGET_BEATS;
         self.hearsay.retain(|_, since| now.since(*since) < limit);
@@ -259,20 +252,17 @@
         silent
     }
 
-    /// Members that were heard lately.
+    /// Live members.
     pub fn alive(&self, now: units::MonoTime) -> impl Iterator<Item = &member_beat::MemberBeat> {
         let limit = self.beat_interval() * SUSPECT_BEATS;
         self.members
             .values()
-            .filter(move |member| member.is_heard(now, limit))
+            .filter(move |member| member.is_live(now, limit))
             .map(|member| &member.beat)
     }
 
-    /// Whether a process that started at time 0 knows how large the fleet is, as far as members can tell
-    /// it: members that start together greet each other within some hundred milliseconds, and none was
-    /// new for a while.
-    ///
-    /// Before that each takes its data centre for a small one, and would ask the platform's store itself.
+    /// Whether a process that started at time 0 knows the size of the fleet: members that start together meet within some
+    /// hundred milliseconds. Before that each would consider its data centre a small one and watch the store.
     pub fn is_settled(&self, now: units::MonoTime) -> bool {
         match self.grown {
             Some(grown) => now.since(grown) >= SETTLE_TIME,
@@ -280,15 +270,14 @@
         }
     }
 
-    /// Members believed to exist, this one included, alive or silent for moments only.
+    /// Estimated number of members, this one included and briefly silent ones as well.
     pub fn size(&self) -> usize {
         (self.members.len() + 1).max(self.most.div_ceil(2))
     }
 
-    /// The member that plans for a cell of engines; `None` when that is this process.
+    /// The member that plans for a cell of engines; `None` for this process.
     ///
-    /// Members that know what the engines are doing go first; where all have just started, one of
-    /// them is still better than each for itself. Then more processor, then the name's hash.
+    /// Prefers members that know the load of the engines, then those with more processor, then by hash.
     pub fn planner(
         &self,
         now: units::MonoTime,
@@ -301,7 +290,7 @@
             beat.routes > 0
                 && !beat.leaving
                 && member.unanswered < MAX_UNANSWERED
-                && member.is_heard(now, limit)
+                && member.is_live(now, limit)
         };
         let others = self.members.values().filter(fit).map(|member| (&member.beat, member.hash));
         let me = Some((own, rendezvous::stable_hash(&[own.name.as_str()])));
@@ -314,8 +303,8 @@
         (best.name != own.name).then(|| best.clone())
     }
 
-    /// Members that know the newest routes, where these are newer than `version`: those of this
-    /// data centre, or any. Whoever asks should pick one at random, as many ask at once.
+    /// Members with the newest routes beyond `version`, in this data centre or else in any. Callers should pick one at
+    /// random, as many ask at once.
     pub fn routes_sources(
         &self,
         now: units::MonoTime,
@@ -325,8 +314,8 @@
         self.sources(now, near, version, |beat| beat.routes)
     }
 
-    /// Members that know routes and a list of upstreams, of whichever version, for one that knows nothing: those of
-    /// this data centre, or any. While changes follow each other only few have the newest.
+    /// Members with any version of both documents, in this data centre or else in any, for a process without documents:
+    /// during a series of changes only few members have the newest.
     pub fn any_sources(
         &self,
         now: units::MonoTime,
@@ -336,12 +325,12 @@
         nearest(self.alive(now).filter(is_source).collect(), near)
     }
 
-    /// Whether this much processor is the most that any member has: planners are chosen among those.
+    /// Whether no live member has more processor than `cpu`; planners are chosen among the largest.
     pub fn is_largest(&self, now: units::MonoTime, cpu: u32) -> bool {
         self.alive(now).all(|beat| beat.cpu <= cpu)
     }
 
-    /// The same for the list of upstreams.
+    /// Members with the newest list beyond `revision`; see [`Self::routes_sources`].
     pub fn list_sources(
         &self,
         now: units::MonoTime,
@@ -351,7 +340,7 @@
         self.sources(now, near, revision, |beat| beat.list)
     }
 
-    /// Newest versions of routes and of the list that other members have.
+    /// Newest versions that other members have.
     pub fn newest(&self, now: units::MonoTime) -> store_belief::DocumentVersions {
         let none = store_belief::DocumentVersions::default();
         self.alive(now).fold(none, |newest, beat| store_belief::DocumentVersions {
@@ -374,11 +363,11 @@
         nearest(self.alive(now).filter(|beat| version(beat) == newest).collect(), near)
     }
 
-    /// Whether this member should watch the platform's store itself, given how long it has seen
-    /// too few others do so, and whether its last try failed.
+    /// Whether this member should watch the store, given for how long watchers have been missing and whether its last
+    /// attempt failed.
     ///
-    /// In a small fleet all do. In a large one [`WATCHERS`] in each data centre do and the others
-    /// learn from them; where fewer are left, the next in order take over, one after the other.
+    /// In a small fleet all members watch. In a large one [`WATCHERS`] in each data centre do, and missing ones are
+    /// replaced in order.
     pub fn should_watch(
         &self,
         now: units::MonoTime,
@@ -410,19 +399,19 @@
         watching < WATCHERS && missing_for >= turn.min(limit)
     }
 
-    /// Whether fewer members than wanted watch the store in this member's data centre.
+    /// Whether this member's data centre has too few watchers.
     pub fn watchers_missing(&self, now: units::MonoTime, own: &member_beat::MemberBeat) -> bool {
         let near = self.alive(now).filter(|beat| beat.data_center == own.data_center);
         near.filter(|beat| beat.watches).count() < WATCHERS
     }
 
-    /// Whether a process that started `age` ago may plan for others.
+    /// Whether a process of this age may plan for others.
     pub fn old_enough(age: time::Duration) -> bool {
         age >= PLANNER_AGE
     }
 }
 
-/// Those of a data centre, or all where it has none.
+/// Members of a data centre, or all where it has none.
 fn nearest<'a>(
     all: Vec<&'a member_beat::MemberBeat>,
     near: &ids::DataCenterId,
--- a/crates/core/src/planner/engine_limits.rs
+++ b/crates/core/src/planner/engine_limits.rs
@@ -3,11 +3,11 @@
 
 use std::{collections, time};
 
-use crate::{ids, leave_ledger, send_pace, units};
+use crate::{ids, quota_ledger, send_pace, units};
 
 /// Time until an engine's limit lets a request through, and between two of them, milliseconds.
 #[derive(Debug, Clone, Copy, PartialEq, Default)]
-pub(crate) struct LeaveTimes {
+pub(crate) struct PermitTimes {
     /// 0 without a limit, endless where another process keeps it.
     pub(crate) wait_ms: f64,
     /// 0 without a limit.
@@ -18,7 +18,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct EngineLimits {
     /// Those that this process keeps.
-    pub(crate) leaves: leave_ledger::LeaveLedger<ids::UpstreamId>,
+    pub(crate) permits: quota_ledger::QuotaLedger<ids::UpstreamId>,
     /// Engines whose limit another process keeps.
     elsewhere: collections::BTreeSet<ids::UpstreamId>,
 }
@@ -31,27 +31,27 @@
         kept: &collections::BTreeMap<ids::UpstreamId, send_pace::PaceBound>,
         elsewhere: collections::BTreeSet<ids::UpstreamId>,
     ) {
-        self.leaves.set_kept(now, kept);
+        self.permits.set_kept(now, kept);
         self.elsewhere = elsewhere;
     }
 
     /// Requests a second that an engine gets from here; `None` without a limit.
     pub(crate) fn rate(&self, engine: &ids::UpstreamId) -> Option<f64> {
-        let kept = self.leaves.bound(engine).map(|bound| bound.rate.per_second());
+        let kept = self.permits.bound(engine).map(|bound| bound.rate.per_second());
         kept.or_else(|| self.elsewhere.contains(engine).then_some(0.0))
     }
 
     /// When an engine may get requests.
-    pub(crate) fn times(&self, now: units::MonoTime, engine: &ids::UpstreamId) -> LeaveTimes {
+    pub(crate) fn times(&self, now: units::MonoTime, engine: &ids::UpstreamId) -> PermitTimes {
         let millis = |span: time::Duration| span.as_secs_f64() * 1_000.0;
-        match (self.leaves.wait(now, engine), self.leaves.bound(engine)) {
+        match (self.permits.wait(now, engine), self.permits.bound(engine)) {
             (Some(wait), Some(bound)) => {
-                LeaveTimes { wait_ms: millis(wait), interval_ms: millis(bound.interval()) }
+                PermitTimes { wait_ms: millis(wait), interval_ms: millis(bound.interval()) }
             }
             _ if self.elsewhere.contains(engine) => {
-                LeaveTimes { wait_ms: f64::INFINITY, interval_ms: 0.0 }
+                PermitTimes { wait_ms: f64::INFINITY, interval_ms: 0.0 }
             }
-            _ => LeaveTimes::default(),
+            _ => PermitTimes::default(),
         }
     }
 
@@ -62,7 +62,7 @@
         engines: impl Iterator<Item = &'a ids::UpstreamId>,
         asker: u64,
     ) -> Vec<ids::UpstreamId> {
-        let limited = engines.filter(|engine| self.leaves.take(now, engine, asker));
+        let limited = engines.filter(|engine| self.permits.take(now, engine, asker));
         limited.cloned().collect()
     }
 }
--- a/crates/core/src/planner/engine_view.rs
+++ b/crates/core/src/planner/engine_view.rs
@@ -9,7 +9,7 @@
     pub(crate) name: &'a ids::UpstreamId,
     pub(crate) rank: u64,
     /// Whether it failed lately and is left alone.
-    pub(crate) shunned: bool,
+    pub(crate) ejected: bool,
     /// Time until its next pass begins, milliseconds.
     pub(crate) wait_ms: f64,
     /// Reading that waits for that pass, milliseconds.
@@ -35,7 +35,7 @@
     /// Above 1 it is slower than its figures.
     pub(crate) pace: f64,
     /// When its limit lets requests through.
-    pub(crate) leave: engine_limits::LeaveTimes,
+    pub(crate) permit: engine_limits::PermitTimes,
 }
 
 /// Part of a pause goal that a pass may fill by plan; the rest is for what the plan cannot see.
@@ -49,7 +49,7 @@
 impl EngineView<'_> {
     /// Whether its limit lets a request through now.
     pub(crate) fn has_leave(&self) -> bool {
-        self.leave.wait_ms <= 0.0
+        self.permit.wait_ms <= 0.0
     }
 
     /// Requests there that a long part beside them may harm: those with tight pauses, and those of
@@ -85,9 +85,9 @@
 /// Engines that a request may use, by their places among the views; one that failed lately is
 /// better than none.
 pub(crate) fn usable(views: &[EngineView<'_>], ask: &engine_place::PlaceAsk) -> Vec<usize> {
-    let allowed = |shunned: bool| {
+    let allowed = |ejected: bool| {
         let rows = views.iter().enumerate();
-        rows.filter(|(_, view)| view.shunned == shunned && !ask.excluded.contains(view.name))
+        rows.filter(|(_, view)| view.ejected == ejected && !ask.excluded.contains(view.name))
             .map(|(at, _)| at)
             .collect::<Vec<_>>()
     };
--- a/crates/core/src/planner/engine_work.rs
+++ b/crates/core/src/planner/engine_work.rs
@@ -5,9 +5,9 @@
 use crate::{engine_place, planner::ways, units};
 
 /// Time an engine is left alone after a failure; doubles with each further one.
-const SHUN_TIME: time::Duration = time::Duration::from_millis(600);
+const EJECTION_TIME: time::Duration = time::Duration::from_millis(600);
 /// Longest time an engine is left alone.
-const MAX_SHUN_TIME: time::Duration = time::Duration::from_secs(5);
+const MAX_EJECTION_TIME: time::Duration = time::Duration::from_secs(5);
 /// Time an engine is left alone that refused a request for want of room, as its planner believed
 /// otherwise; doubles with each further refusal. Who refuses has nothing to do and looks like the best
 /// choice.
@@ -16,7 +16,7 @@
 const MAX_DOUBLINGS: u32 = 4;
 /// Time an engine is left alone that refused to read a part for another one: about the time until the
 /// list says that it leaves. With a shorter one a prompt may meet two such engines in a row.
-const HELPER_SHUN_TIME: time::Duration = time::Duration::from_millis(2_500);
+const HELPER_EJECTION_TIME: time::Duration = time::Duration::from_millis(2_500);
 /// Paces that are believed; a report beyond them is a fault.
 const PACES: (f64, f64) = (0.5, 20.0);
 /// An engine that is slower than this is asked as often as one with work.
@@ -82,7 +82,7 @@
     pub(crate) failures: u32,
     /// Refusals for want of room since the last first token there.
     pub(crate) refusals: u32,
-    shunned_until: units::MonoTime,
+    ejected_until: units::MonoTime,
     /// When work was last placed here; nothing before any.
     placed: Option<units::MonoTime>,
     /// When it was last asked for a report.
@@ -107,7 +107,7 @@
             foreign: 0,
             failures: 0,
             refusals: 0,
-            shunned_until: units::MonoTime::default(),
+            ejected_until: units::MonoTime::default(),
             placed: None,
             asked: None,
             advanced: now,
@@ -183,31 +183,31 @@
     }
 
     /// Leaves it alone for a while, longer after each failure in a row.
-    pub(crate) fn shun(&mut self, now: units::MonoTime) {
-        let time = SHUN_TIME * 2_u32.pow(self.failures.min(MAX_DOUBLINGS));
+    pub(crate) fn eject(&mut self, now: units::MonoTime) {
+        let time = EJECTION_TIME * 2_u32.pow(self.failures.min(MAX_DOUBLINGS));
         self.failures += 1;
-        self.shunned_until = now + time.min(MAX_SHUN_TIME);
+        self.ejected_until = now + time.min(MAX_EJECTION_TIME);
     }
 
     /// Leaves it alone for a moment, as it has refused a request for want of room.
     pub(crate) fn note_refusal(&mut self, now: units::MonoTime) {
         let time = REFUSAL_TIME * 2_u32.pow(self.refusals.min(MAX_DOUBLINGS));
         self.refusals += 1;
-        self.shunned_until = self.shunned_until.max(now + time);
+        self.ejected_until = self.ejected_until.max(now + time);
     }
 
     /// Whether it is left alone: for a while behind a failure, and then until the first token of the
     /// one request that finds out whether it is sound again.
-    pub(crate) fn is_shunned(&self, now: units::MonoTime, way: ways::EngineFaultWay) -> bool {
+    pub(crate) fn is_ejected(&self, now: units::MonoTime, way: ways::EngineFaultWay) -> bool {
         let probed =
             way == ways::EngineFaultWay::Probe && self.failures > 0 && !self.expected.is_empty();
-        self.shunned_until > now || probed
+        self.ejected_until > now || probed
     }
 
     /// Leaves it alone after it refused to read a part for another engine: mostly it is leaving, which
     /// its own answers do not show.
-    pub(crate) fn shun_helper(&mut self, now: units::MonoTime) {
-        self.shunned_until = self.shunned_until.max(now + HELPER_SHUN_TIME);
+    pub(crate) fn eject_helper(&mut self, now: units::MonoTime) {
+        self.ejected_until = self.ejected_until.max(now + HELPER_EJECTION_TIME);
     }
 
     /// Notes that work is placed here.
--- a/crates/core/src/planner/mod.rs
+++ b/crates/core/src/planner/mod.rs
@@ -20,7 +20,7 @@
 use std::{collections, time};
 
 use crate::{
-    engine_place, ids, leave_ledger, return_line, route_table, send_pace, settings, units,
+    engine_place, ids, quota_ledger, return_line, route_table, send_pace, settings, units,
 };
 
 /// Longest that a request waits; its member has given up long before.
@@ -94,8 +94,8 @@
     }
 
     /// The leaves of its engines, to take and ask for, also for requests that need no place.
-    pub fn leaves(&mut self) -> &mut leave_ledger::LeaveLedger<ids::UpstreamId> {
-        &mut self.table.limits.leaves
+    pub fn permits(&mut self) -> &mut quota_ledger::QuotaLedger<ids::UpstreamId> {
+        &mut self.table.limits.permits
     }
 
     /// Takes over new figures of the engines.
@@ -183,7 +183,7 @@
                 self.table.note_load(*job, *requests);
             }
             engine_place::PlaceNote::Ended(job, end) => self.end(now, *job, *end),
-            engine_place::PlaceNote::Shun(engine) => self.table.shun_helper(now, engine),
+            engine_place::PlaceNote::Eject(engine) => self.table.eject_helper(now, engine),
         }
     }
 
@@ -217,8 +217,8 @@
     }
 
     /// Leaves an engine alone for a while.
-    pub fn shun(&mut self, now: units::MonoTime, name: &ids::UpstreamId) {
-        self.table.shun(now, name);
+    pub fn eject(&mut self, now: units::MonoTime, name: &ids::UpstreamId) {
+        self.table.eject(now, name);
     }
 
     /// Engines that were silent since the last call.
@@ -350,7 +350,7 @@
             self.is_short(&other.ask) && order(other) < order(job)
         };
         let ahead = self.waiting.iter().filter(ahead).count();
-        let wait_ms = self.table.soonest_leave_ms(now) + ahead as f64 * 1_000.0 / rate;
+        let wait_ms = self.table.soonest_permit_ms(now) + ahead as f64 * 1_000.0 / rate;
         let would_wait_ms = match (job.waited_ms(now) > 0.0, job.ask.refusable) {
             // Who was let into the line stays there.
             (true, _) => f64::INFINITY,
--- a/crates/core/src/planner/place_table/figures.rs
+++ b/crates/core/src/planner/place_table/figures.rs
@@ -39,7 +39,7 @@
     }
 
     /// Time until the first limit lets another request through, milliseconds.
-    pub(crate) fn soonest_leave_ms(&self, now: units::MonoTime) -> f64 {
+    pub(crate) fn soonest_permit_ms(&self, now: units::MonoTime) -> f64 {
         let times = self.engines.keys().map(|name| self.limits.times(now, name).wait_ms);
         times.fold(f64::INFINITY, f64::min)
     }
@@ -72,9 +72,9 @@
     pub(crate) fn summary(&self, now: units::MonoTime) -> String {
         let row = |(name, engine): (&ids::UpstreamId, &engine_work::EngineWork)| {
             let pending = engine.unread_ms();
-            let shunned = if engine.is_shunned(now, self.engine_faults) { " shunned" } else { "" };
+            let ejected = if engine.is_ejected(now, self.engine_faults) { " ejected" } else { "" };
             format!(
-                "{name}: {} running, {pending:.0} ms to read, {} tokens, pace {:.1}{shunned}",
+                "{name}: {} running, {pending:.0} ms to read, {} tokens, pace {:.1}{ejected}",
                 engine.answering.len(),
                 engine.used,
                 engine.pace
@@ -116,11 +116,11 @@
             worth += engine.foreign as f64;
         }
         let answering = engine.answering.len() + engine.foreign;
-        let leave = self.limits.times(now, name);
+        let permit = self.limits.times(now, name);
         engine_view::EngineView {
             name,
             rank: engine.rank,
-            shunned: engine.is_shunned(now, self.engine_faults),
+            ejected: engine.is_ejected(now, self.engine_faults),
             wait_ms: engine.wait_ms(now),
             pending_ms: engine.pending_ms(),
             unread_ms: engine.unread_ms().max(self.unconfirmed_ms(now, engine)),
@@ -133,7 +133,7 @@
             answering,
             free: engine.memory.saturating_sub(engine.used),
             pace: engine.pace,
-            leave,
+            permit,
         }
     }
 
--- a/crates/core/src/planner/place_table/mod.rs
+++ b/crates/core/src/planner/place_table/mod.rs
@@ -139,7 +139,7 @@
             self.answer_ms += (lasted - self.answer_ms) * ANSWER_WEIGHT;
         }
         match end {
-            engine_place::PlaceEnd::Failed => self.shun(now, &state.lease.grant.engine),
+            engine_place::PlaceEnd::Failed => self.eject(now, &state.lease.grant.engine),
             engine_place::PlaceEnd::Silent => {
                 self.suspects.insert(state.lease.grant.engine.clone());
             }
@@ -156,16 +156,16 @@
     }
 
     /// Leaves an engine alone for a while.
-    pub(crate) fn shun(&mut self, now: units::MonoTime, name: &ids::UpstreamId) {
+    pub(crate) fn eject(&mut self, now: units::MonoTime, name: &ids::UpstreamId) {
         if let Some(engine) = self.engines.get_mut(name) {
-            engine.shun(now);
+            engine.eject(now);
         }
     }
 
     /// Leaves an engine alone that refused to read a part for another one.
-    pub(crate) fn shun_helper(&mut self, now: units::MonoTime, name: &ids::UpstreamId) {
+    pub(crate) fn eject_helper(&mut self, now: units::MonoTime, name: &ids::UpstreamId) {
         if let Some(engine) = self.engines.get_mut(name) {
-            engine.shun_helper(now);
+            engine.eject_helper(now);
         }
     }
 
--- a/crates/core/src/planner/timetable.rs
+++ b/crates/core/src/planner/timetable.rs
@@ -42,7 +42,7 @@
     /// Time until the last of them has read what it has by now, milliseconds.
     pub(crate) start_ms: f64,
     /// Time until the limits of all of them let it through, milliseconds.
-    leave_ms: f64,
+    permit_ms: f64,
     /// Time until the first token, milliseconds.
     pub(crate) first_ms: f64,
     /// That time, and what those behind it lose by it, milliseconds.
@@ -57,7 +57,7 @@
 
     /// Whether the limits of all its engines let it through now.
     pub(crate) fn has_leave(&self) -> bool {
-        self.leave_ms <= 0.0
+        self.permit_ms <= 0.0
     }
 }
 
@@ -138,7 +138,7 @@
         let mut rows: Vec<_> = usable
             .iter()
             .filter(|at| part <= SHORT_PART_MS || self.views[**at].unread == 0)
-            .filter(|at| self.views[**at].leave.wait_ms.is_finite())
+            .filter(|at| self.views[**at].permit.wait_ms.is_finite())
             .map(|at| self.reading_row(*at, part))
             .filter(|row| row.harm <= max_harm)
             .collect();
@@ -155,7 +155,8 @@
             return None;
         }
         let start_ms = rows.iter().map(|row| row.start_ms).fold(0.0, f64::max);
-        let leave_ms = rows.iter().map(|row| self.views[row.at].leave.wait_ms).fold(0.0, f64::max);
+        let permit_ms =
+            rows.iter().map(|row| self.views[row.at].permit.wait_ms).fold(0.0, f64::max);
         let first_ms = rows
             .iter()
             .map(|row| row.first_ms.max(start_ms + self.views[row.at].own_ms(part)))
@@ -164,7 +165,7 @@
         let behind = (1 + self.waiting) as f64 / self.views.len() as f64;
         let cost_ms = first_ms + (taken + harm * self.ms_per_worth) * behind;
         let engines = rows.iter().map(|row| row.at).collect();
-        Some(ReadBooking { engines, start_ms, leave_ms, first_ms, cost_ms })
+        Some(ReadBooking { engines, start_ms, permit_ms, first_ms, cost_ms })
     }
 
     /// A part read on one engine: when it may begin there, and what speaks against it.
@@ -172,7 +173,7 @@
         let view = &self.views[at];
         let own = view.own_ms(part);
         let harm = view.harm(part);
-        let start_ms = (view.unread_ms * view.pace).max(view.leave.wait_ms);
+        let start_ms = (view.unread_ms * view.pace).max(view.permit.wait_ms);
         let first_ms = view.first_ms(part).max(start_ms + own);
         let steps = if view.answering > 0 { view.steps_ms * view.pace } else { 0.0 };
         let passes = start_ms.max(view.wait_ms * view.pace) + steps;
@@ -188,7 +189,7 @@
             view.wait_ms = until;
             view.pending_ms = 0.0;
             view.unread_ms = until;
-            view.leave.wait_ms += view.leave.interval_ms;
+            view.permit.wait_ms += view.permit.interval_ms;
         }
     }
 
--- a/crates/core/src/quarantine.rs
+++ b/crates/core/src/quarantine.rs
@@ -1,48 +1,45 @@
-//! Which requests end the upstreams that run them, told from those that stand beside.
+//! Detection of requests that crash the upstreams that run them.
 //!
-//! When an upstream ends, all that ran there breaks, and of some fourteen prompts one may be the
-//! cause, or none. Three things tell them apart, and no request needs to be run alone for it:
+//! A crash breaks all requests in progress, and at most one of them is the cause. Three rules identify it without running
+//! any request in isolation:
 //!
-//! - *A sequence.* Only runs count of which each began after the one before had ended. A rack that ends
-//!   takes any number of copies of one request with it, and is one run in the sequence.
-//! - *An answer.* A request that an upstream has answered to the end is not the cause of ends before.
-//! - *A cause that is known already.* Who stood beside a request in quarantine at all its own ends, and
-//!   that one has ended more, is not the cause.
+//! - *Sequence.* Only crashes count whose run began after the previous one. A rack failure under many copies of a request
+//!   counts once.
+//! - *Answer.* A completed answer clears a request of all earlier crashes.
+//! - *Known cause.* A request whose every crash is shared with a quarantined request that has more crashes is not the
+//!   cause.
 //!
-//! What is kept is evidence; who is in quarantine follows from it alone, so that members who have the
-//! same evidence agree in whatever order it reached them.
+//! Only evidence is stored. The quarantine follows from it alone, so members with the same evidence agree in whatever
+//! order it arrived.
 
 use std::{collections, time};
 
 use crate::{ids, request_digest, units};
 
-/// Upstreams that end in a sequence under a request before it is held back: in storms of crashes without a cause
-/// among the requests sound ones may meet two.
+/// Crashes in sequence that quarantine a request. In storms of unrelated crashes a sound request may see two.
 const SEQUENCE: usize = 3;
-/// Part of a run, and longest time, by which it may seem to begin before the one ahead has ended: members
-/// tell times as ages, which are off by the way that a message took. A second attempt is sent a fraction
-/// of a millisecond behind the break of the first.
+/// Tolerated overlap of a run with the previous crash, as a part of the run and as a longest time. Members exchange
+/// ages, which are off by the delay of a message, and a second attempt starts right after the first breaks.
 const OVERLAP_PART: u32 = 4;
 /// See [`OVERLAP_PART`].
 const MAX_OVERLAP: time::Duration = time::Duration::from_millis(25);
-/// How long a request is held back behind the last end under it: about what it takes operators to see
-/// that engines restart, and far longer than callers repeat by themselves.
+/// Quarantine time after the last crash: far longer than callers retry by themselves.
 const HOLD_TIME: time::Duration = time::Duration::from_secs(300);
-/// Doublings of that at most, one for each further end in the sequence: an hour and a little.
+/// Most doublings of that time, one for each further crash in the sequence.
 const MAX_DOUBLINGS: u32 = 4;
-/// How long ends are remembered that led to nothing.
+/// How long evidence without a verdict is kept.
 const MEMORY_TIME: time::Duration = time::Duration::from_secs(600);
-/// Ends kept of one request; each takes some 60 bytes.
+/// Most crashes kept for a request, some 60 bytes each.
 const MAX_ENDS: usize = 16;
-/// Requests kept; with three ends each, some 150 KB. A storm of crashes among dozens of engines fills half of it.
+/// Most requests kept; some 150 KB with three crashes each.
 const MAX_REQUESTS: usize = 512;
 
-/// One run under which an upstream ended.
+/// A run that ended with a crash of its upstream.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct EndedRun {
     /// The request.
     pub digest: request_digest::RequestDigest,
-    /// The start of the upstream that ended.
+    /// The start of the upstream that crashed.
     pub upstream: ids::UpstreamId,
     /// When the request was sent there.
     pub sent: units::MonoTime,
@@ -51,8 +48,7 @@
 }
 
 impl EndedRun {
-    /// What two members tell of the same run: a message that was long on its way makes its times
-    /// seem later than they are.
+    /// Merges two reports of one run: a delayed message makes its times appear later than they are.
     fn merge(self, other: Self) -> Self {
         let (sent, ended) = (self.sent.min(other.sent), self.ended.min(other.ended));
         Self { sent, ended, ..self }
@@ -63,51 +59,51 @@
     }
 }
 
-/// How ends are counted; all but the default are there to measure against it.
+/// How crashes are counted; all but the default exist for comparison.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub enum BlameWay {
-    /// In a sequence.
+    /// By sequence.
     #[default]
     Sequence,
-    /// Each, also those at one moment; an answer clears nothing.
+    /// Each crash, also simultaneous ones; answers clear nothing.
     Count,
 }
 
-/// Why a request is held back, and until when.
+/// A quarantine and its evidence.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct QuarantineVerdict {
-    /// Upstreams that ended under it, oldest first.
+    /// Crashed upstreams, oldest first.
     pub upstreams: Vec<ids::UpstreamId>,
-    /// When it may be tried once more.
+    /// End of the quarantine.
     pub until: units::MonoTime,
 }
 
 impl QuarantineVerdict {
-    /// The upstreams' names, for people.
+    /// The upstreams' names, for operators.
     pub fn names(&self) -> String {
         let names: Vec<_> = self.upstreams.iter().map(ToString::to_string).collect();
         names.join(" ")
     }
 }
 
-/// One request that upstreams ended under.
+/// Evidence against one request.
 #[derive(Debug, Default)]
 struct SuspectRecord {
     /// Ordered by [`EndedRun::ended`]; each upstream once.
     ends: Vec<EndedRun>,
-    /// When it was last answered to the end; ends up to then are not in `ends`.
+    /// Time of its last completed answer; crashes up to then are not in `ends`.
     answered: Option<units::MonoTime>,
-    /// Until when it is held back; nothing while it is a suspect only.
+    /// End of its quarantine; `None` for a mere suspect.
     held_until: Option<units::MonoTime>,
 }
 
 impl SuspectRecord {
-    /// Ends in a sequence.
+    /// Length of the sequence of crashes.
     fn sequence(&self) -> usize {
         in_sequence(&self.ends).iter().filter(|adds| **adds).count()
     }
 
-    /// Whether another one was there at all ends, and at more: it explains them.
+    /// Whether another request shares all its crashes and has more.
     fn explained_by(&self, other: &Self) -> bool {
         let shared = |end: &EndedRun| other.ends.iter().any(|more| more.upstream == end.upstream);
         other.ends.len() > self.ends.len() && self.ends.iter().all(shared)
@@ -118,33 +114,32 @@
     }
 }
 
-/// What is known of requests that upstreams ended under.
+/// Evidence against all requests.
 #[derive(Debug, Default)]
 pub struct QuarantineTable {
     way: BlameWay,
     suspects: collections::BTreeMap<request_digest::RequestDigest, SuspectRecord>,
-    /// Requests held back; at most those that have a time in `suspects`.
+    /// Number of quarantined requests; at most those with a time in `suspects`.
     held: usize,
 }
 
 impl QuarantineTable {
-    /// A table that counts in this way.
+    /// An empty table that counts crashes this way.
     pub fn new(way: BlameWay) -> Self {
         Self { way, ..Self::default() }
     }
 
-    /// Whether nothing is known of any request.
+    /// Whether there is no evidence.
     pub fn is_empty(&self) -> bool {
         self.suspects.is_empty()
     }
 
-    /// Whether any request is held back.
+    /// Whether any request is quarantined.
     pub fn holds_any(&self) -> bool {
         self.held > 0
     }
 
-    /// Takes in runs under which upstreams ended; returns requests that are held back from now on, those
-    /// held back before only where their time had run out.
+    /// Adds evidence; returns the requests that are newly quarantined, or again after their time had run out.
     pub fn note_ends(
         &mut self,
         now: units::MonoTime,
@@ -159,8 +154,7 @@
         held
     }
 
-    /// Takes in that an upstream answered a request to the end, or that an operator lets it go; whether
-    /// anything was known of it.
+    /// Clears a request that was answered, or that an operator releases; returns whether there was evidence against it.
     pub fn clear(&mut self, digest: request_digest::RequestDigest, at: units::MonoTime) -> bool {
         let Some(record) = self.suspects.get_mut(&digest).filter(|_| self.way != BlameWay::Count)
         else {
@@ -172,7 +166,7 @@
         true
     }
 
-    /// Why a request must not be sent now.
+    /// The quarantine of a request.
     pub fn verdict(
         &self,
         now: units::MonoTime,
@@ -184,19 +178,19 @@
         Some(QuarantineVerdict { upstreams, until })
     }
 
-    /// Whether upstreams have ended under a request, held back or not.
+    /// Whether there is evidence against a request.
     pub fn suspects(&self, digest: request_digest::RequestDigest) -> bool {
         self.suspects.get(&digest).is_some_and(|record| !record.ends.is_empty())
     }
 
-    /// Requests held back now.
+    /// Requests in quarantine.
     pub fn held_at(&self, now: units::MonoTime) -> Vec<request_digest::RequestDigest> {
         let held = |record: &SuspectRecord| record.held_until.is_some_and(|until| now < until);
         let held = self.suspects.iter().filter(|(_, record)| held(record));
         held.map(|(digest, _)| *digest).collect()
     }
 
-    /// How long ago a request was last answered to the end, of those that upstreams had ended under.
+    /// Time since the last completed answer to a suspected request.
     pub fn answered_age(
         &self,
         now: units::MonoTime,
@@ -230,7 +224,7 @@
         }
     }
 
-    /// Drops the request that least speaks against.
+    /// Drops the request with the least evidence.
     fn remove_least(&mut self) {
         let weight = |record: &SuspectRecord| (record.sequence(), record.last_end());
         let least = self.suspects.iter().min_by_key(|(_, record)| weight(record));
@@ -247,7 +241,7 @@
         });
     }
 
-    /// Finds out anew who is held back.
+    /// Derives the quarantines from the evidence.
     fn judge(&mut self) {
         let way = self.way;
         let count_of = |record: &SuspectRecord| match way {
@@ -278,13 +272,13 @@
     }
 }
 
-/// Until when a request with so many ends in a sequence is held back.
+/// End of the quarantine of a request with `count` crashes in sequence.
 fn held_until(record: &SuspectRecord, count: usize) -> Option<units::MonoTime> {
     let more = u32::try_from(count.checked_sub(SEQUENCE)?).unwrap_or(u32::MAX);
     Some(record.last_end() + HOLD_TIME * 2_u32.pow(more.min(MAX_DOUBLINGS)))
 }
 
-/// Which of these ends, ordered by their times, add to the longest sequence.
+/// Which of the crashes, ordered by time, extend the longest sequence.
 fn in_sequence(ends: &[EndedRun]) -> Vec<bool> {
     let mut last = None;
     let adds = ends.iter().map(|end| {
@@ -297,7 +291,7 @@
     adds.collect()
 }
 
-/// Drops an end that adds nothing to the sequence, or the oldest.
+/// Drops a crash outside the sequence, or the oldest one.
 fn remove_least(ends: &mut Vec<EndedRun>) {
     let beside = in_sequence(ends).iter().position(|adds| !adds);
     ends.remove(beside.unwrap_or(0));
--- a/crates/core/src/quota_ledger.rs
+++ b/crates/core/src/quota_ledger.rs
@@ -1,62 +1,61 @@
-//! The keeper's side of what all members share: how many requests they may send to each upstream whose limit this
-//! process keeps, and how many retries they may make.
+//! The coordinator's side of shared quotas: requests to each upstream with a limit, and retries to each service.
 //!
-//! One member keeps each sum, as none of them sees it. It gives leave for each send, and ahead for a short time where the
-//! rate is high. What is given counts as used; whoever begins to keep a sum begins as though the keeper before had
-//! just given all that it may.
+//! One member coordinates each quota, as no member sees the total. It grants a permit for each send, and a few ahead at
+//! high rates. A granted permit counts as used. A new coordinator starts with an empty bucket, as its predecessor may
+//! have granted everything just before.
 
 use std::{collections, time};
 
-use crate::{send_leave, send_pace, units};
+use crate::{quota_permit, send_pace, units};
 
-/// For how much time leaves are given ahead, at rates so high that members send several within it.
+/// Time for which permits are granted ahead, at rates so high that members send several within it.
 const AHEAD_TIME: time::Duration = time::Duration::from_millis(100);
-/// Members that asked within this time share what is given ahead.
+/// Members that requested permits within this time share what is granted ahead.
 const ASKER_TIME: time::Duration = time::Duration::from_secs(1);
-/// Longest time after which a member that was refused asks again: it bounds what waits in vain for one that has
-/// nothing more to send, and how long a rate that was raised stays unused.
+/// Longest backoff of a member that was refused. It bounds the capacity reserved for members that have nothing left to
+/// send, and the time that an increased rate stays unused.
 const MAX_BACK: time::Duration = time::Duration::from_secs(2);
-/// Members that may ask again for each leave: not each of them has a request when its turn comes, and a leave that nobody
-/// asks for is lost.
+/// Members invited to request again for each permit: not each of them still has a request by then, and a permit that
+/// nobody requests is lost.
 const TURNS_EACH: u32 = 4;
-/// How long what was given is told to operators.
+/// Window over which granted permits are reported to operators.
 const TOLD_TIME: time::Duration = time::Duration::from_secs(4);
 
-/// A member that asked for leave.
+/// A member that requested permits.
 #[derive(Debug, Clone, Copy, Default)]
-struct LeaveAsker {
+struct PermitRequester {
     asked: units::MonoTime,
-    /// When it is to ask again, where it was refused.
+    /// When it is invited to request again after a refusal.
     turn: units::MonoTime,
 }
 
-/// What is given of one sum.
+/// State of one quota.
 #[derive(Debug)]
 struct LedgerRow {
     pace: send_pace::SendPace,
-    /// When the last of those that were refused are to ask again, and how many they are.
+    /// Latest invitation, and the number of members invited for that time.
     tail: units::MonoTime,
     turns: u32,
-    /// Members that asked lately.
-    askers: collections::BTreeMap<u64, LeaveAsker>,
-    /// What was given lately, oldest first.
+    /// Members with recent requests.
+    askers: collections::BTreeMap<u64, PermitRequester>,
+    /// Recent grants, oldest first.
     given: collections::VecDeque<(units::MonoTime, u64, u32)>,
 }
 
-/// The sums that this process keeps, by what they are about.
+/// The quotas that this process coordinates.
 #[derive(Debug)]
-pub struct LeaveLedger<K> {
+pub struct QuotaLedger<K> {
     rows: collections::BTreeMap<K, LedgerRow>,
 }
 
-impl<K> Default for LeaveLedger<K> {
+impl<K> Default for QuotaLedger<K> {
     fn default() -> Self {
         Self { rows: collections::BTreeMap::new() }
     }
 }
 
-impl<K: Ord + Clone> LeaveLedger<K> {
-    /// Sets which sums this process keeps, and how much of them.
+impl<K: Ord + Clone> QuotaLedger<K> {
+    /// Sets the quotas that this process coordinates, and its share of each.
     pub fn set_kept(
         &mut self,
         now: units::MonoTime,
@@ -77,61 +76,61 @@
         }
     }
 
-    /// Begins anew with all sums: this process was paused, and others may have kept them meanwhile.
+    /// Empties all buckets: this process was paused, and others may have coordinated the quotas meanwhile.
     pub fn begin_anew(&mut self, now: units::MonoTime) {
         for row in self.rows.values_mut() {
             row.pace = send_pace::SendPace::begun(now, row.pace.bound());
         }
     }
 
-    /// Answers a member; `None` where this process does not keep the sum.
+    /// Responds to a request; `None` when this process does not coordinate the quota.
     pub fn ask(
         &mut self,
         now: units::MonoTime,
         subject: &K,
         asker: u64,
-        ask: &send_leave::LeaveAsk,
-    ) -> Option<send_leave::LeaveAnswer> {
-        self.ask_sparing(now, subject, asker, ask, 0.0)
+        ask: &quota_permit::PermitRequest,
+    ) -> Option<quota_permit::PermitResponse> {
+        self.request_reserving(now, subject, asker, ask, 0.0)
     }
 
-    /// The same for a wish that leaves a part of what may be given at once to others.
-    pub fn ask_sparing(
+    /// Like [`Self::ask`], leaving `part` of the burst allowance to other requests.
+    pub fn request_reserving(
         &mut self,
         now: units::MonoTime,
         subject: &K,
         asker: u64,
-        ask: &send_leave::LeaveAsk,
+        ask: &quota_permit::PermitRequest,
         part: f64,
-    ) -> Option<send_leave::LeaveAnswer> {
+    ) -> Option<quota_permit::PermitResponse> {
         let row = self.rows.get_mut(subject)?;
         row.note_asker(now, asker);
-        let wait = row.pace.wait_sparing(now, part);
+        let wait = row.pace.wait_reserving(now, part);
         if wait > time::Duration::from_millis(u64::from(ask.patience_ms)) {
             let back_ms = millis(row.refuse(now, asker, wait));
-            return Some(send_leave::LeaveAnswer::Refused { back_ms });
+            return Some(quota_permit::PermitResponse::Refused { back_ms });
         }
         if wait.is_zero() {
-            // Nobody needs to stand in line.
+            // No invitations are pending.
             (row.tail, row.turns) = (now, 0);
         }
         let count = row.count(ask.wanted);
         row.pace.take(now, count);
         row.given.push_back((now, asker, count));
-        Some(send_leave::LeaveAnswer::Given { count, wait_ms: millis(wait) })
+        Some(quota_permit::PermitResponse::Granted { count, wait_ms: millis(wait) })
     }
 
-    /// Time until the next leave is due; `None` where this process does not keep the sum.
+    /// Time until the next permit is due; `None` when this process does not coordinate the quota.
     pub fn wait(&self, now: units::MonoTime, subject: &K) -> Option<time::Duration> {
         self.rows.get(subject).map(|row| row.pace.wait(now))
     }
 
-    /// How much this process gives of a sum that it keeps.
+    /// This process's share of a quota that it coordinates.
     pub fn bound(&self, subject: &K) -> Option<send_pace::PaceBound> {
         self.rows.get(subject).map(|row| row.pace.bound())
     }
 
-    /// Gives one leave to a member, whatever the wait; whether this process keeps the sum.
+    /// Grants one permit regardless of the wait; returns whether this process coordinates the quota.
     pub fn take(&mut self, now: units::MonoTime, subject: &K, asker: u64) -> bool {
         let Some(row) = self.rows.get_mut(subject) else {
             return false;
@@ -142,7 +141,7 @@
         true
     }
 
-    /// What was given of a sum lately, by member; nothing where this process does not keep it.
+    /// Recent grants by member; `None` when this process does not coordinate the quota.
     pub fn given(
         &self,
         now: units::MonoTime,
@@ -166,17 +165,17 @@
         }
     }
 
-    /// Leaves given at once to a member that wants so many.
+    /// Permits granted at once to a member that wants `wanted`.
     fn count(&self, wanted: u32) -> u32 {
         let rate = self.pace.bound().rate;
         let ahead = rate.per_second() * AHEAD_TIME.as_secs_f64() / self.askers.len() as f64;
         (ahead as u32).clamp(1, wanted.max(1))
     }
 
-    /// When a member that was refused asks again: a few for each leave, so that few ask in vain.
+    /// Time after which a refused member is invited to request again.
     fn refuse(&mut self, now: units::MonoTime, asker: u64, wait: time::Duration) -> time::Duration {
         let asker = self.askers.entry(asker).or_default();
-        // Several requests of one member that ask at once have one turn.
+        // Concurrent requests of one member share one invitation.
         if asker.turn < now + wait {
             if self.tail < now + wait {
                 (self.tail, self.turns) = (now + wait, 0);
@@ -191,6 +190,6 @@
 }
 
 fn millis(span: time::Duration) -> u32 {
-    // A moment too late is no loss; a moment too early is an ask in vain.
+    // Rounds up: a request that is early by a moment is refused again.
     u32::try_from(span.as_micros().div_ceil(1_000)).unwrap_or(u32::MAX)
 }
--- a/crates/core/src/quota_permit.rs
+++ b/crates/core/src/quota_permit.rs
@@ -1,4 +1,4 @@
-//! Leave to send one request where all members together may send so many, asked of the member that keeps the sum.
+//! Permits to send one request under a quota that all members share, requested from the member that coordinates it.
 
 use std::time;
 
@@ -6,26 +6,26 @@
 
 use crate::{ids, retry_need, units};
 
-/// How long a leave is good for behind the moment for which it was given. What is sent later counts in another
-/// span of time than its keeper believes; a connection opens and a lost message is repeated within it.
-pub const LEAVE_TIME: time::Duration = time::Duration::from_millis(500);
+/// How long a permit stays valid after the time it was granted for. Connecting and repeating a lost message fit
+/// within it; a later send would count in another window than its coordinator believes.
+pub const PERMIT_TTL: time::Duration = time::Duration::from_millis(500);
 
-/// What all members together do only so often.
+/// A quota shared by all members.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-pub enum LeaveSubject {
+pub enum QuotaSubject {
     /// Requests to a start of an upstream with a limit.
     Upstream(ids::UpstreamId),
-    /// Retries of requests to a service that save so much. All of them are one sum.
+    /// Retries of requests to a service, by what they save. All of a service share one quota.
     Retries(ids::ServiceId, retry_need::RetryNeed),
 }
 
-impl LeaveSubject {
+impl QuotaSubject {
     /// All retries to a service.
     pub fn all_retries(service: ids::ServiceId) -> Self {
         Self::Retries(service, retry_need::RetryNeed::Begun)
     }
 
-    /// The sum that this belongs to, as its keeper knows it.
+    /// The quota that this draws from, as its coordinator knows it.
     pub fn sum(&self) -> Self {
         match self {
             Self::Upstream(upstream) => Self::Upstream(upstream.clone()),
@@ -33,77 +33,77 @@
         }
     }
 
-    /// Part of what may be given at once that is left for others.
-    pub fn spared(&self) -> f64 {
+    /// Part of the burst allowance that is reserved for requests with a greater need.
+    pub fn reserved_part(&self) -> f64 {
         match self {
             Self::Upstream(_) => 0.0,
-            Self::Retries(_, need) => need.spared(),
+            Self::Retries(_, need) => need.reserved_part(),
         }
     }
 }
 
-/// When a leave may be used.
+/// Validity of a permit.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct LeaveTerm {
-    /// From when on.
+pub struct PermitTerm {
+    /// Start of the validity.
     pub from: units::MonoTime,
-    /// Until when: [`LEAVE_TIME`] behind the moment for which it was given, or sooner.
+    /// End of the validity, at most [`PERMIT_TTL`] after the time it was granted for.
     pub until: units::MonoTime,
 }
 
-impl LeaveTerm {
-    /// Of one that was asked for at `asked` and is to be used so long behind the ask's arrival. The arrival is not
-    /// known here, only that it was not before the ask: so the leave is never good for too long, also where its
-    /// answer lay unread while this process was paused.
+impl PermitTerm {
+    /// Validity of a permit requested at `asked` that starts `wait` after the request's arrival. The arrival is not
+    /// known here; counting from the request keeps a permit from lasting too long, also when the response lay
+    /// unread while this process was paused.
     pub fn of_answer(asked: units::MonoTime, wait: time::Duration) -> Self {
         let from = asked + wait;
-        Self { from, until: from + LEAVE_TIME }
+        Self { from, until: from + PERMIT_TTL }
     }
 
-    /// Whether it is not over.
+    /// Whether it has not expired.
     pub fn is_good(&self, now: units::MonoTime) -> bool {
         now < self.until
     }
 }
 
-/// Leave to send one request to an upstream.
+/// A permit to send one request to an upstream.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct SendLeave {
+pub struct SendPermit {
     /// The start of the upstream.
     pub upstream: ids::UpstreamId,
-    /// When it may be used.
-    pub term: LeaveTerm,
+    /// When it is valid.
+    pub term: PermitTerm,
 }
 
-impl SendLeave {
-    /// Whether something may be sent to an upstream by it.
+impl SendPermit {
+    /// Whether it allows a send to an upstream now.
     pub fn is_good(&self, now: units::MonoTime, upstream: &ids::UpstreamId) -> bool {
         self.upstream == *upstream && self.term.is_good(now)
     }
 }
 
-/// What a member asks of the keeper of a limit, or of what all share otherwise.
+/// A request for permits.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct LeaveAsk {
-    /// Leaves that the member will use within a moment; one at least.
+pub struct PermitRequest {
+    /// Permits that the member will use shortly; at least one.
     pub wanted: u32,
-    /// For how long its request would wait for the leave, milliseconds.
+    /// How long its request would wait for a permit, milliseconds.
     pub patience_ms: u32,
 }
 
-/// What the keeper says.
+/// The coordinator's response.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub enum LeaveAnswer {
-    /// So many requests may be sent, the first so many milliseconds from now.
-    Given {
-        /// How many.
+pub enum PermitResponse {
+    /// Permits are granted.
+    Granted {
+        /// Their number.
         count: u32,
-        /// When, milliseconds behind the ask's arrival.
+        /// Start of their validity, milliseconds after the request's arrival.
         wait_ms: u32,
     },
-    /// None may, or the ask should have gone to another member.
+    /// None is granted now, or another member coordinates the quota.
     Refused {
-        /// When to ask again, milliseconds from now.
+        /// When to request again, milliseconds from now.
         back_ms: u32,
     },
 }
--- a/crates/core/src/refusal.rs
+++ b/crates/core/src/refusal.rs
@@ -26,7 +26,7 @@
     }
 
     /// The word callers read.
-    pub fn word(self) -> &'static str {
+    pub fn label(self) -> &'static str {
         match self {
             Self::No => "no",
             Self::Unknown => "unknown",
@@ -93,7 +93,7 @@
     }
 
     /// The stable word that programs compare.
-    pub fn word(self) -> &'static str {
+    pub fn label(self) -> &'static str {
         match self {
             Self::BadRequest => "bad_request",
             Self::Unauthorized => "unauthorized",
@@ -114,8 +114,8 @@
     }
 
     /// The code a word stands for.
-    pub fn from_word(word: &str) -> Option<Self> {
-        ALL_CODES.iter().copied().find(|code| code.word() == word)
+    pub fn from_label(word: &str) -> Option<Self> {
+        ALL_CODES.iter().copied().find(|code| code.label() == word)
     }
 
     /// The group of codes in the shape that OpenAI clients know.
--- a/crates/core/src/retry.rs
+++ b/crates/core/src/retry.rs
@@ -16,7 +16,7 @@
     /// What it needs first, as memory elsewhere, is not to be had; nothing was sent.
     NotPrepared,
     /// The upstream leaves, or wants rest; nothing was sent.
-    KeptBack,
+    Denied,
     /// It broke off after bytes were written and before anything reached the caller.
     BrokeBeforeAnswer,
     /// It broke off after part of the answer reached the caller.
@@ -32,13 +32,13 @@
                 | Self::SaidNotRun
                 | Self::Misdirected
                 | Self::NotPrepared
-                | Self::KeptBack
+                | Self::Denied
         )
     }
 
     /// Whether no upstream got anything of the request: the attempt, and the retry taken for it, are not spent.
     pub fn reached_nobody(self) -> bool {
-        matches!(self, Self::NotConnected | Self::NotPrepared | Self::KeptBack)
+        matches!(self, Self::NotConnected | Self::NotPrepared | Self::Denied)
     }
 }
 
--- a/crates/core/src/retry_need.rs
+++ b/crates/core/src/retry_need.rs
@@ -1,22 +1,22 @@
-//! What a retry saves: where retries are short, those that save more go first.
+//! Priority of retries when their quota is short.
 
 use serde::{Deserialize, Serialize};
 
-/// What is lost without a retry, the least first.
+/// What is lost without the retry, lowest priority first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum RetryNeed {
-    /// Time: the attempt under way may still answer.
+    /// Latency: the pending attempt may still answer.
     Early,
-    /// The request: nothing of an answer has reached its caller, who may send it again.
+    /// The request: its caller has received nothing and may send it again.
     Failed,
-    /// What has reached the caller of its answer.
+    /// A partly delivered answer.
     Begun,
 }
 
 impl RetryNeed {
-    /// Part of what retries may be made at once that is left for those which save more. What comes back in time is
-    /// for all: a part of that would be lost to each while there is no other.
-    pub fn spared(self) -> f64 {
+    /// Part of the burst allowance reserved for retries of higher priority. Tokens due later are reserved for none, as
+    /// they would be lost while there is no other retry.
+    pub fn reserved_part(self) -> f64 {
         match self {
             Self::Early => 0.3,
             Self::Failed => 0.15,
--- a/crates/core/src/return_line.rs
+++ b/crates/core/src/return_line.rs
@@ -1,4 +1,4 @@
-//! When callers come back that limits have kept from all upstreams of their service.
+//! Retry-After times of callers that limits keep from all upstreams of their service.
 
 use std::time;
 
@@ -6,22 +6,22 @@
 
 use crate::units;
 
-/// Part of what the limits let through that is kept for those who come back; the rest is for those who come first, who
-/// can still be in time.
+/// Part of the permitted rate that is reserved for returning callers; the rest is for first attempts, which can still
+/// be in time.
 const RETURN_PART: f64 = 0.5;
-/// Longest time after which a caller is asked back: by then limits have mostly changed.
+/// Longest Retry-After: limits have mostly changed by then.
 const MAX_BACK: time::Duration = time::Duration::from_secs(10);
 
-/// Those that were refused, one behind the other at the pace at which they can be served.
+/// Returning callers, spaced by the rate at which they can be served.
 #[derive(Debug, Default)]
 pub struct ReturnLine {
-    /// When the last of them comes back.
+    /// When the last of them returns.
     tail: units::MonoTime,
 }
 
 impl ReturnLine {
-    /// When the next one comes back, where so many requests a second are let through. Who would come back behind the
-    /// longest time comes at any moment of its second half.
+    /// Retry-After of the next caller, at a permitted rate of `rate` requests a second. Beyond the longest time it is
+    /// random within its second half.
     pub fn next(&mut self, now: units::MonoTime, rate: f64) -> time::Duration {
         let step = 1.0 / (rate * RETURN_PART).max(f64::MIN_POSITIVE);
         let step = time::Duration::try_from_secs_f64(step).unwrap_or(MAX_BACK).min(MAX_BACK);
--- a/crates/core/src/route_table.rs
+++ b/crates/core/src/route_table.rs
@@ -22,7 +22,7 @@
     }
 
     /// The word that logs and explanations use.
-    pub fn word(self) -> &'static str {
+    pub fn label(self) -> &'static str {
         match self {
             Self::Repeatable => "repeatable",
             Self::AtMostOnce => "at_most_once",
--- a/crates/core/src/send_gate.rs
+++ b/crates/core/src/send_gate.rs
@@ -1,40 +1,39 @@
-//! What is sent to upstreams, and why something is not.
+//! Kinds of sends to upstreams, and reasons to deny one.
 
 use std::{fmt, time};
 
 use crate::{units, upstream_notice};
 
-/// Whether a request may be the one that finds out whether an upstream takes work again behind its rest.
+/// Whether a request may probe an upstream after its backoff.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum TrialTurn {
-    /// It has another attempt left, should it be turned away.
+    /// It has another attempt left, should it be refused.
     Yes,
-    /// It has none, or has been turned away already: where two upstreams turn all away, a call would meet both, one
-    /// behind the other, each time that their rests are over.
+    /// It has none left, or was refused already: with two upstreams that refuse everything a call would meet both.
     No,
 }
 
 impl TrialTurn {
-    /// Of a request that has made so many attempts of so many.
+    /// For a request with `made` of `allowed` attempts.
     pub fn of(made: usize, allowed: u32) -> Self {
         if made == 0 && allowed > 1 { Self::Yes } else { Self::No }
     }
 }
 
-/// What is sent to an upstream.
+/// A kind of send.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum SendKind {
-    /// A request, or one that names it for a part of its prompt.
+    /// A request, also one that names the upstream as a helper.
     Request,
-    /// An order that sets memory aside.
+    /// A memory reservation.
     Hold,
-    /// An order that keeps it for a request under way.
+    /// A renewal of a reservation in use.
     Renewal,
-    /// An order that gives it back.
+    /// The release of a reservation.
     Release,
-    /// A question for its report.
+    /// A request for the upstream's report.
     Report,
-    /// A connection that shows whether it listens.
+    /// A connection attempt that checks for a listener.
     Check,
 }
 
@@ -51,24 +50,24 @@
     }
 }
 
-/// Why something is not sent.
+/// Why a send is denied.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum KeptBack {
-    /// The upstream leaves: by whose word, and for how long that is known.
+pub enum SendDenial {
+    /// The upstream is leaving: the source, and how long that has been known.
     Leaves(upstream_notice::NoticeSource, time::Duration),
-    /// It wants rest for so much longer.
+    /// The upstream is in backoff for this much longer.
     Rests(time::Duration),
-    /// It takes so many requests of all instances, and whoever keeps that has given no leave for this one.
+    /// The upstream has a limit, and this send has no permit.
     Limited(units::RequestRate),
-    /// Its data centre is under evacuation.
+    /// The data centre of the upstream is evacuated.
     Evacuated,
-    /// It is not listed any more.
+    /// The upstream is not listed.
     Unlisted,
 }
 
-impl KeptBack {
-    /// The case in one word, for counters.
-    pub fn word(self) -> &'static str {
+impl SendDenial {
+    /// Label for counters.
+    pub fn label(self) -> &'static str {
         match self {
             Self::Leaves(..) => "leaves",
             Self::Rests(_) => "rests",
@@ -79,7 +78,7 @@
     }
 }
 
-impl fmt::Display for KeptBack {
+impl fmt::Display for SendDenial {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Leaves(source, age) => {
--- a/crates/core/src/send_pace.rs
+++ b/crates/core/src/send_pace.rs
@@ -1,31 +1,28 @@
-//! When the next send may go out where so many a second may: a token bucket kept as one time.
+//! A token bucket, kept as the time at which its next token is due.
 
 use std::time;
 
 use crate::units;
 
-/// Time that is not used for a send to an upstream with a limit and may be made up for: what passes until the next
-/// request asks. Without it each such gap would be lost to the limit; the burst that it allows is what the limit lets
-/// through in that time, and one.
+/// Burst allowance of an upstream's limit. It covers the gap until the next request arrives, which would otherwise be
+/// lost to the limit.
 pub const CATCH_UP: time::Duration = time::Duration::from_millis(200);
-/// Lowest rate that is kept, sends a second: only an answer can tell that a limit is over, so an upstream that takes
-/// none is asked now and then all the same.
+/// Lowest rate in force, sends a second: only an answer ends a limit, so an upstream that allows none is still tried.
 const LOWEST_RATE: f64 = 0.1;
 
-/// How much may be sent.
+/// Rate and burst allowance of a token bucket.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct PaceBound {
     /// Sends a second.
     pub rate: units::RequestRate,
-    /// Time that was not used and may be made up for.
+    /// Burst allowance, as time at the full rate.
     pub catch_up: time::Duration,
-    /// The part of that which whoever begins to keep it has at once: none where what others have just sent must
-    /// count.
+    /// Part of the burst allowance that a new coordinator starts with; none where the sends of its predecessor count.
     pub credit: time::Duration,
 }
 
 impl PaceBound {
-    /// That of an upstream's limit.
+    /// Bound of an upstream's limit.
     pub fn of_limit(rate: units::RequestRate) -> Self {
         Self { rate, catch_up: CATCH_UP, credit: time::Duration::ZERO }
     }
@@ -36,16 +33,16 @@
     }
 }
 
-/// The sends of one kind, by the time of the next.
+/// A token bucket.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct SendPace {
     bound: PaceBound,
-    /// When the next send is due if each comes an interval behind the one before.
+    /// When the next token is due at an even rate.
     due: units::MonoTime,
 }
 
 impl SendPace {
-    /// As though something had just been sent: others may have done so that are not known of.
+    /// A bucket that starts empty but for the bound's credit.
     pub fn begun(now: units::MonoTime, bound: PaceBound) -> Self {
         let used = bound.interval() + bound.catch_up;
         Self { bound, due: now + used.saturating_sub(bound.credit) }
@@ -56,24 +53,23 @@
         self.bound
     }
 
-    /// Time until something may be sent.
+    /// Time until a token is available.
     pub fn wait(&self, now: units::MonoTime) -> time::Duration {
-        self.wait_sparing(now, 0.0)
+        self.wait_reserving(now, 0.0)
     }
 
-    /// The same for what leaves a part of the sends that may be made up for to others.
-    pub fn wait_sparing(&self, now: units::MonoTime, part: f64) -> time::Duration {
+    /// Like [`Self::wait`], leaving `part` of the burst allowance unused.
+    pub fn wait_reserving(&self, now: units::MonoTime, part: f64) -> time::Duration {
         let made_up = self.bound.catch_up.mul_f64(1.0 - part.clamp(0.0, 1.0));
         self.due.earlier_by(made_up).since(now)
     }
 
-    /// Takes so many sends, the first as soon as it may be.
+    /// Takes `count` tokens.
     pub fn take(&mut self, now: units::MonoTime, count: u32) {
         self.due = self.due.max(now) + self.bound.interval() * count;
     }
 
-    /// Goes on with another bound: what was taken at a slow rate holds nothing up for longer than one interval of the
-    /// new.
+    /// Changes the bound. Tokens taken at a slow rate delay the next one by at most one interval of the new rate.
     pub fn change(&mut self, now: units::MonoTime, bound: PaceBound) {
         self.bound = bound;
         self.due = self.due.min(now + bound.interval() + bound.catch_up);
--- a/crates/core/src/store_belief.rs
+++ b/crates/core/src/store_belief.rs
@@ -115,12 +115,12 @@
     }
 
     /// How long ago its last answer came.
-    pub fn heard_age(&self, now: units::MonoTime) -> time::Duration {
+    pub fn last_answer_age(&self, now: units::MonoTime) -> time::Duration {
         now.since(self.heard)
     }
 
     /// Takes in an answer.
-    pub fn hear(&mut self, now: units::MonoTime) -> HeardStore {
+    pub fn receive(&mut self, now: units::MonoTime) -> HeardStore {
         let before = std::mem::replace(&mut self.contact, StoreContact::Answering);
         let away = self.away_since.take().map(|since| now.since(since));
         self.heard = now;
@@ -149,7 +149,7 @@
     }
 
     /// Leaves it to others.
-    pub fn leave_to_others(&mut self) {
+    pub fn yield_to_others(&mut self) {
         self.watching = false;
         self.watched = 0;
         self.contact = StoreContact::Away;
--- a/crates/core/src/upstream_health.rs
+++ b/crates/core/src/upstream_health.rs
@@ -116,7 +116,7 @@
 
     /// Takes in that a member, or this process, was told that it is gone; returns whether that has
     /// not been heard for a while.
-    pub fn hear_gone(&mut self, now: units::MonoTime) -> bool {
+    pub fn receive_gone(&mut self, now: units::MonoTime) -> bool {
         let news = self.gone_heard.is_none_or(|heard| now.since(heard) >= NEWS_INTERVAL);
         self.gone_heard = Some(now);
         self.run = self.run.max(1);
--- a/crates/core/src/upstream_limit.rs
+++ b/crates/core/src/upstream_limit.rs
@@ -1,28 +1,27 @@
-//! How many requests a second an upstream takes from all instances together, by its own words.
+//! Request limits that upstreams announce in their answers.
 //!
-//! An upstream in need names its limit in its answers, for as long as it has one; an answer without it ends it.
-//! Answers reach the instances in another order than they were given, and so do the words that instances pass on. What
-//! is certain is that a word was given between the request and its answer: of two such times that do not overlap
-//! the later word holds. Where they do, the lower limit holds: what it spares in vain the next answer gives back,
-//! and the other mistake would let all instances send unbounded.
+//! An overloaded upstream announces its limit for all instances together in each answer; an answer without one ends it.
+//! Readings reach the instances out of order. Each was made between its request and its answer: of two disjoint intervals
+//! the later one holds. For overlapping intervals the lower limit holds, as the next answer corrects it, while the other
+//! mistake would let all instances send without bound.
 
 use crate::{units, upstream_notice};
 
-/// What one answer said of the limit, or left out.
+/// One answer's limit, or its absence.
 #[derive(Debug, Clone, Copy, PartialEq)]
-pub struct LimitWord {
-    /// The limit that it named; `None` where it named none.
+pub struct LimitReading {
+    /// The limit; `None` when the answer has none.
     pub rate: Option<units::RequestRate>,
-    /// When its request was sent: the word is not older.
+    /// When the request was sent; the reading is not older.
     pub asked: units::MonoTime,
-    /// When it was heard, by whoever asked; not before `asked`. The word is not younger.
+    /// When the answer arrived at the instance that asked; not before `asked`. The reading is not younger.
     pub heard: units::MonoTime,
-    /// Whose word it is to this instance.
+    /// Where this instance has it from.
     pub source: upstream_notice::NoticeSource,
 }
 
-impl LimitWord {
-    /// Of two words on one start of an upstream the one that holds.
+impl LimitReading {
+    /// The one of two readings of one start of an upstream that holds.
     pub fn or(self, other: Self) -> Self {
         if other.asked >= self.heard {
             other
@@ -33,38 +32,39 @@
         }
     }
 
-    /// Whether it lets less through than another, or as much for longer.
+    /// Whether it is the lower limit, or an equal one that is newer.
     fn is_lower(&self, other: &Self) -> bool {
-        let bound = |word: &Self| word.rate.map_or(f64::INFINITY, units::RequestRate::per_second);
+        let bound =
+            |reading: &Self| reading.rate.map_or(f64::INFINITY, units::RequestRate::per_second);
         let (own, other_bound) = (bound(self), bound(other));
         own < other_bound || (own == other_bound && self.heard >= other.heard)
     }
 }
 
-/// The limit that an upstream has named, as it is believed.
+/// The limit in force for an upstream.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct LimitNotice {
-    /// The word that holds.
-    pub word: LimitWord,
-    /// When the upstream began to name limits, or had ended them.
+    /// The reading that holds.
+    pub reading: LimitReading,
+    /// Since when the upstream has or has no limit.
     pub since: units::MonoTime,
 }
 
-/// What a word on a limit changed.
+/// Change made by a reading.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum LimitNews {
-    /// Nothing.
+    /// None.
     Known,
-    /// The upstream had no limit before.
+    /// The upstream has a limit now.
     Begun(units::RequestRate),
-    /// It had another one: now and before.
+    /// The limit changed: the new and the old one.
     Changed(units::RequestRate, units::RequestRate),
-    /// It has none any more.
+    /// The limit ended.
     Ended,
 }
 
 impl LimitNews {
-    /// Of a limit that was believed before, and the one that is now.
+    /// The change between two limits.
     pub(crate) fn of(before: Option<units::RequestRate>, now: Option<units::RequestRate>) -> Self {
         match (before, now) {
             (None, Some(now)) => Self::Begun(now),
--- a/crates/core/src/upstream_list.rs
+++ b/crates/core/src/upstream_list.rs
@@ -161,10 +161,10 @@
             return named;
         };
         let lower = |limit: &upstream_limit::LimitNotice| {
-            limit.word.rate.is_some_and(|named| named.per_second() <= rate.per_second())
+            limit.reading.rate.is_some_and(|named| named.per_second() <= rate.per_second())
         };
         named.filter(lower).or(Some(upstream_limit::LimitNotice {
-            word: upstream_limit::LimitWord {
+            reading: upstream_limit::LimitReading {
                 rate: Some(rate),
                 asked: phase.since,
                 heard: phase.since,
@@ -178,7 +178,7 @@
     pub fn limits(&self) -> collections::BTreeMap<&ids::UpstreamId, units::RequestRate> {
         let named = self.notices.limits().map(|(name, _)| name);
         let names = named.chain(self.cold.names());
-        names.filter_map(|name| Some((name, self.limit(name)?.word.rate?))).collect()
+        names.filter_map(|name| Some((name, self.limit(name)?.reading.rate?))).collect()
     }
 
     /// Number of changes of limits so far.
@@ -292,7 +292,7 @@
     }
 
     /// Takes in that a start says that it leaves; returns whether that is news.
-    pub fn hear_leaving(
+    pub fn receive_leaving(
         &mut self,
         now: units::MonoTime,
         name: &ids::UpstreamId,
@@ -302,7 +302,7 @@
         if age >= upstream_notice::NOTICE_MEMORY && !self.is_present(name) {
             return false;
         }
-        let news = self.notices.hear_leaving(now, name, source, age);
+        let news = self.notices.receive_leaving(now, name, source, age);
         self.changes += u64::from(news);
         news
     }
@@ -341,7 +341,7 @@
     /// the list said; one that was on its way already may be of the start before. The list's newer
     /// word replaces the present one; a start that is over must be named for some seconds, as a write
     /// of it may be late.
-    pub fn tell_start(
+    pub fn update_start(
         &mut self,
         now: units::MonoTime,
         name: &ids::UpstreamId,
@@ -373,7 +373,7 @@
 
     fn put(&mut self, now: units::MonoTime, entry: UpstreamEntry) -> bool {
         let identifier = entry.name.identifier();
-        self.hear_listed(now, &entry);
+        self.receive_listed(now, &entry);
         let known = self.entries.get(identifier).map(|known| &known.name);
         if known == Some(&entry.name) {
             return self.put_present(now, entry);
@@ -394,12 +394,12 @@
     }
 
     /// Takes in what the list says of a start's leaving.
-    fn hear_listed(&mut self, now: units::MonoTime, entry: &UpstreamEntry) {
+    fn receive_listed(&mut self, now: units::MonoTime, entry: &UpstreamEntry) {
         match entry.state {
-            fleet_list::ListState::Live => self.notices.hear_live(&entry.name),
+            fleet_list::ListState::Live => self.notices.receive_live(&entry.name),
             fleet_list::ListState::Leaving => {
                 let source = upstream_notice::NoticeSource::List;
-                self.notices.hear_leaving(now, &entry.name, source, time::Duration::ZERO);
+                self.notices.receive_leaving(now, &entry.name, source, time::Duration::ZERO);
             }
         }
     }
--- a/crates/core/src/upstream_notice.rs
+++ b/crates/core/src/upstream_notice.rs
@@ -1,33 +1,28 @@
-//! What upstreams say of themselves in passing: that they leave, for how long they want rest, and how many
-//! requests they take.
+//! Notices that upstreams send with their answers: that they are leaving, a backoff, and a limit.
 //!
-//! Leaving concerns all instances alike, rest only the one that was asked for it, and a limit the sum over all
-//! instances. All belong to one start of an upstream and end with it. Leaving does not end otherwise: no upstream that has said that it leaves comes
-//! back. A rest ends with its time; then one request finds out whether the upstream takes work again, and the
-//! others follow its answer.
+//! Leaving concerns all instances, a backoff only the one that received it, and a limit all instances together. Each
+//! belongs to one start of an upstream and ends with it. Leaving is final. After a backoff one request probes the
+//! upstream, and the others follow its result.
 
 use std::{collections, fmt, time};
 
-use crate::{ids, send_permit, units, upstream_limit};
+use crate::{ids, send_gate, units, upstream_limit};
 
-/// Longest rest that is believed. Longer ones are mistakes more likely than wishes, and nobody who gets no
-/// requests can take them back; service proxies bound what they are asked for at the same five minutes.
+/// Longest accepted backoff. An instance that sends nothing cannot receive a correction of a longer one.
 pub const MAX_REST: time::Duration = time::Duration::from_secs(300);
-/// How long words of a start are kept that is not listed: its entry may lapse with the list's source and come
-/// back, while it serves on for many seconds.
+/// How long notices of an unlisted start are kept: its entry may lapse with the list's source and return.
 pub(crate) const NOTICE_MEMORY: time::Duration = time::Duration::from_secs(120);
-/// A request that finds out whether an upstream takes work again is waited for so long; its caller may have left.
+/// Timeout of a probe; its caller may have left.
 const TRIAL_TIME: time::Duration = time::Duration::from_secs(2);
-/// How long behind a rest the first request there is one that finds out; later nothing is left of what made the
-/// upstream ask.
+/// How long after a backoff the first request is a probe.
 const RETURN_TIME: time::Duration = time::Duration::from_secs(10);
-/// How long behind the end of a limit words on it may come that were given before.
+/// How long after the end of a limit older readings of it may arrive.
 const ENDED_LIMIT_MEMORY: time::Duration = time::Duration::from_secs(30);
-/// Starts of which words are kept at most, some 100 bytes each: those of a fleet with 2,000 upstreams that all say
-/// something at once. Beyond that the oldest are forgotten, and learned anew from the next answer.
+/// Most starts that notices are kept of, some 100 bytes each: those of a fleet with 2,000 upstreams that all send one
+/// at once. Beyond that the oldest are forgotten, and learned anew from the next answer.
 const MAX_NOTICES: usize = 2_048;
 
-/// Who said it.
+/// Origin of a notice.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum NoticeSource {
     /// The published list.
@@ -38,7 +33,7 @@
     Report,
     /// The upstream, in an answer to an order.
     Order,
-    /// Another instance, which was told by the upstream.
+    /// Another instance, which received it from the upstream.
     Member,
 }
 
@@ -54,88 +49,88 @@
     }
 }
 
-/// That a start of an upstream leaves.
+/// A start of an upstream is leaving.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct LeavingNotice {
-    /// Whose word it is.
+    /// Origin of the notice.
     pub source: NoticeSource,
-    /// When it was said first, to whoever passed it on.
+    /// When an instance first received it.
     pub since: units::MonoTime,
 }
 
-/// That a start of an upstream wants nothing from this instance for a while.
+/// A start of an upstream asked this instance for a backoff.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct RestNotice {
-    /// What it asked for.
+    /// Requested length.
     pub asked: time::Duration,
-    /// When it was heard.
+    /// When it was received.
     pub since: units::MonoTime,
-    /// When it is over: [`MAX_REST`] behind `since` at most.
+    /// Its end: at most [`MAX_REST`] after `since`.
     pub until: units::MonoTime,
-    /// When the request was sent that finds out whether the upstream takes work again; not before `until`.
+    /// When the pending probe was sent; not before `until`.
     trial: Option<units::MonoTime>,
 }
 
 impl RestNotice {
-    /// How long it lasts: what was asked for, as far as that is believed.
+    /// Its accepted length.
     pub fn lasts(&self) -> time::Duration {
         self.until.since(self.since)
     }
 }
 
-/// How requests come back to an upstream behind its rest.
+/// How requests resume after a backoff.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default, serde::Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum RestReturnWay {
-    /// One first, the others once it is answered.
+    /// One probe first.
     #[default]
     One,
     /// All at once.
     All,
 }
 
-/// What a word on rest changed.
+/// Change made by a backoff notice.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RestNews {
-    /// The upstream was not at rest.
+    /// A backoff began.
     Begun,
-    /// Its rest ends later than was known.
+    /// The backoff ends later.
     Longer,
     /// Nothing.
     Known,
 }
 
-/// What one start of an upstream has said.
+/// Notices of one start of an upstream.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 struct UpstreamNotice {
     leaving: Option<LeavingNotice>,
     rest: Option<RestNotice>,
-    /// Also one that has ended, for as long as late words on it may come.
+    /// Also kept after its end while older readings may arrive.
     limit: Option<upstream_limit::LimitNotice>,
-    /// When the start was last listed, or spoke.
+    /// When the start was last listed or sent a notice.
     known: units::MonoTime,
 }
 
-/// What upstreams have said, by their starts.
+/// Notices of all upstreams by their starts.
 #[derive(Debug, Default)]
 pub struct NoticeTable {
     notices: collections::BTreeMap<ids::UpstreamId, UpstreamNotice>,
     rest_return: RestReturnWay,
-    /// Goes up whenever another limit holds.
+    /// Incremented with each change of a limit.
     limit_changes: u64,
 }
 
 impl NoticeTable {
-    /// Sets how requests come back behind a rest.
+    /// Sets how requests resume after a backoff.
     pub fn set_return(&mut self, way: RestReturnWay) {
         self.rest_return = way;
     }
 
-    /// Takes in that a start leaves; returns whether that is news.
+    /// Records that a start is leaving; returns whether that is new.
     ///
-    /// The upstream's own word, also passed on by a member, stands from then on. The list's may be taken back
-    /// by the list alone, and where both say it the upstream's is the one to keep.
-    pub fn hear_leaving(
+    /// A notice of the upstream itself, also one relayed by a member, is final. One of the list can be revoked by the
+    /// list, and is replaced by the upstream's own.
+    pub fn receive_leaving(
         &mut self,
         now: units::MonoTime,
         name: &ids::UpstreamId,
@@ -143,7 +138,7 @@
         age: time::Duration,
     ) -> bool {
         let since = now.earlier_by(age);
-        // What members repeat to each other keeps nothing known that nobody lists any more.
+        // Gossip must not keep a start known that nobody lists.
         let notice = self.notice(since, name);
         match &mut notice.leaving {
             Some(known) if known.source == NoticeSource::List => {
@@ -158,9 +153,8 @@
         }
     }
 
-    /// Takes in that the list names a start as one that takes work: its own earlier word is taken back, not
-    /// that of the upstream, whose writes to the list's source may come seconds late.
-    pub fn hear_live(&mut self, name: &ids::UpstreamId) {
+    /// Revokes the list's leaving notice of a start; the upstream's own stands, as its writes to the list may be late.
+    pub fn receive_live(&mut self, name: &ids::UpstreamId) {
         if let Some(notice) = self.notices.get_mut(name) {
             let by_list = |known: &LeavingNotice| known.source == NoticeSource::List;
             notice.leaving = notice.leaving.filter(|known| !by_list(known));
@@ -169,36 +163,35 @@
 
     /// Whether something may be sent to a start now.
     ///
-    /// What ends work there goes at any time: memory is given back, and what a request under way holds is kept
-    /// for it. A report disturbs nobody who leaves; who wants rest wants nothing. A check shows whether a start
-    /// has ended under what it ran, which one that leaves does by plan.
+    /// Renewals and releases always may: they serve requests in progress. A leaving upstream still takes reports; one in
+    /// backoff takes nothing. A check would see a planned end as a crash.
     pub fn permits(
         &self,
         now: units::MonoTime,
         name: &ids::UpstreamId,
-        kind: send_permit::SendKind,
-    ) -> Result<(), send_permit::KeptBack> {
-        if matches!(kind, send_permit::SendKind::Renewal | send_permit::SendKind::Release) {
+        kind: send_gate::SendKind,
+    ) -> Result<(), send_gate::SendDenial> {
+        if matches!(kind, send_gate::SendKind::Renewal | send_gate::SendKind::Release) {
             return Ok(());
         }
         let Some(notice) = self.notices.get(name) else {
             return Ok(());
         };
-        if let Some(leaving) = notice.leaving.filter(|_| kind != send_permit::SendKind::Report) {
-            return Err(send_permit::KeptBack::Leaves(leaving.source, now.since(leaving.since)));
+        if let Some(leaving) = notice.leaving.filter(|_| kind != send_gate::SendKind::Report) {
+            return Err(send_gate::SendDenial::Leaves(leaving.source, now.since(leaving.since)));
         }
         match notice.rest.filter(|rest| now < rest.until) {
-            Some(rest) => Err(send_permit::KeptBack::Rests(rest.until.since(now))),
+            Some(rest) => Err(send_gate::SendDenial::Rests(rest.until.since(now))),
             None => Ok(()),
         }
     }
 
-    /// Whether requests keep away from a start, where they can, that has rested and has not taken one since.
+    /// Whether requests should avoid a start that has not accepted one since its backoff.
     pub fn is_avoided(
         &self,
         now: units::MonoTime,
         name: &ids::UpstreamId,
-        turn: send_permit::TrialTurn,
+        turn: send_gate::TrialTurn,
     ) -> bool {
         let rest = self.notices.get(name).and_then(|notice| notice.rest);
         let rested = rest.filter(|rest| rest.until <= now && now < rest.until + RETURN_TIME);
@@ -206,10 +199,10 @@
             return false;
         };
         let tried = rest.trial.is_some_and(|at| now.since(at) < TRIAL_TIME);
-        tried || turn == send_permit::TrialTurn::No
+        tried || turn == send_gate::TrialTurn::No
     }
 
-    /// Notes that a request goes to a start; whether it is the one that finds out behind a rest.
+    /// Records a send to a start; returns whether it is a probe.
     pub fn begin(&mut self, now: units::MonoTime, name: &ids::UpstreamId) -> bool {
         let rest = self.notices.get_mut(name).and_then(|notice| notice.rest.as_mut());
         let Some(rest) = rest.filter(|rest| rest.until <= now) else {
@@ -219,19 +212,19 @@
         true
     }
 
-    /// The request that finds out has ended; without an answer, another one may.
+    /// Ends a probe; without a result another request may probe.
     pub fn end_trial(&mut self, name: &ids::UpstreamId) {
         if let Some(rest) = self.notices.get_mut(name).and_then(|notice| notice.rest.as_mut()) {
             rest.trial = None;
         }
     }
 
-    /// Takes in that a start has taken a request behind its rest; returns whether that ends it.
-    pub fn hear_taken(&mut self, now: units::MonoTime, name: &ids::UpstreamId) -> bool {
+    /// Records that a start has accepted a request; returns whether that ends its backoff.
+    pub fn receive_taken(&mut self, now: units::MonoTime, name: &ids::UpstreamId) -> bool {
         let Some(notice) = self.notices.get_mut(name) else {
             return false;
         };
-        // What was under way as it asked for rest takes nothing back.
+        // Answers to requests sent before the backoff say nothing of its end.
         let over = notice.rest.is_some_and(|rest| rest.until <= now);
         if over {
             notice.rest = None;
@@ -239,9 +232,8 @@
         over
     }
 
-    /// Takes in for how long a start wants rest. A shorter one inside a longer changes nothing: the longer
-    /// was asked for and not taken back.
-    pub fn hear_rest(
+    /// Records a backoff. A shorter one within a longer one changes nothing.
+    pub fn receive_rest(
         &mut self,
         now: units::MonoTime,
         name: &ids::UpstreamId,
@@ -257,23 +249,24 @@
         if known <= now { RestNews::Begun } else { RestNews::Longer }
     }
 
-    /// Takes in what an answer said of a start's limit, or left out.
-    pub fn hear_limit(
+    /// Records the limit in an answer, or its absence.
+    pub fn receive_limit(
         &mut self,
         name: &ids::UpstreamId,
-        word: upstream_limit::LimitWord,
+        reading: upstream_limit::LimitReading,
     ) -> upstream_limit::LimitNews {
         let known = self.notices.get(name).and_then(|notice| notice.limit);
-        if known.is_none() && word.rate.is_none() {
-            // As nearly all answers say.
+        if known.is_none() && reading.rate.is_none() {
+            // The common case.
             return upstream_limit::LimitNews::Known;
         }
-        let before = known.and_then(|known| known.word.rate);
-        let word = known.map_or(word, |known| known.word.or(word));
-        let news = upstream_limit::LimitNews::of(before, word.rate);
-        let goes_on = known.filter(|_| before.is_some() == word.rate.is_some());
-        let since = goes_on.map_or(word.heard, |known| known.since);
-        self.notice(word.heard, name).limit = Some(upstream_limit::LimitNotice { word, since });
+        let before = known.and_then(|known| known.reading.rate);
+        let reading = known.map_or(reading, |known| known.reading.or(reading));
+        let news = upstream_limit::LimitNews::of(before, reading.rate);
+        let goes_on = known.filter(|_| before.is_some() == reading.rate.is_some());
+        let since = goes_on.map_or(reading.heard, |known| known.since);
+        self.notice(reading.heard, name).limit =
+            Some(upstream_limit::LimitNotice { reading, since });
         self.limit_changes += u64::from(news != upstream_limit::LimitNews::Known);
         news
     }
@@ -283,40 +276,40 @@
         self.limit_changes
     }
 
-    /// Words on limits, also those that have ended them lately.
-    pub fn limit_words(
+    /// Readings of limits, also of those that ended recently.
+    pub fn limit_readings(
         &self,
-    ) -> impl Iterator<Item = (&ids::UpstreamId, upstream_limit::LimitWord)> {
-        self.notices.iter().filter_map(|(name, notice)| Some((name, notice.limit?.word)))
+    ) -> impl Iterator<Item = (&ids::UpstreamId, upstream_limit::LimitReading)> {
+        self.notices.iter().filter_map(|(name, notice)| Some((name, notice.limit?.reading)))
     }
 
-    /// The word on a start's limit, also one that has ended it lately.
-    pub fn limit_word(&self, name: &ids::UpstreamId) -> Option<upstream_limit::LimitWord> {
-        Some(self.notices.get(name)?.limit?.word)
+    /// The reading of a start's limit, also of one that ended recently.
+    pub fn limit_reading(&self, name: &ids::UpstreamId) -> Option<upstream_limit::LimitReading> {
+        Some(self.notices.get(name)?.limit?.reading)
     }
 
     /// Starts with a limit.
     pub fn limits(&self) -> impl Iterator<Item = (&ids::UpstreamId, units::RequestRate)> {
-        self.limit_words().filter_map(|(name, word)| Some((name, word.rate?)))
+        self.limit_readings().filter_map(|(name, reading)| Some((name, reading.rate?)))
     }
 
-    /// The limit that a start has named and not ended.
+    /// The limit in force for a start.
     pub fn limit(&self, name: &ids::UpstreamId) -> Option<upstream_limit::LimitNotice> {
-        self.notices.get(name)?.limit.filter(|limit| limit.word.rate.is_some())
+        self.notices.get(name)?.limit.filter(|limit| limit.reading.rate.is_some())
     }
 
-    /// Whether, and by whose word, a start leaves.
+    /// The leaving notice of a start.
     pub fn leaving(&self, name: &ids::UpstreamId) -> Option<LeavingNotice> {
         self.notices.get(name)?.leaving
     }
 
-    /// The rest that a start has asked for, while it lasts.
+    /// The backoff in force for a start.
     pub fn rest(&self, now: units::MonoTime, name: &ids::UpstreamId) -> Option<RestNotice> {
         self.notices.get(name)?.rest.filter(|rest| now < rest.until)
     }
 
-    /// What is known of a start, since when and by whose word, for people; nothing where nothing is.
-    pub fn told(&self, now: units::MonoTime, name: &ids::UpstreamId) -> Option<String> {
+    /// The notices of a start with origin and age, for operators; `None` without any.
+    pub fn describe(&self, now: units::MonoTime, name: &ids::UpstreamId) -> Option<String> {
         let leaving = self.leaving(name).map(|leaving| {
             let age = seconds(now.since(leaving.since));
             format!("leaves, by {} {age} ago", leaving.source)
@@ -331,9 +324,9 @@
             )
         });
         let limit = self.limit(name).and_then(|limit| {
-            let rate = limit.word.rate?;
-            let (age, lasts) = (now.since(limit.word.heard), now.since(limit.since));
-            let source = limit.word.source;
+            let rate = limit.reading.rate?;
+            let (age, lasts) = (now.since(limit.reading.heard), now.since(limit.since));
+            let source = limit.reading.source;
             Some(format!(
                 "takes {rate} of all, by {source} {} ago, limited for {}",
                 seconds(age),
@@ -344,19 +337,19 @@
         (!told.is_empty()).then(|| told.join("; "))
     }
 
-    /// Starts that have said themselves that they leave, to this instance or another.
+    /// Starts with a leaving notice of their own.
     pub fn own_words(&self) -> impl Iterator<Item = (&ids::UpstreamId, LeavingNotice)> {
         let leaving =
             self.notices.iter().filter_map(|(name, notice)| Some((name, notice.leaving?)));
         leaving.filter(|(_, leaving)| leaving.source != NoticeSource::List)
     }
 
-    /// Starts of which something is known.
+    /// Starts with notices.
     pub fn names(&self) -> impl Iterator<Item = &ids::UpstreamId> {
         self.notices.keys()
     }
 
-    /// Forgets starts that have not been listed, and have said nothing, for long.
+    /// Drops starts that have been neither listed nor heard from for long.
     pub fn retain(&mut self, now: units::MonoTime, listed: impl Fn(&ids::UpstreamId) -> bool) {
         self.notices.retain(|name, notice| {
             if listed(name) {
@@ -364,7 +357,7 @@
             }
             let remembered = |rest: RestNotice| now < rest.until + RETURN_TIME;
             let is_limited = |limit: upstream_limit::LimitNotice| {
-                limit.word.rate.is_some() || now.since(limit.word.heard) < ENDED_LIMIT_MEMORY
+                limit.reading.rate.is_some() || now.since(limit.reading.heard) < ENDED_LIMIT_MEMORY
             };
             let said = notice.leaving.is_some()
                 || notice.rest.is_some_and(remembered)
@@ -385,7 +378,7 @@
     }
 }
 
-/// A span for people.
+/// A duration for operators.
 pub(crate) fn seconds(span: time::Duration) -> String {
     format!("{:.1} s", span.as_secs_f64())
 }
--- a/crates/core/src/upstream_open.rs
+++ b/crates/core/src/upstream_open.rs
@@ -1,15 +1,15 @@
-//! Which upstreams this instance may send to now: the list's answers that go by what upstreams have said.
+//! Upstreams that this instance may send to now, by the list and their notices.
 
-use crate::{fleet_list, ids, send_leave, send_permit, units, upstream_list, upstream_notice};
+use crate::{fleet_list, ids, quota_permit, send_gate, units, upstream_list, upstream_notice};
 
 impl upstream_list::UpstreamList {
-    /// Upstreams of a service that this instance may send a request to now: usable ones that want no rest of
-    /// it; and of these, where there are any, those that it need not avoid behind a rest.
+    /// Upstreams of a service that may take a request now: usable ones without a backoff, and among these preferably
+    /// those that need no probe.
     pub fn open<'a>(
         &'a self,
         now: units::MonoTime,
         service: &'a ids::ServiceId,
-        turn: send_permit::TrialTurn,
+        turn: send_gate::TrialTurn,
     ) -> Vec<&'a upstream_list::UpstreamEntry> {
         let mut open = self.usable(service);
         open.retain(|entry| self.notices().rest(now, &entry.name).is_none());
@@ -22,14 +22,14 @@
         open
     }
 
-    /// Upstreams of a service that the list names as live and that are not [`Self::open`] now.
+    /// Listed upstreams of a service that are not [`Self::open`] now.
     pub fn closed<'a>(
         &'a self,
         now: units::MonoTime,
         service: &'a ids::ServiceId,
-        turn: send_permit::TrialTurn,
+        turn: send_gate::TrialTurn,
     ) -> Vec<&'a ids::UpstreamId> {
-        // Few upstreams have said anything; mostly none of a service has.
+        // Few upstreams have notices, mostly none of a service.
         let listed = |name: &&ids::UpstreamId| {
             let entry = self.entry(name).filter(|entry| entry.name == **name);
             entry.is_some_and(|entry| {
@@ -44,8 +44,7 @@
         closed
     }
 
-    /// When the first of a service's upstreams ends its rest, and how long a rest it had asked for; nothing
-    /// where none that is usable rests.
+    /// The backoff of a service's usable upstreams that ends first.
     pub fn first_back(
         &self,
         now: units::MonoTime,
@@ -56,31 +55,31 @@
         rests.min_by_key(|rest| rest.until)
     }
 
-    /// Whether something may be sent to an upstream now, whichever its present start is. What begins work there
-    /// needs it to be listed, and leave where it has a limit.
+    /// Whether something may be sent to an upstream now, whichever its present start is. Work requires it to be listed, and
+    /// a permit where it has a limit.
     pub fn permits(
         &self,
         now: units::MonoTime,
         name: &ids::UpstreamId,
-        kind: send_permit::SendKind,
-        leaves: &[send_leave::SendLeave],
-    ) -> Result<(), send_permit::KeptBack> {
-        use send_permit::SendKind;
+        kind: send_gate::SendKind,
+        permits: &[quota_permit::SendPermit],
+    ) -> Result<(), send_gate::SendDenial> {
+        use send_gate::SendKind;
 
         let present = self.entry(name).map_or(name, |entry| &entry.name);
         self.notices().permits(now, present, kind)?;
         let begins = matches!(kind, SendKind::Request | SendKind::Hold);
         let evacuated = self.entry(name).is_some_and(|entry| self.is_evacuated(entry));
         if evacuated && (begins || kind == SendKind::Report) {
-            return Err(send_permit::KeptBack::Evacuated);
+            return Err(send_gate::SendDenial::Evacuated);
         }
         if begins && !self.is_usable(name) {
-            return Err(send_permit::KeptBack::Unlisted);
+            return Err(send_gate::SendDenial::Unlisted);
         }
         let limit = self.notices().limit(present).filter(|_| begins);
-        match limit.and_then(|limit| limit.word.rate) {
-            Some(rate) if !leaves.iter().any(|leave| leave.is_good(now, present)) => {
-                Err(send_permit::KeptBack::Limited(rate))
+        match limit.and_then(|limit| limit.reading.rate) {
+            Some(rate) if !permits.iter().any(|permit| permit.is_good(now, present)) => {
+                Err(send_gate::SendDenial::Limited(rate))
             }
             _ => Ok(()),
         }
--- a/crates/core/tests/cold_start.rs
+++ b/crates/core/tests/cold_start.rs
@@ -6,7 +6,7 @@
     cold_start::{ColdPolicy, ColdUpstreamWay},
     fleet_list::ListState,
     ids, units,
-    upstream_limit::LimitWord,
+    upstream_limit::LimitReading,
     upstream_list::{ListChange, UpstreamEntry, UpstreamList},
     upstream_notice::NoticeSource,
 };
@@ -46,7 +46,7 @@
 
 fn limit(list: &UpstreamList, number: u8) -> Option<f64> {
     let limit = list.limit(&name(number))?;
-    limit.word.rate.map(units::RequestRate::per_second)
+    limit.reading.rate.map(units::RequestRate::per_second)
 }
 
 #[test]
@@ -104,8 +104,8 @@
     list.apply(at(1_000), vec![ListChange::Present(entry(1, 3_000))], 11);
     for (named, heard, holds) in [(30.0, 1_100, 17.0), (5.0, 1_200, 5.0)] {
         let (rate, at) = (Some(rate(named)), at(heard));
-        let word = LimitWord { rate, asked: at, heard: at, source: NoticeSource::Answer };
-        list.notices_mut().hear_limit(&name(1), word);
+        let reading = LimitReading { rate, asked: at, heard: at, source: NoticeSource::Answer };
+        list.notices_mut().receive_limit(&name(1), reading);
         assert_eq!(limit(&list, 1), Some(holds), "{named} named");
     }
 }
--- a/crates/core/tests/connection_silence.rs
+++ b/crates/core/tests/connection_silence.rs
@@ -62,9 +62,9 @@
 fn one_that_was_open_all_the_time_and_is_heard_speaks_for_the_others() {
     let silent = ages(5_000, Some(1_200));
     let heard = [ages(300, Some(10)), ages(9_000, Some(10))];
-    assert!(silent.spared(WAITED, heard.into_iter()));
-    assert!(!silent.spared(WAITED, heard.into_iter().take(1)), "opened behind the silence");
-    assert!(!silent.spared(WAITED, std::iter::empty()));
+    assert!(silent.reserved_part(WAITED, heard.into_iter()));
+    assert!(!silent.reserved_part(WAITED, heard.into_iter().take(1)), "opened behind the silence");
+    assert!(!silent.reserved_part(WAITED, std::iter::empty()));
 }
 
 #[test]
--- a/crates/core/tests/engine_reports.rs
+++ b/crates/core/tests/engine_reports.rs
@@ -59,6 +59,6 @@
     planner.set_report(&engine(1), 1.0, 9);
     assert!(planner.take_report_due(at(TURN * 3), &engine(1)), "others have placed there");
     planner.set_report(&engine(1), 1.0, 0);
-    planner.shun(at(TURN * 3), &engine(1));
+    planner.eject(at(TURN * 3), &engine(1));
     assert!(planner.take_report_due(at(TURN * 4), &engine(1)), "it has failed");
 }
--- a/crates/core/tests/evacuation.rs
+++ b/crates/core/tests/evacuation.rs
@@ -5,7 +5,7 @@
 use slipturn_core::{
     fleet_list::ListState,
     ids,
-    send_permit::{KeptBack, SendKind, TrialTurn},
+    send_gate::{SendDenial, SendKind, TrialTurn},
     units,
     upstream_list::{ListChange, UpstreamEntry, UpstreamList},
 };
@@ -63,7 +63,7 @@
     assert_eq!(open(&list), ["u3", "u4"]);
     for kind in [SendKind::Request, SendKind::Hold, SendKind::Report] {
         let permitted = list.permits(at(1), &name(1), kind, &[]);
-        assert_eq!(permitted, Err(KeptBack::Evacuated), "{kind}");
+        assert_eq!(permitted, Err(SendDenial::Evacuated), "{kind}");
     }
     for kind in [SendKind::Renewal, SendKind::Release] {
         let permitted = list.permits(at(1), &name(1), kind, &[]);
--- a/crates/core/tests/fleet_budget.rs
+++ b/crates/core/tests/fleet_budget.rs
@@ -4,10 +4,10 @@
 
 use slipturn_core::{
     fleet_budget::{RetryBound, RetryShare},
-    leave_ledger::LeaveLedger,
     planner::ways::RetryOrderWay,
+    quota_ledger::QuotaLedger,
+    quota_permit::{PermitRequest, PermitResponse},
     retry_need::RetryNeed,
-    send_leave::{LeaveAnswer, LeaveAsk},
     units,
 };
 
@@ -18,10 +18,10 @@
     units::MonoTime::from_span(time::Duration::from_millis(millis))
 }
 
-/// Members with a keeper among them, which each can reach; behind a cut one on each side.
+/// Members with a coordinator among them, which each can reach; behind a cut one on each side.
 struct Fleet {
     shares: Vec<RetryShare>,
-    keepers: Vec<LeaveLedger<()>>,
+    keepers: Vec<QuotaLedger<()>>,
     /// Members that each believes there are.
     members: Option<usize>,
 }
@@ -29,19 +29,19 @@
 impl Fleet {
     /// So many members that have kept what they keep for long; `part` of it each of so many keepers.
     fn new(members: usize, known: Option<usize>, keepers: usize, part: f64) -> Self {
-        let keeper = |_| {
-            let mut ledger = LeaveLedger::default();
+        let coordinator = |_| {
+            let mut ledger = QuotaLedger::default();
             ledger.set_kept(at(0), &collections::BTreeMap::from([((), BOUND.kept(part, known))]));
             ledger
         };
         Self {
             shares: (0..members).map(|_| RetryShare::new(BOUND)).collect(),
-            keepers: (0..keepers).map(keeper).collect(),
+            keepers: (0..keepers).map(coordinator).collect(),
             members: known,
         }
     }
 
-    /// Whether a member may make a retry, by its own share or its keeper's leave.
+    /// Whether a member may make a retry, by its own share or its coordinator's leave.
     fn takes(&mut self, now: u64, member: usize) -> bool {
         self.takes_for(now, member, RetryNeed::Begun)
     }
@@ -51,11 +51,12 @@
         if self.shares[member].take(at(now), self.members) {
             return true;
         }
-        let keeper = member % self.keepers.len();
-        let ask = LeaveAsk { wanted: 1, patience_ms: 0 };
-        let part = need.spared();
-        let answer = self.keepers[keeper].ask_sparing(at(now), &(), member as u64, &ask, part);
-        matches!(answer, Some(LeaveAnswer::Given { .. }))
+        let coordinator = member % self.keepers.len();
+        let ask = PermitRequest { wanted: 1, patience_ms: 0 };
+        let part = need.reserved_part();
+        let answer =
+            self.keepers[coordinator].request_reserving(at(now), &(), member as u64, &ask, part);
+        matches!(answer, Some(PermitResponse::Granted { .. }))
     }
 
     /// Most retries in any window, where all try all the while for three of them from `from` on.
--- a/crates/core/tests/gossip.rs
+++ b/crates/core/tests/gossip.rs
@@ -2,7 +2,7 @@
 
 use rand::{RngExt as _, SeedableRng as _};
 use rand_chacha::ChaCha8Rng;
-use slipturn_core::news_spread::{self, SpreadCause};
+use slipturn_core::gossip::{self, GossipCause};
 
 /// Datagrams lost, of all.
 const LOST: f64 = 0.01;
@@ -31,9 +31,9 @@
         !cut && self.random.random::<f64>() >= LOST
     }
 
-    fn tell(&mut self, now: u64, from: usize, cause: SpreadCause) {
+    fn send_to(&mut self, now: u64, from: usize, cause: GossipCause) {
         let alive = (0..self.knows.len()).filter(|to| *to != from);
-        for to in news_spread::targets(cause, alive, &mut self.random) {
+        for to in gossip::targets(cause, alive, &mut self.random) {
             if self.send(now, from, to) {
                 self.knows[to] = true;
             }
@@ -48,9 +48,9 @@
     fn run(&mut self, found: bool) -> u64 {
         self.knows[0] = true;
         if found {
-            self.tell(0, 0, SpreadCause::Found);
+            self.send_to(0, 0, GossipCause::Found);
         }
-        let interval = news_spread::REPEAT_INTERVAL.as_millis() as u64;
+        let interval = gossip::REPEAT_INTERVAL.as_millis() as u64;
         let turns: Vec<_> =
             self.knows.iter().map(|_| self.random.random_range(0..interval)).collect();
         let mut now = 0;
@@ -58,7 +58,7 @@
             now += STEP_MS;
             for (member, turn) in turns.iter().enumerate() {
                 if now % interval / STEP_MS == turn / STEP_MS && self.knows[member] {
-                    self.tell(now, member, SpreadCause::Repeat);
+                    self.send_to(now, member, GossipCause::Repeat);
                 }
             }
         }
@@ -98,7 +98,7 @@
     let left_out = |seed| {
         let mut fleet = Fleet::new(300, 0, seed);
         fleet.knows[0] = true;
-        fleet.tell(0, 0, SpreadCause::Found);
+        fleet.send_to(0, 0, GossipCause::Found);
         assert_eq!(fleet.messages, 299);
         fleet.unknowing()
     };
@@ -112,10 +112,10 @@
 fn who_asks_three_hears_of_it() {
     let mut random = ChaCha8Rng::seed_from_u64(1);
     let missed = (0..10_000).filter(|_| {
-        let asked = news_spread::targets(SpreadCause::Woke, 0..300, &mut random);
+        let asked = gossip::targets(GossipCause::Woke, 0..300, &mut random);
         assert_eq!(asked.len(), 3);
         asked.iter().all(|_| random.random::<f64>() < 2.0 * LOST)
     });
     assert!(missed.count() <= 1);
-    assert!(news_spread::asks_met(2) && !news_spread::asks_met(3));
+    assert!(gossip::requests_from_met(2) && !gossip::requests_from_met(3));
 }
--- a/crates/core/tests/limit_ways.rs
+++ b/crates/core/tests/limit_ways.rs
@@ -7,9 +7,9 @@
 use rand_chacha::ChaCha8Rng;
 use slipturn_core::{
     ids,
-    leave_desk::{LeaveDesk, LeaveStep},
-    leave_ledger::LeaveLedger,
-    send_leave::{LeaveAnswer, LeaveAsk, LeaveTerm},
+    permit_cache::{PermitCache, PermitStep},
+    quota_ledger::QuotaLedger,
+    quota_permit::{PermitRequest, PermitResponse, PermitTerm},
     send_pace::{PaceBound, SendPace},
     units,
 };
@@ -24,7 +24,7 @@
 const WINDOW_MS: u64 = 4_000;
 /// Requests that want to go to the upstream, in shares of its limit, where it is short.
 const DEMAND: f64 = 10.0;
-/// Time for a keeper's answer, milliseconds; behind it the request goes elsewhere.
+/// Time for a coordinator's answer, milliseconds; behind it the request goes elsewhere.
 const REPLY_MS: u64 = 25;
 /// Time behind which a request that was not answered is asked for anew, milliseconds.
 const SILENCE_MS: u64 = 100;
@@ -58,23 +58,23 @@
     Calm,
     /// It dies after 8 s, and member 1 begins so many milliseconds later.
     Dies(u64),
-    /// It stands still from 8 s on for 3 s, believes to be the keeper still for so many milliseconds, and takes over
+    /// It stands still from 8 s on for 3 s, believes to be the coordinator still for so many milliseconds, and takes over
     /// again a second later.
     StandsStill(u64),
-    /// From 8 to 16 s the members are cut in halves that both have a keeper, which know it after so many
+    /// From 8 to 16 s the members are cut in halves that both have a coordinator, which know it after so many
     /// milliseconds.
     CutInHalves(u64),
 }
 
 #[derive(Debug, Clone)]
 enum Message {
-    Ask(usize, LeaveAsk, u64),
-    Answer(usize, LeaveAnswer, u64),
+    Ask(usize, PermitRequest, u64),
+    Answer(usize, PermitResponse, u64),
 }
 
 struct Member {
-    desk: LeaveDesk<ids::UpstreamId>,
-    ledger: LeaveLedger<ids::UpstreamId>,
+    cache: PermitCache<ids::UpstreamId>,
+    ledger: QuotaLedger<ids::UpstreamId>,
     /// Its own share, of the ways that have one.
     pace: SendPace,
     /// Requests of the second under way, and of the one before.
@@ -117,8 +117,8 @@
 impl Run {
     fn new(way: LimitWay, members: usize, limit: f64, busy: Busy, trouble: Trouble) -> Self {
         let new = || Member {
-            desk: LeaveDesk::default(),
-            ledger: LeaveLedger::default(),
+            cache: PermitCache::default(),
+            ledger: QuotaLedger::default(),
             pace: SendPace::begun(at(0), bound(limit / members as f64)),
             counts: (0, 0),
             told: vec![0; members],
@@ -146,7 +146,7 @@
             self.set_keepers(now);
             for (to, message) in self.under_way.remove(&now).unwrap_or_default() {
                 if !self.is_still(now, to) {
-                    self.hear(now, to, message);
+                    self.receive(now, to, message);
                 } else {
                     // It lies in its socket until the process runs again.
                     self.under_way.entry(now + 1).or_default().push((to, message));
@@ -193,7 +193,7 @@
             _ => vec![(0, 1.0)],
         };
         for member in [0, 1, half] {
-            let own = keepers.iter().find(|(keeper, _)| *keeper == member);
+            let own = keepers.iter().find(|(coordinator, _)| *coordinator == member);
             let kept = own.map(|(_, part)| (upstream(), bound(self.rate * part)));
             if !self.is_still(now, member) {
                 self.members[member].ledger.set_kept(at(now), &kept.into_iter().collect());
@@ -201,8 +201,8 @@
         }
     }
 
-    /// Whom a member takes for the keeper.
-    fn keeper_of(&self, now: u64, member: usize) -> usize {
+    /// Whom a member takes for the coordinator.
+    fn coordinator_of(&self, now: u64, member: usize) -> usize {
         let half = self.members.len() / 2;
         match self.trouble {
             Trouble::Dies(later) if now > 8_000 + later => 1,
@@ -214,7 +214,7 @@
         }
     }
 
-    fn tell(&mut self, now: u64, to: usize, message: Message) {
+    fn send_to(&mut self, now: u64, to: usize, message: Message) {
         self.messages += 1;
         if self.random.random::<f64>() >= LOST {
             let arrives = now + self.random.random_range(WAY_MS);
@@ -266,48 +266,48 @@
     }
 
     fn send_by_leave(&mut self, now: u64, from: usize) {
-        let step = self.members[from].desk.step(at(now), &upstream(), time::Duration::ZERO);
+        let step = self.members[from].cache.step(at(now), &upstream(), time::Duration::ZERO);
         match step {
-            LeaveStep::Send(_) => self.sends.push(now),
-            LeaveStep::Closed(_) => {}
-            LeaveStep::Ask(ask) => {
+            PermitStep::Send(_) => self.sends.push(now),
+            PermitStep::Closed(_) => {}
+            PermitStep::Ask(ask) => {
                 let wanted = if self.way == LimitWay::KeeperEach { 1 } else { ask.wanted };
-                let ask = LeaveAsk { wanted, ..ask };
-                let keeper = self.keeper_of(now, from);
-                if keeper != from {
-                    self.tell(now, keeper, Message::Ask(from, ask, now));
+                let ask = PermitRequest { wanted, ..ask };
+                let coordinator = self.coordinator_of(now, from);
+                if coordinator != from {
+                    self.send_to(now, coordinator, Message::Ask(from, ask, now));
                     return;
                 }
                 if let Some(answer) =
                     self.members[from].ledger.ask(at(now), &upstream(), from as u64, &ask)
                 {
-                    self.hear_answer(now, from, answer, now);
+                    self.receive_answer(now, from, answer, now);
                 }
             }
         }
     }
 
-    fn hear(&mut self, now: u64, to: usize, message: Message) {
+    fn receive(&mut self, now: u64, to: usize, message: Message) {
         match message {
             Message::Ask(from, ask, asked) => {
                 if let Some(answer) =
                     self.members[to].ledger.ask(at(now), &upstream(), from as u64, &ask)
                 {
-                    self.tell(now, from, Message::Answer(from, answer, asked));
+                    self.send_to(now, from, Message::Answer(from, answer, asked));
                 }
             }
-            Message::Answer(to, answer, asked) => self.hear_answer(now, to, answer, asked),
+            Message::Answer(to, answer, asked) => self.receive_answer(now, to, answer, asked),
         }
     }
 
     /// The request has gone elsewhere if the answer took too long; its leave serves the next one, while it is good.
-    fn hear_answer(&mut self, now: u64, to: usize, answer: LeaveAnswer, asked: u64) {
-        let heard = self.members[to].desk.hear(at(now), &upstream(), at(asked), answer);
+    fn receive_answer(&mut self, now: u64, to: usize, answer: PermitResponse, asked: u64) {
+        let heard = self.members[to].cache.receive(at(now), &upstream(), at(asked), answer);
         if heard.is_ok() && now < asked + REPLY_MS {
             self.sends.push(now);
         } else if heard.is_err() && now >= asked + REPLY_MS {
             let pause = time::Duration::from_millis(SILENCE_MS);
-            self.members[to].desk.note_silence(at(now), &upstream(), pause);
+            self.members[to].cache.note_silence(at(now), &upstream(), pause);
         }
     }
 }
@@ -406,7 +406,7 @@
                     most_by_rate(limit),
                     figures.used
                 );
-                // Two that both believe to be the keeper give one leave more, and until they know of a cut twice as
+                // Two that both believe to be the coordinator give one leave more, and until they know of a cut twice as
                 // many.
                 let unknown = match trouble {
                     Trouble::CutInHalves(unknown) => unknown as f64 / 1_000.0,
@@ -437,11 +437,11 @@
 /// What lay unread while its member was paused is no leave any more.
 #[test]
 fn an_answer_read_late_gives_no_leave() {
-    let mut desk = LeaveDesk::default();
-    let given = LeaveAnswer::Given { count: 3, wait_ms: 0 };
-    assert!(desk.hear(at(700), &upstream(), at(100), given).is_err());
-    let step = desk.step(at(701), &upstream(), time::Duration::ZERO);
-    assert!(matches!(step, LeaveStep::Ask(_)), "{step:?}");
-    let term = LeaveTerm::of_answer(at(100), time::Duration::ZERO);
+    let mut cache = PermitCache::default();
+    let given = PermitResponse::Granted { count: 3, wait_ms: 0 };
+    assert!(cache.receive(at(700), &upstream(), at(100), given).is_err());
+    let step = cache.step(at(701), &upstream(), time::Duration::ZERO);
+    assert!(matches!(step, PermitStep::Ask(_)), "{step:?}");
+    let term = PermitTerm::of_answer(at(100), time::Duration::ZERO);
     assert!(term.is_good(at(599)) && !term.is_good(at(600)));
 }
--- a/crates/core/tests/membership.rs
+++ b/crates/core/tests/membership.rs
@@ -47,14 +47,14 @@
     assert_eq!(view.targets(address(0)), vec![address(1), address(2)]);
     let mut first = beat(1, 1, 1);
     first.others = vec![address(3), address(0)];
-    assert!(view.hear(at(0), first));
+    assert!(view.receive(at(0), first));
     assert_eq!(view.targets(address(0)), vec![address(1), address(2), address(3)]);
 }
 
 #[test]
 fn a_silent_member_is_suspected_then_forgotten() {
     let mut view = view();
-    view.hear(at(0), beat(1, 1, 1));
+    view.receive(at(0), beat(1, 1, 1));
     assert_eq!(view.alive(at(500)).count(), 1);
     assert_eq!(view.alive(at(1_000)).count(), 0);
     assert!(view.tick(at(1_000)).is_empty());
@@ -64,13 +64,13 @@
 #[test]
 fn an_old_heartbeat_changes_nothing_and_a_restart_is_noticed() {
     let mut view = view();
-    view.hear(at(0), beat(1, 1, 5));
+    view.receive(at(0), beat(1, 1, 5));
     let mut old = beat(1, 1, 4);
     old.routes = 99;
-    assert!(!view.hear(at(10), old));
+    assert!(!view.receive(at(10), old));
     let near = "a".parse().expect("a valid name");
     assert!(view.routes_sources(at(10), 50, &near).is_empty());
-    assert!(view.hear(at(20), beat(1, 2, 1)));
+    assert!(view.receive(at(20), beat(1, 2, 1)));
 }
 
 /// Plays what members say to each other at once, without waiting for heartbeats: all start in the
@@ -85,7 +85,7 @@
         let view = &mut views[usize::from(to)];
         let from = beat_heard.address.ip().octets()[3];
         let mut replies = view.welcome(&beat_heard);
-        let joined = view.hear(at(1), beat_heard);
+        let joined = view.receive(at(1), beat_heard);
         if joined && replies.is_empty() {
             replies.push(view.named(7));
         }
@@ -117,7 +117,7 @@
 fn who_knows_enough_is_told_no_list() {
     let mut view = view();
     for number in 1..=60 {
-        view.hear(at(0), beat(number, 1, 1));
+        view.receive(at(0), beat(number, 1, 1));
     }
     let few = beat(99, 1, 1);
     let listed: Vec<_> = view.welcome(&few).into_iter().flatten().collect();
@@ -130,9 +130,9 @@
 fn an_address_heard_of_twice_is_met_once() {
     let mut view = view();
     let naming = |sequence| MemberBeat { others: vec![address(9)], ..beat(1, 1, sequence) };
-    view.hear(at(0), naming(1));
+    view.receive(at(0), naming(1));
     assert_eq!(view.take_unmet(address(0)), vec![address(9)]);
-    view.hear(at(10), naming(2));
+    view.receive(at(10), naming(2));
     assert!(view.take_unmet(address(0)).is_empty());
     assert!(view.targets(address(0)).contains(&address(9)), "it still gets heartbeats");
 }
@@ -140,18 +140,18 @@
 #[test]
 fn a_short_heartbeat_renews_only_the_start_that_was_heard() {
     let mut view = view();
-    view.hear(at(0), beat(1, 7, 1));
+    view.receive(at(0), beat(1, 7, 1));
     let alive = MemberBeat { routes: 9, leaving: true, ..beat(1, 7, 2) }.alive();
-    assert!(view.hear_alive(at(900), &alive));
+    assert!(view.receive_alive(at(900), &alive));
     assert_eq!(
         view.alive(at(1_000)).map(|beat| (beat.routes, beat.leaving)).next(),
         Some((9, true))
     );
     let old = beat(1, 7, 1).alive();
-    assert!(view.hear_alive(at(1_100), &old), "known, but nothing new");
+    assert!(view.receive_alive(at(1_100), &old), "known, but nothing new");
     assert_eq!(view.alive(at(1_100)).map(|beat| beat.routes).next(), Some(9));
     assert!(
-        !view.hear_alive(at(1_200), &beat(1, 8, 3).alive()),
+        !view.receive_alive(at(1_200), &beat(1, 8, 3).alive()),
         "another start must say who it is"
     );
 }
@@ -159,7 +159,7 @@
 #[test]
 fn its_own_heartbeat_is_no_member() {
     let mut view = view();
-    assert!(!view.hear(at(0), beat(0, 1, 1)));
+    assert!(!view.receive(at(0), beat(0, 1, 1)));
     assert_eq!(view.size(), 1);
 }
 
@@ -170,7 +170,7 @@
         .map(|own| {
             let mut view = MemberView::new(name(own), Vec::new());
             for beat in &beats {
-                view.hear(at(0), beat.clone());
+                view.receive(at(0), beat.clone());
             }
             let planner = view.planner(at(10), &service(), &beats[usize::from(own)]);
             planner.map_or_else(|| name(own), |beat| beat.name)
@@ -184,7 +184,7 @@
     let mut view = view();
     let mut strong = beat(1, 1, 1);
     strong.cpu = 500;
-    view.hear(at(0), strong);
+    view.receive(at(0), strong);
     let own = beat(0, 1, 1);
     assert_eq!(view.planner(at(10), &service(), &own).map(|beat| beat.name), Some(name(1)));
     view.unanswered(&name(1));
@@ -200,7 +200,7 @@
     let mut young = beat(1, 1, 1);
     young.plans = false;
     young.cpu = 900;
-    view.hear(at(0), young.clone());
+    view.receive(at(0), young.clone());
     let own = beat(0, 1, 1);
     assert_eq!(view.planner(at(10), &service(), &own), None);
     let own = MemberBeat { plans: false, ..beat(0, 1, 1) };
@@ -210,8 +210,8 @@
 #[test]
 fn a_leaving_member_and_one_without_routes_do_not_plan() {
     let mut view = view();
-    view.hear(at(0), MemberBeat { leaving: true, cpu: 900, ..beat(1, 1, 1) });
-    view.hear(at(0), MemberBeat { routes: 0, cpu: 900, ..beat(2, 1, 1) });
+    view.receive(at(0), MemberBeat { leaving: true, cpu: 900, ..beat(1, 1, 1) });
+    view.receive(at(0), MemberBeat { routes: 0, cpu: 900, ..beat(2, 1, 1) });
     assert_eq!(view.planner(at(10), &service(), &beat(0, 1, 1)), None);
 }
 
@@ -220,7 +220,7 @@
     let mut view = view();
     let small = view.beat_interval();
     for number in 1..=60 {
-        view.hear(at(0), beat(number, 1, 1));
+        view.receive(at(0), beat(number, 1, 1));
     }
     assert!(view.beat_interval() >= small * 5);
     let named: std::collections::BTreeSet<_> =
@@ -232,7 +232,7 @@
 fn the_size_outlasts_a_mass_failure() {
     let mut view = view();
     for number in 1..6 {
-        view.hear(at(0), beat(number, 1, 1));
+        view.receive(at(0), beat(number, 1, 1));
     }
     assert_eq!(view.size(), 6);
     view.tick(at(60_000));
@@ -248,7 +248,7 @@
         for own in 0..count {
             let mut view = MemberView::new(name(own), Vec::new());
             for other in &before {
-                view.hear(at(0), other.clone());
+                view.receive(at(0), other.clone());
             }
             let missing = time::Duration::from_millis(round * 150);
             let wants = view.should_watch(at(1), &before[usize::from(own)], missing, false);
@@ -281,7 +281,7 @@
     for own in 0..60_u8 {
         let mut view = MemberView::new(name(own), Vec::new());
         for other in &beats {
-            view.hear(at(0), other.clone());
+            view.receive(at(0), other.clone());
         }
         let (mut since, mut failed) = (0, false);
         for now in (0..10_000_u64).step_by(10) {
@@ -309,12 +309,12 @@
     let near: ids::DataCenterId = "a".parse().expect("a valid name");
     let far: ids::DataCenterId = "b".parse().expect("a valid name");
     for number in 1..4 {
-        view.hear(at(0), MemberBeat { routes: 7, ..beat(number, 1, 1) });
+        view.receive(at(0), MemberBeat { routes: 7, ..beat(number, 1, 1) });
     }
-    view.hear(at(0), MemberBeat { routes: 7, data_center: far.clone(), ..beat(4, 1, 1) });
+    view.receive(at(0), MemberBeat { routes: 7, data_center: far.clone(), ..beat(4, 1, 1) });
     assert_eq!(view.routes_sources(at(1), 6, &near).len(), 3);
     assert!(view.routes_sources(at(1), 7, &near).is_empty(), "nothing newer");
-    view.hear(at(1), MemberBeat { routes: 8, data_center: far, ..beat(5, 1, 1) });
+    view.receive(at(1), MemberBeat { routes: 8, data_center: far, ..beat(5, 1, 1) });
     let sources: Vec<_> = view.routes_sources(at(2), 6, &near);
     assert_eq!(sources.iter().map(|beat| &beat.name).collect::<Vec<_>>(), [&name(5)]);
 }
@@ -324,22 +324,22 @@
     let mut view = view();
     assert!(!view.is_settled(at(200)), "those that are asked first may not have started yet");
     assert!(view.is_settled(at(400)), "nobody answers");
-    view.hear(at(410), beat(1, 1, 1));
-    view.hear(at(450), beat(2, 1, 1));
+    view.receive(at(410), beat(1, 1, 1));
+    view.receive(at(450), beat(2, 1, 1));
     assert!(!view.is_settled(at(500)));
-    view.hear(at(520), beat(2, 1, 2));
+    view.receive(at(520), beat(2, 1, 2));
     assert!(view.is_settled(at(540)), "known ones say nothing new");
 }
 
 #[test]
 fn a_member_that_left_calls_unanswered_is_asked_until_it_is_heard() {
     let mut view = view();
-    view.hear(at(0), beat(1, 1, 1));
-    view.hear(at(0), beat(2, 1, 1));
+    view.receive(at(0), beat(1, 1, 1));
+    view.receive(at(0), beat(2, 1, 1));
     assert!(view.silent().is_empty());
     (0..2).for_each(|_| view.unanswered(&name(1)));
     assert_eq!(view.silent(), [beat(1, 1, 1).address]);
-    view.hear(at(900), beat(1, 1, 2));
+    view.receive(at(900), beat(1, 1, 2));
     assert!(view.silent().is_empty(), "it plans again at once");
 }
 
@@ -348,23 +348,23 @@
 fn each_side_of_a_cut_sees_its_part_of_the_members() {
     let mut view = view();
     for number in 1..6 {
-        view.hear(at(0), beat(number, 1, 1));
+        view.receive(at(0), beat(number, 1, 1));
     }
     assert!((view.seen_part(at(500)) - 1.0).abs() < 1e-9);
     for number in 1..3 {
-        view.hear(at(900), beat(number, 1, 2));
+        view.receive(at(900), beat(number, 1, 2));
     }
     assert!((view.seen_part(at(1_000)) - 0.5).abs() < 1e-9, "three of six are silent");
     // Who has said that it leaves is missed by plan.
     let leaving = MemberBeat { leaving: true, ..beat(3, 1, 2) };
-    view.hear(at(950), leaving);
+    view.receive(at(950), leaving);
     assert!((view.seen_part(at(1_000)) - 0.6).abs() < 1e-9, "three of five that stay");
     // Calls that stay unanswered show it sooner than heartbeats that are missed.
     (0..2).for_each(|_| view.unanswered(&name(1)));
     assert!((view.seen_part(at(1_000)) - 0.4).abs() < 1e-9);
-    assert!(!view.heard_since(&name(1), at(900)));
-    view.hear(at(1_100), beat(1, 1, 3));
-    assert!(view.heard_since(&name(1), at(900)));
+    assert!(!view.seen_since(&name(1), at(900)));
+    view.receive(at(1_100), beat(1, 1, 3));
+    assert!(view.seen_since(&name(1), at(900)));
     assert!((view.seen_part(at(1_200)) - 0.6).abs() < 1e-9);
     assert_eq!(view.name_of_boot(1), Some(&name(1)));
     assert_eq!(view.name_of_boot(9), None);
@@ -374,11 +374,11 @@
 #[test]
 fn who_knows_nothing_takes_documents_of_any_version() {
     let mut view = view();
-    view.hear(at(0), MemberBeat { list: 12, ..beat(1, 1, 1) });
-    view.hear(at(0), beat(2, 1, 1));
-    view.hear(at(0), MemberBeat { routes: 0, list: 0, ..beat(3, 1, 1) });
+    view.receive(at(0), MemberBeat { list: 12, ..beat(1, 1, 1) });
+    view.receive(at(0), beat(2, 1, 1));
+    view.receive(at(0), MemberBeat { routes: 0, list: 0, ..beat(3, 1, 1) });
     let far = "b".parse().expect("a valid name");
-    view.hear(at(0), MemberBeat { data_center: far, ..beat(4, 1, 1) });
+    view.receive(at(0), MemberBeat { data_center: far, ..beat(4, 1, 1) });
     let near = "a".parse().expect("a valid name");
     let names = |sources: Vec<&MemberBeat>| {
         sources.iter().map(|source| source.name.to_string()).collect::<Vec<_>>()
@@ -392,13 +392,13 @@
 #[test]
 fn a_suspected_member_counts_as_silent_until_a_sign_of_life() {
     let mut view = view();
-    view.hear(at(0), beat(1, 7, 1));
+    view.receive(at(0), beat(1, 7, 1));
     let silent = |millis| Some(time::Duration::from_millis(millis));
     assert!(!view.set_suspected(at(100), 7, silent(300)), "heard since");
     assert!(view.set_suspected(at(700), 7, silent(300)));
     assert_eq!(view.alive(at(700)).count(), 0);
     assert!(view.seen_part(at(700)) < 1.0);
-    assert!(view.hear_alive(at(750), &beat(1, 7, 2).alive()));
+    assert!(view.receive_alive(at(750), &beat(1, 7, 2).alive()));
     assert_eq!(view.alive(at(750)).count(), 1);
     assert!(!view.set_suspected(at(2_000), 99, silent(300)), "nobody");
 }
@@ -407,14 +407,14 @@
 fn members_are_probed_where_heartbeats_would_be_late() {
     let mut view = view();
     for number in 1..36 {
-        view.hear(at(0), beat(number, u64::from(number), 1));
+        view.receive(at(0), beat(number, u64::from(number), 1));
     }
     assert!(!view.needs_probes(), "four heartbeats show a silent one of 36 within 2.4 s");
     for number in 36..60 {
-        view.hear(at(0), beat(number, u64::from(number), 1));
+        view.receive(at(0), beat(number, u64::from(number), 1));
     }
     assert!(view.needs_probes());
     let leaving = MemberBeat { leaving: true, ..beat(1, 1, 2) };
-    view.hear(at(10), leaving);
+    view.receive(at(10), leaving);
     assert_eq!(view.ring().len(), 58, "one leaves by plan");
 }
--- a/crates/core/tests/planner.rs
+++ b/crates/core/tests/planner.rs
@@ -281,7 +281,7 @@
 #[test]
 fn an_engine_that_refused_to_help_gets_no_more_parts_until_the_list_may_say_why() {
     let mut planner = planner(3);
-    planner.note(at(0), &PlaceNote::Shun(engine(1)));
+    planner.note(at(0), &PlaceNote::Eject(engine(1)));
     let grant = place(&mut planner, 2_000, long(1, 154_000));
     assert!(grant.engine != engine(1) && !grant.helpers.contains(&engine(1)), "{grant:?}");
     planner.end(at(2_001), grant.job, PlaceEnd::Done);
@@ -294,7 +294,7 @@
     let mut planner = planner(2);
     let ask = PlaceAsk { excluded: vec![engine(0)], ..short(1) };
     assert_eq!(place(&mut planner, 0, ask).engine, engine(1));
-    planner.shun(at(0), &engine(1));
+    planner.eject(at(0), &engine(1));
     let ask = PlaceAsk { excluded: vec![engine(0)], ..short(2) };
     assert_eq!(place(&mut planner, 1, ask).engine, engine(1));
 }
--- a/crates/core/tests/retry.rs
+++ b/crates/core/tests/retry.rs
@@ -85,7 +85,7 @@
 fn what_reached_nobody_is_not_spent() {
     use retry::AttemptFailure;
     let nobody =
-        [AttemptFailure::NotConnected, AttemptFailure::NotPrepared, AttemptFailure::KeptBack];
+        [AttemptFailure::NotConnected, AttemptFailure::NotPrepared, AttemptFailure::Denied];
     assert!(nobody.iter().all(|failure| failure.reached_nobody() && failure.surely_not_run()));
     let reached = [AttemptFailure::SaidNotRun, AttemptFailure::Misdirected];
     assert!(reached.iter().all(|failure| !failure.reached_nobody() && failure.surely_not_run()));
--- a/crates/core/tests/store_belief.rs
+++ b/crates/core/tests/store_belief.rs
@@ -17,7 +17,7 @@
 
 fn watching() -> StoreBelief {
     let mut belief = StoreBelief::default();
-    belief.hear(at(100));
+    belief.receive(at(100));
     belief.watch();
     belief.note_watched(7);
     belief
@@ -27,7 +27,7 @@
 fn a_store_that_was_never_heard_is_away_and_no_outage() {
     let mut belief = StoreBelief::default();
     assert_eq!(belief.contact(), StoreContact::Away);
-    assert_eq!(belief.hear(at(50)), HeardStore { away: None, watches_again: false });
+    assert_eq!(belief.receive(at(50)), HeardStore { away: None, watches_again: false });
     assert!(belief.answers() && !belief.is_counted_on(), "it is heard and not watched");
 }
 
@@ -38,9 +38,9 @@
     assert!(!belief.lose(at(2_000)), "known");
     assert!(!belief.is_counted_on() && belief.is_watching(), "others take over; it goes on trying");
     assert_eq!(belief.watched(), 7, "it goes on from there");
-    let heard = belief.hear(at(4_000));
+    let heard = belief.receive(at(4_000));
     assert_eq!(heard, HeardStore { away: Some(millis(3_000)), watches_again: true });
-    assert_eq!(belief.hear(at(4_100)), HeardStore { away: None, watches_again: false });
+    assert_eq!(belief.receive(at(4_100)), HeardStore { away: None, watches_again: false });
 }
 
 #[test]
@@ -48,18 +48,18 @@
     let mut belief = watching();
     belief.doubt();
     assert!(!belief.answers() && belief.is_counted_on());
-    assert_eq!(belief.hear(at(900)), HeardStore { away: None, watches_again: false });
+    assert_eq!(belief.receive(at(900)), HeardStore { away: None, watches_again: false });
     assert!(belief.answers());
-    assert_eq!(belief.heard_age(at(1_000)), millis(100));
+    assert_eq!(belief.last_answer_age(at(1_000)), millis(100));
 }
 
 #[test]
 fn who_leaves_it_to_others_has_read_nothing_itself() {
     let mut belief = watching();
-    belief.leave_to_others();
+    belief.yield_to_others();
     assert!(!belief.is_watching() && !belief.answers());
     assert_eq!(belief.watched(), 0);
-    assert_eq!(belief.hear(at(900)).away, None, "that was no outage");
+    assert_eq!(belief.receive(at(900)).away, None, "that was no outage");
 }
 
 #[test]
--- a/crates/core/tests/support/virtual_fleet.rs
+++ b/crates/core/tests/support/virtual_fleet.rs
@@ -279,7 +279,7 @@
             return;
         }
         match (event.from, event.datagram) {
-            (Some(from), Some(datagram)) => self.hear(event.to, from, datagram),
+            (Some(from), Some(datagram)) => self.receive(event.to, from, datagram),
             _ => self.wake_up(event.to),
         }
     }
@@ -335,7 +335,7 @@
         lately.map(|(member, _)| *member).take(8).collect()
     }
 
-    fn hear(&mut self, own: usize, from: usize, datagram: Datagram) {
+    fn receive(&mut self, own: usize, from: usize, datagram: Datagram) {
         match datagram {
             Datagram::Beat => self.members[own].heard[from] = self.now,
             Datagram::Ping(news) => {
@@ -351,13 +351,13 @@
             Datagram::Probe(message) => {
                 let address = ring_member(from).address;
                 let detector = &mut self.members[own].detector;
-                let actions = detector.hear(self.now, address, message);
+                let actions = detector.receive(self.now, address, message);
                 self.act(own, actions);
             }
             Datagram::Suspect(report) if report.boot == own as u64 => self.deny(own),
             Datagram::Suspect(report) => {
                 let detector = &mut self.members[own].detector;
-                let (_, actions) = detector.hear_suspect(self.now, report);
+                let (_, actions) = detector.receive_suspect(self.now, report);
                 self.act(own, actions);
             }
             Datagram::Restore(boot) => {
--- a/crates/core/tests/support/virtual_start.rs
+++ b/crates/core/tests/support/virtual_start.rs
@@ -236,7 +236,7 @@
             }
             // Nobody hears before it has started.
             Step::Hear(_) if self.members[own].started == units::MonoTime::default() => {}
-            Step::Hear(beat) => self.hear(own, *beat),
+            Step::Hear(beat) => self.receive(own, *beat),
             Step::Look => self.look(own),
             Step::Got(from, list) => self.get(own, from, list),
             Step::Change => {
@@ -248,12 +248,12 @@
         }
     }
 
-    fn hear(&mut self, own: usize, beat: MemberBeat) {
+    fn receive(&mut self, own: usize, beat: MemberBeat) {
         let from = number_at(beat.address);
         let sequence = self.members[own].sequence;
         let view = &mut self.members[own].view;
         let welcome = view.welcome(&beat);
-        let joined = view.hear(self.now, beat);
+        let joined = view.receive(self.now, beat);
         let unmet = view.take_unmet(address(own));
         let named = view.named(sequence);
         if joined && welcome.is_empty() {
--- a/crates/core/tests/upstream_limit.rs
+++ b/crates/core/tests/upstream_limit.rs
@@ -5,9 +5,9 @@
 use proptest::prelude::*;
 use slipturn_core::{
     ids,
-    send_leave::{LeaveTerm, SendLeave},
+    quota_permit::{PermitTerm, SendPermit},
     units,
-    upstream_limit::{LimitNews, LimitWord},
+    upstream_limit::{LimitNews, LimitReading},
     upstream_notice::{NoticeSource, NoticeTable},
 };
 
@@ -23,21 +23,21 @@
     text.parse().expect("a name")
 }
 
-fn word(limit: Option<f64>, asked: u64, heard: u64) -> LimitWord {
+fn label(limit: Option<f64>, asked: u64, heard: u64) -> LimitReading {
     let source = NoticeSource::Answer;
-    LimitWord { rate: limit.map(rate), asked: at(asked), heard: at(heard), source }
+    LimitReading { rate: limit.map(rate), asked: at(asked), heard: at(heard), source }
 }
 
 #[test]
 fn the_later_word_holds_and_of_two_at_once_the_lower_limit() {
-    let known = word(Some(2.0), 100, 200);
+    let known = label(Some(2.0), 100, 200);
     let cases = [
-        (word(Some(4.0), 200, 300), Some(4.0), "asked behind it"),
-        (word(Some(4.0), 199, 300), Some(2.0), "perhaps given before it"),
-        (word(Some(1.2), 150, 250), Some(1.2), "lower, perhaps later"),
-        (word(Some(1.2), 50, 90), Some(2.0), "heard before it was asked"),
-        (word(None, 200, 300), None, "an end asked behind it"),
-        (word(None, 150, 300), Some(2.0), "an answer that was under way ends nothing"),
+        (label(Some(4.0), 200, 300), Some(4.0), "asked behind it"),
+        (label(Some(4.0), 199, 300), Some(2.0), "perhaps given before it"),
+        (label(Some(1.2), 150, 250), Some(1.2), "lower, perhaps later"),
+        (label(Some(1.2), 50, 90), Some(2.0), "heard before it was asked"),
+        (label(None, 200, 300), None, "an end asked behind it"),
+        (label(None, 150, 300), Some(2.0), "an answer that was under way ends nothing"),
     ];
     for (other, expected, why) in cases {
         assert_eq!(known.or(other).rate, expected.map(rate), "{why}");
@@ -49,26 +49,26 @@
 fn a_limit_begins_changes_and_ends_once_and_belongs_to_one_start() {
     let mut table = NoticeTable::default();
     let (before, after) = (name("e1@100"), name("e1@200"));
-    assert_eq!(table.hear_limit(&before, word(None, 0, 10)), LimitNews::Known, "as most say");
-    let begun = table.hear_limit(&before, word(Some(2.0), 20, 30));
+    assert_eq!(table.receive_limit(&before, label(None, 0, 10)), LimitNews::Known, "as most say");
+    let begun = table.receive_limit(&before, label(Some(2.0), 20, 30));
     assert_eq!(begun, LimitNews::Begun(rate(2.0)));
-    assert_eq!(table.hear_limit(&before, word(Some(2.0), 40, 50)), LimitNews::Known);
-    let changed = table.hear_limit(&before, word(Some(1.2), 60, 70));
+    assert_eq!(table.receive_limit(&before, label(Some(2.0), 40, 50)), LimitNews::Known);
+    let changed = table.receive_limit(&before, label(Some(1.2), 60, 70));
     assert_eq!(changed, LimitNews::Changed(rate(1.2), rate(2.0)));
     assert_eq!(
-        table.told(at(1_030), &before).as_deref(),
+        table.describe(at(1_030), &before).as_deref(),
         Some("takes 1.2 requests/s of all, by answer 1.0 s ago, limited for 1.0 s")
     );
     assert!(table.limit(&after).is_none());
-    assert_eq!(table.hear_limit(&before, word(None, 80, 90)), LimitNews::Ended);
+    assert_eq!(table.receive_limit(&before, label(None, 80, 90)), LimitNews::Ended);
     assert!(table.limit(&before).is_none());
     // A member repeats what it has not heard the end of.
-    assert_eq!(table.hear_limit(&before, word(Some(2.0), 40, 50)), LimitNews::Known);
+    assert_eq!(table.receive_limit(&before, label(Some(2.0), 40, 50)), LimitNews::Known);
     assert_eq!(table.limit_changes(), 3);
     table.retain(at(20_000), |_| true);
-    assert_eq!(table.limit_words().count(), 1, "words of before may come for a while");
+    assert_eq!(table.limit_readings().count(), 1, "words of before may come for a while");
     table.retain(at(40_000), |_| true);
-    assert_eq!(table.limit_words().count(), 0);
+    assert_eq!(table.limit_readings().count(), 0);
 }
 
 #[test]
@@ -86,8 +86,8 @@
 
 #[test]
 fn a_leave_is_for_one_upstream_and_a_short_time() {
-    let term = LeaveTerm::of_answer(at(1_000), time::Duration::from_millis(200));
-    let leave = SendLeave { upstream: name("e1"), term };
+    let term = PermitTerm::of_answer(at(1_000), time::Duration::from_millis(200));
+    let leave = SendPermit { upstream: name("e1"), term };
     assert!(leave.is_good(at(1_699), &name("e1")));
     assert!(!leave.is_good(at(1_699), &name("e2")));
     assert!(!leave.is_good(at(1_700), &name("e1")));
@@ -102,17 +102,17 @@
         order in any::<prop::sample::Index>(),
         last in prop::option::of(0.1..9.0_f64),
     ) {
-        let told: Vec<_> = words.iter().map(|(limit, asked, took)| word(*limit, *asked, asked + took)).collect();
+        let told: Vec<_> = words.iter().map(|(limit, asked, took)| label(*limit, *asked, asked + took)).collect();
         let mut turned = told.clone();
         turned.rotate_left(order.index(told.len()));
-        let last = word(last, 1_000, 1_010);
+        let last = label(last, 1_000, 1_010);
         let mut tables = [NoticeTable::default(), NoticeTable::default()];
         for (table, words) in tables.iter_mut().zip([&told, &turned]) {
-            for word in words.iter().chain([&last]).chain(words.iter().take(2)) {
-                table.hear_limit(&name("e1"), *word);
+            for reading in words.iter().chain([&last]).chain(words.iter().take(2)) {
+                table.receive_limit(&name("e1"), *reading);
             }
         }
-        let held = tables.map(|table| table.limit(&name("e1")).and_then(|limit| limit.word.rate));
+        let held = tables.map(|table| table.limit(&name("e1")).and_then(|limit| limit.reading.rate));
         prop_assert_eq!(held[0], last.rate);
         prop_assert_eq!(held[1], last.rate);
     }
--- a/crates/core/tests/upstream_list.rs
+++ b/crates/core/tests/upstream_list.rs
@@ -5,7 +5,7 @@
 use slipturn_core::{
     fleet_list::ListState,
     ids,
-    send_permit::{KeptBack, SendKind, TrialTurn},
+    send_gate::{SendDenial, SendKind, TrialTurn},
     units,
     upstream_list::{ListChange, UpstreamEntry, UpstreamList},
     upstream_notice::NoticeSource,
@@ -197,7 +197,7 @@
     let mut list = UpstreamList::default();
     list.replace(at(0), vec![start(1, 50)], 10);
     let told = |list: &mut UpstreamList, now, born, asked| {
-        list.tell_start(at(now), &name(1), ids::UpstreamStart(born), at(asked))
+        list.update_start(at(now), &name(1), ids::UpstreamStart(born), at(asked))
     };
     assert!(!told(&mut list, 100, 50, 90), "the same");
     assert!(told(&mut list, 200, 60, 190));
@@ -208,7 +208,7 @@
     list.apply(at(300), vec![ListChange::Present(start(1, 55))], 12);
     assert!(told(&mut list, 400, 60, 390), "a start taken for over that answers is present");
     assert_eq!(present(&list, 1), Some(60));
-    assert!(!list.tell_start(at(400), &name(9), ids::UpstreamStart(1), at(390)), "not listed");
+    assert!(!list.update_start(at(400), &name(9), ids::UpstreamStart(1), at(390)), "not listed");
 }
 
 #[test]
@@ -218,7 +218,7 @@
     assert!(list.apply(at(1), vec![ListChange::Present(entry(1))], 11));
     assert_eq!((present(&list, 1), usable(&list)), (None, 1));
     // Where none are told there is nothing to tell apart.
-    assert!(!list.tell_start(at(5), &name(2), ids::UpstreamStart(9), at(4)));
+    assert!(!list.update_start(at(5), &name(2), ids::UpstreamStart(9), at(4)));
     list.apply(at(6), vec![ListChange::Present(start(2, 9))], 12);
     assert_eq!(present(&list, 2), Some(9));
 }
@@ -267,7 +267,7 @@
     assert_eq!(present(&list, 1), Some(60), "the list goes on naming it");
     // The upstream's own word is quicker.
     named(&mut list, 20_000, 40, 16);
-    assert!(!list.tell_start(at(20_500), &name(1), ids::UpstreamStart(60), at(20_400)));
+    assert!(!list.update_start(at(20_500), &name(1), ids::UpstreamStart(60), at(20_400)));
     list.tick(at(30_000));
     assert_eq!(present(&list, 1), Some(60));
 }
@@ -278,7 +278,7 @@
 
 fn rest(list: &mut UpstreamList, now: u64, number: u8, millis: u64) {
     let asked = time::Duration::from_millis(millis);
-    list.notices_mut().hear_rest(at(now), &name(number), asked);
+    list.notices_mut().receive_rest(at(now), &name(number), asked);
 }
 
 fn open(list: &UpstreamList, now: u64, turn: TrialTurn) -> Vec<ids::UpstreamId> {
@@ -290,7 +290,7 @@
 fn an_upstreams_own_word_outlives_what_the_list_says() {
     let mut list = full();
     let before = list.changes();
-    assert!(list.hear_leaving(at(1), &name(1), NoticeSource::Answer, none()));
+    assert!(list.receive_leaving(at(1), &name(1), NoticeSource::Answer, none()));
     assert!(list.changes() > before, "planners are brought up to it");
     assert_eq!(usable(&list), 3);
     list.apply(at(2), vec![ListChange::Present(entry(1))], 11);
@@ -300,7 +300,7 @@
     list.apply(at(30_000), vec![ListChange::Present(entry(1))], 13);
     assert_eq!(usable(&list), 3, "a lapse");
     let kept_back = list.permits(at(30_001), &name(1), SendKind::Request, &[]);
-    assert!(matches!(kept_back, Err(KeptBack::Leaves(NoticeSource::Answer, _))), "{kept_back:?}");
+    assert!(matches!(kept_back, Err(SendDenial::Leaves(NoticeSource::Answer, _))), "{kept_back:?}");
     let again = UpstreamEntry { name: "u1@200".parse().expect("a valid name"), ..entry(1) };
     list.apply(at(31_000), vec![ListChange::Present(again)], 14);
     assert_eq!(usable(&list), 4, "another start of it");
@@ -317,11 +317,11 @@
     };
     list.replace(at(0), vec![start(100)], 1);
     list.apply(at(10), vec![ListChange::Present(start(200))], 2);
-    list.hear_leaving(at(20), &start(100).name, NoticeSource::Member, none());
+    list.receive_leaving(at(20), &start(100).name, NoticeSource::Member, none());
     assert_eq!(usable(&list), 1);
     let old = time::Duration::from_secs(500);
-    assert!(!list.hear_leaving(at(30), &start(100).name, NoticeSource::Member, old));
-    assert!(list.hear_leaving(at(30), &start(200).name, NoticeSource::Member, old), "listed");
+    assert!(!list.receive_leaving(at(30), &start(100).name, NoticeSource::Member, old));
+    assert!(list.receive_leaving(at(30), &start(200).name, NoticeSource::Member, old), "listed");
 }
 
 #[test]
@@ -338,7 +338,7 @@
     assert_eq!(open(&list, 3_000, TrialTurn::Yes), [name(1), name(3), name(4)]);
     list.notices_mut().begin(at(3_000), &name(1));
     assert_eq!(open(&list, 3_010, TrialTurn::Yes), [name(3), name(4)]);
-    list.notices_mut().hear_taken(at(3_020), &name(1));
+    list.notices_mut().receive_taken(at(3_020), &name(1));
     assert_eq!(open(&list, 3_020, TrialTurn::No), [name(1), name(3), name(4)]);
 }
 
--- a/crates/core/tests/upstream_notice.rs
+++ b/crates/core/tests/upstream_notice.rs
@@ -5,7 +5,7 @@
 use proptest::prelude::*;
 use slipturn_core::{
     ids,
-    send_permit::{KeptBack, SendKind, TrialTurn},
+    send_gate::{SendDenial, SendKind, TrialTurn},
     units,
     upstream_notice::{MAX_REST, NoticeSource, NoticeTable, RestNews, RestReturnWay},
 };
@@ -40,8 +40,8 @@
 fn what_ends_work_goes_anywhere_and_who_wants_rest_gets_nothing_else() {
     let mut table = NoticeTable::default();
     let (leaving, resting, other) = (name("e1"), name("e2"), name("e3"));
-    table.hear_leaving(at(10), &leaving, NoticeSource::Answer, ms(0));
-    table.hear_rest(at(10), &resting, ms(3_000));
+    table.receive_leaving(at(10), &leaving, NoticeSource::Answer, ms(0));
+    table.receive_rest(at(10), &resting, ms(3_000));
     let ends_work = [SendKind::Renewal, SendKind::Release];
     assert_eq!(permitted(&table, 20, &leaving), [&ends_work[..], &[SendKind::Report]].concat());
     assert_eq!(permitted(&table, 20, &resting), ends_work);
@@ -54,13 +54,13 @@
 fn who_speaks_and_since_when_is_kept() {
     let mut table = NoticeTable::default();
     let upstream = name("e1");
-    assert!(table.hear_leaving(at(5_000), &upstream, NoticeSource::Member, ms(1_500)));
-    assert!(!table.hear_leaving(at(6_000), &upstream, NoticeSource::Answer, ms(0)), "no news");
+    assert!(table.receive_leaving(at(5_000), &upstream, NoticeSource::Member, ms(1_500)));
+    assert!(!table.receive_leaving(at(6_000), &upstream, NoticeSource::Answer, ms(0)), "no news");
     let leaving = table.leaving(&upstream).expect("it leaves");
     assert_eq!((leaving.source, leaving.since), (NoticeSource::Member, at(3_500)));
-    assert_eq!(table.told(at(7_500), &upstream).expect("known"), "leaves, by member 4.0 s ago");
+    assert_eq!(table.describe(at(7_500), &upstream).expect("known"), "leaves, by member 4.0 s ago");
     let kept_back = table.permits(at(7_500), &upstream, SendKind::Request);
-    assert_eq!(kept_back, Err(KeptBack::Leaves(NoticeSource::Member, ms(4_000))));
+    assert_eq!(kept_back, Err(SendDenial::Leaves(NoticeSource::Member, ms(4_000))));
 }
 
 /// Its own writes to the list's source may come late; the list alone can take back what it alone has said.
@@ -68,10 +68,10 @@
 fn the_list_takes_back_its_own_word_only() {
     let mut table = NoticeTable::default();
     let (listed, told) = (name("e1"), name("e2"));
-    table.hear_leaving(at(0), &listed, NoticeSource::List, ms(0));
-    table.hear_leaving(at(0), &told, NoticeSource::List, ms(0));
-    table.hear_leaving(at(100), &told, NoticeSource::Report, ms(0));
-    [&listed, &told].into_iter().for_each(|name| table.hear_live(name));
+    table.receive_leaving(at(0), &listed, NoticeSource::List, ms(0));
+    table.receive_leaving(at(0), &told, NoticeSource::List, ms(0));
+    table.receive_leaving(at(100), &told, NoticeSource::Report, ms(0));
+    [&listed, &told].into_iter().for_each(|name| table.receive_live(name));
     assert_eq!(table.leaving(&listed), None);
     let leaving = table.leaving(&told).expect("its own word stands");
     assert_eq!((leaving.source, leaving.since), (NoticeSource::Report, at(0)));
@@ -81,8 +81,8 @@
 fn a_word_belongs_to_one_start() {
     let mut table = NoticeTable::default();
     let (before, after) = (name("e1@100"), name("e1@200"));
-    table.hear_leaving(at(0), &before, NoticeSource::Answer, ms(0));
-    table.hear_rest(at(0), &before, ms(60_000));
+    table.receive_leaving(at(0), &before, NoticeSource::Answer, ms(0));
+    table.receive_rest(at(0), &before, ms(60_000));
     assert_eq!(permitted(&table, 10, &after), ALL_KINDS);
     assert_eq!(permitted(&table, 10, &before).len(), 2);
 }
@@ -91,14 +91,18 @@
 fn rest_only_grows_and_is_bounded() {
     let mut table = NoticeTable::default();
     let upstream = name("p1");
-    assert_eq!(table.hear_rest(at(0), &upstream, ms(0)), RestNews::Known, "none is asked for");
-    assert_eq!(table.hear_rest(at(0), &upstream, ms(4_000)), RestNews::Begun);
-    assert_eq!(table.hear_rest(at(1_000), &upstream, ms(1_000)), RestNews::Known, "a shorter one");
-    assert_eq!(table.hear_rest(at(2_000), &upstream, ms(4_000)), RestNews::Longer);
+    assert_eq!(table.receive_rest(at(0), &upstream, ms(0)), RestNews::Known, "none is asked for");
+    assert_eq!(table.receive_rest(at(0), &upstream, ms(4_000)), RestNews::Begun);
+    assert_eq!(
+        table.receive_rest(at(1_000), &upstream, ms(1_000)),
+        RestNews::Known,
+        "a shorter one"
+    );
+    assert_eq!(table.receive_rest(at(2_000), &upstream, ms(4_000)), RestNews::Longer);
     assert_eq!(table.rest(at(5_999), &upstream).expect("it rests").until, at(6_000));
     assert_eq!(table.rest(at(6_000), &upstream), None);
-    assert_eq!(table.hear_rest(at(6_500), &upstream, ms(1_000)), RestNews::Begun, "once more");
-    table.hear_rest(at(8_000), &upstream, ms(31_536_000_000));
+    assert_eq!(table.receive_rest(at(6_500), &upstream, ms(1_000)), RestNews::Begun, "once more");
+    table.receive_rest(at(8_000), &upstream, ms(31_536_000_000));
     let until = table.rest(at(8_000), &upstream).expect("it rests").until;
     assert_eq!(until.since(at(8_000)), MAX_REST);
 }
@@ -109,9 +113,9 @@
     let mut table = NoticeTable::default();
     let upstream = name("p1");
     let avoided = |table: &NoticeTable, now, turn| table.is_avoided(at(now), &upstream, turn);
-    table.hear_rest(at(0), &upstream, ms(1_000));
+    table.receive_rest(at(0), &upstream, ms(1_000));
     assert!(!table.begin(at(500), &upstream), "what was on its way is no trial");
-    assert!(!table.hear_taken(at(900), &upstream), "nor does its answer end the rest");
+    assert!(!table.receive_taken(at(900), &upstream), "nor does its answer end the rest");
     assert!(!avoided(&table, 1_000, TrialTurn::Yes));
     assert!(avoided(&table, 1_000, TrialTurn::No), "who has no other attempt waits");
     assert!(table.begin(at(1_000), &upstream));
@@ -120,11 +124,11 @@
     table.end_trial(&upstream);
     assert!(!avoided(&table, 1_100, TrialTurn::Yes), "it ended without an answer");
     table.begin(at(1_200), &upstream);
-    assert!(table.hear_taken(at(1_300), &upstream));
+    assert!(table.receive_taken(at(1_300), &upstream));
     for turn in [TrialTurn::Yes, TrialTurn::No] {
         assert!(!avoided(&table, 1_300, turn), "it takes work again");
     }
-    table.hear_rest(at(2_000), &upstream, ms(1_000));
+    table.receive_rest(at(2_000), &upstream, ms(1_000));
     assert!(!avoided(&table, 13_000, TrialTurn::No), "nobody asked for long");
     table.set_return(RestReturnWay::All);
     assert!(!avoided(&table, 3_500, TrialTurn::No));
@@ -143,14 +147,14 @@
     let mut table = NoticeTable::default();
     let (listed, gone) = (name("e1"), name("e2"));
     for upstream in [&listed, &gone] {
-        table.hear_leaving(at(0), upstream, NoticeSource::Answer, ms(0));
+        table.receive_leaving(at(0), upstream, NoticeSource::Answer, ms(0));
     }
     let seconds = 1..=200;
     seconds.for_each(|second| table.retain(at(second * 1_000), |name| *name == listed));
     assert!(table.leaving(&listed).is_some(), "its entry may be late for as long as it likes");
     assert_eq!(table.leaving(&gone), None);
     // Another member that has not forgotten it yet repeats it.
-    table.hear_leaving(at(200_000), &gone, NoticeSource::Member, ms(200_000));
+    table.receive_leaving(at(200_000), &gone, NoticeSource::Member, ms(200_000));
     table.retain(at(200_001), |name| *name == listed);
     assert_eq!(table.leaving(&gone), None, "what is repeated is not kept alive by that");
 }
@@ -159,7 +163,7 @@
 fn a_flood_of_names_pushes_out_the_oldest() {
     let mut table = NoticeTable::default();
     for number in 0..5_000 {
-        table.hear_rest(at(number), &name(&format!("e{number}")), ms(60_000));
+        table.receive_rest(at(number), &name(&format!("e{number}")), ms(60_000));
     }
     assert!(table.names().count() <= 2_048);
     assert!(table.rest(at(5_000), &name("e4999")).is_some());
@@ -207,18 +211,18 @@
         for step in steps {
             match step {
                 Step::Leaves(source) => {
-                    table.hear_leaving(at(now), &upstream, source, ms(0));
+                    table.receive_leaving(at(now), &upstream, source, ms(0));
                     own_word |= source != NoticeSource::List;
                     known = now;
                 }
-                Step::Live => table.hear_live(&upstream),
+                Step::Live => table.receive_live(&upstream),
                 Step::Rest(span) => {
-                    table.hear_rest(at(now), &upstream, ms(span));
+                    table.receive_rest(at(now), &upstream, ms(span));
                     rest_until = rest_until.max(now + span);
                     known = now;
                 }
                 Step::Begin => _ = table.begin(at(now), &upstream),
-                Step::Taken => _ = table.hear_taken(at(now), &upstream),
+                Step::Taken => _ = table.receive_taken(at(now), &upstream),
                 Step::EndTrial => table.end_trial(&upstream),
                 Step::Retain(listed) => {
                     table.retain(at(now), |_| listed);
--- a/crates/core/tests/upstream_starts.rs
+++ b/crates/core/tests/upstream_starts.rs
@@ -66,7 +66,7 @@
             Step::Gone => ListChange::Gone(name(1)),
             Step::Unreadable => ListChange::Unreadable(name(1)),
             Step::Told(start, before) => {
-                list.tell_start(at(now), &name(1), ids::UpstreamStart(start), at(now - before));
+                list.update_start(at(now), &name(1), ids::UpstreamStart(start), at(now - before));
                 continue;
             }
         };
@@ -100,7 +100,7 @@
         if list.entry(&name(1)).is_none() {
             return Ok(());
         }
-        list.tell_start(at(now + 1), &name(1), ids::UpstreamStart(told), at(now + 1));
+        list.update_start(at(now + 1), &name(1), ids::UpstreamStart(told), at(now + 1));
         prop_assert!(list.is_present(&name(told)));
         // One late write of a start that is over does not undo it.
         let ended = list.take_ended();
@@ -125,7 +125,7 @@
                     list.apply(now, vec![ListChange::Present(entry(start))], revision);
                 }
                 Step::Told(start, _) => {
-                    list.tell_start(now, &name(1), ids::UpstreamStart(start), now);
+                    list.update_start(now, &name(1), ids::UpstreamStart(start), now);
                 }
                 Step::Gone | Step::Unreadable => continue,
             }
--- a/crates/entry/src/answer.rs
+++ b/crates/entry/src/answer.rs
@@ -85,8 +85,8 @@
         error: ErrorFields {
             message: &refusal.message,
             r#type: refusal.code.kind(),
-            code: refusal.code.word(),
-            ran: refusal.ran.word(),
+            code: refusal.code.label(),
+            ran: refusal.ran.label(),
             retry_after_ms: refusal.retry_after.map(units::whole_millis),
         },
     }
--- a/crates/entry/src/director.rs
+++ b/crates/entry/src/director.rs
@@ -89,7 +89,7 @@
             }
             EntryEvent::Started(place) => self.start(place),
             EntryEvent::Ended(attempt, engine) => self.end(&attempt, &engine),
-            EntryEvent::Shun(engine) => router.shun(now, &engine),
+            EntryEvent::Eject(engine) => router.eject(now, &engine),
             EntryEvent::Retry(question, answer) => {
                 reply(answer, router.ask_retry(now, question));
             }
--- a/crates/entry/src/documents.rs
+++ b/crates/entry/src/documents.rs
@@ -61,11 +61,11 @@
     }
 
     fn take(&self, update: scheduler_link::DocumentUpdate) {
-        self.events.tell(event::EntryEvent::Documents(update, self.asked_at.get()));
+        self.events.send_to(event::EntryEvent::Documents(update, self.asked_at.get()));
     }
 
     fn all_silent(&self) {
-        self.events.tell(event::EntryEvent::AllSilent(self.asked_at.get()));
+        self.events.send_to(event::EntryEvent::AllSilent(self.asked_at.get()));
     }
 
     fn jitter(&self) -> f64 {
--- a/crates/entry/src/event.rs
+++ b/crates/entry/src/event.rs
@@ -88,7 +88,7 @@
     /// An attempt has ended.
     Ended(ids::AttemptId, ids::EngineId),
     /// An engine refused or broke.
-    Shun(ids::EngineId),
+    Eject(ids::EngineId),
     /// Is there to be another attempt?
     Retry(retry::RetryQuestion, oneshot::Sender<retry::RetryVerdict>),
     /// A request of a plain service arrived, against which retries are measured.
@@ -162,7 +162,7 @@
     }
 
     /// Tells something.
-    pub fn tell(&self, told: EntryEvent) {
+    pub fn send_to(&self, told: EntryEvent) {
         // The director ends only with the process.
         let _ = self.0.unbounded_send(told);
     }
@@ -170,7 +170,7 @@
     /// Asks something and waits for the answer.
     pub async fn ask<T>(&self, make: impl FnOnce(oneshot::Sender<T>) -> EntryEvent) -> T {
         let (answer, answered) = oneshot::channel();
-        self.tell(make(answer));
+        self.send_to(make(answer));
         answered.await.expect("the director answers all it is asked while the process lives")
     }
 }
--- a/crates/entry/src/model_measure.rs
+++ b/crates/entry/src/model_measure.rs
@@ -17,7 +17,7 @@
         let band = histogram::band_name(self.admitted.plan.prompt);
         let series =
             vec![format!("customer/{}", settings.customer), format!("class/{class}/{band}")];
-        self.context.events.tell(event::EntryEvent::Measure(measure, series, spans));
+        self.context.events.send_to(event::EntryEvent::Measure(measure, series, spans));
     }
 
     pub(crate) fn measure_wait(&self, place: &place::HeldPlace) {
--- a/crates/entry/src/model_request.rs
+++ b/crates/entry/src/model_request.rs
@@ -88,7 +88,7 @@
             let refusal = context.spread(refusal).await;
             record.end = Some(format!("refused: {}", refusal.message));
             record.total_ms = Some(units::whole_millis(context.clock.now().since(call.arrived)));
-            context.events.tell(event::EntryEvent::Decision(Box::new(record)));
+            context.events.send_to(event::EntryEvent::Decision(Box::new(record)));
             let refused = answer::refusal_answer(&names, &refusal);
             connection.respond(refused).await?;
             Ok(RequestEnd::Answered)
@@ -144,7 +144,7 @@
         };
         let started = self.first_token.is_some();
         let word = if started { "cut" } else { "refused" };
-        self.finish(format!("{word}: {} (ran: {})", refusal.message, refusal.ran.word()));
+        self.finish(format!("{word}: {} (ran: {})", refusal.message, refusal.ran.label()));
         if started && self.admitted.stream {
             // Whoever reads up to the end of the stream finds an error there and no `[DONE]`.
             connection.send_piece(&answer::error_event(&refusal)).await?;
@@ -210,7 +210,7 @@
         self.ran = self.ran.or(fault.ran());
         for member in &place.members {
             self.tried.push(member.engine.clone());
-            self.context.events.tell(event::EntryEvent::Shun(member.engine.clone()));
+            self.context.events.send_to(event::EntryEvent::Eject(member.engine.clone()));
         }
         let question = retry::RetryQuestion {
             failure: fault.failure,
@@ -376,7 +376,7 @@
         self.record.total_ms = Some(units::whole_millis(total));
         self.record.end = Some(end);
         let record = Box::new(self.record.clone());
-        self.context.events.tell(event::EntryEvent::Decision(record));
+        self.context.events.send_to(event::EntryEvent::Decision(record));
     }
 }
 
--- a/crates/entry/src/place.rs
+++ b/crates/entry/src/place.rs
@@ -114,7 +114,7 @@
     fn drop(&mut self) {
         for member in &self.members {
             let ended = event::EntryEvent::Ended(self.attempt.clone(), member.engine.clone());
-            self.context.events.tell(ended);
+            self.context.events.send_to(ended);
             if self.leased {
                 let context = rc::Rc::clone(&self.context);
                 monoio::spawn(give_back(context, member.clone(), self.attempt.clone()));
@@ -354,7 +354,7 @@
     place.row.target.push_str(member.engine.as_str());
     let engine = member.engine.clone();
     let running = event::RunningPlace { engine, request, prefix: question.prefix };
-    context.events.tell(event::EntryEvent::Started(running));
+    context.events.send_to(event::EntryEvent::Started(running));
     place.members.push(member);
 }
 
--- a/crates/entry/src/program.rs
+++ b/crates/entry/src/program.rs
@@ -105,7 +105,7 @@
 
 async fn tick(events: event::EventSender) {
     loop {
-        events.tell(event::EntryEvent::Tick);
+        events.send_to(event::EntryEvent::Tick);
         monoio::time::sleep(TICK).await;
     }
 }
--- a/crates/entry/src/service_request.rs
+++ b/crates/entry/src/service_request.rs
@@ -123,7 +123,7 @@
         }
     };
     record.set_settings(&settings);
-    context.events.tell(event::EntryEvent::CountRequest);
+    context.events.send_to(event::EntryEvent::CountRequest);
     let limit = call.wish.map_or(node.time_limit.0, |wish| wish.min(node.time_limit.0));
     let deadline = call.arrived + limit;
     let repeatability = node.repeatability(call.head.method.as_str());
@@ -158,7 +158,7 @@
             None => "caller gone".to_owned(),
             Some(Ok(Ok(_))) => "answered".to_owned(),
             Some(Ok(Err(refusal))) => {
-                format!("refused: {} (ran: {})", refusal.message, refusal.ran.word())
+                format!("refused: {} (ran: {})", refusal.message, refusal.ran.label())
             }
             Some(Err(_)) => "time limit passed".to_owned(),
         };
@@ -166,7 +166,7 @@
         let series = vec![format!("service/{}/{}", self.call.service, settings.customer)];
         let spent = context.clock.now().since(arrived);
         let total = histogram::MeasureKind::Total;
-        context.events.tell(event::EntryEvent::Measure(total, series, vec![spent]));
+        context.events.send_to(event::EntryEvent::Measure(total, series, vec![spent]));
         finish(&context, self.record, arrived, end);
         match served {
             None => Ok(None),
@@ -359,7 +359,7 @@
 ) {
     record.total_ms = Some(units::whole_millis(context.clock.now().since(arrived)));
     record.end = Some(end);
-    context.events.tell(event::EntryEvent::Decision(Box::new(record)));
+    context.events.send_to(event::EntryEvent::Decision(Box::new(record)));
 }
 
 fn copy_headers(from: &http::HeaderMap, to: &mut http::HeaderMap) {
--- a/crates/instance/src/caller_connection.rs
+++ b/crates/instance/src/caller_connection.rs
@@ -93,8 +93,8 @@
         let kind = http::HeaderValue::from_static("application/json");
         headers.insert(http::header::CONTENT_TYPE, kind);
         let body = serde_json::json!({"error": {
-            "code": refusal.code.word(),
-            "ran": refusal.ran.word(),
+            "code": refusal.code.label(),
+            "ran": refusal.ran.label(),
             "message": refusal.message,
         }});
         let body = body.to_string();
@@ -199,9 +199,9 @@
     let mut call = match incoming_call::admit(context, head, request, arrived) {
         Ok(call) => call,
         Err(refusal) => {
-            log::info!(id, code = refusal.code.word(), reason = refusal.message.as_str();
+            log::info!(id, code = refusal.code.label(), reason = refusal.message.as_str();
                 "request.not_admitted");
-            context.stats.borrow_mut().count("not_admitted", refusal.code.word());
+            context.stats.borrow_mut().count("not_admitted", refusal.code.label());
             reply.refuse(&id, &refusal).await?;
             return Ok(if reply.closing() { ConnectionNext::Close } else { ConnectionNext::Keep });
         }
@@ -290,7 +290,7 @@
     verdict: &quarantine::QuarantineVerdict,
 ) -> Result<ConnectionNext, h1::MessageError> {
     let refusal = quarantine_gate::refusal(context, call, verdict);
-    let (why, ran) = (&refusal.message, refusal.ran.word());
+    let (why, ran) = (&refusal.message, refusal.ran.label());
     record.outcome = format!("{why}: {} (ran: {ran})", verdict.names());
     record.digest = Some(call.digest().to_string());
     context.stats.borrow_mut().count("held_back", &call.service.to_string());
--- a/crates/instance/src/cell_search.rs
+++ b/crates/instance/src/cell_search.rs
@@ -2,7 +2,7 @@
 
 use std::{rc, time};
 
-use slipturn_core::{engine_place, planner::ways, send_permit};
+use slipturn_core::{engine_place, planner::ways, send_gate};
 
 use crate::{context, incoming_call, plan_client};
 
@@ -12,7 +12,7 @@
     context: &rc::Rc<context::InstanceContext>,
     call: &incoming_call::IncomingCall,
     ask: engine_place::PlaceAsk,
-    turn: send_permit::TrialTurn,
+    turn: send_gate::TrialTurn,
     limit: time::Duration,
 ) -> plan_client::PlaceOutcome {
     let asked = context.now();
