--- a/crates/instance/src/context.rs
+++ b/crates/instance/src/context.rs
@@ -6,13 +6,13 @@
 use slipturn_core::{
     class_worth, connection_share, engine_place, failure_detector, fleet_budget, ids, member_beat,
     membership, planner, planner_key, quarantine, rendezvous, search_budget, send_counts,
-    send_permit, store_belief, units,
+    send_gate, store_belief, units,
 };
 use slipturn_net::process;
 
 use crate::{
     border, document_answers, fleet_state, instance_settings, instance_stats, peer_message,
-    planner_set, quarantine_gate, sum_keeping, upstream_ends, upstream_load, upstream_pool,
+    planner_set, quarantine_gate, quota_coordinator, upstream_ends, upstream_load, upstream_pool,
     upstream_silence, upstream_starts,
 };
 
@@ -80,15 +80,15 @@
     /// Requests that this process sent lately.
     pub sent: cell::RefCell<send_counts::SendCounts>,
     /// What all members together do only so often.
-    pub sums: sum_keeping::SumState,
+    pub quotas: quota_coordinator::QuotaState,
     /// Attempts that wait for starts of upstreams.
     pub starts: upstream_starts::StartWaiters,
     /// Requests that upstreams ended under.
     pub quarantine: cell::RefCell<quarantine::QuarantineTable>,
     /// Rings when a request is held back.
-    pub verdicts: quarantine_gate::VerdictBell,
+    pub verdicts: quarantine_gate::VerdictSignal,
     /// Second in which this process last asked members what they know, and how many it asked in it.
-    pub asked_news: cell::Cell<(u64, usize)>,
+    pub gossip_requests: cell::Cell<(u64, usize)>,
     /// Answers to members about the store's documents.
     pub answers: cell::RefCell<document_answers::DocumentAnswers>,
     /// When silent connections were last logged.
@@ -172,11 +172,11 @@
             pool: upstream_pool::UpstreamPool::default(),
             loads: cell::RefCell::new(loads),
             sent: cell::RefCell::default(),
-            sums: sum_keeping::SumState::default(),
+            quotas: quota_coordinator::QuotaState::default(),
             starts: upstream_starts::StartWaiters::default(),
             quarantine: cell::RefCell::default(),
-            verdicts: quarantine_gate::VerdictBell::default(),
-            asked_news: cell::Cell::default(),
+            verdicts: quarantine_gate::VerdictSignal::default(),
+            gossip_requests: cell::Cell::default(),
             answers: cell::RefCell::default(),
             silence_log: upstream_silence::SilenceLog::default(),
             stats: cell::RefCell::default(),
@@ -213,13 +213,13 @@
     }
 
     /// Says something to another member.
-    pub fn tell(&self, to: std::net::SocketAddrV4, message: peer_message::PeerMessage) {
+    pub fn send_to(&self, to: std::net::SocketAddrV4, message: peer_message::PeerMessage) {
         // The receiver lives as long as the process.
         let _ = self.outgoing.unbounded_send(Outgoing { to, message });
     }
 
     /// Tells what has become of a run.
-    pub(crate) fn tell_run(&self, news: upstream_ends::RunNews) {
+    pub(crate) fn report_run(&self, news: upstream_ends::RunNews) {
         // The receiver lives as long as the process.
         let _ = self.runs.unbounded_send(news);
     }
@@ -284,7 +284,7 @@
     pub fn pick_planner(
         &self,
         service: &ids::ServiceId,
-        turn: send_permit::TrialTurn,
+        turn: send_gate::TrialTurn,
         refused: &[u16],
     ) -> Option<planner_key::PlannerKey> {
         let fleet = self.fleet.borrow();
@@ -300,7 +300,7 @@
     pub fn closed_engines(
         &self,
         key: &planner_key::PlannerKey,
-        turn: send_permit::TrialTurn,
+        turn: send_gate::TrialTurn,
     ) -> Vec<ids::UpstreamId> {
         let fleet = self.fleet.borrow();
         let closed = fleet.list.closed(self.now(), &key.service, turn);
--- a/crates/instance/src/engine_call.rs
+++ b/crates/instance/src/engine_call.rs
@@ -3,19 +3,19 @@
 use std::{net, time};
 
 use bytes::Bytes;
-use slipturn_core::{ids, send_leave, send_permit, upstream_notice};
+use slipturn_core::{ids, quota_permit, send_gate, upstream_notice};
 use snafu::Snafu;
 
-use crate::{border, context, document_call, upstream_gate, upstream_news};
+use crate::{border, context, document_call, upstream_gate, upstream_signals};
 
 /// Why an engine gave no good answer.
 #[derive(Debug, Snafu)]
 pub(crate) enum EngineCallError {
     /// Nothing was sent.
     #[snafu(display("{reason}"))]
-    KeptBack {
+    Denied {
         /// Why.
-        reason: send_permit::KeptBack,
+        reason: send_gate::SendDenial,
     },
     /// The call failed, or was refused.
     #[snafu(display("{source}"))]
@@ -29,7 +29,7 @@
     /// Whether nothing of the call is carried out any more: the engine refused it, or never got it.
     pub(crate) fn is_over(&self) -> bool {
         match self {
-            Self::KeptBack { .. } => true,
+            Self::Denied { .. } => true,
             Self::Call { source } => matches!(source, document_call::CallError::Status { .. }),
         }
     }
@@ -49,9 +49,9 @@
     /// What is ordered.
     pub(crate) order: &'a border::MemoryOrder,
     /// What it is sent for.
-    pub(crate) kind: send_permit::SendKind,
+    pub(crate) kind: send_gate::SendKind,
     /// Leaves by which it is sent, where it begins work at an engine with a limit.
-    pub(crate) leaves: &'a [send_leave::SendLeave],
+    pub(crate) permits: &'a [quota_permit::SendPermit],
 }
 
 /// Asks an engine for its report, over a connection of its own.
@@ -61,7 +61,7 @@
     limit: time::Duration,
 ) -> Result<Bytes, EngineCallError> {
     let path = border::UpstreamBorder::report_path(&*context.border);
-    let kind = send_permit::SendKind::Report;
+    let kind = send_gate::SendKind::Report;
     send(context, to, (kind, &[]), ("GET", &path, Bytes::new()), limit).await
 }
 
@@ -73,33 +73,33 @@
     limit: time::Duration,
 ) -> Result<Bytes, EngineCallError> {
     let (path, body) = context.border.memory_order(given.order);
-    send(context, to, (given.kind, given.leaves), ("POST", &path, body), limit).await
+    send(context, to, (given.kind, given.permits), ("POST", &path, body), limit).await
 }
 
 async fn send(
     context: &context::InstanceContext,
     to: &EngineAddress,
-    (kind, leaves): (send_permit::SendKind, &[send_leave::SendLeave]),
+    (kind, permits): (send_gate::SendKind, &[quota_permit::SendPermit]),
     (method, path, body): (&str, &str, Bytes),
     limit: time::Duration,
 ) -> Result<Bytes, EngineCallError> {
-    let kept_back = |reason| EngineCallError::KeptBack { reason };
+    let denied = |reason| EngineCallError::Denied { reason };
     let failed = |source| EngineCallError::Call { source };
-    upstream_gate::look(context, &to.engine, kind, leaves).map_err(kept_back)?;
+    upstream_gate::look(context, &to.engine, kind, permits).map_err(denied)?;
     let started = context.now();
     let mut connection = document_call::DocumentConnection::new(to.address.into());
     connection.open(limit).await.map_err(failed)?;
     // Asked once more right before the first byte.
-    let _pass = upstream_gate::pass(context, &to.engine, kind, leaves).map_err(kept_back)?;
+    let _pass = upstream_gate::pass(context, &to.engine, kind, permits).map_err(denied)?;
     let asked_at = context.now();
     let left = limit.saturating_sub(asked_at.since(started));
     let answer = connection.call_whole(method, path, body, left).await.map_err(failed)?;
     // What it says in passing is heard also where it refuses.
     let source = match kind {
-        send_permit::SendKind::Report => upstream_notice::NoticeSource::Report,
+        send_gate::SendKind::Report => upstream_notice::NoticeSource::Report,
         _ => upstream_notice::NoticeSource::Order,
     };
-    let asked = upstream_news::AskedWord { at: asked_at, source };
-    upstream_news::hear_at(context, to.address, &answer.head, asked);
+    let asked = upstream_signals::SignalOrigin { at: asked_at, source };
+    upstream_signals::receive_at(context, to.address, &answer.head, asked);
     answer.into_body().map_err(failed)
 }
--- a/crates/instance/src/engine_fault.rs
+++ b/crates/instance/src/engine_fault.rs
@@ -1,10 +1,10 @@
 //! What follows from an engine's fault for the other attempts of a request, and for others.
 
-use slipturn_core::{connection_silence, engine_place, ids, retry, send_permit, units};
+use slipturn_core::{connection_silence, engine_place, ids, retry, send_gate, units};
 
 use crate::{
-    context, limit_news, plan_client, silence_watch, stream_state, upstream_attempt, upstream_pool,
-    upstream_silence, upstream_starts,
+    context, limit_gossip, plan_client, silence_watch, stream_state, upstream_attempt,
+    upstream_pool, upstream_silence, upstream_starts,
 };
 
 /// What a fault says of the engine that had the request.
@@ -20,9 +20,7 @@
     match (fault.failure, other) {
         // It refused for another one's sake, or never had the request.
         (AttemptFailure::SaidNotRun | AttemptFailure::Misdirected, Some(_))
-        | (AttemptFailure::NotPrepared | AttemptFailure::KeptBack, _) => {
-            engine_place::PlaceEnd::Done
-        }
+        | (AttemptFailure::NotPrepared | AttemptFailure::Denied, _) => engine_place::PlaceEnd::Done,
         (AttemptFailure::SaidNotRun, None) => engine_place::PlaceEnd::Full,
         _ => engine_place::PlaceEnd::Failed,
     }
@@ -35,10 +33,10 @@
     hold: &plan_client::PlaceHold,
     fault: &upstream_attempt::AttemptFault,
 ) {
-    if fault.failure == retry::AttemptFailure::KeptBack {
+    if fault.failure == retry::AttemptFailure::Denied {
         // Nobody has failed, and the gate is asked again before the next attempt; a planner that does not
         // know of it would give the same engine again.
-        exclude_kept_back(context, state, hold);
+        exclude_denied(context, state, hold);
         return;
     }
     let named = fault.at_fault.and_then(|address| {
@@ -48,7 +46,7 @@
     });
     let cause = named.unwrap_or_else(|| hold.grant.engine.clone());
     if cause != hold.grant.engine {
-        hold.shun(&cause);
+        hold.eject(&cause);
     }
     // Where it is the only one, its connection may have been silent: it gets the request over a
     // new one.
@@ -61,21 +59,21 @@
 }
 
 /// Leaves out for a request what its planner would give again, as it does not know why this instance must not use it.
-fn exclude_kept_back(
+fn exclude_denied(
     context: &context::InstanceContext,
     state: &mut stream_state::StreamState,
     hold: &plan_client::PlaceHold,
 ) {
     let now = context.now();
-    let kind = send_permit::SendKind::Request;
+    let kind = send_gate::SendKind::Request;
     let mut engines = std::iter::once(&hold.grant.engine).chain(&hold.grant.helpers);
-    let is_kept_back = |engine: &&ids::UpstreamId| {
-        context.fleet.borrow().list.permits(now, engine, kind, &hold.leaves).is_err()
+    let is_denied = |engine: &&ids::UpstreamId| {
+        context.fleet.borrow().list.permits(now, engine, kind, &hold.permits).is_err()
     };
-    let Some(engine) = engines.find(is_kept_back) else {
+    let Some(engine) = engines.find(is_denied) else {
         return;
     };
-    limit_news::tell_keeper(context, engine);
+    limit_gossip::notify_coordinator(context, engine);
     state.excluded.push(engine.clone());
 }
 
@@ -86,7 +84,7 @@
     hold: &plan_client::PlaceHold,
 ) -> bool {
     let fleet = context.fleet.borrow();
-    let open = fleet.list.open(context.now(), &hold.key().service, send_permit::TrialTurn::No);
+    let open = fleet.list.open(context.now(), &hold.key().service, send_gate::TrialTurn::No);
     open.iter().all(|entry| entry.name == hold.grant.engine || state.excluded.contains(&entry.name))
 }
 
@@ -107,5 +105,5 @@
     let waited = context.now().since(since);
     let upstream = &hold.grant.engine;
     let wait = upstream_silence::SilentWait { upstream, life, moment, waited };
-    format!("{silence}: {}", upstream_silence::note(context, &wait).word())
+    format!("{silence}: {}", upstream_silence::note(context, &wait).label())
 }
--- a/crates/instance/src/engine_reports.rs
+++ b/crates/instance/src/engine_reports.rs
@@ -52,7 +52,7 @@
             .filter(|entry| planner_key::cell_of(&key.service, &entry.name, cells) == key.cell)
             .filter(|entry| {
                 let limit = fleet.list.notices().limit(&entry.name);
-                limit.is_none_or(|limit| now.since(limit.word.heard) >= LIMITED_INTERVAL)
+                limit.is_none_or(|limit| now.since(limit.reading.heard) >= LIMITED_INTERVAL)
             });
         engines.extend(in_cell.cloned());
     }
@@ -74,10 +74,10 @@
     let body = match engine_call::report(&context, &to, REPORT_TIME).await {
         Ok(body) => body,
         // It wants rest; that says nothing of whether it answers.
-        Err(engine_call::EngineCallError::KeptBack { .. }) => return,
+        Err(engine_call::EngineCallError::Denied { .. }) => return,
         Err(error) => {
             log::info!(engine:% = engine.name, error:%; "engine.silent");
-            context.planners.borrow_mut().shun(context.now(), &engine.name);
+            context.planners.borrow_mut().eject(context.now(), &engine.name);
             return;
         }
     };
@@ -86,7 +86,7 @@
             if report.pace > SLOW_PACE {
                 log::info!(engine:% = engine.name, pace = report.pace; "engine.slow");
             }
-            upstream_starts::hear(&context, engine.address, report.start, asked);
+            upstream_starts::receive(&context, engine.address, report.start, asked);
             let fleet = context.fleet.borrow();
             let Some(present) = fleet.list.entry(&engine.name) else {
                 return;
--- a/crates/instance/src/failure_watch.rs
+++ b/crates/instance/src/failure_watch.rs
@@ -36,18 +36,18 @@
 }
 
 /// Takes in a probe, or its answer.
-pub(crate) fn hear(
+pub(crate) fn receive(
     context: &context::InstanceContext,
     from: net::SocketAddrV4,
     message: failure_detector::ProbeMessage,
 ) {
     let now = context.now();
-    let actions = context.detector.borrow_mut().hear(now, from, message);
+    let actions = context.detector.borrow_mut().receive(now, from, message);
     act(context, actions);
 }
 
 /// Takes in suspicions of another member.
-pub(crate) fn hear_suspects(
+pub(crate) fn receive_suspects(
     context: &context::InstanceContext,
     reports: Vec<failure_detector::SuspectReport>,
 ) {
@@ -56,7 +56,7 @@
             deny(context);
             continue;
         }
-        let heard = context.detector.borrow_mut().hear_suspect(context.now(), report);
+        let heard = context.detector.borrow_mut().receive_suspect(context.now(), report);
         let (news, actions) = heard;
         if news {
             suspect(context, report);
@@ -66,7 +66,7 @@
 }
 
 /// Takes in signs of life that another member has seen.
-pub(crate) fn hear_restored(context: &context::InstanceContext, boots: &[u64]) {
+pub(crate) fn receive_restored(context: &context::InstanceContext, boots: &[u64]) {
     boots.iter().for_each(|boot| restore(context, *boot));
 }
 
@@ -98,7 +98,7 @@
     if context.denied.get().is_none_or(|last| now.since(last) >= DENIAL_INTERVAL) {
         context.denied.set(Some(now));
         log::warn!("process.suspected");
-        heartbeats::tell_all(context);
+        heartbeats::broadcast(context);
     }
 }
 
@@ -108,7 +108,7 @@
     for action in actions {
         match action {
             DetectorAction::Send(to, message) => {
-                context.tell(to, peer_message::PeerMessage::Probe(message));
+                context.send_to(to, peer_message::PeerMessage::Probe(message));
             }
             DetectorAction::Suspect(report) => suspects.push(report),
             DetectorAction::Restore(boot) => restored.push(boot),
@@ -132,5 +132,5 @@
 fn announce(context: &context::InstanceContext, message: &peer_message::PeerMessage) {
     let own = context.settings().member_address;
     let targets = context.members.borrow().targets(own);
-    targets.into_iter().for_each(|to| context.tell(to, message.clone()));
+    targets.into_iter().for_each(|to| context.send_to(to, message.clone()));
 }
--- a/crates/instance/src/fleet_state.rs
+++ b/crates/instance/src/fleet_state.rs
@@ -248,7 +248,7 @@
     /// Takes in which start answers at an address, asked at `asked`.
     ///
     /// An address at which two upstreams are listed tells of neither.
-    pub fn hear_start(
+    pub fn receive_start(
         &mut self,
         now: units::MonoTime,
         address: net::SocketAddrV4,
@@ -256,7 +256,7 @@
         asked: units::MonoTime,
     ) {
         if let Some(name) = self.list.name_at(address).cloned() {
-            self.list.tell_start(now, &name, start, asked);
+            self.list.update_start(now, &name, start, asked);
         }
     }
 
--- a/crates/instance/src/heartbeats.rs
+++ b/crates/instance/src/heartbeats.rs
@@ -5,7 +5,7 @@
 use rand::seq::IndexedRandom as _;
 use slipturn_core::{beat_clock, member_beat, units};
 
-use crate::{context, failure_watch, member_news, peer_message};
+use crate::{context, failure_watch, member_gossip, peer_message};
 
 /// Time between two questions to a member that left calls unanswered: while it is silent two members may
 /// plan for the same engines. A question and its answer are some 60 bytes, to one or two members.
@@ -13,7 +13,7 @@
 
 /// Takes a heartbeat in. Who has just started hears back at once, and whoever it names hears from
 /// this process: waiting for heartbeats, a large fleet would need many seconds to know itself.
-pub(crate) fn hear(
+pub(crate) fn receive(
     context: &context::InstanceContext,
     now: units::MonoTime,
     beat: member_beat::MemberBeat,
@@ -24,28 +24,28 @@
     let (joined, welcome, unmet) = {
         let mut members = context.members.borrow_mut();
         let welcome = members.welcome(&beat);
-        let joined = members.hear(now, beat);
+        let joined = members.receive(now, beat);
         (joined, welcome, members.take_unmet(own))
     };
     if joined {
         context.joined.set(context.joined.get() + 1);
-        member_news::ask_met(context, from);
+        member_gossip::request_from_met(context, from);
         let beat = context.next_beat();
         if welcome.is_empty() {
-            context.tell(from, peer_message::PeerMessage::Beat(Box::new(beat.clone())));
+            context.send_to(from, peer_message::PeerMessage::Beat(Box::new(beat.clone())));
         }
         for others in welcome {
             let beat = member_beat::MemberBeat { others, ..beat.clone() };
-            context.tell(from, peer_message::PeerMessage::Beat(Box::new(beat)));
+            context.send_to(from, peer_message::PeerMessage::Beat(Box::new(beat)));
         }
     }
     if !unmet.is_empty() {
-        tell_beat(context, unmet);
+        send_beat(context, unmet);
     }
 }
 
 /// Says to these members what this process says of itself.
-fn tell_beat(context: &context::InstanceContext, targets: Vec<net::SocketAddrV4>) {
+fn send_beat(context: &context::InstanceContext, targets: Vec<net::SocketAddrV4>) {
     let beat = context.next_beat();
     for to in targets {
         let message = if beat.is_whole() || !context.members.borrow().knows(to) {
@@ -53,7 +53,7 @@
         } else {
             peer_message::PeerMessage::Alive(beat.alive())
         };
-        context.tell(to, message);
+        context.send_to(to, message);
     }
 }
 
@@ -61,7 +61,7 @@
 pub async fn repeat(context: rc::Rc<context::InstanceContext>) {
     let mut clock = beat_clock::BeatClock::default();
     loop {
-        tell_all(&context);
+        broadcast(&context);
         let forgotten = context.members.borrow_mut().tick(context.now());
         for member in forgotten {
             log::warn!(member:%; "member.forgotten");
@@ -82,39 +82,43 @@
         monoio::time::sleep(SILENT_INTERVAL).await;
         let silent = context.members.borrow().silent();
         for to in silent {
-            context.tell(to, peer_message::PeerMessage::Who);
+            context.send_to(to, peer_message::PeerMessage::Who);
         }
     }
 }
 
 /// Tells what has changed: to all where it decides who plans, else to those that may ask this process for documents.
-pub(crate) fn tell_state(context: &context::InstanceContext, state: ToldState, before: ToldState) {
+pub(crate) fn broadcast_state(
+    context: &context::InstanceContext,
+    state: AnnouncedState,
+    before: AnnouncedState,
+) {
     let now = context.now();
     let cpu = context.own_beat().cpu;
     let may_plan = context.members.borrow().is_largest(now, cpu);
     if may_plan || state.leaving != before.leaving {
-        tell_all(context);
+        broadcast(context);
     } else {
         announce(context);
     }
 }
 
-pub(crate) fn tell_all(context: &context::InstanceContext) {
+pub(crate) fn broadcast(context: &context::InstanceContext) {
     let own = context.settings().member_address;
     let targets = context.members.borrow().targets(own);
-    tell_beat(context, targets);
+    send_beat(context, targets);
 }
 
 /// Tells the members of this data centre at once that there is something new to fetch.
 pub fn announce(context: &context::InstanceContext) {
-    tell_beat(context, near_members(context));
+    send_beat(context, near_members(context));
 }
 
 /// Tells so many of them, drawn.
 pub(crate) fn announce_to_some(context: &context::InstanceContext, count: usize) {
     let near = near_members(context);
     let drawn = near.sample(&mut rand::rng(), count).copied().collect();
-    tell_beat(context, drawn);
+    send_beat(context, drawn);
 }
 
 fn near_members(context: &context::InstanceContext) -> Vec<net::SocketAddrV4> {
@@ -126,14 +130,14 @@
 
 /// What the others must know at once, as it decides who plans.
 #[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
-pub(crate) struct ToldState {
+pub(crate) struct AnnouncedState {
     plans: bool,
     leaving: bool,
     /// Whether it knows any routes.
     pub(crate) has_routes: bool,
 }
 
-impl ToldState {
+impl AnnouncedState {
     /// Of a heartbeat that would be sent now.
     pub(crate) fn of(beat: &member_beat::MemberBeat) -> Self {
         Self { plans: beat.plans, leaving: beat.leaving, has_routes: beat.routes > 0 }
--- a/crates/instance/src/incoming_call.rs
+++ b/crates/instance/src/incoming_call.rs
@@ -80,7 +80,7 @@
             service: self.service.to_string(),
             routes: fleet.routes.version.0,
             list: fleet.list.revision(),
-            repeat: self.route.repeat.word(),
+            repeat: self.route.repeat.label(),
             prompt: self.request.prompt,
             limit_ms: units::whole_millis(self.deadline.since(self.arrived)),
             limit_from: match self.request.patience {
--- a/crates/instance/src/lease_renewal.rs
+++ b/crates/instance/src/lease_renewal.rs
@@ -11,7 +11,7 @@
 const RENEW_INTERVAL: time::Duration = time::Duration::from_millis(500);
 
 /// Renews places in this process's planner, and asks for those that it does not know.
-pub(crate) fn hear(
+pub(crate) fn receive(
     context: &context::InstanceContext,
     now: units::MonoTime,
     from: net::SocketAddrV4,
@@ -32,7 +32,7 @@
         }
     }
     if !unknown.is_empty() {
-        context.tell(from, peer_message::PeerMessage::Unknown(key, unknown));
+        context.send_to(from, peer_message::PeerMessage::Unknown(key, unknown));
     }
 }
 
@@ -53,7 +53,7 @@
         planner.take_over(now, held_leases(context, key));
     }
     for member in context.members.borrow().alive(now) {
-        context.tell(member.address, peer_message::PeerMessage::Census(key.clone()));
+        context.send_to(member.address, peer_message::PeerMessage::Census(key.clone()));
     }
 }
 
@@ -67,7 +67,7 @@
 }
 
 /// Tells a planner all leases of its key.
-pub(crate) fn tell_all(
+pub(crate) fn announce_leases(
     context: &context::InstanceContext,
     to: net::SocketAddrV4,
     key: &planner_key::PlannerKey,
@@ -82,12 +82,12 @@
     leases: &[engine_place::PlaceLease],
 ) {
     for part in leases.chunks(peer_message::MAX_LEASES) {
-        context.tell(to, peer_message::PeerMessage::Leases(key.clone(), part.to_vec()));
+        context.send_to(to, peer_message::PeerMessage::Leases(key.clone(), part.to_vec()));
     }
 }
 
 /// Tells a planner the leases that it asked for, as far as they are still in use.
-pub(crate) fn tell_leases(
+pub(crate) fn send_requested_leases(
     context: &context::InstanceContext,
     to: net::SocketAddrV4,
     key: planner_key::PlannerKey,
@@ -127,7 +127,7 @@
         for part in jobs.chunks(peer_message::MAX_RENEWED) {
             let message =
                 peer_message::PeerMessage::Renew(key.clone(), context.boot, part.to_vec());
-            context.tell(member.address, message);
+            context.send_to(member.address, message);
         }
         return;
     }
--- a/crates/instance/src/member_gossip.rs
+++ b/crates/instance/src/member_gossip.rs
@@ -1,67 +1,62 @@
-//! What members tell each other that must outlast a lost datagram, a start and a pause: requests that are held
-//! back, upstreams that leave, and limits.
+//! Gossip between members: quarantined requests, leaving upstreams and limits.
 //!
-//! To whom and how often: `slipturn_core::news_spread`.
+//! Targets and intervals: `slipturn_core::gossip`.
 
 use std::{net, rc};
 
-use slipturn_core::{news_spread, units};
+use slipturn_core::{gossip, units};
 
-use crate::{context, limit_news, peer_message, quarantine_news, upstream_news};
+use crate::{context, limit_gossip, peer_message, quarantine_gossip, upstream_signals};
 
-/// Tells a member what is known here.
-pub(crate) fn tell(context: &context::InstanceContext, to: net::SocketAddrV4) {
-    quarantine_news::tell_held(context, to);
-    upstream_news::tell_leaving(context, to);
-    limit_news::tell(context, to);
+/// Sends a member the state known here.
+pub(crate) fn send_to(context: &context::InstanceContext, to: net::SocketAddrV4) {
+    quarantine_gossip::send_held(context, to);
+    upstream_signals::send_leaving(context, to);
+    limit_gossip::send_to(context, to);
 }
 
-/// Asks a member that has just been met, if few were asked in this second: all are met at once behind a
-/// start and behind a cut.
-pub(crate) fn ask_met(context: &context::InstanceContext, to: net::SocketAddrV4) {
+/// Requests the state of a newly met member, within a bound for each second.
+pub(crate) fn request_from_met(context: &context::InstanceContext, to: net::SocketAddrV4) {
     let second = context.now().since(units::MonoTime::default()).as_secs();
-    let (last, count) = context.asked_news.get();
+    let (last, count) = context.gossip_requests.get();
     let count = if last == second { count } else { 0 };
-    if news_spread::asks_met(count) {
-        context.asked_news.set((second, count + 1));
-        context.tell(to, peer_message::PeerMessage::AskNews);
+    if gossip::requests_from_met(count) {
+        context.gossip_requests.set((second, count + 1));
+        context.send_to(to, peer_message::PeerMessage::RequestGossip);
     }
 }
 
-/// Tells all that something has been found out.
-pub(crate) fn tell_all(context: &context::InstanceContext, message: &peer_message::PeerMessage) {
-    for to in drawn(context, news_spread::SpreadCause::Found) {
-        context.tell(to, message.clone());
+/// Broadcasts a change.
+pub(crate) fn broadcast(context: &context::InstanceContext, message: &peer_message::PeerMessage) {
+    for to in drawn(context, gossip::GossipCause::Found) {
+        context.send_to(to, message.clone());
     }
 }
 
-/// Repeats what is known; asks behind a pause.
+/// Runs periodic rounds, and requests state after a pause.
 pub(crate) async fn repeat(context: rc::Rc<context::InstanceContext>) {
     let mut woken = context.woke.get();
     loop {
-        monoio::time::sleep(news_spread::REPEAT_INTERVAL).await;
+        monoio::time::sleep(gossip::REPEAT_INTERVAL).await;
         if context.woke.get() != woken {
             woken = context.woke.get();
-            for to in drawn(&context, news_spread::SpreadCause::Woke) {
-                context.tell(to, peer_message::PeerMessage::AskNews);
+            for to in drawn(&context, gossip::GossipCause::Woke) {
+                context.send_to(to, peer_message::PeerMessage::RequestGossip);
             }
         }
-        let told = drawn(&context, news_spread::SpreadCause::Repeat);
+        let told = drawn(&context, gossip::GossipCause::Repeat);
         for to in &told {
-            upstream_news::tell_leaving(&context, *to);
-            limit_news::tell(&context, *to);
+            upstream_signals::send_leaving(&context, *to);
+            limit_gossip::send_to(&context, *to);
         }
-        // Evidence against requests is larger, and nobody needs it for what it was sent already.
-        told.first().into_iter().for_each(|to| quarantine_news::tell_held(&context, *to));
+        // Evidence of the quarantine is larger and only needed for future sends.
+        told.first().into_iter().for_each(|to| quarantine_gossip::send_held(&context, *to));
     }
 }
 
-/// Members that are told or asked.
-fn drawn(
-    context: &context::InstanceContext,
-    cause: news_spread::SpreadCause,
-) -> Vec<net::SocketAddrV4> {
+/// Targets of a round.
+fn drawn(context: &context::InstanceContext, cause: gossip::GossipCause) -> Vec<net::SocketAddrV4> {
     let members = context.members.borrow();
     let alive = members.alive(context.now()).map(|beat| beat.address);
-    news_spread::targets(cause, alive, &mut rand::rng())
+    gossip::targets(cause, alive, &mut rand::rng())
 }
--- a/crates/instance/src/memory_hold.rs
+++ b/crates/instance/src/memory_hold.rs
@@ -2,7 +2,7 @@
 
 use std::{cell, net, rc, time};
 
-use slipturn_core::{engine_place, ids, send_leave, send_permit, units};
+use slipturn_core::{engine_place, ids, quota_permit, send_gate, units};
 use snafu::Snafu;
 
 use crate::{border, context, engine_call, upstream_starts};
@@ -73,7 +73,7 @@
         context: &rc::Rc<context::InstanceContext>,
         job: engine_place::JobId,
         parts: &[engine_place::HeldPart],
-        leaves: &[send_leave::SendLeave],
+        permits: &[quota_permit::SendPermit],
     ) -> Result<Self, HoldError> {
         let done = rc::Rc::new(cell::Cell::new(false));
         let mut hold = Self { context: rc::Rc::clone(context), tickets: Vec::new(), done };
@@ -94,8 +94,8 @@
             // Kept before it is asked for: an order without an answer may be carried out later.
             hold.tickets.push(held);
         }
-        let kind = send_permit::SendKind::Hold;
-        let orders = hold.tickets.iter().map(|held| held_order(context, held, kind, leaves));
+        let kind = send_gate::SendKind::Hold;
+        let orders = hold.tickets.iter().map(|held| held_order(context, held, kind, permits));
         let results = futures::future::join_all(orders).await;
         for (held, result) in hold.tickets.iter().zip(results) {
             match result {
@@ -152,8 +152,8 @@
 async fn held_order(
     context: &context::InstanceContext,
     held: &HeldTicket,
-    kind: send_permit::SendKind,
-    leaves: &[send_leave::SendLeave],
+    kind: send_gate::SendKind,
+    permits: &[quota_permit::SendPermit],
 ) -> Result<Option<ids::UpstreamStart>, String> {
     let order = border::MemoryOrder::Hold {
         ticket: held.ticket.clone(),
@@ -162,7 +162,7 @@
     };
     // Noted before it goes out: whoever waits for the answer may leave first.
     let before = held.unanswered.replace(Some(context.now()));
-    let given = engine_call::EngineOrder { order: &order, kind, leaves };
+    let given = engine_call::EngineOrder { order: &order, kind, permits };
     let result = send_order(context, held, &given).await;
     // A refusal is an answer too, and what was not sent has none: nothing is carried out later.
     let over = result.as_ref().map_or_else(engine_call::EngineCallError::is_over, |_| true);
@@ -180,7 +180,7 @@
 ) -> Result<Option<ids::UpstreamStart>, engine_call::EngineCallError> {
     let asked = context.now();
     let answer = engine_call::order(context, &held.to(), given, ORDER_TIME).await?;
-    Ok(upstream_starts::hear_order(context, held.address, &answer, asked))
+    Ok(upstream_starts::receive_order(context, held.address, &answer, asked))
 }
 
 async fn renew(
@@ -198,7 +198,7 @@
             if held.is_lost(&context) {
                 continue;
             }
-            let kind = send_permit::SendKind::Renewal;
+            let kind = send_gate::SendKind::Renewal;
             if let Err(reason) = held_order(&context, held, kind, &[]).await {
                 log::warn!(engine:% = held.engine, reason; "memory.not_renewed");
             }
@@ -229,8 +229,8 @@
 async fn release_once(context: &rc::Rc<context::InstanceContext>, held: &HeldTicket) {
     let _busy = context::BusyGuard::new(context);
     let order = border::MemoryOrder::Release { ticket: held.ticket.clone() };
-    let kind = send_permit::SendKind::Release;
-    let given = engine_call::EngineOrder { order: &order, kind, leaves: &[] };
+    let kind = send_gate::SendKind::Release;
+    let given = engine_call::EngineOrder { order: &order, kind, permits: &[] };
     for attempt in 1..=RELEASE_TRIES {
         match send_order(context, held, &given).await {
             Ok(_) => return,
--- a/crates/instance/src/model_request.rs
+++ b/crates/instance/src/model_request.rs
@@ -3,14 +3,14 @@
 use std::{pin, rc, time};
 
 use bytes::{Bytes, BytesMut};
-use slipturn_core::{connection_silence, engine_place, refusal, retry, retry_need, send_permit};
+use slipturn_core::{connection_silence, engine_place, refusal, retry, retry_need, send_gate};
 use slipturn_net::h1;
 
 use crate::{
     caller_connection, cell_search, context, engine_call, engine_fault, event_stream,
-    incoming_call, leave_request, memory_hold, plan_client, quarantine_gate, request_record,
+    incoming_call, memory_hold, permit_request, plan_client, quarantine_gate, request_record,
     silence_watch, stream_policy, stream_state, stream_target, upstream_attempt, upstream_choice,
-    upstream_ends, upstream_gate, upstream_news,
+    upstream_ends, upstream_gate, upstream_signals,
 };
 
 /// Places tried at most, those whose engine never saw the request included.
@@ -63,7 +63,7 @@
         }
         Err(_) => call.out_of_time(left, BACK_AFTER),
     };
-    record.outcome = format!("{} (ran: {})", refusal.message, refusal.ran.word());
+    record.outcome = format!("{} (ran: {})", refusal.message, refusal.ran.label());
     if state.begun {
         // The answer has begun; only a cut connection can say now that it is not whole.
         return Ok(caller_connection::ConnectionNext::Close);
@@ -91,7 +91,7 @@
         let need = state.retry_need(retry_need::RetryNeed::Failed);
         if state.sent > 0
             && !taken
-            && !leave_request::obtain_retry(context, &call.service, need).await
+            && !permit_request::obtain_retry(context, &call.service, need).await
         {
             text.push_str("; the retry budget is used up");
             break;
@@ -198,7 +198,7 @@
         // What stays in the record when the caller leaves meanwhile.
         end: "under way".to_owned(),
         upstream: hold.grant.engine.to_string(),
-        known: upstream_news::known(context, &hold.grant.engine),
+        known: upstream_signals::known(context, &hold.grant.engine),
         helpers: hold.grant.helpers.len(),
         waited_ms: u64::from(hold.grant.waited_ms),
         planned_ms: u64::from(hold.grant.first_token_ms),
@@ -226,12 +226,12 @@
     hold: &mut plan_client::PlaceHold,
     row: &mut request_record::AttemptRecord,
 ) -> Result<AttemptEnd, h1::MessageError> {
-    if let Err(fault) = upstream_gate::look_at_grant(context, &hold.grant, &hold.leaves) {
+    if let Err(fault) = upstream_gate::look_at_grant(context, &hold.grant, &hold.permits) {
         return Ok(AttemptEnd::Fault(fault));
     }
     let taken_at = context.now();
     let (job, held) = (hold.grant.job, &hold.grant.held);
-    let taken = memory_hold::MemoryHold::take(context, job, held, &hold.leaves).await;
+    let taken = memory_hold::MemoryHold::take(context, job, held, &hold.permits).await;
     let memory = match taken {
         Ok(memory) => memory,
         Err(error) => {
@@ -242,7 +242,7 @@
         }
     };
     let Some(target) = stream_target::target(context, call, state, hold, &memory) else {
-        let fault = upstream_gate::fault(send_permit::KeptBack::Unlisted);
+        let fault = upstream_gate::fault(send_gate::SendDenial::Unlisted);
         return Ok(AttemptEnd::Fault(fault));
     };
     let begun_at = context.now();
@@ -342,7 +342,7 @@
         let Some(piece) = piece else {
             break;
         };
-        life.hear();
+        life.receive();
         events.push(&piece);
         let whole = events.take_whole();
         if whole.is_empty() {
--- a/crates/instance/src/peer_message.rs
+++ b/crates/instance/src/peer_message.rs
@@ -3,7 +3,7 @@
 use futures::channel::mpsc;
 use serde::{Deserialize, Serialize};
 use slipturn_core::{
-    engine_place, failure_detector, ids, member_beat, planner_key, request_digest, send_leave,
+    engine_place, failure_detector, ids, member_beat, planner_key, quota_permit, request_digest,
     units,
 };
 
@@ -58,15 +58,15 @@
     /// operator lets it go.
     Cleared(request_digest::RequestDigest, u64),
     /// Asks what is held back and which upstreams leave, of a member that may know more.
-    AskNews,
+    RequestGossip,
     /// Upstreams have said that they leave.
     Leaving(Vec<LeavingReport>),
     /// Upstreams have named limits, or ended them.
     Limits(Vec<LimitReport>),
-    /// Asks the keeper of a sum for leave.
-    AskLeave(Box<LeaveQuestion>),
+    /// Asks the coordinator of a sum for leave.
+    RequestPermit(Box<PermitQuestion>),
     /// The answer to the question of this number.
-    Leave(u64, send_leave::LeaveAnswer),
+    Leave(u64, quota_permit::PermitResponse),
     /// A probe of the failure detector, or its answer.
     Probe(failure_detector::ProbeMessage),
     /// Members that do not answer.
@@ -90,16 +90,16 @@
 
 /// A question for leave.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct LeaveQuestion {
+pub struct PermitQuestion {
     /// Number of the question at its member.
     pub number: u64,
     /// Start of the member.
     pub boot: u64,
     /// What it is about.
-    pub subject: send_leave::LeaveSubject,
+    pub subject: quota_permit::QuotaSubject,
     /// What is asked.
-    pub ask: send_leave::LeaveAsk,
-    /// What the member knows of an upstream's limit: the keeper may have missed it.
+    pub ask: quota_permit::PermitRequest,
+    /// What the member knows of an upstream's limit: the coordinator may have missed it.
     pub known: Option<LimitReport>,
 }
 
--- a/crates/instance/src/peers.rs
+++ b/crates/instance/src/peers.rs
@@ -6,8 +6,9 @@
 use slipturn_core::{engine_place, member_beat, planner_key};
 
 use crate::{
-    context, failure_watch, heartbeats, lease_renewal, leave_request, limit_news, member_news,
-    peer_message, planner_set, quarantine_news, sum_keeping, upstream_news, upstream_starts,
+    context, failure_watch, heartbeats, lease_renewal, limit_gossip, member_gossip, peer_message,
+    permit_request, planner_set, quarantine_gossip, quota_coordinator, upstream_signals,
+    upstream_starts,
 };
 
 /// Time between two looks at requests that wait, while any does.
@@ -58,13 +59,13 @@
             }
         };
         match peer_message::PeerMessage::decode(&buffer) {
-            Ok(message) => hear(&context, from, message),
+            Ok(message) => receive(&context, from, message),
             Err(error) => log::warn!(from:%, error:%; "peer.unreadable"),
         }
     }
 }
 
-fn hear(
+fn receive(
     context: &rc::Rc<context::InstanceContext>,
     from: net::SocketAddrV4,
     message: peer_message::PeerMessage,
@@ -72,16 +73,16 @@
     use peer_message::PeerMessage;
     let now = context.now();
     match message {
-        PeerMessage::Beat(beat) => heartbeats::hear(context, now, *beat),
+        PeerMessage::Beat(beat) => heartbeats::receive(context, now, *beat),
         PeerMessage::Alive(alive) => {
             failure_watch::restore(context, alive.boot);
-            if !context.members.borrow_mut().hear_alive(now, &alive) {
-                context.tell(from, PeerMessage::Who);
+            if !context.members.borrow_mut().receive_alive(now, &alive) {
+                context.send_to(from, PeerMessage::Who);
             }
         }
         PeerMessage::Who => {
             let beat = context.next_beat();
-            context.tell(from, PeerMessage::Beat(Box::new(beat)));
+            context.send_to(from, PeerMessage::Beat(Box::new(beat)));
         }
         PeerMessage::Ask(key, ask) => {
             let job = ask.job;
@@ -93,7 +94,7 @@
                 Some(answer) => PeerMessage::Answer(Box::new(answer)),
                 None => PeerMessage::Queued(job),
             };
-            context.tell(from, reply);
+            context.send_to(from, reply);
         }
         PeerMessage::Answer(answer) => {
             let job = answer.job();
@@ -106,26 +107,30 @@
             }
         }
         PeerMessage::Renew(key, boot, jobs) => {
-            lease_renewal::hear(context, now, from, key, boot, jobs);
+            lease_renewal::receive(context, now, from, key, boot, jobs);
         }
         PeerMessage::Gone(upstream) => {
-            context.loads.borrow_mut().hear_gone(now, &upstream);
+            context.loads.borrow_mut().receive_gone(now, &upstream);
         }
-        PeerMessage::Ends(reports) => quarantine_news::hear_ends(context, reports),
-        PeerMessage::Held(reports) => quarantine_news::hear_held(context, from, reports),
+        PeerMessage::Ends(reports) => quarantine_gossip::receive_ends(context, reports),
+        PeerMessage::Held(reports) => quarantine_gossip::receive_held(context, from, reports),
         PeerMessage::Cleared(digest, micros_ago) => {
-            quarantine_news::hear_cleared(context, digest, micros_ago);
-        }
-        PeerMessage::AskNews => member_news::tell(context, from),
-        PeerMessage::Leaving(reports) => upstream_news::hear_members(context, reports),
-        PeerMessage::Limits(reports) => limit_news::hear_members(context, reports),
-        PeerMessage::AskLeave(question) => sum_keeping::hear_ask(context, from, *question),
-        PeerMessage::Leave(number, answer) => leave_request::hear(context, number, answer),
-        PeerMessage::Probe(message) => failure_watch::hear(context, from, message),
-        PeerMessage::Suspects(reports) => failure_watch::hear_suspects(context, reports),
-        PeerMessage::Restored(boots) => failure_watch::hear_restored(context, &boots),
-        PeerMessage::Census(key) => lease_renewal::tell_all(context, from, &key),
-        PeerMessage::Unknown(key, jobs) => lease_renewal::tell_leases(context, from, key, &jobs),
+            quarantine_gossip::receive_cleared(context, digest, micros_ago);
+        }
+        PeerMessage::RequestGossip => member_gossip::send_to(context, from),
+        PeerMessage::Leaving(reports) => upstream_signals::receive_members(context, reports),
+        PeerMessage::Limits(reports) => limit_gossip::receive_members(context, reports),
+        PeerMessage::RequestPermit(question) => {
+            quota_coordinator::receive_ask(context, from, *question);
+        }
+        PeerMessage::Leave(number, answer) => permit_request::receive(context, number, answer),
+        PeerMessage::Probe(message) => failure_watch::receive(context, from, message),
+        PeerMessage::Suspects(reports) => failure_watch::receive_suspects(context, reports),
+        PeerMessage::Restored(boots) => failure_watch::receive_restored(context, &boots),
+        PeerMessage::Census(key) => lease_renewal::announce_leases(context, from, &key),
+        PeerMessage::Unknown(key, jobs) => {
+            lease_renewal::send_requested_leases(context, from, key, &jobs);
+        }
         PeerMessage::Leases(key, leases) => {
             let mut planners = context.planners.borrow_mut();
             planners.sync(now, &context.fleet.borrow());
@@ -152,11 +157,11 @@
 pub async fn plan(context: rc::Rc<context::InstanceContext>) {
     let mut last = context.now();
     let mut logged = last;
-    let mut told = heartbeats::ToldState::default();
+    let mut told = heartbeats::AnnouncedState::default();
     loop {
-        let state = heartbeats::ToldState::of(&context.own_beat());
+        let state = heartbeats::AnnouncedState::of(&context.own_beat());
         if state != told {
-            heartbeats::tell_state(&context, state, told);
+            heartbeats::broadcast_state(&context, state, told);
             told = state;
         }
         // A process that has just started tells at once when it has routes.
@@ -166,16 +171,16 @@
         if now.since(last) > PAUSE_SIGN {
             log::warn!(paused_ms = now.since(last).as_millis() as u64; "process.woke");
             context.woke.set(now);
-            sum_keeping::begin_anew(&context);
+            quota_coordinator::begin_anew(&context);
             // Others may suspect it by now.
-            heartbeats::tell_all(&context);
+            heartbeats::broadcast(&context);
         }
         last = now;
         if context.fleet.borrow_mut().list.tick(now) {
             log::info!("list.doubtful_gone");
         }
         upstream_starts::settle(&context);
-        sum_keeping::tick(&context);
+        quota_coordinator::tick(&context);
         let answers = {
             let mut planners = context.planners.borrow_mut();
             planners.sync(now, &context.fleet.borrow());
@@ -192,7 +197,7 @@
                     reply(&context, job, peer_message::PlanReply::Answer(Box::new(answer)));
                 }
                 planner_set::AskOrigin::Member(address) => {
-                    context.tell(address, peer_message::PeerMessage::Answer(Box::new(answer)));
+                    context.send_to(address, peer_message::PeerMessage::Answer(Box::new(answer)));
                 }
             }
         }
@@ -209,7 +214,7 @@
 }
 
 /// Tells a planner what has become of a place, wherever it runs.
-pub fn tell_planner(
+pub fn notify_planner(
     context: &context::InstanceContext,
     key: &planner_key::PlannerKey,
     note: engine_place::PlaceNote,
@@ -219,6 +224,6 @@
         planner.note(context.now(), &note);
     }
     if let Some(member) = planner_of(context, key) {
-        context.tell(member.address, peer_message::PeerMessage::Note(key.clone(), note));
+        context.send_to(member.address, peer_message::PeerMessage::Note(key.clone(), note));
     }
 }
--- a/crates/instance/src/permit_request.rs
+++ b/crates/instance/src/permit_request.rs
@@ -1,40 +1,40 @@
-//! A request's way to the leave that it needs where all members together may send only so much.
+//! Acquires permits for sends under shared quotas.
 
 use std::{cell, collections, time};
 
 use futures::channel::oneshot;
-use slipturn_core::{ids, leave_desk, retry_need, send_leave, units};
+use slipturn_core::{ids, permit_cache, quota_permit, retry_need, units};
 
-use crate::{context, limit_news, peer_message, sum_keeping};
+use crate::{context, limit_gossip, peer_message, quota_coordinator};
 
-/// Time for a keeper's answer; within a region it takes a millisecond or two.
+/// Timeout of a coordinator's response; within a region it takes a millisecond or two.
 const REPLY_TIME: time::Duration = time::Duration::from_millis(25);
-/// Time behind which a keeper is asked again that has said nothing, or another one is.
+/// Backoff after a coordinator has not responded.
 const SILENCE_PAUSE: time::Duration = time::Duration::from_millis(100);
-/// Asks remembered whose answers may still come.
+/// Most pending requests whose responses are accepted.
 const MAX_ASKS: usize = 1_024;
 
-/// An ask that went out.
+/// A request that was sent.
 #[derive(Debug)]
-struct SentAsk {
-    subject: send_leave::LeaveSubject,
+struct PendingRequest {
+    subject: quota_permit::QuotaSubject,
     at: units::MonoTime,
-    /// Where the answer goes while somebody waits for it.
-    reply: Option<oneshot::Sender<send_leave::LeaveAnswer>>,
+    /// Receiver of the response while a task waits for it.
+    reply: Option<oneshot::Sender<quota_permit::PermitResponse>>,
 }
 
-/// Asks of this process that went to keepers, by number.
+/// Requests of this process by number.
 #[derive(Debug, Default)]
-pub(crate) struct SentAsks {
-    asks: cell::RefCell<collections::BTreeMap<u64, SentAsk>>,
+pub(crate) struct PendingRequests {
+    asks: cell::RefCell<collections::BTreeMap<u64, PendingRequest>>,
     number: cell::Cell<u64>,
 }
 
-/// Why a request has no leave: for how long asking for one is in vain.
+/// No permit is available; the backoff before the next request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) struct NoLeave(pub(crate) time::Duration);
+pub(crate) struct NoPermit(pub(crate) time::Duration);
 
-/// For how long asking for leave at an upstream is in vain; one without a limit needs none.
+/// Backoff before permits for an upstream may be requested; zero without a limit.
 pub(crate) fn closed(
     context: &context::InstanceContext,
     upstream: &ids::UpstreamId,
@@ -42,25 +42,25 @@
     if context.fleet.borrow().list.limit(upstream).is_none() {
         return time::Duration::ZERO;
     }
-    let subject = send_leave::LeaveSubject::Upstream(upstream.clone());
-    context.sums.desk.borrow().closed(context.now(), &subject)
+    let subject = quota_permit::QuotaSubject::Upstream(upstream.clone());
+    context.quotas.cache.borrow().closed(context.now(), &subject)
 }
 
-/// The leave for one request to an upstream, waited for as long as `patience`; nothing where it has no limit.
+/// Acquires a permit for one request to an upstream within `patience`; `None` when it has no limit.
 pub(crate) async fn obtain(
     context: &context::InstanceContext,
     upstream: &ids::UpstreamId,
     patience: time::Duration,
-) -> Result<Option<send_leave::SendLeave>, NoLeave> {
+) -> Result<Option<quota_permit::SendPermit>, NoPermit> {
     if context.fleet.borrow().list.limit(upstream).is_none() {
         return Ok(None);
     }
-    let subject = send_leave::LeaveSubject::Upstream(upstream.clone());
+    let subject = quota_permit::QuotaSubject::Upstream(upstream.clone());
     let term = obtain_term(context, &subject, patience).await?;
-    Ok(Some(send_leave::SendLeave { upstream: upstream.clone(), term }))
+    Ok(Some(quota_permit::SendPermit { upstream: upstream.clone(), term }))
 }
 
-/// Takes one retry to a service: from this member's own share, else from what is kept for all.
+/// Acquires one retry to a service, from this member's share or from the shared quota.
 pub(crate) async fn obtain_retry(
     context: &context::InstanceContext,
     service: &ids::ServiceId,
@@ -69,43 +69,43 @@
     if context.take_retry(service) {
         return true;
     }
-    sum_keeping::until_settled(context).await;
+    quota_coordinator::until_settled(context).await;
     let need = context.settings().experiments.retry_order.need(need);
-    let subject = send_leave::LeaveSubject::Retries(service.clone(), need);
+    let subject = quota_permit::QuotaSubject::Retries(service.clone(), need);
     obtain_term(context, &subject, time::Duration::ZERO).await.is_ok()
 }
 
 async fn obtain_term(
     context: &context::InstanceContext,
-    subject: &send_leave::LeaveSubject,
+    subject: &quota_permit::QuotaSubject,
     patience: time::Duration,
-) -> Result<send_leave::LeaveTerm, NoLeave> {
+) -> Result<quota_permit::PermitTerm, NoPermit> {
     let now = context.now();
-    let step = context.sums.desk.borrow_mut().step(now, subject, patience);
+    let step = context.quotas.cache.borrow_mut().step(now, subject, patience);
     let term = match step {
-        leave_desk::LeaveStep::Send(term) => term,
-        leave_desk::LeaveStep::Closed(closed) => return Err(NoLeave(closed)),
-        leave_desk::LeaveStep::Ask(ask) => {
-            let Some(answer) = ask_keeper(context, subject, ask).await else {
-                let mut desk = context.sums.desk.borrow_mut();
-                desk.note_silence(context.now(), subject, SILENCE_PAUSE);
-                return Err(NoLeave(SILENCE_PAUSE));
+        permit_cache::PermitStep::Send(term) => term,
+        permit_cache::PermitStep::Closed(closed) => return Err(NoPermit(closed)),
+        permit_cache::PermitStep::Ask(ask) => {
+            let Some(answer) = request_coordinator(context, subject, ask).await else {
+                let mut cache = context.quotas.cache.borrow_mut();
+                cache.note_silence(context.now(), subject, SILENCE_PAUSE);
+                return Err(NoPermit(SILENCE_PAUSE));
             };
-            let mut desk = context.sums.desk.borrow_mut();
-            desk.hear(context.now(), subject, now, answer).map_err(NoLeave)?
+            let mut cache = context.quotas.cache.borrow_mut();
+            cache.receive(context.now(), subject, now, answer).map_err(NoPermit)?
         }
     };
-    let unused = UnusedLeave { context, subject, term: Some(term) };
+    let unused = UnusedPermit { context, subject, term: Some(term) };
     Ok(unused.when_due().await)
 }
 
-/// Takes in a keeper's answer.
-pub(crate) fn hear(
+/// Handles a coordinator's response.
+pub(crate) fn receive(
     context: &context::InstanceContext,
     number: u64,
-    answer: send_leave::LeaveAnswer,
+    answer: quota_permit::PermitResponse,
 ) {
-    let Some(sent) = context.sums.asks.asks.borrow_mut().remove(&number) else {
+    let Some(sent) = context.quotas.asks.asks.borrow_mut().remove(&number) else {
         return;
     };
     let unheard = match sent.reply {
@@ -113,55 +113,56 @@
         None => Some(answer),
     };
     if let Some(answer) = unheard {
-        // Its request has gone elsewhere; the leave serves another one.
-        let mut desk = context.sums.desk.borrow_mut();
-        if let Ok(term) = desk.hear(context.now(), &sent.subject, sent.at, answer) {
-            desk.put_back(&sent.subject, term);
+        // The request has ended; the permit serves another one.
+        let mut cache = context.quotas.cache.borrow_mut();
+        if let Ok(term) = cache.receive(context.now(), &sent.subject, sent.at, answer) {
+            cache.put_back(&sent.subject, term);
         }
     }
 }
 
-async fn ask_keeper(
+async fn request_coordinator(
     context: &context::InstanceContext,
-    subject: &send_leave::LeaveSubject,
-    ask: send_leave::LeaveAsk,
-) -> Option<send_leave::LeaveAnswer> {
-    let Some(keeper) = sum_keeping::keeper_of(context, subject) else {
-        return Some(sum_keeping::answer(context, context.boot, subject, &ask));
+    subject: &quota_permit::QuotaSubject,
+    ask: quota_permit::PermitRequest,
+) -> Option<quota_permit::PermitResponse> {
+    let Some(coordinator) = quota_coordinator::coordinator_of(context, subject) else {
+        return Some(quota_coordinator::answer(context, context.boot, subject, &ask));
     };
     let known = match subject {
-        send_leave::LeaveSubject::Upstream(upstream) => limit_news::report(context, upstream),
-        send_leave::LeaveSubject::Retries(..) => None,
+        quota_permit::QuotaSubject::Upstream(upstream) => limit_gossip::report(context, upstream),
+        quota_permit::QuotaSubject::Retries(..) => None,
     };
-    let (number, reply) = context.sums.asks.note(subject, context.now());
+    let (number, reply) = context.quotas.asks.note(subject, context.now());
     let (subject, boot) = (subject.clone(), context.boot);
-    let question = peer_message::LeaveQuestion { number, boot, subject, ask, known };
-    context.tell(keeper.address, peer_message::PeerMessage::AskLeave(Box::new(question)));
+    let question = peer_message::PermitQuestion { number, boot, subject, ask, known };
+    context
+        .send_to(coordinator.address, peer_message::PeerMessage::RequestPermit(Box::new(question)));
     match monoio::time::timeout(REPLY_TIME, reply).await {
         Ok(answer) => {
-            context.members.borrow_mut().answered(context.now(), &keeper.name);
+            context.members.borrow_mut().answered(context.now(), &coordinator.name);
             answer.ok()
         }
         Err(_) => {
-            context.members.borrow_mut().unanswered(&keeper.name);
+            context.members.borrow_mut().unanswered(&coordinator.name);
             context.stats.borrow_mut().count("leaves", "unanswered");
-            log::debug!(member:% = keeper.name; "keeper.silent");
+            log::debug!(member:% = coordinator.name; "keeper.silent");
             None
         }
     }
 }
 
-impl SentAsks {
+impl PendingRequests {
     fn note(
         &self,
-        subject: &send_leave::LeaveSubject,
+        subject: &quota_permit::QuotaSubject,
         at: units::MonoTime,
-    ) -> (u64, oneshot::Receiver<send_leave::LeaveAnswer>) {
+    ) -> (u64, oneshot::Receiver<quota_permit::PermitResponse>) {
         let number = self.number.get() + 1;
         self.number.set(number);
         let (sender, receiver) = oneshot::channel();
         let mut asks = self.asks.borrow_mut();
-        asks.insert(number, SentAsk { subject: subject.clone(), at, reply: Some(sender) });
+        asks.insert(number, PendingRequest { subject: subject.clone(), at, reply: Some(sender) });
         while asks.len() > MAX_ASKS {
             asks.pop_first();
         }
@@ -169,15 +170,15 @@
     }
 }
 
-/// A leave whose request may still leave before its time.
-struct UnusedLeave<'a> {
+/// A permit whose request may end before its validity starts.
+struct UnusedPermit<'a> {
     context: &'a context::InstanceContext,
-    subject: &'a send_leave::LeaveSubject,
-    term: Option<send_leave::LeaveTerm>,
+    subject: &'a quota_permit::QuotaSubject,
+    term: Option<quota_permit::PermitTerm>,
 }
 
-impl UnusedLeave<'_> {
-    async fn when_due(mut self) -> send_leave::LeaveTerm {
+impl UnusedPermit<'_> {
+    async fn when_due(mut self) -> quota_permit::PermitTerm {
         let from = self.term.map_or_else(units::MonoTime::default, |term| term.from);
         let wait = from.since(self.context.now());
         if !wait.is_zero() {
@@ -187,10 +188,10 @@
     }
 }
 
-impl Drop for UnusedLeave<'_> {
+impl Drop for UnusedPermit<'_> {
     fn drop(&mut self) {
         if let Some(term) = self.term.take() {
-            self.context.sums.desk.borrow_mut().put_back(self.subject, term);
+            self.context.quotas.cache.borrow_mut().put_back(self.subject, term);
         }
     }
 }
--- a/crates/instance/src/plan_client.rs
+++ b/crates/instance/src/plan_client.rs
@@ -3,7 +3,7 @@
 use std::{net, rc, time};
 
 use futures::{StreamExt as _, channel::mpsc};
-use slipturn_core::{engine_place, ids, planner_key, send_leave, units};
+use slipturn_core::{engine_place, ids, planner_key, quota_permit, units};
 
 use crate::{context, lease_renewal, peer_message, peers, planner_set};
 
@@ -21,7 +21,7 @@
     /// The place.
     pub grant: engine_place::PlaceGrant,
     /// Leaves for those of its engines that have a limit.
-    pub leaves: Vec<send_leave::SendLeave>,
+    pub permits: Vec<quota_permit::SendPermit>,
     /// How the attempt ended, as far as is known.
     pub end: engine_place::PlaceEnd,
 }
@@ -39,7 +39,7 @@
             held.lease.reading = false;
         }
         let note = engine_place::PlaceNote::FirstToken(job, requests);
-        peers::tell_planner(&self.context, &self.key, note);
+        peers::notify_planner(&self.context, &self.key, note);
     }
 
     /// Where its engine takes requests, as long as it is listed.
@@ -48,9 +48,9 @@
     }
 
     /// Tells the planner that another engine is the cause of a refusal.
-    pub fn shun(&self, engine: &ids::UpstreamId) {
-        let note = engine_place::PlaceNote::Shun(engine.clone());
-        peers::tell_planner(&self.context, &self.key, note);
+    pub fn eject(&self, engine: &ids::UpstreamId) {
+        let note = engine_place::PlaceNote::Eject(engine.clone());
+        peers::notify_planner(&self.context, &self.key, note);
     }
 }
 
@@ -59,7 +59,7 @@
         let job = self.grant.job;
         self.context.leases.borrow_mut().remove(&job);
         let note = engine_place::PlaceNote::Ended(job, self.end);
-        peers::tell_planner(&self.context, &self.key, note);
+        peers::notify_planner(&self.context, &self.key, note);
     }
 }
 
@@ -77,7 +77,7 @@
         if !self.granted {
             let end = engine_place::PlaceEnd::Done;
             let note = engine_place::PlaceNote::Ended(self.job, end);
-            peers::tell_planner(self.context, self.key, note);
+            peers::notify_planner(self.context, self.key, note);
         }
     }
 }
@@ -128,11 +128,11 @@
         // They were given when the request had waited so long in the planner, which it cannot have reached sooner
         // than it was asked.
         let waited = time::Duration::from_millis(u64::from(grant.waited_ms));
-        let term = send_leave::LeaveTerm::of_answer(started, waited);
-        let leave = |upstream| send_leave::SendLeave { upstream, term };
-        let leaves = paced.into_iter().map(leave).collect();
+        let term = quota_permit::PermitTerm::of_answer(started, waited);
+        let permit = |upstream| quota_permit::SendPermit { upstream, term };
+        let permits = paced.into_iter().map(permit).collect();
         let mut hold = hold(context, key, ask, grant);
-        hold.leaves = leaves;
+        hold.permits = permits;
         return PlaceOutcome::Placed(hold);
     }
 }
@@ -154,7 +154,7 @@
         context: rc::Rc::clone(context),
         key: key.clone(),
         grant,
-        leaves: Vec::new(),
+        permits: Vec::new(),
         end: engine_place::PlaceEnd::Done,
     }
 }
@@ -169,10 +169,10 @@
         return ask_own(context, key, ask, replies).await;
     };
     if note_planner(context, key, &member.name) {
-        lease_renewal::tell_all(context, member.address, key);
+        lease_renewal::announce_leases(context, member.address, key);
     }
     let message = peer_message::PeerMessage::Ask(key.clone(), Box::new(ask.clone()));
-    context.tell(member.address, message);
+    context.send_to(member.address, message);
     let mut patience = REPLY_TIME;
     loop {
         match monoio::time::timeout(patience, replies.next()).await {
--- a/crates/instance/src/planner_set.rs
+++ b/crates/instance/src/planner_set.rs
@@ -159,12 +159,12 @@
 
     /// Begins anew with all limits that planners here keep.
     pub fn begin_limits_anew(&mut self, now: units::MonoTime) {
-        self.planners.values_mut().for_each(|planner| planner.leaves().begin_anew(now));
+        self.planners.values_mut().for_each(|planner| planner.permits().begin_anew(now));
     }
 
     /// Leaves an engine alone for a while, in whichever planner it is.
-    pub fn shun(&mut self, now: units::MonoTime, engine: &ids::UpstreamId) {
-        self.planners.values_mut().for_each(|planner| planner.shun(now, engine));
+    pub fn eject(&mut self, now: units::MonoTime, engine: &ids::UpstreamId) {
+        self.planners.values_mut().for_each(|planner| planner.eject(now, engine));
     }
 
     /// Whether an engine should be asked for a report now.
--- a/crates/instance/src/program.rs
+++ b/crates/instance/src/program.rs
@@ -15,7 +15,7 @@
 
 use crate::{
     border, caller_connection, context, engine_reports, failure_watch, heartbeats,
-    instance_settings, lease_renewal, log_sink, member_feed, member_news, peers, small_server,
+    instance_settings, lease_renewal, log_sink, member_feed, member_gossip, peers, small_server,
     store_feed, upstream_ends,
 };
 
@@ -131,7 +131,7 @@
     monoio::spawn(engine_reports::poll(share()));
     monoio::spawn(prune(share()));
     monoio::spawn(upstream_ends::judge_runs(share(), run_news));
-    monoio::spawn(member_news::repeat(share()));
+    monoio::spawn(member_gossip::repeat(share()));
     let small = small_server::accept_all;
     monoio::spawn(small(share(), health, small_server::SmallRole::Health));
     monoio::spawn(small(share(), members, small_server::SmallRole::Members));
--- a/crates/instance/src/quarantine_gate.rs
+++ b/crates/instance/src/quarantine_gate.rs
@@ -17,17 +17,17 @@
 
 /// Wakes requests that are being served when one is held back.
 #[derive(Debug)]
-pub struct VerdictBell {
+pub struct VerdictSignal {
     next: cell::RefCell<(oneshot::Sender<()>, SharedBell)>,
 }
 
-impl Default for VerdictBell {
+impl Default for VerdictSignal {
     fn default() -> Self {
         Self { next: cell::RefCell::new(new_bell()) }
     }
 }
 
-impl VerdictBell {
+impl VerdictSignal {
     /// Has all requests look at the gate.
     pub fn ring(&self) {
         let (sender, _) = self.next.replace(new_bell());
--- a/crates/instance/src/quarantine_gossip.rs
+++ b/crates/instance/src/quarantine_gossip.rs
@@ -32,18 +32,21 @@
         // All that is known here of these requests, so that the times fit each other.
         let ends = ends_of(context, &digests);
         for reports in reports(now, &ends) {
-            context.tell(keeper, peer_message::PeerMessage::Ends(reports));
+            context.send_to(keeper, peer_message::PeerMessage::Ends(reports));
         }
     }
 }
 
 /// Takes in evidence that this member is to keep.
-pub(crate) fn hear_ends(context: &context::InstanceContext, reports: Vec<peer_message::EndReport>) {
+pub(crate) fn receive_ends(
+    context: &context::InstanceContext,
+    reports: Vec<peer_message::EndReport>,
+) {
     hold_new(context, ended_runs(context.now(), reports));
 }
 
 /// Takes in evidence against requests that another member holds back.
-pub(crate) fn hear_held(
+pub(crate) fn receive_held(
     context: &context::InstanceContext,
     from: net::SocketAddrV4,
     reports: Vec<peer_message::EndReport>,
@@ -56,7 +59,7 @@
 }
 
 /// Takes in that a request is not the cause of ends before.
-pub(crate) fn hear_cleared(
+pub(crate) fn receive_cleared(
     context: &context::InstanceContext,
     digest: request_digest::RequestDigest,
     micros_ago: u64,
@@ -66,11 +69,11 @@
 }
 
 /// Tells a member what is held back here.
-pub(crate) fn tell_held(context: &context::InstanceContext, to: net::SocketAddrV4) {
+pub(crate) fn send_held(context: &context::InstanceContext, to: net::SocketAddrV4) {
     let now = context.now();
     let held = context.quarantine.borrow().held_at(now);
     for reports in reports(now, &ends_of(context, &held)) {
-        context.tell(to, peer_message::PeerMessage::Held(reports));
+        context.send_to(to, peer_message::PeerMessage::Held(reports));
     }
 }
 
@@ -103,7 +106,7 @@
         members_for(context, [digest].into_iter()).into_iter().map(|(to, _)| to).collect()
     };
     for to in told {
-        context.tell(to, peer_message::PeerMessage::Cleared(digest, 0));
+        context.send_to(to, peer_message::PeerMessage::Cleared(digest, 0));
     }
     if held {
         log::warn!(digest:%; "request.released");
@@ -122,7 +125,7 @@
     let against = ends_of(context, &held);
     for to in context.members.borrow().targets(context.settings().member_address) {
         for reports in reports(now, &against) {
-            context.tell(to, peer_message::PeerMessage::Held(reports));
+            context.send_to(to, peer_message::PeerMessage::Held(reports));
         }
     }
 }
@@ -144,7 +147,7 @@
         let of_digest = ends.iter().filter(|end| end.digest == digest);
         if of_digest.map(|end| now.since(end.ended)).all(|ended| ended >= age) {
             let message = peer_message::PeerMessage::Cleared(digest, micros(age));
-            context.tell(to, message);
+            context.send_to(to, message);
         }
     }
 }
--- a/crates/instance/src/quota_coordinator.rs
+++ b/crates/instance/src/quota_coordinator.rs
@@ -1,49 +1,49 @@
-//! Which sums over all members this process keeps, and what it answers to those that ask for leave: how many requests go
-//! to each upstream with a limit, and how many retries to each service.
+//! Coordination of shared quotas: requests to each upstream with a limit, and retries to each service.
 //!
-//! The limit of an engine is kept by whoever plans for it, whose places are its leaves; any other sum by the member that
-//! the same choice names for it alone. Each keeps the part of a sum that belongs to the members it hears, so that two
-//! sides of a cut together keep to it; and whoever does not take itself for the keeper gives no leave.
+//! The planner of an engine coordinates its limit, and a place is a permit. Any other quota is coordinated by the member
+//! that rendezvous hashing selects. Each coordinator grants the part of a quota that belongs to the members in contact, so
+//! both sides of a partition together stay within it. A member that does not consider itself the coordinator grants
+//! nothing.
 
 use std::{cell, collections, time};
 
 use slipturn_core::{
-    ids, leave_desk, leave_ledger, member_beat, planner_key, return_line, send_leave, send_pace,
-    units, upstream_list,
+    ids, member_beat, permit_cache, planner_key, quota_ledger, quota_permit, return_line,
+    send_pace, units, upstream_list,
 };
 
-use crate::{context, fleet_state, leave_request, limit_news, peer_message, peers, planner_set};
+use crate::{context, fleet_state, limit_gossip, peer_message, peers, permit_request, planner_set};
 
-/// Time between two looks at which sums this process keeps.
+/// Time between two checks of which quotas this process coordinates.
 const LOOK_INTERVAL: time::Duration = time::Duration::from_millis(250);
-/// Time between two looks at whether the members are known.
+/// Time between two checks of whether the members are known.
 const SETTLE_LOOK: time::Duration = time::Duration::from_millis(20);
-/// Time after which a member asks again that took this process for the keeper of what another one keeps.
+/// Backoff of a member that requested permits from the wrong coordinator.
 const NOT_KEPT_PAUSE: time::Duration = time::Duration::from_millis(100);
-/// Time for the answer of a member that others find silent.
+/// Timeout of a probe of a coordinator that others report as silent.
 const PROBE_TIME: time::Duration = time::Duration::from_millis(25);
 
-/// Sums as this process keeps them, and as it keeps to them.
+/// Quotas that this process coordinates, and permits that it holds.
 #[derive(Debug, Default)]
-pub struct SumState {
-    /// Sums that this process keeps, but for those of the engines that it plans for.
-    ledger: cell::RefCell<leave_ledger::LeaveLedger<send_leave::LeaveSubject>>,
-    /// Leaves of this process's own requests.
-    pub(crate) desk: cell::RefCell<leave_desk::LeaveDesk<send_leave::LeaveSubject>>,
-    /// Asks that went out.
-    pub(crate) asks: leave_request::SentAsks,
-    /// When refused callers of each service come back.
+pub struct QuotaState {
+    /// Quotas coordinated here, but for those of the engines that it plans for.
+    ledger: cell::RefCell<quota_ledger::QuotaLedger<quota_permit::QuotaSubject>>,
+    /// Permits for this process's own requests.
+    pub(crate) cache: cell::RefCell<permit_cache::PermitCache<quota_permit::QuotaSubject>>,
+    /// Pending requests for permits.
+    pub(crate) asks: permit_request::PendingRequests,
+    /// Retry-After times by service.
     pub(crate) returns:
         cell::RefCell<collections::HashMap<ids::ServiceId, return_line::ReturnLine>>,
-    /// Lines written on changes of limits.
-    pub(crate) limit_log: cell::RefCell<limit_news::LimitLog>,
-    /// What the last look went by, and when it was.
+    /// When changes of limits were last logged.
+    pub(crate) limit_log: cell::RefCell<limit_gossip::LimitLog>,
+    /// Inputs and time of the last check.
     looked: cell::Cell<(LookedState, units::MonoTime)>,
-    /// A keeper that others find silent, and when it was asked.
+    /// A coordinator reported as silent, and when it was probed.
     probe: cell::RefCell<Option<(ids::InstanceId, units::MonoTime)>>,
 }
 
-/// What there is to keep, and whether it can be known by whom: another one is looked at at once.
+/// Inputs of a check; it is repeated at once when they change.
 #[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
 struct LookedState {
     limit_changes: u64,
@@ -62,16 +62,16 @@
     }
 }
 
-/// Looks now and then at which sums this process keeps.
+/// Checks periodically which quotas this process coordinates.
 pub(crate) fn tick(context: &context::InstanceContext) {
-    let (seen, last) = context.sums.looked.get();
+    let (seen, last) = context.quotas.looked.get();
     let is_due = context.now().since(last) >= LOOK_INTERVAL;
     if is_due || seen != LookedState::of(context) {
         refresh(context);
     }
 }
 
-/// Waits until this process can know who keeps what: a few tenths of a second behind its start, no time later.
+/// Waits until the members are known.
 pub(crate) async fn until_settled(context: &context::InstanceContext) {
     while !is_settled(context) {
         monoio::time::sleep(SETTLE_LOOK).await;
@@ -79,15 +79,15 @@
     tick(context);
 }
 
-/// Works out which sums this process keeps, and how much of them.
+/// Determines which quotas this process coordinates, and its part of each.
 pub(crate) fn refresh(context: &context::InstanceContext) {
     let now = context.now();
     let fleet = context.fleet.borrow();
     let part = context.members.borrow().seen_part(now);
-    context.sums.looked.set((LookedState::of(context), now));
+    context.quotas.looked.set((LookedState::of(context), now));
     let mut kept = kept_retries(context, &fleet, part);
     let mut planned = collections::BTreeMap::<_, planner_set::EngineLimits>::new();
-    // Engines of one cell have one keeper.
+    // All engines of a cell have one coordinator.
     let mut own_keys = collections::BTreeMap::new();
     for (upstream, limit) in fleet.list.limits() {
         let Some(entry) = fleet.list.entry(upstream).filter(|entry| entry.name == *upstream) else {
@@ -98,7 +98,7 @@
         let own = *own_keys.entry(key.clone()).or_insert_with(is_own);
         let bound = send_pace::PaceBound::of_limit(limit.scaled(part));
         if !is_planned(&fleet, entry) {
-            let subject = send_leave::LeaveSubject::Upstream(upstream.clone());
+            let subject = quota_permit::QuotaSubject::Upstream(upstream.clone());
             kept.extend(own.then_some((subject, bound)));
             continue;
         }
@@ -109,16 +109,16 @@
             elsewhere.insert(upstream.clone());
         }
     }
-    let is_needed = |subject: &send_leave::LeaveSubject| match subject {
-        send_leave::LeaveSubject::Upstream(upstream) => fleet.list.limit(upstream).is_some(),
-        send_leave::LeaveSubject::Retries(service, _) => {
+    let is_needed = |subject: &quota_permit::QuotaSubject| match subject {
+        quota_permit::QuotaSubject::Upstream(upstream) => fleet.list.limit(upstream).is_some(),
+        quota_permit::QuotaSubject::Retries(service, _) => {
             fleet.routes.services.contains_key(service)
         }
     };
-    context.sums.desk.borrow_mut().retain(is_needed);
-    let mut log = context.sums.limit_log.borrow_mut();
+    context.quotas.cache.borrow_mut().retain(is_needed);
+    let mut log = context.quotas.limit_log.borrow_mut();
     log.retain(|upstream, _| fleet.list.limit(upstream).is_some());
-    context.sums.ledger.borrow_mut().set_kept(now, &kept);
+    context.quotas.ledger.borrow_mut().set_kept(now, &kept);
     context.planners.borrow_mut().set_limits(now, planned);
 }
 
@@ -126,14 +126,14 @@
     context.members.borrow().is_settled(context.now())
 }
 
-/// Sums of retries that this process keeps.
+/// Retry quotas that this process coordinates.
 fn kept_retries(
     context: &context::InstanceContext,
     fleet: &fleet_state::FleetState,
     part: f64,
-) -> collections::BTreeMap<send_leave::LeaveSubject, send_pace::PaceBound> {
+) -> collections::BTreeMap<quota_permit::QuotaSubject, send_pace::PaceBound> {
     if !is_settled(context) {
-        // All may have just started, and each would take itself for the keeper.
+        // After a start of all members each would consider itself the coordinator.
         return collections::BTreeMap::new();
     }
     let bound = context.settings().bounds.retry_bound().kept(part, context.member_count());
@@ -141,28 +141,28 @@
     let own = services.filter(|service| {
         peers::planner_of(context, &planner_key::PlannerKey::of_retries(service)).is_none()
     });
-    own.map(|service| (send_leave::LeaveSubject::all_retries(service.clone()), bound)).collect()
+    own.map(|service| (quota_permit::QuotaSubject::all_retries(service.clone()), bound)).collect()
 }
 
-/// Begins anew with all sums that this process keeps: it was paused, and others have kept them meanwhile.
+/// Empties all buckets after a pause: others may have coordinated the quotas meanwhile.
 pub(crate) fn begin_anew(context: &context::InstanceContext) {
     let now = context.now();
-    context.sums.ledger.borrow_mut().begin_anew(now);
+    context.quotas.ledger.borrow_mut().begin_anew(now);
     context.planners.borrow_mut().begin_limits_anew(now);
 }
 
-/// The other member that keeps a sum; `None` where this process does, or there is nothing to keep.
-pub(crate) fn keeper_of(
+/// The other member that coordinates a quota; `None` when this process does, or there is no such quota.
+pub(crate) fn coordinator_of(
     context: &context::InstanceContext,
-    subject: &send_leave::LeaveSubject,
+    subject: &quota_permit::QuotaSubject,
 ) -> Option<member_beat::MemberBeat> {
     let key = {
         let fleet = context.fleet.borrow();
         match subject {
-            send_leave::LeaveSubject::Upstream(upstream) => {
+            quota_permit::QuotaSubject::Upstream(upstream) => {
                 key_of_limit(&fleet, fleet.list.entry(upstream)?)
             }
-            send_leave::LeaveSubject::Retries(service, _) => {
+            quota_permit::QuotaSubject::Retries(service, _) => {
                 planner_key::PlannerKey::of_retries(service)
             }
         }
@@ -170,81 +170,81 @@
     peers::planner_of(context, &key)
 }
 
-/// Answers a member, or a request of this process.
+/// Responds to a request of a member or of this process.
 pub(crate) fn answer(
     context: &context::InstanceContext,
     asker: u64,
-    subject: &send_leave::LeaveSubject,
-    ask: &send_leave::LeaveAsk,
-) -> send_leave::LeaveAnswer {
+    subject: &quota_permit::QuotaSubject,
+    ask: &quota_permit::PermitRequest,
+) -> quota_permit::PermitResponse {
     let now = context.now();
-    if let Some(keeper) = keeper_of(context, subject) {
-        probe(context, &keeper);
+    if let Some(coordinator) = coordinator_of(context, subject) {
+        probe(context, &coordinator);
         context.stats.borrow_mut().count("leaves", "kept_elsewhere");
         return not_kept();
     }
-    if let send_leave::LeaveSubject::Upstream(upstream) = subject
+    if let quota_permit::QuotaSubject::Upstream(upstream) = subject
         && context.fleet.borrow().list.limit(upstream).is_none()
     {
-        // The limit has ended, which the member does not know yet.
-        return send_leave::LeaveAnswer::Given { count: 1, wait_ms: 0 };
+        // The member has not learned yet that the limit has ended.
+        return quota_permit::PermitResponse::Granted { count: 1, wait_ms: 0 };
     }
     let answer = match planned_engine(context, subject) {
         Some((key, engine)) => {
             let mut planners = context.planners.borrow_mut();
             let planner = planners.planner(&key);
-            planner.and_then(|planner| planner.leaves().ask(now, &engine, asker, ask))
+            planner.and_then(|planner| planner.permits().ask(now, &engine, asker, ask))
         }
         None => {
-            let mut ledger = context.sums.ledger.borrow_mut();
-            ledger.ask_sparing(now, &subject.sum(), asker, ask, subject.spared())
+            let mut ledger = context.quotas.ledger.borrow_mut();
+            ledger.request_reserving(now, &subject.sum(), asker, ask, subject.reserved_part())
         }
     };
     let answer = answer.unwrap_or_else(not_kept);
     let word = match answer {
-        send_leave::LeaveAnswer::Given { .. } => "given",
-        send_leave::LeaveAnswer::Refused { .. } => "refused",
+        quota_permit::PermitResponse::Granted { .. } => "given",
+        quota_permit::PermitResponse::Refused { .. } => "refused",
     };
     let kind = match subject {
-        send_leave::LeaveSubject::Upstream(_) => "limit",
-        send_leave::LeaveSubject::Retries(..) => "retry",
+        quota_permit::QuotaSubject::Upstream(_) => "limit",
+        quota_permit::QuotaSubject::Retries(..) => "retry",
     };
     context.stats.borrow_mut().count("leaves", &format!("{word}/{kind}"));
     answer
 }
 
-/// Takes in a member's ask, with what it knows of a limit.
-pub(crate) fn hear_ask(
+/// Handles a member's request, with the limit that it knows.
+pub(crate) fn receive_ask(
     context: &context::InstanceContext,
     from: std::net::SocketAddrV4,
-    asked: peer_message::LeaveQuestion,
+    asked: peer_message::PermitQuestion,
 ) {
-    limit_news::hear_members(context, asked.known.into_iter().collect());
+    limit_gossip::receive_members(context, asked.known.into_iter().collect());
     let answer = answer(context, asked.boot, &asked.subject, &asked.ask);
-    if let send_leave::LeaveSubject::Upstream(upstream) = &asked.subject
+    if let quota_permit::QuotaSubject::Upstream(upstream) = &asked.subject
         && context.fleet.borrow().list.limit(upstream).is_none()
-        && let Some(report) = limit_news::report(context, upstream)
+        && let Some(report) = limit_gossip::report(context, upstream)
     {
-        context.tell(from, peer_message::PeerMessage::Limits(vec![report]));
+        context.send_to(from, peer_message::PeerMessage::Limits(vec![report]));
     }
-    context.tell(from, peer_message::PeerMessage::Leave(asked.number, answer));
+    context.send_to(from, peer_message::PeerMessage::Leave(asked.number, answer));
 }
 
-/// Who keeps a sum, and what was given of it lately, for people.
+/// The coordinator of a quota and its recent grants, for operators.
 pub(crate) fn summary(
     context: &context::InstanceContext,
-    subject: &send_leave::LeaveSubject,
+    subject: &quota_permit::QuotaSubject,
 ) -> Option<String> {
     let now = context.now();
-    if let Some(keeper) = keeper_of(context, subject) {
-        return Some(format!("kept by {}", keeper.name));
+    if let Some(coordinator) = coordinator_of(context, subject) {
+        return Some(format!("kept by {}", coordinator.name));
     }
     let given = match planned_engine(context, subject) {
         Some((key, engine)) => {
             let mut planners = context.planners.borrow_mut();
-            planners.planner(&key).and_then(|planner| planner.leaves().given(now, &engine))
+            planners.planner(&key).and_then(|planner| planner.permits().given(now, &engine))
         }
-        None => context.sums.ledger.borrow().given(now, subject),
+        None => context.quotas.ledger.borrow().given(now, subject),
     };
     let members = context.members.borrow();
     let name = |boot: u64| {
@@ -257,34 +257,34 @@
     Some(format!("kept here; given in 4 s: {}", rows.join(", ")))
 }
 
-/// Asks a keeper that another member finds silent whether it is there; one that does not answer keeps nothing any more.
-fn probe(context: &context::InstanceContext, keeper: &member_beat::MemberBeat) {
+/// Probes a coordinator that another member reports as silent.
+fn probe(context: &context::InstanceContext, coordinator: &member_beat::MemberBeat) {
     let now = context.now();
-    let last = context.sums.probe.take().filter(|(name, _)| *name == keeper.name);
+    let last = context.quotas.probe.take().filter(|(name, _)| *name == coordinator.name);
     if let Some((name, at)) = &last {
         if now.since(*at) < PROBE_TIME {
-            context.sums.probe.replace(last);
+            context.quotas.probe.replace(last);
             return;
         }
         let mut members = context.members.borrow_mut();
-        if !members.heard_since(name, *at) {
+        if !members.seen_since(name, *at) {
             members.unanswered(name);
         }
     }
-    context.sums.probe.replace(Some((keeper.name.clone(), now)));
-    context.tell(keeper.address, peer_message::PeerMessage::Who);
+    context.quotas.probe.replace(Some((coordinator.name.clone(), now)));
+    context.send_to(coordinator.address, peer_message::PeerMessage::Who);
 }
 
-fn not_kept() -> send_leave::LeaveAnswer {
-    send_leave::LeaveAnswer::Refused { back_ms: NOT_KEPT_PAUSE.as_millis() as u32 }
+fn not_kept() -> quota_permit::PermitResponse {
+    quota_permit::PermitResponse::Refused { back_ms: NOT_KEPT_PAUSE.as_millis() as u32 }
 }
 
-/// The planner that keeps a limit, where it is that of an engine.
+/// The planner that coordinates the limit of an engine; `None` for other quotas.
 fn planned_engine(
     context: &context::InstanceContext,
-    subject: &send_leave::LeaveSubject,
+    subject: &quota_permit::QuotaSubject,
 ) -> Option<(planner_key::PlannerKey, ids::UpstreamId)> {
-    let send_leave::LeaveSubject::Upstream(upstream) = subject else {
+    let quota_permit::QuotaSubject::Upstream(upstream) = subject else {
         return None;
     };
     let fleet = context.fleet.borrow();
@@ -292,12 +292,12 @@
     Some((key_of_limit(&fleet, entry), upstream.clone()))
 }
 
-/// Whether an upstream is an engine, for which somebody plans.
+/// Whether an upstream is an engine with a planner.
 fn is_planned(fleet: &fleet_state::FleetState, entry: &upstream_list::UpstreamEntry) -> bool {
     fleet.routes.services.get(&entry.service).is_some_and(|service| service.engine.is_some())
 }
 
-/// The key by which the keeper of an upstream's limit is found.
+/// The key that selects the coordinator of an upstream's limit.
 fn key_of_limit(
     fleet: &fleet_state::FleetState,
     entry: &upstream_list::UpstreamEntry,
--- a/crates/instance/src/service_choice.rs
+++ b/crates/instance/src/service_choice.rs
@@ -2,9 +2,9 @@
 
 use std::time;
 
-use slipturn_core::{ids, send_leave, send_permit, upstream_list};
+use slipturn_core::{ids, quota_permit, send_gate, upstream_list};
 
-use crate::{context, incoming_call, leave_request, stream_policy};
+use crate::{context, incoming_call, permit_request, stream_policy};
 
 /// Upstreams asked for leave by a call that waits for one, at most.
 const MAX_WAITS: usize = 3;
@@ -18,7 +18,7 @@
     /// The upstream.
     pub(crate) entry: upstream_list::UpstreamEntry,
     /// The leave by which the call goes there, where the upstream has a limit.
-    pub(crate) leave: Option<send_leave::SendLeave>,
+    pub(crate) permit: Option<quota_permit::SendPermit>,
 }
 
 /// The upstream that takes a call, of those that are not `excluded`. Where limits keep it from all of them for a moment
@@ -30,8 +30,8 @@
 ) -> Option<ChosenUpstream> {
     let mut refused = Vec::new();
     while let Some(entry) = pick_beside(context, call, excluded, &refused) {
-        match leave_request::obtain(context, &entry.name, time::Duration::ZERO).await {
-            Ok(leave) => return Some(ChosenUpstream { entry, leave }),
+        match permit_request::obtain(context, &entry.name, time::Duration::ZERO).await {
+            Ok(permit) => return Some(ChosenUpstream { entry, permit }),
             Err(_) => refused.push(entry.name),
         }
     }
@@ -54,10 +54,10 @@
     refused: &[ids::UpstreamId],
 ) -> Option<upstream_list::UpstreamEntry> {
     let fleet = context.fleet.borrow();
-    let turn = send_permit::TrialTurn::of(excluded.len(), call.route.max_attempts);
+    let turn = send_gate::TrialTurn::of(excluded.len(), call.route.max_attempts);
     let mut open = fleet.list.open(context.now(), &call.service, turn);
     open.retain(|entry| !excluded.contains(&entry.name) && !refused.contains(&entry.name));
-    open.retain(|entry| leave_request::closed(context, &entry.name).is_zero());
+    open.retain(|entry| permit_request::closed(context, &entry.name).is_zero());
     let own = context.settings().data_center.clone();
     // A call finds out whether an upstream is sound again only while it has another attempt left.
     let first = excluded.is_empty() && call.route.max_attempts > 1;
@@ -73,9 +73,9 @@
     excluded: &[ids::UpstreamId],
 ) -> Option<ChosenUpstream> {
     for entry in closed(context, call, excluded).into_iter().take(MAX_WAITS) {
-        let obtained = leave_request::obtain(context, &entry.name, patience(context, call)).await;
-        if let Ok(leave) = obtained {
-            return Some(ChosenUpstream { entry, leave });
+        let obtained = permit_request::obtain(context, &entry.name, patience(context, call)).await;
+        if let Ok(permit) = obtained {
+            return Some(ChosenUpstream { entry, permit });
         }
     }
     None
@@ -88,13 +88,13 @@
     excluded: &[ids::UpstreamId],
 ) -> Vec<upstream_list::UpstreamEntry> {
     let fleet = context.fleet.borrow();
-    let turn = send_permit::TrialTurn::of(excluded.len(), call.route.max_attempts);
+    let turn = send_gate::TrialTurn::of(excluded.len(), call.route.max_attempts);
     let open = fleet.list.open(context.now(), &call.service, turn).into_iter();
     let is_closed = |entry: &&upstream_list::UpstreamEntry| {
         !excluded.contains(&entry.name) && fleet.list.limit(&entry.name).is_some()
     };
     let mut closed: Vec<_> = open.filter(is_closed).cloned().collect();
-    closed.sort_by_key(|entry| leave_request::closed(context, &entry.name));
+    closed.sort_by_key(|entry| permit_request::closed(context, &entry.name));
     closed
 }
 
--- a/crates/instance/src/service_request.rs
+++ b/crates/instance/src/service_request.rs
@@ -4,13 +4,13 @@
 
 use futures::future;
 use slipturn_core::{
-    ids, refusal, retry, retry_need, send_leave, upstream_health::CallResult, upstream_list,
+    ids, quota_permit, refusal, retry, retry_need, upstream_health::CallResult, upstream_list,
 };
 use slipturn_net::h1;
 
 use crate::{
-    caller_connection, context, incoming_call, leave_request, request_record, service_choice,
-    upstream_attempt, upstream_choice, upstream_ends, upstream_news,
+    caller_connection, context, incoming_call, permit_request, request_record, service_choice,
+    upstream_attempt, upstream_choice, upstream_ends, upstream_signals,
 };
 
 /// Largest answer of a plain service that is passed on.
@@ -55,7 +55,7 @@
         }
         CallEnd::Refused(refusal) => {
             record.status = Some(refusal.code.status());
-            record.outcome = format!("{} (ran: {})", refusal.message, refusal.ran.word());
+            record.outcome = format!("{} (ran: {})", refusal.message, refusal.ran.label());
             reply.refuse(&call.request.id, &refusal).await?;
         }
     }
@@ -82,7 +82,7 @@
         }
         let taken = std::mem::take(&mut retry_taken);
         let need = retry_need::RetryNeed::Failed;
-        if sent > 0 && !taken && !leave_request::obtain_retry(context, &call.service, need).await {
+        if sent > 0 && !taken && !permit_request::obtain_retry(context, &call.service, need).await {
             text.push_str("; the retry budget is used up");
             break;
         }
@@ -94,7 +94,7 @@
             excluded.retain(|name| *name != again);
             chosen = service_choice::choose(context, call, &excluded).await;
         }
-        let Some(service_choice::ChosenUpstream { entry, leave }) = chosen else {
+        let Some(service_choice::ChosenUpstream { entry, permit }) = chosen else {
             none_left =
                 upstream_choice::none_open(context, &call.service, call.left(context.now()));
             break;
@@ -102,7 +102,7 @@
         excluded.push(entry.name.clone());
         record.attempts.push(request_record::AttemptRecord {
             upstream: entry.name.to_string(),
-            known: upstream_news::known(context, &entry.name),
+            known: upstream_signals::known(context, &entry.name),
             // What stays in the record when the caller leaves meanwhile.
             end: "under way".to_owned(),
             ..Default::default()
@@ -115,11 +115,11 @@
                 call.route.repeat.allows_repeat() && sent + 1 < call.route.max_attempts && next;
             let need = retry_need::RetryNeed::Early;
             retry_taken =
-                allowed && leave_request::obtain_retry(context, &call.service, need).await;
+                allowed && permit_request::obtain_retry(context, &call.service, need).await;
             // A failure that an upstream gave is better than our own at the end of the time.
             retry_taken || (in_hand && reach == upstream_attempt::RetryReach::OtherUpstream)
         };
-        let start = AttemptStart { entry: &entry, leave, anew };
+        let start = AttemptStart { entry: &entry, permit, anew };
         let result = attempt(context, call, start, give_up).await;
         if let Some(row) = record.attempts.last_mut() {
             row.end = match &result {
@@ -182,7 +182,7 @@
 struct AttemptStart<'a> {
     entry: &'a upstream_list::UpstreamEntry,
     /// The leave by which it goes there, where the upstream has a limit.
-    leave: Option<send_leave::SendLeave>,
+    permit: Option<quota_permit::SendPermit>,
     /// Whether it goes over a new connection.
     anew: bool,
 }
@@ -205,7 +205,7 @@
 async fn call_upstream(
     context: &rc::Rc<context::InstanceContext>,
     call: &incoming_call::IncomingCall,
-    AttemptStart { entry, leave, anew }: AttemptStart<'_>,
+    AttemptStart { entry, permit, anew }: AttemptStart<'_>,
     mut give_up: impl AsyncFnMut(upstream_attempt::RetryReach) -> bool,
 ) -> Result<(http::response::Parts, bytes::Bytes), upstream_attempt::AttemptFault> {
     let guard = LoadGuard { context, name: &entry.name, result: std::cell::Cell::new(None) };
@@ -216,7 +216,7 @@
         helpers: Vec::new(),
         last_event: None,
         priority: None,
-        leaves: leave.into_iter().collect(),
+        permits: permit.into_iter().collect(),
     };
     let left = call.left(context.now());
     let connected = upstream_attempt::connect(context, call, &target, anew).await;
@@ -254,7 +254,7 @@
     let failed = answer.head.status.is_server_error();
     guard.result.set(Some(if failed { CallResult::Erred } else { CallResult::Good }));
     if let Some((running, waiting, _)) = answer.said.load {
-        context.loads.borrow_mut().told(context.now(), &entry.name, running + waiting);
+        context.loads.borrow_mut().describe(context.now(), &entry.name, running + waiting);
     }
     let head = answer.head.clone();
     answer.finish(context, &entry.name);
@@ -278,10 +278,10 @@
             retry::AttemptFailure::Misdirected => CallResult::Gone,
             _ => CallResult::Failed,
         };
-        let says_something = !fault.kept_silent && fault.failure != retry::AttemptFailure::KeptBack;
+        let says_something = !fault.kept_silent && fault.failure != retry::AttemptFailure::Denied;
         self.result.set(says_something.then_some(result));
         if result == CallResult::Gone {
-            upstream_news::tell_gone(self.context, self.name);
+            upstream_signals::broadcast_gone(self.context, self.name);
         }
     }
 }
--- a/crates/instance/src/silence_watch.rs
+++ b/crates/instance/src/silence_watch.rs
@@ -150,12 +150,12 @@
         let asked = self.context.now();
         let body = match engine_call::report(self.context, engine, PROBE_TIME).await {
             Ok(body) => body,
-            Err(engine_call::EngineCallError::KeptBack { .. }) => return Some(None),
+            Err(engine_call::EngineCallError::Denied { .. }) => return Some(None),
             Err(engine_call::EngineCallError::Call { .. }) => return None,
         };
         let report = self.context.border.read_report(&body).ok();
         let start = report.as_ref().and_then(|report| report.start);
-        upstream_starts::hear(self.context, engine.address, start, asked);
+        upstream_starts::receive(self.context, engine.address, start, asked);
         Some(report)
     }
 
--- a/crates/instance/src/small_server.rs
+++ b/crates/instance/src/small_server.rs
@@ -6,7 +6,7 @@
 use slipturn_core::{quarantine, request_digest, units};
 use slipturn_net::h1;
 
-use crate::{context, document_answers, member_feed, quarantine_news, upstream_rows};
+use crate::{context, document_answers, member_feed, quarantine_gossip, upstream_rows};
 
 /// Requests that are held back.
 const QUARANTINE_PATH: &str = "/v1/quarantine";
@@ -196,7 +196,7 @@
     let release = named.strip_prefix('/').and_then(|rest| rest.strip_suffix("/release"));
     match (method.as_str(), named, release.map(str::parse)) {
         ("GET", "", _) => json(&held_rows(context)),
-        ("POST", _, Some(Ok(digest))) if quarantine_news::clear(context, digest) => {
+        ("POST", _, Some(Ok(digest))) if quarantine_gossip::clear(context, digest) => {
             (200, said("released"))
         }
         ("POST", _, Some(Ok(_))) => (404, said("no upstream has ended under this request")),
@@ -243,7 +243,7 @@
                 "name": route.name,
                 "host": route.host,
                 "path_prefix": route.path_prefix,
-                "repeat": route.repeat.word(),
+                "repeat": route.repeat.label(),
                 "streaming": route.streaming,
                 "time_limit_ms": units::whole_millis(route.time_limit),
                 "first_token_goal_ms": units::whole_millis(route.first_token_goal),
@@ -265,7 +265,7 @@
         "slipturn_store_ok {}\nslipturn_store_heard_ms {}\nslipturn_routes_lag_ms {}\n\
          slipturn_list_lag_ms {}\n",
         u8::from(belief.answers()),
-        units::whole_millis(belief.heard_age(context.now())),
+        units::whole_millis(belief.last_answer_age(context.now())),
         units::whole_millis(lags.routes),
         units::whole_millis(lags.list),
     )
@@ -315,7 +315,7 @@
         "upstreams": fleet.list.entries().count(),
         "evacuated": fleet.list.evacuated().collect::<Vec<_>>(),
         "store_ok": belief.answers(),
-        "store_heard_ms": units::whole_millis(belief.heard_age(context.now())),
+        "store_heard_ms": units::whole_millis(belief.last_answer_age(context.now())),
         "routes_lag_ms": units::whole_millis(lags.routes),
         "list_lag_ms": units::whole_millis(lags.list),
         "members": alive,
--- a/crates/instance/src/store_feed.rs
+++ b/crates/instance/src/store_feed.rs
@@ -34,7 +34,7 @@
         let tried = context.now();
         let error = match follow(&context, &mut connection).await {
             Ok(()) => {
-                context.belief.borrow_mut().leave_to_others();
+                context.belief.borrow_mut().yield_to_others();
                 log::info!("store.left_to_others");
                 failed = false;
                 continue;
--- a/crates/instance/src/store_sight.rs
+++ b/crates/instance/src/store_sight.rs
@@ -46,7 +46,7 @@
 /// Notes an answer of the store.
 pub(crate) fn regained(context: &context::InstanceContext) {
     let now = context.now();
-    let heard = context.belief.borrow_mut().hear(now);
+    let heard = context.belief.borrow_mut().receive(now);
     if let Some(away) = heard.away {
         log::info!(away_ms = units::whole_millis(away); "store.regained");
         context.fleet.borrow_mut().source_returned(now);
@@ -71,7 +71,7 @@
         log::warn!(
             routes_ms = units::whole_millis(lags.routes),
             list_ms = units::whole_millis(lags.list),
-            heard_ms = units::whole_millis(belief.heard_age(now)),
+            heard_ms = units::whole_millis(belief.last_answer_age(now)),
             store:? = belief.contact(); "store.behind_members"
         );
     }
--- a/crates/instance/src/stream_state.rs
+++ b/crates/instance/src/stream_state.rs
@@ -1,11 +1,11 @@
 //! What stays of a streamed request between its attempts.
 
 use bytes::{Bytes, BytesMut};
-use slipturn_core::{ids, refusal, retry_need, send_permit, units};
+use slipturn_core::{ids, refusal, retry_need, send_gate, units};
 use slipturn_net::h1;
 
 use crate::{
-    caller_connection, context, event_stream, incoming_call, leave_request, request_record,
+    caller_connection, context, event_stream, incoming_call, permit_request, request_record,
     upstream_attempt,
 };
 
@@ -70,9 +70,9 @@
     }
 
     /// Whether its next attempt may find out whether an engine takes work again behind its rest.
-    pub(crate) fn turn(&self, call: &incoming_call::IncomingCall) -> send_permit::TrialTurn {
+    pub(crate) fn turn(&self, call: &incoming_call::IncomingCall) -> send_gate::TrialTurn {
         let made = self.excluded.len().max(self.sent as usize);
-        send_permit::TrialTurn::of(made, call.route.max_attempts)
+        send_gate::TrialTurn::of(made, call.route.max_attempts)
     }
 
     /// Whether any engine is left for the request, beside one that has it; where there is none,
@@ -110,7 +110,7 @@
             && self.has_engine(context, call, beside);
         let need = self.retry_need(retry_need::RetryNeed::Early);
         self.retry_taken =
-            allowed && leave_request::obtain_retry(context, &call.service, need).await;
+            allowed && permit_request::obtain_retry(context, &call.service, need).await;
         // A failure that an engine gave is better than our own at the end of the time.
         let in_hand = self.failure.is_some() && !self.begun;
         self.retry_taken || (in_hand && reach == upstream_attempt::RetryReach::OtherUpstream)
--- a/crates/instance/src/stream_target.rs
+++ b/crates/instance/src/stream_target.rs
@@ -32,6 +32,6 @@
         helpers,
         last_event: state.last_event.clone(),
         priority: Some(stream_policy::priority(call, late)),
-        leaves: hold.leaves.clone(),
+        permits: hold.permits.clone(),
     })
 }
--- a/crates/instance/src/upstream_attempt.rs
+++ b/crates/instance/src/upstream_attempt.rs
@@ -4,11 +4,11 @@
 
 use bytes::{Bytes, BytesMut};
 use futures::future;
-use slipturn_core::{connection_silence, ids, retry, send_leave, upstream_notice};
+use slipturn_core::{connection_silence, ids, quota_permit, retry, upstream_notice};
 use slipturn_net::h1;
 
 use crate::{
-    border, context, incoming_call, upstream_ends, upstream_gate, upstream_news, upstream_pool,
+    border, context, incoming_call, upstream_ends, upstream_gate, upstream_pool, upstream_signals,
     upstream_silence, upstream_starts,
 };
 
@@ -57,7 +57,7 @@
     /// 0 is the most urgent.
     pub priority: Option<u8>,
     /// Leaves for those of these upstreams that have a limit.
-    pub leaves: Vec<send_leave::SendLeave>,
+    pub permits: Vec<quota_permit::SendPermit>,
 }
 
 /// An engine that reads a part of a prompt.
@@ -108,7 +108,7 @@
                     let life = &self.connection.life;
                     let waited = silence;
                     let wait = upstream_silence::SilentWait { upstream, life, moment, waited };
-                    let cause = upstream_silence::note(context, &wait).word();
+                    let cause = upstream_silence::note(context, &wait).label();
                     return Err(AttemptFault::broke(format!("silent for {silence:?}: {cause}")));
                 }
                 Err(_) => next.await,
@@ -116,7 +116,7 @@
             let Some(piece) = piece.map_err(AttemptFault::broke)? else {
                 return Ok(body.freeze());
             };
-            self.connection.life.hear();
+            self.connection.life.receive();
             if body.len() + piece.len() > most {
                 return Err(AttemptFault::broke(format!("the body has more than {most} bytes")));
             }
@@ -175,7 +175,7 @@
     let not_connected = retry::AttemptFailure::NotConnected;
     opened.map_err(|error| {
         if error.nobody_listens() {
-            context.tell_run(upstream_ends::RunNews::Refused(target.upstream.clone()));
+            context.report_run(upstream_ends::RunNews::Refused(target.upstream.clone()));
         }
         AttemptFault::new(not_connected, error)
     })
@@ -216,7 +216,7 @@
     let waited = started.elapsed();
     let upstream = &target.upstream;
     let silent = upstream_silence::SilentWait { upstream, life: &life, moment, waited };
-    let cause = upstream_silence::note(context, &silent).word();
+    let cause = upstream_silence::note(context, &silent).label();
     let fault = AttemptFault::broke(format!("no answer within {waited:?}: {cause}"));
     Err(AttemptFault { kept_silent, ..fault })
 }
@@ -266,15 +266,15 @@
         }
     };
     let head = head.map_err(AttemptFault::broke)?;
-    connection.life.hear();
+    connection.life.receive();
     let said = context.border.read_answer(&head);
     if said.id.as_deref() != Some(call.request.id.as_str()) {
         return Err(AttemptFault::broke("the answer belongs to another request"));
     }
     if is_own_word(&head, &said) {
         let source = upstream_notice::NoticeSource::Answer;
-        let asked = upstream_news::AskedWord { at: asked_at, source };
-        upstream_news::hear(context, &target.upstream, head.status, &said, asked);
+        let asked = upstream_signals::SignalOrigin { at: asked_at, source };
+        upstream_signals::receive(context, &target.upstream, head.status, &said, asked);
     }
     let framing = h1::BodyFraming::of_answer(&head).map_err(AttemptFault::broke)?;
     let reusable =
--- a/crates/instance/src/upstream_choice.rs
+++ b/crates/instance/src/upstream_choice.rs
@@ -2,7 +2,7 @@
 
 use std::{fmt, time};
 
-use slipturn_core::{ids, refusal, send_permit, units, upstream_notice};
+use slipturn_core::{ids, refusal, send_gate, units, upstream_notice};
 
 use crate::context;
 
@@ -79,7 +79,7 @@
 ) -> Option<NoneOpen> {
     let now = context.now();
     let fleet = context.fleet.borrow();
-    let open = fleet.list.open(now, service, send_permit::TrialTurn::Yes);
+    let open = fleet.list.open(now, service, send_gate::TrialTurn::Yes);
     if open.is_empty() {
         let service = service.clone();
         if let Some(first) = fleet.list.first_back(now, &service) {
@@ -89,12 +89,12 @@
         let back_after = refusal::outage_return(away, left);
         return Some(NoneOpen::Evacuated { service, back_after });
     }
-    let limits = open.iter().map(|entry| fleet.list.limit(&entry.name)?.word.rate);
+    let limits = open.iter().map(|entry| fleet.list.limit(&entry.name)?.reading.rate);
     let rates = limits.collect::<Option<Vec<_>>>()?;
     // Each member sees its part of those that come back.
     let rate: f64 = rates.into_iter().map(units::RequestRate::per_second).sum();
     let share = rate / context.members.borrow().size() as f64;
-    let mut returns = context.sums.returns.borrow_mut();
+    let mut returns = context.quotas.returns.borrow_mut();
     let back_after = returns.entry(service.clone()).or_default().next(now, share);
     Some(NoneOpen::Limited { service: service.clone(), back_after })
 }
--- a/crates/instance/src/upstream_ends.rs
+++ b/crates/instance/src/upstream_ends.rs
@@ -7,9 +7,9 @@
 use std::{collections, net, rc, time};
 
 use futures::{StreamExt as _, channel::mpsc};
-use slipturn_core::{ids, request_digest, send_permit, units};
+use slipturn_core::{ids, request_digest, send_gate, units};
 
-use crate::{context, incoming_call, quarantine_news, upstream_attempt, upstream_gate};
+use crate::{context, incoming_call, quarantine_gossip, upstream_attempt, upstream_gate};
 
 /// Time behind a break after which a connection is tried: a process that has ended refuses at once, but
 /// its connections may be reset a moment before its listener is. One connection only: each costs the upstream one.
@@ -73,7 +73,7 @@
 }
 
 impl EndProof {
-    fn word(self) -> &'static str {
+    fn label(self) -> &'static str {
         match self {
             Self::Refused => "refused",
             Self::List => "list",
@@ -126,7 +126,7 @@
     /// The upstream has answered to the end, whatever it answered: it outlives such a run.
     pub(crate) fn answered(mut self) {
         self.ended = true;
-        quarantine_news::answered(self.context, || self.call.digest());
+        quarantine_gossip::answered(self.context, || self.call.digest());
     }
 }
 
@@ -143,7 +143,7 @@
             broke: self.context.now(),
             left: !self.broke,
         };
-        self.context.tell_run(RunNews::Broke(run));
+        self.context.report_run(RunNews::Broke(run));
     }
 }
 
@@ -250,8 +250,8 @@
     delay: time::Duration,
 ) {
     monoio::time::sleep(delay).await;
-    if upstream_gate::look(&context, &upstream, send_permit::SendKind::Check, &[]).is_err() {
-        context.tell_run(RunNews::Checked(upstream, CheckResult::Silent));
+    if upstream_gate::look(&context, &upstream, send_gate::SendKind::Check, &[]).is_err() {
+        context.report_run(RunNews::Checked(upstream, CheckResult::Silent));
         return;
     }
     let seen = match context.pool.open(address).await {
@@ -259,7 +259,7 @@
         Err(error) if error.nobody_listens() => CheckResult::Refuses,
         Err(_) => CheckResult::Silent,
     };
-    context.tell_run(RunNews::Checked(upstream, seen));
+    context.report_run(RunNews::Checked(upstream, seen));
 }
 
 /// Draws the conclusions of an upstream's end.
@@ -278,9 +278,9 @@
     let count = requests.len();
     requests.truncate(MAX_LOGGED);
     log::warn!(
-        upstream:%, proof = proof.word(), runs = runs.len(), requests = count,
+        upstream:%, proof = proof.label(), runs = runs.len(), requests = count,
         digests = requests.join(" "); "upstream.ended"
     );
-    context.stats.borrow_mut().count("upstream_ended", proof.word());
-    quarantine_news::report(context, &runs);
+    context.stats.borrow_mut().count("upstream_ended", proof.label());
+    quarantine_gossip::report(context, &runs);
 }
--- a/crates/instance/src/upstream_load.rs
+++ b/crates/instance/src/upstream_load.rs
@@ -71,8 +71,8 @@
             let running = told.map_or(0, |(running, _)| running).max(state.calls);
             let load = f64::from(running) / entry.slots as f64;
             let away = if entry.data_center == *own { 0.0 } else { AWAY_COST };
-            let shunned = if state.health.is_trusted() { 0.0 } else { SHUNNED_COST };
-            load + state.health.failing(now) * FAILING_COST + away + shunned
+            let ejected = if state.health.is_trusted() { 0.0 } else { SHUNNED_COST };
+            load + state.health.failing(now) * FAILING_COST + away + ejected
         };
         let costs: Vec<_> = candidates.iter().map(|entry| (cost(entry), *entry)).collect();
         let least = |costs: &[(f64, &'a upstream_list::UpstreamEntry)]| {
@@ -127,8 +127,8 @@
     }
 
     /// Takes in that another member was told that an upstream is gone; returns whether that is news.
-    pub fn hear_gone(&mut self, now: units::MonoTime, name: &ids::UpstreamId) -> bool {
-        self.states.entry(name.clone()).or_default().health.hear_gone(now)
+    pub fn receive_gone(&mut self, now: units::MonoTime, name: &ids::UpstreamId) -> bool {
+        self.states.entry(name.clone()).or_default().health.receive_gone(now)
     }
 
     /// Takes in how long an answer took.
@@ -155,7 +155,7 @@
     }
 
     /// Takes in what an upstream says of its load.
-    pub fn told(&mut self, now: units::MonoTime, name: &ids::UpstreamId, running: u32) {
+    pub fn describe(&mut self, now: units::MonoTime, name: &ids::UpstreamId, running: u32) {
         self.states.entry(name.clone()).or_default().told = Some((running, now));
     }
 
--- a/crates/instance/src/upstream_pool.rs
+++ b/crates/instance/src/upstream_pool.rs
@@ -55,7 +55,7 @@
 
 impl ConnectionLife {
     /// Notes that bytes have come over it.
-    pub fn hear(&self) {
+    pub fn receive(&self) {
         self.heard.set(Some(boot_clock::BootInstant::now()));
     }
 
@@ -155,7 +155,7 @@
         }
         connection.reader.rest();
         connection.used = true;
-        connection.life.hear();
+        connection.life.receive();
         let rest = keep.map_or(REST_TIME, |keep| keep.saturating_sub(REST_MARGIN).min(REST_TIME));
         if rest.is_zero() {
             return;
@@ -218,7 +218,7 @@
         // heard speaks for the others, and only those to the same upstream stay in doubt.
         let lives = self.lives.borrow();
         let others = ages_beside(silent, lives.values().flatten());
-        let all = !silent.ages().spared(waited, others);
+        let all = !silent.ages().reserved_part(waited, others);
         let mut resting = self.resting.borrow_mut();
         let count = |resting: &collections::HashMap<_, Vec<_>>| -> usize {
             resting.values().map(Vec::len).sum()
--- a/crates/instance/src/upstream_rows.rs
+++ b/crates/instance/src/upstream_rows.rs
@@ -3,9 +3,9 @@
 
 use std::collections;
 
-use slipturn_core::{ids, send_counts, send_leave, upstream_list};
+use slipturn_core::{ids, quota_permit, send_counts, upstream_list};
 
-use crate::{context, fleet_state, sum_keeping};
+use crate::{context, fleet_state, quota_coordinator};
 
 /// A row for each upstream.
 pub(crate) fn upstreams(context: &context::InstanceContext) -> Vec<serde_json::Value> {
@@ -19,7 +19,7 @@
             "data_center": entry.data_center,
             "listed": format!("{:?}", entry.state).to_lowercase(),
             "evacuated": fleet.list.is_evacuated(entry),
-            "said": fleet.list.notices().told(now, &entry.name).unwrap_or_default(),
+            "said": fleet.list.notices().describe(now, &entry.name).unwrap_or_default(),
             "limit": limit(context, &fleet, &entry.name),
             "sent": sent(context, entry, &sums),
             "connections": connections(context, entry),
@@ -32,8 +32,8 @@
 pub(crate) fn retries(context: &context::InstanceContext) -> Vec<serde_json::Value> {
     let services: Vec<_> = context.fleet.borrow().routes.services.keys().cloned().collect();
     let row = |service: ids::ServiceId| {
-        let subject = send_leave::LeaveSubject::all_retries(service.clone());
-        let kept = sum_keeping::summary(context, &subject).unwrap_or_default();
+        let subject = quota_permit::QuotaSubject::all_retries(service.clone());
+        let kept = quota_coordinator::summary(context, &subject).unwrap_or_default();
         serde_json::json!({ "service": service, "kept": kept })
     };
     services.into_iter().map(row).collect()
@@ -47,8 +47,8 @@
     if fleet.list.limit(upstream).is_none() {
         return String::new();
     }
-    let subject = send_leave::LeaveSubject::Upstream(upstream.clone());
-    sum_keeping::summary(context, &subject).unwrap_or_default()
+    let subject = quota_permit::QuotaSubject::Upstream(upstream.clone());
+    quota_coordinator::summary(context, &subject).unwrap_or_default()
 }
 
 /// Requests that this process sent lately, by service.
--- a/crates/instance/src/upstream_signals.rs
+++ b/crates/instance/src/upstream_signals.rs
@@ -1,51 +1,49 @@
-//! What upstreams say in passing, in the heads of their answers.
+//! Signals that upstreams send in the heads of their answers.
 
 use std::{net, time};
 
 use slipturn_core::{fleet_list, ids, planner::ways, units, upstream_notice};
 
-use crate::{border, context, limit_news, member_news, peer_message};
+use crate::{border, context, limit_gossip, member_gossip, peer_message};
 
-/// When and how an upstream was asked.
+/// Origin of a signal.
 #[derive(Debug, Clone, Copy)]
-pub(crate) struct AskedWord {
-    /// When what it answers was sent.
+pub(crate) struct SignalOrigin {
+    /// When the request was sent.
     pub(crate) at: units::MonoTime,
-    /// What kind of answer it is.
+    /// Kind of the answer.
     pub(crate) source: upstream_notice::NoticeSource,
 }
 
-/// Takes in what the head of an answer says of the upstream that gave it, from the head's last byte on: an
-/// answer that breaks behind it has said it all the same.
-pub(crate) fn hear(
+/// Handles the signals in the head of an answer, also when the answer breaks afterwards.
+pub(crate) fn receive(
     context: &context::InstanceContext,
     upstream: &ids::UpstreamId,
     status: http::StatusCode,
     said: &border::UpstreamAnswer,
-    asked: AskedWord,
+    asked: SignalOrigin,
 ) {
     let source = asked.source;
     if said.leaving {
-        hear_leaving(context, upstream, source);
+        receive_leaving(context, upstream, source);
     }
-    limit_news::hear(context, upstream, said, asked);
+    limit_gossip::receive(context, upstream, said, asked);
     let turned_away = [http::StatusCode::SERVICE_UNAVAILABLE, http::StatusCode::TOO_MANY_REQUESTS];
     if turned_away.contains(&status) {
         if let Some(rest) = &said.rest {
-            hear_rest(context, upstream, rest);
+            receive_rest(context, upstream, rest);
         }
     } else if source == upstream_notice::NoticeSource::Answer {
-        hear_taken(context, upstream);
+        receive_taken(context, upstream);
     }
 }
 
-/// The same of an engine's answer about itself, by where it was asked. An address at which two upstreams are
-/// listed tells of neither.
-pub(crate) fn hear_at(
+/// Like [`receive`], for an engine known by its address; ignored where two upstreams are listed at the address.
+pub(crate) fn receive_at(
     context: &context::InstanceContext,
     address: net::SocketAddrV4,
     head: &http::response::Parts,
-    asked: AskedWord,
+    asked: SignalOrigin,
 ) {
     let said = border::UpstreamBorder::read_answer(&*context.border, head);
     if said.misdirected || !(said.leaving || said.rest.is_some() || said.limit.is_some()) {
@@ -53,20 +51,20 @@
     }
     let name = context.fleet.borrow().list.name_at(address).cloned();
     if let Some(name) = name {
-        hear(context, &name, head.status, &said, asked);
+        receive(context, &name, head.status, &said, asked);
     }
 }
 
-/// What is known of an upstream now, for the record of a request that goes there.
+/// The notices of an upstream, for the record of a request.
 pub(crate) fn known(
     context: &context::InstanceContext,
     upstream: &ids::UpstreamId,
 ) -> Option<String> {
-    context.fleet.borrow().list.notices().told(context.now(), upstream)
+    context.fleet.borrow().list.notices().describe(context.now(), upstream)
 }
 
-/// Takes in what an upstream told another member.
-pub(crate) fn hear_members(
+/// Handles leaving notices that another member has received.
+pub(crate) fn receive_members(
     context: &context::InstanceContext,
     reports: Vec<peer_message::LeavingReport>,
 ) {
@@ -76,8 +74,8 @@
     }
 }
 
-/// Tells a member which upstreams have said that they leave while the list goes on naming them, or lacks them.
-pub(crate) fn tell_leaving(context: &context::InstanceContext, to: net::SocketAddrV4) {
+/// Sends a member the leaving upstreams that the list does not name as leaving.
+pub(crate) fn send_leaving(context: &context::InstanceContext, to: net::SocketAddrV4) {
     if context.settings().experiments.leaving_news == ways::LeavingNewsWay::Heard {
         return;
     }
@@ -85,7 +83,7 @@
     let told = {
         let fleet = context.fleet.borrow();
         let notices = fleet.list.notices();
-        // Where the list says so too, it tells the others.
+        // Otherwise the list informs the others.
         let is_listed_live = |(upstream, _): &(&ids::UpstreamId, _)| {
             let entry = fleet.list.entry(upstream);
             entry.is_none_or(|entry| entry.state == fleet_list::ListState::Live)
@@ -97,13 +95,12 @@
         notices.own_words().filter(is_listed_live).map(report).collect::<Vec<_>>()
     };
     for reports in told.chunks(peer_message::MAX_LEAVING) {
-        context.tell(to, peer_message::PeerMessage::Leaving(reports.to_vec()));
+        context.send_to(to, peer_message::PeerMessage::Leaving(reports.to_vec()));
     }
 }
 
-/// Takes in an upstream's own word that it leaves, and tells all members: the list may be late by as long as its
-/// source is away, and whoever else sends there would need an answer of its own to know.
-fn hear_leaving(
+/// Handles an upstream's leaving notice and broadcasts it: the list may be late while its source is away.
+fn receive_leaving(
     context: &context::InstanceContext,
     upstream: &ids::UpstreamId,
     source: upstream_notice::NoticeSource,
@@ -113,10 +110,10 @@
         return;
     }
     let report = peer_message::LeavingReport { upstream: upstream.clone(), age_ms: 0 };
-    member_news::tell_all(context, &peer_message::PeerMessage::Leaving(vec![report]));
+    member_gossip::broadcast(context, &peer_message::PeerMessage::Leaving(vec![report]));
 }
 
-/// Notes that an upstream leaves; whether that is news.
+/// Records that an upstream is leaving; returns whether that is new.
 fn note_leaving(
     context: &context::InstanceContext,
     upstream: &ids::UpstreamId,
@@ -124,30 +121,29 @@
     age: time::Duration,
 ) -> bool {
     let mut fleet = context.fleet.borrow_mut();
-    let news = fleet.list.hear_leaving(context.now(), upstream, source, age);
+    let news = fleet.list.receive_leaving(context.now(), upstream, source, age);
     if news {
         let age_ms = units::whole_millis(age);
         log::info!(upstream:%, source:%, age_ms; "upstream.leaves");
         context.stats.borrow_mut().count("upstream_leaves", &source.to_string());
         if let Some(entry) = fleet.list.entry(upstream) {
-            // Nothing goes over them any more.
+            // No more requests use them.
             context.pool.forget(entry.address);
         }
     }
     news
 }
 
-/// Takes in that an upstream has taken a request.
-fn hear_taken(context: &context::InstanceContext, upstream: &ids::UpstreamId) {
+/// Records that an upstream has accepted a request.
+fn receive_taken(context: &context::InstanceContext, upstream: &ids::UpstreamId) {
     let mut fleet = context.fleet.borrow_mut();
-    if fleet.list.notices_mut().hear_taken(context.now(), upstream) {
+    if fleet.list.notices_mut().receive_taken(context.now(), upstream) {
         log::info!(upstream:%; "upstream.rested");
     }
 }
 
-/// Takes in a time for which an upstream wants to be left alone. Only who turns a request away asks for
-/// rest: the header of other answers means other things, or nothing.
-fn hear_rest(
+/// Handles a Retry-After. In answers other than refusals the header has another meaning.
+fn receive_rest(
     context: &context::InstanceContext,
     upstream: &ids::UpstreamId,
     rest: &Result<time::Duration, border::FormatError>,
@@ -162,7 +158,7 @@
     };
     let news = {
         let mut fleet = context.fleet.borrow_mut();
-        fleet.list.notices_mut().hear_rest(context.now(), upstream, asked)
+        fleet.list.notices_mut().receive_rest(context.now(), upstream, asked)
     };
     let asked_ms = units::whole_millis(asked);
     let for_ms = units::whole_millis(asked.min(upstream_notice::MAX_REST));
@@ -178,13 +174,13 @@
     context.stats.borrow_mut().count("upstream_rests", "asked");
 }
 
-/// Tells the other members that an upstream is gone from its address, so that each need not lose a call to find
-/// out. Only what an upstream answered is told; who cannot reach one may be cut off itself.
-pub(crate) fn tell_gone(context: &context::InstanceContext, upstream: &ids::UpstreamId) {
-    let news = context.loads.borrow_mut().hear_gone(context.now(), upstream);
+/// Broadcasts that an upstream has gone from its address, if another one answered there: a failed connection may be
+/// the fault of this instance.
+pub(crate) fn broadcast_gone(context: &context::InstanceContext, upstream: &ids::UpstreamId) {
+    let news = context.loads.borrow_mut().receive_gone(context.now(), upstream);
     if !news {
         return;
     }
     log::info!(upstream:%; "upstream.gone");
-    member_news::tell_all(context, &peer_message::PeerMessage::Gone(upstream.clone()));
+    member_gossip::broadcast(context, &peer_message::PeerMessage::Gone(upstream.clone()));
 }
--- a/crates/instance/src/upstream_silence.rs
+++ b/crates/instance/src/upstream_silence.rs
@@ -34,7 +34,7 @@
     wait: &SilentWait<'_>,
 ) -> connection_silence::SilenceCause {
     let cause = context.pool.cause(wait.life, wait.moment, wait.waited);
-    context.stats.borrow_mut().count("silent", cause.word());
+    context.stats.borrow_mut().count("silent", cause.label());
     let doubted = cause.doubts_others();
     let dropped = if doubted { context.pool.drop_untrusted(wait.life, wait.waited) } else { 0 };
     let log = &context.silence_log;
@@ -44,7 +44,7 @@
     }
     log.last.set(Some(time::Instant::now()));
     log::info!(
-        upstream:% = wait.upstream, cause = cause.word(), waited_ms = wait.waited.as_millis() as u64,
+        upstream:% = wait.upstream, cause = cause.label(), waited_ms = wait.waited.as_millis() as u64,
         dropped, held_back = log.held_back.take(); "connections.silent"
     );
     cause
--- a/crates/instance/src/upstream_starts.rs
+++ b/crates/instance/src/upstream_starts.rs
@@ -74,25 +74,25 @@
 }
 
 /// Takes in which start of an upstream speaks, where it tells.
-pub(crate) fn hear(
+pub(crate) fn receive(
     context: &context::InstanceContext,
     address: std::net::SocketAddrV4,
     start: Option<ids::UpstreamStart>,
     asked: units::MonoTime,
 ) {
     if let Some(start) = start {
-        context.fleet.borrow_mut().hear_start(context.now(), address, start, asked);
+        context.fleet.borrow_mut().receive_start(context.now(), address, start, asked);
     }
 }
 
 /// The same of an engine's answer to an order.
-pub(crate) fn hear_order(
+pub(crate) fn receive_order(
     context: &context::InstanceContext,
     address: std::net::SocketAddrV4,
     body: &[u8],
     asked: units::MonoTime,
 ) -> Option<ids::UpstreamStart> {
     let start = border::UpstreamBorder::order_start(&*context.border, body);
-    hear(context, address, start, asked);
+    receive(context, address, start, asked);
     start
 }
--- a/crates/instance/tests/peer_message.rs
+++ b/crates/instance/tests/peer_message.rs
@@ -7,12 +7,12 @@
 use slipturn_core::member_beat::AliveBeat;
 use slipturn_core::planner_key::PlannerKey;
 use slipturn_core::{
+    quota_permit::{PermitRequest, PermitResponse, QuotaSubject},
     retry_need::RetryNeed,
-    send_leave::{LeaveAnswer, LeaveAsk, LeaveSubject},
 };
 use slipturn_instance::peer_message::{
-    LeaveQuestion, LeavingReport, LimitReport, MAX_DATAGRAM, MAX_LEASES, MAX_LEAVING, MAX_LIMITS,
-    MAX_RENEWED, PeerMessage, RenewedJob,
+    LeavingReport, LimitReport, MAX_DATAGRAM, MAX_LEASES, MAX_LEAVING, MAX_LIMITS, MAX_RENEWED,
+    PeerMessage, PermitQuestion, RenewedJob,
 };
 
 fn name(text: &str) -> slipturn_core::ids::UpstreamId {
@@ -60,7 +60,7 @@
         PeerMessage::Unknown(service.clone(), vec![2, 900]),
         PeerMessage::Who,
         PeerMessage::Note(service.clone(), PlaceNote::Ended(job, PlaceEnd::Silent)),
-        PeerMessage::Note(service.clone(), PlaceNote::Shun(name("e1"))),
+        PeerMessage::Note(service.clone(), PlaceNote::Eject(name("e1"))),
         PeerMessage::Ask(service, Box::new(lease(3).ask)),
     ];
     for message in messages {
@@ -145,17 +145,17 @@
     let known = LimitReport { upstream: upstream.clone(), rate, asked_us, heard_us };
     let full = PeerMessage::Limits(vec![known.clone(); MAX_LIMITS]);
     assert!(full.encode().expect("it can be coded").len() < MAX_DATAGRAM);
-    let ask = LeaveAsk { wanted: 9, patience_ms: 300 };
-    let subject = LeaveSubject::Upstream(upstream);
+    let ask = PermitRequest { wanted: 9, patience_ms: 300 };
+    let subject = QuotaSubject::Upstream(upstream);
     let (number, boot) = (90_000, u64::MAX);
-    let question = LeaveQuestion { number, boot, subject, ask, known: Some(known.clone()) };
-    let subject = LeaveSubject::Retries("plain".parse().expect("a name"), RetryNeed::Early);
-    let retry = LeaveQuestion { number, boot, subject, ask, known: None };
-    let given = LeaveAnswer::Given { count: 1, wait_ms: 200 };
+    let question = PermitQuestion { number, boot, subject, ask, known: Some(known.clone()) };
+    let subject = QuotaSubject::Retries("plain".parse().expect("a name"), RetryNeed::Early);
+    let retry = PermitQuestion { number, boot, subject, ask, known: None };
+    let given = PermitResponse::Granted { count: 1, wait_ms: 200 };
     let messages = [
         (PeerMessage::Limits(vec![known]), 64),
-        (PeerMessage::AskLeave(Box::new(question)), 112),
-        (PeerMessage::AskLeave(Box::new(retry)), 48),
+        (PeerMessage::RequestPermit(Box::new(question)), 112),
+        (PeerMessage::RequestPermit(Box::new(retry)), 48),
         (PeerMessage::Leave(90_000, given), 16),
     ];
     for (message, most) in messages {
--- a/crates/instance/tests/rest_ways.rs
+++ b/crates/instance/tests/rest_ways.rs
@@ -14,7 +14,7 @@
         ways::{ClosedEngineWay, PlannerWays},
     },
     route_table,
-    send_permit::{SendKind, TrialTurn},
+    send_gate::{SendKind, TrialTurn},
     settings::RoutingKind,
     units,
     upstream_list::{UpstreamEntry, UpstreamList},
@@ -174,12 +174,12 @@
                 && (0..self.troubled).any(|number| engine(number) == grant.engine);
             if troubled && self.random.random::<f64>() < self.share {
                 self.outcome.turned_away += 1;
-                list.notices_mut().hear_rest(at(now), &grant.engine, REST);
+                list.notices_mut().receive_rest(at(now), &grant.engine, REST);
                 self.planner.end(at(now), grant.job, PlaceEnd::Full);
                 excluded.push(grant.engine);
                 continue;
             }
-            list.notices_mut().hear_taken(at(now), &grant.engine);
+            list.notices_mut().receive_taken(at(now), &grant.engine);
             self.due.entry(now + FIRST_MS).or_default().push((grant.job, false));
             self.due.entry(now + ANSWER_MS).or_default().push((grant.job, true));
             return true;
--- a/crates/instance/tests/upstream_load.rs
+++ b/crates/instance/tests/upstream_load.rs
@@ -91,7 +91,7 @@
             match entry.remove() {
                 Due::End(instance, upstream, result) => {
                     let news =
-                        result == Gone && loads[instance].hear_gone(at(now), &names[upstream]);
+                        result == Gone && loads[instance].receive_gone(at(now), &names[upstream]);
                     loads[instance].end(at(now), &names[upstream], Some(result));
                     for other in (0..plan.instances).filter(|other| news && *other != instance) {
                         number += 1;
@@ -99,7 +99,7 @@
                     }
                 }
                 Due::News(instance, upstream) => {
-                    loads[instance].hear_gone(at(now), &names[upstream]);
+                    loads[instance].receive_gone(at(now), &names[upstream]);
                 }
             }
         }
--- a/crates/soak/src/traffic.rs
+++ b/crates/soak/src/traffic.rs
@@ -160,9 +160,9 @@
             0 => random.random_range(LONG_ANSWER),
             _ => random.random_range(50..1_500),
         };
-        let leaves = leaving.random_range(0..LEFT_REQUESTS) == 0;
+        let permits = leaving.random_range(0..LEFT_REQUESTS) == 0;
         // What nobody waits for would last long, so that work on it shows.
-        let answer = if leaves { LONG_ANSWER.start } else { answer };
+        let answer = if permits { LONG_ANSWER.start } else { answer };
         let counts = (prompt, answer);
         let request = request(format!("{seed:x}-{client}-{turn}"), route, counts);
         let from = time::Instant::now();
@@ -173,7 +173,7 @@
             connection.or_else(|| Caller::connect(instances[usize::from(instance)]).ok());
         let reads_nothing = silent.random_range(0..UNREAD_REQUESTS) == 0;
         let outcome = match connection {
-            Some(mut caller) if reads_nothing && !leaves => {
+            Some(mut caller) if reads_nothing && !permits => {
                 let to = time::Instant::now();
                 let id = request.id.clone();
                 let sent = SentRequest { id, route, instance, from, to, ended_rest, outcome: None };
@@ -183,7 +183,7 @@
                 continue;
             }
             None => Some(Outcome::NoConnection),
-            Some(caller) if leaves => {
+            Some(caller) if permits => {
                 let wait = leaving.random_range(LEFT_WAIT_MS);
                 leave_behind(caller, &request, time::Duration::from_millis(wait));
                 None
--- a/crates/wire/src/convert.rs
+++ b/crates/wire/src/convert.rs
@@ -105,7 +105,7 @@
     mut builder: scheduler_capnp::refusal::Builder<'_>,
     refusal: &refusal::RequestRefusal,
 ) {
-    builder.set_code(refusal.code.word());
+    builder.set_code(refusal.code.label());
     builder.set_message(&refusal.message);
     // Zero stands for no time at all, so a wait of less than a millisecond counts as one.
     builder
@@ -117,7 +117,7 @@
     reader: scheduler_capnp::refusal::Reader<'_>,
 ) -> Result<refusal::RequestRefusal, WireError> {
     let word = read_text(reader.get_code()?)?;
-    let code = refusal::RefusalCode::from_word(word).ok_or_else(|| CodeSnafu { word }.build())?;
+    let code = refusal::RefusalCode::from_label(word).ok_or_else(|| CodeSnafu { word }.build())?;
     let mut refusal = refusal::RequestRefusal::not_run(code, read_text(reader.get_message()?)?);
     if reader.get_retry_after_ms() > 0 {
         refusal.retry_after = Some(time::Duration::from_millis(reader.get_retry_after_ms()));
