Idle engines: a bound on reports a second in place of an interval; the soak evacuates and cools

Cause: with idle engines asked each 6 s everywhere, the whole test run showed upstream_words:: an_engines_report_tells_it_too red: an idle engine of three that says in its reports that it leaves was asked too late. A small site would learn of it as late, for a saving that only large cells need.

Change: a planner asks for 8 reports a second of idle engines, each 6 s apart at most: 16 engines and fewer are asked at each turn of 2 s as before, 96 each 6 s.

--- a/crates/core/src/planner/engine_work.rs
+++ b/crates/core/src/planner/engine_work.rs
@@ -29,8 +29,6 @@
 
 /// An engine without work for so long is idle.
 const IDLE_TIME: time::Duration = time::Duration::from_secs(4);
-/// Time between two reports of an idle engine: somewhat longer than the list takes to lose one that has ended.
-const IDLE_REPORT_INTERVAL: time::Duration = time::Duration::from_secs(6);
 
 /// Time beyond an expected first token that says nothing: a pass, and the way to the planner.
 const EXPECTED_SLACK: time::Duration = time::Duration::from_millis(120);
@@ -223,9 +221,14 @@
         !(has_work || is_doubted || is_recent)
     }
 
-    /// Whether it should be asked for a report now; counts it as asked then.
-    pub(crate) fn take_report_due(&mut self, now: units::MonoTime) -> bool {
-        let asked = self.asked.is_some_and(|asked| now.since(asked) < IDLE_REPORT_INTERVAL);
+    /// Whether it should be asked for a report now, with so much time between two of an idle engine; counts it as
+    /// asked then.
+    pub(crate) fn take_report_due(
+        &mut self,
+        now: units::MonoTime,
+        idle_interval: time::Duration,
+    ) -> bool {
+        let asked = self.asked.is_some_and(|asked| now.since(asked) < idle_interval);
         let due = !(asked && self.is_idle(now));
         self.asked = if due { Some(now) } else { self.asked };
         due
--- a/crates/core/src/planner/place_table/mod.rs
+++ b/crates/core/src/planner/place_table/mod.rs
@@ -17,6 +17,11 @@
 /// Part of an engine's memory that is given away.
 pub(crate) const MEMORY_PART: f64 = 0.96;
 
+/// Reports of idle engines that a planner asks for a second.
+const IDLE_REPORTS: f64 = 8.0;
+/// Longest time between two reports of one engine: somewhat more than the list takes to drop one that has ended.
+const MAX_REPORT_INTERVAL: time::Duration = time::Duration::from_secs(6);
+
 /// Time that an answer is taken to last before any has been seen, milliseconds.
 const FIRST_ANSWER_MS: f64 = 1_500.0;
 /// Weight of the newest answer in the mean.
@@ -183,7 +188,10 @@
 
     /// Whether an engine should be asked for a report now.
     pub(crate) fn take_report_due(&mut self, now: units::MonoTime, name: &ids::UpstreamId) -> bool {
-        self.engines.get_mut(name).is_some_and(|engine| engine.take_report_due(now))
+        let interval = self.engines.len() as f64 / IDLE_REPORTS;
+        let interval = time::Duration::from_secs_f64(interval).min(MAX_REPORT_INTERVAL);
+        let engine = self.engines.get_mut(name);
+        engine.is_some_and(|engine| engine.take_report_due(now, interval))
     }
 
     /// Takes over how many requests the engine of a place had as its answer began.
--- a/crates/core/tests/engine_reports.rs
+++ b/crates/core/tests/engine_reports.rs
@@ -8,14 +8,15 @@
 };
 use support::{at, engine, shape, short};
 
+/// Engines of the largest cells.
 const ENGINES: usize = 96;
 /// Time between two turns of all engines, milliseconds.
 const TURN: u64 = 2_000;
 
-fn planner(reports: ReportWay) -> ReadPlanner {
+fn planner(engines: usize, reports: ReportWay) -> ReadPlanner {
     let ways = PlannerWays { reports, ..Default::default() };
     let mut planner = ReadPlanner::new(shape(), PlannerOptions { ways, ..Default::default() });
-    let ranked: Vec<_> = (0..ENGINES).map(engine).zip(0..).collect();
+    let ranked: Vec<_> = (0..engines).map(engine).zip(0..).collect();
     planner.set_engines(at(0), &ranked);
     planner
 }
@@ -41,17 +42,27 @@
 
 #[test]
 fn idle_engines_are_asked_a_third_as_often() {
-    let (all, used) = asked(&mut planner(ReportWay::All), 30);
+    let (all, used) = asked(&mut planner(ENGINES, ReportWay::All), 30);
     assert_eq!((all, used), (30 * ENGINES, 30));
-    let (all, used) = asked(&mut planner(ReportWay::Used), 30);
+    let (all, used) = asked(&mut planner(ENGINES, ReportWay::Used), 30);
     println!("{all} reports of {} before", 30 * ENGINES);
     assert_eq!(used, 30, "one with work is asked at each turn");
     assert!(all <= 30 * ENGINES / 3 + ENGINES, "{all} reports");
 }
 
+#[test]
+fn where_engines_are_few_all_are_asked_at_each_turn() {
+    let mut planner = planner(16, ReportWay::Used);
+    for turn in 0..10 {
+        let asked =
+            (0..16).filter(|number| planner.take_report_due(at(turn * TURN), &engine(*number)));
+        assert_eq!(asked.count(), 16, "turn {turn}");
+    }
+}
+
 #[test]
 fn an_engine_that_is_slow_or_has_failed_is_asked_at_each_turn() {
-    let mut planner = planner(ReportWay::Used);
+    let mut planner = planner(ENGINES, ReportWay::Used);
     assert!(planner.take_report_due(at(0), &engine(1)), "nothing is known of it");
     assert!(!planner.take_report_due(at(TURN), &engine(1)));
     planner.set_report(&engine(1), 4.0, 0);
--- a/crates/soak/src/fault_plan.rs
+++ b/crates/soak/src/fault_plan.rs
@@ -10,7 +10,7 @@
 use rand_chacha::ChaCha8Rng;
 use slipturn_platform_standin::{proxy::LinkMode, runner::RunnerMode, store::StoreMode};
 
-use crate::{contact_plan, limit_plan, odd_plan, word_plan};
+use crate::{contact_plan, limit_plan, odd_plan, word_plan, zone_plan};
 
 /// Pause between two faults, milliseconds: short enough for faults to overlap.
 const GAP_MS: std::ops::Range<u64> = 100..600;
@@ -70,6 +70,10 @@
     Overwrite(u8),
     /// Another writer writes an entry of its own, under this number.
     Litter(u8),
+    /// The data centre of an upstream, which holds no other, is evacuated.
+    Evacuate(u8),
+    /// An engine says that it is cold.
+    Cool(u8),
 }
 
 /// A fault with its time.
@@ -123,6 +127,7 @@
     faults.extend(odd_plan::faults(seed, size));
     faults.extend(word_plan::faults(seed, size));
     faults.extend(limit_plan::faults(seed, size));
+    faults.extend(zone_plan::faults(seed, size));
     faults.sort_by_key(|planned| planned.at);
     faults
 }
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -17,3 +17,4 @@
 pub mod traffic;
 mod word_check;
 mod word_plan;
+mod zone_plan;
--- a/crates/soak/src/struck_fleet.rs
+++ b/crates/soak/src/struck_fleet.rs
@@ -40,6 +40,8 @@
     Restart(u8),
     RestOver(u8),
     LimitOver(u8),
+    Restore(u8),
+    Warm(u8),
 }
 
 /// A fleet with its faults.
@@ -120,6 +122,13 @@
                 self.ends.push((until, FaultEnd::UpstreamGood(number)));
             }
             Fault::Leave(number) => self.leave(number, until),
+            Fault::Evacuate(number) => self.evacuate(number, until),
+            Fault::Cool(number) => {
+                let engine = self.fleet.runners()[usize::from(number)].clone();
+                self.fleet.cold.insert(engine.name.clone(), planned.length.as_millis() as u64);
+                self.list(number, false);
+                self.ends.push((until, FaultEnd::Warm(number)));
+            }
             Fault::Restart(number) => {
                 self.restart(number);
                 self.disturb_outside(until);
@@ -264,6 +273,17 @@
                 self.trouble_link(number, now);
             }
             FaultEnd::Return(number) => self.list(number, false),
+            FaultEnd::Restore(number) => {
+                self.fleet.evacuate(&format!("zone-{number}"), false);
+                let listing =
+                    UpstreamListing { upstream: number, leaving: false, at: Instant::now() };
+                self.evidence.listings.push(listing);
+            }
+            FaultEnd::Warm(number) => {
+                let name = self.fleet.runners()[usize::from(number)].name.clone();
+                self.fleet.cold.remove(&name);
+                self.list(number, false);
+            }
             FaultEnd::Restart(number) => {
                 // Another start has said nothing; what ran at the one before is lost.
                 self.restart(number);
@@ -321,6 +341,20 @@
         self.ends.push((until, FaultEnd::Return(number)));
     }
 
+    /// Evacuates the data centre of an upstream; like one that leaves it must get no more work in time.
+    fn evacuate(&mut self, number: u8, until: Instant) {
+        let name = self.fleet.runners()[usize::from(number)].name.clone();
+        let zone = format!("zone-{number}");
+        if self.fleet.zones.get(&name) != Some(&zone) {
+            self.fleet.zones.insert(name, zone.clone());
+            self.list(number, false);
+        }
+        self.fleet.evacuate(&zone, true);
+        let listing = UpstreamListing { upstream: number, leaving: true, at: Instant::now() };
+        self.evidence.listings.push(listing);
+        self.ends.push((until, FaultEnd::Restore(number)));
+    }
+
     /// Another writer's entry stands where an upstream's did: it names nobody to use.
     fn overwrite(&mut self, number: u8) {
         let name = self.fleet.runners()[usize::from(number)].name.clone();
