Failure detector, watchers, evacuations and limits in modules of their own; the soak's upstreams apart

New comments say it in the usual terms. Behaviour is unchanged; the whole core and platform tests were green before, those of the moved modules after.

--- a/crates/core/src/cold_start.rs
+++ b/crates/core/src/cold_start.rs
@@ -1,6 +1,6 @@
-//! Upstreams that have just started and bear fewer requests until they are warm.
+//! Cold starts: upstreams that bear fewer requests until they are warm.
 //!
-//! The limit concerns the sum over all instances, so it is kept like one that an upstream names itself.
+//! The limit holds for all instances together, so it is a shared quota like an announced limit.
 
 use std::{collections, time};
 
@@ -8,52 +8,52 @@
 
 use crate::{ids, units};
 
-/// Whether cold upstreams get fewer requests.
+/// Whether cold upstreams are limited.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum ColdUpstreamWay {
-    /// As many as their service says that they bear.
+    /// To the rate of their service.
     #[default]
     Limited,
-    /// As many as warm ones.
+    /// Not at all.
     Full,
 }
 
-/// What a service says of its cold upstreams.
+/// The cold start policy of a service.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct ColdPolicy {
-    /// Requests that one bears, of all instances together.
+    /// Requests that a cold upstream bears, from all instances together.
     pub rate: units::RequestRate,
-    /// For how long one is cold behind its start.
+    /// Usual length of a cold phase.
     pub lasts: time::Duration,
 }
 
-/// A cold start that goes on.
+/// A cold phase of an upstream.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct ColdPhase {
-    /// When it became known.
+    /// When it was learned.
     pub since: units::MonoTime,
-    /// When it is over.
+    /// Its end.
     pub until: units::MonoTime,
 }
 
-/// Cold upstreams by their starts.
+/// Cold phases by the starts of their upstreams.
 #[derive(Debug, Default)]
 pub(crate) struct ColdTable {
     way: ColdUpstreamWay,
     policies: collections::BTreeMap<ids::ServiceId, ColdPolicy>,
     phases: collections::BTreeMap<ids::UpstreamId, (ids::ServiceId, ColdPhase)>,
-    /// Goes up whenever another limit holds.
+    /// Incremented with each change of a limit.
     changes: u64,
 }
 
 impl ColdTable {
-    /// Sets whether cold upstreams get fewer requests.
+    /// Sets whether cold upstreams are limited.
     pub(crate) fn set_way(&mut self, way: ColdUpstreamWay) {
         self.way = way;
     }
 
-    /// Sets the services whose upstreams may be cold.
+    /// Sets the policies of services.
     pub(crate) fn set_policies(
         &mut self,
         policies: collections::BTreeMap<ids::ServiceId, ColdPolicy>,
@@ -64,7 +64,7 @@
         }
     }
 
-    /// Takes in for how much longer an upstream is cold; for as long as its service says where `left` is none.
+    /// Sets the rest of an upstream's cold phase: `left`, or the usual length without it.
     pub(crate) fn set(
         &mut self,
         now: units::MonoTime,
@@ -83,7 +83,7 @@
         self.changes += 1;
     }
 
-    /// Forgets starts that are warm by now, or not listed any more.
+    /// Drops phases that are over, and starts that are not listed.
     pub(crate) fn retain(
         &mut self,
         now: units::MonoTime,
@@ -94,7 +94,7 @@
         self.changes += u64::from(self.phases.len() != before);
     }
 
-    /// The requests that a cold start bears; nothing where it is warm or its service has no bound.
+    /// The limit of a cold start; `None` when it is warm or its service has no policy.
     pub(crate) fn limit(&self, name: &ids::UpstreamId) -> Option<(units::RequestRate, ColdPhase)> {
         let (service, phase) = self.phases.get(name)?;
         let policy = self.policies.get(service)?;
--- /dev/null
+++ b/crates/core/src/failure_detector/mod.rs
@@ -0,0 +1,321 @@
+//! Failure detection whose delay and cost per member do not grow with the fleet.
+//!
+//! Members form a ring by hash, and each monitors the next [`MONITORED`] live members on it. A member that misses a
+//! direct probe is probed again, also through relays. If it stays silent it is suspected, and its monitor broadcasts
+//! that more than once, as datagrams are lost. Any sign of life ends a suspicion.
+
+mod message;
+mod probe;
+
+use std::{collections, net, sync, time};
+
+use rand::{RngExt as _, seq::IteratorRandom as _};
+
+pub use self::message::{DetectorAction, ProbeMessage, SuspectReport};
+use crate::units;
+
+/// Live members that each member monitors.
+pub const MONITORED: usize = 3;
+/// Further members that it monitors where neighbours on the ring are suspected, at most.
+const MAX_EXTRA_MONITORED: usize = 16;
+/// Interval between two probes of one member.
+pub const PROBE_INTERVAL: time::Duration = time::Duration::from_millis(600);
+/// Interval between two calls of [`FailureDetector::tick`] beyond which this process itself was paused.
+const PAUSE_TIME: time::Duration = time::Duration::from_millis(400);
+/// Relays that probe a silent member.
+const RELAYS: usize = 3;
+/// Broadcasts of each finding.
+const BROADCASTS: u32 = 3;
+/// Interval between two broadcasts of a finding.
+const BROADCAST_INTERVAL: time::Duration = time::Duration::from_millis(400);
+/// How long the end of a suspicion is remembered, against older suspicions that arrive later.
+const RESTORED_TIME: time::Duration = time::Duration::from_secs(30);
+/// Most pending probes on behalf of other members.
+const MAX_RELAYED: usize = 256;
+
+/// A member on the ring.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RingMember {
+    /// Its position.
+    pub hash: u64,
+    /// Boot number of its present start.
+    pub boot: u64,
+    /// Address for probes.
+    pub address: net::SocketAddrV4,
+}
+
+/// What is broadcast.
+#[derive(Debug, Clone, Copy)]
+enum Finding {
+    /// A start is silent since its first unanswered probe, sent at this time.
+    Silent(u64, units::MonoTime),
+    /// A start answers again.
+    Answers(u64),
+}
+
+/// A finding with its remaining broadcasts.
+#[derive(Debug, Clone, Copy)]
+struct PendingBroadcast {
+    due: units::MonoTime,
+    left: u32,
+    finding: Finding,
+}
+
+/// The failure detector of one member.
+#[derive(Debug)]
+pub struct FailureDetector {
+    /// Position of this member.
+    own: u64,
+    /// The other members, sorted by position.
+    ring: sync::Arc<[RingMember]>,
+    /// Boot numbers of `ring`.
+    boots: collections::HashSet<u64>,
+    probes: Vec<probe::MemberProbe>,
+    suspected: collections::BTreeSet<u64>,
+    /// When suspicions ended recently.
+    restored: collections::BTreeMap<u64, units::MonoTime>,
+    broadcasts: Vec<PendingBroadcast>,
+    /// When [`Self::tick`] was last called.
+    ticked: Option<units::MonoTime>,
+    /// Number of the last ping.
+    number: u64,
+    /// Requesters of relayed pings, by number.
+    relays: collections::BTreeMap<u64, net::SocketAddrV4>,
+}
+
+impl FailureDetector {
+    /// The detector of a member at this position, with an empty ring.
+    pub fn new(own: u64) -> Self {
+        Self {
+            own,
+            ring: sync::Arc::new([]),
+            boots: collections::HashSet::new(),
+            probes: Vec::new(),
+            suspected: collections::BTreeSet::new(),
+            restored: collections::BTreeMap::new(),
+            broadcasts: Vec::new(),
+            ticked: None,
+            number: 0,
+            relays: collections::BTreeMap::new(),
+        }
+    }
+
+    /// Sets the other members, sorted by position.
+    pub fn set_members(&mut self, now: units::MonoTime, ring: sync::Arc<[RingMember]>) {
+        if self.ring == ring {
+            return;
+        }
+        self.ring = ring;
+        self.boots = self.ring.iter().map(|member| member.boot).collect();
+        self.suspected.retain(|boot| self.boots.contains(boot));
+        self.choose_probes(now);
+    }
+
+    /// Whether a start is suspected.
+    pub fn is_suspected(&self, boot: u64) -> bool {
+        self.suspected.contains(&boot)
+    }
+
+    /// Number of suspected members.
+    pub fn suspected_count(&self) -> usize {
+        self.suspected.len()
+    }
+
+    /// Sends due probes and evaluates unanswered ones.
+    pub fn tick(
+        &mut self,
+        now: units::MonoTime,
+        random: &mut impl rand::Rng,
+    ) -> Vec<DetectorAction> {
+        let paused = self.ticked.is_some_and(|last| now.since(last) >= PAUSE_TIME);
+        self.ticked = Some(now);
+        if paused {
+            // Answers may be waiting unread.
+            self.probes.iter_mut().for_each(probe::MemberProbe::reset);
+        }
+        let mut actions = self.repeat_broadcasts(now);
+        let mut silent = Vec::new();
+        for probe in &mut self.probes {
+            let member = probe.member;
+            let is_suspected = self.suspected.contains(&member.boot);
+            if probe.is_silent(now) && !is_suspected {
+                silent.push((member.boot, probe.asked.unwrap_or(now)));
+            } else if probe.needs_relays(now) && !is_suspected {
+                probe.relayed = Some(now);
+                self.number += 1;
+                actions.push(DetectorAction::Send(member.address, ProbeMessage::Ping(self.number)));
+                let others = self.ring.iter().filter(|other| other.boot != member.boot);
+                let live = others.filter(|other| !self.suspected.contains(&other.boot));
+                actions.extend(live.sample(random, RELAYS).into_iter().map(|relay| {
+                    DetectorAction::Send(relay.address, ProbeMessage::PingFor(member.address))
+                }));
+            }
+            if now >= probe.due {
+                probe.due = now + PROBE_INTERVAL.mul_f64(random.random_range(0.9..1.1));
+                probe.asked = probe.asked.or(Some(now));
+                self.number += 1;
+                actions.push(DetectorAction::Send(member.address, ProbeMessage::Ping(self.number)));
+            }
+        }
+        for (boot, since) in silent {
+            let report = SuspectReport::new(now, boot, since);
+            if self.suspect(now, report) {
+                self.broadcast(now, Finding::Silent(boot, since));
+                actions.push(DetectorAction::Suspect(report));
+            }
+        }
+        actions
+    }
+
+    /// Handles a message of another member.
+    pub fn receive(
+        &mut self,
+        now: units::MonoTime,
+        from: net::SocketAddrV4,
+        message: ProbeMessage,
+    ) -> Vec<DetectorAction> {
+        match message {
+            ProbeMessage::Ping(number) => {
+                vec![DetectorAction::Send(from, ProbeMessage::Ack(number))]
+            }
+            ProbeMessage::Ack(number) => match self.relays.remove(&number) {
+                Some(requester) => {
+                    vec![DetectorAction::Send(requester, ProbeMessage::AckFor(from))]
+                }
+                None => self.note_answer(now, from),
+            },
+            ProbeMessage::AckFor(target) => self.note_answer(now, target),
+            ProbeMessage::PingFor(target) => {
+                self.number += 1;
+                self.relays.insert(self.number, from);
+                while self.relays.len() > MAX_RELAYED {
+                    self.relays.pop_first();
+                }
+                vec![DetectorAction::Send(target, ProbeMessage::Ping(self.number))]
+            }
+        }
+    }
+
+    /// Handles a suspicion of another member; returns whether it is new here. A monitor with a later answer refutes it.
+    pub fn receive_suspect(
+        &mut self,
+        now: units::MonoTime,
+        report: SuspectReport,
+    ) -> (bool, Vec<DetectorAction>) {
+        let boot = report.boot;
+        let is_pending = self
+            .broadcasts
+            .iter()
+            .any(|broadcast| matches!(broadcast.finding, Finding::Answers(known) if known == boot));
+        if self.has_answered(now, report) && !is_pending {
+            self.broadcast(now, Finding::Answers(boot));
+            return (false, vec![DetectorAction::Restore(boot)]);
+        }
+        (self.suspect(now, report), Vec::new())
+    }
+
+    /// Ends the suspicion of a start after a sign of life; returns whether it was suspected.
+    pub fn restore(&mut self, now: units::MonoTime, boot: u64) -> bool {
+        if !self.suspected.remove(&boot) {
+            return false;
+        }
+        self.restored.retain(|_, at| now.since(*at) < RESTORED_TIME);
+        self.restored.insert(boot, now);
+        let probes = self.probes.iter_mut().filter(|probe| probe.member.boot == boot);
+        probes.for_each(probe::MemberProbe::reset);
+        self.choose_probes(now);
+        true
+    }
+
+    /// Whether this member monitors the suspected one and has a later answer.
+    fn has_answered(&self, now: units::MonoTime, report: SuspectReport) -> bool {
+        let probe = self.probes.iter().find(|probe| probe.member.boot == report.boot);
+        let answered = probe.and_then(|probe| probe.answered);
+        answered.is_some_and(|answered| answered > report.since(now))
+    }
+
+    fn suspect(&mut self, now: units::MonoTime, report: SuspectReport) -> bool {
+        let boot = report.boot;
+        let is_known = self.suspected.contains(&boot) || !self.boots.contains(&boot);
+        let is_restored = self.restored.get(&boot).is_some_and(|at| *at > report.since(now));
+        if is_known || is_restored || self.has_answered(now, report) {
+            return false;
+        }
+        self.suspected.insert(boot);
+        self.choose_probes(now);
+        true
+    }
+
+    fn note_answer(
+        &mut self,
+        now: units::MonoTime,
+        from: net::SocketAddrV4,
+    ) -> Vec<DetectorAction> {
+        let Some(probe) = self.probes.iter_mut().find(|probe| probe.member.address == from) else {
+            return Vec::new();
+        };
+        probe.note_answer(now);
+        let boot = probe.member.boot;
+        if !self.restore(now, boot) {
+            return Vec::new();
+        }
+        self.broadcast(now, Finding::Answers(boot));
+        vec![DetectorAction::Restore(boot)]
+    }
+
+    /// Schedules the repeated broadcasts of a finding.
+    fn broadcast(&mut self, now: units::MonoTime, finding: Finding) {
+        let due = now + BROADCAST_INTERVAL;
+        self.broadcasts.push(PendingBroadcast { due, left: BROADCASTS - 1, finding });
+    }
+
+    /// Repeats due broadcasts of findings that still hold.
+    fn repeat_broadcasts(&mut self, now: units::MonoTime) -> Vec<DetectorAction> {
+        let mut actions = Vec::new();
+        let suspected = &self.suspected;
+        self.broadcasts.retain_mut(|broadcast| {
+            let holds = match broadcast.finding {
+                Finding::Silent(boot, _) => suspected.contains(&boot),
+                Finding::Answers(boot) => !suspected.contains(&boot),
+            };
+            if holds && now >= broadcast.due {
+                actions.push(match broadcast.finding {
+                    Finding::Silent(boot, since) => {
+                        DetectorAction::Suspect(SuspectReport::new(now, boot, since))
+                    }
+                    Finding::Answers(boot) => DetectorAction::Restore(boot),
+                });
+                broadcast.left -= 1;
+                broadcast.due = now + BROADCAST_INTERVAL;
+            }
+            holds && broadcast.left > 0
+        });
+        actions
+    }
+
+    /// Chooses the members to monitor: the next live ones on the ring, and one more for each suspected one among them,
+    /// as neighbours may fail together. Suspected members stay monitored until they answer.
+    fn choose_probes(&mut self, now: units::MonoTime) {
+        let start = self.ring.partition_point(|member| member.hash <= self.own);
+        let mut before = std::mem::take(&mut self.probes);
+        let (mut live, mut suspected) = (0, 0);
+        for member in self.ring.iter().cycle().skip(start).take(self.ring.len()) {
+            if live >= MONITORED + suspected.min(MAX_EXTRA_MONITORED) {
+                break;
+            }
+            let rank = live.min(MONITORED - 1) as u32;
+            let is_suspected = self.suspected.contains(&member.boot);
+            live += usize::from(!is_suspected);
+            suspected += usize::from(is_suspected);
+            let known = before.iter().position(|probe| probe.member == *member);
+            let probe = known.map_or_else(
+                || probe::MemberProbe::new(*member, now),
+                |known| before.swap_remove(known),
+            );
+            self.probes.push(probe::MemberProbe { rank, ..probe });
+        }
+        let suspected = &self.suspected;
+        before.retain(|probe| suspected.contains(&probe.member.boot));
+        self.probes.append(&mut before);
+    }
+}
--- /dev/null
+++ b/crates/core/src/failure_detector/probe.rs
@@ -0,0 +1,58 @@
+//! The probe of one monitored member.
+
+use std::time;
+
+use crate::{failure_detector, units};
+
+/// Timeout of a direct probe.
+const DIRECT_TIMEOUT: time::Duration = time::Duration::from_millis(250);
+/// Timeout of the relayed probes that follow.
+const RELAYED_TIMEOUT: time::Duration = time::Duration::from_millis(400);
+/// Extra time for each nearer monitor of the same member: usually one of them announces a finding for all.
+const ANNOUNCE_STEP: time::Duration = time::Duration::from_millis(150);
+
+/// State of the probes of one member.
+#[derive(Debug)]
+pub(super) struct MemberProbe {
+    pub(super) member: failure_detector::RingMember,
+    /// Number of monitors between this process and the member on the ring.
+    pub(super) rank: u32,
+    /// When it last answered.
+    pub(super) answered: Option<units::MonoTime>,
+    /// When the next probe is due.
+    pub(super) due: units::MonoTime,
+    /// When the first unanswered probe was sent.
+    pub(super) asked: Option<units::MonoTime>,
+    /// When relayed probes were requested.
+    pub(super) relayed: Option<units::MonoTime>,
+}
+
+impl MemberProbe {
+    /// A probe that is due now.
+    pub(super) fn new(member: failure_detector::RingMember, now: units::MonoTime) -> Self {
+        Self { member, rank: 0, answered: None, due: now, asked: None, relayed: None }
+    }
+
+    /// Forgets unanswered probes.
+    pub(super) fn reset(&mut self) {
+        (self.asked, self.relayed) = (None, None);
+    }
+
+    /// Records an answer.
+    pub(super) fn note_answer(&mut self, now: units::MonoTime) {
+        self.answered = Some(now);
+        self.reset();
+    }
+
+    /// Whether the direct probe timed out and relayed ones are due.
+    pub(super) fn needs_relays(&self, now: units::MonoTime) -> bool {
+        let asked = self.asked.filter(|_| self.relayed.is_none());
+        asked.is_some_and(|asked| now.since(asked) >= DIRECT_TIMEOUT)
+    }
+
+    /// Whether the relayed probes timed out as well.
+    pub(super) fn is_silent(&self, now: units::MonoTime) -> bool {
+        let timeout = RELAYED_TIMEOUT + ANNOUNCE_STEP * self.rank;
+        self.relayed.is_some_and(|relayed| now.since(relayed) >= timeout)
+    }
+}
--- /dev/null
+++ b/crates/core/src/membership/watchers.rs
@@ -0,0 +1,63 @@
+//! Which members watch the platform's store.
+
+use std::time;
+
+use crate::{member_beat, membership, rendezvous, units};
+
+/// Members of a data centre that watch the store in a large fleet; one of them is redundant.
+const WATCHERS: usize = 2;
+/// With fewer other members in its data centre, each member watches the store.
+const SMALL_DATA_CENTER: usize = 4;
+/// Delay until the next member in order replaces a missing watcher.
+const TAKE_OVER_STEP: time::Duration = time::Duration::from_millis(120);
+/// Longest such delay.
+const TAKE_OVER_LIMIT: time::Duration = time::Duration::from_millis(1_500);
+/// The delay for a member whose last attempt failed. While the store is down for all, the first in order keep trying
+/// and the others back off, so that the calls do not grow with the fleet.
+const FAILED_STEP: time::Duration = time::Duration::from_millis(400);
+/// Longest such delay after a failure.
+const FAILED_LIMIT: time::Duration = time::Duration::from_secs(10);
+
+impl membership::MemberView {
+    /// Whether this member should watch the store, given for how long watchers have been missing and whether its last
+    /// attempt failed.
+    ///
+    /// In a small fleet all members watch. In a large one [`WATCHERS`] in each data centre do, and missing ones are
+    /// replaced in order.
+    pub fn should_watch(
+        &self,
+        now: units::MonoTime,
+        own: &member_beat::MemberBeat,
+        missing_for: time::Duration,
+        failed: bool,
+    ) -> bool {
+        let near: Vec<_> = self
+            .alive(now)
+            .filter(|beat| beat.data_center == own.data_center && !beat.leaving)
+            .collect();
+        if near.len() < SMALL_DATA_CENTER {
+            return true;
+        }
+        let order = |beat: &member_beat::MemberBeat| {
+            rendezvous::stable_hash(&["watch", beat.name.as_str()])
+        };
+        let mine = order(own);
+        let before = |wanted: bool| {
+            near.iter().filter(|beat| beat.watches == wanted && order(beat) < mine).count()
+        };
+        let watching = near.iter().filter(|beat| beat.watches).count();
+        if own.watches {
+            return before(true) < WATCHERS;
+        }
+        let (step, limit) =
+            if failed { (FAILED_STEP, FAILED_LIMIT) } else { (TAKE_OVER_STEP, TAKE_OVER_LIMIT) };
+        let turn = step * u32::try_from(before(false)).unwrap_or(u32::MAX);
+        watching < WATCHERS && missing_for >= turn.min(limit)
+    }
+
+    /// Whether this member's data centre has too few watchers.
+    pub fn watchers_missing(&self, now: units::MonoTime, own: &member_beat::MemberBeat) -> bool {
+        let near = self.alive(now).filter(|beat| beat.data_center == own.data_center);
+        near.filter(|beat| beat.watches).count() < WATCHERS
+    }
+}
--- a/crates/core/src/planner/engine_work.rs
+++ b/crates/core/src/planner/engine_work.rs
@@ -19,7 +19,7 @@
 const HELPER_EJECTION_TIME: time::Duration = time::Duration::from_millis(2_500);
 /// Paces that are believed; a report beyond them is a fault.
 const PACES: (f64, f64) = (0.5, 20.0);
-/// An engine that is slower than this is asked as often as one with work.
+/// Pace above which an engine is polled like one with work.
 const SLOW_PACE: f64 = 1.2;
 /// Requests that come and go while a report is on its way; a difference up to this says nothing.
 const REPORT_SLACK: usize = 4;
@@ -27,7 +27,7 @@
 /// old.
 const NOTE_SLACK: usize = 2;
 
-/// An engine without work for so long is idle.
+/// Time without new work after which an engine is idle.
 const IDLE_TIME: time::Duration = time::Duration::from_secs(4);
 
 /// Time beyond an expected first token that says nothing: a pass, and the way to the planner.
@@ -81,9 +81,9 @@
     /// Refusals for want of room since the last first token there.
     pub(crate) refusals: u32,
     ejected_until: units::MonoTime,
-    /// When work was last placed here; nothing before any.
+    /// When work was last placed here.
     placed: Option<units::MonoTime>,
-    /// When it was last asked for a report.
+    /// When its report was last requested.
     asked: Option<units::MonoTime>,
     pub(crate) advanced: units::MonoTime,
 }
@@ -208,12 +208,12 @@
         self.ejected_until = self.ejected_until.max(now + HELPER_EJECTION_TIME);
     }
 
-    /// Notes that work is placed here.
+    /// Records that work is placed here.
     pub(crate) fn note_placed(&mut self, now: units::MonoTime) {
         self.placed = Some(now);
     }
 
-    /// Whether it has nothing to do and nothing to make up for, as far as is known.
+    /// Whether it has no work and no sign of trouble.
     pub(crate) fn is_idle(&self, now: units::MonoTime) -> bool {
         let has_work = !self.answering.is_empty() || self.used > 0 || self.pass.is_some();
         let is_doubted = self.foreign > 0 || self.failures > 0 || self.pace > SLOW_PACE;
@@ -221,8 +221,7 @@
         !(has_work || is_doubted || is_recent)
     }
 
-    /// Whether it should be asked for a report now, with so much time between two of an idle engine; counts it as
-    /// asked then.
+    /// Whether its report is due, which counts as requested then; `idle_interval` applies while it is idle.
     pub(crate) fn take_report_due(
         &mut self,
         now: units::MonoTime,
--- a/crates/core/src/planner/mod.rs
+++ b/crates/core/src/planner/mod.rs
@@ -226,7 +226,7 @@
         self.table.take_suspects()
     }
 
-    /// Whether an engine should be asked for a report now: one with work at each turn, an idle one seldom.
+    /// Whether the report of an engine is due: in each round for one with work, less often for an idle one.
     pub fn take_report_due(&mut self, now: units::MonoTime, name: &ids::UpstreamId) -> bool {
         self.options.ways.reports == ways::ReportWay::All || self.table.take_report_due(now, name)
     }
--- a/crates/core/src/planner/place_table/mod.rs
+++ b/crates/core/src/planner/place_table/mod.rs
@@ -17,9 +17,9 @@
 /// Part of an engine's memory that is given away.
 pub(crate) const MEMORY_PART: f64 = 0.96;
 
-/// Reports of idle engines that a planner asks for a second.
+/// Reports of idle engines that a planner requests a second.
 const IDLE_REPORTS: f64 = 8.0;
-/// Longest time between two reports of one engine: somewhat more than the list takes to drop one that has ended.
+/// Longest interval between two reports of an engine, slightly above the delay of the list.
 const MAX_REPORT_INTERVAL: time::Duration = time::Duration::from_secs(6);
 
 /// Time that an answer is taken to last before any has been seen, milliseconds.
@@ -186,7 +186,7 @@
         }
     }
 
-    /// Whether an engine should be asked for a report now.
+    /// Whether the report of an engine is due.
     pub(crate) fn take_report_due(&mut self, now: units::MonoTime, name: &ids::UpstreamId) -> bool {
         let interval = self.engines.len() as f64 / IDLE_REPORTS;
         let interval = time::Duration::from_secs_f64(interval).min(MAX_REPORT_INTERVAL);
--- a/crates/core/src/planner/ways.rs
+++ b/crates/core/src/planner/ways.rs
@@ -118,11 +118,11 @@
     }
 }
 
-/// Which engines are asked for reports at each turn.
+/// Which engines report in each round.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum ReportWay {
-    /// Those with work; idle ones seldom.
+    /// Those with work; idle ones less often.
     #[default]
     Used,
     /// All.
--- a/crates/core/src/planner_key.rs
+++ b/crates/core/src/planner_key.rs
@@ -43,13 +43,13 @@
     }
 }
 
-/// Number of cells of so many engines, those that take no new work included: cells that come and go with an
-/// evacuation would take from planners what they know of their engines.
+/// Number of cells of so many listed engines. Engines that take no new work count, as planners lose the state of
+/// engines that change cells.
 pub fn cell_count(engines: usize) -> u16 {
     u16::try_from(engines.div_ceil(CELL_ENGINES).max(1)).unwrap_or(u16::MAX)
 }
 
-/// The cell of an engine. One cell more takes its engines evenly from the others, and nothing else moves.
+/// The cell of an engine. Adding a cell moves only the engines of that cell.
 pub fn cell_of(service: &ids::ServiceId, engine: &ids::UpstreamId, cells: u16) -> u16 {
     // Members that know different starts of an engine must agree on its cell.
     let hash = rendezvous::stable_hash(&["cell", service.as_str(), engine.identifier()]);
--- a/crates/core/src/rendezvous.rs
+++ b/crates/core/src/rendezvous.rs
@@ -104,8 +104,7 @@
     })
 }
 
-/// The bucket of a key among `buckets`, by jump consistent hashing: with one bucket more, only the keys that it
-/// takes change theirs.
+/// The bucket of a key by jump consistent hashing: adding a bucket moves only the keys of that bucket.
 pub fn jump_bucket(key: u64, buckets: u16) -> u16 {
     let mut state = key;
     let mut bucket = 0;
--- a/crates/core/src/search_budget.rs
+++ b/crates/core/src/search_budget.rs
@@ -1,17 +1,17 @@
-//! How many cells of engines are asked for a place by requests that others refused.
+//! Budget for the search of a place over several cells of engines.
 //!
-//! A request that one cell refuses may find room in another. In a flood all refuse, and asking each of them for
-//! each request would multiply the questions by the number of cells. So the first two cells are asked in any
-//! case, and those beyond as far as a budget goes that fills with the requests.
+//! A request refused by one cell may find room in another, but in a flood all refuse, and an exhaustive search would
+//! multiply the messages by the number of cells. Two cells are always tried; further ones draw on a budget that fills
+//! with the requests.
 
-/// Cells that a request may ask in any case.
+/// Cells tried without drawing on the budget.
 const FREE_CELLS: usize = 2;
-/// Cells beyond that are asked for each request, in the mean.
+/// Budget added by each request.
 const EXTRA_EACH: f64 = 0.25;
-/// Cells beyond that may be asked at once.
+/// Largest budget.
 const EXTRA_MOST: f64 = 24.0;
 
-/// The budget of one instance.
+/// The search budget of an instance.
 #[derive(Debug)]
 pub struct SearchBudget {
     extra: f64,
@@ -24,12 +24,12 @@
 }
 
 impl SearchBudget {
-    /// Counts a request.
+    /// Adds the budget of a request.
     pub fn note_request(&mut self) {
         self.extra = (self.extra + EXTRA_EACH).min(EXTRA_MOST);
     }
 
-    /// Whether a request that so many cells have refused asks another one; takes that from the budget.
+    /// Whether a request refused by so many cells tries another one; draws on the budget.
     pub fn take(&mut self, refused: usize) -> bool {
         if refused < FREE_CELLS {
             return true;
--- a/crates/core/src/start_wait.rs
+++ b/crates/core/src/start_wait.rs
@@ -1,30 +1,29 @@
-//! How long a request waits at a process that has just started and knows no routes yet.
+//! How long requests wait at a starting process that knows no routes yet.
 
 use std::time;
 
-/// Age up to which a request waits while nobody has been heard: a process that is cut off from all others and
-/// the store can only send its callers elsewhere.
+/// Age of the process up to which requests wait without any contact. A partitioned process can only send its callers
+/// elsewhere.
 const LONE_AGE: time::Duration = time::Duration::from_millis(350);
-/// The same while members are there, and none of them knows the routes.
+/// The same in contact with members that know no routes either.
 const MET_AGE: time::Duration = time::Duration::from_millis(700);
-/// The same while some member or the store has them.
+/// The same in contact with a member or the store that has them.
 const SOURCE_AGE: time::Duration = time::Duration::from_millis(1_500);
-/// Part of its caller's patience that a request waits at most: time must be left for its answer, or for another
-/// process.
+/// Largest part of its deadline that a request waits; the rest is for its answer or another attempt.
 const PATIENCE_PART: f64 = 0.3;
 
-/// Whom a process that knows nothing has heard since its start.
+/// Contact of a process since its start.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum StartContact {
-    /// Nobody.
+    /// None.
     Nobody,
-    /// Members that know as little.
+    /// Members without routes.
     Members,
-    /// A member that knows the routes, or the store.
+    /// A member with routes, or the store.
     Source,
 }
 
-/// Whether a request goes on waiting that has waited for `waited`, at a process of this age.
+/// Whether a request that has waited for `waited` continues to wait at a process of this age.
 pub fn goes_on(
     contact: StartContact,
     age: time::Duration,
--- a/crates/core/src/upstream_list.rs
+++ b/crates/core/src/upstream_list.rs
@@ -3,7 +3,7 @@
 
 use std::{collections, net, sync, time};
 
-use crate::{cold_start, fleet_list, ids, start_record, units, upstream_limit, upstream_notice};
+use crate::{cold_start, fleet_list, ids, start_record, units, upstream_notice};
 
 /// How long upstreams that vanished right after the list's source came back may still return.
 ///
@@ -66,17 +66,17 @@
 #[derive(Debug, Default)]
 pub struct UpstreamList {
     /// By identifier: of each upstream one start is the present one.
-    entries: collections::BTreeMap<sync::Arc<str>, UpstreamEntry>,
+    pub(crate) entries: collections::BTreeMap<sync::Arc<str>, UpstreamEntry>,
     /// Starts of those that have started again, listed now or within [`START_MEMORY`].
     starts: collections::BTreeMap<sync::Arc<str>, start_record::StartRecord>,
     /// Upstreams that vanished and may return, with the time at which they are taken for gone.
     doubtful: collections::BTreeMap<sync::Arc<str>, units::MonoTime>,
     /// What upstreams say of themselves in passing, and that the list says that they leave.
     notices: upstream_notice::NoticeTable,
-    /// Upstreams that have just started.
-    cold: cold_start::ColdTable,
-    /// Data centres under evacuation, with the time at which each became known.
-    evacuated: collections::BTreeMap<ids::DataCenterId, units::MonoTime>,
+    /// Cold starts.
+    pub(crate) cold: cold_start::ColdTable,
+    /// Evacuated data centres, and when each evacuation became known.
+    pub(crate) evacuated: collections::BTreeMap<ids::DataCenterId, units::MonoTime>,
     /// Starts that were found to be over since the last look.
     ended: Vec<EndedStart>,
     /// Until when vanishing is doubted.
@@ -84,7 +84,7 @@
     /// The source's revision this state belongs to; only ever goes up.
     revision: u64,
     /// Goes up whenever another set of upstreams may be usable.
-    changes: u64,
+    pub(crate) changes: u64,
 }
 
 impl UpstreamList {
@@ -141,73 +141,6 @@
         self.apply(now, changes, revision)
     }
 
-    /// Sets whether cold upstreams get fewer requests.
-    pub fn set_cold_way(&mut self, way: cold_start::ColdUpstreamWay) {
-        self.cold.set_way(way);
-    }
-
-    /// Sets the services whose upstreams may be cold.
-    pub fn set_cold_policies(
-        &mut self,
-        policies: collections::BTreeMap<ids::ServiceId, cold_start::ColdPolicy>,
-    ) {
-        self.cold.set_policies(policies);
-    }
-
-    /// How many requests an upstream takes of all instances together: by its own word, or as it is cold.
-    pub fn limit(&self, name: &ids::UpstreamId) -> Option<upstream_limit::LimitNotice> {
-        let named = self.notices.limit(name);
-        let Some((rate, phase)) = self.cold.limit(name) else {
-            return named;
-        };
-        let lower = |limit: &upstream_limit::LimitNotice| {
-            limit.reading.rate.is_some_and(|named| named.per_second() <= rate.per_second())
-        };
-        named.filter(lower).or(Some(upstream_limit::LimitNotice {
-            reading: upstream_limit::LimitReading {
-                rate: Some(rate),
-                asked: phase.since,
-                heard: phase.since,
-                source: upstream_notice::NoticeSource::List,
-            },
-            since: phase.since,
-        }))
-    }
-
-    /// Upstreams that take only so many requests.
-    pub fn limits(&self) -> collections::BTreeMap<&ids::UpstreamId, units::RequestRate> {
-        let named = self.notices.limits().map(|(name, _)| name);
-        let names = named.chain(self.cold.names());
-        names.filter_map(|name| Some((name, self.limit(name)?.reading.rate?))).collect()
-    }
-
-    /// Number of changes of limits so far.
-    pub fn limit_changes(&self) -> u64 {
-        self.notices.limit_changes() + self.cold.changes()
-    }
-
-    /// Data centres under evacuation.
-    pub fn evacuated(&self) -> impl Iterator<Item = &ids::DataCenterId> {
-        self.evacuated.keys()
-    }
-
-    /// Whether an upstream is in a data centre under evacuation.
-    pub fn is_evacuated(&self, entry: &UpstreamEntry) -> bool {
-        self.evacuated.contains_key(&entry.data_center)
-    }
-
-    /// For how long the evacuation has lasted that keeps requests from a service's upstreams; the latest
-    /// one, and nothing where none does.
-    pub fn evacuated_for(
-        &self,
-        now: units::MonoTime,
-        service: &ids::ServiceId,
-    ) -> Option<time::Duration> {
-        let entries = self.entries.values().filter(|entry| entry.service == *service);
-        let since = entries.filter_map(|entry| self.evacuated.get(&entry.data_center)).max()?;
-        Some(now.since(*since))
-    }
-
     /// Upstreams of a service that are listed, in use or not.
     ///
     /// Unlike the number of usable ones it does not change with an evacuation or a planned end.
@@ -451,28 +384,6 @@
         true
     }
 
-    fn evacuate(&mut self, now: units::MonoTime, data_center: ids::DataCenterId) -> bool {
-        let began = !self.evacuated.contains_key(&data_center);
-        if began {
-            self.evacuated.insert(data_center, now);
-            self.changes += 1;
-        }
-        began
-    }
-
-    /// Ends an evacuation. Upstreams that got nothing all the while may be cold without having said so.
-    fn restore(&mut self, now: units::MonoTime, data_center: &ids::DataCenterId) -> bool {
-        if self.evacuated.remove(data_center).is_none() {
-            return false;
-        }
-        let entries = self.entries.values().filter(|entry| entry.data_center == *data_center);
-        for entry in entries {
-            self.cold.set(now, &entry.name, &entry.service, None);
-        }
-        self.changes += 1;
-        true
-    }
-
     /// The list names no start that is over any more.
     fn forget_named(&mut self, identifier: &str) {
         if let Some(record) = self.starts.get_mut(identifier) {
--- a/crates/instance/src/document_answers.rs
+++ b/crates/instance/src/document_answers.rs
@@ -13,10 +13,10 @@
 const MAX_ANSWERS: usize = 4;
 /// Answers of at least this size, bytes, count as large: on a link of 20 Mbit/s one takes 7 ms.
 const LARGE_ANSWER: usize = 16 * 1024;
-/// Bytes of large answers sent at once: on such a link they take 0.2 s. Whoever comes beyond asks another member, and
-/// by then more have what it lacks.
+/// Bytes of large answers sent at once; 0.2 s on such a link. A member that is refused asks another one, and more have
+/// the documents by then.
 const MAX_LARGE_BYTES: usize = 480 * 1024;
-/// Large answers sent at once in any case.
+/// Large answers always sent at once.
 const MIN_LARGE: usize = 8;
 
 /// What an answer was made for, and of.
--- a/crates/instance/src/failure_watch.rs
+++ b/crates/instance/src/failure_watch.rs
@@ -1,4 +1,4 @@
-//! Probes of other members, and what all are told of those that do not answer.
+//! Runs the failure detector and broadcasts its findings.
 
 use std::{net, rc, time};
 
@@ -6,16 +6,16 @@
 
 use crate::{context, heartbeats, peer_message};
 
-/// Time between two looks at probes.
+/// Interval between two calls of the detector.
 const TICK: time::Duration = time::Duration::from_millis(100);
-/// Time between two looks at which members there are.
+/// Interval between two updates of its ring.
 const RING_INTERVAL: time::Duration = time::Duration::from_secs(1);
-/// Time between two denials of being silent.
+/// Least interval between two denials of a suspicion.
 const DENIAL_INTERVAL: time::Duration = time::Duration::from_secs(1);
 /// Most reports in one message; each takes some twelve bytes.
 const MAX_REPORTS: usize = 200;
 
-/// Probes other members for ever, where there are many.
+/// Runs the detector where heartbeats alone are too slow.
 pub async fn run(context: rc::Rc<context::InstanceContext>) {
     let mut ring_at = units::MonoTime::default();
     loop {
@@ -35,7 +35,7 @@
     }
 }
 
-/// Takes in a probe, or its answer.
+/// Handles a probe or its answer.
 pub(crate) fn receive(
     context: &context::InstanceContext,
     from: net::SocketAddrV4,
@@ -46,7 +46,7 @@
     act(context, actions);
 }
 
-/// Takes in suspicions of another member.
+/// Handles suspicions broadcast by another member.
 pub(crate) fn receive_suspects(
     context: &context::InstanceContext,
     reports: Vec<failure_detector::SuspectReport>,
@@ -65,12 +65,12 @@
     }
 }
 
-/// Takes in signs of life that another member has seen.
+/// Handles ends of suspicions broadcast by another member.
 pub(crate) fn receive_restored(context: &context::InstanceContext, boots: &[u64]) {
     boots.iter().for_each(|boot| restore(context, *boot));
 }
 
-/// Takes in a sign of life of a member.
+/// Handles a sign of life of a member.
 pub(crate) fn restore(context: &context::InstanceContext, boot: u64) {
     let now = context.now();
     if context.detector.borrow_mut().restore(now, boot) {
@@ -87,12 +87,12 @@
         context.stats.borrow_mut().count("members", "suspected");
         log::info!(boot = report.boot, silent_ms = report.silent_ms; "member.suspected");
     } else {
-        // It was heard since its monitor heard it.
+        // There was a later sign of life here.
         context.detector.borrow_mut().restore(now, report.boot);
     }
 }
 
-/// Tells all that this process lives: others take it for silent.
+/// Denies a suspicion of this process with heartbeats to all.
 fn deny(context: &context::InstanceContext) {
     let now = context.now();
     if context.denied.get().is_none_or(|last| now.since(last) >= DENIAL_INTERVAL) {
--- a/crates/instance/src/heartbeats.rs
+++ b/crates/instance/src/heartbeats.rs
@@ -87,7 +87,7 @@
     }
 }
 
-/// Tells what has changed: to all where it decides who plans, else to those that may ask this process for documents.
+/// Broadcasts a change of state: to all where it affects the choice of planners, else to this data centre.
 pub(crate) fn broadcast_state(
     context: &context::InstanceContext,
     state: AnnouncedState,
--- a/crates/instance/src/member_feed.rs
+++ b/crates/instance/src/member_feed.rs
@@ -14,7 +14,7 @@
 const ROUTES_TIME: time::Duration = time::Duration::from_millis(600);
 /// Time for a member's list.
 const LIST_TIME: time::Duration = time::Duration::from_millis(1_500);
-/// Time for both at a start, when others that have them are many.
+/// Timeout for both at a start, when other members have them as well.
 const START_TIME: time::Duration = time::Duration::from_millis(500);
 /// Pause behind a member that is busy giving documents to others, with its spread.
 const BUSY_PAUSE: std::ops::Range<f64> = 0.05..0.15;
@@ -31,7 +31,7 @@
     let mut failing = None;
     loop {
         monoio::time::sleep(store_sight::look_interval(&context)).await;
-        // At a start the routes come with the list.
+        // At a start one call brings both documents.
         if store_sight::own_watch_leads(&context) || !context.fleet.borrow().is_listed() {
             continue;
         }
@@ -180,7 +180,7 @@
     pick_source(&sources, settings.listen.members.port())
 }
 
-/// A member, drawn, that has both documents, for a process that has just started.
+/// A random member that has both documents, for a starting process.
 fn any_source(context: &context::InstanceContext) -> Option<(ids::InstanceId, net::SocketAddr)> {
     let settings = context.settings();
     let members = context.members.borrow();
--- a/crates/instance/src/store_feed.rs
+++ b/crates/instance/src/store_feed.rs
@@ -76,7 +76,7 @@
     let missing = members.watchers_missing(now, &own);
     if !context.fleet.borrow().is_known() {
         if context.settings().is_seed() {
-            // All know a seed; where all start together the others have from it what it reads.
+            // All members contact the seeds first, and get what these have read.
             return true;
         }
         // Whoever starts in a large fleet has the list from members: with all reading it at
--- a/crates/soak/src/struck_fleet.rs
+++ b/crates/soak/src/struck_fleet.rs
@@ -80,6 +80,9 @@
 
     /// Lets all faults of a plan strike and end in their time.
     pub(crate) fn strike_all(&mut self, plan: &[PlannedFault], length: Duration) {
+        if plan.iter().any(|planned| matches!(planned.fault, Fault::Evacuate(_))) {
+            self.divide();
+        }
         let started = Instant::now();
         let mut next = plan.iter().peekable();
         while started.elapsed() < length {
@@ -274,7 +277,7 @@
             }
             FaultEnd::Return(number) => self.list(number, false),
             FaultEnd::Restore(number) => {
-                self.fleet.evacuate(&format!("zone-{number}"), false);
+                self.fleet.evacuate(&zone_of(usize::from(number)), false);
                 let listing =
                     UpstreamListing { upstream: number, leaving: false, at: Instant::now() };
                 self.evidence.listings.push(listing);
@@ -341,15 +344,17 @@
         self.ends.push((until, FaultEnd::Return(number)));
     }
 
+    /// Puts each upstream into a data centre of its own, away from the instances.
+    fn divide(&mut self) {
+        for (number, runner) in self.fleet.runners().into_iter().enumerate() {
+            self.fleet.zones.insert(runner.name.clone(), zone_of(number));
+        }
+        self.fleet.list_all();
+    }
+
     /// Evacuates the data centre of an upstream; like one that leaves it must get no more work in time.
     fn evacuate(&mut self, number: u8, until: Instant) {
-        let name = self.fleet.runners()[usize::from(number)].name.clone();
-        let zone = format!("zone-{number}");
-        if self.fleet.zones.get(&name) != Some(&zone) {
-            self.fleet.zones.insert(name, zone.clone());
-            self.list(number, false);
-        }
-        self.fleet.evacuate(&zone, true);
+        self.fleet.evacuate(&zone_of(usize::from(number)), true);
         let listing = UpstreamListing { upstream: number, leaving: true, at: Instant::now() };
         self.evidence.listings.push(listing);
         self.ends.push((until, FaultEnd::Restore(number)));
@@ -422,3 +427,8 @@
 fn struck(links: &[sync::Arc<Proxy>], number: Option<u8>) -> &[sync::Arc<Proxy>] {
     number.map_or(links, |number| &links[usize::from(number)..][..1])
 }
+
+/// The data centre of an upstream by its number.
+fn zone_of(number: usize) -> String {
+    format!("zone-{number}")
+}
--- a/crates/soak/src/zone_plan.rs
+++ b/crates/soak/src/zone_plan.rs
@@ -16,7 +16,7 @@
 /// Pause between two of them, milliseconds.
 const GAP_MS: ops::Range<u64> = 800..3_500;
 /// How long an evacuation or a cold phase lasts, milliseconds.
-const LENGTH_MS: ops::Range<u64> = 500..5_000;
+const LENGTH_MS: ops::Range<u64> = 1_000..7_000;
 
 /// Such faults through the whole run.
 pub(crate) fn faults(seed: u64, size: PlanSize) -> Vec<PlannedFault> {
