Keep a silent stream when no place can be had for its retry

Cause: behind the end of granting, 1.9 s before the end of a planned stop, a stream that was silent was still given up for a retry, which was then refused its place: the answer was cut in the middle.

Ruled out: the engine (it went on after 876 ms), the retry budget (a permit was there).

Change: InstanceContext::grants_places, asked before a stream is given up.

--- a/crates/instance/src/context.rs
+++ b/crates/instance/src/context.rs
@@ -19,6 +19,9 @@
 /// Age at which a process knows how many members there are; heartbeats are a second apart at most.
 const SURE_AGE: time::Duration = time::Duration::from_secs(3);
 
+/// Time to obtain a place.
+const PLACE_TIME: time::Duration = time::Duration::from_millis(200);
+
 /// A message to another member, or to all.
 #[derive(Debug)]
 pub struct Outgoing {
@@ -313,6 +316,11 @@
         closed.iter().filter(in_cell).map(|name| (*name).clone()).collect()
     }
 
+    /// Whether a request that asks for a place now may still get one, also during a planned stop.
+    pub fn grants_places(&self) -> bool {
+        self.places_until.get().is_none_or(|until| self.now() + PLACE_TIME < until)
+    }
+
     /// Connections to an upstream that this process keeps at rest, at most.
     pub fn resting_share(&self, upstream: &ids::UpstreamId) -> usize {
         let fleet = self.fleet.borrow();
--- a/crates/instance/src/stream_state.rs
+++ b/crates/instance/src/stream_state.rs
@@ -107,6 +107,7 @@
         let beside = (reach == upstream_attempt::RetryReach::OtherUpstream).then_some(engine);
         let allowed = call.route.repeat.allows_repeat()
             && reached < call.route.max_attempts
+            && context.grants_places()
             && self.has_engine(context, call, beside);
         let need = self.retry_need(retry_need::RetryNeed::Early);
         self.retry_taken =
