--- a/crates/core/src/beat_clock.rs
+++ b/crates/core/src/beat_clock.rs
@@ -4,8 +4,8 @@
 
 /// The times of one member's heartbeats.
 ///
-/// Members that begin together would speak together ever after: in a large fleet what one of them learns right behind
-/// that moment would reach those who hear of it by heartbeats alone a whole interval later. So each draws its place
+/// Members that start together would send at the same moments ever after: in a large fleet what one of them learns
+/// right after that moment would reach those who hear of it by heartbeats alone a whole interval later. So each draws its place
 /// in the interval, anew whenever that has changed.
 #[derive(Debug, Default)]
 pub struct BeatClock {
@@ -19,7 +19,7 @@
             return interval;
         }
         self.interval = interval;
-        // Never longer than the interval: nobody is to be taken for silent.
+        // Never longer than the interval, so that no live member is suspected.
         interval.mul_f64(drawn.clamp(0.0, 1.0))
     }
 }
--- a/crates/core/src/budget.rs
+++ b/crates/core/src/budget.rs
@@ -127,7 +127,7 @@
     }
 }
 
-/// The entry's side: portions in hand, and the fallback for when the keeper is out of reach.
+/// The entry's side: portions held, and the fallback for when the keeper is out of reach.
 #[derive(Debug, Default)]
 pub struct BudgetPurse {
     portions: collections::HashMap<ids::CustomerId, (f64, units::MonoTime)>,
@@ -137,7 +137,7 @@
 }
 
 impl BudgetPurse {
-    /// Spends from a portion in hand; `false` means a new one must be drawn first.
+    /// Spends from a portion held; `false` means a new one must be drawn first.
     pub fn spend(
         &mut self,
         now: units::MonoTime,
--- a/crates/core/src/connection_share.rs
+++ b/crates/core/src/connection_share.rs
@@ -1,4 +1,4 @@
-//! How many resting connections to one upstream a member keeps: an upstream accepts so many from all members together.
+//! How many resting connections to one upstream a member keeps: an upstream limits the number for all members together.
 
 use crate::{ids, rendezvous};
 
@@ -6,7 +6,7 @@
 /// for views that differ.
 const RESTING_PART: f64 = 0.5;
 
-/// Connections to an upstream that accepts `limit` which one of so many members keeps at rest, at most.
+/// Connections to an upstream that accepts `limit` that one of a number of members keeps at rest, at most.
 ///
 /// Where the shares are no whole connections, members differ: which of them keep one more follows from their names, so
 /// that all together keep to the part.
--- a/crates/core/src/connection_silence.rs
+++ b/crates/core/src/connection_silence.rs
@@ -19,7 +19,7 @@
 const KEPT_TIMES: f64 = 1.5;
 /// Part of the goal that is awaited at least; the rest is for the request on a new connection.
 const GOAL_PART: f64 = 0.6;
-/// Part of a wait in whose course a connection must have been heard to be trusted behind it. The
+/// Part of a wait in whose course a connection must have been heard to be trusted after it. The
 /// answer was due in the earlier part, so the silence had begun by its end.
 const TRUST_PART: f64 = 0.5;
 
--- a/crates/core/src/document_lag.rs
+++ b/crates/core/src/document_lag.rs
@@ -29,7 +29,7 @@
     }
 
     /// Takes in that the source, asked at `asked`, has nothing newer than the `own` version: a
-    /// version that was missed before then is one that nobody can give. Without this a member that
+    /// version that was missed before then is one that no member can give. Without this a member that
     /// claims such a version, or reads a document that this process rejects, cost ten calls a
     /// second.
     pub fn refute(&mut self, own: u64, asked: units::MonoTime) {
--- a/crates/core/src/document_source.rs
+++ b/crates/core/src/document_source.rs
@@ -10,7 +10,7 @@
 /// Time for which members are asked alone: three looks, so that one that is busy, gone or silent is
 /// followed by another. A change must be in force within two seconds on the smallest fleets.
 const MEMBERS_TIME: time::Duration = time::Duration::from_millis(450);
-/// Instances go on to the store over this time behind it, not all at once.
+/// Instances turn to the store spread over this time after it, not all at once.
 const SPREAD_TIME: time::Duration = time::Duration::from_millis(300);
 /// Time for which members alone are asked after the store failed to give it: waiting for it again takes
 /// a second or more of the time within which a change must be in force.
@@ -39,7 +39,7 @@
 }
 
 impl DocumentSource {
-    /// Of an instance that has asked nobody yet; `spread` is drawn from 0 to 1.
+    /// Of an instance that has not asked any member yet; `spread` is drawn from 0 to 1.
     pub fn new(spread: f64) -> Self {
         Self { spread, since: None, failed: None, damaged: false }
     }
--- a/crates/core/src/engine_ledger.rs
+++ b/crates/core/src/engine_ledger.rs
@@ -124,7 +124,7 @@
         self.draining
     }
 
-    /// Whether the engine has told of itself lately.
+    /// Whether the engine has reported recently.
     pub fn reachable(&self, now: units::MonoTime) -> bool {
         self.reported.is_some_and(|reported| now.since(reported) <= REPORT_LIMIT)
     }
@@ -225,7 +225,7 @@
         self.advance(now)
     }
 
-    /// Takes in the engine's own word and cancels what nobody wants any more.
+    /// Applies the engine's own report and cancels work without a lease.
     pub fn report(
         &mut self,
         now: units::MonoTime,
@@ -384,7 +384,7 @@
 
     fn grant_waiting(&mut self, now: units::MonoTime) -> Vec<placement::LedgerAction> {
         let mut actions = Vec::new();
-        // A scheduler that slept knows nothing of its engine until the engine has told it.
+        // A scheduler that was paused knows nothing of its engine until the engine has reported.
         while self.reachable(now) && !self.queue.is_empty() {
             let mut room = self.room();
             let over = self.waiting_over_share(now);
--- a/crates/core/src/engine_place.rs
+++ b/crates/core/src/engine_place.rs
@@ -95,7 +95,7 @@
     pub back_after_ms: u32,
     /// Expected time to the first token of a long prompt, milliseconds.
     pub expected_ms: Option<u32>,
-    /// Requests that run, of so many that could.
+    /// Running requests and the most that can run.
     pub running: u32,
     /// Requests that all engines together could run.
     pub slots: u32,
@@ -155,11 +155,11 @@
     Silent,
 }
 
-/// What a planner is told about a place that it gave, or about an engine.
+/// What a planner learns about a place that it granted, or about an engine.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum PlaceNote {
     /// The prompt has been read; the answer begins. With it, the requests that its engine ran and
-    /// held in its queue just then, where the engine tells.
+    /// held in its queue just then, if the engine reports it.
     FirstToken(JobId, Option<u16>),
     /// The attempt is over, or waits no longer.
     Ended(JobId, PlaceEnd),
--- a/crates/core/src/entry_router.rs
+++ b/crates/core/src/entry_router.rs
@@ -137,7 +137,7 @@
         self.store.confirm(now, age);
     }
 
-    /// Number of times the process was found to have slept.
+    /// Number of detected pauses of the process.
     ///
     /// Whoever asks a source notes it before, and hands it to [`Self::heard`] with the answer.
     pub fn wakes(&self) -> u64 {
@@ -169,7 +169,7 @@
         &self.list
     }
 
-    /// Whether requests may be taken: settings and list are known, and the process has not slept
+    /// Whether requests may be taken: settings and list are known, and the process has not been paused
     /// since it last asked for newer ones.
     pub fn ready(&mut self, now: units::MonoTime) -> bool {
         self.wake.notice(now);
@@ -230,7 +230,7 @@
         Ok((tree, resolved))
     }
 
-    /// Takes the request's tokens from the customer's budget, if there is a portion in hand.
+    /// Takes the request's tokens from the customer's budget, if there is a portion held.
     pub fn spend(
         &mut self,
         now: units::MonoTime,
--- a/crates/core/src/fair_queue.rs
+++ b/crates/core/src/fair_queue.rs
@@ -2,7 +2,7 @@
 //!
 //! The next item is the one with the earliest finish tag: what its customer has used so far plus
 //! the item's own cost, both divided by the customer's weight. So a flooding customer's items fall
-//! behind everybody else's, and a short item of an idle customer goes first. An item that has
+//! after all others', and a short item of an idle customer goes first. An item that has
 //! waited past its `overdue` time goes before all others, so that long ones still finish in time.
 
 use std::collections;
@@ -133,7 +133,7 @@
             self.items.iter().map(|item| &item.customer).collect();
         let least = waiting.iter().filter_map(|customer| self.used.get(*customer)).copied();
         let least = least.min_by(f64::total_cmp);
-        // With nobody waiting, the next to come starts level with whoever was served last.
+        // With an empty queue the next item starts level with the one served last.
         let least = least.or_else(|| self.used.values().copied().max_by(f64::total_cmp));
         self.clock = self.clock.max(least.unwrap_or(self.clock));
         // An idle customer behind the clock is treated like a new one and need not be remembered.
--- a/crates/core/src/fleet_budget.rs
+++ b/crates/core/src/fleet_budget.rs
@@ -1,7 +1,7 @@
 //! The retry budget of the fleet and this member's share of it.
 //!
 //! The budget grows with the requests of all members, so each may use what its own requests add. The fixed part is a
-//! shared quota: one part is split evenly, for members that reach nobody, and the rest is granted by its coordinator.
+//! shared quota: one part is split evenly, for partitioned members, and the rest is granted by its coordinator.
 
 use std::{collections, time};
 
--- a/crates/core/src/histogram.rs
+++ b/crates/core/src/histogram.rs
@@ -36,7 +36,7 @@
     band.map_or("over_300k", |(_, name)| name)
 }
 
-/// Largest value told apart, in milliseconds.
+/// Largest value that is distinguished, in milliseconds.
 const MAX_MILLIS: u64 = 3_600_000;
 /// Significant digits kept.
 const DIGITS: u8 = 2;
--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -152,7 +152,7 @@
         self.0.split_once(START_MARK).map_or(&*self.0, |(identifier, _)| identifier)
     }
 
-    /// Which start it is, where the upstream tells.
+    /// Which start it is, if the upstream reports it.
     pub fn start(&self) -> Option<UpstreamStart> {
         self.0.split_once(START_MARK)?.1.parse().ok()
     }
--- a/crates/core/src/member_beat.rs
+++ b/crates/core/src/member_beat.rs
@@ -6,7 +6,7 @@
 
 use crate::ids;
 
-/// Every so many heartbeats one is whole.
+/// Period, in heartbeats, of a complete one.
 const WHOLE_BEATS: u64 = 16;
 
 /// What a member says of itself.
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -66,7 +66,7 @@
     Cancel(ids::AttemptId, CancelReason),
 }
 
-/// Why an engine is told to give an attempt up.
+/// Why an engine is ordered to cancel an attempt.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum CancelReason {
     /// Its entry has not renewed its lease for the whole grace.
--- a/crates/core/src/planner/admission.rs
+++ b/crates/core/src/planner/admission.rs
@@ -57,7 +57,7 @@
         // Engines may be free sooner than they were expected to be.
         jobs.iter_mut().for_each(|job| job.late = job.goal_left(self.now) <= 0.0);
         let earned = |at: &usize| {
-            // Short requests take the engines of what earns less; nobody can tell for how long.
+            // Short requests take the engines of less valuable ones for an unknown time.
             self.price.is_earned(self.now, &self.table.shape, jobs[*at])
         };
         let mut order: Vec<_> = (0..jobs.len()).filter(earned).collect();
@@ -117,7 +117,7 @@
             }
             let missed = booking.first_ms > job.due_ms(self.now) && !job.ask.resumed;
             if !missed && !allowed {
-                // It waits until nobody suffers from it.
+                // It waits until it delays no other request.
                 continue;
             }
             booked.push(GivenUp { at: *at, expected_ms: booking.first_ms });
--- a/crates/core/src/planner/engine_limits.rs
+++ b/crates/core/src/planner/engine_limits.rs
@@ -1,4 +1,4 @@
-//! Engines that take so many requests a second of all instances: what this process may give of that, and what another
+//! Engines with a rate limit for all instances: what this process may grant of it, and what another
 //! one keeps.
 
 use std::{collections, time};
@@ -55,7 +55,7 @@
         }
     }
 
-    /// Gives leave for each of these engines that has a limit; which of them do.
+    /// Grants a permit for each of these engines that has a limit; returns which of them do.
     pub(crate) fn take<'a>(
         &mut self,
         now: units::MonoTime,
--- a/crates/core/src/planner/engine_view.rs
+++ b/crates/core/src/planner/engine_view.rs
@@ -43,7 +43,7 @@
 /// Part of its worth that an answer loses by one long pause.
 const LOST_PART: f64 = 0.75;
 
-/// Pause goals beyond which nobody may be kept waiting by plan: behind 8 of them callers leave.
+/// Pause goals beyond which a plan keeps no request waiting: after 8 of them callers leave.
 const MAX_PAUSES: f64 = 6.0;
 
 impl EngineView<'_> {
--- a/crates/core/src/planner/engine_work.rs
+++ b/crates/core/src/planner/engine_work.rs
@@ -139,7 +139,7 @@
     /// Begins the next pass; `false` where there is nothing to do.
     fn begin_pass(&mut self) -> bool {
         if self.writers.is_empty() {
-            // Without steps in between, one part is read behind the other.
+            // Without steps in between, one part is read after the other.
             let Some(part) = self.pending.pop_front() else {
                 return false;
             };
@@ -194,7 +194,7 @@
         self.ejected_until = self.ejected_until.max(now + time);
     }
 
-    /// Whether it is left alone: for a while behind a failure, and then until the first token of the
+    /// Whether it is left alone: for a while after a failure, and then until the first token of the
     /// one request that finds out whether it is sound again.
     pub(crate) fn is_ejected(&self, now: units::MonoTime, way: ways::EngineFaultWay) -> bool {
         let probed =
@@ -258,7 +258,7 @@
     }
 
     /// How far it is behind what was expected of it, milliseconds: it does something that its
-    /// planner does not know of, and nobody can tell for how long.
+    /// planner does not know of, for an unknown time.
     fn behind_ms(&self, now: units::MonoTime) -> f64 {
         let oldest = self.expected.values().min();
         let late = oldest.map_or(time::Duration::ZERO, |due| now.since(*due));
--- a/crates/core/src/planner/mod.rs
+++ b/crates/core/src/planner/mod.rs
@@ -142,7 +142,7 @@
         self.table.advance(now);
         if self.is_short(&job.ask) {
             if self.table.limited_rate(&[]).is_some() {
-                // Leaves come one by one: who asks as one is due stands behind those that wait for it.
+                // Permits are granted one by one: a request that asks as one is due queues after those that wait for it.
                 let answers = self.tick_short(now);
                 self.settled.extend(answers);
             }
@@ -175,7 +175,7 @@
         answers
     }
 
-    /// Takes in what a member tells of one of its requests.
+    /// Applies what a member reports of one of its requests.
     pub fn note(&mut self, now: units::MonoTime, note: &engine_place::PlaceNote) {
         match note {
             engine_place::PlaceNote::FirstToken(job, requests) => {
@@ -240,7 +240,7 @@
         self.table.set_report(name, pace, requests);
     }
 
-    /// Whether a request is read by one engine, packed beside others like it.
+    /// Whether a request is read by one engine, packed with others like it.
     fn is_short(&self, ask: &engine_place::PlaceAsk) -> bool {
         ask.tight || self.options.routing != settings::RoutingKind::ExpectedStart
     }
@@ -335,7 +335,7 @@
     }
 
     /// Refuses a short request that limits keep from all engines for longer than it can wait: any until it is late, one
-    /// that came back for longer. It is told so at once, as who has waited in vain has lost more.
+    /// that came back for longer. It is refused at once, as a request that has waited without success has lost more.
     fn refuse_limited(
         &mut self,
         now: units::MonoTime,
--- a/crates/core/src/planner/place_table/figures.rs
+++ b/crates/core/src/planner/place_table/figures.rs
@@ -51,7 +51,7 @@
         open.map(|name| self.limits.rate(name)).sum()
     }
 
-    /// A refusal that tells how many places are taken.
+    /// A refusal with the number of places taken.
     pub(crate) fn refusal(
         &self,
         job: engine_place::JobId,
--- a/crates/core/src/planner/place_table/mod.rs
+++ b/crates/core/src/planner/place_table/mod.rs
@@ -34,7 +34,7 @@
     renewed: units::MonoTime,
     /// When its answer began; nothing before.
     writing_since: Option<units::MonoTime>,
-    /// Engines with a limit that it was given leave for.
+    /// Engines with a limit for which it holds a permit.
     paced: Vec<ids::UpstreamId>,
 }
 
@@ -53,7 +53,7 @@
     answer_ms: f64,
     /// Smallest pause goal seen, milliseconds; infinite before any.
     tightest_ms: f64,
-    /// Engines that take only so many requests.
+    /// Engines with a limit.
     pub(crate) limits: engine_limits::EngineLimits,
 }
 
--- a/crates/core/src/planner/plain_choice.rs
+++ b/crates/core/src/planner/plain_choice.rs
@@ -1,4 +1,4 @@
-//! The choice of a plain router, to compare with: one engine, at once, read by nobody else.
+//! The choice of a plain router, to compare with: one engine, at once, without helpers.
 
 use crate::{
     engine_place, pass_model,
--- a/crates/core/src/planner/price.rs
+++ b/crates/core/src/planner/price.rs
@@ -15,7 +15,7 @@
 const LOAD_TIME: time::Duration = time::Duration::from_secs(3);
 /// Largest load that is believed: something is always left over.
 const MAX_LOAD: f64 = 0.95;
-/// Load of others below which a prompt takes nobody's time.
+/// Load of others below which a prompt takes no other request's time.
 const ALONE_LOAD: f64 = 0.1;
 /// Weight of the newest prompt in the mean.
 const READING_WEIGHT: f64 = 0.05;
@@ -71,13 +71,13 @@
         self.demand_since = now;
     }
 
-    /// Part of what limits of all engines let through, so many a second, that long prompts have asked for lately.
+    /// Part of the summed rate limits of all engines that long prompts have asked for recently.
     pub(crate) fn limited_load(&self, now: units::MonoTime, rate: f64) -> f64 {
         let asked = self.demand_count * self.left(now);
         (asked / (LOAD_TIME.as_secs_f64() * rate)).min(MAX_LOAD)
     }
 
-    /// Part of so many engines' time that long prompts have asked for lately; nothing where this one
+    /// Part of the engines' time that long prompts have asked for recently; nothing where this one
     /// was nearly alone.
     pub(crate) fn load(
         &self,
--- a/crates/core/src/planner/short_choice.rs
+++ b/crates/core/src/planner/short_choice.rs
@@ -38,7 +38,7 @@
 }
 
 impl ShortChoice<'_> {
-    /// The engine that loses least; with `calm` only one that is in time and where nobody suffers.
+    /// The engine that loses least; with `calm` only one that is in time and delays no other request.
     pub(crate) fn choose(
         &self,
         now: units::MonoTime,
@@ -67,7 +67,7 @@
         })
     }
 
-    /// Whether an engine can read a prompt at once and nobody there suffers.
+    /// Whether an engine can read a prompt at once without delaying other requests.
     fn is_calm(
         &self,
         view: &engine_view::EngineView<'_>,
--- a/crates/core/src/planner/timetable.rs
+++ b/crates/core/src/planner/timetable.rs
@@ -45,7 +45,7 @@
     permit_ms: f64,
     /// Time until the first token, milliseconds.
     pub(crate) first_ms: f64,
-    /// That time, and what those behind it lose by it, milliseconds.
+    /// That time, and what later ones lose by it, milliseconds.
     pub(crate) cost_ms: f64,
 }
 
@@ -86,7 +86,7 @@
 }
 
 impl<'a> ReadTimetable<'a> {
-    /// A timetable of engines as they are now, for so many prompts.
+    /// A timetable of engines as they are now, for a number of prompts.
     pub(crate) fn new(
         shape: &'a route_table::EngineShape,
         views: Vec<engine_view::EngineView<'a>>,
@@ -96,7 +96,7 @@
         Self { shape, views, waiting, ms_per_worth }
     }
 
-    /// The reading of a prompt behind all that is booked that costs least, at most so much worth
+    /// The cheapest reading of a prompt after all that is booked, at most this much worth
     /// lost by others; `None` where no engine may be used.
     pub(crate) fn soonest(
         &self,
@@ -127,7 +127,7 @@
         self.shape.memory.0 as f64 * place_table::MEMORY_PART
     }
 
-    /// The best reading in so many parts.
+    /// The best reading in this number of parts.
     fn in_parts(
         &self,
         usable: &[usize],
@@ -181,7 +181,7 @@
         ReadingRow { at, harm, start_ms, first_ms, cost_ms }
     }
 
-    /// Notes a reading as booked: what is asked for next comes behind it.
+    /// Notes a reading as booked: what is asked for next comes after it.
     pub(crate) fn book(&mut self, booking: &ReadBooking) {
         for at in &booking.engines {
             let view = &mut self.views[*at];
--- a/crates/core/src/planner/waiting_job.rs
+++ b/crates/core/src/planner/waiting_job.rs
@@ -6,7 +6,7 @@
 const GOAL_PART: f64 = 0.93;
 /// Time on the way to an engine and back, and until the planner looks again, milliseconds.
 const WAY_MS: f64 = 40.0;
-/// Part of a caller's patience that a plan may use; behind it the caller has left.
+/// Part of a caller's patience that a plan may use; after it the caller has left.
 const PATIENCE_PART: f64 = 0.9;
 /// Part of its worth that a request keeps that comes late.
 pub(crate) const LATE_PART: f64 = 0.25;
@@ -16,7 +16,7 @@
 pub(crate) struct WaitingJob {
     pub(crate) ask: engine_place::PlaceAsk,
     pub(crate) since: units::MonoTime,
-    /// Whether it is planned to come late, behind all that can be in time; worked out at each plan.
+    /// Whether it is planned to be late, after all that can be in time; worked out at each plan.
     pub(crate) late: bool,
     /// Whether it was late once and not refused.
     pub(crate) kept: bool,
--- a/crates/core/src/planner/ways.rs
+++ b/crates/core/src/planner/ways.rs
@@ -64,7 +64,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum LeavingNewsWay {
-    /// Whoever an upstream tells, tells all at once.
+    /// A member that an upstream has informed informs all at once.
     #[default]
     All,
     /// Each from the upstream itself, or from the list.
@@ -139,7 +139,7 @@
     pub engine_faults: EngineFaultWay,
     /// Refusal of short prompts.
     pub short_refusal: ShortRefusalWay,
-    /// Return behind a rest.
+    /// Return after a rest.
     pub rest_return: upstream_notice::RestReturnWay,
     /// News of upstreams that leave.
     pub leaving_news: LeavingNewsWay,
--- a/crates/core/src/planner_key.rs
+++ b/crates/core/src/planner_key.rs
@@ -43,7 +43,7 @@
     }
 }
 
-/// Number of cells of so many listed engines. Engines that take no new work count, as planners lose the state of
+/// Number of cells for a number of listed engines. Engines that take no new work count, as planners lose the state of
 /// engines that change cells.
 pub fn cell_count(engines: usize) -> u16 {
     u16::try_from(engines.div_ceil(CELL_ENGINES).max(1)).unwrap_or(u16::MAX)
@@ -56,8 +56,8 @@
     rendezvous::jump_bucket(hash, cells.max(1))
 }
 
-/// The planner that a request asks, of a service with so many cells and these engines: that of an engine `drawn` among
-/// them, so that each cell is asked as often as it has engines. Cells differ: two of
+/// The planner that a request asks, of a service with this number of cells and these engines: that of an engine
+/// `drawn` among them, so that each cell is asked as often as it has engines. Cells differ: two of
 /// 150 engines have 72 and 78, and asked alike the smaller one is a twelfth fuller.
 ///
 /// Of cells that have `refused` the request none is asked again, and none all of whose engines are `closed` to
--- a/crates/core/src/quota_ledger.rs
+++ b/crates/core/src/quota_ledger.rs
@@ -15,8 +15,8 @@
 /// Longest backoff of a member that was refused. It bounds the capacity reserved for members that have nothing left to
 /// send, and the time that an increased rate stays unused.
 const MAX_BACK: time::Duration = time::Duration::from_secs(2);
-/// Members invited to request again for each permit: not each of them still has a request by then, and a permit that
-/// nobody requests is lost.
+/// Members invited to request again for each permit: not each of them still has a request by then, and an unrequested
+/// permit is lost.
 const TURNS_EACH: u32 = 4;
 /// Window over which granted permits are reported to operators.
 const TOLD_TIME: time::Duration = time::Duration::from_secs(4);
--- a/crates/core/src/refusal.rs
+++ b/crates/core/src/refusal.rs
@@ -25,7 +25,7 @@
         }
     }
 
-    /// The word callers read.
+    /// The code that callers read.
     pub fn label(self) -> &'static str {
         match self {
             Self::No => "no",
@@ -58,7 +58,7 @@
     OutOfMemory,
     /// No engine or upstream takes it now.
     NoUpstream,
-    /// It cannot be told whether a call with this key has run.
+    /// It is unknown whether a call with this key has run.
     KeyInDoubt,
     /// The settings are not known yet, or not confirmed for too long.
     NotReady,
@@ -92,7 +92,7 @@
         }
     }
 
-    /// The stable word that programs compare.
+    /// The stable code that programs compare.
     pub fn label(self) -> &'static str {
         match self {
             Self::BadRequest => "bad_request",
@@ -113,7 +113,7 @@
         }
     }
 
-    /// The code a word stands for.
+    /// The reason of a code.
     pub fn from_label(word: &str) -> Option<Self> {
         ALL_CODES.iter().copied().find(|code| code.label() == word)
     }
@@ -173,7 +173,7 @@
         self
     }
 
-    /// The same refusal with another word on whether it ran.
+    /// The same refusal with another statement on whether it ran.
     pub fn ran(mut self, ran: RanState) -> Self {
         self.ran = ran;
         self
@@ -189,7 +189,7 @@
 ///
 /// Nobody can tell when it comes; that it takes as long again is the best guess, as outages last from
 /// a fraction of a second to minutes. Callers try again once or twice: of those that meet an outage of four
-/// seconds, told to come back after 0.5 s, one in eight comes back to a process that serves; told this, half.
+/// seconds, with 0.5 s as the time to come back, one in eight comes back to a process that serves; with this, half.
 pub fn outage_return(away: time::Duration, patience: time::Duration) -> time::Duration {
     away.min(patience.mul_f64(RETURN_PART)).max(MIN_RETRY_AFTER)
 }
@@ -205,8 +205,8 @@
 
 /// When a caller should come back whose upstreams all rest, the first of them for `left` more.
 ///
-/// Never before that, also where its caller has less time: it then knows that waiting is in vain. Spread over as
-/// long as the rest `lasted`, as all that came in it come back: told its end alone they return all at once.
+/// Never before that, also where its caller has less time: it then knows that waiting is useless. Spread over as
+/// long as the rest `lasted`, as all that came in it come back: with its end alone they return all at once.
 pub fn rest_return(
     left: time::Duration,
     lasted: time::Duration,
--- a/crates/core/src/rendezvous.rs
+++ b/crates/core/src/rendezvous.rs
@@ -45,7 +45,7 @@
     hasher.finish()
 }
 
-/// The same number for the same bytes on every build and machine: tells texts apart, and proves nothing
+/// The same number for the same bytes on every build and machine: distinguishes texts, and proves nothing
 /// against forgery.
 pub fn stable_digest(bytes: &[u8]) -> u64 {
     use hash::Hasher as _;
--- a/crates/core/src/route_table.rs
+++ b/crates/core/src/route_table.rs
@@ -11,7 +11,7 @@
     Repeatable,
     /// Once at most.
     AtMostOnce,
-    /// A stream that another upstream may carry on behind the last event delivered.
+    /// A stream that another upstream may carry on after the last event delivered.
     Resumable,
 }
 
@@ -21,7 +21,7 @@
         self != Self::AtMostOnce
     }
 
-    /// The word that logs and explanations use.
+    /// The term that logs and explanations use.
     pub fn label(self) -> &'static str {
         match self {
             Self::Repeatable => "repeatable",
--- a/crates/core/src/search_budget.rs
+++ b/crates/core/src/search_budget.rs
@@ -29,7 +29,7 @@
         self.extra = (self.extra + EXTRA_EACH).min(EXTRA_MOST);
     }
 
-    /// Whether a request refused by so many cells tries another one; draws on the budget.
+    /// Whether a request that was refused by this number of cells tries another one; draws on the budget.
     pub fn take(&mut self, refused: usize) -> bool {
         if refused < FREE_CELLS {
             return true;
--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -210,7 +210,7 @@
     Once,
 }
 
-/// A plain service beside the engines.
+/// A plain service, not backed by engines.
 #[derive(Debug, Clone, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct ServiceNode {
@@ -388,7 +388,7 @@
     Ok(())
 }
 
-/// A budget belongs to a customer; below it there is nobody to keep one.
+/// A budget belongs to a customer; below it no process keeps one.
 fn check_no_budget(path: &str, options: &NodeOptions) -> Result<(), SettingsError> {
     let expected = "only fleet and customers to set it";
     if let Some(rate) = options.token_rate {
--- a/crates/core/src/settings_resolve.rs
+++ b/crates/core/src/settings_resolve.rs
@@ -142,7 +142,7 @@
     /// Finds whom a key names.
     ///
     /// The start of the digest finds the few that may be meant, and the whole is compared in
-    /// constant time. What the look-up's time tells is a part of a digest, not of a key.
+    /// constant time. What the look-up's time reveals is a part of a digest, not of a key.
     pub fn identify(&self, key: &str) -> Option<CallerIdentity> {
         let digest = key_digest(key);
         let known = self.callers.get(settings::index_part(&digest))?;
--- a/crates/core/src/upstream_health.rs
+++ b/crates/core/src/upstream_health.rs
@@ -8,7 +8,7 @@
 
 use crate::units;
 
-/// Pause behind the first failure in a row; doubles with each further one. Calls take some tens of
+/// Pause after the first failure in a row; doubles with each further one. Calls take some tens of
 /// milliseconds, and most faults last for seconds.
 const FIRST_PAUSE: time::Duration = time::Duration::from_millis(500);
 /// Longest pause: an upstream that is sound again has its share back within it.
@@ -16,14 +16,14 @@
 /// First pause of one that is not at its address any more. It does not come back by itself: its
 /// entry changes or goes, mostly within three seconds.
 const GONE_PAUSE: time::Duration = time::Duration::from_secs(3);
-/// Pause behind a refusal for want of room, by which an upstream does its part: about the time that
+/// Pause after a refusal for want of room, by which an upstream does its part: about the time that
 /// a place there takes to come free.
 const FULL_PAUSE: time::Duration = time::Duration::from_millis(50);
 /// Doublings of a pause at most.
 const MAX_DOUBLINGS: u32 = 5;
 /// A probe without an end so long is taken for lost, as where its caller has left.
 const PROBE_TIME: time::Duration = time::Duration::from_secs(2);
-/// Time for which what one member was told needs no repeating by another: many are told at once.
+/// Time for which a notice to one member is not repeated by another: many are informed at once.
 const NEWS_INTERVAL: time::Duration = time::Duration::from_millis(500);
 /// Weight of the newest call in the running mean of failures.
 const FAILURE_WEIGHT: f64 = 0.2;
@@ -53,14 +53,14 @@
 pub struct UpstreamHealth {
     /// Calls in a row that it did not do its part for.
     run: u32,
-    /// Until when it is left alone; no later than [`MAX_PAUSE`] behind the last failure.
+    /// Until when it is left alone; no later than [`MAX_PAUSE`] after the last failure.
     alone_until: units::MonoTime,
-    /// When the call began that finds out whether it is sound again; only behind a failure.
+    /// When the call began that finds out whether it is sound again; only after a failure.
     probe: Option<units::MonoTime>,
     /// Share of calls that failed lately, as of `counted`.
     failing: f64,
     counted: units::MonoTime,
-    /// When a member last told that it is gone.
+    /// When a member last reported that it is gone.
     gone_heard: Option<units::MonoTime>,
 }
 
@@ -70,7 +70,7 @@
         self.run == 0
     }
 
-    /// Whether a call is to find out whether it is sound again: nobody else would ever tell, as one
+    /// Whether a call is to find out whether it is sound again: no other signal would show it, as one
     /// that is avoided gets no calls. Those that may be repeated do so first.
     pub fn wants_probe(&self, now: units::MonoTime, repeatable: bool) -> bool {
         let due = if repeatable { self.alone_until } else { self.alone_until + REPEATABLE_TIME };
@@ -103,7 +103,7 @@
                 self.run = 0;
                 return;
             }
-            // Its share tells; whether this one call or the upstream is the cause, nobody knows.
+            // Its share decides; whether this one call or the upstream is the cause is unknown.
             CallResult::Erred => return,
             CallResult::Full => FULL_PAUSE,
             CallResult::Failed => FIRST_PAUSE,
@@ -114,7 +114,7 @@
         self.run += 1;
     }
 
-    /// Takes in that a member, or this process, was told that it is gone; returns whether that has
+    /// Records that a member, or this process, was informed that it is gone; returns whether that has
     /// not been heard for a while.
     pub fn receive_gone(&mut self, now: units::MonoTime) -> bool {
         let news = self.gone_heard.is_none_or(|heard| now.since(heard) >= NEWS_INTERVAL);
--- a/crates/core/src/upstream_list.rs
+++ b/crates/core/src/upstream_list.rs
@@ -14,7 +14,7 @@
 /// surely gone: the source's own outage is likelier than all of them leaving.
 const DOUBT_SHARE: f64 = 0.5;
 /// How long the starts of an upstream that is not listed any more are remembered: writes of one that
-/// is over may come seconds late, also behind a lapse.
+/// is over may come seconds late, also after a lapse.
 const START_MEMORY: time::Duration = time::Duration::from_secs(30);
 
 /// One upstream of a service, engine or not.
@@ -199,7 +199,7 @@
             || self.usable(&entry.service).iter().any(|usable| usable.name == entry.name)
     }
 
-    /// Whether nobody says that an upstream leaves, and its data centre is not evacuated.
+    /// Whether an upstream is not known to leave, and its data centre is not evacuated.
     fn is_staying(&self, entry: &UpstreamEntry) -> bool {
         entry.state == fleet_list::ListState::Live
             && self.notices.leaving(&entry.name).is_none()
@@ -266,11 +266,11 @@
         self.entries.values()
     }
 
-    /// Takes in which start an upstream itself told, asked at `asked`; returns whether it is another
+    /// Records which start an upstream itself reported, asked at `asked`; returns whether it is another
     /// than the one believed to be present.
     ///
     /// Starts say other, not newer, as clocks may be wrong. What decides is who speaks, and when:
-    /// the upstream's own word, asked for after the present start became known, is true whatever
+    /// the upstream's own report, asked for after the present start became known, is true whatever
     /// the list said; one that was on its way already may be of the start before. The list's newer
     /// word replaces the present one; a start that is over must be named for some seconds, as a write
     /// of it may be late.
@@ -286,7 +286,7 @@
         };
         let before = entry.name.start();
         let since = self.starts.get(name.identifier()).map(|record| record.known_since);
-        // Where the list tells no starts, there is nothing to compare with.
+        // Where the list has no starts, there is nothing to compare with.
         if before.is_none() || since.is_some_and(|since| asked < since) {
             return false;
         }
--- a/crates/core/src/upstream_notice.rs
+++ b/crates/core/src/upstream_notice.rs
@@ -138,7 +138,7 @@
         age: time::Duration,
     ) -> bool {
         let since = now.earlier_by(age);
-        // Gossip must not keep a start known that nobody lists.
+        // Gossip must not preserve a start that is not listed.
         let notice = self.notice(since, name);
         match &mut notice.leaving {
             Some(known) if known.source == NoticeSource::List => {
--- a/crates/entry/src/budget_step.rs
+++ b/crates/entry/src/budget_step.rs
@@ -7,7 +7,7 @@
 
 use crate::{event, request_context};
 
-/// Takes the tokens from a portion in hand, or from one drawn from the customer's keeper, or
+/// Takes the tokens from a portion held, or from one drawn from the customer's keeper, or
 /// without the keeper where that is out of reach.
 pub async fn take(
     context: &request_context::EntryContext,
--- a/crates/entry/src/documents.rs
+++ b/crates/entry/src/documents.rs
@@ -7,7 +7,7 @@
 
 use crate::event;
 
-/// Schedulers of other instances that an entry asks when the one beside it is silent.
+/// Schedulers of other instances that an entry asks when its own one is silent.
 const OTHER_SCHEDULERS: usize = 2;
 
 /// What the director makes known of its documents.
@@ -31,7 +31,7 @@
 }
 
 impl EntryDocuments {
-    /// The documents that `summary` tells of, which change only through `events`.
+    /// The documents in `summary`, which change only through `events`.
     pub fn new(
         local: rc::Rc<local_settings::LocalSettings>,
         summary: rc::Rc<DocumentSummary>,
--- a/crates/entry/src/event.rs
+++ b/crates/entry/src/event.rs
@@ -35,7 +35,7 @@
     pub voters: Vec<(ids::InstanceId, net::SocketAddr)>,
 }
 
-/// Something told to or asked of the director.
+/// A message to the director.
 pub enum EntryEvent {
     /// Who calls, and may it?
     Plan(
--- a/crates/entry/src/model_answer.rs
+++ b/crates/entry/src/model_answer.rs
@@ -1,4 +1,4 @@
-//! Passes an engine's answer on to the caller, and tells a whole one from a cut one.
+//! Passes an engine's answer on to the caller, and distinguishes a whole one from a cut one.
 
 use slipturn_core::{histogram, units};
 use slipturn_net::{http_client, http_server};
--- a/crates/entry/src/model_request.rs
+++ b/crates/entry/src/model_request.rs
@@ -51,7 +51,7 @@
     pub(crate) tried: Vec<ids::EngineId>,
     /// Whether any attempt so far ran, as far as is known. Never goes back to `No`.
     pub(crate) ran: refusal::RanState,
-    /// Times between pieces of the answer, told to the director once, at the end.
+    /// Times between pieces of the answer, reported to the director once, at the end.
     pub(crate) intervals: Vec<time::Duration>,
     /// Set when the first piece goes out; from then on there is no other attempt.
     pub(crate) first_token: Option<units::MonoTime>,
--- a/crates/entry/src/renewal.rs
+++ b/crates/entry/src/renewal.rs
@@ -1,7 +1,7 @@
 //! Tells schedulers, now and then, which places are still in use.
 //!
 //! The scheduler asked may be another than the one that gave the place: whoever owns the engine by
-//! the list in force learns of the attempt, and so does not take it for one nobody wants.
+//! the list in force learns of the attempt, and so does not take it for an abandoned one.
 
 use std::{rc, time};
 
--- a/crates/entry/src/request_context.rs
+++ b/crates/entry/src/request_context.rs
@@ -78,7 +78,7 @@
         rc::Rc::clone(locks.entry(customer.clone()).or_default())
     }
 
-    /// Forgets locks that nobody holds or waits for.
+    /// Drops unused locks.
     pub fn prune(&self) {
         self.0.borrow_mut().retain(|_, lock| rc::Rc::strong_count(lock) > 1);
     }
--- a/crates/entry/src/service_request.rs
+++ b/crates/entry/src/service_request.rs
@@ -42,7 +42,7 @@
     pub idempotency: Option<String>,
     /// The service called.
     pub service: ids::ServiceId,
-    /// Method, headers and the path behind the service's name.
+    /// Method, headers and the path after the service's name.
     pub head: http::request::Parts,
     /// When its last body byte had arrived.
     pub arrived: units::MonoTime,
@@ -50,7 +50,7 @@
 
 /// An attempt's answer, or why there is none.
 type AttemptResult = Result<AttemptAnswer, upstream_call::AttemptFault>;
-/// The answer of an attempt behind which the call has gone out anew.
+/// The answer of an attempt after which the call has gone out anew.
 type LateAnswer = future::LocalBoxFuture<'static, AttemptResult>;
 
 /// A whole answer, and the attempt whose it is.
--- a/crates/entry/src/upstream_call.rs
+++ b/crates/entry/src/upstream_call.rs
@@ -42,7 +42,7 @@
         Self { failure, text: error.to_string() }
     }
 
-    /// Whether the request ran, as far as this fault tells.
+    /// Whether the request ran, as far as this fault shows.
     pub fn ran(&self) -> refusal::RanState {
         match self.failure {
             retry::AttemptFailure::BrokeMidAnswer => refusal::RanState::Yes,
--- a/crates/instance/src/border.rs
+++ b/crates/instance/src/border.rs
@@ -58,7 +58,7 @@
     pub left: time::Duration,
     /// 0 is the most urgent; `None` leaves it to the upstream.
     pub priority: Option<u8>,
-    /// The event behind which a stream goes on.
+    /// The event after which a stream goes on.
     pub last_event: Option<&'a str>,
     /// Engines that read parts of the prompt, with the ticket of the memory set aside there.
     pub helpers: Vec<(net::SocketAddrV4, Option<String>)>,
@@ -89,7 +89,7 @@
 }
 
 impl UpstreamAnswer {
-    /// Requests running and waiting, where it tells.
+    /// Requests running and waiting, if reported.
     pub fn requests(&self) -> Option<u16> {
         let (running, waiting, _) = self.load?;
         u16::try_from(running.saturating_add(waiting)).ok()
@@ -107,9 +107,9 @@
     pub waiting: u32,
     /// Tokens in use.
     pub used: u64,
-    /// Memory set aside, where the engine tells.
+    /// Memory set aside, if the engine reports it.
     pub tickets: Option<Vec<TicketReport>>,
-    /// Which start of the engine reports, where it tells.
+    /// Which start of the engine reports, if it names it.
     pub start: Option<ids::UpstreamStart>,
 }
 
@@ -121,7 +121,7 @@
     }
 }
 
-/// Memory set aside, as an engine tells of it.
+/// Memory set aside, as an engine reports it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct TicketReport {
     /// Its ticket.
@@ -161,13 +161,13 @@
 
 /// The upstreams' side.
 pub trait UpstreamBorder {
-    /// The head of a request to an upstream; the length is added behind it.
+    /// The head of a request to an upstream; the length is added after it.
     fn call_head(&self, call: &UpstreamCall<'_>) -> http::request::Parts;
     /// Reads an answer's head.
     fn read_answer(&self, head: &http::response::Parts) -> UpstreamAnswer;
     /// Path and body of an order about memory.
     fn memory_order(&self, order: &MemoryOrder) -> (String, Bytes);
-    /// Which start of an engine answered an order, where the answer tells.
+    /// Which start of an engine answered an order, if the answer names it.
     fn order_start(&self, body: &[u8]) -> Option<ids::UpstreamStart>;
     /// Path of an engine's report.
     fn report_path(&self) -> String;
@@ -209,7 +209,7 @@
 pub struct StorePage {
     /// What it holds.
     pub items: Vec<StoreItem>,
-    /// Key behind which the next page starts, if there is one.
+    /// Key after which the next page starts, if there is one.
     pub next: Option<String>,
     /// Revision of the store.
     pub revision: u64,
@@ -239,13 +239,13 @@
 
 /// The platform's store.
 pub trait SourceBorder {
-    /// Path that reads a page of the upstreams, behind a key.
+    /// Path that reads a page of the upstreams, after a key.
     fn upstreams_path(&self, after: Option<&str>) -> String;
     /// Path that reads the routes.
     fn routes_path(&self) -> String;
-    /// Path that reads a page of what operators publish, routes and evacuations, behind a key.
+    /// Path that reads a page of what operators publish, routes and evacuations, after a key.
     fn operator_path(&self, after: Option<&str>) -> String;
-    /// Path that waits for changes behind a revision.
+    /// Path that waits for changes after a revision.
     fn watch_path(&self, after: u64, wait: time::Duration) -> String;
     /// Reads a page; also of a single key.
     fn read_page(&self, body: &[u8]) -> Result<StorePage, FormatError>;
--- a/crates/instance/src/caller_connection.rs
+++ b/crates/instance/src/caller_connection.rs
@@ -20,7 +20,7 @@
 /// Time between two looks at whether they are known.
 const KNOWN_POLL: time::Duration = time::Duration::from_millis(10);
 
-/// What becomes of the connection behind a request.
+/// What becomes of the connection after a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ConnectionNext {
     /// It takes another request.
@@ -33,7 +33,7 @@
 pub struct CallerReply<'a> {
     context: &'a context::InstanceContext,
     writer: &'a mut h1::MessageWriter,
-    /// Whether the connection is closed behind the answer.
+    /// Whether the connection is closed after the answer.
     close: bool,
     /// Whether part of an answer may be on its way.
     begun: bool,
@@ -103,7 +103,7 @@
         self.writer.write(bytes).await
     }
 
-    /// Whether the connection is closed behind this answer.
+    /// Whether the connection is closed after this answer.
     pub fn closing(&self) -> bool {
         self.close || self.context.stop.asked()
     }
--- a/crates/instance/src/context.rs
+++ b/crates/instance/src/context.rs
@@ -108,7 +108,7 @@
     pub joined: cell::Cell<usize>,
     /// Heartbeats sent so far.
     pub beats: cell::Cell<u64>,
-    /// When this process noticed that it had been paused; it plans for nobody shortly after.
+    /// When this process noticed that it had been paused; it plans for no one shortly after.
     pub woke: cell::Cell<units::MonoTime>,
     /// Until when requests wait for places, once a planned stop has begun.
     pub places_until: cell::Cell<Option<units::MonoTime>>,
--- a/crates/instance/src/document_answers.rs
+++ b/crates/instance/src/document_answers.rs
@@ -1,6 +1,6 @@
 //! What members are given of the store's documents, coded once for all who lack the same.
 //!
-//! At a start and behind each change many members lack the same at the same moment. Coded apart for each, a long list
+//! At a start and after each change many members lack the same at the same moment. Coded apart for each, a long list
 //! would stand in the memory of the one who has it first once for each that asks.
 
 use std::rc;
--- a/crates/instance/src/fleet_state.rs
+++ b/crates/instance/src/fleet_state.rs
@@ -247,7 +247,7 @@
 
     /// Takes in which start answers at an address, asked at `asked`.
     ///
-    /// An address at which two upstreams are listed tells of neither.
+    /// An address at which two upstreams are listed identifies neither.
     pub fn receive_start(
         &mut self,
         now: units::MonoTime,
@@ -299,24 +299,24 @@
         revision: u64,
     ) {
         if revision < self.list.revision() {
-            // A late answer; what it tells must not go to other members as news.
+            // A late answer; its content must not go to other members as news.
             log::debug!(revision; "list.older");
             return;
         }
-        // What members have told already may come again, with what lay before it: only the last word on
+        // What members have sent already may come again, with older changes: only the last change of
         // each counts, or a start that is long over would seem to be the next one for a moment.
         let mut last_changes = collections::BTreeMap::new();
         let mut list_changes = Vec::new();
         for (name, mut text) in changes {
             let change = self.read_change(&name, text.as_deref(), revision);
             if matches!(change, None | Some(upstream_list::ListChange::Unreadable(_))) {
-                // What nobody can read is passed on as that, not as it is: it may be of any size.
+                // What cannot be read is passed on as that, not as it is: it may be of any size.
                 text.as_mut().map(String::clear);
             }
             let untold = matches!(&change, Some(upstream_list::ListChange::Present(entry))
                 if entry.name.start().is_none());
             let before = last_changes.insert(name.clone(), change).flatten();
-            // Who tells no start may be listed behind one that did only if that one had gone.
+            // An upstream without a start may be listed after one that did only if that one had gone.
             let gone = before.filter(|before| matches!(before, upstream_list::ListChange::Gone(_)));
             list_changes.extend(gone.filter(|_| untold));
             self.raw.change(name, text, revision);
--- a/crates/instance/src/heartbeats.rs
+++ b/crates/instance/src/heartbeats.rs
@@ -114,7 +114,7 @@
     send_beat(context, near_members(context));
 }
 
-/// Tells so many of them, drawn.
+/// Sends to a random choice of them.
 pub(crate) fn announce_to_some(context: &context::InstanceContext, count: usize) {
     let near = near_members(context);
     let drawn = near.sample(&mut rand::rng(), count).copied().collect();
--- a/crates/instance/src/lease_renewal.rs
+++ b/crates/instance/src/lease_renewal.rs
@@ -1,4 +1,4 @@
-//! Places in use, told to whoever plans: their numbers again and again, whole leases where a planner
+//! Places in use, reported to their planner: their numbers again and again, whole leases where a planner
 //! does not know them.
 
 use std::{collections, net, rc, time};
--- a/crates/instance/src/lib.rs
+++ b/crates/instance/src/lib.rs
@@ -1,4 +1,4 @@
-//! One slipturn instance: callers in front, engines and services behind, other instances beside.
+//! One slipturn instance: callers in front, engines and services as upstreams, other instances as members.
 //!
 //! Layout by life span: `incoming_call`, `model_request`, `service_request`, `plan_client`,
 //! `memory_hold`, `stream_policy`, `stream_state`, `silence_watch`, `upstream_attempt`,
--- a/crates/instance/src/log_sink.rs
+++ b/crates/instance/src/log_sink.rs
@@ -1,6 +1,6 @@
 //! Log lines on standard output, one JSON object a line, that never hold a request up.
 //!
-//! Lines go through a bounded queue to a thread of their own. When nobody reads the output the
+//! Lines go through a bounded queue to a thread of their own. When the output is not read the
 //! queue fills, and lines beyond a number a second are too many; such lines are dropped, and the
 //! next line written says how many. Room is kept for warnings and errors: a flood of requests that
 //! went well does not push out those that failed.
--- a/crates/instance/src/member_feed.rs
+++ b/crates/instance/src/member_feed.rs
@@ -16,9 +16,9 @@
 const LIST_TIME: time::Duration = time::Duration::from_millis(1_500);
 /// Timeout for both at a start, when other members have them as well.
 const START_TIME: time::Duration = time::Duration::from_millis(500);
-/// Pause behind a member that is busy giving documents to others, with its spread.
+/// Pause after a member that is busy giving documents to others, with its spread.
 const BUSY_PAUSE: std::ops::Range<f64> = 0.05..0.15;
-/// Members told by one that has got a large document from another: enough that the number of those who
+/// Members informed by one that has received a large document from another: enough that the number of those who
 /// are known to have it grows as fast as it can be sent.
 const TOLD_MEMBERS: usize = 3;
 /// Path of a member's documents.
--- a/crates/instance/src/memory_hold.rs
+++ b/crates/instance/src/memory_hold.rs
@@ -8,7 +8,7 @@
 use crate::{border, context, engine_call, upstream_starts};
 
 /// How long memory stays aside without a renewal: shorter than the time within which it must be
-/// free again behind a request whose instance has died.
+/// free again after a request whose instance has died.
 const HOLD_TIME: time::Duration = time::Duration::from_millis(3_400);
 /// Time between two renewals.
 const RENEW_INTERVAL: time::Duration = time::Duration::from_millis(900);
@@ -148,7 +148,7 @@
     }
 }
 
-/// Orders memory to be held; which start holds it, where the engine tells.
+/// Orders memory to be held; which start holds it, if the engine reports it.
 async fn held_order(
     context: &context::InstanceContext,
     held: &HeldTicket,
@@ -172,7 +172,7 @@
     result.map_err(|error| error.to_string())
 }
 
-/// Sends an order; which start of the engine has carried it out, where it tells.
+/// Sends an order; which start of the engine has carried it out, if reported.
 async fn send_order(
     context: &context::InstanceContext,
     held: &HeldTicket,
@@ -194,7 +194,7 @@
             return;
         }
         for held in &tickets {
-            // Renewed at another start it would be set aside anew, for nobody.
+            // Renewed at another start it would be set aside anew, without a user.
             if held.is_lost(&context) {
                 continue;
             }
--- a/crates/instance/src/model_request.rs
+++ b/crates/instance/src/model_request.rs
@@ -17,9 +17,9 @@
 const MAX_TRIES: u32 = 5;
 /// When to come back after a refusal, where nothing better is known.
 const BACK_AFTER: time::Duration = time::Duration::from_millis(400);
-/// Shortest time in which a place is looked for, also behind a long first attempt.
+/// Shortest time in which a place is looked for, also after a long first attempt.
 const MIN_PLACE_TIME: time::Duration = time::Duration::from_millis(200);
-/// Age up to which what an engine said of its load tells planners what others do there; a short
+/// Age up to which an engine's report shows planners what others do there; a short
 /// answer lasts some seconds.
 const LOAD_AGE: time::Duration = time::Duration::from_millis(100);
 /// Largest failure answer of an engine that is passed on.
--- a/crates/instance/src/peer_message.rs
+++ b/crates/instance/src/peer_message.rs
@@ -135,7 +135,7 @@
     pub reading: bool,
 }
 
-/// What a request that waits for its place is told.
+/// Messages to a request that waits for its place.
 #[derive(Debug, Clone, PartialEq)]
 pub enum PlanReply {
     /// It has a place, or gets none.
--- a/crates/instance/src/peers.rs
+++ b/crates/instance/src/peers.rs
@@ -164,7 +164,7 @@
             heartbeats::broadcast_state(&context, state, told);
             told = state;
         }
-        // A process that has just started tells at once when it has routes.
+        // A process that has just started announces at once when it has routes.
         let busy = context.planners.borrow().waiting() > 0 || !told.has_routes;
         monoio::time::sleep(if busy { PLAN_INTERVAL } else { REST_INTERVAL }).await;
         let now = context.now();
--- a/crates/instance/src/quarantine_gossip.rs
+++ b/crates/instance/src/quarantine_gossip.rs
@@ -2,7 +2,7 @@
 //!
 //! Evidence goes to a few members, found by hashing the request's digest over those that are alive:
 //! a storm of crashes costs each member some datagrams, however many there are. Who sees there that a
-//! request is to be held back tells all.
+//! request is quarantined informs all.
 
 use std::{net, time};
 
@@ -114,7 +114,7 @@
     known
 }
 
-/// Takes evidence in, and tells all members who is held back by it.
+/// Adds evidence, and informs all members of new quarantines.
 fn hold_new(context: &context::InstanceContext, ends: Vec<quarantine::EndedRun>) {
     let now = context.now();
     let held = context.quarantine.borrow_mut().note_ends(now, ends);
@@ -198,7 +198,7 @@
     ends.chunks(peer_message::MAX_ENDS).map(message).collect()
 }
 
-/// Runs as this process's clock tells their times; those before its start lie at its start.
+/// Runs with their times by this process's clock; those before its start lie at its start.
 fn ended_runs(
     now: units::MonoTime,
     reports: Vec<peer_message::EndReport>,
--- a/crates/instance/src/raw_state.rs
+++ b/crates/instance/src/raw_state.rs
@@ -15,7 +15,7 @@
     pub(crate) routes: Option<String>,
     /// Their last changes.
     pub(crate) history: routes_history::RoutesHistory,
-    /// Documents by name; empty where nobody can read them.
+    /// Documents by name; empty where they cannot be read.
     pub(crate) upstreams: collections::BTreeMap<String, String>,
     /// Revision, name and document of the last changes, oldest first.
     pub(crate) changes: collections::VecDeque<(u64, String, Option<String>)>,
--- a/crates/instance/src/request_record.rs
+++ b/crates/instance/src/request_record.rs
@@ -12,10 +12,10 @@
 pub struct AttemptRecord {
     /// The upstream.
     pub upstream: String,
-    /// What was known of it as it was chosen: that it leaves or rests, since when and by whose word.
+    /// What was known of it as it was chosen: that it leaves or rests, since when and from which source.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub known: Option<String>,
-    /// How many engines read parts of the prompt, beside it.
+    /// How many engines read parts of the prompt, besides it.
     #[serde(skip_serializing_if = "is_zero")]
     pub helpers: usize,
     /// Time waited for the place.
@@ -48,7 +48,7 @@
     pub list: u64,
     /// How often it may run.
     pub repeat: &'static str,
-    /// What it is recognised by when its caller repeats it; told where an attempt broke.
+    /// What it is recognised by when its caller repeats it; reported where an attempt broke.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub digest: Option<String>,
     /// Tokens of the prompt.
--- a/crates/instance/src/routes_history.rs
+++ b/crates/instance/src/routes_history.rs
@@ -19,7 +19,7 @@
 pub struct RoutesChange {
     /// Version that it changes.
     pub from: u64,
-    /// Version behind it; newer.
+    /// Version after it; newer.
     pub to: u64,
     /// The newer text as what differs from the older.
     text: packed_bytes::PackedBytes,
--- a/crates/instance/src/service_choice.rs
+++ b/crates/instance/src/service_choice.rs
@@ -22,7 +22,7 @@
 }
 
 /// The upstream that takes a call, of those that are not `excluded`. Where limits keep it from all of them for a moment
-/// it waits for its turn; where it would be late by then, it is better told so.
+/// it waits for its turn; where it would be late by then, it is better refused.
 pub(crate) async fn choose(
     context: &context::InstanceContext,
     call: &incoming_call::IncomingCall,
--- a/crates/instance/src/silence_watch.rs
+++ b/crates/instance/src/silence_watch.rs
@@ -12,7 +12,7 @@
 /// Time for its answer.
 const PROBE_TIME: time::Duration = time::Duration::from_millis(400);
 /// Questions in a row without an answer after which it is taken for gone. Memory must be free
-/// again within seconds of the end of the request that used it, also when nobody says so.
+/// again within seconds of the end of the request that used it, also without a message.
 const PROBE_MISSES: u32 = 2;
 /// Reports in a row, once an answer has begun, by which no request uses the memory set aside for
 /// it: what is awaited has ended, and its connection has fallen silent. A report may be some
@@ -22,7 +22,7 @@
 /// Why an attempt is given up.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum WaitFault {
-    /// The engine is silent, or its silence holds memory that nobody uses.
+    /// The engine is silent, or its silence holds unused memory.
     Silent(String),
     /// It has started again: what is awaited was lost with the start before.
     Restarted,
@@ -70,7 +70,7 @@
     ///
     /// After each of `limits` the engine is given up if one within its reach may go on, which the
     /// retry budget decides through `take_retry`. Silence alone is no reason to end an answer that
-    /// nobody else can give, unless memory lies unused for it.
+    /// no other can give, unless memory lies unused for it.
     pub async fn wait<T>(
         &self,
         work: pin::Pin<&mut impl Future<Output = T>>,
--- a/crates/instance/src/small_server.rs
+++ b/crates/instance/src/small_server.rs
@@ -1,4 +1,4 @@
-//! Small HTTP answers beside callers' requests: readiness, members' documents, operators.
+//! Small HTTP answers apart from callers' requests: readiness, members' documents, operators.
 
 use std::{rc, time};
 
@@ -187,7 +187,7 @@
     }
 }
 
-/// What is held back, and an operator's word that a request may go.
+/// The quarantine, and its release by an operator.
 fn quarantine(
     context: &context::InstanceContext,
     method: &http::Method,
--- a/crates/instance/src/store_feed.rs
+++ b/crates/instance/src/store_feed.rs
@@ -7,7 +7,7 @@
 
 use crate::{context, document_call, heartbeats, store_read, store_sight, store_watch};
 
-/// Spread of pauses behind failures, so that members do not return together.
+/// Spread of pauses after failures, so that members do not return together.
 const RETRY_SPREAD: std::ops::Range<f64> = 0.7..1.3;
 /// Pause between two watches that brought something, so that changes in quick succession cost one call: a share
 /// of the time within which a leaving upstream gets no more work.
@@ -19,7 +19,7 @@
 /// A try that took this long before it failed has been its own pause.
 const SLOW_FAILURE: time::Duration = time::Duration::from_millis(900);
 /// Ages at which a process that knows nothing leaves the store to others that watch it: before, it has
-/// not heard from them; behind, they do not give it what they know.
+/// not heard from them; after that, they do not give it what they know.
 const START_PATIENCE: ops::Range<time::Duration> =
     time::Duration::from_millis(60)..time::Duration::from_millis(1_200);
 
--- a/crates/instance/src/store_read.rs
+++ b/crates/instance/src/store_read.rs
@@ -25,7 +25,7 @@
     let border = &context.border;
     let upstreams = read_range(context, connection, |after| border.upstreams_path(after)).await?;
     let published = read_range(context, connection, |after| border.operator_path(after)).await?;
-    // Pages are no snapshot: changes behind the first one are watched again.
+    // Pages are not a snapshot: changes since the first page are watched again.
     let revision = upstreams.revision;
     let documents = upstreams.items.into_iter().filter_map(|item| match border.key(&item.key) {
         border::StoreKey::Upstream(name) => Some((name, fleet_state::text_of(item))),
@@ -49,7 +49,7 @@
     Ok(revision)
 }
 
-/// Reads all pages of a range, whose paths follow from the key behind which a page starts.
+/// Reads all pages of a range, whose paths follow from the key after which a page starts.
 async fn read_range(
     context: &context::InstanceContext,
     connection: &mut document_call::DocumentConnection,
--- a/crates/instance/src/store_watch.rs
+++ b/crates/instance/src/store_watch.rs
@@ -14,10 +14,10 @@
 const WAIT_PART: f64 = 0.75;
 /// Wait of a watch that only asks whether the store is there: it returns at once.
 const FIRST_WAIT: time::Duration = time::Duration::from_millis(1);
-/// Time behind a watch's wait after which its connection is doubted. A store that is fifty times
+/// Time after a watch's wait after which its connection is doubted. A store that is fifty times
 /// slower than usual answers in 200 ms.
 const OVERDUE: time::Duration = time::Duration::from_millis(500);
-/// Time for the answer to a watch that returns at once, before another is sent beside it.
+/// Time for the answer to a watch that returns at once, before another is sent concurrently.
 const PROBE_TIME: time::Duration = time::Duration::from_millis(1_500);
 /// Such watches at once, each on a connection of its own: a store that is as late as all of them is
 /// taken for away. With one alone, a store that is later than its wait is never heard.
@@ -61,7 +61,7 @@
     answered
 }
 
-/// Asks for changes without waiting for any. While an answer is late, others are asked for beside
+/// Asks for changes without waiting for any. While an answer is late, others are asked for concurrently with
 /// it: the store may be back for new connections, or just slow.
 async fn probe(
     context: &context::InstanceContext,
--- a/crates/instance/src/stream_policy.rs
+++ b/crates/instance/src/stream_policy.rs
@@ -84,7 +84,7 @@
     }
 }
 
-/// Whether one engine reads a prompt in time, beside others with pauses as tight.
+/// Whether one engine reads a prompt in time, together with others with pauses as tight.
 fn is_short(context: &context::InstanceContext, call: &incoming_call::IncomingCall) -> bool {
     let fleet = context.fleet.borrow();
     let tightest =
--- a/crates/instance/src/stream_state.rs
+++ b/crates/instance/src/stream_state.rs
@@ -31,7 +31,7 @@
 }
 
 impl StreamState {
-    /// Passes whole events on, behind the head where it is not out yet.
+    /// Passes whole events on, after the head where it is not sent yet.
     pub(crate) async fn send(
         &mut self,
         reply: &mut caller_connection::CallerReply<'_>,
@@ -69,14 +69,14 @@
         }
     }
 
-    /// Whether its next attempt may find out whether an engine takes work again behind its rest.
+    /// Whether its next attempt may find out whether an engine takes work again after its rest.
     pub(crate) fn turn(&self, call: &incoming_call::IncomingCall) -> send_gate::TrialTurn {
         let made = self.excluded.len().max(self.sent as usize);
         send_gate::TrialTurn::of(made, call.route.max_attempts)
     }
 
-    /// Whether any engine is left for the request, beside one that has it; where there is none,
-    /// waiting for a place is in vain.
+    /// Whether any engine is left for the request, besides one that has it; where there is none,
+    /// waiting for a place is useless.
     pub(crate) fn has_engine(
         &self,
         context: &context::InstanceContext,
--- a/crates/instance/src/upstream_attempt.rs
+++ b/crates/instance/src/upstream_attempt.rs
@@ -52,7 +52,7 @@
     pub address: net::SocketAddrV4,
     /// Engines that read parts of the prompt.
     pub helpers: Vec<PartReader>,
-    /// Event behind which the stream goes on.
+    /// Event after which the stream goes on.
     pub last_event: Option<String>,
     /// 0 is the most urgent.
     pub priority: Option<u8>,
@@ -88,7 +88,7 @@
 
 impl AttemptAnswer {
     /// Reads the whole body. Where nothing comes for `silence`, it is given up if `give_up` has a
-    /// retry in hand.
+    /// retry permit.
     pub async fn whole_body(
         &mut self,
         context: &context::InstanceContext,
@@ -124,7 +124,7 @@
         }
     }
 
-    /// Puts the connection back behind a whole answer of an upstream.
+    /// Puts the connection back after a whole answer of an upstream.
     pub fn finish(self, context: &context::InstanceContext, upstream: &ids::UpstreamId) {
         if self.reusable && self.framing.ended() {
             let keep = h1::keep_alive(&self.head.headers);
@@ -157,14 +157,14 @@
 /// A connection for a request: one that has rested only where another attempt may follow.
 ///
 /// It may have fallen silent, and what was written to it may have run. So `anew` asks for a new one
-/// behind an attempt that broke: no request meets two silent connections.
+/// after an attempt that broke: no request meets two silent connections.
 pub async fn connect(
     context: &context::InstanceContext,
     call: &incoming_call::IncomingCall,
     target: &AttemptTarget,
     anew: bool,
 ) -> Result<upstream_pool::UpstreamConnection, AttemptFault> {
-    // Before a connection is opened in vain; what counts is asked once more as the first byte goes out.
+    // Before a connection is opened needlessly; the decision is made again as the first byte goes out.
     upstream_gate::look_at_request(context, target)?;
     let another = call.route.repeat.allows_repeat() && call.route.max_attempts > 1;
     let opened = if anew || !another {
@@ -183,8 +183,8 @@
 
 /// Sends a request over a connection and reads the head of its answer.
 ///
-/// It is given up where `give_up` has a retry in hand; else it is awaited for as long as the call
-/// lasts, as nobody else can answer.
+/// It is given up where `give_up` has a retry permit; else it is awaited for as long as the call
+/// lasts, as no other upstream can answer.
 pub async fn send(
     context: &context::InstanceContext,
     call: &incoming_call::IncomingCall,
--- a/crates/instance/src/upstream_ends.rs
+++ b/crates/instance/src/upstream_ends.rs
@@ -1,7 +1,7 @@
 //! Runs that broke, and whether their upstream ended under them.
 //!
 //! A connection that breaks may have been reset while the upstream lives on. What shows an end is
-//! that nobody listens at its address any more, or that the list names another start, or none, of
+//! that no process listens at its address any more, or that the list names another start, or none, of
 //! an upstream that was not leaving.
 
 use std::{collections, net, rc, time};
@@ -11,10 +11,10 @@
 
 use crate::{context, incoming_call, quarantine_gossip, upstream_attempt, upstream_gate};
 
-/// Time behind a break after which a connection is tried: a process that has ended refuses at once, but
+/// Time after a break after which a connection is tried: a process that has ended refuses at once, but
 /// its connections may be reset a moment before its listener is. One connection only: each costs the upstream one.
 const BREAK_CHECK: time::Duration = time::Duration::from_millis(15);
-/// The same behind a run that its caller has left: its engine begins it a moment later, or drops it.
+/// The same after a run that its caller has left: its engine begins it a moment later, or drops it.
 const LEFT_CHECK: time::Duration = time::Duration::from_millis(250);
 /// How long a broken run waits for proof. The list drops an upstream that crashed after three missed
 /// heartbeats of 1.2 s, and may be some seconds late itself.
@@ -26,7 +26,7 @@
 /// Requests that a log line names at most.
 const MAX_LOGGED: usize = 16;
 
-/// What is told of runs.
+/// Messages about runs.
 #[derive(Debug)]
 pub enum RunNews {
     /// A run broke, or was left by its caller: its upstream may have ended under it.
@@ -147,7 +147,7 @@
     }
 }
 
-/// Whether the list names this start and nobody says that it leaves: one that leaves ends by plan, whatever
+/// Whether the list names this start and it is not known to leave: one that leaves ends by plan, whatever
 /// it runs.
 fn is_live(context: &context::InstanceContext, name: &ids::UpstreamId) -> bool {
     let fleet = context.fleet.borrow();
@@ -162,7 +162,7 @@
     /// Upstreams at whose address somebody takes connections. It may be a proxy: their runs wait on for
     /// another start in the list; that it names none any more would show no end.
     alive: collections::BTreeSet<ids::UpstreamId>,
-    /// Upstreams that are tried behind a broken connection.
+    /// Upstreams that are tried after a broken connection.
     checked: collections::BTreeSet<ids::UpstreamId>,
 }
 
--- a/crates/instance/src/upstream_gate.rs
+++ b/crates/instance/src/upstream_gate.rs
@@ -28,7 +28,7 @@
     }
 }
 
-/// Passes a send, or tells why it is denied.
+/// Passes a send, or returns why it is denied.
 pub(crate) fn pass<'a>(
     context: &'a context::InstanceContext,
     upstream: &ids::UpstreamId,
@@ -60,7 +60,7 @@
     })
 }
 
-/// Passes a request with all its helpers, or tells why it is denied.
+/// Passes a request with all its helpers, or returns why it is denied.
 pub(crate) fn pass_request<'a>(
     context: &'a context::InstanceContext,
     target: &upstream_attempt::AttemptTarget,
--- a/crates/instance/src/upstream_load.rs
+++ b/crates/instance/src/upstream_load.rs
@@ -8,7 +8,7 @@
     upstream_list,
 };
 
-/// How long an upstream's word on its load counts.
+/// How long an upstream's report of its load counts.
 const LOAD_TIME: time::Duration = time::Duration::from_millis(500);
 /// Routes whose answers are timed; beyond these all are learnt anew.
 const MAX_TIMED: usize = 512;
@@ -81,7 +81,7 @@
         };
         let (lowest, first) = least(&costs)?;
         let equal = costs.iter().filter(|(cost, _)| *cost <= lowest).map(|(_, entry)| *entry);
-        // What a limit lets through is lost if nobody asks for it in time; the others take the rest.
+        // What a limit lets through is lost if it is not requested in time; the others take the rest.
         if let Some(paced) = equal.clone().find(|entry| is_paced(entry)) {
             return Some(paced);
         }
@@ -126,7 +126,7 @@
         }
     }
 
-    /// Takes in that another member was told that an upstream is gone; returns whether that is news.
+    /// Records that another member was informed that an upstream is gone; returns whether that is news.
     pub fn receive_gone(&mut self, now: units::MonoTime, name: &ids::UpstreamId) -> bool {
         self.states.entry(name.clone()).or_default().health.receive_gone(now)
     }
--- a/crates/instance/src/upstream_pool.rs
+++ b/crates/instance/src/upstream_pool.rs
@@ -33,7 +33,7 @@
 }
 
 impl ConnectError {
-    /// Whether the other side's system said that nobody listens there.
+    /// Whether the other side's system said that no process listens there.
     pub fn nobody_listens(&self) -> bool {
         let refused = |source: &io::Error| {
             matches!(
@@ -198,7 +198,7 @@
         self.resting.borrow_mut().remove(&address).map_or(0, |kept| kept.len())
     }
 
-    /// What the silence of a connection shows, beside the others to its upstream.
+    /// What the silence of a connection shows, compared with the others to its upstream.
     pub fn cause(
         &self,
         silent: &ConnectionLife,
--- a/crates/instance/src/upstream_starts.rs
+++ b/crates/instance/src/upstream_starts.rs
@@ -73,7 +73,7 @@
     context.starts.retain(|name| fleet.list.is_present(name));
 }
 
-/// Takes in which start of an upstream speaks, where it tells.
+/// Records which start of an upstream sent this, if reported.
 pub(crate) fn receive(
     context: &context::InstanceContext,
     address: std::net::SocketAddrV4,
--- a/crates/net/src/command_line.rs
+++ b/crates/net/src/command_line.rs
@@ -66,7 +66,7 @@
     options
 }
 
-/// Options of a tool from its command line and, behind that, from a settings file: a YAML mapping
+/// Options of a tool from its command line and then from a settings file: a YAML mapping
 /// of the options' long names to their values.
 #[derive(Debug)]
 pub struct ToolOptions {
--- a/crates/net/src/document_feed.rs
+++ b/crates/net/src/document_feed.rs
@@ -1,7 +1,7 @@
 //! Keeps a process's settings and list up to date from peers and from the platform.
 //!
 //! Few instances of a data centre watch the platform; the others watch one of them, and entries
-//! watch the scheduler beside them. So the platform's reads do not grow with the fleet. Whoever
+//! watch their own scheduler. So the platform's reads do not grow with the fleet. Whoever
 //! finds its source silent asks the next one.
 
 use std::{net, rc, time};
@@ -32,7 +32,7 @@
 /// Where documents may come from.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum FeedSource {
-    /// The scheduler of another instance, or the one beside an entry.
+    /// The scheduler of another instance, or an entry's own.
     Peer(net::SocketAddr),
     /// The platform's configuration service.
     Platform(net::SocketAddr),
--- a/crates/net/src/h1.rs
+++ b/crates/net/src/h1.rs
@@ -330,7 +330,7 @@
 pub enum BodyFraming {
     /// It has ended.
     Ended,
-    /// After so many bytes more.
+    /// After this number of further bytes.
     Length(u64),
     /// By chunks.
     Chunked(ChunkState),
@@ -347,7 +347,7 @@
     Data(u64),
     /// The end of a chunk.
     DataEnd,
-    /// Lines behind the last chunk.
+    /// Lines after the last chunk.
     Trailer,
 }
 
@@ -460,7 +460,7 @@
     headers.remove(http::header::CONTENT_LENGTH);
 }
 
-/// Whether the sender of these headers closes the connection behind this message.
+/// Whether the sender of these headers closes the connection after this message.
 pub fn closes(version: http::Version, headers: &http::HeaderMap) -> bool {
     let mut words = headers
         .get_all(http::header::CONNECTION)
--- a/crates/net/src/http_client.rs
+++ b/crates/net/src/http_client.rs
@@ -36,7 +36,7 @@
 type Reader =
     monoio_codec::FramedRead<metered_read::MeteredRead<OwnedReadHalf<net::TcpStream>>, HeadDecoder>;
 
-/// How a call failed, told apart by whether the upstream can have seen any of it.
+/// How a call failed, by whether the upstream can have seen any of it.
 #[derive(Debug, Snafu)]
 pub enum CallError {
     /// No connection; not a byte was written.
--- a/crates/net/src/http_server.rs
+++ b/crates/net/src/http_server.rs
@@ -119,7 +119,7 @@
 impl ServerConnection {
     /// Takes an accepted socket over.
     pub fn new(stream: net::TcpStream) -> Self {
-        // A socket that cannot be told is not worth refusing the caller for.
+        // A socket whose option cannot be set is not worth refusing the caller for.
         let _ = stream.set_nodelay(true);
         let (read_half, writer) = stream.into_split();
         let second_writer = OwnedWriteHalf(rc::Rc::clone(&writer.0));
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -1,4 +1,4 @@
-//! What slipturn's programs share beside their decisions: sockets, HTTP, RPC, command line, logs.
+//! What slipturn's programs share apart from their decisions: sockets, HTTP, RPC, command line, logs.
 
 mod body;
 pub mod boot_clock;
--- a/crates/net/src/process.rs
+++ b/crates/net/src/process.rs
@@ -36,7 +36,7 @@
 pub fn new_boot_id() -> ids::BootId {
     let since_epoch = time::SystemTime::now().duration_since(time::UNIX_EPOCH).unwrap_or_default();
     let nanos = u64::try_from(since_epoch.as_nanos()).unwrap_or(u64::MAX);
-    // The process number tells two starts in one clock tick apart.
+    // The process number distinguishes two starts in one clock tick.
     ids::BootId(nanos ^ (u64::from(std::process::id()) << 40))
 }
 
@@ -50,7 +50,7 @@
     Ok(runtime.block_on(work))
 }
 
-/// Listens on an address that nobody else listens on.
+/// Listens on an address exclusively.
 ///
 /// The library would share it with another process by default, and callers would then reach
 /// either.
--- a/crates/net/src/retry_after.rs
+++ b/crates/net/src/retry_after.rs
@@ -29,7 +29,7 @@
     headers: &http::HeaderMap,
     now: time::SystemTime,
 ) -> Option<Result<time::Duration, RetryAfterError>> {
-    // The sender's own clock, where it tells it: only the difference counts, and clocks differ.
+    // The sender's own clock, if given: only the difference counts, and clocks differ.
     let told = headers.get(header::DATE).and_then(|value| value.to_str().ok());
     let now = told.and_then(|text| httpdate::parse_http_date(text).ok()).unwrap_or(now);
     let values = headers.get_all(header::RETRY_AFTER).into_iter();
--- a/crates/net/src/scheduler_link.rs
+++ b/crates/net/src/scheduler_link.rs
@@ -316,7 +316,7 @@
     stream: net::TcpStream,
     side: rpc_twoparty_capnp::Side,
 ) -> twoparty::VatNetwork<ReadHalf> {
-    // A socket that cannot be told is slower, not wrong.
+    // A socket whose option cannot be set is slower, not wrong.
     let _ = stream.set_nodelay(true);
     let stream = monoio_compat::TcpStreamCompat::new(stream).compat();
     let (reader, writer) = stream.split();
--- a/crates/scheduler/src/engine_client.rs
+++ b/crates/scheduler/src/engine_client.rs
@@ -139,7 +139,7 @@
     }
 }
 
-/// Asks one engine for its load until nobody listens any more or `stopped` says so.
+/// Asks one engine for its load until its receiver is closed or `stopped` says so.
 pub async fn poll(
     engines: rc::Rc<dyn EngineControl>,
     name: ids::EngineId,
--- a/crates/scheduler/src/event.rs
+++ b/crates/scheduler/src/event.rs
@@ -48,7 +48,7 @@
     Status(oneshot::Sender<String>),
     /// Documents, or a confirmation of those held, came in.
     Documents(scheduler_link::DocumentUpdate),
-    /// An engine told of itself.
+    /// An engine reported.
     Report(ids::EngineId, placement::EngineReport),
     /// Time has passed.
     Tick,
--- a/crates/scheduler/src/status.rs
+++ b/crates/scheduler/src/status.rs
@@ -10,7 +10,7 @@
     pub engine: ids::EngineId,
     /// Whether this scheduler is its owner by the list it has.
     pub owned: bool,
-    /// Whether it has told of itself lately.
+    /// Whether it has reported recently.
     pub reachable: bool,
     /// Whether it takes no new work.
     pub leaving: bool,
--- a/crates/soak/src/word_check.rs
+++ b/crates/soak/src/word_check.rs
@@ -8,7 +8,7 @@
     leave_check,
 };
 
-/// Time behind a refusal that asks for rest in which what was on its way may still arrive: the platform's.
+/// Time after a refusal that asks for rest in which what was on its way may still arrive: the platform's.
 const CROSSING: time::Duration = time::Duration::from_millis(500);
 
 /// Who has sent a request, and when.
