Heartbeats out of step: the test plays 1,000 seeded fleets

It drew its times unseeded. Of 100 members with independent times in 4.9 s one fleet in 400 has such a gap: 100 * (1 - 0.5 / 4.9)^99 = 0.0024.

Ruled out: load (no clock is read), the product (beat_clock.rs has changed in comments alone).

Change: 1,000 seeded fleets; at most 10 may reach 500 ms, none a second. One draw passed with any share of late fleets below about a half; this fails from 1 in 100 on.

Conclusion: kept; stricter, and the same in each run.

--- a/crates/core/tests/beat_clock.rs
+++ b/crates/core/tests/beat_clock.rs
@@ -13,6 +13,8 @@
 
 use std::time;
 
+use rand::{RngExt as _, SeedableRng as _};
+use rand_chacha::ChaCha8Rng;
 use slipturn_core::beat_clock::BeatClock;
 
 /// Heartbeats of a large fleet are so far apart, those of a small one so.
@@ -20,39 +22,55 @@
 const SMALL: time::Duration = time::Duration::from_millis(200);
 
 /// When a member speaks that begins at `begun`, and hears of more members step by step.
-fn beats(begun: time::Duration, until: time::Duration) -> Vec<time::Duration> {
+fn beats(
+    begun: time::Duration,
+    until: time::Duration,
+    random: &mut ChaCha8Rng,
+) -> Vec<time::Duration> {
     let mut clock = BeatClock::default();
     let mut times = vec![begun];
     while times[times.len() - 1] < until {
         let known = times.len() as u32;
         let interval = if known < 4 { SMALL * known * known } else { LARGE };
-        let wait = clock.next(interval, rand::random());
+        let wait = clock.next(interval, random.random());
         times.push(times[times.len() - 1] + wait);
     }
     times
 }
 
 /// Longest time within which none of some members of a fleet says anything.
-fn longest_gap(members: u32) -> time::Duration {
+fn longest_gap(members: u32, seed: u64) -> time::Duration {
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
     let until = time::Duration::from_secs(60);
     let begun = |number: u32| time::Duration::from_millis(u64::from(number * 300 / members));
-    let mut all: Vec<_> = (0..members).flat_map(|number| beats(begun(number), until)).collect();
+    let mut all: Vec<_> =
+        (0..members).flat_map(|number| beats(begun(number), until, &mut random)).collect();
     all.sort_unstable();
     all.retain(|at| *at > until / 4 && *at < until);
     let gaps = all.windows(2).map(|pair| pair[1] - pair[0]);
     gaps.max().unwrap_or(until)
 }
 
+/// Longest gap of heartbeats that a fleet of this size should show.
+const LONGEST_GAP: time::Duration = time::Duration::from_millis(500);
+
+/// Fleets played, and how many of them may exceed it: of 100 members with independent times in 4.9 s one fleet in 400 does.
+const FLEETS: u64 = 1_000;
+const LATE_FLEETS: usize = 10;
+
 /// Of those in other data centres a hundred or so are left by a cut in halves.
 #[test]
 fn members_that_began_together_do_not_speak_together() {
-    let gap = longest_gap(100);
-    println!("{gap:?} in which nobody speaks");
-    assert!(gap < time::Duration::from_millis(500), "{gap:?}");
+    let gaps = (0..FLEETS).map(|seed| longest_gap(100, seed));
+    let late: Vec<_> = gaps.filter(|gap| *gap >= LONGEST_GAP).collect();
+    println!("{} of {FLEETS} fleets late: {late:?}", late.len());
+    assert!(late.len() <= LATE_FLEETS, "{late:?}");
+    assert!(late.iter().all(|gap| *gap < 2 * LONGEST_GAP), "{late:?}");
 }
 
 #[test]
 fn nobody_is_silent_for_longer_than_an_interval() {
-    let times = beats(time::Duration::ZERO, time::Duration::from_secs(60));
+    let mut random = ChaCha8Rng::seed_from_u64(1);
+    let times = beats(time::Duration::ZERO, time::Duration::from_secs(60), &mut random);
     assert!(times.windows(2).all(|pair| pair[1] - pair[0] <= LARGE));
 }
