--- a/crates/soak/src/contact_plan.rs
+++ b/crates/soak/src/contact_plan.rs
@@ -9,7 +9,10 @@
 use rand_chacha::ChaCha8Rng;
 use slipturn_platform_standin::{runner::RunnerMode, store::StoreMode};
 
-use crate::fault_plan::{self, Fault, PlanSize, PlannedFault};
+use crate::{
+    fault_plan::{self, Fault, PlanSize, PlannedFault},
+    fault_series,
+};
 
 /// Random stream of the faults beside the first part.
 const BESIDE_STREAM: u64 = 1;
@@ -52,16 +55,14 @@
 
 /// Losses of contact beside the faults of the first part.
 pub(crate) fn faults_beside(seed: u64, size: PlanSize) -> Vec<PlannedFault> {
-    let mut random = stream(seed, BESIDE_STREAM);
-    let end = size.length.as_millis() as u64;
-    let mut faults = Vec::new();
-    let mut at = random.random_range(BESIDE_GAP_MS);
-    while at < end {
-        let fault = draw_loss(&mut random, size);
-        faults.push(planned(at, random.random_range(LOSS_MS), fault));
-        at += random.random_range(BESIDE_GAP_MS);
-    }
-    faults
+    let series = fault_series::FaultSeries {
+        first_seed: 0,
+        stream: BESIDE_STREAM,
+        end: size.length,
+        gap_ms: BESIDE_GAP_MS,
+        length_ms: LOSS_MS,
+    };
+    series.faults(seed, |random| draw_loss(random, size))
 }
 
 /// The scenes of the second part.
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod contact_plan;
 pub mod evidence;
 pub mod fault_plan;
+mod fault_series;
 pub mod leave_check;
 mod limit_check;
 mod limit_plan;
--- a/crates/soak/src/odd_plan.rs
+++ b/crates/soak/src/odd_plan.rs
@@ -5,8 +5,8 @@
 use rand::RngExt as _;
 
 use crate::{
-    contact_plan,
     fault_plan::{Fault, PlanSize, PlannedFault},
+    fault_series,
 };
 
 /// Plans of earlier seeds stay as they were: some of them are kept as tests.
@@ -20,22 +20,19 @@
 
 /// Such faults through the first part.
 pub(crate) fn faults(seed: u64, size: PlanSize) -> Vec<PlannedFault> {
-    if seed < FIRST_SEED {
-        return Vec::new();
-    }
-    let mut random = contact_plan::stream(seed, ODD_STREAM);
-    let end = size.length.as_millis() as u64;
-    let mut faults = Vec::new();
-    let mut at = random.random_range(GAP_MS);
-    while at < end {
+    let series = fault_series::FaultSeries {
+        first_seed: FIRST_SEED,
+        stream: ODD_STREAM,
+        end: size.length,
+        gap_ms: GAP_MS,
+        length_ms: LENGTH_MS,
+    };
+    series.faults(seed, |random| {
         let upstream = random.random_range(0..size.upstreams);
-        let fault = match random.random_range(0..5) {
+        match random.random_range(0..5) {
             0..=2 => Fault::Restart(upstream),
             3 => Fault::Overwrite(upstream),
             _ => Fault::Litter(random.random_range(0..u8::MAX)),
-        };
-        faults.push(contact_plan::planned(at, random.random_range(LENGTH_MS), fault));
-        at += random.random_range(GAP_MS);
-    }
-    faults
+        }
+    })
 }
--- a/crates/soak/src/word_plan.rs
+++ b/crates/soak/src/word_plan.rs
@@ -7,6 +7,7 @@
 use crate::{
     contact_plan,
     fault_plan::{Fault, PlanSize, PlannedFault},
+    fault_series,
 };
 
 /// Plans of earlier seeds stay as they were: some of them are kept as tests.
@@ -22,22 +23,19 @@
 
 /// Such faults through the whole run: what instances in contact must do is judged in the scenes.
 pub(crate) fn faults(seed: u64, size: PlanSize) -> Vec<PlannedFault> {
-    if seed < FIRST_SEED {
-        return Vec::new();
-    }
-    let mut random = contact_plan::stream(seed, WORD_STREAM);
-    let end = (size.length + contact_plan::scenes_length(size)).as_millis() as u64;
-    let mut faults = Vec::new();
-    let mut at = random.random_range(GAP_MS);
-    while at < end {
+    let series = fault_series::FaultSeries {
+        first_seed: FIRST_SEED,
+        stream: WORD_STREAM,
+        end: size.length + contact_plan::scenes_length(size),
+        gap_ms: GAP_MS,
+        length_ms: LENGTH_MS,
+    };
+    series.faults(seed, |random| {
         let upstream = random.random_range(0..size.upstreams);
-        let fault = if random.random_range(0..3) == 0 {
+        if random.random_range(0..3) == 0 {
             Fault::SayLeaving(upstream)
         } else {
             Fault::AskRest(upstream, random.random_range(REST_MS))
-        };
-        faults.push(contact_plan::planned(at, random.random_range(LENGTH_MS), fault));
-        at += random.random_range(GAP_MS);
-    }
-    faults
+        }
+    })
 }
--- a/crates/soak/src/zone_plan.rs
+++ b/crates/soak/src/zone_plan.rs
@@ -7,6 +7,7 @@
 use crate::{
     contact_plan,
     fault_plan::{Fault, PlanSize, PlannedFault},
+    fault_series,
 };
 
 /// Plans of earlier seeds stay as they were: some of them are kept as tests.
@@ -20,20 +21,15 @@
 
 /// Such faults through the whole run.
 pub(crate) fn faults(seed: u64, size: PlanSize) -> Vec<PlannedFault> {
-    if seed < FIRST_SEED {
-        return Vec::new();
-    }
-    let mut random = contact_plan::stream(seed, ZONE_STREAM);
-    let end = (size.length + contact_plan::scenes_length(size)).as_millis() as u64;
-    let mut faults = Vec::new();
-    let mut at = random.random_range(GAP_MS);
-    while at < end {
-        let fault = match random.random_range(0..3) {
-            0 => Fault::Cool(random.random_range(0..size.engines)),
-            _ => Fault::Evacuate(random.random_range(0..size.upstreams)),
-        };
-        faults.push(contact_plan::planned(at, random.random_range(LENGTH_MS), fault));
-        at += random.random_range(GAP_MS);
-    }
-    faults
+    let series = fault_series::FaultSeries {
+        first_seed: FIRST_SEED,
+        stream: ZONE_STREAM,
+        end: size.length + contact_plan::scenes_length(size),
+        gap_ms: GAP_MS,
+        length_ms: LENGTH_MS,
+    };
+    series.faults(seed, |random| match random.random_range(0..3) {
+        0 => Fault::Cool(random.random_range(0..size.engines)),
+        _ => Fault::Evacuate(random.random_range(0..size.upstreams)),
+    })
 }
