Tests: one event queue serves both virtual fleets

Cause: the virtual fleets of the failure detector and of a start held the same ordering of events.

Change: support/event_queue.rs, with the order by time and then by scheduling.

--- a/crates/core/tests/support/virtual_fleet.rs
+++ b/crates/core/tests/support/virtual_fleet.rs
@@ -1,6 +1,8 @@
 //! Members in virtual time, over datagrams that may be lost or cut off.
 
-use std::{cmp, collections, net, sync, time};
+mod event_queue;
+
+use std::{collections, net, sync, time};
 
 use rand::{RngExt as _, SeedableRng as _};
 use rand_chacha::ChaCha8Rng;
@@ -49,31 +51,12 @@
 
 #[derive(Debug)]
 struct Event {
-    at: units::MonoTime,
-    order: u64,
     to: usize,
     /// `None` is the member's own timer.
     from: Option<usize>,
     datagram: Option<Datagram>,
 }
 
-impl PartialEq for Event {
-    fn eq(&self, other: &Self) -> bool {
-        self.order == other.order
-    }
-}
-impl Eq for Event {}
-impl PartialOrd for Event {
-    fn partial_cmp(&self, other: &Self) -> Option<cmp::Ordering> {
-        Some(self.cmp(other))
-    }
-}
-impl Ord for Event {
-    fn cmp(&self, other: &Self) -> cmp::Ordering {
-        (other.at, other.order).cmp(&(self.at, self.order))
-    }
-}
-
 /// One member.
 struct VirtualMember {
     silent: bool,
@@ -95,8 +78,7 @@
     loss: f64,
     random: ChaCha8Rng,
     now: units::MonoTime,
-    order: u64,
-    events: collections::BinaryHeap<Event>,
+    events: event_queue::EventQueue<Event>,
     members: Vec<VirtualMember>,
     sent: u64,
 }
@@ -134,8 +116,7 @@
             loss,
             random,
             now: units::MonoTime::default(),
-            order: 0,
-            events: collections::BinaryHeap::new(),
+            events: event_queue::EventQueue::default(),
             members,
             sent: 0,
         };
@@ -148,9 +129,8 @@
     /// Plays so much time.
     pub(crate) fn run(&mut self, time: time::Duration) {
         let end = self.now + time;
-        while self.events.peek().is_some_and(|event| event.at <= end) {
-            let event = self.events.pop().expect("it was seen");
-            self.now = event.at;
+        while let Some((at, event)) = self.events.pop_until(end) {
+            self.now = at;
             self.play(event);
         }
         self.now = end;
@@ -255,9 +235,7 @@
         from: Option<usize>,
         datagram: Option<Datagram>,
     ) {
-        self.order += 1;
-        let at = self.now + after;
-        self.events.push(Event { at, order: self.order, to, from, datagram });
+        self.events.push(self.now + after, Event { to, from, datagram });
     }
 
     fn send(&mut self, from: usize, to: usize, datagram: Datagram) {
--- a/crates/core/tests/support/virtual_start.rs
+++ b/crates/core/tests/support/virtual_start.rs
@@ -1,6 +1,8 @@
 //! Members that start at once in virtual time: greetings, and documents that go from one to the other.
 
-use std::{cmp, collections, fmt, net, time};
+mod event_queue;
+
+use std::{fmt, net, time};
 
 use rand::{RngExt as _, SeedableRng as _, seq::IndexedRandom as _};
 use rand_chacha::ChaCha8Rng;
@@ -76,29 +78,10 @@
 
 #[derive(Debug)]
 struct Event {
-    at: units::MonoTime,
-    order: u64,
     to: usize,
     step: Step,
 }
 
-impl PartialEq for Event {
-    fn eq(&self, other: &Self) -> bool {
-        self.order == other.order
-    }
-}
-impl Eq for Event {}
-impl PartialOrd for Event {
-    fn partial_cmp(&self, other: &Self) -> Option<cmp::Ordering> {
-        Some(self.cmp(other))
-    }
-}
-impl Ord for Event {
-    fn cmp(&self, other: &Self) -> cmp::Ordering {
-        (other.at, other.order).cmp(&(self.at, self.order))
-    }
-}
-
 struct StartingMember {
     view: MemberView,
     cut: bool,
@@ -117,8 +100,7 @@
     way: SourceWay,
     random: ChaCha8Rng,
     now: units::MonoTime,
-    order: u64,
-    events: collections::BinaryHeap<Event>,
+    events: event_queue::EventQueue<Event>,
     members: Vec<StartingMember>,
     bytes: usize,
     revision: u64,
@@ -147,8 +129,7 @@
             way,
             random: ChaCha8Rng::seed_from_u64(seed),
             now: units::MonoTime::default(),
-            order: 0,
-            events: collections::BinaryHeap::new(),
+            events: event_queue::EventQueue::default(),
             members: (0..count).map(member).collect(),
             bytes: count * DOCUMENT_BYTES,
             revision: 1,
@@ -163,11 +144,8 @@
 
     /// Plays until nothing more happens, and tells how it went.
     pub(crate) fn run(&mut self) -> StartOutcome {
-        while let Some(event) = self.events.pop() {
-            if event.at.since(units::MonoTime::default()) > END {
-                break;
-            }
-            self.now = event.at;
+        while let Some((at, event)) = self.events.pop_until(units::MonoTime::from_span(END)) {
+            self.now = at;
             self.play(event.to, event.step);
             if self.members.iter().all(|member| member.known.is_some() || member.cut) {
                 break;
@@ -186,8 +164,7 @@
     }
 
     fn schedule(&mut self, after: time::Duration, to: usize, step: Step) {
-        self.order += 1;
-        self.events.push(Event { at: self.now + after, order: self.order, to, step });
+        self.events.push(self.now + after, Event { to, step });
     }
 
     fn reaches(&self, from: usize, to: usize) -> bool {
