One constant for the time to a place, list entries of tests in one place, names

Cause: the mend of planned stops wrote MIN_PLACE_TIME a second time; three test files held the same entry of a list; some names and comments kept idioms that the renames had missed.

Change: context::MIN_PLACE_TIME serves both; support/list_entries.rs; a message that was matched into a pair and taken apart again is matched once; SHUNNED_COST, has_leave and PeerMessage::Leave have the names of the rest (messages are coded by their position: the wire is unchanged).

--- a/crates/core/src/beat_clock.rs
+++ b/crates/core/src/beat_clock.rs
@@ -4,9 +4,9 @@
 
 /// The times of one member's heartbeats.
 ///
-/// Members that start together would send at the same moments ever after: in a large fleet what one of them learns
-/// right after that moment would reach those who hear of it by heartbeats alone a whole interval later. So each draws its place
-/// in the interval, anew whenever that has changed.
+/// Members that start together would otherwise keep sending at the same moments, and in a large fleet a change right
+/// after them would spread by heartbeats only a whole interval later. So each member draws a random phase, again
+/// whenever the interval changes.
 #[derive(Debug, Default)]
 pub struct BeatClock {
     interval: time::Duration,
--- a/crates/core/src/planner/admission.rs
+++ b/crates/core/src/planner/admission.rs
@@ -50,7 +50,7 @@
     ) -> Vec<engine_place::PlaceAnswer> {
         let views = self.table.views(self.now);
         let tight: usize = views.iter().map(engine_view::EngineView::sensitive).sum();
-        let usable = views.iter().filter(|view| !view.ejected && view.has_leave()).count();
+        let usable = views.iter().filter(|view| !view.ejected && view.has_permit()).count();
         // Engines that short requests leave to long ones.
         let free = usable.saturating_sub(tight.div_ceil(self.packed_writers));
         let mut answers = Vec::new();
@@ -124,7 +124,7 @@
             if missed {
                 return Err(self.give_way(jobs, booked));
             }
-            let granted = if booking.starts_now() || job.ask.resumed && booking.has_leave() {
+            let granted = if booking.starts_now() || job.ask.resumed && booking.has_permit() {
                 timetable.grant(job, &booking, job.waited_ms(self.now), job.ask.resumed)
             } else {
                 None
--- a/crates/core/src/planner/engine_view.rs
+++ b/crates/core/src/planner/engine_view.rs
@@ -48,7 +48,7 @@
 
 impl EngineView<'_> {
     /// Whether its limit lets a request through now.
-    pub(crate) fn has_leave(&self) -> bool {
+    pub(crate) fn has_permit(&self) -> bool {
         self.permit.wait_ms <= 0.0
     }
 
--- a/crates/core/src/planner/plain_choice.rs
+++ b/crates/core/src/planner/plain_choice.rs
@@ -21,7 +21,7 @@
     };
     let usable = engine_view::usable(views, &job.ask);
     let usable = usable.into_iter().map(|at| &views[at]);
-    let usable: Vec<_> = usable.filter(|view| view.has_leave()).collect();
+    let usable: Vec<_> = usable.filter(|view| view.has_permit()).collect();
     let turn = job.ask.job.sequence as usize % usable.len().max(1);
     let (before, behind) = usable.split_at(turn);
     let engine = behind.iter().chain(before).copied().min_by_key(load)?;
--- a/crates/core/src/planner/short_choice.rs
+++ b/crates/core/src/planner/short_choice.rs
@@ -51,7 +51,7 @@
         let engine = usable
             .into_iter()
             .map(|at| &views[at])
-            .filter(|view| view.has_leave())
+            .filter(|view| view.has_permit())
             .filter(|view| !calm || self.is_calm(view, &job.ask, part))
             .min_by(|left, right| {
                 let loss = self.loss(left, &job.ask, part);
--- a/crates/core/src/planner/timetable.rs
+++ b/crates/core/src/planner/timetable.rs
@@ -52,11 +52,11 @@
 impl ReadBooking {
     /// Whether it can be sent now.
     pub(crate) fn starts_now(&self) -> bool {
-        self.start_ms <= MAX_STACKED_MS && self.has_leave()
+        self.start_ms <= MAX_STACKED_MS && self.has_permit()
     }
 
     /// Whether the limits of all its engines let it through now.
-    pub(crate) fn has_leave(&self) -> bool {
+    pub(crate) fn has_permit(&self) -> bool {
         self.permit_ms <= 0.0
     }
 }
--- a/crates/core/tests/cold_start.rs
+++ b/crates/core/tests/cold_start.rs
@@ -1,38 +1,25 @@
 //! Upstreams that have just started: how many requests they get of all instances, and until when.
 
+#[path = "support/list_entries.rs"]
+mod list_entries;
+
 use std::time;
 
+use list_entries::{at, name};
 use slipturn_core::{
     cold_start::{ColdPolicy, ColdUpstreamWay},
-    fleet_list::ListState,
     ids, units,
     upstream_limit::LimitReading,
     upstream_list::{ListChange, UpstreamEntry, UpstreamList},
     upstream_notice::NoticeSource,
 };
 
-fn at(millis: u64) -> units::MonoTime {
-    units::MonoTime::from_span(time::Duration::from_millis(millis))
-}
-
-fn name(number: u8) -> ids::UpstreamId {
-    format!("u{number}").parse().expect("a valid name")
-}
-
 fn rate(per_second: f64) -> units::RequestRate {
     units::RequestRate::try_from(per_second).expect("a rate")
 }
 
 fn entry(number: u8, cold_ms: u64) -> UpstreamEntry {
-    UpstreamEntry {
-        name: name(number),
-        service: "s".parse().expect("a valid name"),
-        data_center: "a".parse().expect("a valid name"),
-        address: format!("10.0.0.{number}:80").parse().expect("an address"),
-        slots: 4,
-        state: ListState::Live,
-        cold: time::Duration::from_millis(cold_ms),
-    }
+    UpstreamEntry { cold: time::Duration::from_millis(cold_ms), ..list_entries::entry(number) }
 }
 
 /// Upstreams 1 and 2 of a service whose cold upstreams bear 17 requests a second for 3 s.
--- a/crates/core/tests/evacuation.rs
+++ b/crates/core/tests/evacuation.rs
@@ -1,33 +1,20 @@
 //! Data centres under evacuation: none of their upstreams takes new work until that is over.
 
+#[path = "support/list_entries.rs"]
+mod list_entries;
+
 use std::time;
 
+use list_entries::{at, name};
 use slipturn_core::{
-    fleet_list::ListState,
     ids,
     send_gate::{SendDenial, SendKind, TrialTurn},
-    units,
     upstream_list::{ListChange, UpstreamEntry, UpstreamList},
 };
 
-fn at(millis: u64) -> units::MonoTime {
-    units::MonoTime::from_span(time::Duration::from_millis(millis))
-}
-
 fn entry(number: u8, data_center: &str) -> UpstreamEntry {
-    UpstreamEntry {
-        name: name(number),
-        service: service(),
-        data_center: data_center.parse().expect("a valid name"),
-        address: format!("10.0.0.{number}:80").parse().expect("an address"),
-        slots: 4,
-        state: ListState::Live,
-        cold: time::Duration::ZERO,
-    }
-}
-
-fn name(number: u8) -> ids::UpstreamId {
-    format!("u{number}").parse().expect("a valid name")
+    let data_center = data_center.parse().expect("a valid name");
+    UpstreamEntry { data_center, ..list_entries::entry(number) }
 }
 
 fn service() -> ids::ServiceId {
--- a/crates/core/tests/upstream_list.rs
+++ b/crates/core/tests/upstream_list.rs
@@ -1,36 +1,19 @@
 //! The list of upstreams: changes, outages of its source, upstreams that come back.
 
+#[path = "support/list_entries.rs"]
+mod list_entries;
+
 use std::time;
 
+use list_entries::{at, entry, name};
 use slipturn_core::{
     fleet_list::ListState,
     ids,
     send_gate::{SendDenial, SendKind, TrialTurn},
-    units,
     upstream_list::{ListChange, UpstreamEntry, UpstreamList},
     upstream_notice::NoticeSource,
 };
 
-fn at(millis: u64) -> units::MonoTime {
-    units::MonoTime::from_span(time::Duration::from_millis(millis))
-}
-
-fn entry(number: u8) -> UpstreamEntry {
-    UpstreamEntry {
-        name: name(number),
-        service: service(),
-        data_center: "a".parse().expect("a valid name"),
-        address: format!("10.0.0.{number}:80").parse().expect("an address"),
-        slots: 4,
-        state: ListState::Live,
-        cold: time::Duration::ZERO,
-    }
-}
-
-fn name(number: u8) -> ids::UpstreamId {
-    format!("u{number}").parse().expect("a valid name")
-}
-
 fn service() -> ids::ServiceId {
     "s".parse().expect("a valid name")
 }
--- a/crates/instance/src/context.rs
+++ b/crates/instance/src/context.rs
@@ -19,8 +19,8 @@
 /// Age at which a process knows how many members there are; heartbeats are a second apart at most.
 const SURE_AGE: time::Duration = time::Duration::from_secs(3);
 
-/// Time to obtain a place.
-const PLACE_TIME: time::Duration = time::Duration::from_millis(200);
+/// Shortest time in which a place is looked for, also after a long first attempt.
+pub(crate) const MIN_PLACE_TIME: time::Duration = time::Duration::from_millis(200);
 
 /// A message to another member, or to all.
 #[derive(Debug)]
@@ -58,9 +58,9 @@
     pub fleet: cell::RefCell<fleet_state::FleetState>,
     /// Other instances.
     pub members: cell::RefCell<membership::MemberView>,
-    /// Which of them answer.
+    /// The failure detector of the members.
     pub detector: cell::RefCell<failure_detector::FailureDetector>,
-    /// When this process last denied to be silent.
+    /// When this process last denied a suspicion of itself.
     pub denied: cell::Cell<Option<units::MonoTime>>,
     /// What requests of each class are worth.
     pub classes: cell::RefCell<class_worth::ClassWorth>,
@@ -82,15 +82,15 @@
     pub loads: cell::RefCell<upstream_load::UpstreamLoads>,
     /// Requests that this process sent lately.
     pub sent: cell::RefCell<send_counts::SendCounts>,
-    /// What all members together do only so often.
+    /// Shared quotas of the fleet, coordinated here or elsewhere.
     pub quotas: quota_coordinator::QuotaState,
     /// Attempts that wait for starts of upstreams.
     pub starts: upstream_starts::StartWaiters,
-    /// Requests that upstreams ended under.
+    /// Evidence against requests that crash upstreams.
     pub quarantine: cell::RefCell<quarantine::QuarantineTable>,
-    /// Rings when a request is held back.
+    /// Signals that a request was quarantined.
     pub verdicts: quarantine_gate::VerdictSignal,
-    /// Second in which this process last asked members what they know, and how many it asked in it.
+    /// Second of the last gossip requests, and their number within it.
     pub gossip_requests: cell::Cell<(u64, usize)>,
     /// Answers to members about the store's documents.
     pub answers: cell::RefCell<document_answers::DocumentAnswers>,
@@ -215,13 +215,13 @@
         engine_place::JobId { boot: self.boot, sequence }
     }
 
-    /// Says something to another member.
+    /// Sends a message to another member.
     pub fn send_to(&self, to: std::net::SocketAddrV4, message: peer_message::PeerMessage) {
         // The receiver lives as long as the process.
         let _ = self.outgoing.unbounded_send(Outgoing { to, message });
     }
 
-    /// Tells what has become of a run.
+    /// Reports the end of a run.
     pub(crate) fn report_run(&self, news: upstream_ends::RunNews) {
         // The receiver lives as long as the process.
         let _ = self.runs.unbounded_send(news);
@@ -318,7 +318,7 @@
 
     /// Whether a request that asks for a place now may still get one, also during a planned stop.
     pub fn grants_places(&self) -> bool {
-        self.places_until.get().is_none_or(|until| self.now() + PLACE_TIME < until)
+        self.places_until.get().is_none_or(|until| self.now() + MIN_PLACE_TIME < until)
     }
 
     /// Connections to an upstream that this process keeps at rest, at most.
--- a/crates/instance/src/fleet_state.rs
+++ b/crates/instance/src/fleet_state.rs
@@ -231,7 +231,7 @@
         source: &str,
     ) {
         for change in changes {
-            let event = match &change {
+            let (event, data_center) = match &change {
                 upstream_list::ListChange::Evacuated(name) => {
                     ("data_center.evacuated", name.clone())
                 }
@@ -239,7 +239,6 @@
                 _ => continue,
             };
             if self.list.apply(now, vec![change], revision) {
-                let (event, data_center) = event;
                 log::info!(data_center:%, source, revision; "{event}");
             }
         }
--- a/crates/instance/src/model_request.rs
+++ b/crates/instance/src/model_request.rs
@@ -17,8 +17,6 @@
 const MAX_TRIES: u32 = 5;
 /// When to come back after a refusal, where nothing better is known.
 const BACK_AFTER: time::Duration = time::Duration::from_millis(400);
-/// Shortest time in which a place is looked for, also after a long first attempt.
-const MIN_PLACE_TIME: time::Duration = time::Duration::from_millis(200);
 /// Age up to which an engine's report shows planners what others do there; a short
 /// answer lasts some seconds.
 const LOAD_AGE: time::Duration = time::Duration::from_millis(100);
@@ -181,7 +179,7 @@
     // The caller's patience begins anew with each event.
     let since = state.last_at.unwrap_or(call.arrived);
     let limit = stream_policy::patience(call).saturating_sub(context.now().since(since));
-    let limit = limit.max(MIN_PLACE_TIME).min(call.left(context.now()));
+    let limit = limit.max(context::MIN_PLACE_TIME).min(call.left(context.now()));
     let progress = stream_policy::AskProgress {
         begun: state.begun,
         sent: state.sent > 0,
--- a/crates/instance/src/peer_message.rs
+++ b/crates/instance/src/peer_message.rs
@@ -63,10 +63,10 @@
     Leaving(Vec<LeavingReport>),
     /// Upstreams have named limits, or ended them.
     Limits(Vec<LimitReport>),
-    /// Asks the coordinator of a sum for leave.
+    /// Requests a permit from the coordinator of a quota.
     RequestPermit(Box<PermitQuestion>),
-    /// The answer to the question of this number.
-    Leave(u64, quota_permit::PermitResponse),
+    /// The response to the request of this number.
+    Permit(u64, quota_permit::PermitResponse),
     /// A probe of the failure detector, or its answer.
     Probe(failure_detector::ProbeMessage),
     /// Members that do not answer.
--- a/crates/instance/src/peers.rs
+++ b/crates/instance/src/peers.rs
@@ -123,7 +123,7 @@
         PeerMessage::RequestPermit(question) => {
             quota_coordinator::receive_ask(context, from, *question);
         }
-        PeerMessage::Leave(number, answer) => permit_request::receive(context, number, answer),
+        PeerMessage::Permit(number, answer) => permit_request::receive(context, number, answer),
         PeerMessage::Probe(message) => failure_watch::receive(context, from, message),
         PeerMessage::Suspects(reports) => failure_watch::receive_suspects(context, reports),
         PeerMessage::Restored(boots) => failure_watch::receive_restored(context, &boots),
--- a/crates/instance/src/quota_coordinator.rs
+++ b/crates/instance/src/quota_coordinator.rs
@@ -227,7 +227,7 @@
     {
         context.send_to(from, peer_message::PeerMessage::Limits(vec![report]));
     }
-    context.send_to(from, peer_message::PeerMessage::Leave(asked.number, answer));
+    context.send_to(from, peer_message::PeerMessage::Permit(asked.number, answer));
 }
 
 /// The coordinator of a quota and its recent grants, for operators.
--- a/crates/instance/src/upstream_load.rs
+++ b/crates/instance/src/upstream_load.rs
@@ -19,7 +19,7 @@
 /// See [`FAILING_COST`].
 const AWAY_COST: f64 = 0.05;
 /// See [`FAILING_COST`].
-const SHUNNED_COST: f64 = 100.0;
+const EJECTED_COST: f64 = 100.0;
 
 #[derive(Debug, Default, Clone)]
 struct LoadState {
@@ -71,7 +71,7 @@
             let running = told.map_or(0, |(running, _)| running).max(state.calls);
             let load = f64::from(running) / entry.slots as f64;
             let away = if entry.data_center == *own { 0.0 } else { AWAY_COST };
-            let ejected = if state.health.is_trusted() { 0.0 } else { SHUNNED_COST };
+            let ejected = if state.health.is_trusted() { 0.0 } else { EJECTED_COST };
             load + state.health.failing(now) * FAILING_COST + away + ejected
         };
         let costs: Vec<_> = candidates.iter().map(|entry| (cost(entry), *entry)).collect();
--- a/crates/instance/tests/peer_message.rs
+++ b/crates/instance/tests/peer_message.rs
@@ -156,7 +156,7 @@
         (PeerMessage::Limits(vec![known]), 64),
         (PeerMessage::RequestPermit(Box::new(question)), 112),
         (PeerMessage::RequestPermit(Box::new(retry)), 48),
-        (PeerMessage::Leave(90_000, given), 16),
+        (PeerMessage::Permit(90_000, given), 16),
     ];
     for (message, most) in messages {
         let bytes = message.encode().expect("it can be coded");
