Observability: the store's era, lists dropped as older, and where the list in force comes from

Ruled out: deciding anything by the era yet; a 410 and an answer are handled as before.

Change: the adapter reads the header (a number, told once; several that differ or no number are an error); one line and a counter where it changes, in history_gone too; list.older at INFO with the revision in force, and a counter; records of requests and status name the source and age of the list (list_source, list_age_ms), status the era.

Conclusion: a request's record now tells which list its instance believed, from whom, and for how long.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -57,6 +57,7 @@
 mod start_record;
 pub mod start_wait;
 pub mod store_belief;
+pub mod store_revision;
 pub mod units;
 pub mod upstream_health;
 pub mod upstream_limit;
--- a/crates/core/src/store_belief.rs
+++ b/crates/core/src/store_belief.rs
@@ -3,7 +3,7 @@
 
 use std::time;
 
-use crate::{document_lag, units};
+use crate::{document_lag, store_revision, units};
 
 /// What is believed of the store's answers.
 ///
@@ -67,6 +67,8 @@
     away_since: Option<units::MonoTime>,
     /// When its last answer came; the process's start before any.
     heard: units::MonoTime,
+    /// Highest era in its answers; nothing before the first answer.
+    era: Option<store_revision::StoreEra>,
     /// Routes of other members that this process lacks.
     routes: document_lag::DocumentLag,
     /// Lists of other members that this process lacks.
@@ -81,6 +83,7 @@
             watched: 0,
             away_since: None,
             heard: units::MonoTime::default(),
+            era: None,
             routes: document_lag::DocumentLag::default(),
             list: document_lag::DocumentLag::default(),
         }
@@ -119,6 +122,17 @@
         now.since(self.heard)
     }
 
+    /// Highest era in its answers.
+    pub fn era(&self) -> store_revision::StoreEra {
+        self.era.unwrap_or_default()
+    }
+
+    /// Takes in the era of an answer; returns the one before where it has changed.
+    pub fn note_era(&mut self, era: store_revision::StoreEra) -> Option<store_revision::StoreEra> {
+        let before = self.era.replace(self.era().max(era));
+        before.filter(|before| *before < era)
+    }
+
     /// Takes in an answer.
     pub fn receive(&mut self, now: units::MonoTime) -> HeardStore {
         let before = std::mem::replace(&mut self.contact, StoreContact::Answering);
--- a/crates/instance/src/border.rs
+++ b/crates/instance/src/border.rs
@@ -6,7 +6,7 @@
 use std::{collections, net, time};
 
 use bytes::Bytes;
-use slipturn_core::{ids, route_table, units, upstream_list};
+use slipturn_core::{ids, route_table, store_revision, units, upstream_list};
 use snafu::Snafu;
 
 use crate::routes_history;
@@ -247,6 +247,11 @@
     fn operator_path(&self, after: Option<&str>) -> String;
     /// Path that waits for changes after a revision.
     fn watch_path(&self, after: u64, wait: time::Duration) -> String;
+    /// The era that an answer's head tells, whatever its status.
+    fn store_era(
+        &self,
+        head: &http::response::Parts,
+    ) -> Result<Option<store_revision::StoreEra>, FormatError>;
     /// Reads a page; also of a single key.
     fn read_page(&self, body: &[u8]) -> Result<StorePage, FormatError>;
     /// Reads changes and the revision behind them.
--- a/crates/instance/src/fleet_state.rs
+++ b/crates/instance/src/fleet_state.rs
@@ -25,6 +25,19 @@
     listed: bool,
     /// When the store came back from its last outage.
     returned: Option<units::MonoTime>,
+    /// Where the list in force comes from.
+    origin: ListOrigin,
+    /// Lists and changes that were dropped as older than the list in force.
+    dropped: u64,
+}
+
+/// Where a list comes from, and since when it has been in force.
+#[derive(Debug, Clone)]
+pub struct ListOrigin {
+    /// The store, or the member that passed it on; empty before the first list.
+    pub source: rc::Rc<str>,
+    /// When its last change was taken over.
+    pub since: units::MonoTime,
 }
 
 impl FleetState {
@@ -37,7 +50,32 @@
             raw: raw_state::RawState::default(),
             listed: false,
             returned: None,
+            origin: ListOrigin { source: "".into(), since: units::MonoTime::default() },
+            dropped: 0,
+        }
+    }
+
+    /// Where the list in force comes from.
+    pub fn origin(&self) -> &ListOrigin {
+        &self.origin
+    }
+
+    /// Lists and changes that were dropped as older than the list in force.
+    pub fn dropped(&self) -> u64 {
+        self.dropped
+    }
+
+    fn drop_older(&mut self, revision: u64, source: &str) {
+        let known = self.list.revision();
+        log::info!(source, revision, known; "list.older");
+        self.dropped += 1;
+    }
+
+    fn note_origin(&mut self, now: units::MonoTime, source: &str) {
+        if *self.origin.source != *source {
+            self.origin.source = source.into();
         }
+        self.origin.since = now;
     }
 
     /// Whether requests can be served.
@@ -132,7 +170,7 @@
             let upstreams = upstreams.into_iter().collect();
             self.replace_upstreams(now, upstreams, documents.revision, source);
         } else if self.listed {
-            self.change_upstreams(now, documents.changes, documents.revision);
+            self.change_upstreams(now, documents.changes, documents.revision, source);
         }
     }
 
@@ -183,9 +221,10 @@
         source: &str,
     ) {
         if revision < self.list.revision() {
-            log::debug!(source, revision; "list.older");
+            self.drop_older(revision, source);
             return;
         }
+        self.note_origin(now, source);
         // Of a key that is there twice the last one holds.
         let mut documents: collections::BTreeMap<_, _> = documents.into_iter().collect();
         let mut entries = Vec::new();
@@ -288,7 +327,7 @@
             }
         }
         self.change_evacuations(now, evacuations, revision, "store");
-        self.change_upstreams(now, upstreams, revision);
+        self.change_upstreams(now, upstreams, revision, "store");
     }
 
     fn change_upstreams(
@@ -296,12 +335,14 @@
         now: units::MonoTime,
         changes: Vec<(String, Option<String>)>,
         revision: u64,
+        source: &str,
     ) {
         if revision < self.list.revision() {
             // A late answer; its content must not go to other members as news.
-            log::debug!(revision; "list.older");
+            self.drop_older(revision, source);
             return;
         }
+        self.note_origin(now, source);
         // What members have sent already may come again, with older changes: only the last change of
         // each counts, or a start that is long over would seem to be the next one for a moment.
         let mut last_changes = collections::BTreeMap::new();
--- a/crates/instance/src/incoming_call.rs
+++ b/crates/instance/src/incoming_call.rs
@@ -80,6 +80,8 @@
             service: self.service.to_string(),
             routes: fleet.routes.version.0,
             list: fleet.list.revision(),
+            list_source: fleet.origin().source.to_string(),
+            list_age_ms: units::whole_millis(context.now().since(fleet.origin().since)),
             repeat: self.route.repeat.label(),
             prompt: self.request.prompt,
             limit_ms: units::whole_millis(self.deadline.since(self.arrived)),
--- a/crates/instance/src/lib.rs
+++ b/crates/instance/src/lib.rs
@@ -46,6 +46,7 @@
 pub mod service_request;
 pub mod silence_watch;
 pub mod small_server;
+mod store_call;
 pub mod store_feed;
 mod store_read;
 mod store_sight;
--- a/crates/instance/src/request_record.rs
+++ b/crates/instance/src/request_record.rs
@@ -46,6 +46,10 @@
     pub routes: u64,
     /// Revision of the list of upstreams at the start.
     pub list: u64,
+    /// Where that list came from: the store, or the member that passed it on.
+    pub list_source: String,
+    /// For how long it had been in force.
+    pub list_age_ms: u64,
     /// How often it may run.
     pub repeat: &'static str,
     /// What it is recognised by when its caller repeats it; reported where an attempt broke.
--- a/crates/instance/src/small_server.rs
+++ b/crates/instance/src/small_server.rs
@@ -262,10 +262,12 @@
     let lags = context.lags();
     let belief = context.belief.borrow();
     format!(
-        "slipturn_store_ok {}\nslipturn_store_heard_ms {}\nslipturn_routes_lag_ms {}\n\
-         slipturn_list_lag_ms {}\n",
+        "slipturn_store_ok {}\nslipturn_store_era {}\nslipturn_store_heard_ms {}\n\
+         slipturn_lists_older_total {}\nslipturn_routes_lag_ms {}\nslipturn_list_lag_ms {}\n",
         u8::from(belief.answers()),
+        belief.era(),
         units::whole_millis(belief.last_answer_age(context.now())),
+        context.fleet.borrow().dropped(),
         units::whole_millis(lags.routes),
         units::whole_millis(lags.list),
     )
@@ -312,6 +314,9 @@
         "plans": beat.plans,
         "routes": beat.routes,
         "list": beat.list,
+        "list_source": &*fleet.origin().source,
+        "list_age_ms": units::whole_millis(context.now().since(fleet.origin().since)),
+        "store_era": belief.era().0,
         "upstreams": fleet.list.entries().count(),
         "evacuated": fleet.list.evacuated().collect::<Vec<_>>(),
         "store_ok": belief.answers(),
--- a/crates/instance/src/store_feed.rs
+++ b/crates/instance/src/store_feed.rs
@@ -5,7 +5,7 @@
 use rand::RngExt as _;
 use slipturn_core::units;
 
-use crate::{context, document_call, heartbeats, store_read, store_sight, store_watch};
+use crate::{context, document_call, heartbeats, store_call, store_read, store_sight, store_watch};
 
 /// Spread of pauses after failures, so that members do not return together.
 const RETRY_SPREAD: std::ops::Range<f64> = 0.7..1.3;
@@ -128,10 +128,10 @@
         }
         context.belief.borrow_mut().note_watched(revision);
         let asked = context.now();
-        let body = match store_watch::watch(context, connection, revision).await {
-            Ok(body) => body,
-            Err(document_call::CallError::Status { status: 410 }) => {
-                log::info!(revision; "store.history_gone");
+        let answer = match store_watch::watch(context, connection, revision).await {
+            Ok(answer) => answer,
+            Err(store_call::StoreError::HistoryGone { era }) => {
+                log::info!(era = era.0, revision; "store.history_gone");
                 revision = store_read::read_all(context, connection).await?;
                 store_sight::regained(context);
                 continue;
@@ -139,9 +139,10 @@
             Err(error) => return Err(error.to_string()),
         };
         let (changes, next) =
-            context.border.read_changes(&body).map_err(|error| error.to_string())?;
+            context.border.read_changes(&answer.body).map_err(|error| error.to_string())?;
         store_sight::regained(context);
         let quiet = changes.is_empty();
+        log::debug!(era = answer.era.0, after = revision, next, changes = changes.len(); "store.watched");
         let now = context.now();
         if !quiet {
             context.fleet.borrow_mut().apply(now, changes, next);
--- a/crates/instance/src/store_read.rs
+++ b/crates/instance/src/store_read.rs
@@ -4,7 +4,7 @@
 
 use slipturn_core::ids;
 
-use crate::{border, context, document_call, fleet_state};
+use crate::{border, context, document_call, fleet_state, store_call};
 
 /// Time for the store's answer to a read.
 const READ_TIME: time::Duration = time::Duration::from_millis(1_500);
@@ -59,9 +59,9 @@
     let mut first_revision = None;
     let mut after = None;
     for _ in 0..MAX_PAGES {
-        let body = connection.get(&path(after.as_deref()), READ_TIME).await;
-        let body = body.map_err(|error| error.to_string())?;
-        let page = context.border.read_page(&body).map_err(|error| error.to_string())?;
+        let answer = store_call::get(context, connection, &path(after.as_deref()), READ_TIME).await;
+        let answer = answer.map_err(|error| error.to_string())?;
+        let page = context.border.read_page(&answer.body).map_err(|error| error.to_string())?;
         first_revision.get_or_insert(page.revision);
         items.extend(page.items);
         after = page.next;
@@ -75,9 +75,10 @@
 /// Reads the routes from the store.
 pub(crate) async fn read_routes(context: &context::InstanceContext) -> Result<(), String> {
     let mut connection = document_call::DocumentConnection::new(context.settings().store);
-    let body = connection.get(&context.border.routes_path(), READ_TIME).await;
-    let body = body.map_err(|error| error.to_string())?;
-    let page = context.border.read_page(&body).map_err(|error| error.to_string())?;
+    let path = context.border.routes_path();
+    let answer = store_call::get(context, &mut connection, &path, READ_TIME).await;
+    let answer = answer.map_err(|error| error.to_string())?;
+    let page = context.border.read_page(&answer.body).map_err(|error| error.to_string())?;
     let mut fleet = context.fleet.borrow_mut();
     page.items.into_iter().for_each(|item| fleet.put_routes_item(item, "store"));
     Ok(())
--- a/crates/instance/src/store_watch.rs
+++ b/crates/instance/src/store_watch.rs
@@ -2,10 +2,9 @@
 
 use std::{pin, time};
 
-use bytes::Bytes;
 use futures::{StreamExt as _, future, stream};
 
-use crate::{context, document_call, store_sight};
+use crate::{context, document_call, store_call, store_sight};
 
 /// Longest wait of one watch, as a share of the time within which a leaving upstream gets no more
 /// work. A connection may fall silent for good without a sign, so a change is heard at the latest
@@ -31,7 +30,7 @@
     context: &context::InstanceContext,
     connection: &mut document_call::DocumentConnection,
     revision: u64,
-) -> Result<Bytes, document_call::CallError> {
+) -> Result<store_call::StoreAnswer, store_call::StoreError> {
     if !context.belief.borrow().answers() {
         // After an outage the store's return is to be noticed.
         return probe(context, connection, revision).await;
@@ -41,7 +40,7 @@
     let mut second = document_call::DocumentConnection::new(context.settings().store);
     let answered = {
         let limit = wait + OVERDUE + PROBE_TIME * MAX_PROBES;
-        let mut waiting = std::pin::pin!(connection.get(&path, limit));
+        let mut waiting = std::pin::pin!(store_call::get(context, connection, &path, limit));
         if let Some(answered) = until_doubted(context, waiting.as_mut(), wait + OVERDUE).await {
             return answered;
         }
@@ -53,7 +52,7 @@
             future::Either::Right((answered, _)) => answered,
         }
     };
-    if matches!(answered, Ok(_) | Err(document_call::CallError::Status { .. })) {
+    if answered.as_ref().map_or_else(store_call::StoreError::is_answer, |_| true) {
         log::warn!(revision; "store.connection_silent");
         context.stats.borrow_mut().count("silent_connections", "store");
     }
@@ -67,11 +66,12 @@
     context: &context::InstanceContext,
     connection: &mut document_call::DocumentConnection,
     revision: u64,
-) -> Result<Bytes, document_call::CallError> {
+) -> Result<store_call::StoreAnswer, store_call::StoreError> {
     let path = &context.border.watch_path(revision, FIRST_WAIT);
     let ask = |sent: u32| async move {
         let mut fresh = document_call::DocumentConnection::new(context.settings().store);
-        let answered = fresh.get(path, PROBE_TIME * (MAX_PROBES - sent)).await;
+        let limit = PROBE_TIME * (MAX_PROBES - sent);
+        let answered = store_call::get(context, &mut fresh, path, limit).await;
         (fresh, answered)
     };
     let mut probes = stream::FuturesUnordered::new();
@@ -86,7 +86,8 @@
         *connection = fresh;
         return answered;
     }
-    Err(document_call::CallError::Silent { limit: PROBE_TIME * MAX_PROBES })
+    let source = document_call::CallError::Silent { limit: PROBE_TIME * MAX_PROBES };
+    Err(store_call::StoreError::Call { source })
 }
 
 /// Waits for a watch's answer; `None` once it is overdue, or members have known for some time what
