--- a/crates/compare/src/planner_cost.rs
+++ b/crates/compare/src/planner_cost.rs
@@ -115,7 +115,7 @@
         plans: true,
         leaving: false,
         routes: 1,
-        list: 1,
+        list: 1.into(),
         watches: false,
         others: Vec::new(),
     }
--- a/crates/core/src/document_lag.rs
+++ b/crates/core/src/document_lag.rs
@@ -9,17 +9,17 @@
 /// Comparing newest with newest would not do: while changes follow each other, some member is
 /// always a moment ahead, and a process that hears every change looks behind at each look.
 #[derive(Debug, Default)]
-pub struct DocumentLag {
+pub struct DocumentLag<V> {
     /// The version missed, and when it was seen to be missing; newer than the own one.
-    missed: Option<(u64, units::MonoTime)>,
+    missed: Option<(V, units::MonoTime)>,
     /// Up to here the source itself does not have what members claimed.
-    refuted: u64,
+    refuted: V,
 }
 
-impl DocumentLag {
+impl<V: Copy + Default + Ord> DocumentLag<V> {
     /// Takes in the own version and the newest that another member has; for how long the own one
     /// has been older than one that a member had.
-    pub fn observe(&mut self, now: units::MonoTime, own: u64, newest: u64) -> time::Duration {
+    pub fn observe(&mut self, now: units::MonoTime, own: V, newest: V) -> time::Duration {
         self.missed = self.missed.filter(|(missed, _)| *missed > own);
         if newest <= own.max(self.refuted) {
             return time::Duration::ZERO;
@@ -28,11 +28,16 @@
         now.since(*since)
     }
 
+    /// The version that is missed.
+    pub fn missed(&self) -> Option<V> {
+        self.missed.map(|(version, _)| version)
+    }
+
     /// Takes in that the source, asked at `asked`, has nothing newer than the `own` version: a
     /// version that was missed before then is one that no member can give. Without this a member that
     /// claims such a version, or reads a document that this process rejects, cost ten calls a
     /// second.
-    pub fn refute(&mut self, own: u64, asked: units::MonoTime) {
+    pub fn refute(&mut self, own: V, asked: units::MonoTime) {
         let claimed = self.missed.filter(|(missed, since)| *missed > own && *since <= asked);
         if let Some((missed, _)) = claimed {
             self.refuted = self.refuted.max(missed);
@@ -41,7 +46,7 @@
     }
 
     /// The version up to which nothing newer is to be had.
-    pub fn known(&self, own: u64) -> u64 {
+    pub fn known(&self, own: V) -> V {
         own.max(self.refuted)
     }
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod histogram;
 pub mod ids;
 pub mod key_vote;
+pub mod list_recovery;
 pub mod member_beat;
 pub mod membership;
 pub mod pass_model;
--- a/crates/core/src/member_beat.rs
+++ b/crates/core/src/member_beat.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::ids;
+use crate::{ids, store_revision};
 
 /// Period, in heartbeats, of a complete one.
 const WHOLE_BEATS: u64 = 16;
@@ -31,7 +31,7 @@
     /// Version of its routes.
     pub routes: u64,
     /// Revision of its list of upstreams.
-    pub list: u64,
+    pub list: store_revision::StoreRevision,
     /// Whether it watches the platform's store itself.
     pub watches: bool,
     /// Where some others hear heartbeats.
@@ -55,7 +55,7 @@
     /// See [`MemberBeat::routes`].
     pub routes: u64,
     /// See [`MemberBeat::list`].
-    pub list: u64,
+    pub list: store_revision::StoreRevision,
 }
 
 impl MemberBeat {
--- a/crates/core/src/membership/mod.rs
+++ b/crates/core/src/membership/mod.rs
@@ -8,7 +8,7 @@
 
 use std::{collections, net, time};
 
-use crate::{ids, member_beat, planner_key, rendezvous, store_belief, units};
+use crate::{ids, member_beat, planner_key, rendezvous, store_belief, store_revision, units};
 
 /// Interval between heartbeats in a small fleet.
 const BEAT_INTERVAL: time::Duration = time::Duration::from_millis(200);
@@ -309,7 +309,7 @@
         now: units::MonoTime,
         near: &ids::DataCenterId,
     ) -> Vec<&member_beat::MemberBeat> {
-        let is_source = |beat: &&member_beat::MemberBeat| beat.routes > 0 && beat.list > 0;
+        let is_source = |beat: &&member_beat::MemberBeat| beat.routes > 0 && !beat.list.is_none();
         nearest(self.alive(now).filter(is_source).collect(), near)
     }
 
@@ -322,7 +322,7 @@
     pub fn list_sources(
         &self,
         now: units::MonoTime,
-        revision: u64,
+        revision: store_revision::StoreRevision,
         near: &ids::DataCenterId,
     ) -> Vec<&member_beat::MemberBeat> {
         self.sources(now, near, revision, |beat| beat.list)
@@ -337,12 +337,12 @@
         })
     }
 
-    fn sources(
+    fn sources<V: Ord>(
         &self,
         now: units::MonoTime,
         near: &ids::DataCenterId,
-        known: u64,
-        version: impl Fn(&member_beat::MemberBeat) -> u64,
+        known: V,
+        version: impl Fn(&member_beat::MemberBeat) -> V,
     ) -> Vec<&member_beat::MemberBeat> {
         let newest = self.alive(now).map(&version).max().filter(|newest| *newest > known);
         let Some(newest) = newest else {
--- a/crates/core/src/store_belief.rs
+++ b/crates/core/src/store_belief.rs
@@ -26,7 +26,7 @@
     /// Of the routes.
     pub routes: u64,
     /// Of the list.
-    pub list: u64,
+    pub list: store_revision::StoreRevision,
 }
 
 /// For how long others have had what is missing here.
@@ -62,7 +62,7 @@
     watching: bool,
     /// Revision up to which this process itself has read the store, routes and list alike; 0 before,
     /// and once it has left the store to others. The list alone may be newer, from members.
-    watched: u64,
+    watched: store_revision::StoreRevision,
     /// Since when calls have failed; nothing while the store answers.
     away_since: Option<units::MonoTime>,
     /// When its last answer came; the process's start before any.
@@ -70,9 +70,9 @@
     /// Highest era in its answers; nothing before the first answer.
     era: Option<store_revision::StoreEra>,
     /// Routes of other members that this process lacks.
-    routes: document_lag::DocumentLag,
+    routes: document_lag::DocumentLag<u64>,
     /// Lists of other members that this process lacks.
-    list: document_lag::DocumentLag,
+    list: document_lag::DocumentLag<store_revision::StoreRevision>,
 }
 
 impl Default for StoreBelief {
@@ -80,7 +80,7 @@
         Self {
             contact: StoreContact::Away,
             watching: false,
-            watched: 0,
+            watched: store_revision::StoreRevision::default(),
             away_since: None,
             heard: units::MonoTime::default(),
             era: None,
@@ -113,7 +113,7 @@
     }
 
     /// Revision up to which this process itself has read it.
-    pub fn watched(&self) -> u64 {
+    pub fn watched(&self) -> store_revision::StoreRevision {
         self.watched
     }
 
@@ -129,8 +129,8 @@
 
     /// Takes in the era of an answer; returns the one before where it has changed.
     pub fn note_era(&mut self, era: store_revision::StoreEra) -> Option<store_revision::StoreEra> {
-        let before = self.era.replace(self.era().max(era));
-        before.filter(|before| *before < era)
+        let before = self.era.replace(self.era().max(era)).filter(|before| *before < era)?;
+        Some(before)
     }
 
     /// Takes in an answer.
@@ -158,14 +158,14 @@
     }
 
     /// Takes in that all up to a revision has been read.
-    pub fn note_watched(&mut self, revision: u64) {
+    pub fn note_watched(&mut self, revision: store_revision::StoreRevision) {
         self.watched = revision;
     }
 
     /// Leaves it to others.
     pub fn yield_to_others(&mut self) {
         self.watching = false;
-        self.watched = 0;
+        self.watched = store_revision::StoreRevision::default();
         self.contact = StoreContact::Away;
     }
 
@@ -188,9 +188,11 @@
         self.routes.refute(own, asked);
     }
 
-    /// Takes in that the store, asked at `asked`, has no list newer than `own`.
-    pub fn refute_list(&mut self, own: u64, asked: units::MonoTime) {
-        self.list.refute(own, asked);
+    /// Takes in that the store, asked at `asked`, has no list newer than `own` in the same era.
+    pub fn refute_list(&mut self, own: store_revision::StoreRevision, asked: units::MonoTime) {
+        if self.list.missed().is_none_or(|missed| missed.era == own.era) {
+            self.list.refute(own, asked);
+        }
     }
 
     /// Versions up to which nothing newer is to be had, whatever members claim.
--- a/crates/core/src/store_revision.rs
+++ b/crates/core/src/store_revision.rs
@@ -3,6 +3,7 @@
 use std::{fmt, num, str};
 
 use serde::{Deserialize, Serialize};
+use snafu::{OptionExt as _, Snafu};
 
 /// Generation of the store's history: rises whenever the store returns from an older copy of itself.
 ///
@@ -25,3 +26,61 @@
         text.trim().parse().map(Self)
     }
 }
+
+/// A state of the store.
+///
+/// Ordered by era first: numbers are given out again after a return from an older copy, so numbers of two eras do
+/// not compare. The default comes before every state.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct StoreRevision {
+    /// Era of the store.
+    pub era: StoreEra,
+    /// Revision within the era; rises with each change.
+    pub number: u64,
+}
+
+impl StoreRevision {
+    /// A revision of an era.
+    pub fn new(era: StoreEra, number: u64) -> Self {
+        Self { era, number }
+    }
+
+    /// Whether it stands for no state at all.
+    pub fn is_none(&self) -> bool {
+        *self == Self::default()
+    }
+}
+
+impl From<u64> for StoreRevision {
+    /// A revision of a store that tells no era.
+    fn from(number: u64) -> Self {
+        Self { era: StoreEra::default(), number }
+    }
+}
+
+impl fmt::Display for StoreRevision {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{}", self.era, self.number)
+    }
+}
+
+/// A text is not an era and a revision, divided by a dot.
+#[derive(Debug, Clone, PartialEq, Eq, Snafu)]
+#[snafu(display("found '{found}', expected ERA.REVISION"))]
+pub struct RevisionError {
+    found: String,
+}
+
+impl str::FromStr for StoreRevision {
+    type Err = RevisionError;
+
+    fn from_str(text: &str) -> Result<Self, RevisionError> {
+        let parse = || {
+            let (era, number) = text.split_once('.')?;
+            Some(Self { era: era.parse().ok()?, number: number.parse().ok()? })
+        };
+        parse().context(RevisionSnafu { found: text })
+    }
+}
--- a/crates/core/src/upstream_list.rs
+++ b/crates/core/src/upstream_list.rs
@@ -3,13 +3,16 @@
 
 use std::{collections, net, sync, time};
 
-use crate::{cold_start, fleet_list, ids, start_record, units, upstream_notice};
+use crate::{
+    cold_start, fleet_list, ids, list_recovery, start_record, store_revision, units,
+    upstream_notice,
+};
 
 /// How long upstreams that vanished right after the list's source came back may still return.
 ///
 /// Leases may run out while the source is away; their holders write them again about two seconds
 /// after its return.
-const RETURN_TIME: time::Duration = time::Duration::from_millis(1_900);
+pub(crate) const RETURN_TIME: time::Duration = time::Duration::from_millis(1_900);
 /// Beyond this share of a service vanished at once, the vanished are still used until they are
 /// surely gone: the source's own outage is likelier than all of them leaving.
 const DOUBT_SHARE: f64 = 0.5;
@@ -72,7 +75,9 @@
     /// Upstreams that vanished and may return, with the time at which they are taken for gone.
     doubtful: collections::BTreeMap<sync::Arc<str>, units::MonoTime>,
     /// What upstreams say of themselves in passing, and that the list says that they leave.
-    notices: upstream_notice::NoticeTable,
+    pub(crate) notices: upstream_notice::NoticeTable,
+    /// What stays in force after the source has returned from an older copy.
+    pub(crate) recovery: list_recovery::ListRecovery,
     /// Cold starts.
     pub(crate) cold: cold_start::ColdTable,
     /// Evacuated data centres, and when each evacuation became known.
@@ -82,14 +87,14 @@
     /// Until when vanishing is doubted.
     doubt_until: Option<units::MonoTime>,
     /// The source's revision this state belongs to; only ever goes up.
-    revision: u64,
+    revision: store_revision::StoreRevision,
     /// Goes up whenever another set of upstreams may be usable.
     pub(crate) changes: u64,
 }
 
 impl UpstreamList {
     /// The source's revision of this state.
-    pub fn revision(&self) -> u64 {
+    pub fn revision(&self) -> store_revision::StoreRevision {
         self.revision
     }
 
@@ -104,41 +109,76 @@
     }
 
     /// Applies changes; returns whether any mattered.
-    pub fn apply(&mut self, now: units::MonoTime, changes: Vec<ListChange>, revision: u64) -> bool {
+    pub fn apply(
+        &mut self,
+        now: units::MonoTime,
+        changes: Vec<ListChange>,
+        revision: store_revision::StoreRevision,
+    ) -> bool {
         if revision < self.revision {
             return false;
         }
-        self.revision = revision;
+        self.advance(now, revision);
         let mut changed = false;
         for change in changes {
             changed |= match change {
-                ListChange::Present(entry) => self.put(now, entry),
-                ListChange::Gone(name) => self.vanish(now, &name),
+                ListChange::Present(entry) => {
+                    self.recovery.confirm(&entry.name);
+                    self.put(now, entry)
+                }
+                ListChange::Gone(name) => {
+                    self.recovery.confirm(&name);
+                    self.vanish(now, &name)
+                }
                 ListChange::Unreadable(name) => self.remove(now, name.identifier()),
                 ListChange::Evacuated(data_center) => self.evacuate(now, data_center),
-                ListChange::Restored(data_center) => self.restore(now, &data_center),
+                ListChange::Restored(data_center) => {
+                    self.recovery.evacuated.remove(&data_center);
+                    self.restore(now, &data_center)
+                }
             };
         }
         changed
     }
 
+    /// Moves on to a revision, which may be of a later era.
+    fn advance(&mut self, now: units::MonoTime, revision: store_revision::StoreRevision) {
+        if !self.revision.is_none() && self.revision.era < revision.era {
+            self.enter_era(now);
+        }
+        self.revision = revision;
+    }
+
     /// Replaces the whole list, as after a gap in the history of changes.
     pub fn replace(
         &mut self,
         now: units::MonoTime,
         entries: Vec<UpstreamEntry>,
-        revision: u64,
+        revision: store_revision::StoreRevision,
     ) -> bool {
         if revision < self.revision {
             return false;
         }
+        self.advance(now, revision);
         let listed: collections::BTreeSet<_> =
             entries.iter().map(|entry| entry.name.identifier()).collect();
         let known = self.entries.iter().filter(|(identifier, _)| !listed.contains(&***identifier));
         let missing: Vec<_> = known.map(|(_, entry)| entry.name.clone()).collect();
-        let mut changes: Vec<_> = entries.into_iter().map(ListChange::Present).collect();
-        changes.extend(missing.into_iter().map(ListChange::Gone));
-        self.apply(now, changes, revision)
+        if self.recovery.pending {
+            self.recover(now, entries, missing);
+            return true;
+        }
+        let mut changed = false;
+        for entry in entries {
+            self.recovery.note_listed(&entry.name);
+            changed |= self.put(now, entry);
+        }
+        // A list of the same era still lacks what its first one lacked.
+        let gone: Vec<_> = missing.iter().filter(|name| !self.recovery.is_kept(name)).collect();
+        for name in gone {
+            changed |= self.vanish(now, name);
+        }
+        changed
     }
 
     /// Upstreams of a service that are listed, in use or not.
@@ -163,6 +203,7 @@
         let records = self.starts.values_mut();
         let named: Vec<_> = records.filter_map(|record| record.take_named(now)).collect();
         let changed = !gone.is_empty() || !named.is_empty();
+        let changed = self.tick_recovery(now) || changed;
         let entries = &self.entries;
         self.cold.retain(now, |name| {
             entries.get(name.identifier()).is_some_and(|entry| entry.name == *name)
@@ -203,6 +244,7 @@
     fn is_staying(&self, entry: &UpstreamEntry) -> bool {
         entry.state == fleet_list::ListState::Live
             && self.notices.leaving(&entry.name).is_none()
+            && !self.is_withheld(&entry.name)
             && !self.is_evacuated(entry)
     }
 
@@ -304,7 +346,7 @@
         std::mem::take(&mut self.ended)
     }
 
-    fn put(&mut self, now: units::MonoTime, entry: UpstreamEntry) -> bool {
+    pub(crate) fn put(&mut self, now: units::MonoTime, entry: UpstreamEntry) -> bool {
         let identifier = entry.name.identifier();
         self.receive_listed(now, &entry);
         let known = self.entries.get(identifier).map(|known| &known.name);
@@ -391,12 +433,13 @@
         }
     }
 
-    fn remove(&mut self, now: units::MonoTime, identifier: &str) -> bool {
+    pub(crate) fn remove(&mut self, now: units::MonoTime, identifier: &str) -> bool {
         self.doubtful.remove(identifier);
         self.forget_named(identifier);
         let Some((identifier, removed)) = self.entries.remove_entry(identifier) else {
             return false;
         };
+        self.recovery.note_removed(now, &removed.name);
         if let Some(start) = removed.name.start() {
             self.starts.entry(identifier).or_default().leave(now, start);
         }
--- a/crates/core/src/upstream_notice.rs
+++ b/crates/core/src/upstream_notice.rs
@@ -27,6 +27,8 @@
 pub enum NoticeSource {
     /// The published list.
     List,
+    /// The published list of an era before, which the present one cannot revoke.
+    FormerList,
     /// The upstream, in the head of an answer to a request.
     Answer,
     /// The upstream, in a report of itself.
@@ -41,6 +43,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
             Self::List => "list",
+            Self::FormerList => "list of a former era",
             Self::Answer => "answer",
             Self::Report => "report",
             Self::Order => "order",
@@ -161,6 +164,14 @@
         }
     }
 
+    /// Makes the list's leaving notices final: the list's source has returned from an older copy.
+    pub fn settle_listed(&mut self) {
+        let leaving = self.notices.values_mut().filter_map(|notice| notice.leaving.as_mut());
+        leaving
+            .filter(|known| known.source == NoticeSource::List)
+            .for_each(|known| known.source = NoticeSource::FormerList);
+    }
+
     /// Whether something may be sent to a start now.
     ///
     /// Renewals and releases always may: they serve requests in progress. A leaving upstream still takes reports; one in
--- a/crates/core/src/upstream_open.rs
+++ b/crates/core/src/upstream_open.rs
@@ -36,7 +36,8 @@
                 entry.service == *service && entry.state == fleet_list::ListState::Live
             })
         };
-        let mut closed: Vec<_> = self.notices().names().filter(listed).collect();
+        let named = self.notices().names().chain(&self.recovery.withheld);
+        let mut closed: Vec<_> = named.filter(listed).collect();
         if !closed.is_empty() {
             let open = self.open(now, service, turn);
             closed.retain(|name| open.iter().all(|entry| entry.name != **name));
--- a/crates/core/tests/membership.rs
+++ b/crates/core/tests/membership.rs
@@ -27,7 +27,7 @@
         plans: true,
         leaving: false,
         routes: 5,
-        list: 9,
+        list: 9.into(),
         watches: true,
         others: Vec::new(),
     }
@@ -374,16 +374,16 @@
 #[test]
 fn who_knows_nothing_takes_documents_of_any_version() {
     let mut view = view();
-    view.receive(at(0), MemberBeat { list: 12, ..beat(1, 1, 1) });
+    view.receive(at(0), MemberBeat { list: 12.into(), ..beat(1, 1, 1) });
     view.receive(at(0), beat(2, 1, 1));
-    view.receive(at(0), MemberBeat { routes: 0, list: 0, ..beat(3, 1, 1) });
+    view.receive(at(0), MemberBeat { routes: 0, list: 0.into(), ..beat(3, 1, 1) });
     let far = "b".parse().expect("a valid name");
     view.receive(at(0), MemberBeat { data_center: far, ..beat(4, 1, 1) });
     let near = "a".parse().expect("a valid name");
     let names = |sources: Vec<&MemberBeat>| {
         sources.iter().map(|source| source.name.to_string()).collect::<Vec<_>>()
     };
-    assert_eq!(names(view.list_sources(at(1), 0, &near)), ["m1"]);
+    assert_eq!(names(view.list_sources(at(1), 0.into(), &near)), ["m1"]);
     assert_eq!(names(view.any_sources(at(1), &near)), ["m1", "m2"]);
     let third = "c".parse().expect("a valid name");
     assert_eq!(names(view.any_sources(at(1), &third)), ["m1", "m2", "m4"]);
--- a/crates/core/tests/store_belief.rs
+++ b/crates/core/tests/store_belief.rs
@@ -19,7 +19,7 @@
     let mut belief = StoreBelief::default();
     belief.receive(at(100));
     belief.watch();
-    belief.note_watched(7);
+    belief.note_watched(7.into());
     belief
 }
 
@@ -37,7 +37,7 @@
     assert!(belief.lose(at(1_000)), "new");
     assert!(!belief.lose(at(2_000)), "known");
     assert!(!belief.is_counted_on() && belief.is_watching(), "others take over; it goes on trying");
-    assert_eq!(belief.watched(), 7, "it goes on from there");
+    assert_eq!(belief.watched(), 7.into(), "it goes on from there");
     let heard = belief.receive(at(4_000));
     assert_eq!(heard, HeardStore { away: Some(millis(3_000)), watches_again: true });
     assert_eq!(belief.receive(at(4_100)), HeardStore { away: None, watches_again: false });
@@ -58,20 +58,20 @@
     let mut belief = watching();
     belief.yield_to_others();
     assert!(!belief.is_watching() && !belief.answers());
-    assert_eq!(belief.watched(), 0);
+    assert_eq!(belief.watched(), 0.into());
     assert_eq!(belief.receive(at(900)).away, None, "that was no outage");
 }
 
 #[test]
 fn what_others_have_is_missing_until_it_is_here_or_refuted() {
     let mut belief = watching();
-    let own = DocumentVersions { routes: 3, list: 10 };
-    let newest = DocumentVersions { routes: 4, list: 12 };
+    let own = DocumentVersions { routes: 3, list: 10.into() };
+    let newest = DocumentVersions { routes: 4, list: 12.into() };
     belief.lags(at(1_000), own, newest);
     let lags = belief.lags(at(1_600), own, newest);
     assert_eq!((lags.routes, lags.list, lags.longest()), (millis(600), millis(600), millis(600)));
     belief.refute_routes(3, at(1_700));
-    let lags = belief.lags(at(1_800), DocumentVersions { list: 12, ..own }, newest);
+    let lags = belief.lags(at(1_800), DocumentVersions { list: 12.into(), ..own }, newest);
     assert_eq!(lags.longest(), time::Duration::ZERO);
-    assert_eq!(belief.known(own), DocumentVersions { routes: 4, list: 10 });
+    assert_eq!(belief.known(own), DocumentVersions { routes: 4, list: 10.into() });
 }
--- a/crates/core/tests/support/virtual_start.rs
+++ b/crates/core/tests/support/virtual_start.rs
@@ -184,7 +184,7 @@
             plans: false,
             leaving: false,
             routes: u64::from(own.list > 0),
-            list: own.list,
+            list: (own.list).into(),
             watches: own.watches,
             others,
         };
@@ -254,7 +254,7 @@
         let is_seed = own < SEEDS && self.way == SourceWay::Any;
         let sources = match self.way {
             SourceWay::Any => view.any_sources(self.now, &near),
-            SourceWay::Newest => view.list_sources(self.now, 0, &near),
+            SourceWay::Newest => view.list_sources(self.now, 0.into(), &near),
         };
         let sources: Vec<_> = sources.iter().map(|beat| number_at(beat.address)).collect();
         if let Some(source) = sources.choose(&mut self.random).copied() {
--- a/crates/core/tests/upstream_list.rs
+++ b/crates/core/tests/upstream_list.rs
@@ -20,7 +20,7 @@
 
 fn full() -> UpstreamList {
     let mut list = UpstreamList::default();
-    list.replace(at(0), (1..=4).map(entry).collect(), 10);
+    list.replace(at(0), (1..=4).map(entry).collect(), 10.into());
     list
 }
 
@@ -32,7 +32,7 @@
 fn a_leaving_upstream_is_not_usable_but_known() {
     let mut list = full();
     let leaving = UpstreamEntry { state: ListState::Leaving, ..entry(1) };
-    assert!(list.apply(at(1), vec![ListChange::Present(leaving)], 11));
+    assert!(list.apply(at(1), vec![ListChange::Present(leaving)], 11.into()));
     assert_eq!(usable(&list), 3);
     assert!(!list.is_usable(&name(1)) && list.entry(&name(1)).is_some());
 }
@@ -40,15 +40,15 @@
 #[test]
 fn older_revisions_change_nothing() {
     let mut list = full();
-    assert!(!list.apply(at(1), vec![ListChange::Gone(name(1))], 9));
-    assert!(!list.replace(at(1), Vec::new(), 9));
-    assert_eq!((usable(&list), list.revision()), (4, 10));
+    assert!(!list.apply(at(1), vec![ListChange::Gone(name(1))], 9.into()));
+    assert!(!list.replace(at(1), Vec::new(), 9.into()));
+    assert_eq!((usable(&list), list.revision()), (4, 10.into()));
 }
 
 #[test]
 fn one_that_is_gone_in_quiet_times_is_gone_at_once() {
     let mut list = full();
-    list.apply(at(5_000), vec![ListChange::Gone(name(1))], 11);
+    list.apply(at(5_000), vec![ListChange::Gone(name(1))], 11.into());
     assert!(list.entry(&name(1)).is_none());
 }
 
@@ -57,9 +57,9 @@
     let mut list = full();
     list.source_returned(at(1_000));
     let gone = (1..=3).map(|number| ListChange::Gone(name(number))).collect();
-    list.apply(at(1_010), gone, 14);
+    list.apply(at(1_010), gone, 14.into());
     assert_eq!(usable(&list), 4, "most of a service does not leave in one moment");
-    list.apply(at(2_000), vec![ListChange::Present(entry(1))], 15);
+    list.apply(at(2_000), vec![ListChange::Present(entry(1))], 15.into());
     list.tick(at(3_000));
     assert_eq!(usable(&list), 2, "one came back, two are gone");
     assert!(list.entry(&name(2)).is_none());
@@ -69,9 +69,9 @@
 fn few_that_vanish_after_an_outage_are_not_used_meanwhile() {
     let mut list = full();
     list.source_returned(at(1_000));
-    list.apply(at(1_010), vec![ListChange::Gone(name(1))], 11);
+    list.apply(at(1_010), vec![ListChange::Gone(name(1))], 11.into());
     assert_eq!(usable(&list), 3);
-    list.apply(at(1_500), vec![ListChange::Present(entry(1))], 12);
+    list.apply(at(1_500), vec![ListChange::Present(entry(1))], 12.into());
     assert_eq!(usable(&list), 4);
 }
 
@@ -79,9 +79,9 @@
 fn one_that_was_leaving_before_it_vanished_is_gone_even_after_an_outage() {
     let mut list = full();
     let leaving = UpstreamEntry { state: ListState::Leaving, ..entry(1) };
-    list.apply(at(500), vec![ListChange::Present(leaving)], 11);
+    list.apply(at(500), vec![ListChange::Present(leaving)], 11.into());
     list.source_returned(at(1_000));
-    list.apply(at(1_010), vec![ListChange::Gone(name(1))], 12);
+    list.apply(at(1_010), vec![ListChange::Gone(name(1))], 12.into());
     assert!(list.entry(&name(1)).is_none());
 }
 
@@ -90,16 +90,16 @@
     let mut list = full();
     let leaving = UpstreamEntry { state: ListState::Leaving, ..entry(1) };
     let steps: [&dyn Fn(&mut UpstreamList) -> bool; 8] = [
-        &|list| list.apply(at(10), vec![ListChange::Present(entry(1))], 11),
-        &|list| list.apply(at(20), vec![ListChange::Present(leaving.clone())], 12),
-        &|list| list.apply(at(30), vec![ListChange::Gone(name(1))], 13),
+        &|list| list.apply(at(10), vec![ListChange::Present(entry(1))], 11.into()),
+        &|list| list.apply(at(20), vec![ListChange::Present(leaving.clone())], 12.into()),
+        &|list| list.apply(at(30), vec![ListChange::Gone(name(1))], 13.into()),
         &|list| {
             list.source_returned(at(1_000));
             true
         },
-        &|list| list.apply(at(1_010), vec![ListChange::Gone(name(2))], 14),
-        &|list| list.apply(at(1_500), vec![ListChange::Present(entry(2))], 15),
-        &|list| list.apply(at(1_600), vec![ListChange::Gone(name(3))], 16),
+        &|list| list.apply(at(1_010), vec![ListChange::Gone(name(2))], 14.into()),
+        &|list| list.apply(at(1_500), vec![ListChange::Present(entry(2))], 15.into()),
+        &|list| list.apply(at(1_600), vec![ListChange::Gone(name(3))], 16.into()),
         &|list| list.tick(at(3_000)),
     ];
     let mut changed = 0;
@@ -116,7 +116,7 @@
     }
     assert_eq!(changed, 4, "leaving, vanished, back, vanished");
     let count = list.changes();
-    list.apply(at(4_000), vec![ListChange::Present(entry(4))], 17);
+    list.apply(at(4_000), vec![ListChange::Present(entry(4))], 17.into());
     list.tick(at(5_000));
     assert_eq!(list.changes(), count, "nothing new");
 }
@@ -132,8 +132,11 @@
 #[test]
 fn an_entry_of_another_start_replaces_the_one_before_and_says_so() {
     let mut list = UpstreamList::default();
-    list.replace(at(0), vec![start(1, 50)], 10);
-    assert!(list.apply(at(1), vec![ListChange::Present(start(1, 40))], 11), "other, not newer");
+    list.replace(at(0), vec![start(1, 50)], 10.into());
+    assert!(
+        list.apply(at(1), vec![ListChange::Present(start(1, 40))], 11.into()),
+        "other, not newer"
+    );
     assert_eq!(present(&list, 1), Some(40));
     let ended = list.take_ended();
     assert_eq!(ended.len(), 1);
@@ -146,49 +149,60 @@
 #[test]
 fn entries_of_starts_that_are_over_change_nothing() {
     let mut list = UpstreamList::default();
-    list.replace(at(0), vec![start(1, 50)], 10);
+    list.replace(at(0), vec![start(1, 50)], 10.into());
     // Twice within a second.
     list.apply(
         at(100),
         vec![ListChange::Present(start(1, 60)), ListChange::Present(start(1, 70))],
-        11,
+        11.into(),
     );
     for (number, over) in [50, 60].into_iter().enumerate() {
         let draining = UpstreamEntry { state: ListState::Leaving, ..start(1, over) };
         let revision = 12 + number as u64;
-        assert!(!list.apply(at(200), vec![ListChange::Present(draining)], revision));
+        assert!(!list.apply(at(200), vec![ListChange::Present(draining)], revision.into()));
     }
-    list.replace(at(300), vec![start(1, 60)], 20);
+    list.replace(at(300), vec![start(1, 60)], 20.into());
     assert_eq!((present(&list, 1), usable(&list)), (Some(70), 1));
     // Nor do they behind a lapse, unless the list goes on naming one.
-    list.apply(at(400), vec![ListChange::Gone(name(1)), ListChange::Present(start(1, 50))], 21);
+    list.apply(
+        at(400),
+        vec![ListChange::Gone(name(1)), ListChange::Present(start(1, 50))],
+        21.into(),
+    );
     assert_eq!(present(&list, 1), None);
-    list.apply(at(1_500), vec![ListChange::Present(start(1, 70))], 22);
+    list.apply(at(1_500), vec![ListChange::Present(start(1, 70))], 22.into());
     assert_eq!(present(&list, 1), Some(70));
-    list.apply(at(1_600), vec![ListChange::Gone(name(1)), ListChange::Present(start(1, 50))], 23);
+    list.apply(
+        at(1_600),
+        vec![ListChange::Gone(name(1)), ListChange::Present(start(1, 50))],
+        23.into(),
+    );
     assert!(list.tick(at(4_700)));
     assert_eq!((present(&list, 1), usable(&list)), (Some(50), 1));
     // Long behind its end nothing is remembered.
-    list.apply(at(5_000), vec![ListChange::Gone(name(1))], 24);
+    list.apply(at(5_000), vec![ListChange::Gone(name(1))], 24.into());
     list.tick(at(40_000));
-    list.apply(at(40_100), vec![ListChange::Present(start(1, 60))], 25);
+    list.apply(at(40_100), vec![ListChange::Present(start(1, 60))], 25.into());
     assert_eq!(present(&list, 1), Some(60));
 }
 
 #[test]
 fn an_upstreams_own_word_decides_unless_it_was_asked_for_before() {
     let mut list = UpstreamList::default();
-    list.replace(at(0), vec![start(1, 50)], 10);
+    list.replace(at(0), vec![start(1, 50)], 10.into());
     let told = |list: &mut UpstreamList, now, born, asked| {
         list.update_start(at(now), &name(1), ids::UpstreamStart(born), at(asked))
     };
     assert!(!told(&mut list, 100, 50, 90), "the same");
     assert!(told(&mut list, 200, 60, 190));
     assert!(!told(&mut list, 210, 50, 195), "asked before it was known");
-    assert!(!list.apply(at(220), vec![ListChange::Present(start(1, 50))], 11), "an old entry");
+    assert!(
+        !list.apply(at(220), vec![ListChange::Present(start(1, 50))], 11.into()),
+        "an old entry"
+    );
     assert_eq!(present(&list, 1), Some(60));
     // The list's word on one that nobody has heard of holds, and the upstream's own again after it.
-    list.apply(at(300), vec![ListChange::Present(start(1, 55))], 12);
+    list.apply(at(300), vec![ListChange::Present(start(1, 55))], 12.into());
     assert!(told(&mut list, 400, 60, 390), "a start taken for over that answers is present");
     assert_eq!(present(&list, 1), Some(60));
     assert!(!list.update_start(at(400), &name(9), ids::UpstreamStart(1), at(390)), "not listed");
@@ -197,12 +211,12 @@
 #[test]
 fn an_entry_without_its_start_is_another_writers_where_starts_are_told() {
     let mut list = UpstreamList::default();
-    list.replace(at(0), vec![start(1, 50), entry(2)], 10);
-    assert!(list.apply(at(1), vec![ListChange::Present(entry(1))], 11));
+    list.replace(at(0), vec![start(1, 50), entry(2)], 10.into());
+    assert!(list.apply(at(1), vec![ListChange::Present(entry(1))], 11.into()));
     assert_eq!((present(&list, 1), usable(&list)), (None, 1));
     // Where none are told there is nothing to tell apart.
     assert!(!list.update_start(at(5), &name(2), ids::UpstreamStart(9), at(4)));
-    list.apply(at(6), vec![ListChange::Present(start(2, 9))], 12);
+    list.apply(at(6), vec![ListChange::Present(start(2, 9))], 12.into());
     assert_eq!(present(&list, 2), Some(9));
 }
 
@@ -210,7 +224,11 @@
 fn an_entry_that_cannot_be_read_names_nobody_also_while_vanishing_is_doubted() {
     let mut list = full();
     list.source_returned(at(1_000));
-    list.apply(at(1_010), vec![ListChange::Unreadable(name(1)), ListChange::Gone(name(2))], 14);
+    list.apply(
+        at(1_010),
+        vec![ListChange::Unreadable(name(1)), ListChange::Gone(name(2))],
+        14.into(),
+    );
     assert!(list.entry(&name(1)).is_none() && list.entry(&name(2)).is_some());
 }
 
@@ -229,10 +247,10 @@
 #[test]
 fn a_late_write_of_the_start_before_changes_nothing_unless_it_stays() {
     let mut list = UpstreamList::default();
-    let named = |list: &mut UpstreamList, now, born, revision| {
-        list.apply(at(now), vec![ListChange::Present(start(1, born))], revision);
+    let named = |list: &mut UpstreamList, now, born, revision: u64| {
+        list.apply(at(now), vec![ListChange::Present(start(1, born))], revision.into());
     };
-    list.replace(at(0), vec![start(1, 50)], 10);
+    list.replace(at(0), vec![start(1, 50)], 10.into());
     named(&mut list, 100, 60, 11);
     // A write of the first is carried out late, and the second writes over it with its next heartbeat.
     named(&mut list, 1_000, 50, 12);
@@ -276,16 +294,16 @@
     assert!(list.receive_leaving(at(1), &name(1), NoticeSource::Answer, none()));
     assert!(list.changes() > before, "planners are brought up to it");
     assert_eq!(usable(&list), 3);
-    list.apply(at(2), vec![ListChange::Present(entry(1))], 11);
+    list.apply(at(2), vec![ListChange::Present(entry(1))], 11.into());
     assert_eq!(usable(&list), 3, "a write that was on its way");
-    list.apply(at(3), vec![ListChange::Gone(name(1))], 12);
+    list.apply(at(3), vec![ListChange::Gone(name(1))], 12.into());
     list.forget_notices(at(4));
-    list.apply(at(30_000), vec![ListChange::Present(entry(1))], 13);
+    list.apply(at(30_000), vec![ListChange::Present(entry(1))], 13.into());
     assert_eq!(usable(&list), 3, "a lapse");
     let kept_back = list.permits(at(30_001), &name(1), SendKind::Request, &[]);
     assert!(matches!(kept_back, Err(SendDenial::Leaves(NoticeSource::Answer, _))), "{kept_back:?}");
     let again = UpstreamEntry { name: "u1@200".parse().expect("a valid name"), ..entry(1) };
-    list.apply(at(31_000), vec![ListChange::Present(again)], 14);
+    list.apply(at(31_000), vec![ListChange::Present(again)], 14.into());
     assert_eq!(usable(&list), 4, "another start of it");
     assert_eq!(list.permits(at(31_001), &name(1), SendKind::Request, &[]), Ok(()));
 }
@@ -298,8 +316,8 @@
         name: format!("u1@{start}").parse().expect("a valid name"),
         ..entry(1)
     };
-    list.replace(at(0), vec![start(100)], 1);
-    list.apply(at(10), vec![ListChange::Present(start(200))], 2);
+    list.replace(at(0), vec![start(100)], 1.into());
+    list.apply(at(10), vec![ListChange::Present(start(200))], 2.into());
     list.receive_leaving(at(20), &start(100).name, NoticeSource::Member, none());
     assert_eq!(usable(&list), 1);
     let old = time::Duration::from_secs(500);
--- a/crates/core/tests/upstream_starts.rs
+++ b/crates/core/tests/upstream_starts.rs
@@ -70,7 +70,7 @@
                 continue;
             }
         };
-        list.apply(at(now), vec![change], revision);
+        list.apply(at(now), vec![change], revision.into());
     }
     (list, revision, now)
 }
@@ -84,7 +84,7 @@
         let (mut list, revision, now) = play(&history);
         for beat in 0..4 {
             let change = vec![ListChange::Present(entry(last))];
-            list.apply(at(now + beat * 1_200), change, revision + 1 + beat);
+            list.apply(at(now + beat * 1_200), change, (revision + 1 + beat).into());
             list.tick(at(now + beat * 1_200));
         }
         prop_assert!(list.is_present(&name(last)));
@@ -107,7 +107,7 @@
         if let Some(before) = ended.last().filter(|ended| ended.name != name(told)) {
             let start = before.name.start().map_or(0, |start| start.0);
             let late = vec![ListChange::Present(entry(start))];
-            list.apply(at(now + 500), late, revision + 1);
+            list.apply(at(now + 500), late, (revision + 1).into());
             list.tick(at(now + 1_700));
             prop_assert!(list.is_present(&name(told)));
         }
@@ -116,13 +116,13 @@
     #[test]
     fn each_change_of_the_present_start_ends_the_one_before_it_once(history in steps()) {
         let mut list = UpstreamList::default();
-        list.replace(at(0), vec![entry(1)], 1);
+        list.replace(at(0), vec![entry(1)], 1.into());
         let mut present = name(1);
         for (revision, (_, step)) in (2..).zip(&history) {
             let now = at(revision * 100);
             match *step {
                 Step::Named(start) => {
-                    list.apply(now, vec![ListChange::Present(entry(start))], revision);
+                    list.apply(now, vec![ListChange::Present(entry(start))], revision.into());
                 }
                 Step::Told(start, _) => {
                     list.update_start(now, &name(1), ids::UpstreamStart(start), now);
--- a/crates/instance/src/border.rs
+++ b/crates/instance/src/border.rs
@@ -9,7 +9,7 @@
 use slipturn_core::{ids, route_table, store_revision, units, upstream_list};
 use snafu::Snafu;
 
-use crate::routes_history;
+use crate::{list_recovery, routes_history};
 
 /// Why bytes from outside could not be read.
 #[derive(Debug, Clone, PartialEq, Eq, Snafu)]
@@ -188,8 +188,12 @@
     pub changes: Vec<(String, Option<String>)>,
     /// All data centres under evacuation; empty where only routes were asked for.
     pub evacuated: collections::BTreeSet<ids::DataCenterId>,
-    /// Revision of the store that the upstreams and evacuations belong to.
-    pub revision: u64,
+    /// Revision of the store that the upstreams and evacuations belong to; none where only routes were asked for.
+    pub revision: store_revision::StoreRevision,
+    /// Digest of all upstreams, where the changes lead into another era.
+    pub digest: Option<u64>,
+    /// What stays in force of the era before, while that matters.
+    pub recovery: Option<list_recovery::RecoveryReport>,
     /// How long ago the store came back from an outage, if that was a moment ago: what vanished
     /// with it may return.
     pub returned_ms: Option<u64>,
@@ -211,7 +215,7 @@
     pub items: Vec<StoreItem>,
     /// Key after which the next page starts, if there is one.
     pub next: Option<String>,
-    /// Revision of the store.
+    /// Revision of the store within its era.
     pub revision: u64,
 }
 
--- a/crates/instance/src/context.rs
+++ b/crates/instance/src/context.rs
@@ -154,6 +154,7 @@
         let loads = upstream_load::UpstreamLoads::new(load_choice, own.as_str());
         let mut fleet = fleet_state::FleetState::new(rc::Rc::clone(&parts.border));
         fleet.list.notices_mut().set_return(parts.settings.experiments.rest_return);
+        fleet.list.set_rewrite_time(parts.settings.rewrite_time());
         fleet.list.set_cold_way(parts.settings.experiments.cold_upstreams);
         Self {
             border: parts.border,
--- a/crates/instance/src/document_answers.rs
+++ b/crates/instance/src/document_answers.rs
@@ -6,6 +6,7 @@
 use std::rc;
 
 use bytes::Bytes;
+use slipturn_core::store_revision;
 
 use crate::{border, context, packed_bytes};
 
@@ -23,9 +24,11 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 struct AnswerKey {
     /// Versions of routes and list that the other has.
-    lacking: (u64, u64),
+    lacking: (u64, Option<store_revision::StoreRevision>),
     /// Versions of routes and list here.
-    known: (u64, u64),
+    known: (u64, store_revision::StoreRevision),
+    /// Ages that it tells; they grow while it is kept.
+    ages: (Option<u64>, Option<u64>),
 }
 
 /// Answers to members, and how many large ones are on their way.
@@ -67,7 +70,7 @@
 pub(crate) fn answer(
     context: &rc::Rc<context::InstanceContext>,
     routes: u64,
-    list: u64,
+    list: Option<store_revision::StoreRevision>,
 ) -> DocumentAnswer {
     let bytes = match coded(context, routes, list) {
         Ok(bytes) => bytes,
@@ -89,25 +92,22 @@
 fn coded(
     context: &context::InstanceContext,
     routes: u64,
-    list: u64,
+    list: Option<store_revision::StoreRevision>,
 ) -> Result<Bytes, packed_bytes::PackError> {
     let mut fleet = context.fleet.borrow_mut();
     let known = (fleet.routes.version.0, fleet.revision());
-    let key = AnswerKey { lacking: (routes, list), known };
+    let key = AnswerKey { lacking: (routes, list), known, ages: fleet.told_ages(context.now()) };
     let mut answers = context.answers.borrow_mut();
     if let Some((_, bytes)) = answers.kept.iter().find(|(kept, _)| *kept == key) {
         return Ok(bytes.clone());
     }
     let documents = fleet.documents(context.now(), routes, list);
     let bytes = Bytes::from(encode(&documents)?);
-    // Its age would grow while it is kept.
-    if documents.returned_ms.is_none() {
-        answers.kept.retain(|(kept, _)| kept.known == known);
-        if answers.kept.len() >= MAX_ANSWERS {
-            answers.kept.remove(0);
-        }
-        answers.kept.push((key, bytes.clone()));
+    answers.kept.retain(|(kept, _)| kept.known == known && kept.ages == key.ages);
+    if answers.kept.len() >= MAX_ANSWERS {
+        answers.kept.remove(0);
     }
+    answers.kept.push((key, bytes.clone()));
     Ok(bytes)
 }
 
@@ -117,7 +117,7 @@
 }
 
 /// Codes documents for another member.
-pub(crate) fn encode(documents: &border::RawDocuments) -> Result<Vec<u8>, packed_bytes::PackError> {
+pub fn encode(documents: &border::RawDocuments) -> Result<Vec<u8>, packed_bytes::PackError> {
     let plain = postcard::to_stdvec(documents).map_err(packed_bytes::PackError::code)?;
     let packed = packed_bytes::PackedBytes::pack(&plain, &[])?;
     postcard::to_stdvec(&packed).map_err(packed_bytes::PackError::code)
--- a/crates/instance/src/fleet_state.rs
+++ b/crates/instance/src/fleet_state.rs
@@ -2,13 +2,16 @@
 
 use std::{collections, net, rc, time};
 
-use slipturn_core::{ids, route_table, units, upstream_list};
+use slipturn_core::{ids, route_table, store_revision, units, upstream_list, upstream_notice};
 
-use crate::{border, packed_bytes, raw_state, routes_history};
+use crate::{border, list_recovery, packed_bytes, raw_state, routes_history};
 
 /// An outage's end this long ago explains no changes any more, milliseconds.
 const RECENT_RETURN_MS: u64 = 3_000;
 
+/// Ages that members are told are rounded up to this, so that one answer serves many of them, milliseconds.
+const AGE_STEP_MS: u64 = 250;
+
 /// Characters of a name or error from outside that a log line shows.
 const MAX_LOGGED: usize = 160;
 
@@ -20,7 +23,7 @@
     /// Upstreams.
     pub list: upstream_list::UpstreamList,
     /// What the two were read from.
-    raw: raw_state::RawState,
+    pub(crate) raw: raw_state::RawState,
     /// Whether a list of upstreams was ever read.
     listed: bool,
     /// When the store came back from its last outage.
@@ -29,6 +32,8 @@
     origin: ListOrigin,
     /// Lists and changes that were dropped as older than the list in force.
     dropped: u64,
+    /// Whether changes of a member did not lead to the member's list.
+    differs: bool,
 }
 
 /// Where a list comes from, and since when it has been in force.
@@ -52,6 +57,7 @@
             returned: None,
             origin: ListOrigin { source: "".into(), since: units::MonoTime::default() },
             dropped: 0,
+            differs: false,
         }
     }
 
@@ -65,9 +71,9 @@
         self.dropped
     }
 
-    fn drop_older(&mut self, revision: u64, source: &str) {
+    fn drop_older(&mut self, revision: store_revision::StoreRevision, source: &str) {
         let known = self.list.revision();
-        log::info!(source, revision, known; "list.older");
+        log::info!(source, revision:%, known:%; "list.older");
         self.dropped += 1;
     }
 
@@ -89,40 +95,53 @@
     }
 
     /// Revision of the store that was read last.
-    pub fn revision(&self) -> u64 {
+    pub fn revision(&self) -> store_revision::StoreRevision {
         self.raw.revision
     }
 
-    /// What a member that has these versions does not know yet.
+    /// Revision from which on changes of the list are wanted of members; none where only the whole list helps.
+    pub fn wanted_from(&self) -> store_revision::StoreRevision {
+        if self.differs { store_revision::StoreRevision::default() } else { self.list.revision() }
+    }
+
+    /// What a member that has these versions does not know yet; of the list nothing where it asks for routes only.
     pub fn documents(
         &mut self,
         now: units::MonoTime,
         routes: u64,
-        list: u64,
+        list: Option<store_revision::StoreRevision>,
     ) -> border::RawDocuments {
         let newer = self.routes.version.0 > routes;
         let text = self.raw.routes.as_deref().filter(|_| newer);
         let routes = text.and_then(|text| self.raw.history.copy_for(routes, text));
+        let (returned_ms, _) = self.told_ages(now);
+        let Some(list) = list else {
+            return border::RawDocuments { routes, returned_ms, ..Default::default() };
+        };
         let whole = list < self.raw.floor;
         let changes = self.raw.changes.iter().filter(|(revision, _, _)| *revision > list);
         let changes = changes.map(|(_, name, text)| (name.clone(), text.clone()));
+        let crosses = !whole && list.era < self.raw.revision.era;
         border::RawDocuments {
             routes,
             upstreams: whole.then(|| self.raw.upstreams.clone()),
             changes: if whole { Vec::new() } else { changes.collect() },
-            // Who asks for routes only must not take the list for up to date.
-            revision: if list == u64::MAX { 0 } else { self.raw.revision },
-            evacuated: match list {
-                u64::MAX => collections::BTreeSet::new(),
-                _ => self.list.evacuated().cloned().collect(),
-            },
-            returned_ms: self
-                .returned
-                .map(|returned| units::whole_millis(now.since(returned)))
-                .filter(|millis| *millis < RECENT_RETURN_MS),
+            revision: self.raw.revision,
+            digest: crosses.then(|| raw_state::digest(&self.raw.upstreams)),
+            evacuated: self.list.evacuated().cloned().collect(),
+            returned_ms,
+            recovery: self.recovery_report(now),
         }
     }
 
+    /// Ages that members are told: of the store's return, and of its era.
+    pub(crate) fn told_ages(&self, now: units::MonoTime) -> (Option<u64>, Option<u64>) {
+        let returned = self.returned.map(|returned| rounded_age(now.since(returned)));
+        let returned = returned.filter(|millis| *millis < RECENT_RETURN_MS);
+        let era = self.list.recovery().map(|state| rounded_age(now.since(state.since)));
+        (returned, era)
+    }
+
     /// Notes that the store answers again after an outage.
     pub fn source_returned(&mut self, now: units::MonoTime) {
         self.returned = Some(now);
@@ -138,8 +157,8 @@
         source: &str,
     ) -> Result<(), packed_bytes::PackError> {
         let copied = documents.routes.as_ref().map(|copy| self.adopt_routes(copy, source));
-        self.adopt_list(now, documents, source);
-        copied.unwrap_or(Ok(()))
+        let listed = self.adopt_list(now, documents, source);
+        copied.unwrap_or(Ok(())).and(listed)
     }
 
     fn adopt_routes(
@@ -156,22 +175,44 @@
         Ok(())
     }
 
-    fn adopt_list(&mut self, now: units::MonoTime, documents: border::RawDocuments, source: &str) {
-        if documents.revision <= self.raw.revision && self.listed {
-            return;
+    fn adopt_list(
+        &mut self,
+        now: units::MonoTime,
+        mut documents: border::RawDocuments,
+        source: &str,
+    ) -> Result<(), packed_bytes::PackError> {
+        let revision = documents.revision;
+        if revision.is_none() || (revision <= self.raw.revision && self.listed) {
+            return Ok(());
+        }
+        let later_era = self.is_later_era(revision);
+        if later_era {
+            let upstreams = self.upstreams_of_era(&mut documents);
+            self.differs = upstreams.is_err();
+            documents.upstreams = Some(upstreams?);
         }
         if let Some(millis) = documents.returned_ms {
             self.source_returned(now.earlier_by(time::Duration::from_millis(millis)));
         }
+        let ended = || later_era.then(list_recovery::RecoveryReport::ended);
+        let recovery = documents.recovery.or_else(ended);
         if documents.upstreams.is_some() || self.listed {
-            self.replace_evacuations(now, &documents.evacuated, documents.revision, source);
+            let unconfirmed = recovery.as_ref().map(|report| report.evacuated.clone());
+            let unconfirmed = unconfirmed.unwrap_or_default();
+            self.take_evacuations(now, documents.evacuated, &unconfirmed, revision, source);
+        }
+        for report in recovery.iter().flat_map(|recovery| &recovery.leaving) {
+            let age = time::Duration::from_millis(report.age_ms);
+            let member = upstream_notice::NoticeSource::Member;
+            self.list.receive_leaving(now, &report.upstream, member, age);
         }
         if let Some(upstreams) = documents.upstreams {
-            let upstreams = upstreams.into_iter().collect();
-            self.replace_upstreams(now, upstreams, documents.revision, source);
+            self.differs = false;
+            self.replace_all(now, upstreams, recovery, revision, source);
         } else if self.listed {
-            self.change_upstreams(now, documents.changes, documents.revision, source);
+            self.change_upstreams(now, documents.changes, revision, source);
         }
+        Ok(())
     }
 
     /// Takes over routes as they lie in the store, if they can be read and are newer.
@@ -212,21 +253,37 @@
         Some((before.version.0, text))
     }
 
-    /// Replaces the upstreams.
-    pub fn replace_upstreams(
+    /// Takes over all upstreams and evacuations, as the store has them.
+    pub fn replace_list(
         &mut self,
         now: units::MonoTime,
         documents: Vec<(String, String)>,
-        revision: u64,
+        evacuated: collections::BTreeSet<ids::DataCenterId>,
+        revision: store_revision::StoreRevision,
         source: &str,
     ) {
         if revision < self.list.revision() {
             self.drop_older(revision, source);
             return;
         }
-        self.note_origin(now, source);
+        self.take_evacuations(now, evacuated, &[], revision, source);
         // Of a key that is there twice the last one holds.
-        let mut documents: collections::BTreeMap<_, _> = documents.into_iter().collect();
+        let documents = documents.into_iter().collect();
+        self.replace_all(now, documents, None, revision, source);
+    }
+
+    /// Takes over all upstreams, and what another member keeps in force beside them.
+    fn replace_all(
+        &mut self,
+        now: units::MonoTime,
+        mut documents: collections::BTreeMap<String, String>,
+        recovery: Option<list_recovery::RecoveryReport>,
+        revision: store_revision::StoreRevision,
+        source: &str,
+    ) {
+        let before = self.list.revision();
+        let later_era = self.is_later_era(revision);
+        self.note_origin(now, source);
         let mut entries = Vec::new();
         let mut unreadable = Vec::new();
         for (name, text) in &mut documents {
@@ -238,22 +295,46 @@
                 }
             }
         }
+        let kept = recovery.iter().flat_map(|recovery| &recovery.kept);
+        let kept = kept.filter(|(name, _)| !documents.contains_key(name));
+        entries.extend(kept.filter_map(|(name, text)| self.read_entry(name, text)));
         let count = entries.len();
         let replaced = self.list.replace(now, entries, revision);
         if self.list.apply(now, unreadable, revision) || replaced {
-            log::info!(source, revision, upstreams = count; "list.replaced");
+            log::info!(source, revision:%, upstreams = count; "list.replaced");
         }
         let known = self.listed;
-        self.raw.replace(documents, revision, known);
+        let upstreams_before = self.raw.replace(documents, revision, known);
         self.listed = true;
+        match recovery {
+            Some(recovery) => self.adopt_recovery(now, recovery),
+            None if later_era => self.keep_documents(&upstreams_before),
+            None => {}
+        }
+        if later_era {
+            self.log_recovery(before, source);
+        }
+    }
+
+    /// Takes over the data centres under evacuation, and holds those that the list of a later era lacks.
+    fn take_evacuations(
+        &mut self,
+        now: units::MonoTime,
+        evacuated: collections::BTreeSet<ids::DataCenterId>,
+        unconfirmed: &[ids::DataCenterId],
+        revision: store_revision::StoreRevision,
+        source: &str,
+    ) {
+        let in_force = self.list.merge_evacuations(revision, evacuated, unconfirmed);
+        self.replace_evacuations(now, &in_force, revision, source);
     }
 
     /// Replaces the data centres under evacuation.
-    pub fn replace_evacuations(
+    fn replace_evacuations(
         &mut self,
         now: units::MonoTime,
         evacuated: &collections::BTreeSet<ids::DataCenterId>,
-        revision: u64,
+        revision: store_revision::StoreRevision,
         source: &str,
     ) {
         let known: collections::BTreeSet<_> = self.list.evacuated().cloned().collect();
@@ -266,7 +347,7 @@
         &mut self,
         now: units::MonoTime,
         changes: Vec<upstream_list::ListChange>,
-        revision: u64,
+        revision: store_revision::StoreRevision,
         source: &str,
     ) {
         for change in changes {
@@ -278,7 +359,7 @@
                 _ => continue,
             };
             if self.list.apply(now, vec![change], revision) {
-                log::info!(data_center:%, source, revision; "{event}");
+                log::info!(data_center:%, source, revision:%; "{event}");
             }
         }
     }
@@ -303,7 +384,7 @@
         &mut self,
         now: units::MonoTime,
         changes: Vec<border::StoreChange>,
-        revision: u64,
+        revision: store_revision::StoreRevision,
     ) {
         let mut upstreams = Vec::new();
         let mut evacuations = Vec::new();
@@ -313,6 +394,9 @@
                     border::StoreKey::Routes => self.put_routes_item(item, "store"),
                     border::StoreKey::Upstream(name) => upstreams.push((name, Some(text_of(item)))),
                     border::StoreKey::Evacuation(data_center) => {
+                        if revision >= self.list.revision() {
+                            self.list.confirm_evacuation(&data_center);
+                        }
                         evacuations.push(upstream_list::ListChange::Evacuated(data_center));
                     }
                     border::StoreKey::Other => {}
@@ -334,7 +418,7 @@
         &mut self,
         now: units::MonoTime,
         changes: Vec<(String, Option<String>)>,
-        revision: u64,
+        revision: store_revision::StoreRevision,
         source: &str,
     ) {
         if revision < self.list.revision() {
@@ -373,10 +457,10 @@
         &self,
         name: &str,
         text: Option<&str>,
-        revision: u64,
+        revision: store_revision::StoreRevision,
     ) -> Option<upstream_list::ListChange> {
         let Some(text) = text else {
-            log::info!(upstream = bounded(name), revision; "upstream.unlisted");
+            log::info!(upstream = bounded(name), revision:%; "upstream.unlisted");
             return read_name(name).map(upstream_list::ListChange::Gone);
         };
         let Some(entry) = self.read_entry(name, text) else {
@@ -385,7 +469,7 @@
         if self.list.entry(&entry.name) != Some(&entry) {
             log::info!(
                 upstream:% = entry.name, service:% = entry.service, state:? = entry.state,
-                revision; "upstream.listed"
+                revision:%; "upstream.listed"
             );
         }
         Some(upstream_list::ListChange::Present(entry))
@@ -405,6 +489,11 @@
     }
 }
 
+/// An age in milliseconds, as members are told.
+pub(crate) fn rounded_age(age: time::Duration) -> u64 {
+    units::whole_millis(age).next_multiple_of(AGE_STEP_MS)
+}
+
 /// The upstream that a key of the store names; `None` where it names none.
 fn read_name(name: &str) -> Option<ids::UpstreamId> {
     ids::UpstreamId::of_identifier(name).ok()
--- a/crates/instance/src/incoming_call.rs
+++ b/crates/instance/src/incoming_call.rs
@@ -79,7 +79,7 @@
             customer: self.customer.as_ref().map(ToString::to_string).unwrap_or_default(),
             service: self.service.to_string(),
             routes: fleet.routes.version.0,
-            list: fleet.list.revision(),
+            list: fleet.list.revision().to_string(),
             list_source: fleet.origin().source.to_string(),
             list_age_ms: units::whole_millis(context.now().since(fleet.origin().since)),
             repeat: self.route.repeat.label(),
--- a/crates/instance/src/instance_settings.rs
+++ b/crates/instance/src/instance_settings.rs
@@ -122,6 +122,18 @@
     pub cpu_share: f64,
     /// Bounds that hold for the fleet.
     pub bounds: FleetBounds,
+    /// Time between two writes of an upstream's entry in the store.
+    #[serde(default = "default_upstream_heartbeat")]
+    pub upstream_heartbeat: units::TimeSpan,
+}
+
+/// Missed heartbeats after which the entry of an upstream goes.
+const LAPSE_HEARTBEATS: u32 = 3;
+/// Time in which upstreams reach a store that has returned.
+const REACH_TIME: time::Duration = time::Duration::from_secs(2);
+
+fn default_upstream_heartbeat() -> units::TimeSpan {
+    units::TimeSpan(time::Duration::from_millis(1_200))
 }
 
 fn default_routing() -> settings::RoutingKind {
@@ -149,6 +161,11 @@
         Ok(settings)
     }
 
+    /// Time after the store's return from an older copy after which an entry that still stands has been renewed.
+    pub fn rewrite_time(&self) -> time::Duration {
+        self.upstream_heartbeat.0 * LAPSE_HEARTBEATS + REACH_TIME
+    }
+
     /// Whether others begin to ask at this instance.
     pub fn is_seed(&self) -> bool {
         self.member_seeds().contains(&self.member_address)
--- a/crates/instance/src/lib.rs
+++ b/crates/instance/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod instance_stats;
 pub mod lease_renewal;
 mod limit_gossip;
+pub mod list_recovery;
 pub mod log_sink;
 pub mod member_feed;
 mod member_gossip;
--- a/crates/instance/src/member_feed.rs
+++ b/crates/instance/src/member_feed.rs
@@ -89,7 +89,7 @@
     address: net::SocketAddr,
 ) -> CopyOutcome {
     let known = context.fleet.borrow().routes.version;
-    let path = format!("{DOCUMENTS_PATH}?routes={}&list={}", known.0, u64::MAX);
+    let path = format!("{DOCUMENTS_PATH}?routes={known}");
     let copied = adopt_from(context, member, address, &path, ROUTES_TIME).await;
     let newer = context.fleet.borrow().routes.version > known;
     if copied == CopyOutcome::Taken && !newer { CopyOutcome::Missing } else { copied }
@@ -110,8 +110,8 @@
         let Some((member, address)) = source else {
             continue;
         };
-        let versions = context.versions();
-        let (routes, list) = if listed { (u64::MAX, versions.list) } else { (versions.routes, 0) };
+        let routes = if listed { u64::MAX } else { context.versions().routes };
+        let list = context.fleet.borrow().wanted_from();
         let path = format!("{DOCUMENTS_PATH}?routes={routes}&list={list}");
         let limit = if listed { LIST_TIME } else { START_TIME };
         adopt_from(&context, &member, address, &path, limit).await;
--- a/crates/instance/src/member_gossip.rs
+++ b/crates/instance/src/member_gossip.rs
@@ -26,6 +26,13 @@
     }
 }
 
+/// Requests the state of a few members, after something may have been missed.
+pub(crate) fn request(context: &context::InstanceContext) {
+    for to in drawn(context, gossip::GossipCause::Woke) {
+        context.send_to(to, peer_message::PeerMessage::RequestGossip);
+    }
+}
+
 /// Broadcasts a change.
 pub(crate) fn broadcast(context: &context::InstanceContext, message: &peer_message::PeerMessage) {
     for to in drawn(context, gossip::GossipCause::Found) {
@@ -40,9 +47,7 @@
         monoio::time::sleep(gossip::REPEAT_INTERVAL).await;
         if context.woke.get() != woken {
             woken = context.woke.get();
-            for to in drawn(&context, gossip::GossipCause::Woke) {
-                context.send_to(to, peer_message::PeerMessage::RequestGossip);
-            }
+            request(&context);
         }
         let told = drawn(&context, gossip::GossipCause::Repeat);
         for to in &told {
--- a/crates/instance/src/packed_bytes.rs
+++ b/crates/instance/src/packed_bytes.rs
@@ -16,6 +16,7 @@
 
 /// Why bytes could not be packed, or are not what they should be.
 #[derive(Debug, Snafu)]
+#[snafu(visibility(pub(crate)))]
 pub enum PackError {
     /// The coder failed, or the bytes are damaged.
     #[snafu(display("packed bytes: {source}"))]
--- a/crates/instance/src/raw_state.rs
+++ b/crates/instance/src/raw_state.rs
@@ -2,6 +2,8 @@
 
 use std::collections;
 
+use slipturn_core::{rendezvous, store_revision};
+
 use crate::routes_history;
 
 /// Changes to upstreams that are remembered for other members, at least.
@@ -18,24 +20,27 @@
     /// Documents by name; empty where they cannot be read.
     pub(crate) upstreams: collections::BTreeMap<String, String>,
     /// Revision, name and document of the last changes, oldest first.
-    pub(crate) changes: collections::VecDeque<(u64, String, Option<String>)>,
+    pub(crate) changes:
+        collections::VecDeque<(store_revision::StoreRevision, String, Option<String>)>,
     /// Changes up to this revision are not remembered.
-    pub(crate) floor: u64,
+    pub(crate) floor: store_revision::StoreRevision,
     /// Revision of the store that was read last.
-    pub(crate) revision: u64,
+    pub(crate) revision: store_revision::StoreRevision,
+    /// Documents in force that the first list of the present era lacked.
+    pub(crate) kept: collections::BTreeMap<String, String>,
 }
 
 impl RawState {
-    /// Replaces the upstreams. Where they were `known` before, what differs is remembered as
+    /// Replaces the upstreams, and returns those before. Where they were `known` before, what differs is remembered as
     /// changes: members that are a little behind then need not read the whole list, all at once.
     pub(crate) fn replace(
         &mut self,
         upstreams: collections::BTreeMap<String, String>,
-        revision: u64,
+        revision: store_revision::StoreRevision,
         known: bool,
-    ) {
+    ) -> collections::BTreeMap<String, String> {
+        let before = std::mem::take(&mut self.upstreams);
         if known {
-            let before = std::mem::take(&mut self.upstreams);
             let gone = before.keys().filter(|name| !upstreams.contains_key(*name));
             let gone: Vec<_> = gone.cloned().collect();
             for name in gone {
@@ -51,9 +56,15 @@
         }
         self.upstreams = upstreams;
         self.settle(revision);
+        before
     }
 
-    pub(crate) fn change(&mut self, name: String, text: Option<String>, revision: u64) {
+    pub(crate) fn change(
+        &mut self,
+        name: String,
+        text: Option<String>,
+        revision: store_revision::StoreRevision,
+    ) {
         match &text {
             Some(text) => self.upstreams.insert(name.clone(), text.clone()),
             None => self.upstreams.remove(&name),
@@ -61,8 +72,23 @@
         self.changes.push_back((revision, name, text));
     }
 
+    /// The upstreams as they are after changes.
+    pub(crate) fn changed_upstreams(
+        &self,
+        changes: Vec<(String, Option<String>)>,
+    ) -> collections::BTreeMap<String, String> {
+        let mut upstreams = self.upstreams.clone();
+        for (name, text) in changes {
+            match text {
+                Some(text) => upstreams.insert(name, text),
+                None => upstreams.remove(&name),
+            };
+        }
+        upstreams
+    }
+
     /// Notes that all changes up to `revision` are in, and forgets the oldest.
-    pub(crate) fn settle(&mut self, revision: u64) {
+    pub(crate) fn settle(&mut self, revision: store_revision::StoreRevision) {
         let most = MIN_CHANGES.max((self.upstreams.len() as f64 * CHANGES_SHARE) as usize);
         while self.changes.len() > most {
             self.floor = self.changes.pop_front().map_or(revision, |(oldest, _, _)| oldest);
@@ -70,3 +96,9 @@
         self.revision = self.revision.max(revision);
     }
 }
+
+/// Distinguishes lists of upstreams.
+pub(crate) fn digest(upstreams: &collections::BTreeMap<String, String>) -> u64 {
+    let parts = upstreams.iter().flat_map(|(name, text)| [name.as_str(), text.as_str()]);
+    rendezvous::stable_hash(&parts.collect::<Vec<_>>())
+}
--- a/crates/instance/src/request_record.rs
+++ b/crates/instance/src/request_record.rs
@@ -45,7 +45,7 @@
     /// Version of the routes that decided.
     pub routes: u64,
     /// Revision of the list of upstreams at the start.
-    pub list: u64,
+    pub list: String,
     /// Where that list came from: the store, or the member that passed it on.
     pub list_source: String,
     /// For how long it had been in force.
--- a/crates/instance/src/small_server.rs
+++ b/crates/instance/src/small_server.rs
@@ -131,12 +131,14 @@
     if !context.fleet.borrow().is_known() {
         return refused(503, "nothing is known yet");
     }
-    let number = |name: &str| {
+    let value = |name: &str| {
         let pairs = uri.query().unwrap_or_default().split('&');
-        let mut values = pairs.filter_map(|pair| pair.strip_prefix(name)?.strip_prefix('='));
-        values.next().and_then(|text| text.parse().ok()).unwrap_or(0)
+        pairs.filter_map(|pair| pair.strip_prefix(name)?.strip_prefix('=')).next()
     };
-    match document_answers::answer(context, number("routes"), number("list")) {
+    let routes = value("routes").and_then(|text| text.parse().ok()).unwrap_or(0);
+    // Without a list that can be read, all of it is sent.
+    let list = value("list").map(|text| text.parse().unwrap_or_default());
+    match document_answers::answer(context, routes, list) {
         document_answers::DocumentAnswer::Ready(body, guard) => {
             SmallAnswer { status: 200, body, guard }
         }
@@ -313,7 +315,7 @@
         "leaving": beat.leaving,
         "plans": beat.plans,
         "routes": beat.routes,
-        "list": beat.list,
+        "list": beat.list.to_string(),
         "list_source": &*fleet.origin().source,
         "list_age_ms": units::whole_millis(context.now().since(fleet.origin().since)),
         "store_era": belief.era().0,
--- a/crates/instance/src/store_call.rs
+++ b/crates/instance/src/store_call.rs
@@ -23,6 +23,14 @@
         /// What is wrong with it.
         source: border::FormatError,
     },
+    /// The answer is of an era before the one that is known: a late one, or one of a copy that is out of use.
+    #[snafu(display("answer of era {era}, known is {known}"))]
+    FormerEra {
+        /// Era of the answer.
+        era: store_revision::StoreEra,
+        /// The later one.
+        known: store_revision::StoreEra,
+    },
     /// The changes from the revision on that was asked for are not remembered.
     #[snafu(display("history is gone in era {era}"))]
     HistoryGone {
@@ -61,7 +69,11 @@
     let answer = connection.call_whole("GET", path, Bytes::new(), limit).await;
     let answer = answer.context(CallSnafu)?;
     let era = context.border.store_era(&answer.head).context(EraSnafu)?;
-    let era = era.unwrap_or_else(|| context.belief.borrow().era());
+    let known = known_era(context);
+    let era = era.unwrap_or(known);
+    if era < known {
+        return FormerEraSnafu { era, known }.fail();
+    }
     note_era(context, era);
     if answer.head.status == http::StatusCode::GONE {
         return HistoryGoneSnafu { era }.fail();
@@ -70,6 +82,11 @@
     Ok(StoreAnswer { era, body })
 }
 
+/// The latest era that the store or members have told of.
+fn known_era(context: &context::InstanceContext) -> store_revision::StoreEra {
+    context.belief.borrow().era().max(context.fleet.borrow().revision().era)
+}
+
 fn note_era(context: &context::InstanceContext, era: store_revision::StoreEra) {
     let changed = context.belief.borrow_mut().note_era(era);
     if let Some(before) = changed {
--- a/crates/instance/src/store_feed.rs
+++ b/crates/instance/src/store_feed.rs
@@ -3,9 +3,12 @@
 use std::{ops, rc, time};
 
 use rand::RngExt as _;
-use slipturn_core::units;
+use slipturn_core::{store_revision, units};
 
-use crate::{context, document_call, heartbeats, store_call, store_read, store_sight, store_watch};
+use crate::{
+    context, document_call, heartbeats, member_gossip, store_call, store_read, store_sight,
+    store_watch,
+};
 
 /// Spread of pauses after failures, so that members do not return together.
 const RETRY_SPREAD: std::ops::Range<f64> = 0.7..1.3;
@@ -108,18 +111,7 @@
     context: &context::InstanceContext,
     connection: &mut document_call::DocumentConnection,
 ) -> Result<(), String> {
-    let mut revision = context.belief.borrow().watched();
-    let listed = context.fleet.borrow().revision();
-    let known = context.fleet.borrow().is_known();
-    if !known || listed == 0 {
-        revision = store_read::read_all(context, connection).await?;
-        context.belief.borrow_mut().watch();
-        store_sight::regained(context);
-    } else if revision == 0 {
-        // The list is a member's: routes of before its revision would not come by the watch.
-        revision = listed;
-        store_read::read_routes(context).await?;
-    }
+    let mut revision = first_revision(context, connection).await?;
     context.belief.borrow_mut().watch();
     loop {
         let answers = context.belief.borrow().answers();
@@ -129,11 +121,15 @@
         context.belief.borrow_mut().note_watched(revision);
         let asked = context.now();
         let answer = match store_watch::watch(context, connection, revision).await {
-            Ok(answer) => answer,
+            Ok(answer) if answer.era == revision.era => answer,
+            // No error tells that the changes between the copy and the revision asked for are missing.
+            Ok(answer) => {
+                revision = read_again(context, connection, answer.era).await?;
+                continue;
+            }
             Err(store_call::StoreError::HistoryGone { era }) => {
-                log::info!(era = era.0, revision; "store.history_gone");
-                revision = store_read::read_all(context, connection).await?;
-                store_sight::regained(context);
+                log::info!(era = era.0, revision:%; "store.history_gone");
+                revision = read_again(context, connection, era).await?;
                 continue;
             }
             Err(error) => return Err(error.to_string()),
@@ -141,8 +137,8 @@
         let (changes, next) =
             context.border.read_changes(&answer.body).map_err(|error| error.to_string())?;
         store_sight::regained(context);
+        let next = store_revision::StoreRevision::new(answer.era, next);
         let quiet = changes.is_empty();
-        log::debug!(era = answer.era.0, after = revision, next, changes = changes.len(); "store.watched");
         let now = context.now();
         if !quiet {
             context.fleet.borrow_mut().apply(now, changes, next);
@@ -157,3 +153,54 @@
         }
     }
 }
+
+/// The revision from which on to watch, after reading what lies before it.
+async fn first_revision(
+    context: &context::InstanceContext,
+    connection: &mut document_call::DocumentConnection,
+) -> Result<store_revision::StoreRevision, String> {
+    let watched = context.belief.borrow().watched();
+    let listed = context.fleet.borrow().revision();
+    let known = context.fleet.borrow().is_known();
+    if !known || listed.is_none() {
+        let revision = store_read::read_all(context, connection).await?;
+        context.belief.borrow_mut().watch();
+        store_sight::regained(context);
+        return Ok(revision);
+    }
+    if watched.is_none() {
+        return join_members(context).await;
+    }
+    Ok(watched)
+}
+
+/// Goes on from the list that members have given.
+async fn join_members(
+    context: &context::InstanceContext,
+) -> Result<store_revision::StoreRevision, String> {
+    let listed = context.fleet.borrow().revision();
+    // Routes of before its revision would not come by the watch.
+    store_read::read_routes(context).await?;
+    Ok(listed)
+}
+
+/// Reads what a watch can not bring any more, as history is gone or the era is another one.
+async fn read_again(
+    context: &context::InstanceContext,
+    connection: &mut document_call::DocumentConnection,
+    era: store_revision::StoreEra,
+) -> Result<store_revision::StoreRevision, String> {
+    let before = context.fleet.borrow().revision().era;
+    let revision = if before == era && context.belief.borrow().watched().era < era {
+        join_members(context).await?
+    } else {
+        store_read::read_all(context, connection).await?
+    };
+    store_sight::regained(context);
+    if before < era {
+        heartbeats::announce(context);
+        // Members may know of upstreams that leave and that the copy does not list as leaving.
+        member_gossip::request(context);
+    }
+    Ok(revision)
+}
--- a/crates/instance/src/store_read.rs
+++ b/crates/instance/src/store_read.rs
@@ -2,7 +2,7 @@
 
 use std::{collections, time};
 
-use slipturn_core::ids;
+use slipturn_core::{ids, store_revision};
 
 use crate::{border, context, document_call, fleet_state, store_call};
 
@@ -14,17 +14,23 @@
 /// Items of a range of keys, with the revision of the store at its first page.
 struct RangeRead {
     items: Vec<border::StoreItem>,
-    revision: u64,
+    revision: store_revision::StoreRevision,
 }
 
 /// Reads routes, evacuations and upstreams; the revision of the store that they belong to.
 pub(crate) async fn read_all(
     context: &context::InstanceContext,
     connection: &mut document_call::DocumentConnection,
-) -> Result<u64, String> {
+) -> Result<store_revision::StoreRevision, String> {
     let border = &context.border;
     let upstreams = read_range(context, connection, |after| border.upstreams_path(after)).await?;
     let published = read_range(context, connection, |after| border.operator_path(after)).await?;
+    if upstreams.revision.era != published.revision.era {
+        return Err(format!(
+            "the store returned from a copy during a read, {}",
+            published.revision
+        ));
+    }
     // Pages are not a snapshot: changes since the first page are watched again.
     let revision = upstreams.revision;
     let documents = upstreams.items.into_iter().filter_map(|item| match border.key(&item.key) {
@@ -44,8 +50,7 @@
             border::StoreKey::Upstream(_) | border::StoreKey::Other => {}
         }
     }
-    fleet.replace_evacuations(now, &evacuated, revision, "store");
-    fleet.replace_upstreams(now, documents, revision, "store");
+    fleet.replace_list(now, documents, evacuated, revision, "store");
     Ok(revision)
 }
 
@@ -56,13 +61,17 @@
     path: impl Fn(Option<&str>) -> String,
 ) -> Result<RangeRead, String> {
     let mut items = Vec::new();
-    let mut first_revision = None;
+    let mut first_revision: Option<store_revision::StoreRevision> = None;
     let mut after = None;
     for _ in 0..MAX_PAGES {
         let answer = store_call::get(context, connection, &path(after.as_deref()), READ_TIME).await;
         let answer = answer.map_err(|error| error.to_string())?;
         let page = context.border.read_page(&answer.body).map_err(|error| error.to_string())?;
-        first_revision.get_or_insert(page.revision);
+        let revision = store_revision::StoreRevision::new(answer.era, page.revision);
+        let first = *first_revision.get_or_insert(revision);
+        if first.era != revision.era {
+            return Err(format!("the store returned from a copy during a read, {revision}"));
+        }
         items.extend(page.items);
         after = page.next;
         if after.is_none() {
--- a/crates/instance/src/store_watch.rs
+++ b/crates/instance/src/store_watch.rs
@@ -3,6 +3,7 @@
 use std::{pin, time};
 
 use futures::{StreamExt as _, future, stream};
+use slipturn_core::store_revision;
 
 use crate::{context, document_call, store_call, store_sight};
 
@@ -29,14 +30,14 @@
 pub(crate) async fn watch(
     context: &context::InstanceContext,
     connection: &mut document_call::DocumentConnection,
-    revision: u64,
+    revision: store_revision::StoreRevision,
 ) -> Result<store_call::StoreAnswer, store_call::StoreError> {
     if !context.belief.borrow().answers() {
         // After an outage the store's return is to be noticed.
         return probe(context, connection, revision).await;
     }
     let wait = context.settings().bounds.leave.0.mul_f64(WAIT_PART).max(LEAST_WAIT);
-    let path = context.border.watch_path(revision, wait);
+    let path = context.border.watch_path(revision.number, wait);
     let mut second = document_call::DocumentConnection::new(context.settings().store);
     let answered = {
         let limit = wait + OVERDUE + PROBE_TIME * MAX_PROBES;
@@ -53,7 +54,7 @@
         }
     };
     if answered.as_ref().map_or_else(store_call::StoreError::is_answer, |_| true) {
-        log::warn!(revision; "store.connection_silent");
+        log::warn!(revision:%; "store.connection_silent");
         context.stats.borrow_mut().count("silent_connections", "store");
     }
     *connection = second;
@@ -65,9 +66,9 @@
 async fn probe(
     context: &context::InstanceContext,
     connection: &mut document_call::DocumentConnection,
-    revision: u64,
+    revision: store_revision::StoreRevision,
 ) -> Result<store_call::StoreAnswer, store_call::StoreError> {
-    let path = &context.border.watch_path(revision, FIRST_WAIT);
+    let path = &context.border.watch_path(revision.number, FIRST_WAIT);
     let ask = |sent: u32| async move {
         let mut fresh = document_call::DocumentConnection::new(context.settings().store);
         let limit = PROBE_TIME * (MAX_PROBES - sent);
--- a/crates/instance/src/upstream_signals.rs
+++ b/crates/instance/src/upstream_signals.rs
@@ -2,7 +2,7 @@
 
 use std::{net, time};
 
-use slipturn_core::{fleet_list, ids, planner::ways, units, upstream_notice};
+use slipturn_core::{ids, planner::ways, units, upstream_notice};
 
 use crate::{border, context, limit_gossip, member_gossip, peer_message};
 
@@ -82,17 +82,12 @@
     let now = context.now();
     let told = {
         let fleet = context.fleet.borrow();
-        let notices = fleet.list.notices();
-        // Otherwise the list informs the others.
-        let is_listed_live = |(upstream, _): &(&ids::UpstreamId, _)| {
-            let entry = fleet.list.entry(upstream);
-            entry.is_none_or(|entry| entry.state == fleet_list::ListState::Live)
-        };
         let report = |(upstream, leaving): (&ids::UpstreamId, upstream_notice::LeavingNotice)| {
             let age_ms = units::whole_millis(now.since(leaving.since));
             peer_message::LeavingReport { upstream: upstream.clone(), age_ms }
         };
-        notices.own_words().filter(is_listed_live).map(report).collect::<Vec<_>>()
+        // Otherwise the list informs the others.
+        fleet.list.relisted_leaving().map(report).collect::<Vec<_>>()
     };
     for reports in told.chunks(peer_message::MAX_LEAVING) {
         context.send_to(to, peer_message::PeerMessage::Leaving(reports.to_vec()));
--- a/crates/instance/tests/peer_message.rs
+++ b/crates/instance/tests/peer_message.rs
@@ -103,7 +103,7 @@
         leaving: false,
         watches: false,
         routes: 9_000,
-        list: 100_000,
+        list: 100_000.into(),
     };
     let messages = [
         (PeerMessage::Ask(key(), Box::new(short)), 96),
--- a/crates/instance/tests/rest_ways.rs
+++ b/crates/instance/tests/rest_ways.rs
@@ -59,7 +59,7 @@
         cold: time::Duration::ZERO,
     };
     let mut list = UpstreamList::default();
-    list.replace(at(0), (0..ENGINES).map(entry).collect(), 1);
+    list.replace(at(0), (0..ENGINES).map(entry).collect(), 1.into());
     list.notices_mut().set_return(way);
     list
 }
