Routes that a copy of the store lacks are still asked of members

A member that lacks routes which another has, and asks a store that has just returned from a copy, would have gone without them until a later version: its callers get 404 or a revoked key for that long.

Cause: that the store has no newer routes refutes what a member claims, for ever. That holds while what the store has acknowledged stays; it does not for a copy, which lacks routes that a member has.

Change: an era that changes forgets what was refuted, and for ten seconds nothing is refuted by what the store lacks.

Why it works: members are asked first and still have the routes; after ten seconds nobody writes them again.

--- a/crates/core/src/document_lag.rs
+++ b/crates/core/src/document_lag.rs
@@ -45,6 +45,11 @@
         }
     }
 
+    /// Forgets what the source did not have: its writers may write it again.
+    pub fn forget_refuted(&mut self) {
+        self.refuted = V::default();
+    }
+
     /// The version up to which nothing newer is to be had.
     pub fn known(&self, own: V) -> V {
         own.max(self.refuted)
--- a/crates/core/src/store_belief.rs
+++ b/crates/core/src/store_belief.rs
@@ -5,6 +5,9 @@
 
 use crate::{document_lag, store_revision, units};
 
+/// Time in which operators have written again what a copy of the store lacks.
+const REWRITE_TIME: time::Duration = time::Duration::from_secs(10);
+
 /// What is believed of the store's answers.
 ///
 /// Begins [`Away`](Self::Away). An answer makes it [`Answering`](Self::Answering); a watch that is
@@ -69,6 +72,8 @@
     heard: units::MonoTime,
     /// Highest era in its answers; nothing before the first answer.
     era: Option<store_revision::StoreEra>,
+    /// Since when that has been known, where another one was known before.
+    era_since: Option<units::MonoTime>,
     /// Routes of other members that this process lacks.
     routes: document_lag::DocumentLag<u64>,
     /// Lists of other members that this process lacks.
@@ -84,6 +89,7 @@
             away_since: None,
             heard: units::MonoTime::default(),
             era: None,
+            era_since: None,
             routes: document_lag::DocumentLag::default(),
             list: document_lag::DocumentLag::default(),
         }
@@ -128,11 +134,22 @@
     }
 
     /// Takes in the era of an answer; returns the one before where it has changed.
-    pub fn note_era(&mut self, era: store_revision::StoreEra) -> Option<store_revision::StoreEra> {
+    pub fn note_era(
+        &mut self,
+        now: units::MonoTime,
+        era: store_revision::StoreEra,
+    ) -> Option<store_revision::StoreEra> {
         let before = self.era.replace(self.era().max(era)).filter(|before| *before < era)?;
+        self.era_since = Some(now);
+        self.routes.forget_refuted();
         Some(before)
     }
 
+    /// Whether what operators wrote may be missing in the store, as it has returned from an older copy.
+    fn is_incomplete(&self, asked: units::MonoTime) -> bool {
+        self.era_since.is_some_and(|since| asked.since(since) < REWRITE_TIME)
+    }
+
     /// Takes in an answer.
     pub fn receive(&mut self, now: units::MonoTime) -> HeardStore {
         let before = std::mem::replace(&mut self.contact, StoreContact::Answering);
@@ -185,7 +202,9 @@
 
     /// Takes in that the store, asked at `asked`, has no routes newer than `own`.
     pub fn refute_routes(&mut self, own: u64, asked: units::MonoTime) {
-        self.routes.refute(own, asked);
+        if !self.is_incomplete(asked) {
+            self.routes.refute(own, asked);
+        }
     }
 
     /// Takes in that the store, asked at `asked`, has no list newer than `own` in the same era.
--- a/crates/core/tests/store_belief.rs
+++ b/crates/core/tests/store_belief.rs
@@ -4,6 +4,7 @@
 
 use slipturn_core::{
     store_belief::{DocumentVersions, HeardStore, StoreBelief, StoreContact},
+    store_revision::{StoreEra, StoreRevision},
     units,
 };
 
@@ -75,3 +76,33 @@
     assert_eq!(lags.longest(), time::Duration::ZERO);
     assert_eq!(belief.known(own), DocumentVersions { routes: 4, list: 10.into() });
 }
+
+/// A copy of the store lacks routes that a member has; the store saying so is no reason to do without them.
+#[test]
+fn routes_that_a_copy_of_the_store_lacks_are_still_asked_of_members() {
+    let mut belief = watching();
+    belief.note_era(at(150), StoreEra(1));
+    let own = DocumentVersions { routes: 61, list: 10.into() };
+    let newest = DocumentVersions { routes: 65, list: 10.into() };
+    belief.lags(at(200), own, newest);
+    belief.refute_routes(61, at(300));
+    assert_eq!(belief.known(own).routes, 65, "the store of the era before would have had them");
+    assert_eq!(belief.note_era(at(1_000), StoreEra(2)), Some(StoreEra(1)));
+    assert_eq!(belief.known(own).routes, 61, "what it did not have may be written again");
+    belief.lags(at(1_100), own, newest);
+    belief.refute_routes(61, at(1_200));
+    assert_eq!(belief.known(own).routes, 61, "the copy lacks them, and a member has them");
+    belief.refute_routes(61, at(12_000));
+    assert_eq!(belief.known(own).routes, 65, "nobody has written them again");
+}
+
+#[test]
+fn a_list_of_a_later_era_is_not_refuted_by_the_era_before() {
+    let mut belief = watching();
+    let own = DocumentVersions { routes: 3, list: StoreRevision::new(StoreEra(1), 90) };
+    let newest = DocumentVersions { list: StoreRevision::new(StoreEra(2), 40), ..own };
+    belief.lags(at(200), own, newest);
+    belief.refute_list(own.list, at(300));
+    assert_eq!(belief.known(own).list, own.list);
+    assert_eq!(belief.lags(at(700), own, newest).list, millis(500));
+}
--- a/crates/instance/src/store_call.rs
+++ b/crates/instance/src/store_call.rs
@@ -88,7 +88,7 @@
 }
 
 fn note_era(context: &context::InstanceContext, era: store_revision::StoreEra) {
-    let changed = context.belief.borrow_mut().note_era(era);
+    let changed = context.belief.borrow_mut().note_era(context.now(), era);
     if let Some(before) = changed {
         log::warn!(era = era.0, before = before.0; "store.era_changed");
         context.stats.borrow_mut().count("store_eras", "changed");
