Sight of a store's return from a copy: what is kept and withheld, for operators; the soak drills its store

Change: slipturnctl upstreams says kept or withheld, gauges count both, list.era_changed tells what was held as the era changed and list.recovered that it is over; evacuations that end with it leave their line.

--- a/crates/core/src/list_recovery.rs
+++ b/crates/core/src/list_recovery.rs
@@ -118,6 +118,22 @@
         })
     }
 
+    /// Whether a recovery is in progress.
+    pub fn is_recovering(&self) -> bool {
+        self.recovery.since.is_some()
+    }
+
+    /// What the recovery in progress does with an upstream, for operators.
+    pub fn recovery_label(&self, name: &ids::UpstreamId) -> &'static str {
+        if self.is_withheld(name) {
+            "withheld"
+        } else if self.recovery.is_kept(name) {
+            "kept"
+        } else {
+            ""
+        }
+    }
+
     /// Enters an era of the source that became known at `since`; its list is expected next.
     ///
     /// What the list of the era before said of leaving becomes final: the copy may be of before.
--- a/crates/instance/src/fleet_state.rs
+++ b/crates/instance/src/fleet_state.rs
@@ -36,6 +36,16 @@
     differs: bool,
 }
 
+/// All upstreams and evacuations at a revision of the store.
+struct StoreList {
+    /// Upstreams by name.
+    upstreams: collections::BTreeMap<String, String>,
+    /// Evacuated data centres.
+    evacuated: collections::BTreeSet<ids::DataCenterId>,
+    /// The revision.
+    revision: store_revision::StoreRevision,
+}
+
 /// Where a list comes from, and since when it has been in force.
 #[derive(Debug, Clone)]
 pub struct ListOrigin {
@@ -196,11 +206,6 @@
         }
         let ended = || later_era.then(list_recovery::RecoveryReport::ended);
         let recovery = documents.recovery.or_else(ended);
-        if documents.upstreams.is_some() || self.listed {
-            let unconfirmed = recovery.as_ref().map(|report| report.evacuated.clone());
-            let unconfirmed = unconfirmed.unwrap_or_default();
-            self.take_evacuations(now, documents.evacuated, &unconfirmed, revision, source);
-        }
         for report in recovery.iter().flat_map(|recovery| &recovery.leaving) {
             let age = time::Duration::from_millis(report.age_ms);
             let member = upstream_notice::NoticeSource::Member;
@@ -208,8 +213,11 @@
         }
         if let Some(upstreams) = documents.upstreams {
             self.differs = false;
-            self.replace_all(now, upstreams, recovery, revision, source);
+            let list = StoreList { upstreams, evacuated: documents.evacuated, revision };
+            self.replace_all(now, list, recovery, source);
         } else if self.listed {
+            let unconfirmed = recovery.map(|report| report.evacuated).unwrap_or_default();
+            self.take_evacuations(now, documents.evacuated, &unconfirmed, revision, source);
             self.change_upstreams(now, documents.changes, revision, source);
         }
         Ok(())
@@ -266,24 +274,25 @@
             self.drop_older(revision, source);
             return;
         }
-        self.take_evacuations(now, evacuated, &[], revision, source);
         // Of a key that is there twice the last one holds.
-        let documents = documents.into_iter().collect();
-        self.replace_all(now, documents, None, revision, source);
+        let upstreams = documents.into_iter().collect();
+        self.replace_all(now, StoreList { upstreams, evacuated, revision }, None, source);
     }
 
     /// Takes over all upstreams, and what another member keeps in force beside them.
     fn replace_all(
         &mut self,
         now: units::MonoTime,
-        mut documents: collections::BTreeMap<String, String>,
+        list: StoreList,
         recovery: Option<list_recovery::RecoveryReport>,
-        revision: store_revision::StoreRevision,
         source: &str,
     ) {
+        let StoreList { upstreams: mut documents, evacuated, revision } = list;
         let before = self.list.revision();
         let later_era = self.is_later_era(revision);
         self.note_origin(now, source);
+        let unconfirmed = recovery.as_ref().map(|report| &report.evacuated[..]);
+        self.take_evacuations(now, evacuated, unconfirmed.unwrap_or_default(), revision, source);
         let mut entries = Vec::new();
         let mut unreadable = Vec::new();
         for (name, text) in &mut documents {
--- a/crates/instance/src/list_recovery.rs
+++ b/crates/instance/src/list_recovery.rs
@@ -99,6 +99,24 @@
         self.raw.kept = kept.iter().filter_map(document).collect();
     }
 
+    /// Ends what is due: doubts of upstreams that vanished, and the recovery.
+    pub fn tick(&mut self, now: units::MonoTime) {
+        let recovering = self.list.is_recovering();
+        let evacuated: Vec<_> = self.list.evacuated().filter(|_| recovering).cloned().collect();
+        if self.list.tick(now) {
+            log::info!("list.doubtful_gone");
+        }
+        if !recovering || self.list.is_recovering() {
+            return;
+        }
+        self.raw.kept.clear();
+        log::info!(revision:% = self.list.revision(); "list.recovered");
+        let in_force: collections::BTreeSet<_> = self.list.evacuated().collect();
+        for data_center in evacuated.iter().filter(|name| !in_force.contains(name)) {
+            log::info!(data_center:%, source = "recovery"; "data_center.restored");
+        }
+    }
+
     /// Logs that the list of a later era is in force.
     pub(crate) fn log_recovery(&self, before: store_revision::StoreRevision, source: &str) {
         let state = self.list.recovery().unwrap_or_default();
--- a/crates/instance/src/peers.rs
+++ b/crates/instance/src/peers.rs
@@ -176,9 +176,7 @@
             heartbeats::broadcast(&context);
         }
         last = now;
-        if context.fleet.borrow_mut().list.tick(now) {
-            log::info!("list.doubtful_gone");
-        }
+        context.fleet.borrow_mut().tick(now);
         upstream_starts::settle(&context);
         quota_coordinator::tick(&context);
         let answers = {
--- a/crates/instance/src/small_server.rs
+++ b/crates/instance/src/small_server.rs
@@ -290,8 +290,11 @@
     let resting = notices.names().filter(|name| notices.rest(now, name).is_some()).count();
     let limited = fleet.list.limits().len();
     let evacuated = fleet.list.evacuated().count();
+    let recovery = fleet.list.recovery().unwrap_or_default();
+    let (kept, withheld) = (recovery.kept.len(), recovery.withheld.len());
     format!(
-        "slipturn_data_centers_evacuated {evacuated}\nslipturn_upstreams_leaving {leaving}\nslipturn_upstreams_resting {resting}\n\
+        "slipturn_upstreams_kept {kept}\nslipturn_upstreams_withheld {withheld}\n\
+         slipturn_data_centers_evacuated {evacuated}\nslipturn_upstreams_leaving {leaving}\nslipturn_upstreams_resting {resting}\n\
          slipturn_upstreams_limited {limited}\n"
     )
 }
--- a/crates/instance/src/upstream_rows.rs
+++ b/crates/instance/src/upstream_rows.rs
@@ -19,6 +19,7 @@
             "data_center": entry.data_center,
             "listed": format!("{:?}", entry.state).to_lowercase(),
             "evacuated": fleet.list.is_evacuated(entry),
+            "recovery": fleet.list.recovery_label(&entry.name),
             "said": fleet.list.notices().describe(now, &entry.name).unwrap_or_default(),
             "limit": limit(context, &fleet, &entry.name),
             "sent": sent(context, entry, &sums),
--- a/crates/soak/src/fault_plan.rs
+++ b/crates/soak/src/fault_plan.rs
@@ -10,7 +10,7 @@
 use rand_chacha::ChaCha8Rng;
 use slipturn_platform_standin::{proxy::LinkMode, runner::RunnerMode, store::StoreMode};
 
-use crate::{contact_plan, limit_plan, odd_plan, word_plan, zone_plan};
+use crate::{contact_plan, drill_plan, limit_plan, odd_plan, word_plan, zone_plan};
 
 /// Pause between two faults, milliseconds: short enough for faults to overlap.
 const GAP_MS: std::ops::Range<u64> = 100..600;
@@ -74,6 +74,13 @@
     Evacuate(u8),
     /// An engine says that it is cold.
     Cool(u8),
+    /// The store is away and returns from a copy of such an age; what was lost is written again later.
+    Drill {
+        /// Age of the copy as the store returns.
+        age_ms: u64,
+        /// Time from the return until all is written again.
+        rewrite_ms: u64,
+    },
 }
 
 /// A fault with its time.
@@ -128,6 +135,7 @@
     faults.extend(word_plan::faults(seed, size));
     faults.extend(limit_plan::faults(seed, size));
     faults.extend(zone_plan::faults(seed, size));
+    faults.extend(drill_plan::faults(seed, size));
     faults.sort_by_key(|planned| planned.at);
     faults
 }
--- a/crates/soak/src/struck_fleet.rs
+++ b/crates/soak/src/struck_fleet.rs
@@ -9,13 +9,14 @@
     fleet::Fleet,
     proxy::{LinkMode, Proxy},
     runner::{RunnerMode, TurnAway},
-    store::StoreMode,
+    store::{StoreCopy, StoreMode},
 };
 
 use crate::{
     config_probe,
     evidence::{Disturbance, Evidence, LinkTrouble, UpstreamListing},
     fault_plan::{Fault, PlannedFault},
+    store_drill,
 };
 
 /// Time from SIGTERM within which an instance has ended.
@@ -42,6 +43,8 @@
     LimitOver(u8),
     Restore(u8),
     Warm(u8),
+    StoreReturn(Duration, Duration),
+    Rewrite(usize),
 }
 
 /// A fleet with its faults.
@@ -58,6 +61,10 @@
     ends: Vec<(Instant, FaultEnd)>,
     /// Losses of contact by instances that were told to end, until they are started again.
     stopping: collections::HashMap<u8, usize>,
+    /// Copies of the store, where the plan has drills.
+    copies: Option<store_drill::CopyLog>,
+    /// What the store held before each drill.
+    held: Vec<StoreCopy>,
 }
 
 impl StruckFleet {
@@ -70,6 +77,8 @@
             strikes: Vec::new(),
             ends: Vec::new(),
             stopping: collections::HashMap::new(),
+            copies: None,
+            held: Vec::new(),
         }
     }
 
@@ -83,6 +92,9 @@
         if plan.iter().any(|planned| matches!(planned.fault, Fault::Evacuate(_))) {
             self.divide();
         }
+        if plan.iter().any(|planned| matches!(planned.fault, Fault::Drill { .. })) {
+            self.copies = Some(store_drill::CopyLog::default());
+        }
         let started = Instant::now();
         let mut next = plan.iter().peekable();
         while started.elapsed() < length {
@@ -90,8 +102,22 @@
                 self.strike(planned);
             }
             self.end_due(Instant::now());
+            if let Some(copies) = &mut self.copies {
+                copies.take(Instant::now(), &self.fleet.store);
+            }
             thread::sleep(Duration::from_millis(5));
         }
+        self.end_drills();
+    }
+
+    /// Ends drills at once, and writes again what they lost: until then the store lacks what was published.
+    fn end_drills(&mut self) {
+        let is_drill =
+            |end: &FaultEnd| matches!(end, FaultEnd::StoreReturn(..) | FaultEnd::Rewrite(_));
+        while let Some(index) = self.ends.iter().position(|(_, end)| is_drill(end)) {
+            let (_, end) = self.ends.remove(index);
+            self.end(end);
+        }
     }
 
     fn strike(&mut self, planned: &PlannedFault) {
@@ -117,6 +143,12 @@
                 self.fleet.store.set_mode(mode);
                 self.ends.push((until, FaultEnd::StoreGood));
             }
+            Fault::Drill { age_ms, rewrite_ms } => {
+                self.lose_contact(None, until);
+                self.fleet.store.set_mode(StoreMode::Reset);
+                let [age, rewrite] = [age_ms, rewrite_ms].map(Duration::from_millis);
+                self.ends.push((until, FaultEnd::StoreReturn(age, rewrite)));
+            }
             Fault::Forget => self.fleet.store.forget(),
             Fault::Publish => self.publish(),
             Fault::Upstream(number, mode) => {
@@ -256,6 +288,17 @@
                 self.fleet.store.set_mode(StoreMode::Good);
                 self.lose_contact(None, now);
             }
+            FaultEnd::StoreReturn(age, rewrite) => {
+                if let Some(copies) = &self.copies {
+                    self.held.push(copies.return_from(now, age, &self.fleet.store));
+                }
+                self.lose_contact(None, now + rewrite);
+                self.ends.push((now + rewrite, FaultEnd::Rewrite(self.held.len())));
+            }
+            FaultEnd::Rewrite(drill) => {
+                let held = drill.checked_sub(1).and_then(|drill| self.held.get(drill));
+                held.into_iter().for_each(|held| self.fleet.store.write_again(held));
+            }
             FaultEnd::StoreLinkGood(None) => {
                 self.set_store_links(0..self.fleet.instances.len() as u8, LinkMode::Good);
                 self.lose_contact(None, now);
@@ -341,7 +384,12 @@
 
     fn leave(&mut self, number: u8, until: Instant) {
         self.list(number, true);
-        self.ends.push((until, FaultEnd::Return(number)));
+        // A start that has said that it leaves is not ready again after a drill.
+        let end = match self.copies {
+            Some(_) => FaultEnd::Restart(number),
+            None => FaultEnd::Return(number),
+        };
+        self.ends.push((until, end));
     }
 
     /// Puts each upstream into a data centre of its own, away from the instances.
