The list's changes, and what stores and members tell of it, in files of their own

Ruled out: a change of behaviour: moves only.

Change: core::list_changes (which start becomes the present one, what vanishes), instance::list_update (what the store and members tell of the list). Tests of core, instance, soak and of the list pass.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod histogram;
 pub mod ids;
 pub mod key_vote;
+mod list_changes;
 pub mod list_recovery;
 pub mod member_beat;
 pub mod membership;
--- /dev/null
+++ b/crates/core/src/list_changes.rs
@@ -0,0 +1,191 @@
+//! Changes to the list of upstreams: which start of each becomes the present one, and what vanishes.
+
+use std::{collections, sync, time};
+
+use crate::{fleet_list, ids, store_revision, units, upstream_list, upstream_notice};
+
+impl upstream_list::UpstreamList {
+    /// Applies changes; returns whether any mattered.
+    pub fn apply(
+        &mut self,
+        now: units::MonoTime,
+        changes: Vec<upstream_list::ListChange>,
+        revision: store_revision::StoreRevision,
+    ) -> bool {
+        if revision < self.revision {
+            return false;
+        }
+        self.advance(now, revision);
+        let mut changed = false;
+        for change in changes {
+            changed |= match change {
+                upstream_list::ListChange::Present(entry) => {
+                    self.recovery.confirm(&entry.name);
+                    self.put(now, entry)
+                }
+                upstream_list::ListChange::Gone(name) => {
+                    self.recovery.confirm(&name);
+                    self.vanish(now, &name)
+                }
+                upstream_list::ListChange::Unreadable(name) => self.remove(now, name.identifier()),
+                upstream_list::ListChange::Evacuated(data_center) => {
+                    self.evacuate(now, data_center)
+                }
+                upstream_list::ListChange::Restored(data_center) => {
+                    self.recovery.evacuated.remove(&data_center);
+                    self.restore(now, &data_center)
+                }
+            };
+        }
+        changed
+    }
+
+    /// Moves on to a revision, which may be of a later era.
+    fn advance(&mut self, now: units::MonoTime, revision: store_revision::StoreRevision) {
+        if !self.revision.is_none() && self.revision.era < revision.era {
+            self.enter_era(now);
+        }
+        self.revision = revision;
+    }
+
+    /// Replaces the whole list, as after a gap in the history of changes.
+    pub fn replace(
+        &mut self,
+        now: units::MonoTime,
+        entries: Vec<upstream_list::UpstreamEntry>,
+        revision: store_revision::StoreRevision,
+    ) -> bool {
+        if revision < self.revision {
+            return false;
+        }
+        self.advance(now, revision);
+        let listed: collections::BTreeSet<_> =
+            entries.iter().map(|entry| entry.name.identifier()).collect();
+        let known = self.entries.iter().filter(|(identifier, _)| !listed.contains(&***identifier));
+        let missing: Vec<_> = known.map(|(_, entry)| entry.name.clone()).collect();
+        if self.recovery.pending {
+            self.recover(now, entries, missing);
+            return true;
+        }
+        let mut changed = false;
+        for entry in entries {
+            self.recovery.note_listed(&entry.name);
+            changed |= self.put(now, entry);
+        }
+        // A list of the same era still lacks what its first one lacked.
+        let gone: Vec<_> = missing.iter().filter(|name| !self.recovery.is_kept(name)).collect();
+        for name in gone {
+            changed |= self.vanish(now, name);
+        }
+        changed
+    }
+
+    pub(crate) fn put(
+        &mut self,
+        now: units::MonoTime,
+        entry: upstream_list::UpstreamEntry,
+    ) -> bool {
+        let identifier = entry.name.identifier();
+        self.receive_listed(now, &entry);
+        let known = self.entries.get(identifier).map(|known| &known.name);
+        if known == Some(&entry.name) {
+            return self.put_present(now, entry);
+        }
+        let another = known.is_some();
+        if another && entry.name.start().is_none() {
+            // Upstreams always tell their start: this entry is another writer's.
+            return self.remove(now, identifier);
+        }
+        let record = self.starts.get_mut(identifier);
+        if let Some(record) = record.filter(|record| record.is_over(entry.name.start())) {
+            record.name_again(now, entry);
+            return false;
+        }
+        self.doubtful.remove(identifier);
+        self.begin_start(now, entry);
+        true
+    }
+
+    /// Takes in what the list says of a start's leaving.
+    fn receive_listed(&mut self, now: units::MonoTime, entry: &upstream_list::UpstreamEntry) {
+        match entry.state {
+            fleet_list::ListState::Live => self.notices.receive_live(&entry.name),
+            fleet_list::ListState::Leaving => {
+                let source = upstream_notice::NoticeSource::List;
+                self.notices.receive_leaving(now, &entry.name, source, time::Duration::ZERO);
+            }
+        }
+    }
+
+    /// Puts another entry of the present start.
+    fn put_present(&mut self, now: units::MonoTime, entry: upstream_list::UpstreamEntry) -> bool {
+        let identifier = entry.name.identifier();
+        self.forget_named(identifier);
+        let returned = self.doubtful.remove(identifier).is_some();
+        let before = self.entries.insert(identifier.into(), entry.clone());
+        // An entry stays as it was written: read again it says nothing new.
+        if before.as_ref().is_some_and(|before| before.cold != entry.cold) {
+            self.cold.set(now, &entry.name, &entry.service, Some(entry.cold));
+        }
+        let changed = returned || before.as_ref() != Some(&entry);
+        self.changes += u64::from(changed);
+        changed
+    }
+
+    /// Makes another start of an upstream the present one, or the first of one that was not listed.
+    pub(crate) fn begin_start(
+        &mut self,
+        now: units::MonoTime,
+        entry: upstream_list::UpstreamEntry,
+    ) {
+        let identifier: sync::Arc<str> = entry.name.identifier().into();
+        let present = entry.name.clone();
+        self.cold.set(now, &entry.name, &entry.service, Some(entry.cold));
+        let before = self.entries.insert(sync::Arc::clone(&identifier), entry);
+        if before.is_some() || self.starts.contains_key(&identifier) {
+            let over = before.as_ref().and_then(|before| before.name.start());
+            self.starts.entry(identifier).or_default().replace(now, over, present.start());
+        }
+        self.ended.extend(before.map(|before| upstream_list::EndedStart {
+            name: before.name,
+            address: before.address,
+            present,
+        }));
+        self.changes += 1;
+    }
+
+    fn vanish(&mut self, now: units::MonoTime, name: &ids::UpstreamId) -> bool {
+        self.forget_named(name.identifier());
+        let Some((identifier, entry)) = self.entries.get_key_value(name.identifier()) else {
+            return false;
+        };
+        let leaving = entry.state == fleet_list::ListState::Leaving;
+        let Some(until) = self.doubt_until.filter(|until| now < *until && !leaving) else {
+            return self.remove(now, name.identifier());
+        };
+        self.doubtful.entry(sync::Arc::clone(identifier)).or_insert(until);
+        self.changes += 1;
+        true
+    }
+
+    /// The list names no start that is over any more.
+    pub(crate) fn forget_named(&mut self, identifier: &str) {
+        if let Some(record) = self.starts.get_mut(identifier) {
+            record.forget_named();
+        }
+    }
+
+    pub(crate) fn remove(&mut self, now: units::MonoTime, identifier: &str) -> bool {
+        self.doubtful.remove(identifier);
+        self.forget_named(identifier);
+        let Some((identifier, removed)) = self.entries.remove_entry(identifier) else {
+            return false;
+        };
+        self.recovery.note_removed(now, &removed.name);
+        if let Some(start) = removed.name.start() {
+            self.starts.entry(identifier).or_default().leave(now, start);
+        }
+        self.changes += 1;
+        true
+    }
+}
--- a/crates/core/src/upstream_list.rs
+++ b/crates/core/src/upstream_list.rs
@@ -71,9 +71,9 @@
     /// By identifier: of each upstream one start is the present one.
     pub(crate) entries: collections::BTreeMap<sync::Arc<str>, UpstreamEntry>,
     /// Starts of those that have started again, listed now or within [`START_MEMORY`].
-    starts: collections::BTreeMap<sync::Arc<str>, start_record::StartRecord>,
+    pub(crate) starts: collections::BTreeMap<sync::Arc<str>, start_record::StartRecord>,
     /// Upstreams that vanished and may return, with the time at which they are taken for gone.
-    doubtful: collections::BTreeMap<sync::Arc<str>, units::MonoTime>,
+    pub(crate) doubtful: collections::BTreeMap<sync::Arc<str>, units::MonoTime>,
     /// What upstreams say of themselves in passing, and that the list says that they leave.
     pub(crate) notices: upstream_notice::NoticeTable,
     /// What stays in force after the source has returned from an older copy.
@@ -83,11 +83,11 @@
     /// Evacuated data centres, and when each evacuation became known.
     pub(crate) evacuated: collections::BTreeMap<ids::DataCenterId, units::MonoTime>,
     /// Starts that were found to be over since the last look.
-    ended: Vec<EndedStart>,
+    pub(crate) ended: Vec<EndedStart>,
     /// Until when vanishing is doubted.
-    doubt_until: Option<units::MonoTime>,
+    pub(crate) doubt_until: Option<units::MonoTime>,
     /// The source's revision this state belongs to; only ever goes up.
-    revision: store_revision::StoreRevision,
+    pub(crate) revision: store_revision::StoreRevision,
     /// Goes up whenever another set of upstreams may be usable.
     pub(crate) changes: u64,
 }
@@ -108,79 +108,6 @@
         self.doubt_until = Some(now + RETURN_TIME);
     }
 
-    /// Applies changes; returns whether any mattered.
-    pub fn apply(
-        &mut self,
-        now: units::MonoTime,
-        changes: Vec<ListChange>,
-        revision: store_revision::StoreRevision,
-    ) -> bool {
-        if revision < self.revision {
-            return false;
-        }
-        self.advance(now, revision);
-        let mut changed = false;
-        for change in changes {
-            changed |= match change {
-                ListChange::Present(entry) => {
-                    self.recovery.confirm(&entry.name);
-                    self.put(now, entry)
-                }
-                ListChange::Gone(name) => {
-                    self.recovery.confirm(&name);
-                    self.vanish(now, &name)
-                }
-                ListChange::Unreadable(name) => self.remove(now, name.identifier()),
-                ListChange::Evacuated(data_center) => self.evacuate(now, data_center),
-                ListChange::Restored(data_center) => {
-                    self.recovery.evacuated.remove(&data_center);
-                    self.restore(now, &data_center)
-                }
-            };
-        }
-        changed
-    }
-
-    /// Moves on to a revision, which may be of a later era.
-    fn advance(&mut self, now: units::MonoTime, revision: store_revision::StoreRevision) {
-        if !self.revision.is_none() && self.revision.era < revision.era {
-            self.enter_era(now);
-        }
-        self.revision = revision;
-    }
-
-    /// Replaces the whole list, as after a gap in the history of changes.
-    pub fn replace(
-        &mut self,
-        now: units::MonoTime,
-        entries: Vec<UpstreamEntry>,
-        revision: store_revision::StoreRevision,
-    ) -> bool {
-        if revision < self.revision {
-            return false;
-        }
-        self.advance(now, revision);
-        let listed: collections::BTreeSet<_> =
-            entries.iter().map(|entry| entry.name.identifier()).collect();
-        let known = self.entries.iter().filter(|(identifier, _)| !listed.contains(&***identifier));
-        let missing: Vec<_> = known.map(|(_, entry)| entry.name.clone()).collect();
-        if self.recovery.pending {
-            self.recover(now, entries, missing);
-            return true;
-        }
-        let mut changed = false;
-        for entry in entries {
-            self.recovery.note_listed(&entry.name);
-            changed |= self.put(now, entry);
-        }
-        // A list of the same era still lacks what its first one lacked.
-        let gone: Vec<_> = missing.iter().filter(|name| !self.recovery.is_kept(name)).collect();
-        for name in gone {
-            changed |= self.vanish(now, name);
-        }
-        changed
-    }
-
     /// Upstreams of a service that are listed, in use or not.
     ///
     /// Unlike the number of usable ones it does not change with an evacuation or a planned end.
@@ -345,105 +272,4 @@
     pub fn take_ended(&mut self) -> Vec<EndedStart> {
         std::mem::take(&mut self.ended)
     }
-
-    pub(crate) fn put(&mut self, now: units::MonoTime, entry: UpstreamEntry) -> bool {
-        let identifier = entry.name.identifier();
-        self.receive_listed(now, &entry);
-        let known = self.entries.get(identifier).map(|known| &known.name);
-        if known == Some(&entry.name) {
-            return self.put_present(now, entry);
-        }
-        let another = known.is_some();
-        if another && entry.name.start().is_none() {
-            // Upstreams always tell their start: this entry is another writer's.
-            return self.remove(now, identifier);
-        }
-        let record = self.starts.get_mut(identifier);
-        if let Some(record) = record.filter(|record| record.is_over(entry.name.start())) {
-            record.name_again(now, entry);
-            return false;
-        }
-        self.doubtful.remove(identifier);
-        self.begin_start(now, entry);
-        true
-    }
-
-    /// Takes in what the list says of a start's leaving.
-    fn receive_listed(&mut self, now: units::MonoTime, entry: &UpstreamEntry) {
-        match entry.state {
-            fleet_list::ListState::Live => self.notices.receive_live(&entry.name),
-            fleet_list::ListState::Leaving => {
-                let source = upstream_notice::NoticeSource::List;
-                self.notices.receive_leaving(now, &entry.name, source, time::Duration::ZERO);
-            }
-        }
-    }
-
-    /// Puts another entry of the present start.
-    fn put_present(&mut self, now: units::MonoTime, entry: UpstreamEntry) -> bool {
-        let identifier = entry.name.identifier();
-        self.forget_named(identifier);
-        let returned = self.doubtful.remove(identifier).is_some();
-        let before = self.entries.insert(identifier.into(), entry.clone());
-        // An entry stays as it was written: read again it says nothing new.
-        if before.as_ref().is_some_and(|before| before.cold != entry.cold) {
-            self.cold.set(now, &entry.name, &entry.service, Some(entry.cold));
-        }
-        let changed = returned || before.as_ref() != Some(&entry);
-        self.changes += u64::from(changed);
-        changed
-    }
-
-    /// Makes another start of an upstream the present one, or the first of one that was not listed.
-    fn begin_start(&mut self, now: units::MonoTime, entry: UpstreamEntry) {
-        let identifier: sync::Arc<str> = entry.name.identifier().into();
-        let present = entry.name.clone();
-        self.cold.set(now, &entry.name, &entry.service, Some(entry.cold));
-        let before = self.entries.insert(sync::Arc::clone(&identifier), entry);
-        if before.is_some() || self.starts.contains_key(&identifier) {
-            let over = before.as_ref().and_then(|before| before.name.start());
-            self.starts.entry(identifier).or_default().replace(now, over, present.start());
-        }
-        self.ended.extend(before.map(|before| EndedStart {
-            name: before.name,
-            address: before.address,
-            present,
-        }));
-        self.changes += 1;
-    }
-
-    fn vanish(&mut self, now: units::MonoTime, name: &ids::UpstreamId) -> bool {
-        self.forget_named(name.identifier());
-        let Some((identifier, entry)) = self.entries.get_key_value(name.identifier()) else {
-            return false;
-        };
-        let leaving = entry.state == fleet_list::ListState::Leaving;
-        let Some(until) = self.doubt_until.filter(|until| now < *until && !leaving) else {
-            return self.remove(now, name.identifier());
-        };
-        self.doubtful.entry(sync::Arc::clone(identifier)).or_insert(until);
-        self.changes += 1;
-        true
-    }
-
-    /// The list names no start that is over any more.
-    fn forget_named(&mut self, identifier: &str) {
-        if let Some(record) = self.starts.get_mut(identifier) {
-            record.forget_named();
-        }
-    }
-
-    pub(crate) fn remove(&mut self, now: units::MonoTime, identifier: &str) -> bool {
-        self.doubtful.remove(identifier);
-        self.forget_named(identifier);
-        let Some((identifier, removed)) = self.entries.remove_entry(identifier) else {
-            return false;
-        };
-        self.recovery.note_removed(now, &removed.name);
-        if let Some(start) = removed.name.start() {
-            self.starts.entry(identifier).or_default().leave(now, start);
-        }
-        self.changes += 1;
-        true
-    }
 }
--- a/crates/instance/src/lib.rs
+++ b/crates/instance/src/lib.rs
@@ -3,8 +3,8 @@
 //! Layout by life span: `incoming_call`, `model_request`, `service_request`, `plan_client`,
 //! `memory_hold`, `stream_policy`, `stream_state`, `silence_watch`, `upstream_attempt`,
 //! `event_stream`, `engine_fault`, `upstream_silence` and `request_record` live for a request;
-//! `caller_connection`, `document_call` and `upstream_pool` for a connection; `fleet_state` and
-//! `raw_state` for a version; the rest for the process. What the outside looks like is behind `border`.
+//! `caller_connection`, `document_call` and `upstream_pool` for a connection; `fleet_state`,
+//! `list_update`, `list_recovery` and `raw_state` for a version; the rest for the process. What the outside looks like is behind `border`.
 
 pub mod border;
 pub mod caller_connection;
@@ -25,6 +25,7 @@
 pub mod lease_renewal;
 mod limit_gossip;
 pub mod list_recovery;
+mod list_update;
 pub mod log_sink;
 pub mod member_feed;
 mod member_gossip;
--- a/crates/instance/src/store_read.rs
+++ b/crates/instance/src/store_read.rs
@@ -4,7 +4,7 @@
 
 use slipturn_core::{ids, store_revision};
 
-use crate::{border, context, document_call, fleet_state, store_call};
+use crate::{border, context, document_call, list_update, store_call};
 
 /// Time for the store's answer to a read.
 const READ_TIME: time::Duration = time::Duration::from_millis(1_500);
@@ -34,7 +34,7 @@
     // Pages are not a snapshot: changes since the first page are watched again.
     let revision = upstreams.revision;
     let documents = upstreams.items.into_iter().filter_map(|item| match border.key(&item.key) {
-        border::StoreKey::Upstream(name) => Some((name, fleet_state::text_of(item))),
+        border::StoreKey::Upstream(name) => Some((name, list_update::text_of(item))),
         _ => None,
     });
     let documents = documents.collect();
