Members between two reads of a source get the whole list

A member would have gone on sending to an upstream that leaves, or without one that is back, until its next change.

Cause: a source that reads everything again remembers what differs from its former list, and gave that to members whose list lies between the two. A change that was written in between, and is in the source's second read as it was in its first, is not among the differences.

Change: a source remembers which spans it skipped (eight of them): a list inside one is answered with the whole, and who takes differences across one is told, and remembers it as well. Why it works: differences are given from states alone that the source itself had.

--- a/crates/instance/src/border.rs
+++ b/crates/instance/src/border.rs
@@ -186,6 +186,8 @@
     pub upstreams: Option<collections::BTreeMap<String, String>>,
     /// Changes to upstreams, oldest first: the name and its document, or nothing once it is gone.
     pub changes: Vec<(String, Option<String>)>,
+    /// Whether the changes skip some that were taken back since.
+    pub skipped: bool,
     /// All data centres under evacuation; empty where only routes were asked for.
     pub evacuated: collections::BTreeSet<ids::DataCenterId>,
     /// Revision of the store that the upstreams and evacuations belong to; none where only routes were asked for.
--- a/crates/instance/src/fleet_state.rs
+++ b/crates/instance/src/fleet_state.rs
@@ -102,7 +102,7 @@
         let Some(list) = list else {
             return border::RawDocuments { routes, returned_ms, ..Default::default() };
         };
-        let whole = list < self.raw.floor;
+        let whole = !self.raw.leads_from(list);
         let changes = self.raw.changes.iter().filter(|(revision, _, _)| *revision > list);
         let changes = changes.map(|(_, name, text)| (name.clone(), text.clone()));
         let crosses = !whole && list.era < self.raw.revision.era;
@@ -113,6 +113,7 @@
             revision: self.raw.revision,
             digest: crosses.then(|| raw_state::digest(&self.raw.upstreams)),
             evacuated: self.list.evacuated().cloned().collect(),
+            skipped: !whole && self.raw.has_gap_since(list),
             returned_ms,
             recovery: self.recovery_report(now),
         }
--- a/crates/instance/src/list_update.rs
+++ b/crates/instance/src/list_update.rs
@@ -53,6 +53,9 @@
         } else if self.listed {
             let unconfirmed = recovery.map(|report| report.evacuated).unwrap_or_default();
             self.take_evacuations(now, documents.evacuated, &unconfirmed, revision, source);
+            if documents.skipped {
+                self.raw.note_gap(revision);
+            }
             self.change_upstreams(now, documents.changes, revision, source);
         }
         Ok(())
--- a/crates/instance/src/raw_state.rs
+++ b/crates/instance/src/raw_state.rs
@@ -11,6 +11,9 @@
 /// The same in shares of the list: with more changes than that, the whole list costs less.
 const CHANGES_SHARE: f64 = 0.5;
 
+/// Gaps that are remembered.
+const MAX_GAPS: usize = 8;
+
 /// What was read, as it was written.
 #[derive(Default)]
 pub(crate) struct RawState {
@@ -26,6 +29,8 @@
     pub(crate) floor: store_revision::StoreRevision,
     /// Revision of the store that was read last.
     pub(crate) revision: store_revision::StoreRevision,
+    /// Spans that were skipped, oldest first: of what changed within one, only what differs between its ends is known.
+    gaps: collections::VecDeque<(store_revision::StoreRevision, store_revision::StoreRevision)>,
     /// Documents in force that the first list of the present era lacked.
     pub(crate) kept: collections::BTreeMap<String, String>,
 }
@@ -41,6 +46,7 @@
     ) -> collections::BTreeMap<String, String> {
         let before = std::mem::take(&mut self.upstreams);
         if known {
+            self.note_gap(revision);
             let gone = before.keys().filter(|name| !upstreams.contains_key(*name));
             let gone: Vec<_> = gone.cloned().collect();
             for name in gone {
@@ -72,6 +78,25 @@
         self.changes.push_back((revision, name, text));
     }
 
+    /// Notes that changes since the present revision and before the next one are skipped.
+    pub(crate) fn note_gap(&mut self, next: store_revision::StoreRevision) {
+        self.gaps.push_back((self.revision, next));
+        if self.gaps.len() > MAX_GAPS {
+            self.gaps.pop_front();
+            self.floor = self.floor.max(self.gaps.front().map_or(next, |(start, _)| *start));
+        }
+    }
+
+    /// Whether the changes that are remembered lead from the list of a revision to the present one.
+    pub(crate) fn leads_from(&self, list: store_revision::StoreRevision) -> bool {
+        list >= self.floor && !self.gaps.iter().any(|(start, end)| *start < list && list < *end)
+    }
+
+    /// Whether something was skipped since the list of a revision.
+    pub(crate) fn has_gap_since(&self, list: store_revision::StoreRevision) -> bool {
+        self.gaps.iter().any(|(_, end)| *end > list)
+    }
+
     /// The upstreams as they are after changes.
     pub(crate) fn changed_upstreams(
         &self,
