What another member keeps revokes no leaving that is known in the era

An instance that had read that an upstream leaves would have sent to it again for up to two seconds.

Cause: a member that finds a later era when an upstream's entry has gone already keeps it as one that the copy lacks, and its whole list, asked for within the era, brought that to instances that had read the entry as leaving.

Change: what a member keeps is taken over with the first list of an era alone. Why it works: within an era an instance has read itself what is listed, and what it keeps.

--- a/crates/instance/src/list_update.rs
+++ b/crates/instance/src/list_update.rs
@@ -15,6 +15,8 @@
     upstreams: collections::BTreeMap<String, String>,
     /// Evacuated data centres.
     evacuated: collections::BTreeSet<ids::DataCenterId>,
+    /// Those of them that another member keeps although its first list of the era lacked them.
+    unconfirmed: Vec<ids::DataCenterId>,
     /// The revision.
     revision: store_revision::StoreRevision,
 }
@@ -46,12 +48,16 @@
             let member = upstream_notice::NoticeSource::Member;
             self.list.receive_leaving(now, &report.upstream, member, age);
         }
+        let unconfirmed = recovery.as_ref().map(|report| report.evacuated.clone());
+        let unconfirmed = unconfirmed.unwrap_or_default();
         if let Some(upstreams) = documents.upstreams {
             self.differs = false;
-            let list = StoreList { upstreams, evacuated: documents.evacuated, revision };
+            let evacuated = documents.evacuated;
+            let list = StoreList { upstreams, evacuated, unconfirmed, revision };
+            // Within an era this process knows itself what it keeps.
+            let recovery = recovery.filter(|_| later_era || !self.listed);
             self.replace_all(now, list, recovery, source);
         } else if self.listed {
-            let unconfirmed = recovery.map(|report| report.evacuated).unwrap_or_default();
             self.take_evacuations(now, documents.evacuated, &unconfirmed, revision, source);
             if documents.skipped {
                 self.raw.note_gap(revision);
@@ -76,7 +82,8 @@
         }
         // Of a key that is there twice the last one holds.
         let upstreams = documents.into_iter().collect();
-        self.replace_all(now, StoreList { upstreams, evacuated, revision }, None, source);
+        let list = StoreList { upstreams, evacuated, unconfirmed: Vec::new(), revision };
+        self.replace_all(now, list, None, source);
     }
 
     /// Takes over all upstreams, and what another member keeps in force beside them.
@@ -87,12 +94,11 @@
         recovery: Option<list_recovery::RecoveryReport>,
         source: &str,
     ) {
-        let StoreList { upstreams: mut documents, evacuated, revision } = list;
+        let StoreList { upstreams: mut documents, evacuated, unconfirmed, revision } = list;
         let before = self.list.revision();
         let later_era = self.is_later_era(revision);
         self.note_origin(now, source);
-        let unconfirmed = recovery.as_ref().map(|report| &report.evacuated[..]);
-        self.take_evacuations(now, evacuated, unconfirmed.unwrap_or_default(), revision, source);
+        self.take_evacuations(now, evacuated, &unconfirmed, revision, source);
         let mut entries = Vec::new();
         let mut unreadable = Vec::new();
         for (name, text) in &mut documents {
