An evacuation that another member keeps ends for who knew it in the era

A data centre would have stayed out of use at an instance until the next change of its evacuation.

Cause: an instance that had read an evacuation in the present era, and not its end, took a member's word that it keeps the evacuation for the store's.

Evidence: the saved case of the property test and a named test; both fail on the commit before.

Change: what a member keeps unconfirmed counts as not listed; it is held by who knows nothing newer, until its time ends. Why it works: a kept evacuation says that the store did not list it at that revision.

--- a/crates/core/src/list_recovery.rs
+++ b/crates/core/src/list_recovery.rs
@@ -205,10 +205,8 @@
             let unknown = unconfirmed.iter().filter(|name| !self.evacuated.contains_key(*name));
             self.recovery.evacuated.extend(unknown.cloned());
         }
-        let confirmed = |name: &ids::DataCenterId| {
-            !unconfirmed.contains(name) || self.evacuated.contains_key(name)
-        };
-        let mut in_force: collections::BTreeSet<_> = listed.into_iter().filter(confirmed).collect();
+        let mut in_force = listed;
+        in_force.retain(|name| !unconfirmed.contains(name));
         in_force.extend(self.recovery.evacuated.iter().cloned());
         in_force
     }
