--- a/crates/instance/src/instance_settings.rs
+++ b/crates/instance/src/instance_settings.rs
@@ -151,6 +151,9 @@
         if settings.cpu_share.is_nan() || settings.cpu_share <= 0.0 {
             return range("cpu_share", settings.cpu_share, "more than 0");
         }
+        if settings.upstream_heartbeat.0.is_zero() {
+            return range("upstream_heartbeat", 0.0, "more than 0");
+        }
         let bounds = &settings.bounds;
         if bounds.retry_ratio.is_nan() || bounds.retry_ratio < 0.0 {
             return range("bounds.retry_ratio", bounds.retry_ratio, "0 or more");
