Long answers of plain services are passed on as their callers read

What callers saw: an instance with 500 callers that stop reading answers of 4 MB held 3,715 MB; with the 260 MB that a small site gives it, it is killed, and all its callers lose their answers. Answers over 8 MB became 502.

Cause: an answer of a plain service was read whole before its first byte went on, and written with a copy of it.

Ruled out: a cap on the sum with a queue: a few callers that do not read would hold up all others.

Change: the first 16 KB are read as before, retries and failures within them are handled as before; what is longer goes on piece by piece, within the caller's time. An answer that breaks behind its first bytes is cut and not tried again, as its head has gone out. An upstream that gives up an answer for which the caller was awaited for a second is not blamed.

Conclusion: bodies of requests are still held whole for retries, each within the configured limit; not bounded in all.

--- a/crates/instance/src/caller_connection.rs
+++ b/crates/instance/src/caller_connection.rs
@@ -70,6 +70,36 @@
         self.writer.write(bytes).await
     }
 
+    /// Sends the head of a plain answer, of a length where that is known, with the first bytes of its body.
+    pub(crate) async fn begin_body(
+        &mut self,
+        head: &http::response::Parts,
+        length: Option<usize>,
+        leading: &[u8],
+    ) -> Result<(), h1::MessageError> {
+        if length.is_none() {
+            return self.begin(head, leading).await;
+        }
+        self.begun = true;
+        let mut headers = head.headers.clone();
+        h1::strip_connection_headers(&mut headers);
+        let mut bytes = h1::answer_bytes(head.status, &headers, length, self.closing());
+        bytes.extend_from_slice(leading);
+        self.writer.write(bytes).await
+    }
+
+    /// Sends more of a plain answer, of a length that is known or not.
+    pub(crate) async fn body_piece(
+        &mut self,
+        known_length: bool,
+        piece: bytes::Bytes,
+    ) -> Result<(), h1::MessageError> {
+        if known_length {
+            return self.writer.write(piece).await;
+        }
+        self.writer.write(h1::chunk_bytes(&piece)).await
+    }
+
     /// Sends events of a stream.
     pub async fn events(&mut self, events: &[u8]) -> Result<(), h1::MessageError> {
         self.writer.write(h1::chunk_bytes(events)).await
--- a/crates/instance/src/lib.rs
+++ b/crates/instance/src/lib.rs
@@ -1,7 +1,7 @@
 //! One slipturn instance: callers in front, engines and services as upstreams, other instances as members.
 //!
 //! Layout by life span: `incoming_call`, `model_request`, `service_request`, `plan_client`,
-//! `memory_hold`, `stream_policy`, `stream_state`, `silence_watch`, `upstream_attempt`,
+//! `memory_hold`, `long_answer`, `stream_policy`, `stream_state`, `silence_watch`, `upstream_attempt`,
 //! `event_stream`, `engine_fault`, `upstream_silence` and `request_record` live for a request;
 //! `caller_connection`, `document_call` and `upstream_pool` for a connection; `fleet_state`,
 //! `list_update`, `list_recovery` and `raw_state` for a version; the rest for the process. What the outside looks like is behind `border`.
@@ -27,6 +27,7 @@
 pub mod list_recovery;
 mod list_update;
 pub mod log_sink;
+mod long_answer;
 pub mod member_feed;
 mod member_gossip;
 pub mod memory_hold;
--- /dev/null
+++ b/crates/instance/src/long_answer.rs
@@ -0,0 +1,107 @@
+//! Answers of plain services that are passed on while they arrive: an instance holds little of what its caller reads slowly.
+
+use std::time;
+
+use bytes::Bytes;
+use slipturn_core::{ids, upstream_health::CallResult};
+use slipturn_net::h1;
+use snafu::{ResultExt as _, Snafu};
+
+use crate::{caller_connection, context, service_request, upstream_attempt, upstream_ends};
+
+/// Time of waiting for the caller after which the upstream may have given the answer up: its end is no fault of its own.
+const SLOW_CALLER_TIME: time::Duration = time::Duration::from_secs(1);
+
+/// Why an answer was not passed on to its end.
+#[derive(Debug, Snafu)]
+pub(crate) enum PassError {
+    /// The caller's connection failed.
+    #[snafu(display("{source}"))]
+    Caller {
+        /// What went wrong.
+        source: h1::MessageError,
+    },
+    /// The upstream broke the answer off.
+    #[snafu(display("the answer broke: {source}"))]
+    Upstream {
+        /// What went wrong.
+        source: h1::MessageError,
+    },
+    /// The caller did not read it within its time.
+    #[snafu(display("not read within {limit:?}"))]
+    NotRead {
+        /// The caller's time.
+        limit: time::Duration,
+    },
+}
+
+/// An answer of which the first bytes have been read.
+pub(crate) struct LongAnswer<'a> {
+    pub(crate) upstream: ids::UpstreamId,
+    pub(crate) answer: upstream_attempt::AttemptAnswer,
+    /// What has been read of the body.
+    pub(crate) leading: Bytes,
+    pub(crate) run: upstream_ends::RunGuard<'a>,
+    pub(crate) guard: service_request::LoadGuard<'a>,
+}
+
+impl LongAnswer<'_> {
+    /// Passes it on within `limit`, as fast as the caller reads.
+    pub(crate) async fn pass(
+        mut self,
+        context: &context::InstanceContext,
+        reply: &mut caller_connection::CallerReply<'_>,
+        limit: time::Duration,
+    ) -> Result<(), PassError> {
+        let mut waited = time::Duration::ZERO;
+        let passing = pass_pieces(context, &mut self.answer, self.leading, reply, &mut waited);
+        let passed = monoio::time::timeout(limit, passing).await;
+        let result = passed.unwrap_or_else(|_| NotReadSnafu { limit }.fail());
+        match &result {
+            Ok(()) => {
+                self.run.answered();
+                self.guard.result.set(Some(CallResult::Good));
+                self.answer.finish(context, &self.upstream);
+            }
+            Err(PassError::Upstream { .. }) if waited < SLOW_CALLER_TIME => {
+                self.run.broke();
+                self.guard.result.set(Some(CallResult::Failed));
+            }
+            Err(_) => self.run.answered(),
+        }
+        result
+    }
+}
+
+/// Passes all pieces on; adds up the time `waited` for the caller.
+async fn pass_pieces(
+    context: &context::InstanceContext,
+    answer: &mut upstream_attempt::AttemptAnswer,
+    leading: Bytes,
+    reply: &mut caller_connection::CallerReply<'_>,
+    waited: &mut time::Duration,
+) -> Result<(), PassError> {
+    let length = match answer.framing {
+        h1::BodyFraming::Length(left) => {
+            usize::try_from(left).ok().map(|left| left + leading.len())
+        }
+        _ => None,
+    };
+    let mut asked = context.now();
+    reply.begin_body(&answer.head, length, &leading).await.context(CallerSnafu)?;
+    *waited += context.now().since(asked);
+    loop {
+        let piece = answer.connection.reader.next_piece(&mut answer.framing).await;
+        let Some(piece) = piece.context(UpstreamSnafu)? else {
+            break;
+        };
+        answer.connection.life.receive();
+        asked = context.now();
+        reply.body_piece(length.is_some(), piece).await.context(CallerSnafu)?;
+        *waited += context.now().since(asked);
+    }
+    match length {
+        Some(_) => Ok(()),
+        None => reply.end().await.context(CallerSnafu),
+    }
+}
--- a/crates/instance/src/service_request.rs
+++ b/crates/instance/src/service_request.rs
@@ -9,12 +9,12 @@
 use slipturn_net::h1;
 
 use crate::{
-    caller_connection, context, incoming_call, permit_request, request_record, service_choice,
-    upstream_attempt, upstream_choice, upstream_ends, upstream_signals,
+    caller_connection, context, incoming_call, long_answer, permit_request, request_record,
+    service_choice, upstream_attempt, upstream_choice, upstream_ends, upstream_signals,
 };
 
-/// Largest answer of a plain service that is passed on.
-const MAX_ANSWER: usize = 8 << 20;
+/// Largest answer of a plain service that is read whole before it is passed on; longer ones go on as the caller reads.
+const MAX_HELD_ANSWER: usize = 16 * 1024;
 /// Part of the time limit after which a silent upstream of a repeatable call is given up, if
 /// another may answer.
 const SILENCE_PART: f64 = 0.45;
@@ -24,8 +24,10 @@
 const BACK_AFTER: time::Duration = time::Duration::from_millis(250);
 
 /// What a call came to.
-enum CallEnd {
+enum CallEnd<'a> {
     Answer(http::response::Parts, bytes::Bytes),
+    /// An answer whose end has not been read.
+    Long(Box<long_answer::LongAnswer<'a>>),
     Refused(refusal::RequestRefusal),
 }
 
@@ -53,6 +55,18 @@
             "answered".clone_into(&mut record.outcome);
             reply.whole(&head, &body).await?;
         }
+        CallEnd::Long(long) => {
+            record.status = Some(long.answer.head.status.as_u16());
+            let passed = long.pass(context, reply, call.left(context.now())).await;
+            record.outcome = match &passed {
+                Ok(()) => "answered".to_owned(),
+                Err(error) => error.to_string(),
+            };
+            if passed.is_err() {
+                // Only a cut connection can say now that the answer is not whole.
+                return Ok(caller_connection::ConnectionNext::Close);
+            }
+        }
         CallEnd::Refused(refusal) => {
             record.status = Some(refusal.code.status());
             record.outcome = format!("{} (ran: {})", refusal.message, refusal.ran.label());
@@ -62,12 +76,12 @@
     Ok(caller_connection::ConnectionNext::Keep)
 }
 
-async fn attempts(
-    context: &rc::Rc<context::InstanceContext>,
-    call: &incoming_call::IncomingCall,
+async fn attempts<'a>(
+    context: &'a rc::Rc<context::InstanceContext>,
+    call: &'a incoming_call::IncomingCall,
     record: &mut request_record::RequestRecord,
     fallback: &mut Option<(http::response::Parts, bytes::Bytes)>,
-) -> CallEnd {
+) -> CallEnd<'a> {
     let mut excluded: Vec<ids::UpstreamId> = Vec::new();
     let mut sent = 0;
     let mut retry_taken = false;
@@ -123,12 +137,13 @@
         let result = attempt(context, call, start, give_up).await;
         if let Some(row) = record.attempts.last_mut() {
             row.end = match &result {
-                Ok((head, _)) => format!("status {}", head.status.as_u16()),
+                Ok(reply) => format!("status {}", reply.status().as_u16()),
                 Err(fault) => fault.text.clone(),
             };
         }
         match result {
-            Ok((head, body)) => {
+            Ok(UpstreamReply::Long(long)) => return CallEnd::Long(long),
+            Ok(UpstreamReply::Whole(head, body)) => {
                 let failed = head.status.is_server_error();
                 sent += 1;
                 if failed && call.route.repeat.allows_repeat() {
@@ -178,6 +193,21 @@
     CallEnd::Refused(refusal::RequestRefusal::not_run(code, text).ran(ran).retry_after(back_after))
 }
 
+/// What an upstream answered.
+enum UpstreamReply<'a> {
+    Whole(http::response::Parts, bytes::Bytes),
+    Long(Box<long_answer::LongAnswer<'a>>),
+}
+
+impl UpstreamReply<'_> {
+    fn status(&self) -> http::StatusCode {
+        match self {
+            Self::Whole(head, _) => head.status,
+            Self::Long(long) => long.answer.head.status,
+        }
+    }
+}
+
 /// Where an attempt goes, and how.
 struct AttemptStart<'a> {
     entry: &'a upstream_list::UpstreamEntry,
@@ -188,12 +218,12 @@
 }
 
 /// One attempt; it ends with the start of the upstream that has it.
-async fn attempt(
-    context: &rc::Rc<context::InstanceContext>,
-    call: &incoming_call::IncomingCall,
+async fn attempt<'a>(
+    context: &'a rc::Rc<context::InstanceContext>,
+    call: &'a incoming_call::IncomingCall,
     start: AttemptStart<'_>,
     give_up: impl AsyncFnMut(upstream_attempt::RetryReach) -> bool,
-) -> Result<(http::response::Parts, bytes::Bytes), upstream_attempt::AttemptFault> {
+) -> Result<UpstreamReply<'a>, upstream_attempt::AttemptFault> {
     let over = pin::pin!(context.starts.until_over(&start.entry.name));
     let work = pin::pin!(call_upstream(context, call, start, give_up));
     match future::select(work, over).await {
@@ -202,13 +232,13 @@
     }
 }
 
-async fn call_upstream(
-    context: &rc::Rc<context::InstanceContext>,
-    call: &incoming_call::IncomingCall,
+async fn call_upstream<'a>(
+    context: &'a rc::Rc<context::InstanceContext>,
+    call: &'a incoming_call::IncomingCall,
     AttemptStart { entry, permit, anew }: AttemptStart<'_>,
     mut give_up: impl AsyncFnMut(upstream_attempt::RetryReach) -> bool,
-) -> Result<(http::response::Parts, bytes::Bytes), upstream_attempt::AttemptFault> {
-    let guard = LoadGuard { context, name: &entry.name, result: std::cell::Cell::new(None) };
+) -> Result<UpstreamReply<'a>, upstream_attempt::AttemptFault> {
+    let guard = LoadGuard { context, name: entry.name.clone(), result: std::cell::Cell::new(None) };
     context.loads.borrow_mut().begin(context.now(), &entry.name);
     let target = upstream_attempt::AttemptTarget {
         upstream: entry.name.clone(),
@@ -241,8 +271,8 @@
     };
     let taken = context.now().since(started);
     context.loads.borrow_mut().answered(&call.route.name, taken);
-    let body = answer.whole_body(context, &entry.name, MAX_ANSWER, slow, give_up).await;
-    let body = match body {
+    let body = answer.leading_body(context, &entry.name, MAX_HELD_ANSWER, slow, give_up).await;
+    let upstream_attempt::LeadingBody { bytes: body, whole } = match body {
         Ok(body) => body,
         Err(fault) => {
             guard.note(&fault);
@@ -250,23 +280,28 @@
             return Err(fault);
         }
     };
-    run.answered();
-    let failed = answer.head.status.is_server_error();
-    guard.result.set(Some(if failed { CallResult::Erred } else { CallResult::Good }));
     if let Some((running, waiting, _)) = answer.said.load {
         context.loads.borrow_mut().describe(context.now(), &entry.name, running + waiting);
     }
+    if !whole {
+        let upstream = entry.name.clone();
+        let long = long_answer::LongAnswer { upstream, answer, leading: body, run, guard };
+        return Ok(UpstreamReply::Long(Box::new(long)));
+    }
+    run.answered();
+    let failed = answer.head.status.is_server_error();
+    guard.result.set(Some(if failed { CallResult::Erred } else { CallResult::Good }));
     let head = answer.head.clone();
     answer.finish(context, &entry.name);
-    Ok((head, body))
+    Ok(UpstreamReply::Whole(head, body))
 }
 
 /// Ends the count of a call in progress, also when the caller leaves.
-struct LoadGuard<'a> {
+pub(crate) struct LoadGuard<'a> {
     context: &'a context::InstanceContext,
-    name: &'a ids::UpstreamId,
+    name: ids::UpstreamId,
     /// How the call ended for its upstream; nothing where that is not known, as when the caller leaves.
-    result: std::cell::Cell<Option<CallResult>>,
+    pub(crate) result: std::cell::Cell<Option<CallResult>>,
 }
 
 impl LoadGuard<'_> {
@@ -281,7 +316,7 @@
         let says_something = !fault.kept_silent && fault.failure != retry::AttemptFailure::Denied;
         self.result.set(says_something.then_some(result));
         if result == CallResult::Gone {
-            upstream_signals::broadcast_gone(self.context, self.name);
+            upstream_signals::broadcast_gone(self.context, &self.name);
         }
     }
 }
@@ -289,6 +324,6 @@
 impl Drop for LoadGuard<'_> {
     fn drop(&mut self) {
         let now = self.context.now();
-        self.context.loads.borrow_mut().end(now, self.name, self.result.get());
+        self.context.loads.borrow_mut().end(now, &self.name, self.result.get());
     }
 }
--- a/crates/instance/src/upstream_attempt.rs
+++ b/crates/instance/src/upstream_attempt.rs
@@ -95,10 +95,25 @@
         upstream: &ids::UpstreamId,
         most: usize,
         silence: time::Duration,
-        mut give_up: impl AsyncFnMut(RetryReach) -> bool,
+        give_up: impl AsyncFnMut(RetryReach) -> bool,
     ) -> Result<Bytes, AttemptFault> {
+        match self.leading_body(context, upstream, most, silence, give_up).await? {
+            LeadingBody { bytes, whole: true } if bytes.len() <= most => Ok(bytes),
+            _ => Err(AttemptFault::broke(format!("the body has more than {most} bytes"))),
+        }
+    }
+
+    /// Reads the body until its end, or until there are more than `most` bytes; see [`Self::whole_body`].
+    pub(crate) async fn leading_body(
+        &mut self,
+        context: &context::InstanceContext,
+        upstream: &ids::UpstreamId,
+        most: usize,
+        silence: time::Duration,
+        mut give_up: impl AsyncFnMut(RetryReach) -> bool,
+    ) -> Result<LeadingBody, AttemptFault> {
         let mut body = BytesMut::new();
-        loop {
+        while body.len() <= most {
             let next = self.connection.reader.next_piece(&mut self.framing);
             let mut next = std::pin::pin!(next);
             let piece = match monoio::time::timeout(silence, next.as_mut()).await {
@@ -114,14 +129,13 @@
                 Err(_) => next.await,
             };
             let Some(piece) = piece.map_err(AttemptFault::broke)? else {
-                return Ok(body.freeze());
+                return Ok(LeadingBody { bytes: body.freeze(), whole: true });
             };
             self.connection.life.receive();
-            if body.len() + piece.len() > most {
-                return Err(AttemptFault::broke(format!("the body has more than {most} bytes")));
-            }
             body.extend_from_slice(&piece);
         }
+        let whole = self.framing.ended();
+        Ok(LeadingBody { bytes: body.freeze(), whole })
     }
 
     /// Puts the connection back after a whole answer of an upstream.
@@ -134,6 +148,14 @@
     }
 }
 
+/// The first bytes of a body.
+pub(crate) struct LeadingBody {
+    /// What has been read.
+    pub(crate) bytes: Bytes,
+    /// Whether it is all of the body.
+    pub(crate) whole: bool,
+}
+
 /// Where a request that is given up at one upstream may go on.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RetryReach {
