--- a/crates/core/tests/start_of_all.rs
+++ b/crates/core/tests/start_of_all.rs
@@ -24,7 +24,7 @@
 /// A third of them reaches neither the others nor the store; their callers are sent elsewhere.
 #[test]
 fn a_part_that_is_cut_off_keeps_nobody_waiting() {
-    for members in [60, 200] {
+    for members in [60, 200, 585, 1_170] {
         let mut start = VirtualStart::new(members, 0.3, SourceWay::Any, 5);
         let known = start.run();
         println!("{members}, 30% cut off: {known}");
