Comments of core and instance in plain terms

Cause: some thirty comments spoke in turns of their own ("whoever", "speaks against", "hears").

Change: comments, and the name reported_ages; no other code moves.

Conclusion: names in the planner (calm, spared, heard) are left.

--- a/crates/core/src/document_lag.rs
+++ b/crates/core/src/document_lag.rs
@@ -7,7 +7,7 @@
 /// Follows one kind of document: the oldest version of others that this process still lacks.
 ///
 /// Comparing newest with newest would not do: while changes follow each other, some member is
-/// always a moment ahead, and a process that hears every change looks behind at each look.
+/// always a moment ahead, and a process that receives every change would look late at each check.
 #[derive(Debug, Default)]
 pub struct DocumentLag<V> {
     /// The version missed, and when it was seen to be missing; newer than the own one.
--- a/crates/core/src/engine_place.rs
+++ b/crates/core/src/engine_place.rs
@@ -49,7 +49,7 @@
 }
 
 impl PlaceAsk {
-    /// The same, asked so much later.
+    /// The same request, made that much later.
     pub fn after(&self, spent: time::Duration) -> Self {
         let spent_ms = u32::try_from(spent.as_millis()).unwrap_or(u32::MAX);
         Self {
--- a/crates/core/src/member_beat.rs
+++ b/crates/core/src/member_beat.rs
@@ -18,7 +18,7 @@
     pub boot: u64,
     /// Goes up with each heartbeat of a start.
     pub sequence: u64,
-    /// Where it hears heartbeats and plans.
+    /// Address for heartbeats and planner messages.
     pub address: net::SocketAddrV4,
     /// Its data centre.
     pub data_center: ids::DataCenterId,
@@ -34,7 +34,7 @@
     pub list: store_revision::StoreRevision,
     /// Whether it watches the platform's store itself.
     pub watches: bool,
-    /// Where some others hear heartbeats.
+    /// Addresses of some other members.
     pub others: Vec<net::SocketAddrV4>,
 }
 
--- a/crates/core/src/planner/short_choice.rs
+++ b/crates/core/src/planner/short_choice.rs
@@ -81,7 +81,7 @@
             && view.harm(part) <= 0.0
     }
 
-    /// What speaks against reading a prompt on an engine, in shares of a short one's worth.
+    /// Cost of reading a prompt on an engine, in shares of a short one's worth.
     fn loss(
         &self,
         view: &engine_view::EngineView<'_>,
--- a/crates/core/src/planner/timetable.rs
+++ b/crates/core/src/planner/timetable.rs
@@ -27,11 +27,11 @@
 const HELD_PART: f64 = 0.9;
 /// Tokens below which setting memory aside is not worth an order.
 const MIN_HELD_TOKENS: u64 = 4_096;
-/// What speaks against an engine without writers as the one that answers, in short writers.
+/// Cost of an engine without writers as the one that answers, in short writers.
 const FRESH_HOST: f64 = 0.5;
 /// Reading that waits there and weighs as much as one short writer, milliseconds.
 const HOST_PENDING_MS: f64 = 100.0;
-/// What speaks against an engine for each request with tight pauses there, milliseconds of delay.
+/// Cost of an engine for each request with tight pauses there, milliseconds of delay.
 const TIGHT_COST_MS: f64 = 20.0;
 
 /// Reading booked for one prompt.
@@ -71,7 +71,7 @@
     start_ms: f64,
     /// Time until it has been read, milliseconds.
     first_ms: f64,
-    /// What speaks against the engine, milliseconds of delay.
+    /// Cost of the engine, milliseconds of delay.
     cost_ms: f64,
 }
 
@@ -168,7 +168,7 @@
         Some(ReadBooking { engines, start_ms, permit_ms, first_ms, cost_ms })
     }
 
-    /// A part read on one engine: when it may begin there, and what speaks against it.
+    /// A part read on one engine: when it may begin there, and its cost.
     fn reading_row(&self, at: usize, part: f64) -> ReadingRow {
         let view = &self.views[at];
         let own = view.own_ms(part);
--- a/crates/core/src/planner/ways.rs
+++ b/crates/core/src/planner/ways.rs
@@ -82,7 +82,7 @@
     KeptBack,
 }
 
-/// Which of the upstreams of a plain service takes a call, of those that speak for themselves alike.
+/// Which of the upstreams of a plain service takes a call, of those that rank equal.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum LoadChoiceWay {
--- a/crates/core/src/service_rank.rs
+++ b/crates/core/src/service_rank.rs
@@ -1,5 +1,5 @@
-//! In which order engines work on prompts: shorter bands first, and within a band whoever is
-//! inside its share before whoever is over it.
+//! Order in which engines work on prompts: shorter bands first, and within a band customers inside
+//! their share before customers over it.
 
 use std::{collections, time};
 
--- a/crates/core/src/upstream_health.rs
+++ b/crates/core/src/upstream_health.rs
@@ -1,7 +1,7 @@
 //! How far an upstream of a plain service is trusted: who fails is left alone, and asked again by one
 //! call at a time.
 //!
-//! Answers to the load that failures draw: whoever fails at once has no call in progress, so by load
+//! Answers to the load that failures draw: an upstream that fails at once has no call in progress, so by load
 //! alone it is the best choice and gets all calls.
 
 use std::time;
--- a/crates/core/src/upstream_list.rs
+++ b/crates/core/src/upstream_list.rs
@@ -238,7 +238,7 @@
     /// Records which start an upstream itself reported, asked at `asked`; returns whether it is another
     /// than the one believed to be present.
     ///
-    /// Starts say other, not newer, as clocks may be wrong. What decides is who speaks, and when:
+    /// Starts say other, not newer, as clocks may be wrong. The source and its time decide:
     /// the upstream's own report, asked for after the present start became known, is true whatever
     /// the list said; one that was on its way already may be of the start before. The list's newer
     /// word replaces the present one; a start that is over must be named for some seconds, as a write
--- a/crates/instance/src/document_answers.rs
+++ b/crates/instance/src/document_answers.rs
@@ -27,7 +27,7 @@
     lacking: (u64, Option<store_revision::StoreRevision>),
     /// Versions of routes and list here.
     known: (u64, store_revision::StoreRevision),
-    /// Ages that it tells; they grow while it is kept.
+    /// Ages reported in it; they grow while it is cached.
     ages: (Option<u64>, Option<u64>),
 }
 
@@ -96,7 +96,8 @@
 ) -> Result<Bytes, packed_bytes::PackError> {
     let mut fleet = context.fleet.borrow_mut();
     let known = (fleet.routes.version.0, fleet.revision());
-    let key = AnswerKey { lacking: (routes, list), known, ages: fleet.told_ages(context.now()) };
+    let key =
+        AnswerKey { lacking: (routes, list), known, ages: fleet.reported_ages(context.now()) };
     let mut answers = context.answers.borrow_mut();
     if let Some((_, bytes)) = answers.kept.iter().find(|(kept, _)| *kept == key) {
         return Ok(bytes.clone());
--- a/crates/instance/src/engine_reports.rs
+++ b/crates/instance/src/engine_reports.rs
@@ -1,4 +1,4 @@
-//! Engines' own reports, asked for by whoever plans: their pace, and whether they answer at all.
+//! Engines' own reports, requested by their planner: their pace, and whether they answer at all.
 
 use std::{rc, time};
 
--- a/crates/instance/src/fleet_state.rs
+++ b/crates/instance/src/fleet_state.rs
@@ -9,7 +9,7 @@
 /// An outage's end this long ago explains no changes any more, milliseconds.
 const RECENT_RETURN_MS: u64 = 3_000;
 
-/// Ages that members are told are rounded up to this, so that one answer serves many of them, milliseconds.
+/// Ages reported to members are rounded up to this, so that one answer serves many of them, milliseconds.
 const AGE_STEP_MS: u64 = 250;
 
 /// Routes and upstreams in force in this process. Versions only ever go up.
@@ -98,7 +98,7 @@
         let newer = self.routes.version.0 > routes;
         let text = self.raw.routes.as_deref().filter(|_| newer);
         let routes = text.and_then(|text| self.raw.history.copy_for(routes, text));
-        let (returned_ms, _) = self.told_ages(now);
+        let (returned_ms, _) = self.reported_ages(now);
         let Some(list) = list else {
             return border::RawDocuments { routes, returned_ms, ..Default::default() };
         };
@@ -119,8 +119,8 @@
         }
     }
 
-    /// Ages that members are told: of the store's return, and of its era.
-    pub(crate) fn told_ages(&self, now: units::MonoTime) -> (Option<u64>, Option<u64>) {
+    /// Ages reported to members: of the store's return, and of its era.
+    pub(crate) fn reported_ages(&self, now: units::MonoTime) -> (Option<u64>, Option<u64>) {
         let returned = self.returned.map(|returned| rounded_age(now.since(returned)));
         let returned = returned.filter(|millis| *millis < RECENT_RETURN_MS);
         let era = self.list.recovery().map(|state| rounded_age(now.since(state.since)));
@@ -214,7 +214,7 @@
     }
 }
 
-/// An age in milliseconds, as members are told.
+/// An age in milliseconds, as reported to members.
 pub(crate) fn rounded_age(age: time::Duration) -> u64 {
     units::whole_millis(age).next_multiple_of(AGE_STEP_MS)
 }
--- a/crates/instance/src/heartbeats.rs
+++ b/crates/instance/src/heartbeats.rs
@@ -11,8 +11,8 @@
 /// plan for the same engines. A question and its answer are some 60 bytes, to one or two members.
 const SILENT_INTERVAL: time::Duration = time::Duration::from_millis(300);
 
-/// Takes a heartbeat in. Who has just started hears back at once, and whoever it names hears from
-/// this process: waiting for heartbeats, a large fleet would need many seconds to know itself.
+/// Handles a heartbeat. A member that has just started is answered at once, and the members it names are
+/// greeted: with periodic heartbeats alone, the members of a large fleet would meet only after many seconds.
 pub(crate) fn receive(
     context: &context::InstanceContext,
     now: units::MonoTime,
--- a/crates/instance/src/instance_settings.rs
+++ b/crates/instance/src/instance_settings.rs
@@ -104,7 +104,7 @@
     pub data_center: ids::DataCenterId,
     /// Where it listens.
     pub listen: ListenAddresses,
-    /// Where it hears other instances' heartbeats; the port is the same on all.
+    /// Address for other instances' heartbeats; the port is the same on all.
     pub member_address: net::SocketAddrV4,
     /// Where operators read metrics, status and explanations.
     pub operator_address: net::SocketAddr,
--- a/crates/instance/src/lease_renewal.rs
+++ b/crates/instance/src/lease_renewal.rs
@@ -101,7 +101,7 @@
     send_leases(context, to, &key, &leases);
 }
 
-/// Tells whoever plans which places are still in use.
+/// Renews at the planners the leases of places still in use.
 pub async fn repeat(context: rc::Rc<context::InstanceContext>) {
     loop {
         monoio::time::sleep(RENEW_INTERVAL).await;
--- a/crates/instance/src/memory_hold.rs
+++ b/crates/instance/src/memory_hold.rs
@@ -160,7 +160,7 @@
         tokens: held.tokens,
         time: HOLD_TIME,
     };
-    // Noted before it goes out: whoever waits for the answer may leave first.
+    // Recorded before it is sent: the caller may leave before the answer.
     let before = held.unanswered.replace(Some(context.now()));
     let given = engine_call::EngineOrder { order: &order, kind, permits };
     let result = send_order(context, held, &given).await;
--- a/crates/instance/src/peers.rs
+++ b/crates/instance/src/peers.rs
@@ -34,7 +34,7 @@
             }
         };
         let (result, _) = socket.send_to(bytes, net::SocketAddr::V4(to)).await;
-        // Datagrams are lost now and then anyway; whoever needs an answer asks again.
+        // Datagrams may be lost anyway; senders that need an answer retry.
         if let Err(error) = result {
             log::debug!(to:%, error:%; "peer.send_failed");
         }
--- a/crates/instance/src/quarantine_gossip.rs
+++ b/crates/instance/src/quarantine_gossip.rs
@@ -77,7 +77,7 @@
     }
 }
 
-/// Notes that an upstream has answered a request to the end, where ends speak against it; `digest` is
+/// Records that an upstream has answered a request to the end, where crashes are evidence against it; `digest` is
 /// asked for only then.
 pub(crate) fn answered(
     context: &context::InstanceContext,
--- a/crates/instance/src/routes_history.rs
+++ b/crates/instance/src/routes_history.rs
@@ -1,6 +1,6 @@
 //! The routes as members pass them on: the last changes as they were made, or the whole.
 //!
-//! A change is worked out once, by whoever reads new routes from the store, and then travels as it is.
+//! A change is computed once, by the member that reads new routes from the store, and then passed on unchanged.
 //! Whoever follows change by change hands on what it got.
 
 use std::collections;
@@ -35,7 +35,7 @@
 }
 
 impl RoutesCopy {
-    /// The text that it comes to for whoever has `text` of `version`, and the changes on the way.
+    /// The resulting text for a member that has `text` of `version`, and the changes applied.
     pub fn apply(
         &self,
         version: u64,
--- a/crates/instance/src/small_server.rs
+++ b/crates/instance/src/small_server.rs
@@ -299,7 +299,7 @@
     )
 }
 
-/// Which way each decision goes here, for whoever compares them.
+/// The ways of decisions in force, for comparisons.
 fn ways_gauge(context: &context::InstanceContext) -> String {
     format!("slipturn_ways{{ways=\"{}\"}} 1\n", context.settings().experiments)
 }
--- a/crates/instance/src/upstream_attempt.rs
+++ b/crates/instance/src/upstream_attempt.rs
@@ -250,7 +250,7 @@
     target: &AttemptTarget,
     connection: upstream_pool::UpstreamConnection,
 ) -> Result<AttemptAnswer, AttemptFault> {
-    // Counted before a byte goes out: whoever waits for the answer may give up first.
+    // Counted before a byte is sent: the waiting task may be cancelled first.
     let before = call.may_have_run.get();
     call.may_have_run.set(before + 1);
     let answered = write_and_read(context, call, target, connection).await;
@@ -324,8 +324,8 @@
     Ok(answer)
 }
 
-/// Whether an answer's head speaks for the upstream that was asked: another one at its address has no say, nor
-/// has a success that nobody has signed.
+/// Whether an answer's head is of the upstream that was asked: not of another one at its address, nor a success
+/// without a signature.
 fn is_own_word(head: &http::response::Parts, said: &border::UpstreamAnswer) -> bool {
     !said.misdirected && (said.sealed || !head.status.is_success())
 }
--- a/crates/instance/src/upstream_load.rs
+++ b/crates/instance/src/upstream_load.rs
@@ -13,7 +13,7 @@
 /// Routes whose answers are timed; beyond these all are learnt anew.
 const MAX_TIMED: usize = 512;
 
-/// What speaks against an upstream, in shares of its slots: that it failed all calls lately, that
+/// Cost of an upstream, in shares of its slots: that it failed all calls lately, that
 /// it is in another data centre, that it is left alone.
 const FAILING_COST: f64 = 3.0;
 /// See [`FAILING_COST`].
--- a/crates/instance/src/upstream_pool.rs
+++ b/crates/instance/src/upstream_pool.rs
@@ -235,7 +235,7 @@
         let now = boot_clock::BootInstant::now();
         loop {
             let mut resting = self.resting.borrow_mut().get_mut(&address)?.pop()?;
-            // Anything to read means that the upstream has closed, or speaks out of turn.
+            // Anything to read means that the upstream has closed, or sent bytes without a request.
             let silent = resting.connection.reader.fill().now_or_never().is_none();
             if resting.until > now && silent {
                 return Some(resting.connection);
