A start that the copy lacks stays the present one until it is written again

Cause: the copy listed the start before of an upstream, and at the crossing the list's word made that the present one. The present start, written again 0.5 s later, then counted as one that is over, and its leaving as one of a start that is over: for the three seconds in which a start must be named.

Ruled out: a late write of the start before within the era, which is what the three seconds are for.

Change: the first list of an era replaces no start that it does not name; the start that it names becomes the present one only if the other is not written again by the time at which its entry must have lapsed.

Why it works: the copy is of before, so a start that it lacks is later than the one that it names, or has ended.

--- a/crates/core/src/list_recovery.rs
+++ b/crates/core/src/list_recovery.rs
@@ -5,7 +5,7 @@
 
 use std::{collections, sync, time};
 
-use crate::{fleet_list, ids, store_revision, units, upstream_list, upstream_notice};
+use crate::{fleet_list, ids, start_record, store_revision, units, upstream_list, upstream_notice};
 
 /// How long removed starts are remembered; a copy is some seconds old.
 const REMOVED_MEMORY: time::Duration = time::Duration::from_secs(60);
@@ -175,6 +175,10 @@
         }
         for entry in entries {
             self.recovery.kept.remove(entry.name.identifier());
+            if self.entry(&entry.name).is_some_and(|known| known.name != entry.name) {
+                self.name_former_start(now, entry);
+                continue;
+            }
             if self.recovery.is_removed(&entry.name) {
                 self.recovery.withheld.insert(entry.name.clone());
             }
@@ -183,6 +187,14 @@
         self.changes += 1;
     }
 
+    /// Records that the copy names another start of an upstream than the present one, which it may be too old for. It becomes
+    /// the present one unless the present one is written again.
+    fn name_former_start(&mut self, now: units::MonoTime, entry: upstream_list::UpstreamEntry) {
+        let patience = self.recovery.rewrite_time.saturating_sub(start_record::NAMED_TIME);
+        let record = self.starts.entry(entry.name.identifier().into()).or_default();
+        record.name_again(now + patience, entry);
+    }
+
     /// Evacuations in force after a list of this revision that names the `listed` ones: also those that the first list of
     /// an era lacks, until they are written again or the recovery ends.
     ///
--- a/crates/core/src/start_record.rs
+++ b/crates/core/src/start_record.rs
@@ -7,7 +7,7 @@
 /// Time for which the list must go on naming a start that is over before it is taken for the present
 /// one after all. A write of the start before may be carried out seconds late, and the present one
 /// writes over it with its next heartbeat, each 1.2 s.
-const NAMED_TIME: time::Duration = time::Duration::from_secs(3);
+pub(crate) const NAMED_TIME: time::Duration = time::Duration::from_secs(3);
 
 /// Starts of one upstream that are remembered as over. An entry of one may still arrive seconds later,
 /// by a store that is slow or a member that is behind; an upstream that starts more often meanwhile
