Soak: writers write again what they wrote last, whatever drills overlap

Cause: what was lost was taken from the store as it was before each return.

Ruled out: the product; its lines show that it followed what the store said.

Change: the stand-in store remembers each key's last write apart from its state and writes that again.

--- a/crates/soak/src/store_drill.rs
+++ b/crates/soak/src/store_drill.rs
@@ -1,4 +1,4 @@
-//! Copies of the store as it was, and what was lost by a return from one of them.
+//! Copies of the store as it was, to return from.
 
 use std::{
     collections,
@@ -30,15 +30,13 @@
         }
     }
 
-    /// Returns the store from a copy of such an age; what it held before.
-    pub(crate) fn return_from(&self, now: Instant, age: Duration, store: &Store) -> StoreCopy {
-        let before = store.copy();
+    /// Returns the store from a copy of such an age.
+    pub(crate) fn return_from(&self, now: Instant, age: Duration, store: &Store) {
         let old_enough = |(at, _): &&(Instant, StoreCopy)| now - *at >= age;
         let copy = self.copies.iter().rev().find(old_enough).or(self.copies.front());
         if let Some((_, copy)) = copy {
             store.return_from(copy, 1);
         }
         store.set_mode(StoreMode::Good);
-        before
     }
 }
--- a/crates/soak/src/struck_fleet.rs
+++ b/crates/soak/src/struck_fleet.rs
@@ -9,7 +9,7 @@
     fleet::Fleet,
     proxy::{LinkMode, Proxy},
     runner::{RunnerMode, TurnAway},
-    store::{StoreCopy, StoreMode},
+    store::StoreMode,
 };
 
 use crate::{
@@ -44,7 +44,7 @@
     Restore(u8),
     Warm(u8),
     StoreReturn(Duration, Duration),
-    Rewrite(usize),
+    Rewrite,
 }
 
 /// A fleet with its faults.
@@ -63,8 +63,6 @@
     stopping: collections::HashMap<u8, usize>,
     /// Copies of the store, where the plan has drills.
     copies: Option<store_drill::CopyLog>,
-    /// What the store held before each drill.
-    held: Vec<StoreCopy>,
 }
 
 impl StruckFleet {
@@ -78,7 +76,6 @@
             ends: Vec::new(),
             stopping: collections::HashMap::new(),
             copies: None,
-            held: Vec::new(),
         }
     }
 
@@ -113,7 +110,7 @@
     /// Ends drills at once, and writes again what they lost: until then the store lacks what was published.
     fn end_drills(&mut self) {
         let is_drill =
-            |end: &FaultEnd| matches!(end, FaultEnd::StoreReturn(..) | FaultEnd::Rewrite(_));
+            |end: &FaultEnd| matches!(end, FaultEnd::StoreReturn(..) | FaultEnd::Rewrite);
         while let Some(index) = self.ends.iter().position(|(_, end)| is_drill(end)) {
             let (_, end) = self.ends.remove(index);
             self.end(end);
@@ -290,15 +287,12 @@
             }
             FaultEnd::StoreReturn(age, rewrite) => {
                 if let Some(copies) = &self.copies {
-                    self.held.push(copies.return_from(now, age, &self.fleet.store));
+                    copies.return_from(now, age, &self.fleet.store);
                 }
                 self.lose_contact(None, now + rewrite);
-                self.ends.push((now + rewrite, FaultEnd::Rewrite(self.held.len())));
-            }
-            FaultEnd::Rewrite(drill) => {
-                let held = drill.checked_sub(1).and_then(|drill| self.held.get(drill));
-                held.into_iter().for_each(|held| self.fleet.store.write_again(held));
+                self.ends.push((now + rewrite, FaultEnd::Rewrite));
             }
+            FaultEnd::Rewrite => self.fleet.store.write_again(),
             FaultEnd::StoreLinkGood(None) => {
                 self.set_store_links(0..self.fleet.instances.len() as u8, LinkMode::Good);
                 self.lose_contact(None, now);
