Starts across eras: a later start of the copy counts at once, and what a list no longer names is forgotten

Cause: three of one kind, in the record of starts that the list goes on naming. The first list of an era may also name a later start than the present one (written before anybody was back), and that was set aside like a former one. A start that was named, and that a list read as a whole does not name any more, was remembered all the same (also within an era, after a forgotten history), and became the present one seconds later, although its entry had gone. After a long pause of the process the same happened within one turn, as what is named was looked at before what has ended.

Evidence: three minimal orders (drill, restart, leaving, read; restart, gone, drill, drill, documents of two members; restart, drill, gone, documents), each failing on the code before its change.

Change: by their times, starts before the present one are set aside at a crossing and later ones taken; a list read as a whole forgets what it does not name; what has ended is removed before what is named is looked at.

--- a/crates/core/src/list_changes.rs
+++ b/crates/core/src/list_changes.rs
@@ -63,6 +63,9 @@
             entries.iter().map(|entry| entry.name.identifier()).collect();
         let known = self.entries.iter().filter(|(identifier, _)| !listed.contains(&***identifier));
         let missing: Vec<_> = known.map(|(_, entry)| entry.name.clone()).collect();
+        let unnamed =
+            self.starts.iter_mut().filter(|(identifier, _)| !listed.contains(&***identifier));
+        unnamed.for_each(|(_, record)| record.forget_named());
         if self.recovery.pending {
             self.recover(now, entries, missing);
             return true;
--- a/crates/core/src/list_recovery.rs
+++ b/crates/core/src/list_recovery.rs
@@ -175,7 +175,7 @@
         }
         for entry in entries {
             self.recovery.kept.remove(entry.name.identifier());
-            if self.entry(&entry.name).is_some_and(|known| known.name != entry.name) {
+            if self.is_former_start(&entry.name) {
                 self.name_former_start(now, entry);
                 continue;
             }
@@ -187,8 +187,15 @@
         self.changes += 1;
     }
 
-    /// Records that the copy names another start of an upstream than the present one, which it may be too old for. It becomes
-    /// the present one unless the present one is written again.
+    /// Whether the copy names a start of an upstream that is before the present one. Starts are told as times of clocks that may
+    /// be wrong: one that is taken for a former one in error becomes the present one later.
+    fn is_former_start(&self, name: &ids::UpstreamId) -> bool {
+        let present = self.entry(name).map(|entry| &entry.name);
+        name.start().is_some() && present.is_some_and(|present| name.start() < present.start())
+    }
+
+    /// Records that the copy names a former start of an upstream. It becomes the present one unless the present one is written
+    /// again.
     fn name_former_start(&mut self, now: units::MonoTime, entry: upstream_list::UpstreamEntry) {
         let patience = self.recovery.rewrite_time.saturating_sub(start_record::NAMED_TIME);
         let record = self.starts.entry(entry.name.identifier().into()).or_default();
--- a/crates/core/src/upstream_list.rs
+++ b/crates/core/src/upstream_list.rs
@@ -118,6 +118,8 @@
     /// Takes doubtful upstreams for gone whose time has come, and starts for present that the list has
     /// named for long although they were taken for over.
     pub fn tick(&mut self, now: units::MonoTime) -> bool {
+        // What it removes is not named any more.
+        let recovered = self.tick_recovery(now);
         let gone: Vec<_> = self
             .doubtful
             .iter()
@@ -130,7 +132,7 @@
         let records = self.starts.values_mut();
         let named: Vec<_> = records.filter_map(|record| record.take_named(now)).collect();
         let changed = !gone.is_empty() || !named.is_empty();
-        let changed = self.tick_recovery(now) || changed;
+        let changed = recovered || changed;
         let entries = &self.entries;
         self.cold.retain(now, |name| {
             entries.get(name.identifier()).is_some_and(|entry| entry.name == *name)
