Reports of leaving upstreams made in one place; an era's age without a copy of its recovery

Cause: gossip and the documents of a recovery made the same reports of leaving upstreams, each with its own closure; the ages that key cached documents copied three sets of the recovery for one time, at each answer to a member.

Ruled out: a change of behaviour: the same reports, the same ages.

Change: FleetState::leaving_reports, UpstreamList::recovering_since; a comment in plainer words.

--- a/crates/core/src/list_recovery.rs
+++ b/crates/core/src/list_recovery.rs
@@ -107,9 +107,14 @@
         self.recovery.rewrite_time = span;
     }
 
+    /// When the era of the recovery in progress became known.
+    pub fn recovering_since(&self) -> Option<units::MonoTime> {
+        self.recovery.since.filter(|_| !self.recovery.pending)
+    }
+
     /// The recovery in progress.
     pub fn recovery(&self) -> Option<RecoveryState> {
-        let since = self.recovery.since.filter(|_| !self.recovery.pending)?;
+        let since = self.recovering_since()?;
         Some(RecoveryState {
             since,
             kept: self.recovery.kept.iter().cloned().collect(),
@@ -187,7 +192,7 @@
         self.changes += 1;
     }
 
-    /// Whether the copy names a start of an upstream that is before the present one. Starts are told as times of clocks that may
+    /// Whether the copy names a start of an upstream that is before the present one. Starts are times of clocks that may
     /// be wrong: one that is taken for a former one in error becomes the present one later.
     fn is_former_start(&self, name: &ids::UpstreamId) -> bool {
         let present = self.entry(name).map(|entry| &entry.name);
--- a/crates/instance/src/fleet_state.rs
+++ b/crates/instance/src/fleet_state.rs
@@ -123,7 +123,7 @@
     pub(crate) fn reported_ages(&self, now: units::MonoTime) -> (Option<u64>, Option<u64>) {
         let returned = self.returned.map(|returned| rounded_age(now.since(returned)));
         let returned = returned.filter(|millis| *millis < RECENT_RETURN_MS);
-        let era = self.list.recovery().map(|state| rounded_age(now.since(state.since)));
+        let era = self.list.recovering_since().map(|since| rounded_age(now.since(since)));
         (returned, era)
     }
 
--- a/crates/instance/src/list_recovery.rs
+++ b/crates/instance/src/list_recovery.rs
@@ -3,7 +3,7 @@
 use std::{collections, time};
 
 use serde::{Deserialize, Serialize};
-use slipturn_core::{ids, list_recovery, store_revision, units};
+use slipturn_core::{ids, list_recovery, store_revision, units, upstream_notice};
 
 use crate::{border, fleet_state, packed_bytes, peer_message, raw_state};
 
@@ -45,19 +45,24 @@
             let text = self.raw.kept.get(&**identifier)?;
             Some((identifier.to_string(), text.clone()))
         };
-        let leaving = self.list.relisted_leaving().map(|(upstream, notice)| {
-            let age_ms = units::whole_millis(now.since(notice.since));
-            peer_message::LeavingReport { upstream: upstream.clone(), age_ms }
-        });
         Some(RecoveryReport {
             age_ms: fleet_state::rounded_age(now.since(state.since)),
             kept: state.kept.iter().filter_map(document).collect(),
             withheld: state.withheld,
             evacuated: state.evacuated,
-            leaving: leaving.collect(),
+            leaving: self.leaving_reports(now),
         })
     }
 
+    /// Upstreams that leave and that the list does not name as leaving, for another member.
+    pub(crate) fn leaving_reports(&self, now: units::MonoTime) -> Vec<peer_message::LeavingReport> {
+        let report = |(upstream, notice): (&ids::UpstreamId, upstream_notice::LeavingNotice)| {
+            let age_ms = units::whole_millis(now.since(notice.since));
+            peer_message::LeavingReport { upstream: upstream.clone(), age_ms }
+        };
+        self.list.relisted_leaving().map(report).collect()
+    }
+
     /// All upstreams after the documents of another member, which lead into a later era.
     pub(crate) fn upstreams_of_era(
         &self,
--- a/crates/instance/src/upstream_signals.rs
+++ b/crates/instance/src/upstream_signals.rs
@@ -79,16 +79,8 @@
     if context.settings().experiments.leaving_news == ways::LeavingNewsWay::Heard {
         return;
     }
-    let now = context.now();
-    let told = {
-        let fleet = context.fleet.borrow();
-        let report = |(upstream, leaving): (&ids::UpstreamId, upstream_notice::LeavingNotice)| {
-            let age_ms = units::whole_millis(now.since(leaving.since));
-            peer_message::LeavingReport { upstream: upstream.clone(), age_ms }
-        };
-        // Otherwise the list informs the others.
-        fleet.list.relisted_leaving().map(report).collect::<Vec<_>>()
-    };
+    // Otherwise the list informs the others.
+    let told = context.fleet.borrow().leaving_reports(context.now());
     for reports in told.chunks(peer_message::MAX_LEAVING) {
         context.send_to(to, peer_message::PeerMessage::Leaving(reports.to_vec()));
     }
