Log when an instance reaches no upstream of a service

Evidence is kept by service: new connections to at least two upstreams failed before they carried a byte, and none that was opened later carried one. No decision depends on it.

Shown: lines upstreams.unreachable and upstreams.reachable, gauge slipturn_services_unreachable, unreachable_ms in the status.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -68,3 +68,4 @@
 pub mod upstream_list;
 pub mod upstream_notice;
 mod upstream_open;
+pub mod upstream_reach;
--- a/crates/instance/src/context.rs
+++ b/crates/instance/src/context.rs
@@ -6,7 +6,7 @@
 use slipturn_core::{
     class_worth, connection_share, engine_place, failure_detector, fleet_budget, ids,
     member_heartbeat, membership, planner, planner_key, quarantine, rendezvous, search_budget,
-    send_counts, send_gate, store_tracker, units,
+    send_counts, send_gate, store_tracker, units, upstream_reach,
 };
 use slipturn_net::process;
 
@@ -85,6 +85,8 @@
     pub pool: upstream_pool::UpstreamPool,
     /// Load and health of the upstreams of plain services, which run no model.
     pub loads: cell::RefCell<upstream_load::UpstreamLoads>,
+    /// Evidence of whether this process reaches upstreams over its own links.
+    pub reach: cell::RefCell<upstream_reach::UpstreamReach>,
     /// Numbers of requests recently sent to each upstream.
     pub sent: cell::RefCell<send_counts::SendCounts>,
     /// Quotas shared by the fleet, coordinated by this process or by other members.
@@ -187,6 +189,7 @@
             retries: cell::RefCell::default(),
             pool: upstream_pool::UpstreamPool::default(),
             loads: cell::RefCell::new(loads),
+            reach: cell::RefCell::default(),
             sent: cell::RefCell::default(),
             quotas: quota_coordinator::QuotaState::default(),
             starts: upstream_starts::StartWaiters::default(),
--- a/crates/instance/src/engine_call.rs
+++ b/crates/instance/src/engine_call.rs
@@ -3,10 +3,10 @@
 use std::{net, time};
 
 use bytes::Bytes;
-use slipturn_core::{ids, quota_permit, send_gate, upstream_notice};
+use slipturn_core::{ids, quota_permit, send_gate, upstream_notice, upstream_reach};
 use snafu::Snafu;
 
-use crate::{adapter, context, document_call, upstream_gate, upstream_signals};
+use crate::{adapter, context, document_call, upstream_gate, upstream_links, upstream_signals};
 
 /// Why a call to an engine failed.
 #[derive(Debug, Snafu)]
@@ -90,13 +90,28 @@
     upstream_gate::check_send(context, &to.engine, kind, permits).map_err(denied)?;
     let started = context.now();
     let mut connection = document_call::DocumentConnection::new(to.address.into());
-    connection.open(limit).await.map_err(failed)?;
+    let entry = context.fleet.borrow().list.entry(&to.engine).cloned();
+    let attempt = entry.as_ref().map(|entry| upstream_reach::LinkAttempt {
+        service: &entry.service,
+        address: to.address,
+        opened: started,
+    });
+    let unreached = |_: &_| {
+        if let Some(attempt) = attempt {
+            upstream_links::note_failure(context, attempt);
+        }
+    };
+    connection.open(limit).await.inspect_err(unreached).map_err(failed)?;
     // The gate checks the engine's notices (leaving, backoff, limit) again right before the first byte: some may have
     // arrived while the connection was opened.
     let _pass = upstream_gate::pass(context, &to.engine, kind, permits).map_err(denied)?;
     let sent_at = context.now();
     let left = limit.saturating_sub(sent_at.since(started));
-    let response = connection.call_any_status(method, path, body, left).await.map_err(failed)?;
+    let response = connection.call_any_status(method, path, body, left).await;
+    let response = response.inspect_err(unreached).map_err(failed)?;
+    if let Some(attempt) = attempt {
+        upstream_links::note_answer(context, attempt);
+    }
     // The notices in the answer's head (leaving, limit, backoff) count also if the engine refused the call.
     let source = match kind {
         send_gate::SendKind::Report => upstream_notice::NoticeSource::Report,
--- a/crates/instance/src/internal_server.rs
+++ b/crates/instance/src/internal_server.rs
@@ -1,9 +1,9 @@
 //! HTTP server for everything but callers' requests: readiness checks, documents for members, and operators' pages.
 
-use std::{rc, time};
+use std::{collections, rc, time};
 
 use bytes::Bytes;
-use slipturn_core::{quarantine, request_digest, units};
+use slipturn_core::{ids, quarantine, request_digest, units};
 use slipturn_net::h1;
 
 use crate::{context, document_answers, member_feed, quarantine_gossip, upstream_rows};
@@ -296,10 +296,12 @@
     let evacuated = fleet.list.evacuated().count();
     let recovery = fleet.list.recovery().unwrap_or_default();
     let (kept, withheld) = (recovery.kept.len(), recovery.withheld.len());
+    let unreachable = context.reach.borrow().lost().count();
     format!(
         "slipturn_upstreams_kept {kept}\nslipturn_upstreams_withheld {withheld}\n\
          slipturn_data_centers_evacuated {evacuated}\nslipturn_upstreams_leaving {leaving}\nslipturn_upstreams_resting {in_backoff}\n\
-         slipturn_upstreams_limited {limited}\n"
+         slipturn_upstreams_limited {limited}\n\
+         slipturn_services_unreachable {unreachable}\n"
     )
 }
 
@@ -308,6 +310,16 @@
     format!("slipturn_ways{{ways=\"{}\"}} 1\n", context.settings().experiments)
 }
 
+/// Returns the services of which this process reaches no upstream, with the time for which that has lasted, in
+/// milliseconds.
+fn unreachable_services(
+    context: &context::InstanceContext,
+) -> collections::BTreeMap<ids::ServiceId, u64> {
+    let (now, reach) = (context.now(), context.reach.borrow());
+    let lost = reach.lost();
+    lost.map(|(service, since)| (service.clone(), units::whole_millis(now.since(since)))).collect()
+}
+
 fn status(context: &context::InstanceContext) -> serde_json::Value {
     let retries = upstream_rows::retries(context);
     let lags = context.lags();
@@ -328,6 +340,7 @@
         "list_age_ms": units::whole_millis(context.now().since(fleet.origin().since)),
         "store_era": store_tracker.era().0,
         "upstreams": fleet.list.entries().count(),
+        "unreachable_ms": unreachable_services(context),
         "evacuated": fleet.list.evacuated().collect::<Vec<_>>(),
         "store_ok": store_tracker.answers(),
         "store_heard_ms": units::whole_millis(store_tracker.last_answer_age(context.now())),
--- a/crates/instance/src/lib.rs
+++ b/crates/instance/src/lib.rs
@@ -67,6 +67,7 @@
 pub mod upstream_attempt;
 pub mod upstream_ends;
 pub mod upstream_gate;
+mod upstream_links;
 pub mod upstream_load;
 pub mod upstream_pool;
 mod upstream_rows;
--- a/crates/instance/src/program.rs
+++ b/crates/instance/src/program.rs
@@ -173,6 +173,7 @@
         context.fleet.borrow_mut().list.forget_notices(context.now());
         let fleet = context.fleet.borrow();
         context.loads.borrow_mut().retain(|name| fleet.list.is_present(name));
+        context.reach.borrow_mut().retain(|service| fleet.list.listed_count(service) > 0);
     }
 }
 
--- a/crates/instance/src/upstream_attempt.rs
+++ b/crates/instance/src/upstream_attempt.rs
@@ -4,12 +4,14 @@
 
 use bytes::{Bytes, BytesMut};
 use futures::future;
-use slipturn_core::{connection_silence, ids, quota_permit, retry, upstream_notice};
+use slipturn_core::{
+    connection_silence, ids, quota_permit, retry, upstream_notice, upstream_reach,
+};
 use slipturn_net::h1;
 
 use crate::{
-    adapter, context, incoming_call, upstream_ends, upstream_gate, upstream_pool, upstream_signals,
-    upstream_silence, upstream_starts,
+    adapter, context, incoming_call, upstream_ends, upstream_gate, upstream_links, upstream_pool,
+    upstream_signals, upstream_silence, upstream_starts,
 };
 
 /// How long to wait for an answer after writing the request failed: the upstream may have answered
@@ -192,6 +194,7 @@
     // backoff, limit) again right before the first byte is sent.
     upstream_gate::check_request(context, target)?;
     let retry_allowed = call.route.repeat.allows_repeat() && call.route.max_attempts > 1;
+    let begun = context.now();
     let opened = if new_connection || !retry_allowed {
         context.pool.open(target.address).await
     } else {
@@ -199,6 +202,9 @@
     };
     let not_connected = retry::AttemptFailure::NotConnected;
     opened.map_err(|error| {
+        let (service, address) = (&call.service, target.address);
+        let attempt = upstream_reach::LinkAttempt { service, address, opened: begun };
+        upstream_links::note_failure(context, attempt);
         if error.is_connection_refused() {
             context.report_run(upstream_ends::RunEvent::Refused(target.upstream.clone()));
         }
@@ -234,6 +240,7 @@
         if let Ok(answered) = monoio::time::timeout(left, work.as_mut()).await {
             return answered;
         }
+        upstream_links::note_exchange(context, &call.service, &times);
         if !give_up(RetryReach::OtherUpstream).await {
             return work.await;
         }
@@ -256,7 +263,11 @@
     // Counted before a byte is sent, as this future may be dropped at any time afterwards.
     let before = call.may_have_run.get();
     call.may_have_run.set(before + 1);
+    let times = rc::Rc::clone(&connection.times);
     let answered = write_and_read(context, call, target, connection).await;
+    if !matches!(&answered, Err(fault) if fault.failure == retry::AttemptFailure::Denied) {
+        upstream_links::note_exchange(context, &call.service, &times);
+    }
     if answered.as_ref().is_err_and(|fault| fault.failure.definitely_not_run()) {
         call.may_have_run.set(before);
     }
--- a/crates/instance/src/upstream_pool.rs
+++ b/crates/instance/src/upstream_pool.rs
@@ -61,6 +61,21 @@
         self.received.set(Some(boot_clock::BootInstant::now()));
     }
 
+    /// Returns the address of the upstream.
+    pub(crate) fn address(&self) -> net::SocketAddrV4 {
+        self.address
+    }
+
+    /// Returns the time since the connection was opened.
+    pub(crate) fn age(&self) -> time::Duration {
+        self.opened.elapsed()
+    }
+
+    /// Returns whether bytes were ever received.
+    pub(crate) fn has_received(&self) -> bool {
+        self.received.get().is_some()
+    }
+
     fn ages(&self) -> connection_silence::ConnectionAges {
         connection_silence::ConnectionAges {
             opened: self.opened.elapsed(),
