--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -43,6 +43,7 @@
 pub mod quarantine;
 pub mod quota_permit;
 pub mod refusal;
+pub mod relay_choice;
 pub mod rendezvous;
 pub mod request_digest;
 mod request_limits;
--- a/crates/core/src/planner/modes.rs
+++ b/crates/core/src/planner/modes.rs
@@ -132,6 +132,19 @@
     All,
 }
 
+/// How an instance serves its callers while it does not reach upstreams over its own links.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum UpstreamPathMode {
+    /// Other members relay its connections to upstreams.
+    #[default]
+    Relayed,
+    /// It is not ready and closes callers' connections, so that the load balancer sends them to other instances.
+    Unready,
+    /// It tries its own links only.
+    Direct,
+}
+
 /// The selected variant of each decision.
 // `expecting` fixes the error text for a value that is not a map.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Deserialize)]
@@ -157,6 +170,8 @@
     pub cold_upstreams: cold_start::ColdUpstreamMode,
     /// Whether idle engines are polled for reports less often than engines with work.
     pub reports: ReportMode,
+    /// Path to upstreams that this instance does not reach over its own links.
+    pub upstream_path: UpstreamPathMode,
 }
 
 impl fmt::Display for PlannerModes {
@@ -165,7 +180,7 @@
             f,
             "packing {:?}, engine faults {:?}, short refusal {:?}, rest return {:?}, leaving news {:?}, \
              closed engines {:?}, load choice {:?}, retry order {:?}, cold upstreams {:?}, \
-             reports {:?}",
+             reports {:?}, upstream path {:?}",
             self.packing,
             self.engine_faults,
             self.short_refusal,
@@ -175,7 +190,8 @@
             self.load_choice,
             self.retry_order,
             self.cold_upstreams,
-            self.reports
+            self.reports,
+            self.upstream_path
         )
     }
 }
--- a/crates/core/tests/upstream_reach.rs
+++ b/crates/core/tests/upstream_reach.rs
@@ -5,7 +5,7 @@
 use slipturn_core::{
     ids,
     units::MonoTime,
-    upstream_reach::{LinkAttempt, ReachChange, UpstreamReach},
+    upstream_reach::{LinkAttempt, LinkPath, ReachChange, UpstreamReach},
 };
 
 /// Number of upstreams in the list of each service.
@@ -42,6 +42,19 @@
     fn is_lost(&self, service: &str) -> bool {
         self.0.lost_since(&service_id(service)).is_some()
     }
+
+    fn path(&self, now: u64, service: &str, number: u8) -> LinkPath {
+        self.0.path(at(now), &service_id(service), upstream(number))
+    }
+
+    fn relay_failure(&mut self, now: u64, service: &str, number: u8, refused: bool) {
+        self.0.note_relay_failure(at(now), &service_id(service), upstream(number), refused);
+    }
+
+    /// Returns the number of probes that become due up to `until`, checked every 10 ms.
+    fn probes(&mut self, from: u64, until: u64) -> usize {
+        (from..until).step_by(10).filter(|now| self.0.take_probe(at(*now)).is_some()).count()
+    }
 }
 
 fn service_id(name: &str) -> ids::ServiceId {
@@ -118,3 +131,89 @@
     evidence.failure(10, "m", 1, 9);
     assert_eq!(evidence.failure(11_000, "m", 2, 10_999), None);
 }
+
+#[test]
+fn connections_to_an_upstream_are_relayed_after_two_failures_and_until_it_answers() {
+    let mut evidence = Evidence::default();
+    evidence.answer(1, "m", 2, 0);
+    evidence.failure(10, "m", 1, 9);
+    assert_eq!(evidence.path(11, "m", 1), LinkPath::Direct);
+    evidence.answer(12, "m", 2, 11);
+    evidence.failure(20, "m", 1, 19);
+    assert_eq!(evidence.path(21, "m", 1), LinkPath::Relayed);
+    assert_eq!(evidence.path(21, "m", 2), LinkPath::Direct);
+    evidence.answer(1_000, "m", 1, 900);
+    assert_eq!(evidence.path(1_001, "m", 1), LinkPath::Direct);
+}
+
+#[test]
+fn connections_to_all_upstreams_of_a_lost_service_are_relayed() {
+    let mut evidence = Evidence::default();
+    evidence.failure(10, "m", 1, 9);
+    evidence.failure(20, "m", 2, 19);
+    assert!((1..=5).all(|number| evidence.path(21, "m", number) == LinkPath::Relayed));
+    assert_eq!(evidence.path(21, "p", 9), LinkPath::Direct);
+    evidence.answer(1_000, "m", 1, 900);
+    assert_eq!(evidence.path(1_001, "m", 5), LinkPath::Direct);
+}
+
+#[test]
+fn an_old_connection_that_lives_on_does_not_end_the_relaying() {
+    let mut evidence = Evidence::default();
+    evidence.failure(10, "m", 1, 9);
+    evidence.failure(20, "m", 1, 19);
+    evidence.answer(30, "m", 1, 5);
+    assert_eq!(evidence.path(31, "m", 1), LinkPath::Relayed);
+}
+
+#[test]
+fn an_upstream_that_a_relay_does_not_reach_either_is_tried_directly_for_a_while() {
+    let mut evidence = Evidence::default();
+    evidence.failure(10, "m", 1, 9);
+    evidence.relay_failure(12, "m", 1, true);
+    assert_eq!(evidence.path(500, "m", 1), LinkPath::DirectOnly);
+    assert!(evidence.0.relay_refused(&service_id("m"), upstream(1)));
+    assert_eq!(evidence.path(1_100, "m", 1), LinkPath::Direct);
+    evidence.failure(1_200, "m", 2, 1_199);
+    assert!(!evidence.is_lost("m"), "the first failure was the upstream's");
+}
+
+#[test]
+fn a_relayed_link_is_probed_ever_more_rarely_up_to_every_two_seconds() {
+    let mut evidence = Evidence::default();
+    evidence.failure(10, "m", 1, 9);
+    evidence.failure(20, "m", 1, 19);
+    assert_eq!(evidence.probes(20, 510), 0);
+    assert_eq!(evidence.probes(510, 600), 1);
+    assert_eq!(evidence.probes(600, 1_500), 0);
+    assert_eq!(evidence.probes(1_500, 1_600), 1);
+    assert_eq!(evidence.probes(10_000, 30_000), 10);
+    evidence.answer(30_010, "m", 1, 30_000);
+    assert_eq!(evidence.probes(30_010, 60_000), 0);
+}
+
+#[test]
+fn the_other_links_of_a_restored_service_are_probed_at_once() {
+    let mut evidence = Evidence::default();
+    for number in 1..=4 {
+        evidence.failure(10, "m", number, 9);
+        evidence.failure(20, "m", number, 19);
+    }
+    assert!(evidence.probes(20, 3_000) >= 14, "the service is probed every 200 ms");
+    evidence.answer(3_010, "m", 1, 3_000);
+    assert_eq!(evidence.probes(3_010, 3_050), 3);
+}
+
+#[test]
+fn a_process_is_reliable_only_while_it_receives_answers() {
+    let mut evidence = Evidence::default();
+    let is_reliable = |evidence: &Evidence, now| evidence.0.is_reliable(at(now), &service_id("m"));
+    assert!(!is_reliable(&evidence, 0));
+    evidence.answer(10, "m", 3, 5);
+    assert!(is_reliable(&evidence, 3_000));
+    assert!(!is_reliable(&evidence, 3_010));
+    evidence.answer(4_000, "m", 3, 3_990);
+    evidence.failure(4_010, "m", 1, 4_009);
+    evidence.failure(4_020, "m", 2, 4_019);
+    assert!(!is_reliable(&evidence, 4_021));
+}
--- a/crates/instance/src/caller_connection.rs
+++ b/crates/instance/src/caller_connection.rs
@@ -139,7 +139,7 @@
 
     /// Returns whether the connection is closed after this answer.
     pub fn closing(&self) -> bool {
-        self.close || self.context.stop.is_triggered()
+        self.close || self.context.stop.is_triggered() || self.context.leaves_callers_to_others()
     }
 }
 
--- a/crates/instance/src/context.rs
+++ b/crates/instance/src/context.rs
@@ -5,15 +5,15 @@
 use futures::{channel::mpsc, channel::oneshot, future};
 use slipturn_core::{
     class_worth, connection_share, engine_place, failure_detector, fleet_budget, ids,
-    member_heartbeat, membership, planner, planner_key, quarantine, rendezvous, search_budget,
-    send_counts, send_gate, store_tracker, units, upstream_reach,
+    member_heartbeat, membership, planner, planner_key, quarantine, relay_choice, rendezvous,
+    search_budget, send_counts, send_gate, store_tracker, units, upstream_reach,
 };
 use slipturn_net::process;
 
 use crate::{
     adapter, document_answers, fleet_state, instance_settings, instance_stats, peer_message,
-    planner_set, quarantine_gate, quota_coordinator, upstream_ends, upstream_load, upstream_pool,
-    upstream_silence, upstream_starts,
+    planner_set, quarantine_gate, quota_coordinator, relay_server, upstream_ends, upstream_load,
+    upstream_pool, upstream_silence, upstream_starts,
 };
 
 /// Process age from which the member count is reliable; heartbeats are at most a second apart.
@@ -87,6 +87,10 @@
     pub loads: cell::RefCell<upstream_load::UpstreamLoads>,
     /// Evidence of whether this process reaches upstreams over its own links.
     pub reach: cell::RefCell<upstream_reach::UpstreamReach>,
+    /// Choice of the members that relay connections to upstreams which this process does not reach.
+    pub relays: cell::RefCell<relay_choice::RelayChoice>,
+    /// Connections that this process relays for other members.
+    pub relayed: cell::RefCell<relay_server::RelayedConnections>,
     /// Numbers of requests recently sent to each upstream.
     pub sent: cell::RefCell<send_counts::SendCounts>,
     /// Quotas shared by the fleet, coordinated by this process or by other members.
@@ -190,6 +194,8 @@
             pool: upstream_pool::UpstreamPool::default(),
             loads: cell::RefCell::new(loads),
             reach: cell::RefCell::default(),
+            relays: cell::RefCell::default(),
+            relayed: cell::RefCell::default(),
             sent: cell::RefCell::default(),
             quotas: quota_coordinator::QuotaState::default(),
             starts: upstream_starts::StartWaiters::default(),
@@ -335,6 +341,12 @@
         closed.iter().filter(in_cell).map(|name| (*name).clone()).collect()
     }
 
+    /// Returns whether callers are to be served by other instances, as this one does not reach upstreams.
+    pub fn leaves_callers_to_others(&self) -> bool {
+        self.settings().experiments.upstream_path == planner::modes::UpstreamPathMode::Unready
+            && self.reach.borrow().lost().next().is_some()
+    }
+
     /// Returns whether a request may still obtain a place if it requests one now; always true unless a
     /// graceful stop has begun.
     pub fn grants_places(&self) -> bool {
--- a/crates/instance/src/document_call.rs
+++ b/crates/instance/src/document_call.rs
@@ -70,16 +70,13 @@
         Self { address, open: None }
     }
 
-    /// Opens the connection ahead of a call, unless it is open already.
-    pub async fn open(&mut self, limit: time::Duration) -> Result<(), CallError> {
-        if self.open.is_none() {
-            let connected = monoio::time::timeout(limit, connect(self.address)).await;
-            let Ok(connected) = connected else {
-                return SilentSnafu { limit }.fail();
-            };
-            self.open = Some(connected?);
-        }
-        Ok(())
+    /// Creates a connection from the sides of one that is open.
+    pub(crate) fn of_open(
+        address: net::SocketAddr,
+        reader: h1::MessageReader,
+        writer: h1::MessageWriter,
+    ) -> Self {
+        Self { address, open: Some((reader, writer)) }
     }
 
     /// Fetches a document. A timeout or a failed exchange closes the connection.
--- a/crates/instance/src/engine_call.rs
+++ b/crates/instance/src/engine_call.rs
@@ -1,12 +1,15 @@
 //! Calls that an instance itself makes to engines, besides callers' requests: reads of reports, and memory orders.
 
-use std::{net, time};
+use std::{net, rc, time};
 
 use bytes::Bytes;
-use slipturn_core::{ids, quota_permit, send_gate, upstream_notice, upstream_reach};
+use slipturn_core::{ids, quota_permit, send_gate, upstream_notice};
 use snafu::Snafu;
 
-use crate::{adapter, context, document_call, upstream_gate, upstream_links, upstream_signals};
+use crate::{
+    adapter, context, document_call, upstream_connect, upstream_gate, upstream_links,
+    upstream_pool, upstream_signals,
+};
 
 /// Why a call to an engine failed.
 #[derive(Debug, Snafu)]
@@ -18,6 +21,12 @@
         /// The reason for the denial.
         reason: send_gate::SendDenial,
     },
+    /// The engine could not be reached; nothing was sent.
+    #[snafu(display("{source}"))]
+    Connect {
+        /// Why no connection was opened.
+        source: upstream_connect::ConnectError,
+    },
     /// The call failed, or was refused.
     #[snafu(display("{source}"))]
     Call {
@@ -32,6 +41,7 @@
     pub(crate) fn is_over(&self) -> bool {
         match self {
             Self::Denied { .. } => true,
+            Self::Connect { .. } => false,
             Self::Call { source } => matches!(source, document_call::CallError::Status { .. }),
         }
     }
@@ -78,40 +88,71 @@
     send(context, to, (engine_order.kind, engine_order.permits), ("POST", &path, body), limit).await
 }
 
+/// Requests a report over a connection that has been opened for it.
+pub(crate) async fn report_over(
+    context: &context::InstanceContext,
+    to: &EngineAddress,
+    service: Option<&ids::ServiceId>,
+    opened: upstream_pool::UpstreamConnection,
+    limit: time::Duration,
+) -> Result<Bytes, EngineCallError> {
+    let path = adapter::UpstreamAdapter::report_path(&*context.adapter);
+    let kind = send_gate::SendKind::Report;
+    exchange(context, to, service, opened, (kind, &[]), ("GET", &path, Bytes::new()), limit).await
+}
+
 async fn send(
     context: &context::InstanceContext,
     to: &EngineAddress,
     (kind, permits): (send_gate::SendKind, &[quota_permit::SendPermit]),
-    (method, path, body): (&str, &str, Bytes),
+    message: (&str, &str, Bytes),
     limit: time::Duration,
 ) -> Result<Bytes, EngineCallError> {
     let denied = |reason| EngineCallError::Denied { reason };
-    let failed = |source| EngineCallError::Call { source };
     upstream_gate::check_send(context, &to.engine, kind, permits).map_err(denied)?;
     let started = context.now();
-    let mut connection = document_call::DocumentConnection::new(to.address.into());
-    let entry = context.fleet.borrow().list.entry(&to.engine).cloned();
-    let attempt = entry.as_ref().map(|entry| upstream_reach::LinkAttempt {
-        service: &entry.service,
-        address: to.address,
-        opened: started,
-    });
-    let unreached = |_: &_| {
-        if let Some(attempt) = attempt {
-            upstream_links::note_failure(context, attempt);
+    let service = context.fleet.borrow().list.entry(&to.engine).map(|entry| entry.service.clone());
+    let opened = match &service {
+        Some(service) => {
+            let target =
+                upstream_connect::ConnectTarget { service, address: to.address, may_repeat: true };
+            upstream_connect::open(context, target).await
         }
+        None => upstream_connect::open_direct_only(context, to.address).await,
     };
-    connection.open(limit).await.inspect_err(unreached).map_err(failed)?;
-    // The gate checks the engine's notices (leaving, backoff, limit) again right before the first byte: some may have
-    // arrived while the connection was opened.
-    let _pass = upstream_gate::pass(context, &to.engine, kind, permits).map_err(denied)?;
+    let opened = opened.map_err(|source| EngineCallError::Connect { source })?;
+    let left = limit.saturating_sub(context.now().since(started));
+    exchange(context, to, service.as_ref(), opened, (kind, permits), message, left).await
+}
+
+/// Sends a call over a connection, and reads the answer.
+async fn exchange(
+    context: &context::InstanceContext,
+    to: &EngineAddress,
+    service: Option<&ids::ServiceId>,
+    opened: upstream_pool::UpstreamConnection,
+    (kind, permits): (send_gate::SendKind, &[quota_permit::SendPermit]),
+    (method, path, body): (&str, &str, Bytes),
+    limit: time::Duration,
+) -> Result<Bytes, EngineCallError> {
+    let denied = |reason| EngineCallError::Denied { reason };
+    let failed = |source| EngineCallError::Call { source };
+    let times = rc::Rc::clone(&opened.times);
+    // The gate checks the engine's notices (leaving, backoff, limit) right before the first byte: some may have arrived
+    // while the connection was opened.
+    let pass = upstream_gate::pass(context, &to.engine, kind, permits).map_err(denied)?;
+    let (reader, writer) = opened.into_sides(&pass);
+    let mut connection =
+        document_call::DocumentConnection::of_open(to.address.into(), reader, writer);
     let sent_at = context.now();
-    let left = limit.saturating_sub(sent_at.since(started));
-    let response = connection.call_any_status(method, path, body, left).await;
-    let response = response.inspect_err(unreached).map_err(failed)?;
-    if let Some(attempt) = attempt {
-        upstream_links::note_answer(context, attempt);
+    let response = connection.call_any_status(method, path, body, limit).await;
+    if response.is_ok() {
+        times.receive();
+    }
+    if let Some(service) = service {
+        upstream_links::note_exchange(context, service, &times);
     }
+    let response = response.map_err(failed)?;
     // The notices in the answer's head (leaving, limit, backoff) count also if the engine refused the call.
     let source = match kind {
         send_gate::SendKind::Report => upstream_notice::NoticeSource::Report,
--- a/crates/instance/src/incoming_call.rs
+++ b/crates/instance/src/incoming_call.rs
@@ -37,6 +37,8 @@
     /// Number of attempts that an upstream may have run: the request was sent, and the upstream did
     /// not deny having run it.
     pub may_have_run: cell::Cell<u32>,
+    /// How the connection of the current attempt is relayed, for the attempt's record; `None` if it is direct.
+    pub relayed: cell::RefCell<Option<String>>,
     /// Digest of the request, computed on first use, as few requests need it.
     digest: cell::OnceCell<request_digest::RequestDigest>,
 }
@@ -145,6 +147,7 @@
         arrived,
         deadline: arrived + limit.saturating_sub(ANSWER_MARGIN),
         may_have_run: cell::Cell::new(0),
+        relayed: cell::RefCell::default(),
         digest: cell::OnceCell::new(),
     })
 }
--- a/crates/instance/src/internal_server.rs
+++ b/crates/instance/src/internal_server.rs
@@ -6,7 +6,10 @@
 use slipturn_core::{ids, quarantine, request_digest, units};
 use slipturn_net::h1;
 
-use crate::{context, document_answers, member_feed, quarantine_gossip, upstream_rows};
+use crate::{
+    context, document_answers, member_feed, member_relay, quarantine_gossip, relay_server,
+    upstream_rows,
+};
 
 /// Path at which operators list quarantined requests, and prefix of the path that releases one.
 const QUARANTINE_PATH: &str = "/v1/quarantine";
@@ -64,6 +67,9 @@
         let Ok(Ok(Some(head))) = next else {
             return;
         };
+        if role == ServerRole::Members && head.method == http::Method::CONNECT {
+            return relay_server::serve(&context, &head, reader, writer).await;
+        }
         let path = head.uri.path();
         let answer = match role {
             ServerRole::Health => ServerAnswer::text(health(&context, path)),
@@ -122,12 +128,18 @@
     let now = context.now();
     let failed_lately =
         context.accept_failed_at.get().is_some_and(|since| now.since(since) < ACCEPT_FAILURE_TIME);
-    context.fleet.borrow().is_known() && !context.stop.is_triggered() && !failed_lately
+    context.fleet.borrow().is_known()
+        && !context.stop.is_triggered()
+        && !failed_lately
+        && !context.leaves_callers_to_others()
 }
 
 /// Serves the documents that a member requests.
 fn documents(context: &rc::Rc<context::InstanceContext>, uri: &http::Uri) -> ServerAnswer {
     let failed = |status, text: &str| ServerAnswer::text((status, status_body(text)));
+    if let Some(number) = uri.path().strip_prefix(member_relay::RELAY_ENDS_PATH) {
+        return relay_end(context, number);
+    }
     if uri.path() != member_feed::DOCUMENTS_PATH {
         return failed(404, "not a path of members");
     }
@@ -150,6 +162,14 @@
     }
 }
 
+/// Tells a member how a relayed connection ended: status 200 if its upstream closed it, else 404.
+fn relay_end(context: &context::InstanceContext, number: &str) -> ServerAnswer {
+    let number = number.parse().ok();
+    let was_closed =
+        number.is_some_and(|number| context.relayed.borrow().was_closed_by_upstream(number));
+    ServerAnswer::text((if was_closed { 200 } else { 404 }, String::new()))
+}
+
 /// Serves the paths that `slipturnctl` requests, and the metrics.
 fn operators(
     context: &context::InstanceContext,
@@ -297,11 +317,13 @@
     let recovery = fleet.list.recovery().unwrap_or_default();
     let (kept, withheld) = (recovery.kept.len(), recovery.withheld.len());
     let unreachable = context.reach.borrow().lost().count();
+    let relayed = context.relayed.borrow().open();
     format!(
         "slipturn_upstreams_kept {kept}\nslipturn_upstreams_withheld {withheld}\n\
          slipturn_data_centers_evacuated {evacuated}\nslipturn_upstreams_leaving {leaving}\nslipturn_upstreams_resting {in_backoff}\n\
          slipturn_upstreams_limited {limited}\n\
-         slipturn_services_unreachable {unreachable}\n"
+         slipturn_services_unreachable {unreachable}\n\
+         slipturn_connections_relayed {relayed}\n"
     )
 }
 
--- a/crates/instance/src/lib.rs
+++ b/crates/instance/src/lib.rs
@@ -6,7 +6,8 @@
 //! - a request: `incoming_call`, `model_request`, `service_request`, `plan_client`, `memory_hold`, `long_answer`,
 //!   `stream_policy`, `stream_state`, `silence_watch`, `upstream_attempt`, `event_stream`, `engine_fault`,
 //!   `upstream_silence` and `request_record`;
-//! - a connection: `caller_connection`, `document_call` and `upstream_pool`;
+//! - a connection: `caller_connection`, `document_call`, `upstream_connect`, `upstream_pool`, `member_relay` and
+//!   `relay_server`;
 //! - a version of routes or list: `fleet_state`, `list_update`, `list_recovery` and `raw_state`;
 //! - the process: all others.
 //!
@@ -32,12 +33,14 @@
 pub mod internal_server;
 pub mod lease_renewal;
 mod limit_gossip;
+pub mod link_probe;
 pub mod list_recovery;
 mod list_update;
 pub mod log_sink;
 mod long_answer;
 pub mod member_feed;
 mod member_gossip;
+pub mod member_relay;
 pub mod memory_hold;
 pub mod model_request;
 mod no_open_upstream;
@@ -51,6 +54,7 @@
 mod quarantine_gossip;
 pub mod quota_coordinator;
 mod raw_state;
+pub mod relay_server;
 pub mod request_record;
 pub mod routes_history;
 mod service_choice;
@@ -65,6 +69,7 @@
 mod stream_state;
 mod stream_target;
 pub mod upstream_attempt;
+pub mod upstream_connect;
 pub mod upstream_ends;
 pub mod upstream_gate;
 mod upstream_links;
--- a/crates/instance/src/long_answer.rs
+++ b/crates/instance/src/long_answer.rs
@@ -98,7 +98,7 @@
     reply.start_body(&answer.head, length, &leading).await.context(CallerSnafu)?;
     *waited += context.now().since(write_started);
     loop {
-        let piece = answer.connection.reader.next_piece(&mut answer.framing).await;
+        let piece = answer.connection.next_piece(&mut answer.framing).await;
         let Some(piece) = piece.context(UpstreamSnafu)? else {
             break;
         };
--- a/crates/instance/src/model_request.rs
+++ b/crates/instance/src/model_request.rs
@@ -11,7 +11,7 @@
     caller_connection, cell_search, context, engine_call, engine_fault, event_stream,
     incoming_call, memory_hold, no_open_upstream, permit_request, plan_client, quarantine_gate,
     request_record, silence_watch, stream_policy, stream_state, stream_target, upstream_attempt,
-    upstream_ends, upstream_gate, upstream_signals,
+    upstream_ends, upstream_gate, upstream_links, upstream_signals,
 };
 
 /// Maximum number of places (assignments to engines) tried for a request, including those whose engine never received
@@ -85,6 +85,7 @@
 ) -> Result<Option<refusal::RequestRefusal>, h1::MessageError> {
     let mut retry_after = None;
     let mut text = format!("service '{}' has no engine free", call.service);
+    let mut unreached = 0;
     for _ in 0..MAX_TRIES {
         if state.sent >= call.route.max_attempts {
             break;
@@ -124,6 +125,7 @@
                     // No engine received anything, so the retry permit stays valid. Otherwise a stream
                     // whose retry goes to an engine that is gone would be cut off for lack of another permit.
                     state.retry_taken = state.sent > 0;
+                    unreached += u32::from(fault.failure == retry::AttemptFailure::NotConnected);
                 }
                 text = fault.text;
                 if !never_ran {
@@ -132,6 +134,9 @@
                         break;
                     }
                 }
+                if no_open_upstream::is_unreachable(context, call, unreached) {
+                    break;
+                }
             }
         }
     }
@@ -141,11 +146,11 @@
     // The planner's delay is preferred to one computed from limits, as the planner knows better when
     // the limits of its engines admit the next request.
     let planned = retry_after.is_some();
-    let unavailable =
-        no_open_upstream::no_upstream_reason(context, &call.service, call.left(context.now()));
-    if let Some(unavailable) =
-        unavailable.filter(|unavailable| unavailable.is_backoff() || !planned)
-    {
+    let left = call.left(context.now());
+    let unreachable = no_open_upstream::unreachable_reason(context, &call.service, unreached, left);
+    let unavailable = no_open_upstream::no_upstream_reason(context, &call.service, left);
+    let unavailable = unavailable.filter(|unavailable| unavailable.is_backoff() || !planned);
+    if let Some(unavailable) = unreachable.or(unavailable) {
         text = unavailable.to_string();
         retry_after = Some(unavailable.retry_after());
     }
@@ -221,6 +226,7 @@
         hold.end = engine_fault::place_end(&hold, fault);
         engine_fault::exclude_at_fault(context, state, &hold, fault);
     }
+    attempt_record.relayed = call.relayed.take();
     if let Some(last) = record.attempts.last_mut() {
         *last = attempt_record;
     }
@@ -285,8 +291,10 @@
     let sent_attempts = state.sent + 1;
     let last_silence = stream_policy::last_silence(call);
     let limits = silence_watch::SilenceLimits { other: first_wait, any: last_silence };
-    let retry =
-        async |reach| state.give_up(context, call, &hold.grant.engine, sent_attempts, reach).await;
+    let retry = async |reach| {
+        upstream_links::note_exchange(context, &call.service, &times);
+        state.give_up(context, call, &hold.grant.engine, sent_attempts, reach).await
+    };
     let answered = match watch.wait(sending.as_mut(), upstream_ended.as_mut(), limits, retry).await
     {
         Ok(answered) => answered,
@@ -336,7 +344,7 @@
         silence_watch::SilenceLimits { other: stream_policy::silence(call), any: last_silence };
     loop {
         let wait_started = context.now();
-        let mut next = pin::pin!(answer.connection.reader.next_piece(&mut answer.framing));
+        let mut next = pin::pin!(answer.connection.next_piece(&mut answer.framing));
         let sent = state.sent;
         let retry =
             async |reach| state.give_up(context, call, &hold.grant.engine, sent, reach).await;
--- a/crates/instance/src/no_open_upstream.rs
+++ b/crates/instance/src/no_open_upstream.rs
@@ -4,7 +4,7 @@
 
 use slipturn_core::{ids, refusal, send_gate, units, upstream_notice};
 
-use crate::context;
+use crate::{context, incoming_call};
 
 /// Why no upstream of a service may get a request now.
 #[derive(Debug, Clone)]
@@ -17,6 +17,14 @@
         /// Time of the check, from which the remaining backoff is counted.
         now: units::MonoTime,
     },
+    /// This instance reaches no upstream, neither over its own links nor through members.
+    Unreachable {
+        service: ids::ServiceId,
+        /// Time since the first failure.
+        since: time::Duration,
+        /// Retry delay for the caller.
+        retry_after: time::Duration,
+    },
     /// All otherwise usable upstreams are in data centres under evacuation.
     Evacuated {
         service: ids::ServiceId,
@@ -44,7 +52,9 @@
                 let (left, lasted) = (first.until.since(*now), first.duration());
                 refusal::backoff_retry_after(left, lasted, &mut rand::rng())
             }
-            Self::Evacuated { retry_after, .. } | Self::Limited { retry_after, .. } => *retry_after,
+            Self::Unreachable { retry_after, .. }
+            | Self::Evacuated { retry_after, .. }
+            | Self::Limited { retry_after, .. } => *retry_after,
         }
     }
 }
@@ -56,6 +66,10 @@
                 let left = units::whole_millis(first.until.since(*now));
                 write!(f, "all upstreams of service '{service}' rest, the first {left} ms more")
             }
+            Self::Unreachable { service, since, .. } => {
+                let ms = units::whole_millis(*since);
+                write!(f, "no upstream of service '{service}' was reached for {ms} ms, by any path")
+            }
             Self::Evacuated { service, .. } => {
                 write!(f, "all upstreams of service '{service}' are in evacuated data centres")
             }
@@ -66,6 +80,36 @@
     }
 }
 
+/// Number of upstreams that must have been tried before a request is refused because its service is unreachable.
+const MIN_UNREACHED: u32 = 2;
+/// Time from the arrival of a request for which upstreams of an unreachable service are tried.
+const UNREACHED_TIME: time::Duration = time::Duration::from_millis(250);
+
+/// Returns whether a request ends because the service is unreachable, after attempts at `unreached` upstreams that no
+/// path reached. Attempts that are refused at once go on, as another upstream may be reached.
+pub(crate) fn is_unreachable(
+    context: &context::InstanceContext,
+    call: &incoming_call::IncomingCall,
+    unreached: u32,
+) -> bool {
+    unreached >= MIN_UNREACHED
+        && context.now().since(call.arrived) >= UNREACHED_TIME
+        && context.reach.borrow().lost_since(&call.service).is_some()
+}
+
+/// Returns why a request is refused after attempts at `unreached` upstreams that no path reached.
+pub(crate) fn unreachable_reason(
+    context: &context::InstanceContext,
+    service: &ids::ServiceId,
+    unreached: u32,
+    left: time::Duration,
+) -> Option<NoUpstreamReason> {
+    let lost_since = context.reach.borrow().lost_since(service).filter(|_| unreached > 0)?;
+    let since = context.now().since(lost_since);
+    let retry_after = refusal::outage_retry_after(since, left);
+    Some(NoUpstreamReason::Unreachable { service: service.clone(), since, retry_after })
+}
+
 /// Returns why no upstream of a service may get a request now. Returns `None` if there is an upstream
 /// without a limit, or if no temporary reason is known.
 ///
--- a/crates/instance/src/program.rs
+++ b/crates/instance/src/program.rs
@@ -1,7 +1,7 @@
 //! The process of an instance: command line, listeners, tasks, reload of settings and graceful shutdown.
 
 use std::{
-    path, process as std_process, rc,
+    collections, path, process as std_process, rc,
     sync::{
         self,
         atomic::{self, AtomicBool},
@@ -15,8 +15,8 @@
 
 use crate::{
     adapter, caller_connection, context, engine_reports, failure_watch, heartbeats,
-    instance_settings, internal_server, lease_renewal, log_sink, member_feed, member_gossip, peers,
-    store_feed, upstream_ends,
+    instance_settings, internal_server, lease_renewal, link_probe, log_sink, member_feed,
+    member_gossip, peers, store_feed, upstream_ends,
 };
 
 /// Interval between two checks for a signal to stop or to reload.
@@ -132,6 +132,7 @@
     monoio::spawn(member_feed::follow_routes(share()));
     monoio::spawn(member_feed::follow_list(share()));
     monoio::spawn(engine_reports::poll(share()));
+    monoio::spawn(link_probe::repeat(share()));
     monoio::spawn(prune(share()));
     monoio::spawn(upstream_ends::find_ended_upstreams(share(), run_events));
     monoio::spawn(member_gossip::repeat(share()));
@@ -173,7 +174,9 @@
         context.fleet.borrow_mut().list.forget_notices(context.now());
         let fleet = context.fleet.borrow();
         context.loads.borrow_mut().retain(|name| fleet.list.is_present(name));
-        context.reach.borrow_mut().retain(|service| fleet.list.listed_count(service) > 0);
+        let entries = fleet.list.entries();
+        let listed: collections::HashSet<_> = entries.map(|entry| entry.address).collect();
+        context.reach.borrow_mut().retain(|_, address| listed.contains(&address));
     }
 }
 
--- /dev/null
+++ b/crates/instance/src/relay_server.rs
@@ -0,0 +1,265 @@
+//! Relays connections of members to upstreams that they do not reach themselves.
+//!
+//! A relay connects over its own links only, so a connection is relayed once.
+
+use std::{cell, collections, io, net, rc, time};
+
+use futures::future;
+use slipturn_core::{ids, units, upstream_reach};
+use slipturn_net::h1;
+
+use crate::{context, member_relay};
+
+/// Maximum number of connections that this process relays at a time; each takes two sockets and two buffers.
+const MAX_RELAYED: usize = 512;
+/// Timeout of a connection to an upstream. The member that asks has another relay at hand.
+const CONNECT_TIMEOUT: time::Duration = time::Duration::from_millis(250);
+/// Number of ended connections whose end members can ask for.
+const MAX_ENDS: usize = 256;
+/// Time for which the answer of an upstream that stopped reading is still forwarded.
+const EARLY_ANSWER_TIME: time::Duration = time::Duration::from_secs(1);
+/// Time for which a member may read the last bytes before its connection is closed.
+const LINGER_TIMEOUT: time::Duration = time::Duration::from_millis(500);
+/// Time after an upstream's last byte from which a relayed connection counts as idle during a graceful stop.
+const IDLE_TIME: time::Duration = time::Duration::from_secs(1);
+/// Interval at which a stopping process checks whether a relayed connection is idle.
+const IDLE_CHECK_INTERVAL: time::Duration = time::Duration::from_millis(200);
+
+/// Relayed connections of this process.
+#[derive(Debug, Default)]
+pub struct RelayedConnections {
+    open: usize,
+    /// Number of the last connection.
+    number: u64,
+    /// Numbers of the last connections that their upstream closed.
+    closed_by_upstream: collections::VecDeque<u64>,
+}
+
+impl RelayedConnections {
+    /// Returns the number of open connections.
+    pub(crate) fn open(&self) -> usize {
+        self.open
+    }
+
+    /// Returns whether the upstream closed the connection with this number.
+    pub(crate) fn was_closed_by_upstream(&self, number: u64) -> bool {
+        self.closed_by_upstream.contains(&number)
+    }
+
+    fn note_closed_by_upstream(&mut self, number: u64) {
+        if self.closed_by_upstream.len() >= MAX_ENDS {
+            self.closed_by_upstream.pop_front();
+        }
+        self.closed_by_upstream.push_back(number);
+    }
+}
+
+/// Counts a relayed connection until it is dropped.
+struct RelayGuard<'a> {
+    context: &'a context::InstanceContext,
+    number: u64,
+}
+
+impl<'a> RelayGuard<'a> {
+    fn begin(context: &'a context::InstanceContext) -> Self {
+        let mut relayed = context.relayed.borrow_mut();
+        relayed.open += 1;
+        relayed.number += 1;
+        Self { context, number: relayed.number }
+    }
+}
+
+impl Drop for RelayGuard<'_> {
+    fn drop(&mut self) {
+        self.context.relayed.borrow_mut().open -= 1;
+    }
+}
+
+/// Answers a member's request for a relayed connection, and forwards bytes until either side closes it.
+pub(crate) async fn serve(
+    context: &rc::Rc<context::InstanceContext>,
+    head: &http::request::Parts,
+    reader: h1::MessageReader,
+    mut writer: h1::MessageWriter,
+) {
+    // A graceful stop waits for relayed connections that are in use.
+    let _busy = context::BusyGuard::new(context);
+    let guard = RelayGuard::begin(context);
+    let upstream = match connect(context, head).await {
+        Ok(stream) => stream,
+        Err(RelayRefusal { status, is_doubtful }) => {
+            context.stats.borrow_mut().count("relays", status.as_str());
+            let mut headers = http::HeaderMap::new();
+            if is_doubtful {
+                let value = http::HeaderValue::from_static("1");
+                headers.insert(member_relay::RELAY_DOUBT, value);
+            }
+            let head = h1::encode_response_head(status, &headers, Some(0), true);
+            // The member finds the connection closed if this fails.
+            let _ = writer.write(head).await;
+            return;
+        }
+    };
+    context.stats.borrow_mut().count("relays", "opened");
+    let number = guard.number;
+    let head = format!("HTTP/1.1 200 OK\r\n{}: {number}\r\n\r\n", member_relay::RELAY_NUMBER);
+    if writer.write(head.into_bytes()).await.is_err() {
+        return;
+    }
+    let (upstream_reader, upstream_writer) = h1::split(upstream);
+    let state = ForwardState { context, last: cell::Cell::new(LastBytes::Member) };
+    let member = ConnectionSides { reader, writer };
+    let upstream = ConnectionSides { reader: upstream_reader, writer: upstream_writer };
+    state.forward(number, member, upstream).await;
+}
+
+/// The answer to a request for a relayed connection that was not opened.
+struct RelayRefusal {
+    status: http::StatusCode,
+    /// Whether a link of this process may be the cause.
+    is_doubtful: bool,
+}
+
+impl RelayRefusal {
+    fn of_request(status: http::StatusCode) -> Self {
+        Self { status, is_doubtful: false }
+    }
+}
+
+/// Opens the connection that a member requests.
+async fn connect(
+    context: &context::InstanceContext,
+    head: &http::request::Parts,
+) -> Result<monoio::net::TcpStream, RelayRefusal> {
+    if !is_from_member(context, head) {
+        return Err(RelayRefusal::of_request(http::StatusCode::FORBIDDEN));
+    }
+    let address = head.uri.authority().and_then(|authority| authority.as_str().parse().ok());
+    let service = address.and_then(|address| listed_service(context, address));
+    let (Some(address), Some(service)) = (address, service) else {
+        return Err(RelayRefusal::of_request(http::StatusCode::NOT_FOUND));
+    };
+    let is_full = context.relayed.borrow().open > MAX_RELAYED;
+    if is_full || context.stop.is_triggered() {
+        return Err(RelayRefusal::of_request(http::StatusCode::SERVICE_UNAVAILABLE));
+    }
+    let path = context.reach.borrow().path(context.now(), &service, address);
+    if path == upstream_reach::LinkPath::Relayed {
+        return Err(RelayRefusal::of_request(http::StatusCode::SERVICE_UNAVAILABLE));
+    }
+    // The failure is no evidence against the link of this process, as the link of the member has failed as well.
+    let connecting = monoio::net::TcpStream::connect_addr(address.into());
+    match monoio::time::timeout(CONNECT_TIMEOUT, connecting).await {
+        Ok(Ok(stream)) => Ok(stream),
+        Ok(Err(error)) => {
+            let is_reliable = context.reach.borrow().is_reliable(context.now(), &service);
+            let status = match error.kind() {
+                io::ErrorKind::ConnectionRefused => member_relay::REFUSED_STATUS,
+                _ => http::StatusCode::SERVICE_UNAVAILABLE,
+            };
+            Err(RelayRefusal { status, is_doubtful: !is_reliable })
+        }
+        Err(_) => Err(RelayRefusal::of_request(http::StatusCode::GATEWAY_TIMEOUT)),
+    }
+}
+
+/// Returns whether a request comes from a known start of a member.
+fn is_from_member(context: &context::InstanceContext, head: &http::request::Parts) -> bool {
+    let boot = head.headers.get(member_relay::MEMBER_BOOT).and_then(|value| value.to_str().ok());
+    let boot = boot.and_then(|text| text.parse().ok());
+    boot.is_some_and(|boot| context.members.borrow().name_of_boot(boot).is_some())
+}
+
+/// Returns the service of the upstream that is listed with an address.
+fn listed_service(
+    context: &context::InstanceContext,
+    address: net::SocketAddrV4,
+) -> Option<ids::ServiceId> {
+    let fleet = context.fleet.borrow();
+    let listed = fleet.list.entries().find(|entry| entry.address == address);
+    listed.map(|entry| entry.service.clone())
+}
+
+/// Both directions of a connection.
+struct ConnectionSides {
+    reader: h1::MessageReader,
+    writer: h1::MessageWriter,
+}
+
+/// Which side the last bytes came from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum LastBytes {
+    /// The upstream still owes an answer.
+    Member,
+    Upstream(units::MonoTime),
+}
+
+/// State of the forwarding on one relayed connection.
+struct ForwardState<'a> {
+    context: &'a context::InstanceContext,
+    last: cell::Cell<LastBytes>,
+}
+
+impl ForwardState<'_> {
+    /// Forwards bytes in both directions until one ends, or until the connection is idle during a graceful stop.
+    async fn forward(
+        &self,
+        number: u64,
+        mut member: ConnectionSides,
+        mut upstream: ConnectionSides,
+    ) {
+        let ended = {
+            let to_upstream = self.copy(&mut member.reader, &mut upstream.writer, || {
+                self.last.set(LastBytes::Member);
+            });
+            let to_member = self.copy(&mut upstream.reader, &mut member.writer, || {
+                self.last.set(LastBytes::Upstream(self.context.now()));
+            });
+            let (to_upstream, to_member) = (std::pin::pin!(to_upstream), std::pin::pin!(to_member));
+            let idle = std::pin::pin!(self.until_idle_at_stop());
+            let forwarding = future::select(to_upstream, to_member);
+            match future::select(forwarding, idle).await {
+                future::Either::Left((future::Either::Left((Err(_), to_member)), _)) => {
+                    monoio::time::timeout(EARLY_ANSWER_TIME, to_member).await.ok()
+                }
+                future::Either::Left((future::Either::Right((ended, _)), _)) => Some(ended),
+                _ => None,
+            }
+        };
+        if let Some(Ok(())) = ended {
+            self.context.relayed.borrow_mut().note_closed_by_upstream(number);
+            if member.writer.shutdown().await.is_ok() {
+                let _ = monoio::time::timeout(LINGER_TIMEOUT, member.reader.fill()).await;
+            }
+        }
+    }
+
+    /// Copies bytes of one direction until its sender closes the connection; calls `note` for each piece.
+    async fn copy(
+        &self,
+        reader: &mut h1::MessageReader,
+        writer: &mut h1::MessageWriter,
+        note: impl Fn(),
+    ) -> Result<(), h1::MessageError> {
+        let mut framing = h1::BodyFraming::UntilClose;
+        while let Some(piece) = reader.next_piece(&mut framing).await? {
+            note();
+            writer.write(piece).await?;
+            reader.free_empty_buffer();
+        }
+        Ok(())
+    }
+
+    /// Completes during a graceful stop, once the upstream has sent bytes and then none for [`IDLE_TIME`].
+    async fn until_idle_at_stop(&self) {
+        // The sender is dropped only with the process.
+        let _ = self.context.closing.clone().await;
+        loop {
+            let now = self.context.now();
+            if matches!(self.last.get(), LastBytes::Upstream(at) if now.since(at) >= IDLE_TIME) {
+                return;
+            }
+            monoio::time::sleep(IDLE_CHECK_INTERVAL).await;
+        }
+    }
+}
--- a/crates/instance/src/request_record.rs
+++ b/crates/instance/src/request_record.rs
@@ -16,6 +16,10 @@
     /// ages and sources.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub known: Option<String>,
+    /// The member that relayed the connection, and for how long this instance had reached no upstream of the service;
+    /// absent if the connection was direct.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub relayed: Option<String>,
     /// Number of further engines that processed parts of the prompt.
     #[serde(skip_serializing_if = "is_zero")]
     pub helpers: usize,
--- a/crates/instance/src/service_request.rs
+++ b/crates/instance/src/service_request.rs
@@ -95,6 +95,7 @@
     let mut reused_silent = None;
     let mut new_connection = false;
     let mut unavailable = None;
+    let mut unreached = 0;
     for _ in 0..MAX_TRIES {
         if sent >= call.route.max_attempts {
             break;
@@ -144,6 +145,7 @@
         let start = AttemptStart { entry: &entry, permit, new_connection };
         let result = attempt(context, call, start, give_up).await;
         if let Some(attempt_record) = record.attempts.last_mut() {
+            attempt_record.relayed = call.relayed.take();
             attempt_record.end = match &result {
                 Ok(reply) => format!("status {}", reply.status().as_u16()),
                 Err(fault) => fault.text.clone(),
@@ -170,6 +172,10 @@
                 if fault.failure.reached_no_upstream() {
                     // No upstream received anything, so the retry permit stays valid.
                     retry_taken = sent > 0;
+                    unreached += u32::from(fault.failure == retry::AttemptFailure::NotConnected);
+                    if no_open_upstream::is_unreachable(context, call, unreached) {
+                        break;
+                    }
                 } else {
                     sent += 1;
                 }
@@ -192,7 +198,9 @@
         _ => refusal::RefusalCode::UpstreamFailed,
     };
     let mut retry_after = DEFAULT_RETRY_AFTER;
-    if let Some(reason) = unavailable.or_else(|| {
+    let left = call.left(context.now());
+    let unreachable = no_open_upstream::unreachable_reason(context, &call.service, unreached, left);
+    if let Some(reason) = unreachable.or(unavailable).or_else(|| {
         no_open_upstream::no_upstream_reason(context, &call.service, call.left(context.now()))
     }) {
         text = reason.to_string();
--- a/crates/instance/src/silence_watch.rs
+++ b/crates/instance/src/silence_watch.rs
@@ -158,7 +158,10 @@
         let body = match engine_call::report(self.context, engine, PROBE_TIMEOUT).await {
             Ok(body) => body,
             Err(engine_call::EngineCallError::Denied { .. }) => return Some(None),
-            Err(engine_call::EngineCallError::Call { .. }) => return None,
+            Err(
+                engine_call::EngineCallError::Connect { .. }
+                | engine_call::EngineCallError::Call { .. },
+            ) => return None,
         };
         let report = self.context.adapter.parse_report(&body).ok();
         let start = report.as_ref().and_then(|report| report.start);
--- a/crates/instance/src/upstream_attempt.rs
+++ b/crates/instance/src/upstream_attempt.rs
@@ -4,14 +4,12 @@
 
 use bytes::{Bytes, BytesMut};
 use futures::future;
-use slipturn_core::{
-    connection_silence, ids, quota_permit, retry, upstream_notice, upstream_reach,
-};
+use slipturn_core::{connection_silence, ids, quota_permit, retry, units, upstream_notice};
 use slipturn_net::h1;
 
 use crate::{
-    adapter, context, incoming_call, upstream_ends, upstream_gate, upstream_links, upstream_pool,
-    upstream_signals, upstream_silence, upstream_starts,
+    adapter, context, incoming_call, upstream_connect, upstream_ends, upstream_gate,
+    upstream_links, upstream_pool, upstream_signals, upstream_silence, upstream_starts,
 };
 
 /// How long to wait for an answer after writing the request failed: the upstream may have answered
@@ -117,14 +115,15 @@
         mut give_up: impl AsyncFnMut(RetryReach) -> bool,
     ) -> Result<LeadingBody, AttemptFault> {
         let mut body = BytesMut::new();
+        let times = rc::Rc::clone(&self.connection.times);
         while body.len() <= max_bytes {
-            let next = self.connection.reader.next_piece(&mut self.framing);
+            let next = self.connection.next_piece(&mut self.framing);
             let mut next = std::pin::pin!(next);
             let piece = match monoio::time::timeout(silence, next.as_mut()).await {
                 Ok(piece) => piece,
                 Err(_) if give_up(RetryReach::OtherUpstream).await => {
                     let phase = connection_silence::SilencePhase::MidAnswer;
-                    let times = &self.connection.times;
+                    let times = &times;
                     let waited = silence;
                     let wait = upstream_silence::SilentWait { upstream, times, phase, waited };
                     let cause = upstream_silence::note(context, &wait).label();
@@ -135,7 +134,7 @@
             let Some(piece) = piece.map_err(AttemptFault::broke)? else {
                 return Ok(LeadingBody { bytes: body.freeze(), whole: true });
             };
-            self.connection.times.receive();
+            times.receive();
             body.extend_from_slice(&piece);
         }
         let whole = self.framing.ended();
@@ -194,17 +193,22 @@
     // backoff, limit) again right before the first byte is sent.
     upstream_gate::check_request(context, target)?;
     let retry_allowed = call.route.repeat.allows_repeat() && call.route.max_attempts > 1;
-    let begun = context.now();
+    let connect_target = upstream_connect::ConnectTarget {
+        service: &call.service,
+        address: target.address,
+        may_repeat: call.route.repeat.allows_repeat(),
+    };
     let opened = if new_connection || !retry_allowed {
-        context.pool.open(target.address).await
+        upstream_connect::open(context, connect_target).await
     } else {
-        context.pool.get(target.address).await
+        upstream_connect::get(context, connect_target).await
     };
     let not_connected = retry::AttemptFailure::NotConnected;
+    if let Ok(connection) = &opened {
+        let relay = connection.times.relay();
+        call.relayed.replace(relay.map(|member| describe_relay(context, call, member)));
+    }
     opened.map_err(|error| {
-        let (service, address) = (&call.service, target.address);
-        let attempt = upstream_reach::LinkAttempt { service, address, opened: begun };
-        upstream_links::note_failure(context, attempt);
         if error.is_connection_refused() {
             context.report_run(upstream_ends::RunEvent::Refused(target.upstream.clone()));
         }
@@ -212,6 +216,19 @@
     })
 }
 
+/// Describes a relayed connection for the record of its attempt.
+fn describe_relay(
+    context: &context::InstanceContext,
+    call: &incoming_call::IncomingCall,
+    member: &ids::InstanceId,
+) -> String {
+    let since = context.reach.borrow().lost_since(&call.service);
+    match since.map(|since| units::whole_millis(context.now().since(since))) {
+        Some(lost_ms) => format!("by {member}, no upstream reached for {lost_ms} ms"),
+        None => format!("by {member}"),
+    }
+}
+
 /// Sends a request over a connection and reads the head of its answer.
 ///
 /// After each limit of `wait` the attempt is given up if `give_up` returns true. Otherwise it
--- a/crates/instance/src/upstream_ends.rs
+++ b/crates/instance/src/upstream_ends.rs
@@ -9,7 +9,9 @@
 use futures::{StreamExt as _, channel::mpsc};
 use slipturn_core::{ids, request_digest, send_gate, units};
 
-use crate::{context, incoming_call, quarantine_gossip, upstream_attempt, upstream_gate};
+use crate::{
+    context, incoming_call, quarantine_gossip, upstream_attempt, upstream_connect, upstream_gate,
+};
 
 /// Delay between a broken run and a test connection to its upstream. A process that has ended refuses at once, but its
 /// connections may be reset shortly before its listener is closed. Only one test connection at a time is opened for the
@@ -264,11 +266,14 @@
     delay: time::Duration,
 ) {
     monoio::time::sleep(delay).await;
-    if upstream_gate::check_send(&context, &upstream, send_gate::SendKind::Check, &[]).is_err() {
+    let service = context.fleet.borrow().list.entry(&upstream).map(|entry| entry.service.clone());
+    let allowed = upstream_gate::check_send(&context, &upstream, send_gate::SendKind::Check, &[]);
+    let Some(service) = service.filter(|_| allowed.is_ok()) else {
         context.report_run(RunEvent::Checked(upstream, ProbeResult::Silent));
         return;
-    }
-    let result = match context.pool.open(address).await {
+    };
+    let target = upstream_connect::ConnectTarget { service: &service, address, may_repeat: true };
+    let result = match upstream_connect::open(&context, target).await {
         Ok(_) => ProbeResult::Accepts,
         Err(error) if error.is_connection_refused() => ProbeResult::ConnectionRefused,
         Err(_) => ProbeResult::Silent,
--- a/crates/instance/src/upstream_links.rs
+++ b/crates/instance/src/upstream_links.rs
@@ -30,7 +30,17 @@
     service: &ids::ServiceId,
     times: &upstream_pool::ConnectionTimes,
 ) {
-    let opened = context.now().earlier_by(times.age());
+    let now = context.now();
+    if let Some(member) = times.relay() {
+        let mut relays = context.relays.borrow_mut();
+        if times.has_received() {
+            relays.note_success(member);
+        } else {
+            relays.note_failure(now, member);
+        }
+        return;
+    }
+    let opened = now.earlier_by(times.age());
     let attempt = upstream_reach::LinkAttempt { service, address: times.address(), opened };
     if times.has_received() {
         note_answer(context, attempt);
--- a/crates/instance/src/upstream_pool.rs
+++ b/crates/instance/src/upstream_pool.rs
@@ -1,16 +1,13 @@
 //! Connection pool for upstreams. A connection carries one request at a time.
 
-use std::{cell, collections, io, net, rc, time};
+use std::{cell, collections, net, rc, time};
 
 use futures::FutureExt as _;
-use slipturn_core::connection_silence;
+use slipturn_core::{connection_silence, ids};
 use slipturn_net::{boot_clock, h1};
-use snafu::Snafu;
 
-use crate::upstream_gate;
+use crate::{member_relay, upstream_connect, upstream_gate};
 
-/// Timeout of a connection attempt, which takes a few milliseconds within a region.
-const CONNECT_TIMEOUT: time::Duration = time::Duration::from_millis(400);
 /// Maximum number of idle connections to one upstream.
 pub(crate) const MAX_IDLE_CONNECTIONS: usize = 4;
 /// Maximum time for which a connection is kept idle.
@@ -18,34 +15,6 @@
 /// How long before the upstream's keep-alive timeout an idle connection is closed.
 const IDLE_MARGIN: time::Duration = time::Duration::from_millis(900);
 
-/// A failed connection attempt; nothing was sent.
-#[derive(Debug, Snafu)]
-pub enum ConnectError {
-    /// The operating system returned an error.
-    #[snafu(display("cannot connect: {source}"))]
-    Refused {
-        /// The error that the operating system returned.
-        source: io::Error,
-    },
-    /// The attempt timed out.
-    #[snafu(display("no connection within {CONNECT_TIMEOUT:?}"))]
-    Silent,
-}
-
-impl ConnectError {
-    /// Returns whether the peer's system refused or reset the connection, as when no process listens
-    /// on the address.
-    pub fn is_connection_refused(&self) -> bool {
-        let refused = |source: &io::Error| {
-            matches!(
-                source.kind(),
-                io::ErrorKind::ConnectionRefused | io::ErrorKind::ConnectionReset
-            )
-        };
-        matches!(self, Self::Refused { source } if refused(source))
-    }
-}
-
 /// When a connection was opened, and when bytes were last received on it.
 #[derive(Debug)]
 pub struct ConnectionTimes {
@@ -53,6 +22,8 @@
     opened: boot_clock::BootInstant,
     /// When bytes were last received; `None` if there were none yet.
     received: cell::Cell<Option<boot_clock::BootInstant>>,
+    /// The member that relays the connection; `None` if it is direct.
+    relay: Option<ids::InstanceId>,
 }
 
 impl ConnectionTimes {
@@ -66,6 +37,11 @@
         self.address
     }
 
+    /// Returns the member that relays the connection; `None` if it is direct.
+    pub(crate) fn relay(&self) -> Option<&ids::InstanceId> {
+        self.relay.as_ref()
+    }
+
     /// Returns the time since the connection was opened.
     pub(crate) fn age(&self) -> time::Duration {
         self.opened.elapsed()
@@ -90,6 +66,8 @@
     /// Reads what the upstream sends.
     pub reader: h1::MessageReader,
     writer: h1::MessageWriter,
+    /// The member that relays the connection; `None` if it is direct.
+    relay: Option<member_relay::ConnectionRelay>,
     /// Whether the connection was used for an earlier request.
     pub used: bool,
     /// When the connection was opened and last received bytes.
@@ -104,6 +82,32 @@
     ) -> (&mut h1::MessageReader, &mut h1::MessageWriter) {
         (&mut self.reader, &mut self.writer)
     }
+
+    /// Returns both sides by value, for a call that passed the gate.
+    pub(crate) fn into_sides(
+        self,
+        _pass: &upstream_gate::SendPass<'_>,
+    ) -> (h1::MessageReader, h1::MessageWriter) {
+        (self.reader, self.writer)
+    }
+
+    /// Waits for bytes of a body like [`h1::MessageReader::next_piece`]. A body that ends with its connection is complete
+    /// only if the upstream closed the connection, which may also have broken together with its relay.
+    pub async fn next_piece(
+        &mut self,
+        framing: &mut h1::BodyFraming,
+    ) -> Result<Option<bytes::Bytes>, h1::MessageError> {
+        let until_close = *framing == h1::BodyFraming::UntilClose;
+        let piece = self.reader.next_piece(framing).await?;
+        if until_close
+            && piece.is_none()
+            && let Some(relay) = &self.relay
+            && !relay.ended_by_upstream().await
+        {
+            return Err(h1::MessageError::Closed);
+        }
+        Ok(piece)
+    }
 }
 
 #[derive(Debug)]
@@ -131,38 +135,23 @@
 }
 
 impl UpstreamPool {
-    /// Returns an idle connection, or opens a new one if there is none.
-    pub async fn get(
+    /// Registers a connection that has just been opened.
+    pub(crate) fn register(
         &self,
         address: net::SocketAddrV4,
-    ) -> Result<UpstreamConnection, ConnectError> {
-        match self.take_idle(address) {
-            Some(connection) => Ok(connection),
-            None => self.open(address).await,
-        }
-    }
-
-    /// Opens a new connection, even if the pool has an idle one; fails after `CONNECT_TIMEOUT`.
-    pub async fn open(
-        &self,
-        address: net::SocketAddrV4,
-    ) -> Result<UpstreamConnection, ConnectError> {
-        let connecting = monoio::net::TcpStream::connect_addr(address.into());
-        let connected = monoio::time::timeout(CONNECT_TIMEOUT, connecting).await;
-        let Ok(connected) = connected else {
-            return SilentSnafu.fail();
-        };
-        let stream = connected.map_err(|source| ConnectError::Refused { source })?;
-        let (reader, writer) = h1::split(stream);
+        opened: upstream_connect::OpenedConnection,
+    ) -> UpstreamConnection {
+        let upstream_connect::OpenedConnection { reader, writer, relay } = opened;
         let received = cell::Cell::new(None);
-        let times = ConnectionTimes { address, opened: boot_clock::BootInstant::now(), received };
-        let times = rc::Rc::new(times);
+        let opened = boot_clock::BootInstant::now();
+        let member = relay.as_ref().map(|relay| relay.member.clone());
+        let times = rc::Rc::new(ConnectionTimes { address, opened, received, relay: member });
         self.connection_times
             .borrow_mut()
             .entry(address)
             .or_default()
             .push(rc::Rc::downgrade(&times));
-        Ok(UpstreamConnection { reader, writer, used: false, times })
+        UpstreamConnection { reader, writer, relay, used: false, times }
     }
 
     /// Returns a connection to the pool after its last answer was read completely. It is kept for the
@@ -258,10 +247,15 @@
         before - count(&idle)
     }
 
-    fn take_idle(&self, address: net::SocketAddrV4) -> Option<UpstreamConnection> {
+    /// Returns an idle connection to an address for which `is_usable` holds, given its relay.
+    pub(crate) fn take_idle(
+        &self,
+        address: net::SocketAddrV4,
+        is_usable: impl Fn(Option<&member_relay::ConnectionRelay>) -> bool,
+    ) -> Option<UpstreamConnection> {
         let now = boot_clock::BootInstant::now();
         loop {
-            let mut idle = self.idle.borrow_mut().get_mut(&address)?.pop()?;
+            let mut idle = self.take_last(address, &is_usable)?;
             // If there is anything to read, the upstream closed the connection or sent unrequested bytes.
             let silent = idle.connection.reader.fill().now_or_never().is_none();
             if idle.until > now && silent {
@@ -269,6 +263,19 @@
             }
         }
     }
+
+    /// Removes the youngest idle connection to an address for which `is_usable` holds.
+    fn take_last(
+        &self,
+        address: net::SocketAddrV4,
+        is_usable: &impl Fn(Option<&member_relay::ConnectionRelay>) -> bool,
+    ) -> Option<PooledConnection> {
+        let mut idle = self.idle.borrow_mut();
+        let pooled = idle.get_mut(&address)?;
+        let index =
+            pooled.iter().rposition(|pooled| is_usable(pooled.connection.relay.as_ref()))?;
+        Some(pooled.remove(index))
+    }
 }
 
 /// Returns the ages of all open connections except `excluded`.
--- a/crates/trial/tests/silent_upstreams.rs
+++ b/crates/trial/tests/silent_upstreams.rs
@@ -38,7 +38,10 @@
         let proxies: Vec<sync::Arc<proxy::Proxy>> = fleet
             .services
             .iter()
-            .map(|service| proxy::Proxy::start(support::free_address(), service.address).unwrap())
+            .map(|service| {
+                proxy::Proxy::start(support::free_address(), service.address, &sync::Arc::default())
+                    .unwrap()
+            })
             .collect();
         for (row, proxy) in list["upstreams"].as_array_mut().unwrap().iter_mut().zip(&proxies) {
             row["address"] = serde_json::json!(proxy.address.to_string());
--- a/crates/trial/tests/support/mod.rs
+++ b/crates/trial/tests/support/mod.rs
@@ -166,7 +166,7 @@
             wait_until("a stand-in listens", || net::TcpStream::connect(process.address).ok());
         }
         let platform_proxy = config.platform_proxy.then(|| {
-            proxy::Proxy::start(free_address(), platform.address)
+            proxy::Proxy::start(free_address(), platform.address, &sync::Arc::default())
                 .expect("failed to start the platform proxy")
         });
         let list = build_list(config.instances, &engines, &services);
