Poll an engine through a member before a planner ejects it for all

Cause: a planner took its own failed poll, and each broken connection that a member reported, for the engine's failure. Same class as the relays: one link's view taken for everybody's. Change: a broken connection makes the planner poll the engine instead of ejecting it; a poll that fails is repeated through a member before it counts; a refusal proves an upstream's end only if all members that are asked (three at most) find the same, and members that can't tell come last.

Ruled out: ending the search at the first member that answers 'refused' and had an answer within 500 ms: members cut off at the same moment confirm each other (36 ejections in one second).

--- a/crates/core/src/upstream_reach.rs
+++ b/crates/core/src/upstream_reach.rs
@@ -11,8 +11,9 @@
 
 use crate::{ids, units};
 
-/// Number of upstreams that must fail before their service counts as unreachable, if the list has as many.
-const MIN_FAILED_UPSTREAMS: usize = 2;
+/// Smallest and largest number of upstreams that must fail before their service counts as unreachable. Between them, it
+/// is half of the listed ones, as several upstreams may fail at the same time.
+const FAILED_UPSTREAMS: std::ops::RangeInclusive<usize> = 2..=2;
 /// Age from which a failure is no longer evidence.
 const MAX_FAILURE_AGE: time::Duration = time::Duration::from_secs(10);
 /// Failures in a row after which connections to an upstream are relayed.
@@ -24,7 +25,7 @@
 /// Longest pause between two probes of a link.
 const MAX_PROBE_PAUSE: time::Duration = time::Duration::from_secs(2);
 /// Age up to which an answer shows that the links of this process work.
-const MAX_ANSWER_AGE: time::Duration = time::Duration::from_secs(3);
+const MAX_ANSWER_AGE: time::Duration = time::Duration::from_millis(500);
 /// Time for which no connection to an upstream is relayed after a relay could not reach it either.
 const UNRELAYED_TIME: time::Duration = time::Duration::from_secs(1);
 
@@ -125,7 +126,8 @@
             link.failures > 0 && self.last_good_open.is_none_or(|last| link.opened > last)
         };
         let failed = self.links.values().filter(is_recent).count();
-        failed >= MIN_FAILED_UPSTREAMS.min(listed.max(1))
+        let needed = listed.div_ceil(2).clamp(*FAILED_UPSTREAMS.start(), *FAILED_UPSTREAMS.end());
+        failed >= needed.min(listed.max(1))
     }
 
     /// Records that a connection opened at `opened` works; returns the change if the service was unreachable.
--- a/crates/core/tests/upstream_reach.rs
+++ b/crates/core/tests/upstream_reach.rs
@@ -9,7 +9,7 @@
 };
 
 /// Number of upstreams in the list of each service.
-const LISTED: usize = 5;
+const LISTED: usize = 4;
 
 /// The evidence, with short calls to note attempts at a service's upstreams; times are in milliseconds.
 #[derive(Default)]
@@ -99,6 +99,17 @@
     }
 }
 
+#[test]
+fn half_of_the_upstreams_or_six_must_fail_before_their_service_is_lost() {
+    for (listed, needed) in [(1, 1), (2, 2), (3, 2), (4, 2), (7, 4), (12, 6), (18, 6), (997, 6)] {
+        let mut evidence = Evidence::default();
+        let lost: Vec<_> = (1..=needed)
+            .map(|number| evidence.failure_of(listed, 20, "m", number, 10).is_some())
+            .collect();
+        assert_eq!(lost.iter().position(|lost| *lost), Some(usize::from(needed) - 1), "{listed}");
+    }
+}
+
 #[test]
 fn the_failure_of_the_only_listed_upstream_makes_its_service_lost() {
     let mut evidence = Evidence::default();
@@ -151,10 +162,10 @@
     let mut evidence = Evidence::default();
     evidence.failure(10, "m", 1, 9);
     evidence.failure(20, "m", 2, 19);
-    assert!((1..=5).all(|number| evidence.path(21, "m", number) == LinkPath::Relayed));
+    assert!((1..=4).all(|number| evidence.path(21, "m", number) == LinkPath::Relayed));
     assert_eq!(evidence.path(21, "p", 9), LinkPath::Direct);
     evidence.answer(1_000, "m", 1, 900);
-    assert_eq!(evidence.path(1_001, "m", 5), LinkPath::Direct);
+    assert_eq!(evidence.path(1_001, "m", 4), LinkPath::Direct);
 }
 
 #[test]
@@ -210,8 +221,8 @@
     let is_reliable = |evidence: &Evidence, now| evidence.0.is_reliable(at(now), &service_id("m"));
     assert!(!is_reliable(&evidence, 0));
     evidence.answer(10, "m", 3, 5);
-    assert!(is_reliable(&evidence, 3_000));
-    assert!(!is_reliable(&evidence, 3_010));
+    assert!(is_reliable(&evidence, 500));
+    assert!(!is_reliable(&evidence, 510));
     evidence.answer(4_000, "m", 3, 3_990);
     evidence.failure(4_010, "m", 1, 4_009);
     evidence.failure(4_020, "m", 2, 4_019);
--- a/crates/instance/src/engine_call.rs
+++ b/crates/instance/src/engine_call.rs
@@ -4,10 +4,10 @@
 
 use bytes::Bytes;
 use slipturn_core::{ids, quota_permit, send_gate, upstream_notice};
-use snafu::Snafu;
+use snafu::{ResultExt as _, Snafu};
 
 use crate::{
-    adapter, context, document_call, upstream_connect, upstream_gate, upstream_links,
+    adapter, context, document_call, member_relay, upstream_connect, upstream_gate, upstream_links,
     upstream_pool, upstream_signals,
 };
 
@@ -47,6 +47,33 @@
     }
 }
 
+/// Why a report was not obtained through a member.
+#[derive(Debug, Snafu)]
+pub(crate) enum RelayedReportError {
+    /// No member relayed the connection.
+    #[snafu(display("{source}"))]
+    Relay {
+        /// Why no member relayed it.
+        source: member_relay::RelayError,
+    },
+    /// The engine did not answer.
+    #[snafu(display("{source}"))]
+    Report {
+        /// Why the call failed.
+        source: EngineCallError,
+    },
+}
+
+impl RelayedReportError {
+    /// Returns whether the engine failed, as far as members can tell.
+    pub(crate) fn speaks_against_engine(&self) -> bool {
+        match self {
+            Self::Relay { source } => source.speaks_against_upstream() || source.confirms_refusal(),
+            Self::Report { .. } => true,
+        }
+    }
+}
+
 /// An engine and its network address.
 #[derive(Debug, Clone)]
 pub struct EngineAddress {
@@ -88,6 +115,18 @@
     send(context, to, (engine_order.kind, engine_order.permits), ("POST", &path, body), limit).await
 }
 
+/// Requests an engine's report through a member, after this process got none.
+pub(crate) async fn relayed_report(
+    context: &context::InstanceContext,
+    to: &EngineAddress,
+    service: &ids::ServiceId,
+    limit: time::Duration,
+) -> Result<Bytes, RelayedReportError> {
+    let target = upstream_connect::ConnectTarget { service, address: to.address, may_repeat: true };
+    let opened = upstream_connect::open_relayed_only(context, target).await.context(RelaySnafu)?;
+    report_over(context, to, Some(service), opened, limit).await.context(ReportSnafu)
+}
+
 /// Requests a report over a connection that has been opened for it.
 pub(crate) async fn report_over(
     context: &context::InstanceContext,
--- a/crates/instance/src/engine_fault.rs
+++ b/crates/instance/src/engine_fault.rs
@@ -24,6 +24,11 @@
         (AttemptFailure::SaidNotRun | AttemptFailure::Misdirected, Some(_))
         | (AttemptFailure::NotPrepared | AttemptFailure::Denied, _) => engine_place::PlaceEnd::Done,
         (AttemptFailure::SaidNotRun, None) => engine_place::PlaceEnd::Full,
+        // The planner polls the engine before it ejects it: only a connection may have failed.
+        (AttemptFailure::BrokeBeforeAnswer | AttemptFailure::BrokeMidAnswer, _) => {
+            engine_place::PlaceEnd::Silent
+        }
+        (AttemptFailure::NotConnected, _) if fault.link_doubt => engine_place::PlaceEnd::Silent,
         _ => engine_place::PlaceEnd::Failed,
     }
 }
--- a/crates/instance/src/engine_reports.rs
+++ b/crates/instance/src/engine_reports.rs
@@ -70,6 +70,16 @@
     }
 }
 
+/// Requests a report through a member, as only the links of this process may have failed: an ejection affects the requests
+/// of all members.
+async fn confirm(
+    context: &context::InstanceContext,
+    engine: &upstream_list::UpstreamEntry,
+    to: &engine_call::EngineAddress,
+) -> Result<bytes::Bytes, engine_call::RelayedReportError> {
+    engine_call::relayed_report(context, to, &engine.service, REPORT_TIMEOUT).await
+}
+
 async fn report(context: rc::Rc<context::InstanceContext>, engine: upstream_list::UpstreamEntry) {
     let requested_at = context.now();
     let to = engine_call::EngineAddress { engine: engine.name.clone(), address: engine.address };
@@ -77,11 +87,17 @@
         Ok(body) => body,
         // Nothing was sent, as `upstream_gate` denied the poll, so it is unknown whether the engine answers.
         Err(engine_call::EngineCallError::Denied { .. }) => return,
-        Err(error) => {
-            log::info!(engine:% = engine.name, error:%; "engine.silent");
-            context.planners.borrow_mut().eject(context.now(), &engine.name);
-            return;
-        }
+        Err(error) => match confirm(&context, &engine, &to).await {
+            Ok(body) => body,
+            Err(relay_error) => {
+                log::info!(engine:% = engine.name, error:%, relay_error:%; "engine.silent");
+                let is_lost = context.reach.borrow().lost_since(&engine.service).is_some();
+                if relay_error.speaks_against_engine() && !is_lost {
+                    context.planners.borrow_mut().eject(context.now(), &engine.name);
+                }
+                return;
+            }
+        },
     };
     match context.adapter.parse_report(&body) {
         Ok(report) => {
--- a/crates/instance/src/member_relay.rs
+++ b/crates/instance/src/member_relay.rs
@@ -67,12 +67,12 @@
 }
 
 impl RelayError {
-    /// Returns whether nothing listens at the upstream's address, as a member found that reaches other upstreams.
+    /// Returns whether nothing listens at the upstream's address, as far as members see.
     pub(crate) fn is_refused(&self) -> bool {
         matches!(self, Self::Refused { .. })
     }
 
-    /// Returns whether the upstream did not answer the relay either.
+    /// Returns whether the upstream failed, as far as the members that were asked see.
     pub(crate) fn speaks_against_upstream(&self) -> bool {
         let timeout = http::StatusCode::GATEWAY_TIMEOUT.as_u16();
         self.is_refused() || matches!(self, Self::Status { status } if *status == timeout)
@@ -145,7 +145,6 @@
         pending.push(ask(context, member, upstream, left));
         match first_result(&mut pending, NEXT_RELAY_DELAY.min(left)).await {
             Some(Ok(connection)) => return Ok(connection),
-            Some(Err(error @ RelayError::Refused { doubtful: false })) => return Err(error),
             Some(Err(error)) => last_error = worse(last_error, error),
             None => {}
         }
@@ -161,7 +160,8 @@
     Err(last_error)
 }
 
-/// Combines the errors of two members. Doubtful refusals count as the upstream's own if all members found the same.
+/// Combines the errors of two members. A refusal counts as the upstream's own only if all members that are asked find the
+/// same: one of them may be cut off as well.
 fn worse(first: RelayError, second: RelayError) -> RelayError {
     match (&first, &second) {
         (RelayError::NoMember | RelayError::Refused { .. }, _) => second,
@@ -204,7 +204,9 @@
     let result = asked.unwrap_or_else(|_| SilentSnafu { limit }.fail());
     let now = context.now();
     match &result {
-        Ok(_) | Err(RelayError::Refused { .. }) => context.relays.borrow_mut().note_success(&name),
+        Ok(_) | Err(RelayError::Refused { doubtful: false }) => {
+            context.relays.borrow_mut().note_success(&name);
+        }
         Err(error) => {
             log::debug!(member:% = name, error:%; "relay.failed");
             context.relays.borrow_mut().note_failure(now, &name);
--- a/crates/instance/src/upstream_attempt.rs
+++ b/crates/instance/src/upstream_attempt.rs
@@ -25,13 +25,16 @@
     pub at_fault: Option<net::SocketAddrV4>,
     /// Whether a reused connection was silent, so that the upstream itself may be healthy.
     pub reused_silent: bool,
+    /// Whether a link of this process may have failed rather than the upstream.
+    pub link_doubt: bool,
     /// Description of the failure, for the request's record and the refusal.
     pub text: String,
 }
 
 impl AttemptFault {
     pub(crate) fn new(failure: retry::AttemptFailure, text: impl ToString) -> Self {
-        Self { failure, at_fault: None, reused_silent: false, text: text.to_string() }
+        let text = text.to_string();
+        Self { failure, at_fault: None, reused_silent: false, link_doubt: false, text }
     }
 
     /// Creates the fault of a request whose upstream was restarted before it answered; the request may
@@ -212,7 +215,8 @@
         if error.is_connection_refused() {
             context.report_run(upstream_ends::RunEvent::Refused(target.upstream.clone()));
         }
-        AttemptFault::new(not_connected, error)
+        let link_doubt = !error.is_confirmed();
+        AttemptFault { link_doubt, ..AttemptFault::new(not_connected, error) }
     })
 }
 
@@ -344,6 +348,7 @@
             failure,
             at_fault: answer.head_fields.at_fault,
             reused_silent: false,
+            link_doubt: false,
             text: format!("not run: status {}", answer.head.status.as_u16()),
         };
         drain_refusal(context, &target.upstream, answer).await;
--- a/crates/instance/src/upstream_connect.rs
+++ b/crates/instance/src/upstream_connect.rs
@@ -51,6 +51,11 @@
 }
 
 impl ConnectError {
+    /// Returns whether the upstream failed, as far as this process and other members can tell.
+    pub(crate) fn is_confirmed(&self) -> bool {
+        matches!(self, Self::Refused { .. })
+    }
+
     /// Returns whether the upstream's system refused or reset the connection, as when no process listens on the
     /// address.
     pub fn is_connection_refused(&self) -> bool {
@@ -108,6 +113,15 @@
     Ok(context.pool.register(target.address, opened))
 }
 
+/// Opens a new connection to an upstream through a member only.
+pub(crate) async fn open_relayed_only(
+    context: &context::InstanceContext,
+    target: ConnectTarget<'_>,
+) -> Result<upstream_pool::UpstreamConnection, member_relay::RelayError> {
+    let opened = open_relayed(context, target, CONNECT_TIMEOUT).await?;
+    Ok(context.pool.register(target.address, opened))
+}
+
 /// Opens a new connection to an upstream over the links of this process only.
 pub(crate) async fn open_direct_only(
     context: &context::InstanceContext,
