--- a/crates/core/src/upstream_reach.rs
+++ b/crates/core/src/upstream_reach.rs
@@ -11,9 +11,8 @@
 
 use crate::{ids, units};
 
-/// Smallest and largest number of upstreams that must fail before their service counts as unreachable. Between them, it
-/// is half of the listed ones, as several upstreams may fail at the same time.
-const FAILED_UPSTREAMS: std::ops::RangeInclusive<usize> = 2..=2;
+/// Number of upstreams that must fail before their service counts as unreachable, if the list has as many.
+const MIN_FAILED_UPSTREAMS: usize = 2;
 /// Age from which a failure is no longer evidence.
 const MAX_FAILURE_AGE: time::Duration = time::Duration::from_secs(10);
 /// Failures in a row after which connections to an upstream are relayed.
@@ -126,8 +125,7 @@
             link.failures > 0 && self.last_good_open.is_none_or(|last| link.opened > last)
         };
         let failed = self.links.values().filter(is_recent).count();
-        let needed = listed.div_ceil(2).clamp(*FAILED_UPSTREAMS.start(), *FAILED_UPSTREAMS.end());
-        failed >= needed.min(listed.max(1))
+        failed >= MIN_FAILED_UPSTREAMS.min(listed.max(1))
     }
 
     /// Records that a connection opened at `opened` works; returns the change if the service was unreachable.
