Try a link that seems cut also for what must not repeat, if no member relays

Cause: such calls alone had no direct path while a service seemed unreachable. A refusal is right if the links are cut, and a loss for all if only the evidence is wrong. Change: the second path is direct for every request, as it was for those that may repeat. What stays true: a connection that isn't opened leaves the request not run; one that was accepted and broke is answered 502, unknown.

--- a/crates/instance/src/engine_call.rs
+++ b/crates/instance/src/engine_call.rs
@@ -122,7 +122,7 @@
     service: &ids::ServiceId,
     limit: time::Duration,
 ) -> Result<Bytes, RelayedReportError> {
-    let target = upstream_connect::ConnectTarget { service, address: to.address, may_repeat: true };
+    let target = upstream_connect::ConnectTarget { service, address: to.address };
     let opened = upstream_connect::open_relayed_only(context, target).await.context(RelaySnafu)?;
     report_over(context, to, Some(service), opened, limit).await.context(ReportSnafu)
 }
@@ -153,8 +153,7 @@
     let service = context.fleet.borrow().list.entry(&to.engine).map(|entry| entry.service.clone());
     let opened = match &service {
         Some(service) => {
-            let target =
-                upstream_connect::ConnectTarget { service, address: to.address, may_repeat: true };
+            let target = upstream_connect::ConnectTarget { service, address: to.address };
             upstream_connect::open(context, target).await
         }
         None => upstream_connect::open_direct_only(context, to.address).await,
--- a/crates/instance/src/upstream_attempt.rs
+++ b/crates/instance/src/upstream_attempt.rs
@@ -196,11 +196,8 @@
     // backoff, limit) again right before the first byte is sent.
     upstream_gate::check_request(context, target)?;
     let retry_allowed = call.route.repeat.allows_repeat() && call.route.max_attempts > 1;
-    let connect_target = upstream_connect::ConnectTarget {
-        service: &call.service,
-        address: target.address,
-        may_repeat: call.route.repeat.allows_repeat(),
-    };
+    let connect_target =
+        upstream_connect::ConnectTarget { service: &call.service, address: target.address };
     let opened = if new_connection || !retry_allowed {
         upstream_connect::open(context, connect_target).await
     } else {
--- a/crates/instance/src/upstream_connect.rs
+++ b/crates/instance/src/upstream_connect.rs
@@ -36,12 +36,6 @@
         /// Why no member relayed the connection.
         relay: String,
     },
-    /// The link to the upstream seems cut, and no member relayed the connection.
-    #[snafu(display("cannot be reached; {relay}"))]
-    Unreachable {
-        /// Why no member relayed the connection.
-        relay: String,
-    },
     /// The attempt timed out.
     #[snafu(display("no connection within {limit:?}"))]
     Silent {
@@ -83,8 +77,6 @@
     /// Service of the upstream.
     pub(crate) service: &'a ids::ServiceId,
     pub(crate) address: net::SocketAddrV4,
-    /// Whether what is sent may be repeated. If not, it is not risked on a link that seems cut.
-    pub(crate) may_repeat: bool,
 }
 
 /// Returns a pooled connection to an upstream, or opens a new one if there is none.
@@ -155,13 +147,6 @@
         }
         upstream_reach::LinkPath::Relayed => {
             let relayed = open_relayed(context, target, limit);
-            let has_members = context.members.borrow().alive(context.now()).next().is_some();
-            if has_members && !target.may_repeat {
-                return relayed.await.map_err(|relay| {
-                    note_relay_failure(context, target, &relay);
-                    ConnectError::Unreachable { relay: relay.to_string() }
-                });
-            }
             let direct = open_direct(target.address, limit.min(UNREACHABLE_TIMEOUT));
             note_relayed_first(context, target, race(relayed, direct).await)
         }
@@ -171,7 +156,7 @@
 /// Returns the path for a connection to an upstream.
 fn path(
     context: &context::InstanceContext,
-    ConnectTarget { service, address, .. }: ConnectTarget<'_>,
+    ConnectTarget { service, address }: ConnectTarget<'_>,
 ) -> upstream_reach::LinkPath {
     match context.settings().experiments.upstream_path {
         modes::UpstreamPathMode::Relayed => {
@@ -254,7 +239,7 @@
     begun: units::MonoTime,
     raced: RaceResult<ConnectError, member_relay::RelayError>,
 ) -> Result<OpenedConnection, ConnectError> {
-    let ConnectTarget { service, address, .. } = target;
+    let ConnectTarget { service, address } = target;
     let attempt = upstream_reach::LinkAttempt { service, address, opened: begun };
     match raced {
         RaceResult::First(connection) => Ok(connection),
@@ -305,7 +290,7 @@
 /// Records that an upstream failed, if a relay found that.
 fn note_relay_failure(
     context: &context::InstanceContext,
-    ConnectTarget { service, address, .. }: ConnectTarget<'_>,
+    ConnectTarget { service, address }: ConnectTarget<'_>,
     error: &member_relay::RelayError,
 ) {
     if error.speaks_against_upstream() {
--- a/crates/instance/src/upstream_ends.rs
+++ b/crates/instance/src/upstream_ends.rs
@@ -272,7 +272,7 @@
         context.report_run(RunEvent::Checked(upstream, ProbeResult::Silent));
         return;
     };
-    let target = upstream_connect::ConnectTarget { service: &service, address, may_repeat: true };
+    let target = upstream_connect::ConnectTarget { service: &service, address };
     let result = match upstream_connect::open(&context, target).await {
         Ok(_) => ProbeResult::Accepts,
         Err(error) if error.is_connection_refused() => ProbeResult::ConnectionRefused,
