Eject an engine whose answers break, unless the links to its service seem cut

What callers would have seen: an engine that breaks each request and still answers reports kept its share: 26 of 192 prompts where 24 are allowed, and a stream cut after its second attempt met it again. Cause: since a planner polls after a broken connection, such an engine is never ejected. Change: the poll replaces the ejection only while the links of this instance to the service seem cut. Evidence: quick_faults::an_engine_that_fails_at_once_gets_few_prompts and system::a_broken_stream_is_resumed_at_another_engine_without_gap_or_repeat failed on the commit before and pass now.

--- a/crates/instance/src/engine_fault.rs
+++ b/crates/instance/src/engine_fault.rs
@@ -11,6 +11,7 @@
 /// Returns how the place (the assignment of the attempt to engines) ended, for the report to its
 /// planner, after an attempt that failed with `fault`.
 pub(crate) fn place_end(
+    context: &context::InstanceContext,
     hold: &plan_client::PlaceHold,
     fault: &upstream_attempt::AttemptFault,
 ) -> engine_place::PlaceEnd {
@@ -24,8 +25,10 @@
         (AttemptFailure::SaidNotRun | AttemptFailure::Misdirected, Some(_))
         | (AttemptFailure::NotPrepared | AttemptFailure::Denied, _) => engine_place::PlaceEnd::Done,
         (AttemptFailure::SaidNotRun, None) => engine_place::PlaceEnd::Full,
-        // The planner polls the engine before it ejects it: only a connection may have failed.
-        (AttemptFailure::BrokeBeforeAnswer | AttemptFailure::BrokeMidAnswer, _) => {
+        // The planner polls the engine before it ejects it, as only a link of this process may have failed.
+        (AttemptFailure::BrokeBeforeAnswer | AttemptFailure::BrokeMidAnswer, _)
+            if context.reach.borrow().lost_since(&hold.key().service).is_some() =>
+        {
             engine_place::PlaceEnd::Silent
         }
         (AttemptFailure::NotConnected, _) if fault.link_doubt => engine_place::PlaceEnd::Silent,
--- a/crates/instance/src/model_request.rs
+++ b/crates/instance/src/model_request.rs
@@ -223,7 +223,7 @@
     let end = run_place(context, call, reply, record, state, &mut hold, &mut attempt_record).await;
     if let Ok(AttemptEnd::Fault(fault)) = &end {
         attempt_record.end.clone_from(&fault.text);
-        hold.end = engine_fault::place_end(&hold, fault);
+        hold.end = engine_fault::place_end(context, &hold, fault);
         engine_fault::exclude_at_fault(context, state, &hold, fault);
     }
     attempt_record.relayed = call.relayed.take();
