--- a/crates/core/src/upstream_reach.rs
+++ b/crates/core/src/upstream_reach.rs
@@ -2,8 +2,8 @@
 //!
 //! A failure at one upstream has many causes. If new connections to several upstreams of a service fail and none
 //! succeeds meanwhile, the links of this process are the probable one. Only new connections count: those that are open
-//! may live on while new ones are refused, and a reused one may have died on its own. Services are told apart, as a
-//! partition may separate this process from the upstreams of one and not of another.
+//! may live on while new ones are refused, and a reused one may have failed independently. Services are told apart, as
+//! a partition may separate this process from the upstreams of one and not of another.
 //!
 //! A wrong conclusion costs one hop: a connection that is relayed by another member reaches the upstream as well.
 
@@ -285,10 +285,15 @@
         None
     }
 
-    /// Removes the state of services and upstreams that are not `known`.
-    pub fn retain(&mut self, known: impl Fn(&ids::ServiceId, net::SocketAddrV4) -> bool) {
-        for (service, reach) in &mut self.services {
-            reach.links.retain(|address, _| known(service, *address));
+    /// Whether there are no failed links, so that [`Self::retain`] would do nothing.
+    pub fn is_empty(&self) -> bool {
+        self.services.values().all(|reach| reach.links.is_empty())
+    }
+
+    /// Removes the links to upstreams that are not `known`.
+    pub fn retain(&mut self, known: impl Fn(net::SocketAddrV4) -> bool) {
+        for reach in self.services.values_mut() {
+            reach.links.retain(|address, _| known(*address));
         }
     }
 }
--- a/crates/instance/src/program.rs
+++ b/crates/instance/src/program.rs
@@ -174,9 +174,12 @@
         context.fleet.borrow_mut().list.forget_notices(context.now());
         let fleet = context.fleet.borrow();
         context.loads.borrow_mut().retain(|name| fleet.list.is_present(name));
+        if context.reach.borrow().is_empty() {
+            continue;
+        }
         let entries = fleet.list.entries();
         let listed: collections::HashSet<_> = entries.map(|entry| entry.address).collect();
-        context.reach.borrow_mut().retain(|_, address| listed.contains(&address));
+        context.reach.borrow_mut().retain(|address| listed.contains(&address));
     }
 }
 
--- a/crates/instance/src/upstream_connect.rs
+++ b/crates/instance/src/upstream_connect.rs
@@ -101,7 +101,7 @@
     context: &context::InstanceContext,
     target: ConnectTarget<'_>,
 ) -> Result<upstream_pool::UpstreamConnection, ConnectError> {
-    let opened = open_by_path(context, target, CONNECT_TIMEOUT).await?;
+    let opened = open_by_path(context, target).await?;
     Ok(context.pool.register(target.address, opened))
 }
 
@@ -110,7 +110,7 @@
     context: &context::InstanceContext,
     target: ConnectTarget<'_>,
 ) -> Result<upstream_pool::UpstreamConnection, member_relay::RelayError> {
-    let opened = open_relayed(context, target, CONNECT_TIMEOUT).await?;
+    let opened = open_relayed(context, target).await?;
     Ok(context.pool.register(target.address, opened))
 }
 
@@ -126,13 +126,12 @@
 async fn open_by_path(
     context: &context::InstanceContext,
     target: ConnectTarget<'_>,
-    limit: time::Duration,
 ) -> Result<OpenedConnection, ConnectError> {
     let begun = context.now();
-    let direct = open_direct(target.address, limit);
+    let direct = open_direct(target.address, CONNECT_TIMEOUT);
     match path(context, target) {
         upstream_reach::LinkPath::Direct => {
-            let raced = race(direct, open_relayed(context, target, limit)).await;
+            let raced = race(direct, open_relayed(context, target)).await;
             note_direct_first(context, target, begun, raced)
         }
         upstream_reach::LinkPath::DirectOnly => {
@@ -146,8 +145,8 @@
             })
         }
         upstream_reach::LinkPath::Relayed => {
-            let relayed = open_relayed(context, target, limit);
-            let direct = open_direct(target.address, limit.min(UNREACHABLE_TIMEOUT));
+            let relayed = open_relayed(context, target);
+            let direct = open_direct(target.address, UNREACHABLE_TIMEOUT);
             note_relayed_first(context, target, race(relayed, direct).await)
         }
     }
@@ -184,9 +183,8 @@
 async fn open_relayed(
     context: &context::InstanceContext,
     target: ConnectTarget<'_>,
-    limit: time::Duration,
 ) -> Result<OpenedConnection, member_relay::RelayError> {
-    let relayed = member_relay::open(context, target.address, limit).await?;
+    let relayed = member_relay::open(context, target.address, CONNECT_TIMEOUT).await?;
     let member_relay::RelayedConnection { reader, writer, relay } = relayed;
     Ok(OpenedConnection { reader, writer, relay: Some(relay) })
 }
@@ -274,11 +272,14 @@
 /// attempt.
 fn note_relay_error(
     context: &context::InstanceContext,
-    target: ConnectTarget<'_>,
+    ConnectTarget { service, address }: ConnectTarget<'_>,
     error: ConnectError,
     relay_error: &member_relay::RelayError,
 ) -> ConnectError {
-    note_relay_failure(context, target, relay_error);
+    if relay_error.speaks_against_upstream() {
+        let (now, refused) = (context.now(), relay_error.is_refused());
+        context.reach.borrow_mut().note_relay_failure(now, service, address, refused);
+    }
     match error {
         ConnectError::Refused { source } if !relay_error.confirms_refusal() => {
             ConnectError::Unconfirmed { source, relay: relay_error.to_string() }
@@ -286,15 +287,3 @@
         error => error,
     }
 }
-
-/// Records that an upstream failed, if a relay found that.
-fn note_relay_failure(
-    context: &context::InstanceContext,
-    ConnectTarget { service, address }: ConnectTarget<'_>,
-    error: &member_relay::RelayError,
-) {
-    if error.speaks_against_upstream() {
-        let (now, refused) = (context.now(), error.is_refused());
-        context.reach.borrow_mut().note_relay_failure(now, service, address, refused);
-    }
-}
