Forget the links to a service that is no longer listed

What operators saw: a service of which an instance reached no upstream and that was then taken off the list stayed in unreachable_ms and in slipturn_services_unreachable until it was listed again. Cause: links to upstreams that aren't listed were removed, their service was not. Evidence: a_service_that_is_no_longer_listed_does_not_stay_unreachable fails without the removal and passes.

With it: the name of a service is copied once, no longer with each answer that is noted.

--- a/crates/core/src/upstream_reach.rs
+++ b/crates/core/src/upstream_reach.rs
@@ -143,6 +143,10 @@
     }
 }
 
+/// Addresses of the listed upstreams, by service.
+pub type ListedAddresses =
+    collections::BTreeMap<ids::ServiceId, collections::HashSet<net::SocketAddrV4>>;
+
 /// State of the links of this process to upstreams, by service.
 #[derive(Debug, Default)]
 pub struct UpstreamReach {
@@ -199,7 +203,7 @@
         now: units::MonoTime,
         attempt: LinkAttempt<'_>,
     ) -> Option<ReachChange> {
-        let reach = self.services.entry(attempt.service.clone()).or_default();
+        let reach = self.service_mut(attempt.service);
         reach.last_answer = Some(now);
         // A connection that was opened before the failures may live on while new ones fail.
         let is_younger = |link: &LinkState| attempt.opened >= link.opened;
@@ -217,7 +221,7 @@
         attempt: LinkAttempt<'_>,
         listed: usize,
     ) -> Option<ReachChange> {
-        let reach = self.services.entry(attempt.service.clone()).or_default();
+        let reach = self.service_mut(attempt.service);
         reach
             .links
             .retain(|_, link| link.probe.is_some() || now.since(link.last) < MAX_FAILURE_AGE);
@@ -251,7 +255,7 @@
         address: net::SocketAddrV4,
         refused: bool,
     ) {
-        let reach = self.services.entry(service.clone()).or_default();
+        let reach = self.service_mut(service);
         let link = reach.links.entry(address).or_insert_with(|| LinkState::new(now, now));
         *link = LinkState {
             unrelayed_until: now + UNRELAYED_TIME,
@@ -285,15 +289,28 @@
         None
     }
 
-    /// Whether there are no failed links, so that [`Self::retain`] would do nothing.
+    /// Whether there are neither failed links nor unreachable services, so that [`Self::retain`] would do nothing.
     pub fn is_empty(&self) -> bool {
-        self.services.values().all(|reach| reach.links.is_empty())
+        self.services.values().all(|reach| reach.links.is_empty() && reach.lost_since.is_none())
+    }
+
+    /// Removes the services and the links to upstreams that are not `listed`.
+    pub fn retain(&mut self, listed: &ListedAddresses) {
+        self.services.retain(|service, reach| {
+            let Some(addresses) = listed.get(service) else {
+                return false;
+            };
+            reach.links.retain(|address, _| addresses.contains(address));
+            true
+        });
     }
 
-    /// Removes the links to upstreams that are not `known`.
-    pub fn retain(&mut self, known: impl Fn(net::SocketAddrV4) -> bool) {
-        for reach in self.services.values_mut() {
-            reach.links.retain(|address, _| known(*address));
+    /// Returns the state of a service, which is added if it is not known yet.
+    fn service_mut(&mut self, service: &ids::ServiceId) -> &mut ServiceReach {
+        // The name is copied only once, as each answer is noted.
+        if !self.services.contains_key(service) {
+            self.services.entry(service.clone()).or_default();
         }
+        self.services.get_mut(service).expect("it was added")
     }
 }
--- a/crates/core/tests/upstream_reach.rs
+++ b/crates/core/tests/upstream_reach.rs
@@ -5,7 +5,7 @@
 use slipturn_core::{
     ids,
     units::MonoTime,
-    upstream_reach::{LinkAttempt, LinkPath, ReachChange, UpstreamReach},
+    upstream_reach::{LinkAttempt, LinkPath, ListedAddresses, ReachChange, UpstreamReach},
 };
 
 /// Number of upstreams in the list of each service.
@@ -228,3 +228,17 @@
     evidence.failure(4_020, "m", 2, 4_019);
     assert!(!is_reliable(&evidence, 4_021));
 }
+
+#[test]
+fn a_service_that_is_no_longer_listed_does_not_stay_unreachable() {
+    let mut evidence = Evidence::default();
+    for service in ["m", "p"] {
+        evidence.failure(10, service, 1, 9);
+        evidence.failure(20, service, 2, 19);
+    }
+    let listed = ListedAddresses::from([(service_id("m"), [upstream(2)].into())]);
+    evidence.0.retain(&listed);
+    assert!(evidence.is_lost("m") && !evidence.is_lost("p"));
+    evidence.0.retain(&ListedAddresses::new());
+    assert!(evidence.0.is_empty());
+}
--- a/crates/instance/src/program.rs
+++ b/crates/instance/src/program.rs
@@ -1,7 +1,7 @@
 //! The process of an instance: command line, listeners, tasks, reload of settings and graceful shutdown.
 
 use std::{
-    collections, path, process as std_process, rc,
+    path, process as std_process, rc,
     sync::{
         self,
         atomic::{self, AtomicBool},
@@ -10,6 +10,7 @@
 };
 
 use futures::channel::{mpsc, oneshot};
+use slipturn_core::upstream_reach;
 use slipturn_net::{command_line, process};
 use snafu::{ResultExt as _, Snafu};
 
@@ -177,9 +178,11 @@
         if context.reach.borrow().is_empty() {
             continue;
         }
-        let entries = fleet.list.entries();
-        let listed: collections::HashSet<_> = entries.map(|entry| entry.address).collect();
-        context.reach.borrow_mut().retain(|address| listed.contains(&address));
+        let mut listed = upstream_reach::ListedAddresses::new();
+        for entry in fleet.list.entries() {
+            listed.entry(entry.service.clone()).or_default().insert(entry.address);
+        }
+        context.reach.borrow_mut().retain(&listed);
     }
 }
 
