One type for an opened connection; direct connections confirm their own refusals

Cause: a relayed connection and an opened one were the same three fields in two types. And where the settings switch relays off (upstream_path), a refused connection counted as unconfirmed, since no member had been asked: an upstream that had ended was never found by its refusals there. That mode is for comparisons; it behaves as before relays again.

--- a/crates/instance/src/member_relay.rs
+++ b/crates/instance/src/member_relay.rs
@@ -10,7 +10,7 @@
 use slipturn_net::h1;
 use snafu::{ResultExt as _, Snafu};
 
-use crate::context;
+use crate::{context, upstream_pool};
 
 /// Header with the boot number of the member that requests a relayed connection.
 pub(crate) const MEMBER_BOOT: &str = "member-boot";
@@ -112,13 +112,6 @@
     }
 }
 
-/// A connection that a member relays.
-pub(crate) struct RelayedConnection {
-    pub(crate) reader: h1::MessageReader,
-    pub(crate) writer: h1::MessageWriter,
-    pub(crate) relay: ConnectionRelay,
-}
-
 /// A member that may relay.
 struct RelayMember {
     name: ids::InstanceId,
@@ -131,7 +124,7 @@
     context: &context::InstanceContext,
     upstream: net::SocketAddrV4,
     limit: time::Duration,
-) -> Result<RelayedConnection, RelayError> {
+) -> Result<upstream_pool::OpenedConnection, RelayError> {
     let mut remaining = members(context).into_iter();
     let mut pending = FuturesUnordered::new();
     let mut last_error = RelayError::NoMember;
@@ -198,7 +191,7 @@
     member: RelayMember,
     upstream: net::SocketAddrV4,
     limit: time::Duration,
-) -> Result<RelayedConnection, RelayError> {
+) -> Result<upstream_pool::OpenedConnection, RelayError> {
     let name = member.name.clone();
     let asked = monoio::time::timeout(limit, connect(context.boot, member, upstream)).await;
     let result = asked.unwrap_or_else(|_| SilentSnafu { limit }.fail());
@@ -219,7 +212,7 @@
     boot: u64,
     RelayMember { name, address }: RelayMember,
     upstream: net::SocketAddrV4,
-) -> Result<RelayedConnection, RelayError> {
+) -> Result<upstream_pool::OpenedConnection, RelayError> {
     let stream = monoio::net::TcpStream::connect_addr(address).await.context(ConnectSnafu)?;
     let (mut reader, mut writer) = h1::split(stream);
     let request =
@@ -237,7 +230,7 @@
     let number = head.headers.get(RELAY_NUMBER).and_then(|value| value.to_str().ok());
     let number = number.unwrap_or_default().to_owned();
     let relay = ConnectionRelay { member: name, address, number };
-    Ok(RelayedConnection { reader, writer, relay })
+    Ok(upstream_pool::OpenedConnection { reader, writer, relay: Some(relay) })
 }
 
 /// Returns whether a member may go on relaying connections: it is alive and not leaving.
--- a/crates/instance/src/upstream_connect.rs
+++ b/crates/instance/src/upstream_connect.rs
@@ -63,14 +63,6 @@
     }
 }
 
-/// A connection to an upstream that has just been opened.
-pub(crate) struct OpenedConnection {
-    pub(crate) reader: h1::MessageReader,
-    pub(crate) writer: h1::MessageWriter,
-    /// The member that relays the connection; `None` if it is direct.
-    pub(crate) relay: Option<member_relay::ConnectionRelay>,
-}
-
 /// An upstream to connect to.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct ConnectTarget<'a> {
@@ -126,9 +118,12 @@
 async fn open_by_path(
     context: &context::InstanceContext,
     target: ConnectTarget<'_>,
-) -> Result<OpenedConnection, ConnectError> {
+) -> Result<upstream_pool::OpenedConnection, ConnectError> {
     let begun = context.now();
     let direct = open_direct(target.address, CONNECT_TIMEOUT);
+    if !relays_connections(context) {
+        return direct.await;
+    }
     match path(context, target) {
         upstream_reach::LinkPath::Direct => {
             let raced = race(direct, open_relayed(context, target)).await;
@@ -157,49 +152,48 @@
     context: &context::InstanceContext,
     ConnectTarget { service, address }: ConnectTarget<'_>,
 ) -> upstream_reach::LinkPath {
-    match context.settings().experiments.upstream_path {
-        modes::UpstreamPathMode::Relayed => {
-            context.reach.borrow().path(context.now(), service, address)
-        }
-        modes::UpstreamPathMode::Direct | modes::UpstreamPathMode::Unready => {
-            upstream_reach::LinkPath::DirectOnly
-        }
+    if !relays_connections(context) {
+        return upstream_reach::LinkPath::DirectOnly;
     }
+    context.reach.borrow().path(context.now(), service, address)
+}
+
+/// Returns whether members may relay the connections of this process.
+fn relays_connections(context: &context::InstanceContext) -> bool {
+    context.settings().experiments.upstream_path == modes::UpstreamPathMode::Relayed
 }
 
 async fn open_direct(
     address: net::SocketAddrV4,
     limit: time::Duration,
-) -> Result<OpenedConnection, ConnectError> {
+) -> Result<upstream_pool::OpenedConnection, ConnectError> {
     let connecting = monoio::net::TcpStream::connect_addr(address.into());
     let Ok(connected) = monoio::time::timeout(limit, connecting).await else {
         return SilentSnafu { limit }.fail();
     };
     let stream = connected.map_err(|source| ConnectError::Refused { source })?;
     let (reader, writer) = h1::split(stream);
-    Ok(OpenedConnection { reader, writer, relay: None })
+    Ok(upstream_pool::OpenedConnection { reader, writer, relay: None })
 }
 
 async fn open_relayed(
     context: &context::InstanceContext,
     target: ConnectTarget<'_>,
-) -> Result<OpenedConnection, member_relay::RelayError> {
-    let relayed = member_relay::open(context, target.address, CONNECT_TIMEOUT).await?;
-    let member_relay::RelayedConnection { reader, writer, relay } = relayed;
-    Ok(OpenedConnection { reader, writer, relay: Some(relay) })
+) -> Result<upstream_pool::OpenedConnection, member_relay::RelayError> {
+    member_relay::open(context, target.address, CONNECT_TIMEOUT).await
 }
 
 /// Result of two attempts, of which the second is made if the first one fails or is slow.
 enum RaceResult<E1, E2> {
-    First(OpenedConnection),
-    Second(OpenedConnection),
+    First(upstream_pool::OpenedConnection),
+    Second(upstream_pool::OpenedConnection),
     Failed(E1, E2),
 }
 
 /// Tries `first`, and `second` as soon as `first` fails or has taken [`SECOND_PATH_DELAY`].
 async fn race<E1, E2>(
-    first: impl Future<Output = Result<OpenedConnection, E1>>,
-    second: impl Future<Output = Result<OpenedConnection, E2>>,
+    first: impl Future<Output = Result<upstream_pool::OpenedConnection, E1>>,
+    second: impl Future<Output = Result<upstream_pool::OpenedConnection, E2>>,
 ) -> RaceResult<E1, E2> {
     let (mut first, second) = (pin::pin!(first), pin::pin!(second));
     let first_error = match monoio::time::timeout(SECOND_PATH_DELAY, first.as_mut()).await {
@@ -222,7 +216,7 @@
 
 async fn after_first<E1, E2>(
     first_error: E1,
-    second: impl Future<Output = Result<OpenedConnection, E2>>,
+    second: impl Future<Output = Result<upstream_pool::OpenedConnection, E2>>,
 ) -> RaceResult<E1, E2> {
     match second.await {
         Ok(connection) => RaceResult::Second(connection),
@@ -236,7 +230,7 @@
     target: ConnectTarget<'_>,
     begun: units::MonoTime,
     raced: RaceResult<ConnectError, member_relay::RelayError>,
-) -> Result<OpenedConnection, ConnectError> {
+) -> Result<upstream_pool::OpenedConnection, ConnectError> {
     let ConnectTarget { service, address } = target;
     let attempt = upstream_reach::LinkAttempt { service, address, opened: begun };
     match raced {
@@ -259,7 +253,7 @@
     context: &context::InstanceContext,
     target: ConnectTarget<'_>,
     raced: RaceResult<member_relay::RelayError, ConnectError>,
-) -> Result<OpenedConnection, ConnectError> {
+) -> Result<upstream_pool::OpenedConnection, ConnectError> {
     match raced {
         RaceResult::First(connection) | RaceResult::Second(connection) => Ok(connection),
         RaceResult::Failed(relay_error, error) => {
--- a/crates/instance/src/upstream_pool.rs
+++ b/crates/instance/src/upstream_pool.rs
@@ -6,7 +6,7 @@
 use slipturn_core::{connection_silence, ids};
 use slipturn_net::{boot_clock, h1};
 
-use crate::{member_relay, upstream_connect, upstream_gate};
+use crate::{member_relay, upstream_gate};
 
 /// Maximum number of idle connections to one upstream.
 pub(crate) const MAX_IDLE_CONNECTIONS: usize = 4;
@@ -110,6 +110,14 @@
     }
 }
 
+/// A connection to an upstream that has just been opened.
+pub(crate) struct OpenedConnection {
+    pub(crate) reader: h1::MessageReader,
+    pub(crate) writer: h1::MessageWriter,
+    /// The member that relays the connection; `None` if it is direct.
+    pub(crate) relay: Option<member_relay::ConnectionRelay>,
+}
+
 #[derive(Debug)]
 struct PooledConnection {
     connection: UpstreamConnection,
@@ -139,9 +147,9 @@
     pub(crate) fn register(
         &self,
         address: net::SocketAddrV4,
-        opened: upstream_connect::OpenedConnection,
+        opened: OpenedConnection,
     ) -> UpstreamConnection {
-        let upstream_connect::OpenedConnection { reader, writer, relay } = opened;
+        let OpenedConnection { reader, writer, relay } = opened;
         let received = cell::Cell::new(None);
         let opened = boot_clock::BootInstant::now();
         let member = relay.as_ref().map(|relay| relay.member.clone());
