Soak: instances partitioned from all or some upstreams

Cause: the soak cut upstreams from all instances or from none, one reason why it missed the incident.

Checks: where all instances are in contact, clients of a partitioned one must from 3 s on be served at least two thirds as often as those of the others, but for 10 + 1 in 50 (the rule's own bound); all earlier checks hold. A partition excuses cut answers of its instance, and runs that began before it or after its end, as bytes are held back. What begins in between goes by way of members, and must end with its caller as ever.

--- a/crates/soak/src/check.rs
+++ b/crates/soak/src/check.rs
@@ -7,7 +7,7 @@
 use crate::{
     config_check,
     evidence::{self, Disturbance, Evidence},
-    leave_check, limit_check, signal_check,
+    leave_check, limit_check, partition_check, signal_check,
     traffic::SentRequest,
 };
 
@@ -41,6 +41,7 @@
     found.extend(leave_check::violations(evidence));
     found.extend(signal_check::violations(evidence));
     found.extend(limit_check::violations(evidence));
+    found.extend(partition_check::violations(evidence));
     found
 }
 
--- a/crates/soak/src/evidence.rs
+++ b/crates/soak/src/evidence.rs
@@ -6,6 +6,11 @@
 
 use crate::{config_probe, traffic::SentRequest};
 
+/// Time after the end of a fault that still counts as disturbed: the platform's bound for recovery.
+pub(crate) const RECOVERY_MARGIN: time::Duration = time::Duration::from_millis(3_000);
+/// Time after the start of a partition in which requests that were sent before may arrive.
+const IN_FLIGHT_TIME: time::Duration = time::Duration::from_millis(100);
+
 /// A period in which violations at one instance, or at all instances, are excused.
 #[derive(Debug, Clone, Copy)]
 pub struct Disturbance {
@@ -51,6 +56,8 @@
 /// A period in which requests and cancels may reach an upstream late.
 #[derive(Debug, Clone, Copy)]
 pub struct LinkFault {
+    /// Number of the instance whose link has the fault; `None` for all instances.
+    pub instance: Option<u8>,
     /// Number of the upstream whose link has the fault.
     pub upstream: u8,
     /// Time at which the fault of the link began.
@@ -59,6 +66,33 @@
     pub to: time::Instant,
 }
 
+impl LinkFault {
+    /// Returns whether the fault concerns the link from `instance` to `upstream`.
+    pub fn concerns(&self, instance: u8, upstream: u8) -> bool {
+        self.upstream == upstream && self.instance.is_none_or(|own| own == instance)
+    }
+
+    /// Returns whether the fault may have delayed a run that began at `began`, or its cancel, up to `until`. What a
+    /// partitioned instance sends during the fault goes by way of other members, or arrives after the fault.
+    pub fn delays(&self, began: time::Instant, until: time::Instant) -> bool {
+        let is_direct = self.instance.is_none()
+            || began <= self.from + IN_FLIGHT_TIME
+            || began + RECOVERY_MARGIN >= self.to;
+        is_direct && self.from <= until && self.to >= began
+    }
+}
+
+/// A period in which an instance is partitioned from upstreams.
+#[derive(Debug, Clone, Copy)]
+pub struct InstancePartition {
+    /// Number of the instance.
+    pub instance: u8,
+    /// Time at which the partition began.
+    pub from: time::Instant,
+    /// Time at which the partition ended.
+    pub to: time::Instant,
+}
+
 /// A run of a request at an upstream.
 #[derive(Debug, Clone)]
 pub struct UpstreamRun {
@@ -135,6 +169,8 @@
     pub contact_losses: Vec<Disturbance>,
     /// Faults of links to upstreams, which excuse requests and cancels that arrive late.
     pub link_faults: Vec<LinkFault>,
+    /// Partitions of instances from upstreams.
+    pub partitions: Vec<InstancePartition>,
     /// Changes of upstreams between ready and leaving, in order of time.
     pub listings: Vec<UpstreamListing>,
     /// Number of the instance and time for each restart after a kill, a planned stop or a crash.
@@ -179,6 +215,7 @@
             external_faults: Vec::new(),
             contact_losses: Vec::new(),
             link_faults: Vec::new(),
+            partitions: Vec::new(),
             listings: Vec::new(),
             instance_restarts: Vec::new(),
             publications: Vec::new(),
--- a/crates/soak/src/fault_injector.rs
+++ b/crates/soak/src/fault_injector.rs
@@ -14,15 +14,15 @@
 
 use crate::{
     config_probe,
-    evidence::{Disturbance, Evidence, LinkFault, UpstreamListing},
-    fault_plan::{Fault, PlannedFault},
+    evidence::{
+        Disturbance, Evidence, InstancePartition, LinkFault, RECOVERY_MARGIN, UpstreamListing,
+    },
+    fault_plan::{Fault, PartitionScope, PlannedFault},
     store_drill,
 };
 
 /// Time from SIGTERM within which an instance must exit.
 pub(crate) const STOP_GRACE_PERIOD: Duration = Duration::from_secs(8);
-/// Time after the end of a fault that still counts as disturbed: the platform's bound for recovery.
-const RECOVERY_MARGIN: Duration = Duration::from_millis(3_000);
 
 /// Entries that another writer may leave in the store and that list no usable upstream: invalid
 /// encodings, an empty object and an entry with a malformed address.
@@ -47,6 +47,8 @@
     UpstreamGood(u8),
     /// Makes the link to an upstream work again.
     UpstreamLinkGood(u8),
+    /// Makes the links from an instance to all upstreams work again.
+    Reunite(u8),
     /// Lists an upstream as ready, after it was listed as leaving, has restarted, or its entry was
     /// overwritten.
     Return(u8),
@@ -240,6 +242,7 @@
                 self.record_external_fault(until);
                 self.ends.push((until, FaultEnd::UpstreamLinkGood(number)));
             }
+            Fault::Partition(number, scope, mode) => self.partition(number, scope, mode, until),
             silence_fault => self.silence(silence_fault),
         }
     }
@@ -345,6 +348,13 @@
                 self.fleet.runner_links[usize::from(number)].set_mode(LinkMode::Good);
                 self.record_link_fault(number, now);
             }
+            FaultEnd::Reunite(number) => {
+                self.fleet.partition(number, None);
+                let mut partitions = self.evidence.partitions.iter_mut();
+                if let Some(last) = partitions.rfind(|partition| partition.instance == number) {
+                    last.to = now;
+                }
+            }
             FaultEnd::Return(number) => self.list(number, false),
             FaultEnd::Restore(number) => {
                 self.fleet.evacuate(&data_center_of(usize::from(number)), false);
@@ -391,6 +401,26 @@
         }
     }
 
+    /// Partitions an instance from upstreams until `until`, unless it is partitioned already.
+    fn partition(&mut self, number: u8, scope: PartitionScope, mode: LinkMode, until: Instant) {
+        let is_same = |end: &FaultEnd| matches!(end, FaultEnd::Reunite(other) if *other == number);
+        if self.ends.iter().any(|(_, end)| is_same(end)) {
+            return;
+        }
+        let engines = self.first_plain();
+        for (upstream, link) in (0..).zip(&self.fleet.runner_links) {
+            if scope.contains(upstream, engines) {
+                link.set_instance_mode(number, Some(mode));
+                self.evidence.link_faults.push(link_fault(Some(number), upstream, until));
+            }
+        }
+        let from = Instant::now();
+        let disturbance = Disturbance { instance: Some(number), from, to: until + RECOVERY_MARGIN };
+        self.evidence.external_faults.push(disturbance);
+        self.evidence.partitions.push(InstancePartition { instance: number, from, to: until });
+        self.ends.push((until, FaultEnd::Reunite(number)));
+    }
+
     /// Sends SIGTERM to an instance and records the planned stop, which is also a loss of contact.
     fn stop(&mut self, number: u8) {
         let now = Instant::now();
@@ -495,7 +525,7 @@
 
     /// Records that the link to an upstream fails from now until `until` plus [`RECOVERY_MARGIN`].
     fn record_link_fault(&mut self, upstream: u8, until: Instant) {
-        let link_fault = LinkFault { upstream, from: Instant::now(), to: until + RECOVERY_MARGIN };
+        let link_fault = link_fault(None, upstream, until);
         self.evidence.link_faults.push(link_fault);
     }
 
@@ -521,6 +551,12 @@
     number.map_or(links, |number| &links[usize::from(number)..][..1])
 }
 
+/// Returns a fault of the link from an instance, or from all for `None`, to an upstream, from now until `until` plus
+/// [`RECOVERY_MARGIN`].
+fn link_fault(instance: Option<u8>, upstream: u8, until: Instant) -> LinkFault {
+    LinkFault { instance, upstream, from: Instant::now(), to: until + RECOVERY_MARGIN }
+}
+
 /// Returns the name of the data centre that only this upstream is in, if the plan has evacuations.
 fn data_center_of(number: usize) -> String {
     format!("zone-{number}")
--- a/crates/soak/src/fault_plan.rs
+++ b/crates/soak/src/fault_plan.rs
@@ -12,7 +12,9 @@
 use rand_chacha::ChaCha8Rng;
 use slipturn_platform_standin::{proxy::LinkMode, runner::RunnerMode, store::StoreMode};
 
-use crate::{contact_plan, data_center_plan, drill_plan, entry_plan, limit_plan, signal_plan};
+use crate::{
+    contact_plan, data_center_plan, drill_plan, entry_plan, limit_plan, partition_plan, signal_plan,
+};
 
 /// Time between the starts of two faults of [`dense_faults`] in the first part of a run,
 /// milliseconds: short enough for the faults to overlap.
@@ -87,6 +89,9 @@
     Evacuate(u8),
     /// An engine is listed as cold (limited to a low request rate) until the end.
     Cool(u8),
+    /// The links from an instance to upstreams fail in the given mode until the end. An instance that is partitioned
+    /// already stays so.
+    Partition(u8, PartitionScope, LinkMode),
     /// The store is unavailable until the end and is then restored from an older copy; lost entries
     /// are written again later.
     Drill {
@@ -97,6 +102,31 @@
     },
 }
 
+/// Which upstreams an instance is partitioned from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PartitionScope {
+    /// All upstreams.
+    All,
+    /// The engines.
+    Engines,
+    /// The upstreams of the plain service, which run no model.
+    Plain,
+    /// The upstreams with even numbers.
+    EvenNumbers,
+}
+
+impl PartitionScope {
+    /// Returns whether the upstream with a number is cut off, in a fleet of so many engines.
+    pub fn contains(self, upstream: u8, engines: u8) -> bool {
+        match self {
+            Self::All => true,
+            Self::Engines => upstream < engines,
+            Self::Plain => upstream >= engines,
+            Self::EvenNumbers => upstream.is_multiple_of(2),
+        }
+    }
+}
+
 /// A fault of a plan, with its start and length.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct PlannedFault {
@@ -151,6 +181,7 @@
     faults.extend(limit_plan::faults(seed, size));
     faults.extend(data_center_plan::faults(seed, size));
     faults.extend(drill_plan::faults(seed, size));
+    faults.extend(partition_plan::faults(seed, size));
     faults.sort_by_key(|planned| planned.at);
     faults
 }
--- a/crates/soak/src/leave_check.rs
+++ b/crates/soak/src/leave_check.rs
@@ -64,10 +64,10 @@
     run: &UpstreamRun,
     until: time::Instant,
 ) -> bool {
-    let link_failed = evidence.link_faults.iter().any(|fault| {
-        let overlaps = fault.from <= until && fault.to >= run.at;
-        fault.upstream == run.upstream && overlaps
-    });
+    let link_failed = evidence
+        .link_faults
+        .iter()
+        .any(|fault| fault.concerns(origin.instance, run.upstream) && fault.delays(run.at, until));
     link_failed || !evidence.in_contact(origin.instance, origin.from, until)
 }
 
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -17,6 +17,8 @@
 pub mod leave_check;
 mod limit_check;
 mod limit_plan;
+mod partition_check;
+mod partition_plan;
 pub mod run;
 mod signal_check;
 mod signal_plan;
--- a/crates/soak/src/signal_check.rs
+++ b/crates/soak/src/signal_check.rs
@@ -55,7 +55,7 @@
             *upstream == response.upstream && *at >= signalled && *at <= response.at
         });
         let link_failed = evidence.link_faults.iter().any(|fault| {
-            fault.upstream == response.upstream
+            fault.concerns(instance, response.upstream)
                 && fault.from <= response.at
                 && fault.to >= signalled
         });
--- a/crates/soak/tests/plans.rs
+++ b/crates/soak/tests/plans.rs
@@ -45,3 +45,13 @@
         assert!(fault_plan::plan(seed + 20_000, SIZE).iter().any(is_entry_fault));
     }
 }
+
+#[test]
+fn partitions_are_planned_only_from_seed_80000_on() {
+    let is_partition =
+        |planned: &fault_plan::PlannedFault| matches!(planned.fault, Fault::Partition(..));
+    for seed in SEEDS {
+        assert!(!fault_plan::plan(seed + 79_900, SIZE).iter().any(is_partition));
+        assert!(fault_plan::plan(seed + 80_000, SIZE).iter().any(is_partition));
+    }
+}
--- a/crates/soak/tests/violations.rs
+++ b/crates/soak/tests/violations.rs
@@ -7,8 +7,8 @@
     check,
     config_probe::{ConfigProbe, ProbeTarget, Publication},
     evidence::{
-        AnnouncedLimit, Disturbance, Evidence, LinkFault, UpstreamListing, UpstreamResponse,
-        UpstreamRun,
+        AnnouncedLimit, Disturbance, Evidence, InstancePartition, LinkFault, UpstreamListing,
+        UpstreamResponse, UpstreamRun,
     },
     traffic::SentRequest,
 };
@@ -152,7 +152,7 @@
     assert!(check::violations(&out_of_contact).is_empty());
 
     let [from, to] = [SECOND * 7, SECOND * 9].map(|at| evidence.started + at);
-    evidence.link_faults.push(LinkFault { upstream: 5, from, to });
+    evidence.link_faults.push(LinkFault { instance: None, upstream: 5, from, to });
     assert!(check::violations(&evidence).is_empty());
 }
 
@@ -255,7 +255,7 @@
     }
     let mut link_failed = with_signal(false, Some(SECOND * 20), SECOND * 10);
     let (from, to) = (link_failed.started, link_failed.started + SECOND * 2);
-    link_failed.link_faults.push(LinkFault { upstream: 5, from, to });
+    link_failed.link_faults.push(LinkFault { instance: None, upstream: 5, from, to });
     assert_eq!(check::violations(&link_failed).len(), 0);
 }
 
@@ -306,3 +306,60 @@
         "requests after the end of the limit do not count"
     );
 }
+
+/// Returns evidence with a partition of instance 0 from 1 s to 9 s, and requests to it and to instance 1, each from 3 s
+/// after the start of the partition on, of which those in `served` are served.
+fn with_partition(served: [std::ops::Range<u32>; 2]) -> Evidence {
+    let mut evidence = Evidence::new();
+    let started = evidence.started;
+    let (from, to) = (started + SECOND, started + SECOND * 9);
+    evidence.partitions.push(InstancePartition { instance: 0, from, to });
+    for (instance, served) in (0..).zip(served) {
+        for number in 0..40 {
+            let id = format!("{instance}-0-{number}");
+            let at = started + SECOND * 4 + MILLISECOND * 100 * number;
+            let mut request = served_request(id, instance, at);
+            if !served.contains(&number) {
+                request.outcome = Some(Outcome::Status(504, None));
+            }
+            evidence.sent.push(request);
+        }
+    }
+    evidence
+}
+
+#[test]
+fn a_partitioned_instance_that_serves_far_fewer_requests_than_others_is_a_violation() {
+    for (served, others, expected) in
+        [(0..40, 0..40, 0), (0..27, 0..40, 0), (0..26, 0..40, 1), (0..26, 0..38, 0)]
+    {
+        let evidence = with_partition([served.clone(), others]);
+        assert_eq!(check::violations(&evidence).len(), expected, "{served:?} served");
+    }
+    let mut few_requests = with_partition([0..0, 0..40]);
+    let until = few_requests.started + SECOND * 5;
+    few_requests.sent.retain(|sent| sent.instance == 1 || sent.from < until);
+    assert!(check::violations(&few_requests).is_empty(), "10 failures are allowed");
+}
+
+#[test]
+fn a_loss_of_contact_of_any_instance_excuses_a_partitioned_one() {
+    let mut evidence = with_partition([0..0, 0..40]);
+    assert_eq!(check::violations(&evidence).len(), 1);
+    record_contact_loss(&mut evidence, Some(2), SECOND, SECOND * 9);
+    assert!(check::violations(&evidence).is_empty());
+}
+
+/// What a partitioned instance sends during the partition goes by way of members, whose links work.
+#[test]
+fn a_partition_excuses_only_runs_that_began_before_it_or_after_its_end() {
+    for (at, expected) in [(2_000, 0), (4_000, 1), (6_000, 0)] {
+        let mut evidence = with_run(MILLISECOND * at);
+        evidence.sent[0].outcome = None;
+        evidence.sent[0].to = evidence.sent[0].from;
+        evidence.upstream_runs[0].ended = evidence.started + MILLISECOND * (at + 2_000);
+        let [from, to] = [MILLISECOND * 1_950, SECOND * 9].map(|at| evidence.started + at);
+        evidence.link_faults.push(LinkFault { instance: Some(0), upstream: 5, from, to });
+        assert_eq!(check::violations(&evidence).len(), expected, "{at} ms");
+    }
+}
