Requests lost by a partitioned instance don't get those of others refused

What callers saw: with one of three instances partitioned (its links hang), all three instances refused all prompts for up to ten seconds: 0 of 491 sent from 3 s on were served, each with "the first token is expected in N ms, too late" while 25 of 36 places were free.

Cause: what a partitioned instance had sent at the beginning hangs until its time limit, and holds its places. The planner took a first token that is overdue for work of the engine that it doesn't know, for as long as it is overdue, on every engine with one such request.

Change: a token that is overdue by more than 0.5 s counts as lost, if the engine has meanwhile sent one that was due later, or reports that it has no requests. It says nothing about the engine then. The 0.5 s are those after which a long prompt no longer counts as being read. A slow engine that sends nothing, or in order, is judged as before.

Weighed, not built: a cap on how long an overdue token counts, a constant that would hide slow engines.

--- a/crates/core/src/planner/engine_work.rs
+++ b/crates/core/src/planner/engine_work.rs
@@ -58,6 +58,30 @@
     pub(crate) parts: Vec<PendingPart>,
 }
 
+/// How long a first token may be overdue before the engine no longer counts as working on it. Another
+/// engine that prefills a part of the same prompt has then failed, or the request is lost on its way.
+pub(crate) const MAX_OVERDUE: time::Duration = time::Duration::from_millis(500);
+
+/// The first token that a request is expected to get from an engine.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct ExpectedToken {
+    pub(crate) due: units::MonoTime,
+    /// Whether the request is lost on its way, or its answer: the token has been overdue for [`MAX_OVERDUE`], and
+    /// meanwhile the engine has sent one that was due later, or reported that it has no requests. It says nothing about
+    /// the engine then.
+    pub(crate) is_lost: bool,
+}
+
+impl ExpectedToken {
+    pub(crate) fn new(due: units::MonoTime) -> Self {
+        Self { due, is_lost: false }
+    }
+
+    fn is_long_overdue(&self, now: units::MonoTime) -> bool {
+        now.since(self.due) > MAX_OVERDUE
+    }
+}
+
 /// Estimated state of one engine.
 #[derive(Debug, Clone)]
 pub(crate) struct EngineWork {
@@ -75,9 +99,9 @@
     pub(crate) pass: Option<EnginePass>,
     /// Parts queued for the next pass, oldest first.
     pub(crate) pending: collections::VecDeque<PendingPart>,
-    /// Expected time of the first token of each request that this engine prefills, wholly or in part, until the token
-    /// is sent or the request ends.
-    pub(crate) expected: collections::BTreeMap<engine_place::JobId, units::MonoTime>,
+    /// Expected first token of each request that this engine prefills, wholly or in part, until the token is sent or
+    /// the request ends.
+    pub(crate) expected: collections::BTreeMap<engine_place::JobId, ExpectedToken>,
     /// Tokens of memory in use or reserved.
     pub(crate) used: u64,
     /// Slowdown relative to the performance model; above 1 if the engine is slower.
@@ -171,11 +195,20 @@
             self.pass = None;
         }
         self.pending.retain(|part| part.job != job);
-        self.expected.remove(&job);
+        if let Some(token) = self.expected.remove(&job) {
+            self.mark_lost(|overdue| overdue.due < token.due);
+        }
         self.failures = 0;
         self.refusals = 0;
     }
 
+    /// Marks the long overdue tokens for which `is_lost` holds.
+    fn mark_lost(&mut self, is_lost: impl Fn(&ExpectedToken) -> bool) {
+        let now = self.advanced;
+        let overdue = self.expected.values_mut().filter(|token| token.is_long_overdue(now));
+        overdue.filter(|token| is_lost(token)).for_each(|token| token.is_lost = true);
+    }
+
     /// Removes a job's part, whether prefilled or not.
     pub(crate) fn drop_part(&mut self, job: engine_place::JobId) {
         self.expected.remove(&job);
@@ -207,8 +240,8 @@
     /// With [`modes::EngineFaultMode::Probe`], an engine that failed gets a single request when its ejection time is
     /// over, and stays ejected until the first token of that request.
     pub(crate) fn is_ejected(&self, now: units::MonoTime, mode: modes::EngineFaultMode) -> bool {
-        let probed =
-            mode == modes::EngineFaultMode::Probe && self.failures > 0 && !self.expected.is_empty();
+        let is_awaited = self.expected.values().any(|token| !token.is_lost);
+        let probed = mode == modes::EngineFaultMode::Probe && self.failures > 0 && is_awaited;
         self.ejected_until > now || probed
     }
 
@@ -250,6 +283,9 @@
     pub(crate) fn report(&mut self, pace: f64, requests: usize) {
         self.pace = pace.clamp(PACE_RANGE.0, PACE_RANGE.1);
         self.foreign = requests.saturating_sub(self.answering.len() + REPORT_SLACK);
+        if requests == 0 {
+            self.mark_lost(|_| true);
+        }
     }
 
     /// Applies the number of requests that the engine had when it sent a first token.
@@ -273,8 +309,9 @@
     /// How long the engine's oldest expected first token is overdue, milliseconds. An engine with an overdue token does
     /// work that this planner does not know of, for an unknown time.
     fn overdue_ms(&self, now: units::MonoTime) -> f64 {
-        let oldest = self.expected.values().min();
-        let late = oldest.map_or(time::Duration::ZERO, |due| now.since(*due));
+        let awaited = self.expected.values().filter(|token| !token.is_lost);
+        let oldest = awaited.map(|token| token.due).min();
+        let late = oldest.map_or(time::Duration::ZERO, |due| now.since(due));
         late.saturating_sub(FIRST_TOKEN_DELAY_SLACK).as_secs_f64() * 1_000.0
     }
 
--- a/crates/core/src/planner/place_table/occupancy.rs
+++ b/crates/core/src/planner/place_table/occupancy.rs
@@ -23,7 +23,8 @@
             if lease.prefilling {
                 engine.add_part(engine_work::PendingPart { job: request.job, left_ms: part });
                 let first = time::Duration::from_millis(u64::from(grant.first_token_ms));
-                engine.expected.insert(request.job, now + first);
+                let token = engine_work::ExpectedToken::new(now + first);
+                engine.expected.insert(request.job, token);
             }
         }
         let held: u64 = grant.held.iter().map(|part| part.tokens).sum();
--- a/crates/core/src/planner/place_table/queries.rs
+++ b/crates/core/src/planner/place_table/queries.rs
@@ -10,9 +10,6 @@
 /// milliseconds. Engines run newer parts first, so a part sent just before the previous one is complete would delay
 /// the earlier prompt by its whole length.
 const MIN_PREFILL_LEFT_MS: f64 = 50.0;
-/// How long a first token may be overdue before the engine no longer counts as working on it, milliseconds. Another
-/// engine that prefills a part of the same prompt has then failed.
-const MAX_OVERDUE_MS: f64 = 500.0;
 
 impl place_table::PlaceTable {
     /// Number of requests that an engine answers.
@@ -153,8 +150,10 @@
             .expected
             .iter()
             .filter(|(job, _)| self.jobs.get(job).is_some_and(|state| !state.lease.request.tight))
-            .filter(|(_, due)| now.since(**due).as_secs_f64() * 1_000.0 <= MAX_OVERDUE_MS)
-            .map(|(_, due)| (due.since(now).as_secs_f64() * 1_000.0).max(MIN_PREFILL_LEFT_MS))
+            .filter(|(_, token)| now.since(token.due) <= engine_work::MAX_OVERDUE)
+            .map(|(_, token)| {
+                (token.due.since(now).as_secs_f64() * 1_000.0).max(MIN_PREFILL_LEFT_MS)
+            })
             .fold(0.0, f64::max)
     }
 }
--- a/crates/core/tests/planner.rs
+++ b/crates/core/tests/planner.rs
@@ -440,6 +440,37 @@
     assert_eq!(place(&mut planner, now + 200, short(4)).engine, silent, "it is no longer overdue");
 }
 
+/// Requests of an instance that has lost its links hold their places until their time limit.
+#[test]
+fn a_request_that_is_lost_on_its_way_does_not_delay_those_that_its_engine_serves() {
+    let mut planner = planner(1);
+    let lost = place(&mut planner, 0, short(1));
+    let mut expected = Vec::new();
+    for number in 2..20 {
+        let now = number * 250;
+        planner.renew(at(now), lost.job, true);
+        let grant = place(&mut planner, now, short(number));
+        expected.push(grant.first_token_ms);
+        planner.first_token(at(now + u64::from(grant.first_token_ms)), grant.job);
+        planner.end(at(now + 240), grant.job, PlaceEnd::Done);
+    }
+    assert!(expected.iter().all(|ms| *ms < lost.first_token_ms + 750), "{expected:?}");
+    assert!(expected.iter().skip(3).all(|ms| *ms < lost.first_token_ms + 100), "{expected:?}");
+}
+
+#[test]
+fn a_report_without_requests_shows_that_overdue_ones_are_lost() {
+    let mut planner = planner(1);
+    let lost = place(&mut planner, 0, short(1));
+    planner.renew(at(3_000), lost.job, true);
+    planner.tick(at(3_000));
+    planner.set_report(&lost.engine, 1.0, 1);
+    let refused = planner.request(at(3_000), short(2));
+    assert!(!matches!(refused, Some(PlaceAnswer::Grant(_))), "{refused:?}");
+    planner.set_report(&lost.engine, 1.0, 0);
+    place(&mut planner, 3_001, short(3));
+}
+
 proptest! {
     /// For any sequence of calls, a grant names each engine once and holds memory only on its helpers, and no slot or
     /// memory stays in use when all requests have ended.
--- a/crates/soak/src/fault_injector.rs
+++ b/crates/soak/src/fault_injector.rs
@@ -141,7 +141,7 @@
     }
 
     /// Injects a fault now and records the periods that it disturbs.
-    fn inject(&mut self, planned: &PlannedFault) {
+    pub(crate) fn inject(&mut self, planned: &PlannedFault) {
         let now = Instant::now();
         let until = now + planned.length;
         self.fault_log
--- a/crates/soak/src/final_checks.rs
+++ b/crates/soak/src/final_checks.rs
@@ -12,8 +12,11 @@
 
 use crate::{
     config_check,
+    evidence::RECOVERY_MARGIN,
     fault_injector::{FaultEnd, FaultInjector, STOP_GRACE_PERIOD},
-    leave_check, traffic,
+    fault_plan::{Fault, PartitionScope, PlannedFault},
+    leave_check, partition_plan,
+    traffic::{self, Traffic},
 };
 
 /// Time after the end of all faults within which all instances must be ready.
@@ -28,17 +31,24 @@
 const STREAM_START_DELAY: Duration = Duration::from_millis(400);
 /// Length of the store outage in [`FaultInjector::check_store_return`].
 const STORE_OUTAGE: Duration = Duration::from_millis(1_500);
+/// Duration of the partition in [`FaultInjector::check_partition`].
+const PARTITION_TIME: Duration = Duration::from_secs(6);
+/// Number of clients in [`FaultInjector::check_partition`].
+const PARTITION_CLIENTS: u64 = 12;
 /// Time after the store's return within which instances must apply the newest configuration: the
 /// platform's bound.
 const STORE_RECOVERY_BOUND: Duration = Duration::from_secs(3);
 
 impl FaultInjector {
-    /// Runs all checks in order; `seed` selects how the store fails.
+    /// Runs all checks in order; `seed` selects how the store and the links of an instance fail.
     pub(crate) fn run_final_checks(&mut self, seed: u64) {
         self.wait_for_recovery();
         self.check_store_return(seed);
         self.check_planned_stop();
         self.check_routes();
+        if seed >= partition_plan::FIRST_SEED {
+            self.check_partition(seed);
+        }
         self.check_release();
     }
 
@@ -102,6 +112,25 @@
         self.fleet.wait_ready();
     }
 
+    /// Partitions an instance from all upstreams, without other faults, and records what its clients and those of
+    /// another instance get, which `partition_check` compares.
+    fn check_partition(&mut self, seed: u64) {
+        let instances = self.fleet.instances.len() as u64;
+        let partitioned = (seed % instances) as u8;
+        let modes = &partition_plan::LINK_MODES;
+        let mode = modes[(seed % modes.len() as u64) as usize];
+        self.fleet.wait_ready();
+        thread::sleep(RECOVERY_MARGIN);
+        let fault = Fault::Partition(partitioned, PartitionScope::All, mode);
+        self.inject(&PlannedFault { at: Duration::ZERO, length: PARTITION_TIME, fault });
+        let addresses = (0..instances as u8).map(|number| self.fleet.caller_address(number));
+        // Another seed than that of the first clients gives the requests ids of their own.
+        let traffic = Traffic::start(!seed, PARTITION_CLIENTS, addresses.collect());
+        thread::sleep(PARTITION_TIME);
+        self.end_due(Instant::now());
+        self.evidence.sent.extend(traffic.finish());
+    }
+
     /// Checks that every instance knows all published routes and sends nothing to an upstream that
     /// is listed as leaving.
     fn check_routes(&mut self) {
--- a/crates/soak/src/partition_plan.rs
+++ b/crates/soak/src/partition_plan.rs
@@ -14,7 +14,7 @@
 
 /// First seed whose plan has partitions: some plans of lower seeds are kept as tests and must not
 /// change.
-const FIRST_SEED: u64 = 80_000;
+pub(crate) const FIRST_SEED: u64 = 80_000;
 /// Number of the random stream that draws the partitions.
 const PARTITION_STREAM: u64 = 9;
 /// Time between the starts of two partitions, milliseconds.
@@ -23,7 +23,7 @@
 const LENGTH_MS: ops::Range<u64> = 500..9_000;
 
 /// How the links of a partitioned instance fail.
-const LINK_MODES: [LinkMode; 5] =
+pub(crate) const LINK_MODES: [LinkMode; 5] =
     [LinkMode::Hang, LinkMode::Reset, LinkMode::Refuse, LinkMode::DropForth, LinkMode::DropBack];
 /// What instances are partitioned from; most often from all upstreams.
 const SCOPES: [PartitionScope; 5] = [
