--- a/crates/instance/src/upstream_attempt.rs
+++ b/crates/instance/src/upstream_attempt.rs
@@ -198,9 +198,7 @@
     let retry_allowed = call.route.repeat.allows_repeat() && call.route.max_attempts > 1;
     let connect_target =
         upstream_connect::ConnectTarget { service: &call.service, address: target.address };
-    let opened = if new_connection {
-        upstream_connect::open_after_break(context, connect_target).await
-    } else if !retry_allowed {
+    let opened = if new_connection || !retry_allowed {
         upstream_connect::open(context, connect_target).await
     } else {
         upstream_connect::get(context, connect_target).await
