Resume a stream through a member first after its connection failed midway

What callers saw: a stream whose instance lost its links was cut. By resets its second and last attempt met a connection that was accepted and reset as well; where links hang or lose one direction, the second attempt was silent too, and the stream ended after 10 s. Cause: four streams ran on one engine, so nothing showed that the links had failed, and the retry took the same path. Trace: records of four streams each, two attempts, both direct.

Change: after a break or a silence in the middle of a stream, the next connection is opened through a member first, and directly if that takes 100 ms or fails. First attempts and calls take their paths as before.

--- a/crates/instance/src/model_request.rs
+++ b/crates/instance/src/model_request.rs
@@ -265,8 +265,14 @@
     let begun_at = context.now();
     // After an attempt that broke, possibly on a dead connection, no pooled connection is used: it
     // could be dead as well.
-    let new_connection = state.ran == Some(refusal::RanState::Unknown);
-    let connection = match upstream_attempt::connect(context, call, &target, new_connection).await {
+    let need = match state.ran {
+        Some(refusal::RanState::Unknown) if state.begun => {
+            upstream_attempt::ConnectionNeed::OtherPath
+        }
+        Some(refusal::RanState::Unknown) => upstream_attempt::ConnectionNeed::New,
+        _ => upstream_attempt::ConnectionNeed::Any,
+    };
+    let connection = match upstream_attempt::connect(context, call, &target, need).await {
         Ok(connection) => connection,
         Err(fault) => return Ok(AttemptEnd::Fault(fault)),
     };
--- a/crates/instance/src/service_request.rs
+++ b/crates/instance/src/service_request.rs
@@ -93,7 +93,7 @@
     let mut ran = refusal::RanState::No;
     let mut text = format!("service '{}' has no upstream", call.service);
     let mut reused_silent = None;
-    let mut new_connection = false;
+    let mut connection_need = upstream_attempt::ConnectionNeed::Any;
     let mut unavailable = None;
     let mut unreached = 0;
     for _ in 0..MAX_TRIES {
@@ -142,7 +142,7 @@
             // An upstream's failure answer now is better than a refusal at the end of the time limit.
             retry_taken || (has_fallback && reach == upstream_attempt::RetryReach::OtherUpstream)
         };
-        let start = AttemptStart { entry: &entry, permit, new_connection };
+        let start = AttemptStart { entry: &entry, permit, connection_need };
         let result = attempt(context, call, start, give_up).await;
         if let Some(attempt_record) = record.attempts.last_mut() {
             attempt_record.relayed = call.relayed.take();
@@ -182,7 +182,7 @@
                 if !never_ran {
                     record.digest = Some(call.digest().to_string());
                     ran = refusal::RanState::Unknown;
-                    new_connection = true;
+                    connection_need = upstream_attempt::ConnectionNeed::New;
                 }
                 if !never_ran && !call.route.repeat.allows_repeat() {
                     break;
@@ -230,7 +230,7 @@
     /// The permit for the attempt, if the upstream has a limit.
     permit: Option<quota_permit::SendPermit>,
     /// Whether the attempt must use a new connection.
-    new_connection: bool,
+    connection_need: upstream_attempt::ConnectionNeed,
 }
 
 /// Makes one attempt, which fails if the upstream restarts before it has answered.
@@ -252,7 +252,7 @@
 async fn call_upstream<'a>(
     context: &'a rc::Rc<context::InstanceContext>,
     call: &'a incoming_call::IncomingCall,
-    AttemptStart { entry, permit, new_connection }: AttemptStart<'_>,
+    AttemptStart { entry, permit, connection_need }: AttemptStart<'_>,
     mut give_up: impl AsyncFnMut(upstream_attempt::RetryReach) -> bool,
 ) -> Result<UpstreamReply<'a>, upstream_attempt::AttemptFault> {
     let guard = LoadGuard { context, name: entry.name.clone(), result: std::cell::Cell::new(None) };
@@ -266,7 +266,7 @@
         permits: permit.into_iter().collect(),
     };
     let left = call.left(context.now());
-    let connected = upstream_attempt::connect(context, call, &target, new_connection).await;
+    let connected = upstream_attempt::connect(context, call, &target, connection_need).await;
     let connection = connected.inspect_err(|fault| guard.note(fault))?;
     let started = context.now();
     let silence_limit = left.mul_f64(SILENCE_FRACTION);
--- a/crates/instance/src/upstream_attempt.rs
+++ b/crates/instance/src/upstream_attempt.rs
@@ -181,16 +181,26 @@
     pub usual_time: time::Duration,
 }
 
+/// Which connection an attempt needs, by how the one before ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ConnectionNeed {
+    /// Any connection.
+    Any,
+    /// A new one, as the connection before may have been dead: no request is sent over two dead connections.
+    New,
+    /// A new one, through a member if possible, as the connection before broke or fell silent in the middle of an answer:
+    /// all links of this process may have failed.
+    OtherPath,
+}
+
 /// Returns a connection for a request: a pooled one only if another attempt may follow.
 ///
 /// A pooled connection may have died while idle, and a request written to it may still have run.
-/// `new_connection` is set after an attempt that broke, so that no request is sent over two dead
-/// connections.
 pub async fn connect(
     context: &context::InstanceContext,
     call: &incoming_call::IncomingCall,
     target: &AttemptTarget,
-    new_connection: bool,
+    need: ConnectionNeed,
 ) -> Result<upstream_pool::UpstreamConnection, AttemptFault> {
     // Avoids opening a connection for a request that must not be sent. The gate checks the upstream's notices (leaving,
     // backoff, limit) again right before the first byte is sent.
@@ -198,10 +208,16 @@
     let retry_allowed = call.route.repeat.allows_repeat() && call.route.max_attempts > 1;
     let connect_target =
         upstream_connect::ConnectTarget { service: &call.service, address: target.address };
-    let opened = if new_connection || !retry_allowed {
-        upstream_connect::open(context, connect_target).await
-    } else {
-        upstream_connect::get(context, connect_target).await
+    let opened = match need {
+        ConnectionNeed::OtherPath => {
+            upstream_connect::open_by_other_path(context, connect_target).await
+        }
+        ConnectionNeed::Any if retry_allowed => {
+            upstream_connect::get(context, connect_target).await
+        }
+        ConnectionNeed::Any | ConnectionNeed::New => {
+            upstream_connect::open(context, connect_target).await
+        }
     };
     let not_connected = retry::AttemptFailure::NotConnected;
     if let Ok(connection) = &opened {
--- a/crates/instance/src/upstream_connect.rs
+++ b/crates/instance/src/upstream_connect.rs
@@ -93,7 +93,20 @@
     context: &context::InstanceContext,
     target: ConnectTarget<'_>,
 ) -> Result<upstream_pool::UpstreamConnection, ConnectError> {
-    let opened = open_by_path(context, target).await?;
+    let opened = open_by_path(context, target, path(context, target)).await?;
+    Ok(context.pool.register(target.address, opened))
+}
+
+/// Opens a new connection to an upstream through a member if possible, else directly.
+pub(crate) async fn open_by_other_path(
+    context: &context::InstanceContext,
+    target: ConnectTarget<'_>,
+) -> Result<upstream_pool::UpstreamConnection, ConnectError> {
+    let path = match path(context, target) {
+        upstream_reach::LinkPath::Direct => upstream_reach::LinkPath::Relayed,
+        path => path,
+    };
+    let opened = open_by_path(context, target, path).await?;
     Ok(context.pool.register(target.address, opened))
 }
 
@@ -118,13 +131,14 @@
 async fn open_by_path(
     context: &context::InstanceContext,
     target: ConnectTarget<'_>,
+    path: upstream_reach::LinkPath,
 ) -> Result<upstream_pool::OpenedConnection, ConnectError> {
     let begun = context.now();
     let direct = open_direct(target.address, CONNECT_TIMEOUT);
     if !relays_connections(context) {
         return direct.await;
     }
-    match path(context, target) {
+    match path {
         upstream_reach::LinkPath::Direct => {
             let raced = race(direct, open_relayed(context, target)).await;
             note_direct_first(context, target, begun, raced)
