Read again: two outdated doc comments and a needless iterator

Cause: the field connection_need kept the comment of the flag that it replaced, the comment of PartitionScope::contains named no unit, and partition_check turned an iterator into one. No behaviour changes.

--- a/crates/instance/src/service_request.rs
+++ b/crates/instance/src/service_request.rs
@@ -229,7 +229,7 @@
     entry: &'a upstream_list::UpstreamEntry,
     /// The permit for the attempt, if the upstream has a limit.
     permit: Option<quota_permit::SendPermit>,
-    /// Whether the attempt must use a new connection.
+    /// Which connection the attempt needs.
     connection_need: upstream_attempt::ConnectionNeed,
 }
 
--- a/crates/soak/src/fault_plan.rs
+++ b/crates/soak/src/fault_plan.rs
@@ -116,7 +116,8 @@
 }
 
 impl PartitionScope {
-    /// Returns whether the upstream with a number is cut off, in a fleet of so many engines.
+    /// Returns whether the upstream with a number is cut off; `engines` is the number of engines, which
+    /// have the lowest numbers.
     pub fn contains(self, upstream: u8, engines: u8) -> bool {
         match self {
             Self::All => true,
--- a/crates/soak/src/partition_check.rs
+++ b/crates/soak/src/partition_check.rs
@@ -86,6 +86,5 @@
 
 /// Returns whether all instances were in contact with the store and each other from sending a request to its end.
 fn all_in_contact(evidence: &Evidence, request: &SentRequest) -> bool {
-    let losses = evidence.contact_losses.iter();
-    !losses.into_iter().any(|loss| loss.from <= request.to && loss.to >= request.from)
+    !evidence.contact_losses.iter().any(|loss| loss.from <= request.to && loss.to >= request.from)
 }
