--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -40,6 +40,7 @@
 
 pub mod live_settings;
 mod pause_detector;
+pub mod prompt_part;
 pub mod quarantine;
 pub mod quota_permit;
 pub mod refusal;
--- a/crates/instance/src/adapter.rs
+++ b/crates/instance/src/adapter.rs
@@ -6,7 +6,7 @@
 use std::{collections, net, time};
 
 use bytes::Bytes;
-use slipturn_core::{ids, route_table, store_revision, units, upstream_list};
+use slipturn_core::{ids, prompt_part, route_table, store_revision, units, upstream_list};
 use snafu::Snafu;
 
 use crate::{list_recovery, routes_history};
@@ -44,6 +44,8 @@
     pub output: u64,
     /// Id of the last event that the caller received, if it resumes a stream.
     pub last_event: Option<String>,
+    /// Parts that the prompt shares with others, as its caller names them; empty if it names none.
+    pub parts: prompt_part::SharedParts,
 }
 
 /// A request to be sent to an upstream.
--- a/crates/instance/src/caller_connection.rs
+++ b/crates/instance/src/caller_connection.rs
@@ -332,7 +332,7 @@
     let refusal = quarantine_gate::refusal(context, call, verdict);
     let (why, ran) = (&refusal.message, refusal.ran.label());
     record.outcome = format!("{why}: {} (ran: {ran})", verdict.names());
-    record.digest = Some(call.digest().to_string());
+    call.identify(record);
     context.stats.borrow_mut().count("held_back", &call.service.to_string());
     if reply.begun {
         // After part of the answer was sent, only closing the connection shows that it is incomplete.
--- a/crates/instance/src/incoming_call.rs
+++ b/crates/instance/src/incoming_call.rs
@@ -75,6 +75,13 @@
             .ran(refusal::RanState::Unknown)
     }
 
+    /// Adds to the request's record what identifies its repeats and its prompt: few requests need it.
+    pub fn identify(&self, record: &mut request_record::RequestRecord) {
+        record.digest = Some(self.digest().to_string());
+        let parts = &self.request.parts;
+        record.parts = (!parts.is_empty()).then(|| parts.to_string());
+    }
+
     /// Creates the request's record, without attempts and result.
     pub fn record(&self, context: &context::InstanceContext) -> request_record::RequestRecord {
         let fleet = context.fleet.borrow();
--- a/crates/instance/src/model_request.rs
+++ b/crates/instance/src/model_request.rs
@@ -119,7 +119,7 @@
             AttemptEnd::Fault(fault) => {
                 let never_ran = fault.failure.definitely_not_run();
                 if !never_ran {
-                    record.digest = Some(call.digest().to_string());
+                    call.identify(record);
                 }
                 if fault.failure.reached_no_upstream() {
                     // No engine received anything, so the retry permit stays valid. Otherwise a stream
--- a/crates/instance/src/request_record.rs
+++ b/crates/instance/src/request_record.rs
@@ -64,6 +64,9 @@
     /// quarantined or an upstream may have run an attempt that failed.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub digest: Option<String>,
+    /// Parts that the prompt shares with others, set as [`Self::digest`] is.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub parts: Option<String>,
     /// Number of prompt tokens.
     pub prompt: u64,
     /// Time limit counted from the arrival, in milliseconds; a margin for sending the answer is subtracted.
--- a/crates/instance/src/service_request.rs
+++ b/crates/instance/src/service_request.rs
@@ -180,7 +180,7 @@
                     sent += 1;
                 }
                 if !never_ran {
-                    record.digest = Some(call.digest().to_string());
+                    call.identify(record);
                     ran = refusal::RanState::Unknown;
                     connection_need = upstream_attempt::ConnectionNeed::New;
                 }
--- a/crates/instance/src/upstream_ends.rs
+++ b/crates/instance/src/upstream_ends.rs
@@ -7,7 +7,7 @@
 use std::{collections, net, rc, time};
 
 use futures::{StreamExt as _, channel::mpsc};
-use slipturn_core::{ids, request_digest, send_gate, units};
+use slipturn_core::{ids, prompt_part, request_digest, send_gate, units};
 
 use crate::{
     context, incoming_call, quarantine_gossip, upstream_attempt, upstream_connect, upstream_gate,
@@ -29,6 +29,8 @@
 const MAX_UNPROVEN: usize = 256;
 /// Most requests that a log line names.
 const MAX_LOGGED_REQUESTS: usize = 16;
+/// Most parts of prompts that a log line names.
+const MAX_LOGGED_PARTS: usize = 16;
 
 /// Events that show or suggest the end of an upstream.
 #[derive(Debug)]
@@ -61,6 +63,10 @@
     pub address: net::SocketAddrV4,
     /// Digest of the request.
     pub digest: request_digest::RequestDigest,
+    /// Parts that the prompt shares with others.
+    pub parts: prompt_part::SharedParts,
+    /// Customer of the request, if known.
+    pub customer: Option<ids::CustomerId>,
     /// When the request was sent.
     pub sent: units::MonoTime,
     /// When the run broke or was abandoned.
@@ -149,6 +155,8 @@
             upstream: self.upstream.clone(),
             address: self.address,
             digest: self.call.digest(),
+            parts: self.call.request.parts.clone(),
+            customer: self.call.customer.clone(),
             sent: self.sent,
             broke_at: self.context.now(),
             abandoned: !self.broken,
@@ -298,8 +306,23 @@
     requests.truncate(MAX_LOGGED_REQUESTS);
     log::warn!(
         upstream:%, proof = proof.label(), runs = runs.len(), requests = count,
-        digests = requests.join(" "); "upstream.ended"
+        digests = requests.join(" "), parts = describe_parts(&runs); "upstream.ended"
     );
     context.stats.borrow_mut().count("upstream_ended", proof.label());
     quarantine_gossip::report(context, &runs);
 }
+
+/// Describes the shared parts of the prompts that ran, each with its customer and the number of runs, rarest first.
+fn describe_parts(runs: &[BrokenRun]) -> String {
+    let mut counts = collections::BTreeMap::new();
+    for run in runs {
+        let customer = run.customer.as_ref().map_or("-", ids::CustomerId::as_str);
+        run.parts.iter().for_each(|part| *counts.entry((part, customer)).or_insert(0) += 1);
+    }
+    let mut counts: Vec<_> = counts.into_iter().collect();
+    counts.sort_by_key(|(_, count)| *count);
+    let shown = counts.into_iter().take(MAX_LOGGED_PARTS);
+    let shown: Vec<_> =
+        shown.map(|((part, customer), count)| format!("{part}/{customer}:{count}")).collect();
+    shown.join(" ")
+}
