--- a/crates/soak/src/traffic.rs
+++ b/crates/soak/src/traffic.rs
@@ -139,6 +139,7 @@
         key: Some(fleet::KEY.to_owned()),
         deadline: DEADLINE,
         counts: streaming.then_some(counts),
+        parts: String::new(),
         body: if route == "safe" { Vec::new() } else { b"body".to_vec() },
     }
 }
