Quarantine parts of prompts that crash the engines that answer them

Cause: the quarantine identifies a request by method, path, customer and body. Of prompts that share a part and nothing else each is new, so no sequence ever reaches three. The class: an identity so narrow that each arrival is new.

Change: evidence by part beside the quarantine of requests. Runs on a crashed engine count against the shared parts of their prompts; complete answers clear parts; members that store a service's evidence ask all others for answers before they blame a part, and tell the verdict to all. A part is blamed with the parts that all its crashed prompts had in common, only while other prompts are answered, and not for crashes that a more specific or never answered part explains; a verdict that others explain later is withdrawn. Evidence is kept by customer, and for all customers once prompts of two have crashed. After its term a verdict is tried by single prompts, member after member. Prompts whose answer has begun go on, as a complete one clears them.

Why it works: a deadly part is never answered, all else is.

Members of an older build drop the new messages, whose variants come last.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod list_recovery;
 pub mod member_heartbeat;
 pub mod membership;
+pub mod part_quarantine;
 pub mod pass_model;
 pub mod permit_cache;
 pub mod placement;
--- a/crates/instance/src/caller_connection.rs
+++ b/crates/instance/src/caller_connection.rs
@@ -3,7 +3,7 @@
 use std::{rc, time};
 
 use futures::future;
-use slipturn_core::{quarantine, refusal, start_wait, units};
+use slipturn_core::{refusal, start_wait, units};
 use slipturn_net::h1;
 
 use crate::{
@@ -316,22 +316,22 @@
     };
     let next = match quarantine_gate::pass(context, call, work).await {
         Ok(next) => next?,
-        Err(verdict) => refuse_quarantined(context, call, reply, record, &verdict).await?,
+        Err(held) => refuse_quarantined(context, call, reply, record, &held).await?,
     };
     Ok(if reply.closing() { ConnectionNext::Close } else { next })
 }
 
-/// Refuses a quarantined request.
+/// Refuses a request that is held back.
 async fn refuse_quarantined(
     context: &context::InstanceContext,
     call: &incoming_call::IncomingCall,
     reply: &mut CallerReply<'_>,
     record: &mut request_record::RequestRecord,
-    verdict: &quarantine::QuarantineVerdict,
+    held: &quarantine_gate::HeldRequest,
 ) -> Result<ConnectionNext, h1::MessageError> {
-    let refusal = quarantine_gate::refusal(context, call, verdict);
+    let refusal = quarantine_gate::refusal(context, call, held);
     let (why, ran) = (&refusal.message, refusal.ran.label());
-    record.outcome = format!("{why}: {} (ran: {ran})", verdict.names());
+    record.outcome = format!("{why}: {} (ran: {ran})", held.upstreams);
     call.identify(record);
     context.stats.borrow_mut().count("held_back", &call.service.to_string());
     if reply.begun {
--- a/crates/instance/src/context.rs
+++ b/crates/instance/src/context.rs
@@ -11,9 +11,9 @@
 use slipturn_net::process;
 
 use crate::{
-    adapter, document_answers, fleet_state, instance_settings, instance_stats, peer_message,
-    planner_set, quarantine_gate, quota_coordinator, relay_server, upstream_ends, upstream_load,
-    upstream_pool, upstream_silence, upstream_starts,
+    adapter, document_answers, fleet_state, instance_settings, instance_stats, part_gossip,
+    peer_message, planner_set, quarantine_gate, quota_coordinator, relay_server, upstream_ends,
+    upstream_load, upstream_pool, upstream_silence, upstream_starts,
 };
 
 /// Process age from which the member count is reliable; heartbeats are at most a second apart.
@@ -99,6 +99,10 @@
     pub starts: upstream_starts::StartWaiters,
     /// Evidence about requests that crash upstreams.
     pub quarantine: cell::RefCell<quarantine::QuarantineTable>,
+    /// Evidence about parts of prompts that crash engines, and the quarantines in force.
+    pub part_state: cell::RefCell<part_gossip::PartState>,
+    /// The trial of a quarantined part in progress; dead if there is none.
+    pub part_trial: cell::RefCell<rc::Weak<()>>,
     /// Wakes all requests in progress when a request has been quarantined, so that each checks whether it is
     /// quarantined.
     pub verdicts: quarantine_gate::VerdictSignal,
@@ -200,6 +204,8 @@
             quotas: quota_coordinator::QuotaState::default(),
             starts: upstream_starts::StartWaiters::default(),
             quarantine: cell::RefCell::default(),
+            part_state: cell::RefCell::default(),
+            part_trial: cell::RefCell::default(),
             verdicts: quarantine_gate::VerdictSignal::default(),
             gossip_requests: cell::Cell::default(),
             answers: cell::RefCell::default(),
--- a/crates/instance/src/incoming_call.rs
+++ b/crates/instance/src/incoming_call.rs
@@ -37,6 +37,10 @@
     /// Number of attempts that an upstream may have run: the request was sent, and the upstream did
     /// not deny having run it.
     pub may_have_run: cell::Cell<u32>,
+    /// Number of runs that broke or were given up.
+    pub broken_runs: cell::Cell<u32>,
+    /// Whether the engine of the current attempt has sent an event.
+    pub answering: cell::Cell<bool>,
     /// How the connection of the current attempt is relayed, for the attempt's record; `None` if it is direct.
     pub relayed: cell::RefCell<Option<String>>,
     /// Digest of the request, computed on first use, as few requests need it.
@@ -154,6 +158,8 @@
         arrived,
         deadline: arrived + limit.saturating_sub(ANSWER_MARGIN),
         may_have_run: cell::Cell::new(0),
+        broken_runs: cell::Cell::default(),
+        answering: cell::Cell::default(),
         relayed: cell::RefCell::default(),
         digest: cell::OnceCell::new(),
     })
--- a/crates/instance/src/internal_server.rs
+++ b/crates/instance/src/internal_server.rs
@@ -3,15 +3,17 @@
 use std::{collections, rc, time};
 
 use bytes::Bytes;
-use slipturn_core::{ids, quarantine, request_digest, units};
+use slipturn_core::{ids, part_quarantine, prompt_part, quarantine, request_digest, units};
 use slipturn_net::h1;
 
 use crate::{
-    context, document_answers, member_feed, member_relay, quarantine_gossip, relay_server,
-    upstream_rows,
+    context, document_answers, member_feed, member_relay, part_gossip, quarantine_gossip,
+    relay_server, upstream_rows,
 };
 
-/// Path at which operators list quarantined requests, and prefix of the path that releases one.
+/// Prefix that tells parts of prompts from the digest of a request.
+const PARTS_PREFIX: &str = "part:";
+/// Path at which operators list quarantined requests and parts, and prefix of the path that releases one.
 const QUARANTINE_PATH: &str = "/v1/quarantine";
 
 /// Path at which operators read a row on each listed upstream.
@@ -212,13 +214,18 @@
     }
 }
 
-/// Lists the quarantined requests, and lets an operator release one.
+/// Lists the quarantined requests and parts of prompts, and lets an operator release one.
 fn quarantine(
     context: &context::InstanceContext,
     method: &http::Method,
     path_rest: &str,
 ) -> (u16, String) {
     let release = path_rest.strip_prefix('/').and_then(|rest| rest.strip_suffix("/release"));
+    if let ("POST", Some(parts)) =
+        (method.as_str(), release.and_then(|text| text.strip_prefix(PARTS_PREFIX)))
+    {
+        return release_parts(context, parts);
+    }
     match (method.as_str(), path_rest, release.map(str::parse)) {
         ("GET", "", _) => json(&quarantined_rows(context)),
         ("POST", _, Some(Ok(digest))) if quarantine_gossip::clear(context, digest) => {
@@ -230,6 +237,28 @@
     }
 }
 
+fn release_parts(context: &context::InstanceContext, parts: &str) -> (u16, String) {
+    match parts.parse::<prompt_part::SharedParts>() {
+        Ok(parts) if part_gossip::release_parts(context, &parts) => (200, status_body("released")),
+        Ok(_) => (404, status_body("no upstream has ended under prompts with exactly these parts")),
+        Err(error) => (400, status_body(&error.to_string())),
+    }
+}
+
+fn quarantined_part_rows(context: &context::InstanceContext) -> Vec<serde_json::Value> {
+    let now = context.now();
+    let state = context.part_state.borrow();
+    let row = |verdict: &part_quarantine::PartVerdict| {
+        serde_json::json!({
+            "part": verdict.parts.to_string(),
+            "scope": verdict.scope.to_string(),
+            "for_ms": units::whole_millis(verdict.until().since(now)),
+            "upstreams": verdict.names(),
+        })
+    };
+    state.verdicts.iter().map(row).collect()
+}
+
 fn quarantined_rows(context: &context::InstanceContext) -> Vec<serde_json::Value> {
     let now = context.now();
     let table = context.quarantine.borrow();
@@ -243,7 +272,7 @@
                 "upstreams": verdict.names(),
             })
         };
-    verdicts.map(row).collect()
+    verdicts.map(row).chain(quarantined_part_rows(context)).collect()
 }
 
 fn json(value: &impl serde::Serialize) -> (u16, String) {
@@ -298,10 +327,11 @@
     )
 }
 
-/// Gauge of quarantined requests.
+/// Gauges of quarantined requests and parts of prompts.
 fn quarantined_gauge(context: &context::InstanceContext) -> String {
     let quarantined = context.quarantine.borrow().quarantined_at(context.now()).len();
-    format!("slipturn_requests_held {quarantined}\n")
+    let parts = context.part_state.borrow().verdicts.iter().count();
+    format!("slipturn_requests_held {quarantined}\nslipturn_parts_held {parts}\n")
 }
 
 /// Gauges of evacuated data centres, and of upstreams that are leaving, in backoff or limited, or that are kept or
--- a/crates/instance/src/lib.rs
+++ b/crates/instance/src/lib.rs
@@ -44,6 +44,8 @@
 pub mod memory_hold;
 pub mod model_request;
 mod no_open_upstream;
+pub mod part_gossip;
+mod part_trial;
 pub mod peer_message;
 pub mod peers;
 mod permit_request;
--- a/crates/instance/src/member_gossip.rs
+++ b/crates/instance/src/member_gossip.rs
@@ -6,11 +6,14 @@
 
 use slipturn_core::{gossip, units};
 
-use crate::{context, limit_gossip, peer_message, quarantine_gossip, upstream_signals};
+use crate::{
+    context, limit_gossip, part_gossip, peer_message, quarantine_gossip, upstream_signals,
+};
 
 /// Sends a member all state of this process that is exchanged by gossip.
 pub(crate) fn send_to(context: &context::InstanceContext, to: net::SocketAddrV4) {
     quarantine_gossip::send_quarantine(context, to);
+    part_gossip::send_verdicts(context, to);
     upstream_signals::send_leaving(context, to);
     limit_gossip::send_to(context, to);
 }
@@ -56,10 +59,10 @@
         }
         // Evidence against quarantined requests is larger and only needed for future requests, so it is sent to one
         // member in each round.
-        targets
-            .first()
-            .into_iter()
-            .for_each(|to| quarantine_gossip::send_quarantine(&context, *to));
+        if let Some(to) = targets.first() {
+            quarantine_gossip::send_quarantine(&context, *to);
+            part_gossip::send_verdicts(&context, *to);
+        }
     }
 }
 
--- a/crates/instance/src/model_request.rs
+++ b/crates/instance/src/model_request.rs
@@ -221,6 +221,10 @@
     };
     record.attempts.push(attempt_record.clone());
     let end = run_place(context, call, reply, record, state, &mut hold, &mut attempt_record).await;
+    if call.answering.replace(false) && matches!(end, Ok(AttemptEnd::Fault(_))) {
+        // Lets the gate check the quarantine before the next attempt.
+        monoio::time::sleep(time::Duration::ZERO).await;
+    }
     if let Ok(AttemptEnd::Fault(fault)) = &end {
         attempt_record.end.clone_from(&fault.text);
         hold.end = engine_fault::place_end(context, &hold, fault);
@@ -380,6 +384,7 @@
             watch.unused_until = None;
             watch.answering = true;
             let first_event_at = context.now();
+            call.answering.set(true);
             hold.first_token(
                 reported_load.filter(|_| first_event_at.since(head_at) <= MAX_LOAD_AGE),
             );
@@ -392,7 +397,7 @@
         run.connection_broke();
         return Ok(broken(state, "the stream ends in the middle of an event"));
     }
-    run.answered();
+    run.prompt_answered();
     if !state.begun {
         state.send(reply, &answer.head, &BytesMut::new()).await?;
     }
--- a/crates/instance/src/peer_message.rs
+++ b/crates/instance/src/peer_message.rs
@@ -5,8 +5,8 @@
 use futures::channel::mpsc;
 use serde::{Deserialize, Serialize};
 use slipturn_core::{
-    engine_place, failure_detector, ids, member_heartbeat, planner_key, quota_permit,
-    request_digest, units,
+    engine_place, failure_detector, ids, member_heartbeat, part_quarantine, planner_key,
+    prompt_part, quota_permit, request_digest, units,
 };
 
 /// Size of the largest datagram, in bytes. Senders split lists by [`MAX_LEASES`] and the similar limits, so that each
@@ -26,6 +26,12 @@
 /// Most [`CrashReport`]s in one message; each takes some 60 bytes.
 pub const MAX_CRASH_REPORTS: usize = 200;
 
+/// Most [`PromptCrashReport`]s in one message; each takes some 100 bytes, and up to 1.3 KB with the longest ids.
+pub const MAX_PROMPT_REPORTS: usize = 12;
+
+/// Most [`PartVerdictReport`]s in one message; each takes some 300 bytes, and up to 3 KB with the longest ids.
+pub const MAX_VERDICT_REPORTS: usize = 5;
+
 /// A message from one instance to another, sent as one datagram. Datagrams may be lost; senders that need an answer
 /// retry.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -78,6 +84,83 @@
     Suspects(Vec<failure_detector::SuspectReport>),
     /// Boot ids of members that are no longer suspected.
     Restored(Vec<u64>),
+    /// Prompts during whose runs their engine crashed, for a member that stores the evidence against their parts.
+    PartCrashes(Vec<PromptCrashReport>),
+    /// Asks whether prompts with these parts were answered since an engine crashed under them; the number is the age of
+    /// the first crash, in microseconds.
+    PartQuery(u64, Vec<part_quarantine::PartSubject>),
+    /// Answers to prompts, in reply to [`Self::PartQuery`] or after one.
+    PartAnswers(PartAnswerReport),
+    /// Quarantined parts, for all members.
+    PartVerdicts(Vec<PartVerdictReport>),
+    /// Ends a quarantine of parts.
+    PartRelease(PartReleaseReport),
+}
+
+/// A prompt during whose run its engine crashed. Times are given as ages, as members' clocks differ.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PromptCrashReport {
+    /// The service of the engine.
+    pub service: ids::ServiceId,
+    /// The prompt's customer, if known.
+    pub customer: Option<ids::CustomerId>,
+    /// The parts that the prompt shares with others.
+    pub parts: prompt_part::SharedParts,
+    /// Start (one life of the process) of the engine that crashed.
+    pub upstream: ids::UpstreamId,
+    /// Time in microseconds since the prompt was sent.
+    pub sent_us: u64,
+    /// Time in microseconds since the run ended.
+    pub ended_us: u64,
+}
+
+/// Complete answers of one member.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct PartAnswerReport {
+    /// Services that have answered some prompt, with the time in microseconds since the last answer.
+    pub services: Vec<(ids::ServiceId, u64)>,
+    /// Parts of prompts.
+    pub parts: Vec<PartAnswer>,
+}
+
+/// Complete answers of one member to prompts with a part.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct PartAnswer {
+    /// The part.
+    pub subject: part_quarantine::PartSubject,
+    /// Time in microseconds since the last answer; `None` if it was before the crash that was asked about.
+    pub age_us: Option<u64>,
+    /// Mean number of answers a second.
+    pub rate: f64,
+}
+
+/// The end of a quarantine of parts.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PartReleaseReport {
+    /// The prompts that the quarantine applied to.
+    pub scope: part_quarantine::PartScope,
+    /// The parts that were quarantined.
+    pub parts: prompt_part::SharedParts,
+    /// Time in microseconds since the release.
+    pub age_us: u64,
+    /// Whether a prompt with all of these parts was answered completely, or an operator has released them: the evidence
+    /// against them is dropped, too.
+    pub cleared: bool,
+}
+
+/// A quarantine of prompts that have certain parts.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PartVerdictReport {
+    /// The prompts that the quarantine applies to.
+    pub scope: part_quarantine::PartScope,
+    /// Parts of which a prompt must have all to be held back.
+    pub parts: prompt_part::SharedParts,
+    /// Starts (lives of the processes) of the engines that crashed, oldest crash first.
+    pub upstreams: Vec<ids::UpstreamId>,
+    /// Time in microseconds since the last crash.
+    pub crashed_us: u64,
+    /// Length of the quarantine in microseconds, counted from the last crash.
+    pub term_us: u64,
 }
 
 /// A request limit that an upstream announced. Times are given as ages, as members' clocks differ.
--- a/crates/instance/src/peers.rs
+++ b/crates/instance/src/peers.rs
@@ -6,9 +6,9 @@
 use slipturn_core::{engine_place, member_heartbeat, planner_key};
 
 use crate::{
-    context, failure_watch, heartbeats, lease_renewal, limit_gossip, member_gossip, peer_message,
-    permit_request, planner_set, quarantine_gossip, quota_coordinator, upstream_signals,
-    upstream_starts,
+    context, failure_watch, heartbeats, lease_renewal, limit_gossip, member_gossip, part_gossip,
+    peer_message, permit_request, planner_set, quarantine_gossip, quota_coordinator,
+    upstream_signals, upstream_starts,
 };
 
 /// Interval between two runs of the planners while requests wait.
@@ -118,6 +118,13 @@
         PeerMessage::Cleared(digest, micros_ago) => {
             quarantine_gossip::receive_cleared(context, digest, micros_ago);
         }
+        PeerMessage::PartCrashes(reports) => part_gossip::receive_crashes(context, reports),
+        PeerMessage::PartQuery(first_us, subjects) => {
+            part_gossip::receive_query(context, from, first_us, subjects);
+        }
+        PeerMessage::PartAnswers(report) => part_gossip::receive_answers(context, report),
+        PeerMessage::PartVerdicts(reports) => part_gossip::receive_verdicts(context, from, reports),
+        PeerMessage::PartRelease(report) => part_gossip::receive_release(context, &report),
         PeerMessage::RequestGossip => member_gossip::send_to(context, from),
         PeerMessage::Leaving(reports) => upstream_signals::receive_members(context, reports),
         PeerMessage::Limits(reports) => limit_gossip::receive_members(context, reports),
--- a/crates/instance/src/quarantine_gossip.rs
+++ b/crates/instance/src/quarantine_gossip.rs
@@ -169,23 +169,28 @@
     context: &context::InstanceContext,
     digests: impl Iterator<Item = request_digest::RequestDigest>,
 ) -> Vec<(net::SocketAddrV4, Vec<request_digest::RequestDigest>)> {
-    let members = context.members.borrow();
-    let alive: Vec<_> = members.alive(context.now()).collect();
-    let mut replicas = std::collections::BTreeMap::<_, Vec<_>>::new();
+    let mut replicas_by_address = std::collections::BTreeMap::<_, Vec<_>>::new();
     let mut digests: Vec<_> = digests.collect();
     digests.sort_unstable();
     digests.dedup();
     for digest in digests {
-        let subject = digest.to_string();
-        let ranked =
-            rendezvous::ranked(&subject, alive.iter(), |heartbeat| heartbeat.name.as_str());
-        let count =
-            if alive.len() <= SMALL_FLEET_MEMBERS { alive.len() } else { EVIDENCE_REPLICAS };
-        for replica in ranked.into_iter().take(count) {
-            replicas.entry(replica.address).or_default().push(digest);
+        for address in replicas(context, &digest.to_string()) {
+            replicas_by_address.entry(address).or_default().push(digest);
         }
     }
-    replicas.into_iter().collect()
+    replicas_by_address.into_iter().collect()
+}
+
+/// Addresses of the members that store the evidence against `subject`.
+pub(crate) fn replicas(
+    context: &context::InstanceContext,
+    subject: &str,
+) -> Vec<net::SocketAddrV4> {
+    let members = context.members.borrow();
+    let alive: Vec<_> = members.alive(context.now()).collect();
+    let count = if alive.len() <= SMALL_FLEET_MEMBERS { alive.len() } else { EVIDENCE_REPLICAS };
+    let ranked = rendezvous::ranked(subject, alive.iter(), |heartbeat| heartbeat.name.as_str());
+    ranked.into_iter().take(count).map(|replica| replica.address).collect()
 }
 
 /// Reports of `crashes` for other members, split into batches that each fit into a message.
--- a/crates/instance/src/upstream_ends.rs
+++ b/crates/instance/src/upstream_ends.rs
@@ -10,7 +10,8 @@
 use slipturn_core::{ids, prompt_part, request_digest, send_gate, units};
 
 use crate::{
-    context, incoming_call, quarantine_gossip, upstream_attempt, upstream_connect, upstream_gate,
+    context, incoming_call, part_gossip, quarantine_gossip, upstream_attempt, upstream_connect,
+    upstream_gate,
 };
 
 /// Delay between a broken run and a test connection to its upstream. A process that has ended refuses at once, but its
@@ -61,6 +62,8 @@
     pub upstream: ids::UpstreamId,
     /// Address that the request was sent to.
     pub address: net::SocketAddrV4,
+    /// Service of the upstream.
+    pub service: ids::ServiceId,
     /// Digest of the request.
     pub digest: request_digest::RequestDigest,
     /// Parts that the prompt shares with others.
@@ -139,6 +142,13 @@
         self.broken = true;
     }
 
+    /// Records that the engine has answered a prompt completely and with success: neither the request nor the parts of
+    /// its prompt crash it.
+    pub(crate) fn prompt_answered(self) {
+        part_gossip::answered(self.context, self.call);
+        self.answered();
+    }
+
     /// Records that the upstream has answered completely, whatever the answer: the request does not crash it.
     pub(crate) fn answered(mut self) {
         self.ended = true;
@@ -148,12 +158,17 @@
 
 impl Drop for RunGuard<'_> {
     fn drop(&mut self) {
-        if self.ended || !is_expected_to_run(self.context, &self.upstream) {
+        if self.ended {
+            return;
+        }
+        self.call.broken_runs.set(self.call.broken_runs.get() + 1);
+        if !is_expected_to_run(self.context, &self.upstream) {
             return;
         }
         let run = BrokenRun {
             upstream: self.upstream.clone(),
             address: self.address,
+            service: self.call.service.clone(),
             digest: self.call.digest(),
             parts: self.call.request.parts.clone(),
             customer: self.call.customer.clone(),
@@ -291,7 +306,7 @@
 
 /// Logs the end of an upstream, and reports its runs as evidence against their requests.
 fn report_ended(
-    context: &context::InstanceContext,
+    context: &rc::Rc<context::InstanceContext>,
     upstream: &ids::UpstreamId,
     runs: Vec<BrokenRun>,
     proof: EndProof,
@@ -310,6 +325,7 @@
     );
     context.stats.borrow_mut().count("upstream_ended", proof.label());
     quarantine_gossip::report(context, &runs);
+    part_gossip::report(context, &runs);
 }
 
 /// Describes the shared parts of the prompts that ran, each with its customer and the number of runs, rarest first.
