Confirm that the upstream still runs when an answer ends with its connection

What callers saw: a stream with neither a length nor chunks whose engine crashed after a whole event was passed on as complete, without its last events; a plain answer of that kind was cut in the same way. The end of such a connection also cleared the evidence against the request. Cause: next_piece takes the end of the connection for the end of the body, and nothing asked why the connection ended. Evidence: streams_without_a_length_that_crash_engines_are_soon_no_longer_sent, red before ('a complete stream without its last event').

Change: behind the end of such an answer, 15 ms later, a connection to the upstream is opened; it goes to the pool. If it fails, the answer broke off: a resumable stream goes on elsewhere, other answers are cut or retried as any broken one. An upstream that is leaving, or that may not be connected to, keeps the former rule. Answers with a length or chunks pay nothing. Ruled out: asking the upstream's report, which costs a probe and a round trip more.

--- a/crates/instance/src/long_answer.rs
+++ b/crates/instance/src/long_answer.rs
@@ -29,6 +29,12 @@
         /// The error that occurred while reading the answer.
         source: h1::MessageError,
     },
+    /// The answer ended with its connection, and perhaps with its upstream.
+    #[snafu(display("the answer broke: {source}"))]
+    Unconfirmed {
+        /// Why the answer may be incomplete.
+        source: upstream_ends::UnconfirmedEnd,
+    },
     /// The caller did not read the answer in time.
     #[snafu(display("not read within {limit:?}"))]
     NotRead {
@@ -60,8 +66,14 @@
         limit: time::Duration,
     ) -> Result<(), ForwardError> {
         let mut waited = time::Duration::ZERO;
-        let forwarding =
-            forward_pieces(context, &mut self.answer, self.leading, reply, &mut waited);
+        let forwarding = forward_pieces(
+            context,
+            &self.upstream,
+            &mut self.answer,
+            self.leading,
+            reply,
+            &mut waited,
+        );
         let forwarded = monoio::time::timeout(limit, forwarding).await;
         let result = forwarded.unwrap_or_else(|_| NotReadSnafu { limit }.fail());
         match &result {
@@ -70,7 +82,9 @@
                 self.guard.result.set(Some(CallResult::Good));
                 self.answer.finish(context, &self.upstream);
             }
-            Err(ForwardError::Upstream { .. }) if waited < SLOW_CALLER_THRESHOLD => {
+            Err(ForwardError::Upstream { .. } | ForwardError::Unconfirmed { .. })
+                if waited < SLOW_CALLER_THRESHOLD =>
+            {
                 self.run.connection_broke();
                 self.guard.result.set(Some(CallResult::Failed));
             }
@@ -83,6 +97,7 @@
 /// Forwards the body and adds the time spent waiting for the caller to `waited`.
 async fn forward_pieces(
     context: &context::InstanceContext,
+    upstream: &ids::UpstreamId,
     answer: &mut upstream_attempt::AttemptAnswer,
     leading: Bytes,
     reply: &mut caller_connection::CallerReply<'_>,
@@ -107,6 +122,7 @@
         reply.send_body_piece(length.is_some(), piece).await.context(CallerSnafu)?;
         *waited += context.now().since(write_started);
     }
+    answer.confirm_end(context, upstream).await.context(UnconfirmedSnafu)?;
     match length {
         Some(_) => Ok(()),
         None => reply.end_chunked().await.context(CallerSnafu),
--- a/crates/instance/src/model_request.rs
+++ b/crates/instance/src/model_request.rs
@@ -397,6 +397,10 @@
         run.connection_broke();
         return Ok(broken(state, "the stream ends in the middle of an event"));
     }
+    if let Err(error) = answer.confirm_end(context, &target.upstream).await {
+        run.connection_broke();
+        return Ok(broken(state, error));
+    }
     run.prompt_answered();
     if !state.begun {
         state.send(reply, &answer.head, &BytesMut::new()).await?;
--- a/crates/instance/src/upstream_attempt.rs
+++ b/crates/instance/src/upstream_attempt.rs
@@ -89,6 +89,8 @@
     address: net::SocketAddrV4,
     /// Whether the request was sent completely and the upstream keeps the connection open.
     reusable: bool,
+    /// Whether the body has neither a length nor chunks, so that only the connection's end shows that it is complete.
+    ends_with_connection: bool,
 }
 
 impl AttemptAnswer {
@@ -119,6 +121,7 @@
     ) -> Result<LeadingBody, AttemptFault> {
         let mut body = BytesMut::new();
         let times = rc::Rc::clone(&self.connection.times);
+        let mut ended = false;
         while body.len() <= max_bytes {
             let next = self.connection.next_piece(&mut self.framing);
             let mut next = std::pin::pin!(next);
@@ -135,15 +138,32 @@
                 Err(_) => next.await,
             };
             let Some(piece) = piece.map_err(AttemptFault::broke)? else {
-                return Ok(LeadingBody { bytes: body.freeze(), whole: true });
+                ended = true;
+                break;
             };
             times.receive();
             body.extend_from_slice(&piece);
         }
-        let whole = self.framing.ended();
+        if ended {
+            self.confirm_end(context, upstream).await.map_err(AttemptFault::broke)?;
+        }
+        let whole = ended || self.framing.ended();
         Ok(LeadingBody { bytes: body.freeze(), whole })
     }
 
+    /// Checks that an answer which ended with its connection is complete: a process that crashes closes its connections
+    /// as well. Does nothing if the answer has a length or chunks.
+    pub(crate) async fn confirm_end(
+        &self,
+        context: &context::InstanceContext,
+        upstream: &ids::UpstreamId,
+    ) -> Result<(), upstream_ends::UnconfirmedEnd> {
+        if !self.ends_with_connection {
+            return Ok(());
+        }
+        upstream_ends::confirm_running(context, upstream, self.address).await
+    }
+
     /// Returns the connection to the pool if it can be reused.
     pub fn finish(self, context: &context::InstanceContext, upstream: &ids::UpstreamId) {
         if self.reusable && self.framing.ended() {
@@ -350,7 +370,16 @@
     let reusable =
         sent && framing != h1::BodyFraming::UntilClose && !h1::closes(head.version, &head.headers);
     let address = target.address;
-    let answer = AttemptAnswer { head, head_fields, framing, connection, address, reusable };
+    let ends_with_connection = framing == h1::BodyFraming::UntilClose;
+    let answer = AttemptAnswer {
+        head,
+        head_fields,
+        framing,
+        connection,
+        address,
+        reusable,
+        ends_with_connection,
+    };
     if answer.head_fields.not_run && !answer.head.status.is_success() {
         let failure = if answer.head_fields.misdirected {
             retry::AttemptFailure::Misdirected
--- a/crates/instance/src/upstream_ends.rs
+++ b/crates/instance/src/upstream_ends.rs
@@ -8,6 +8,7 @@
 
 use futures::{StreamExt as _, channel::mpsc};
 use slipturn_core::{ids, prompt_part, request_digest, send_gate, units};
+use snafu::{ResultExt as _, Snafu};
 
 use crate::{
     context, incoming_call, part_gossip, quarantine_gossip, upstream_attempt, upstream_connect,
@@ -188,6 +189,36 @@
     !leaving && fleet.list.entry(name).is_some_and(|entry| entry.name == *name)
 }
 
+/// Why an answer that ended with its connection may be incomplete.
+#[derive(Debug, Snafu)]
+pub enum UnconfirmedEnd {
+    /// No connection to the upstream could be opened any more.
+    #[snafu(display("the answer ended with its connection, and the upstream: {source}"))]
+    Unreachable {
+        /// Why there is no connection.
+        source: upstream_connect::ConnectError,
+    },
+}
+
+/// Confirms that an upstream which has just closed a connection still runs, by opening another one, which is kept for
+/// later requests. An upstream that is leaving may exit after its answers.
+pub(crate) async fn confirm_running(
+    context: &context::InstanceContext,
+    upstream: &ids::UpstreamId,
+    address: net::SocketAddrV4,
+) -> Result<(), UnconfirmedEnd> {
+    monoio::time::sleep(BREAK_CHECK_DELAY).await;
+    let allowed = upstream_gate::check_send(context, upstream, send_gate::SendKind::Check, &[]);
+    let service = context.fleet.borrow().list.entry(upstream).map(|entry| entry.service.clone());
+    let Some(service) = service.filter(|_| allowed.is_ok()) else {
+        return Ok(());
+    };
+    let target = upstream_connect::ConnectTarget { service: &service, address };
+    let connection = upstream_connect::open(context, target).await.context(UnreachableSnafu)?;
+    context.pool.put(address, connection, None, context.idle_connection_limit(upstream));
+    Ok(())
+}
+
 /// Broken runs that wait for proof.
 #[derive(Default)]
 struct UnprovenRuns {
