Evaluate the evidence against parts once for all that arrives at a time

Cause: each report and each answer of a member was evaluated by itself. After the failure of a rack in a fleet of hundreds the members that store the evidence get a report from nearly every member and as many replies to each question; each evaluation walks up to 512 prompts. Change: an evaluation is scheduled 20 ms ahead and takes all that arrives until then; prompts are grouped by scope once, scopes with a single prompt are skipped; the parts asked about at once fit a datagram with the longest names. A part is no longer taken for explained by itself in the scope of one customer: crashes under two customers waited for a third of the same one (test, red before).

--- a/crates/core/src/part_quarantine/evidence.rs
+++ b/crates/core/src/part_quarantine/evidence.rs
@@ -29,7 +29,7 @@
 /// Answers a second below which a part counts as not answered before.
 const MIN_RATE: f64 = 0.05;
 /// Most parts about which members are asked at once.
-pub const MAX_SUSPECTS: usize = 64;
+pub const MAX_SUSPECTS: usize = 48;
 
 /// Evidence against all parts.
 #[derive(Debug, Default)]
@@ -201,8 +201,8 @@
         answered: &AnsweredParts,
     ) -> Vec<PartSubject> {
         let mut suspects = Vec::new();
-        for scope in self.scopes() {
-            for (part, set) in self.crash_sets(&scope, answered) {
+        for (scope, prompts) in self.scopes() {
+            for (part, set) in self.crash_sets(&scope, &prompts, answered) {
                 let subject = PartSubject { scope: scope.clone(), part };
                 let is_asked =
                     self.asked.get(&subject).is_some_and(|asked| asked.at >= set.first_crash());
@@ -227,8 +227,10 @@
         known: &PartVerdicts,
     ) -> PartJudgement {
         let scopes = self.scopes();
-        let sets: Vec<_> =
-            scopes.iter().map(|scope| (scope, self.crash_sets(scope, answered))).collect();
+        let sets = scopes
+            .iter()
+            .map(|(scope, prompts)| (scope, self.crash_sets(scope, prompts, answered)));
+        let sets: Vec<_> = sets.collect();
         let prompts_on = self.prompts_on();
         let suspicions = sets.iter().flat_map(|(scope, sets)| {
             let suspicion = |(part, set)| self.suspicion(now, scope, part, set, &prompts_on);
@@ -241,7 +243,8 @@
         let mut judged: Vec<&CrashSet> = Vec::new();
         for (suspicion, sets) in &suspicions {
             let PartSuspicion { scope, part, set, .. } = suspicion;
-            let others = suspicions.iter().map(|(other, _)| other.set);
+            let others = suspicions.iter().filter(|(other, _)| other.part != suspicion.part);
+            let others = others.map(|(other, _)| other.set);
             if !self.is_cause(suspicion, others, &explained) {
                 explained.note_suspect(suspicion);
                 if set.without(&judged).is_empty() {
@@ -339,20 +342,19 @@
         common.map(|(part, _)| part.clone()).collect()
     }
 
-    /// Returns the crashes by part, without those that the part was cleared of.
+    /// Returns the crashes by part of the `prompts` in a scope, without those that the part was cleared of.
     fn crash_sets(
         &self,
         scope: &PartScope,
+        prompts: &[usize],
         answered: &AnsweredParts,
     ) -> collections::BTreeMap<prompt_part::PartId, CrashSet> {
         let mut sets = collections::BTreeMap::<_, CrashSet>::new();
-        let prompts = self.prompts.iter().enumerate();
-        for (index, prompt) in
-            prompts.filter(|(_, prompt)| scope.contains(&prompt.service, prompt.customer.as_ref()))
-        {
+        for index in prompts {
+            let prompt = &self.prompts[*index];
             for subject in subjects(scope, &prompt.parts) {
                 if !is_cleared(answered, &subject, prompt.ended) {
-                    sets.entry(subject.part).or_default().push(index, prompt);
+                    sets.entry(subject.part).or_default().push(*index, prompt);
                 }
             }
         }
@@ -370,13 +372,16 @@
         customers.len() > 1
     }
 
-    /// Returns the scopes with crashes.
-    fn scopes(&self) -> collections::BTreeSet<PartScope> {
-        let scopes = self
-            .prompts
-            .iter()
-            .flat_map(|prompt| PartScope::of_prompt(&prompt.service, prompt.customer.as_ref()));
-        scopes.collect()
+    /// Returns the scopes with enough crashes for a suspicion, each with the indices of its prompts.
+    fn scopes(&self) -> collections::BTreeMap<PartScope, Vec<usize>> {
+        let mut scopes = collections::BTreeMap::<_, Vec<usize>>::new();
+        for (index, prompt) in self.prompts.iter().enumerate() {
+            for scope in PartScope::of_prompt(&prompt.service, prompt.customer.as_ref()) {
+                scopes.entry(scope).or_default().push(index);
+            }
+        }
+        scopes.retain(|_, prompts| prompts.len() >= SUSPECT_CRASHES);
+        scopes
     }
 }
 
--- a/crates/instance/src/part_gossip.rs
+++ b/crates/instance/src/part_gossip.rs
@@ -18,6 +18,8 @@
 const WATCH_TIME: time::Duration = time::Duration::from_secs(60);
 /// Most parts whose next answer is reported; about 100 bytes each.
 const MAX_WATCHED: usize = 512;
+/// Delay of an evaluation, within which evidence is collected.
+const EVALUATION_DELAY: time::Duration = time::Duration::from_millis(20);
 /// Most withdrawn quarantines that are remembered.
 const MAX_WITHDRAWN: usize = 64;
 
@@ -31,6 +33,8 @@
     pub(crate) verdicts: verdicts::PartVerdicts,
     /// Parts whose next answer is reported to the members that store the evidence, with the end of that.
     watched: collections::BTreeMap<part_quarantine::PartSubject, units::MonoTime>,
+    /// Whether an evaluation of the evidence is scheduled.
+    is_scheduled: bool,
     /// Quarantines that were withdrawn, oldest first: members that have missed that may still report them.
     withdrawn: collections::VecDeque<(
         part_quarantine::PartScope,
@@ -130,7 +134,7 @@
             }
         }
     }
-    evaluate(context);
+    schedule_evaluation(context);
 }
 
 /// Handles quarantines that another member knows; it is told of those whose parts this process has answered since.
@@ -193,7 +197,7 @@
     let customer = call.customer.as_ref();
     let mut state = context.part_state.borrow_mut();
     state.answered.note_prompt(now, service, customer, parts);
-    let watched = state.take_watched(now, service, customer, parts);
+    let watched = state.take_watched(service, customer, parts);
     let released =
         state.verdicts.find(now, service, customer, parts).map(|(verdict, _)| verdict.clone());
     drop(state);
@@ -243,17 +247,40 @@
     log::warn!(scope:%, parts:%, cleared; "part.released");
 }
 
-/// Records evidence and draws conclusions from it, now and when members have had time to reply.
+/// Records evidence and schedules its evaluation.
 fn record_crashes(
     context: &rc::Rc<context::InstanceContext>,
     crashed: Vec<part_quarantine::CrashedPrompt>,
 ) {
-    let now = context.now();
+    let mut guard = context.part_state.borrow_mut();
+    let state = &mut *guard;
+    state.evidence.note_crashes(context.now(), &state.answered, crashed);
+    drop(guard);
+    schedule_evaluation(context);
+}
+
+/// Evaluates the evidence soon, and once for all that arrives until then: a failure of many engines is reported by many
+/// members, and so are answers.
+fn schedule_evaluation(context: &rc::Rc<context::InstanceContext>) {
+    let mut state = context.part_state.borrow_mut();
+    if state.evidence.is_empty() || std::mem::replace(&mut state.is_scheduled, true) {
+        return;
+    }
+    drop(state);
+    let context = rc::Rc::clone(context);
+    monoio::spawn(async move {
+        monoio::time::sleep(EVALUATION_DELAY).await;
+        context.part_state.borrow_mut().is_scheduled = false;
+        ask_and_evaluate(&context);
+    });
+}
+
+/// Asks the members about parts that have become suspect, and evaluates the evidence now and after their replies.
+fn ask_and_evaluate(context: &rc::Rc<context::InstanceContext>) {
     let suspects = {
         let mut guard = context.part_state.borrow_mut();
         let state = &mut *guard;
-        state.evidence.note_crashes(now, &state.answered, crashed);
-        state.evidence.take_suspects(now, &state.answered)
+        state.evidence.take_suspects(context.now(), &state.answered)
     };
     if !suspects.is_empty() {
         ask(context, suspects);
@@ -360,7 +387,6 @@
     /// Removes the parts of an answered prompt that are watched, and returns them as they are reported.
     fn take_watched(
         &mut self,
-        now: units::MonoTime,
         service: &ids::ServiceId,
         customer: Option<&ids::CustomerId>,
         parts: &prompt_part::SharedParts,
@@ -380,7 +406,6 @@
         let watched = subjects.into_iter().filter(|subject| self.watched.remove(subject).is_some());
         let watched: Vec<_> = watched.collect();
         let answer = |subject| peer_message::PartAnswer { subject, age_us: Some(0), rate: 0.0 };
-        self.evidence.drop_cleared(now, &self.answered);
         watched.into_iter().map(answer).collect()
     }
 
