Let answers to prompts without shared parts show that a service answers

Cause: a part is blamed only while other prompts of the service are answered, and answers to prompts that name no shared part were not counted, so where all others name none nothing was ever blamed. Found by reading while the soak, whose prompts name no parts, was taught crashing parts. Change: they count; they clear no part.

--- a/crates/instance/src/part_gossip.rs
+++ b/crates/instance/src/part_gossip.rs
@@ -190,13 +190,13 @@
 /// Records that a prompt was answered completely: its parts are cleared of earlier crashes.
 pub(crate) fn answered(context: &context::InstanceContext, call: &incoming_call::IncomingCall) {
     let (service, parts) = (&call.service, &call.request.parts);
-    if parts.is_empty() {
-        return;
-    }
     let now = context.now();
     let customer = call.customer.as_ref();
     let mut state = context.part_state.borrow_mut();
     state.answered.note_prompt(now, service, customer, parts);
+    if parts.is_empty() {
+        return;
+    }
     let watched = state.take_watched(service, customer, parts);
     let released =
         state.verdicts.find(now, service, customer, parts).map(|(verdict, _)| verdict.clone());
