Confirm the end of an answer also behind a proxy

What callers saw: as before, a stream without a length that looks complete although its engine has crashed, where a proxy stands before the engine: it accepts the new connection and closes it. Change: the new connection must stay open for 15 ms. It is no proof that the upstream has ended, as a link that resets connections looks alike; the answer only counts as broken off. Five more tests: sound streams and plain answers of this kind, streams that may and may not be resumed, a plain answer cut by a crash.

--- a/crates/instance/src/upstream_ends.rs
+++ b/crates/instance/src/upstream_ends.rs
@@ -19,6 +19,8 @@
 /// connections may be reset shortly before its listener is closed. Only one test connection at a time is opened for the
 /// broken runs of an upstream, as it takes up one of the upstream's connections.
 const BREAK_CHECK_DELAY: time::Duration = time::Duration::from_millis(15);
+/// Time in which a proxy closes a connection to an upstream that has ended.
+const CLOSE_CHECK_TIME: time::Duration = time::Duration::from_millis(15);
 /// Delay between a run abandoned by its caller and a test connection to its upstream: the engine may begin such a run
 /// some time later, or drop it.
 const ABANDONED_CHECK_DELAY: time::Duration = time::Duration::from_millis(250);
@@ -198,6 +200,9 @@
         /// Why there is no connection.
         source: upstream_connect::ConnectError,
     },
+    /// A new connection was closed at once, as by a proxy whose upstream has ended.
+    #[snafu(display("the answer ended with its connection, and another one was closed at once"))]
+    Closed,
 }
 
 /// Confirms that an upstream which has just closed a connection still runs, by opening another one, which is kept for
@@ -214,7 +219,10 @@
         return Ok(());
     };
     let target = upstream_connect::ConnectTarget { service: &service, address };
-    let connection = upstream_connect::open(context, target).await.context(UnreachableSnafu)?;
+    let mut connection = upstream_connect::open(context, target).await.context(UnreachableSnafu)?;
+    if monoio::time::timeout(CLOSE_CHECK_TIME, connection.reader.fill()).await.is_ok() {
+        return ClosedSnafu.fail();
+    }
     context.pool.put(address, connection, None, context.idle_connection_limit(upstream));
     Ok(())
 }
