Blame a part also while no prompt of its service is answered; soak: crashing parts, streams without a length

Cause: a part was blamed only once another prompt of the service had been answered after the first crash; with all engines down most of the time none was. Evidence: part.suspected 0.16 s after the first proof, no part.quarantined for seconds. Change: without an answer it takes five crashes, and the verdict has the short term: a trial shows soon whether only these prompts fail. Weighed: blaming at three crashes without a control (a rack that fails again and again would hold back the part that all prompts have), never blaming (the fault found).

--- a/crates/core/src/part_quarantine/evidence.rs
+++ b/crates/core/src/part_quarantine/evidence.rs
@@ -18,6 +18,8 @@
 const SUSPECT_CRASHES: usize = 2;
 /// Counted crashes from which a part is blamed.
 const VERDICT_CRASHES: usize = 3;
+/// Counted crashes from which a part is blamed although the service has answered no prompt since the first of them.
+const UNANSWERED_CRASHES: usize = 5;
 /// Time for members to reply before a part is blamed.
 pub const REPLY_TIME: time::Duration = time::Duration::from_millis(100);
 /// How long a crash is kept as evidence.
@@ -257,14 +259,17 @@
             }
             let control = answered.service(&scope.service);
             let has_control = control.is_some_and(|at| at > set.first_crash());
-            if !has_control || !suspicion.confirmed {
+            let is_enough = has_control || suspicion.counted(set) >= UNANSWERED_CRASHES;
+            if !is_enough || !suspicion.confirmed {
                 continue;
             }
             let parts = self.parts_in_common(part, set, sets);
             let (upstreams, last_crash) = (set.upstreams(), set.last_crash());
-            let is_doubtful = suspicion.answered_before || is_covered(suspicion, &suspicions);
+            let is_doubtful =
+                !has_control || suspicion.answered_before || is_covered(suspicion, &suspicions);
             let first = if is_doubtful { SHORT_TERM } else { FIRST_TERM };
-            let term = known.next_term(scope, &parts, last_crash).unwrap_or(first);
+            let term =
+                known.next_term(scope, &parts, last_crash).map_or(first, |term| term.max(first));
             let scope = (*scope).clone();
             judgement.verdicts.push(PartVerdict { scope, parts, upstreams, last_crash, term });
             judged.push(set);
--- a/crates/core/src/part_quarantine/mod.rs
+++ b/crates/core/src/part_quarantine/mod.rs
@@ -5,8 +5,8 @@
 //!
 //! - *Crash.* A crash counts against all parts of the prompts that ran on the engine.
 //! - *Answer.* A prompt that was answered completely clears its parts of all earlier crashes.
-//! - *Control.* Nothing is blamed until some prompt of the service was answered after the first crash: if all fail, the
-//!   parts that all have are not the reason.
+//! - *Control.* Three crashes are enough only if some prompt of the service was answered after the first one. If all
+//!   fail, the parts that all have may not be the reason: it takes five, and the part is tried again soon.
 //! - *Specificity.* A part is not blamed for crashes that a more specific one explains, and is blamed together with the
 //!   parts that all its crashed prompts had as well. A prompt is held back only if it has all of them, so that prompts
 //!   with some of them still run and clear those.
--- a/crates/core/src/part_quarantine/verdicts.rs
+++ b/crates/core/src/part_quarantine/verdicts.rs
@@ -10,8 +10,8 @@
 
 /// Length of a first quarantine, counted from the last crash.
 pub const FIRST_TERM: time::Duration = time::Duration::from_secs(60);
-/// Length of a first quarantine of parts that were answered regularly before, or whose crashes other parts may have
-/// caused.
+/// Length of a first quarantine that may be wrong: of a part that was answered regularly before, whose crashes other
+/// parts may have caused, or while no prompt is answered.
 pub const SHORT_TERM: time::Duration = time::Duration::from_secs(3);
 /// Factor by which each crash after the end of a quarantine makes the next one longer.
 const TERM_FACTOR: u32 = 8;
--- a/crates/soak/src/fault_injector.rs
+++ b/crates/soak/src/fault_injector.rs
@@ -49,6 +49,8 @@
     UpstreamLinkGood(u8),
     /// Makes the links from an instance to all upstreams work again.
     Reunite(u8),
+    /// Lets the streams of an engine have chunks again.
+    Framed(u8),
     /// Lists an upstream as ready, after it was listed as leaving, has restarted, or its entry was
     /// overwritten.
     Return(u8),
@@ -243,6 +245,10 @@
                 self.ends.push((until, FaultEnd::UpstreamLinkGood(number)));
             }
             Fault::Partition(number, scope, mode) => self.partition(number, scope, mode, until),
+            Fault::Unframed(number) => {
+                self.fleet.engines[usize::from(number)].set_unframed_streams(true);
+                self.ends.push((until, FaultEnd::Framed(number)));
+            }
             silence_fault => self.silence(silence_fault),
         }
     }
@@ -355,6 +361,9 @@
                     last.to = now;
                 }
             }
+            FaultEnd::Framed(number) => {
+                self.fleet.engines[usize::from(number)].set_unframed_streams(false);
+            }
             FaultEnd::Return(number) => self.list(number, false),
             FaultEnd::Restore(number) => {
                 self.fleet.evacuate(&data_center_of(usize::from(number)), false);
@@ -539,7 +548,7 @@
     }
 
     /// Records a fault of an upstream or a link from now until `until` plus [`RECOVERY_MARGIN`].
-    fn record_external_fault(&mut self, until: Instant) {
+    pub(crate) fn record_external_fault(&mut self, until: Instant) {
         let disturbance =
             Disturbance { instance: None, from: Instant::now(), to: until + RECOVERY_MARGIN };
         self.evidence.external_faults.push(disturbance);
--- a/crates/soak/src/fault_plan.rs
+++ b/crates/soak/src/fault_plan.rs
@@ -13,7 +13,8 @@
 use slipturn_platform_standin::{proxy::LinkMode, runner::RunnerMode, store::StoreMode};
 
 use crate::{
-    contact_plan, data_center_plan, drill_plan, entry_plan, limit_plan, partition_plan, signal_plan,
+    contact_plan, data_center_plan, drill_plan, entry_plan, framing_plan, limit_plan,
+    partition_plan, signal_plan,
 };
 
 /// Time between the starts of two faults of [`dense_faults`] in the first part of a run,
@@ -92,6 +93,8 @@
     /// The links from an instance to upstreams fail in the given mode until the end. An instance that is partitioned
     /// already stays so.
     Partition(u8, PartitionScope, LinkMode),
+    /// The streams of an engine have neither a length nor chunks until the end.
+    Unframed(u8),
     /// The store is unavailable until the end and is then restored from an older copy; lost entries
     /// are written again later.
     Drill {
@@ -183,6 +186,7 @@
     faults.extend(data_center_plan::faults(seed, size));
     faults.extend(drill_plan::faults(seed, size));
     faults.extend(partition_plan::faults(seed, size));
+    faults.extend(framing_plan::faults(seed, size));
     faults.sort_by_key(|planned| planned.at);
     faults
 }
--- a/crates/soak/src/final_checks.rs
+++ b/crates/soak/src/final_checks.rs
@@ -15,7 +15,7 @@
     evidence::RECOVERY_MARGIN,
     fault_injector::{FaultEnd, FaultInjector, STOP_GRACE_PERIOD},
     fault_plan::{Fault, PartitionScope, PlannedFault},
-    leave_check, partition_plan,
+    framing_plan, leave_check, partition_plan,
     traffic::{self, Traffic},
 };
 
@@ -49,6 +49,9 @@
         if seed >= partition_plan::FIRST_SEED {
             self.check_partition(seed);
         }
+        if seed >= framing_plan::FIRST_SEED {
+            self.check_crashing_part(seed);
+        }
         self.check_release();
     }
 
--- a/crates/soak/tests/plans.rs
+++ b/crates/soak/tests/plans.rs
@@ -55,3 +55,13 @@
         assert!(fault_plan::plan(seed + 80_000, SIZE).iter().any(is_partition));
     }
 }
+
+#[test]
+fn streams_without_a_length_are_planned_only_from_seed_90000_on() {
+    let is_unframed =
+        |planned: &fault_plan::PlannedFault| matches!(planned.fault, Fault::Unframed(_));
+    for seed in SEEDS {
+        assert!(!fault_plan::plan(seed + 89_900, SIZE).iter().any(is_unframed));
+        assert!(fault_plan::plan(seed + 90_000, SIZE).iter().any(is_unframed));
+    }
+}
