--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -8,7 +8,7 @@
 const INFO: command_line::ProgramInfo = command_line::ProgramInfo {
     name: "slipturnctl",
     version: env!("CARGO_PKG_VERSION"),
-    arguments: "[options] check FILE | status | settings | explain ID | histograms | quarantine | release DIGEST | upstreams | drain",
+    arguments: "[options] check FILE | status | settings | explain ID | histograms | quarantine | release DIGEST|part:ID | upstreams | drain",
     about: "Asks an instance of slipturn, or checks a settings document before it is published.",
 };
 
