One trial of a quarantined part at a time in the whole fleet

Cause: a trial was held against others only while its request lasted, and members began within 1.5 s of each other, while the proof of a crash takes up to 10 s. Change: the member that begins a trial tells all; nobody begins another within 10 s. Ruled out: a wider spread of the members' starts, which would leave a part that rarely comes to the last one.

--- a/crates/core/src/part_quarantine/verdicts.rs
+++ b/crates/core/src/part_quarantine/verdicts.rs
@@ -1,6 +1,6 @@
 //! The quarantines of parts that are in force.
 
-use std::time;
+use std::{collections, time};
 
 use crate::{
     ids,
@@ -21,6 +21,8 @@
 const TRIAL_TIME: time::Duration = time::Duration::from_secs(300);
 /// Time within which members may try prompts one after the other, so that not all try at once.
 const TRIAL_SPREAD: time::Duration = time::Duration::from_secs(30);
+/// Time after the start of a trial before another one: it may take that long to prove that its engine has crashed.
+const TRIAL_INTERVAL: time::Duration = time::Duration::from_secs(10);
 /// Most verdicts, up to two kilobytes each; the one that ends first is dropped.
 const MAX_VERDICTS: usize = 64;
 /// Most engines that a verdict names: the first ones that crashed.
@@ -43,22 +45,26 @@
 
 /// Verdicts in force.
 #[derive(Debug, Default)]
-pub struct PartVerdicts(Vec<PartVerdict>);
+pub struct PartVerdicts {
+    verdicts: Vec<PartVerdict>,
+    /// Start of the last trial of a verdict, at any member.
+    trials: collections::BTreeMap<(PartScope, prompt_part::SharedParts), units::MonoTime>,
+}
 
 impl PartVerdicts {
     /// Returns whether there are none, whether in quarantine or on trial.
     pub fn is_empty(&self) -> bool {
-        self.0.is_empty()
+        self.verdicts.is_empty()
     }
 
     /// Returns all verdicts.
     pub fn iter(&self) -> impl Iterator<Item = &PartVerdict> {
-        self.0.iter()
+        self.verdicts.iter()
     }
 
     /// Returns whether all prompts that a verdict holds back are held back as long already.
     pub fn covers(&self, verdict: &PartVerdict) -> bool {
-        self.0.iter().any(|known| known.covers(verdict))
+        self.verdicts.iter().any(|known| known.covers(verdict))
     }
 
     /// Adds a verdict and drops those that it makes needless; returns whether more prompts are held back, or longer.
@@ -69,11 +75,11 @@
         if is_expired || self.covers(&verdict) {
             return false;
         }
-        self.0.retain(|known| !verdict.covers(known));
-        self.0.push(verdict);
-        if self.0.len() > MAX_VERDICTS {
-            let first = (0..self.0.len()).min_by_key(|index| self.0[*index].until());
-            first.map(|index| self.0.swap_remove(index));
+        self.verdicts.retain(|known| !verdict.covers(known));
+        self.verdicts.push(verdict);
+        if self.verdicts.len() > MAX_VERDICTS {
+            let first = (0..self.verdicts.len()).min_by_key(|index| self.verdicts[*index].until());
+            first.map(|index| self.verdicts.swap_remove(index));
         }
         true
     }
@@ -85,11 +91,11 @@
         parts: &prompt_part::SharedParts,
         at: units::MonoTime,
     ) -> bool {
-        let before = self.0.len();
-        self.0.retain(|verdict| {
+        let before = self.verdicts.len();
+        self.verdicts.retain(|verdict| {
             verdict.scope != *scope || verdict.parts != *parts || verdict.last_crash > at
         });
-        self.0.len() < before
+        self.verdicts.len() < before
     }
 
     /// Returns the verdict that applies to a prompt, and what it means now: a quarantine before a trial.
@@ -103,7 +109,7 @@
         let applies = |verdict: &&PartVerdict| {
             verdict.scope.contains(service, customer) && parts.contains_all(&verdict.parts)
         };
-        let verdict = self.0.iter().filter(applies).max_by_key(|verdict| verdict.until())?;
+        let verdict = self.verdicts.iter().filter(applies).max_by_key(|verdict| verdict.until())?;
         if now < verdict.until() {
             return Some((verdict, VerdictPhase::Quarantine));
         }
@@ -119,13 +125,30 @@
         crashed: units::MonoTime,
     ) -> Option<time::Duration> {
         let is_same = |verdict: &&PartVerdict| verdict.scope == *scope && verdict.parts == *parts;
-        let known = self.0.iter().find(is_same)?;
+        let known = self.verdicts.iter().find(is_same)?;
         let is_repeated = crashed >= known.until();
         let term = if is_repeated { known.term * TERM_FACTOR } else { known.term };
         Some(term.min(MAX_QUARANTINE_TIME))
     }
 
+    /// Records that a member tries a prompt now.
+    pub fn note_trial(
+        &mut self,
+        now: units::MonoTime,
+        scope: PartScope,
+        parts: prompt_part::SharedParts,
+    ) {
+        self.trials.insert((scope, parts), now);
+    }
+
+    /// Returns whether a prompt was tried so recently that its result may not be known yet.
+    pub fn is_tried(&self, now: units::MonoTime, verdict: &PartVerdict) -> bool {
+        let trial = self.trials.get(&(verdict.scope.clone(), verdict.parts.clone()));
+        trial.is_some_and(|at| now.since(*at) < TRIAL_INTERVAL)
+    }
+
     fn drop_expired(&mut self, now: units::MonoTime) {
-        self.0.retain(|verdict| now < verdict.until() + TRIAL_TIME);
+        self.verdicts.retain(|verdict| now < verdict.until() + TRIAL_TIME);
+        self.trials.retain(|_, at| now.since(*at) < TRIAL_INTERVAL);
     }
 }
--- a/crates/core/src/prompt_part.rs
+++ b/crates/core/src/prompt_part.rs
@@ -71,7 +71,7 @@
 }
 
 /// The parts that a prompt may share with others: all but its last one, which belongs to the request or its session.
-#[derive(Clone, PartialEq, Eq, Default, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, PartialEq, Eq, PartialOrd, Ord, Default, serde::Serialize, serde::Deserialize)]
 pub struct SharedParts(
     /// Sorted, without duplicates, at most [`MAX_SHARED_PARTS`].
     Vec<PartId>,
--- a/crates/instance/src/context.rs
+++ b/crates/instance/src/context.rs
@@ -101,8 +101,6 @@
     pub quarantine: cell::RefCell<quarantine::QuarantineTable>,
     /// Evidence about parts of prompts that crash engines, and the quarantines in force.
     pub part_state: cell::RefCell<part_gossip::PartState>,
-    /// The trial of a quarantined part in progress; dead if there is none.
-    pub part_trial: cell::RefCell<rc::Weak<()>>,
     /// Wakes all requests in progress when a request has been quarantined, so that each checks whether it is
     /// quarantined.
     pub verdicts: quarantine_gate::VerdictSignal,
@@ -205,7 +203,6 @@
             starts: upstream_starts::StartWaiters::default(),
             quarantine: cell::RefCell::default(),
             part_state: cell::RefCell::default(),
-            part_trial: cell::RefCell::default(),
             verdicts: quarantine_gate::VerdictSignal::default(),
             gossip_requests: cell::Cell::default(),
             answers: cell::RefCell::default(),
--- a/crates/instance/src/part_gossip.rs
+++ b/crates/instance/src/part_gossip.rs
@@ -176,6 +176,27 @@
     context.part_state.borrow_mut().release(&report.scope, &report.parts, at, report.cleared);
 }
 
+/// Records that this process or another member tries a prompt with quarantined parts.
+pub(crate) fn note_trial(
+    context: &context::InstanceContext,
+    scope: part_quarantine::PartScope,
+    parts: prompt_part::SharedParts,
+) {
+    context.part_state.borrow_mut().verdicts.note_trial(context.now(), scope, parts);
+}
+
+/// Informs all members that this process tries a prompt with quarantined parts.
+pub(crate) fn announce_trial(
+    context: &context::InstanceContext,
+    scope: &part_quarantine::PartScope,
+    parts: &prompt_part::SharedParts,
+) {
+    let message = peer_message::PeerMessage::PartTrial(scope.clone(), parts.clone());
+    for to in context.members.borrow().targets(context.settings().member_address) {
+        context.send_to(to, message.clone());
+    }
+}
+
 /// Sends a member all quarantines of parts.
 pub(crate) fn send_verdicts(context: &context::InstanceContext, to: net::SocketAddrV4) {
     let reports: Vec<_> = {
--- a/crates/instance/src/part_trial.rs
+++ b/crates/instance/src/part_trial.rs
@@ -1,45 +1,53 @@
-//! Trials of quarantined parts after the end of their quarantine: each member tries one prompt at a time, and the members
-//! begin one after the other, so that a part that still crashes engines ends few of them.
+//! Trials of quarantined parts after the end of their quarantine: single prompts, one member after the other, so that a
+//! part that still crashes engines ends few of them.
 
-use std::rc;
+use slipturn_core::{
+    part_quarantine::{self, verdicts},
+    rendezvous, units,
+};
 
-use slipturn_core::{part_quarantine, part_quarantine::verdicts, rendezvous};
+use crate::{context, incoming_call, part_gossip};
 
-use crate::{context, incoming_call};
-
-/// The trial that a request takes part in, if any.
+/// Whether a request is sent as a trial.
 #[derive(Debug, Default)]
-pub(crate) struct PartTrial(Option<rc::Rc<()>>);
+pub(crate) struct PartTrial {
+    begun: bool,
+}
 
 impl PartTrial {
-    /// Returns whether a prompt may be sent although its part is quarantined: it is sent once, as the only one of this
-    /// process.
+    /// Returns whether a prompt may be sent although its part is quarantined: it is sent once, while no other is tried.
     pub(crate) fn is_allowed(
         &mut self,
         context: &context::InstanceContext,
         call: &incoming_call::IncomingCall,
+        known: &verdicts::PartVerdicts,
         verdict: &part_quarantine::PartVerdict,
     ) -> bool {
-        if self.0.is_some() {
+        if self.begun {
             return call.broken_runs.get() == 0;
         }
-        let mut running = context.part_trial.borrow_mut();
-        if running.strong_count() > 0 || context.now() < own_start(context, verdict) {
+        let now = context.now();
+        if known.is_tried(now, verdict) || now < own_start(context, verdict) {
             return false;
         }
-        let trial = rc::Rc::new(());
-        *running = rc::Rc::downgrade(&trial);
-        log::info!(id = call.request.id.as_str(), scope:% = verdict.scope, parts:% = verdict.parts; "part.tried");
-        self.0 = Some(trial);
+        let (scope, parts) = (&verdict.scope, &verdict.parts);
+        log::info!(id = call.request.id.as_str(), scope:%, parts:%; "part.tried");
+        part_gossip::announce_trial(context, scope, parts);
+        self.begun = true;
         true
     }
+
+    /// Returns whether the trial begins with this request.
+    pub(crate) fn has_begun(&self) -> bool {
+        self.begun
+    }
 }
 
 /// Returns when this process may try prompts.
 fn own_start(
     context: &context::InstanceContext,
     verdict: &part_quarantine::PartVerdict,
-) -> slipturn_core::units::MonoTime {
+) -> units::MonoTime {
     let own = context.settings().name.clone();
     let members = context.members.borrow();
     let alive: Vec<_> = members.alive(context.now()).map(|heartbeat| &heartbeat.name).collect();
--- a/crates/instance/src/peer_message.rs
+++ b/crates/instance/src/peer_message.rs
@@ -95,6 +95,8 @@
     PartVerdicts(Vec<PartVerdictReport>),
     /// Ends a quarantine of parts.
     PartRelease(PartReleaseReport),
+    /// The member tries a prompt with these quarantined parts now; the others wait for the result.
+    PartTrial(part_quarantine::PartScope, prompt_part::SharedParts),
 }
 
 /// A prompt during whose run its engine crashed. Times are given as ages, as members' clocks differ.
--- a/crates/instance/src/peers.rs
+++ b/crates/instance/src/peers.rs
@@ -125,6 +125,7 @@
         PeerMessage::PartAnswers(report) => part_gossip::receive_answers(context, report),
         PeerMessage::PartVerdicts(reports) => part_gossip::receive_verdicts(context, from, reports),
         PeerMessage::PartRelease(report) => part_gossip::receive_release(context, &report),
+        PeerMessage::PartTrial(scope, parts) => part_gossip::note_trial(context, scope, parts),
         PeerMessage::RequestGossip => member_gossip::send_to(context, from),
         PeerMessage::Leaving(reports) => upstream_signals::receive_members(context, reports),
         PeerMessage::Limits(reports) => limit_gossip::receive_members(context, reports),
--- a/crates/instance/src/quarantine_gate.rs
+++ b/crates/instance/src/quarantine_gate.rs
@@ -117,14 +117,20 @@
     call: &incoming_call::IncomingCall,
     trial: &mut part_trial::PartTrial,
 ) -> Option<HeldRequest> {
-    let state = context.part_state.borrow();
+    let mut state = context.part_state.borrow_mut();
     if state.verdicts.is_empty() || call.answering.get() {
         return None;
     }
     let (now, parts) = (context.now(), &call.request.parts);
-    let (verdict, phase) =
-        state.verdicts.find(now, &call.service, call.customer.as_ref(), parts)?;
-    if phase == verdicts::VerdictPhase::Trial && trial.is_allowed(context, call, verdict) {
+    let found = state.verdicts.find(now, &call.service, call.customer.as_ref(), parts);
+    let (verdict, phase) = found.map(|(verdict, phase)| (verdict.clone(), phase))?;
+    let is_begun = trial.has_begun();
+    if phase == verdicts::VerdictPhase::Trial
+        && trial.is_allowed(context, call, &state.verdicts, &verdict)
+    {
+        if !is_begun {
+            state.verdicts.note_trial(now, verdict.scope, verdict.parts);
+        }
         return None;
     }
     let until = match phase {
