One way to list the subjects of a prompt's parts, one to send to all members

Cause: reading the change again. The parts of a prompt within a scope were listed by five loops in three files, the scopes of a crashed prompt were built beside PartScope::of_prompt, and three functions sent to all members by the same loop. Now PartScope::subjects, of_prompt and send_to_all serve all of them; a comment says its reply in plain terms. No behaviour changes.

--- a/crates/core/src/part_quarantine/answered_parts.rs
+++ b/crates/core/src/part_quarantine/answered_parts.rs
@@ -47,9 +47,7 @@
     ) {
         self.note_service(at, service.clone());
         for scope in part_quarantine::PartScope::of_prompt(service, customer) {
-            for part in parts.iter() {
-                let (scope, part) = (scope.clone(), part.clone());
-                let subject = part_quarantine::PartSubject { scope, part };
+            for subject in scope.subjects(parts) {
                 let answers = self.parts.entry(subject).or_default();
                 let count = answers.count_at(at) + 1.0;
                 *answers = AnswerCount { last: at.max(answers.last), count, counted: at };
--- a/crates/core/src/part_quarantine/evidence.rs
+++ b/crates/core/src/part_quarantine/evidence.rs
@@ -175,10 +175,8 @@
     /// Drops evidence that is too old or against parts that were all answered since.
     pub fn drop_cleared(&mut self, now: units::MonoTime, answered: &AnsweredParts) {
         self.prompts.retain(|prompt| {
-            let customers = [CustomerScope::One(prompt.customer.clone()), CustomerScope::All];
-            let scopes =
-                customers.map(|customers| PartScope { service: prompt.service.clone(), customers });
-            let mut subjects = scopes.iter().flat_map(|scope| subjects(scope, &prompt.parts));
+            let scopes = PartScope::of_prompt(&prompt.service, prompt.customer.as_ref());
+            let mut subjects = scopes.iter().flat_map(|scope| scope.subjects(&prompt.parts));
             now.since(prompt.ended) < EVIDENCE_TTL
                 && subjects.any(|subject| !is_cleared(answered, &subject, prompt.ended))
         });
@@ -357,7 +355,7 @@
         let mut sets = collections::BTreeMap::<_, CrashSet>::new();
         for index in prompts {
             let prompt = &self.prompts[*index];
-            for subject in subjects(scope, &prompt.parts) {
+            for subject in scope.subjects(&prompt.parts) {
                 if !is_cleared(answered, &subject, prompt.ended) {
                     sets.entry(subject.part).or_default().push(*index, prompt);
                 }
@@ -390,13 +388,6 @@
     }
 }
 
-fn subjects(
-    scope: &PartScope,
-    parts: &prompt_part::SharedParts,
-) -> impl Iterator<Item = PartSubject> {
-    parts.iter().map(|part| PartSubject { scope: scope.clone(), part: part.clone() })
-}
-
 /// Returns whether at most two other suspects were present at all crashes of a part, so that these may be the causes.
 fn is_covered<T>(suspicion: &PartSuspicion<'_>, all: &[(PartSuspicion<'_>, T)]) -> bool {
     let others = all
--- a/crates/core/src/part_quarantine/mod.rs
+++ b/crates/core/src/part_quarantine/mod.rs
@@ -52,6 +52,11 @@
             .map(|customers| Self { service: service.clone(), customers })
     }
 
+    /// Returns the parts of a prompt within this scope.
+    pub fn subjects(&self, parts: &prompt_part::SharedParts) -> impl Iterator<Item = PartSubject> {
+        parts.iter().map(|part| PartSubject { scope: self.clone(), part: part.clone() })
+    }
+
     /// Returns whether a prompt is in this scope.
     fn contains(&self, service: &ids::ServiceId, customer: Option<&ids::CustomerId>) -> bool {
         let customers = match &self.customers {
--- a/crates/instance/src/part_gossip.rs
+++ b/crates/instance/src/part_gossip.rs
@@ -137,7 +137,7 @@
     schedule_evaluation(context);
 }
 
-/// Handles quarantines that another member knows; it is told of those whose parts this process has answered since.
+/// Handles quarantines that another member knows; replies with the release of those that this process knows to have ended since.
 pub(crate) fn receive_verdicts(
     context: &context::InstanceContext,
     from: net::SocketAddrV4,
@@ -192,9 +192,7 @@
     parts: &prompt_part::SharedParts,
 ) {
     let message = peer_message::PeerMessage::PartTrial(scope.clone(), parts.clone());
-    for to in context.members.borrow().targets(context.settings().member_address) {
-        context.send_to(to, message.clone());
-    }
+    send_to_all(context, &message);
 }
 
 /// Sends a member all quarantines of parts.
@@ -262,9 +260,7 @@
         cleared,
     };
     let message = peer_message::PeerMessage::PartRelease(report);
-    for to in context.members.borrow().targets(context.settings().member_address) {
-        context.send_to(to, message.clone());
-    }
+    send_to_all(context, &message);
     log::warn!(scope:%, parts:%, cleared; "part.released");
 }
 
@@ -324,9 +320,7 @@
     state.watch(now, suspects.clone());
     drop(state);
     let message = peer_message::PeerMessage::PartQuery(age(now, first), suspects);
-    for to in context.members.borrow().targets(context.settings().member_address) {
-        context.send_to(to, message.clone());
-    }
+    send_to_all(context, &message);
 }
 
 /// Quarantines the parts that the evidence of this process suffices for, here and at all members.
@@ -384,11 +378,8 @@
         if let Some((_, _, at)) = withdrawn {
             return Some((*at, false));
         }
-        let subject = |part: &prompt_part::PartId| part_quarantine::PartSubject {
-            scope: verdict.scope.clone(),
-            part: part.clone(),
-        };
-        let answered = verdict.parts.iter().map(|part| self.answered.part(&subject(part)));
+        let subjects = verdict.scope.subjects(&verdict.parts);
+        let answered = subjects.map(|subject| self.answered.part(&subject));
         let answered = answered.min().flatten().filter(|at| *at > verdict.last_crash);
         answered.map(|at| (at, true))
     }
@@ -416,14 +407,7 @@
             return Vec::new();
         }
         let scopes = part_quarantine::PartScope::of_prompt(service, customer);
-        let subjects = scopes.iter().flat_map(|scope| {
-            let subject = |part: &prompt_part::PartId| part_quarantine::PartSubject {
-                scope: scope.clone(),
-                part: part.clone(),
-            };
-            parts.iter().map(subject)
-        });
-        let subjects: Vec<_> = subjects.collect();
+        let subjects: Vec<_> = scopes.iter().flat_map(|scope| scope.subjects(parts)).collect();
         let watched = subjects.into_iter().filter(|subject| self.watched.remove(subject).is_some());
         let watched: Vec<_> = watched.collect();
         let answer = |subject| peer_message::PartAnswer { subject, age_us: Some(0), rate: 0.0 };
@@ -439,9 +423,8 @@
     ) {
         self.verdicts.release(scope, parts, at);
         if cleared {
-            for part in parts.iter() {
-                let (scope, part) = (scope.clone(), part.clone());
-                self.answered.note_part(at, part_quarantine::PartSubject { scope, part });
+            for subject in scope.subjects(parts) {
+                self.answered.note_part(at, subject);
             }
             return;
         }
@@ -452,6 +435,13 @@
     }
 }
 
+/// Sends a message to all members.
+fn send_to_all(context: &context::InstanceContext, message: &peer_message::PeerMessage) {
+    for to in context.members.borrow().targets(context.settings().member_address) {
+        context.send_to(to, message.clone());
+    }
+}
+
 fn crash_report(
     now: units::MonoTime,
     prompt: &part_quarantine::CrashedPrompt,
