Log and count what ends relayed connections

Three causes were possible: (1) the relay takes a pause for the end of the answer, (2) the relay's grace time ends, (3) the upstream's side breaks. No log or metric told them apart.

A relayed connection now counts its end in slipturn_relay_ends_total; during a graceful stop the relay logs relay.ended with the time since the last byte of the upstream, and process.stopped says how many relayed connections are left.

--- a/crates/instance/src/program.rs
+++ b/crates/instance/src/program.rs
@@ -245,7 +245,8 @@
     while context.busy.get() > 0 && context.now().since(begun) < stop_time {
         monoio::time::sleep(time::Duration::from_millis(20)).await;
     }
-    log::info!(busy = context.busy.get(); "process.stopped");
+    let relayed = context.relayed.borrow().open();
+    log::info!(busy = context.busy.get(), relayed; "process.stopped");
     // Allows the last answers, closed connections and log lines to be written before the process exits.
     monoio::time::sleep(time::Duration::from_millis(50)).await;
 }
--- a/crates/instance/src/relay_server.rs
+++ b/crates/instance/src/relay_server.rs
@@ -56,6 +56,30 @@
     }
 }
 
+/// What ended a relayed connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum RelayEnd {
+    /// The member closed its side, or its side broke.
+    Member,
+    /// The upstream closed its side.
+    Upstream,
+    /// The upstream's side broke.
+    Broken,
+    /// The connection was taken for idle during a graceful stop.
+    Idle,
+}
+
+impl RelayEnd {
+    fn label(self) -> &'static str {
+        match self {
+            Self::Member => "member",
+            Self::Upstream => "upstream",
+            Self::Broken => "broken",
+            Self::Idle => "idle",
+        }
+    }
+}
+
 /// Counts a relayed connection until it is dropped.
 struct RelayGuard<'a> {
     context: &'a context::InstanceContext,
@@ -228,13 +252,19 @@
             let forwarding = future::select(to_upstream, to_member);
             match future::select(forwarding, idle).await {
                 future::Either::Left((future::Either::Left((Err(_), to_member)), _)) => {
-                    monoio::time::timeout(EARLY_ANSWER_TIME, to_member).await.ok()
+                    match monoio::time::timeout(EARLY_ANSWER_TIME, to_member).await {
+                        Ok(Ok(())) => RelayEnd::Upstream,
+                        _ => RelayEnd::Broken,
+                    }
                 }
-                future::Either::Left((future::Either::Right((ended, _)), _)) => Some(ended),
-                _ => None,
+                future::Either::Left((future::Either::Left((Ok(()), _)), _)) => RelayEnd::Member,
+                future::Either::Left((future::Either::Right((Ok(()), _)), _)) => RelayEnd::Upstream,
+                future::Either::Left((future::Either::Right((Err(_), _)), _)) => RelayEnd::Broken,
+                future::Either::Right(_) => RelayEnd::Idle,
             }
         };
-        if let Some(Ok(())) = ended {
+        self.report_end(number, ended);
+        if ended == RelayEnd::Upstream {
             self.context.relayed.borrow_mut().note_closed_by_upstream(number);
             if member.writer.shutdown().await.is_ok() {
                 let _ = monoio::time::timeout(LINGER_TIMEOUT, member.reader.fill()).await;
@@ -242,6 +272,19 @@
         }
     }
 
+    /// Counts the end of the connection, and logs it during a graceful stop.
+    fn report_end(&self, number: u64, ended: RelayEnd) {
+        self.context.stats.borrow_mut().count("relay_ends", ended.label());
+        if !self.context.stop.is_triggered() {
+            return;
+        }
+        let silent_ms = match self.last.get() {
+            LastBytes::Member => None,
+            LastBytes::Upstream(at) => Some(units::whole_millis(self.context.now().since(at))),
+        };
+        log::info!(number, end = ended.label(), silent_ms; "relay.ended");
+    }
+
     /// Copies bytes of one direction until its sender closes the connection; calls `note` for each piece.
     async fn copy(
         &self,
