Keep relayed connections open while their answers pause

Cause: a stopping relay took a pause of 1 s for the end of the answer (until_idle_at_stop) and closed the connection. It forwards bytes only, so it can't know whether an answer is under way; the instance that uses the connection does. The relay had to guess as that instance kept relayed connections idle in its pool.

Change: an instance opens a relayed connection for one request and closes it after the answer; a relay closes none. Its stop waits for the open ones, refuses new ones from the signal on, and needs no news to reach the other instance. The limit of 1 s on answers of upstreams that stopped reading, the same guess, is gone as well (by reading; without a test).

Evidence: relay.ended shows idle as the end of the cut streams, none at the grace time's end, none broken. Before: three of the five tests in relayed_stops fail (streams that pause, with and without chunks, relay and instance stopped together). a_relay_without_requests_stops_at_once fails on a trial that keeps relayed connections in the pool; streams_do_not_begin_over_a_relay_that_stops passed before, too.

--- a/crates/instance/src/member_relay.rs
+++ b/crates/instance/src/member_relay.rs
@@ -6,7 +6,7 @@
 use std::{net, time};
 
 use futures::{StreamExt as _, stream::FuturesUnordered};
-use slipturn_core::{ids, units};
+use slipturn_core::ids;
 use slipturn_net::h1;
 use snafu::{ResultExt as _, Snafu};
 
@@ -232,13 +232,3 @@
     let relay = ConnectionRelay { member: name, address, number };
     Ok(upstream_pool::OpenedConnection { reader, writer, relay: Some(relay) })
 }
-
-/// Returns whether a member may go on relaying connections: it is alive and not leaving.
-pub(crate) fn is_usable(
-    context: &context::InstanceContext,
-    now: units::MonoTime,
-    member: &ids::InstanceId,
-) -> bool {
-    let members = context.members.borrow();
-    members.alive(now).any(|heartbeat| heartbeat.name == *member && !heartbeat.leaving)
-}
--- a/crates/instance/src/relay_server.rs
+++ b/crates/instance/src/relay_server.rs
@@ -1,6 +1,9 @@
 //! Relays connections of members to upstreams that they do not reach themselves.
 //!
 //! A relay connects over its own links only, so a connection is relayed once.
+//!
+//! Only the member knows whether an answer is under way. It opens a connection for one request and closes it after the
+//! answer, so the relay ends none itself: a graceful stop waits for the open ones, however long they are silent.
 
 use std::{cell, collections, io, net, rc, time};
 
@@ -18,14 +21,8 @@
 const CONNECT_TIMEOUT: time::Duration = time::Duration::from_millis(250);
 /// Number of ended connections whose end members can ask for.
 const MAX_ENDS: usize = 256;
-/// Time for which the answer of an upstream that stopped reading is still forwarded.
-const EARLY_ANSWER_TIME: time::Duration = time::Duration::from_secs(1);
 /// Time for which a member may read the last bytes before its connection is closed.
 const LINGER_TIMEOUT: time::Duration = time::Duration::from_millis(500);
-/// Time after an upstream's last byte from which a relayed connection counts as idle during a graceful stop.
-const IDLE_TIME: time::Duration = time::Duration::from_secs(1);
-/// Interval at which a stopping process checks whether a relayed connection is idle.
-const IDLE_CHECK_INTERVAL: time::Duration = time::Duration::from_millis(200);
 
 /// Relayed connections of this process.
 #[derive(Debug, Default)]
@@ -65,8 +62,6 @@
     Upstream,
     /// The upstream's side broke.
     Broken,
-    /// The connection was taken for idle during a graceful stop.
-    Idle,
 }
 
 impl RelayEnd {
@@ -75,7 +70,6 @@
             Self::Member => "member",
             Self::Upstream => "upstream",
             Self::Broken => "broken",
-            Self::Idle => "idle",
         }
     }
 }
@@ -139,7 +133,7 @@
         return;
     }
     let (upstream_reader, upstream_writer) = h1::split(upstream);
-    let state = ForwardState { context, last: cell::Cell::new(LastBytes::Member) };
+    let state = ForwardState { context, last_received: cell::Cell::new(None) };
     let member = ConnectionSides { reader, writer };
     let upstream = ConnectionSides { reader: upstream_reader, writer: upstream_writer };
     state.forward(number, member, upstream).await;
@@ -218,22 +212,23 @@
     writer: h1::MessageWriter,
 }
 
-/// Which side the last bytes came from.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum LastBytes {
-    /// The upstream still owes an answer.
-    Member,
-    Upstream(units::MonoTime),
+/// Why the copying of answers to a member ended.
+enum CopyError {
+    /// The upstream's side broke.
+    Read,
+    /// The member's side broke.
+    Write,
 }
 
 /// State of the forwarding on one relayed connection.
 struct ForwardState<'a> {
     context: &'a context::InstanceContext,
-    last: cell::Cell<LastBytes>,
+    /// When the upstream last sent bytes; `None` if it has sent none.
+    last_received: cell::Cell<Option<units::MonoTime>>,
 }
 
 impl ForwardState<'_> {
-    /// Forwards bytes in both directions until one ends, or until the connection is idle during a graceful stop.
+    /// Forwards bytes in both directions until the member closes the connection or the upstream's side ends.
     async fn forward(
         &self,
         number: u64,
@@ -241,26 +236,13 @@
         mut upstream: ConnectionSides,
     ) {
         let ended = {
-            let to_upstream = self.copy(&mut member.reader, &mut upstream.writer, || {
-                self.last.set(LastBytes::Member);
-            });
-            let to_member = self.copy(&mut upstream.reader, &mut member.writer, || {
-                self.last.set(LastBytes::Upstream(self.context.now()));
-            });
-            let (to_upstream, to_member) = (std::pin::pin!(to_upstream), std::pin::pin!(to_member));
-            let idle = std::pin::pin!(self.until_idle_at_stop());
-            let forwarding = future::select(to_upstream, to_member);
-            match future::select(forwarding, idle).await {
-                future::Either::Left((future::Either::Left((Err(_), to_member)), _)) => {
-                    match monoio::time::timeout(EARLY_ANSWER_TIME, to_member).await {
-                        Ok(Ok(())) => RelayEnd::Upstream,
-                        _ => RelayEnd::Broken,
-                    }
-                }
-                future::Either::Left((future::Either::Left((Ok(()), _)), _)) => RelayEnd::Member,
-                future::Either::Left((future::Either::Right((Ok(()), _)), _)) => RelayEnd::Upstream,
-                future::Either::Left((future::Either::Right((Err(_), _)), _)) => RelayEnd::Broken,
-                future::Either::Right(_) => RelayEnd::Idle,
+            let to_upstream = copy_to_upstream(&mut member.reader, &mut upstream.writer);
+            let to_member = self.copy_to_member(&mut upstream.reader, &mut member.writer);
+            match future::select(std::pin::pin!(to_upstream), std::pin::pin!(to_member)).await {
+                future::Either::Left(_) => RelayEnd::Member,
+                future::Either::Right((Ok(()), _)) => RelayEnd::Upstream,
+                future::Either::Right((Err(CopyError::Read), _)) => RelayEnd::Broken,
+                future::Either::Right((Err(CopyError::Write), _)) => RelayEnd::Member,
             }
         };
         self.report_end(number, ended);
@@ -278,39 +260,36 @@
         if !self.context.stop.is_triggered() {
             return;
         }
-        let silent_ms = match self.last.get() {
-            LastBytes::Member => None,
-            LastBytes::Upstream(at) => Some(units::whole_millis(self.context.now().since(at))),
-        };
+        let now = self.context.now();
+        let silent_ms = self.last_received.get().map(|at| units::whole_millis(now.since(at)));
         log::info!(number, end = ended.label(), silent_ms; "relay.ended");
     }
 
-    /// Copies bytes of one direction until its sender closes the connection; calls `note` for each piece.
-    async fn copy(
+    /// Copies bytes to the member until the upstream closes the connection.
+    async fn copy_to_member(
         &self,
         reader: &mut h1::MessageReader,
         writer: &mut h1::MessageWriter,
-        note: impl Fn(),
-    ) -> Result<(), h1::MessageError> {
+    ) -> Result<(), CopyError> {
         let mut framing = h1::BodyFraming::UntilClose;
-        while let Some(piece) = reader.next_piece(&mut framing).await? {
-            note();
-            writer.write(piece).await?;
+        while let Some(piece) =
+            reader.next_piece(&mut framing).await.map_err(|_| CopyError::Read)?
+        {
+            self.last_received.set(Some(self.context.now()));
+            writer.write(piece).await.map_err(|_| CopyError::Write)?;
             reader.free_empty_buffer();
         }
         Ok(())
     }
+}
 
-    /// Completes during a graceful stop, once the upstream has sent bytes and then none for [`IDLE_TIME`].
-    async fn until_idle_at_stop(&self) {
-        // The sender is dropped only with the process.
-        let _ = self.context.closing.clone().await;
-        loop {
-            let now = self.context.now();
-            if matches!(self.last.get(), LastBytes::Upstream(at) if now.since(at) >= IDLE_TIME) {
-                return;
-            }
-            monoio::time::sleep(IDLE_CHECK_INTERVAL).await;
-        }
+/// Copies bytes to the upstream until the member's side ends. An upstream that stops reading may still answer, so the
+/// rest of the request is then discarded.
+async fn copy_to_upstream(reader: &mut h1::MessageReader, writer: &mut h1::MessageWriter) {
+    let mut framing = h1::BodyFraming::UntilClose;
+    let mut is_reading = true;
+    while let Ok(Some(piece)) = reader.next_piece(&mut framing).await {
+        is_reading = is_reading && writer.write(piece).await.is_ok();
+        reader.free_empty_buffer();
     }
 }
--- a/crates/instance/src/upstream_connect.rs
+++ b/crates/instance/src/upstream_connect.rs
@@ -76,13 +76,9 @@
     context: &context::InstanceContext,
     target: ConnectTarget<'_>,
 ) -> Result<upstream_pool::UpstreamConnection, ConnectError> {
-    let now = context.now();
-    let path = path(context, target);
-    let is_usable = |relay: Option<&member_relay::ConnectionRelay>| match relay {
-        Some(relay) => member_relay::is_usable(context, now, &relay.member),
-        None => path != upstream_reach::LinkPath::Relayed,
-    };
-    match context.pool.take_idle(target.address, is_usable) {
+    let is_relayed = path(context, target) == upstream_reach::LinkPath::Relayed;
+    let idle = (!is_relayed).then(|| context.pool.take_idle(target.address)).flatten();
+    match idle {
         Some(connection) => Ok(connection),
         None => open(context, target).await,
     }
--- a/crates/instance/src/upstream_pool.rs
+++ b/crates/instance/src/upstream_pool.rs
@@ -139,6 +139,7 @@
     /// Times by address; a reference expires when its connection is closed.
     connection_times:
         cell::RefCell<collections::HashMap<net::SocketAddrV4, Vec<rc::Weak<ConnectionTimes>>>>,
+    /// Direct connections only, the youngest last.
     idle: cell::RefCell<collections::HashMap<net::SocketAddrV4, Vec<PooledConnection>>>,
 }
 
@@ -164,6 +165,7 @@
 
     /// Returns a connection to the pool after its last answer was read completely. It is kept for the
     /// time that the upstream allows (`keep_alive`), but closed if `max_idle` connections to the address are idle.
+    /// A relayed one is closed, as its relay may stop at any time and does not know whether it is idle.
     pub fn put(
         &self,
         address: net::SocketAddrV4,
@@ -171,7 +173,7 @@
         keep_alive: Option<time::Duration>,
         max_idle: usize,
     ) {
-        if connection.reader.has_unread_bytes() {
+        if connection.relay.is_some() || connection.reader.has_unread_bytes() {
             return;
         }
         connection.reader.free_empty_buffer();
@@ -255,15 +257,11 @@
         before - count(&idle)
     }
 
-    /// Returns an idle connection to an address for which `is_usable` holds, given its relay.
-    pub(crate) fn take_idle(
-        &self,
-        address: net::SocketAddrV4,
-        is_usable: impl Fn(Option<&member_relay::ConnectionRelay>) -> bool,
-    ) -> Option<UpstreamConnection> {
+    /// Returns an idle connection to an address, which is never relayed.
+    pub(crate) fn take_idle(&self, address: net::SocketAddrV4) -> Option<UpstreamConnection> {
         let now = boot_clock::BootInstant::now();
         loop {
-            let mut idle = self.take_last(address, &is_usable)?;
+            let mut idle = self.idle.borrow_mut().get_mut(&address)?.pop()?;
             // If there is anything to read, the upstream closed the connection or sent unrequested bytes.
             let silent = idle.connection.reader.fill().now_or_never().is_none();
             if idle.until > now && silent {
@@ -271,19 +269,6 @@
             }
         }
     }
-
-    /// Removes the youngest idle connection to an address for which `is_usable` holds.
-    fn take_last(
-        &self,
-        address: net::SocketAddrV4,
-        is_usable: &impl Fn(Option<&member_relay::ConnectionRelay>) -> bool,
-    ) -> Option<PooledConnection> {
-        let mut idle = self.idle.borrow_mut();
-        let pooled = idle.get_mut(&address)?;
-        let index =
-            pooled.iter().rposition(|pooled| is_usable(pooled.connection.relay.as_ref()))?;
-        Some(pooled.remove(index))
-    }
 }
 
 /// Returns the ages of all open connections except `excluded`.
