Resume paused streams directly over links that carry bytes

Cause: a stream whose engine pauses goes on through a member, as all links of its instance may have failed, even if other connections to the next engine carry bytes all the time.

Change: after a silence, not after a break, a direct connection is opened if another direct one to the same address was open as the silence began and has received bytes in its last half. Evidence for one upstream says nothing of the others.

Evidence: a_stream_that_paused_goes_on_over_links_that_carry_bytes fails before (streams relayed by i1, i2) and passes now; streams_go_on_through_members_when_the_links_of_their_instance_break and partitioned_instances pass.

--- a/crates/instance/src/model_request.rs
+++ b/crates/instance/src/model_request.rs
@@ -287,7 +287,7 @@
     // could be dead as well.
     let need = match state.ran {
         Some(refusal::RanState::Unknown) if state.begun => {
-            upstream_attempt::ConnectionNeed::OtherPath
+            upstream_attempt::ConnectionNeed::OtherPath(state.silent)
         }
         Some(refusal::RanState::Unknown) => upstream_attempt::ConnectionNeed::New,
         _ => upstream_attempt::ConnectionNeed::Any,
@@ -342,6 +342,7 @@
         }
     };
     state.sent += 1;
+    state.silent = time::Duration::ZERO;
     if !answer.head.status.is_success() {
         attempt_record.end = format!("status {}", answer.head.status.as_u16());
         hold.end = engine_place::PlaceEnd::Failed;
@@ -381,6 +382,7 @@
                 return Ok(broken(state, error));
             }
             Err(fault) => {
+                state.silent = context.now().since(wait_started);
                 let phase = connection_silence::SilencePhase::MidAnswer;
                 let text =
                     engine_fault::record_silence(context, hold, &times, phase, wait_started, fault);
--- a/crates/instance/src/stream_state.rs
+++ b/crates/instance/src/stream_state.rs
@@ -1,5 +1,7 @@
 //! State of a streamed request that persists across its attempts.
 
+use std::time;
+
 use bytes::{Bytes, BytesMut};
 use slipturn_core::{ids, refusal, retry_need, send_gate, units};
 use slipturn_net::h1;
@@ -28,6 +30,8 @@
     pub(crate) failure: Option<(Box<http::response::Parts>, Bytes)>,
     /// When the last event was received.
     pub(crate) last_at: Option<units::MonoTime>,
+    /// How long the answer that was given up last had been silent; zero if its connection broke.
+    pub(crate) silent: time::Duration,
 }
 
 impl StreamState {
--- a/crates/instance/src/upstream_attempt.rs
+++ b/crates/instance/src/upstream_attempt.rs
@@ -208,9 +208,10 @@
     Any,
     /// A new one, as the connection before may have been dead: no request is sent over two dead connections.
     New,
-    /// A new one, through a member if possible, as the connection before broke or fell silent in the middle of an answer:
-    /// all links of this process may have failed.
-    OtherPath,
+    /// A new one, as the connection before broke or fell silent in the middle of an answer: all links of this process may
+    /// have failed. It goes through a member if possible, unless another connection to the upstream carried bytes during
+    /// the silence, which lasted for this time; zero if the connection broke.
+    OtherPath(time::Duration),
 }
 
 /// Returns a connection for a request: a pooled one only if another attempt may follow.
@@ -229,13 +230,13 @@
     let connect_target =
         upstream_connect::ConnectTarget { service: &call.service, address: target.address };
     let opened = match need {
-        ConnectionNeed::OtherPath => {
+        ConnectionNeed::OtherPath(silent) if !context.pool.has_live(target.address, silent) => {
             upstream_connect::open_by_other_path(context, connect_target).await
         }
         ConnectionNeed::Any if retry_allowed => {
             upstream_connect::get(context, connect_target).await
         }
-        ConnectionNeed::Any | ConnectionNeed::New => {
+        ConnectionNeed::Any | ConnectionNeed::New | ConnectionNeed::OtherPath(_) => {
             upstream_connect::open(context, connect_target).await
         }
     };
--- a/crates/instance/src/upstream_pool.rs
+++ b/crates/instance/src/upstream_pool.rs
@@ -238,6 +238,18 @@
         connection_silence::SilenceCause::of(silent.ages(), phase, waited, others)
     }
 
+    /// Returns whether a direct connection to an address that was open during a silence of `silent` has carried bytes in
+    /// the last part of it.
+    pub(crate) fn has_live(&self, address: net::SocketAddrV4, silent: time::Duration) -> bool {
+        let connection_times = self.connection_times.borrow();
+        let open = connection_times.get(&address).into_iter().flatten();
+        let mut direct = open.filter_map(rc::Weak::upgrade).filter(|times| times.relay.is_none());
+        direct.any(|times| {
+            let ages = times.ages();
+            ages.opened >= silent && ages.trusted(silent)
+        })
+    }
+
     /// Closes idle connections that may have died along with a silent one; returns their number.
     pub fn close_untrusted(&self, silent: &ConnectionTimes, waited: time::Duration) -> usize {
         // A network fault of this process breaks its connections to all upstreams at once. If another
