Reject events without end, and search each byte of a stream once

Cause: the buffer of a stream has no bound, and each piece that arrives is searched together with all that came before it, so the work grows with the square of the bytes.

Change: the buffer remembers how far it has searched, so each byte is searched once; an event of more than 256 KiB is an error: the connection is closed, the attempt has failed, and the stream goes on elsewhere where its route allows it.

--- a/crates/instance/src/model_request.rs
+++ b/crates/instance/src/model_request.rs
@@ -394,7 +394,13 @@
         };
         times.receive();
         events.push(&piece);
-        let complete = events.take_complete();
+        let complete = match events.take_complete() {
+            Ok(complete) => complete,
+            Err(error) => {
+                run.connection_broke();
+                return Ok(broken(state, error));
+            }
+        };
         if complete.is_empty() {
             continue;
         }
