Bound trailers and interim answers, and let other tasks run beside a fast sender

What callers saw: trailers without end behind a whole body are read until the deadline; behind streams 20 of 25 requests are whole while one of three engines does so, and few are answered at all.

Cause: a trailer line has a bound, the number of lines has none; the same holds for interim answers. A reader whose peer sends as fast as it reads never waits, so it can hold the thread.

Change: trailers and interim answers may have as many bytes as a head, 32 KiB; above that the message is an error. A reader that got 256 KiB without a wait lets sockets and timers be served once.

--- a/crates/net/src/h1.rs
+++ b/crates/net/src/h1.rs
@@ -4,7 +4,7 @@
 //! a length as empty, writes a complete request before it reads the response, and keeps its buffers
 //! while a connection is idle.
 
-use std::{io, time};
+use std::{future, io, pin, time};
 
 use bytes::{Buf as _, Bytes, BytesMut};
 use monoio::{
@@ -20,6 +20,11 @@
 pub const READ_BYTES: usize = 8 * 1024;
 /// Size in bytes above which an incomplete response head is rejected.
 pub const MAX_RESPONSE_HEAD_BYTES: usize = 32 * 1024;
+/// Maximum size in bytes of all interim responses before a response, and of all trailers after a body.
+const MAX_SKIPPED_BYTES: usize = MAX_RESPONSE_HEAD_BYTES;
+/// Number of bytes read without a wait after which a reader lets other tasks run: a peer that sends as fast as it is read
+/// would hold the thread.
+const MAX_UNINTERRUPTED_BYTES: usize = 32 * READ_BYTES;
 /// Maximum length in bytes of a chunk-size line or trailer line that is still incomplete.
 const MAX_CHUNK_LINE_BYTES: usize = 1_024;
 /// Hop-by-hop headers, which are not forwarded.
@@ -59,6 +64,12 @@
         /// Maximum size of the head in bytes.
         limit: usize,
     },
+    /// The interim responses before a response, or the trailers after a body, are larger than the maximum.
+    #[snafu(display("interim responses or trailers have more than {limit} bytes"))]
+    SkippedTooLarge {
+        /// Maximum size of the interim responses or of the trailers in bytes.
+        limit: usize,
+    },
     /// The body is longer, by its declared or its received length, than the reader allows.
     #[snafu(display("the body has more than {limit} bytes"))]
     BodyTooLarge {
@@ -72,6 +83,8 @@
 pub struct MessageReader {
     half: OwnedReadHalf<net::TcpStream>,
     buffer: BytesMut,
+    /// Number of bytes read since a read last had to wait; less than [`MAX_UNINTERRUPTED_BYTES`].
+    uninterrupted: usize,
 }
 
 /// The writing half of a connection. It has no buffer; every write is flushed.
@@ -88,7 +101,7 @@
         log::debug!("set_nodelay: {error}");
     }
     let (read_half, write_half) = stream.into_split();
-    let reader = MessageReader { half: read_half, buffer: BytesMut::new() };
+    let reader = MessageReader { half: read_half, buffer: BytesMut::new(), uninterrupted: 0 };
     (reader, MessageWriter { half: write_half })
 }
 
@@ -98,10 +111,22 @@
     pub async fn fill(&mut self) -> Result<usize, MessageError> {
         // The future may be dropped while it waits. With the poll driver no data is lost, because bytes
         // are only taken from the socket by the poll that completes the read.
-        let buffer = Vec::with_capacity(READ_BYTES);
-        let (result, buffer) = self.half.read(buffer).await;
+        let mut reading = pin::pin!(self.half.read(Vec::with_capacity(READ_BYTES)));
+        let mut has_waited = false;
+        let read = future::poll_fn(|task| {
+            let polled = reading.as_mut().poll(task);
+            has_waited |= polled.is_pending();
+            polled
+        });
+        let (result, buffer) = read.await;
         let count = result.context(SocketSnafu)?;
         self.buffer.extend_from_slice(&buffer[..count]);
+        self.uninterrupted = if has_waited { 0 } else { self.uninterrupted + count };
+        if self.uninterrupted >= MAX_UNINTERRUPTED_BYTES {
+            self.uninterrupted = 0;
+            // A timer, as the event loop serves sockets and timers only once no task is ready.
+            monoio::time::sleep(time::Duration::ZERO).await;
+        }
         Ok(count)
     }
 
@@ -147,9 +172,13 @@
 
     /// Reads the head of a response and skips interim responses (status 1xx).
     pub async fn response_head(&mut self) -> Result<http::response::Parts, MessageError> {
+        let mut skipped = 0;
         loop {
+            let arrived = self.buffer.len();
             if let Some(head) = self.parse_response()? {
                 if head.status.is_informational() {
+                    skipped += arrived - self.buffer.len();
+                    check_skipped(skipped)?;
                     continue;
                 }
                 return Ok(head);
@@ -288,7 +317,7 @@
                     Ok(httparse::Status::Complete((length, size))) => {
                         self.buffer.advance(length);
                         *state =
-                            if size == 0 { ChunkState::Trailer } else { ChunkState::Data(size) };
+                            if size == 0 { ChunkState::Trailer(0) } else { ChunkState::Data(size) };
                     }
                     Ok(httparse::Status::Partial) if self.buffer.len() <= MAX_CHUNK_LINE_BYTES => {
                         return Ok(None);
@@ -314,7 +343,7 @@
                     self.buffer.advance(2);
                     *state = ChunkState::Size;
                 }
-                ChunkState::Trailer => {
+                ChunkState::Trailer(skipped) => {
                     let Some(end) = self.buffer.windows(2).position(|pair| pair == b"\r\n") else {
                         if self.buffer.len() > MAX_CHUNK_LINE_BYTES {
                             return MalformedSnafu { reason: "trailer" }.fail();
@@ -322,6 +351,8 @@
                         return Ok(None);
                     };
                     self.buffer.advance(end + 2);
+                    *skipped += end + 2;
+                    check_skipped(*skipped)?;
                     if end == 0 {
                         *framing = BodyFraming::Ended;
                     }
@@ -367,8 +398,9 @@
     Data(u64),
     /// The line break after the data of a chunk.
     DataEnd,
-    /// The trailer lines after the last chunk.
-    Trailer,
+    /// The trailer lines after the last chunk, of which this number of bytes has been skipped; at most
+    /// `MAX_SKIPPED_BYTES`.
+    Trailer(usize),
 }
 
 impl BodyFraming {
@@ -521,6 +553,12 @@
     if minor == Some(0) { http::Version::HTTP_10 } else { http::Version::HTTP_11 }
 }
 
+/// Fails if more bytes were skipped than interim responses or trailers may have.
+fn check_skipped(skipped: usize) -> Result<(), MessageError> {
+    let limit = MAX_SKIPPED_BYTES;
+    if skipped > limit { SkippedTooLargeSnafu { limit }.fail() } else { Ok(()) }
+}
+
 fn malformed(reason: impl ToString) -> MessageError {
     MessageError::Malformed { reason: reason.to_string() }
 }
