Eject upstreams whose answers never come to an end

What callers saw: an upstream that begins answers quickly and never ends them gets nearly all calls; 5 of 53 calls were whole while one of three upstreams did so. Failures with such bodies were passed on until the deadline (641 of 663 whole).

Cause: (1) the time to the head counts as the upstream's speed even if the answer never ends, so it looks like the fastest; (2) an attempt that reaches its deadline in the body counts neither for nor against the upstream; (3) the body of a failure is forwarded like any other.

Change: (1) the speed is measured once the answer has ended; (2) an answer given up in its body counts as a failure, unless another answer of that upstream has ended meanwhile, or the caller took half of the time to read; (3) the answer to a failed call is read whole, up to 64 KiB; a larger one is no answer.

--- a/crates/instance/src/long_answer.rs
+++ b/crates/instance/src/long_answer.rs
@@ -1,15 +1,18 @@
 //! Forwards long answers of plain services (whose upstreams run no model) while they arrive, so
 //! that an instance buffers little for callers that read slowly.
 
-use std::time;
+use std::{cell, time};
 
 use bytes::Bytes;
-use slipturn_core::{ids, upstream_health::CallResult};
+use slipturn_core::{ids, units, upstream_health::CallResult, upstream_list};
 use slipturn_net::h1;
 use snafu::{ResultExt as _, Snafu};
 
 use crate::{caller_connection, context, service_request, upstream_attempt, upstream_ends};
 
+/// Share of the time limit spent waiting for the caller from which an answer that did not end no longer counts as a failure
+/// of the upstream.
+const SLOW_CALLER_SHARE: f64 = 0.5;
 /// Total time spent waiting for the caller from which a broken answer no longer counts as a failure
 /// of the upstream, as the upstream may have given up the slow connection.
 const SLOW_CALLER_THRESHOLD: time::Duration = time::Duration::from_secs(1);
@@ -35,18 +38,27 @@
         /// Why the answer may be incomplete.
         source: upstream_ends::UnconfirmedEnd,
     },
-    /// The caller did not read the answer in time.
-    #[snafu(display("not read within {limit:?}"))]
-    NotRead {
+    /// The answer did not end in time, or the caller did not read it.
+    #[snafu(display(
+        "no end of the answer within {limit:?}, of which {waited:?} were spent waiting for the caller"
+    ))]
+    Unended {
         /// Time limit for forwarding the answer.
         limit: time::Duration,
+        /// Time spent waiting for the caller.
+        waited: time::Duration,
     },
 }
 
 /// An answer whose body has been read in part.
 pub(crate) struct LongAnswer<'a> {
     /// The upstream that answers.
-    pub(crate) upstream: ids::UpstreamId,
+    pub(crate) entry: upstream_list::UpstreamEntry,
+    /// Name of the route of the call.
+    pub(crate) route: &'a ids::ClassId,
+    /// When the call was sent, and the time until the answer's head.
+    pub(crate) started: units::MonoTime,
+    pub(crate) answer_time: time::Duration,
     /// The answer's head, and the connection on which its body arrives.
     pub(crate) answer: upstream_attempt::AttemptAnswer,
     /// The part of the body that has been read and not forwarded yet.
@@ -65,22 +77,22 @@
         reply: &mut caller_connection::CallerReply<'_>,
         limit: time::Duration,
     ) -> Result<(), ForwardError> {
-        let mut waited = time::Duration::ZERO;
-        let forwarding = forward_pieces(
-            context,
-            &self.upstream,
-            &mut self.answer,
-            self.leading,
-            reply,
-            &mut waited,
-        );
+        let wait = CallerWait::default();
+        let upstream = self.entry.name.clone();
+        let forwarding =
+            forward_pieces(context, &upstream, &mut self.answer, self.leading, reply, &wait);
         let forwarded = monoio::time::timeout(limit, forwarding).await;
-        let result = forwarded.unwrap_or_else(|_| NotReadSnafu { limit }.fail());
+        let waited = wait.total(context.now());
+        let result = forwarded.unwrap_or_else(|_| UnendedSnafu { limit, waited }.fail());
         match &result {
             Ok(()) => {
                 self.run.answered();
                 self.guard.result.set(Some(CallResult::Good));
-                self.answer.finish(context, &self.upstream);
+                if self.answer.head.status.is_success() {
+                    let mut loads = context.loads.borrow_mut();
+                    loads.note_speed(context.now(), &self.entry, self.route, self.answer_time);
+                }
+                self.answer.finish(context, &upstream);
             }
             Err(ForwardError::Upstream { .. } | ForwardError::Unconfirmed { .. })
                 if waited < SLOW_CALLER_THRESHOLD =>
@@ -88,20 +100,63 @@
                 self.run.connection_broke();
                 self.guard.result.set(Some(CallResult::Failed));
             }
+            Err(ForwardError::Unended { .. }) => {
+                self.run.answered();
+                // Other answers of a sound upstream end meanwhile, even if this one is long.
+                let has_ended_others =
+                    context.loads.borrow().answered_since(&upstream, self.started);
+                if !has_ended_others && waited < limit.mul_f64(SLOW_CALLER_SHARE) {
+                    context
+                        .stats
+                        .borrow_mut()
+                        .count("unended_answers", &self.entry.service.to_string());
+                    self.guard.result.set(Some(CallResult::Failed));
+                }
+            }
             Err(_) => self.run.answered(),
         }
         result
     }
 }
 
-/// Forwards the body and adds the time spent waiting for the caller to `waited`.
+/// Time that forwarding has spent waiting for the caller.
+#[derive(Debug, Default)]
+struct CallerWait {
+    /// Total of the waits that have ended.
+    ended: cell::Cell<time::Duration>,
+    /// When the present wait began; `None` while none is under way.
+    begun: cell::Cell<Option<units::MonoTime>>,
+}
+
+impl CallerWait {
+    /// Waits for the caller to accept bytes.
+    async fn during<T>(
+        &self,
+        context: &context::InstanceContext,
+        writing: impl Future<Output = T>,
+    ) -> T {
+        self.begun.set(Some(context.now()));
+        let written = writing.await;
+        self.ended.set(self.total(context.now()));
+        self.begun.set(None);
+        written
+    }
+
+    /// Returns the time of all waits, including the present one.
+    fn total(&self, now: units::MonoTime) -> time::Duration {
+        let present = self.begun.get().map_or(time::Duration::ZERO, |begun| now.since(begun));
+        self.ended.get() + present
+    }
+}
+
+/// Forwards the body; the time spent waiting for the caller is added to `wait`.
 async fn forward_pieces(
     context: &context::InstanceContext,
     upstream: &ids::UpstreamId,
     answer: &mut upstream_attempt::AttemptAnswer,
     leading: Bytes,
     reply: &mut caller_connection::CallerReply<'_>,
-    waited: &mut time::Duration,
+    wait: &CallerWait,
 ) -> Result<(), ForwardError> {
     let length = match answer.framing {
         h1::BodyFraming::Length(left) => {
@@ -109,18 +164,16 @@
         }
         _ => None,
     };
-    let mut write_started = context.now();
-    reply.start_body(&answer.head, length, &leading).await.context(CallerSnafu)?;
-    *waited += context.now().since(write_started);
+    let start = reply.start_body(&answer.head, length, &leading);
+    wait.during(context, start).await.context(CallerSnafu)?;
     loop {
         let piece = answer.connection.next_piece(&mut answer.framing).await;
         let Some(piece) = piece.context(UpstreamSnafu)? else {
             break;
         };
         answer.connection.times.receive();
-        write_started = context.now();
-        reply.send_body_piece(length.is_some(), piece).await.context(CallerSnafu)?;
-        *waited += context.now().since(write_started);
+        let write = reply.send_body_piece(length.is_some(), piece);
+        wait.during(context, write).await.context(CallerSnafu)?;
     }
     answer.confirm_end(context, upstream).await.context(UnconfirmedSnafu)?;
     match length {
--- a/crates/instance/src/service_request.rs
+++ b/crates/instance/src/service_request.rs
@@ -17,6 +17,8 @@
 /// Largest body that is read completely before it is forwarded, in bytes; longer ones are
 /// forwarded as the caller reads them.
 pub(crate) const MAX_BUFFERED_BODY: usize = 16 * 1024;
+/// Largest body of an answer with an error status, in bytes; an error is told in far less.
+const MAX_ERROR_BODY: usize = 64 * 1024;
 /// Fraction of the remaining time after which a silent upstream of a repeatable call is given up,
 /// if another upstream may answer.
 const SILENCE_FRACTION: f64 = 0.45;
@@ -292,8 +294,14 @@
     };
     let answer_time = context.now().since(started);
     context.loads.borrow_mut().answered(&call.route.name, answer_time);
-    let body =
-        answer.leading_body(context, &entry.name, MAX_BUFFERED_BODY, silence_limit, give_up).await;
+    let status = answer.head.status;
+    let body = if status.is_client_error() || status.is_server_error() {
+        let body =
+            answer.whole_body(context, &entry.name, MAX_ERROR_BODY, silence_limit, give_up).await;
+        body.map(|bytes| upstream_attempt::LeadingBody { bytes, whole: true })
+    } else {
+        answer.leading_body(context, &entry.name, MAX_BUFFERED_BODY, silence_limit, give_up).await
+    };
     let upstream_attempt::LeadingBody { bytes: body, whole } = match body {
         Ok(body) => body,
         Err(fault) => {
@@ -305,16 +313,24 @@
     if let Some((running, waiting, _)) = answer.head_fields.load {
         context.loads.borrow_mut().set_reported_load(context.now(), &entry.name, running + waiting);
     }
-    // Errors may come quickly, so their times tell nothing of the speed.
+    if !whole {
+        let long = long_answer::LongAnswer {
+            entry: entry.clone(),
+            route: &call.route.name,
+            started,
+            answer_time,
+            answer,
+            leading: body,
+            run,
+            guard,
+        };
+        return Ok(UpstreamReply::Long(Box::new(long)));
+    }
+    // Errors may come quickly, and answers that never end begin quickly; their times tell nothing of the speed.
     if answer.head.status.is_success() {
         let mut loads = context.loads.borrow_mut();
         loads.note_speed(context.now(), entry, &call.route.name, answer_time);
     }
-    if !whole {
-        let upstream = entry.name.clone();
-        let long = long_answer::LongAnswer { upstream, answer, leading: body, run, guard };
-        return Ok(UpstreamReply::Long(Box::new(long)));
-    }
     run.answered();
     let failed = answer.head.status.is_server_error();
     guard.result.set(Some(if failed { CallResult::Erred } else { CallResult::Good }));
--- a/crates/instance/src/upstream_load.rs
+++ b/crates/instance/src/upstream_load.rs
@@ -266,6 +266,12 @@
         }
     }
 
+    /// Returns whether this process has got a whole good answer of an upstream since a point in time.
+    pub fn answered_since(&self, name: &ids::UpstreamId, since: units::MonoTime) -> bool {
+        let answered = self.states.get(name).and_then(|state| state.answered);
+        answered.is_some_and(|answered| answered >= since)
+    }
+
     /// Records that a member, or this process, has found that an upstream is gone; returns whether that is new, as
     /// there was no recent report that the upstream is gone.
     pub fn receive_gone(&mut self, now: units::MonoTime, name: &ids::UpstreamId) -> bool {
