Join small chunks, and test peers that send without end

What callers saw: 16 callers that send bodies of chunks of 8 bytes without end delayed readiness by 0.2 to 0.7 s (debug build).

Cause: each chunk was handed to its reader by itself, which costs a timer and two reads of the clock.

Change: chunks that have arrived are joined up to 8 KiB. A reader that is never made to wait lets other tasks and sockets be served every 32 KiB, and timers every 256 KiB.

A property test: a response is read alike however it is cut, also one that is damaged or truncated.

--- a/crates/net/src/h1.rs
+++ b/crates/net/src/h1.rs
@@ -4,7 +4,7 @@
 //! a length as empty, writes a complete request before it reads the response, and keeps its buffers
 //! while a connection is idle.
 
-use std::{future, io, pin, time};
+use std::{future, io, pin, task, time};
 
 use bytes::{Buf as _, Bytes, BytesMut};
 use monoio::{
@@ -22,9 +22,12 @@
 pub const MAX_RESPONSE_HEAD_BYTES: usize = 32 * 1024;
 /// Maximum size in bytes of all interim responses before a response, and of all trailers after a body.
 const MAX_SKIPPED_BYTES: usize = MAX_RESPONSE_HEAD_BYTES;
-/// Number of bytes read without a wait after which a reader lets other tasks run: a peer that sends as fast as it is read
-/// would hold the thread.
-const MAX_UNINTERRUPTED_BYTES: usize = 32 * READ_BYTES;
+/// Number of bytes read without a wait after which a reader lets other tasks and sockets be served: a peer that sends as
+/// fast as it is read would hold the thread.
+const YIELD_BYTES: usize = 4 * READ_BYTES;
+/// Number of bytes read without a wait after which a reader also lets timers be served, which the event loop does only
+/// while no task is ready. That takes up to a millisecond, so it is rarer.
+const MAX_UNINTERRUPTED_BYTES: usize = 8 * YIELD_BYTES;
 /// Maximum length in bytes of a chunk-size line or trailer line that is still incomplete.
 const MAX_CHUNK_LINE_BYTES: usize = 1_024;
 /// Hop-by-hop headers, which are not forwarded.
@@ -113,8 +116,8 @@
         // are only taken from the socket by the poll that completes the read.
         let mut reading = pin::pin!(self.half.read(Vec::with_capacity(READ_BYTES)));
         let mut has_waited = false;
-        let read = future::poll_fn(|task| {
-            let polled = reading.as_mut().poll(task);
+        let read = future::poll_fn(|context| {
+            let polled = reading.as_mut().poll(context);
             has_waited |= polled.is_pending();
             polled
         });
@@ -124,8 +127,11 @@
         self.uninterrupted = if has_waited { 0 } else { self.uninterrupted + count };
         if self.uninterrupted >= MAX_UNINTERRUPTED_BYTES {
             self.uninterrupted = 0;
-            // A timer, as the event loop serves sockets and timers only once no task is ready.
             monoio::time::sleep(time::Duration::ZERO).await;
+        } else if self.uninterrupted / YIELD_BYTES
+            > self.uninterrupted.saturating_sub(count) / YIELD_BYTES
+        {
+            yield_once().await;
         }
         Ok(count)
     }
@@ -225,14 +231,14 @@
         framing.ended()
     }
 
-    /// Waits for bytes of a body and returns those that have arrived, at most to the end of a
-    /// chunk. Returns `None` at the end of the body.
+    /// Waits for bytes of a body and returns those that have arrived; small chunks are joined, as each piece costs its
+    /// reader far more than its bytes. Returns `None` at the end of the body.
     pub async fn next_piece(
         &mut self,
         framing: &mut BodyFraming,
     ) -> Result<Option<Bytes>, MessageError> {
         loop {
-            if let Some(piece) = self.take_piece(framing)? {
+            if let Some(piece) = self.take_pieces(framing)? {
                 return Ok(Some(piece));
             }
             if framing.ended() {
@@ -285,6 +291,24 @@
         Ok(Some(response.into_parts().0))
     }
 
+    /// Removes the arrived bytes of a body, of several chunks up to [`READ_BYTES`].
+    fn take_pieces(&mut self, framing: &mut BodyFraming) -> Result<Option<Bytes>, MessageError> {
+        let Some(first) = self.take_piece(framing)? else {
+            return Ok(None);
+        };
+        let mut joined = BytesMut::new();
+        // An error is found again by the next call, once the bytes before it have been returned.
+        while first.len().max(joined.len()) < READ_BYTES
+            && let Ok(Some(next)) = self.take_piece(framing)
+        {
+            if joined.is_empty() {
+                joined.extend_from_slice(&first);
+            }
+            joined.extend_from_slice(&next);
+        }
+        Ok(Some(if joined.is_empty() { first } else { joined.freeze() }))
+    }
+
     fn take_piece(&mut self, framing: &mut BodyFraming) -> Result<Option<Bytes>, MessageError> {
         match framing {
             BodyFraming::Ended => Ok(None),
@@ -559,6 +583,19 @@
     if skipped > limit { SkippedTooLargeSnafu { limit }.fail() } else { Ok(()) }
 }
 
+/// Lets the other ready tasks run, and the event loop check the sockets.
+async fn yield_once() {
+    let mut has_yielded = false;
+    future::poll_fn(|context| {
+        if std::mem::replace(&mut has_yielded, true) {
+            return task::Poll::Ready(());
+        }
+        context.waker().wake_by_ref();
+        task::Poll::Pending
+    })
+    .await;
+}
+
 fn malformed(reason: impl ToString) -> MessageError {
     MessageError::Malformed { reason: reason.to_string() }
 }
--- a/crates/net/tests/h1.rs
+++ b/crates/net/tests/h1.rs
@@ -1,12 +1,15 @@
 //! HTTP/1.1 messages over real sockets: framing, limits, responses without a length, invalid bytes.
 
-use std::{io::Write as _, net, thread};
+use std::{io::Write as _, net, thread, time};
 
 use proptest::prelude::*;
 use slipturn_net::{h1, process};
 
-/// Sends `bytes` over a new connection, closes it, and runs `read` with the receiving end.
-fn with_bytes<T, F>(bytes: Vec<u8>, read: impl FnOnce(h1::MessageReader) -> F) -> T
+/// Runs `write` with one end of a new connection, which it closes, and `read` with the receiving end.
+fn with_writer<T, F>(
+    write: impl FnOnce(&mut net::TcpStream) + Send + 'static,
+    read: impl FnOnce(h1::MessageReader) -> F,
+) -> T
 where
     F: Future<Output = T>,
 {
@@ -14,8 +17,7 @@
     let address = listener.local_addr().expect("an address");
     let writer = thread::spawn(move || {
         let (mut stream, _) = listener.accept().expect("a connection");
-        // The reader may close the connection before all bytes are written.
-        let _ = stream.write_all(&bytes);
+        write(&mut stream);
     });
     let result = process::run(async {
         let stream = monoio::net::TcpStream::connect_addr(address).await.expect("it connects");
@@ -26,15 +28,67 @@
     result.expect("an event loop")
 }
 
+/// Sends `bytes` over a new connection, closes it, and runs `read` with the receiving end.
+fn with_bytes<T, F>(bytes: Vec<u8>, read: impl FnOnce(h1::MessageReader) -> F) -> T
+where
+    F: Future<Output = T>,
+{
+    let write = move |stream: &mut net::TcpStream| {
+        // The reader may close the connection before all bytes are written.
+        let _ = stream.write_all(&bytes);
+    };
+    with_writer(write, read)
+}
+
+/// Like [`with_bytes`], but sends the bytes in pieces that end at `cuts`, with a short pause after each.
+fn with_pieces<T, F>(bytes: &[u8], cuts: &[usize], read: impl FnOnce(h1::MessageReader) -> F) -> T
+where
+    F: Future<Output = T>,
+{
+    let mut pieces = Vec::new();
+    let mut rest = bytes;
+    for cut in cuts {
+        let (piece, later) = rest.split_at((*cut).min(rest.len()));
+        pieces.push(piece.to_vec());
+        rest = later;
+    }
+    pieces.push(rest.to_vec());
+    with_writer(
+        move |stream| {
+            for piece in pieces {
+                // The reader may close the connection before all bytes are written.
+                let _ = stream.write_all(&piece);
+                thread::sleep(time::Duration::from_micros(200));
+            }
+        },
+        read,
+    )
+}
+
 /// Reads a response: its status and body, or the text of the error.
+async fn read_message(mut reader: h1::MessageReader) -> Result<(u16, Vec<u8>), String> {
+    let head = reader.response_head().await.map_err(|error| error.to_string())?;
+    let mut framing = h1::BodyFraming::of_response(&head).map_err(|error| error.to_string())?;
+    let body = reader.whole_body(&mut framing, 64 * 1024).await;
+    let body = body.map_err(|error| error.to_string())?;
+    Ok((head.status.as_u16(), body.to_vec()))
+}
+
+/// Reads a response that arrives at once.
 fn read_response(text: &str) -> Result<(u16, Vec<u8>), String> {
-    with_bytes(text.as_bytes().to_vec(), |mut reader| async move {
-        let head = reader.response_head().await.map_err(|error| error.to_string())?;
-        let mut framing = h1::BodyFraming::of_response(&head).map_err(|error| error.to_string())?;
-        let body = reader.whole_body(&mut framing, 64 * 1024).await;
-        let body = body.map_err(|error| error.to_string())?;
-        Ok((head.status.as_u16(), body.to_vec()))
-    })
+    with_bytes(text.as_bytes().to_vec(), read_message)
+}
+
+/// Guards against trailers and interim responses that are skipped without a bound.
+#[test]
+fn trailers_and_interim_responses_are_bounded() {
+    let chunked = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n0\r\n";
+    let trailers = chunked.to_owned() + &"x: and more\r\n".repeat(10_000);
+    let interim = "HTTP/1.1 100 Continue\r\n\r\n".repeat(10_000);
+    for text in [trailers, interim] {
+        let error = read_response(&text).expect_err("the message is too large");
+        assert!(error.contains("trailers have more than"), "{error}");
+    }
 }
 
 #[test]
@@ -130,4 +184,31 @@
         let text = String::from_utf8_lossy(&message).into_owned();
         let _ = read_response(&text);
     }
+
+    /// Guards against readers whose result depends on the pieces in which bytes arrive.
+    #[test]
+    fn responses_are_read_alike_however_they_are_cut(
+        chunks in prop::collection::vec(0_usize..3000, 0..12),
+        trailers in 0_usize..4,
+        damage in prop::option::of((any::<prop::sample::Index>(), any::<u8>())),
+        end in any::<prop::sample::Index>(),
+        is_whole in any::<bool>(),
+        cuts in prop::collection::vec(0_usize..4000, 0..12),
+    ) {
+        let mut message = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n".to_vec();
+        for length in chunks.iter().filter(|length| **length > 0) {
+            message.extend_from_slice(&h1::encode_chunk(&vec![b'x'; *length]));
+        }
+        message.extend_from_slice(format!("0\r\n{}\r\n", "t: v\r\n".repeat(trailers)).as_bytes());
+        if let Some((at, byte)) = damage {
+            let at = at.index(message.len());
+            message[at] = byte;
+        }
+        if !is_whole {
+            message.truncate(end.index(message.len()));
+        }
+        let at_once = with_bytes(message.clone(), read_message);
+        let in_pieces = with_pieces(&message, &cuts, read_message);
+        prop_assert_eq!(at_once, in_pieces);
+    }
 }
--- a/crates/soak/src/fault_plan.rs
+++ b/crates/soak/src/fault_plan.rs
@@ -13,8 +13,8 @@
 use slipturn_platform_standin::{proxy::LinkMode, runner::RunnerMode, store::StoreMode};
 
 use crate::{
-    contact_plan, data_center_plan, drill_plan, engine_plan, entry_plan, framing_plan, limit_plan,
-    partition_plan, signal_plan,
+    contact_plan, data_center_plan, drill_plan, endless_plan, engine_plan, entry_plan,
+    framing_plan, limit_plan, partition_plan, signal_plan,
 };
 
 /// Time between the starts of two faults of [`dense_faults`] in the first part of a run,
@@ -190,6 +190,7 @@
     faults.extend(partition_plan::faults(seed, size));
     faults.extend(framing_plan::faults(seed, size));
     faults.extend(engine_plan::faults(seed, size));
+    faults.extend(endless_plan::faults(seed, size));
     faults.sort_by_key(|planned| planned.at);
     faults
 }
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod contact_plan;
 mod data_center_plan;
 mod drill_plan;
+mod endless_plan;
 mod engine_plan;
 mod entry_plan;
 pub mod evidence;
