--- a/crates/soak/src/endless_plan.rs
+++ b/crates/soak/src/endless_plan.rs
@@ -5,7 +5,6 @@
 use slipturn_platform_standin::runner::{EndlessPart, RunnerMode};
 
 use crate::{
-    contact_plan,
     fault_plan::{self, Fault, PlanSize, PlannedFault},
     fault_series,
 };
