Confirm the end of a relayed answer through its relay, also while that one stops

What callers saw: in a rolling restart, whole streams without a length or chunks were cut at their end, where all members that could relay were stopping.

Cause: the end of such an answer is confirmed by a new connection to its upstream. A stopping relay refuses new connections, and members that are leaving aren't asked, so nothing confirmed it.

Change: the relay of the answer is asked for the check, marked by a header; a stopping relay accepts marked requests. Members of earlier builds ignore the header and refuse as before; then the check goes the former way.

Evidence: a_stopping_relay_does_not_cut_streams_without_a_length with two instances: Cut(true) before (records: the answer ended with its connection, and another one was closed at once), passes now.

--- a/crates/instance/src/member_relay.rs
+++ b/crates/instance/src/member_relay.rs
@@ -20,6 +20,9 @@
 pub(crate) const RELAY_ENDS_PATH: &str = "/relays/";
 /// Status of a relay that found that nothing listens at the upstream's address.
 pub(crate) const REFUSED_STATUS: http::StatusCode = http::StatusCode::BAD_GATEWAY;
+/// Header of a request for a relayed connection that only checks whether the upstream accepts it. A stopping relay
+/// accepts such requests, as the check concludes an answer that it has relayed.
+pub(crate) const RELAY_CHECK: &str = "relay-check";
 /// Header of a relay whose own link may be the cause of its answer.
 pub(crate) const RELAY_DOUBT: &str = "relay-doubt";
 
@@ -110,6 +113,28 @@
         let answered = monoio::time::timeout(END_TIMEOUT, asking).await.ok().flatten();
         answered.is_some_and(|head| head.status == http::StatusCode::OK)
     }
+
+    /// Opens another connection to the upstream through the same relay, to check that the upstream accepts it.
+    pub(crate) async fn open_check(
+        &self,
+        context: &context::InstanceContext,
+        upstream: net::SocketAddrV4,
+    ) -> Result<upstream_pool::OpenedConnection, RelayError> {
+        let limit = END_TIMEOUT;
+        let member = RelayMember { name: self.member.clone(), address: self.address };
+        let purpose = ConnectPurpose::Check;
+        let asked = connect(context.boot, member, upstream, purpose);
+        let answered = monoio::time::timeout(limit, asked).await;
+        answered.unwrap_or_else(|_| SilentSnafu { limit }.fail())
+    }
+}
+
+/// What a relayed connection is for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum ConnectPurpose {
+    Request,
+    /// See [`RELAY_CHECK`].
+    Check,
 }
 
 /// A member that may relay.
@@ -193,7 +218,11 @@
     limit: time::Duration,
 ) -> Result<upstream_pool::OpenedConnection, RelayError> {
     let name = member.name.clone();
-    let asked = monoio::time::timeout(limit, connect(context.boot, member, upstream)).await;
+    let asked = monoio::time::timeout(
+        limit,
+        connect(context.boot, member, upstream, ConnectPurpose::Request),
+    )
+    .await;
     let result = asked.unwrap_or_else(|_| SilentSnafu { limit }.fail());
     let now = context.now();
     match &result {
@@ -212,11 +241,17 @@
     boot: u64,
     RelayMember { name, address }: RelayMember,
     upstream: net::SocketAddrV4,
+    purpose: ConnectPurpose,
 ) -> Result<upstream_pool::OpenedConnection, RelayError> {
     let stream = monoio::net::TcpStream::connect_addr(address).await.context(ConnectSnafu)?;
     let (mut reader, mut writer) = h1::split(stream);
-    let request =
-        format!("CONNECT {upstream} HTTP/1.1\r\nhost: {upstream}\r\n{MEMBER_BOOT}: {boot}\r\n\r\n");
+    let check = match purpose {
+        ConnectPurpose::Request => String::new(),
+        ConnectPurpose::Check => format!("{RELAY_CHECK}: 1\r\n"),
+    };
+    let request = format!(
+        "CONNECT {upstream} HTTP/1.1\r\nhost: {upstream}\r\n{MEMBER_BOOT}: {boot}\r\n{check}\r\n"
+    );
     writer.write(request.into_bytes()).await.context(ExchangeSnafu)?;
     let head = reader.response_head().await.context(ExchangeSnafu)?;
     match head.status {
--- a/crates/instance/src/relay_server.rs
+++ b/crates/instance/src/relay_server.rs
@@ -166,7 +166,8 @@
         return Err(RelayRefusal::of_request(http::StatusCode::NOT_FOUND));
     };
     let is_full = context.relayed.borrow().open > MAX_RELAYED;
-    if is_full || context.stop.is_triggered() {
+    let is_check = head.headers.contains_key(member_relay::RELAY_CHECK);
+    if is_full || context.stop.is_triggered() && !is_check {
         return Err(RelayRefusal::of_request(http::StatusCode::SERVICE_UNAVAILABLE));
     }
     let path = context.reach.borrow().path(context.now(), &service, address);
--- a/crates/instance/src/service_request.rs
+++ b/crates/instance/src/service_request.rs
@@ -17,7 +17,7 @@
 /// Largest body that is read completely before it is forwarded, in bytes; longer ones are
 /// forwarded as the caller reads them.
 pub(crate) const MAX_BUFFERED_BODY: usize = 16 * 1024;
-/// Largest body of an answer with an error status, in bytes; an error is told in far less.
+/// Largest body of an answer with an error status, in bytes; the usual ones are far smaller.
 const MAX_ERROR_BODY: usize = 64 * 1024;
 /// Fraction of the remaining time after which a silent upstream of a repeatable call is given up,
 /// if another upstream may answer.
--- a/crates/instance/src/upstream_attempt.rs
+++ b/crates/instance/src/upstream_attempt.rs
@@ -161,7 +161,8 @@
         if !self.ends_with_connection {
             return Ok(());
         }
-        upstream_ends::confirm_running(context, upstream, self.address).await
+        let relay = self.connection.relay();
+        upstream_ends::confirm_running(context, upstream, self.address, relay).await
     }
 
     /// Returns the connection to the pool if it can be reused.
--- a/crates/instance/src/upstream_ends.rs
+++ b/crates/instance/src/upstream_ends.rs
@@ -11,8 +11,8 @@
 use snafu::{ResultExt as _, Snafu};
 
 use crate::{
-    context, incoming_call, part_gossip, quarantine_gossip, upstream_attempt, upstream_connect,
-    upstream_gate,
+    context, incoming_call, member_relay, part_gossip, quarantine_gossip, upstream_attempt,
+    upstream_connect, upstream_gate,
 };
 
 /// Delay between a broken run and a test connection to its upstream. A process that has ended refuses at once, but its
@@ -205,12 +205,13 @@
     Closed,
 }
 
-/// Confirms that an upstream which has just closed a connection still runs, by opening another one, which is kept for
-/// later requests. An upstream that is leaving may exit after its answers.
+/// Confirms that an upstream which has just closed a connection still runs, by opening another one, through the same
+/// `relay` if the first one was relayed; a direct one is kept for later requests. An upstream that is leaving may exit after its answers.
 pub(crate) async fn confirm_running(
     context: &context::InstanceContext,
     upstream: &ids::UpstreamId,
     address: net::SocketAddrV4,
+    relay: Option<&member_relay::ConnectionRelay>,
 ) -> Result<(), UnconfirmedEnd> {
     monoio::time::sleep(BREAK_CHECK_DELAY).await;
     let allowed = upstream_gate::check_send(context, upstream, send_gate::SendKind::Check, &[]);
@@ -219,7 +220,14 @@
         return Ok(());
     };
     let target = upstream_connect::ConnectTarget { service: &service, address };
-    let mut connection = upstream_connect::open(context, target).await.context(UnreachableSnafu)?;
+    let checked = match relay {
+        Some(relay) => relay.open_check(context, address).await.ok(),
+        None => None,
+    };
+    let mut connection = match checked {
+        Some(opened) => context.pool.register(address, opened),
+        None => upstream_connect::open(context, target).await.context(UnreachableSnafu)?,
+    };
     if monoio::time::timeout(CLOSE_CHECK_TIME, connection.reader.fill()).await.is_ok() {
         return ClosedSnafu.fail();
     }
--- a/crates/instance/src/upstream_pool.rs
+++ b/crates/instance/src/upstream_pool.rs
@@ -91,6 +91,11 @@
         (self.reader, self.writer)
     }
 
+    /// Returns the member that relays the connection; `None` if it is direct.
+    pub(crate) fn relay(&self) -> Option<&member_relay::ConnectionRelay> {
+        self.relay.as_ref()
+    }
+
     /// Waits for bytes of a body like [`h1::MessageReader::next_piece`]. A body that ends with its connection is complete
     /// only if the upstream closed the connection, which may also have broken together with its relay.
     pub async fn next_piece(
--- a/crates/soak/src/endless_plan.rs
+++ b/crates/soak/src/endless_plan.rs
@@ -9,8 +9,9 @@
     fault_series,
 };
 
-/// First seed whose plan has such upstreams: some plans of lower seeds are kept as tests and must not change.
-const FIRST_SEED: u64 = 140_000;
+/// First seed whose plan has such upstreams, and whose run ends with [`crate::restart_check`]: some plans of lower seeds
+/// are kept as tests and must not change.
+pub(crate) const FIRST_SEED: u64 = 140_000;
 /// Number of the random stream that draws the upstreams.
 const ENDLESS_STREAM: u64 = 13;
 /// Time between two such upstreams, milliseconds.
--- a/crates/soak/src/final_checks.rs
+++ b/crates/soak/src/final_checks.rs
@@ -11,7 +11,7 @@
 };
 
 use crate::{
-    config_check, engine_plan,
+    config_check, endless_plan, engine_plan,
     evidence::RECOVERY_MARGIN,
     fault_injector::{FaultEnd, FaultInjector, STOP_GRACE_PERIOD},
     fault_plan::{Fault, PartitionScope, PlannedFault},
@@ -52,6 +52,9 @@
         if seed >= framing_plan::FIRST_SEED {
             self.check_crashing_part(seed);
         }
+        if seed >= endless_plan::FIRST_SEED {
+            self.check_rolling_restart(seed);
+        }
         self.check_release();
     }
 
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -23,6 +23,7 @@
 mod part_check;
 mod partition_check;
 mod partition_plan;
+mod restart_check;
 pub mod run;
 mod signal_check;
 mod signal_plan;
