Tell answers that callers do not read from those that do not end

Cause: replaced the error of an answer at its deadline by one for both cases.

Change: an answer at its deadline is 'not read' if its caller took half of the time to read, as before; otherwise it has 'no end'. Which of them counts against the upstream is unchanged.

--- a/crates/instance/src/long_answer.rs
+++ b/crates/instance/src/long_answer.rs
@@ -10,8 +10,7 @@
 
 use crate::{caller_connection, context, service_request, upstream_attempt, upstream_ends};
 
-/// Share of the time limit spent waiting for the caller from which an answer that did not end no longer counts as a failure
-/// of the upstream.
+/// Share of the time limit spent waiting for the caller from which an answer that did not end counts as not read.
 const SLOW_CALLER_SHARE: f64 = 0.5;
 /// Total time spent waiting for the caller from which a broken answer no longer counts as a failure
 /// of the upstream, as the upstream may have given up the slow connection.
@@ -38,15 +37,17 @@
         /// Why the answer may be incomplete.
         source: upstream_ends::UnconfirmedEnd,
     },
-    /// The answer did not end in time, or the caller did not read it.
-    #[snafu(display(
-        "no end of the answer within {limit:?}, of which {waited:?} were spent waiting for the caller"
-    ))]
+    /// The caller did not read the answer in time.
+    #[snafu(display("not read within {limit:?}"))]
+    NotRead {
+        /// Time limit for forwarding the answer.
+        limit: time::Duration,
+    },
+    /// The answer did not end in time.
+    #[snafu(display("no end of the answer within {limit:?}"))]
     Unended {
         /// Time limit for forwarding the answer.
         limit: time::Duration,
-        /// Time spent waiting for the caller.
-        waited: time::Duration,
     },
 }
 
@@ -83,7 +84,11 @@
             forward_pieces(context, &upstream, &mut self.answer, self.leading, reply, &wait);
         let forwarded = monoio::time::timeout(limit, forwarding).await;
         let waited = wait.total(context.now());
-        let result = forwarded.unwrap_or_else(|_| UnendedSnafu { limit, waited }.fail());
+        let result = match forwarded {
+            Ok(result) => result,
+            Err(_) if waited >= limit.mul_f64(SLOW_CALLER_SHARE) => NotReadSnafu { limit }.fail(),
+            Err(_) => UnendedSnafu { limit }.fail(),
+        };
         match &result {
             Ok(()) => {
                 self.run.answered();
@@ -105,11 +110,9 @@
                 // Other answers of a sound upstream end meanwhile, even if this one is long.
                 let has_ended_others =
                     context.loads.borrow().answered_since(&upstream, self.started);
-                if !has_ended_others && waited < limit.mul_f64(SLOW_CALLER_SHARE) {
-                    context
-                        .stats
-                        .borrow_mut()
-                        .count("unended_answers", &self.entry.service.to_string());
+                if !has_ended_others {
+                    let service = self.entry.service.to_string();
+                    context.stats.borrow_mut().count("unended_answers", &service);
                     self.guard.result.set(Some(CallResult::Failed));
                 }
             }
