--- a/crates/instance/src/upstream_ends.rs
+++ b/crates/instance/src/upstream_ends.rs
@@ -206,7 +206,8 @@
 }
 
 /// Confirms that an upstream which has just closed a connection still runs, by opening another one, through the same
-/// `relay` if the first one was relayed; a direct one is kept for later requests. An upstream that is leaving may exit after its answers.
+/// `relay` if the first one was relayed; a direct one is kept for later requests. An upstream that is leaving may exit
+/// after its answers.
 pub(crate) async fn confirm_running(
     context: &context::InstanceContext,
     upstream: &ids::UpstreamId,
