--- a/review/stand-ins-2/late_part.rs
+++ b/review/stand-ins-2/late_part.rs
@@ -1,7 +1,7 @@
 //! One part of prompts crashes the engines that begin to answer them; it stands behind many other parts.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     io::{self, BufRead as _, BufReader},
     net::{SocketAddr, TcpListener},
     process::{self, Child, Command, Stdio},
@@ -41,7 +41,7 @@
 const DEADLINE: Duration = Duration::from_secs(10);
 /// The crash from which the rule counts, and how many requests it allows after that.
 const COUNTED_CRASH: usize = 5;
-const ALLOWED: u32 = 3;
+const ALLOWED: usize = 3;
 
 /// What an engine process does; it reports on its standard output, and ends at once where a prompt crashes it.
 pub fn run_engine(words: &[&str]) {
@@ -147,8 +147,8 @@
 #[derive(Default)]
 struct Seen {
     crashes: Vec<Instant>,
-    /// Runs of prompts with the crashing part that began later than [`CONTACT`] after the counted crash.
-    late_runs: u32,
+    /// Requests with the crashing part that an engine began to run later than [`CONTACT`] after the counted crash.
+    late: BTreeSet<String>,
     sound_runs: u32,
 }
 
@@ -202,11 +202,12 @@
     let seen = seen.lock().unwrap();
     record.line(format!("sound prompts: {:?}", outcomes.lock().unwrap()));
     record.line(format!(
-        "crashes: {}; runs of prompts with the crashing part later than {CONTACT:?} after crash {COUNTED_CRASH}: {}",
+        "crashes: {}; requests with the crashing part that reached engines later than {CONTACT:?} after crash \
+         {COUNTED_CRASH}: {}",
         seen.crashes.len(),
-        seen.late_runs
+        seen.late.len()
     ));
-    if seen.late_runs > ALLOWED { Verdict::Broken } else { Verdict::Held }
+    if seen.late.len() > ALLOWED { Verdict::Broken } else { Verdict::Held }
 }
 
 /// The configuration of the small deployment's model service.
@@ -288,8 +289,9 @@
             [_, "crashes", "under", _] => self.crashes.push(Instant::now()),
             [_, "runs", id] if id.starts_with('x') => {
                 let counted = self.crashes.get(COUNTED_CRASH - 1);
-                let is_late = counted.is_some_and(|at| at.elapsed() > CONTACT);
-                self.late_runs += u32::from(is_late);
+                if counted.is_some_and(|at| at.elapsed() > CONTACT) {
+                    self.late.insert((*id).to_owned());
+                }
             }
             [_, "runs", _] => self.sound_runs += 1,
             _ => {}
