--- a/crates/instance/src/internal_server.rs
+++ b/crates/instance/src/internal_server.rs
@@ -7,8 +7,8 @@
 use slipturn_net::h1;
 
 use crate::{
-    context, document_answers, intake, member_feed, member_relay, part_gossip, quarantine_gossip,
-    relay_server, share_gossip, share_rows, upstream_rows,
+    adapter, context, document_answers, intake, member_feed, member_relay, part_gossip,
+    quarantine_gossip, relay_server, share_gossip, share_rows, upstream_rows,
 };
 
 /// Prefix that tells parts of prompts from the digest of a request.
@@ -61,6 +61,38 @@
     }
 }
 
+/// Answers readiness checks while the process starts: it is not ready; never returns.
+pub async fn answer_not_ready(
+    adapter: &rc::Rc<dyn adapter::InstanceAdapter>,
+    listener: &monoio::net::TcpListener,
+) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                monoio::spawn(serve_not_ready(rc::Rc::clone(adapter), stream));
+            }
+            Err(error) => {
+                log::warn!(error:%; "accept.failed");
+                monoio::time::sleep(time::Duration::from_millis(20)).await;
+            }
+        }
+    }
+}
+
+/// Answers one readiness check, and closes the connection, so that the next check sees a later state.
+async fn serve_not_ready(
+    adapter: rc::Rc<dyn adapter::InstanceAdapter>,
+    stream: monoio::net::TcpStream,
+) {
+    let (mut reader, mut writer) = h1::split(stream);
+    let next = monoio::time::timeout(IDLE_TIMEOUT, reader.request_head(MAX_HEAD_BYTES)).await;
+    if let Ok(Ok(Some(head))) = next {
+        let answer = ServerAnswer::text(readiness(&*adapter, head.uri.path(), false));
+        // The connection is closed in either case.
+        let _ = answer.send(&mut writer, true).await;
+    }
+}
+
 async fn serve(
     context: rc::Rc<context::InstanceContext>,
     stream: monoio::net::TcpStream,
@@ -119,8 +151,11 @@
 }
 
 fn health(context: &context::InstanceContext, path: &str) -> (u16, String) {
-    let ready = is_ready(context);
-    match context.adapter.is_readiness(path) {
+    readiness(&*context.adapter, path, is_ready(context))
+}
+
+fn readiness(adapter: &dyn adapter::InstanceAdapter, path: &str, ready: bool) -> (u16, String) {
+    match adapter.is_readiness(path) {
         true if ready => (200, "ready\n".to_owned()),
         true => (503, "not ready\n".to_owned()),
         false => (404, String::new()),
--- a/crates/instance/src/program.rs
+++ b/crates/instance/src/program.rs
@@ -1,13 +1,6 @@
 //! The process of an instance: command line, listeners, tasks, reload of settings and graceful shutdown.
 
-use std::{
-    path, process as std_process, rc,
-    sync::{
-        self,
-        atomic::{self, AtomicBool},
-    },
-    time,
-};
+use std::{path, process as std_process, rc, time};
 
 use futures::channel::{mpsc, oneshot};
 use slipturn_core::upstream_reach;
@@ -16,14 +9,12 @@
 
 use crate::{
     adapter, caller_connection, connection_slot, context, engine_reports, failure_watch,
-    heartbeats, instance_settings, internal_server, lease_renewal, link_probe, log_sink,
-    member_feed, member_gossip, peers, store_feed, upstream_ends,
+    heartbeats, instance_settings, internal_server, lease_renewal, link_probe, listeners, log_sink,
+    member_feed, member_gossip, peers, settings_watch, store_feed, upstream_ends,
 };
 
 /// Interval between two checks for a signal to stop or to reload.
 const SIGNAL_POLL_INTERVAL: time::Duration = time::Duration::from_millis(100);
-/// Number of signal checks for each check of the settings file.
-const POLLS_PER_FILE_CHECK: u32 = 20;
 /// Time after SIGTERM for which connections are still accepted: the load balancer checks readiness every second and
 /// removes the instance after two failures.
 const NOT_READY_TIME: time::Duration = time::Duration::from_millis(2_600);
@@ -40,12 +31,10 @@
 #[derive(Debug, Snafu)]
 pub enum ProgramError {
     /// An address could not be bound.
-    #[snafu(display("cannot listen on {address}: {source}"))]
+    #[snafu(display("{source}"))]
     Listen {
-        /// The address from the settings.
-        address: std::net::SocketAddr,
-        /// The error of the operating system.
-        source: std::io::Error,
+        /// The address and the error.
+        source: listeners::ListenError,
     },
     /// The signal handlers could not be installed.
     #[snafu(display("signals: {source}"))]
@@ -92,22 +81,18 @@
 
 /// Runs an instance until a stop is requested and its requests have ended.
 pub async fn run(
-    settings: instance_settings::InstanceSettings,
+    mut settings: instance_settings::InstanceSettings,
     path: path::PathBuf,
     adapter: rc::Rc<dyn adapter::InstanceAdapter>,
 ) -> Result<(), ProgramError> {
     let stop = process::StopSignal::install().context(SignalsSnafu)?;
-    let reload = sync::Arc::new(AtomicBool::new(false));
-    signal_hook::flag::register(signal_hook::consts::SIGHUP, sync::Arc::clone(&reload))
-        .context(SignalsSnafu)?;
-    let callers = listen(settings.listen.callers)?;
-    let health = listen(settings.listen.health)?;
-    let members = listen(settings.listen.members)?;
-    let operators = listen(settings.operator_address)?;
-    let member_address = settings.member_address;
-    let socket = monoio::net::udp::UdpSocket::bind(member_address)
-        .context(ListenSnafu { address: member_address })?;
-    let socket = rc::Rc::new(socket);
+    let mut watch = settings_watch::SettingsWatch::install(path).context(SignalsSnafu)?;
+    let opened = listeners::open_all(&mut settings, &mut watch, &adapter, &stop).await;
+    let Some(listeners) = opened.context(ListenSnafu)? else {
+        return Ok(());
+    };
+    let listeners::InstanceListeners { health, others } = listeners;
+    let socket = rc::Rc::new(others.datagrams);
     let (closing_sender, closing) = oneshot::channel();
     let (outgoing, queue) = mpsc::unbounded();
     let (runs, run_events) = mpsc::unbounded();
@@ -139,11 +124,15 @@
     monoio::spawn(member_gossip::repeat(share()));
     let accept_internal = internal_server::accept_all;
     monoio::spawn(accept_internal(share(), health, internal_server::ServerRole::Health));
-    monoio::spawn(accept_internal(share(), members, internal_server::ServerRole::Members));
-    monoio::spawn(accept_internal(share(), operators, internal_server::ServerRole::Operators));
-    monoio::spawn(accept_callers(share(), callers));
-
-    wait_for_stop(&context, &reload, &path).await;
+    monoio::spawn(accept_internal(share(), others.members, internal_server::ServerRole::Members));
+    monoio::spawn(accept_internal(
+        share(),
+        others.operators,
+        internal_server::ServerRole::Operators,
+    ));
+    monoio::spawn(accept_callers(share(), others.callers));
+
+    wait_for_stop(&context, &mut watch).await;
     shut_down(&context, closing_sender, grace).await;
     Ok(())
 }
@@ -192,40 +181,17 @@
     }
 }
 
-/// Reloads the settings on SIGHUP and when their file changes, until a stop is requested.
-async fn wait_for_stop(context: &context::InstanceContext, reload: &AtomicBool, path: &path::Path) {
-    let mut last_modified = modified_at(path);
-    let mut polls = 0_u32;
+/// Applies changed settings until a stop is requested.
+async fn wait_for_stop(
+    context: &context::InstanceContext,
+    watch: &mut settings_watch::SettingsWatch,
+) {
     while !context.stop.is_triggered() {
-        polls += 1;
-        // The file may be changed without a signal.
-        let found = if polls.is_multiple_of(POLLS_PER_FILE_CHECK) {
-            modified_at(path)
-        } else {
-            last_modified
-        };
-        if reload.swap(false, atomic::Ordering::SeqCst) || found != last_modified {
-            last_modified = found;
-            reload_settings(context, path);
-        }
-        monoio::time::sleep(SIGNAL_POLL_INTERVAL).await;
-    }
-}
-
-/// Modification time of a file; `None` if it is not available.
-fn modified_at(path: &path::Path) -> Option<time::SystemTime> {
-    std::fs::metadata(path).and_then(|metadata| metadata.modified()).ok()
-}
-
-/// Reloads the settings; an invalid file is rejected, and the settings in force stay.
-fn reload_settings(context: &context::InstanceContext, path: &path::Path) {
-    match instance_settings::InstanceSettings::load(path) {
-        Ok(settings) => {
-            log::info!(seeds = settings.seeds.len(); "settings.reloaded");
+        if let Some(settings) = watch.poll() {
             context.members.borrow_mut().set_seeds(settings.member_seeds());
             *context.settings.borrow_mut() = rc::Rc::new(settings);
         }
-        Err(error) => log::error!(error:%; "settings.rejected"),
+        monoio::time::sleep(SIGNAL_POLL_INTERVAL).await;
     }
 }
 
@@ -250,7 +216,3 @@
     // Allows the last answers, closed connections and log lines to be written before the process exits.
     monoio::time::sleep(time::Duration::from_millis(50)).await;
 }
-
-fn listen(address: std::net::SocketAddr) -> Result<monoio::net::TcpListener, ProgramError> {
-    process::listen(address).context(ListenSnafu { address })
-}
--- a/crates/net/src/process.rs
+++ b/crates/net/src/process.rs
@@ -59,6 +59,16 @@
     monoio::net::TcpListener::bind_with_config(address, &options)
 }
 
+/// Returns whether an address that could not be bound may be available later without a change of the
+/// settings or of the process's limits and permissions.
+pub fn is_transient_bind_error(error: &io::Error) -> bool {
+    use rustix::io::Errno;
+    matches!(
+        Errno::from_io_error(error),
+        Some(Errno::ADDRINUSE | Errno::ADDRNOTAVAIL | Errno::NFILE | Errno::NOBUFS | Errno::NOMEM)
+    )
+}
+
 /// A flag that is set by SIGTERM, SIGINT or an operator to request a graceful stop. Clones share it.
 #[derive(Debug, Clone)]
 pub struct StopSignal(sync::Arc<atomic::AtomicBool>);
