--- a/crates/instance/src/program.rs
+++ b/crates/instance/src/program.rs
@@ -36,6 +36,12 @@
         /// The address and the error.
         source: listeners::ListenError,
     },
+    /// The settings file could not be read or is not valid.
+    #[snafu(display("{source}"))]
+    Settings {
+        /// The path of the file and the error.
+        source: instance_settings::InstanceSettingsError,
+    },
     /// The signal handlers could not be installed.
     #[snafu(display("signals: {source}"))]
     Signals {
@@ -44,7 +50,7 @@
     },
 }
 
-/// Entry point of the program: parses the command line, loads the settings, and runs the instance.
+/// Entry point of the program: parses the command line, and checks the settings or runs the instance.
 pub fn main(
     info: command_line::ProgramInfo,
     settings_variable: &str,
@@ -61,32 +67,33 @@
         return std_process::ExitCode::from(command_line::EXIT_USAGE);
     };
     let path = path::PathBuf::from(&file);
-    let settings = match instance_settings::InstanceSettings::load(&path) {
-        Ok(settings) => settings,
-        Err(error) => return command_line::fail(info, &error),
-    };
     if matches.opt_present("check") {
+        if let Err(error) = instance_settings::InstanceSettings::load(&path) {
+            return command_line::fail(info, &error);
+        }
         println!("{file}: valid");
         return std_process::ExitCode::from(command_line::EXIT_SUCCESS);
     }
     if let Err(error) = log_sink::install(log::LevelFilter::Info) {
         return command_line::fail(info, &error);
     }
-    match process::run(run(settings, path, adapter)) {
+    match process::run(run(path, adapter)) {
         Ok(Ok(())) => std_process::ExitCode::from(command_line::EXIT_SUCCESS),
         Ok(Err(error)) => command_line::fail(info, &error),
         Err(error) => command_line::fail(info, &error),
     }
 }
 
-/// Runs an instance until a stop is requested and its requests have ended.
+/// Loads the settings and runs an instance until a stop is requested and its requests have ended.
 pub async fn run(
-    mut settings: instance_settings::InstanceSettings,
     path: path::PathBuf,
     adapter: rc::Rc<dyn adapter::InstanceAdapter>,
 ) -> Result<(), ProgramError> {
     let stop = process::StopSignal::install().context(SignalsSnafu)?;
     let mut watch = settings_watch::SettingsWatch::install(path).context(SignalsSnafu)?;
+    let Some(mut settings) = watch.load_at_start(&stop).await.context(SettingsSnafu)? else {
+        return Ok(());
+    };
     let opened = listeners::open_all(&mut settings, &mut watch, &adapter, &stop).await;
     let Some(listeners) = opened.context(ListenSnafu)? else {
         return Ok(());
--- a/crates/instance/src/settings_watch.rs
+++ b/crates/instance/src/settings_watch.rs
@@ -9,8 +9,15 @@
     time,
 };
 
+use slipturn_net::{boot_clock, process};
+
 use crate::instance_settings;
 
+/// Time for which a start waits for a valid file: its writer may not have finished.
+const MAX_START_WAIT: time::Duration = time::Duration::from_secs(2);
+/// Interval between two attempts to read the file at a start.
+const START_RETRY_INTERVAL: time::Duration = time::Duration::from_millis(100);
+
 /// Number of polls for each check of the file's modification time.
 const POLLS_PER_FILE_CHECK: u32 = 20;
 
@@ -38,15 +45,38 @@
         Ok(Self { path, reload, last_modified, polls: 0 })
     }
 
-    /// Returns the settings in the file.
+    /// Returns the settings in the file, or `None` if a stop is requested first. A file that is missing
+    /// or not valid is read again until `MAX_START_WAIT` has passed.
     ///
     /// # Errors
     ///
-    /// Fails if the file cannot be read or is not valid.
-    pub fn load(
+    /// Fails if the file still cannot be read or is not valid then.
+    pub async fn load_at_start(
         &self,
-    ) -> Result<instance_settings::InstanceSettings, instance_settings::InstanceSettingsError> {
-        instance_settings::InstanceSettings::load(&self.path)
+        stop: &process::StopSignal,
+    ) -> Result<Option<instance_settings::InstanceSettings>, instance_settings::InstanceSettingsError>
+    {
+        let began = boot_clock::BootInstant::now();
+        let mut waits = false;
+        while !stop.is_triggered() {
+            match instance_settings::InstanceSettings::load(&self.path) {
+                Ok(settings) => {
+                    if waits {
+                        let waited_ms = began.elapsed().as_millis() as u64;
+                        log::info!(waited_ms; "settings.available");
+                    }
+                    return Ok(Some(settings));
+                }
+                Err(error) if began.elapsed() >= MAX_START_WAIT => return Err(error),
+                Err(error) if !waits => {
+                    log::warn!(error:%; "settings.waiting");
+                    waits = true;
+                }
+                Err(_) => {}
+            }
+            monoio::time::sleep(START_RETRY_INTERVAL).await;
+        }
+        Ok(None)
     }
 
     /// Returns the settings in the file if it may have changed since the last call. An invalid file is
@@ -64,7 +94,7 @@
             return None;
         }
         self.last_modified = found;
-        match self.load() {
+        match instance_settings::InstanceSettings::load(&self.path) {
             Ok(settings) => {
                 log::info!(seeds = settings.seeds.len(); "settings.reloaded");
                 Some(settings)
