--- a/crates/instance/src/log_sink.rs
+++ b/crates/instance/src/log_sink.rs
@@ -17,6 +17,7 @@
 
 use log::kv;
 use log4rs::{append, config};
+use slipturn_net::command_line;
 
 /// Maximum number of lines in the queue; a line takes about 500 bytes.
 const QUEUE_CAPACITY: usize = 512;
@@ -69,7 +70,7 @@
         let work = move || write_all(output, &queue, &counts.0, &counts.1);
         let spawned = thread::Builder::new().name("log".to_owned()).stack_size(64 * 1024);
         if let Err(error) = spawned.spawn(work) {
-            eprintln!("cannot start the log thread: {error}");
+            command_line::print_error(format_args!("cannot start the log thread: {error}"));
         }
         let (started, rate) = (time::Instant::now(), sync::Mutex::default());
         Self { lines, started, rate, waiting, dropped }
@@ -105,7 +106,7 @@
     }
 }
 
-/// Writes lines from the queue until the output fails.
+/// Writes lines from the queue. A line that the output rejects counts as dropped.
 fn write_all(
     mut output: Box<dyn io::Write + Send>,
     queue: &mpsc::Receiver<String>,
@@ -120,11 +121,10 @@
         } else {
             String::new()
         };
-        // The error cannot be logged without an output.
-        if output.write_all((note + &line).as_bytes()).is_err() {
-            return;
+        let written = output.write_all((note + &line).as_bytes()).and_then(|()| output.flush());
+        if written.is_err() {
+            dropped.fetch_add(missing + 1, atomic::Ordering::Relaxed);
         }
-        let _ = output.flush();
     }
 }
 
--- a/crates/instance/src/program.rs
+++ b/crates/instance/src/program.rs
@@ -63,7 +63,8 @@
     let settings_file =
         matches.opt_str("settings").or_else(|| std::env::var(settings_variable).ok());
     let Some(file) = settings_file else {
-        eprintln!("{}: -s FILE or {settings_variable} is needed", info.name);
+        let name = info.name;
+        command_line::print_error(format_args!("{name}: -s FILE or {settings_variable} is needed"));
         return std_process::ExitCode::from(command_line::EXIT_USAGE);
     };
     let path = path::PathBuf::from(&file);
--- a/crates/instance/tests/log_sink.rs
+++ b/crates/instance/tests/log_sink.rs
@@ -122,3 +122,34 @@
     let count = std::iter::from_fn(|| written.recv_timeout(timeout).ok()).count();
     assert!((300..=1_210).contains(&count), "{count} of {number} lines in three seconds");
 }
+
+/// An output that rejects its first lines, such as a file on a full disk.
+struct FailingOutput {
+    failures: u32,
+    lines: mpsc::Sender<String>,
+}
+
+impl io::Write for FailingOutput {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        if self.failures > 0 {
+            self.failures -= 1;
+            return Err(io::ErrorKind::StorageFull.into());
+        }
+        let text = String::from_utf8_lossy(bytes).into_owned();
+        self.lines.send(text).map_err(io::Error::other)?;
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+#[test]
+fn lines_are_written_again_after_a_failure_of_the_output() {
+    let (lines, written) = mpsc::channel();
+    let appender = log_sink::LineAppender::start(Box::new(FailingOutput { failures: 3, lines }));
+    (0..4).for_each(|number| append(&appender, number));
+    let line = written.recv_timeout(time::Duration::from_secs(5)).expect("the fourth line");
+    assert!(line.contains("\"lines\":3") && line.contains("line.3"), "{line}");
+}
--- a/crates/net/src/command_line.rs
+++ b/crates/net/src/command_line.rs
@@ -1,6 +1,10 @@
 //! Command-line parsing, tool settings files and exit codes shared by the programs.
 
-use std::{collections, fmt, fs, path, process, str};
+use std::{
+    collections, fmt, fs,
+    io::{self, Write as _},
+    path, process, str,
+};
 
 use slipturn_core::settings;
 
@@ -43,7 +47,7 @@
     let matches = match options.parse(&arguments) {
         Ok(matches) => matches,
         Err(error) => {
-            eprintln!("{}: {error}\nTry '{} --help'.", info.name, info.name);
+            print_error(format_args!("{}: {error}\nTry '{} --help'.", info.name, info.name));
             return ParsedArguments::Exit(EXIT_USAGE);
         }
     };
@@ -151,9 +155,14 @@
     }
 }
 
+/// Prints a line to standard error. An output that is closed or full is ignored, where `eprintln` panics.
+pub fn print_error(text: fmt::Arguments<'_>) {
+    let _ = writeln!(io::stderr(), "{text}");
+}
+
 /// Prints an error, after the program's name, to standard error and returns [`EXIT_FAILURE`].
 pub fn fail(info: ProgramInfo, error: &dyn fmt::Display) -> process::ExitCode {
-    eprintln!("{}: {error}", info.name);
+    print_error(format_args!("{}: {error}", info.name));
     process::ExitCode::from(EXIT_FAILURE)
 }
 
@@ -165,7 +174,8 @@
         ParsedArguments::Exit(code) => return Err(process::ExitCode::from(code)),
     };
     let Some(file) = matches.opt_str("settings") else {
-        eprintln!("{}: -s FILE is needed\nTry '{} --help'.", info.name, info.name);
+        let name = info.name;
+        print_error(format_args!("{name}: -s FILE is needed\nTry '{name} --help'."));
         return Err(process::ExitCode::from(EXIT_USAGE));
     };
     let local = local_settings::LocalSettings::load(path::Path::new(&file))
