--- a/crates/instance/src/engine_reports.rs
+++ b/crates/instance/src/engine_reports.rs
@@ -3,6 +3,7 @@
 use std::{rc, time};
 
 use slipturn_core::{planner_key, upstream_list};
+use slipturn_net::process;
 
 use crate::{context, engine_call, peers, upstream_starts};
 
@@ -30,7 +31,7 @@
         for engine in engines {
             let now = context.now();
             if context.planners.borrow_mut().take_report_due(now, &engine.name) {
-                monoio::spawn(report(rc::Rc::clone(&context), engine));
+                process::spawn_isolated(report(rc::Rc::clone(&context), engine));
             }
             poll_suspects(&context);
             monoio::time::sleep(pause).await;
@@ -66,7 +67,7 @@
     let suspects = context.planners.borrow_mut().take_suspects();
     let fleet = context.fleet.borrow();
     for engine in suspects.iter().filter_map(|name| fleet.list.entry(name)) {
-        monoio::spawn(report(rc::Rc::clone(context), engine.clone()));
+        process::spawn_isolated(report(rc::Rc::clone(context), engine.clone()));
     }
 }
 
--- a/crates/instance/src/internal_server.rs
+++ b/crates/instance/src/internal_server.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use slipturn_core::{ids, part_quarantine, prompt_part, quarantine, request_digest, units};
-use slipturn_net::h1;
+use slipturn_net::{h1, process};
 
 use crate::{
     adapter, context, document_answers, intake, member_feed, member_relay, part_gossip,
@@ -44,14 +44,14 @@
 
 /// Accepts and serves connections of one role; never returns.
 pub async fn accept_all(
-    context: rc::Rc<context::InstanceContext>,
-    listener: monoio::net::TcpListener,
+    context: &rc::Rc<context::InstanceContext>,
+    listener: &monoio::net::TcpListener,
     role: ServerRole,
 ) {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                monoio::spawn(serve(rc::Rc::clone(&context), stream, role));
+                process::spawn_isolated(serve(rc::Rc::clone(context), stream, role));
             }
             Err(error) => {
                 log::warn!(error:%; "accept.failed");
@@ -69,7 +69,7 @@
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                monoio::spawn(serve_not_ready(rc::Rc::clone(adapter), stream));
+                process::spawn_isolated(serve_not_ready(rc::Rc::clone(adapter), stream));
             }
             Err(error) => {
                 log::warn!(error:%; "accept.failed");
--- a/crates/instance/src/link_probe.rs
+++ b/crates/instance/src/link_probe.rs
@@ -4,6 +4,7 @@
 
 use rand::seq::IteratorRandom as _;
 use slipturn_core::{ids, upstream_list};
+use slipturn_net::process;
 
 use crate::{context, engine_call, upstream_connect};
 
@@ -18,7 +19,7 @@
         monoio::time::sleep(CHECK_INTERVAL).await;
         let due = context.reach.borrow_mut().take_probe(context.now());
         if let Some((service, address)) = due {
-            monoio::spawn(probe(rc::Rc::clone(&context), service, address));
+            process::spawn_isolated(probe(rc::Rc::clone(&context), service, address));
         }
     }
 }
--- a/crates/instance/src/listeners.rs
+++ b/crates/instance/src/listeners.rs
@@ -21,40 +21,26 @@
 }
 
 /// All sockets on which an instance listens.
-pub struct InstanceListeners {
-    /// Accepts readiness checks of the load balancer.
-    pub health: monoio::net::TcpListener,
-    /// Sockets that are opened together.
-    pub others: OtherListeners,
+pub struct InstanceSockets {
+    /// Sockets that accept connections.
+    pub listeners: TcpListeners,
+    /// Receives datagrams of other instances.
+    pub datagrams: monoio::net::udp::UdpSocket,
 }
 
-/// The sockets on which an instance listens, without that for readiness checks.
-pub struct OtherListeners {
-    /// Accepts connections of operators.
+/// The sockets on which an instance accepts connections.
+pub struct TcpListeners {
+    /// For readiness checks of the load balancer.
+    pub health: rc::Rc<monoio::net::TcpListener>,
+    /// For operators.
     pub operators: monoio::net::TcpListener,
-    /// Accepts connections of other instances.
+    /// For other instances.
     pub members: monoio::net::TcpListener,
-    /// Receives datagrams of other instances.
-    pub datagrams: monoio::net::udp::UdpSocket,
-    /// Accepts connections of callers.
+    /// For callers.
     pub callers: monoio::net::TcpListener,
 }
 
-impl OtherListeners {
-    /// Opens all sockets, or none: an open socket that is not served would let its clients wait.
-    fn open(settings: &instance_settings::InstanceSettings) -> Result<Self, ListenError> {
-        let operators = listen(settings.operator_address)?;
-        let members = listen(settings.listen.members)?;
-        let address = net::SocketAddr::V4(settings.member_address);
-        let datagrams =
-            monoio::net::udp::UdpSocket::bind(address).context(ListenSnafu { address })?;
-        // Last, so that no connection of a caller is reset because a later address is in use.
-        let callers = listen(settings.listen.callers)?;
-        Ok(Self { operators, members, datagrams, callers })
-    }
-}
-
-/// Opens all listeners. An address that is not available yet is tried again until it is, with the
+/// Opens all sockets. An address that is not available yet is tried again until it is, with the
 /// settings of that moment; meanwhile readiness checks fail.
 ///
 /// Returns `None` if a stop is requested first.
@@ -67,14 +53,14 @@
     watch: &mut settings_watch::SettingsWatch,
     adapter: &rc::Rc<dyn adapter::InstanceAdapter>,
     stop: &process::StopSignal,
-) -> Result<Option<InstanceListeners>, ListenError> {
+) -> Result<Option<InstanceSockets>, ListenError> {
     let mut health = None;
     let mut unavailable = None;
     while !stop.is_triggered() {
         match try_open(settings, &mut health) {
-            Ok(listeners) => {
+            Ok(sockets) => {
                 unavailable.iter().for_each(UnavailableAddress::log_acquired);
-                return Ok(Some(listeners));
+                return Ok(Some(sockets));
             }
             Err(error) if process::is_transient_bind_error(&error.source) => {
                 unavailable = Some(UnavailableAddress::update(unavailable, &error));
@@ -100,23 +86,24 @@
     Ok(None)
 }
 
-/// Opens the listener for readiness checks unless `health` holds it, then all others. `health` keeps
-/// it if another address is not available.
+/// Opens all sockets; `health` is kept if it is open already. After a failure `health` alone is open:
+/// another socket that is open but not served would let its clients wait.
 fn try_open(
     settings: &instance_settings::InstanceSettings,
-    health: &mut Option<monoio::net::TcpListener>,
-) -> Result<InstanceListeners, ListenError> {
-    let listener = match health.take() {
-        Some(listener) => listener,
-        None => listen(settings.listen.health)?,
+    health: &mut Option<rc::Rc<monoio::net::TcpListener>>,
+) -> Result<InstanceSockets, ListenError> {
+    let health = match health {
+        Some(listener) => rc::Rc::clone(listener),
+        None => rc::Rc::clone(health.insert(rc::Rc::new(listen(settings.listen.health)?))),
     };
-    match OtherListeners::open(settings) {
-        Ok(others) => Ok(InstanceListeners { health: listener, others }),
-        Err(error) => {
-            *health = Some(listener);
-            Err(error)
-        }
-    }
+    let operators = listen(settings.operator_address)?;
+    let members = listen(settings.listen.members)?;
+    let address = net::SocketAddr::V4(settings.member_address);
+    let datagrams = monoio::net::udp::UdpSocket::bind(address).context(ListenSnafu { address })?;
+    // Last, so that no connection of a caller is reset because a later address is in use.
+    let callers = listen(settings.listen.callers)?;
+    let listeners = TcpListeners { health, operators, members, callers };
+    Ok(InstanceSockets { listeners, datagrams })
 }
 
 fn listen(address: net::SocketAddr) -> Result<monoio::net::TcpListener, ListenError> {
--- a/crates/instance/src/log_sink.rs
+++ b/crates/instance/src/log_sink.rs
@@ -7,6 +7,7 @@
 
 use std::{
     io::{self, Write as _},
+    panic,
     sync::{
         self,
         atomic::{self, AtomicU64, AtomicUsize},
@@ -35,9 +36,24 @@
     let config = config::Config::builder().appender(appender).build(root);
     let config = config.map_err(|error| error.to_string())?;
     log4rs::init_config(config).map_err(|error| error.to_string())?;
+    log_panics();
     Ok(())
 }
 
+/// Logs each panic, in addition to the message on standard error.
+fn log_panics() {
+    let report = panic::take_hook();
+    panic::set_hook(Box::new(move |info| {
+        let location = info.location().map(ToString::to_string).unwrap_or_default();
+        let payload = info.payload();
+        let text = payload.downcast_ref::<&str>().copied();
+        let text = text.or_else(|| payload.downcast_ref::<String>().map(String::as_str));
+        let error = text.unwrap_or_default();
+        log::error!(location = location.as_str(), error; "task.panicked");
+        report(info);
+    }));
+}
+
 /// Rate limiter for lines, per second.
 #[derive(Debug, Default)]
 struct LineRate {
--- a/crates/instance/src/memory_hold.rs
+++ b/crates/instance/src/memory_hold.rs
@@ -3,6 +3,7 @@
 use std::{cell, net, rc, time};
 
 use slipturn_core::{engine_place, ids, quota_permit, send_gate, units};
+use slipturn_net::process;
 use snafu::Snafu;
 
 use crate::{adapter, context, engine_call, upstream_starts};
@@ -122,7 +123,7 @@
         }
         if !hold.tickets.is_empty() {
             log::info!(parts = hold.tickets.len(), job = job.sequence; "memory.held");
-            monoio::spawn(renew(
+            process::spawn_isolated(renew(
                 rc::Rc::clone(context),
                 hold.tickets.clone(),
                 rc::Rc::clone(&hold.released),
@@ -152,7 +153,7 @@
     fn drop(&mut self) {
         self.released.set(true);
         for held in self.tickets.drain(..) {
-            monoio::spawn(release(rc::Rc::clone(&self.context), held));
+            process::spawn_isolated(release(rc::Rc::clone(&self.context), held));
         }
     }
 }
--- a/crates/instance/src/part_gossip.rs
+++ b/crates/instance/src/part_gossip.rs
@@ -11,6 +11,7 @@
     part_quarantine::{self, answered_parts, evidence, verdicts},
     prompt_part, units,
 };
+use slipturn_net::process;
 
 use crate::{context, incoming_call, peer_message, quarantine_gossip, upstream_ends};
 
@@ -285,7 +286,7 @@
     }
     drop(state);
     let context = rc::Rc::clone(context);
-    monoio::spawn(async move {
+    process::spawn_isolated(async move {
         monoio::time::sleep(EVALUATION_DELAY).await;
         context.part_state.borrow_mut().is_scheduled = false;
         ask_and_evaluate(&context);
@@ -302,7 +303,7 @@
     if !suspects.is_empty() {
         ask(context, suspects);
         let context = rc::Rc::clone(context);
-        monoio::spawn(async move {
+        process::spawn_isolated(async move {
             monoio::time::sleep(evidence::REPLY_TIME).await;
             evaluate(&context);
         });
--- a/crates/instance/src/peers.rs
+++ b/crates/instance/src/peers.rs
@@ -22,8 +22,8 @@
 
 /// Sends the messages that other tasks have queued.
 pub async fn send_all(
-    socket: rc::Rc<monoio::net::udp::UdpSocket>,
-    mut outgoing: mpsc::UnboundedReceiver<context::OutgoingMessage>,
+    socket: &monoio::net::udp::UdpSocket,
+    outgoing: &mut mpsc::UnboundedReceiver<context::OutgoingMessage>,
 ) {
     while let Some(context::OutgoingMessage { to, message }) = outgoing.next().await {
         let bytes = match message.encode() {
@@ -43,8 +43,8 @@
 
 /// Receives and handles messages of other members.
 pub async fn receive_all(
-    context: rc::Rc<context::InstanceContext>,
-    socket: rc::Rc<monoio::net::udp::UdpSocket>,
+    context: &rc::Rc<context::InstanceContext>,
+    socket: &monoio::net::udp::UdpSocket,
 ) {
     loop {
         let buffer = Vec::with_capacity(peer_message::MAX_DATAGRAM);
@@ -59,7 +59,7 @@
             }
         };
         match peer_message::PeerMessage::decode(&buffer) {
-            Ok(message) => receive(&context, from, message),
+            Ok(message) => receive(context, from, message),
             Err(error) => log::warn!(from:%, error:%; "peer.unreadable"),
         }
     }
--- a/crates/instance/src/program.rs
+++ b/crates/instance/src/program.rs
@@ -96,11 +96,9 @@
         return Ok(());
     };
     let opened = listeners::open_all(&mut settings, &mut watch, &adapter, &stop).await;
-    let Some(listeners) = opened.context(ListenSnafu)? else {
+    let Some(sockets) = opened.context(ListenSnafu)? else {
         return Ok(());
     };
-    let listeners::InstanceListeners { health, others } = listeners;
-    let socket = rc::Rc::new(others.datagrams);
     let (closing_sender, closing) = oneshot::channel();
     let (outgoing, queue) = mpsc::unbounded();
     let (runs, run_events) = mpsc::unbounded();
@@ -114,48 +112,92 @@
         version = env!("CARGO_PKG_VERSION"), ways:% = context.settings().experiments;
         "process.started");
 
-    let share = || rc::Rc::clone(&context);
-    monoio::spawn(peers::send_all(rc::Rc::clone(&socket), queue));
-    monoio::spawn(peers::receive_all(share(), socket));
-    monoio::spawn(heartbeats::repeat(share()));
-    monoio::spawn(heartbeats::probe_silent(share()));
-    monoio::spawn(failure_watch::run(share()));
-    monoio::spawn(peers::plan(share()));
-    monoio::spawn(lease_renewal::repeat(share()));
-    monoio::spawn(store_feed::follow_store(share()));
-    monoio::spawn(member_feed::follow_routes(share()));
-    monoio::spawn(member_feed::follow_list(share()));
-    monoio::spawn(engine_reports::poll(share()));
-    monoio::spawn(link_probe::repeat(share()));
-    monoio::spawn(prune(share()));
-    monoio::spawn(upstream_ends::find_ended_upstreams(share(), run_events));
-    monoio::spawn(member_gossip::repeat(share()));
-    let accept_internal = internal_server::accept_all;
-    monoio::spawn(accept_internal(share(), health, internal_server::ServerRole::Health));
-    monoio::spawn(accept_internal(share(), others.members, internal_server::ServerRole::Members));
-    monoio::spawn(accept_internal(
-        share(),
-        others.operators,
-        internal_server::ServerRole::Operators,
-    ));
-    monoio::spawn(accept_callers(share(), others.callers));
+    spawn_permanent_tasks(&context);
+    spawn_queue_tasks(&context, sockets.datagrams, queue, run_events);
+    spawn_accept_tasks(&context, sockets.listeners);
 
     wait_for_stop(&context, &mut watch).await;
     shut_down(&context, closing_sender, grace).await;
     Ok(())
 }
 
+/// Spawns the tasks that need nothing but the context.
+fn spawn_permanent_tasks(context: &rc::Rc<context::InstanceContext>) {
+    spawn_with_context(context, heartbeats::repeat);
+    spawn_with_context(context, heartbeats::probe_silent);
+    spawn_with_context(context, failure_watch::run);
+    spawn_with_context(context, peers::plan);
+    spawn_with_context(context, lease_renewal::repeat);
+    spawn_with_context(context, store_feed::follow_store);
+    spawn_with_context(context, member_feed::follow_routes);
+    spawn_with_context(context, member_feed::follow_list);
+    spawn_with_context(context, engine_reports::poll);
+    spawn_with_context(context, link_probe::repeat);
+    spawn_with_context(context, prune);
+    spawn_with_context(context, member_gossip::repeat);
+}
+
+fn spawn_with_context<F: Future<Output = ()> + 'static>(
+    context: &rc::Rc<context::InstanceContext>,
+    run: fn(rc::Rc<context::InstanceContext>) -> F,
+) {
+    let context = rc::Rc::clone(context);
+    process::spawn_restarted(async move || run(rc::Rc::clone(&context)).await);
+}
+
+/// Spawns the tasks that send and receive datagrams and that handle events about runs.
+fn spawn_queue_tasks(
+    context: &rc::Rc<context::InstanceContext>,
+    socket: monoio::net::udp::UdpSocket,
+    mut outgoing: mpsc::UnboundedReceiver<context::OutgoingMessage>,
+    mut runs: mpsc::UnboundedReceiver<upstream_ends::RunEvent>,
+) {
+    let socket = rc::Rc::new(socket);
+    let sending = rc::Rc::clone(&socket);
+    process::spawn_restarted(async move || peers::send_all(&sending, &mut outgoing).await);
+    let receiver = rc::Rc::clone(context);
+    process::spawn_restarted(async move || peers::receive_all(&receiver, &socket).await);
+    let context = rc::Rc::clone(context);
+    process::spawn_restarted(async move || {
+        upstream_ends::find_ended_upstreams(rc::Rc::clone(&context), &mut runs).await;
+    });
+}
+
+/// Spawns the tasks that accept connections.
+fn spawn_accept_tasks(
+    context: &rc::Rc<context::InstanceContext>,
+    sockets: listeners::TcpListeners,
+) {
+    let internal = [
+        (sockets.health, internal_server::ServerRole::Health),
+        (rc::Rc::new(sockets.members), internal_server::ServerRole::Members),
+        (rc::Rc::new(sockets.operators), internal_server::ServerRole::Operators),
+    ];
+    for (listener, role) in internal {
+        let context = rc::Rc::clone(context);
+        process::spawn_restarted(async move || {
+            internal_server::accept_all(&context, &listener, role).await;
+        });
+    }
+    let (context, callers) = (rc::Rc::clone(context), sockets.callers);
+    process::spawn_restarted(async move || accept_callers(&context, &callers).await);
+}
+
 async fn accept_callers(
-    context: rc::Rc<context::InstanceContext>,
-    listener: monoio::net::TcpListener,
+    context: &rc::Rc<context::InstanceContext>,
+    listener: &monoio::net::TcpListener,
 ) {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
                 context.accept_failed_at.set(None);
                 // A connection without a slot is closed unread.
-                if let Some(slot) = connection_slot::ConnectionSlot::take(&context) {
-                    monoio::spawn(caller_connection::serve(rc::Rc::clone(&context), stream, slot));
+                if let Some(slot) = connection_slot::ConnectionSlot::take(context) {
+                    process::spawn_isolated(caller_connection::serve(
+                        rc::Rc::clone(context),
+                        stream,
+                        slot,
+                    ));
                 }
             }
             Err(error) => {
--- a/crates/instance/src/upstream_ends.rs
+++ b/crates/instance/src/upstream_ends.rs
@@ -8,6 +8,7 @@
 
 use futures::{StreamExt as _, channel::mpsc};
 use slipturn_core::{ids, prompt_part, request_digest, send_gate, units};
+use slipturn_net::process;
 use snafu::{ResultExt as _, Snafu};
 
 use crate::{
@@ -287,7 +288,7 @@
 /// Collects broken runs, and reports those whose upstream is proven to have ended.
 pub async fn find_ended_upstreams(
     context: rc::Rc<context::InstanceContext>,
-    mut events: mpsc::UnboundedReceiver<RunEvent>,
+    events: &mut mpsc::UnboundedReceiver<RunEvent>,
 ) {
     let mut unproven = UnprovenRuns::default();
     loop {
@@ -297,7 +298,12 @@
                 let (upstream, address) = (run.upstream.clone(), run.address);
                 let delay = if run.abandoned { ABANDONED_CHECK_DELAY } else { BREAK_CHECK_DELAY };
                 if unproven.push(run) {
-                    monoio::spawn(check(rc::Rc::clone(&context), upstream, address, delay));
+                    process::spawn_isolated(check(
+                        rc::Rc::clone(&context),
+                        upstream,
+                        address,
+                        delay,
+                    ));
                 }
             }
             Ok(Some(RunEvent::Refused(upstream))) => {
--- a/crates/net/src/process.rs
+++ b/crates/net/src/process.rs
@@ -1,11 +1,12 @@
 //! Process-wide facilities: the clock, the event loop, listening sockets and graceful shutdown.
 
 use std::{
-    io, net,
+    io, net, panic,
     sync::{self, atomic},
     time,
 };
 
+use futures::FutureExt as _;
 use slipturn_core::{ids, units};
 
 use crate::boot_clock;
@@ -13,6 +14,9 @@
 /// Interval at which [`StopSignal::wait`] checks for a stop request.
 const STOP_POLL_INTERVAL: time::Duration = time::Duration::from_millis(50);
 
+/// Time after a panic of a permanent task until it runs again; bounds the load of one that panics at once.
+const RESTART_PAUSE: time::Duration = time::Duration::from_millis(100);
+
 /// The process's monotonic clock. It keeps counting while the process is paused or the system is
 /// suspended.
 #[derive(Debug, Clone, Copy)]
@@ -50,6 +54,24 @@
     Ok(runtime.block_on(future))
 }
 
+/// Spawns a task of one connection or request. A panic ends the task, where with [`monoio::spawn`] it
+/// would end the process.
+pub fn spawn_isolated(task: impl Future<Output = ()> + 'static) {
+    monoio::spawn(async move {
+        // The panic hook has reported the panic.
+        let _ = panic::AssertUnwindSafe(task).catch_unwind().await;
+    });
+}
+
+/// Spawns a task that is to run until the process ends. After a panic, `run` is called again.
+pub fn spawn_restarted(mut run: impl AsyncFnMut() + 'static) {
+    monoio::spawn(async move {
+        while panic::AssertUnwindSafe(run()).catch_unwind().await.is_err() {
+            monoio::time::sleep(RESTART_PAUSE).await;
+        }
+    });
+}
+
 /// Listens on an address without sharing the port.
 ///
 /// monoio sets `SO_REUSEPORT` by default. Another process could then listen on the same port, and
