--- a/crates/instance/src/instance_settings.rs
+++ b/crates/instance/src/instance_settings.rs
@@ -171,6 +171,10 @@
                 return range_error("machine.descriptors", found, "400 or more");
             }
         }
+        if let Some((option, found)) = settings.repeated_address() {
+            let (found, expected) = (found.to_string(), "an address that no other option has");
+            return RangeSnafu { path, option, found, expected }.fail();
+        }
         let bounds = &settings.bounds;
         if bounds.retry_ratio.is_nan() || bounds.retry_ratio < 0.0 {
             return range_error("bounds.retry_ratio", bounds.retry_ratio, "0 or more");
@@ -181,6 +185,21 @@
         Ok(settings)
     }
 
+    /// Returns the first option whose address accepts connections for an earlier option already. With
+    /// port 0 the system chooses different ports.
+    fn repeated_address(&self) -> Option<(&'static str, net::SocketAddr)> {
+        let addresses = [
+            ("listen.callers", self.listen.callers),
+            ("listen.health", self.listen.health),
+            ("listen.members", self.listen.members),
+            ("operator_address", self.operator_address),
+        ];
+        let is_repeated = |&(index, (_, address)): &(usize, (&str, net::SocketAddr))| {
+            address.port() != 0 && addresses[..index].iter().any(|(_, other)| *other == address)
+        };
+        addresses.into_iter().enumerate().find(is_repeated).map(|(_, found)| found)
+    }
+
     /// Time after the store was restored from an older copy by which every valid entry has been rewritten.
     pub fn rewrite_time(&self) -> time::Duration {
         self.upstream_heartbeat.0 * EXPIRY_HEARTBEATS + RECONNECT_TIME
