--- a/crates/core/src/engine_place.rs
+++ b/crates/core/src/engine_place.rs
@@ -5,7 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{ids, request_origin};
+use crate::{ids, request_origin, units};
 
 /// Largest number of helpers for one prompt; engines accept no more.
 pub const MAX_HELPERS: usize = 16;
@@ -24,9 +24,11 @@
 pub struct PlacementRequest {
     /// The attempt to place. A repeated request for a placed attempt gets the same answer.
     pub job: JobId,
-    /// Prompt length, tokens.
+    /// Prompt length, tokens; at most [`units::MAX_TOKENS`].
+    #[serde(deserialize_with = "units::read_claimed_tokens")]
     pub prompt: u64,
-    /// Largest answer length, tokens.
+    /// Largest answer length, tokens; at most [`units::MAX_TOKENS`].
+    #[serde(deserialize_with = "units::read_claimed_tokens")]
     pub output: u64,
     /// Pause goal: the pause between two events of the answer should not be longer, milliseconds.
     pub pause_ms: u32,
@@ -72,7 +74,8 @@
 pub struct HeldPart {
     /// Helper that holds the memory.
     pub engine: ids::UpstreamId,
-    /// Reserved memory, tokens.
+    /// Reserved memory, tokens; at most [`units::MAX_TOKENS`].
+    #[serde(deserialize_with = "units::read_claimed_tokens")]
     pub tokens: u64,
 }
 
--- a/crates/core/src/units.rs
+++ b/crates/core/src/units.rs
@@ -4,6 +4,10 @@
 
 use snafu::{ResultExt as _, Snafu};
 
+/// Largest number of tokens of a prompt, an answer or a reservation that is computed with, far above any engine's memory.
+/// Sums and products of such numbers fit into 64 bits.
+pub const MAX_TOKENS: u64 = 1 << 40;
+
 /// Longest part of an untrusted text that an error message contains, in characters.
 const MAX_FOUND_CHARS: usize = 40;
 
@@ -121,6 +125,19 @@
     }
 }
 
+/// Returns a number of tokens that a peer claims, or [`MAX_TOKENS`] if it is larger.
+pub fn claimed_tokens(claimed: u64) -> u64 {
+    claimed.min(MAX_TOKENS)
+}
+
+/// Deserializes a number of tokens that a peer claims, as [`claimed_tokens`] bounds it.
+pub(crate) fn read_claimed_tokens<'de, D>(from: D) -> Result<u64, D::Error>
+where
+    D: serde::Deserializer<'de>,
+{
+    <u64 as serde::Deserialize>::deserialize(from).map(claimed_tokens)
+}
+
 /// A rate in tokens per second.
 #[derive(Debug, Clone, Copy, PartialEq, PartialOrd, serde::Serialize, serde::Deserialize)]
 #[serde(transparent)]
--- a/crates/instance/src/adapter.rs
+++ b/crates/instance/src/adapter.rs
@@ -38,9 +38,9 @@
     /// How long the caller waits for the answer, if the caller states that; the route's time limit is the maximum and
     /// the default.
     pub max_wait: Option<time::Duration>,
-    /// Number of prompt tokens; 0 for a request without a prompt.
+    /// Number of prompt tokens; 0 for a request without a prompt, at most [`units::MAX_TOKENS`].
     pub prompt: u64,
-    /// Maximum number of output tokens; 0 for a request without a prompt.
+    /// Maximum number of output tokens; 0 for a request without a prompt, at most [`units::MAX_TOKENS`].
     pub output: u64,
     /// Id of the last event that the caller received, if it resumes a stream.
     pub last_event: Option<String>,
