--- a/crates/instance/src/adapter.rs
+++ b/crates/instance/src/adapter.rs
@@ -95,10 +95,14 @@
 }
 
 impl UpstreamAnswer {
+    /// Returns the number of running and waiting requests, at most [`u32::MAX`]; `None` if it is not reported.
+    pub fn reported_load(&self) -> Option<u32> {
+        self.load.map(|(running, waiting, _)| running.saturating_add(waiting))
+    }
+
     /// Returns the number of running and waiting requests; `None` if it is not reported or exceeds [`u16::MAX`].
     pub fn requests(&self) -> Option<u16> {
-        let (running, waiting, _) = self.load?;
-        u16::try_from(running.saturating_add(waiting)).ok()
+        u16::try_from(self.reported_load()?).ok()
     }
 }
 
--- a/crates/instance/src/engine_reports.rs
+++ b/crates/instance/src/engine_reports.rs
@@ -110,7 +110,7 @@
             let Some(entry) = fleet.list.entry(&engine.name) else {
                 return;
             };
-            let requests = (report.running + report.waiting) as usize;
+            let requests = report.running.saturating_add(report.waiting) as usize;
             let mut planners = context.planners.borrow_mut();
             planners.sync(context.now(), &fleet);
             planners.set_report(&entry.name, report.pace, requests);
--- a/crates/instance/src/service_request.rs
+++ b/crates/instance/src/service_request.rs
@@ -310,8 +310,8 @@
             return Err(fault);
         }
     };
-    if let Some((running, waiting, _)) = answer.head_fields.load {
-        context.loads.borrow_mut().set_reported_load(context.now(), &entry.name, running + waiting);
+    if let Some(requests) = answer.head_fields.reported_load() {
+        context.loads.borrow_mut().set_reported_load(context.now(), &entry.name, requests);
     }
     if !whole {
         let long = long_answer::LongAnswer {
