--- a/crates/instance/src/relay_server.rs
+++ b/crates/instance/src/relay_server.rs
@@ -250,7 +250,8 @@
         if ended == RelayEnd::Upstream {
             self.context.relayed.borrow_mut().note_closed_by_upstream(number);
             if member.writer.shutdown().await.is_ok() {
-                let _ = monoio::time::timeout(LINGER_TIMEOUT, member.reader.fill()).await;
+                let discarding = discard(&mut member.reader);
+                let _ = monoio::time::timeout(LINGER_TIMEOUT, discarding).await;
             }
         }
     }
@@ -284,6 +285,15 @@
     }
 }
 
+/// Reads and discards what a member still sends. Closing a socket with unread bytes resets the connection, so that the
+/// member could not trust the end of the answer.
+async fn discard(reader: &mut h1::MessageReader) {
+    let mut framing = h1::BodyFraming::UntilClose;
+    while let Ok(Some(_)) = reader.next_piece(&mut framing).await {
+        reader.free_empty_buffer();
+    }
+}
+
 /// Copies bytes to the upstream until the member's side ends. An upstream that stops reading may still answer, so the
 /// rest of the request is then discarded.
 async fn copy_to_upstream(reader: &mut h1::MessageReader, writer: &mut h1::MessageWriter) {
--- a/crates/net/src/h1.rs
+++ b/crates/net/src/h1.rs
@@ -4,7 +4,7 @@
 //! a length as empty, writes a complete request before it reads the response, and keeps its buffers
 //! while a connection is idle.
 
-use std::{future, io, pin, task, time};
+use std::{cell, future, io, pin, rc, task, time};
 
 use bytes::{Buf as _, Bytes, BytesMut};
 use monoio::{
@@ -81,10 +81,41 @@
     },
 }
 
+/// State of a connection that both of its halves share.
+///
+/// The operating system reports the failure of a connection once, to the half that uses it next; the other half then
+/// finds an ordinary end. So each half records a failure here, and the end is trusted only without one.
+#[derive(Debug, Default)]
+struct ConnectionState {
+    /// Kind of the first error of either half; `None` while the connection has not failed.
+    failure: cell::Cell<Option<io::ErrorKind>>,
+}
+
+impl ConnectionState {
+    /// Records the error of an operation on the connection, if it failed.
+    fn check<T>(&self, result: io::Result<T>) -> Result<T, MessageError> {
+        // A write fails with `BrokenPipe` if the peer had ended its side before the connection was reset: what the peer
+        // sent is complete. `ConnectionReset` means that its side had no end.
+        if let Err(error) = &result
+            && error.kind() != io::ErrorKind::BrokenPipe
+        {
+            self.failure.set(self.failure.get().or(Some(error.kind())));
+        }
+        result.context(SocketSnafu)
+    }
+
+    /// Fails if an earlier operation on the connection has failed.
+    fn check_end(&self) -> Result<(), MessageError> {
+        let failed = self.failure.get().map(io::Error::from);
+        failed.map_or(Ok(()), |error| Err(error).context(SocketSnafu))
+    }
+}
+
 /// The reading half of a connection, with a buffer of bytes that have arrived but are not consumed.
 #[derive(Debug)]
 pub struct MessageReader {
     half: OwnedReadHalf<net::TcpStream>,
+    state: rc::Rc<ConnectionState>,
     buffer: BytesMut,
     /// Number of bytes read since a read last had to wait; less than [`MAX_UNINTERRUPTED_BYTES`].
     uninterrupted: usize,
@@ -94,6 +125,7 @@
 #[derive(Debug)]
 pub struct MessageWriter {
     half: OwnedWriteHalf<net::TcpStream>,
+    state: rc::Rc<ConnectionState>,
 }
 
 /// Splits a connected socket into a reader and a writer and disables Nagle's algorithm.
@@ -104,13 +136,19 @@
         log::debug!("set_nodelay: {error}");
     }
     let (read_half, write_half) = stream.into_split();
-    let reader = MessageReader { half: read_half, buffer: BytesMut::new(), uninterrupted: 0 };
-    (reader, MessageWriter { half: write_half })
+    let state = rc::Rc::new(ConnectionState::default());
+    let reader = MessageReader {
+        half: read_half,
+        state: rc::Rc::clone(&state),
+        buffer: BytesMut::new(),
+        uninterrupted: 0,
+    };
+    (reader, MessageWriter { half: write_half, state })
 }
 
 impl MessageReader {
     /// Waits for bytes and appends them to the buffer. Returns their number, 0 if the peer has closed the
-    /// connection.
+    /// connection in order; a connection of which a read or a write has failed has no such end.
     pub async fn fill(&mut self) -> Result<usize, MessageError> {
         // The future may be dropped while it waits. With the poll driver no data is lost, because bytes
         // are only taken from the socket by the poll that completes the read.
@@ -122,7 +160,10 @@
             polled
         });
         let (result, buffer) = read.await;
-        let count = result.context(SocketSnafu)?;
+        let count = self.state.check(result)?;
+        if count == 0 {
+            self.state.check_end()?;
+        }
         self.buffer.extend_from_slice(&buffer[..count]);
         self.uninterrupted = if has_waited { 0 } else { self.uninterrupted + count };
         if self.uninterrupted >= MAX_UNINTERRUPTED_BYTES {
@@ -390,13 +431,15 @@
     /// Writes all bytes to the socket and flushes it.
     pub async fn write(&mut self, data: impl Into<Bytes>) -> Result<(), MessageError> {
         let (result, _) = self.half.write_all(data.into()).await;
-        result.context(SocketSnafu)?;
-        self.half.flush().await.context(SocketSnafu)
+        self.state.check(result)?;
+        let flushed = self.half.flush().await;
+        self.state.check(flushed)
     }
 
     /// Closes the sending direction. Data that was written before still arrives.
     pub async fn shutdown(&mut self) -> Result<(), MessageError> {
-        self.half.shutdown().await.context(SocketSnafu)
+        let closed = self.half.shutdown().await;
+        self.state.check(closed)
     }
 }
 
--- a/crates/net/tests/h1.rs
+++ b/crates/net/tests/h1.rs
@@ -1,6 +1,9 @@
 //! HTTP/1.1 messages over real sockets: framing, limits, responses without a length, invalid bytes.
 
-use std::{io::Write as _, net, thread, time};
+use std::{
+    io::{Read as _, Write as _},
+    net, thread, time,
+};
 
 use proptest::prelude::*;
 use slipturn_net::{h1, process};
@@ -119,6 +122,47 @@
     }
 }
 
+/// Lets a peer answer during an upload that it does not read, `end` its side, and reset the connection. Returns what is read
+/// once the upload has failed.
+fn read_after_failed_upload(
+    end: impl FnOnce(&net::TcpStream) + Send + 'static,
+) -> Result<(u16, Vec<u8>), String> {
+    let listener = net::TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let peer = thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("a connection");
+        stream.read_exact(&mut [0; 1]).expect("the upload begins");
+        stream.write_all(b"HTTP/1.1 200 OK\r\n\r\npart").expect("the answer is sent");
+        // Closing the socket afterwards resets the connection, as bytes of the upload are unread.
+        end(&stream);
+    });
+    let answer = process::run(async {
+        let stream = monoio::net::TcpStream::connect_addr(address).await.expect("it connects");
+        let (reader, mut writer) = h1::split(stream);
+        let written = writer.write(vec![b'u'; 32 << 20]).await;
+        assert!(written.is_err(), "the upload is reset");
+        read_message(reader).await
+    });
+    peer.join().expect("the peer does not panic");
+    answer.expect("an event loop")
+}
+
+/// Guards against a failed write that takes the error of the socket, so that a body without a length seems to end in order.
+#[test]
+fn a_body_cut_by_a_reset_during_an_upload_has_no_end() {
+    let answer = read_after_failed_upload(|_| {});
+    assert!(answer.as_ref().is_err_and(|error| error.contains("connection")), "{answer:?}");
+}
+
+#[test]
+fn a_body_that_ended_before_the_reset_of_an_upload_is_whole() {
+    let answer = read_after_failed_upload(|stream| {
+        stream.shutdown(net::Shutdown::Write).expect("the answer ends");
+        thread::sleep(time::Duration::from_millis(20));
+    });
+    assert_eq!(answer, Ok((200, b"part".to_vec())));
+}
+
 #[test]
 fn ambiguous_or_unknown_framing_is_rejected() {
     for text in [
