--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -75,6 +75,7 @@
 mod start_record;
 pub mod start_wait;
 pub mod stated_limits;
+pub mod stop_schedule;
 pub mod store_revision;
 pub mod store_tracker;
 pub mod units;
--- a/crates/core/src/refusal.rs
+++ b/crates/core/src/refusal.rs
@@ -63,6 +63,8 @@
     KeyInDoubt,
     /// The settings are not known yet, or have not been confirmed for too long.
     NotReady,
+    /// The instance is stopping, and another one can serve the request.
+    Stopping,
     /// The request has repeatedly crashed upstreams.
     Quarantined,
     /// An attempt failed at an upstream, and no other attempt succeeded.
@@ -89,6 +91,7 @@
             | Self::NoUpstream
             | Self::KeyInDoubt
             | Self::NotReady
+            | Self::Stopping
             | Self::Quarantined => 503,
         }
     }
@@ -108,6 +111,7 @@
             Self::NoUpstream => "no_upstream",
             Self::KeyInDoubt => "key_in_doubt",
             Self::NotReady => "not_ready",
+            Self::Stopping => "stopping",
             Self::Quarantined => "quarantined",
             Self::UpstreamFailed => "upstream_failed",
             Self::TimedOut => "timed_out",
@@ -131,7 +135,7 @@
 }
 
 /// All codes, among which [`RefusalCode::from_label`] searches.
-pub const ALL_CODES: [RefusalCode; 15] = [
+pub const ALL_CODES: [RefusalCode; 16] = [
     RefusalCode::BadRequest,
     RefusalCode::Unauthorized,
     RefusalCode::NotFound,
@@ -144,6 +148,7 @@
     RefusalCode::NoUpstream,
     RefusalCode::KeyInDoubt,
     RefusalCode::NotReady,
+    RefusalCode::Stopping,
     RefusalCode::Quarantined,
     RefusalCode::UpstreamFailed,
     RefusalCode::TimedOut,
--- a/crates/core/src/send_gate.rs
+++ b/crates/core/src/send_gate.rs
@@ -64,6 +64,8 @@
     Evacuated,
     /// The upstream is not listed.
     Unlisted,
+    /// This instance stops, and the request is not expected to end before its exit.
+    Stopping,
 }
 
 impl SendDenial {
@@ -75,6 +77,7 @@
             Self::Limited(_) => "limited",
             Self::Evacuated => "evacuated",
             Self::Unlisted => "unlisted",
+            Self::Stopping => "stopping",
         }
     }
 }
@@ -97,6 +100,7 @@
             }
             Self::Evacuated => f.write_str("kept back: its data centre is evacuated"),
             Self::Unlisted => f.write_str("kept back: it is not listed any more"),
+            Self::Stopping => f.write_str("kept back: the instance is stopping"),
         }
     }
 }
--- /dev/null
+++ b/crates/core/tests/stop_schedule.rs
@@ -0,0 +1,43 @@
+//! Tests of the times of a graceful stop.
+
+use std::time;
+
+use slipturn_core::{
+    stop_schedule::{ExpectedTime, StopSchedule},
+    units::MonoTime,
+};
+
+const SECOND: time::Duration = time::Duration::from_secs(1);
+
+fn at(millis: u64) -> MonoTime {
+    MonoTime::from_span(time::Duration::from_millis(millis))
+}
+
+#[test]
+fn the_exit_is_in_the_last_sixth_of_any_grace() {
+    for grace_ms in [100, 1_000, 2_000, 4_000, 5_400, 8_000, 30_000, 600_000] {
+        let grace = time::Duration::from_millis(grace_ms);
+        let schedule = StopSchedule::new(at(1_000), grace);
+        let exit = schedule.exit_at().since(at(1_000));
+        assert!(exit >= grace * 5 / 6 && exit < grace, "{grace:?}: {exit:?}");
+        assert!(schedule.closing_at() < schedule.exit_at(), "{grace:?}");
+    }
+}
+
+#[test]
+fn a_request_is_sent_as_long_as_its_answer_is_expected_before_the_exit() {
+    let schedule = StopSchedule::new(at(0), SECOND * 8);
+    let last = |expected| schedule.last_send_at(at(5_000), SECOND * 10, expected);
+    assert_eq!(last(ExpectedTime::Usual(SECOND)), at(6_100));
+    assert_eq!(last(ExpectedTime::Usual(SECOND * 20)), at(0));
+    assert_eq!(last(ExpectedTime::Unknown), at(5_100));
+    assert_eq!(last(ExpectedTime::Resumed), at(6_100));
+}
+
+#[test]
+fn a_request_whose_deadline_is_before_the_exit_is_sent() {
+    let schedule = StopSchedule::new(at(0), SECOND * 8);
+    let usual = ExpectedTime::Usual(SECOND * 20);
+    assert_eq!(schedule.last_send_at(at(5_000), SECOND * 2, usual), schedule.exit_at());
+    assert!(schedule.last_send_at(at(5_200), SECOND * 2, usual) < at(5_200));
+}
--- a/crates/instance/src/caller_connection.rs
+++ b/crates/instance/src/caller_connection.rs
@@ -8,7 +8,7 @@
 
 use crate::{
     body_intake, connection_slot, context, incoming_call, intake, model_request, quarantine_gate,
-    request_record, service_request, start_gate,
+    request_record, service_request, start_gate, stop_gate,
 };
 
 /// Maximum number of bytes that a caller may pipeline before it receives its answer.
@@ -16,6 +16,9 @@
 /// Maximum time for which remaining input is read and discarded before the connection is closed.
 const LINGER_TIMEOUT: time::Duration = time::Duration::from_millis(500);
 
+/// Maximum wait for a request on a connection that was accepted when others were closed for a stop.
+const LATE_REQUEST_TIMEOUT: time::Duration = time::Duration::from_millis(500);
+
 /// Whether a connection stays open after a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ConnectionNext {
@@ -148,8 +151,9 @@
     slot: connection_slot::ConnectionSlot,
 ) {
     let (mut reader, mut writer) = h1::split(stream);
+    let is_late = stop_gate::is_closing(&context);
     loop {
-        match serve_next(&context, &mut reader, &mut writer, &slot).await {
+        match serve_next(&context, &mut reader, &mut writer, &slot, is_late).await {
             Ok(ConnectionNext::Keep) => {}
             Ok(ConnectionNext::Close) => break,
             Ok(ConnectionNext::CloseIdle) => return,
@@ -164,18 +168,21 @@
     }
 }
 
-/// Waits for the next request on a connection, and serves it.
+/// Waits for the next request on a connection, and serves it; rejects it if the connection `is_late`, that is, accepted
+/// when others were closed for a stop.
 async fn serve_next(
     context: &rc::Rc<context::InstanceContext>,
     reader: &mut h1::MessageReader,
     writer: &mut h1::MessageWriter,
     slot: &connection_slot::ConnectionSlot,
+    is_late: bool,
 ) -> Result<ConnectionNext, h1::MessageError> {
     let limits = context.fleet.borrow().routes.limits;
     if !reader.has_unread_bytes() {
         reader.free_empty_buffer();
         let next_bytes = std::pin::pin!(monoio::time::timeout(limits.idle, reader.fill()));
-        let ending = future::select(slot.begin_idle(), context.closing.clone());
+        let closing = std::pin::pin!(until_closing(context, is_late));
+        let ending = future::select(slot.begin_idle(), closing);
         // `select` polls `next_bytes` first, so a connection with a new request is not closed.
         match future::select(next_bytes, ending).await {
             future::Either::Left((Ok(filled), _)) => {
@@ -198,6 +205,9 @@
         return match body_intake::read_head(context, reader, limits).await {
             Ok(Some(head)) => {
                 reply.close = h1::closes(head.version, &head.headers);
+                if is_late {
+                    return refuse_late(&mut reply, &head).await;
+                }
                 serve_bounded(context, reader, &mut reply, head, limits).await
             }
             Ok(None) => Ok(ConnectionNext::Close),
@@ -217,9 +227,23 @@
         }
     };
     reply.close = h1::closes(head.version, &head.headers);
+    if is_late {
+        return refuse_late(&mut reply, &head).await;
+    }
     serve_head(context, reader, &mut reply, head, limits).await
 }
 
+/// Waits until an idle connection is closed for a stop. A connection that `is_late` is closed with an answer if a request
+/// follows at once: a caller that finds its connection closed cannot know whether the request has run.
+async fn until_closing(context: &context::InstanceContext, is_late: bool) {
+    if is_late {
+        monoio::time::sleep(LATE_REQUEST_TIMEOUT).await;
+    } else {
+        // Fails only if the sender has been dropped, right before the exit.
+        let _ = context.closing.clone().await;
+    }
+}
+
 /// Reads the body of a request whose head has been read, admits the request and serves it.
 async fn serve_head(
     context: &rc::Rc<context::InstanceContext>,
@@ -239,10 +263,12 @@
         reply.writer.write(&b"HTTP/1.1 100 Continue\r\n\r\n"[..]).await?;
     }
     let reading = reader.whole_body(&mut framing, limits.body_bytes);
-    let body = match monoio::time::timeout(limits.arrival, reading).await {
-        Ok(Ok(body)) => body,
-        Ok(Err(error)) => return refuse_malformed(reply, &id, error).await,
-        Err(_) => {
+    let reading = monoio::time::timeout(limits.arrival, reading);
+    let body = match stop_gate::until_exit(context, reading).await {
+        Some(Ok(Ok(body))) => body,
+        Some(Ok(Err(error))) => return refuse_malformed(reply, &id, error).await,
+        None => return refuse_stopping(reply, &id).await,
+        Some(Err(_)) => {
             let text = "the body of the request did not arrive in time";
             let code = refusal::RefusalCode::BodyTimeout;
             reply.refuse(&id, &refusal::RequestRefusal::not_run(code, text)).await?;
@@ -293,6 +319,9 @@
         Ok(call) => call,
         Err(refusal) => return refuse_unread(reply, reader, &mut framing, &id, &refusal).await,
     };
+    if stop_gate::check(context, &call, call.request.last_event.is_some()).is_err() {
+        return refuse_unread(reply, reader, &mut framing, &id, &stop_gate::refusal()).await;
+    }
     let left = call.left(context.now());
     let has_arrived = framing.ended() || declared > 0 && declared <= reader.buffered();
     let arriving = match reserve_arriving(context, &call, has_arrived) {
@@ -304,9 +333,10 @@
     };
     let intake =
         body_intake::BodyIntake { context, call: &call, limits, arriving: arriving.as_ref() };
-    let body_bytes = match intake.admit(framing).await {
-        Ok(guard) => guard,
-        Err(error) => match error.refusal(left) {
+    let body_bytes = match stop_gate::until_exit(context, intake.admit(framing)).await {
+        Some(Ok(guard)) => guard,
+        None => return refuse_stopping(reply, &id).await,
+        Some(Err(error)) => match error.refusal(left) {
             Ok(refusal) => {
                 return refuse_unread(reply, reader, &mut framing, &id, &refusal).await;
             }
@@ -317,9 +347,11 @@
         reply.writer.write(&b"HTTP/1.1 100 Continue\r\n\r\n"[..]).await?;
     }
     let begun = context.now();
-    let body = match intake.read(reader, &mut framing, body_bytes.as_ref()).await {
-        Ok(body) => body,
-        Err(error) => return refuse_unreceived(reply, &id, error, left).await,
+    let reading = intake.read(reader, &mut framing, body_bytes.as_ref());
+    let body = match stop_gate::until_exit(context, reading).await {
+        Some(Ok(body)) => body,
+        None => return refuse_stopping(reply, &id).await,
+        Some(Err(error)) => return refuse_unreceived(reply, &id, error, left).await,
     };
     call.body = body;
     call.add_sending_time(context.now().since(begun));
@@ -361,15 +393,20 @@
     // This outcome remains if the caller disconnects before the request is answered or refused.
     "caller left".clone_into(&mut record.outcome);
     context.count_request(&call.service);
-    let next = {
-        let serving = std::pin::pin!(serve_call(context, call, reply, &mut record));
+    let served = {
+        let serving = serve_call(context, call, reply, &mut record);
+        let serving = std::pin::pin!(stop_gate::until_exit(context, serving));
         let watching = std::pin::pin!(watch_caller(reader));
         // `select` polls `watching` first, so no work is done for a caller that has disconnected.
         match future::select(watching, serving).await {
-            future::Either::Left(_) => Ok(ConnectionNext::Close),
-            future::Either::Right((next, _)) => next,
+            future::Either::Left(_) => Some(Ok(ConnectionNext::Close)),
+            future::Either::Right((served, _)) => served,
         }
     };
+    let next = match served {
+        Some(next) => next,
+        None => end_at_exit(call, reply, &mut record).await,
+    };
     finish(context, call, record, call.arrived);
     next
 }
@@ -395,6 +432,21 @@
     Ok(if reply.closing() { ConnectionNext::Close } else { next })
 }
 
+/// Answers a request that is in progress when the process exits, unless part of its answer was sent.
+async fn end_at_exit(
+    call: &incoming_call::IncomingCall,
+    reply: &mut CallerReply<'_>,
+    record: &mut request_record::RequestRecord,
+) -> Result<ConnectionNext, h1::MessageError> {
+    let refusal = stop_gate::refusal_at_exit(call);
+    record.outcome = format!("{} (ran: {})", refusal.message, refusal.ran.label());
+    if !reply.begun {
+        record.status = Some(refusal.code.status());
+        reply.refuse(&call.request.id, &refusal).await?;
+    }
+    Ok(ConnectionNext::Close)
+}
+
 /// Refuses a request that is held back.
 async fn refuse_quarantined(
     context: &context::InstanceContext,
@@ -470,6 +522,25 @@
     refuse_not_admitted(reply, id, refusal).await
 }
 
+/// Refuses a request on a connection that was accepted when others were closed for a stop.
+async fn refuse_late(
+    reply: &mut CallerReply<'_>,
+    head: &http::request::Parts,
+) -> Result<ConnectionNext, h1::MessageError> {
+    let request = reply.context.adapter.parse_request(head);
+    let id = request.map(|request| request.id).unwrap_or_default();
+    refuse_stopping(reply, &id).await
+}
+
+/// Refuses a request that was not passed on, as the process stops.
+async fn refuse_stopping(
+    reply: &mut CallerReply<'_>,
+    id: &str,
+) -> Result<ConnectionNext, h1::MessageError> {
+    reply.close = true;
+    refuse_not_admitted(reply, id, &stop_gate::refusal()).await
+}
+
 /// Refuses a request that was not received completely; returns an error of the connection.
 async fn refuse_unreceived(
     reply: &mut CallerReply<'_>,
--- a/crates/instance/src/cell_search.rs
+++ b/crates/instance/src/cell_search.rs
@@ -34,7 +34,8 @@
             // The first-token goal was missed in earlier cells; another cell would delay the caller further.
             break;
         }
-        match plan_client::place(context, &planner, request, limit.saturating_sub(spent)).await {
+        let limit = limit.saturating_sub(spent);
+        match plan_client::place(context, call, &planner, request, limit).await {
             plan_client::PlaceOutcome::Refused(refusal) => {
                 refused.push(planner.cell);
                 best = Some(match best.take() {
--- a/crates/instance/src/context.rs
+++ b/crates/instance/src/context.rs
@@ -6,8 +6,8 @@
 use slipturn_core::{
     attempt_limits, class_worth, connection_share, engine_place, failure_detector, fleet_budget,
     ids, member_heartbeat, membership, planner, planner_key, planner_silence, quarantine,
-    relay_choice, rendezvous, search_budget, send_counts, send_gate, share_factors, store_tracker,
-    units, upstream_reach,
+    relay_choice, rendezvous, search_budget, send_counts, send_gate, share_factors, stop_schedule,
+    store_tracker, units, upstream_reach,
 };
 use slipturn_net::process;
 
@@ -57,6 +57,8 @@
     pub stop: process::StopSignal,
     /// Completes when idle connections of callers are to be closed, during a graceful stop.
     pub closing: future::Shared<oneshot::Receiver<()>>,
+    /// Completes when the remaining requests are to be answered, right before the exit of a graceful stop.
+    pub exiting: future::Shared<oneshot::Receiver<()>>,
     /// Routes and the list of upstreams that are in force in this process.
     pub fleet: cell::RefCell<fleet_state::FleetState>,
     /// The other instances of the fleet.
@@ -141,9 +143,8 @@
     /// When this process last detected that it had been paused; shortly after that, other members are preferred as
     /// planners. The default if it was never paused.
     pub resumed_at: cell::Cell<units::MonoTime>,
-    /// End of the time in which requests may wait for places (assignments to engines); `None` unless a graceful stop
-    /// has begun.
-    pub places_until: cell::Cell<Option<units::MonoTime>>,
+    /// Times of the graceful stop; `None` unless one has begun.
+    pub stop_schedule: cell::Cell<Option<stop_schedule::StopSchedule>>,
     /// When accepting a caller's connection last failed; `None` once one has been accepted since.
     pub accept_failed_at: cell::Cell<Option<units::MonoTime>>,
     /// Queue of messages to other members, read by `peers::send_all`.
@@ -165,6 +166,8 @@
     pub stop: process::StopSignal,
     /// Completes when idle connections of callers are to be closed, during a graceful stop.
     pub closing: oneshot::Receiver<()>,
+    /// Completes when the remaining requests are to be answered, right before the exit of a graceful stop.
+    pub exiting: oneshot::Receiver<()>,
     /// Queue of messages to other members; its receiver must live as long as the process.
     pub outgoing: mpsc::UnboundedSender<OutgoingMessage>,
     /// Queue of events about requests running at upstreams; its receiver must live as long as the
@@ -200,6 +203,7 @@
             boot: rand::random(),
             stop: parts.stop,
             closing: parts.closing.shared(),
+            exiting: parts.exiting.shared(),
             fleet: cell::RefCell::new(fleet),
             members: cell::RefCell::new(members),
             detector: cell::RefCell::new(detector),
@@ -242,7 +246,7 @@
             joined_members: cell::Cell::new(0),
             heartbeat_sequence: cell::Cell::new(0),
             resumed_at: cell::Cell::new(units::MonoTime::default()),
-            places_until: cell::Cell::new(None),
+            stop_schedule: cell::Cell::new(None),
             accept_failed_at: cell::Cell::new(None),
             outgoing: parts.outgoing,
             runs: parts.runs,
@@ -380,12 +384,6 @@
             && self.reach.borrow().lost().next().is_some()
     }
 
-    /// Returns whether a request may still obtain a place if it requests one now; always true unless a
-    /// graceful stop has begun.
-    pub fn grants_places(&self) -> bool {
-        self.places_until.get().is_none_or(|until| self.now() + MIN_PLACE_TIME < until)
-    }
-
     /// Returns the maximum number of idle connections that this process keeps to an upstream.
     pub fn idle_connection_limit(&self, upstream: &ids::UpstreamId) -> usize {
         let fleet = self.fleet.borrow();
--- a/crates/instance/src/lib.rs
+++ b/crates/instance/src/lib.rs
@@ -71,6 +71,7 @@
 pub mod silence_watch;
 pub mod speed_gossip;
 pub mod start_gate;
+mod stop_gate;
 mod store_call;
 mod store_contact;
 pub mod store_feed;
--- a/crates/instance/src/model_request.rs
+++ b/crates/instance/src/model_request.rs
@@ -10,8 +10,8 @@
 use crate::{
     caller_connection, cell_search, context, engine_call, engine_fault, event_stream,
     incoming_call, memory_hold, no_open_upstream, permit_request, plan_client, quarantine_gate,
-    request_record, silence_watch, stream_policy, stream_state, stream_target, upstream_attempt,
-    upstream_ends, upstream_gate, upstream_links, upstream_signals,
+    request_record, silence_watch, stop_gate, stream_policy, stream_state, stream_target,
+    upstream_attempt, upstream_ends, upstream_gate, upstream_links, upstream_signals,
 };
 
 /// Maximum number of places (assignments to engines) tried for a request, including those whose engine never received
@@ -101,6 +101,9 @@
             text.push_str("; the retry budget is used up");
             break;
         }
+        if stop_gate::check(context, call, state.last_event.is_some()).is_err() {
+            break;
+        }
         match attempt(context, call, reply, record, state).await? {
             AttemptEnd::Complete => return Ok(None),
             AttemptEnd::NoPlace => break,
@@ -154,6 +157,11 @@
     if forward_failure(reply, record, state).await? {
         return Ok(None);
     }
+    let ran = state.ran.unwrap_or(refusal::RanState::No);
+    let is_resumed = state.last_event.is_some();
+    if ran == refusal::RanState::No && stop_gate::check(context, call, is_resumed).is_err() {
+        return Ok(Some(stop_gate::refusal()));
+    }
     // The planner's delay is preferred to one computed from limits, as the planner knows better when
     // the limits of its engines admit the next request.
     let planned = retry_after.is_some();
@@ -165,7 +173,6 @@
         text = unavailable.to_string();
         retry_after = Some(unavailable.retry_after());
     }
-    let ran = state.ran.unwrap_or(refusal::RanState::No);
     let code = match ran {
         refusal::RanState::No => refusal::RefusalCode::Overloaded,
         _ => refusal::RefusalCode::UpstreamFailed,
@@ -263,7 +270,13 @@
     hold: &mut plan_client::PlaceHold,
     attempt_record: &mut request_record::AttemptRecord,
 ) -> Result<AttemptEnd, h1::MessageError> {
-    if let Err(fault) = upstream_gate::check_grant(context, &hold.grant, &hold.permits) {
+    if let Err(fault) = upstream_gate::check_grant(
+        context,
+        call,
+        &hold.grant,
+        &hold.permits,
+        state.last_event.is_some(),
+    ) {
         return Ok(AttemptEnd::Fault(fault));
     }
     let taken_at = context.now();
@@ -426,6 +439,10 @@
         return Ok(broken(state, error));
     }
     run.prompt_answered();
+    if target.last_event.is_none() {
+        let stream_time = context.now().since(begun_at);
+        context.loads.borrow_mut().answered(&call.route.name, stream_time);
+    }
     if !state.begun {
         state.send(reply, &answer.head, &BytesMut::new()).await?;
     }
--- a/crates/instance/src/plan_client.rs
+++ b/crates/instance/src/plan_client.rs
@@ -8,7 +8,7 @@
     engine_place, ids, planner_key, planner_silence, quota_permit, sharing, units,
 };
 
-use crate::{context, lease_renewal, peer_message, peers, planner_set};
+use crate::{context, incoming_call, lease_renewal, peer_message, peers, planner_set, stop_gate};
 
 /// Time after which a queued request is sent again, in case the planner has lost it.
 const REPEAT_INTERVAL: time::Duration = time::Duration::from_millis(300);
@@ -97,10 +97,10 @@
     TimedOut,
 }
 
-/// Requests a place and waits for it up to `limit`, or until requests for places end in a graceful
-/// stop.
+/// Requests a place and waits for it up to `limit`, or until the request may no longer be sent in a graceful stop.
 pub async fn place(
     context: &rc::Rc<context::InstanceContext>,
+    call: &incoming_call::IncomingCall,
     key: &planner_key::PlannerKey,
     mut request: engine_place::PlacementRequest,
     limit: time::Duration,
@@ -113,8 +113,7 @@
     let mut asked = None;
     loop {
         let spent = context.now().since(started);
-        let stopped = context.places_until.get().is_some_and(|until| context.now() >= until);
-        if spent >= limit || stopped {
+        if spent >= limit || stop_gate::check(context, call, request.resumed).is_err() {
             return PlaceOutcome::TimedOut;
         }
         let spent_ms = u32::try_from(spent.as_millis()).unwrap_or(u32::MAX);
--- a/crates/instance/src/program.rs
+++ b/crates/instance/src/program.rs
@@ -3,7 +3,7 @@
 use std::{path, process as std_process, rc, time};
 
 use futures::channel::{mpsc, oneshot};
-use slipturn_core::upstream_reach;
+use slipturn_core::{stop_schedule, units, upstream_reach};
 use slipturn_net::{command_line, process};
 use snafu::{ResultExt as _, Snafu};
 
@@ -15,15 +15,8 @@
 
 /// Interval between two checks for a signal to stop or to reload.
 const SIGNAL_POLL_INTERVAL: time::Duration = time::Duration::from_millis(100);
-/// Time after SIGTERM for which connections are still accepted: the load balancer checks readiness every second and
-/// removes the instance after two failures.
-const NOT_READY_TIME: time::Duration = time::Duration::from_millis(2_600);
-/// Time before SIGKILL at which the process exits by itself: on a slow machine its last steps take some hundred
-/// milliseconds.
-const GRACE_MARGIN: time::Duration = time::Duration::from_millis(900);
-/// Time before the exit from which requests do not get places (assignments to engines) any more, as their answers would
-/// be cut off.
-const PLACE_MARGIN: time::Duration = time::Duration::from_secs(1);
+/// Maximum time in which the requests that remain at the exit are answered.
+const LAST_ANSWERS_TIME: time::Duration = time::Duration::from_millis(100);
 /// Interval between two clean-ups of idle connections and of state about upstreams that are gone.
 const PRUNE_INTERVAL: time::Duration = time::Duration::from_secs(1);
 
@@ -100,12 +93,20 @@
         return Ok(());
     };
     let (closing_sender, closing) = oneshot::channel();
+    let (exiting_sender, exiting) = oneshot::channel();
     let (outgoing, queue) = mpsc::unbounded();
     let (runs, run_events) = mpsc::unbounded();
     let grace = settings.bounds.grace.0;
     let stopping = stop.clone();
-    let context_parts =
-        context::ContextParts { settings, adapter, stop: stopping, closing, outgoing, runs };
+    let context_parts = context::ContextParts {
+        settings,
+        adapter,
+        stop: stopping,
+        closing,
+        exiting,
+        outgoing,
+        runs,
+    };
     let context = rc::Rc::new(context::InstanceContext::new(context_parts));
     log::info!(instance:% = context.settings().name, boot = context.boot,
         seed = context.settings().is_seed(),
@@ -117,7 +118,9 @@
     spawn_accept_tasks(&context, sockets.listeners);
 
     wait_for_stop(&context, &mut watch).await;
-    shut_down(&context, closing_sender, grace).await;
+    let schedule = stop_schedule::StopSchedule::new(context.now(), grace);
+    let signals = StopSenders { closing: closing_sender, exiting: exiting_sender };
+    shut_down(&context, signals, schedule).await;
     Ok(())
 }
 
@@ -245,24 +248,37 @@
     }
 }
 
-/// Shuts down gracefully: lets the load balancer notice, closes idle connections, and waits for requests in progress.
+/// Senders of the signals of a graceful stop, whose receivers the context holds.
+struct StopSenders {
+    closing: oneshot::Sender<()>,
+    exiting: oneshot::Sender<()>,
+}
+
+/// Shuts down gracefully: lets the load balancer notice, closes idle connections, waits for requests in progress, and
+/// answers those that remain.
 async fn shut_down(
     context: &context::InstanceContext,
-    closing: oneshot::Sender<()>,
-    grace: time::Duration,
+    signals: StopSenders,
+    schedule: stop_schedule::StopSchedule,
 ) {
-    let begun = context.now();
-    let stop_time = grace.saturating_sub(GRACE_MARGIN);
-    context.places_until.set(Some(begun + stop_time.saturating_sub(PLACE_MARGIN)));
+    context.stop_schedule.set(Some(schedule));
     log::info!(busy = context.busy.get(); "process.stopping");
-    monoio::time::sleep(NOT_READY_TIME.min(grace / 2)).await;
+    monoio::time::sleep(schedule.closing_at().since(context.now())).await;
     // Fails only if the receiver has been dropped; then there is nothing left to close.
-    let _ = closing.send(());
-    while context.busy.get() > 0 && context.now().since(begun) < stop_time {
-        monoio::time::sleep(time::Duration::from_millis(20)).await;
-    }
+    let _ = signals.closing.send(());
+    wait_for_requests(context, schedule.exit_at()).await;
+    let cut = context.busy.get();
     let relayed = context.relayed.borrow().open();
-    log::info!(busy = context.busy.get(), relayed; "process.stopped");
+    let _ = signals.exiting.send(());
+    wait_for_requests(context, context.now() + LAST_ANSWERS_TIME).await;
+    log::info!(busy = cut, relayed; "process.stopped");
     // Allows the last answers, closed connections and log lines to be written before the process exits.
     monoio::time::sleep(time::Duration::from_millis(50)).await;
 }
+
+/// Waits until no request is in progress, at most until a point in time.
+async fn wait_for_requests(context: &context::InstanceContext, until: units::MonoTime) {
+    while context.busy.get() > 0 && context.now() < until {
+        monoio::time::sleep(time::Duration::from_millis(20)).await;
+    }
+}
--- a/crates/instance/src/service_request.rs
+++ b/crates/instance/src/service_request.rs
@@ -11,7 +11,7 @@
 
 use crate::{
     caller_connection, context, incoming_call, long_answer, no_open_upstream, permit_request,
-    request_record, service_choice, upstream_attempt, upstream_ends, upstream_signals,
+    request_record, service_choice, stop_gate, upstream_attempt, upstream_ends, upstream_signals,
 };
 
 /// Largest body that is read completely before it is forwarded, in bytes; longer ones are
@@ -102,6 +102,10 @@
         if sent >= call.route.max_attempts {
             break;
         }
+        if let Err(denial) = stop_gate::check(context, call, false) {
+            text = denial.to_string();
+            break;
+        }
         let taken = std::mem::take(&mut retry_taken);
         let need = retry_need::RetryNeed::Failed;
         if sent > 0 && !taken && !permit_request::obtain_retry(context, &call.service, need).await {
@@ -136,8 +140,10 @@
         let give_up = async |reach| {
             let next = reach == upstream_attempt::RetryReach::AnyUpstream
                 || service_choice::pick(context, call, &excluded).is_some();
-            let allowed =
-                call.route.repeat.allows_repeat() && sent + 1 < call.route.max_attempts && next;
+            let allowed = call.route.repeat.allows_repeat()
+                && sent + 1 < call.route.max_attempts
+                && next
+                && stop_gate::check(context, call, false).is_ok();
             let need = retry_need::RetryNeed::Early;
             retry_taken =
                 allowed && permit_request::obtain_retry(context, &call.service, need).await;
@@ -195,6 +201,9 @@
     if let Some((head, body)) = fallback.take() {
         return CallEnd::Answer(head, body);
     }
+    if ran == refusal::RanState::No && stop_gate::check(context, call, false).is_err() {
+        return CallEnd::Refused(stop_gate::refusal());
+    }
     let code = match ran {
         refusal::RanState::No => refusal::RefusalCode::NoUpstream,
         _ => refusal::RefusalCode::UpstreamFailed,
--- a/crates/instance/src/start_gate.rs
+++ b/crates/instance/src/start_gate.rs
@@ -108,7 +108,8 @@
     context: &rc::Rc<context::InstanceContext>,
     request: &ArrivedRequest<'_>,
 ) {
-    if is_ready(context) {
+    // Other instances serve the callers of one that stops.
+    if is_ready(context) || context.stop.is_triggered() {
         return;
     }
     match context.settings().sharing.start {
@@ -156,7 +157,7 @@
 /// Waits up to a fixed process age.
 async fn wait_by_age(context: &context::InstanceContext, request: &ArrivedRequest<'_>) {
     let max_wait = request.max_wait.unwrap_or(incoming_call::DEFAULT_MAX_WAIT);
-    while !is_ready(context) {
+    while !is_ready(context) && !context.stop.is_triggered() {
         let now = context.now();
         let age = now.since(units::MonoTime::default());
         let waited = now.since(request.arrived);
@@ -178,7 +179,7 @@
         count("no_space");
         return;
     };
-    while !is_ready(context) {
+    while !is_ready(context) && !context.stop.is_triggered() {
         let now = context.now();
         let age = now.since(units::MonoTime::default());
         let verdict =
--- a/crates/instance/src/stream_state.rs
+++ b/crates/instance/src/stream_state.rs
@@ -8,7 +8,7 @@
 
 use crate::{
     caller_connection, context, event_stream, incoming_call, permit_request, request_record,
-    upstream_attempt,
+    stop_gate, upstream_attempt,
 };
 
 /// State of a stream that persists across attempts.
@@ -96,6 +96,17 @@
         open.any(|name| Some(name) != used && !self.excluded.contains(name))
     }
 
+    /// Returns whether the request may still obtain a place if it requests one now; always true unless a graceful stop
+    /// has begun.
+    fn may_send_again(
+        &self,
+        context: &context::InstanceContext,
+        call: &incoming_call::IncomingCall,
+    ) -> bool {
+        let last = stop_gate::last_send_at(context, call, self.last_event.is_some());
+        last.is_none_or(|last| context.now() + context::MIN_PLACE_TIME < last)
+    }
+
     /// Returns the need for a retry: `otherwise`, unless part of the answer was sent to the caller.
     pub(crate) fn retry_need(&self, otherwise: retry_need::RetryNeed) -> retry_need::RetryNeed {
         if self.begun { retry_need::RetryNeed::Begun } else { otherwise }
@@ -115,7 +126,7 @@
         let other_than = (reach == upstream_attempt::RetryReach::OtherUpstream).then_some(engine);
         let allowed = call.route.repeat.allows_repeat()
             && sent_attempts < call.route.max_attempts
-            && context.grants_places()
+            && self.may_send_again(context, call)
             && self.has_engine(context, call, other_than);
         let need = self.retry_need(retry_need::RetryNeed::Early);
         self.retry_taken =
--- a/crates/instance/src/upstream_attempt.rs
+++ b/crates/instance/src/upstream_attempt.rs
@@ -226,7 +226,7 @@
 ) -> Result<upstream_pool::UpstreamConnection, AttemptFault> {
     // Avoids opening a connection for a request that must not be sent. The gate checks the upstream's notices (leaving,
     // backoff, limit) again right before the first byte is sent.
-    upstream_gate::check_request(context, target)?;
+    upstream_gate::check_request(context, call, target)?;
     let retry_allowed = call.route.repeat.allows_repeat() && call.route.max_attempts > 1;
     let connect_target =
         upstream_connect::ConnectTarget { service: &call.service, address: target.address };
@@ -337,7 +337,7 @@
     mut connection: upstream_pool::UpstreamConnection,
 ) -> Result<AttemptAnswer, AttemptFault> {
     let request_message = request_message(context, call, target);
-    let pass = upstream_gate::pass_request(context, target)?;
+    let pass = upstream_gate::pass_request(context, call, target)?;
     let sent_at = context.now();
     let (head, sent) = {
         let (reader, writer) = connection.sides(&pass);
--- a/crates/instance/src/upstream_gate.rs
+++ b/crates/instance/src/upstream_gate.rs
@@ -9,7 +9,7 @@
 
 use slipturn_core::{engine_place, ids, quota_permit, retry, send_gate};
 
-use crate::{context, upstream_attempt};
+use crate::{context, incoming_call, stop_gate, upstream_attempt};
 
 /// Permission to send to an upstream now; after a wait a new one is needed.
 pub struct SendPass<'a> {
@@ -64,8 +64,10 @@
 /// Returns the pass for a request with all its helpers, or the reason why the request is denied.
 pub(crate) fn pass_request<'a>(
     context: &'a context::InstanceContext,
+    call: &incoming_call::IncomingCall,
     target: &upstream_attempt::AttemptTarget,
 ) -> Result<SendPass<'a>, upstream_attempt::AttemptFault> {
+    check_stop(context, call, target.last_event.is_some())?;
     check_helpers(context, target)?;
     let kind = send_gate::SendKind::Request;
     pass(context, &target.upstream, kind, &target.permits).map_err(fault)
@@ -74,8 +76,10 @@
 /// Checks whether a request with all its helpers would pass now.
 pub(crate) fn check_request(
     context: &context::InstanceContext,
+    call: &incoming_call::IncomingCall,
     target: &upstream_attempt::AttemptTarget,
 ) -> Result<(), upstream_attempt::AttemptFault> {
+    check_stop(context, call, target.last_event.is_some())?;
     check_helpers(context, target)?;
     let kind = send_gate::SendKind::Request;
     check_send(context, &target.upstream, kind, &target.permits).map_err(fault)
@@ -84,15 +88,31 @@
 /// Checks whether a granted place may be used now, before memory is reserved.
 pub(crate) fn check_grant(
     context: &context::InstanceContext,
+    call: &incoming_call::IncomingCall,
     grant: &engine_place::PlaceGrant,
     permits: &[quota_permit::SendPermit],
+    is_resumed: bool,
 ) -> Result<(), upstream_attempt::AttemptFault> {
+    check_stop(context, call, is_resumed)?;
     let holders = grant.held.iter().map(|part| &part.engine);
     let mut engines = std::iter::once(&grant.engine).chain(&grant.helpers).chain(holders);
     let kind = send_gate::SendKind::Request;
     engines.try_for_each(|engine| check_send(context, engine, kind, permits)).map_err(fault)
 }
 
+/// Checks whether a request may still be sent if this instance stops.
+fn check_stop(
+    context: &context::InstanceContext,
+    call: &incoming_call::IncomingCall,
+    is_resumed: bool,
+) -> Result<(), upstream_attempt::AttemptFault> {
+    stop_gate::check(context, call, is_resumed).map_err(|reason| {
+        let label = format!("{}/{}", send_gate::SendKind::Request, reason.label());
+        context.stats.borrow_mut().count("kept_back", &label);
+        fault(reason)
+    })
+}
+
 /// Checks whether sends to the helpers that process parts of the prompt would pass now.
 fn check_helpers(
     context: &context::InstanceContext,
--- a/crates/instance/src/upstream_load.rs
+++ b/crates/instance/src/upstream_load.rs
@@ -278,7 +278,7 @@
         self.states.entry(name.clone()).or_default().health.receive_gone(now)
     }
 
-    /// Records the time from sending a call to the head of its answer.
+    /// Records the time from sending a call to the head of its answer, or to the end of a stream.
     pub fn answered(&mut self, route: &ids::ClassId, span: time::Duration) {
         if self.times.len() >= MAX_TIMED_ROUTES && !self.times.contains_key(route) {
             self.times.clear();
@@ -324,7 +324,7 @@
         &self.speeds
     }
 
-    /// Returns the time within which answers of a route usually arrive; zero while too few times are known.
+    /// Returns the time within which answers of a route usually arrive, or streams end; zero while too few times are known.
     pub fn usual_time(&self, route: &route_table::RoutePolicy) -> time::Duration {
         self.times.get(&route.name).copied().unwrap_or_default().usual_time()
     }
--- a/crates/soak/src/engine_plan.rs
+++ b/crates/soak/src/engine_plan.rs
@@ -79,6 +79,7 @@
         customers: others.map(|(name, key)| ((*name).to_owned(), (*key).to_owned())).collect(),
         engine_speed: Some(speed()),
         extra_settings: INSTANCE_SETTINGS.to_owned(),
+        ..FleetOptions::default()
     }
 }
 
