--- a/crates/instance/src/model_request.rs
+++ b/crates/instance/src/model_request.rs
@@ -4,7 +4,9 @@
 use std::{pin, rc, time};
 
 use bytes::{Bytes, BytesMut};
-use slipturn_core::{connection_silence, engine_place, refusal, retry, retry_need, send_gate};
+use slipturn_core::{
+    connection_silence, engine_place, refusal, retry, retry_need, send_gate, units,
+};
 use slipturn_net::h1;
 
 use crate::{
@@ -440,8 +442,7 @@
     }
     run.prompt_answered();
     if target.last_event.is_none() {
-        let stream_time = context.now().since(begun_at);
-        context.loads.borrow_mut().answered(&call.route.name, stream_time);
+        note_times(context, call, begun_at, state.last_at.zip(attempt_record.first_ms));
     }
     if !state.begun {
         state.send(reply, &answer.head, &BytesMut::new()).await?;
@@ -454,6 +455,23 @@
     Ok(AttemptEnd::Complete)
 }
 
+/// Records how long a complete stream took, from which it is judged whether later ones end before an exit.
+fn note_times(
+    context: &context::InstanceContext,
+    call: &incoming_call::IncomingCall,
+    begun_at: units::MonoTime,
+    events: Option<(units::MonoTime, u64)>,
+) {
+    let Some((last_at, first_ms)) = events else {
+        return;
+    };
+    let first_time = time::Duration::from_millis(first_ms);
+    let stream_time = last_at.since(begun_at + first_time);
+    let mut loads = context.loads.borrow_mut();
+    loads.answered(&call.route.name, first_time);
+    loads.note_stream(&call.route.name, stream_time, call.request.output);
+}
+
 /// Returns the end of an attempt whose answer broke off.
 fn broken(state: &stream_state::StreamState, reason: impl ToString) -> AttemptEnd {
     let failure = if state.begun {
--- a/crates/instance/src/stop_gate.rs
+++ b/crates/instance/src/stop_gate.rs
@@ -34,7 +34,7 @@
     is_resumed: bool,
 ) -> Option<units::MonoTime> {
     let schedule = context.stop_schedule.get()?;
-    let usual_time = context.loads.borrow().usual_time(&call.route);
+    let usual_time = context.loads.borrow().usual_total(&call.route, call.request.output);
     let expected = if is_resumed {
         stop_schedule::ExpectedTime::Resumed
     } else if usual_time.is_zero() {
--- a/crates/instance/src/upstream_load.rs
+++ b/crates/instance/src/upstream_load.rs
@@ -68,6 +68,8 @@
     states: collections::HashMap<ids::UpstreamId, LoadState>,
     /// Answer times by route.
     times: collections::HashMap<ids::ClassId, connection_silence::AnswerTimes>,
+    /// Times for one output token of a stream, by route.
+    token_times: collections::HashMap<ids::ClassId, connection_silence::AnswerTimes>,
     /// Use of measured speeds.
     tracking: sharing::SpeedTracking,
     /// Measured speeds; empty if `tracking` is off.
@@ -278,7 +280,7 @@
         self.states.entry(name.clone()).or_default().health.receive_gone(now)
     }
 
-    /// Records the time from sending a call to the head of its answer, or to the end of a stream.
+    /// Records the time from sending a call to the head of its answer, or to the first event of a stream.
     pub fn answered(&mut self, route: &ids::ClassId, span: time::Duration) {
         if self.times.len() >= MAX_TIMED_ROUTES && !self.times.contains_key(route) {
             self.times.clear();
@@ -324,7 +326,33 @@
         &self.speeds
     }
 
-    /// Returns the time within which answers of a route usually arrive, or streams end; zero while too few times are known.
+    /// Records the time from the first event of a stream to its end, which has `tokens` output tokens.
+    pub fn note_stream(&mut self, route: &ids::ClassId, span: time::Duration, tokens: u64) {
+        if self.token_times.len() >= MAX_TIMED_ROUTES && !self.token_times.contains_key(route) {
+            self.token_times.clear();
+        }
+        let token_time = span.div_f64(tokens.max(1) as f64);
+        self.token_times.entry(route.clone()).or_default().note(token_time);
+    }
+
+    /// Returns the time within which requests of a route with `tokens` output tokens usually end: plain ones with
+    /// their answer, streams with their last token. Zero while too few times are known.
+    pub fn usual_total(&self, route: &route_table::RoutePolicy, tokens: u64) -> time::Duration {
+        let usual_time = self.usual_time(route);
+        if !route.streaming {
+            return usual_time;
+        }
+        let token_time = self.token_times.get(&route.name).copied().unwrap_or_default();
+        let token_time = token_time.usual_time();
+        if usual_time.is_zero() || token_time.is_zero() {
+            return time::Duration::ZERO;
+        }
+        let stream_seconds = token_time.as_secs_f64() * tokens as f64;
+        let stream_time = time::Duration::try_from_secs_f64(stream_seconds);
+        usual_time.saturating_add(stream_time.unwrap_or(time::Duration::MAX))
+    }
+
+    /// Returns the time within which answers of a route usually arrive, or streams begin; zero while too few times are known.
     pub fn usual_time(&self, route: &route_table::RoutePolicy) -> time::Duration {
         self.times.get(&route.name).copied().unwrap_or_default().usual_time()
     }
