--- a/crates/instance/src/caller_connection.rs
+++ b/crates/instance/src/caller_connection.rs
@@ -264,7 +264,8 @@
     }
     let reading = reader.whole_body(&mut framing, limits.body_bytes);
     let reading = monoio::time::timeout(limits.arrival, reading);
-    let body = match stop_gate::until_exit(context, reading).await {
+    let read = stop_gate::until_exit(context, std::pin::pin!(reading)).await;
+    let body = match read {
         Some(Ok(Ok(body))) => body,
         Some(Ok(Err(error))) => return refuse_malformed(reply, &id, error).await,
         None => return refuse_stopping(reply, &id).await,
@@ -333,7 +334,8 @@
     };
     let intake =
         body_intake::BodyIntake { context, call: &call, limits, arriving: arriving.as_ref() };
-    let body_bytes = match stop_gate::until_exit(context, intake.admit(framing)).await {
+    let admitted = stop_gate::until_exit(context, std::pin::pin!(intake.admit(framing))).await;
+    let body_bytes = match admitted {
         Some(Ok(guard)) => guard,
         None => return refuse_stopping(reply, &id).await,
         Some(Err(error)) => match error.refusal(left) {
@@ -347,8 +349,10 @@
         reply.writer.write(&b"HTTP/1.1 100 Continue\r\n\r\n"[..]).await?;
     }
     let begun = context.now();
-    let reading = intake.read(reader, &mut framing, body_bytes.as_ref());
-    let body = match stop_gate::until_exit(context, reading).await {
+    let body_bytes = body_bytes.as_ref();
+    let reading = intake.read(reader, &mut framing, body_bytes);
+    let read = stop_gate::until_exit(context, std::pin::pin!(reading)).await;
+    let body = match read {
         Some(Ok(body)) => body,
         None => return refuse_stopping(reply, &id).await,
         Some(Err(error)) => return refuse_unreceived(reply, &id, error, left).await,
@@ -394,7 +398,7 @@
     "caller left".clone_into(&mut record.outcome);
     context.count_request(&call.service);
     let served = {
-        let serving = serve_call(context, call, reply, &mut record);
+        let serving = std::pin::pin!(serve_call(context, call, reply, &mut record));
         let serving = std::pin::pin!(stop_gate::until_exit(context, serving));
         let watching = std::pin::pin!(watch_caller(reader));
         // `select` polls `watching` first, so no work is done for a caller that has disconnected.
--- a/crates/instance/src/stop_gate.rs
+++ b/crates/instance/src/stop_gate.rs
@@ -51,12 +51,13 @@
     context.stop_schedule.get().is_some_and(|schedule| context.now() >= schedule.closing_at())
 }
 
-/// Completes `work` unless the process is about to exit.
+/// Completes `work` unless the process is about to exit. The work is pinned by the caller: as an owned argument it would
+/// take its memory twice.
 pub(crate) async fn until_exit<T>(
     context: &rc::Rc<context::InstanceContext>,
-    work: impl Future<Output = T>,
+    work: pin::Pin<&mut impl Future<Output = T>>,
 ) -> Option<T> {
-    match future::select(pin::pin!(work), context.exiting.clone()).await {
+    match future::select(work, context.exiting.clone()).await {
         future::Either::Left((result, _)) => Some(result),
         future::Either::Right(_) => None,
     }
--- a/crates/net/src/process.rs
+++ b/crates/net/src/process.rs
@@ -57,10 +57,8 @@
 /// Spawns a task of one connection or request. A panic ends the task, where with [`monoio::spawn`] it
 /// would end the process.
 pub fn spawn_isolated(task: impl Future<Output = ()> + 'static) {
-    monoio::spawn(async move {
-        // The panic hook has reported the panic.
-        let _ = panic::AssertUnwindSafe(task).catch_unwind().await;
-    });
+    // Not an `async` block, which would hold the task twice: as a captured variable and as the awaited future.
+    drop(monoio::spawn(panic::AssertUnwindSafe(task).catch_unwind()));
 }
 
 /// Spawns a task that is to run until the process ends. After a panic, `run` is called again.
