--- a/crates/net/src/h1.rs
+++ b/crates/net/src/h1.rs
@@ -4,7 +4,7 @@
 //! a length as empty, writes a complete request before it reads the response, and keeps its buffers
 //! while a connection is idle.
 
-use std::{cell, future, io, pin, rc, task, time};
+use std::{cell, future, io, ops, pin, rc, task, time};
 
 use bytes::{Buf as _, Bytes, BytesMut};
 use monoio::{
@@ -30,6 +30,8 @@
 const MAX_UNINTERRUPTED_BYTES: usize = 8 * YIELD_BYTES;
 /// Maximum length in bytes of a chunk-size line or trailer line that is still incomplete.
 const MAX_CHUNK_LINE_BYTES: usize = 1_024;
+/// Status codes that an answer may have; `http` accepts up to 999.
+const STATUS_CODES: ops::RangeInclusive<u16> = 100..=599;
 /// Hop-by-hop headers, which are not forwarded.
 const HOP_BY_HOP_HEADERS: [&str; 9] = [
     "connection",
@@ -223,6 +225,10 @@
         loop {
             let arrived = self.buffer.len();
             if let Some(head) = self.parse_response()? {
+                if head.status == http::StatusCode::SWITCHING_PROTOCOLS {
+                    let reason = "a change of protocol that was not requested";
+                    return MalformedSnafu { reason }.fail();
+                }
                 if head.status.is_informational() {
                     skipped += arrived - self.buffer.len();
                     check_skipped(skipped)?;
@@ -321,9 +327,11 @@
         let httparse::Status::Complete(length) = status else {
             return Ok(None);
         };
-        let mut builder = http::Response::builder()
-            .status(parsed.code.unwrap_or_default())
-            .version(version(parsed.version));
+        let code = parsed.code.unwrap_or_default();
+        if !STATUS_CODES.contains(&code) {
+            return MalformedSnafu { reason: format!("status {code}") }.fail();
+        }
+        let mut builder = http::Response::builder().status(code).version(version(parsed.version));
         for header in parsed.headers.iter() {
             builder = builder.header(header.name, header.value);
         }
--- a/crates/net/tests/h1.rs
+++ b/crates/net/tests/h1.rs
@@ -122,6 +122,35 @@
     }
 }
 
+/// Guards against status lines that are no answer in HTTP/1.x and are read as one.
+#[test]
+fn a_status_or_version_that_no_answer_has_is_rejected() {
+    for line in [
+        "HTTP/1.1 000 -",
+        "HTTP/1.1 099 -",
+        "HTTP/1.1 600 -",
+        "HTTP/1.1 999 -",
+        "HTTP/1.1 1000 -",
+        "HTTP/1.1 20 -",
+        "HTTP/1.1 +20 -",
+        "HTTP/1.1 101 Switching Protocols",
+        "HTTP/0.9 200 OK",
+        "HTTP/1.2 200 OK",
+        "HTTP/2.0 200 OK",
+        "ICY 200 OK",
+    ] {
+        let answer = read_response(&format!("{line}\r\ncontent-length: 2\r\n\r\nhi"));
+        assert!(
+            answer.as_ref().is_err_and(|error| error.contains("not HTTP/1.1")),
+            "{line}: {answer:?}"
+        );
+    }
+    for status in [200, 599] {
+        let text = format!("HTTP/1.0 {status} -\r\ncontent-length: 2\r\n\r\nhi");
+        assert_eq!(read_response(&text), Ok((status, b"hi".to_vec())));
+    }
+}
+
 /// Lets a peer answer during an upload that it does not read, `end` its side, and reset the connection. Returns what is read
 /// once the upload has failed.
 fn read_after_failed_upload(
