--- a/crates/instance/src/upstream_attempt.rs
+++ b/crates/instance/src/upstream_attempt.rs
@@ -359,6 +359,7 @@
     };
     let head = head.map_err(AttemptFault::broke)?;
     connection.times.receive();
+    let framing = h1::BodyFraming::of_response(&head).map_err(AttemptFault::broke)?;
     let head_fields = context.adapter.parse_answer(&head);
     if head_fields.id.as_deref() != Some(call.request.id.as_str()) {
         return Err(AttemptFault::broke("the answer belongs to another request"));
@@ -368,7 +369,6 @@
         let origin = upstream_signals::SignalOrigin { requested_at: sent_at, source };
         upstream_signals::receive(context, &target.upstream, head.status, &head_fields, origin);
     }
-    let framing = h1::BodyFraming::of_response(&head).map_err(AttemptFault::broke)?;
     let reusable =
         sent && framing != h1::BodyFraming::UntilClose && !h1::closes(head.version, &head.headers);
     let address = target.address;
--- a/crates/net/src/h1.rs
+++ b/crates/net/src/h1.rs
@@ -230,6 +230,7 @@
                     return MalformedSnafu { reason }.fail();
                 }
                 if head.status.is_informational() {
+                    check_bodiless(&head)?;
                     skipped += arrived - self.buffer.len();
                     check_skipped(skipped)?;
                     continue;
@@ -482,18 +483,22 @@
     /// Determines the framing of a request body from the headers. A request that declares no length
     /// has no body.
     pub fn of_request(head: &http::request::Parts) -> Result<Self, MessageError> {
-        let declared = Self::declared(&head.headers)?;
+        let declared = Self::declared(head.version, &head.headers)?;
         Ok(declared.unwrap_or(Self::Ended))
     }
 
     /// Determines the framing of a response body from the status and the headers. A response that
     /// declares no length ends with the connection, unless its status excludes a body.
     pub fn of_response(head: &http::response::Parts) -> Result<Self, MessageError> {
-        if matches!(head.status.as_u16(), 204 | 304) {
-            return Ok(Self::Ended);
+        let declared = Self::declared(head.version, &head.headers)?;
+        match (head.status, declared) {
+            (http::StatusCode::NO_CONTENT, Some(Self::Length(_) | Self::Chunked(_))) => {
+                MalformedSnafu { reason: "a body that the status excludes" }.fail()
+            }
+            // The length of a `304` is that of the body which it leaves out.
+            (http::StatusCode::NO_CONTENT | http::StatusCode::NOT_MODIFIED, _) => Ok(Self::Ended),
+            (_, declared) => Ok(declared.unwrap_or(Self::UntilClose)),
         }
-        let declared = Self::declared(&head.headers)?;
-        Ok(declared.unwrap_or(Self::UntilClose))
     }
 
     /// Returns whether the body is complete.
@@ -503,19 +508,22 @@
 
     /// Returns the framing that the headers declare, if any. Fails if they declare several or an
     /// invalid one.
-    fn declared(headers: &http::HeaderMap) -> Result<Option<Self>, MessageError> {
+    fn declared(
+        version: http::Version,
+        headers: &http::HeaderMap,
+    ) -> Result<Option<Self>, MessageError> {
         let lengths: Vec<_> = headers.get_all(http::header::CONTENT_LENGTH).iter().collect();
-        let encoding = headers.get_all(http::header::TRANSFER_ENCODING).iter().next_back();
-        match (encoding, lengths.as_slice()) {
-            (None, []) => Ok(None),
-            (Some(encoding), []) => {
-                let chunked = encoding.as_bytes().to_ascii_lowercase().ends_with(b"chunked");
-                if !chunked {
+        let is_coded = headers.contains_key(http::header::TRANSFER_ENCODING);
+        match (is_coded, lengths.as_slice()) {
+            (false, []) => Ok(None),
+            (true, []) => {
+                // The bytes below another coding are not the body, and HTTP/1.0 has no codings.
+                if version == http::Version::HTTP_10 || !is_chunked_once(headers) {
                     return MalformedSnafu { reason: "unknown transfer encoding" }.fail();
                 }
                 Ok(Some(Self::Chunked(ChunkState::Size)))
             }
-            (None, [length]) => {
+            (false, [length]) => {
                 let text = length.to_str().ok().filter(|text| !text.starts_with('+'));
                 let length = text.and_then(|text| text.parse().ok());
                 match length {
@@ -530,6 +538,15 @@
     }
 }
 
+/// Returns whether `chunked`, once, is the only transfer coding.
+fn is_chunked_once(headers: &http::HeaderMap) -> bool {
+    let values = headers.get_all(http::header::TRANSFER_ENCODING).iter();
+    let codings = values.flat_map(|value| value.as_bytes().split(|byte| *byte == b','));
+    let mut codings = codings.map(<[u8]>::trim_ascii).filter(|coding| !coding.is_empty());
+    let first = codings.next();
+    first.is_some_and(|coding| coding.eq_ignore_ascii_case(b"chunked")) && codings.next().is_none()
+}
+
 /// Encodes the head of a request. `length` is the length of its body in bytes, `None` if it has none.
 pub fn encode_request_head(head: &http::request::Parts, length: Option<usize>) -> Vec<u8> {
     let path = head.uri.path_and_query().map_or("/", http::uri::PathAndQuery::as_str);
@@ -628,6 +645,14 @@
     if minor == Some(0) { http::Version::HTTP_10 } else { http::Version::HTTP_11 }
 }
 
+/// Fails if an interim response declares a body, which it cannot have.
+fn check_bodiless(head: &http::response::Parts) -> Result<(), MessageError> {
+    match BodyFraming::declared(head.version, &head.headers)? {
+        None | Some(BodyFraming::Ended) => Ok(()),
+        Some(_) => MalformedSnafu { reason: "an interim response with a body" }.fail(),
+    }
+}
+
 /// Fails if more bytes were skipped than interim responses or trailers may have.
 fn check_skipped(skipped: usize) -> Result<(), MessageError> {
     let limit = MAX_SKIPPED_BYTES;
--- a/crates/net/tests/h1.rs
+++ b/crates/net/tests/h1.rs
@@ -82,6 +82,15 @@
     with_bytes(text.as_bytes().to_vec(), read_message)
 }
 
+/// Reads a request that arrives at once: its body, `None` if it is malformed.
+fn read_request_body(text: &str) -> Option<Vec<u8>> {
+    with_bytes(text.as_bytes().to_vec(), |mut reader| async move {
+        let head = reader.request_head(1_000).await.ok()??;
+        let mut framing = h1::BodyFraming::of_request(&head).ok()?;
+        reader.whole_body(&mut framing, 1_000).await.ok().map(|body| body.to_vec())
+    })
+}
+
 /// Guards against trailers and interim responses that are skipped without a bound.
 #[test]
 fn trailers_and_interim_responses_are_bounded() {
@@ -199,9 +208,53 @@
         "HTTP/1.1 200 OK\r\ncontent-length: 5\r\ntransfer-encoding: chunked\r\n\r\nhello",
         "HTTP/1.1 200 OK\r\ncontent-length: +5\r\n\r\nhello",
         "HTTP/1.1 200 OK\r\ntransfer-encoding: gzip\r\n\r\nhello",
+        "HTTP/1.1 200 OK\r\ncontent-length: 5\r\ncontent-length: 5\r\n\r\nhello",
+        "HTTP/1.1 200 OK\r\ncontent-length: 5, 5\r\n\r\nhello",
+    ] {
+        assert!(read_response(text).is_err(), "{text:?}");
+    }
+}
+
+/// Guards against a reader that removes the outer transfer coding and takes the rest for the body.
+#[test]
+fn only_chunked_given_once_is_a_transfer_coding() {
+    for codings in [
+        "gzip, chunked",
+        "xchunked",
+        "chunked, chunked",
+        "chunked\r\ntransfer-encoding: chunked",
+        "gzip\r\ntransfer-encoding: chunked",
+        "chunked, gzip",
+        "chunked;q=1",
+        "",
+    ] {
+        let coded = format!("transfer-encoding: {codings}\r\n\r\n1\r\nx\r\n0\r\n\r\n");
+        let answer = read_response(&format!("HTTP/1.1 200 OK\r\n{coded}"));
+        assert!(answer.is_err(), "{codings:?}: {answer:?}");
+        assert_eq!(read_request_body(&format!("POST / HTTP/1.1\r\n{coded}")), None, "{codings:?}");
+    }
+    let chunks = "transfer-encoding: ,Chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n";
+    let answer = read_response(&format!("HTTP/1.1 200 OK\r\n{chunks}"));
+    assert_eq!(answer, Ok((200, b"x".to_vec())));
+    let request = read_request_body(&format!("POST / HTTP/1.1\r\n{chunks}"));
+    assert_eq!(request, Some(b"x".to_vec()));
+    assert!(read_response(&format!("HTTP/1.0 200 OK\r\n{chunks}")).is_err());
+    assert_eq!(read_request_body(&format!("POST / HTTP/1.0\r\n{chunks}")), None);
+}
+
+/// Guards against bytes that follow a head without a body and are taken for the next answer.
+#[test]
+fn a_body_that_the_status_excludes_is_an_error() {
+    for text in [
+        "HTTP/1.1 204 -\r\ncontent-length: 5\r\n\r\nhello",
+        "HTTP/1.1 204 -\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n",
+        "HTTP/1.1 103 -\r\ncontent-length: 5\r\n\r\nhello",
+        "HTTP/1.1 103 -\r\ntransfer-encoding: chunked\r\n\r\nHTTP/1.1 204 -\r\n\r\n",
     ] {
         assert!(read_response(text).is_err(), "{text:?}");
     }
+    assert_eq!(read_response("HTTP/1.1 204 -\r\ncontent-length: 0\r\n\r\n"), Ok((204, vec![])));
+    assert_eq!(read_response("HTTP/1.1 304 -\r\ncontent-length: 5\r\n\r\n"), Ok((304, vec![])));
 }
 
 #[test]
