--- a/crates/net/tests/h1.rs
+++ b/crates/net/tests/h1.rs
@@ -257,6 +257,35 @@
     assert_eq!(read_response("HTTP/1.1 304 -\r\ncontent-length: 5\r\n\r\n"), Ok((304, vec![])));
 }
 
+/// Guards against lines that are no header field and are skipped or joined with others.
+#[test]
+fn a_line_with_an_invalid_field_name_is_an_error() {
+    for line in [
+        "x y: 1",
+        "x\ty: 1",
+        "x\u{1}y: 1",
+        "x\0y: 1",
+        "x\u{7f}y: 1",
+        "x\u{e9}y: 1",
+        ": 1",
+        "nothing",
+        "x : 1",
+        "x\t: 1",
+        " x: 1",
+        "x: 1\r\n folded",
+        "x: 1\r\n\tfolded",
+        "x: 1\ry: 2",
+        "x: 1\0",
+    ] {
+        for lines in [format!("{line}\r\ny: 1"), format!("y: 1\r\n{line}")] {
+            let answer = read_response(&format!("HTTP/1.1 200 OK\r\n{lines}\r\n\r\n"));
+            assert!(answer.is_err(), "{lines:?}: {answer:?}");
+            let request = read_request_body(&format!("GET / HTTP/1.1\r\n{lines}\r\n\r\n"));
+            assert_eq!(request, None, "{lines:?}");
+        }
+    }
+}
+
 #[test]
 fn a_head_or_body_beyond_its_limit_is_an_error() {
     let long = format!("GET /{} HTTP/1.1\r\n\r\n", "a".repeat(9_000));
