--- a/crates/instance/src/upstream_attempt.rs
+++ b/crates/instance/src/upstream_attempt.rs
@@ -398,6 +398,10 @@
         drain_refusal(context, &target.upstream, answer).await;
         return Err(fault);
     }
+    // Callers request bodies without a content encoding, so an encoded one is not the upstream's.
+    if answer.head.headers.contains_key(http::header::CONTENT_ENCODING) {
+        return Err(AttemptFault::broke("the answer has a content encoding"));
+    }
     if answer.head.status.is_success() && !answer.head_fields.signed {
         return Err(AttemptFault::broke("a success without the upstream's signature"));
     }
