--- a/crates/net/src/h1.rs
+++ b/crates/net/src/h1.rs
@@ -31,7 +31,7 @@
 /// Maximum length in bytes of a chunk-size line or trailer line that is still incomplete.
 const MAX_CHUNK_LINE_BYTES: usize = 1_024;
 /// Status codes that an answer may have; `http` accepts up to 999.
-const STATUS_CODES: ops::RangeInclusive<u16> = 100..=599;
+pub(crate) const STATUS_CODES: ops::RangeInclusive<u16> = 100..=599;
 /// Hop-by-hop headers, which are not forwarded.
 const HOP_BY_HOP_HEADERS: [&str; 9] = [
     "connection",
@@ -490,8 +490,17 @@
     /// Determines the framing of a response body from the status and the headers. A response that
     /// declares no length ends with the connection, unless its status excludes a body.
     pub fn of_response(head: &http::response::Parts) -> Result<Self, MessageError> {
-        let declared = Self::declared(head.version, &head.headers)?;
-        match (head.status, declared) {
+        Self::of_response_fields(head.status, head.version, &head.headers)
+    }
+
+    /// Determines the framing of a response body like [`Self::of_response`].
+    pub(crate) fn of_response_fields(
+        status: http::StatusCode,
+        version: http::Version,
+        headers: &http::HeaderMap,
+    ) -> Result<Self, MessageError> {
+        let declared = Self::declared(version, headers)?;
+        match (status, declared) {
             (http::StatusCode::NO_CONTENT, Some(Self::Length(_) | Self::Chunked(_))) => {
                 MalformedSnafu { reason: "a body that the status excludes" }.fail()
             }
--- a/crates/net/src/http_client.rs
+++ b/crates/net/src/http_client.rs
@@ -16,7 +16,7 @@
 };
 use snafu::Snafu;
 
-use crate::{body, metered_read};
+use crate::{body, h1, metered_read};
 
 /// Timeout for establishing a TCP connection.
 const CONNECT_TIMEOUT: time::Duration = time::Duration::from_millis(1_000);
@@ -353,12 +353,31 @@
 ) -> Result<(response::ResponseHead, BodyDecoder), CallError> {
     use monoio::io::stream::Stream as _;
     match connection.reader.next().await {
-        Some(Ok((head, body))) => Ok((head, body)),
+        Some(Ok((head, body))) => {
+            check_head(&head)?;
+            Ok((head, body))
+        }
         Some(Err(error)) => Err(interrupted(error)),
         None => InterruptedSnafu { reason: "closed before an answer" }.fail(),
     }
 }
 
+/// Fails if a response is interim or invalid, or has a body whose end the decoder does not find.
+fn check_head(head: &response::ResponseHead) -> Result<(), CallError> {
+    let status = head.status;
+    if status.is_informational() || !h1::STATUS_CODES.contains(&status.as_u16()) {
+        return InterruptedSnafu { reason: format!("status {status}") }.fail();
+    }
+    match h1::BodyFraming::of_response_fields(status, head.version, &head.headers) {
+        // The decoder takes a response without a length for an empty one.
+        Ok(h1::BodyFraming::UntilClose) => {
+            InterruptedSnafu { reason: "an answer without a length" }.fail()
+        }
+        Ok(_) => Ok(()),
+        Err(error) => Err(interrupted(error)),
+    }
+}
+
 fn interrupted(error: impl ToString) -> CallError {
     CallError::Interrupted { reason: error.to_string() }
 }
