--- a/crates/core/src/part_quarantine/crash_set.rs
+++ b/crates/core/src/part_quarantine/crash_set.rs
@@ -1,11 +1,8 @@
 //! The crashes under prompts that have a certain part.
 
-use std::{collections, time};
+use std::collections;
 
-use crate::{ids, part_quarantine::CrashedPrompt, units};
-
-/// Time between two crashes from which both count. Engines that fail together crash within a shorter time.
-const MOMENT_GAP: time::Duration = time::Duration::from_millis(50);
+use crate::{ids, part_quarantine::CrashedPrompt, quarantine::MOMENT_GAP, units};
 
 /// Crashed prompts that have a part, by their index in the evidence.
 #[derive(Debug, Clone, Default)]
--- a/crates/core/src/quarantine.rs
+++ b/crates/core/src/quarantine.rs
@@ -4,7 +4,8 @@
 //! any request in isolation:
 //!
 //! - *Sequence.* A crash counts only if its run (the attempt that the crash ended) began after the previous counted
-//!   crash. A rack failure that ends many copies of a request counts once.
+//!   crash, and if it happened some time after that. A rack failure that ends many copies of a request counts once, and
+//!   so do the second attempts that it ends on the upstreams which fail last.
 //! - *Answer.* A completed answer clears a request of all earlier crashes.
 //! - *Known cause.* A request is not the cause if a quarantined request shares all its crashes and has more.
 //!
@@ -18,6 +19,9 @@
 /// Crashes in sequence after which a request is quarantined. Among many unrelated crashes, two may by chance end runs
 /// of the same harmless request in sequence.
 const SEQUENCE: usize = 3;
+/// Time between two crashes from which both count. Upstreams that fail together crash within a shorter time, and a
+/// second attempt begins and ends in it.
+pub(crate) const MOMENT_GAP: time::Duration = time::Duration::from_millis(50);
 /// Divisor of a run's length that gives the tolerated overlap: how long before the previous counted crash the run may
 /// have begun. A second attempt starts right after the first one breaks, and members exchange the times as ages, which
 /// are off by the delay of a message.
@@ -288,11 +292,13 @@
     Some(record.last_crash() + QUARANTINE_TIME * 2_u32.pow(excess.min(MAX_DOUBLINGS)))
 }
 
-/// For each crash in order of time, whether it counts: whether its run began after the previous counted crash.
+/// For each crash in order of time, whether it counts: whether its run began after the previous counted crash, and ended
+/// [`MOMENT_GAP`] after it.
 fn in_sequence(crashes: &[CrashedRun]) -> Vec<bool> {
     let mut last = None;
     let counted = crashes.iter().map(|run| {
-        let counts = last.is_none_or(|last| run.sent + run.slack() >= last);
+        let is_after = |last| run.sent + run.slack() >= last && is_apart(last, run.ended);
+        let counts = last.is_none_or(is_after);
         if counts {
             last = Some(run.ended);
         }
@@ -301,6 +307,12 @@
     counted.collect()
 }
 
+/// Whether two crashes are so far apart that both count. Times before the start of this process are all represented as
+/// its start; the members that report them have seen the distance.
+fn is_apart(last: units::MonoTime, ended: units::MonoTime) -> bool {
+    last == units::MonoTime::default() || ended >= last + MOMENT_GAP
+}
+
 /// Drops the oldest crash that does not count, or else the oldest one.
 fn remove_least(crashes: &mut Vec<CrashedRun>) {
     let uncounted = in_sequence(crashes).iter().position(|counts| !counts);
--- a/crates/core/tests/quarantine.rs
+++ b/crates/core/tests/quarantine.rs
@@ -84,6 +84,22 @@
     assert!(!is_quarantined(&table_of(copies), "x", 600));
 }
 
+/// Guards against a quarantine of a call that many callers send: its second attempts run on upstreams that end together.
+#[test]
+fn upstreams_that_end_together_count_once_under_a_call_that_is_sent_again_at_once() {
+    let runs = [run("x", "a", 0, 100), run("x", "b", 101, 103), run("x", "c", 104, 109)];
+    assert!(!is_quarantined(&table_of(runs), "x", 200));
+    let apart = [run("x", "a", 0, 100), run("x", "b", 101, 160), run("x", "c", 161, 220)];
+    assert!(is_quarantined(&table_of(apart), "x", 300));
+}
+
+/// Guards against a restarted member that does not quarantine what the others do: the crashes happened before its start.
+#[test]
+fn crashes_before_the_start_of_the_process_all_count() {
+    let before = [run("x", "a", 0, 0), run("x", "b", 0, 0), run("x", "c", 0, 0)];
+    assert!(is_quarantined(&table_of(before), "x", 200));
+}
+
 /// Guards against waves of crashes that are not counted because each wave has more copies of the request than the table
 /// stores crashes for a request.
 #[test]
