--- a/crates/instance/src/program.rs
+++ b/crates/instance/src/program.rs
@@ -84,6 +84,7 @@
     adapter: rc::Rc<dyn adapter::InstanceAdapter>,
 ) -> Result<(), ProgramError> {
     let stop = process::StopSignal::install().context(SignalsSnafu)?;
+    process::handle_file_size_limit().context(SignalsSnafu)?;
     let mut watch = settings_watch::SettingsWatch::install(path).context(SignalsSnafu)?;
     let Some(mut settings) = watch.load_at_start(&stop).await.context(SettingsSnafu)? else {
         return Ok(());
--- a/crates/net/src/command_line.rs
+++ b/crates/net/src/command_line.rs
@@ -202,6 +202,9 @@
     if let Err(error) = logging::install(&local.log) {
         return fail(info, &error);
     }
+    if let Err(error) = own_process::handle_file_size_limit() {
+        return fail(info, &error);
+    }
     match own_process::run(run(local)) {
         Ok(Ok(())) => process::ExitCode::from(EXIT_SUCCESS),
         Ok(Err(error)) => fail(info, &error),
--- a/crates/net/src/process.rs
+++ b/crates/net/src/process.rs
@@ -89,6 +89,14 @@
     )
 }
 
+/// Lets a write beyond the limit on the size of a file fail. Without a handler for SIGXFSZ it would end
+/// the process, for example when its log reaches the limit.
+pub fn handle_file_size_limit() -> io::Result<()> {
+    let unused = sync::Arc::new(atomic::AtomicBool::new(false));
+    signal_hook::flag::register(signal_hook::consts::SIGXFSZ, unused)?;
+    Ok(())
+}
+
 /// A flag that is set by SIGTERM, SIGINT or an operator to request a graceful stop. Clones share it.
 #[derive(Debug, Clone)]
 pub struct StopSignal(sync::Arc<atomic::AtomicBool>);
