--- a/crates/core/src/stop_schedule.rs
+++ b/crates/core/src/stop_schedule.rs
@@ -14,7 +14,7 @@
 /// Largest part of the grace time that the margin before SIGKILL takes. Upstreams that are at work for longer than five
 /// sixths of the grace time may be cut off, so the exit must not be earlier.
 const EXIT_MARGIN_DIVISOR: u32 = 8;
-/// Part of the grace time that a request is expected to take while the usual time of its route is not known.
+/// Least part of the grace time that is left for a request while the usual time of its route is not known.
 const UNKNOWN_TIME_DIVISOR: u32 = 4;
 /// Part of the grace time that the rest of a resumed stream is expected to take.
 const RESUMED_TIME_DIVISOR: u32 = 8;
@@ -69,11 +69,13 @@
             // The request has ended before the exit, by its deadline at the latest.
             return self.exit_at();
         }
-        let expected = match expected {
-            ExpectedTime::Usual(usual) => usual,
-            ExpectedTime::Unknown => self.grace / UNKNOWN_TIME_DIVISOR,
-            ExpectedTime::Resumed => self.grace / RESUMED_TIME_DIVISOR,
-        };
-        self.exit_at().earlier_by(expected)
+        let before_exit = |expected| self.exit_at().earlier_by(expected);
+        match expected {
+            ExpectedTime::Usual(usual) => before_exit(usual),
+            ExpectedTime::Unknown => {
+                self.closing_at().min(before_exit(self.grace / UNKNOWN_TIME_DIVISOR))
+            }
+            ExpectedTime::Resumed => before_exit(self.grace / RESUMED_TIME_DIVISOR),
+        }
     }
 }
--- a/crates/core/tests/stop_schedule.rs
+++ b/crates/core/tests/stop_schedule.rs
@@ -30,7 +30,7 @@
     let last = |expected| schedule.last_send_at(at(5_000), SECOND * 10, expected);
     assert_eq!(last(ExpectedTime::Usual(SECOND)), at(6_100));
     assert_eq!(last(ExpectedTime::Usual(SECOND * 20)), at(0));
-    assert_eq!(last(ExpectedTime::Unknown), at(5_100));
+    assert_eq!(last(ExpectedTime::Unknown), schedule.closing_at());
     assert_eq!(last(ExpectedTime::Resumed), at(6_100));
 }
 
