--- a/crates/core/src/stop_schedule.rs
+++ b/crates/core/src/stop_schedule.rs
@@ -18,6 +18,9 @@
 const UNKNOWN_TIME_DIVISOR: u32 = 4;
 /// Part of the grace time that the rest of a resumed stream is expected to take.
 const RESUMED_TIME_DIVISOR: u32 = 8;
+/// Minimum time that the rest of a resumed stream is expected to take, whatever the grace time: the engine that goes on
+/// with it may pause as the one before did.
+const MIN_RESUMED_TIME: time::Duration = time::Duration::from_secs(1);
 
 /// What is known of the time that a request takes once it is sent.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -75,7 +78,9 @@
             ExpectedTime::Unknown => {
                 self.closing_at().min(before_exit(self.grace / UNKNOWN_TIME_DIVISOR))
             }
-            ExpectedTime::Resumed => before_exit(self.grace / RESUMED_TIME_DIVISOR),
+            ExpectedTime::Resumed => {
+                before_exit((self.grace / RESUMED_TIME_DIVISOR).max(MIN_RESUMED_TIME))
+            }
         }
     }
 }
--- a/crates/core/tests/stop_schedule.rs
+++ b/crates/core/tests/stop_schedule.rs
@@ -34,6 +34,14 @@
     assert_eq!(last(ExpectedTime::Resumed), at(6_100));
 }
 
+/// Guards against a stream that is given up for another engine, which pauses beyond the exit as well.
+#[test]
+fn a_short_grace_leaves_a_resumed_stream_time_to_pause() {
+    let schedule = StopSchedule::new(at(0), SECOND * 4);
+    let last = schedule.last_send_at(at(2_000), SECOND * 10, ExpectedTime::Resumed);
+    assert_eq!(schedule.exit_at().since(last), SECOND);
+}
+
 #[test]
 fn a_request_whose_deadline_is_before_the_exit_is_sent() {
     let schedule = StopSchedule::new(at(0), SECOND * 8);
