--- a/crates/soak/src/fault_plan.rs
+++ b/crates/soak/src/fault_plan.rs
@@ -14,7 +14,7 @@
 
 use crate::{
     contact_plan, data_center_plan, drill_plan, endless_plan, engine_plan, entry_plan,
-    framing_plan, limit_plan, partition_plan, signal_plan,
+    framing_plan, invalid_plan, limit_plan, partition_plan, signal_plan,
 };
 
 /// Time between the starts of two faults of [`dense_faults`] in the first part of a run,
@@ -191,6 +191,7 @@
     faults.extend(framing_plan::faults(seed, size));
     faults.extend(engine_plan::faults(seed, size));
     faults.extend(endless_plan::faults(seed, size));
+    faults.extend(invalid_plan::faults(seed, size));
     faults.sort_by_key(|planned| planned.at);
     faults
 }
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -17,6 +17,7 @@
 mod fault_series;
 mod final_checks;
 mod framing_plan;
+mod invalid_plan;
 pub mod leave_check;
 mod limit_check;
 mod limit_plan;
