--- a/crates/soak/src/fault_injector.rs
+++ b/crates/soak/src/fault_injector.rs
@@ -19,7 +19,8 @@
         Disturbance, Evidence, InstancePartition, LinkFault, RECOVERY_MARGIN, UpstreamListing,
     },
     fault_plan::{Fault, PartitionScope, PlannedFault},
-    store_drill,
+    late_traffic, store_drill,
+    traffic::SentRequest,
 };
 
 /// Time from SIGTERM within which an instance must exit.
@@ -29,6 +30,9 @@
 /// encodings, an empty object and an entry with a malformed address.
 const INVALID_ENTRIES: [&str; 4] = ["!", "e30=", "[[[[", r#"{"service":"plain","address":7}"#];
 
+/// Depth of an entry that is nested deeply.
+const NESTING: usize = 20_000;
+
 /// Action that ends a fault. The names are written to the fault log.
 #[derive(Debug, Clone, Copy)]
 pub(crate) enum FaultEnd {
@@ -90,6 +94,8 @@
     stop_losses: collections::HashMap<u8, usize>,
     /// Recent copies of the store, if the plan has drills (restores of the store from a copy).
     copy_log: Option<store_drill::CopyLog>,
+    /// Clients of instances that stop.
+    late_clients: Vec<thread::JoinHandle<Vec<SentRequest>>>,
 }
 
 impl FaultInjector {
@@ -103,6 +109,7 @@
             ends: Vec::new(),
             stop_losses: collections::HashMap::new(),
             copy_log: None,
+            late_clients: Vec::new(),
         }
     }
 
@@ -159,6 +166,7 @@
                 }
             }
             Fault::Stop(number) => self.stop(number),
+            Fault::StopLate(number, seed) => self.stop_late(number, seed),
             Fault::Reload(number) => self.fleet.signal(number, "HUP"),
             Fault::Pause(number) => {
                 self.record_outage(Some(number), until);
@@ -218,6 +226,7 @@
                 self.ends.push((until, FaultEnd::Return(number)));
             }
             Fault::Litter(number) => self.write_invalid_entry(number),
+            Fault::OddEntry(number) => self.write_odd_entry(number),
             link_fault => self.inject_link_fault(link_fault, until),
         }
     }
@@ -455,6 +464,23 @@
         self.fleet.signal(number, "TERM");
     }
 
+    /// Stops an instance by plan while clients use it until its process is gone, unless it is down.
+    pub(crate) fn stop_late(&mut self, number: u8, seed: u64) {
+        if self.fleet.pid(number).is_none() {
+            return;
+        }
+        let address = self.fleet.caller_address(number);
+        self.late_clients.extend(late_traffic::start(number, address, seed));
+        self.stop(number);
+    }
+
+    /// Waits for the clients of instances that stop, and adds their requests to the evidence.
+    pub(crate) fn finish_late_clients(&mut self) {
+        let clients = self.late_clients.drain(..);
+        let sent = clients.filter_map(|client| client.join().ok()).flatten();
+        self.evidence.sent.extend(sent);
+    }
+
     /// Kills an instance, which is started again at `until`.
     fn kill(&mut self, number: u8, until: Instant) {
         self.record_outage(Some(number), until);
@@ -518,6 +544,17 @@
         }
     }
 
+    /// Writes an entry with odd values under a key that belongs to no upstream.
+    fn write_odd_entry(&self, number: u8) {
+        let nested = "[".repeat(NESTING) + &"]".repeat(NESTING);
+        let odd = match number % 3 {
+            0 => nested,
+            1 => r#"{"service":"plain","address":"127.0.0.1:99999"}"#.to_owned(),
+            _ => r#"{"service":"plain","address":"127.0.0.1:1","slots":1e400}"#.to_owned(),
+        };
+        self.fleet.store.put(&format!("servers/odd-{number}"), Some(odd));
+    }
+
     /// Lists an upstream as leaving or as ready, and records the change.
     pub(crate) fn list(&mut self, number: u8, leaving: bool) {
         let index = usize::from(number);
--- a/crates/soak/src/fault_plan.rs
+++ b/crates/soak/src/fault_plan.rs
@@ -14,7 +14,7 @@
 
 use crate::{
     contact_plan, data_center_plan, drill_plan, endless_plan, engine_plan, entry_plan,
-    framing_plan, invalid_plan, limit_plan, partition_plan, signal_plan,
+    framing_plan, grace_plan, invalid_plan, limit_plan, partition_plan, signal_plan,
 };
 
 /// Time between the starts of two faults of [`dense_faults`] in the first part of a run,
@@ -36,6 +36,9 @@
     Stop(u8),
     /// An instance gets SIGSTOP, and SIGCONT at the end.
     Pause(u8),
+    /// An instance gets SIGTERM like [`Self::Stop`], while clients whose requests the number determines use it until its
+    /// process is gone.
+    StopLate(u8, u64),
     /// An instance gets SIGHUP, on which it reads its settings again.
     Reload(u8),
     /// All instances get SIGKILL and are started again at the end.
@@ -86,6 +89,8 @@
     Overwrite(u8),
     /// Another writer adds an invalid entry under a key with this number.
     Litter(u8),
+    /// Another writer adds an entry with odd values under a key with this number.
+    OddEntry(u8),
     /// The data centre of an upstream is evacuated until the end; it has no other upstream.
     Evacuate(u8),
     /// An engine is listed as cold (limited to a low request rate) until the end.
@@ -192,6 +197,7 @@
     faults.extend(engine_plan::faults(seed, size));
     faults.extend(endless_plan::faults(seed, size));
     faults.extend(invalid_plan::faults(seed, size));
+    faults.extend(grace_plan::faults(seed, size));
     faults.sort_by_key(|planned| planned.at);
     faults
 }
--- a/crates/soak/src/final_checks.rs
+++ b/crates/soak/src/final_checks.rs
@@ -15,7 +15,7 @@
     evidence::RECOVERY_MARGIN,
     fault_injector::{FaultEnd, FaultInjector, STOP_GRACE_PERIOD},
     fault_plan::{Fault, PartitionScope, PlannedFault},
-    framing_plan, leave_check, partition_plan,
+    framing_plan, grace_plan, leave_check, partition_plan,
     traffic::{self, Traffic},
 };
 
@@ -45,6 +45,9 @@
         self.wait_for_recovery();
         self.check_store_return(seed);
         self.check_planned_stop();
+        if seed >= grace_plan::FIRST_SEED {
+            self.check_late_requests(seed);
+        }
         self.check_routes();
         if seed >= partition_plan::FIRST_SEED {
             self.check_partition(seed);
@@ -108,12 +111,27 @@
                     .push(format!("a planned stop ended a stream: {outcome:?}"));
             }
         }
-        match self.fleet.wait_for_exit(0, STOP_GRACE_PERIOD) {
-            Some(_) => self.end(FaultEnd::Start(0)),
+        self.finish_stop(0);
+    }
+
+    /// Stops an instance without other faults while clients use it until its process is gone; their requests are
+    /// checked with all others.
+    fn check_late_requests(&mut self, seed: u64) {
+        let number = (seed % self.fleet.instances.len() as u64) as u8;
+        thread::sleep(RECOVERY_MARGIN);
+        self.stop_late(number, seed);
+        self.finish_stop(number);
+        self.finish_late_clients();
+    }
+
+    /// Checks that a stopping instance exits in time, and starts it again.
+    fn finish_stop(&mut self, number: u8) {
+        match self.fleet.wait_for_exit(number, STOP_GRACE_PERIOD) {
+            Some(_) => self.end(FaultEnd::Start(number)),
             None => self
                 .evidence
                 .violations
-                .push(format!("instance 0 did not exit within {STOP_GRACE_PERIOD:?}")),
+                .push(format!("instance {number} did not exit within {STOP_GRACE_PERIOD:?}")),
         }
         self.fleet.wait_ready();
     }
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -3,7 +3,7 @@
 use std::{path, process, time};
 
 use slipturn_net::command_line;
-use slipturn_soak::run;
+use slipturn_soak::{grace_plan, run};
 
 const INFO: command_line::ProgramInfo = command_line::ProgramInfo {
     name: "slipturn-soak",
@@ -46,7 +46,7 @@
         None => Ok(default),
         Some(text) => text.parse::<u64>().map_err(|_| format!("{name}: found '{text}'")),
     };
-    let first = number("seed", rand::random::<u32>().into())?;
+    let first = number("seed", grace_plan::FIRST_SEED + u64::from(rand::random::<u32>()))?;
     let own_path = std::env::current_exe().map_err(|error| error.to_string())?;
     let program = match matches.opt_str("program") {
         Some(program) => path::PathBuf::from(program),
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -110,6 +110,7 @@
     let length = options.length + contact_plan::scenes_length(plan_size(options));
     injector.inject_all(&plan(options), length);
     injector.evidence.sent = traffic.finish();
+    injector.finish_late_clients();
     injector.evidence.probes = prober.finish();
 }
 
