--- a/crates/core/tests/stop_schedule.rs
+++ b/crates/core/tests/stop_schedule.rs
@@ -3,6 +3,7 @@
 use std::time;
 
 use slipturn_core::{
+    connection_silence,
     stop_schedule::{ExpectedTime, StopSchedule},
     units::MonoTime,
 };
@@ -49,3 +50,16 @@
     assert_eq!(schedule.last_send_at(at(5_000), SECOND * 2, usual), schedule.exit_at());
     assert!(schedule.last_send_at(at(5_200), SECOND * 2, usual) < at(5_200));
 }
+
+/// Guards against a stop that rejects, from its first moment, calls of a route whose answers all fit into its grace time.
+#[test]
+fn a_call_is_sent_at_the_begin_of_a_stop_if_each_earlier_answer_would_fit() {
+    let mut times = connection_silence::AnswerTimes::default();
+    for number in 0..64 {
+        times.note(time::Duration::from_millis(if number % 2 == 0 { 500 } else { 4_000 }));
+    }
+    let schedule = StopSchedule::new(at(0), SECOND * 8);
+    let usual = ExpectedTime::Usual(times.usual_time());
+    let last = schedule.last_send_at(at(10), SECOND * 30, usual);
+    assert!(last >= at(2_600), "{usual:?}: sent until {last}");
+}
