--- a/crates/core/src/connection_silence.rs
+++ b/crates/core/src/connection_silence.rs
@@ -36,6 +36,26 @@
     deviation: f64,
 }
 
+/// Times that answers of one kind usually take.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct TimeEstimate {
+    /// Mean time; not above `longest`.
+    pub mean: time::Duration,
+    /// Time within which answers usually arrive.
+    pub longest: time::Duration,
+}
+
+impl TimeEstimate {
+    /// Returns the estimate of something that takes the time of `self` and then `count` times that of `other`.
+    #[must_use]
+    pub fn followed_by(self, count: u64, other: Self) -> Self {
+        let total = |first: time::Duration, each: time::Duration| {
+            first.saturating_add(span_of(each.as_secs_f64() * count as f64))
+        };
+        Self { mean: total(self.mean, other.mean), longest: total(self.longest, other.longest) }
+    }
+}
+
 impl AnswerTimes {
     /// Updates the estimate with an answer that took `span`.
     pub fn note(&mut self, span: time::Duration) {
@@ -53,11 +73,14 @@
 
     /// Time within which answers usually arrive; zero until enough answers are known.
     pub fn usual_time(&self) -> time::Duration {
-        if self.answers < MIN_ANSWERS {
-            return time::Duration::ZERO;
-        }
-        let seconds = self.mean + self.deviation * DEVIATIONS;
-        time::Duration::try_from_secs_f64(seconds).unwrap_or(time::Duration::MAX / 2)
+        self.estimate().map_or(time::Duration::ZERO, |estimate| estimate.longest)
+    }
+
+    /// Times that answers usually take; `None` until enough answers are known.
+    pub fn estimate(&self) -> Option<TimeEstimate> {
+        let longest = self.mean + self.deviation * DEVIATIONS;
+        let estimate = TimeEstimate { mean: span_of(self.mean), longest: span_of(longest) };
+        (self.answers >= MIN_ANSWERS).then_some(estimate)
     }
 
     /// How long to wait for a head on a reused connection before the request is sent again; at most
@@ -170,3 +193,8 @@
         }
     }
 }
+
+/// Converts seconds, which are not negative, to a duration; a number that does not fit becomes half of the largest.
+fn span_of(seconds: f64) -> time::Duration {
+    time::Duration::try_from_secs_f64(seconds).unwrap_or(time::Duration::MAX / 2)
+}
--- a/crates/core/src/stop_schedule.rs
+++ b/crates/core/src/stop_schedule.rs
@@ -3,7 +3,7 @@
 
 use std::time;
 
-use crate::units;
+use crate::{connection_silence, units};
 
 /// Time after SIGTERM for which connections are still accepted: the load balancer checks readiness every second and
 /// removes the instance after two failures.
@@ -25,8 +25,8 @@
 /// What is known of the time that a request takes once it is sent.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ExpectedTime {
-    /// The usual time of the answers on its route.
-    Usual(time::Duration),
+    /// The times of earlier answers on its route.
+    Usual(connection_silence::TimeEstimate),
     /// Too few answers are known.
     Unknown,
     /// The request continues a stream of which the caller has received a part.
@@ -62,6 +62,9 @@
 
     /// Returns until when a request with `left` until its deadline may be sent to an upstream: until its answer can no
     /// longer be expected before the exit.
+    ///
+    /// Until connections are closed, while the load balancer still sends callers here, the mean time of its route
+    /// decides; from then on its longest usual time.
     pub fn last_send_at(
         &self,
         now: units::MonoTime,
@@ -74,7 +77,10 @@
         }
         let before_exit = |expected| self.exit_at().earlier_by(expected);
         match expected {
-            ExpectedTime::Usual(usual) => before_exit(usual),
+            ExpectedTime::Usual(estimate) => {
+                let early = before_exit(estimate.mean).min(self.closing_at());
+                early.max(before_exit(estimate.longest))
+            }
             ExpectedTime::Unknown => {
                 self.closing_at().min(before_exit(self.grace / UNKNOWN_TIME_DIVISOR))
             }
--- a/crates/core/tests/stop_schedule.rs
+++ b/crates/core/tests/stop_schedule.rs
@@ -10,6 +10,11 @@
 
 const SECOND: time::Duration = time::Duration::from_secs(1);
 
+/// Answers that all take the same time.
+fn usual(time: time::Duration) -> ExpectedTime {
+    ExpectedTime::Usual(connection_silence::TimeEstimate { mean: time, longest: time })
+}
+
 fn at(millis: u64) -> MonoTime {
     MonoTime::from_span(time::Duration::from_millis(millis))
 }
@@ -29,8 +34,8 @@
 fn a_request_is_sent_as_long_as_its_answer_is_expected_before_the_exit() {
     let schedule = StopSchedule::new(at(0), SECOND * 8);
     let last = |expected| schedule.last_send_at(at(5_000), SECOND * 10, expected);
-    assert_eq!(last(ExpectedTime::Usual(SECOND)), at(6_100));
-    assert_eq!(last(ExpectedTime::Usual(SECOND * 20)), at(0));
+    assert_eq!(last(usual(SECOND)), at(6_100));
+    assert_eq!(last(usual(SECOND * 20)), at(0));
     assert_eq!(last(ExpectedTime::Unknown), schedule.closing_at());
     assert_eq!(last(ExpectedTime::Resumed), at(6_100));
 }
@@ -46,7 +51,7 @@
 #[test]
 fn a_request_whose_deadline_is_before_the_exit_is_sent() {
     let schedule = StopSchedule::new(at(0), SECOND * 8);
-    let usual = ExpectedTime::Usual(SECOND * 20);
+    let usual = usual(SECOND * 20);
     assert_eq!(schedule.last_send_at(at(5_000), SECOND * 2, usual), schedule.exit_at());
     assert!(schedule.last_send_at(at(5_200), SECOND * 2, usual) < at(5_200));
 }
@@ -59,7 +64,7 @@
         times.note(time::Duration::from_millis(if number % 2 == 0 { 500 } else { 4_000 }));
     }
     let schedule = StopSchedule::new(at(0), SECOND * 8);
-    let usual = ExpectedTime::Usual(times.usual_time());
+    let usual = ExpectedTime::Usual(times.estimate().expect("enough answers are known"));
     let last = schedule.last_send_at(at(10), SECOND * 30, usual);
     assert!(last >= at(2_600), "{usual:?}: sent until {last}");
 }
--- a/crates/instance/src/stop_gate.rs
+++ b/crates/instance/src/stop_gate.rs
@@ -34,13 +34,10 @@
     is_resumed: bool,
 ) -> Option<units::MonoTime> {
     let schedule = context.stop_schedule.get()?;
-    let usual_time = context.loads.borrow().usual_total(&call.route, call.request.output);
     let expected = if is_resumed {
         stop_schedule::ExpectedTime::Resumed
-    } else if usual_time.is_zero() {
-        stop_schedule::ExpectedTime::Unknown
     } else {
-        stop_schedule::ExpectedTime::Usual(usual_time)
+        context.loads.borrow().expected_time(&call.route, call.request.output)
     };
     let now = context.now();
     Some(schedule.last_send_at(now, call.left(now), expected))
--- a/crates/instance/src/upstream_load.rs
+++ b/crates/instance/src/upstream_load.rs
@@ -4,8 +4,8 @@
 
 use rand::seq::IndexedRandom as _;
 use slipturn_core::{
-    connection_silence, ids, planner::modes, rendezvous, route_table, sharing, units,
-    upstream_health, upstream_list, upstream_speed,
+    connection_silence, ids, planner::modes, rendezvous, route_table, sharing, stop_schedule,
+    units, upstream_health, upstream_list, upstream_speed,
 };
 
 /// Age up to which an upstream's report of its load is used.
@@ -335,21 +335,22 @@
         self.token_times.entry(route.clone()).or_default().note(token_time);
     }
 
-    /// Returns the time within which requests of a route with `tokens` output tokens usually end: plain ones with
-    /// their answer, streams with their last token. Zero while too few times are known.
-    pub fn usual_total(&self, route: &route_table::RoutePolicy, tokens: u64) -> time::Duration {
-        let usual_time = self.usual_time(route);
-        if !route.streaming {
-            return usual_time;
-        }
-        let token_time = self.token_times.get(&route.name).copied().unwrap_or_default();
-        let token_time = token_time.usual_time();
-        if usual_time.is_zero() || token_time.is_zero() {
-            return time::Duration::ZERO;
-        }
-        let stream_seconds = token_time.as_secs_f64() * tokens as f64;
-        let stream_time = time::Duration::try_from_secs_f64(stream_seconds);
-        usual_time.saturating_add(stream_time.unwrap_or(time::Duration::MAX))
+    /// Returns how long requests of a route with `tokens` output tokens usually take: plain ones until their answer,
+    /// streams until their last token.
+    pub fn expected_time(
+        &self,
+        route: &route_table::RoutePolicy,
+        tokens: u64,
+    ) -> stop_schedule::ExpectedTime {
+        let times = |by_route: &collections::HashMap<_, connection_silence::AnswerTimes>| {
+            by_route.get(&route.name).and_then(connection_silence::AnswerTimes::estimate)
+        };
+        let estimate = match (times(&self.times), times(&self.token_times)) {
+            (first, _) if !route.streaming => first,
+            (Some(first), Some(token)) => Some(first.followed_by(tokens, token)),
+            _ => None,
+        };
+        estimate.map_or(stop_schedule::ExpectedTime::Unknown, stop_schedule::ExpectedTime::Usual)
     }
 
     /// Returns the time within which answers of a route usually arrive, or streams begin; zero while too few times are known.
