--- a/crates/core/src/quarantine.rs
+++ b/crates/core/src/quarantine.rs
@@ -12,7 +12,7 @@
 //! Only evidence is stored. Quarantines are derived from it alone, so members with the same evidence agree regardless of
 //! the order in which it arrived.
 
-use std::{collections, time};
+use std::{collections, ops, time};
 
 use crate::{ids, request_digest, units};
 
@@ -39,6 +39,48 @@
 /// Most requests with evidence; about 150 KB with three crashes each.
 const MAX_REQUESTS: usize = 512;
 
+/// A point in time on this process's monotonic clock, in microseconds since its start; negative before it. Members report
+/// crashes that a restarted process has not seen, and the time between those decides whether they count.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct CrashTime(i64);
+
+impl CrashTime {
+    /// The point in time `age_us` microseconds before `now`.
+    pub fn before(now: units::MonoTime, age_us: u64) -> Self {
+        Self(Self::from(now).0.saturating_sub(i64::try_from(age_us).unwrap_or(i64::MAX)))
+    }
+
+    /// The time since this point, or zero if it is later than `now`.
+    pub fn age(self, now: units::MonoTime) -> time::Duration {
+        Self::from(now).since(self)
+    }
+
+    /// The time since `earlier`, or zero if `earlier` is later than this point.
+    fn since(self, earlier: Self) -> time::Duration {
+        let micros = self.0.saturating_sub(earlier.0);
+        time::Duration::from_micros(u64::try_from(micros).unwrap_or_default())
+    }
+
+    /// This point in time, or the start of the process if that is later.
+    pub fn since_start(self) -> units::MonoTime {
+        units::MonoTime(u64::try_from(self.0).unwrap_or_default())
+    }
+}
+
+impl From<units::MonoTime> for CrashTime {
+    fn from(time: units::MonoTime) -> Self {
+        Self(i64::try_from(time.0).unwrap_or(i64::MAX))
+    }
+}
+
+impl ops::Add<time::Duration> for CrashTime {
+    type Output = Self;
+
+    fn add(self, span: time::Duration) -> Self {
+        Self(self.0.saturating_add(i64::try_from(span.as_micros()).unwrap_or(i64::MAX)))
+    }
+}
+
 /// A run that ended with a crash of its upstream.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct CrashedRun {
@@ -47,9 +89,9 @@
     /// The start (one life of its process) of the upstream that crashed.
     pub upstream: ids::UpstreamId,
     /// When the request was sent to the upstream.
-    pub sent: units::MonoTime,
+    pub sent: CrashTime,
     /// When the connection broke; not before `sent`.
-    pub ended: units::MonoTime,
+    pub ended: CrashTime,
 }
 
 impl CrashedRun {
@@ -118,8 +160,8 @@
         other.crashes.len() > self.crashes.len() && self.crashes.iter().all(shared)
     }
 
-    fn last_crash(&self) -> units::MonoTime {
-        self.crashes.last().map_or(units::MonoTime::default(), |run| run.ended)
+    fn last_crash(&self) -> Option<CrashTime> {
+        self.crashes.last().map(|run| run.ended)
     }
 }
 
@@ -173,7 +215,7 @@
             return false;
         };
         record.answered = record.answered.max(Some(at));
-        record.crashes.retain(|run| run.ended > at);
+        record.crashes.retain(|run| run.ended > at.into());
         self.update_quarantines();
         true
     }
@@ -219,7 +261,7 @@
 
     fn note_crash(&mut self, run: CrashedRun) {
         let record = self.suspects.entry(run.digest).or_default();
-        if record.answered.is_some_and(|answered| run.ended <= answered) {
+        if record.answered.is_some_and(|answered| run.ended <= answered.into()) {
             return;
         }
         let known = record.crashes.iter().position(|other| other.upstream == run.upstream);
@@ -248,8 +290,9 @@
 
     fn drop_expired(&mut self, now: units::MonoTime) {
         self.suspects.retain(|_, record| {
-            let last = record.quarantined_until.max(record.answered).unwrap_or_default();
-            let last = last.max(record.last_crash());
+            let last_crash = record.last_crash().map(CrashTime::since_start);
+            let last = record.quarantined_until.max(record.answered).max(last_crash);
+            let last = last.unwrap_or_default();
             now.since(last) < EVIDENCE_TTL
         });
     }
@@ -289,7 +332,8 @@
 /// End of the quarantine of a request with `count` counted crashes; `None` if there are too few.
 fn quarantined_until(record: &SuspectRecord, count: usize) -> Option<units::MonoTime> {
     let excess = u32::try_from(count.checked_sub(SEQUENCE)?).unwrap_or(u32::MAX);
-    Some(record.last_crash() + QUARANTINE_TIME * 2_u32.pow(excess.min(MAX_DOUBLINGS)))
+    let length = QUARANTINE_TIME * 2_u32.pow(excess.min(MAX_DOUBLINGS));
+    Some((record.last_crash()? + length).since_start())
 }
 
 /// For each crash in order of time, whether it counts: whether its run began after the previous counted crash, and ended
@@ -297,7 +341,7 @@
 fn in_sequence(crashes: &[CrashedRun]) -> Vec<bool> {
     let mut last = None;
     let counted = crashes.iter().map(|run| {
-        let is_after = |last| run.sent + run.slack() >= last && is_apart(last, run.ended);
+        let is_after = |last| run.sent + run.slack() >= last && run.ended >= last + MOMENT_GAP;
         let counts = last.is_none_or(is_after);
         if counts {
             last = Some(run.ended);
@@ -307,12 +351,6 @@
     counted.collect()
 }
 
-/// Whether two crashes are so far apart that both count. Times before the start of this process are all represented as
-/// its start; the members that report them have seen the distance.
-fn is_apart(last: units::MonoTime, ended: units::MonoTime) -> bool {
-    last == units::MonoTime::default() || ended >= last + MOMENT_GAP
-}
-
 /// Drops the oldest crash that does not count, or else the oldest one.
 fn remove_least(crashes: &mut Vec<CrashedRun>) {
     let uncounted = in_sequence(crashes).iter().position(|counts| !counts);
--- a/crates/core/tests/quarantine_storms.rs
+++ b/crates/core/tests/quarantine_storms.rs
@@ -201,6 +201,7 @@
         let upstream: UpstreamId = format!("e{number}-{}", engine.start).parse().expect("a name");
         for job in std::mem::take(&mut engine.jobs) {
             let (sent, ended) = (at(job.sent), at(self.now));
+            let (sent, ended) = (sent.into(), ended.into());
             let run = CrashedRun { digest: job.digest, upstream: upstream.clone(), sent, ended };
             self.reports.push((self.now + REPORT_DELAY_MS, run));
             if job.attempts < ATTEMPTS {
--- a/crates/instance/src/quarantine_gossip.rs
+++ b/crates/instance/src/quarantine_gossip.rs
@@ -23,8 +23,8 @@
     let crashed_run = |run: &upstream_ends::BrokenRun| quarantine::CrashedRun {
         digest: run.digest,
         upstream: run.upstream.clone(),
-        sent: run.sent,
-        ended: run.broke_at,
+        sent: run.sent.into(),
+        ended: run.broke_at.into(),
     };
     record_evidence(context, runs.iter().map(crashed_run).collect());
     let now = context.now();
@@ -147,7 +147,7 @@
             continue;
         };
         let of_digest = crashes.iter().filter(|crash| crash.digest == digest);
-        if of_digest.map(|crash| now.since(crash.ended)).all(|ended| ended >= age) {
+        if of_digest.map(|crash| crash.ended.age(now)).all(|ended| ended >= age) {
             let message = peer_message::PeerMessage::Cleared(digest, micros(age));
             context.send_to(to, message);
         }
@@ -201,24 +201,23 @@
     let report = |crash: &quarantine::CrashedRun| peer_message::CrashReport {
         digest: crash.digest,
         upstream: crash.upstream.clone(),
-        sent_us: micros(now.since(crash.sent)),
-        ended_us: micros(now.since(crash.ended)),
+        sent_us: micros(crash.sent.age(now)),
+        ended_us: micros(crash.ended.age(now)),
     };
     let message = |crashes: &[quarantine::CrashedRun]| crashes.iter().map(report).collect();
     crashes.chunks(peer_message::MAX_CRASH_REPORTS).map(message).collect()
 }
 
-/// Converts reports to runs with times of this process's clock; times before its start become its start.
+/// Converts reports to runs with times of this process's clock.
 fn crashed_runs(
     now: units::MonoTime,
     reports: Vec<peer_message::CrashReport>,
 ) -> Vec<quarantine::CrashedRun> {
-    let ago = |micros: u64| now.earlier_by(time::Duration::from_micros(micros));
     let run = |report: peer_message::CrashReport| quarantine::CrashedRun {
         digest: report.digest,
         upstream: report.upstream,
-        sent: ago(report.sent_us.max(report.ended_us)),
-        ended: ago(report.ended_us),
+        sent: quarantine::CrashTime::before(now, report.sent_us.max(report.ended_us)),
+        ended: quarantine::CrashTime::before(now, report.ended_us),
     };
     reports.into_iter().map(run).collect()
 }
