--- a/crates/instance/src/instance_settings.rs
+++ b/crates/instance/src/instance_settings.rs
@@ -185,8 +185,7 @@
         Ok(settings)
     }
 
-    /// Returns the first option whose address accepts connections for an earlier option already. With
-    /// port 0 the system chooses different ports.
+    /// Returns the first option whose address accepts connections for an earlier option already.
     fn repeated_address(&self) -> Option<(&'static str, net::SocketAddr)> {
         let addresses = [
             ("listen.callers", self.listen.callers),
@@ -195,7 +194,7 @@
             ("operator_address", self.operator_address),
         ];
         let is_repeated = |&(index, (_, address)): &(usize, (&str, net::SocketAddr))| {
-            address.port() != 0 && addresses[..index].iter().any(|(_, other)| *other == address)
+            addresses[..index].iter().any(|(_, other)| share_a_port(*other, address))
         };
         addresses.into_iter().enumerate().find(is_repeated).map(|(_, found)| found)
     }
@@ -216,3 +215,11 @@
         self.seeds.iter().map(|seed| net::SocketAddrV4::new(*seed.ip(), port)).collect()
     }
 }
+
+/// Returns whether two listeners cannot both have their address: an unspecified one covers all others with its port. With
+/// port 0 the system chooses different ports.
+fn share_a_port(left: net::SocketAddr, right: net::SocketAddr) -> bool {
+    let covers =
+        left.ip() == right.ip() || left.ip().is_unspecified() || right.ip().is_unspecified();
+    left.port() != 0 && left.port() == right.port() && covers
+}
