--- a/crates/instance/src/upstream_attempt.rs
+++ b/crates/instance/src/upstream_attempt.rs
@@ -399,7 +399,7 @@
         return Err(fault);
     }
     // Callers request bodies without a content encoding, so an encoded one is not the upstream's.
-    if answer.head.headers.contains_key(http::header::CONTENT_ENCODING) {
+    if is_encoded(&answer.head.headers) {
         return Err(AttemptFault::broke("the answer has a content encoding"));
     }
     if answer.head.status.is_success() && !answer.head_fields.signed {
@@ -453,3 +453,9 @@
     bytes.extend_from_slice(&call.body);
     bytes
 }
+
+/// Returns whether a body has a content encoding; `identity` is none.
+fn is_encoded(headers: &http::HeaderMap) -> bool {
+    let mut encodings = headers.get_all(http::header::CONTENT_ENCODING).iter();
+    encodings.any(|encoding| !encoding.as_bytes().trim_ascii().eq_ignore_ascii_case(b"identity"))
+}
