--- a/crates/net/tests/h1.rs
+++ b/crates/net/tests/h1.rs
@@ -258,7 +258,7 @@
     assert_eq!(read_response("HTTP/1.1 304 -\r\ncontent-length: 5\r\n\r\n"), Ok((304, vec![])));
 }
 
-/// Guards against lines that are no header field and are skipped or joined with others.
+/// Guards against lines that are no header, or whose field name is invalid, and that are skipped or joined with others.
 #[test]
 fn a_line_with_an_invalid_field_name_is_an_error() {
     for line in [
