--- a/crates/entry/src/program.rs
+++ b/crates/entry/src/program.rs
@@ -34,17 +34,12 @@
 /// Fails if the signal handlers, the metrics socket or the listeners cannot be set up.
 pub async fn run(local: local_settings::LocalSettings) -> Result<(), server::ServerError> {
     let stop = process::StopSignal::install().context(server::SignalsSnafu)?;
+    let clock = process::ProcessClock::start();
     let boot = process::new_boot_id();
     let sender =
         metrics::MetricSender::new("slipturn.entry", local.statsd).context(server::MetricsSnafu)?;
-    let Some(operator_listener) = server::listen(local.listen.operators, &stop).await? else {
-        return Ok(());
-    };
-    // Last, so that no caller connects before the entry can serve it.
-    let Some(caller_listener) = server::listen(local.listen.callers, &stop).await? else {
-        return Ok(());
-    };
-    let clock = process::ProcessClock::start();
+    let caller_listener = server::listen(local.listen.callers)?;
+    let operator_listener = server::listen(local.listen.operators)?;
     let local = rc::Rc::new(local);
 
     let (events, incoming) = event::EventSender::channel();
--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -2,7 +2,7 @@
 
 use std::{io, net, time};
 
-use snafu::Snafu;
+use snafu::{ResultExt as _, Snafu};
 
 use crate::{metrics, process};
 
@@ -32,35 +32,9 @@
     },
 }
 
-/// Interval between two attempts to listen on an address that is not available yet.
-const LISTEN_RETRY_INTERVAL: time::Duration = time::Duration::from_millis(100);
-
-/// Listens on an address, and waits while it is not available yet. Returns `None` if a stop is requested
-/// first. The error contains the address.
-pub async fn listen(
-    address: net::SocketAddr,
-    stop: &process::StopSignal,
-) -> Result<Option<monoio::net::TcpListener>, ServerError> {
-    let mut waits = false;
-    while !stop.is_triggered() {
-        match process::listen(address) {
-            Ok(listener) => {
-                if waits {
-                    log::info!("{address} is available");
-                }
-                return Ok(Some(listener));
-            }
-            Err(error) if process::is_transient_bind_error(&error) => {
-                if !waits {
-                    log::warn!("waiting to listen on {address}: {error}");
-                }
-                waits = true;
-            }
-            Err(source) => return Err(ServerError::Listen { address, source }),
-        }
-        monoio::time::sleep(LISTEN_RETRY_INTERVAL).await;
-    }
-    Ok(None)
+/// Listens on an address. The error contains the address.
+pub fn listen(address: net::SocketAddr) -> Result<monoio::net::TcpListener, ServerError> {
+    process::listen(address).context(ListenSnafu { address })
 }
 
 /// Accepts connections forever and runs `serve` for each in its own task.
--- a/crates/scheduler/src/program.rs
+++ b/crates/scheduler/src/program.rs
@@ -24,13 +24,11 @@
 /// Runs a scheduler until the process receives a stop signal, and [`STOP_GRACE`] longer.
 pub async fn run(local: local_settings::LocalSettings) -> Result<(), server::ServerError> {
     let stop = process::StopSignal::install().context(server::SignalsSnafu)?;
+    let clock = process::ProcessClock::start();
     let metric_sender = metrics::MetricSender::new("slipturn.scheduler", local.statsd)
         .context(server::MetricsSnafu)?;
     let address = local.listen.scheduler;
-    let Some(listener) = server::listen(address, &stop).await? else {
-        return Ok(());
-    };
-    let clock = process::ProcessClock::start();
+    let listener = server::listen(address)?;
     let (events, incoming) = mpsc::unbounded();
 
     let identity = state::SchedulerIdentity {
