--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -50,6 +50,7 @@
 pub mod prompt_part;
 pub mod quarantine;
 pub mod quota_permit;
+pub mod range_read;
 pub mod refusal;
 pub mod relay_choice;
 pub mod rendezvous;
--- a/crates/instance/src/store_feed.rs
+++ b/crates/instance/src/store_feed.rs
@@ -30,15 +30,17 @@
 pub async fn follow_store(context: rc::Rc<context::InstanceContext>) {
     let mut pause = RETRY_PAUSE;
     let mut failed = false;
+    let mut read = store_read::FullRead::default();
     loop {
         wait_until_needed(&context, failed).await;
         let store = context.settings().store;
         let mut connection = document_call::DocumentConnection::new(store);
         let started = context.now();
-        let error = match follow(&context, &mut connection).await {
+        let error = match follow(&context, &mut connection, &mut read).await {
             Ok(()) => {
                 context.store_tracker.borrow_mut().stop_watching();
                 log::info!("store.left_to_others");
+                read = store_read::FullRead::default();
                 failed = false;
                 continue;
             }
@@ -49,7 +51,7 @@
             pause = RETRY_PAUSE;
         }
         let spread = rand::rng().random_range(RETRY_SPREAD);
-        if context.now().since(started) >= SLOW_FAILURE {
+        if read.take_progress() || context.now().since(started) >= SLOW_FAILURE {
             pause = RETRY_PAUSE;
         }
         monoio::time::sleep(pause.mul_f64(spread)).await;
@@ -108,12 +110,14 @@
     context.fleet.borrow().is_known() && !needed
 }
 
-/// Follows the store until a call fails, or until enough other members watch it (`Ok`).
+/// Follows the store until a call fails, or until enough other members watch it (`Ok`). A `read` that fails is continued by
+/// the next call.
 async fn follow(
     context: &context::InstanceContext,
     connection: &mut document_call::DocumentConnection,
+    read: &mut store_read::FullRead,
 ) -> Result<(), String> {
-    let mut revision = first_revision(context, connection).await?;
+    let mut revision = first_revision(context, connection, read).await?;
     context.store_tracker.borrow_mut().watch();
     loop {
         let answers = context.store_tracker.borrow().answers();
@@ -127,12 +131,12 @@
             // The store's era has changed. The answer lacks the changes between the restored copy and the watched
             // revision without reporting an error.
             Ok(answer) => {
-                revision = read_again(context, connection, answer.era).await?;
+                revision = read_again(context, connection, read, answer.era).await?;
                 continue;
             }
             Err(store_call::StoreError::HistoryGone { era }) => {
                 log::info!(era = era.0, revision:%; "store.history_gone");
-                revision = read_again(context, connection, era).await?;
+                revision = read_again(context, connection, read, era).await?;
                 continue;
             }
             Err(error) => return Err(error.to_string()),
@@ -162,12 +166,13 @@
 async fn first_revision(
     context: &context::InstanceContext,
     connection: &mut document_call::DocumentConnection,
+    read: &mut store_read::FullRead,
 ) -> Result<store_revision::StoreRevision, String> {
     let watched = context.store_tracker.borrow().watched();
     let listed = context.fleet.borrow().revision();
     let known = context.fleet.borrow().is_known();
     if !known || listed.is_none() {
-        let revision = store_read::read_all(context, connection).await?;
+        let revision = read_or_adopt(context, connection, read).await?;
         context.store_tracker.borrow_mut().watch();
         store_contact::mark_answered(context);
         return Ok(revision);
@@ -178,6 +183,18 @@
     Ok(watched)
 }
 
+/// Reads all documents, unless members provide them meanwhile; returns the revision from which to watch.
+async fn read_or_adopt(
+    context: &context::InstanceContext,
+    connection: &mut document_call::DocumentConnection,
+    read: &mut store_read::FullRead,
+) -> Result<store_revision::StoreRevision, String> {
+    match store_read::read_all(context, connection, read).await? {
+        Some(revision) => Ok(revision),
+        None => revision_from_members(context).await,
+    }
+}
+
 /// Returns the revision of the list that members have provided, from which to watch, after reading the routes.
 async fn revision_from_members(
     context: &context::InstanceContext,
@@ -192,6 +209,7 @@
 async fn read_again(
     context: &context::InstanceContext,
     connection: &mut document_call::DocumentConnection,
+    read: &mut store_read::FullRead,
     era: store_revision::StoreEra,
 ) -> Result<store_revision::StoreRevision, String> {
     let before = context.fleet.borrow().revision().era;
@@ -201,7 +219,7 @@
     let revision = if before == era && context.store_tracker.borrow().watched().era < era {
         revision_from_members(context).await?
     } else {
-        store_read::read_all(context, connection).await?
+        read_or_adopt(context, connection, read).await?
     };
     if before < era {
         heartbeats::announce(context);
--- a/crates/instance/src/store_read.rs
+++ b/crates/instance/src/store_read.rs
@@ -2,85 +2,191 @@
 
 use std::{collections, time};
 
-use slipturn_core::{ids, store_revision};
+use slipturn_core::{ids, range_read, store_revision, units};
 
 use crate::{adapter, context, document_call, list_update, store_call};
 
 /// Timeout of a call that reads one page, or the routes alone.
 const READ_TIMEOUT: time::Duration = time::Duration::from_millis(1_500);
-/// Most pages read of one range of keys; items on further pages are left out.
-const MAX_PAGES: usize = 64;
+/// Longest time without any answer of the store after which pages that were read before it are still used. The answer may
+/// be a rejection.
+const MAX_SILENCE: time::Duration = time::Duration::from_secs(5);
 
-/// Items of a range of keys, and the revision of the store when the first page was read.
-struct RangeRead {
-    items: Vec<adapter::StoreItem>,
-    revision: store_revision::StoreRevision,
+/// A read of routes, evacuations and upstreams, which may take several attempts.
+///
+/// A store that limits or loses calls fails some page of a long read in every attempt, so an attempt continues where
+/// the one before failed.
+#[derive(Default)]
+pub(crate) struct FullRead {
+    upstreams: range_read::RangeRead<(String, String)>,
+    operator_documents: range_read::RangeRead<adapter::StoreItem>,
+    /// Revision of the list in force when the read began.
+    known_revision: store_revision::StoreRevision,
+    /// When the read began; `None` before its first call.
+    begun_at: Option<units::MonoTime>,
+    /// When the store last answered, whatever the status.
+    answered_at: units::MonoTime,
+    /// Number of failed calls.
+    failures: u64,
+    /// Whether an attempt has read a page before it failed; cleared by [`Self::take_progress`].
+    has_advanced: bool,
 }
 
-/// Reads routes, evacuations and upstreams; returns the revision of the store from which to watch for changes.
-pub(crate) async fn read_all(
-    context: &context::InstanceContext,
-    connection: &mut document_call::DocumentConnection,
-) -> Result<store_revision::StoreRevision, String> {
-    let adapter = &context.adapter;
-    let upstreams = read_range(context, connection, |after| adapter.upstreams_path(after)).await?;
-    let operator_documents =
-        read_range(context, connection, |after| adapter.operator_path(after)).await?;
-    if upstreams.revision.era != operator_documents.revision.era {
-        return Err(format!(
-            "the store was restored from a copy during a read, at {}",
-            operator_documents.revision
-        ));
+impl FullRead {
+    /// Begins the read unless it has begun, and begins it again if its pages are too old to be continued.
+    fn begin(&mut self, context: &context::InstanceContext) {
+        let now = context.now();
+        let is_outdated = now.since(self.answered_at) > MAX_SILENCE;
+        if self.begun_at.is_none() || is_outdated {
+            let known_revision = context.fleet.borrow().revision();
+            *self = Self {
+                known_revision,
+                begun_at: Some(now),
+                answered_at: now,
+                failures: self.failures,
+                ..Self::default()
+            };
+        }
     }
-    // Pages are not a snapshot: the watch starts at the first page, and repeats changes that later pages contain.
-    let revision = upstreams.revision;
-    let documents = upstreams.items.into_iter().filter_map(|item| match adapter.key(&item.key) {
-        adapter::StoreKey::Upstream(name) => Some((name, list_update::item_text(item))),
-        _ => None,
-    });
-    let documents = documents.collect();
-    let now = context.now();
-    let mut fleet = context.fleet.borrow_mut();
-    let mut evacuated = collections::BTreeSet::<ids::DataCenterId>::new();
-    for item in operator_documents.items {
-        match adapter.key(&item.key) {
-            adapter::StoreKey::Routes => fleet.put_routes_item(item, "store"),
-            adapter::StoreKey::Evacuation(data_center) => {
-                evacuated.insert(data_center);
+
+    /// Returns whether an attempt has read a page before it failed, since the last call of this method.
+    pub(crate) fn take_progress(&mut self) -> bool {
+        std::mem::take(&mut self.has_advanced)
+    }
+
+    /// Whether members have provided newer documents than were known when the read began.
+    fn is_superseded(&self, context: &context::InstanceContext) -> bool {
+        let fleet = context.fleet.borrow();
+        fleet.is_known() && fleet.revision() > self.known_revision
+    }
+
+    fn pages(&self) -> u64 {
+        self.upstreams.pages() + self.operator_documents.pages()
+    }
+
+    /// Reads the pages that are missing, until members have provided the documents.
+    async fn read_missing(
+        &mut self,
+        context: &context::InstanceContext,
+        connection: &mut document_call::DocumentConnection,
+    ) -> Result<ReadOutcome, String> {
+        while !(self.upstreams.is_complete() && self.operator_documents.is_complete()) {
+            if self.is_superseded(context) {
+                return Ok(ReadOutcome::Superseded);
+            }
+            let path = if self.upstreams.is_complete() {
+                context.adapter.operator_path(self.operator_documents.after())
+            } else {
+                context.adapter.upstreams_path(self.upstreams.after())
+            };
+            let answer = store_call::get(context, connection, &path, READ_TIMEOUT).await;
+            if answer.as_ref().map_or_else(store_call::StoreError::is_answer, |_| true) {
+                self.answered_at = context.now();
             }
-            adapter::StoreKey::Upstream(_) | adapter::StoreKey::Other => {}
+            let answer = answer.map_err(|error| error.to_string())?;
+            let page =
+                context.adapter.parse_page(&answer.body).map_err(|error| error.to_string())?;
+            let revision = store_revision::StoreRevision::new(answer.era, page.revision);
+            self.add_page(&*context.adapter, page, revision).map_err(|error| {
+                // The pages that were read cannot be continued.
+                *self = Self { failures: self.failures, ..Self::default() };
+                error.to_string()
+            })?;
         }
+        Ok(ReadOutcome::Complete)
     }
-    fleet.replace_list(now, documents, evacuated, revision, "store");
-    Ok(revision)
-}
 
-/// Reads all pages of a range; `path` returns the path of the page that starts after a key.
-async fn read_range(
-    context: &context::InstanceContext,
-    connection: &mut document_call::DocumentConnection,
-    path: impl Fn(Option<&str>) -> String,
-) -> Result<RangeRead, String> {
-    let mut items = Vec::new();
-    let mut first_revision: Option<store_revision::StoreRevision> = None;
-    let mut after = None;
-    for _ in 0..MAX_PAGES {
-        let answer =
-            store_call::get(context, connection, &path(after.as_deref()), READ_TIMEOUT).await;
-        let answer = answer.map_err(|error| error.to_string())?;
-        let page = context.adapter.parse_page(&answer.body).map_err(|error| error.to_string())?;
-        let revision = store_revision::StoreRevision::new(answer.era, page.revision);
-        let first = *first_revision.get_or_insert(revision);
+    fn add_page(
+        &mut self,
+        adapter: &dyn adapter::InstanceAdapter,
+        page: adapter::StorePage,
+        revision: store_revision::StoreRevision,
+    ) -> Result<(), range_read::PageError> {
+        if !self.upstreams.is_complete() {
+            let documents =
+                page.items.into_iter().filter_map(|item| match adapter.key(&item.key) {
+                    adapter::StoreKey::Upstream(name) => Some((name, list_update::item_text(item))),
+                    _ => None,
+                });
+            return self.upstreams.add_page(documents, page.next, revision);
+        }
+        let first = self.upstreams.first_revision().unwrap_or(revision);
         if first.era != revision.era {
-            return Err(format!("the store was restored from a copy during a read, at {revision}"));
+            return Err(range_read::PageError::OtherEra { revision });
         }
-        items.extend(page.items);
-        after = page.next;
-        if after.is_none() {
-            break;
+        self.operator_documents.add_page(page.items, page.next, revision)
+    }
+
+    /// Puts the documents into force; returns the revision from which to watch.
+    fn apply(self, context: &context::InstanceContext) -> store_revision::StoreRevision {
+        // The watch starts at the first page, and repeats changes that later pages contain.
+        let revision = self.upstreams.first_revision().unwrap_or_default();
+        let mut fleet = context.fleet.borrow_mut();
+        let mut evacuated = collections::BTreeSet::<ids::DataCenterId>::new();
+        for item in self.operator_documents.into_items() {
+            match context.adapter.key(&item.key) {
+                adapter::StoreKey::Routes => fleet.put_routes_item(item, "store"),
+                adapter::StoreKey::Evacuation(data_center) => {
+                    evacuated.insert(data_center);
+                }
+                adapter::StoreKey::Upstream(_) | adapter::StoreKey::Other => {}
+            }
+        }
+        let documents = self.upstreams.into_items();
+        fleet.replace_list(context.now(), documents, evacuated, revision, "store");
+        revision
+    }
+}
+
+/// How an attempt of a [`FullRead`] ended without a failure.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum ReadOutcome {
+    Complete,
+    /// Members have provided newer documents meanwhile.
+    Superseded,
+}
+
+impl ReadOutcome {
+    /// Label of the outcome in logs and counters.
+    fn label(self) -> &'static str {
+        match self {
+            Self::Complete => "complete",
+            Self::Superseded => "superseded",
         }
     }
-    Ok(RangeRead { items, revision: first_revision.unwrap_or_default() })
+}
+
+/// Reads routes, evacuations and upstreams, and puts them into force; returns the revision of the store from which to watch
+/// for changes, or `None` if members have provided newer documents meanwhile. After a failure the next call with the same
+/// `read` continues it.
+pub(crate) async fn read_all(
+    context: &context::InstanceContext,
+    connection: &mut document_call::DocumentConnection,
+    read: &mut FullRead,
+) -> Result<Option<store_revision::StoreRevision>, String> {
+    read.begin(context);
+    let pages_before = read.pages();
+    let outcome = match read.read_missing(context, connection).await {
+        Ok(outcome) => outcome,
+        Err(error) => {
+            read.failures += 1;
+            read.has_advanced |= read.pages() > pages_before;
+            context.stats.borrow_mut().count("store_reads", "failed");
+            // The pause between attempts is bounded, so a store that is away for long would fill the log.
+            if read.failures.is_power_of_two() {
+                log::warn!(pages = read.pages(), failures = read.failures, error; "store.read_failed");
+            }
+            return Err(error);
+        }
+    };
+    let read = std::mem::take(read);
+    let took = read.begun_at.map_or(time::Duration::ZERO, |begun_at| context.now().since(begun_at));
+    log::info!(
+        outcome = outcome.label(), pages = read.pages(), failures = read.failures,
+        took_ms = units::whole_millis(took); "store.read"
+    );
+    context.stats.borrow_mut().count("store_reads", outcome.label());
+    Ok((outcome == ReadOutcome::Complete).then(|| read.apply(context)))
 }
 
 /// Reads the routes alone from the store, and adopts them if they are newer.
