--- a/crates/instance/src/lib.rs
+++ b/crates/instance/src/lib.rs
@@ -14,6 +14,7 @@
 //! The traits in `adapter` separate the crate from the formats of one platform.
 
 pub mod adapter;
+pub(crate) mod answer_end;
 mod body_intake;
 pub mod caller_connection;
 mod cell_search;
--- a/crates/instance/src/long_answer.rs
+++ b/crates/instance/src/long_answer.rs
@@ -8,7 +8,9 @@
 use slipturn_net::h1;
 use snafu::{ResultExt as _, Snafu};
 
-use crate::{caller_connection, context, service_request, upstream_attempt, upstream_ends};
+use crate::{
+    answer_end, caller_connection, context, service_request, upstream_attempt, upstream_ends,
+};
 
 /// Share of the time limit spent waiting for the caller from which an answer that did not end counts as not read.
 const SLOW_CALLER_SHARE: f64 = 0.5;
@@ -35,7 +37,7 @@
     #[snafu(display("the answer broke: {source}"))]
     Unconfirmed {
         /// Why the answer may be incomplete.
-        source: upstream_ends::UnconfirmedEnd,
+        source: answer_end::UnconfirmedEnd,
     },
     /// The caller did not read the answer in time.
     #[snafu(display("not read within {limit:?}"))]
--- a/crates/instance/src/upstream_attempt.rs
+++ b/crates/instance/src/upstream_attempt.rs
@@ -8,7 +8,7 @@
 use slipturn_net::h1;
 
 use crate::{
-    adapter, context, incoming_call, upstream_connect, upstream_ends, upstream_gate,
+    adapter, answer_end, context, incoming_call, upstream_connect, upstream_ends, upstream_gate,
     upstream_links, upstream_pool, upstream_signals, upstream_silence, upstream_starts,
 };
 
@@ -86,6 +86,7 @@
     pub framing: h1::BodyFraming,
     /// The connection, which can be reused only after the end of the body.
     pub connection: upstream_pool::UpstreamConnection,
+    service: ids::ServiceId,
     address: net::SocketAddrV4,
     /// Whether the request was sent completely and the upstream keeps the connection open.
     reusable: bool,
@@ -157,12 +158,13 @@
         &self,
         context: &context::InstanceContext,
         upstream: &ids::UpstreamId,
-    ) -> Result<(), upstream_ends::UnconfirmedEnd> {
+    ) -> Result<(), answer_end::UnconfirmedEnd> {
         if !self.ends_with_connection {
             return Ok(());
         }
-        let relay = self.connection.relay();
-        upstream_ends::confirm_running(context, upstream, self.address, relay).await
+        let (service, relay) = (&self.service, self.connection.relay());
+        let ended = answer_end::EndedAnswer { upstream, service, address: self.address, relay };
+        ended.confirm(context).await
     }
 
     /// Returns the connection to the pool if it can be reused.
@@ -378,6 +380,7 @@
         head_fields,
         framing,
         connection,
+        service: call.service.clone(),
         address,
         reusable,
         ends_with_connection,
--- a/crates/instance/src/upstream_ends.rs
+++ b/crates/instance/src/upstream_ends.rs
@@ -9,19 +9,16 @@
 use futures::{StreamExt as _, channel::mpsc};
 use slipturn_core::{ids, prompt_part, request_digest, send_gate, units};
 use slipturn_net::process;
-use snafu::{ResultExt as _, Snafu};
 
 use crate::{
-    context, incoming_call, member_relay, part_gossip, quarantine_gossip, upstream_attempt,
-    upstream_connect, upstream_gate,
+    context, incoming_call, part_gossip, quarantine_gossip, upstream_attempt, upstream_connect,
+    upstream_gate,
 };
 
 /// Delay between a broken run and a test connection to its upstream. A process that has ended refuses at once, but its
 /// connections may be reset shortly before its listener is closed. Only one test connection at a time is opened for the
 /// broken runs of an upstream, as it takes up one of the upstream's connections.
-const BREAK_CHECK_DELAY: time::Duration = time::Duration::from_millis(15);
-/// Time in which a proxy closes a connection to an upstream that has ended.
-const CLOSE_CHECK_TIME: time::Duration = time::Duration::from_millis(15);
+pub(crate) const BREAK_CHECK_DELAY: time::Duration = time::Duration::from_millis(15);
 /// Delay between a run abandoned by its caller and a test connection to its upstream: the engine may begin such a run
 /// some time later, or drop it.
 const ABANDONED_CHECK_DELAY: time::Duration = time::Duration::from_millis(250);
@@ -192,51 +189,6 @@
     !leaving && fleet.list.entry(name).is_some_and(|entry| entry.name == *name)
 }
 
-/// Why an answer that ended with its connection may be incomplete.
-#[derive(Debug, Snafu)]
-pub enum UnconfirmedEnd {
-    /// No connection to the upstream could be opened any more.
-    #[snafu(display("the answer ended with its connection, and the upstream: {source}"))]
-    Unreachable {
-        /// Why there is no connection.
-        source: upstream_connect::ConnectError,
-    },
-    /// A new connection was closed at once, as by a proxy whose upstream has ended.
-    #[snafu(display("the answer ended with its connection, and another one was closed at once"))]
-    Closed,
-}
-
-/// Confirms that an upstream which has just closed a connection still runs, by opening another one, through the same
-/// `relay` if the first one was relayed; a direct one is kept for later requests. An upstream that is leaving may exit
-/// after its answers.
-pub(crate) async fn confirm_running(
-    context: &context::InstanceContext,
-    upstream: &ids::UpstreamId,
-    address: net::SocketAddrV4,
-    relay: Option<&member_relay::ConnectionRelay>,
-) -> Result<(), UnconfirmedEnd> {
-    monoio::time::sleep(BREAK_CHECK_DELAY).await;
-    let allowed = upstream_gate::check_send(context, upstream, send_gate::SendKind::Check, &[]);
-    let service = context.fleet.borrow().list.entry(upstream).map(|entry| entry.service.clone());
-    let Some(service) = service.filter(|_| allowed.is_ok()) else {
-        return Ok(());
-    };
-    let target = upstream_connect::ConnectTarget { service: &service, address };
-    let checked = match relay {
-        Some(relay) => relay.open_check(context, address).await.ok(),
-        None => None,
-    };
-    let mut connection = match checked {
-        Some(opened) => context.pool.register(address, opened),
-        None => upstream_connect::open(context, target).await.context(UnreachableSnafu)?,
-    };
-    if monoio::time::timeout(CLOSE_CHECK_TIME, connection.reader.fill()).await.is_ok() {
-        return ClosedSnafu.fail();
-    }
-    context.pool.put(address, connection, None, context.idle_connection_limit(upstream));
-    Ok(())
-}
-
 /// Broken runs that wait for proof.
 #[derive(Default)]
 struct UnprovenRuns {
