--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -3,6 +3,7 @@
 //! This crate opens no sockets and reads no clock: the time and messages are passed in as arguments, and actions are
 //! returned as values. So tests can pause processes, partition the network, and reorder or repeat messages.
 
+pub mod answered_requests;
 pub mod attempt_limits;
 pub mod budget;
 pub mod byte_budget;
--- a/crates/core/src/quarantine.rs
+++ b/crates/core/src/quarantine.rs
@@ -1,12 +1,15 @@
 //! Detection of requests that crash the upstreams that run them.
 //!
-//! A crash breaks all requests in progress, and at most one of them is the cause. Three rules identify it without running
+//! A crash breaks all requests in progress, and at most one of them is the cause. Four rules identify it without running
 //! any request in isolation:
 //!
 //! - *Sequence.* A crash counts only if its run (the attempt that the crash ended) began after the previous counted
 //!   crash, and if it happened some time after that. A rack failure that ends many copies of a request counts once, and
 //!   so do the second attempts that it ends on the upstreams which fail last.
 //! - *Answer.* A completed answer clears a request of all earlier crashes.
+//! - *Rate.* A request that was answered regularly before needs more crashes in sequence, unless so many answers would be
+//!   expected between them that their lack is significant: upstreams that lose power one after the other may by chance
+//!   end the attempts of one call.
 //! - *Known cause.* A request is not the cause if a quarantined request shares all its crashes and has more.
 //!
 //! Only evidence is stored. Quarantines are derived from it alone, so members with the same evidence agree regardless of
@@ -14,11 +17,22 @@
 
 use std::{collections, ops, time};
 
-use crate::{ids, request_digest, units};
+use crate::{answered_requests, ids, request_digest, units};
 
 /// Crashes in sequence after which a request is quarantined. Among many unrelated crashes, two may by chance end runs
 /// of the same harmless request in sequence.
 const SEQUENCE: usize = 3;
+/// Crashes in sequence after which a request is quarantined that was answered before, if the lack of answers since is not
+/// significant.
+const ANSWERED_SEQUENCE: usize = 6;
+/// Crashes in sequence from which members are asked whether they have answered the request.
+const SUSPECT_SEQUENCE: usize = 2;
+/// Answers a second from which a request counts as answered before.
+const MIN_RATE: f64 = 0.15;
+/// Expected number of answers from which their lack is significant.
+const SIGNIFICANT_ANSWERS: f64 = 4.0;
+/// Most requests about which members are asked at once.
+pub const MAX_SUSPECTS: usize = 48;
 /// Time between two crashes from which both count. Upstreams that fail together crash within a shorter time, and a
 /// second attempt begins and ends in it.
 pub(crate) const MOMENT_GAP: time::Duration = time::Duration::from_millis(50);
@@ -111,7 +125,7 @@
 /// How crashes are counted. Modes other than the default are baselines for tests.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub enum CrashCountMode {
-    /// By the sequence, answer and known-cause rules of this module.
+    /// By the sequence, answer, rate and known-cause rules of this module.
     #[default]
     Sequence,
     /// Every crash counts, also simultaneous ones, and answers clear nothing.
@@ -144,6 +158,12 @@
     answered: Option<units::MonoTime>,
     /// End of the quarantine; `None` if the request is only suspected.
     quarantined_until: Option<units::MonoTime>,
+    /// Highest mean number of answers a second by this process, as of the reported crashes.
+    own_rate: f64,
+    /// Mean number of answers a second by the members that have replied.
+    others_rate: f64,
+    /// Whether the members were asked.
+    asked: bool,
 }
 
 impl SuspectRecord {
@@ -152,6 +172,19 @@
         in_sequence(&self.crashes).iter().filter(|counts| **counts).count()
     }
 
+    /// Number of crashes in sequence after which the request is quarantined.
+    fn needed_sequence(&self) -> usize {
+        let rate = self.own_rate + self.others_rate;
+        let first = self.crashes.first().map(|run| run.ended);
+        let span = self.last_crash().zip(first).map(|(last, first)| last.since(first));
+        let expected = rate * span.unwrap_or_default().as_secs_f64();
+        if rate >= MIN_RATE && expected < SIGNIFICANT_ANSWERS {
+            ANSWERED_SEQUENCE
+        } else {
+            SEQUENCE
+        }
+    }
+
     /// Whether the request of `other` shares all crashes of this one and has more.
     fn explained_by(&self, other: &Self) -> bool {
         let shared = |run: &CrashedRun| {
@@ -172,6 +205,8 @@
     suspects: collections::BTreeMap<request_digest::RequestDigest, SuspectRecord>,
     /// Number of requests with a quarantine, whether expired or not, whose crashes no other quarantined request explains.
     quarantined: usize,
+    /// Answers of this process, also to requests without a record.
+    answers: answered_requests::AnsweredRequests,
 }
 
 impl QuarantineTable {
@@ -180,7 +215,7 @@
         Self { mode, ..Self::default() }
     }
 
-    /// Whether the table has no record of any request.
+    /// Whether the table has no evidence against any request.
     pub fn is_empty(&self) -> bool {
         self.suspects.is_empty()
     }
@@ -199,13 +234,48 @@
     ) -> Vec<request_digest::RequestDigest> {
         let before = self.quarantined_at(now);
         self.drop_expired(now);
-        runs.into_iter().for_each(|run| self.note_crash(run));
+        runs.into_iter().for_each(|run| self.note_crash(now, run));
         self.update_quarantines();
         let mut added = self.quarantined_at(now);
         added.retain(|digest| !before.contains(digest));
         added
     }
 
+    /// Records that this process has got a complete answer to a request.
+    pub fn note_answer(&mut self, now: units::MonoTime, digest: request_digest::RequestDigest) {
+        self.answers.note(now, digest);
+    }
+
+    /// Returns the mean number of answers a second of this process to a request, and the time of the last one.
+    pub fn answers_to(
+        &self,
+        now: units::MonoTime,
+        digest: request_digest::RequestDigest,
+    ) -> (f64, Option<units::MonoTime>) {
+        (self.answers.rate(now, digest), self.answers.last(digest))
+    }
+
+    /// Records the mean number of answers a second of a member that was asked about a request.
+    pub fn note_member_rate(&mut self, digest: request_digest::RequestDigest, rate: f64) {
+        if let Some(record) = self.suspects.get_mut(&digest).filter(|record| record.asked) {
+            record.others_rate += rate.max(0.0);
+            self.update_quarantines();
+        }
+    }
+
+    /// Returns the requests about which members are to be asked now, each with the time of its first crash, and records
+    /// that they are.
+    pub fn take_suspects(&mut self) -> Vec<(request_digest::RequestDigest, CrashTime)> {
+        let is_new =
+            |record: &SuspectRecord| !record.asked && record.sequence() >= SUSPECT_SEQUENCE;
+        let suspects = self.suspects.iter_mut().filter(|(_, record)| is_new(record));
+        let ask = |(digest, record): (&request_digest::RequestDigest, &mut SuspectRecord)| {
+            record.asked = true;
+            Some((*digest, record.crashes.first()?.ended))
+        };
+        suspects.filter_map(ask).take(MAX_SUSPECTS).collect()
+    }
+
     /// Clears a request of crashes up to `at`, when it was answered or released by an operator; returns whether there
     /// is a record of it. Does nothing in [`CrashCountMode::Count`].
     pub fn clear(&mut self, digest: request_digest::RequestDigest, at: units::MonoTime) -> bool {
@@ -216,6 +286,9 @@
         };
         record.answered = record.answered.max(Some(at));
         record.crashes.retain(|run| run.ended > at.into());
+        if record.crashes.is_empty() {
+            (record.asked, record.own_rate, record.others_rate) = (false, 0.0, 0.0);
+        }
         self.update_quarantines();
         true
     }
@@ -259,8 +332,10 @@
         self.suspects.get(&digest).map_or(&[], |record| &record.crashes)
     }
 
-    fn note_crash(&mut self, run: CrashedRun) {
+    fn note_crash(&mut self, now: units::MonoTime, run: CrashedRun) {
+        let own_rate = self.answers.rate(now, run.digest);
         let record = self.suspects.entry(run.digest).or_default();
+        record.own_rate = record.own_rate.max(own_rate);
         if record.answered.is_some_and(|answered| run.ended <= answered.into()) {
             return;
         }
@@ -305,7 +380,13 @@
             CrashCountMode::Count => record.crashes.len(),
         };
         for record in self.suspects.values_mut() {
-            record.quarantined_until = quarantined_until(record, count_of(record));
+            let needed = match mode {
+                CrashCountMode::Sequence => record.needed_sequence(),
+                CrashCountMode::Count => SEQUENCE,
+            };
+            let count = count_of(record);
+            record.quarantined_until =
+                if count < needed { None } else { quarantined_until(record, count) };
         }
         let quarantined: Vec<_> = self
             .suspects
--- a/crates/core/tests/quarantine.rs
+++ b/crates/core/tests/quarantine.rs
@@ -4,6 +4,7 @@
 
 use proptest::prelude::*;
 use slipturn_core::{
+    answered_requests::AnsweredRequests,
     quarantine::{CrashCountMode, CrashTime, CrashedRun, QuarantineTable},
     request_digest::RequestDigest,
     units::MonoTime,
@@ -237,6 +238,98 @@
     );
 }
 
+/// Adds ten answers to the request, a second apart from `from` on, in milliseconds.
+fn note_answers(table: &mut QuarantineTable, body: &str, from: u64) {
+    (0..10).for_each(|number| table.note_answer(at(from + number * 1_000), digest(body)));
+}
+
+fn note_runs(table: &mut QuarantineTable, runs: impl IntoIterator<Item = CrashedRun>) {
+    runs.into_iter().for_each(|run| _ = table.note_crashes(run.ended.since_start(), [run]));
+}
+
+/// Crashes of `count` upstreams under successive runs of the request, `gap_ms` apart.
+fn series(body: &str, first: u64, gap_ms: u64, count: u64) -> Vec<CrashedRun> {
+    let run_at = |number: u64| {
+        let sent = first + number * gap_ms;
+        run(body, &format!("s{number}-{first}"), sent + 1, sent + gap_ms)
+    };
+    (0..count).map(run_at).collect()
+}
+
+/// Guards against a quarantine of a call whose upstreams lose power one after the other.
+#[test]
+fn a_request_answered_before_is_not_quarantined_for_a_short_series_of_crashes() {
+    let mut table = QuarantineTable::default();
+    note_answers(&mut table, "x", 0);
+    note_runs(&mut table, series("x", 10_000, 90, 5));
+    note_runs(&mut table, series("y", 10_000, 90, 3));
+    assert!(!is_quarantined(&table, "x", 10_500));
+    assert!(is_quarantined(&table, "y", 10_500), "a request that was never answered");
+}
+
+#[test]
+fn a_request_answered_before_is_quarantined_if_its_answers_are_missing() {
+    let mut table = QuarantineTable::default();
+    note_answers(&mut table, "x", 0);
+    let runs = [("a", 10_000), ("b", 14_000), ("c", 20_000)]
+        .map(|(name, at)| run("x", name, at - 500, at));
+    note_runs(&mut table, runs);
+    assert!(is_quarantined(&table, "x", 20_000));
+}
+
+#[test]
+fn a_request_answered_before_is_quarantined_after_a_long_series_of_crashes() {
+    let mut table = QuarantineTable::default();
+    note_answers(&mut table, "x", 0);
+    note_runs(&mut table, series("x", 10_000, 90, 6));
+    assert!(is_quarantined(&table, "x", 10_600));
+}
+
+/// Guards against a member that knows no answers of its own and quarantines what the others have answered.
+#[test]
+fn answers_of_members_count_once_for_each_series_of_crashes() {
+    let mut table = QuarantineTable::default();
+    table.note_member_rate(digest("x"), 100.0);
+    note_runs(&mut table, series("x", 1_000, 90, 1));
+    assert!(table.take_suspects().is_empty(), "one crash is no suspicion");
+    note_runs(&mut table, series("x", 1_090, 90, 1));
+    let asked = table.take_suspects();
+    assert_eq!(asked, [(digest("x"), CrashTime::from(at(1_090)))]);
+    assert!(table.take_suspects().is_empty(), "asked once");
+    table.note_member_rate(digest("x"), 0.5);
+    table.note_member_rate(digest("x"), 0.5);
+    note_runs(&mut table, series("x", 1_180, 90, 1));
+    assert!(!is_quarantined(&table, "x", 1_300));
+    assert!(table.clear(digest("x"), at(2_000)));
+    note_runs(&mut table, series("x", 30_000, 90, 2));
+    assert_eq!(table.take_suspects().len(), 1, "asked again after an answer");
+    note_runs(&mut table, series("x", 30_180, 90, 1));
+    assert!(is_quarantined(&table, "x", 30_300), "no member has answered it lately");
+}
+
+/// Guards against a request that a member's reply keeps from being quarantined although it was not answered regularly.
+#[test]
+fn a_single_answer_long_before_does_not_prolong_a_series() {
+    let mut table = QuarantineTable::default();
+    table.note_answer(at(0), digest("x"));
+    note_runs(&mut table, series("x", 20_000, 90, 3));
+    assert!(is_quarantined(&table, "x", 20_300));
+}
+
+#[test]
+fn a_flood_of_single_answers_does_not_displace_a_request_that_is_answered_often() {
+    let mut answered = AnsweredRequests::default();
+    for number in 0..20_000 {
+        let now = at(number);
+        answered.note(now, digest(&format!("once {number}")));
+        if number.is_multiple_of(500) {
+            answered.note(now, digest("often"));
+        }
+        assert!(answered.len() <= 2_048, "{} are kept", answered.len());
+    }
+    assert!(answered.rate(at(20_000), digest("often")) > 1.0);
+}
+
 proptest! {
     /// Guards against quarantines that depend on the order in which members learn of crashes.
     #[test]
--- a/crates/instance/src/peer_message.rs
+++ b/crates/instance/src/peer_message.rs
@@ -104,6 +104,22 @@
     Speeds(Vec<upstream_speed::SpeedReport>),
     /// Temporary weights of customers; at most [`slipturn_core::share_factors::MAX_FACTORS`].
     ShareFactors(Vec<ShareFactorReport>),
+    /// Asks how often requests were answered, and whether since an upstream crashed under them; each with the age of the
+    /// first crash, in microseconds.
+    RequestQuery(Vec<(request_digest::RequestDigest, u64)>),
+    /// Answers to requests, in reply to [`Self::RequestQuery`].
+    RequestAnswers(Vec<RequestAnswer>),
+}
+
+/// Complete answers of one member to a request.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct RequestAnswer {
+    /// Digest of the request.
+    pub digest: request_digest::RequestDigest,
+    /// Time in microseconds since the last answer; `None` if it was before the crash that was asked about.
+    pub age_us: Option<u64>,
+    /// Mean number of answers a second.
+    pub rate: f64,
 }
 
 /// A temporary weight of a customer.
--- a/crates/instance/src/peers.rs
+++ b/crates/instance/src/peers.rs
@@ -118,6 +118,12 @@
         PeerMessage::Cleared(digest, micros_ago) => {
             quarantine_gossip::receive_cleared(context, digest, micros_ago);
         }
+        PeerMessage::RequestQuery(requests) => {
+            quarantine_gossip::receive_query(context, from, requests);
+        }
+        PeerMessage::RequestAnswers(answers) => {
+            quarantine_gossip::receive_answers(context, answers);
+        }
         PeerMessage::PartCrashes(reports) => part_gossip::receive_crashes(context, reports),
         PeerMessage::PartQuery(first_us, subjects) => {
             part_gossip::receive_query(context, from, first_us, subjects);
--- a/crates/instance/src/quarantine_gossip.rs
+++ b/crates/instance/src/quarantine_gossip.rs
@@ -8,13 +8,15 @@
 
 use slipturn_core::{quarantine, rendezvous, request_digest, units};
 
-use crate::{context, peer_message, upstream_ends};
+use crate::{context, incoming_call, peer_message, upstream_ends};
 
 /// Number of members that store the evidence against one request: with four of them gone or unreachable, one is left.
 const EVIDENCE_REPLICAS: usize = 5;
 /// Number of members up to which all of them store all evidence: the member that serves a request then knows without a
 /// message that the request is suspected.
 const SMALL_FLEET_MEMBERS: usize = 12;
+/// Size in bytes of the largest body of requests whose answers are counted, which takes a digest of each.
+const MAX_COUNTED_BODY: usize = 4 * 1024;
 /// Most quarantined requests that are logged one by one; all are counted.
 const MAX_LOGGED_DIGESTS: usize = 16;
 
@@ -77,21 +79,70 @@
     }
 }
 
-/// Deletes the evidence against a request that an upstream has answered completely. `digest` is called only if there is
-/// evidence against any request.
-pub(crate) fn answered(
-    context: &context::InstanceContext,
-    digest: impl FnOnce() -> request_digest::RequestDigest,
-) {
-    if context.quarantine.borrow().is_empty() {
+/// Records that an upstream has answered a request completely, and deletes the evidence against it.
+pub(crate) fn answered(context: &context::InstanceContext, call: &incoming_call::IncomingCall) {
+    let is_counted = call.body.len() <= MAX_COUNTED_BODY;
+    if !is_counted && context.quarantine.borrow().is_empty() {
         return;
     }
-    let digest = digest();
+    let digest = call.digest();
+    if is_counted {
+        context.quarantine.borrow_mut().note_answer(context.now(), digest);
+    }
     if context.quarantine.borrow().suspects(digest) {
         clear(context, digest);
     }
 }
 
+/// Replies to a member that asks how often this process has answered requests.
+pub(crate) fn receive_query(
+    context: &context::InstanceContext,
+    from: net::SocketAddrV4,
+    requests: Vec<(request_digest::RequestDigest, u64)>,
+) {
+    let now = context.now();
+    let answer = |(digest, first_us): (request_digest::RequestDigest, u64)| {
+        let (rate, last) = context.quarantine.borrow().answers_to(now, digest);
+        let age_us = micros(now.since(last?));
+        let age_us = (age_us < first_us).then_some(age_us);
+        Some(peer_message::RequestAnswer { digest, age_us, rate })
+    };
+    let answers: Vec<_> =
+        requests.into_iter().take(quarantine::MAX_SUSPECTS).filter_map(answer).collect();
+    if !answers.is_empty() {
+        context.send_to(from, peer_message::PeerMessage::RequestAnswers(answers));
+    }
+}
+
+/// Handles how often another member has answered requests.
+pub(crate) fn receive_answers(
+    context: &context::InstanceContext,
+    answers: Vec<peer_message::RequestAnswer>,
+) {
+    let now = context.now();
+    let mut table = context.quarantine.borrow_mut();
+    for answer in answers {
+        table.note_member_rate(answer.digest, answer.rate);
+        if let Some(age_us) = answer.age_us {
+            table.clear(answer.digest, now.earlier_by(time::Duration::from_micros(age_us)));
+        }
+    }
+}
+
+/// Asks all members how often they have answered the requests that have become suspect.
+fn ask(context: &context::InstanceContext) {
+    let now = context.now();
+    let suspects = context.quarantine.borrow_mut().take_suspects();
+    if suspects.is_empty() {
+        return;
+    }
+    let requests: Vec<_> =
+        suspects.into_iter().map(|(digest, first)| (digest, micros(first.age(now)))).collect();
+    for to in context.members.borrow().targets(context.settings().member_address) {
+        context.send_to(to, peer_message::PeerMessage::RequestQuery(requests.clone()));
+    }
+}
+
 /// Deletes the evidence against a request, in this process and at the members that store it, or at all members if the
 /// request is quarantined. Returns whether this process had any evidence.
 pub(crate) fn clear(
@@ -119,6 +170,7 @@
 fn record_evidence(context: &context::InstanceContext, crashes: Vec<quarantine::CrashedRun>) {
     let now = context.now();
     let quarantined = context.quarantine.borrow_mut().note_crashes(now, crashes);
+    ask(context);
     if quarantined.is_empty() {
         return;
     }
--- a/crates/instance/src/upstream_ends.rs
+++ b/crates/instance/src/upstream_ends.rs
@@ -153,7 +153,7 @@
     /// Records that the upstream has answered completely, whatever the answer: the request does not crash it.
     pub(crate) fn answered(mut self) {
         self.ended = true;
-        quarantine_gossip::answered(self.context, || self.call.digest());
+        quarantine_gossip::answered(self.context, self.call);
     }
 }
 
