--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -79,6 +79,7 @@
 pub mod stop_schedule;
 pub mod store_revision;
 pub mod store_tracker;
+pub mod task_panics;
 pub mod units;
 pub mod upstream_health;
 pub mod upstream_limit;
--- a/crates/instance/src/context.rs
+++ b/crates/instance/src/context.rs
@@ -7,7 +7,7 @@
     attempt_limits, class_worth, connection_share, engine_place, failure_detector, fleet_budget,
     ids, member_heartbeat, membership, planner, planner_key, planner_silence, quarantine,
     relay_choice, rendezvous, search_budget, send_counts, send_gate, share_factors, stop_schedule,
-    store_tracker, units, upstream_reach,
+    store_tracker, task_panics, units, upstream_reach,
 };
 use slipturn_net::process;
 
@@ -72,6 +72,10 @@
     pub classes: cell::RefCell<class_worth::ClassWorth>,
     /// Planners that run in this process.
     pub planners: cell::RefCell<planner_set::PlannerSet>,
+    /// Options of the planners, also of those that begin anew after a panic.
+    pub(crate) planner_options: planner::PlannerOptions,
+    /// Panics of planners and permanent tasks; if they repeat, other members plan.
+    pub panics: cell::RefCell<task_panics::TaskPanics>,
     /// Leases on the places that this process's requests use.
     pub leases: cell::RefCell<collections::HashMap<engine_place::JobId, HeldLease>>,
     /// The other member from which this process last requested a place (the assignment of a request to engines), by
@@ -209,6 +213,8 @@
             detector: cell::RefCell::new(detector),
             last_refuted: cell::Cell::new(None),
             planners: cell::RefCell::new(planner_set::PlannerSet::new(own, options)),
+            planner_options: options,
+            panics: cell::RefCell::default(),
             classes: cell::RefCell::default(),
             leases: cell::RefCell::default(),
             planned_by: cell::RefCell::default(),
@@ -303,7 +309,8 @@
         let age = now.since(units::MonoTime::default());
         let may_plan =
             membership::MemberView::is_old_enough_to_plan(age) || self.plans_since_start.get();
-        let plans = fleet.is_known() && awake && may_plan;
+        let is_sound = self.panics.borrow().may_plan(now);
+        let plans = fleet.is_known() && awake && may_plan && is_sound;
         member_heartbeat::MemberHeartbeat {
             name: settings.name.clone(),
             boot: self.boot,
--- a/crates/instance/src/lib.rs
+++ b/crates/instance/src/lib.rs
@@ -55,6 +55,7 @@
 pub mod peers;
 mod permit_request;
 pub mod plan_client;
+pub mod planner_guard;
 pub mod planner_set;
 pub mod program;
 pub mod quarantine_gate;
--- a/crates/instance/src/peers.rs
+++ b/crates/instance/src/peers.rs
@@ -7,8 +7,8 @@
 
 use crate::{
     context, failure_watch, heartbeats, lease_renewal, limit_gossip, member_gossip, part_gossip,
-    peer_message, permit_request, planner_set, quarantine_gossip, quota_coordinator, share_gossip,
-    share_rows, speed_gossip, upstream_signals, upstream_starts,
+    peer_message, permit_request, planner_guard, planner_set, quarantine_gossip, quota_coordinator,
+    share_gossip, share_rows, speed_gossip, upstream_signals, upstream_starts,
 };
 
 /// Interval between two runs of the planners while requests wait.
@@ -59,12 +59,28 @@
             }
         };
         match peer_message::PeerMessage::decode(&buffer) {
+            Ok(message) if uses_planners(&message) => {
+                // A panic costs this message alone, as the requests and leases in it are repeated.
+                planner_guard::run(context, || receive(context, from, message));
+            }
             Ok(message) => receive(context, from, message),
             Err(error) => log::warn!(from:%, error:%; "peer.unreadable"),
         }
     }
 }
 
+/// Whether a message changes the planners of this process.
+fn uses_planners(message: &peer_message::PeerMessage) -> bool {
+    use peer_message::PeerMessage;
+    matches!(
+        message,
+        PeerMessage::Ask(..)
+            | PeerMessage::Note(..)
+            | PeerMessage::Renew(..)
+            | PeerMessage::Leases(..)
+    )
+}
+
 /// Passes a message to the module that handles it.
 fn receive(
     context: &rc::Rc<context::InstanceContext>,
@@ -190,8 +206,8 @@
         last = now;
         context.fleet.borrow_mut().tick(now);
         upstream_starts::handle_ended(&context);
-        quota_coordinator::tick(&context);
-        let answers = {
+        let answers = planner_guard::run(&context, || {
+            quota_coordinator::tick(&context);
             let mut planners = context.planners.borrow_mut();
             planners.sync(now, &context.fleet.borrow());
             if now.since(logged) > STATE_LOG_INTERVAL {
@@ -200,8 +216,8 @@
             }
             share_log.update(now, &planners);
             planners.tick(now)
-        };
-        for (origin, answer) in answers {
+        });
+        for (origin, answer) in answers.into_iter().flatten() {
             let job = answer.job();
             match origin {
                 planner_set::PlacementOrigin::Local => {
@@ -232,9 +248,12 @@
     note: engine_place::PlaceNote,
 ) {
     // The planner of this process may have the job as well, from a time when no other planner was reachable.
-    if let Some(planner) = context.planners.borrow_mut().planner(key) {
-        planner.note(context.now(), &note);
-    }
+    // Guarded, as places end also while a panic unwinds, where a second one would end the process.
+    planner_guard::run(context, || {
+        if let Some(planner) = context.planners.borrow_mut().planner(key) {
+            planner.note(context.now(), &note);
+        }
+    });
     if let Some(member) = planner_of(context, key) {
         context.send_to(member.address, peer_message::PeerMessage::Note(key.clone(), note));
     }
--- a/crates/instance/src/plan_client.rs
+++ b/crates/instance/src/plan_client.rs
@@ -8,7 +8,10 @@
     engine_place, ids, planner_key, planner_silence, quota_permit, sharing, units,
 };
 
-use crate::{context, incoming_call, lease_renewal, peer_message, peers, planner_set, stop_gate};
+use crate::{
+    context, incoming_call, lease_renewal, peer_message, peers, planner_guard, planner_set,
+    stop_gate,
+};
 
 /// Time after which a queued request is sent again, in case the planner has lost it.
 const REPEAT_INTERVAL: time::Duration = time::Duration::from_millis(300);
@@ -275,7 +278,9 @@
     request: &engine_place::PlacementRequest,
     replies: &mut mpsc::UnboundedReceiver<peer_message::PlanReply>,
 ) -> Option<engine_place::PlaceAnswer> {
-    let answer = request_local_planner(context, key, request, context.now());
+    let now = context.now();
+    let answer =
+        planner_guard::run(context, || request_local_planner(context, key, request, now)).flatten();
     if answer.is_some() {
         return answer;
     }
--- a/crates/instance/src/program.rs
+++ b/crates/instance/src/program.rs
@@ -10,7 +10,7 @@
 use crate::{
     adapter, caller_connection, connection_slot, context, engine_reports, failure_watch,
     heartbeats, instance_settings, internal_server, lease_renewal, link_probe, listeners, log_sink,
-    member_feed, member_gossip, peers, settings_watch, store_feed, upstream_ends,
+    member_feed, member_gossip, peers, planner_guard, settings_watch, store_feed, upstream_ends,
 };
 
 /// Interval between two checks for a signal to stop or to reload.
@@ -145,8 +145,14 @@
     context: &rc::Rc<context::InstanceContext>,
     run: fn(rc::Rc<context::InstanceContext>) -> F,
 ) {
+    let running = rc::Rc::clone(context);
+    spawn_restarted(context, async move || run(rc::Rc::clone(&running)).await);
+}
+
+/// Spawns a task that runs again after a panic; repeated panics leave planning to other members.
+fn spawn_restarted(context: &rc::Rc<context::InstanceContext>, run: impl AsyncFnMut() + 'static) {
     let context = rc::Rc::clone(context);
-    process::spawn_restarted(async move || run(rc::Rc::clone(&context)).await);
+    process::spawn_restarted(run, move || planner_guard::note_panic(&context));
 }
 
 /// Spawns the tasks that send and receive datagrams and that handle events about runs.
@@ -158,12 +164,12 @@
 ) {
     let socket = rc::Rc::new(socket);
     let sending = rc::Rc::clone(&socket);
-    process::spawn_restarted(async move || peers::send_all(&sending, &mut outgoing).await);
+    spawn_restarted(context, async move || peers::send_all(&sending, &mut outgoing).await);
     let receiver = rc::Rc::clone(context);
-    process::spawn_restarted(async move || peers::receive_all(&receiver, &socket).await);
-    let context = rc::Rc::clone(context);
-    process::spawn_restarted(async move || {
-        upstream_ends::find_ended_upstreams(rc::Rc::clone(&context), &mut runs).await;
+    spawn_restarted(context, async move || peers::receive_all(&receiver, &socket).await);
+    let finder = rc::Rc::clone(context);
+    spawn_restarted(context, async move || {
+        upstream_ends::find_ended_upstreams(rc::Rc::clone(&finder), &mut runs).await;
     });
 }
 
@@ -178,13 +184,13 @@
         (rc::Rc::new(sockets.operators), internal_server::ServerRole::Operators),
     ];
     for (listener, role) in internal {
-        let context = rc::Rc::clone(context);
-        process::spawn_restarted(async move || {
-            internal_server::accept_all(&context, &listener, role).await;
+        let server = rc::Rc::clone(context);
+        spawn_restarted(context, async move || {
+            internal_server::accept_all(&server, &listener, role).await;
         });
     }
-    let (context, callers) = (rc::Rc::clone(context), sockets.callers);
-    process::spawn_restarted(async move || accept_callers(&context, &callers).await);
+    let (server, callers) = (rc::Rc::clone(context), sockets.callers);
+    spawn_restarted(context, async move || accept_callers(&server, &callers).await);
 }
 
 async fn accept_callers(
--- a/crates/net/src/process.rs
+++ b/crates/net/src/process.rs
@@ -14,8 +14,12 @@
 /// Interval at which [`StopSignal::wait`] checks for a stop request.
 const STOP_POLL_INTERVAL: time::Duration = time::Duration::from_millis(50);
 
-/// Time after a panic of a permanent task until it runs again; bounds the load of one that panics at once.
+/// Time after a panic of a permanent task until it runs again.
 const RESTART_PAUSE: time::Duration = time::Duration::from_millis(100);
+/// Longest time until a permanent task runs again; each panic soon after the one before doubles the time.
+const MAX_RESTART_PAUSE: time::Duration = time::Duration::from_millis(1_600);
+/// Time without a panic after which the next pause is [`RESTART_PAUSE`] again.
+const SOUND_RUN: time::Duration = time::Duration::from_secs(10);
 
 /// The process's monotonic clock. It keeps counting while the process is paused or the system is
 /// suspended.
@@ -61,11 +65,22 @@
     drop(monoio::spawn(panic::AssertUnwindSafe(task).catch_unwind()));
 }
 
-/// Spawns a task that is to run until the process ends. After a panic, `run` is called again.
-pub fn spawn_restarted(mut run: impl AsyncFnMut() + 'static) {
+/// Spawns a task that is to run until the process ends. After a panic, `on_panic` and then, with increasing pauses,
+/// `run` are called again.
+pub fn spawn_restarted(mut run: impl AsyncFnMut() + 'static, on_panic: impl Fn() + 'static) {
     monoio::spawn(async move {
-        while panic::AssertUnwindSafe(run()).catch_unwind().await.is_err() {
-            monoio::time::sleep(RESTART_PAUSE).await;
+        let mut pause = RESTART_PAUSE;
+        loop {
+            let started = boot_clock::BootInstant::now();
+            if panic::AssertUnwindSafe(run()).catch_unwind().await.is_ok() {
+                return;
+            }
+            on_panic();
+            if started.elapsed() >= SOUND_RUN {
+                pause = RESTART_PAUSE;
+            }
+            monoio::time::sleep(pause).await;
+            pause = (pause * 2).min(MAX_RESTART_PAUSE);
         }
     });
 }
--- a/crates/net/tests/process.rs
+++ b/crates/net/tests/process.rs
@@ -54,15 +54,38 @@
     let ended = process::run(async {
         let count = rc::Rc::new(cell::Cell::new(0));
         let shared = rc::Rc::clone(&count);
+        let panics = rc::Rc::new(cell::Cell::new(0));
+        let counted = rc::Rc::clone(&panics);
         let (sender, mut queue) = mpsc::unbounded();
-        process::spawn_restarted(async move || {
-            while let Some(number) = queue.next().await {
-                assert_ne!(number, 2, "a fault of the test");
-                shared.set(shared.get() + 1);
-            }
-        });
+        process::spawn_restarted(
+            async move || {
+                while let Some(number) = queue.next().await {
+                    assert_ne!(number, 2, "a fault of the test");
+                    shared.set(shared.get() + 1);
+                }
+            },
+            move || counted.set(counted.get() + 1),
+        );
         (0..5).for_each(|number| sender.unbounded_send(number).expect("the queue is open"));
         wait_for(&count, 4).await;
+        assert_eq!(panics.get(), 1);
+    });
+    ended.expect("cannot start the event loop");
+}
+
+/// Guards against a load on others, such as calls of the store, by a task that panics at once at each start.
+#[test]
+fn a_permanent_task_that_always_panics_runs_seldom() {
+    let ended = process::run(async {
+        let count = rc::Rc::new(cell::Cell::new(0));
+        let shared = rc::Rc::clone(&count);
+        let run = async move || {
+            shared.set(shared.get() + 1);
+            panic!("a fault of the test");
+        };
+        process::spawn_restarted(run, || {});
+        monoio::time::sleep(time::Duration::from_secs(3)).await;
+        assert!((3..=6).contains(&count.get()), "{} runs", count.get());
     });
     ended.expect("cannot start the event loop");
 }
