--- a/crates/instance/src/answer_end.rs
+++ b/crates/instance/src/answer_end.rs
@@ -3,16 +3,13 @@
 //! The connections of a process that crashes end in the same way. Such an answer is complete only if the upstream
 //! certainly still runs afterwards.
 
-use std::{net, time};
+use std::net;
 
 use slipturn_core::{ids, send_gate};
 use snafu::Snafu;
 
 use crate::{context, member_relay, upstream_connect, upstream_ends, upstream_gate, upstream_pool};
 
-/// Time in which a proxy closes a connection to an upstream that has ended.
-const CLOSE_CHECK_TIME: time::Duration = time::Duration::from_millis(15);
-
 /// What is known of an upstream whose answer has ended with its connection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum EndEvidence {
@@ -143,7 +140,10 @@
         context: &context::InstanceContext,
         mut connection: upstream_pool::UpstreamConnection,
     ) -> bool {
-        if monoio::time::timeout(CLOSE_CHECK_TIME, connection.reader.fill()).await.is_ok() {
+        if monoio::time::timeout(upstream_connect::CLOSE_CHECK_TIME, connection.reader.fill())
+            .await
+            .is_ok()
+        {
             return false;
         }
         let kind = send_gate::SendKind::Request;
--- a/crates/instance/src/upstream_connect.rs
+++ b/crates/instance/src/upstream_connect.rs
@@ -1,7 +1,8 @@
 //! Opens connections to upstreams: over the links of this process, or through a member that relays.
 //!
-//! Both paths are tried one after the other, as by "Happy Eyeballs" (RFC 8305): the second one as soon as the first
-//! fails or is slow. So a request is served also before this process knows that a link is cut.
+//! Both paths are tried one after the other, as by "Happy Eyeballs" (RFC 8305): a relay as soon as the link fails or is
+//! slow. So a request is served also before this process knows that a link is cut. Over a link that seems cut, a
+//! connection is opened only after the relays have failed.
 
 use std::{future::Future, io, net, pin, time};
 
@@ -18,6 +19,8 @@
 const SECOND_PATH_DELAY: time::Duration = time::Duration::from_millis(100);
 /// Timeout of a direct attempt at an upstream of a service that seems unreachable, after no member relayed.
 const UNREACHABLE_TIMEOUT: time::Duration = time::Duration::from_millis(100);
+/// Time in which a proxy closes a connection that leads nowhere.
+pub(crate) const CLOSE_CHECK_TIME: time::Duration = time::Duration::from_millis(15);
 
 /// A failed connection attempt; nothing was sent.
 #[derive(Debug, Snafu)]
@@ -141,7 +144,12 @@
         }
         upstream_reach::LinkPath::DirectOnly => {
             let refused = context.reach.borrow().relay_refused(target.service, target.address);
-            direct.await.map_err(|error| match error {
+            let is_lost = context.reach.borrow().lost_since(target.service).is_some();
+            let opened = match is_lost {
+                true => open_lost(target.address, CONNECT_TIMEOUT).await,
+                false => direct.await,
+            };
+            opened.map_err(|error| match error {
                 ConnectError::Refused { source } if !refused => {
                     let relay = "no relay reached it lately".to_owned();
                     ConnectError::Unconfirmed { source, relay }
@@ -150,9 +158,12 @@
             })
         }
         upstream_reach::LinkPath::Relayed => {
-            let relayed = open_relayed(context, target);
-            let direct = open_direct(target.address, UNREACHABLE_TIMEOUT);
-            note_relayed_first(context, target, race(relayed, direct).await)
+            let relay_error = match open_relayed(context, target).await {
+                Ok(connection) => return Ok(connection),
+                Err(error) => error,
+            };
+            let direct = open_lost(target.address, UNREACHABLE_TIMEOUT).await;
+            direct.map_err(|error| note_relay_error(context, target, error, &relay_error))
         }
     }
 }
@@ -186,6 +197,22 @@
     Ok(upstream_pool::OpenedConnection { reader, writer, relay: None })
 }
 
+/// Opens a direct connection over a link that seems lost. A proxy may accept connections that lead nowhere, and a request
+/// sent over one counts as possibly run, so the connection must stay open for [`CLOSE_CHECK_TIME`].
+async fn open_lost(
+    address: net::SocketAddrV4,
+    limit: time::Duration,
+) -> Result<upstream_pool::OpenedConnection, ConnectError> {
+    let mut opened = open_direct(address, limit).await?;
+    match monoio::time::timeout(CLOSE_CHECK_TIME, opened.reader.fill()).await {
+        Ok(_) => {
+            let source = io::Error::new(io::ErrorKind::ConnectionAborted, "closed at once");
+            Err(ConnectError::Refused { source })
+        }
+        Err(_) => Ok(opened),
+    }
+}
+
 async fn open_relayed(
     context: &context::InstanceContext,
     target: ConnectTarget<'_>,
@@ -258,20 +285,6 @@
     }
 }
 
-/// Records the result of attempts of which the relayed one was first.
-fn note_relayed_first(
-    context: &context::InstanceContext,
-    target: ConnectTarget<'_>,
-    raced: RaceResult<member_relay::RelayError, ConnectError>,
-) -> Result<upstream_pool::OpenedConnection, ConnectError> {
-    match raced {
-        RaceResult::First(connection) | RaceResult::Second(connection) => Ok(connection),
-        RaceResult::Failed(relay_error, error) => {
-            Err(note_relay_error(context, target, error, &relay_error))
-        }
-    }
-}
-
 /// Records why no member relayed a connection that could not be opened directly either; returns the error of the direct
 /// attempt.
 fn note_relay_error(
