--- a/crates/instance/src/list_update.rs
+++ b/crates/instance/src/list_update.rs
@@ -4,7 +4,7 @@
 
 use slipturn_core::{ids, store_revision, units, upstream_list, upstream_notice};
 
-use crate::{adapter, compressed_bytes, fleet_state, list_recovery};
+use crate::{adapter, compressed_bytes, fleet_state, list_recovery, raw_state};
 
 /// Most characters that a log line shows of a name or error from outside.
 const MAX_LOGGED_CHARS: usize = 160;
@@ -109,7 +109,7 @@
             match self.parse_entry(name, text) {
                 Some(entry) => entries.push(entry),
                 None => {
-                    text.clear();
+                    *text = String::new();
                     unreadable
                         .extend(parse_upstream_id(name).map(upstream_list::ListChange::Unreadable));
                 }
@@ -194,12 +194,18 @@
         revision: store_revision::StoreRevision,
     ) {
         let mut items = Vec::new();
+        let mut item_bytes = 0;
         let mut evacuations = Vec::new();
         for change in changes {
             match change {
                 adapter::StoreChange::Put(item) => match self.adapter.key(&item.key) {
                     adapter::StoreKey::Routes => self.put_routes_item(item, "store"),
-                    adapter::StoreKey::Upstream(name) => items.push((name, Some(item_text(item)))),
+                    adapter::StoreKey::Upstream(name) => {
+                        let others = self.raw.bytes_beside(&name) + item_bytes;
+                        let text = self.entry_text(&name, item, others);
+                        item_bytes += raw_state::document_bytes(&name, Some(&text));
+                        items.push((name, Some(text)));
+                    }
                     adapter::StoreKey::Evacuation(data_center) => {
                         if revision >= self.list.revision() {
                             self.list.confirm_evacuation(&data_center);
@@ -243,8 +249,9 @@
         for (name, mut text) in changes {
             let change = self.read_change(&name, text.as_deref(), revision);
             if matches!(change, None | Some(upstream_list::ListChange::Unreadable(_))) {
-                // An unreadable document may be of any size, so it is passed on to members as an empty one.
-                text.as_mut().map(String::clear);
+                // An unreadable document may be of any size, so it is passed on to members as an empty one. The
+                // allocation is not kept either.
+                text = text.map(|_| String::new());
             }
             let without_start = matches!(&change, Some(upstream_list::ListChange::Present(entry))
                 if entry.name.start().is_none());
@@ -285,18 +292,46 @@
         Some(upstream_list::ListChange::Present(entry))
     }
 
-    /// Parses the document of an upstream; logs and drops an invalid one.
+    /// Returns the document of an upstream in an item of the store; empty if the item names no upstream, so that neither
+    /// its bytes nor their allocation are kept, or if the list has no room beside the `other_bytes`. Logs why.
+    pub(crate) fn entry_text(
+        &self,
+        name: &str,
+        item: adapter::StoreItem,
+        other_bytes: usize,
+    ) -> String {
+        let check = |text: String| {
+            self.adapter.parse_upstream(name, &text)?;
+            if raw_state::has_room(other_bytes, name, &text) {
+                Ok(text)
+            } else {
+                Err(adapter::FormatError::new("entry of an upstream", "the list has no room"))
+            }
+        };
+        let mut text = item.value.and_then(check).unwrap_or_else(|error| {
+            self.log_rejected(name, &error);
+            String::new()
+        });
+        text.shrink_to_fit();
+        text
+    }
+
+    /// Parses the document of an upstream; drops an invalid one, and logs it unless it is empty: that one has been
+    /// rejected and logged by its reader.
     fn parse_entry(&self, name: &str, text: &str) -> Option<upstream_list::UpstreamEntry> {
-        // An unreadable entry is logged once for each time it is written, not each time it is read.
-        let already_rejected = self.raw.upstreams.get(name).is_some_and(String::is_empty);
+        if text.is_empty() {
+            return None;
+        }
         let parsed = self.adapter.parse_upstream(name, text);
-        parsed.inspect_err(|error| {
-            if !already_rejected {
-                let error = error.to_string();
-                log::error!(upstream = truncated(name), error = truncated(&error); "upstream.rejected");
-            }
-        })
-        .ok()
+        parsed.inspect_err(|error| self.log_rejected(name, error)).ok()
+    }
+
+    /// Logs an unreadable entry once for each time it replaces a readable one, not each time it is read.
+    fn log_rejected(&self, name: &str, error: &adapter::FormatError) {
+        if !self.raw.upstreams.get(name).is_some_and(String::is_empty) {
+            let error = error.to_string();
+            log::error!(upstream = truncated(name), error = truncated(&error); "upstream.rejected");
+        }
     }
 
     /// Logs and counts a list or changes that are older than the list in force.
@@ -320,14 +355,6 @@
     ids::UpstreamId::of_identifier(name).ok()
 }
 
-/// The text of an item; empty, which no valid entry is, if it cannot be decoded.
-pub(crate) fn item_text(item: adapter::StoreItem) -> String {
-    let reject = |error: &adapter::FormatError| {
-        log::debug!(key = truncated(&item.key), error:%; "store.item_unreadable");
-    };
-    item.value.inspect_err(reject).unwrap_or_default()
-}
-
 /// Truncates a text of unknown length for the log.
 fn truncated(text: &str) -> &str {
     let end = text.char_indices().nth(MAX_LOGGED_CHARS).map_or(text.len(), |(end, _)| end);
--- a/crates/instance/src/store_read.rs
+++ b/crates/instance/src/store_read.rs
@@ -4,7 +4,7 @@
 
 use slipturn_core::{ids, range_read, store_revision, units};
 
-use crate::{adapter, context, document_call, list_update, store_call, store_contact};
+use crate::{adapter, context, document_call, raw_state, store_call, store_contact};
 
 /// Timeout of a call that reads one page, or the routes alone.
 const READ_TIMEOUT: time::Duration = time::Duration::from_millis(1_500);
@@ -26,6 +26,10 @@
     begun_at: Option<units::MonoTime>,
     /// When the store last answered, whatever the status.
     answered_at: units::MonoTime,
+    /// Number of unreadable entries that have been read.
+    unreadable: usize,
+    /// Size in bytes of the documents that have been read.
+    bytes: usize,
     /// Number of failed calls.
     failures: u64,
     /// Whether an attempt has read a page before it failed; cleared by [`Self::take_progress`].
@@ -113,18 +117,34 @@
         revision: store_revision::StoreRevision,
     ) -> Result<(), range_read::PageError> {
         if !self.upstreams.is_complete() {
-            let documents =
-                page.items.into_iter().filter_map(|item| match context.adapter.key(&item.key) {
-                    adapter::StoreKey::Upstream(name) => Some((name, list_update::item_text(item))),
-                    _ => None,
-                });
+            let fleet = context.fleet.borrow();
+            let mut documents = Vec::new();
+            for item in page.items {
+                let adapter::StoreKey::Upstream(name) = context.adapter.key(&item.key) else {
+                    continue;
+                };
+                let text = fleet.entry_text(&name, item, self.bytes);
+                self.unreadable += usize::from(text.is_empty());
+                // The list does not hold more of them either.
+                if !text.is_empty() || self.unreadable <= raw_state::MAX_UNREADABLE {
+                    self.bytes += name.len() + text.len();
+                    documents.push((name, text));
+                }
+            }
             return self.upstreams.add_page(documents, page.next, revision);
         }
         let first = self.upstreams.first_revision().unwrap_or(revision);
         if first.era != revision.era {
             return Err(range_read::PageError::OtherEra { revision });
         }
-        self.operator_documents.add_page(page.items, page.next, revision)
+        let is_used = |item: &adapter::StoreItem| {
+            let key = context.adapter.key(&item.key);
+            matches!(key, adapter::StoreKey::Routes | adapter::StoreKey::Evacuation(_))
+        };
+        let items: Vec<_> = page.items.into_iter().filter(is_used).collect();
+        let value_bytes = |item: &adapter::StoreItem| item.value.as_ref().map_or(0, String::len);
+        self.bytes += items.iter().map(|item| item.key.len() + value_bytes(item)).sum::<usize>();
+        self.operator_documents.add_page(items, page.next, revision)
     }
 
     /// Puts the documents into force; returns the revision from which to watch.
