--- a/crates/instance/src/fleet_state.rs
+++ b/crates/instance/src/fleet_state.rs
@@ -30,6 +30,8 @@
     pub(crate) origin: ListOrigin,
     /// Number of lists and changes dropped because they were older than the list in force.
     pub(crate) dropped: u64,
+    /// Size in bytes of the documents of a read of the store that is not complete.
+    pub(crate) read_bytes: usize,
     /// Whether applying a member's changes did not result in the member's list, so that a whole list is needed.
     pub(crate) diverged: bool,
 }
@@ -43,6 +45,19 @@
     pub since: units::MonoTime,
 }
 
+/// Sizes in bytes of what is kept of the store: names and texts of documents.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct KeptBytes {
+    /// Routes in force.
+    pub(crate) routes: usize,
+    /// List of upstreams.
+    pub(crate) list: usize,
+    /// Remembered changes of upstreams.
+    pub(crate) changes: usize,
+    /// Pages of a read that is not complete.
+    pub(crate) read: usize,
+}
+
 impl FleetState {
     /// Creates the state of a process that has not read any documents.
     pub fn new(adapter: rc::Rc<dyn adapter::InstanceAdapter>) -> Self {
@@ -55,6 +70,7 @@
             returned_at: None,
             origin: ListOrigin { source: "".into(), since: units::MonoTime::default() },
             dropped: 0,
+            read_bytes: 0,
             diverged: false,
         }
     }
@@ -64,6 +80,13 @@
         &self.origin
     }
 
+    /// Returns the sizes of what is kept of the store.
+    pub(crate) fn kept_bytes(&self) -> KeptBytes {
+        let (list, changes) = self.raw.kept_bytes();
+        let routes = self.raw.routes.as_ref().map_or(0, String::len);
+        KeptBytes { routes, list, changes, read: self.read_bytes }
+    }
+
     /// Number of lists and changes dropped, since the start of the process, because they were older than the list in
     /// force.
     pub fn dropped(&self) -> u64 {
--- a/crates/instance/src/internal_server.rs
+++ b/crates/instance/src/internal_server.rs
@@ -362,15 +362,22 @@
 fn source_gauges(context: &context::InstanceContext) -> String {
     let lags = context.lags();
     let store_tracker = context.store_tracker.borrow();
+    let kept = context.fleet.borrow().kept_bytes();
     format!(
         "slipturn_store_ok {}\nslipturn_store_era {}\nslipturn_store_heard_ms {}\n\
-         slipturn_lists_older_total {}\nslipturn_routes_lag_ms {}\nslipturn_list_lag_ms {}\n",
+         slipturn_lists_older_total {}\nslipturn_routes_lag_ms {}\nslipturn_list_lag_ms {}\n\
+         slipturn_store_kept_bytes{{part=\"routes\"}} {}\nslipturn_store_kept_bytes{{part=\"list\"}} {}\n\
+         slipturn_store_kept_bytes{{part=\"changes\"}} {}\nslipturn_store_kept_bytes{{part=\"read\"}} {}\n",
         u8::from(store_tracker.answers()),
         store_tracker.era(),
         units::whole_millis(store_tracker.last_answer_age(context.now())),
         context.fleet.borrow().dropped(),
         units::whole_millis(lags.routes),
         units::whole_millis(lags.list),
+        kept.routes,
+        kept.list,
+        kept.changes,
+        kept.read,
     )
 }
 
--- a/crates/instance/src/raw_state.rs
+++ b/crates/instance/src/raw_state.rs
@@ -138,6 +138,11 @@
         self.upstream_bytes - own
     }
 
+    /// Size in bytes of the list and of the remembered changes.
+    pub(crate) fn kept_bytes(&self) -> (usize, usize) {
+        (self.upstream_bytes, self.change_bytes)
+    }
+
     /// Records that single changes between the present revision and `next` are unknown.
     pub(crate) fn record_gap(&mut self, next: store_revision::StoreRevision) {
         self.gaps.push_back((self.revision, next));
--- a/crates/instance/src/store_read.rs
+++ b/crates/instance/src/store_read.rs
@@ -117,7 +117,7 @@
         revision: store_revision::StoreRevision,
     ) -> Result<(), range_read::PageError> {
         if !self.upstreams.is_complete() {
-            let fleet = context.fleet.borrow();
+            let mut fleet = context.fleet.borrow_mut();
             let mut documents = Vec::new();
             for item in page.items {
                 let adapter::StoreKey::Upstream(name) = context.adapter.key(&item.key) else {
@@ -131,6 +131,7 @@
                     documents.push((name, text));
                 }
             }
+            fleet.read_bytes = self.bytes;
             return self.upstreams.add_page(documents, page.next, revision);
         }
         let first = self.upstreams.first_revision().unwrap_or(revision);
@@ -144,6 +145,7 @@
         let items: Vec<_> = page.items.into_iter().filter(is_used).collect();
         let value_bytes = |item: &adapter::StoreItem| item.value.as_ref().map_or(0, String::len);
         self.bytes += items.iter().map(|item| item.key.len() + value_bytes(item)).sum::<usize>();
+        context.fleet.borrow_mut().read_bytes = self.bytes;
         self.operator_documents.add_page(items, page.next, revision)
     }
 
@@ -210,6 +212,7 @@
         }
     };
     let read = std::mem::take(read);
+    context.fleet.borrow_mut().read_bytes = 0;
     let took = read.begun_at.map_or(time::Duration::ZERO, |begun_at| context.now().since(begun_at));
     log::info!(
         outcome = outcome.label(), pages = read.pages(), failures = read.failures,
