--- a/crates/instance/src/store_read.rs
+++ b/crates/instance/src/store_read.rs
@@ -4,7 +4,7 @@
 
 use slipturn_core::{ids, range_read, store_revision, units};
 
-use crate::{adapter, context, document_call, list_update, store_call};
+use crate::{adapter, context, document_call, raw_state, store_call, store_contact};
 
 /// Timeout of a call that reads one page, or the routes alone.
 const READ_TIMEOUT: time::Duration = time::Duration::from_millis(1_500);
@@ -26,6 +26,10 @@
     begun_at: Option<units::MonoTime>,
     /// When the store last answered, whatever the status.
     answered_at: units::MonoTime,
+    /// Number of unreadable entries that have been read.
+    unreadable: usize,
+    /// Size in bytes of the documents that have been read.
+    bytes: usize,
     /// Number of failed calls.
     failures: u64,
     /// Whether an attempt has read a page before it failed; cleared by [`Self::take_progress`].
@@ -49,6 +53,11 @@
         }
     }
 
+    /// Whether the read has begun and is not complete.
+    pub(crate) fn has_begun(&self) -> bool {
+        self.begun_at.is_some()
+    }
+
     /// Returns whether an attempt has read a page before it failed, since the last call of this method.
     pub(crate) fn take_progress(&mut self) -> bool {
         std::mem::take(&mut self.has_advanced)
@@ -79,15 +88,20 @@
             } else {
                 context.adapter.upstreams_path(self.upstreams.after())
             };
-            let answer = store_call::get(context, connection, &path, READ_TIMEOUT).await;
+            let reader = context.adapter.page_reader();
+            let answer = store_call::get(context, connection, &path, READ_TIMEOUT, reader).await;
             if answer.as_ref().map_or_else(store_call::StoreError::is_answer, |_| true) {
                 self.answered_at = context.now();
             }
             let answer = answer.map_err(|error| error.to_string())?;
-            let page =
-                context.adapter.parse_page(&answer.body).map_err(|error| error.to_string())?;
+            if context.fleet.borrow().is_known() {
+                // Recorded before the list is replaced, so that entries that expired during an outage are not removed at
+                // once.
+                store_contact::mark_answered(context);
+            }
+            let page = answer.content;
             let revision = store_revision::StoreRevision::new(answer.era, page.revision);
-            self.add_page(&*context.adapter, page, revision).map_err(|error| {
+            self.add_page(context, page, revision).map_err(|error| {
                 // The pages that were read cannot be continued.
                 *self = Self { failures: self.failures, ..Self::default() };
                 error.to_string()
@@ -98,23 +112,41 @@
 
     fn add_page(
         &mut self,
-        adapter: &dyn adapter::InstanceAdapter,
+        context: &context::InstanceContext,
         page: adapter::StorePage,
         revision: store_revision::StoreRevision,
     ) -> Result<(), range_read::PageError> {
         if !self.upstreams.is_complete() {
-            let documents =
-                page.items.into_iter().filter_map(|item| match adapter.key(&item.key) {
-                    adapter::StoreKey::Upstream(name) => Some((name, list_update::item_text(item))),
-                    _ => None,
-                });
+            let mut fleet = context.fleet.borrow_mut();
+            let mut documents = Vec::new();
+            for item in page.items {
+                let adapter::StoreKey::Upstream(name) = context.adapter.key(&item.key) else {
+                    continue;
+                };
+                let text = fleet.entry_text(&name, item, self.bytes);
+                self.unreadable += usize::from(text.is_empty());
+                // The list does not hold more of them either.
+                if !text.is_empty() || self.unreadable <= raw_state::MAX_UNREADABLE {
+                    self.bytes += name.len() + text.len();
+                    documents.push((name, text));
+                }
+            }
+            fleet.read_bytes = self.bytes;
             return self.upstreams.add_page(documents, page.next, revision);
         }
         let first = self.upstreams.first_revision().unwrap_or(revision);
         if first.era != revision.era {
             return Err(range_read::PageError::OtherEra { revision });
         }
-        self.operator_documents.add_page(page.items, page.next, revision)
+        let is_used = |item: &adapter::StoreItem| {
+            let key = context.adapter.key(&item.key);
+            matches!(key, adapter::StoreKey::Routes | adapter::StoreKey::Evacuation(_))
+        };
+        let items: Vec<_> = page.items.into_iter().filter(is_used).collect();
+        let value_bytes = |item: &adapter::StoreItem| item.value.as_ref().map_or(0, String::len);
+        self.bytes += items.iter().map(|item| item.key.len() + value_bytes(item)).sum::<usize>();
+        context.fleet.borrow_mut().read_bytes = self.bytes;
+        self.operator_documents.add_page(items, page.next, revision)
     }
 
     /// Puts the documents into force; returns the revision from which to watch.
@@ -180,6 +212,7 @@
         }
     };
     let read = std::mem::take(read);
+    context.fleet.borrow_mut().read_bytes = 0;
     let took = read.begun_at.map_or(time::Duration::ZERO, |begun_at| context.now().since(begun_at));
     log::info!(
         outcome = outcome.label(), pages = read.pages(), failures = read.failures,
@@ -193,10 +226,10 @@
 pub(crate) async fn read_routes(context: &context::InstanceContext) -> Result<(), String> {
     let mut connection = document_call::DocumentConnection::new(context.settings().store);
     let path = context.adapter.routes_path();
-    let answer = store_call::get(context, &mut connection, &path, READ_TIMEOUT).await;
+    let reader = context.adapter.page_reader();
+    let answer = store_call::get(context, &mut connection, &path, READ_TIMEOUT, reader).await;
     let answer = answer.map_err(|error| error.to_string())?;
-    let page = context.adapter.parse_page(&answer.body).map_err(|error| error.to_string())?;
     let mut fleet = context.fleet.borrow_mut();
-    page.items.into_iter().for_each(|item| fleet.put_routes_item(item, "store"));
+    answer.content.items.into_iter().for_each(|item| fleet.put_routes_item(item, "store"));
     Ok(())
 }
