--- a/crates/soak/src/fault_injector.rs
+++ b/crates/soak/src/fault_injector.rs
@@ -19,7 +19,7 @@
         Disturbance, Evidence, InstancePartition, LinkFault, RECOVERY_MARGIN, UpstreamListing,
     },
     fault_plan::{Fault, PartitionScope, PlannedFault},
-    late_traffic, store_drill,
+    late_traffic, process_watch, return_plan, store_drill,
     traffic::SentRequest,
 };
 
@@ -76,6 +76,16 @@
     StoreReturn(Duration, Duration),
     /// Writes the entries again that the store lost in the restore.
     Rewrite,
+    /// Lists all upstreams again after a loss of power.
+    PowerBack,
+    /// Lets the store answer all reads.
+    ReadsUnlimited,
+    /// Makes an upstream get no further requests.
+    Withhold(u8, return_plan::WithheldState),
+    /// Crashes an upstream.
+    Crash(u8),
+    /// Lets an upstream that has crashed be used as before.
+    CrashOver(u8),
 }
 
 /// A fleet, the faults in force and the evidence recorded so far.
@@ -88,12 +98,13 @@
     /// Lines of the fault log: starts and ends of faults with their times.
     pub(crate) fault_log: Vec<String>,
     /// Pending ends of faults with the time at which each is due.
-    ends: Vec<(Instant, FaultEnd)>,
+    pub(crate) ends: Vec<(Instant, FaultEnd)>,
     /// Index in [`Evidence::contact_losses`] of the loss that a planned stop causes, by number of
     /// the instance, until the instance is started again.
     stop_losses: collections::HashMap<u8, usize>,
     /// Recent copies of the store, if the plan has drills (restores of the store from a copy).
     copy_log: Option<store_drill::CopyLog>,
+    pub(crate) process_watch: process_watch::ProcessWatch,
     /// Clients of instances that stop.
     late_clients: Vec<thread::JoinHandle<Vec<SentRequest>>>,
 }
@@ -109,6 +120,7 @@
             ends: Vec::new(),
             stop_losses: collections::HashMap::new(),
             copy_log: None,
+            process_watch: process_watch::ProcessWatch::default(),
             late_clients: Vec::new(),
         }
     }
@@ -190,6 +202,10 @@
                 self.fleet.runners()[usize::from(number)].set_mode(mode);
                 self.record_external_fault(until);
                 self.ends.push((until, FaultEnd::UpstreamGood(number)));
+                if matches!(mode, RunnerMode::Cut(_)) {
+                    // The upstream may have crashed, and its entry is to name its present start.
+                    self.ends.push((until, FaultEnd::Return(number)));
+                }
             }
             Fault::Leave(number) => self.leave(number, until),
             Fault::Evacuate(number) => self.evacuate(number, until),
@@ -227,6 +243,9 @@
             }
             Fault::Litter(number) => self.write_invalid_entry(number),
             Fault::OddEntry(number) => self.write_odd_entry(number),
+            Fault::PowerLoss(_) => self.lose_power(until),
+            Fault::LimitReads(limit) => self.limit_reads(limit, until),
+            Fault::CrashUnframed(number, state) => self.crash_unframed(number, state, until),
             link_fault => self.inject_link_fault(link_fault, until),
         }
     }
@@ -309,6 +328,7 @@
     pub(crate) fn end_due(&mut self, now: Instant) {
         let (due, later): (Vec<_>, Vec<_>) = self.ends.drain(..).partition(|(at, _)| *at <= now);
         self.ends = later;
+        self.watch_memory(now);
         for (at, end) in due {
             self.evidence
                 .extend_to_actual_end(at + RECOVERY_MARGIN, Instant::now() + RECOVERY_MARGIN);
@@ -317,7 +337,11 @@
         for number in 0..self.fleet.instances.len() as u8 {
             // Starts an instance that exited after SIGTERM or in a crash; an instance that was
             // killed is started again by its pending `FaultEnd::Start`.
-            if self.fleet.wait_for_exit(number, Duration::from_millis(1)).is_some() {
+            if let Some(status) = self.fleet.wait_for_status(number, Duration::from_millis(1)) {
+                if !self.stop_losses.contains_key(&number) {
+                    let violation = format!("instance {number} ended by itself, {status}");
+                    self.evidence.violations.push(violation);
+                }
                 self.end(FaultEnd::Start(number));
             }
         }
@@ -352,6 +376,14 @@
                 self.ends.push((now + rewrite, FaultEnd::Rewrite));
             }
             FaultEnd::Rewrite => self.fleet.store.rewrite_lost(),
+            FaultEnd::PowerBack => self.list_upstreams(),
+            FaultEnd::ReadsUnlimited => {
+                self.fleet.store.set_read_limit(None);
+                self.record_contact_loss(None, now);
+            }
+            FaultEnd::Withhold(number, state) => self.withhold(number, state),
+            FaultEnd::Crash(number) => self.crash(number),
+            FaultEnd::CrashOver(number) => self.end_crash(number),
             FaultEnd::StoreLinkGood(None) => {
                 self.set_store_links(0..self.fleet.instances.len() as u8, LinkMode::Good);
                 self.record_contact_loss(None, now);
@@ -482,14 +514,14 @@
     }
 
     /// Kills an instance, which is started again at `until`.
-    fn kill(&mut self, number: u8, until: Instant) {
+    pub(crate) fn kill(&mut self, number: u8, until: Instant) {
         self.record_outage(Some(number), until);
         self.fleet.kill(number);
         self.ends.push((until, FaultEnd::Start(number)));
     }
 
     /// Restarts an upstream and records the restart.
-    fn restart(&mut self, number: u8) {
+    pub(crate) fn restart(&mut self, number: u8) {
         self.evidence.upstream_restarts.push((number, Instant::now()));
         self.fleet.runners()[usize::from(number)].restart();
     }
@@ -526,7 +558,7 @@
     /// Replaces the entry of an upstream by an invalid one and records the upstream as leaving, as
     /// instances must not use an upstream without a valid entry.
     fn overwrite_entry(&mut self, number: u8) {
-        let name = self.fleet.runners()[usize::from(number)].name.clone();
+        let name = self.fleet.runners()[usize::from(number)].identifier();
         let invalid = INVALID_ENTRIES[usize::from(number) % INVALID_ENTRIES.len()];
         self.fleet.store.put_raw(&format!("servers/{name}"), serde_json::json!(invalid));
         let listing = UpstreamListing { upstream: number, leaving: true, at: Instant::now() };
@@ -577,7 +609,7 @@
 
     /// Records that an instance, or all for `None`, is out of contact from now until `until` plus
     /// [`RECOVERY_MARGIN`].
-    fn record_contact_loss(&mut self, instance: Option<u8>, until: Instant) {
+    pub(crate) fn record_contact_loss(&mut self, instance: Option<u8>, until: Instant) {
         let disturbance =
             Disturbance { instance, from: Instant::now(), to: until + RECOVERY_MARGIN };
         self.evidence.contact_losses.push(disturbance);
--- a/crates/soak/src/fault_plan.rs
+++ b/crates/soak/src/fault_plan.rs
@@ -10,11 +10,15 @@
 
 use rand::{RngExt as _, SeedableRng as _};
 use rand_chacha::ChaCha8Rng;
-use slipturn_platform_standin::{proxy::LinkMode, runner::RunnerMode, store::StoreMode};
+use slipturn_platform_standin::{
+    proxy::LinkMode,
+    runner::RunnerMode,
+    store::{ReadLimit, StoreMode},
+};
 
 use crate::{
     contact_plan, data_center_plan, drill_plan, endless_plan, engine_plan, entry_plan,
-    framing_plan, grace_plan, invalid_plan, limit_plan, partition_plan, signal_plan,
+    framing_plan, grace_plan, invalid_plan, limit_plan, partition_plan, return_plan, signal_plan,
 };
 
 /// Time between the starts of two faults of [`dense_faults`] in the first part of a run,
@@ -100,6 +104,13 @@
     Partition(u8, PartitionScope, LinkMode),
     /// The streams of an engine have neither a length nor chunks until the end.
     Unframed(u8),
+    /// All instances and upstreams end at once and are started again at the end, the upstreams under new identifiers. The
+    /// store, which has many entries of another writer, limits reads meanwhile as a [`Self::LimitReads`] beside says.
+    PowerLoss(Option<ReadLimit>),
+    /// The store rejects reads beyond a limit until the end.
+    LimitReads(ReadLimit),
+    /// An upstream whose answers have no length gets no more requests, crashes, and is used as before at the end.
+    CrashUnframed(u8, return_plan::WithheldState),
     /// An engine with speed is slower than published by the given factor until the end.
     Slow(u8, u8),
     /// The store is unavailable until the end and is then restored from an older copy; lost entries
@@ -198,6 +209,7 @@
     faults.extend(endless_plan::faults(seed, size));
     faults.extend(invalid_plan::faults(seed, size));
     faults.extend(grace_plan::faults(seed, size));
+    faults.extend(return_plan::faults(seed, size));
     faults.sort_by_key(|planned| planned.at);
     faults
 }
--- a/crates/soak/src/final_checks.rs
+++ b/crates/soak/src/final_checks.rs
@@ -15,7 +15,7 @@
     evidence::RECOVERY_MARGIN,
     fault_injector::{FaultEnd, FaultInjector, STOP_GRACE_PERIOD},
     fault_plan::{Fault, PartitionScope, PlannedFault},
-    framing_plan, grace_plan, leave_check, partition_plan,
+    framing_plan, grace_plan, leave_check, partition_plan, return_plan,
     traffic::{self, Traffic},
 };
 
@@ -58,11 +58,17 @@
         if seed >= endless_plan::FIRST_SEED {
             self.check_rolling_restart(seed);
         }
+        if seed >= return_plan::FIRST_SEED {
+            self.check_power_return(seed);
+            if !seed.is_multiple_of(2) {
+                self.check_large_entries();
+            }
+        }
         self.check_release();
     }
 
     /// Ends all faults and checks that every instance is ready within [`RECOVERY_TIMEOUT`].
-    fn wait_for_recovery(&mut self) {
+    pub(crate) fn wait_for_recovery(&mut self) {
         self.end_all();
         let deadline = Instant::now() + RECOVERY_TIMEOUT;
         let numbers = 0..self.fleet.instances.len() as u8;
@@ -176,7 +182,7 @@
 
     /// Sends a probe for each route to each instance, and records a violation for each that the
     /// instance rejects. `phase` names the check in probe ids and violations.
-    fn probe_all(&mut self, phase: &str, routes: &[String]) {
+    pub(crate) fn probe_all(&mut self, phase: &str, routes: &[String]) {
         for number in 0..self.fleet.instances.len() as u8 {
             for route in routes {
                 let id = format!("probe-{phase}-{number}-{route}");
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -3,7 +3,7 @@
 use std::{path, process, time};
 
 use slipturn_net::command_line;
-use slipturn_soak::{grace_plan, run};
+use slipturn_soak::{return_plan, run};
 
 const INFO: command_line::ProgramInfo = command_line::ProgramInfo {
     name: "slipturn-soak",
@@ -13,7 +13,7 @@
 };
 
 /// Maximum number of instances that a test fleet has loopback addresses for.
-const MAX_INSTANCES: u64 = 40;
+const MAX_INSTANCES: u64 = 54;
 
 fn main() -> process::ExitCode {
     let mut options = getopts::Options::new();
@@ -46,7 +46,7 @@
         None => Ok(default),
         Some(text) => text.parse::<u64>().map_err(|_| format!("{name}: found '{text}'")),
     };
-    let first = number("seed", grace_plan::FIRST_SEED + u64::from(rand::random::<u32>()))?;
+    let first = number("seed", return_plan::FIRST_SEED + u64::from(rand::random::<u32>()))?;
     let own_path = std::env::current_exe().map_err(|error| error.to_string())?;
     let program = match matches.opt_str("program") {
         Some(program) => path::PathBuf::from(program),
--- a/crates/soak/tests/plans.rs
+++ b/crates/soak/tests/plans.rs
@@ -5,6 +5,7 @@
 use slipturn_soak::{
     contact_plan,
     fault_plan::{self, Fault},
+    return_plan,
 };
 
 const SIZE: fault_plan::PlanSize = fault_plan::PlanSize {
@@ -74,3 +75,28 @@
         assert!(fault_plan::plan(seed + 90_000, SIZE).iter().any(is_unframed));
     }
 }
+
+#[test]
+fn losses_of_power_of_all_upstreams_are_planned_only_from_the_first_seed_of_their_plan_on() {
+    let is_return_fault = |planned: &fault_plan::PlannedFault| {
+        matches!(planned.fault, Fault::PowerLoss(_) | Fault::CrashUnframed(..))
+    };
+    for seed in SEEDS {
+        let first = return_plan::FIRST_SEED;
+        assert!(!fault_plan::plan(first - 1 - seed, SIZE).iter().any(is_return_fault));
+        assert!(fault_plan::plan(first + seed, SIZE).iter().any(is_return_fault));
+    }
+}
+
+#[test]
+fn limits_of_reads_begin_with_the_loss_of_power_that_they_follow() {
+    let plans = SEEDS.map(|seed| fault_plan::plan(return_plan::FIRST_SEED + seed, SIZE));
+    for plan in plans {
+        let limited_losses = plan.iter().filter(|loss| {
+            matches!(loss.fault, Fault::PowerLoss(Some(limit)) if !plan.iter().any(|planned| {
+                planned.fault == Fault::LimitReads(limit) && planned.at == loss.at && planned.length > loss.length
+            }))
+        });
+        assert_eq!(limited_losses.count(), 0);
+    }
+}
