--- a/crates/instance/src/internal_server.rs
+++ b/crates/instance/src/internal_server.rs
@@ -1,6 +1,6 @@
 //! HTTP server for everything but callers' requests: readiness checks, documents for members, and operators' pages.
 
-use std::{collections, rc, time};
+use std::{collections, io, net, pin, rc, time};
 
 use bytes::Bytes;
 use slipturn_core::{ids, part_quarantine, prompt_part, quarantine, request_digest, units};
@@ -31,10 +31,15 @@
 /// is retried far more often.
 const ACCEPT_FAILURE_TIME: time::Duration = time::Duration::from_secs(1);
 
+/// Interval at which the listener for readiness checks is polled, at least.
+const CHECK_POLL_INTERVAL: time::Duration = time::Duration::from_millis(100);
+/// Delay of the answer to a readiness check from which it is logged: a load balancer may have given the check up.
+const LATE_CHECK_TIME: time::Duration = time::Duration::from_millis(300);
+
 /// Kind of clients that a listener serves.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ServerRole {
-    /// The load balancer, which checks readiness.
+    /// The load balancer, which checks readiness; accepted by [`accept_checks`].
     Health,
     /// Other instances, which fetch documents.
     Members,
@@ -42,6 +47,50 @@
     Operators,
 }
 
+/// Accepts and serves the load balancer's connections, and reports when checks were answered late; never returns.
+pub async fn accept_checks(
+    context: &rc::Rc<context::InstanceContext>,
+    listener: &monoio::net::TcpListener,
+) {
+    loop {
+        match accept_check(context, listener).await {
+            Ok((stream, _)) => {
+                process::spawn_isolated(serve(rc::Rc::clone(context), stream, ServerRole::Health));
+            }
+            Err(error) => {
+                log::warn!(error:%; "accept.failed");
+                monoio::time::sleep(time::Duration::from_millis(20)).await;
+            }
+        }
+    }
+}
+
+/// Accepts one connection of the load balancer.
+async fn accept_check(
+    context: &context::InstanceContext,
+    listener: &monoio::net::TcpListener,
+) -> io::Result<(monoio::net::TcpStream, net::SocketAddr)> {
+    let mut accept = pin::pin!(listener.accept());
+    loop {
+        let polled_at = context.now();
+        let accepted = monoio::time::timeout(CHECK_POLL_INTERVAL, &mut accept).await;
+        // Checks that arrived in the meantime have waited up to as long.
+        let delay = context.now().since(polled_at).saturating_sub(CHECK_POLL_INTERVAL);
+        report_if_late(context, delay, "process");
+        if let Ok(accepted) = accepted {
+            return accepted;
+        }
+    }
+}
+
+/// Logs and counts a delay of readiness checks by `cause`, unless it is short.
+fn report_if_late(context: &context::InstanceContext, delay: time::Duration, cause: &str) {
+    if delay >= LATE_CHECK_TIME {
+        log::warn!(waited_ms = units::whole_millis(delay), cause; "health.late");
+        context.stats.borrow_mut().count("late_checks", cause);
+    }
+}
+
 /// Accepts and serves connections of one role; never returns.
 pub async fn accept_all(
     context: &rc::Rc<context::InstanceContext>,
@@ -107,6 +156,7 @@
         if role == ServerRole::Members && head.method == http::Method::CONNECT {
             return relay_server::serve(&context, &head, reader, writer).await;
         }
+        let asked_at = context.now();
         let path = head.uri.path();
         let answer = match role {
             ServerRole::Health => ServerAnswer::text(health(&context, path)),
@@ -114,7 +164,11 @@
             ServerRole::Operators => ServerAnswer::text(operators(&context, &head.method, path)),
         };
         let close = h1::closes(head.version, &head.headers);
-        if answer.send(&mut writer, close).await.is_err() || close {
+        let sent = answer.send(&mut writer, close).await;
+        if role == ServerRole::Health {
+            report_if_late(&context, context.now().since(asked_at), "answer");
+        }
+        if sent.is_err() || close {
             return;
         }
         reader.free_empty_buffer();
--- a/crates/instance/src/program.rs
+++ b/crates/instance/src/program.rs
@@ -173,7 +173,6 @@
     sockets: listeners::TcpListeners,
 ) {
     let internal = [
-        (sockets.health, internal_server::ServerRole::Health),
         (rc::Rc::new(sockets.members), internal_server::ServerRole::Members),
         (rc::Rc::new(sockets.operators), internal_server::ServerRole::Operators),
     ];
@@ -183,6 +182,8 @@
             internal_server::accept_all(&context, &listener, role).await;
         });
     }
+    let (checked, health) = (rc::Rc::clone(context), sockets.health);
+    process::spawn_restarted(async move || internal_server::accept_checks(&checked, &health).await);
     let (context, callers) = (rc::Rc::clone(context), sockets.callers);
     process::spawn_restarted(async move || accept_callers(&context, &callers).await);
 }
