--- a/crates/instance/src/program.rs
+++ b/crates/instance/src/program.rs
@@ -179,7 +179,6 @@
     sockets: listeners::TcpListeners,
 ) {
     let internal = [
-        (sockets.health, internal_server::ServerRole::Health),
         (rc::Rc::new(sockets.members), internal_server::ServerRole::Members),
         (rc::Rc::new(sockets.operators), internal_server::ServerRole::Operators),
     ];
@@ -189,6 +188,10 @@
             internal_server::accept_all(&server, &listener, role).await;
         });
     }
+    let (checked, health) = (rc::Rc::clone(context), sockets.health);
+    spawn_restarted(context, async move || {
+        internal_server::accept_checks(&checked, &health).await;
+    });
     let (server, callers) = (rc::Rc::clone(context), sockets.callers);
     spawn_restarted(context, async move || accept_callers(&server, &callers).await);
 }
