--- a/crates/instance/src/lease_renewal.rs
+++ b/crates/instance/src/lease_renewal.rs
@@ -40,7 +40,7 @@
     }
 }
 
-/// Initialises this process's planner of a key (service and cell) if it has been idle: takes over this process's leases
+/// Initialises this process's planner of a key (service and cell), if there is one and it has been idle: takes over this process's leases
 /// and requests those of all members. Renewals arrive up to half a second later, and until then the planner would
 /// assign engines that are full.
 pub(crate) fn begin_if_idle(
@@ -49,7 +49,7 @@
     now: units::MonoTime,
     key: &planner_key::PlannerKey,
 ) {
-    if !planners.is_idle(now, key) {
+    if planners.planner(key).is_none() || !planners.is_idle(now, key) {
         return;
     }
     log::info!(planner:% = key; "planner.begins");
--- a/crates/instance/src/planner_set.rs
+++ b/crates/instance/src/planner_set.rs
@@ -40,7 +40,7 @@
     origins: collections::HashMap<engine_place::JobId, PlacementOrigin>,
     /// Change count of the list and version of the routes at the last [`Self::sync`].
     synced: (u64, u64),
-    /// Time of the last request to each planner.
+    /// Time of the last request to each of `planners`.
     last_requests: collections::BTreeMap<planner_key::PlannerKey, units::MonoTime>,
 }
 
@@ -68,6 +68,12 @@
                 self.sync_service(now, fleet, name, shape);
             }
         }
+        let services = &fleet.routes.services;
+        let is_planned = |service: &ids::ServiceId| {
+            services.get(service).is_some_and(|known| known.engine.is_some())
+        };
+        self.planners.retain(|key, _| is_planned(&key.service));
+        self.last_requests.retain(|key, _| self.planners.contains_key(key));
         self.synced = version;
     }
 
@@ -122,9 +128,10 @@
         request: engine_place::PlacementRequest,
         origin: PlacementOrigin,
     ) -> Option<engine_place::PlaceAnswer> {
+        let planner = self.planners.get_mut(key)?;
         self.last_requests.insert(key.clone(), now);
         let job = request.job;
-        let answer = self.planners.get_mut(key)?.request(now, request);
+        let answer = planner.request(now, request);
         if answer.is_none() {
             self.origins.insert(job, origin);
         }
