--- a/crates/core/src/part_quarantine/answered_parts.rs
+++ b/crates/core/src/part_quarantine/answered_parts.rs
@@ -9,6 +9,9 @@
 /// Number of parts that are kept when there are too many: those that were answered last.
 const KEPT_PARTS: usize = 3072;
 
+/// Most services for which the time is kept; the one that answered longest ago is dropped first.
+const MAX_SERVICES: usize = 1_024;
+
 /// Time constant of the mean rate of answers.
 const RATE_WINDOW: time::Duration = time::Duration::from_secs(10);
 
@@ -33,6 +36,7 @@
 #[derive(Debug, Default)]
 pub struct AnsweredParts {
     parts: collections::HashMap<part_quarantine::PartSubject, AnswerCount>,
+    /// At most [`MAX_SERVICES`].
     services: collections::BTreeMap<ids::ServiceId, units::MonoTime>,
 }
 
@@ -65,6 +69,11 @@
 
     /// Records that a service has answered some prompt.
     pub fn note_service(&mut self, at: units::MonoTime, service: ids::ServiceId) {
+        if self.services.len() >= MAX_SERVICES && !self.services.contains_key(&service) {
+            let oldest = self.services.iter().min_by_key(|(_, last)| **last);
+            let oldest = oldest.map(|(oldest, _)| oldest.clone());
+            oldest.and_then(|oldest| self.services.remove(&oldest));
+        }
         let last = self.services.entry(service).or_default();
         *last = at.max(*last);
     }
--- a/crates/core/src/part_quarantine/verdicts.rs
+++ b/crates/core/src/part_quarantine/verdicts.rs
@@ -47,7 +47,7 @@
 #[derive(Debug, Default)]
 pub struct PartVerdicts {
     verdicts: Vec<PartVerdict>,
-    /// Start of the last trial of a verdict, at any member.
+    /// Start of the last trial of a verdict, at any member; at most [`MAX_VERDICTS`].
     trials: collections::BTreeMap<(PartScope, prompt_part::SharedParts), units::MonoTime>,
 }
 
@@ -138,7 +138,13 @@
         scope: PartScope,
         parts: prompt_part::SharedParts,
     ) {
-        self.trials.insert((scope, parts), now);
+        let subject = (scope, parts);
+        if self.trials.len() >= MAX_VERDICTS && !self.trials.contains_key(&subject) {
+            let oldest = self.trials.iter().min_by_key(|(_, at)| **at);
+            let oldest = oldest.map(|(oldest, _)| oldest.clone());
+            oldest.and_then(|oldest| self.trials.remove(&oldest));
+        }
+        self.trials.insert(subject, now);
     }
 
     /// Returns whether a prompt was tried so recently that its result may not be known yet.
--- a/crates/instance/src/part_gossip.rs
+++ b/crates/instance/src/part_gossip.rs
@@ -124,8 +124,11 @@
 ) {
     let now = context.now();
     {
+        let fleet = context.fleet.borrow();
+        let is_known = |service: &ids::ServiceId| fleet.routes.services.contains_key(service);
         let mut state = context.part_state.borrow_mut();
-        for (service, age_us) in report.services {
+        // Unknown names would use memory.
+        for (service, age_us) in report.services.into_iter().filter(|(name, _)| is_known(name)) {
             state.answered.note_service(ago(now, age_us), service);
         }
         for answer in report.parts {
