--- a/crates/core/src/membership/mod.rs
+++ b/crates/core/src/membership/mod.rs
@@ -27,6 +27,8 @@
 /// Most addresses kept of members from which no heartbeat has arrived yet: twice the largest planned fleet, some 40
 /// bytes each.
 const MAX_LEARNED_ADDRESSES: usize = 2_400;
+/// Most members, twice the largest planned fleet; an unknown one beyond takes the place of a silent one, if there is any.
+const MAX_MEMBERS: usize = 2_400;
 /// Unanswered calls in a row after which a member cannot be a planner until it shows a sign of life.
 const MAX_UNANSWERED: u32 = 2;
 /// Minimum age of a planner, a process that assigns requests of other members to engines: a younger one does not know
@@ -41,7 +43,7 @@
 /// State of another member, as this process knows it.
 #[derive(Debug)]
 struct MemberState {
-    /// The last full heartbeat, with later short ones merged in.
+    /// The last full heartbeat, with later short ones merged in. It names no other members.
     heartbeat: member_heartbeat::MemberHeartbeat,
     /// Hash of the name: the member's position on the failure detector's ring. It also decides which of equally suitable
     /// members is the planner of a cell (a group of a service's engines).
@@ -67,6 +69,7 @@
 #[derive(Debug)]
 pub struct MemberView {
     own: ids::InstanceId,
+    /// At most [`MAX_MEMBERS`].
     members: collections::BTreeMap<ids::InstanceId, MemberState>,
     /// Index of `members` by boot number.
     by_boot: collections::HashMap<u64, ids::InstanceId>,
@@ -189,6 +192,10 @@
         if stale {
             return false;
         }
+        if known.is_none() && !self.make_room(now) {
+            return false;
+        }
+        let known = self.members.get(&heartbeat.name);
         if known.is_none() {
             self.last_joined = Some(now);
         }
@@ -196,7 +203,7 @@
         let name = heartbeat.name.clone();
         let hash = rendezvous::stable_hash(&[name.as_str()]);
         let state = MemberState {
-            heartbeat,
+            heartbeat: member_heartbeat::MemberHeartbeat { others: Vec::new(), ..heartbeat },
             hash,
             last_alive: now,
             unanswered: 0,
@@ -210,6 +217,21 @@
         joined
     }
 
+    /// Makes room for another member; returns false if [`MAX_MEMBERS`] are known and all of them are live.
+    fn make_room(&mut self, now: units::MonoTime) -> bool {
+        if self.members.len() < MAX_MEMBERS {
+            return true;
+        }
+        let limit = self.heartbeat_interval() * SUSPECT_HEARTBEATS;
+        let silent = self.members.iter().filter(|(_, member)| !member.is_live(now, limit));
+        let oldest = silent.min_by_key(|(_, member)| member.last_alive);
+        let Some(name) = oldest.map(|(name, _)| name.clone()) else {
+            return false;
+        };
+        self.remove(&name);
+        true
+    }
+
     /// Inserts or replaces a member, with the indexes by boot number and address.
     fn insert(&mut self, name: ids::InstanceId, state: MemberState) {
         let (boot, address) = (state.heartbeat.boot, state.heartbeat.address);
--- a/crates/core/tests/membership.rs
+++ b/crates/core/tests/membership.rs
@@ -498,3 +498,25 @@
     view.receive(at(60), heartbeat(2, 1, 1));
     assert!(!view.starts_together(at(200)));
 }
+
+/// Guards against memory that grows with each new name, as of members that return under another one.
+#[test]
+fn members_beyond_the_bound_take_the_places_of_silent_ones() {
+    let numbered = |number: u32, sequence| MemberHeartbeat {
+        name: format!("n{number}").parse().expect("a valid name"),
+        boot: u64::from(number),
+        address: net::SocketAddrV4::new((0x0a01_0000 + number).into(), 7_000),
+        ..heartbeat(9, 0, sequence)
+    };
+    let mut view = view();
+    assert!((0..2_400).all(|number| view.receive(at(0), numbered(number, 1))));
+    assert!(!view.receive(at(1), numbered(5_000, 1)), "all are live");
+    assert_eq!(view.size(), 2_401);
+    // The heartbeat interval is 40.2 s; members are silent after four of them.
+    let later = at(170_000);
+    view.receive(later, numbered(7, 2));
+    assert!((5_000..7_399).all(|number| view.receive(later, numbered(number, 1))));
+    assert!(!view.receive(later, numbered(8_000, 1)), "all are live again");
+    assert_eq!(view.size(), 2_401);
+    assert!(view.knows(numbered(7, 2).address) && !view.knows(numbered(8, 2).address));
+}
