--- a/crates/instance/tests/planner_guard.rs
+++ b/crates/instance/tests/planner_guard.rs
@@ -89,12 +89,12 @@
         Err(unused())
     }
 
-    fn parse_page(&self, _: &[u8]) -> Result<adapter::StorePage, FormatError> {
-        Err(unused())
+    fn page_reader(&self) -> Box<dyn adapter::AnswerReader<adapter::StorePage>> {
+        unreachable!("there is no platform")
     }
 
-    fn parse_changes(&self, _: &[u8]) -> Result<(Vec<adapter::StoreChange>, u64), FormatError> {
-        Err(unused())
+    fn changes_reader(&self) -> Box<dyn adapter::AnswerReader<adapter::StoreChanges>> {
+        unreachable!("there is no platform")
     }
 
     fn key(&self, _: &str) -> adapter::StoreKey {
