--- a/crates/instance/src/adapter.rs
+++ b/crates/instance/src/adapter.rs
@@ -300,9 +300,10 @@
         &self,
         head: &http::response::Parts,
     ) -> Result<Option<store_revision::StoreEra>, FormatError>;
-    /// Returns a reader of a page of the store's contents; an answer to a read of a single key becomes a page with one
-    /// item.
+    /// Returns a reader of a page of the store's contents.
     fn page_reader(&self) -> Box<dyn AnswerReader<StorePage>>;
+    /// Returns a reader of the answer to a read of a single key, which becomes a page with one item.
+    fn key_reader(&self) -> Box<dyn AnswerReader<StorePage>>;
     /// Returns a reader of the answer to a watch: the changes, and the revision after them.
     fn changes_reader(&self) -> Box<dyn AnswerReader<StoreChanges>>;
     /// Parses a page that has arrived completely; see [`Self::page_reader`].
--- a/crates/instance/tests/planner_guard.rs
+++ b/crates/instance/tests/planner_guard.rs
@@ -93,6 +93,10 @@
         unreachable!("there is no platform")
     }
 
+    fn key_reader(&self) -> Box<dyn adapter::AnswerReader<adapter::StorePage>> {
+        unreachable!("there is no platform")
+    }
+
     fn changes_reader(&self) -> Box<dyn adapter::AnswerReader<adapter::StoreChanges>> {
         unreachable!("there is no platform")
     }
