--- a/crates/instance/src/store_feed.rs
+++ b/crates/instance/src/store_feed.rs
@@ -82,8 +82,9 @@
     let members = context.members.borrow();
     let missing = members.watchers_missing(now, &own);
     if !context.fleet.borrow().is_known() {
-        if context.settings().is_seed() {
-            // All members contact the seeds first, and receive the documents that the seeds have read.
+        if context.settings().is_seed() && !failed {
+            // All members contact the seeds first, and receive the documents that the seeds have read. If the store
+            // rejects some of them, the first in order go on, so that one of them soon completes its read.
             return true;
         }
         // In a large fleet a new member fetches the list from other members: if all read the store at once, a simultaneous
@@ -178,9 +179,8 @@
     let watched = context.store_tracker.borrow().watched();
     let listed = context.fleet.borrow().revision();
     let known = context.fleet.borrow().is_known();
-    // The watch before a read that failed would fail again; a read of a new era is begun by the watch's answer.
-    let is_read_unfinished = read.has_begun() && listed.era == context.store_tracker.borrow().era();
-    if !known || listed.is_none() || is_read_unfinished {
+    // The watch that began an unfinished read would only begin it again, and takes a call from it.
+    if !known || listed.is_none() || read.has_begun() {
         let revision = read_or_adopt(context, connection, read).await?;
         context.store_tracker.borrow_mut().watch();
         store_contact::mark_answered(context);
@@ -192,16 +192,25 @@
     Ok(watched)
 }
 
-/// Reads all documents, unless members provide them meanwhile; returns the revision from which to watch.
+/// Reads all documents, unless members provide them meanwhile; returns the revision from which to watch. Informs members
+/// of a new era.
 async fn read_or_adopt(
     context: &context::InstanceContext,
     connection: &mut document_call::DocumentConnection,
     read: &mut store_read::FullRead,
 ) -> Result<store_revision::StoreRevision, String> {
-    match store_read::read_all(context, connection, read).await? {
-        Some(revision) => Ok(revision),
-        None => revision_from_members(context).await,
+    let before = context.fleet.borrow().revision();
+    let revision = match store_read::read_all(context, connection, read).await? {
+        Some(revision) => revision,
+        None => revision_from_members(context).await?,
+    };
+    if !before.is_none() && before.era < context.fleet.borrow().revision().era {
+        heartbeats::announce(context);
+        // Members may know of leaving upstreams that the older copy, from which the store was restored, does not list
+        // as leaving.
+        member_gossip::request(context);
     }
+    Ok(revision)
 }
 
 /// Returns the revision of the list that members have provided, from which to watch, after reading the routes.
@@ -225,16 +234,9 @@
     // The end of an outage is recorded before the read, so that entries that expired during the outage are not removed
     // at once.
     store_contact::mark_answered(context);
-    let revision = if before == era && context.store_tracker.borrow().watched().era < era {
-        revision_from_members(context).await?
+    if before == era && context.store_tracker.borrow().watched().era < era {
+        revision_from_members(context).await
     } else {
-        read_or_adopt(context, connection, read).await?
-    };
-    if before < era {
-        heartbeats::announce(context);
-        // Members may know of leaving upstreams that the older copy, from which the store was restored, does not list
-        // as leaving.
-        member_gossip::request(context);
+        read_or_adopt(context, connection, read).await
     }
-    Ok(revision)
 }
--- a/crates/instance/src/store_read.rs
+++ b/crates/instance/src/store_read.rs
@@ -8,6 +8,11 @@
 
 /// Timeout of a call that reads one page, or the routes alone.
 const READ_TIMEOUT: time::Duration = time::Duration::from_millis(1_500);
+/// Age of the first page, as a share of the time within which requests to a leaving upstream must stop, from which the
+/// changes since it are read before the documents come into force.
+const CURRENT_SHARE: f64 = 0.5;
+/// Wait of the watch that reads these changes: it returns at once.
+const CHANGES_WAIT: time::Duration = time::Duration::from_millis(1);
 /// Longest time without any answer of the store after which pages that were read before it are still used. The answer may
 /// be a rejection.
 const MAX_SILENCE: time::Duration = time::Duration::from_secs(5);
@@ -22,6 +27,8 @@
     operator_documents: range_read::RangeRead<adapter::StoreItem>,
     /// Revision of the list in force when the read began.
     known_revision: store_revision::StoreRevision,
+    /// Changes since the first page, and the revision after them; `None` if they have not been read.
+    changes: Option<(Vec<adapter::StoreChange>, store_revision::StoreRevision)>,
     /// When the read began; `None` before its first call.
     begun_at: Option<units::MonoTime>,
     /// When the store last answered, whatever the status.
@@ -107,9 +114,45 @@
                 error.to_string()
             })?;
         }
+        self.read_changes(context, connection).await?;
         Ok(ReadOutcome::Complete)
     }
 
+    /// Reads the changes since the first page if that is old, so that no list comes into force that upstreams have left
+    /// since.
+    async fn read_changes(
+        &mut self,
+        context: &context::InstanceContext,
+        connection: &mut document_call::DocumentConnection,
+    ) -> Result<(), String> {
+        let age = self.begun_at.map_or(time::Duration::ZERO, |begun| context.now().since(begun));
+        let first = self.upstreams.first_revision().unwrap_or_default();
+        if age < context.settings().bounds.leave.0.mul_f64(CURRENT_SHARE) {
+            return Ok(());
+        }
+        let path = context.adapter.watch_path(first.number, CHANGES_WAIT);
+        let reader = context.adapter.changes_reader();
+        let answer = store_call::get(context, connection, &path, READ_TIMEOUT, reader).await;
+        if answer.as_ref().map_or_else(store_call::StoreError::is_answer, |_| true) {
+            self.answered_at = context.now();
+        }
+        match answer {
+            Ok(answer) if answer.era == first.era => {
+                let (changes, next) = answer.content;
+                let next = store_revision::StoreRevision::new(answer.era, next);
+                self.changes = Some((changes, next));
+                Ok(())
+            }
+            // The watch that follows finds the same, and reads the documents again.
+            Ok(_)
+            | Err(
+                store_call::StoreError::HistoryGone { .. }
+                | store_call::StoreError::Unreadable { .. },
+            ) => Ok(()),
+            Err(error) => Err(error.to_string()),
+        }
+    }
+
     fn add_page(
         &mut self,
         context: &context::InstanceContext,
@@ -166,7 +209,13 @@
         }
         let documents = self.upstreams.into_items();
         fleet.replace_list(context.now(), documents, evacuated, revision, "store");
-        revision
+        let Some((changes, next)) = self.changes else {
+            return revision;
+        };
+        if !changes.is_empty() {
+            fleet.apply(context.now(), changes, next);
+        }
+        revision.max(next)
     }
 }
 
@@ -226,7 +275,7 @@
 pub(crate) async fn read_routes(context: &context::InstanceContext) -> Result<(), String> {
     let mut connection = document_call::DocumentConnection::new(context.settings().store);
     let path = context.adapter.routes_path();
-    let reader = context.adapter.page_reader();
+    let reader = context.adapter.key_reader();
     let answer = store_call::get(context, &mut connection, &path, READ_TIMEOUT, reader).await;
     let answer = answer.map_err(|error| error.to_string())?;
     let mut fleet = context.fleet.borrow_mut();
