--- a/crates/instance/src/answer_end.rs
+++ b/crates/instance/src/answer_end.rs
@@ -8,14 +8,14 @@
 use slipturn_core::{ids, send_gate};
 use snafu::Snafu;
 
-use crate::{context, member_relay, upstream_connect, upstream_ends, upstream_gate, upstream_pool};
+use crate::{context, member_relay, upstream_connect, upstream_ends, upstream_pool};
 
 /// What is known of an upstream whose answer has ended with its connection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum EndEvidence {
     /// The upstream still runs, so the answer is complete.
     Confirmed,
-    /// The upstream could not be reached, which shows nothing.
+    /// There is no evidence: the upstream could not be asked.
     Denied(DenialReason),
     /// The upstream has ended, or does not answer for another reason.
     Failed(FailureReason),
@@ -67,6 +67,9 @@
     pub(crate) upstream: &'a ids::UpstreamId,
     pub(crate) service: &'a ids::ServiceId,
     pub(crate) address: net::SocketAddrV4,
+    /// Other upstreams and starts that were listed at the address while the answer was under way, such as a former start
+    /// whose entry has not expired.
+    pub(crate) beside: &'a [ids::UpstreamId],
     /// The relay of the connection; `None` if it was direct.
     pub(crate) relay: Option<&'a member_relay::ConnectionRelay>,
 }
@@ -94,33 +97,37 @@
         if self.is_other_listed(context) {
             return EndEvidence::Denied(DenialReason::OtherListed);
         }
-        let failure = match self.open_check(context).await {
-            Ok(connection) => match self.check_open(context, connection).await {
-                true => return EndEvidence::Confirmed,
-                false => EndEvidence::Failed(FailureReason::Closed),
-            },
+        let failure = match self.connect(context).await {
+            Ok(mut connection) => {
+                if stays_open(&mut connection).await {
+                    self.keep(context, connection);
+                    return EndEvidence::Confirmed;
+                }
+                EndEvidence::Failed(FailureReason::Closed)
+            }
             Err(error) => evidence_of(&error),
         };
-        // An upstream with many connections resets new ones, but those that it has accepted stay open. Only an idle one
-        // is evidence: bytes of a busy one may have arrived before the end.
-        let is_conclusive = failure == EndEvidence::Failed(FailureReason::Refused);
-        if is_conclusive || self.relay.is_some() {
+        // An upstream with many connections resets new ones, and one that stops may have closed its listener, but those
+        // that it has accepted stay open. Only an idle one is evidence: bytes of a busy one may have arrived before the
+        // end.
+        let is_unreached = matches!(failure, EndEvidence::Denied(_));
+        if is_unreached || self.relay.is_some() {
             return failure;
         }
-        let Some(idle) = context.pool.take_idle(self.address) else {
+        let Some(mut idle) = context.pool.take_idle(self.address) else {
             return failure;
         };
-        if self.check_open(context, idle).await { EndEvidence::Confirmed } else { failure }
+        if stays_open(&mut idle).await { EndEvidence::Confirmed } else { failure }
     }
 
-    /// Whether the list names another upstream, or another start, at the address.
+    /// Whether the list names another upstream, or another start, at the address that it did not name before.
     fn is_other_listed(&self, context: &context::InstanceContext) -> bool {
-        let fleet = context.fleet.borrow();
-        fleet.list.name_at(self.address).is_some_and(|name| name != self.upstream)
+        let others = listed_beside(context, self.upstream, self.address);
+        others.iter().any(|name| !self.beside.contains(name))
     }
 
     /// Opens a connection by the path of the answer, or by another one if its relay does not.
-    async fn open_check(
+    async fn connect(
         &self,
         context: &context::InstanceContext,
     ) -> Result<upstream_pool::UpstreamConnection, upstream_connect::ConnectError> {
@@ -134,27 +141,39 @@
         upstream_connect::open(context, target).await
     }
 
-    /// Returns whether a connection stays open; then it is kept for later requests.
-    async fn check_open(
+    /// Keeps a connection for later requests if the upstream may get them.
+    fn keep(
         &self,
         context: &context::InstanceContext,
-        mut connection: upstream_pool::UpstreamConnection,
-    ) -> bool {
-        if monoio::time::timeout(upstream_connect::CLOSE_CHECK_TIME, connection.reader.fill())
-            .await
-            .is_ok()
-        {
-            return false;
-        }
-        let kind = send_gate::SendKind::Request;
-        if upstream_gate::check_send(context, self.upstream, kind, &[]).is_ok() {
+        connection: upstream_pool::UpstreamConnection,
+    ) {
+        let kind = send_gate::SendKind::Check;
+        let permitted =
+            context.fleet.borrow().list.permits(context.now(), self.upstream, kind, &[]);
+        if permitted.is_ok() {
             let max_idle = context.idle_connection_limit(self.upstream);
             context.pool.put(self.address, connection, None, max_idle);
         }
-        true
     }
 }
 
+/// Returns the other upstreams and starts that are listed at the address of an upstream.
+pub(crate) fn listed_beside(
+    context: &context::InstanceContext,
+    upstream: &ids::UpstreamId,
+    address: net::SocketAddrV4,
+) -> Vec<ids::UpstreamId> {
+    let fleet = context.fleet.borrow();
+    let others = fleet.list.entries().filter(|entry| entry.address == address);
+    others.map(|entry| &entry.name).filter(|name| *name != upstream).cloned().collect()
+}
+
+/// Returns whether a connection on which nothing is under way stays open.
+async fn stays_open(connection: &mut upstream_pool::UpstreamConnection) -> bool {
+    let closing = connection.reader.fill();
+    monoio::time::timeout(upstream_connect::CLOSE_CHECK_TIME, closing).await.is_err()
+}
+
 /// Returns what a failed connection attempt shows of its upstream.
 fn evidence_of(error: &upstream_connect::ConnectError) -> EndEvidence {
     match error {
--- a/crates/instance/src/upstream_attempt.rs
+++ b/crates/instance/src/upstream_attempt.rs
@@ -90,8 +90,9 @@
     address: net::SocketAddrV4,
     /// Whether the request was sent completely and the upstream keeps the connection open.
     reusable: bool,
-    /// Whether the body has neither a length nor chunks, so that only the connection's end shows that it is complete.
-    ends_with_connection: bool,
+    /// Set if the body has neither a length nor chunks, so that only the connection's end shows that it is complete: what
+    /// else was listed at the address when the head arrived.
+    ends_beside: Option<Vec<ids::UpstreamId>>,
 }
 
 impl AttemptAnswer {
@@ -159,12 +160,12 @@
         context: &context::InstanceContext,
         upstream: &ids::UpstreamId,
     ) -> Result<(), answer_end::UnconfirmedEnd> {
-        if !self.ends_with_connection {
+        let Some(beside) = &self.ends_beside else {
             return Ok(());
-        }
-        let (service, relay) = (&self.service, self.connection.relay());
-        let ended = answer_end::EndedAnswer { upstream, service, address: self.address, relay };
-        ended.confirm(context).await
+        };
+        let (service, address) = (&self.service, self.address);
+        let relay = self.connection.relay();
+        answer_end::EndedAnswer { upstream, service, address, beside, relay }.confirm(context).await
     }
 
     /// Returns the connection to the pool if it can be reused.
@@ -374,7 +375,8 @@
     let reusable =
         sent && framing != h1::BodyFraming::UntilClose && !h1::closes(head.version, &head.headers);
     let address = target.address;
-    let ends_with_connection = framing == h1::BodyFraming::UntilClose;
+    let ends_beside = (framing == h1::BodyFraming::UntilClose)
+        .then(|| answer_end::listed_beside(context, &target.upstream, address));
     let answer = AttemptAnswer {
         head,
         head_fields,
@@ -383,7 +385,7 @@
         service: call.service.clone(),
         address,
         reusable,
-        ends_with_connection,
+        ends_beside,
     };
     if answer.head_fields.not_run && !answer.head.status.is_success() {
         let failure = if answer.head_fields.misdirected {
