--- a/crates/instance/src/member_relay.rs
+++ b/crates/instance/src/member_relay.rs
@@ -14,7 +14,8 @@
 
 /// Header with the boot number of the member that requests a relayed connection.
 pub(crate) const MEMBER_BOOT: &str = "member-boot";
-/// Header with the number that a relay gave to a connection.
+/// Header with the number that a relay gave to a connection; in a request for a check, that of the connection whose end is
+/// checked.
 pub(crate) const RELAY_NUMBER: &str = "relay-number";
 /// Prefix of the path at which a relay tells how the relayed connection with a number ended.
 pub(crate) const RELAY_ENDS_PATH: &str = "/relays/";
@@ -122,7 +123,7 @@
     ) -> Result<upstream_pool::OpenedConnection, RelayError> {
         let limit = END_TIMEOUT;
         let member = RelayMember { name: self.member.clone(), address: self.address };
-        let purpose = ConnectPurpose::Check;
+        let purpose = ConnectPurpose::Check { ended: &self.number };
         let asked = connect(context.boot, member, upstream, purpose);
         let answered = monoio::time::timeout(limit, asked).await;
         answered.unwrap_or_else(|_| SilentSnafu { limit }.fail())
@@ -131,10 +132,13 @@
 
 /// What a relayed connection is for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum ConnectPurpose {
+enum ConnectPurpose<'a> {
     Request,
     /// See [`RELAY_CHECK`].
-    Check,
+    Check {
+        /// Number of the relayed connection whose end is checked.
+        ended: &'a str,
+    },
 }
 
 /// A member that may relay.
@@ -241,13 +245,15 @@
     boot: u64,
     RelayMember { name, address }: RelayMember,
     upstream: net::SocketAddrV4,
-    purpose: ConnectPurpose,
+    purpose: ConnectPurpose<'_>,
 ) -> Result<upstream_pool::OpenedConnection, RelayError> {
     let stream = monoio::net::TcpStream::connect_addr(address).await.context(ConnectSnafu)?;
     let (mut reader, mut writer) = h1::split(stream);
     let check = match purpose {
         ConnectPurpose::Request => String::new(),
-        ConnectPurpose::Check => format!("{RELAY_CHECK}: 1\r\n"),
+        ConnectPurpose::Check { ended } => {
+            format!("{RELAY_CHECK}: 1\r\n{RELAY_NUMBER}: {ended}\r\n")
+        }
     };
     let request = format!(
         "CONNECT {upstream} HTTP/1.1\r\nhost: {upstream}\r\n{MEMBER_BOOT}: {boot}\r\n{check}\r\n"
--- a/crates/instance/src/relay_server.rs
+++ b/crates/instance/src/relay_server.rs
@@ -30,8 +30,8 @@
     open: usize,
     /// Number of the last connection.
     number: u64,
-    /// Numbers of the last connections that their upstream closed.
-    closed_by_upstream: collections::VecDeque<u64>,
+    /// Numbers and upstreams of the last connections that their upstream closed.
+    closed_by_upstream: collections::VecDeque<(u64, net::SocketAddrV4)>,
 }
 
 impl RelayedConnections {
@@ -42,14 +42,14 @@
 
     /// Returns whether the upstream closed the connection with this number.
     pub(crate) fn was_closed_by_upstream(&self, number: u64) -> bool {
-        self.closed_by_upstream.contains(&number)
+        self.closed_by_upstream.iter().any(|(closed, _)| *closed == number)
     }
 
-    fn note_closed_by_upstream(&mut self, number: u64) {
+    fn note_closed_by_upstream(&mut self, number: u64, address: net::SocketAddrV4) {
         if self.closed_by_upstream.len() >= MAX_ENDS {
             self.closed_by_upstream.pop_front();
         }
-        self.closed_by_upstream.push_back(number);
+        self.closed_by_upstream.push_back((number, address));
     }
 }
 
@@ -111,8 +111,8 @@
         Ok(_) => connect(context, head).await,
         Err(_) => Err(RelayRefusal::of_request(http::StatusCode::SERVICE_UNAVAILABLE)),
     };
-    let upstream = match connected {
-        Ok(stream) => stream,
+    let (upstream, address) = match connected {
+        Ok(connected) => connected,
         Err(RelayRefusal { status, is_doubtful }) => {
             context.stats.borrow_mut().count("relays", status.as_str());
             let mut headers = http::HeaderMap::new();
@@ -136,7 +136,7 @@
     let state = ForwardState { context, last_received: cell::Cell::new(None) };
     let member = ConnectionSides { reader, writer };
     let upstream = ConnectionSides { reader: upstream_reader, writer: upstream_writer };
-    state.forward(number, member, upstream).await;
+    state.forward((number, address), member, upstream).await;
 }
 
 /// The answer to a request for a relayed connection that was not opened.
@@ -156,30 +156,37 @@
 async fn connect(
     context: &context::InstanceContext,
     head: &http::request::Parts,
-) -> Result<monoio::net::TcpStream, RelayRefusal> {
+) -> Result<(monoio::net::TcpStream, net::SocketAddrV4), RelayRefusal> {
     if !is_from_member(context, head) {
         return Err(RelayRefusal::of_request(http::StatusCode::FORBIDDEN));
     }
     let address = head.uri.authority().and_then(|authority| authority.as_str().parse().ok());
-    let service = address.and_then(|address| listed_service(context, address));
-    let (Some(address), Some(service)) = (address, service) else {
+    let Some(address) = address else {
         return Err(RelayRefusal::of_request(http::StatusCode::NOT_FOUND));
     };
-    let is_full = context.relayed.borrow().open > MAX_RELAYED;
     let is_check = head.headers.contains_key(member_relay::RELAY_CHECK);
+    let service = listed_service(context, address);
+    // The entry of an upstream may expire while its last answers are under way.
+    if service.is_none() && !(is_check && has_relayed_end(context, head, address)) {
+        return Err(RelayRefusal::of_request(http::StatusCode::NOT_FOUND));
+    }
+    let is_full = context.relayed.borrow().open > MAX_RELAYED;
     if is_full || context.stop.is_triggered() && !is_check {
         return Err(RelayRefusal::of_request(http::StatusCode::SERVICE_UNAVAILABLE));
     }
-    let path = context.reach.borrow().path(context.now(), &service, address);
-    if path == upstream_reach::LinkPath::Relayed {
+    let find_path = |service| context.reach.borrow().path(context.now(), service, address);
+    let path = service.as_ref().map(find_path);
+    if path == Some(upstream_reach::LinkPath::Relayed) {
         return Err(RelayRefusal::of_request(http::StatusCode::SERVICE_UNAVAILABLE));
     }
     // The failure is no evidence against the link of this process, as the link of the member has failed as well.
     let connecting = monoio::net::TcpStream::connect_addr(address.into());
     match monoio::time::timeout(CONNECT_TIMEOUT, connecting).await {
-        Ok(Ok(stream)) => Ok(stream),
+        Ok(Ok(stream)) => Ok((stream, address)),
         Ok(Err(error)) => {
-            let is_reliable = context.reach.borrow().is_reliable(context.now(), &service);
+            let reach = context.reach.borrow();
+            let is_reliable = |service| reach.is_reliable(context.now(), service);
+            let is_reliable = service.as_ref().is_none_or(is_reliable);
             let status = match error.kind() {
                 io::ErrorKind::ConnectionRefused => member_relay::REFUSED_STATUS,
                 _ => http::StatusCode::SERVICE_UNAVAILABLE,
@@ -190,6 +197,19 @@
     }
 }
 
+/// Returns whether a request names a relayed connection that the upstream at an address has closed.
+fn has_relayed_end(
+    context: &context::InstanceContext,
+    head: &http::request::Parts,
+    address: net::SocketAddrV4,
+) -> bool {
+    let number = head.headers.get(member_relay::RELAY_NUMBER).and_then(|value| value.to_str().ok());
+    let number = number.and_then(|text| text.parse().ok());
+    number.is_some_and(|number| {
+        context.relayed.borrow().closed_by_upstream.contains(&(number, address))
+    })
+}
+
 /// Returns whether a request comes from a known start of a member.
 fn is_from_member(context: &context::InstanceContext, head: &http::request::Parts) -> bool {
     let boot = head.headers.get(member_relay::MEMBER_BOOT).and_then(|value| value.to_str().ok());
@@ -232,7 +252,7 @@
     /// Forwards bytes in both directions until the member closes the connection or the upstream's side ends.
     async fn forward(
         &self,
-        number: u64,
+        (number, address): (u64, net::SocketAddrV4),
         mut member: ConnectionSides,
         mut upstream: ConnectionSides,
     ) {
@@ -248,7 +268,7 @@
         };
         self.report_end(number, ended);
         if ended == RelayEnd::Upstream {
-            self.context.relayed.borrow_mut().note_closed_by_upstream(number);
+            self.context.relayed.borrow_mut().note_closed_by_upstream(number, address);
             if member.writer.shutdown().await.is_ok() {
                 let discarding = discard(&mut member.reader);
                 let _ = monoio::time::timeout(LINGER_TIMEOUT, discarding).await;
