--- a/crates/instance/src/store_call.rs
+++ b/crates/instance/src/store_call.rs
@@ -48,6 +48,12 @@
 }
 
 impl StoreError {
+    /// Whether an answer began in time, and the call timed out before its end.
+    pub(crate) fn is_late_body(&self) -> bool {
+        let Self::Unreadable { source, .. } = self else { return false };
+        matches!(source, document_call::CallError::Silent { .. })
+    }
+
     /// Whether the error is an answer of the store; answers of an unreadable or former era do not count.
     pub(crate) fn is_answer(&self) -> bool {
         matches!(
--- a/crates/instance/src/store_read.rs
+++ b/crates/instance/src/store_read.rs
@@ -8,6 +8,8 @@
 
 /// Timeout of a call that reads one page, or the routes alone.
 const READ_TIMEOUT: time::Duration = time::Duration::from_millis(1_500);
+/// Most doublings of the timeout of a page, each after a page that had begun to arrive in time.
+const MAX_TIMEOUT_DOUBLINGS: u32 = 3;
 /// Longest time without any answer of the store after which pages that were read before it are still used. The answer may
 /// be a rejection.
 const MAX_SILENCE: time::Duration = time::Duration::from_secs(5);
@@ -30,6 +32,8 @@
     unreadable: usize,
     /// Size in bytes of the documents that have been read.
     bytes: usize,
+    /// Number of times that the timeout of a page has been doubled; at most [`MAX_TIMEOUT_DOUBLINGS`].
+    timeout_doublings: u32,
     /// Number of failed calls.
     failures: u64,
     /// Whether an attempt has read a page before it failed; cleared by [`Self::take_progress`].
@@ -48,6 +52,7 @@
                 begun_at: Some(now),
                 answered_at: now,
                 failures: self.failures,
+                timeout_doublings: self.timeout_doublings,
                 ..Self::default()
             };
         }
@@ -89,7 +94,12 @@
                 context.adapter.upstreams_path(self.upstreams.after())
             };
             let reader = context.adapter.page_reader();
-            let answer = store_call::get(context, connection, &path, READ_TIMEOUT, reader).await;
+            let timeout = READ_TIMEOUT * (1 << self.timeout_doublings);
+            let answer = store_call::get(context, connection, &path, timeout, reader).await;
+            if answer.as_ref().is_err_and(store_call::StoreError::is_late_body) {
+                // The same call would time out again.
+                self.timeout_doublings = MAX_TIMEOUT_DOUBLINGS.min(self.timeout_doublings + 1);
+            }
             if answer.as_ref().map_or_else(store_call::StoreError::is_answer, |_| true) {
                 self.answered_at = context.now();
             }
@@ -103,7 +113,11 @@
             let revision = store_revision::StoreRevision::new(answer.era, page.revision);
             self.add_page(context, page, revision).map_err(|error| {
                 // The pages that were read cannot be continued.
-                *self = Self { failures: self.failures, ..Self::default() };
+                *self = Self {
+                    failures: self.failures,
+                    timeout_doublings: self.timeout_doublings,
+                    ..Self::default()
+                };
                 error.to_string()
             })?;
         }
