--- a/crates/instance/src/quarantine_gossip.rs
+++ b/crates/instance/src/quarantine_gossip.rs
@@ -120,16 +120,19 @@
     answers: Vec<peer_message::RequestAnswer>,
 ) {
     let now = context.now();
+    let members = context.members.borrow().alive(now).count();
+    // The members that were asked stand for all.
+    let represented = members.max(1) as f64 / members.clamp(1, SMALL_FLEET_MEMBERS) as f64;
     let mut table = context.quarantine.borrow_mut();
     for answer in answers {
-        table.note_member_rate(answer.digest, answer.rate);
+        table.note_member_rate(answer.digest, answer.rate * represented);
         if let Some(age_us) = answer.age_us {
             table.clear(answer.digest, now.earlier_by(time::Duration::from_micros(age_us)));
         }
     }
 }
 
-/// Asks all members how often they have answered the requests that have become suspect.
+/// Asks members how often they have answered the requests that have become suspect: all, or some of them in a large fleet.
 fn ask(context: &context::InstanceContext) {
     let now = context.now();
     let suspects = context.quarantine.borrow_mut().take_suspects();
@@ -138,7 +141,9 @@
     }
     let requests: Vec<_> =
         suspects.into_iter().map(|(digest, first)| (digest, micros(first.age(now)))).collect();
-    for to in context.members.borrow().targets(context.settings().member_address) {
+    // Members other than those that store the evidence, and others for each request.
+    let subject = format!("answers to {}", requests[0].0);
+    for to in ranked_members(context, &subject).into_iter().take(SMALL_FLEET_MEMBERS) {
         context.send_to(to, peer_message::PeerMessage::RequestQuery(requests.clone()));
     }
 }
@@ -238,11 +243,19 @@
     context: &context::InstanceContext,
     subject: &str,
 ) -> Vec<net::SocketAddrV4> {
+    let mut replicas = ranked_members(context, subject);
+    if replicas.len() > SMALL_FLEET_MEMBERS {
+        replicas.truncate(EVIDENCE_REPLICAS);
+    }
+    replicas
+}
+
+/// Addresses of all live members, in an order that depends on `subject`.
+fn ranked_members(context: &context::InstanceContext, subject: &str) -> Vec<net::SocketAddrV4> {
     let members = context.members.borrow();
     let alive: Vec<_> = members.alive(context.now()).collect();
-    let count = if alive.len() <= SMALL_FLEET_MEMBERS { alive.len() } else { EVIDENCE_REPLICAS };
     let ranked = rendezvous::ranked(subject, alive.iter(), |heartbeat| heartbeat.name.as_str());
-    ranked.into_iter().take(count).map(|replica| replica.address).collect()
+    ranked.into_iter().map(|member| member.address).collect()
 }
 
 /// Reports of `crashes` for other members, split into batches that each fit into a message.
