--- a/crates/core/src/planner/mod.rs
+++ b/crates/core/src/planner/mod.rs
@@ -169,6 +169,11 @@
         self.waiting.len()
     }
 
+    /// Requests that wait for a placement.
+    pub fn waiting_jobs(&self) -> impl Iterator<Item = engine_place::JobId> {
+        self.waiting.iter().map(|waiting| waiting.request.job)
+    }
+
     /// Number of requests that have a placement.
     pub fn placed_count(&self) -> usize {
         self.table.placed_count()
--- a/crates/instance/src/planner_set.rs
+++ b/crates/instance/src/planner_set.rs
@@ -20,6 +20,9 @@
     collections::BTreeSet<ids::UpstreamId>,
 );
 
+/// Number of origins beyond which those of withdrawn requests are looked for while requests wait.
+const MIN_DROPPED_ORIGINS: usize = 64;
+
 /// Origin of a request for a place (the assignment of a request to engines).
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum PlacementOrigin {
@@ -36,7 +39,7 @@
     own: ids::InstanceId,
     options: planner::PlannerOptions,
     planners: collections::BTreeMap<planner_key::PlannerKey, planner::PlacementPlanner>,
-    /// Origins of queued requests, to which the answers are sent.
+    /// Origins of queued requests, to which the answers are sent, and of some that were withdrawn.
     origins: collections::HashMap<engine_place::JobId, PlacementOrigin>,
     /// Change count of the list and version of the routes at the last [`Self::sync`].
     synced: (u64, u64),
@@ -151,12 +154,22 @@
                 }
             }
         }
-        if self.waiting() == 0 {
-            self.origins.clear();
-        }
+        self.drop_origins();
         answers
     }
 
+    /// Drops the origins of requests that no longer wait, as they were withdrawn, once they are the majority.
+    fn drop_origins(&mut self) {
+        let waiting = self.waiting();
+        if waiting > 0 && self.origins.len() < 2 * waiting + MIN_DROPPED_ORIGINS {
+            return;
+        }
+        let planners = self.planners.values();
+        let jobs = planners.flat_map(planner::PlacementPlanner::waiting_jobs);
+        let jobs: collections::HashSet<_> = jobs.collect();
+        self.origins.retain(|job, _| jobs.contains(job));
+    }
+
     /// Returns the engines that were silent during a request since the last call.
     pub fn take_suspects(&mut self) -> Vec<ids::UpstreamId> {
         let planners = self.planners.values_mut();
--- a/crates/instance/tests/planner_guard.rs
+++ b/crates/instance/tests/planner_set.rs
@@ -1,10 +1,13 @@
-//! Panics of planners, also while another panic unwinds: the process goes on with new planners.
+//! Planners of an instance: panics, also while another panic unwinds, and requests that are withdrawn.
 
 use std::{cell, panic, rc, time};
 
 use bytes::Bytes;
 use futures::channel::{mpsc, oneshot};
-use slipturn_core::{ids, planner, route_table, settings, store_revision, upstream_list};
+use slipturn_core::{
+    engine_place, fleet_list, ids, planner, planner_key, route_table, settings, store_revision,
+    units, upstream_list,
+};
 use slipturn_instance::{
     adapter::{self, CallerAdapter, FormatError, StoreAdapter, UpstreamAdapter},
     context, instance_settings, planner_guard, planner_set,
@@ -184,3 +187,91 @@
     assert!(dropped.get());
     assert!(context.planners.try_borrow_mut().is_ok(), "the planners stay borrowed");
 }
+
+/// A service of engines without limits of its upstreams.
+fn engine_service(name: &ids::ServiceId) -> route_table::ServicePolicy {
+    let shape = route_table::EngineShape {
+        slots: 16,
+        memory: units::TokenCount(315_000),
+        stride: 51.0,
+        step_ms: 0.85,
+        step_per_decoding_ms: 0.004_25,
+        step_per_context_ms: 0.002_85,
+        prefill_tokens_per_ms: 177.0,
+        prefill_per_million_pairs_ms: 0.184,
+        report_lag_ms: 200.0,
+    };
+    let name = name.clone();
+    route_table::ServicePolicy { name, connection_limit: 9, engine: Some(shape), cold: None }
+}
+
+/// Returns a request that waits for a place as long as none is free.
+fn patient_request(number: u64) -> engine_place::PlacementRequest {
+    engine_place::PlacementRequest {
+        job: engine_place::JobId { boot: 1, sequence: number },
+        prompt: 5_000,
+        output: 1_700,
+        pause_ms: 250,
+        goal_ms: 60_000,
+        goal_left_ms: 60_000,
+        patience_ms: 60_000,
+        tight: false,
+        worth: 1.0,
+        refusable: false,
+        resumed: false,
+        excluded: Vec::new(),
+        origin: None,
+    }
+}
+
+fn request(
+    planners: &mut planner_set::PlannerSet,
+    key: &planner_key::PlannerKey,
+    number: u64,
+) -> Option<engine_place::PlaceAnswer> {
+    let now = units::MonoTime::default();
+    planners.request(now, key, patient_request(number), planner_set::PlacementOrigin::Local)
+}
+
+/// Guards against memory that grows with each request withdrawn while others always wait.
+#[test]
+fn withdrawn_requests_leave_nothing_behind_under_steady_load() {
+    let context = new_context();
+    let service: ids::ServiceId = "models".parse().expect("a name");
+    let key = planner_key::PlannerKey { service: service.clone(), cell: 0 };
+    let now = units::MonoTime::default();
+    let engine = upstream_list::UpstreamEntry {
+        name: "engine@1".parse().expect("a name"),
+        service: service.clone(),
+        data_center: "a".parse().expect("a name"),
+        address: "10.0.0.1:80".parse().expect("an address"),
+        slots: 16,
+        state: fleet_list::ListState::Live,
+        cold: time::Duration::ZERO,
+    };
+    let mut fleet = context.fleet.borrow_mut();
+    let mut routes = route_table::RouteTable::default();
+    routes.version = settings::SettingsVersion(1);
+    routes.services.insert(service.clone(), engine_service(&service));
+    fleet.routes = rc::Rc::new(routes);
+    fleet.list.replace(now, vec![engine], 1.into());
+    let mut planners = context.planners.borrow_mut();
+    planners.sync(now, &fleet);
+    let granted = (0..1_000)
+        .take_while(|number| request(&mut planners, &key, *number).is_some())
+        .count() as u64;
+    assert!(granted < 500, "no request waits");
+    for number in 1_000..6_000 {
+        assert_eq!(request(&mut planners, &key, number), None, "{number} does not wait");
+        let planner = planners.planner(&key).expect("it was added");
+        planner.end(
+            now,
+            engine_place::JobId { boot: 1, sequence: number },
+            engine_place::PlaceEnd::Done,
+        );
+        planners.tick(now);
+    }
+    assert!(planners.waiting() > 0);
+    let origins = format!("{planners:?}").matches(": Local").count();
+    assert!(origins < 500, "{origins} origins of {} requests", planners.waiting());
+}
