--- a/crates/instance/src/log_sink.rs
+++ b/crates/instance/src/log_sink.rs
@@ -22,6 +22,8 @@
 
 /// Maximum number of lines in the queue; a line takes about 500 bytes.
 const QUEUE_CAPACITY: usize = 512;
+/// Number of panics whose messages also go to standard error; far less than a pipe holds.
+const MAX_REPORTED_PANICS: u64 = 16;
 /// Maximum number of lines per second: ten times the peak of an instance in a large fleet, which is three times its
 /// 13 requests per second.
 const MAX_LINES_PER_SECOND: usize = 400;
@@ -40,9 +42,10 @@
     Ok(())
 }
 
-/// Logs each panic, in addition to the message on standard error.
+/// Logs each panic, and the first ones also on standard error.
 fn log_panics() {
     let report = panic::take_hook();
+    let reported = AtomicU64::new(0);
     panic::set_hook(Box::new(move |info| {
         let location = info.location().map(ToString::to_string).unwrap_or_default();
         let payload = info.payload();
@@ -50,7 +53,10 @@
         let text = text.or_else(|| payload.downcast_ref::<String>().map(String::as_str));
         let error = text.unwrap_or_default();
         log::error!(location = location.as_str(), error; "task.panicked");
-        report(info);
+        // Standard error blocks when it is a full pipe, which would stop the event loop.
+        if reported.fetch_add(1, atomic::Ordering::Relaxed) < MAX_REPORTED_PANICS {
+            report(info);
+        }
     }));
 }
 
