--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -13,7 +13,7 @@
 };
 
 /// Maximum number of instances that a test fleet has loopback addresses for.
-const MAX_INSTANCES: u64 = 54;
+const MAX_INSTANCES: u64 = 40;
 
 fn main() -> process::ExitCode {
     let mut options = getopts::Options::new();
