--- a/crates/instance/src/document_call.rs
+++ b/crates/instance/src/document_call.rs
@@ -47,6 +47,8 @@
     pub head: http::response::Parts,
     /// The body, at most `MAX_DOCUMENT_BYTES` long.
     pub body: Bytes,
+    /// Whether the body has neither a length nor chunks, so that only the connection's end shows that it is complete.
+    pub(crate) ends_with_connection: bool,
 }
 
 impl HttpResponse {
@@ -155,5 +157,5 @@
     let reusable =
         !until_close && !h1::closes(head.version, &head.headers) && !reader.has_unread_bytes();
     reader.free_empty_buffer();
-    Ok((HttpResponse { head, body }, reusable))
+    Ok((HttpResponse { head, body, ends_with_connection: until_close }, reusable))
 }
--- a/crates/instance/src/engine_call.rs
+++ b/crates/instance/src/engine_call.rs
@@ -7,8 +7,8 @@
 use snafu::{ResultExt as _, Snafu};
 
 use crate::{
-    adapter, context, document_call, member_relay, upstream_connect, upstream_gate, upstream_links,
-    upstream_pool, upstream_signals,
+    adapter, answer_end, context, document_call, member_relay, upstream_connect, upstream_gate,
+    upstream_links, upstream_pool, upstream_signals,
 };
 
 /// Why a call to an engine failed.
@@ -33,6 +33,12 @@
         /// Why the call failed, such as a timeout or a status other than 200.
         source: document_call::CallError,
     },
+    /// The answer to an order ended with its connection, perhaps together with the engine.
+    #[snafu(display("the answer to an order may be incomplete: {reason}"))]
+    Unconfirmed {
+        /// Why the answer may be incomplete.
+        reason: String,
+    },
 }
 
 impl EngineCallError {
@@ -41,7 +47,7 @@
     pub(crate) fn is_over(&self) -> bool {
         match self {
             Self::Denied { .. } => true,
-            Self::Connect { .. } => false,
+            Self::Connect { .. } | Self::Unconfirmed { .. } => false,
             Self::Call { source } => matches!(source, document_call::CallError::Status { .. }),
         }
     }
@@ -183,7 +189,7 @@
     // The gate checks the engine's notices (leaving, backoff, limit) right before the first byte: some may have arrived
     // while the connection was opened.
     let pass = upstream_gate::pass(context, &to.engine, kind, permits).map_err(denied)?;
-    let (reader, writer) = opened.into_sides(&pass);
+    let upstream_pool::OpenedConnection { reader, writer, relay } = opened.into_opened(&pass);
     let mut connection =
         document_call::DocumentConnection::of_open(to.address.into(), reader, writer);
     let sent_at = context.now();
@@ -202,5 +208,34 @@
     };
     let origin = upstream_signals::SignalOrigin { requested_at: sent_at, source };
     upstream_signals::receive_at(context, to.address, &response.head, origin);
-    response.into_body().map_err(failed)
+    let is_order = kind != send_gate::SendKind::Report;
+    let ends_with_connection = response.ends_with_connection;
+    let body = response.into_body().map_err(failed)?;
+    // A report that is incomplete can't be parsed, but the answer to an order may be empty.
+    if is_order && ends_with_connection {
+        confirm_end(context, to, service, relay.as_ref()).await?;
+    }
+    Ok(body)
+}
+
+/// Fails unless the engine certainly runs after an answer that has ended with its connection: one that has ended holds no
+/// memory.
+async fn confirm_end(
+    context: &context::InstanceContext,
+    to: &EngineAddress,
+    service: Option<&ids::ServiceId>,
+    relay: Option<&member_relay::ConnectionRelay>,
+) -> Result<(), EngineCallError> {
+    let unconfirmed = |reason: &str| UnconfirmedSnafu { reason }.fail();
+    let Some(service) = service else {
+        return unconfirmed("the engine is not listed");
+    };
+    if let Some(relay) = relay
+        && !relay.ended_by_upstream().await
+    {
+        return unconfirmed("the relay's connection broke");
+    }
+    let (upstream, address) = (&to.engine, to.address);
+    let ended = answer_end::EndedAnswer { upstream, service, address, relay };
+    ended.confirm(context).await.or_else(|error| unconfirmed(&error.to_string()))
 }
--- a/crates/instance/src/silence_watch.rs
+++ b/crates/instance/src/silence_watch.rs
@@ -160,7 +160,8 @@
             Err(engine_call::EngineCallError::Denied { .. }) => return Some(None),
             Err(
                 engine_call::EngineCallError::Connect { .. }
-                | engine_call::EngineCallError::Call { .. },
+                | engine_call::EngineCallError::Call { .. }
+                | engine_call::EngineCallError::Unconfirmed { .. },
             ) => return None,
         };
         let report = self.context.adapter.parse_report(&body).ok();
--- a/crates/instance/src/upstream_pool.rs
+++ b/crates/instance/src/upstream_pool.rs
@@ -83,12 +83,9 @@
         (&mut self.reader, &mut self.writer)
     }
 
-    /// Returns both sides by value, for a call that passed the gate.
-    pub(crate) fn into_sides(
-        self,
-        _pass: &upstream_gate::SendPass<'_>,
-    ) -> (h1::MessageReader, h1::MessageWriter) {
-        (self.reader, self.writer)
+    /// Returns both sides and the relay by value, for a call that passed the gate.
+    pub(crate) fn into_opened(self, _pass: &upstream_gate::SendPass<'_>) -> OpenedConnection {
+        OpenedConnection { reader: self.reader, writer: self.writer, relay: self.relay }
     }
 
     /// Returns the member that relays the connection; `None` if it is direct.
