--- a/crates/instance/src/document_call.rs
+++ b/crates/instance/src/document_call.rs
@@ -55,6 +55,8 @@
     pub head: http::response::Parts,
     /// The body, at most `MAX_DOCUMENT_BYTES` long.
     pub body: Bytes,
+    /// Whether the body has neither a length nor chunks, so that only the connection's end shows that it is complete.
+    pub(crate) ends_with_connection: bool,
 }
 
 impl HttpResponse {
@@ -114,8 +116,10 @@
         let mut open = self.open.take();
         let exchange_future = async {
             let head = send(&mut open, self.address, method, path, body).await?;
+            let framing = h1::BodyFraming::of_response(&head).context(MessageSnafu)?;
+            let ends_with_connection = framing == h1::BodyFraming::UntilClose;
             let (body, reusable) = read_body(&mut open, &head, None).await?;
-            Ok((HttpResponse { head, body }, reusable))
+            Ok((HttpResponse { head, body, ends_with_connection }, reusable))
         };
         let result = monoio::time::timeout(limit, exchange_future).await;
         let Ok(result) = result else {
--- a/crates/soak/src/return_plan.rs
+++ b/crates/soak/src/return_plan.rs
@@ -41,7 +41,7 @@
 const PLACES: [CutPlace; 4] =
     [CutPlace::StatusLine, CutPlace::Field, CutPlace::Length, CutPlace::BlankLine];
 /// How the connections of cut answers end.
-const ENDS: [CutEnd; 3] = [CutEnd::Close, CutEnd::Reset, CutEnd::Crash];
+const ENDS: [CutEnd; 3] = [CutEnd::Closed, CutEnd::Reset, CutEnd::Exit];
 
 /// Why an upstream gets no requests when it crashes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -92,10 +92,8 @@
         })
         .collect();
     let cuts = series(cuts, CUT_GAP_MS, CUT_MS).faults(seed, |random| {
-        let cut = CutAnswer {
-            place: fault_plan::pick(random, &PLACES),
-            end: fault_plan::pick(random, &ENDS),
-        };
+        let place = fault_plan::pick(random, &PLACES);
+        let cut = CutAnswer::in_head(place, fault_plan::pick(random, &ENDS));
         Fault::Upstream(random.random_range(0..size.upstreams), RunnerMode::Cut(cut))
     });
     let states = [WithheldState::Backoff, WithheldState::Leaving, WithheldState::Unlisted];
