--- a/crates/core/src/quarantine.rs
+++ b/crates/core/src/quarantine.rs
@@ -7,9 +7,9 @@
 //!   crash, and if it happened some time after that. A rack failure that ends many copies of a request counts once, and
 //!   so do the second attempts that it ends on the upstreams which fail last.
 //! - *Answer.* A completed answer clears a request of all earlier crashes.
-//! - *Rate.* A request that was answered regularly before needs more crashes in sequence, unless so many answers would be
-//!   expected between them that their lack is significant: upstreams that lose power one after the other may by chance
-//!   end the attempts of one call.
+//! - *Rate.* A request that was answered regularly before needs more crashes in sequence, unless the lack of answers
+//!   between them is significant at its rate: upstreams that lose power one after the other may by chance end the
+//!   attempts of one call.
 //! - *Known cause.* A request is not the cause if a quarantined request shares all its crashes and has more.
 //!
 //! Only evidence is stored. Quarantines are derived from it alone, so members with the same evidence agree regardless of
--- a/crates/core/src/range_read.rs
+++ b/crates/core/src/range_read.rs
@@ -13,7 +13,7 @@
         /// Revision of the page.
         revision: store_revision::StoreRevision,
     },
-    /// The page does not end behind the one before, so that the read would not end.
+    /// The last key of the page is not above that of the page before, so the read would not end.
     #[snafu(display("the pages of the store do not ascend"))]
     Unordered,
 }
